Start laburnumreel: design, generic core and shared state types

Cause: the repository is empty; several parts are to be built side by side. Change: docs/design.md with requirements, ownership, messages and interfaces; core (clock, task, INI schema, logs, metrics); settings, profiles, keys, configuration and the platform's client; thrift IDL with generated code.

--- /dev/null
+++ b/src/laburnumreel/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions and agreement between nodes."""
--- /dev/null
+++ b/src/laburnumreel/core/__init__.py
@@ -0,0 +1,38 @@
+"""Generic building blocks that know nothing of serving: clocks, tasks, settings, logs, metrics."""
+
+from laburnumreel.core._clock import Clock, ManualClock, SystemClock
+from laburnumreel.core._ini import Field, Schema, SettingsError, Values, kinds
+from laburnumreel.core._logs import Event, Log, define_event, events, setup_logs
+from laburnumreel.core._metrics import (
+    Metric,
+    define_counter,
+    define_gauge,
+    define_histogram,
+    metrics,
+    render_metrics,
+)
+from laburnumreel.core._task import Task, TaskStoppedError
+
+__all__ = [
+    "Clock",
+    "Event",
+    "Field",
+    "Log",
+    "ManualClock",
+    "Metric",
+    "Schema",
+    "SettingsError",
+    "SystemClock",
+    "Task",
+    "TaskStoppedError",
+    "Values",
+    "define_counter",
+    "define_event",
+    "define_gauge",
+    "define_histogram",
+    "events",
+    "kinds",
+    "metrics",
+    "render_metrics",
+    "setup_logs",
+]
--- /dev/null
+++ b/src/laburnumreel/core/_ini.py
@@ -0,0 +1,176 @@
+"""INI files checked against a schema, with all errors reported at once."""
+
+import configparser
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from expression import Error, Ok, Result
+
+
+class SettingsError(NamedTuple):
+    """What is wrong with one setting, in the words an operator needs to mend it."""
+
+    file: str
+    section: str
+    key: str
+    found: str
+    allowed: str
+
+    def __str__(self) -> str:
+        place = f"{self.file}: [{self.section}]" if self.section else self.file
+        if self.key:
+            place += f" {self.key}"
+        return f"{place}: found {self.found}, allowed: {self.allowed}"
+
+
+class Kind(NamedTuple):
+    """A type of value: a parser that raises ValueError, and the words for what it takes."""
+
+    parse: Callable[[str], Any]
+    allowed: str
+
+
+class Field(NamedTuple):
+    """One key of a section. A default of None with `required` makes a missing key an error."""
+
+    section: str
+    key: str
+    kind: Kind
+    default: Any
+    text: str
+    required: bool = False
+
+
+Values = dict[str, dict[str, Any]]
+
+
+class _Kinds:
+    """The value types that schemas use."""
+
+    text = Kind(lambda raw: _non_empty(raw), "a text that is not empty")
+    optional_text = Kind(lambda raw: raw.strip(), "a text")
+    names = Kind(
+        lambda raw: tuple(part.strip() for part in raw.split(",") if part.strip()),
+        "names separated by commas",
+    )
+    yes_no = Kind(lambda raw: _one_of(raw.lower(), ("yes", "no")) == "yes", "yes or no")
+    address = Kind(lambda raw: _address(raw), "HOST:PORT with a port of 0 to 65535")
+    addresses = Kind(
+        lambda raw: tuple(_address(part.strip()) for part in raw.split(",") if part.strip()),
+        "HOST:PORT, separated by commas",
+    )
+
+    @staticmethod
+    def whole(low: int, high: int) -> Kind:
+        return Kind(
+            lambda raw: _between(int(raw), low, high), f"a whole number from {low} to {high}"
+        )
+
+    @staticmethod
+    def number(low: float, high: float) -> Kind:
+        return Kind(
+            lambda raw: _between(float(raw), low, high), f"a number from {low:g} to {high:g}"
+        )
+
+    @staticmethod
+    def choice(*options: str) -> Kind:
+        return Kind(lambda raw: _one_of(raw, options), " or ".join(options))
+
+
+kinds = _Kinds
+
+
+class Schema:
+    """The sections and keys that an INI file may have.
+
+    >>> schema = Schema([Field("log", "level", kinds.choice("info", "debug"), "info", "detail")])
+    >>> schema.parse("[log]\\nlevel = loud\\n", "node.ini").is_error()
+    True
+    """
+
+    def __init__(self, fields: Iterable[Field]) -> None:
+        self._fields = list(fields)
+        self._sections: dict[str, dict[str, Field]] = {}
+        for field in self._fields:
+            self._sections.setdefault(field.section, {})[field.key] = field
+
+    @property
+    def fields(self) -> list[Field]:
+        return list(self._fields)
+
+    def load(self, path: Path) -> Result[Values, list[SettingsError]]:
+        """Read and check a file; the errors name it as given."""
+        try:
+            text = path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            return Error([SettingsError(str(path), "", "", str(error), "a readable UTF-8 file")])
+        return self.parse(text, str(path))
+
+    def parse(self, text: str, file: str) -> Result[Values, list[SettingsError]]:
+        """Check a file's text and return its values with the defaults filled in."""
+        parser = configparser.ConfigParser(
+            interpolation=None, default_section="", empty_lines_in_values=False
+        )
+        try:
+            parser.read_string(text, source=file)
+        except configparser.Error as error:
+            found = " ".join(str(error).split())
+            return Error([SettingsError(file, "", "", found, "INI sections with key = value")])
+        errors = self._unknown(parser, file)
+        values: Values = {}
+        for field in self._fields:
+            section = values.setdefault(field.section, {})
+            raw = parser.get(field.section, field.key, fallback=None)
+            if raw is None:
+                if field.required:
+                    errors.append(_error(file, field, "nothing"))
+                section[field.key] = field.default
+                continue
+            try:
+                section[field.key] = field.kind.parse(raw)
+            except ValueError:
+                errors.append(_error(file, field, repr(raw)))
+        return Error(errors) if errors else Ok(values)
+
+    def _unknown(self, parser: configparser.ConfigParser, file: str) -> list[SettingsError]:
+        errors = []
+        for section in parser.sections():
+            if section not in self._sections:
+                allowed = "the sections " + ", ".join(sorted(self._sections))
+                errors.append(SettingsError(file, section, "", "an unknown section", allowed))
+                continue
+            for key in parser[section]:
+                if key not in self._sections[section]:
+                    allowed = "the keys " + ", ".join(sorted(self._sections[section]))
+                    errors.append(SettingsError(file, section, key, "an unknown key", allowed))
+        return errors
+
+
+def _error(file: str, field: Field, found: str) -> SettingsError:
+    return SettingsError(file, field.section, field.key, found, field.kind.allowed)
+
+
+def _non_empty(raw: str) -> str:
+    if not raw.strip():
+        raise ValueError(raw)
+    return raw.strip()
+
+
+def _one_of(raw: str, options: tuple[str, ...]) -> str:
+    if raw not in options:
+        raise ValueError(raw)
+    return raw
+
+
+def _between(value: Any, low: float, high: float) -> Any:
+    if not low <= value <= high:
+        raise ValueError(value)
+    return value
+
+
+def _address(raw: str) -> tuple[str, int]:
+    host, _, port = raw.rpartition(":")
+    if not host:
+        raise ValueError(raw)
+    return host, _between(int(port), 0, 65535)
--- /dev/null
+++ b/src/laburnumreel/core/_task.py
@@ -0,0 +1,124 @@
+"""Tasks: one thread each, which owns its state and sockets and is reached by messages."""
+
+import queue
+import time
+from collections.abc import Callable
+from concurrent.futures import Executor, Future
+from typing import Any
+
+from laburnumreel.core._logs import Log, define_event
+
+TASK_FAILED = define_event(100, "task_failed", "a task's message or tick raised an exception")
+
+_log = Log("core.task")
+
+
+class TaskStoppedError(Exception):
+    """The task has stopped and takes no more messages."""
+
+
+class _Stop:
+    """The last message of a mailbox."""
+
+
+class Task:
+    """A thread with a mailbox.
+
+    Subclasses override `handle`, which answers one message, and `tick`, which runs every `tick_s`
+    seconds. Both run on the task's own thread, so the state they touch needs no lock. A message's
+    return value completes the future that `ask` gave out.
+
+    >>> class Doubler(Task):
+    ...     def handle(self, message):
+    ...         return 2 * message
+    """
+
+    def __init__(self, name: str, tick_s: float | None = None) -> None:
+        self._name = name
+        self._tick_s = tick_s
+        self._mailbox: queue.SimpleQueue[tuple[Any, Future | None]] = queue.SimpleQueue()
+        self._stopped = False
+        self._done: Future | None = None
+
+    @property
+    def name(self) -> str:
+        return self._name
+
+    def start(self, executor: Executor) -> None:
+        """Start the task's thread on `executor`, which needs a free worker for each task."""
+        self._done = executor.submit(self._run)
+
+    def ask(self, message: Any) -> Future:
+        """Send a message and return the future of its answer."""
+        answer: Future = Future()
+        if self._stopped:
+            answer.set_exception(TaskStoppedError(self._name))
+        else:
+            self._mailbox.put((message, answer))
+        return answer
+
+    def tell(self, message: Any) -> None:
+        """Send a message whose answer nobody needs."""
+        if not self._stopped:
+            self._mailbox.put((message, None))
+
+    def stop(self, timeout_s: float = 10.0) -> None:
+        """Let the mailbox run empty, run `close`, and wait until the thread has ended."""
+        if not self._stopped:
+            self._stopped = True
+            self._mailbox.put((_Stop(), None))
+        if self._done is not None:
+            self._done.result(timeout=timeout_s)
+
+    def handle(self, message: Any) -> Any:
+        raise NotImplementedError(f"{self._name} takes no messages")
+
+    def tick(self) -> None:
+        """Run periodic work."""
+
+    def close(self) -> None:
+        """Give up sockets and other resources. Runs last, on the task's thread."""
+
+    def _run(self) -> None:
+        next_tick = time.monotonic()
+        while True:
+            timeout = None
+            if self._tick_s is not None:
+                timeout = max(0.0, next_tick - time.monotonic())
+            try:
+                message, answer = self._mailbox.get(timeout=timeout)
+            except queue.Empty:
+                self._guard(self.tick)
+                next_tick = time.monotonic() + self._tick_s
+                continue
+            if isinstance(message, _Stop):
+                self._guard(self.close)
+                self._refuse_remaining()
+                return
+            self._answer(message, answer)
+            if self._tick_s is not None and time.monotonic() >= next_tick:
+                self._guard(self.tick)
+                next_tick = time.monotonic() + self._tick_s
+
+    def _answer(self, message: Any, answer: Future | None) -> None:
+        if answer is None:
+            self._guard(lambda: self.handle(message))
+            return
+        if not answer.set_running_or_notify_cancel():
+            return
+        try:
+            answer.set_result(self.handle(message))
+        except Exception as error:
+            answer.set_exception(error)
+
+    def _refuse_remaining(self) -> None:
+        while not self._mailbox.empty():
+            _, answer = self._mailbox.get()
+            if answer is not None and answer.set_running_or_notify_cancel():
+                answer.set_exception(TaskStoppedError(self._name))
+
+    def _guard(self, call: Callable[[], Any]) -> None:
+        try:
+            call()
+        except Exception as error:
+            _log.error(TASK_FAILED, task=self._name, error=repr(error), exc_info=True)
--- /dev/null
+++ b/src/laburnumreel/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Formats: callers' bodies and headers, and the messages between own processes."""
--- /dev/null
+++ b/src/laburnumreel/protocol/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Generated from idl/node.thrift."""
--- /dev/null
+++ b/src/laburnumreel/state/_keys.py
@@ -0,0 +1,62 @@
+"""Callers' keys: keyed digests, and the set of withdrawn ones, which only grows."""
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import Iterable
+
+KEY_PREFIX = "lr-"
+KEY_BYTES = 24
+
+
+def new_key() -> str:
+    """Return a fresh random key."""
+    return KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
+
+
+def key_digest(key: str, pepper: bytes) -> str:
+    """Return the hex HMAC-SHA-256 of a key, the only form in which keys are stored or compared."""
+    return hmac.new(pepper, key.encode(), hashlib.sha256).hexdigest()
+
+
+class WithdrawnKeys:
+    """An immutable set of withdrawn key digests.
+
+    Its digest is the exclusive or of the SHA-256 of the members, so that two nodes can tell in
+    constant time whether they hold the same set.
+    """
+
+    def __init__(self, members: Iterable[str] = ()) -> None:
+        self._members = frozenset(members)
+        self._digest = 0
+        for member in self._members:
+            self._digest ^= _hash(member)
+
+    @property
+    def digest(self) -> str:
+        return f"{self._digest:064x}"
+
+    def __contains__(self, digest: str) -> bool:
+        return digest in self._members
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __iter__(self):
+        return iter(sorted(self._members))
+
+    def with_members(self, members: Iterable[str]) -> "WithdrawnKeys":
+        """Return the union with `members`, or this set itself where it has them all."""
+        added = frozenset(members) - self._members
+        if not added:
+            return self
+        union = WithdrawnKeys()
+        union._members = self._members | added
+        union._digest = self._digest
+        for member in added:
+            union._digest ^= _hash(member)
+        return union
+
+
+def _hash(member: str) -> int:
+    return int.from_bytes(hashlib.sha256(member.encode()).digest())
--- /dev/null
+++ b/src/laburnumreel/state/_platform.py
@@ -0,0 +1,237 @@
+"""The client of the platform: tables, objects, ordering, usage reports and the host list."""
+
+import http.client
+import json
+from collections.abc import Sequence
+from typing import Any, Literal, NamedTuple, Protocol
+from urllib.parse import quote, urlencode
+
+from expression import Error, Ok, Result
+
+
+class Row(NamedTuple):
+    """A row of a table. The table assigns `version`, a commit number that grows."""
+
+    key: str
+    value: dict[str, Any]
+    version: int
+
+
+class Page(NamedTuple):
+    """Rows in key order, and whether more follow the last one."""
+
+    rows: list[Row]
+    more: bool
+
+
+class Check(NamedTuple):
+    """A condition of a transaction: the row has this version. 0 means that it is absent."""
+
+    table: str
+    key: str
+    version: int
+
+
+class Write(NamedTuple):
+    """A row that a transaction writes. A value of None deletes it."""
+
+    table: str
+    key: str
+    value: dict[str, Any] | None
+
+
+class CapacityOrder(NamedTuple):
+    """The wanted total of backend servers of one kind for a service in a zone."""
+
+    order_id: str
+    fence: int
+    kind: Literal["dedicated", "cheap"]
+    service: str
+    count: int
+
+
+class Host(NamedTuple):
+    """A backend server as the platform's lagging list shows it."""
+
+    name: str
+    address: str
+    zone: str
+    region: str
+    service: str
+    kind: str
+    cheap: bool
+    state: str
+
+
+class PlatformError(NamedTuple):
+    """A failed call to the platform.
+
+    `unreachable` means that the call had no effect. `lost` means that it may have had one, and the
+    caller must read back. `conflict` means that a check failed and had no effect; `rows` holds the
+    rows as they are, or None for absent ones, by (table, key). `refused` had no effect.
+    """
+
+    kind: Literal["unreachable", "lost", "conflict", "refused"]
+    detail: str = ""
+    rows: dict[tuple[str, str], Row | None] = {}
+
+
+class Platform(Protocol):
+    """What the platform gives. Every call may fail, and a failed write may have had its effect."""
+
+    def read(self, table: str, key: str) -> Result[Row | None, PlatformError]: ...
+
+    def scan(
+        self, table: str, prefix: str = "", after: str = "", limit: int = 500
+    ) -> Result[Page, PlatformError]: ...
+
+    def transact(
+        self, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> Result[int, PlatformError]: ...
+
+    def put_object(self, name: str, body: bytes) -> Result[None, PlatformError]: ...
+
+    def get_object(self, name: str) -> Result[bytes | None, PlatformError]: ...
+
+    def order_capacity(self, zone: str, order: CapacityOrder) -> Result[None, PlatformError]: ...
+
+    def capacity_orders(self, zone: str) -> Result[list[CapacityOrder], PlatformError]: ...
+
+    def report_usage(
+        self, customer: str, window: str, figures: dict[str, int]
+    ) -> Result[None, PlatformError]: ...
+
+    def read_usage(
+        self, customer: str, window: str
+    ) -> Result[dict[str, int] | None, PlatformError]: ...
+
+    def hosts(self) -> Result[list[Host], PlatformError]: ...
+
+
+class HttpPlatform:
+    """The platform over HTTP, with a connection for each call.
+
+    An instance may be shared between threads. A connection for each call keeps a late answer from
+    ever being read as the answer to the next call.
+    """
+
+    def __init__(self, address: tuple[str, int], timeout_s: float = 2.0, token: str = "") -> None:
+        self._address = address
+        self._timeout_s = timeout_s
+        self._token = token
+
+    def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
+        answer = self._call("GET", f"/table/{quote(table, '')}/{quote(key, '')}", missing=True)
+        return answer.map(lambda body: None if body is None else _row(key, body))
+
+    def scan(
+        self, table: str, prefix: str = "", after: str = "", limit: int = 500
+    ) -> Result[Page, PlatformError]:
+        query = urlencode({"prefix": prefix, "after": after, "limit": limit})
+        answer = self._call("GET", f"/table/{quote(table, '')}?{query}")
+        return answer.map(
+            lambda body: Page([_row(row["key"], row) for row in body["rows"]], body["more"])
+        )
+
+    def transact(
+        self, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> Result[int, PlatformError]:
+        body = {
+            "checks": [check._asdict() for check in checks],
+            "writes": [write._asdict() for write in writes],
+        }
+        return self._call("POST", "/table/transact", body).map(lambda answer: answer["commit"])
+
+    def put_object(self, name: str, body: bytes) -> Result[None, PlatformError]:
+        return self._call("PUT", f"/objects/{quote(name)}", body).map(lambda _: None)
+
+    def get_object(self, name: str) -> Result[bytes | None, PlatformError]:
+        return self._call("GET", f"/objects/{quote(name)}", missing=True, parse=False)
+
+    def order_capacity(self, zone: str, order: CapacityOrder) -> Result[None, PlatformError]:
+        path = f"/zones/{quote(zone, '')}/orders"
+        return self._call("POST", path, order._asdict()).map(lambda _: None)
+
+    def capacity_orders(self, zone: str) -> Result[list[CapacityOrder], PlatformError]:
+        answer = self._call("GET", f"/zones/{quote(zone, '')}/orders")
+        return answer.map(lambda body: [_named(CapacityOrder, order) for order in body["orders"]])
+
+    def report_usage(
+        self, customer: str, window: str, figures: dict[str, int]
+    ) -> Result[None, PlatformError]:
+        body = {"customer": customer, "window": window, "figures": figures}
+        return self._call("POST", "/usage", body).map(lambda _: None)
+
+    def read_usage(
+        self, customer: str, window: str
+    ) -> Result[dict[str, int] | None, PlatformError]:
+        path = f"/usage/{quote(customer, '')}/{quote(window, '')}"
+        answer = self._call("GET", path, missing=True)
+        return answer.map(lambda body: None if body is None else body["figures"])
+
+    def hosts(self) -> Result[list[Host], PlatformError]:
+        return self._call("GET", "/hosts").map(
+            lambda body: [_named(Host, host) for host in body["hosts"]]
+        )
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | bytes | None = None,
+        missing: bool = False,
+        parse: bool = True,
+    ) -> Result[Any, PlatformError]:
+        connection = http.client.HTTPConnection(*self._address, timeout=self._timeout_s)
+        try:
+            try:
+                connection.connect()
+            except OSError as error:
+                return Error(PlatformError("unreachable", str(error)))
+            try:
+                connection.request(method, path, _encode(body), self._headers())
+                answer = connection.getresponse()
+                payload = answer.read()
+            except (OSError, http.client.HTTPException) as error:
+                return Error(PlatformError("lost", repr(error)))
+        finally:
+            connection.close()
+        return _decode(answer.status, payload, missing, parse)
+
+    def _headers(self) -> dict[str, str]:
+        headers = {"Content-Type": "application/json"}
+        if self._token:
+            headers["Authorization"] = f"Bearer {self._token}"
+        return headers
+
+
+def _encode(body: dict[str, Any] | bytes | None) -> bytes | None:
+    if body is None or isinstance(body, bytes):
+        return body
+    return json.dumps(body).encode()
+
+
+def _decode(status: int, payload: bytes, missing: bool, parse: bool) -> Result[Any, PlatformError]:
+    if status == 200:
+        return Ok(json.loads(payload) if parse else payload)
+    if status == 404 and missing:
+        return Ok(None)
+    detail = payload[:200].decode(errors="replace")
+    if status == 409:
+        failed = json.loads(payload).get("failed", [])
+        rows = {
+            (row["table"], row["key"]): _row(row["key"], row) if row["version"] else None
+            for row in failed
+        }
+        return Error(PlatformError("conflict", detail, rows))
+    if status == 503:
+        return Error(PlatformError("unreachable", detail))
+    return Error(PlatformError("lost" if status >= 500 else "refused", detail))
+
+
+def _row(key: str, body: dict[str, Any]) -> Row:
+    return Row(key, body["value"], body["version"])
+
+
+def _named(kind: Any, body: dict[str, Any]) -> Any:
+    return kind(**{name: body[name] for name in kind._fields})
--- /dev/null
+++ b/src/laburnumreel/state/_profiles.py
@@ -0,0 +1,170 @@
+"""Profiles, services and customers: the schemas of their INI files and the checked values."""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from laburnumreel.core import Field, Schema, Values, kinds
+
+
+class Profile(NamedTuple):
+    """How a kind of work is served. Times are in seconds, sizes in bytes, rates for a second."""
+
+    name: str
+    kind: str
+    prefix: str
+    open_paths: tuple[str, ...]
+    idempotent_methods: tuple[str, ...]
+    resumable: bool
+    deadline_s: float
+    first_token_s: float
+    token_gap_s: float
+    silence_s: float
+    priority: int
+    cheap_back_ends: str
+    max_body_bytes: int
+    max_tokens: int
+    queue: int
+    tokens_per_s: float
+    requests_per_s: float
+    weight: float
+    retry_ratio: float
+    retry_minimum: int
+
+    @classmethod
+    def from_value(cls, name: str, value: Mapping[str, Any]) -> "Profile":
+        return _from_value(cls, name, value)
+
+    def to_value(self) -> dict[str, Any]:
+        return _to_value(self)
+
+
+class Service(NamedTuple):
+    """A model service or a plain service: its profile, customers and wanted back ends."""
+
+    name: str
+    profile: str
+    models: tuple[str, ...]
+    customers: tuple[str, ...]
+    workers: int
+    credential_file: str
+    credential_env: str
+    prefill_min: int
+    decode_min: int
+    zone_limit: int
+    change_s: float
+    cheap_share: float
+    zones: tuple[str, ...]
+    spare_zone: bool
+
+    @classmethod
+    def from_value(cls, name: str, value: Mapping[str, Any]) -> "Service":
+        return _from_value(cls, name, value)
+
+    def to_value(self) -> dict[str, Any]:
+        return _to_value(self)
+
+    def serves(self, customer: str) -> bool:
+        """Return whether this customer may use the service."""
+        return "*" in self.customers or customer in self.customers
+
+
+class Customer(NamedTuple):
+    """A customer's share and limits. A rate of 0 is no limit."""
+
+    name: str
+    weight: float
+    tokens_per_s: float
+    requests_per_s: float
+
+    @classmethod
+    def from_value(cls, name: str, value: Mapping[str, Any]) -> "Customer":
+        return _from_value(cls, name, value)
+
+    def to_value(self) -> dict[str, Any]:
+        return _to_value(self)
+
+
+_rate = kinds.number(0, 1e9)
+_METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE")
+
+PROFILE_SCHEMA = Schema(
+    [
+        Field("profile", "kind", kinds.choice("model", "plain"), None, "sort of work", True),
+        Field("profile", "prefix", kinds.optional_text, "", "path prefix of a plain service"),
+        Field("profile", "open_paths", kinds.names, (), "paths below the prefix, open to all"),
+        Field("profile", "idempotent_methods", kinds.names, _METHODS, "methods safe to repeat"),
+        Field("profile", "resumable", kinds.yes_no, True, "streams may resume elsewhere"),
+        Field("profile", "deadline_s", kinds.number(0.1, 86400), 30.0, "longest time to answer"),
+        Field("profile", "first_token_s", kinds.number(0.01, 600), 0.31, "goal: first token"),
+        Field("profile", "token_gap_s", kinds.number(0.001, 60), 0.032, "goal: between tokens"),
+        Field("profile", "silence_s", kinds.number(0.1, 600), 5.0, "no bytes: connection is dead"),
+        Field("profile", "priority", kinds.whole(-100, 100), 0, "higher runs first on engines"),
+        Field(
+            "profile",
+            "cheap_back_ends",
+            kinds.choice("never", "interruptible"),
+            "never",
+            "whether the work may run on cheaper back ends",
+        ),
+        Field("profile", "max_body_bytes", kinds.whole(1, 1 << 30), 1 << 20, "largest body"),
+        Field("profile", "max_tokens", kinds.whole(1, 1 << 20), 4096, "most output tokens"),
+        Field("limits", "queue", kinds.whole(1, 100000), 64, "queued requests of a customer"),
+        Field("limits", "tokens_per_s", _rate, 0.0, "tokens of a customer, 0 is no limit"),
+        Field("limits", "requests_per_s", _rate, 0.0, "requests of a customer, 0 is no limit"),
+        Field("limits", "weight", kinds.number(0.01, 1000), 1.0, "share against other profiles"),
+        Field("limits", "retry_ratio", kinds.number(0, 1), 0.1, "retries for each success"),
+        Field("limits", "retry_minimum", kinds.whole(0, 1000), 3, "retries in 10 s besides"),
+    ]
+)
+
+SERVICE_SCHEMA = Schema(
+    [
+        Field("service", "profile", kinds.text, None, "name of the profile", True),
+        Field("service", "models", kinds.names, (), "model names"),
+        Field("service", "customers", kinds.names, None, "customers, or *", True),
+        Field("service", "workers", kinds.whole(0, 100000), 0, "wanted back ends"),
+        Field("service", "credential_file", kinds.optional_text, "", "credential to back ends"),
+        Field("service", "credential_env", kinds.optional_text, "", "variable with it"),
+        Field("roles", "prefill_min", kinds.whole(0, 100000), 1, "least prefill engines"),
+        Field("roles", "decode_min", kinds.whole(0, 100000), 1, "least decode engines"),
+        Field("roles", "zone_limit", kinds.whole(1, 1000), 1, "changes at once in a zone"),
+        Field("roles", "change_s", kinds.number(0, 3600), 5.0, "seconds an engine is away"),
+        Field("spend", "cheap_share", kinds.number(0, 1), 0.0, "largest share of cheaper ones"),
+        Field("spend", "zones", kinds.names, (), "zones to order in"),
+        Field("spend", "spare_zone", kinds.yes_no, True, "any one zone may be lost"),
+    ]
+)
+
+CUSTOMER_SCHEMA = Schema(
+    [
+        Field("customer", "weight", kinds.number(0.01, 1000), 1.0, "share of the service"),
+        Field("customer", "tokens_per_s", _rate, 0.0, "limit, 0 is none"),
+        Field("customer", "requests_per_s", _rate, 0.0, "limit, 0 is none"),
+    ]
+)
+
+
+def merge_sections(values: Values) -> dict[str, Any]:
+    """Return the keys of all sections as one JSON object, in which lists stand for tuples."""
+    return {
+        key: list(value) if isinstance(value, tuple) else value
+        for section in values.values()
+        for key, value in section.items()
+    }
+
+
+def _from_value(kind: Any, name: str, value: Mapping[str, Any]) -> Any:
+    fields = {
+        key: tuple(item) if isinstance(item, list) else item
+        for key, item in value.items()
+        if key in kind._fields
+    }
+    return kind(**{**fields, "name": name})
+
+
+def _to_value(item: Any) -> dict[str, Any]:
+    return {
+        key: list(value) if isinstance(value, tuple) else value
+        for key, value in item._asdict().items()
+        if key != "name"
+    }
--- /dev/null
+++ b/src/laburnumreel/state/_settings.py
@@ -0,0 +1,218 @@
+"""The daemon's settings: one schema, and the checked values as named tuples."""
+
+import os
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from expression import Error, Ok, Result
+
+from laburnumreel.core import Field, Schema, SettingsError, Values, kinds
+
+Address = tuple[str, int]
+
+
+class NodeSettings(NamedTuple):
+    """Who this node is."""
+
+    name: str
+    zone: str
+    region: str
+
+
+class ListenSettings(NamedTuple):
+    """Where the two processes of a node listen."""
+
+    callers: Address
+    admin: Address
+    peers: Address
+    coordinator_admin: Address
+    coordinator_peers: Address
+
+
+class PlatformSettings(NamedTuple):
+    """Where the platform is. `timeout_s` is in seconds for each call."""
+
+    address: Address
+    timeout_s: float
+    token: str
+
+
+class PeerSettings(NamedTuple):
+    """The peer addresses of all nodes, this one's included. Times are in seconds."""
+
+    gateways: tuple[Address, ...]
+    coordinators: tuple[Address, ...]
+    exchange_s: float
+    cut_off_s: float
+
+
+class ThreadSettings(NamedTuple):
+    """Threads towards callers: for requests admitted or queued, and more for refusals."""
+
+    callers: int
+    reserve: int
+
+
+class LogSettings(NamedTuple):
+    """How logs are written."""
+
+    format: str
+    level: str
+
+
+class UsageSettings(NamedTuple):
+    """How usage is gathered. Times are in seconds."""
+
+    window_s: int
+    flush_s: float
+    shards: int
+    grace_s: float
+
+
+class LeaseSettings(NamedTuple):
+    """Lease times in seconds."""
+
+    term_s: float
+    margin_s: float
+
+
+class StopSettings(NamedTuple):
+    """Planned stops: the notice for the balancer, and the longest wait for running requests."""
+
+    notice_s: float
+    grace_s: float
+
+
+class Settings(NamedTuple):
+    """All settings of a node."""
+
+    node: NodeSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    peers: PeerSettings
+    threads: ThreadSettings
+    log: LogSettings
+    pepper: bytes
+    usage: UsageSettings
+    lease: LeaseSettings
+    stop: StopSettings
+
+
+SETTINGS_SCHEMA = Schema(
+    [
+        Field("node", "name", kinds.text, None, "the node's unique name", required=True),
+        Field("node", "zone", kinds.text, None, "its availability zone", required=True),
+        Field("node", "region", kinds.text, None, "its region", required=True),
+        Field("listen", "callers", kinds.address, ("127.0.0.1", 8080), "callers' HTTP"),
+        Field("listen", "admin", kinds.address, ("127.0.0.1", 8081), "gateway health and metrics"),
+        Field("listen", "peers", kinds.address, ("127.0.0.1", 8082), "gateway peer exchange"),
+        Field(
+            "listen",
+            "coordinator_admin",
+            kinds.address,
+            ("127.0.0.1", 8083),
+            "coordinator health and metrics",
+        ),
+        Field(
+            "listen",
+            "coordinator_peers",
+            kinds.address,
+            ("127.0.0.1", 8084),
+            "coordinator peer exchange",
+        ),
+        Field("platform", "address", kinds.address, None, "the platform", required=True),
+        Field("platform", "timeout_s", kinds.number(0.1, 60), 2.0, "longest wait for a call"),
+        Field("platform", "token_file", kinds.text, None, "file with the platform's token"),
+        Field("peers", "gateways", kinds.addresses, (), "peer addresses of all gateways"),
+        Field("peers", "coordinators", kinds.addresses, (), "peer addresses of all coordinators"),
+        Field("peers", "exchange_s", kinds.number(0.05, 60), 0.5, "time between exchanges"),
+        Field(
+            "peers",
+            "cut_off_s",
+            kinds.number(0.5, 60),
+            3.0,
+            "longest time without store and majority before admission stops",
+        ),
+        Field("threads", "callers", kinds.whole(1, 4096), 128, "requests admitted or queued"),
+        Field("threads", "reserve", kinds.whole(1, 1024), 32, "threads that answer refusals"),
+        Field("log", "format", kinds.choice("json", "console"), "json", "how logs are written"),
+        Field(
+            "log",
+            "level",
+            kinds.choice("debug", "info", "warning", "error"),
+            "info",
+            "least level that is written",
+        ),
+        Field("keys", "pepper_file", kinds.text, None, "file with the secret of key digests"),
+        Field("keys", "pepper_env", kinds.text, None, "environment variable with that secret"),
+        Field("usage", "window_s", kinds.whole(1, 86400), 60, "length of a usage window"),
+        Field("usage", "flush_s", kinds.number(0.05, 60), 1.0, "time between flushes"),
+        Field("usage", "shards", kinds.whole(1, 1024), 4, "shards of a window by customer"),
+        Field("usage", "grace_s", kinds.number(0, 600), 5.0, "wait after a window's end"),
+        Field("lease", "term_s", kinds.number(0.5, 60), 4.0, "term of a lease"),
+        Field("lease", "margin_s", kinds.number(0.05, 10), 0.5, "how early a holder stops"),
+        Field("stop", "notice_s", kinds.number(0, 60), 1.0, "notice for the balancer"),
+        Field(
+            "stop", "grace_s", kinds.number(0, 86400), 600.0, "longest wait for running requests"
+        ),
+    ]
+)
+
+
+def load_settings(path: Path) -> Result[Settings, list[SettingsError]]:
+    """Read, check and return a node's settings, with secrets read from their files."""
+    return SETTINGS_SCHEMA.load(path).bind(lambda values: _build(values, str(path)))
+
+
+def _build(values: Values, file: str) -> Result[Settings, list[SettingsError]]:
+    errors: list[SettingsError] = []
+    pepper = _secret(values["keys"], "pepper", file, errors)
+    token = ""
+    if values["platform"]["token_file"]:
+        token = _read_secret(values["platform"], "platform", "token_file", file, errors)
+    lease = LeaseSettings(**values["lease"])
+    if lease.term_s <= 2 * lease.margin_s:
+        allowed = f"more than twice margin_s ({2 * lease.margin_s:g})"
+        errors.append(SettingsError(file, "lease", "term_s", f"{lease.term_s:g}", allowed))
+    if errors:
+        return Error(errors)
+    platform = values["platform"]
+    return Ok(
+        Settings(
+            node=NodeSettings(**values["node"]),
+            listen=ListenSettings(**values["listen"]),
+            platform=PlatformSettings(platform["address"], platform["timeout_s"], token),
+            peers=PeerSettings(**values["peers"]),
+            threads=ThreadSettings(**values["threads"]),
+            log=LogSettings(**values["log"]),
+            pepper=pepper.encode(),
+            usage=UsageSettings(**values["usage"]),
+            lease=lease,
+            stop=StopSettings(**values["stop"]),
+        )
+    )
+
+
+def _secret(keys: dict[str, Any], name: str, file: str, errors: list[SettingsError]) -> str:
+    file_key, env_key = f"{name}_file", f"{name}_env"
+    if keys[file_key]:
+        return _read_secret(keys, "keys", file_key, file, errors)
+    value = os.environ.get(keys[env_key] or "", "")
+    if not value:
+        found = "nothing" if not keys[env_key] else f"{keys[env_key]}, which is not set"
+        allowed = f"{file_key}, or {env_key} naming a variable that is set"
+        errors.append(SettingsError(file, "keys", env_key, found, allowed))
+    return value
+
+
+def _read_secret(
+    values: dict[str, Any], section: str, key: str, file: str, errors: list[SettingsError]
+) -> str:
+    try:
+        secret = Path(values[key]).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        errors.append(SettingsError(file, section, key, str(error), "a readable file"))
+        return ""
+    if not secret:
+        errors.append(SettingsError(file, section, key, "an empty file", "a file with a secret"))
+    return secret
--- /dev/null
+++ b/src/laburnumreel/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Servers and connections."""
--- /dev/null
+++ b/src/laburnumreel/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,70 @@
+"""Tests of the generic building blocks."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from laburnumreel.core import Field, Schema, Task, TaskStoppedError, define_event, kinds
+
+SCHEMA = Schema(
+    [
+        Field("node", "name", kinds.text, None, "the name", required=True),
+        Field("node", "count", kinds.whole(1, 5), 2, "a number"),
+        Field("log", "level", kinds.choice("info", "debug"), "info", "detail"),
+    ]
+)
+
+
+class Doubler(Task):
+    def handle(self, message):
+        return 2 * message
+
+
+def test_task_answers_in_order_and_refuses_after_stop():
+    """Guards against messages that hang for ever because the task has ended."""
+    with ThreadPoolExecutor(1) as executor:
+        task = Doubler("doubler")
+        task.start(executor)
+        answers = [task.ask(number) for number in range(10)]
+        assert [answer.result(5) for answer in answers] == [2 * n for n in range(10)]
+        task.stop()
+        with pytest.raises(TaskStoppedError):
+            task.ask(1).result(5)
+
+
+def test_task_survives_a_failing_message():
+    """Guards against one bad message ending the task for all later ones."""
+    with ThreadPoolExecutor(1) as executor:
+        task = Doubler("doubler")
+        task.start(executor)
+        with pytest.raises(TypeError):
+            task.ask(None).result(5)
+        assert task.ask(4).result(5) == 8
+        task.stop()
+
+
+def test_schema_reports_every_error_at_once():
+    """Guards against an operator having to run the check once for each mistake."""
+    errors = SCHEMA.parse("[node]\ncount = 9\nsize = 1\n[extra]\n[log]\nlevel=x\n", "a.ini").error
+    assert {(error.section, error.key) for error in errors} == {
+        ("node", "size"),
+        ("extra", ""),
+        ("node", "name"),
+        ("node", "count"),
+        ("log", "level"),
+    }
+    assert "a.ini: [node] count: found '9', allowed: a whole number from 1 to 5" in map(str, errors)
+
+
+@given(st.text(max_size=200))
+def test_schema_never_raises(text):
+    """Guards against a traceback where an operator needs a message."""
+    SCHEMA.parse(text, "a.ini")
+
+
+def test_event_numbers_are_unique():
+    """Guards against two events that share a number in the catalogue."""
+    with pytest.raises(ValueError):
+        define_event(100, "another", "a second event 100")
