--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,268 @@
+"""Runs the whole path on loopback: stand-ins, gateway, coordinator, operator and caller.
+
+Run it with `make demo`. It takes free ports, leaves nothing behind and ends by itself.
+"""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+EXAMPLES = Path(__file__).resolve().parent
+HOST = "127.0.0.1"
+WAIT_S = 60.0
+ZONES = ("antigua-a", "xela-a", "puerto-a")
+
+
+def main() -> int:
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="laburnumreel-")))
+        demo = Demo(folder, stack)
+        demo.start_platform_and_back_ends()
+        demo.start_node()
+        key = demo.apply_profiles_and_grant_key()
+        demo.quote_contract(key)
+        demo.book_twice(key)
+        demo.print_usage()
+        demo.stop_node()
+    say("done")
+    return 0
+
+
+class Demo:
+    """The processes of one demonstration and their addresses."""
+
+    def __init__(self, folder: Path, stack: ExitStack) -> None:
+        self._folder = folder
+        self._stack = stack
+        self._ports = free_ports(8)
+        names = ("platform", "callers", "admin", "peers", "c_admin", "c_peers", "engine", "plain")
+        self._port = dict(zip(names, self._ports, strict=True))
+        self._node: list[subprocess.Popen] = []
+
+    def start_platform_and_back_ends(self) -> None:
+        say("starting the stand-ins for the platform, one engine and one plain service")
+        self._stand_in("platform", "platform")
+        self._stand_in("engine", "engine", "--model", "contract-quote")
+        self._stand_in("plain", "plain")
+        for port in ("platform", "engine", "plain"):
+            wait_for(lambda port=port: listens(self._port[port]), f"the {port} stand-in")
+        hosts = [
+            self._host("engine-1", "engine", "contract-quoting", "engine"),
+            self._host("orders-1", "plain", "orders", "plain"),
+        ]
+        call("POST", self._port["platform"], "/standin/hosts", {"hosts": hosts})
+
+    def start_node(self) -> None:
+        say("starting laburnumreeld gateway and laburnumreeld coordinator")
+        settings = self._folder / "node.ini"
+        settings.write_text(
+            f"""
+[node]
+name = demo-1
+zone = {ZONES[0]}
+region = antigua
+[listen]
+callers = {HOST}:{self._port["callers"]}
+admin = {HOST}:{self._port["admin"]}
+peers = {HOST}:{self._port["peers"]}
+coordinator_admin = {HOST}:{self._port["c_admin"]}
+coordinator_peers = {HOST}:{self._port["c_peers"]}
+[platform]
+address = {HOST}:{self._port["platform"]}
+[peers]
+gateways = {HOST}:{self._port["peers"]}
+coordinators = {HOST}:{self._port["c_peers"]}
+[keys]
+pepper_env = LABURNUMREEL_PEPPER
+[usage]
+window_s = 2
+grace_s = 1
+""",
+            encoding="utf-8",
+        )
+        for role in ("gateway", "coordinator"):
+            self._node.append(self._start(role, "laburnumreel.daemon", "--config", settings, role))
+
+    def apply_profiles_and_grant_key(self) -> str:
+        say("operator: laburnumreel config check, config apply, key grant")
+        self._operator("config", "check", EXAMPLES / "fundas-quetzal")
+        self._operator("config", "apply", EXAMPLES / "fundas-quetzal", "--wait")
+        granted = json.loads(self._operator("--json", "key", "grant", "hotel-antigua"))
+        key = granted["key"]
+        wait_for(lambda: self._models(key) == ["contract-quote"], "the key and the model")
+        return key
+
+    def quote_contract(self, key: str) -> None:
+        say("caller: streams a quote for examples/contract.txt")
+        body = {
+            "model": "contract-quote",
+            "stream": True,
+            "max_tokens": 40,
+            "messages": [{"role": "user", "content": (EXAMPLES / "contract.txt").read_text()}],
+        }
+        connection = http.client.HTTPConnection(HOST, self._port["callers"], timeout=WAIT_S)
+        connection.request(
+            "POST", "/v1/chat/completions", json.dumps(body), {"Authorization": f"Bearer {key}"}
+        )
+        answer = connection.getresponse()
+        check(answer.status == 200, f"the quote was answered with {answer.status}")
+        ended = False
+        while line := answer.readline():
+            event = line.decode().strip().removeprefix("data: ")
+            if event == "[DONE]":
+                ended = True
+            elif event:
+                for choice in json.loads(event).get("choices", []):
+                    print(choice.get("delta", {}).get("content") or "", end="", flush=True)
+        print()
+        connection.close()
+        check(ended, "the stream ended without its final event")
+
+    def book_twice(self, key: str) -> None:
+        say("caller: books once, sends the same booking again with the same Idempotency-Key")
+        headers = {"Authorization": f"Bearer {key}", "Idempotency-Key": "salon-los-volcanes-1"}
+        booking = {"hall": "Salon Los Volcanes", "covers": 168}
+        answers = [
+            call("POST", self._port["callers"], "/orders/bookings", booking, headers)
+            for _ in range(2)
+        ]
+        for status, answer in answers:
+            print(f"   {status} {json.dumps(answer)}")
+        check(answers[0] == answers[1], "the two answers differ")
+        _, state = call("GET", self._port["plain"], "/standin/state")
+        check(state["bookings_run"] == 1, f"the booking ran {state['bookings_run']} times")
+        print("   the plain service ran it once")
+
+    def print_usage(self) -> None:
+        say("platform: usage reported once per customer and window")
+
+        def reported() -> list[Any]:
+            return call("GET", self._port["platform"], "/standin/state")[1]["usage"]
+
+        def requests() -> int:
+            return sum(report["figures"]["requests"] for report in reported())
+
+        wait_for(lambda: requests() >= 2, "the usage reports")
+        for report in reported():
+            print(f"   {json.dumps(report)}")
+
+    def stop_node(self) -> None:
+        say("planned stop of both processes")
+        for process in self._node:
+            process.send_signal(signal.SIGTERM)
+        codes = [process.wait(WAIT_S) for process in self._node]
+        check(codes == [0, 0], f"the processes ended with {codes}")
+
+    def _models(self, key: str) -> list[str]:
+        try:
+            status, answer = call(
+                "GET", self._port["callers"], "/v1/models", None, {"Authorization": f"Bearer {key}"}
+            )
+        except OSError:
+            return []
+        return [model["id"] for model in answer["data"]] if status == 200 else []
+
+    def _operator(self, *arguments: Any) -> str:
+        command = [sys.executable, "-m", "laburnumreel.ui", "--settings", self._folder / "node.ini"]
+        done = subprocess.run(
+            [*command, *arguments], env=environment(), capture_output=True, text=True, check=False
+        )
+        check(done.returncode == 0, f"{arguments} failed: {done.stdout}{done.stderr}")
+        return done.stdout
+
+    def _stand_in(self, kind: str, name: str, *arguments: Any) -> None:
+        address = f"{HOST}:{self._port[name]}"
+        self._start(name, "laburnumreel_standins.main", kind, "--listen", address, *arguments)
+
+    def _start(self, name: str, module: str, *arguments: Any) -> subprocess.Popen:
+        log = self._stack.enter_context((self._folder / f"{name}.log").open("wb"))
+        command = [sys.executable, "-m", module, *map(str, arguments)]
+        process = subprocess.Popen(command, env=environment(), stdout=log, stderr=log)
+        self._stack.callback(end, process)
+        return process
+
+    def _host(self, name: str, port: str, service: str, kind: str) -> dict[str, Any]:
+        return {
+            "name": name,
+            "address": f"{HOST}:{self._port[port]}",
+            "zone": ZONES[0],
+            "region": "antigua",
+            "service": service,
+            "kind": kind,
+            "cheap": False,
+            "state": "live",
+        }
+
+
+def environment() -> dict[str, str]:
+    return {**os.environ, "LABURNUMREEL_PEPPER": "demo-only", "QUETZAL_CREDENTIAL": "demo-only"}
+
+
+def end(process: subprocess.Popen) -> None:
+    if process.poll() is None:
+        process.terminate()
+        try:
+            process.wait(10)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+def free_ports(count: int) -> list[int]:
+    with ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((HOST, 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
+def listens(port: int) -> bool:
+    with socket.socket() as probe:
+        return probe.connect_ex((HOST, port)) == 0
+
+
+def call(
+    method: str, port: int, path: str, body: Any = None, headers: dict[str, str] | None = None
+) -> tuple[int, Any]:
+    connection = http.client.HTTPConnection(HOST, port, timeout=WAIT_S)
+    try:
+        connection.request(
+            method,
+            path,
+            None if body is None else json.dumps(body),
+            {"Content-Type": "application/json", **(headers or {})},
+        )
+        answer = connection.getresponse()
+        return answer.status, json.loads(answer.read() or b"null")
+    finally:
+        connection.close()
+
+
+def wait_for(condition: Callable[[], Any], what: str) -> None:
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        check(time.monotonic() < deadline, f"waited {WAIT_S:g} s in vain for {what}")
+        time.sleep(0.1)
+
+
+def check(holds: bool, message: str) -> None:
+    if not holds:
+        raise SystemExit(f"demo failed: {message}")
+
+
+def say(text: str) -> None:
+    print(f"== {text}", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
