--- /dev/null
+++ b/src/laburnumreel/coordination/_fleet.py
@@ -0,0 +1,351 @@
+"""The known back ends: host list, late load and cache reports, own and peers' work, drain marks."""
+
+from collections.abc import Collection, Mapping, Sequence
+from typing import Any, NamedTuple
+
+from laburnumreel.state import Host
+
+# Reports are some seconds old. A send within this time before a report's arrival is taken as not
+# in the report: counting it twice for a moment is safer than sending a burst to one back end.
+REPORT_LAG_S = 2.0
+# Two exchange rounds may be lost before a peer's in-flight work is no longer counted.
+PEER_WORK_S = 3.0
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 15.0
+# A back end that has not failed for this long after its pause starts again at the first pause.
+FAILURE_MEMORY_S = 30.0
+# Bounds the digests held for one engine; 4096 blocks are 1 MiB of prompt text.
+MAX_PREFIXES = 4096
+PLAIN_REQUESTS_PER_WORKER = 16
+
+
+class LoadReport(NamedTuple):
+    """An engine's answer to `GET /load`. `at` is in seconds on the engine's own clock."""
+
+    at: float
+    role: str
+    models: tuple[str, ...]
+    queued_prefill_tokens: int
+    decode_streams: int
+    max_streams: int
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    kv_free_tokens: int
+    draining: bool
+
+    @classmethod
+    def from_value(cls, value: Mapping[str, Any]) -> "LoadReport":
+        fields = {name: value[name] for name in cls._fields}
+        return cls(**{**fields, "models": tuple(fields["models"])})
+
+
+class BackEnd(NamedTuple):
+    """One known back end as routing sees it.
+
+    `queued_prefill_tokens` is the reported queue less what the engine has processed since at its
+    reported speed. The unreported figures are own and peers' sends that the report cannot show.
+    """
+
+    name: str
+    address: tuple[str, int]
+    zone: str
+    region: str
+    service: str
+    kind: str
+    cheap: bool
+    role: str
+    models: tuple[str, ...]
+    queued_prefill_tokens: int
+    decode_streams: int
+    max_streams: int
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    kv_free_tokens: int
+    unreported_requests: int
+    unreported_prefill_tokens: int
+    cached_prefixes: frozenset[str]
+
+
+class Drain(NamedTuple):
+    """A back end or a zone that gets no new work until a time."""
+
+    target: str
+    reason: str
+    until: float
+
+
+class _Send(NamedTuple):
+    at: float
+    prefill_tokens: int
+
+
+class _Entry:
+    """What is known of one back end."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.report: LoadReport | None = None
+        self.taken_at = float("-inf")
+        self.clock_offset = float("inf")
+        self.sends: dict[str, _Send] = {}
+        self.finished: list[float] = []
+        self.prefixes: dict[str, None] = {}
+        self.frozen: frozenset[str] | None = frozenset()
+        self.failures = 0
+        self.paused_until = 0.0
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        if self.report is not None and report.at < self.report.at:
+            self.clock_offset = float("inf")
+        # The least difference between the clocks belongs to the report that was delayed least.
+        self.clock_offset = min(self.clock_offset, now - report.at)
+        self.report = report
+        self.taken_at = report.at + self.clock_offset - REPORT_LAG_S
+        self.finished = [at for at in self.finished if at > self.taken_at]
+
+    def unreported(self) -> list[_Send]:
+        return [send for send in self.sends.values() if send.at > self.taken_at]
+
+    def backlog(self, now: float) -> tuple[int, int]:
+        """Return the reported and the unreported prefill tokens that are still queued.
+
+        The engine is taken as one queue that is served at its reported speed.
+        """
+        if self.report is None:
+            return 0, sum(send.prefill_tokens for send in self.sends.values())
+        speed = self.report.prefill_tokens_per_s
+        reported = float(self.report.queued_prefill_tokens)
+        unreported = 0.0
+        at = self.taken_at
+        for send in [*self.unreported(), _Send(now, 0)]:
+            done = speed * max(0.0, send.at - at)
+            at = max(at, send.at)
+            unreported = max(0.0, unreported - max(0.0, done - reported))
+            reported = max(0.0, reported - done)
+            unreported += send.prefill_tokens
+        return int(reported), int(unreported)
+
+    def frozen_prefixes(self) -> frozenset[str]:
+        if self.frozen is None:
+            self.frozen = frozenset(self.prefixes)
+        return self.frozen
+
+
+class Fleet:
+    """The back ends that a gateway knows.
+
+    Sends that the last report cannot show are counted on top of it, from this gateway
+    (`on_sent`) and from its peers (`on_peer_work`).
+
+    >>> fleet = Fleet()
+    >>> host = Host("w1", "127.0.0.1:80", "xela-a", "xela", "orders", "plain", False, "live")
+    >>> fleet.on_hosts([host], now=0.0)
+    >>> [back_end.address for back_end in fleet.candidates("orders", "", now=0.0, cheap=False)]
+    [('127.0.0.1', 80)]
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}
+        self._services: dict[str, list[_Entry]] = {}
+        self._peers: dict[str, tuple[float, dict[str, tuple[int, int]]]] = {}
+        self._drains: dict[str, Drain] = {}
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        return tuple(self._entries)
+
+    def addresses(self, kind: str = "engine") -> dict[str, tuple[str, int]]:
+        """Return the addresses of the listed back ends of a kind, by name."""
+        return {
+            name: _address(entry.host.address)
+            for name, entry in self._entries.items()
+            if entry.host.kind == kind
+        }
+
+    def on_hosts(self, hosts: Sequence[Host], now: float) -> None:
+        """Take the platform's list. A back end that is no longer listed is forgotten."""
+        entries: dict[str, _Entry] = {}
+        for host in hosts:
+            known = self._entries.get(host.name)
+            if known is None or known.host.address != host.address:
+                known = _Entry(host)
+            known.host = host
+            entries[host.name] = known
+        self._entries = entries
+        self._services = {}
+        for entry in entries.values():
+            self._services.setdefault(entry.host.service, []).append(entry)
+        self._drains = {name: drain for name, drain in self._drains.items() if drain.until > now}
+
+    def on_load(self, name: str, report: LoadReport, now: float) -> None:
+        """Take a load report that arrived at `now`."""
+        entry = self._entries.get(name)
+        if entry is not None:
+            entry.take_report(report, now)
+
+    def on_cache_events(
+        self, name: str, stored: Sequence[str], evicted: Sequence[str], gap: bool
+    ) -> None:
+        """Take cache events. After a gap nothing older is trusted, as evictions may be missing."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return
+        if gap:
+            entry.prefixes.clear()
+        for prefix in evicted:
+            entry.prefixes.pop(prefix, None)
+        self._store_prefixes(entry, stored)
+
+    def on_sent(
+        self,
+        name: str,
+        request_id: str,
+        prefill_tokens: int,
+        now: float,
+        prefixes: Sequence[str] = (),
+    ) -> None:
+        """Count a request that is being sent.
+
+        `prefixes` are taken as cached from now on, because the engine's event comes seconds later.
+        """
+        entry = self._entries.get(name)
+        if entry is not None:
+            entry.sends[request_id] = _Send(now, prefill_tokens)
+            self._store_prefixes(entry, prefixes)
+
+    def on_finished(self, name: str, request_id: str, now: float) -> None:
+        """Count the end of a request, whatever its outcome."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return
+        send = entry.sends.pop(request_id, None)
+        if send is not None and send.at <= entry.taken_at:
+            entry.finished.append(now)
+
+    def on_peer_work(self, peer: str, work: Mapping[str, tuple[int, int]], now: float) -> None:
+        """Replace what a peer has in flight: requests and prefill tokens by back end."""
+        self._peers[peer] = (now, dict(work))
+        self._peers = {
+            name: item for name, item in self._peers.items() if now - item[0] <= PEER_WORK_S
+        }
+
+    def on_drain(self, target: str, reason: str, until: float) -> None:
+        """Give a back end, or all of a zone, no new work until a time. A later end wins."""
+        known = self._drains.get(target)
+        if known is None or known.until < until:
+            self._drains[target] = Drain(target, reason, until)
+
+    def on_failed(self, name: str, now: float) -> None:
+        """Pause a back end after a dial or answer failure, longer after each further one."""
+        entry = self._entries.get(name)
+        if entry is None or now < entry.paused_until:
+            return
+        if now - entry.paused_until > FAILURE_MEMORY_S:
+            entry.failures = 0
+        entry.failures += 1
+        pause = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** min(entry.failures - 1, 10))
+        entry.paused_until = now + pause
+
+    def drains(self, now: float) -> list[Drain]:
+        """Return the drain marks in force, for the peers."""
+        return [drain for drain in self._drains.values() if drain.until > now]
+
+    def own_work(self) -> dict[str, tuple[int, int]]:
+        """Return this gateway's unreported requests and prefill tokens by back end, for peers."""
+        work = {}
+        for name, entry in self._entries.items():
+            if entry.sends and (sends := entry.unreported()):
+                work[name] = (len(sends), sum(send.prefill_tokens for send in sends))
+        return work
+
+    def capacity(self, service: str, now: float, cheap: bool, gateways: int = 1) -> int:
+        """Return how many requests of a service this gateway may run at once.
+
+        It is an equal share for each gateway of the streams of the usable back ends, rounded up.
+        """
+        total = 0
+        for entry in self._services.get(service, ()):
+            if self._usable(entry, now, cheap):
+                engine = entry.report.max_streams if entry.report else 0
+                total += PLAIN_REQUESTS_PER_WORKER if entry.host.kind == "plain" else engine
+        return -(-total // max(1, gateways))
+
+    def candidates(
+        self, service: str, model: str, now: float, cheap: bool, exclude: Collection[str] = ()
+    ) -> list[BackEnd]:
+        """Return the back ends that may get a request of the service now.
+
+        Engines that have not reported yet are used only where no other may be.
+        """
+        usable = [
+            entry
+            for entry in self._services.get(service, ())
+            if entry.host.name not in exclude and self._usable(entry, now, cheap)
+        ]
+        fitting = [
+            entry
+            for entry in usable
+            if entry.host.kind == "plain" or (entry.report and model in entry.report.models)
+        ]
+        if not fitting:
+            fitting = [entry for entry in usable if entry.report is None]
+        peers = self._peer_work(now)
+        return [_back_end(entry, peers.get(entry.host.name, (0, 0)), now) for entry in fitting]
+
+    def _usable(self, entry: _Entry, now: float, cheap: bool) -> bool:
+        host = entry.host
+        if host.state != "live" or now < entry.paused_until or (host.cheap and not cheap):
+            return False
+        if entry.report is not None and entry.report.draining:
+            return False
+        marks = (self._drains.get(host.name), self._drains.get(host.zone))
+        return not any(mark is not None and mark.until > now for mark in marks)
+
+    def _peer_work(self, now: float) -> dict[str, tuple[int, int]]:
+        total: dict[str, tuple[int, int]] = {}
+        for at, work in self._peers.values():
+            if now - at > PEER_WORK_S:
+                continue
+            for name, (requests, tokens) in work.items():
+                known = total.get(name, (0, 0))
+                total[name] = (known[0] + requests, known[1] + tokens)
+        return total
+
+    def _store_prefixes(self, entry: _Entry, prefixes: Sequence[str]) -> None:
+        for prefix in prefixes:
+            entry.prefixes.pop(prefix, None)
+            entry.prefixes[prefix] = None
+        while len(entry.prefixes) > MAX_PREFIXES:
+            del entry.prefixes[next(iter(entry.prefixes))]
+        entry.frozen = None
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def _back_end(entry: _Entry, peers: tuple[int, int], now: float) -> BackEnd:
+    host, report = entry.host, entry.report
+    reported, unreported = entry.backlog(now)
+    streams = max(0, report.decode_streams - len(entry.finished)) if report else 0
+    return BackEnd(
+        name=host.name,
+        address=_address(host.address),
+        zone=host.zone,
+        region=host.region,
+        service=host.service,
+        kind=host.kind,
+        cheap=host.cheap,
+        role=report.role if report else "both",
+        models=report.models if report else (),
+        queued_prefill_tokens=reported,
+        decode_streams=streams,
+        max_streams=report.max_streams if report else 0,
+        prefill_tokens_per_s=report.prefill_tokens_per_s if report else 0.0,
+        decode_tokens_per_s=report.decode_tokens_per_s if report else 0.0,
+        kv_free_tokens=report.kv_free_tokens if report else 0,
+        unreported_requests=len(entry.unreported()) + peers[0],
+        unreported_prefill_tokens=unreported + peers[1],
+        cached_prefixes=entry.frozen_prefixes(),
+    )
--- /dev/null
+++ b/src/laburnumreel/coordination/_limits.py
@@ -0,0 +1,103 @@
+"""Token buckets that hold a customer to its rates, with what other gateways report counted in."""
+
+from typing import NamedTuple
+
+# A bucket holds what its rate gives in this time, so that short bursts pass.
+BURST_S = 1.0
+
+
+class Rates(NamedTuple):
+    """Limits for one customer. 0 is no limit."""
+
+    requests_per_s: float
+    tokens_per_s: float
+
+
+class Bucket:
+    """A token bucket that may go into debt.
+
+    A request passes while the level is at least `need` and is then charged in full, because its
+    real size is only known at its end. In T seconds one bucket of rate r therefore passes at most
+    r * (T + BURST_S) plus one request. With n gateways whose reports reach each other within
+    d seconds, all together pass at most r * T + n * (r * (BURST_S + d) + one request): for d
+    seconds each may spend a full bucket and its refill that the others do not see yet. The debt
+    this leaves is charged to every bucket, so the error does not add up over time.
+    """
+
+    def __init__(self, rate: float, need: float, now: float) -> None:
+        self._rate = rate
+        self._need = need
+        self._level = self.burst
+        self._at = now
+
+    @property
+    def burst(self) -> float:
+        return max(self._need, self._rate * BURST_S)
+
+    def level(self, now: float) -> float:
+        """Return what the bucket holds; below 0 it is in debt."""
+        if now > self._at:
+            self._level = min(self.burst, self._level + self._rate * (now - self._at))
+            self._at = now
+        return self._level
+
+    def charge(self, amount: float, now: float) -> None:
+        """Take an amount out, or put a negative one back."""
+        self._level = min(self.burst, self.level(now) - amount)
+
+    def wait(self, now: float) -> float:
+        """Return the seconds until a request passes."""
+        missing = self._need - self.level(now)
+        # A missing billionth is a rounding error of the refill.
+        return 0.0 if missing < 1e-9 else missing / self._rate
+
+    def full(self, now: float) -> bool:
+        return self.level(now) >= self.burst
+
+
+class Limits:
+    """The buckets of all customers that were active lately; a full bucket is forgotten.
+
+    >>> limits = Limits()
+    >>> limits.charge("hall-a", Rates(1.0, 0.0), 1, 100, now=0.0)
+    >>> limits.wait("hall-a", Rates(1.0, 0.0), now=0.5) > 0.0
+    True
+    """
+
+    def __init__(self) -> None:
+        self._buckets: dict[tuple[str, str, float], Bucket] = {}
+
+    def __len__(self) -> int:
+        return len(self._buckets)
+
+    def wait(self, scope: str, rates: Rates, now: float) -> float:
+        """Return the seconds until a request of this scope passes; 0 is now.
+
+        A scope names a customer, or a customer in one service.
+        """
+        return max((bucket.wait(now) for bucket in self._known(scope, rates)), default=0.0)
+
+    def charge(self, scope: str, rates: Rates, requests: float, tokens: float, now: float) -> None:
+        """Charge requests and tokens to a scope; negative amounts give back."""
+        for kind, rate, amount in (
+            ("requests", rates.requests_per_s, requests),
+            ("tokens", rates.tokens_per_s, tokens),
+        ):
+            if rate > 0:
+                key = (scope, kind, rate)
+                if key not in self._buckets:
+                    self._buckets[key] = Bucket(rate, 1.0, now)
+                self._buckets[key].charge(amount, now)
+
+    def forget_full(self, now: float) -> None:
+        """Drop the buckets whose state equals that of a new one."""
+        self._buckets = {
+            key: bucket for key, bucket in self._buckets.items() if not bucket.full(now)
+        }
+
+    def _known(self, scope: str, rates: Rates) -> list[Bucket]:
+        keys = (
+            (scope, "requests", rates.requests_per_s),
+            (scope, "tokens", rates.tokens_per_s),
+        )
+        return [self._buckets[key] for key in keys if key in self._buckets]
--- /dev/null
+++ b/src/laburnumreel/coordination/_routing.py
@@ -0,0 +1,134 @@
+"""The choice of a back end: one cost in milliseconds for each candidate, the least wins."""
+
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from laburnumreel.coordination._fleet import BackEnd
+from laburnumreel.coordination._prefixes import BLOCK_BYTES
+
+BYTES_PER_OUTPUT_TOKEN = 4
+
+
+class Costs(NamedTuple):
+    """What each disadvantage of a back end costs, in milliseconds.
+
+    `token_gap_ms` is the goal between tokens. `load_ms` is the cost of a full engine within that
+    goal: it spreads work before any goal is missed. `plain_request_ms` is the expected time of a
+    plain request. A kilobyte that crosses regions costs `cross_region_ms_per_kb`, a price for
+    its volume. `memory_ms` is the cost of an engine whose KV memory does not hold the request.
+    """
+
+    token_gap_ms: float = 32.0
+    load_ms: float = 40.0
+    plain_request_ms: float = 20.0
+    zone_ms: float = 2.0
+    region_ms: float = 12.0
+    cross_region_ms_per_kb: float = 0.2
+    memory_ms: float = 500.0
+    role_ms: float = 200.0
+
+
+class Work(NamedTuple):
+    """A request as routing sees it. `prefixes` are its prompt's digests, shortest first."""
+
+    request_id: str
+    service: str
+    customer: str
+    model: str
+    prompt_tokens: int
+    prompt_bytes: int
+    output_tokens: int
+    prefixes: tuple[str, ...]
+    priority: int
+
+
+class Choice(NamedTuple):
+    """The chosen back end, its cost, and the prompt tokens that it must still process."""
+
+    back_end: BackEnd
+    cost_ms: float
+    prefill_tokens: int
+
+
+class Router:
+    """Chooses the back end with the least cost; ties are broken at random.
+
+    The cost is the expected time to the first token, plus the time by which the token gap is
+    missed over the whole answer, plus prices for distance and cross-region bytes.
+
+    >>> Router("xela-a", "xela", random.Random(1)).choose(
+    ...     Work("r1", "orders", "hall-a", "", 0, 0, 0, (), 0), []
+    ... ) is None
+    True
+    """
+
+    def __init__(
+        self, zone: str, region: str, random: random.Random, costs: Costs | None = None
+    ) -> None:
+        self._zone = zone
+        self._region = region
+        self._random = random
+        self._costs = costs or Costs()
+
+    def choose(self, work: Work, candidates: Sequence[BackEnd]) -> Choice | None:
+        """Return the best candidate for the work, or None where there is none."""
+        best: list[Choice] = []
+        for back_end in candidates:
+            choice = self._choice(work, back_end)
+            if not best or choice.cost_ms < best[0].cost_ms:
+                best = [choice]
+            elif choice.cost_ms == best[0].cost_ms:
+                best.append(choice)
+        return self._random.choice(best) if best else None
+
+    def cost(self, work: Work, back_end: BackEnd) -> float:
+        """Return the cost in ms of running the work on a back end."""
+        return self._choice(work, back_end).cost_ms
+
+    def _choice(self, work: Work, back_end: BackEnd) -> Choice:
+        distance = self._distance(work, back_end)
+        if back_end.kind == "plain":
+            load = back_end.unreported_requests * self._costs.plain_request_ms
+            return Choice(back_end, distance + load, 0)
+        prefill = work.prompt_tokens - cached_tokens(work, back_end)
+        cost = distance + self._prefill(prefill, back_end) + self._decode(work, back_end)
+        if back_end.kv_free_tokens < prefill + work.output_tokens:
+            cost += self._costs.memory_ms
+        if work.output_tokens and back_end.role == "prefill":
+            cost += self._costs.role_ms
+        return Choice(back_end, cost, prefill)
+
+    def _distance(self, work: Work, back_end: BackEnd) -> float:
+        if back_end.zone == self._zone:
+            return 0.0
+        if back_end.region == self._region:
+            return self._costs.zone_ms
+        size = work.prompt_bytes + work.output_tokens * BYTES_PER_OUTPUT_TOKEN
+        return self._costs.region_ms + size / 1000 * self._costs.cross_region_ms_per_kb
+
+    def _prefill(self, prefill: int, back_end: BackEnd) -> float:
+        queued = back_end.queued_prefill_tokens + back_end.unreported_prefill_tokens
+        return 1000 * (queued + prefill) / max(1.0, back_end.prefill_tokens_per_s)
+
+    def _decode(self, work: Work, back_end: BackEnd) -> float:
+        if not work.output_tokens:
+            return 0.0
+        streams = back_end.decode_streams + back_end.unreported_requests + 1
+        slots = max(1, back_end.max_streams)
+        gap = 1000 * min(streams, slots) / max(1.0, back_end.decode_tokens_per_s)
+        late = work.output_tokens * max(0.0, gap - self._costs.token_gap_ms)
+        # Beyond its slots an engine queues: a slot is freed each time one of its streams ends.
+        waits = max(0, streams - slots) * work.output_tokens * gap / slots
+        return late + waits + self._costs.load_ms * min(1.0, streams / slots)
+
+
+def cached_tokens(work: Work, back_end: BackEnd) -> int:
+    """Return how many of the prompt's tokens the back end's prefix cache is known to hold."""
+    if not work.prompt_bytes:
+        return 0
+    for blocks in range(len(work.prefixes), 0, -1):
+        if work.prefixes[blocks - 1] in back_end.cached_prefixes:
+            share = min(1.0, blocks * BLOCK_BYTES / work.prompt_bytes)
+            return int(work.prompt_tokens * share)
+    return 0
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,306 @@
+"""Tests of the invariants of fleet, routing, admission and retry budget."""
+
+import random
+from types import SimpleNamespace
+
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from laburnumreel.coordination import (
+    Admission,
+    Admitted,
+    Fleet,
+    LoadReport,
+    Offer,
+    Queued,
+    Refused,
+    RetryBudget,
+    Router,
+    Work,
+    prompt_prefixes,
+)
+from laburnumreel.state import ErrorKind, Host
+
+SLOTS = 3
+CUSTOMERS = ["hall-a", "hall-b", "hall-c"]
+
+
+def limits(requests_per_s=0.0, tokens_per_s=0.0, weight=1.0):
+    return SimpleNamespace(weight=weight, requests_per_s=requests_per_s, tokens_per_s=tokens_per_s)
+
+
+def host(name, zone="xela-a", cheap=False, state="live", kind="engine"):
+    return Host(name, "127.0.0.1:9000", zone, zone[:-2], "chat", kind, cheap, state)
+
+
+def report(at=0.0, queued=0, streams=0, draining=False):
+    return LoadReport(at, "both", ("m",), queued, streams, 8, 8000, 1000, 10**6, draining)
+
+
+def work(tokens=100, text=""):
+    return Work("r", "chat", "c", "m", tokens, max(len(text), 1), 50, prompt_prefixes(text), 0)
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Any order of offers, ends, cancels and clock steps."""
+
+    def __init__(self):
+        super().__init__()
+        self.admission = Admission(random.Random(1))
+        self.admission.configure({}, {}, {}, {"chat": SLOTS})
+        self.now, self.count = 0.0, 0
+        self.running, self.queued, self.deadlines = set(), set(), {}
+
+    def admit(self, ids):
+        for each in ids:
+            assert each in self.queued
+            self.queued.remove(each)
+            self.running.add(each)
+
+    @rule(customer=st.sampled_from(CUSTOMERS), tokens=st.integers(1, 500), in_s=st.floats(0.1, 9))
+    def offer(self, customer, tokens, in_s):
+        self.count += 1
+        name = f"r{self.count}"
+        offer = Offer(name, "chat", customer, tokens, self.now + in_s)
+        decision = self.admission.offer(offer, self.now)
+        if isinstance(decision, Admitted):
+            self.running.add(name)
+        elif isinstance(decision, Queued):
+            self.queued.add(name)
+            self.deadlines[name] = offer.deadline
+        else:
+            assert decision.refusal.retry_after_s >= 1
+
+    @precondition(lambda self: self.running)
+    @rule(tokens=st.integers(0, 900), data=st.data())
+    def finish(self, tokens, data):
+        name = data.draw(st.sampled_from(sorted(self.running)))
+        self.running.remove(name)
+        self.admit(self.admission.finish(name, tokens, self.now))
+        assert self.admission.finish(name, tokens, self.now) == []
+
+    @precondition(lambda self: self.running or self.queued)
+    @rule(data=st.data())
+    def cancel(self, data):
+        name = data.draw(st.sampled_from(sorted(self.running | self.queued)))
+        self.running.discard(name)
+        self.queued.discard(name)
+        self.admit(self.admission.cancel(name, self.now))
+
+    @rule(step=st.floats(0, 5))
+    def expire(self, step):
+        self.now += step
+        admitted, given_up = self.admission.expire(self.now)
+        for name, refusal in given_up:
+            self.queued.remove(name)
+            assert refusal.kind is ErrorKind.DEADLINE_UNMEETABLE
+        self.admit(admitted)
+        assert all(self.deadlines[name] > self.now for name in self.queued)
+
+    @invariant()
+    def bounded_and_work_conserving(self):
+        """Guards against slots that stay free while requests wait, and against overload."""
+        assert len(self.running) <= SLOTS
+        assert len(self.running) == SLOTS or not self.queued
+        assert self.admission.running == len(self.running)
+        assert self.admission.waiting == len(self.queued)
+
+
+TestAdmission = AdmissionMachine.TestCase
+
+
+@given(
+    weights=st.lists(st.sampled_from([0.5, 1.0, 2.0, 4.0]), min_size=2, max_size=4),
+    sizes=st.lists(st.integers(1, 400), min_size=2, max_size=4),
+)
+def test_backlogged_customers_receive_service_by_weight(weights, sizes):
+    """Guards against a customer that gains by small or large requests, and against starvation."""
+    names = [f"c{number}" for number in range(min(len(weights), len(sizes)))]
+    customers = {name: limits(weight=w) for name, w in zip(names, weights, strict=False)}
+    size = dict(zip(names, sizes, strict=False))
+    admission = Admission(random.Random(1))
+    admission.configure({}, customers, {}, {"chat": 1})
+    owner, received, running = {}, dict.fromkeys(names, 0.0), []
+    for turn in range(300):
+        for name in names:
+            for slot in range(2):
+                request = f"{turn}-{name}-{slot}"
+                offer = Offer(request, "chat", name, size[name], 1e9)
+                decision = admission.offer(offer, 0.0)
+                owner[request] = name
+                running += [request] if isinstance(decision, Admitted) else []
+        request = running.pop()
+        received[owner[request]] += size[owner[request]] / customers[owner[request]].weight
+        running += admission.finish(request, size[owner[request]], 0.0)
+    largest = max(size[name] / customers[name].weight for name in names)
+    assert max(received.values()) - min(received.values()) <= 2 * largest
+
+
+@given(
+    rate=st.integers(1, 20),
+    gateways=st.integers(1, 4),
+    delay=st.integers(1, 10),
+    seed=st.integers(0, 99),
+)
+def test_limits_hold_over_all_gateways_within_the_stated_error(rate, gateways, delay, seed):
+    """Guards against a customer that exceeds its rate by spreading over gateways."""
+    source = random.Random(seed)
+    nodes = [Admission(random.Random(seed)) for _ in range(gateways)]
+    for node in nodes:
+        node.configure({}, {"hall-a": limits(requests_per_s=rate)}, {}, {"chat": 10**6})
+    passed, step_s, steps = 0, 0.1, 200
+    for step in range(steps):
+        now = step * step_s
+        for number in range(40):
+            node = source.choice(nodes)
+            offer = Offer(f"{step}-{number}", "chat", "hall-a", 1, 1e9)
+            passed += isinstance(node.offer(offer, now), Admitted)
+        if step % delay == 0:
+            news = [node.take_received() for node in nodes]
+            for index, node in enumerate(nodes):
+                for other, received in enumerate(news):
+                    if other != index:
+                        node.on_peer_received(str(other), received, now)
+    delay_s = delay * step_s
+    assert passed <= rate * steps * step_s + gateways * (rate * (1 + delay_s) + 1)
+
+
+def test_idle_customers_hold_no_state():
+    """Guards against memory that grows with the 36,000 customers ever seen."""
+    admission = Admission(random.Random(1))
+    customers = {f"c{number}": limits(2.0, 100.0) for number in range(2000)}
+    admission.configure({}, customers, {}, {"chat": 1})
+    for number, name in enumerate(customers):
+        admission.offer(Offer(name, "chat", name, 50, 1e9), number / 1000)
+        admission.finish(name, 500, number / 1000)
+    for second in range(3, 40):
+        admission.expire(float(second))
+    assert admission.customers_held == 0
+
+
+def test_what_cannot_meet_its_deadline_is_refused_with_a_time():
+    """Guards against requests that wait although their deadline is already lost."""
+    admission = Admission(random.Random(1))
+    admission.configure({}, {}, {}, {"chat": 1})
+    admission.offer(Offer("r0", "chat", "a", 100, 99), 0.0)
+    for number in range(1, 9):
+        assert isinstance(admission.offer(Offer(f"r{number}", "chat", "a", 100, 99), 0.0), Queued)
+    admission.finish("r0", 100, 2.0)
+    late = admission.offer(Offer("late", "chat", "a", 100, 12.0), 2.0)
+    assert isinstance(late, Refused)
+    assert late.refusal.kind is ErrorKind.DEADLINE_UNMEETABLE
+    # 7 queued requests and its own take 2 s each: 16 s, of which 10 s are left.
+    assert 6 <= late.refusal.retry_after_s <= 6 * 1.25
+    assert isinstance(admission.offer(Offer("other", "chat", "b", 100, 12.0), 2.0), Queued)
+
+
+@given(st.lists(st.tuples(st.sampled_from(["ok", "retry"]), st.floats(0, 2)), max_size=200))
+def test_retries_stay_within_the_budget(steps):
+    """Guards against retry storms: in no window more than the share plus the minimum."""
+    budget = RetryBudget(0.2, 2)
+    now, successes, taken = 0.0, [], []
+    for kind, step in steps:
+        now += step
+        if kind == "ok":
+            budget.succeeded(now)
+            successes.append(now)
+        elif budget.take(now):
+            taken.append(now)
+            recent = sum(at > now - 10 for at in taken)
+            assert recent <= 2 + 0.2 * sum(at > now - 10.6 for at in successes) + 1e-9
+
+
+@given(
+    hosts=st.lists(
+        st.tuples(
+            st.sampled_from(["xela-a", "antigua-a"]),
+            st.booleans(),
+            st.sampled_from(["live", "leaving"]),
+            st.booleans(),
+        ),
+        max_size=6,
+    ),
+    drained=st.sampled_from(["xela-a", "w0", "none"]),
+    cheap=st.booleans(),
+    failed=st.sampled_from(["w1", "none"]),
+)
+def test_no_new_work_where_none_is_allowed(hosts, drained, cheap, failed):
+    """Guards against work on leaving, drained, failed, excluded or forbidden cheap back ends."""
+    fleet = Fleet()
+    fleet.on_hosts([host(f"w{n}", z, c, s) for n, (z, c, s, _) in enumerate(hosts)], 0.0)
+    for number, (*_, draining) in enumerate(hosts):
+        fleet.on_load(f"w{number}", report(draining=draining), 0.0)
+    fleet.on_drain(drained, "notice", 10.0)
+    fleet.on_failed(failed, 1.0)
+    names = {each.name for each in fleet.candidates("chat", "m", 1.1, cheap, exclude=["w2"])}
+    assert names == {
+        f"w{number}"
+        for number, (zone, is_cheap, state, draining) in enumerate(hosts)
+        if state == "live"
+        and not draining
+        and (cheap or not is_cheap)
+        and drained not in (zone, f"w{number}")
+        and f"w{number}" not in (failed, "w2")
+    }
+
+
+@given(
+    sends=st.lists(st.tuples(st.floats(0, 1), st.integers(1, 5000)), max_size=20),
+    after=st.floats(0, 3),
+    peers=st.integers(0, 500),
+)
+def test_late_reports_are_corrected_by_own_and_peers_sends(sends, after, peers):
+    """Guards against herding: sends that no report shows yet must count, and only once."""
+    fleet = Fleet()
+    fleet.on_hosts([host("w0")], 100.0)
+    fleet.on_load("w0", report(at=50.0, queued=800), 100.0)
+    now = 100.0
+    for number, (step, tokens) in enumerate(sends):
+        now += step
+        fleet.on_sent("w0", str(number), tokens, now)
+    now += after
+    fleet.on_peer_work("peer", {"w0": (2, peers)}, now)
+    (seen,) = fleet.candidates("chat", "m", now, False)
+    total = sum(tokens for _, tokens in sends)
+    assert seen.unreported_requests == len(sends) + 2
+    assert seen.queued_prefill_tokens + seen.unreported_prefill_tokens <= 800 + total + peers
+    assert seen.queued_prefill_tokens + seen.unreported_prefill_tokens - peers >= (
+        800 + total - 8000 * (now - 98.0) - 2
+    )
+    fleet.on_load("w0", report(at=60.0 + (now - 100.0), queued=800), now + 10)
+    (seen,) = fleet.candidates("chat", "m", now + 10, False)
+    assert (seen.unreported_requests, seen.unreported_prefill_tokens) == (0, 0)
+    assert fleet.own_work() == {}
+
+
+@given(st.text(max_size=1500), st.text(max_size=300), st.text(max_size=300))
+def test_equal_starts_have_equal_digests(start, one, other):
+    """Guards against cache hits that are claimed for prompts that differ."""
+    first, second = prompt_prefixes(start + one), prompt_prefixes(start + other)
+    same = len(start.encode()) // 256
+    assert first[:same] == second[:same]
+    assert len(first) == len((start + one).encode()) // 256
+    for block, (left, right) in enumerate(zip(first, second, strict=False)):
+        ends = (block + 1) * 256
+        equal = (start + one).encode()[:ends] == (start + other).encode()[:ends]
+        assert (left == right) == equal
+
+
+@given(st.integers(0, 20000), st.integers(0, 20000), st.integers(0, 2), st.booleans())
+def test_router_takes_the_least_cost_and_prefers_a_cached_prefix(near, far, cached, tie):
+    """Guards against a choice that contradicts the stated cost."""
+    text = "x" * 2000
+    fleet = Fleet()
+    fleet.on_hosts([host("w0"), host("w1", "antigua-a")], 0.0)
+    fleet.on_load("w0", report(queued=near), 0.0)
+    fleet.on_load("w1", report(queued=near if tie else far), 0.0)
+    if cached:
+        fleet.on_cache_events(f"w{cached - 1}", prompt_prefixes(text), (), False)
+    router = Router("xela-a", "xela", random.Random(1))
+    candidates = fleet.candidates("chat", "m", 0.0, False)
+    choice = router.choose(work(500, text), candidates)
+    assert choice.cost_ms == min(router.cost(work(500, text), each) for each in candidates)
+    if tie and cached != 2:
+        assert choice.back_end.name == "w0"
+    assert choice.prefill_tokens == (500 if f"w{cached - 1}" != choice.back_end.name else 52)
