--- /dev/null
+++ b/src/laburnumreel/coordination/_events.py
@@ -0,0 +1,14 @@
+"""The log events of this package."""
+
+from laburnumreel.core import define_event
+
+LEASE_ACQUIRED = define_event(440, "lease_acquired", "lease acquired")
+LEASE_RELEASED = define_event(441, "lease_released", "lease released")
+LEASE_GIVEN_UP = define_event(
+    442, "lease_given_up", "lease given up before its end because it could not be renewed"
+)
+LEASE_LOST = define_event(443, "lease_lost", "lease taken by another process")
+LEASE_RELEASE_FAILED = define_event(
+    444, "lease_release_failed", "lease could not be released; a successor waits out its term"
+)
+LEASES_UNREACHABLE = define_event(445, "leases_unreachable", "leases could not be read or written")
--- /dev/null
+++ b/src/laburnumreel/coordination/_leases.py
@@ -0,0 +1,231 @@
+"""The task that acquires, renews and gives up this process's leases."""
+
+import random
+from collections.abc import Sequence
+
+from laburnumreel.coordination._authority import AuthorityBoard, ProcessTimer
+from laburnumreel.coordination._events import (
+    LEASE_ACQUIRED,
+    LEASE_GIVEN_UP,
+    LEASE_LOST,
+    LEASE_RELEASE_FAILED,
+    LEASE_RELEASED,
+    LEASES_UNREACHABLE,
+)
+from laburnumreel.coordination._metrics import LEASE_HELD, LEASE_WRITES
+from laburnumreel.core import Clock, Log, Task
+from laburnumreel.state import (
+    LEASE_TABLE,
+    Authority,
+    Lease,
+    LeaseAttempt,
+    LeaseSettings,
+    Platform,
+    PlatformError,
+)
+
+KEEPER_TICK_S = 0.1
+# A call must end early enough for several tries within a term.
+CALL_SHARE_OF_TERM = 1 / 8
+WATCH_SHARE_OF_TERM = 1 / 4
+
+_log = Log("coordination.leases")
+
+
+class LeaseKeeper(Task):
+    """Keeps leases and publishes them as authorities on a board.
+
+    Each step makes at most one call to the platform, so that the end of a lease is looked at often
+    enough while the store is slow. The platform client given here should time out after
+    `call_timeout_s`.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        board: AuthorityBoard,
+        timer: ProcessTimer,
+        clock: Clock,
+        leases: Sequence[Lease],
+        settings: LeaseSettings,
+        rng: random.Random,
+    ) -> None:
+        super().__init__("leases", KEEPER_TICK_S)
+        self._platform = platform
+        self._board = board
+        self._timer = timer
+        self._clock = clock
+        self._leases = list(leases)
+        self._term_s = settings.term_s
+        self._give_up_lead_s = self.call_timeout_s(settings) + 2 * KEEPER_TICK_S
+        self._rng = rng
+        self._published: dict[str, Authority] = {}
+        self._unclosed_ends: list[float] = []
+        self._next_watch = 0.0
+        self._reachable = True
+
+    @staticmethod
+    def call_timeout_s(settings: LeaseSettings) -> float:
+        """Return how long a call of the keeper to the platform may take, in seconds."""
+        return settings.term_s * CALL_SHARE_OF_TERM
+
+    @property
+    def store_reachable(self) -> bool:
+        """Whether the last call to the platform's store was answered."""
+        return self._reachable
+
+    def tick(self) -> None:
+        self.step()
+
+    def step(self) -> None:
+        """Give up what is about to end, then make the most urgent call."""
+        now = self._clock.now()
+        self._give_up_ending(now)
+        if any(lease.read_needed for lease in self._leases):
+            self._watch()
+            return
+        due = [lease for lease in self._leases if lease.renewal_due(now)]
+        if due:
+            self._send(due)
+            return
+        if now >= self._next_watch:
+            self._watch()
+            return
+        ready = [lease for lease in self._leases if lease.may_acquire(now)]
+        if ready:
+            self._send([self._rng.choice(ready)])
+
+    def release_all(self) -> None:
+        """Give all authorities up, then tell the other processes that they need not wait."""
+        now = self._clock.now()
+        attempts = []
+        for lease in self._leases:
+            closed = self._withdraw(lease.name)
+            attempt = lease.release(now)
+            if attempt is not None and closed:
+                attempts.append(attempt)
+        for attempt in attempts:
+            result = self._platform.transact([attempt.check], [attempt.write])
+            if result.is_ok():
+                _log.info(LEASE_RELEASED, lease=attempt.check.key, fence=attempt.fence)
+            else:
+                detail = str(result.error.detail)
+                _log.warning(LEASE_RELEASE_FAILED, lease=attempt.check.key, error=detail)
+
+    def lapse(self, name: str) -> None:
+        """Give one authority up without telling others, so that a successor waits the term."""
+        for lease in self._leases:
+            if lease.name == name:
+                lease.lapse()
+                self._withdraw(name)
+
+    def handle(self, message: object) -> None:
+        match message:
+            case ("lapse", str(name)):
+                self.lapse(name)
+            case _:
+                super().handle(message)
+
+    def close(self) -> None:
+        self.release_all()
+
+    def _give_up_ending(self, now: float) -> None:
+        for name, authority in list(self._published.items()):
+            if now >= authority.end - self._give_up_lead_s:
+                _log.warning(LEASE_GIVEN_UP, lease=name, fence=authority.fence)
+                self.lapse(name)
+
+    def _watch(self) -> None:
+        self._next_watch = self._clock.now() + self._term_s * WATCH_SHARE_OF_TERM * (
+            1 + 0.2 * self._rng.random()
+        )
+        page = self._platform.scan(LEASE_TABLE)
+        now = self._clock.now()
+        if page.is_error():
+            self._on_error(page.error)
+            return
+        self._reachable = True
+        rows = {row.key: row for row in page.ok.rows}
+        for lease in self._leases:
+            lease.observe(rows.get(lease.name), now)
+        self._publish()
+
+    def _send(self, leases: list[Lease]) -> None:
+        now = self._clock.now()
+        pairs: list[tuple[Lease, LeaseAttempt]] = []
+        for lease in leases:
+            attempt = lease.attempt(now)
+            if attempt is not None:
+                pairs.append((lease, attempt))
+        if not pairs:
+            return
+        result = self._platform.transact(
+            [attempt.check for _, attempt in pairs], [attempt.write for _, attempt in pairs]
+        )
+        LEASE_WRITES.inc(kind=pairs[0][1].kind)
+        answered_at = self._clock.now()
+        for lease, attempt in pairs:
+            if result.is_ok():
+                lease.succeeded(attempt, result.ok)
+            else:
+                lease.failed(attempt, result.error, answered_at)
+        if result.is_ok():
+            self._reachable = True
+        else:
+            self._on_error(result.error)
+        self._publish()
+
+    def _publish(self) -> None:
+        """Arm the timer for the leases held now, then put them in force."""
+        now = self._clock.now()
+        fresh = {}
+        for lease in self._leases:
+            authority = lease.authority(now)
+            if authority is not None and now < authority.end - self._give_up_lead_s:
+                fresh[lease.name] = authority
+        for name, old in list(self._published.items()):
+            new = fresh.get(name)
+            if new is None or new.fence != old.fence:
+                _log.warning(LEASE_LOST, lease=name, fence=old.fence)
+                self._withdraw(name)
+        changed = [new for name, new in fresh.items() if self._published.get(name) != new]
+        if not changed:
+            return
+        first = {new.name for new in changed if new.name not in self._published}
+        self._published.update(fresh)
+        self._arm()
+        for authority in changed:
+            self._board.publish(authority)
+            if authority.name in first:
+                LEASE_HELD.set(1, lease=authority.name)
+                _log.info(LEASE_ACQUIRED, lease=authority.name, fence=authority.fence)
+
+    def _withdraw(self, name: str) -> bool:
+        """Take an authority out of force and return whether its connections are closed.
+
+        Where one is not, the timer stays armed for that authority's end.
+        """
+        closed = self._board.withdraw(name)
+        authority = self._published.pop(name, None)
+        if authority is not None:
+            LEASE_HELD.set(0, lease=name)
+            if not closed:
+                self._unclosed_ends.append(authority.end)
+        self._arm()
+        return closed
+
+    def _arm(self) -> None:
+        """Arm the timer for the earliest end; disarm it when all authorities were given up."""
+        ends = [authority.end for authority in self._published.values()] + self._unclosed_ends
+        if ends:
+            self._timer.arm(min(ends))
+        else:
+            self._timer.disarm()
+
+    def _on_error(self, error: PlatformError) -> None:
+        if error.kind == "conflict":
+            self._reachable = True
+            return
+        if self._reachable:
+            _log.warning(LEASES_UNREACHABLE, kind=error.kind, error=error.detail)
+        self._reachable = False
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -3,6 +3,7 @@
 from laburnumreel.state._configuration import Change, Configuration, Route
 from laburnumreel.state._errors import ERROR_ANSWERS, ErrorAnswer, ErrorKind, Refusal, RunState
 from laburnumreel.state._keys import WithdrawnKeys, key_digest, new_key
+from laburnumreel.state._lease import LEASE_TABLE, Authority, Lease, LeaseAttempt
 from laburnumreel.state._platform import (
     CapacityOrder,
     Check,
@@ -23,14 +24,22 @@
     Service,
     merge_sections,
 )
-from laburnumreel.state._settings import SETTINGS_SCHEMA, Settings, load_settings
+from laburnumreel.state._settings import (
+    SETTINGS_SCHEMA,
+    LeaseSettings,
+    Settings,
+    UsageSettings,
+    load_settings,
+)
 
 __all__ = [
     "CUSTOMER_SCHEMA",
     "ERROR_ANSWERS",
+    "LEASE_TABLE",
     "PROFILE_SCHEMA",
     "SERVICE_SCHEMA",
     "SETTINGS_SCHEMA",
+    "Authority",
     "CapacityOrder",
     "Change",
     "Check",
@@ -40,6 +49,9 @@
     "ErrorKind",
     "Host",
     "HttpPlatform",
+    "Lease",
+    "LeaseAttempt",
+    "LeaseSettings",
     "Page",
     "Platform",
     "PlatformError",
@@ -50,6 +62,7 @@
     "RunState",
     "Service",
     "Settings",
+    "UsageSettings",
     "WithdrawnKeys",
     "Write",
     "key_digest",
--- /dev/null
+++ b/src/laburnumreel/state/_lease.py
@@ -0,0 +1,190 @@
+"""The state machine of one lease: who may give orders, under which fencing number, until when."""
+
+from typing import Any, Literal, NamedTuple
+
+from laburnumreel.state._platform import Check, PlatformError, Row, Write
+
+LEASE_TABLE = "lease"
+# A lease is renewed when this share of its term has passed, which leaves time for several tries.
+RENEW_SHARE = 1 / 3
+
+
+class Authority(NamedTuple):
+    """The right to act under a lease.
+
+    `end` is in seconds of the holder's own clock. `row_version` is what a transaction checks to
+    prove that the lease was not taken over.
+    """
+
+    name: str
+    fence: int
+    row_version: int
+    end: float
+
+
+class LeaseAttempt(NamedTuple):
+    """One part of a transaction that acquires, renews or releases a lease."""
+
+    kind: Literal["acquire", "renew", "release"]
+    check: Check
+    write: Write
+    fence: int
+    sent_at: float
+
+
+class Lease:
+    """What one process knows of one lease.
+
+    It makes no calls: the owner sends the attempts and hands back outcomes and rows. All times are
+    seconds of the owner's clock.
+
+    >>> lease = Lease("orders", "node-a", "boot-1", term_s=4.0, margin_s=0.5)
+    >>> lease.observe(None, now=0.0)
+    >>> attempt = lease.attempt(now=1.0)
+    >>> lease.succeeded(attempt, commit=7)
+    >>> lease.authority(now=1.1)
+    Authority(name='orders', fence=1, row_version=7, end=4.5)
+    """
+
+    def __init__(self, name: str, holder: str, boot: str, term_s: float, margin_s: float) -> None:
+        self._name = name
+        self._holder = holder
+        self._boot = boot
+        self._term_s = term_s
+        self._margin_s = margin_s
+        self._observed = False
+        self._row: Row | None = None
+        self._first_seen_at = 0.0
+        self._held: Authority | None = None
+        self._renewed_at = 0.0
+        self._unresolved_since: float | None = None
+        self._read_needed = False
+
+    @property
+    def name(self) -> str:
+        return self._name
+
+    @property
+    def held(self) -> Authority | None:
+        """The authority last gained, also when its end has passed."""
+        return self._held
+
+    @property
+    def read_needed(self) -> bool:
+        """Whether an attempt's answer was lost and the row was not read since."""
+        return self._read_needed
+
+    @property
+    def row(self) -> Row | None:
+        """The newest row seen."""
+        return self._row
+
+    def authority(self, now: float) -> Authority | None:
+        """Return the authority that is in force at `now`, or None."""
+        return self._held if self._held is not None and now < self._held.end else None
+
+    def observe(self, row: Row | None, now: float) -> None:
+        """Take in the row as read. `now` is the time after the read's answer came."""
+        self._read_needed = False
+        version = 0 if row is None else row.version
+        known = 0 if self._row is None else self._row.version
+        if self._observed and version < known:
+            return
+        if not self._observed or version != known:
+            self._first_seen_at = now
+        self._observed, self._row = True, row
+        if row is None or not self._is_ours(row.value):
+            self._held = None
+            self._unresolved_since = None
+        elif self._held is None or row.version != self._held.row_version:
+            self._adopt(row)
+
+    def renewal_due(self, now: float) -> bool:
+        """Return whether the lease is held and it is time to renew it."""
+        held = self.authority(now)
+        return held is not None and now >= self._renewed_at + self._term_s * RENEW_SHARE
+
+    def may_acquire(self, now: float) -> bool:
+        """Return whether no other process can hold the lease any more.
+
+        A foreign row is waited out from our own first sight of its version: the holder measured its
+        term from before that version existed, and no clock of another machine is read.
+        """
+        if not self._observed or self.authority(now) is not None:
+            return False
+        if self._row is None or not self._row.value["holder"] or self._is_ours(self._row.value):
+            return True
+        return now >= self._first_seen_at + self._row.value["term_s"] + 2 * self._margin_s
+
+    def attempt(self, now: float) -> LeaseAttempt | None:
+        """Return the renewal or the acquisition to send now, or None."""
+        held = self.authority(now)
+        if held is not None:
+            return self._attempt("renew", held.row_version, held.fence, now)
+        if not self.may_acquire(now):
+            return None
+        if self._row is None:
+            return self._attempt("acquire", 0, 1, now)
+        return self._attempt("acquire", self._row.version, self._row.value["fence"] + 1, now)
+
+    def release(self, now: float) -> LeaseAttempt | None:
+        """Give the authority up and return the attempt that tells others, or None if not held."""
+        held, self._held = self._held, None
+        if held is None:
+            return None
+        return self._attempt("release", held.row_version, held.fence, now)
+
+    def lapse(self) -> None:
+        """Give the authority up without telling others; they wait out the term."""
+        self._held = None
+
+    def succeeded(self, attempt: LeaseAttempt, commit: int) -> None:
+        """Take in that `attempt` took effect as `commit`."""
+        self._row = Row(self._name, dict(attempt.write.value or {}), commit)
+        self._unresolved_since, self._read_needed = None, False
+        if attempt.kind == "release":
+            self._held = None
+            return
+        self._hold(attempt.fence, commit, attempt.sent_at)
+
+    def failed(self, attempt: LeaseAttempt, error: PlatformError, now: float) -> None:
+        """Take in that `attempt` failed, or that its answer was lost."""
+        if error.kind == "lost":
+            self._read_needed = True
+            if self._unresolved_since is None:
+                self._unresolved_since = attempt.sent_at
+        if error.kind == "conflict" and (LEASE_TABLE, self._name) in error.rows:
+            self.observe(error.rows[LEASE_TABLE, self._name], now)
+
+    def _adopt(self, row: Row) -> None:
+        """Take over a row that an attempt with a lost answer wrote.
+
+        With several such attempts it is not known which one wrote it, so the term is counted from
+        the earliest.
+        """
+        since, self._unresolved_since = self._unresolved_since, None
+        if since is None:
+            self._held = None
+        else:
+            self._hold(row.value["fence"], row.version, since)
+
+    def _hold(self, fence: int, version: int, sent_at: float) -> None:
+        end = sent_at + self._term_s - self._margin_s
+        self._held = Authority(self._name, fence, version, end)
+        self._renewed_at = sent_at
+
+    def _is_ours(self, value: dict[str, Any]) -> bool:
+        return value["holder"] == self._holder and value["boot"] == self._boot
+
+    def _attempt(
+        self, kind: Literal["acquire", "renew", "release"], version: int, fence: int, now: float
+    ) -> LeaseAttempt:
+        released = kind == "release"
+        value = {
+            "holder": "" if released else self._holder,
+            "boot": "" if released else self._boot,
+            "fence": fence,
+            "term_s": 0.0 if released else self._term_s,
+        }
+        check = Check(LEASE_TABLE, self._name, version)
+        return LeaseAttempt(kind, check, Write(LEASE_TABLE, self._name, value), fence, now)
