Add stand-ins for the platform and engines

Process tests of the daemon need a platform and engines to talk to, and no real ones may be used.

The platform stand-in answers tables, objects, zones' orders, usage reports and the host list from PlatformState, which has no sockets and can be driven in process. The engine stand-in runs continuous batching, priorities, a prefix cache, resume, cancel and orders in a simple time model on one thread. Both have switchable faults.

--- /dev/null
+++ b/src/laburnumreel_standins/_engine.py
@@ -0,0 +1,275 @@
+"""An engine over HTTP."""
+
+import os
+import queue
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from laburnumreel.core import SystemClock
+from laburnumreel_standins._engine_answers import Stream, whole_answer
+from laburnumreel_standins._engine_model import EngineModel, Job, Speeds
+from laburnumreel_standins._engine_orders import EngineOrders
+from laburnumreel_standins._engine_task import EngineTask
+from laburnumreel_standins._faults import Faults
+from laburnumreel_standins._http import (
+    Answer,
+    DropConnectionError,
+    Request,
+    error_answer,
+    json_answer,
+    silence_others,
+)
+from laburnumreel_standins._requests_seen import RequestsSeen
+from laburnumreel_standins._text import TOKENS_PER_BLOCK, Prompt
+
+CRASH_CODE = 13
+KV_BYTES_PER_TOKEN = 16
+
+
+class EngineFaults:
+    """The faults of an engine that are not faults of single calls."""
+
+    def __init__(self) -> None:
+        self.crash_on = ""
+        self.crash_in_change = False
+        self.silent = ""
+        self.refuse = False
+        self.break_streams = 0
+        self.break_after = 3
+        self.wrong_request_id = 0
+
+    def take(self, name: str) -> bool:
+        """Count one use of a fault that hits a number of requests."""
+        left = getattr(self, name)
+        if left > 0:
+            setattr(self, name, left - 1)
+        return left > 0
+
+
+class EngineService:
+    """Answers an engine's interface from an `EngineModel` that runs on its own thread."""
+
+    def __init__(
+        self,
+        speeds: Speeds,
+        models: tuple[str, ...],
+        role: str = "both",
+        change_s: float = 0.0,
+        crash: Callable[[], None] = lambda: os._exit(CRASH_CODE),
+    ) -> None:
+        self._now = SystemClock().now
+        self._task = EngineTask(EngineModel(speeds, self._now(), role))
+        self._orders = EngineOrders(models, role, change_s)
+        # Guards the orders, which request threads change.
+        self._orders_lock = threading.Lock()
+        self._seen = RequestsSeen()
+        self._faults = EngineFaults()
+        self._call_faults = Faults()
+        self._crash = crash
+        self._interrupted = 0
+
+    def answer(self, request: Request) -> Answer:
+        if request.segments[0] == "standin":
+            return self._standin(request)
+        if self._faults.silent == "all":
+            request.channel.silent = True
+            return Answer(200, b"")
+        fault = self._call_faults.next(request.method, request.path)
+        time.sleep(fault.before_s)
+        if fault.outcome == "down":
+            return error_answer(503, "the engine is down")
+        if fault.outcome == "lose_request":
+            raise DropConnectionError
+        answer = self._route(request)
+        time.sleep(fault.after_s)
+        if fault.outcome == "lose_answer":
+            raise DropConnectionError
+        return answer
+
+    def _route(self, request: Request) -> Answer:
+        match request.method, request.segments:
+            case "POST", ("v1", "completions"):
+                return self._complete(request, chat=False)
+            case "POST", ("v1", "chat", "completions"):
+                return self._complete(request, chat=True)
+            case "GET", ("v1", "models"):
+                models = [{"id": model, "object": "model"} for model in self._settled().models]
+                return json_answer({"object": "list", "data": models})
+            case "POST", ("requests", request_id, "cancel"):
+                count = self._task.call(lambda model: model.cancel(request_id))
+                return json_answer({"cancelled": count})
+            case "GET", ("load",):
+                return self._load()
+            case "GET", ("cache", "events"):
+                return self._cache_events(request.whole("after", 0))
+            case "POST", ("orders",):
+                return self._order(request.json())
+            case "GET", ("orders",):
+                return self._describe_orders()
+            case "GET" | "PUT", ("kv", prefix):
+                return self._kv(request, prefix)
+        return error_answer(404, "no such route")
+
+    def _complete(self, request: Request, chat: bool) -> Answer:
+        request_id = request.headers.get("X-Request-Id", f"engine-{time.monotonic_ns()}")
+        echo = {"X-Request-Id": request_id}
+        refusal = self._refusal()
+        if refusal:
+            self._seen.refused(request_id, refusal)
+            return error_answer(503, refusal, echo)
+        prompt = Prompt.from_body(request.json(), chat)
+        if prompt.model not in self._settled().models:
+            self._seen.refused(request_id, "unknown model")
+            return error_answer(404, "unknown model", echo)
+        progress: queue.SimpleQueue = queue.SimpleQueue()
+        job = Job(
+            request_id,
+            prompt.tokens,
+            prompt.prefixes,
+            prompt.output_tokens,
+            progress.put,
+            request.whole("X-Priority", 0),
+            max(0, request.whole("X-Resume-From", 0)),
+        )
+        if not self._task.call(lambda model: model.submit(job)):
+            self._seen.refused(request_id, "queue full")
+            return error_answer(503, "the engine's queue is full", echo)
+        run = self._seen.started(request_id, request.headers)
+        if self._faults.crash_on and self._faults.crash_on in prompt.text:
+            self._crash()
+        if self._faults.take("wrong_request_id"):
+            request_id = f"{request_id}-of-another"
+        break_after = self._faults.break_after if self._faults.take("break_streams") else None
+        stream = Stream(
+            request_id,
+            prompt,
+            job.produced,
+            progress,
+            request.channel,
+            lambda: self._task.tell(lambda model: model.cancel_job(job)),
+            run,
+            break_after,
+        )
+        headers = {"X-Request-Id": request_id}
+        if not prompt.stream:
+            return json_answer(whole_answer(stream), headers=headers)
+        headers["Content-Type"] = "text/event-stream"
+        return Answer(200, stream.events(), headers)
+
+    def _refusal(self) -> str:
+        orders = self._settled()
+        if self._faults.refuse:
+            return "the engine refuses work"
+        if orders.changing:
+            return "the engine changes its role"
+        return "the engine is draining" if orders.draining else ""
+
+    def _settled(self) -> EngineOrders:
+        with self._orders_lock:
+            before = self._orders.role
+            self._orders.settle(self._now())
+            role = self._orders.role
+        if role != before:
+            self._task.call(lambda model: setattr(model, "role", role))
+        return self._orders
+
+    def _load(self) -> Answer:
+        orders = self._settled()
+        report = self._task.call(lambda model: model.lagged_report())
+        body = report._asdict()
+        body.update(role=orders.role, models=orders.models, draining=orders.draining)
+        return json_answer(body)
+
+    def _cache_events(self, after: int) -> Answer:
+        events, last, gap = self._task.call(
+            lambda model: model.cache.events_after(after, model.now - model.lag_s)
+        )
+        rows = [{"seq": event.seq, "kind": event.kind, "prefix": event.prefix} for event in events]
+        return json_answer({"events": rows, "next": last, "gap": gap})
+
+    def _order(self, body: dict[str, Any]) -> Answer:
+        self._settled()
+        with self._orders_lock:
+            order = self._orders.receive(body, self._now())
+            changing = self._orders.changing
+        if order.state in ("old_fence", "order_id_reused"):
+            return json_answer({"order_id": order.order_id, "error": order.state}, 409)
+        if order.state == "busy":
+            return error_answer(503, "another order is running")
+        if changing:
+            # A role change ends whatever runs: callers who order it too early see broken streams.
+            self._interrupted += self._task.call(lambda model: model.interrupt_all())
+            if self._faults.crash_in_change:
+                threading.Timer(self._orders.change_s / 2, self._crash).start()
+        return json_answer({"order_id": order.order_id, "state": order.state})
+
+    def _describe_orders(self) -> Answer:
+        orders = self._settled()
+        return json_answer(
+            {
+                "last": None if orders.last is None else orders.last._asdict(),
+                "role": orders.role,
+                "models": orders.models,
+                "history": [order._asdict() for order in orders.history],
+            }
+        )
+
+    def _kv(self, request: Request, prefix: str) -> Answer:
+        if request.method == "PUT":
+            self._task.call(lambda model: model.cache.store([prefix], model.now))
+            return json_answer({})
+        if not self._task.call(lambda model: prefix in model.cache):
+            return error_answer(404, "the prefix is not cached")
+        size = KV_BYTES_PER_TOKEN * TOKENS_PER_BLOCK
+        return Answer(200, bytes(size), {"Content-Type": "application/octet-stream"})
+
+    def _standin(self, request: Request) -> Answer:
+        match request.method, request.segments[1]:
+            case "GET", "state":
+                return json_answer(self._describe())
+            case "POST", "faults":
+                self._change_faults(request)
+                return json_answer({**vars(self._faults), **self._call_faults.values})
+        return error_answer(404, "no such route")
+
+    def _change_faults(self, request: Request) -> None:
+        for name, value in request.json().items():
+            if name in ("fence_check", "change_s"):
+                setattr(self._orders, name, value)
+            elif name == "lag_s":
+                self._task.call(lambda model, lag_s=value: setattr(model, "lag_s", lag_s))
+            elif name == "tokens_per_s":
+                self._task.call(lambda model, rate=value: model.set_stream_rate(rate))
+            elif name == "drop_events":
+                self._task.call(lambda model, count=value: model.cache.drop_events(count))
+            elif name in self._call_faults.names:
+                self._call_faults.change({name: value})
+            elif name == "silent":
+                self._silence(request, value)
+            elif name in vars(self._faults):
+                setattr(self._faults, name, value)
+            else:
+                raise ValueError(f"unknown fault: {name}")
+
+    def _silence(self, request: Request, value: Any) -> None:
+        """Make open connections silent for good; "all" or true also those that open later."""
+        if value:
+            silence_others(request.channel)
+        self._faults.silent = "all" if value in (True, "all") else ""
+
+    def _describe(self) -> dict[str, Any]:
+        orders = self._settled()
+        running, cached = self._task.call(lambda model: (model.running, model.cache.prefixes))
+        return {
+            "requests": self._seen.describe(),
+            "refused": self._seen.refusals,
+            "orders": [order._asdict() for order in orders.history],
+            "role": orders.role,
+            "models": orders.models,
+            "draining": orders.draining,
+            "running": running,
+            "interrupted": self._interrupted,
+            "cached_prefixes": cached,
+        }
--- /dev/null
+++ b/src/laburnumreel_standins/_http.py
@@ -0,0 +1,215 @@
+"""A thin layer over waitress: requests, answers, dropped and silent connections."""
+
+import contextlib
+import json
+import logging
+import os
+import signal
+import socket
+from collections.abc import Iterable
+from http import HTTPStatus
+from typing import Any, NamedTuple, Protocol
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import waitress
+from waitress.channel import ClientDisconnected, HTTPChannel
+from waitress.task import WSGITask
+
+_CHANNEL = "laburnumreel_standins.channel"
+# KV imports are the largest bodies.
+MAX_BODY_BYTES = 256 * 1024 * 1024
+
+
+class BadRequestError(Exception):
+    """The request is malformed and is answered with 400."""
+
+
+class DropConnectionError(Exception):
+    """The connection is closed without an answer, or in the middle of one."""
+
+
+class Channel(HTTPChannel):
+    """A connection that can be dropped, or go silent: it stays open and no byte passes."""
+
+    silent = False
+
+    def readable(self) -> bool:
+        return not self.silent and super().readable()
+
+    def writable(self) -> bool:
+        return not self.silent and bool(super().writable())
+
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        return 0 if self.silent else super().send(data, do_close=do_close)
+
+    def drop(self) -> None:
+        """Close both directions of the connection. Bytes already sent still arrive."""
+        with contextlib.suppress(OSError, AttributeError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+
+class _Task(WSGITask):
+    def get_environment(self) -> dict[str, Any]:
+        environ = super().get_environment()
+        environ[_CHANNEL] = self.channel
+        return environ
+
+
+Channel.task_class = _Task
+
+
+class Request(NamedTuple):
+    """One request, with its path split into decoded segments."""
+
+    method: str
+    path: str
+    segments: tuple[str, ...]
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    channel: Channel
+
+    def json(self) -> dict[str, Any]:
+        """Return the body, which has to be a JSON object."""
+        try:
+            value = json.loads(self.body)
+        except ValueError as error:
+            raise BadRequestError(f"the body is not JSON: {error}") from error
+        if not isinstance(value, dict):
+            raise BadRequestError("the body is not a JSON object")
+        return value
+
+    def whole(self, name: str, default: int) -> int:
+        """Return a whole number from the query or, where it is a header's name, the headers."""
+        raw = self.query.get(name, self.headers.get(name, str(default)))
+        if not raw.lstrip("-").isdecimal():
+            raise BadRequestError(f"{name} is not a whole number")
+        return int(raw)
+
+
+class Answer(NamedTuple):
+    """One answer. A body that is not bytes is sent in chunks as it comes."""
+
+    status: int
+    body: bytes | Iterable[bytes]
+    headers: dict[str, str] = {}
+
+
+class Service(Protocol):
+    """A stand-in: it answers requests from several threads."""
+
+    def answer(self, request: Request) -> Answer: ...
+
+
+def json_answer(value: Any, status: int = 200, headers: dict[str, str] | None = None) -> Answer:
+    """Return an answer with a JSON body."""
+    all_headers = {"Content-Type": "application/json", **(headers or {})}
+    return Answer(status, json.dumps(value).encode(), all_headers)
+
+
+def error_answer(status: int, message: str, headers: dict[str, str] | None = None) -> Answer:
+    """Return an answer with an error body as OpenAI's interface has it."""
+    kind = "invalid_request_error" if status < 500 else "server_error"
+    error = {"message": message, "type": kind, "code": None, "param": None}
+    return json_answer({"error": error}, status, headers)
+
+
+class Application:
+    """The WSGI application around a service."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        request = _request(environ)
+        try:
+            answer = self._service.answer(request)
+        except (BadRequestError, KeyError, TypeError, ValueError) as error:
+            answer = error_answer(400, repr(error))
+        except DropConnectionError as error:
+            request.channel.drop()
+            raise ClientDisconnected from error
+        status = f"{answer.status} {HTTPStatus(answer.status).phrase}"
+        headers = dict(answer.headers)
+        if isinstance(answer.body, bytes):
+            headers.setdefault("Content-Length", str(len(answer.body)))
+            start_response(status, list(headers.items()))
+            return [answer.body]
+        start_response(status, list(headers.items()))
+        return _guarded(answer.body, request.channel)
+
+
+class Server:
+    """A waitress server for a service."""
+
+    def __init__(self, service: Service, host: str, port: int, threads: int) -> None:
+        self._server = waitress.create_server(
+            Application(service),
+            host=host,
+            port=port,
+            threads=threads,
+            ident="standin",
+            backlog=1024,
+            connection_limit=4096,
+            channel_request_lookahead=1,
+            asyncore_use_poll=True,
+            max_request_body_size=MAX_BODY_BYTES,
+        )
+        self._server.channel_class = Channel
+
+    @property
+    def port(self) -> int:
+        return int(self._server.effective_port)
+
+    def run(self) -> None:
+        """Serve until the process ends."""
+        self._server.run()
+
+
+def silence_others(own: Channel) -> int:
+    """Make all connections of `own`'s server but `own` silent; return their number."""
+    others = [
+        channel for channel in list(own.server.active_channels.values()) if channel is not own
+    ]
+    for channel in others:
+        channel.silent = True
+    return len(others)
+
+
+def run_until_terminated(service: Service, host: str, port: int, threads: int) -> None:
+    """Serve until SIGTERM or SIGINT, which end the process at once with exit code 0."""
+    # The stand-ins keep nothing, so that there is nothing to finish; waitress' own shutdown waits
+    # for running streams.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: os._exit(0))
+    logging.getLogger("waitress").setLevel(logging.ERROR)
+    logging.getLogger("waitress.queue").setLevel(logging.ERROR)
+    Server(service, host, port, threads).run()
+
+
+def _request(environ: dict[str, Any]) -> Request:
+    target = urlsplit(environ["REQUEST_URI"])
+    headers = {
+        name[5:].replace("_", "-").title(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if "CONTENT_TYPE" in environ:
+        headers["Content-Type"] = environ["CONTENT_TYPE"]
+    return Request(
+        environ["REQUEST_METHOD"],
+        target.path,
+        tuple(unquote(part) for part in target.path.split("/")[1:]),
+        dict(parse_qsl(target.query, keep_blank_values=True)),
+        headers,
+        environ["wsgi.input"].read(),
+        environ[_CHANNEL],
+    )
+
+
+def _guarded(body: Iterable[bytes], channel: Channel) -> Iterable[bytes]:
+    try:
+        yield from body
+    except DropConnectionError as error:
+        channel.drop()
+        raise ClientDisconnected from error
--- /dev/null
+++ b/src/laburnumreel_standins/_platform.py
@@ -0,0 +1,185 @@
+"""The platform over HTTP."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from laburnumreel.core import SystemClock
+from laburnumreel.state import CapacityOrder, Check, Host, Row, Write
+from laburnumreel_standins._faults import Faults
+from laburnumreel_standins._http import (
+    Answer,
+    BadRequestError,
+    DropConnectionError,
+    Request,
+    error_answer,
+    json_answer,
+)
+from laburnumreel_standins._platform_state import PlatformState
+
+_STATE_FAULTS = ("fence_check", "hosts_lag_s")
+
+
+class PlatformService:
+    """Answers the platform's interface from a `PlatformState`."""
+
+    def __init__(self, state: PlatformState) -> None:
+        self._state = state
+        self._faults = Faults()
+        self._now = SystemClock().now
+        self._calls: dict[str, int] = {}
+        self._routes: dict[str, Callable[[Request], Answer]] = {
+            "table": self._table,
+            "objects": self._object,
+            "zones": self._zone,
+            "usage": self._usage,
+            "hosts": lambda _: json_answer(
+                {"hosts": [host._asdict() for host in state.hosts(self._now())]}
+            ),
+        }
+
+    def answer(self, request: Request) -> Answer:
+        if request.segments[0] == "standin":
+            return self._standin(request)
+        route = self._routes.get(request.segments[0])
+        if route is None:
+            return error_answer(404, "no such route")
+        call = f"{request.method} /{request.segments[0]}"
+        self._calls[call] = self._calls.get(call, 0) + 1
+        fault = self._faults.next(request.method, request.path)
+        time.sleep(fault.before_s)
+        if fault.outcome == "down":
+            return error_answer(503, "the platform is down")
+        if fault.outcome == "lose_request":
+            raise DropConnectionError
+        answer = route(request)
+        time.sleep(fault.after_s)
+        if fault.outcome == "lose_answer":
+            raise DropConnectionError
+        return answer
+
+    def _table(self, request: Request) -> Answer:
+        match request.method, request.segments:
+            case "POST", (_, "transact"):
+                return self._transact(request.json())
+            case "GET", (_, table):
+                query = request.query
+                page = self._state.scan(
+                    table,
+                    query.get("prefix", ""),
+                    query.get("after", ""),
+                    request.whole("limit", 500),
+                )
+                rows = [row._asdict() for row in page.rows]
+                return json_answer({"rows": rows, "more": page.more})
+            case "GET", (_, table, key):
+                row = self._state.read(table, key)
+                if row is None:
+                    return error_answer(404, "no such row")
+                return json_answer({"value": row.value, "version": row.version})
+        return error_answer(404, "no such route")
+
+    def _transact(self, body: dict[str, Any]) -> Answer:
+        checks = [Check(**check) for check in body["checks"]]
+        writes = [Write(**write) for write in body["writes"]]
+        outcome = self._state.transact(checks, writes)
+        if outcome.is_ok():
+            return json_answer({"commit": outcome.ok})
+        failed = [
+            {"table": table, **(row or Row(key, None, 0))._asdict()}
+            for (table, key), row in outcome.error.items()
+        ]
+        return json_answer({"failed": failed}, 409)
+
+    def _object(self, request: Request) -> Answer:
+        name = "/".join(request.segments[1:])
+        match request.method:
+            case "PUT":
+                self._state.put_object(name, request.body)
+                return json_answer({})
+            case "GET":
+                body = self._state.get_object(name)
+                if body is None:
+                    return error_answer(404, "no such object")
+                return Answer(200, body, {"Content-Type": "application/octet-stream"})
+            case "DELETE":
+                self._state.delete_object(name)
+                return json_answer({})
+        return error_answer(405, "no such method")
+
+    def _zone(self, request: Request) -> Answer:
+        match request.method, request.segments:
+            case "GET", (_, zone, "orders"):
+                orders = [order._asdict() for order in self._state.capacity_orders(zone)]
+                return json_answer({"orders": orders})
+            case "POST", (_, zone, "orders"):
+                order = CapacityOrder(**request.json())
+                outcome = self._state.order_capacity(zone, order, self._now())
+                if outcome.is_error():
+                    return json_answer({"error": outcome.error}, 409)
+                return json_answer({"order_id": order.order_id})
+        return error_answer(404, "no such route")
+
+    def _usage(self, request: Request) -> Answer:
+        match request.method, request.segments:
+            case "POST", (_,):
+                body = request.json()
+                customer, window = body["customer"], body["window"]
+                outcome = self._state.report_usage(customer, window, body["figures"], self._now())
+                if outcome.is_error():
+                    body = {"error": "different_figures", "figures": outcome.error}
+                    return json_answer(body, 409)
+                return json_answer({})
+            case "GET", (_, customer, window):
+                figures = self._state.read_usage(customer, window)
+                if figures is None:
+                    return error_answer(404, "no such report")
+                return json_answer({"figures": figures})
+        return error_answer(404, "no such route")
+
+    def _standin(self, request: Request) -> Answer:
+        state, now = self._state, self._now()
+        match request.method, request.segments[1]:
+            case "GET", "state":
+                return json_answer(self._describe())
+            case "POST", "faults":
+                values = request.json()
+                for name in _STATE_FAULTS:
+                    if name in values:
+                        setattr(state, name, values.pop(name))
+                self._faults.change(values)
+                return json_answer(self._faults.values)
+            case "POST", "hosts":
+                state.set_hosts([_host(host) for host in request.json()["hosts"]], now)
+                return json_answer({})
+            case "POST", "capacity":
+                body = request.json()
+                state.deny_capacity(body["zone"], body["kind"], body["denied"])
+                return json_answer({})
+            case "POST", "reclaim":
+                body = request.json()
+                names = state.reclaim(body["zone"], body["notice_s"], now)
+                return json_answer({"hosts": names})
+        return error_answer(404, "no such route")
+
+    def _describe(self) -> dict[str, Any]:
+        state = self._state
+        return {
+            "commit": state.commit,
+            "tables": state.table_sizes(),
+            "objects": state.object_names,
+            "order_history": [
+                {**receipt._asdict(), "order": receipt.order._asdict()}
+                for receipt in state.order_history
+            ],
+            "usage_history": [receipt._asdict() for receipt in state.usage_history],
+            "faults": self._faults.values,
+            "calls": dict(self._calls),
+        }
+
+
+def _host(body: dict[str, Any]) -> Host:
+    try:
+        return Host(**{"cheap": False, "state": "live", **body})
+    except TypeError as error:
+        raise BadRequestError(f"a host is malformed: {error}") from error
--- /dev/null
+++ b/src/laburnumreel_standins/_platform_state.py
@@ -0,0 +1,287 @@
+"""The platform's state: tables, objects, orders, usage reports and hosts, without sockets."""
+
+import bisect
+import json
+import threading
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from expression import Error, Ok, Result
+
+from laburnumreel.state import CapacityOrder, Check, Host, Page, Row, Write
+
+MAX_SCAN_ROWS = 1000
+
+FailedRows = dict[tuple[str, str], Row | None]
+
+
+class OrderReceipt(NamedTuple):
+    """One receipt of a capacity order: an oracle for tests. `outcome` is "applied" or a refusal."""
+
+    at: float
+    zone: str
+    order: CapacityOrder
+    outcome: str
+
+
+class UsageReceipt(NamedTuple):
+    """One receipt of a usage report: an oracle for tests."""
+
+    at: float
+    customer: str
+    window: str
+    figures: dict[str, int]
+    accepted: bool
+
+
+class _Table:
+    """Rows as JSON texts, so that no caller shares a value with the table, and their keys sorted."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, tuple[str, int]] = {}
+        self._keys: list[str] = []
+
+    def get(self, key: str) -> Row | None:
+        stored = self._rows.get(key)
+        return None if stored is None else Row(key, json.loads(stored[0]), stored[1])
+
+    def version(self, key: str) -> int:
+        return self._rows[key][1] if key in self._rows else 0
+
+    def put(self, key: str, text: str, version: int) -> None:
+        if key not in self._rows:
+            bisect.insort(self._keys, key)
+        self._rows[key] = (text, version)
+
+    def delete(self, key: str) -> None:
+        if self._rows.pop(key, None) is not None:
+            del self._keys[bisect.bisect_left(self._keys, key)]
+
+    def scan(self, prefix: str, after: str, limit: int) -> Page:
+        start = max(bisect.bisect_left(self._keys, prefix), bisect.bisect_right(self._keys, after))
+        rows: list[Row] = []
+        for key in self._keys[start : start + limit + 1]:
+            if not key.startswith(prefix):
+                break
+            rows.append(self.get(key))
+        return Page(rows[:limit], len(rows) > limit)
+
+
+class _HostRecord(NamedTuple):
+    host: Host
+    arrives: float
+    leaves: float
+    gone: float
+
+
+_NEVER = float("inf")
+
+
+class PlatformState:
+    """All that the platform holds. Methods may be called from several threads.
+
+    `now` is in seconds. The host list shows what was true `hosts_lag_s` ago.
+
+    >>> state = PlatformState()
+    >>> state.transact([Check("lease", "orders", 0)], [Write("lease", "orders", {"fence": 1})]).ok
+    1
+    >>> state.read("lease", "orders").value
+    {'fence': 1}
+    """
+
+    def __init__(self, fence_check: bool = True, hosts_lag_s: float = 0.0) -> None:
+        self.fence_check = fence_check
+        self.hosts_lag_s = hosts_lag_s
+        self._lock = threading.RLock()
+        self._tables: dict[str, _Table] = {}
+        self._commit = 0
+        self._objects: dict[str, bytes] = {}
+        self._orders: dict[str, list[CapacityOrder]] = {}
+        self._fences: dict[tuple[str, str], int] = {}
+        self._order_history: list[OrderReceipt] = []
+        self._no_capacity: set[tuple[str, str]] = set()
+        self._usage: dict[tuple[str, str], dict[str, int]] = {}
+        self._usage_history: list[UsageReceipt] = []
+        self._hosts: list[_HostRecord] = []
+
+    @property
+    def commit(self) -> int:
+        """The number of the last transaction."""
+        return self._commit
+
+    @property
+    def order_history(self) -> list[OrderReceipt]:
+        with self._lock:
+            return list(self._order_history)
+
+    @property
+    def usage_history(self) -> list[UsageReceipt]:
+        with self._lock:
+            return list(self._usage_history)
+
+    @property
+    def object_names(self) -> list[str]:
+        with self._lock:
+            return sorted(self._objects)
+
+    def table_sizes(self) -> dict[str, int]:
+        """Return the number of rows in each table."""
+        with self._lock:
+            return {name: len(table._keys) for name, table in self._tables.items()}
+
+    def read(self, table: str, key: str) -> Row | None:
+        """Return a row, or None where it is absent."""
+        with self._lock:
+            return self._table(table).get(key)
+
+    def scan(self, table: str, prefix: str = "", after: str = "", limit: int = 500) -> Page:
+        """Return rows with a key that starts with `prefix` and is greater than `after`."""
+        with self._lock:
+            return self._table(table).scan(prefix, after, min(max(limit, 1), MAX_SCAN_ROWS))
+
+    def transact(self, checks: Sequence[Check], writes: Sequence[Write]) -> Result[int, FailedRows]:
+        """Write all rows if all checks hold, else none.
+
+        Return the commit number, which is the version of every row written. An error holds the
+        rows, as they are, whose checks failed. A value that is not an object, or a row written
+        twice, raises ValueError.
+        """
+        texts = [None if write.value is None else _text(write.value) for write in writes]
+        if len({(write.table, write.key) for write in writes}) < len(writes):
+            raise ValueError("a row is written twice in one transaction")
+        with self._lock:
+            failed: FailedRows = {}
+            for check in checks:
+                table = self._table(check.table)
+                if table.version(check.key) != check.version:
+                    failed[check.table, check.key] = table.get(check.key)
+            if failed:
+                return Error(failed)
+            self._commit += 1
+            for write, text in zip(writes, texts, strict=True):
+                if text is None:
+                    self._table(write.table).delete(write.key)
+                else:
+                    self._table(write.table).put(write.key, text, self._commit)
+            return Ok(self._commit)
+
+    def put_object(self, name: str, body: bytes) -> None:
+        """Store an object, in place of an older one."""
+        with self._lock:
+            self._objects[name] = bytes(body)
+
+    def get_object(self, name: str) -> bytes | None:
+        """Return an object, or None where it is absent."""
+        with self._lock:
+            return self._objects.get(name)
+
+    def delete_object(self, name: str) -> None:
+        """Delete an object; an absent one stays absent."""
+        with self._lock:
+            self._objects.pop(name, None)
+
+    def order_capacity(self, zone: str, order: CapacityOrder, now: float) -> Result[None, str]:
+        """Apply an order, or return why not: "old_fence", "no_capacity" or "order_id_reused".
+
+        An order id that was applied already has no second effect. Fencing numbers are compared
+        for each zone and service.
+        """
+        with self._lock:
+            outcome = self._order_outcome(zone, order)
+            self._order_history.append(OrderReceipt(now, zone, order, outcome))
+            if outcome == "applied":
+                self._orders.setdefault(zone, []).append(order)
+                fences = self._fences
+                fences[zone, order.service] = max(
+                    order.fence, fences.get((zone, order.service), order.fence)
+                )
+            return Ok(None) if outcome in ("applied", "repeated") else Error(outcome)
+
+    def _order_outcome(self, zone: str, order: CapacityOrder) -> str:
+        if self.fence_check and order.fence < self._fences.get((zone, order.service), order.fence):
+            return "old_fence"
+        for earlier in self._orders.get(zone, []):
+            if earlier.order_id == order.order_id:
+                return "repeated" if earlier == order else "order_id_reused"
+        if (zone, order.kind) in self._no_capacity and order.count > self._wanted(zone, order):
+            return "no_capacity"
+        return "applied"
+
+    def _wanted(self, zone: str, order: CapacityOrder) -> int:
+        for earlier in reversed(self._orders.get(zone, [])):
+            if (earlier.kind, earlier.service) == (order.kind, order.service):
+                return earlier.count
+        return 0
+
+    def capacity_orders(self, zone: str) -> list[CapacityOrder]:
+        """Return the applied orders of a zone, newest last."""
+        with self._lock:
+            return list(self._orders.get(zone, []))
+
+    def deny_capacity(self, zone: str, kind: str, denied: bool = True) -> None:
+        """Refuse, or accept again, orders that raise the count of a kind in a zone."""
+        with self._lock:
+            if denied:
+                self._no_capacity.add((zone, kind))
+            else:
+                self._no_capacity.discard((zone, kind))
+
+    def report_usage(
+        self, customer: str, window: str, figures: dict[str, int], now: float
+    ) -> Result[None, dict[str, int]]:
+        """Accept a report. An error holds the different figures accepted before."""
+        with self._lock:
+            stored = self._usage.setdefault((customer, window), dict(figures))
+            accepted = stored == figures
+            receipt = UsageReceipt(now, customer, window, dict(figures), accepted)
+            self._usage_history.append(receipt)
+            return Ok(None) if accepted else Error(dict(stored))
+
+    def read_usage(self, customer: str, window: str) -> dict[str, int] | None:
+        """Return the accepted figures, or None."""
+        with self._lock:
+            figures = self._usage.get((customer, window))
+            return None if figures is None else dict(figures)
+
+    def set_hosts(self, hosts: Sequence[Host], now: float) -> None:
+        """Make `hosts` the list of hosts from `now` on. Hosts that it lacks are gone."""
+        with self._lock:
+            wanted = list(hosts)
+            records = []
+            for record in self._hosts:
+                if record.gone > now and record.host in wanted:
+                    wanted.remove(record.host)
+                elif record.gone > now:
+                    record = record._replace(gone=now)
+                records.append(record)
+            self._hosts = records + [_HostRecord(host, now, _NEVER, _NEVER) for host in wanted]
+
+    def reclaim(self, zone: str, notice_s: float, now: float) -> list[str]:
+        """Reclaim a zone's cheap hosts: they are leaving now and gone after the notice."""
+        with self._lock:
+            names = []
+            for index, record in enumerate(self._hosts):
+                host = record.host
+                if host.zone == zone and host.cheap and record.arrives <= now < record.leaves:
+                    self._hosts[index] = record._replace(leaves=now, gone=now + notice_s)
+                    names.append(host.name)
+            return names
+
+    def hosts(self, now: float) -> list[Host]:
+        """Return the hosts as they were `hosts_lag_s` before `now`."""
+        with self._lock:
+            seen = now - self.hosts_lag_s
+            return [
+                record.host._replace(state="leaving") if record.leaves <= seen else record.host
+                for record in self._hosts
+                if record.arrives <= seen < record.gone
+            ]
+
+    def _table(self, name: str) -> _Table:
+        return self._tables.setdefault(name, _Table())
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, dict):
+        raise ValueError("a row's value is not an object")
+    return json.dumps(value)
--- /dev/null
+++ b/src/laburnumreel_standins/_prefix_cache.py
@@ -0,0 +1,89 @@
+"""An engine's prefix cache in limited memory, with the events that report its contents."""
+
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from laburnumreel_standins._text import TOKENS_PER_BLOCK
+
+KEPT_EVENTS = 4096
+
+
+class CacheEvent(NamedTuple):
+    """A prefix came into the cache ("stored") or left it ("evicted")."""
+
+    seq: int
+    kind: str
+    prefix: str
+    at: float
+
+
+class PrefixCache:
+    """Least recently used prefixes. Each prefix holds the memory of one block of tokens."""
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._capacity = capacity_tokens // TOKENS_PER_BLOCK
+        self._prefixes: OrderedDict[str, None] = OrderedDict()
+        self._events: deque[CacheEvent] = deque(maxlen=KEPT_EVENTS)
+        self._seq = 0
+        self._events_to_drop = 0
+
+    @property
+    def tokens(self) -> int:
+        return len(self._prefixes) * TOKENS_PER_BLOCK
+
+    @property
+    def prefixes(self) -> list[str]:
+        return list(self._prefixes)
+
+    def __contains__(self, prefix: str) -> bool:
+        return prefix in self._prefixes
+
+    def cached_tokens(self, prefixes: Sequence[str]) -> int:
+        """Return how many tokens at a prompt's start are cached, and mark them as used."""
+        for count in range(len(prefixes), 0, -1):
+            if prefixes[count - 1] in self._prefixes:
+                for prefix in prefixes[:count]:
+                    if prefix in self._prefixes:
+                        self._prefixes.move_to_end(prefix)
+                return count * TOKENS_PER_BLOCK
+        return 0
+
+    def store(self, prefixes: Sequence[str], now: float) -> None:
+        """Store the prefixes of a prompt, at the cost of the least recently used ones."""
+        for prefix in prefixes:
+            if prefix not in self._prefixes:
+                self._prefixes[prefix] = None
+                self._record("stored", prefix, now)
+            self._prefixes.move_to_end(prefix)
+        self._evict_above(self._capacity, now)
+
+    def leave_free(self, tokens: int, now: float) -> None:
+        """Evict prefixes until running streams have room for `tokens`."""
+        self._evict_above(max(0, self._capacity - -(-tokens // TOKENS_PER_BLOCK)), now)
+
+    def free_tokens(self, used: int) -> int:
+        """Return the memory left, in tokens, when running streams hold `used`."""
+        return max(0, self._capacity * TOKENS_PER_BLOCK - self.tokens - used)
+
+    def drop_events(self, count: int) -> None:
+        """Lose the next events, which leaves a gap in the sequence."""
+        self._events_to_drop = count
+
+    def events_after(self, seq: int, until: float) -> tuple[list[CacheEvent], int, bool]:
+        """Return events after `seq` that are not newer than `until`, the next `seq`, and any gap."""
+        events = [event for event in self._events if event.seq > seq and event.at <= until]
+        last = events[-1].seq if events else seq
+        return events, last, last - seq != len(events)
+
+    def _record(self, kind: str, prefix: str, now: float) -> None:
+        self._seq += 1
+        if self._events_to_drop > 0:
+            self._events_to_drop -= 1
+        else:
+            self._events.append(CacheEvent(self._seq, kind, prefix, now))
+
+    def _evict_above(self, blocks: int, now: float) -> None:
+        while len(self._prefixes) > blocks:
+            prefix, _ = self._prefixes.popitem(last=False)
+            self._record("evicted", prefix, now)
--- /dev/null
+++ b/src/laburnumreel_standins/main.py
@@ -0,0 +1,67 @@
+"""The stand-ins' programs: `laburnumreel-standin platform|engine|plain`."""
+
+import click
+
+from laburnumreel_standins._engine import EngineService
+from laburnumreel_standins._engine_model import ROLE_SPEEDS, Speeds
+from laburnumreel_standins._http import run_until_terminated
+from laburnumreel_standins._platform import PlatformService
+from laburnumreel_standins._platform_state import PlatformState
+
+# Threads beyond those of running and queued requests, for reports, orders and faults.
+SPARE_THREADS = 16
+
+
+class _Address(click.ParamType):
+    name = "HOST:PORT"
+
+    def convert(self, value: str, param: object, ctx: click.Context | None) -> tuple[str, int]:
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdecimal():
+            self.fail(f"{value!r} is not HOST:PORT")
+        return host, int(port)
+
+
+_listen = click.option("--listen", type=_Address(), required=True, help="Address to serve HTTP on.")
+
+
+@click.group()
+def main() -> None:
+    """Stand-ins for the platform, engines and plain services."""
+
+
+@main.command()
+@_listen
+@click.option("--hosts-lag-s", default=0.0, help="Age of the host list that callers see.")
+@click.option("--fence-check/--no-fence-check", default=True, help="Refuse old fencing numbers.")
+@click.option("--threads", default=64, help="Calls at a time.")
+def platform(listen: tuple[str, int], hosts_lag_s: float, fence_check: bool, threads: int) -> None:
+    """Serve the platform: tables, objects, orders, usage and hosts, all in memory."""
+    state = PlatformState(fence_check, hosts_lag_s)
+    run_until_terminated(PlatformService(state), *listen, threads)
+
+
+@main.command()
+@_listen
+@click.option("--models", default="small", help="Models, separated by commas.")
+@click.option("--role", type=click.Choice(list(ROLE_SPEEDS)), default="both")
+@click.option("--change-s", default=0.0, help="Seconds that a role change or a load takes.")
+@click.option("--prefill-tokens-per-s", default=Speeds().prefill_tokens_per_s)
+@click.option("--decode-tokens-per-s", default=Speeds().decode_tokens_per_s)
+@click.option("--stream-tokens-per-s", default=Speeds().stream_tokens_per_s)
+@click.option("--max-streams", default=Speeds().max_streams)
+@click.option("--max-queue", default=Speeds().max_queue)
+@click.option("--kv-tokens", default=Speeds().kv_tokens, help="Memory for KV, in tokens.")
+def engine(
+    listen: tuple[str, int], models: str, role: str, change_s: float, **speeds: float
+) -> None:
+    """Serve a model engine with a simple model of time and memory."""
+    names = tuple(name.strip() for name in models.split(",") if name.strip())
+    rates = Speeds(**speeds)
+    service = EngineService(rates, names, role, change_s)
+    threads = rates.max_streams + rates.max_queue + SPARE_THREADS
+    run_until_terminated(service, *listen, threads)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,114 @@
+"""Tests of the stand-ins as processes."""
+
+import http.client
+import json
+import signal
+
+import pytest
+from support import Process, free_port, fresh_host
+
+from laburnumreel.state import CapacityOrder, Check, Host, HttpPlatform, Row, Write
+from laburnumreel_standins._text import output_text
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture
+def start():
+    """Start stand-ins that end with the test."""
+    processes = []
+
+    def start_one(*arguments):
+        host = fresh_host()
+        port = free_port(host)
+        name, *options = arguments
+        process = Process(
+            "laburnumreel_standins.main", name, "--listen", f"{host}:{port}", *options
+        )
+        processes.append(process)
+        process.listening(host, port)
+        return process, (host, port)
+
+    yield start_one
+    for process in processes:
+        process.end()
+
+
+def call(address, method, path, body=None, headers=None):
+    """Return the status and body of one call on a connection of its own."""
+    connection = http.client.HTTPConnection(*address, timeout=10)
+    try:
+        raw = None if body is None else json.dumps(body)
+        connection.request(method, path, raw, headers or {})
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+    finally:
+        connection.close()
+
+
+def stream_words(raw):
+    """Return the text and the last event's usage of a completions stream."""
+    events = [line[6:] for line in raw.decode().splitlines() if line.startswith("data: ")]
+    assert events[-1] == "[DONE]"
+    chunks = [json.loads(event) for event in events[:-1]]
+    text = "".join(choice["text"] for chunk in chunks for choice in chunk["choices"])
+    return text, chunks[-1]["usage"]
+
+
+def test_platform_process_serves_the_client(start):
+    """Guards against a stand-in that the product's own client does not understand."""
+    _, address = start("platform")
+    platform = HttpPlatform(address)
+    assert platform.transact([Check("t", "a/b", 0)], [Write("t", "a/b", {"n": 1})]).ok == 1
+    assert platform.read("t", "a/b").ok == Row("a/b", {"n": 1}, 1)
+    lost = platform.transact([Check("t", "a/b", 0), Check("t", "c", 5)], []).error
+    assert lost.kind == "conflict"
+    assert lost.rows == {("t", "a/b"): Row("a/b", {"n": 1}, 1), ("t", "c"): None}
+    assert [row.key for row in platform.scan("t", "a").ok.rows] == ["a/b"]
+    assert platform.put_object("answer/1", b"\x00\xff").is_ok()
+    assert platform.get_object("answer/1").ok == b"\x00\xff"
+    assert platform.get_object("answer/2").ok is None
+    order = CapacityOrder("o1", 2, "cheap", "orders", 3)
+    assert platform.order_capacity("xela-a", order).is_ok()
+    assert platform.order_capacity("xela-a", order._replace(order_id="o2", fence=1)).is_error()
+    assert platform.capacity_orders("xela-a").ok == [order]
+    assert platform.report_usage("c", "w", {"requests": 1}).is_ok()
+    assert platform.report_usage("c", "w", {"requests": 2}).error.kind == "conflict"
+    assert platform.read_usage("c", "w").ok == {"requests": 1}
+    host = Host("e1", "127.0.0.1:1", "xela-a", "gt", "quotes", "engine", True, "live")
+    call(address, "POST", "/standin/hosts", {"hosts": [host._asdict()]})
+    assert platform.hosts().ok == [host]
+
+
+def test_platform_process_loses_answers_after_the_effect(start):
+    """Guards against tests of lost answers that never lose one, or lose the write too."""
+    process, address = start("platform")
+    platform = HttpPlatform(address)
+    call(address, "POST", "/standin/faults", {"lose_answers": 1, "paths": ["/table/transact"]})
+    assert platform.transact([], [Write("t", "k", {})]).error.kind == "lost"
+    assert platform.read("t", "k").ok.version == 1
+    call(address, "POST", "/standin/faults", {"down": True, "paths": []})
+    assert platform.read("t", "k").error.kind == "unreachable"
+    process.send(signal.SIGTERM)
+    assert process.wait(3) == 0
+
+
+def test_engine_process_resumes_a_stream(start):
+    """Guards against a resumed stream that repeats or skips tokens."""
+    process, address = start("engine", "--stream-tokens-per-s", "500")
+    body = {"model": "small", "prompt": "a prompt", "max_tokens": 20, "stream": True}
+    headers = {"X-Request-Id": "r1"}
+    status, raw = call(address, "POST", "/v1/completions", body, headers)
+    assert status == 200
+    text, usage = stream_words(raw)
+    assert text == output_text("a prompt", 20)
+    assert (usage["prompt_tokens"], usage["completion_tokens"]) == (2, 20)
+    _, raw = call(address, "POST", "/v1/completions", body, {**headers, "X-Resume-From": "7"})
+    rest, _ = stream_words(raw)
+    assert text == output_text("a prompt", 7) + rest
+    _, raw = call(address, "POST", "/v1/completions", {**body, "stream": False}, headers)
+    assert json.loads(raw)["choices"][0]["text"] == text
+    _, raw = call(address, "GET", "/standin/state")
+    assert json.loads(raw)["requests"]["r1"]["runs"] == 3
+    process.send(signal.SIGTERM)
+    assert process.wait(3) == 0
