--- a/src/laburnumreel_standins/_http.py
+++ b/src/laburnumreel_standins/_http.py
@@ -62,6 +62,7 @@
     """One request, with its path split into decoded segments."""
 
     method: str
+    target: str
     path: str
     segments: tuple[str, ...]
     query: dict[str, str]
@@ -198,6 +199,7 @@
         headers["Content-Type"] = environ["CONTENT_TYPE"]
     return Request(
         environ["REQUEST_METHOD"],
+        environ["REQUEST_URI"],
         target.path,
         tuple(unquote(part) for part in target.path.split("/")[1:]),
         dict(parse_qsl(target.query, keep_blank_values=True)),
--- /dev/null
+++ b/src/laburnumreel_standins/_plain.py
@@ -0,0 +1,134 @@
+"""A small bookings service over HTTP: the plain service's stand-in."""
+
+import json
+import os
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from laburnumreel_standins._http import (
+    Answer,
+    DropConnectionError,
+    Request,
+    error_answer,
+    json_answer,
+    silence_others,
+)
+
+CRASH_CODE = 13
+
+
+class PlainService:
+    """Answers orders, bookings and opening hours. A booking is not repeatable.
+
+    Counted faults hit the next N requests outside `/standin/`: `drop_before` and `drop_after`
+    (the connection is dropped before or after the effect), `short_body` (the body ends early),
+    `wrong_request_id`, `refuse` (503 without an effect). `delay_s` passes before and
+    `delay_after_s` after the effect; `crash_on` ends the process on a request whose path or body
+    contains the text; `silent` is as an engine's.
+    """
+
+    _COUNTED = ("drop_before", "drop_after", "short_body", "wrong_request_id", "refuse")
+
+    def __init__(self, crash: Callable[[], None] = lambda: os._exit(CRASH_CODE)) -> None:
+        self._crash = crash
+        self._lock = threading.Lock()
+        self._faults: dict[str, Any] = {
+            **dict.fromkeys(self._COUNTED, 0),
+            "delay_s": 0.0,
+            "delay_after_s": 0.0,
+            "crash_on": "",
+            "silent": "",
+        }
+        self._bookings: list[dict[str, Any]] = []
+        self._runs: dict[str, int] = {}
+        self._headers: dict[str, list[dict[str, str]]] = {}
+        self._targets: list[str] = []
+
+    def answer(self, request: Request) -> Answer:
+        if request.segments[0] == "standin":
+            return self._standin(request)
+        if self._faults["silent"] == "all":
+            request.channel.silent = True
+            return Answer(200, b"")
+        request_id = request.headers.get("X-Request-Id", "")
+        time.sleep(self._faults["delay_s"])
+        if self._take("refuse"):
+            return error_answer(503, "the service refuses work", {"X-Request-Id": request_id})
+        if self._take("drop_before"):
+            raise DropConnectionError
+        text = self._faults["crash_on"].encode()
+        if text and (text in request.body or text in request.path.encode()):
+            self._crash()
+        answer = self._run(request, request_id)
+        time.sleep(self._faults["delay_after_s"])
+        if self._take("drop_after"):
+            raise DropConnectionError
+        return self._spoil(answer, request_id)
+
+    def _take(self, name: str) -> bool:
+        with self._lock:
+            if self._faults[name] <= 0:
+                return False
+            self._faults[name] -= 1
+            return True
+
+    def _run(self, request: Request, request_id: str) -> Answer:
+        with self._lock:
+            self._runs[request_id] = self._runs.get(request_id, 0) + 1
+            self._headers.setdefault(request_id, []).append(request.headers)
+            self._targets.append(request.target)
+        match request.method, request.segments:
+            case "GET", ("orders", order_id):
+                return json_answer({"order": order_id, "state": "under way"})
+            case "GET", ("public", "hours"):
+                return json_answer({"opens": "07:00", "closes": "19:00"})
+            case "POST", ("bookings",):
+                return self._book(request, request_id)
+        return error_answer(404, "no such route")
+
+    def _book(self, request: Request, request_id: str) -> Answer:
+        with self._lock:
+            number = len(self._bookings) + 1
+            booking = {"booking": number, "request_id": request_id}
+            self._bookings.append({**booking, "body": request.body.decode(errors="replace")})
+        return json_answer(booking, 201)
+
+    def _spoil(self, answer: Answer, request_id: str) -> Answer:
+        if self._take("wrong_request_id"):
+            request_id = f"{request_id}-of-another"
+        headers = {**answer.headers, "X-Request-Id": request_id}
+        if not self._take("short_body"):
+            return Answer(answer.status, answer.body, headers)
+        headers["Content-Length"] = str(len(answer.body))
+        return Answer(answer.status, iter([answer.body[: len(answer.body) // 2]]), headers)
+
+    def _standin(self, request: Request) -> Answer:
+        match request.method, request.segments[1]:
+            case "POST", "faults":
+                return self._change_faults(request)
+            case "GET", "state":
+                with self._lock:
+                    return json_answer(
+                        {
+                            "bookings": self._bookings,
+                            "runs": self._runs,
+                            "headers": self._headers,
+                            "targets": self._targets,
+                            "faults": self._faults,
+                        }
+                    )
+        return error_answer(404, "no such route")
+
+    def _change_faults(self, request: Request) -> Answer:
+        values = request.json()
+        unknown = set(values) - set(self._faults)
+        if unknown:
+            raise ValueError(f"unknown faults: {sorted(unknown)}")
+        if values.get("silent"):
+            silence_others(request.channel)
+            values["silent"] = "all" if values["silent"] in (True, "all") else ""
+        with self._lock:
+            self._faults.update(values)
+            return Answer(200, json.dumps(self._faults).encode())
--- a/src/laburnumreel_standins/_platform_state.py
+++ b/src/laburnumreel_standins/_platform_state.py
@@ -3,7 +3,8 @@
 import bisect
 import json
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from operator import itemgetter
 from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
@@ -103,6 +104,7 @@
         self._usage: dict[tuple[str, str], dict[str, int]] = {}
         self._usage_history: list[UsageReceipt] = []
         self._hosts: list[_HostRecord] = []
+        self._deferred: list[tuple[float, Callable[[], Any]]] = []
 
     @property
     def commit(self) -> int:
@@ -124,6 +126,19 @@
         with self._lock:
             return sorted(self._objects)
 
+    def defer(self, due: float, effect: Callable[[], Any]) -> None:
+        """Keep the effect of a late call until `due`."""
+        with self._lock:
+            self._deferred.append((due, effect))
+
+    def run_due(self, now: float) -> None:
+        """Run the effects of late calls that are due by `now`, in the order of their times."""
+        with self._lock:
+            due = sorted((late for late in self._deferred if late[0] <= now), key=itemgetter(0))
+            self._deferred = [late for late in self._deferred if late[0] > now]
+            for _, effect in due:
+                effect()
+
     def table_sizes(self) -> dict[str, int]:
         """Return the number of rows in each table."""
         with self._lock:
--- a/src/laburnumreel_standins/main.py
+++ b/src/laburnumreel_standins/main.py
@@ -5,6 +5,7 @@
 from laburnumreel_standins._engine import EngineService
 from laburnumreel_standins._engine_model import ROLE_SPEEDS, Speeds
 from laburnumreel_standins._http import run_until_terminated
+from laburnumreel_standins._plain import PlainService
 from laburnumreel_standins._platform import PlatformService
 from laburnumreel_standins._platform_state import PlatformState
 
@@ -63,5 +64,13 @@
     run_until_terminated(service, *listen, threads)
 
 
+@main.command()
+@_listen
+@click.option("--threads", default=64, help="Requests at a time.")
+def plain(listen: tuple[str, int], threads: int) -> None:
+    """Serve a small bookings service."""
+    run_until_terminated(PlainService(), *listen, threads)
+
+
 if __name__ == "__main__":
     main()
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -5,7 +5,7 @@
 import signal
 
 import pytest
-from support import Process, free_port, fresh_host
+from support import Process, free_port, fresh_host, wait_until
 
 from laburnumreel.state import CapacityOrder, Check, Host, HttpPlatform, Row, Write
 from laburnumreel_standins._text import output_text
@@ -112,3 +112,91 @@
     assert json.loads(raw)["requests"]["r1"]["runs"] == 3
     process.send(signal.SIGTERM)
     assert process.wait(3) == 0
+
+
+def test_plain_process_counts_bookings_that_lost_their_answer(start):
+    """Guards against tests of calls that must not be repeated which cannot see a repetition."""
+    _, address = start("plain")
+
+    def book(request_id):
+        return call(address, "POST", "/bookings", {"cargo": 1}, {"X-Request-Id": request_id})
+
+    assert book("b1")[0] == 201
+    for fault, ran in {"drop_before": 0, "drop_after": 1, "short_body": 1}.items():
+        call(address, "POST", "/standin/faults", {fault: 1})
+        with pytest.raises((http.client.HTTPException, OSError)):
+            book(fault)
+        state = json.loads(call(address, "GET", "/standin/state")[1])
+        assert state["runs"].get(fault, 0) == ran
+    assert len(state["bookings"]) == 3
+    assert call(address, "GET", "/public/hours")[0] == 200
+
+
+def test_silent_connections_stay_silent_while_new_ones_work(start):
+    """Guards against tests of silent connections whose connections are closed instead."""
+    _, address = start("engine")
+    old = http.client.HTTPConnection(*address, timeout=0.5)
+    old.request("GET", "/load")
+    assert old.getresponse().read()
+    call(address, "POST", "/standin/faults", {"silent": "old"})
+    assert call(address, "GET", "/load")[0] == 200
+    old.request("GET", "/load")
+    with pytest.raises(TimeoutError):
+        old.getresponse()
+    old.close()
+    call(address, "POST", "/standin/faults", {"silent": "all"})
+    new = http.client.HTTPConnection(*address, timeout=0.5)
+    new.request("GET", "/load")
+    with pytest.raises(TimeoutError):
+        new.getresponse()
+    new.close()
+    call(address, "POST", "/standin/faults", {"silent": False})
+    assert call(address, "GET", "/load")[0] == 200
+
+
+def test_engine_process_crashes_on_the_marked_text(start):
+    """Guards against tests of poison requests whose engine survives, or dies of any request."""
+    process, address = start("engine", "--stream-tokens-per-s", "500")
+    call(address, "POST", "/standin/faults", {"crash_on": "poison"})
+    body = {"model": "small", "prompt": "harmless", "max_tokens": 2}
+    assert call(address, "POST", "/v1/completions", body)[0] == 200
+    with pytest.raises((http.client.HTTPException, OSError)):
+        call(address, "POST", "/v1/completions", {**body, "prompt": "a poison prompt"})
+    assert process.wait(5) == 13
+
+
+def test_engine_cancels_and_breaks_streams_without_a_final_event(start):
+    """Guards against a cut answer that looks complete, and work that goes on for nobody."""
+    _, address = start("engine", "--change-s", "0.5")
+    body = {"model": "small", "prompt": "p", "max_tokens": 10_000, "stream": True}
+
+    def begin(request_id):
+        connection = http.client.HTTPConnection(*address, timeout=5)
+        connection.request(
+            "POST", "/v1/completions", json.dumps(body), {"X-Request-Id": request_id}
+        )
+        answer = connection.getresponse()
+        assert answer.readline()
+        return connection, answer
+
+    def state():
+        return json.loads(call(address, "GET", "/standin/state")[1])
+
+    connection, answer = begin("cancelled")
+    call(address, "POST", "/requests/cancelled/cancel")
+    with pytest.raises(http.client.IncompleteRead):
+        answer.read()
+    _, answer = begin("gone")
+    # With `Connection: close` the answer owns the socket.
+    answer.close()
+    wait_until(lambda: state()["running"] == 0, "the engine to end the stream of a gone caller")
+    connection, answer = begin("interrupted")
+    order = {"order_id": "o1", "fence": 1, "action": "role", "arguments": {"role": "decode"}}
+    assert call(address, "POST", "/orders", order)[0] == 200
+    with pytest.raises(http.client.IncompleteRead):
+        answer.read()
+    assert call(address, "POST", "/v1/completions", body)[0] == 503
+    wait_until(lambda: state()["role"] == "decode", "the role change to end")
+    outcomes = {name: seen["outcomes"] for name, seen in state()["requests"].items()}
+    assert outcomes == {name: [name] for name in ("cancelled", "gone", "interrupted")}
+    connection.close()
--- /dev/null
+++ b/tests/test_standins_engine.py
@@ -0,0 +1,174 @@
+"""Tests of the engine's time model, cache and orders, driven by hand."""
+
+import hashlib
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from laburnumreel_standins._engine_model import EngineModel, Job, Speeds
+from laburnumreel_standins._engine_orders import EngineOrders
+from laburnumreel_standins._prefix_cache import PrefixCache
+from laburnumreel_standins._text import TOKENS_PER_BLOCK, Prompt, output_text
+
+SPEEDS = Speeds(
+    prefill_tokens_per_s=1000, decode_tokens_per_s=100, stream_tokens_per_s=50, max_streams=2
+)
+
+
+class Requests:
+    """Requests on a model, and when each ended."""
+
+    def __init__(self, speeds=SPEEDS):
+        self.model = EngineModel(speeds, 0.0)
+        self.ends = {}
+        self.first = {}
+        self.tokens = {}
+
+    def add(self, name, prompt=100, output=10, priority=0, resume=0, prefixes=()):
+        def tell(progress):
+            self.first.setdefault(name, self.model.now)
+            self.tokens[name] = progress.tokens
+            if progress.end:
+                self.ends[name] = (progress.end, self.model.now)
+
+        job = Job(name, prompt, prefixes, output, tell, priority, resume)
+        assert self.model.submit(job)
+        return job
+
+    def run_until(self, end, step=0.1):
+        while self.model.now < end:
+            self.model.advance(min(end, self.model.now + step))
+
+
+@given(st.lists(st.integers(-3, 3), min_size=3, max_size=8))
+def test_queue_is_served_by_priority_then_age(priorities):
+    """Guards against an engine on which priorities change nothing."""
+    requests = Requests(SPEEDS._replace(max_streams=1))
+    requests.add("running")
+    for index, priority in enumerate(priorities):
+        requests.add(index, priority=priority)
+    requests.run_until(10.0)
+    expected = sorted(range(len(priorities)), key=lambda index: (-priorities[index], index))
+    assert list(requests.ends) == ["running", *expected]
+
+
+@given(st.integers(1, 6), st.integers(1, 40))
+def test_decode_speed_is_shared_and_bounded(streams, output):
+    """Guards against streams that are faster than the engine, or slower than their share."""
+    requests = Requests(SPEEDS._replace(max_streams=8, prefill_tokens_per_s=1e9))
+    for name in range(streams):
+        requests.add(name, prompt=1, output=output)
+    requests.run_until(20.0)
+    seconds = (output - 1) / min(50, 100 / streams)
+    for end, at in requests.ends.values():
+        assert end == "done"
+        assert seconds <= at + 0.02 and at <= seconds + 0.05
+
+
+@given(st.integers(0, 30), st.integers(1, 30))
+def test_resumed_request_makes_only_what_is_missing(resume, output):
+    """Guards against a resumed run that costs or delivers the whole answer again."""
+    requests = Requests()
+    requests.add("resumed", prompt=100, output=output, resume=resume)
+    requests.run_until(5.0)
+    assert requests.tokens["resumed"] == output
+    missing = max(0, output - min(resume, output) - 1)
+    prefill = (100 + min(resume, output)) / 1000
+    assert abs(requests.ends["resumed"][1] - prefill - missing / 50) < 0.05
+
+
+def test_cancel_frees_the_place_in_the_batch():
+    """Guards against cancelled work that goes on holding the engine."""
+    requests = Requests(SPEEDS._replace(max_streams=1))
+    requests.add("long", output=10_000)
+    waiting = requests.add("waiting", output=1)
+    requests.run_until(0.5)
+    assert "waiting" not in requests.first
+    assert requests.model.cancel("long") == 1
+    requests.run_until(1.0)
+    assert requests.ends["long"][0] == "cancelled"
+    assert requests.ends["waiting"][0] == "done"
+    requests.model.cancel_job(waiting)
+    assert requests.ends["waiting"][0] == "done"
+
+
+def test_cached_or_imported_prefix_saves_prefill():
+    """Guards against a prefix cache without effect on the time to the first token."""
+    prompt = Prompt.from_body({"prompt": "x" * 2560, "model": "m"}, chat=False)
+    assert prompt.prefixes[1] == hashlib.sha256(b"x" * 512).hexdigest()
+    requests = Requests()
+    requests.add("cold", prompt.tokens, 1, prefixes=prompt.prefixes)
+    requests.run_until(2.0)
+    requests.add("warm", prompt.tokens, 1, prefixes=prompt.prefixes)
+    requests.run_until(4.0)
+    assert abs(requests.first["cold"] - 0.64) < 0.02
+    assert abs(requests.first["warm"] - 2.0) < 0.02
+    other = Requests()
+    other.model.cache.store(prompt.prefixes[-1:], 0.0)
+    other.add("imported", prompt.tokens, 1, prefixes=prompt.prefixes)
+    other.run_until(1.0)
+    assert other.first["imported"] < 0.02
+
+
+@given(st.lists(st.tuples(st.integers(0, 9), st.integers(1, 4), st.booleans()), max_size=30))
+def test_cache_events_tell_the_contents_unless_they_show_a_gap(prompts):
+    """Guards against a gap in the events that their reader cannot see."""
+    cache = PrefixCache(6 * TOKENS_PER_BLOCK)
+    known, after = set(), 0
+    for name, length, lose in prompts:
+        cache.drop_events(2 if lose else 0)
+        cache.store([f"{name}-{index}" for index in range(length)], 0.0)
+        cache.drop_events(0)
+        events, after, gap = cache.events_after(after, 0.0)
+        if gap:
+            known = set(cache.prefixes)
+            continue
+        for event in events:
+            (known.add if event.kind == "stored" else known.discard)(event.prefix)
+        assert lose or known == set(cache.prefixes)
+        known = set(cache.prefixes)
+    assert cache.tokens <= 6 * TOKENS_PER_BLOCK
+
+
+ORDERS = st.builds(
+    dict,
+    order_id=st.sampled_from(["a", "b", "c", "d"]),
+    fence=st.integers(1, 4),
+    action=st.just("role"),
+    arguments=st.builds(dict, role=st.sampled_from(["prefill", "decode"])),
+)
+
+
+@given(st.lists(st.tuples(ORDERS, st.floats(0, 2)), max_size=12), st.booleans())
+def test_orders_keep_their_fence_and_history(orders, check):
+    """Guards against tests of authority that pass because the engine forgets or checks nothing."""
+    engine = EngineOrders(("m",), "both", change_s=1.0)
+    engine.fence_check = check
+    now, highest, accepted, role = 0.0, 0, {}, "both"
+    for body, wait in orders:
+        now += wait
+        busy = engine.changing
+        engine.settle(now)
+        busy = busy and engine.changing
+        state = engine.receive(body, now).state
+        if check and body["fence"] < highest:
+            assert state == "old_fence"
+        elif body["order_id"] in accepted:
+            same = accepted[body["order_id"]] == body
+            assert state in (("running", "done") if same else ("order_id_reused",))
+        else:
+            assert state == ("busy" if busy else "running")
+            if not busy:
+                accepted[body["order_id"]] = body
+                highest = max(highest, body["fence"])
+                role = body["arguments"]["role"]
+    assert [order.order_id for order in engine.history] == [body["order_id"] for body, _ in orders]
+    engine.settle(now + 1.0)
+    assert engine.role == role
+
+
+@given(st.text(max_size=40), st.integers(0, 20), st.integers(0, 20))
+def test_answers_are_the_same_from_every_position(text, start, tokens):
+    """Guards against resumed answers that cannot be compared with uninterrupted ones."""
+    whole = output_text(text, start + tokens)
+    assert whole == output_text(text, start) + output_text(text, start + tokens, start)
