--- /dev/null
+++ b/src/laburnumreel/protocol/_answers.py
@@ -0,0 +1,69 @@
+"""Answers that the gateway gives itself: refusals and JSON bodies."""
+
+import json
+import math
+import secrets
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+from laburnumreel.protocol._metrics import REFUSALS
+from laburnumreel.protocol._openai import error_body, sse_event
+from laburnumreel.state import Refusal
+
+# Registered nowhere, but common for a caller that closed its connection.
+_CLIENT_CLOSED_REQUEST = 499
+DEFAULT_RETRY_AFTER_S = 1.0
+
+
+class Answer(NamedTuple):
+    """A whole answer to a caller."""
+
+    status: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+def new_request_id() -> str:
+    """Return a fresh request id. The gateway never takes one from a caller."""
+    return f"req-{secrets.token_hex(12)}"
+
+
+def status_line(status: int) -> str:
+    """Return the status with its reason phrase."""
+    if status == _CLIENT_CLOSED_REQUEST:
+        return f"{status} Client Closed Request"
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
+
+
+def json_answer(value: Any, request_id: str, status: int = 200) -> Answer:
+    """Return an answer with a JSON body."""
+    body = json.dumps(value, ensure_ascii=False, separators=(",", ":")).encode("utf-8", "replace")
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        ("X-Request-Id", request_id),
+    ]
+    return Answer(status_line(status), headers, body)
+
+
+def refusal_answer(refusal: Refusal, request_id: str) -> Answer:
+    """Return the answer of a refusal and count it."""
+    REFUSALS.inc(kind=str(refusal.kind))
+    answer = json_answer(error_body(refusal), request_id, refusal.answer.status)
+    answer.headers.append(("X-Error-Kind", str(refusal.kind)))
+    answer.headers.append(("X-Run-State", str(refusal.state)))
+    if refusal.answer.come_back or refusal.retry_after_s is not None:
+        wait = DEFAULT_RETRY_AFTER_S if refusal.retry_after_s is None else refusal.retry_after_s
+        answer.headers.append(("Retry-After", str(max(1, math.ceil(wait)))))
+    return answer
+
+
+def refusal_event(refusal: Refusal) -> bytes:
+    """Return the last event of a stream that fails after it has begun, and count the refusal."""
+    REFUSALS.inc(kind=str(refusal.kind))
+    body = error_body(refusal)
+    body["error"]["run_state"] = str(refusal.state)
+    return sse_event(json.dumps(body, separators=(",", ":")).encode())
--- /dev/null
+++ b/src/laburnumreel/protocol/_headers.py
@@ -0,0 +1,160 @@
+"""Callers' keys and headers: finding the key, stripping it, and what may be passed on."""
+
+import re
+from collections.abc import Iterable, Mapping
+from urllib.parse import unquote, unquote_plus
+
+from expression import Error, Ok, Result
+
+from laburnumreel.state import ErrorKind, Refusal
+
+MAX_KEY_CHARACTERS = 512
+
+# Headers that hold for one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "trailers",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# The gateway sets these itself. A caller that could set them would choose its own priority or
+# resume another request.
+_SET_BY_GATEWAY = frozenset(
+    {
+        "authorization",
+        "x-api-key",
+        "host",
+        "content-length",
+        "expect",
+        "x-request-id",
+        "x-priority",
+        "x-resume-from",
+        "x-deadline-ms",
+    }
+)
+_ANSWERED_BY_GATEWAY = frozenset({"x-request-id", "x-error-kind", "x-run-state", "content-length"})
+
+_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_UNSAFE_VALUE = re.compile(r"[^\t\x20-\x7e\x80-\xff]")
+_UNSAFE_PATH = re.compile(r"[\x00-\x20\x7f\\]")
+
+Headers = list[tuple[str, str]]
+
+
+def headers_from_environ(environ: Mapping[str, object]) -> dict[str, str]:
+    """Return a WSGI request's headers by lower-case name."""
+    headers = {
+        name[5:].replace("_", "-").lower(): str(value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = str(environ["CONTENT_TYPE"])
+    return headers
+
+
+def presented_key(headers: Mapping[str, str]) -> Result[str | None, Refusal]:
+    """Return the caller's key from `Authorization: Bearer` or `X-Api-Key`, or None.
+
+    >>> presented_key({"authorization": "Bearer lr-example"}).ok
+    'lr-example'
+    """
+    found = set()
+    scheme, _, rest = headers.get("authorization", "").partition(" ")
+    if scheme.lower() == "bearer" and rest.strip():
+        found.add(rest.strip())
+    if headers.get("x-api-key", "").strip():
+        found.add(headers["x-api-key"].strip())
+    if len(found) > 1:
+        return Error(Refusal(ErrorKind.BAD_REQUEST, "Two different keys were sent."))
+    key = next(iter(found), None)
+    if key is not None and (len(key) > MAX_KEY_CHARACTERS or not key.isascii()):
+        return Error(Refusal(ErrorKind.UNKNOWN_KEY))
+    return Ok(key)
+
+
+def forwarded_headers(headers: Mapping[str, str], key: str | None) -> Headers:
+    """Return the request headers that a back end may see: without the key and hop-by-hop ones."""
+    dropped = HOP_BY_HOP | _SET_BY_GATEWAY | _named_in_connection(headers.get("connection", ""))
+    passed = []
+    for name, value in headers.items():
+        if name in dropped or not is_safe(name, value):
+            continue
+        if name == "cookie":
+            value = strip_cookies(value, key)
+            if not value:
+                continue
+        elif _holds(value, key) or _holds(name, key.lower() if key else None):
+            continue
+        passed.append((name, value))
+    return passed
+
+
+def answer_headers(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Return the headers of a back end's answer that a caller may see."""
+    headers = list(headers)
+    named = ",".join(value for name, value in headers if name.lower() == "connection")
+    dropped = HOP_BY_HOP | _ANSWERED_BY_GATEWAY | _named_in_connection(named)
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in dropped and is_safe(name, value)
+    ]
+
+
+def strip_query(query: str, key: str | None) -> str:
+    """Return the query string without the parameters that hold the key.
+
+    >>> strip_query("a=1&token=lr-x", "lr-x")
+    'a=1'
+    """
+    if key is None or not query:
+        return query
+    kept = [part for part in query.split("&") if not _holds(part, key)]
+    return "&".join(kept)
+
+
+def strip_cookies(value: str, key: str | None) -> str:
+    """Return a Cookie header's value without the cookies that hold the key."""
+    parts = [part.strip() for part in re.split("[;,]", value)]
+    return "; ".join(part for part in parts if part and not _holds(part, key))
+
+
+def is_safe(name: str, value: str) -> bool:
+    """Return whether a header can be written without starting another header."""
+    return _NAME.fullmatch(name) is not None and _UNSAFE_VALUE.search(value) is None
+
+
+def safe_target(path: str, raw_path: str) -> bool:
+    """Return whether the decoded and the raw path lead to the same place for every server.
+
+    Dot segments, encoded separators and control characters are read differently by different
+    servers, so that the route that was checked would not be the one that is served.
+    """
+    if not path.startswith("/") or "//" in path or _UNSAFE_PATH.search(path):
+        return False
+    if not raw_path.startswith("/") or _UNSAFE_PATH.search(raw_path) or not raw_path.isascii():
+        return False
+    if re.search("%2f|%5c|%00", raw_path, re.IGNORECASE):
+        return False
+    return not any(segment in (".", "..") for segment in path.split("/"))
+
+
+def _named_in_connection(value: str) -> frozenset[str]:
+    return frozenset(part.strip().lower() for part in value.split(",") if part.strip())
+
+
+def _holds(text: str, key: str | None) -> bool:
+    if not key:
+        return False
+    # Two rounds, because a back end may decode a value that was encoded twice.
+    once = unquote_plus(text)
+    return key in text or key in unquote(text) or key in once or key in unquote_plus(once)
--- /dev/null
+++ b/src/laburnumreel/protocol/_openai.py
@@ -0,0 +1,329 @@
+"""The OpenAI-compatible interface: request bodies, error bodies and server-sent events."""
+
+import json
+from typing import Any, NamedTuple
+
+from expression import Error, Ok, Result
+
+from laburnumreel.state import ErrorKind, Refusal
+
+BYTES_PER_TOKEN = 4
+MAX_CHOICES = 16
+MAX_EVENT_BYTES = 1 << 20
+DONE = b"[DONE]"
+
+_ROLES = ("system", "developer", "user", "assistant", "tool", "function")
+
+
+class ModelRequest(NamedTuple):
+    """A checked request to a model service. Token figures are estimates until the engine counts."""
+
+    chat: bool
+    model: str
+    stream: bool
+    prompt: bytes
+    prompt_tokens: int
+    output_tokens: int
+    choices: int
+    body: dict[str, Any]
+
+
+def parse_model_request(
+    raw: bytes, chat: bool, default_output_tokens: int = 256
+) -> Result[ModelRequest, Refusal]:
+    """Check the body of a chat completion or completion request."""
+    try:
+        body = json.loads(raw)
+    except (ValueError, RecursionError):
+        return _bad("The body is not valid JSON.")
+    if not isinstance(body, dict):
+        return _bad("The body is not a JSON object.")
+    problem = _common_problem(body) or (_chat_problem(body) if chat else _prompt_problem(body))
+    if problem is not None:
+        return _bad(problem)
+    wanted = _token_limit(body)
+    choices = body.get("n") or 1
+    if not chat and isinstance(body["prompt"], list) and not _is_token_list(body["prompt"]):
+        choices *= len(body["prompt"])
+    text = prompt_text(body, chat)
+    tokens = wanted if wanted is not None else default_output_tokens
+    return Ok(
+        ModelRequest(
+            chat=chat,
+            model=body["model"],
+            stream=bool(body.get("stream")),
+            prompt=text,
+            prompt_tokens=max(1, -(-len(text) // BYTES_PER_TOKEN)),
+            output_tokens=tokens * choices,
+            choices=choices,
+            body=body,
+        )
+    )
+
+
+def token_limit(request: ModelRequest) -> int | None:
+    """Return the number of output tokens that the caller asked for, or None."""
+    return _token_limit(request.body)
+
+
+def prompt_text(body: dict[str, Any], chat: bool) -> bytes:
+    """Return the prompt's text as engines see it, over which cached prefixes are computed."""
+    if not chat:
+        prompt = body["prompt"]
+        if isinstance(prompt, list):
+            prompt = "".join(map(str, prompt))
+        return prompt.encode("utf-8", "replace")
+    return "".join(
+        f"{message['role']}\n{_content_text(message.get('content'))}\n"
+        for message in body["messages"]
+    ).encode("utf-8", "replace")
+
+
+def engine_body(request: ModelRequest) -> bytes:
+    """Return the body that is sent to an engine, which always streams.
+
+    A stream shows progress, so that a silent connection is noticed and an answer can be resumed.
+    """
+    return json.dumps({**request.body, "stream": True}, separators=(",", ":")).encode()
+
+
+def error_body(refusal: Refusal) -> dict[str, Any]:
+    """Return the OpenAI error object of a refusal."""
+    answer = refusal.answer
+    message = f"{answer.message} {refusal.detail}" if refusal.detail else answer.message
+    return {
+        "error": {
+            "message": message,
+            "type": answer.type,
+            "code": str(refusal.kind),
+            "param": None,
+        }
+    }
+
+
+def sse_event(payload: bytes) -> bytes:
+    """Return one server-sent event with this data."""
+    if b"\n" in payload or b"\r" in payload:
+        return b"".join(b"data: " + line + b"\n" for line in payload.splitlines()) + b"\n"
+    return b"data: " + payload + b"\n\n"
+
+
+def models_body(models: list[tuple[str, str]]) -> dict[str, Any]:
+    """Return the answer of `/v1/models` for (model, service) pairs."""
+    return {
+        "object": "list",
+        "data": [
+            {"id": model, "object": "model", "created": 0, "owned_by": service}
+            for model, service in models
+        ],
+    }
+
+
+class EventTooLargeError(Exception):
+    """A back end sent an event beyond MAX_EVENT_BYTES."""
+
+
+class SseParser:
+    """Splits a byte stream into the data of its events, however the bytes are cut.
+
+    >>> parser = SseParser()
+    >>> parser.feed(b"data: a")
+    []
+    >>> parser.feed(b"b" + bytes([10, 10]))
+    [b'ab']
+    """
+
+    def __init__(self) -> None:
+        self._buffer = b""
+        self._skip_line_feed = False
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Take the next bytes and return the data of each event that they complete."""
+        if self._skip_line_feed and data:
+            self._skip_line_feed = False
+            if data[0] == 0x0A:
+                data = data[1:]
+        if b"\r" in data:
+            self._skip_line_feed = data.endswith(b"\r")
+            data = data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+        buffer = self._buffer + data
+        if b"\n\n" not in buffer:
+            self._keep(buffer)
+            return []
+        *blocks, rest = buffer.split(b"\n\n")
+        self._keep(rest)
+        payloads = []
+        for block in blocks:
+            if block.startswith(b"data: ") and b"\n" not in block:
+                payloads.append(block[6:])
+                continue
+            lines = [line for line in block.split(b"\n") if line.startswith(b"data:")]
+            if lines:
+                payloads.append(
+                    b"\n".join(
+                        line[6:] if line.startswith(b"data: ") else line[5:] for line in lines
+                    )
+                )
+        return payloads
+
+    def _keep(self, rest: bytes) -> None:
+        if len(rest) > MAX_EVENT_BYTES:
+            raise EventTooLargeError
+        self._buffer = rest
+
+
+class AnswerBuilder:
+    """Puts the chunks of an engine's stream together into the answer of a caller without one."""
+
+    def __init__(self, chat: bool) -> None:
+        self._chat = chat
+        self._head: dict[str, Any] = {}
+        self._choices: dict[int, dict[str, Any]] = {}
+        self._usage: dict[str, Any] | None = None
+
+    def add(self, chunk: dict[str, Any]) -> None:
+        """Take one chunk."""
+        if not self._head:
+            self._head = {key: chunk[key] for key in ("id", "created", "model") if key in chunk}
+            if chunk.get("system_fingerprint"):
+                self._head["system_fingerprint"] = chunk["system_fingerprint"]
+        if chunk.get("usage"):
+            self._usage = chunk["usage"]
+        for choice in chunk.get("choices") or ():
+            self._add_choice(choice)
+
+    def answer(self) -> dict[str, Any]:
+        """Return the whole answer."""
+        kind = "chat.completion" if self._chat else "text_completion"
+        choices = [self._choices[index] for index in sorted(self._choices)]
+        answer = {**self._head, "object": kind, "choices": choices}
+        if self._usage is not None:
+            answer["usage"] = self._usage
+        return answer
+
+    def _add_choice(self, choice: dict[str, Any]) -> None:
+        index = choice.get("index", 0)
+        whole = self._choices.get(index)
+        if whole is None:
+            whole = {"index": index, "finish_reason": None, "logprobs": None}
+            if self._chat:
+                whole["message"] = {"role": "assistant", "content": None}
+            else:
+                whole["text"] = ""
+            self._choices[index] = whole
+        if choice.get("finish_reason") is not None:
+            whole["finish_reason"] = choice["finish_reason"]
+        if choice.get("logprobs"):
+            whole["logprobs"] = _merged(whole["logprobs"], choice["logprobs"])
+        if self._chat:
+            whole["message"] = _merged(whole["message"], choice.get("delta") or {})
+        else:
+            whole["text"] += choice.get("text") or ""
+
+
+def _merged(whole: dict[str, Any] | None, part: dict[str, Any]) -> dict[str, Any]:
+    merged = dict(whole or {})
+    for name, value in part.items():
+        old = merged.get(name)
+        if value is None or name == "role":
+            merged[name] = value or old
+        elif name == "tool_calls":
+            merged[name] = _merged_calls(old or [], value)
+        elif any(isinstance(old, kind) and isinstance(value, kind) for kind in (str, list)):
+            merged[name] = old + value
+        elif isinstance(old, dict) and isinstance(value, dict):
+            merged[name] = _merged(old, value)
+        else:
+            merged[name] = value
+    return merged
+
+
+def _merged_calls(old: list[dict[str, Any]], new: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    calls = dict(enumerate(old))
+    for part in new:
+        position = part.get("index", len(calls))
+        fields = {name: value for name, value in part.items() if name != "index"}
+        call = calls.get(position, {})
+        # Names and ids come whole; only arguments come in pieces.
+        function = _merged(
+            {"arguments": "", **call.get("function", {})}, fields.pop("function", {}) or {}
+        )
+        calls[position] = {**call, **fields, "function": function}
+    return [calls[position] for position in sorted(calls)]
+
+
+def _common_problem(body: dict[str, Any]) -> str | None:
+    if not isinstance(body.get("model"), str) or not body["model"]:
+        return "model must be a text that is not empty."
+    if not isinstance(body.get("stream"), bool | None):
+        return "stream must be true or false."
+    for name in ("max_tokens", "max_completion_tokens"):
+        if (value := body.get(name)) is not None and not (_is_whole(value) and value >= 1):
+            return f"{name} must be a whole number of at least 1."
+    choices = body.get("n")
+    if choices is not None and not (_is_whole(choices) and 1 <= choices <= MAX_CHOICES):
+        return f"n must be a whole number from 1 to {MAX_CHOICES}."
+    for name, low, high in (("temperature", 0, 2), ("top_p", 0, 1)):
+        value = body.get(name)
+        if value is not None and not (_is_number(value) and low <= value <= high):
+            return f"{name} must be a number from {low} to {high}."
+    return None
+
+
+def _chat_problem(body: dict[str, Any]) -> str | None:
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return "messages must be a list that is not empty."
+    for position, message in enumerate(messages):
+        if not isinstance(message, dict):
+            return f"messages[{position}] must be an object."
+        if message.get("role") not in _ROLES:
+            return f"messages[{position}].role must be one of {', '.join(_ROLES)}."
+        content = message.get("content")
+        if not isinstance(content, str | list | None):
+            return f"messages[{position}].content must be a text or a list of parts."
+        if content is None and message["role"] != "assistant":
+            return f"messages[{position}].content is missing."
+    return None
+
+
+def _prompt_problem(body: dict[str, Any]) -> str | None:
+    prompt = body.get("prompt")
+    if isinstance(prompt, str):
+        return None
+    if not isinstance(prompt, list) or not prompt:
+        return "prompt must be a text, or a list of texts or tokens that is not empty."
+    if _is_token_list(prompt):
+        return None
+    if len(prompt) > MAX_CHOICES:
+        return f"prompt must have at most {MAX_CHOICES} entries."
+    if not all(isinstance(part, str) or (part and _is_token_list(part)) for part in prompt):
+        return "prompt must be a text, or a list of texts or tokens."
+    return None
+
+
+def _token_limit(body: dict[str, Any]) -> int | None:
+    limit = body.get("max_completion_tokens")
+    return body.get("max_tokens") if limit is None else limit
+
+
+def _content_text(content: Any) -> str:
+    if isinstance(content, list):
+        return "".join(str(part.get("text", "")) for part in content if isinstance(part, dict))
+    return content or ""
+
+
+def _is_token_list(value: Any) -> bool:
+    return isinstance(value, list) and all(_is_whole(item) and item >= 0 for item in value)
+
+
+def _is_whole(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _is_number(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def _bad(detail: str) -> Result[Any, Refusal]:
+    return Error(Refusal(ErrorKind.BAD_REQUEST, detail))
--- /dev/null
+++ b/src/laburnumreel/serving/_checks.py
@@ -0,0 +1,151 @@
+"""What a request must pass before it may run: key, route, body and customer."""
+
+import hashlib
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from laburnumreel.protocol import (
+    ModelRequest,
+    headers_from_environ,
+    parse_model_request,
+    presented_key,
+    safe_target,
+    token_limit,
+)
+from laburnumreel.serving._attempts import RequestFailedError
+from laburnumreel.serving._parts import Parts
+from laburnumreel.state import (
+    Configuration,
+    ErrorKind,
+    Profile,
+    Refusal,
+    Service,
+    key_digest,
+)
+
+MODEL_PATHS = {"/v1/chat/completions": True, "/v1/completions": False}
+MODELS_PATH = "/v1/models"
+PLAIN_METHODS = ("GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE")
+OPEN_CUSTOMER = ""
+
+
+class Caller(NamedTuple):
+    """Who sent a request. On a route open to all, `customer` is empty and the digest None."""
+
+    key: str | None
+    digest: str | None
+    customer: str
+
+
+class Arrived(NamedTuple):
+    """A request as it came, with the configuration that it is served under."""
+
+    request_id: str
+    method: str
+    path: str
+    raw_path: str
+    query: str
+    headers: dict[str, str]
+    environ: Mapping[str, Any]
+    configuration: Configuration
+    arrived_at: float
+
+    @classmethod
+    def from_environ(
+        cls, environ: Mapping[str, Any], request_id: str, configuration: Configuration, now: float
+    ) -> "Arrived":
+        path = environ["PATH_INFO"]
+        target = environ["REQUEST_URI"]
+        # An absolute-form target names a host of the caller's choice; only its path counts.
+        if "://" in target.split("?", 1)[0]:
+            target = "/" + target.split("://", 1)[1].partition("/")[2]
+        raw_path = target.split("#", 1)[0].split("?", 1)[0]
+        if not safe_target(path, raw_path):
+            raise RequestFailedError(Refusal(ErrorKind.BAD_REQUEST, "The path is malformed."))
+        return cls(
+            request_id,
+            environ["REQUEST_METHOD"],
+            path,
+            raw_path,
+            environ.get("QUERY_STRING", ""),
+            headers_from_environ(environ),
+            environ,
+            configuration,
+            now,
+        )
+
+    def body(self, profile: Profile) -> bytes:
+        """Return the whole body, which waitress has already read."""
+        body = self.environ["wsgi.input"].read()
+        if len(body) > profile.max_body_bytes:
+            detail = f"At most {profile.max_body_bytes} bytes are allowed."
+            raise RequestFailedError(Refusal(ErrorKind.BODY_TOO_LARGE, detail))
+        return body
+
+
+def identify(parts: Parts, arrived: Arrived, open_to_all: bool = False) -> Caller:
+    """Return the caller, whose key is known, not withdrawn and verifiable now."""
+    found = presented_key(arrived.headers)
+    if open_to_all:
+        return Caller(found.ok if found.is_ok() else None, None, OPEN_CUSTOMER)
+    if found.is_error():
+        raise RequestFailedError(found.error)
+    key = found.ok
+    if key is None:
+        raise RequestFailedError(Refusal(ErrorKind.MISSING_KEY))
+    digest = key_digest(key, parts.pepper)
+    check_key(parts, digest)
+    customer = arrived.configuration.customer_of(digest)
+    if customer is None:
+        raise RequestFailedError(Refusal(ErrorKind.UNKNOWN_KEY))
+    return Caller(key, digest, customer)
+
+
+def check_key(parts: Parts, digest: str | None) -> None:
+    """Refuse a key that was withdrawn, or all keys where withdrawals cannot be heard of.
+
+    It runs on arrival and again after the wait for admission: the process may have been paused.
+    """
+    if digest is None:
+        return
+    if not parts.verifiable(parts.clock.now()):
+        raise RequestFailedError(Refusal(ErrorKind.KEYS_UNVERIFIABLE))
+    if digest in parts.config.withdrawn:
+        raise RequestFailedError(Refusal(ErrorKind.WITHDRAWN_KEY))
+
+
+def check_customer(service: Service, caller: Caller, open_to_all: bool = False) -> None:
+    """Refuse a customer that may not use the service."""
+    if not open_to_all and not service.serves(caller.customer):
+        raise RequestFailedError(Refusal(ErrorKind.NOT_ALLOWED))
+
+
+def model_request(
+    arrived: Arrived, caller: Caller, chat: bool
+) -> tuple[ModelRequest, Service, Profile]:
+    """Return the checked body of a request to a model service, and what serves it."""
+    configuration = arrived.configuration
+    raw = arrived.environ["wsgi.input"].read()
+    parsed = parse_model_request(raw, chat)
+    if parsed.is_error():
+        raise RequestFailedError(parsed.error)
+    request = parsed.ok
+    service = configuration.models.get(request.model)
+    profile = service and configuration.profiles.get(service.profile)
+    if service is None or profile is None:
+        raise RequestFailedError(Refusal(ErrorKind.UNKNOWN_MODEL))
+    check_customer(service, caller)
+    if len(raw) > profile.max_body_bytes:
+        detail = f"At most {profile.max_body_bytes} bytes are allowed."
+        raise RequestFailedError(Refusal(ErrorKind.BODY_TOO_LARGE, detail))
+    limit = token_limit(request)
+    if limit is not None and limit > profile.max_tokens:
+        detail = f"max_tokens must be at most {profile.max_tokens}."
+        raise RequestFailedError(Refusal(ErrorKind.BAD_REQUEST, detail))
+    return request, service, profile
+
+
+def body_digest(service: str, method: str, target: str, body: bytes) -> str:
+    """Return the digest under which a request is quarantined."""
+    head = f"{service} {method} {target}\n".encode("utf-8", "replace")
+    return hashlib.sha256(head + body).hexdigest()
--- /dev/null
+++ b/src/laburnumreel/serving/_events.py
@@ -0,0 +1,16 @@
+"""The log events of the gateway's request path."""
+
+from laburnumreel.core import define_event
+
+REQUEST_FAILED = define_event(110, "request_failed", "a request failed unexpectedly")
+REQUEST_RETRIED = define_event(111, "request_retried", "a request is tried on another back end")
+REQUEST_ABORTED = define_event(112, "request_aborted", "a running request was aborted")
+HOSTS_UNREADABLE = define_event(
+    113, "hosts_unreadable", "the host list could not be read; the last one stays in use"
+)
+CREDENTIAL_MISSING = define_event(
+    114, "credential_missing", "a service's credential towards its back ends could not be read"
+)
+ANSWER_NOT_STORED = define_event(
+    115, "answer_not_stored", "the answer to a request with an Idempotency-Key was not stored"
+)
--- /dev/null
+++ b/src/laburnumreel/serving/_metrics.py
@@ -0,0 +1,20 @@
+"""The metrics of the gateway's request path."""
+
+from laburnumreel.core import define_counter, define_gauge, define_histogram
+
+REQUESTS = define_counter(
+    "laburnumreel_requests_total", "Requests that were answered in full, by service.", ["service"]
+)
+RETRIES = define_counter(
+    "laburnumreel_retries_total", "Requests sent to another back end, by reason.", ["reason"]
+)
+CANCELS = define_counter(
+    "laburnumreel_cancels_total", "Requests cancelled at a back end, because nobody waits for them."
+)
+RUNNING = define_gauge("laburnumreel_running_requests", "Requests admitted or queued.")
+FIRST_BYTE_S = define_histogram(
+    "laburnumreel_first_byte_seconds",
+    "Time from a request's arrival to the first byte of its answer, by service.",
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.31, 0.5, 1.0, 2.5, 5.0, 10.0],
+    ["service"],
+)
--- /dev/null
+++ b/src/laburnumreel/serving/_model.py
@@ -0,0 +1,188 @@
+"""Requests to model services: one stream of chunks, over as many engines as it takes."""
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+from laburnumreel.protocol import DONE, EventTooLargeError, ModelRequest, SseParser, engine_body
+from laburnumreel.serving._attempts import Attempts, Job, RequestFailedError
+from laburnumreel.serving._parts import Parts
+from laburnumreel.serving._stopgap import UsageCount
+from laburnumreel.state import ErrorKind, Refusal
+from laburnumreel.transport import BackEndFailureError, Exchange
+
+# How long to wait for the end of an answer whose final event has come, to use the connection again.
+DRAIN_S = 0.05
+MAX_ERROR_BYTES = 4096
+_REFUSING = (404, 409, 425, 429, 503)
+
+# The data of an event and its parsed chunk.
+Event = tuple[bytes, dict[str, Any]]
+
+
+class ModelRun:
+    """One request to a model service.
+
+    `events` yields the events of the answer as they come, those of one read together, and resumes
+    on another engine after the last token it has yielded. The events that end an answer are held
+    back until `[DONE]` has come, so that a resumed stream does not end twice.
+    """
+
+    def __init__(self, parts: Parts, job: Job, request: ModelRequest) -> None:
+        self._parts = parts
+        self._job = job
+        self._target = "/v1/chat/completions" if request.chat else "/v1/completions"
+        self._body = engine_body(request)
+        self._attempts = Attempts(parts, job)
+        self._tokens = 0
+        self._begun = False
+        self._usage: dict[str, Any] = {}
+        self._counted = False
+
+    @property
+    def may_have_run(self) -> bool:
+        return self._attempts.may_have_run
+
+    @property
+    def tokens(self) -> int:
+        """The service received: prompt and output tokens."""
+        count = self._count()
+        return count.prompt_tokens + count.output_tokens
+
+    def events(self) -> Iterator[list[Event]]:
+        """Yield the answer's events. Raises RequestFailedError where it cannot be completed."""
+        try:
+            while True:
+                exchange = self._attempts.open()
+                try:
+                    if self._send(exchange):
+                        yield from self._read(exchange)
+                        return
+                except BackEndFailureError as error:
+                    self._attempts.lost(error, self._tokens)
+                except EventTooLargeError:
+                    error = BackEndFailureError("lost", "an event is too large", True)
+                    self._attempts.lost(error, self._tokens)
+        finally:
+            self._attempts.abandon()
+            if self._tokens:
+                self.count_usage()
+
+    def count_usage(self) -> None:
+        """Count the request's usage once."""
+        if not self._counted:
+            self._counted = True
+            self._parts.usage.count(self._job.running.request_id, self._count())
+
+    def _send(self, exchange: Exchange) -> bool:
+        ran_before = self._attempts.may_have_run
+        headers = {"Content-Type": "application/json", "Accept": "text/event-stream"}
+        headers["X-Priority"] = str(self._job.work.priority)
+        if self._tokens:
+            headers["X-Resume-From"] = str(self._tokens)
+        self._attempts.send("POST", self._target, headers, self._body)
+        if exchange.status == 200:
+            return True
+        detail = _read_error(exchange)
+        if exchange.status in _REFUSING:
+            self._attempts.refused(ran_before, exchange.header("Retry-After"), detail)
+            return False
+        if 400 <= exchange.status < 500:
+            self._attempts.done()
+            raise RequestFailedError(Refusal(ErrorKind.BAD_REQUEST, detail))
+        raise BackEndFailureError("lost", f"status {exchange.status}", True)
+
+    def _read(self, exchange: Exchange) -> Iterator[list[Event]]:
+        parser = SseParser()
+        request_id = self._job.running.request_id
+        resumed = self._begun
+        held: list[Event] = []
+        while True:
+            data = exchange.read()
+            if not data:
+                raise BackEndFailureError("short", "the stream has no final event", True)
+            ready: list[Event] = []
+            for payload in parser.feed(data):
+                if payload == DONE:
+                    self._finish(exchange)
+                    yield [*ready, *held, (DONE, {})]
+                    return
+                chunk = _parse(payload)
+                if chunk.get("id") != request_id:
+                    raise BackEndFailureError("lost", "a chunk belongs to another request", True)
+                if held or chunk.get("usage") or _ends_choice(chunk):
+                    held.append((payload, chunk))
+                    if chunk.get("usage"):
+                        self._usage = chunk["usage"]
+                elif _has_token(chunk):
+                    self._tokens += 1
+                    ready.append((payload, chunk))
+                elif not resumed:
+                    ready.append((payload, chunk))
+            if ready:
+                self._begun = True
+                yield ready
+
+    def _finish(self, exchange: Exchange) -> None:
+        """Count the complete answer before its last event is passed on."""
+        self.count_usage()
+        self._parts.dispatcher.succeeded(self._job.service.name)
+        try:
+            exchange.set_timeout(DRAIN_S)
+            exchange.read()
+        except BackEndFailureError:
+            # The answer is complete; only the connection cannot be used again.
+            exchange.abort()
+        self._attempts.done()
+
+    def _count(self) -> UsageCount:
+        work = self._job.work
+        return UsageCount(
+            customer=work.customer,
+            service=work.service,
+            requests=1,
+            prompt_tokens=_whole(self._usage.get("prompt_tokens"), work.prompt_tokens),
+            output_tokens=max(self._tokens, _whole(self._usage.get("completion_tokens"), 0)),
+        )
+
+
+def _parse(payload: bytes) -> dict[str, Any]:
+    try:
+        chunk = json.loads(payload)
+    except ValueError as error:
+        raise BackEndFailureError("lost", "a chunk is not JSON", True) from error
+    if not isinstance(chunk, dict):
+        raise BackEndFailureError("lost", "a chunk is not an object", True)
+    return chunk
+
+
+def _has_token(chunk: dict[str, Any]) -> bool:
+    for choice in chunk.get("choices") or ():
+        if choice.get("text"):
+            return True
+        delta = choice.get("delta")
+        if delta and (delta.get("content") or len(delta.keys() - {"role", "content"}) > 0):
+            return True
+    return False
+
+
+def _ends_choice(chunk: dict[str, Any]) -> bool:
+    return any(choice.get("finish_reason") for choice in chunk.get("choices") or ())
+
+
+def _read_error(exchange: Exchange) -> str:
+    data = b""
+    while len(data) < MAX_ERROR_BYTES:
+        part = exchange.read()
+        if not part:
+            break
+        data += part
+    try:
+        message = json.loads(data)["error"]["message"]
+    except (ValueError, KeyError, TypeError):
+        return ""
+    return str(message)[:500]
+
+
+def _whole(value: Any, default: int) -> int:
+    return value if isinstance(value, int) and value >= 0 else default
--- /dev/null
+++ b/src/laburnumreel/serving/_parts.py
@@ -0,0 +1,34 @@
+"""What every request thread of a gateway uses."""
+
+import random
+from collections.abc import Callable
+from concurrent.futures import Executor
+from typing import NamedTuple
+
+from laburnumreel.core import Clock
+from laburnumreel.serving._dispatcher import Dispatcher
+from laburnumreel.serving._registry import RequestRegistry
+from laburnumreel.serving._slots import Credentials, Slots
+from laburnumreel.serving._stopgap import ConfigSync, UsageFlush
+from laburnumreel.transport import BackEndPool
+
+
+class Parts(NamedTuple):
+    """The gateway's tasks and shared objects, wired once at the start.
+
+    `verifiable` tells whether keys can be checked now; `background` runs calls that no caller
+    waits for.
+    """
+
+    clock: Clock
+    config: ConfigSync
+    dispatcher: Dispatcher
+    registry: RequestRegistry
+    usage: UsageFlush
+    pool: BackEndPool
+    slots: Slots
+    credentials: Credentials
+    pepper: bytes
+    verifiable: Callable[[float], bool]
+    background: Executor
+    rng: random.Random
--- /dev/null
+++ b/src/laburnumreel/serving/_plain.py
@@ -0,0 +1,117 @@
+"""Requests to plain services: method, status, headers and body are passed through."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from laburnumreel.protocol import answer_headers
+from laburnumreel.serving._attempts import Attempts, Job
+from laburnumreel.serving._parts import Parts
+from laburnumreel.serving._stopgap import UsageCount
+from laburnumreel.state import ErrorKind, Refusal
+from laburnumreel.transport import BackEndFailureError, Exchange
+
+# An answer up to this size is passed on only when it is complete, so that a broken one can be
+# retried or answered with an error. What is larger is passed on as it comes.
+WHOLE_ANSWER_BYTES = 256 * 1024
+
+
+class PlainRequest(NamedTuple):
+    """What goes to the back end. The headers are stripped of the caller's key."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class PlainAnswer(NamedTuple):
+    """The head of a back end's answer, and its body in pieces."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    first: bytes
+    complete: bool
+    length: int | None
+
+
+class PlainRun:
+    """One request to a plain service."""
+
+    def __init__(self, parts: Parts, job: Job, request: PlainRequest) -> None:
+        self._parts = parts
+        self._job = job
+        self._request = request
+        self._attempts = Attempts(parts, job)
+        self._exchange: Exchange | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        return self._attempts.may_have_run
+
+    def start(self) -> PlainAnswer:
+        """Return the answer's head and beginning. Raises RequestFailedError without an answer."""
+        request = self._request
+        while True:
+            ran_before = self._attempts.may_have_run
+            exchange = self._attempts.open()
+            try:
+                body = request.body or None
+                self._attempts.send(request.method, request.target, dict(request.headers), body)
+                if exchange.status == 503 and self._job.repeatable:
+                    detail = "The back end answered 503."
+                    self._attempts.refused(ran_before, exchange.header("Retry-After"), detail)
+                    continue
+                return self._begin(exchange)
+            except BackEndFailureError as error:
+                self._attempts.lost(error)
+            except BaseException:
+                self._attempts.abandon()
+                raise
+
+    def rest(self) -> Iterator[bytes]:
+        """Yield the rest of an answer that `start` did not read whole."""
+        try:
+            while data := self._exchange.read():
+                yield data
+            self._finish()
+        except BackEndFailureError as error:
+            # The head is out: the caller learns of it by the missing end.
+            raise self._attempts.failure(_refusal_of(error)) from error
+        finally:
+            self._attempts.abandon()
+
+    def _begin(self, exchange: Exchange) -> PlainAnswer:
+        headers = answer_headers(exchange.headers)
+        length = exchange.header("Content-Length")
+        as_it_comes = (exchange.header("Content-Type") or "").startswith("text/event-stream")
+        first, complete = b"", False
+        while len(first) < (1 if as_it_comes else WHOLE_ANSWER_BYTES):
+            data = exchange.read()
+            if not data:
+                complete = True
+                break
+            first += data
+        self._exchange = exchange
+        answer = PlainAnswer(
+            exchange.status,
+            headers,
+            first,
+            complete,
+            int(length) if length is not None and length.isdigit() else None,
+        )
+        if complete:
+            self._finish()
+        return answer
+
+    def _finish(self) -> None:
+        self._parts.dispatcher.succeeded(self._job.service.name)
+        work = self._job.work
+        if work.customer:
+            count = UsageCount(work.customer, work.service, 1, 0, 0)
+            self._parts.usage.count(self._job.running.request_id, count)
+        self._attempts.done()
+
+
+def _refusal_of(error: BackEndFailureError) -> Refusal:
+    silent = error.reason == "silent"
+    return Refusal(ErrorKind.BACK_END_TIMEOUT if silent else ErrorKind.INCOMPLETE_ANSWER)
--- /dev/null
+++ b/src/laburnumreel/serving/_registry.py
@@ -0,0 +1,146 @@
+"""The running requests of a gateway and the task that aborts them."""
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from laburnumreel.core import Clock, Log, Task
+from laburnumreel.serving._events import REQUEST_ABORTED
+from laburnumreel.state import ErrorKind, Refusal, RunState, WithdrawnKeys
+from laburnumreel.transport import Exchange
+
+CHECK_S = 0.25
+
+_log = Log("serving.registry")
+
+
+class Running:
+    """One admitted request.
+
+    The request's thread owns it. The registry's task reads it, and calls only `abort`.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        key_digest: str | None,
+        deadline: float,
+        gone: Callable[[], bool],
+        finish_without_caller: bool = False,
+    ) -> None:
+        self.request_id = request_id
+        self.key_digest = key_digest
+        self.deadline = deadline
+        # A request with an Idempotency-Key runs on for the caller's next try.
+        self.finish_without_caller = finish_without_caller
+        self._gone = gone
+        self._lock = threading.Lock()
+        self._exchange: Exchange | None = None
+        self._aborted: Refusal | None = None
+        self._wake = threading.Event()
+
+    @property
+    def aborted(self) -> Refusal | None:
+        """Why the request was aborted, or None."""
+        return self._aborted
+
+    @property
+    def caller_gone(self) -> bool:
+        return self._gone()
+
+    def attach(self, exchange: Exchange) -> bool:
+        """Take up an exchange with a back end. False if the request is aborted already."""
+        with self._lock:
+            if self._aborted is not None:
+                return False
+            self._exchange = exchange
+            return True
+
+    def detach(self) -> None:
+        """Give up the exchange before its connection goes back to the pool."""
+        with self._lock:
+            self._exchange = None
+
+    def abort(self, refusal: Refusal) -> bool:
+        """Shut the back-end connection down. The first reason decides the caller's error."""
+        with self._lock:
+            if self._aborted is not None:
+                return False
+            self._aborted = refusal
+            if self._exchange is not None:
+                self._exchange.abort()
+        self._wake.set()
+        return True
+
+    def sleep(self, seconds: float) -> None:
+        """Wait, but not beyond an abort."""
+        self._wake.wait(seconds)
+
+
+class _Started(NamedTuple):
+    running: Running
+
+
+class _Ended(NamedTuple):
+    request_id: str
+
+
+class _Withdrawn(NamedTuple):
+    keys: WithdrawnKeys
+
+
+class RequestRegistry(Task):
+    """Aborts requests whose key was withdrawn, whose deadline passed or whose caller has gone.
+
+    `keys_lost` tells whether keys could not be verified for so long that running streams are cut.
+    """
+
+    def __init__(self, clock: Clock, keys_lost: Callable[[float], bool]) -> None:
+        super().__init__("request-registry", tick_s=CHECK_S)
+        self._clock = clock
+        self._keys_lost = keys_lost
+        self._running: dict[str, Running] = {}
+        self._withdrawn = WithdrawnKeys()
+
+    def started(self, running: Running) -> None:
+        """Watch a request from now on."""
+        self.tell(_Started(running))
+
+    def ended(self, request_id: str) -> None:
+        """Watch a request no longer."""
+        self.tell(_Ended(request_id))
+
+    def withdrawn(self, keys: WithdrawnKeys) -> None:
+        """Abort the requests of these keys, now and whenever one starts later."""
+        self.tell(_Withdrawn(keys))
+
+    def handle(self, message: object) -> None:
+        match message:
+            case _Started(running):
+                self._running[running.request_id] = running
+                self._check_key(running)
+            case _Ended(request_id):
+                self._running.pop(request_id, None)
+            case _Withdrawn(keys):
+                self._withdrawn = keys
+                for running in self._running.values():
+                    self._check_key(running)
+
+    def tick(self) -> None:
+        now = self._clock.now()
+        keys_lost = self._keys_lost(now)
+        for running in self._running.values():
+            if now >= running.deadline:
+                self._abort(running, ErrorKind.BACK_END_TIMEOUT, "The deadline passed.")
+            elif not running.finish_without_caller and running.caller_gone:
+                self._abort(running, ErrorKind.CALLER_GONE)
+            elif keys_lost and running.key_digest is not None:
+                self._abort(running, ErrorKind.KEYS_UNVERIFIABLE)
+
+    def _check_key(self, running: Running) -> None:
+        if running.key_digest is not None and running.key_digest in self._withdrawn:
+            self._abort(running, ErrorKind.WITHDRAWN_KEY)
+
+    def _abort(self, running: Running, kind: ErrorKind, detail: str = "") -> None:
+        if running.abort(Refusal(kind, detail, run_state=RunState.UNKNOWN)):
+            _log.info(REQUEST_ABORTED, request=running.request_id, kind=str(kind))
--- a/src/laburnumreel/transport/__init__.py
+++ b/src/laburnumreel/transport/__init__.py
@@ -1,1 +1,7 @@
 """Servers and connections."""
+
+from laburnumreel.transport._admin import admin_server
+from laburnumreel.transport._backend import BackEndFailureError, BackEndPool, Exchange
+from laburnumreel.transport._wsgi import HttpServer
+
+__all__ = ["BackEndFailureError", "BackEndPool", "Exchange", "HttpServer", "admin_server"]
--- /dev/null
+++ b/src/laburnumreel/transport/_backend.py
@@ -0,0 +1,257 @@
+"""Exchanges with back ends over http.client, and the pool of their idle connections."""
+
+import http.client
+import select
+import socket
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Literal
+
+from laburnumreel.core import Log
+from laburnumreel.transport._events import BACK_END_SILENT
+from laburnumreel.transport._metrics import BACK_END_CONNECTIONS, SILENT_CONNECTIONS
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_CONNECTIONS = 16
+MAX_IDLE_S = 20.0
+READ_BYTES = 64 * 1024
+
+Address = tuple[str, int]
+FailureReason = Literal["connect_failed", "silent", "lost", "short"]
+
+_log = Log("transport.back_end")
+
+
+class BackEndFailureError(Exception):
+    """An exchange that did not end well.
+
+    `sent` is whether a byte of the request may have left. `silent` means that no byte came in
+    time, `short` that the answer ended before its end.
+    """
+
+    def __init__(self, reason: FailureReason, detail: str, sent: bool) -> None:
+        super().__init__(f"{reason}: {detail}")
+        self.reason = reason
+        self.sent = sent
+
+
+class Exchange:
+    """One request and its answer on one connection.
+
+    It belongs to one thread, but for `abort`, which any thread may call.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        connection: http.client.HTTPConnection,
+        opened_at: float,
+        give_back: Callable[["Exchange"], None],
+    ) -> None:
+        self.address = address
+        self.opened_at = opened_at
+        self.connection = connection
+        self._give_back = give_back
+        self._socket = connection.sock
+        self._response: http.client.HTTPResponse | None = None
+        self._complete = False
+        self._aborted = False
+
+    @property
+    def status(self) -> int:
+        return self._response.status
+
+    @property
+    def headers(self) -> list[tuple[str, str]]:
+        return self._response.getheaders()
+
+    def header(self, name: str) -> str | None:
+        return self._response.getheader(name)
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole answer was read."""
+        return self._complete
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        timeout_s: float,
+    ) -> None:
+        """Send the request and read the answer's head."""
+        self._socket.settimeout(timeout_s)
+        try:
+            self.connection.request(method, target, body, headers)
+            self._response = self.connection.getresponse()
+        except TimeoutError as error:
+            raise self._failure("silent", error) from error
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise self._failure("lost", error) from error
+
+    def set_timeout(self, timeout_s: float) -> None:
+        """Set the longest wait for the next byte."""
+        self._socket.settimeout(timeout_s)
+
+    def read(self) -> bytes:
+        """Return the next bytes of the answer as soon as there are some; none at its end."""
+        response = self._response
+        try:
+            data = response.read1(READ_BYTES)
+        except TimeoutError as error:
+            raise self._failure("silent", error) from error
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise self._failure("short", error) from error
+        if not data:
+            if not response.chunked and response.length:
+                raise self._failure("short", f"{response.length} bytes are missing")
+            self._complete = not self._aborted
+        return data
+
+    def abort(self) -> None:
+        """Shut the connection down, which ends a read on another thread."""
+        self._aborted = True
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # Already closed by the back end.
+            return
+
+    def close(self) -> None:
+        """End the exchange. Only a connection whose whole answer was read is used again."""
+        if self._complete and not self._aborted and not self._response.will_close:
+            self._response.close()
+            self._give_back(self)
+            return
+        self.connection.close()
+        if self._response is not None:
+            self._response.close()
+        self._socket.close()
+
+    def _failure(self, reason: FailureReason, error: object) -> BackEndFailureError:
+        if reason == "silent":
+            SILENT_CONNECTIONS.inc()
+        return BackEndFailureError(reason, repr(error), sent=True)
+
+
+class BackEndPool:
+    """Idle connections by back-end address.
+
+    TCP keep-alive is not trusted to find a dead path: an idle connection is used for a short time
+    only, and all older ones are dropped when one goes silent while a new one can be opened.
+    """
+
+    def __init__(
+        self, max_idle: int = MAX_IDLE_CONNECTIONS, max_idle_s: float = MAX_IDLE_S
+    ) -> None:
+        self._max_idle = max_idle
+        self._max_idle_s = max_idle_s
+        self._lock = threading.Lock()
+        self._idle: dict[Address, list[tuple[float, Exchange]]] = defaultdict(list)
+        # Connections opened before this time are not used again.
+        self._not_before: dict[Address, float] = {}
+
+    def open(self, address: Address, fresh: bool = False) -> Exchange:
+        """Return an exchange on an idle connection or, if there is none or `fresh`, a new one.
+
+        A request that must not be repeated needs a fresh one: an idle connection may just have
+        been closed by the back end, and the loss would leave it unknown whether the request ran.
+        """
+        if not fresh:
+            idle = self._take(address)
+            if idle is not None:
+                return idle
+        return self._dial(address)
+
+    def went_silent(self, address: Address) -> bool:
+        """Drop the idle connections to a peer that went silent if a new one can be opened.
+
+        Returns whether a new connection could be opened.
+        """
+        started = time.monotonic()
+        try:
+            probe = socket.create_connection(address, CONNECT_TIMEOUT_S)
+        except OSError:
+            return False
+        probe.close()
+        self.drop(address, started)
+        _log.warning(BACK_END_SILENT, address=f"{address[0]}:{address[1]}")
+        return True
+
+    def drop(self, address: Address, opened_before: float) -> None:
+        """Close the idle connections that were opened before a time, and reuse no older ones."""
+        with self._lock:
+            self._not_before[address] = max(opened_before, self._not_before.get(address, 0.0))
+            dropped = self._idle.pop(address, [])
+            kept = [entry for entry in dropped if entry[1].opened_at >= opened_before]
+            if kept:
+                self._idle[address] = kept
+        for _, exchange in dropped:
+            if exchange.opened_at < opened_before:
+                exchange.connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            idle = [entry for entries in self._idle.values() for entry in entries]
+            self._idle.clear()
+        for _, exchange in idle:
+            exchange.connection.close()
+
+    def prune(self) -> None:
+        """Close the connections that were idle for too long."""
+        oldest = time.monotonic() - self._max_idle_s
+        with self._lock:
+            old = []
+            for address, entries in list(self._idle.items()):
+                old += [entry for entry in entries if entry[0] < oldest]
+                self._idle[address] = [entry for entry in entries if entry[0] >= oldest]
+                if not self._idle[address]:
+                    del self._idle[address]
+        for _, exchange in old:
+            exchange.connection.close()
+
+    def _take(self, address: Address) -> Exchange | None:
+        while True:
+            with self._lock:
+                entries = self._idle.get(address)
+                if not entries:
+                    return None
+                idle_since, exchange = entries.pop()
+            usable = time.monotonic() - idle_since < self._max_idle_s
+            if usable and not _readable(exchange.connection.sock):
+                return Exchange(address, exchange.connection, exchange.opened_at, self._give_back)
+            exchange.connection.close()
+
+    def _dial(self, address: Address) -> Exchange:
+        connection = http.client.HTTPConnection(*address, timeout=CONNECT_TIMEOUT_S)
+        opened_at = time.monotonic()
+        try:
+            connection.connect()
+        except OSError as error:
+            connection.close()
+            raise BackEndFailureError("connect_failed", repr(error), sent=False) from error
+        BACK_END_CONNECTIONS.inc()
+        return Exchange(address, connection, opened_at, self._give_back)
+
+    def _give_back(self, exchange: Exchange) -> None:
+        with self._lock:
+            entries = self._idle[exchange.address]
+            young = exchange.opened_at >= self._not_before.get(exchange.address, 0.0)
+            if young and len(entries) < self._max_idle and exchange.connection.sock is not None:
+                entries.append((time.monotonic(), exchange))
+                return
+        exchange.connection.close()
+
+
+def _readable(sock: socket.socket | None) -> bool:
+    """Return whether an idle connection has bytes or an end to read, and so is of no use."""
+    if sock is None:
+        return True
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
--- /dev/null
+++ b/src/laburnumreel/transport/_events.py
@@ -0,0 +1,11 @@
+"""The log events of servers and connections."""
+
+from laburnumreel.core import define_event
+
+HTTP_SERVER_PROBLEM = define_event(200, "http_server_problem", "the HTTP server reported a problem")
+READER_STALLED = define_event(
+    201, "reader_stalled", "disconnected a caller that took no byte while output waited"
+)
+BACK_END_SILENT = define_event(
+    202, "back_end_silent", "a back end sent no byte in time; dropped its older idle connections"
+)
--- /dev/null
+++ b/src/laburnumreel/transport/_metrics.py
@@ -0,0 +1,13 @@
+"""The metrics of servers and connections."""
+
+from laburnumreel.core import define_counter
+
+STALLED_READERS = define_counter(
+    "laburnumreel_stalled_readers_total", "Callers disconnected because they took no byte."
+)
+BACK_END_CONNECTIONS = define_counter(
+    "laburnumreel_back_end_connections_total", "Connections opened to back ends."
+)
+SILENT_CONNECTIONS = define_counter(
+    "laburnumreel_silent_connections_total", "Back-end connections that went silent."
+)
--- /dev/null
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -0,0 +1,255 @@
+"""The HTTP server: waitress with bounded buffers, a stalled-reader limit and documented errors."""
+
+import logging
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import Executor, Future
+from typing import Any
+
+from waitress import wasyncore
+from waitress.adjustments import Adjustments
+from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser
+from waitress.server import TcpWSGIServer
+from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
+from waitress.utilities import RequestEntityTooLarge, RequestHeaderFieldsTooLarge
+
+from laburnumreel.core import Log
+from laburnumreel.protocol import new_request_id, refusal_answer
+from laburnumreel.state import ErrorKind, Refusal
+from laburnumreel.transport._events import HTTP_SERVER_PROBLEM, READER_STALLED
+from laburnumreel.transport._metrics import STALLED_READERS
+
+STALL_LIMIT_S = 30.0
+MAX_HEADER_BYTES = 32 * 1024
+DEFAULT_MAX_BODY_BYTES = 1 << 20
+# Output that may wait for one caller before its request's thread is blocked.
+OUTPUT_HIGH_WATERMARK_BYTES = 256 * 1024
+# Above every amount that waitress may buffer, so that it never opens a temporary file.
+NO_OVERFLOW_BYTES = 1 << 40
+SEND_BUFFER_BYTES = 128 * 1024
+# How much of a request that is refused for its size is read before the connection is closed. A
+# caller that is still sending would otherwise see a reset instead of the answer.
+DISCARD_LIMIT_BYTES = 16 * 1024 * 1024
+IDLE_LIMIT_S = 120
+CONNECTIONS_PER_THREAD = 4
+
+Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+_log = Log("transport.wsgi")
+
+
+class _LogHandler(logging.Handler):
+    """Passes waitress' own log records on as a catalogued event."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        _log.warning(HTTP_SERVER_PROBLEM, detail=record.getMessage()[:500])
+
+
+def _route_waitress_logs() -> None:
+    logger = logging.getLogger("waitress")
+    if not any(isinstance(handler, _LogHandler) for handler in logger.handlers):
+        logger.addHandler(_LogHandler(level=logging.WARNING))
+        logger.propagate = False
+    # A queue is normal here: the application refuses what it cannot take.
+    logging.getLogger("waitress.queue").disabled = True
+
+
+class _Parser(HTTPRequestParser):
+    """Reads on, within a limit, after a size error has decided the answer."""
+
+    def __init__(self, adj: Adjustments) -> None:
+        super().__init__(adj)
+        self._discard_bytes = 0
+        self._discard_to_blank_line = False
+        self._tail = b""
+
+    def received(self, data: bytes) -> int:
+        if self._discard_bytes or self._discard_to_blank_line:
+            return self._discard(data)
+        consumed = super().received(data)
+        if not self.completed or self.error is None:
+            return consumed
+        if isinstance(self.error, RequestHeaderFieldsTooLarge):
+            if b"\r\n\r\n" not in self.header_plus + data:
+                self._discard_to_blank_line = True
+                self._discard_bytes = DISCARD_LIMIT_BYTES
+                self._tail = data[-3:]
+                self.completed = False
+        elif isinstance(self.error, RequestEntityTooLarge) and self.content_length:
+            rest = self.content_length - self.body_bytes_received - (len(data) - consumed)
+            if 0 < rest <= DISCARD_LIMIT_BYTES:
+                self._discard_bytes = rest
+                self.completed = False
+            return len(data)
+        return consumed
+
+    def _discard(self, data: bytes) -> int:
+        self._discard_bytes = max(0, self._discard_bytes - len(data))
+        if self._discard_to_blank_line:
+            ended = b"\r\n\r\n" in self._tail + data
+            self._tail = (self._tail + data)[-3:]
+            self.completed = ended or not self._discard_bytes
+        else:
+            self.completed = not self._discard_bytes
+        return len(data)
+
+
+class _RefusalTask(ErrorTask):
+    """Answers a request that waitress cannot parse with a documented error kind."""
+
+    def execute(self) -> None:
+        error = self.request.error
+        detail = getattr(error, "body", "")
+        if isinstance(error, RequestEntityTooLarge):
+            refusal = Refusal(ErrorKind.BODY_TOO_LARGE)
+        elif isinstance(error, RequestHeaderFieldsTooLarge):
+            refusal = Refusal(ErrorKind.HEADER_TOO_LARGE)
+        elif getattr(error, "code", 500) == 500:
+            refusal = Refusal(ErrorKind.INTERNAL)
+        else:
+            refusal = Refusal(ErrorKind.BAD_REQUEST, detail)
+        answer = refusal_answer(refusal, new_request_id())
+        self.status = answer.status
+        self.response_headers.extend(answer.headers)
+        self.set_close_on_finish()
+        self.content_length = len(answer.body)
+        self.write(answer.body)
+
+
+class _RequestTask(WSGITask):
+    """Closes the connection after the answer while the server is stopping."""
+
+    def build_response_header(self) -> bytes:
+        if self.channel.server.stopping:
+            self.set_close_on_finish()
+        return super().build_response_header()
+
+
+class _Channel(HTTPChannel):
+    """A caller's connection that knows how many bytes its reader has taken."""
+
+    task_class = _RequestTask
+    error_task_class = _RefusalTask
+    parser_class = _Parser
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        self.sent_bytes = 0
+        self._checked_bytes = -1
+        self._progress_at = time.monotonic()
+        super().__init__(*arguments, **options)
+
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        sent = super().send(data, do_close)
+        if sent:
+            self.sent_bytes += sent
+        return sent
+
+    def stalled(self, now: float) -> bool:
+        """Return whether output has waited for the whole limit without one byte taken."""
+        if not self.total_outbufs_len or self.sent_bytes != self._checked_bytes:
+            self._checked_bytes = self.sent_bytes
+            self._progress_at = now
+        return now - self._progress_at > self.server.stall_limit_s
+
+
+class _Server(TcpWSGIServer):
+    channel_class = _Channel
+    stopping = False
+    stall_limit_s = STALL_LIMIT_S
+
+    def maintenance(self, now: float) -> None:
+        # A copy, because closing a channel removes it from the mapping.
+        for channel in list(self.active_channels.values()):
+            if channel.stalled(time.monotonic()):
+                STALLED_READERS.inc()
+                _log.warning(READER_STALLED, caller=str(channel.addr))
+                # `will_close` alone would wait until the socket is writable, which it never is.
+                channel.handle_close()
+        super().maintenance(now)
+
+
+class HttpServer:
+    """A WSGI application on an address.
+
+    Requests run on `threads` threads of their own; one more thread, from the executor given to
+    `start`, owns the sockets.
+    """
+
+    def __init__(
+        self,
+        application: Application,
+        address: tuple[str, int],
+        threads: int,
+        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        stall_limit_s: float = STALL_LIMIT_S,
+    ) -> None:
+        _route_waitress_logs()
+        self._adjustments = Adjustments(
+            host=address[0],
+            port=address[1],
+            ident=None,
+            threads=threads,
+            connection_limit=threads * CONNECTIONS_PER_THREAD + 100,
+            cleanup_interval=1,
+            channel_timeout=IDLE_LIMIT_S,
+            log_socket_errors=False,
+            max_request_header_size=MAX_HEADER_BYTES,
+            max_request_body_size=max_body_bytes + 1,
+            inbuf_overflow=NO_OVERFLOW_BYTES,
+            outbuf_overflow=NO_OVERFLOW_BYTES,
+            outbuf_high_watermark=OUTPUT_HIGH_WATERMARK_BYTES,
+            asyncore_use_poll=True,
+            channel_request_lookahead=1,
+        )
+        self._adjustments.socket_options = [
+            (socket.SOL_TCP, socket.TCP_NODELAY, 1),
+            (socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES),
+        ]
+        self._map: dict[int, Any] = {}
+        dispatcher = ThreadedTaskDispatcher()
+        self._server = _Server(
+            application, map=self._map, dispatcher=dispatcher, adj=self._adjustments
+        )
+        self._server.stall_limit_s = stall_limit_s
+        dispatcher.set_thread_count(threads)
+        self._stopped = threading.Event()
+        self._loop: Future | None = None
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self._server.socket.getsockname()
+
+    def start(self, executor: Executor) -> None:
+        """Serve until `stop`."""
+        self._loop = executor.submit(self._run)
+
+    def set_max_body_bytes(self, max_body_bytes: int) -> None:
+        """Change the largest request body for the requests that come from now on."""
+        self._adjustments.max_request_body_size = max_body_bytes + 1
+
+    def close_after_answers(self) -> None:
+        """Close each connection after its next answer, because the server is stopping."""
+        self._server.stopping = True
+
+    def flushed(self) -> bool:
+        """Return whether no request runs and no output waits for a caller."""
+        return not any(
+            channel.requests or channel.total_outbufs_len
+            for channel in list(self._server.active_channels.values())
+        )
+
+    def stop(self) -> None:
+        """Stop listening and close all connections."""
+        self._stopped.set()
+        if self._loop is not None:
+            self._server.pull_trigger()
+            self._loop.result(timeout=10)
+        self._server.task_dispatcher.shutdown(timeout=1)
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            wasyncore.loop(timeout=1, use_poll=True, map=self._map, count=1)
+        wasyncore.close_all(self._map, ignore_all=True)
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,98 @@
+"""Tests of the gateway as a process between callers, back ends and the platform."""
+
+import json
+
+import openai
+import pytest
+from deployment import CREDENTIAL, KEY, MODEL, OTHER_KEY, Deployment, Stream, bearer, call
+from support import wait_until
+
+from laburnumreel_standins._text import output_text
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture
+def deployment():
+    running = Deployment()
+    yield running
+    running.end()
+
+
+@pytest.fixture
+def gateway(deployment):
+    deployment.configure()
+    deployment.add_engine()
+    return deployment.start_gateway()
+
+
+def client_of(gateway):
+    host, port = gateway.callers
+    return openai.OpenAI(base_url=f"http://{host}:{port}/v1", api_key=KEY, max_retries=0)
+
+
+def chat_text(content, tokens):
+    return output_text(f"user\n{content}\n", tokens)
+
+
+def test_openai_client_works_unchanged(deployment, gateway):
+    """Guards against answers that the public client library does not take."""
+    client = client_of(gateway)
+    messages = [{"role": "user", "content": "quote 12 crates"}]
+    wait_until(lambda: call(gateway.callers, "GET", "/v1/models", None, bearer()).status == 200, "")
+    whole = client.chat.completions.create(model=MODEL, messages=messages, max_tokens=20)
+    assert whole.choices[0].message.content == chat_text("quote 12 crates", 20)
+    assert whole.usage.completion_tokens == 20
+    pieces = client.chat.completions.create(
+        model=MODEL, messages=messages, max_tokens=20, stream=True
+    )
+    text = "".join(c.delta.content or "" for piece in pieces for c in piece.choices)
+    assert text == chat_text("quote 12 crates", 20)
+    completion = client.completions.create(model=MODEL, prompt="an order", max_tokens=7)
+    assert completion.choices[0].text == output_text("an order", 7)
+    assert [model.id for model in client.models.list()] == [MODEL]
+    assert client.models.retrieve(MODEL).id == MODEL
+    with pytest.raises(openai.AuthenticationError) as caught:
+        client.with_options(api_key="lr-unknown").models.list()
+    assert caught.value.code == "unknown_key"
+    wait_until(lambda: sum(len(row.get("counts", [1])) for row in deployment.usage()), "usage")
+
+
+def test_caller_key_never_reaches_a_back_end(deployment, gateway):
+    """Guards against a back end that could act with a caller's key."""
+    plain = deployment.add_plain()
+    headers = {
+        "X-Api-Key": KEY,
+        "Cookie": f"theme=dark; session={KEY}",
+        "X-Custom": f"prefix {KEY}",
+        "X-Kept": "yes",
+    }
+    path = f"/orders/list?token={KEY}&page=2"
+    wait_until(
+        lambda: call(gateway.callers, "GET", path, None, headers).status == 200, "the plain server"
+    )
+    method, target, seen, _ = plain.requests[-1]
+    assert (method, target) == ("GET", "/orders/list?page=2")
+    assert seen["x-kept"] == "yes" and seen["cookie"] == "theme=dark"
+    assert seen["authorization"] == f"Bearer {CREDENTIAL}"
+    body = {"model": MODEL, "prompt": "hello", "max_tokens": 3}
+    assert call(gateway.callers, "POST", "/v1/completions", body, bearer()).status == 200
+    records = json.dumps([plain.requests[-1][:3], deployment.engine_state("engine-0")])
+    assert KEY not in records and CREDENTIAL in records
+
+
+def test_plain_answers_pass_through(deployment, gateway):
+    """Guards against a plain service whose status, headers or body are changed."""
+    plain = deployment.add_plain()
+    wait_until(lambda: call(gateway.callers, "GET", "/orders/ping").status == 200, "open route")
+    reply = call(gateway.callers, "POST", "/orders/new", b"12 crates", bearer(OTHER_KEY))
+    assert reply.status == 201 and reply.headers["x-plain"] == "yes"
+    assert reply.json["path"] == "/orders/new" and plain.requests[-1][3] == b"12 crates"
+    assert call(gateway.callers, "GET", "/orders/new").kind == "missing_key"
+
+
+def test_stream_passes_each_token_on(deployment, gateway):
+    """Guards against tokens that wait in a buffer for the end of the answer."""
+    stream = Stream(gateway.callers, {"prompt": "steady", "max_tokens": 12})
+    assert stream.answer.status == 200 and stream.answer.getheader("X-Request-Id")
+    assert stream.finish() == (output_text("steady", 12), True, None)
