Take an engine job's start before the job is submitted

The stand-in engine read the position after submitting the job, when its model thread could have produced the first token already; that token was then missing from the stream. The position is now read before.

--- a/src/laburnumreel_standins/_engine.py
+++ b/src/laburnumreel_standins/_engine.py
@@ -133,6 +133,8 @@
             request.whole("X-Priority", 0),
             max(0, request.whole("X-Resume-From", 0)),
         )
+        # The model's thread may produce tokens as soon as the job is submitted.
+        start = job.produced
         if not self._task.call(lambda model: model.submit(job)):
             self._seen.refused(request_id, "queue full")
             return error_answer(503, "the engine's queue is full", echo)
@@ -145,7 +147,7 @@
         stream = Stream(
             request_id,
             prompt,
-            job.produced,
+            start,
             progress,
             request.channel,
             lambda: self._task.tell(lambda model: model.cancel_job(job)),
