Fix a lost first token in the engine stand-in's answers

Cause: the request's thread read the job's token count after submitting the job. When the model's thread was ahead, the first token counted as skipped and was missing from the stream. Change: the count is read before the job is submitted. A test delays the request's thread.

--- a/src/laburnumreel_standins/_engine.py
+++ b/src/laburnumreel_standins/_engine.py
@@ -88,6 +88,10 @@
             raise DropConnectionError
         return answer
 
+    def close(self) -> None:
+        """End the model's thread."""
+        self._task.stop()
+
     def _route(self, request: Request) -> Answer:
         match request.method, request.segments:
             case "POST", ("v1", "completions"):
@@ -133,6 +137,8 @@
             request.whole("X-Priority", 0),
             max(0, request.whole("X-Resume-From", 0)),
         )
+        # Read before the job is submitted: from then on the model's thread counts it up.
+        start = job.produced
         if not self._task.call(lambda model: model.submit(job)):
             self._seen.refused(request_id, "queue full")
             return error_answer(503, "the engine's queue is full", echo)
@@ -145,7 +151,7 @@
         stream = Stream(
             request_id,
             prompt,
-            job.produced,
+            start,
             progress,
             request.channel,
             lambda: self._task.tell(lambda model: model.cancel_job(job)),
--- a/tests/test_standins_engine.py
+++ b/tests/test_standins_engine.py
@@ -1,12 +1,17 @@
 """Tests of the engine's time model, cache and orders, driven by hand."""
 
 import hashlib
+import json
+import time
+from types import SimpleNamespace
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from laburnumreel_standins._engine import EngineService
 from laburnumreel_standins._engine_model import EngineModel, Job, Speeds
 from laburnumreel_standins._engine_orders import EngineOrders
+from laburnumreel_standins._http import Request
 from laburnumreel_standins._prefix_cache import PrefixCache
 from laburnumreel_standins._text import TOKENS_PER_BLOCK, Prompt, output_text
 
@@ -172,3 +177,30 @@
     """Guards against resumed answers that cannot be compared with uninterrupted ones."""
     whole = output_text(text, start + tokens)
     assert whole == output_text(text, start) + output_text(text, start + tokens, start)
+
+
+def test_answer_is_whole_when_the_model_is_ahead_of_the_request(monkeypatch):
+    """Guards against a lost first token: the model may produce it before the thread looks."""
+    service = EngineService(Speeds(stream_tokens_per_s=5000), ("small",))
+    started = service._seen.started
+
+    def start_late(*arguments):
+        time.sleep(0.1)
+        return started(*arguments)
+
+    monkeypatch.setattr(service._seen, "started", start_late)
+    body = json.dumps({"model": "small", "prompt": "p", "max_tokens": 5}).encode()
+    path = "/v1/completions"
+    segments = ("v1", "completions")
+    channel = SimpleNamespace(connected=True)
+    try:
+        for resume in (0, 2):
+            headers = {"X-Resume-From": str(resume)}
+            answer = service.answer(
+                Request("POST", path, path, segments, {}, headers, body, channel)
+            )
+            text = json.loads(answer.body)["choices"][0]["text"]
+            assert text == output_text("p", 5, resume)
+        assert service._seen.describe().popitem()[1]["tokens"] == [3]
+    finally:
+        service.close()
