--- a/src/laburnumreel_standins/_engine.py
+++ b/src/laburnumreel_standins/_engine.py
@@ -137,7 +137,7 @@
             request.whole("X-Priority", 0),
             max(0, request.whole("X-Resume-From", 0)),
         )
-        # Read before the job is submitted: from then on the model's thread counts it up.
+        # The model's thread may produce tokens as soon as the job is submitted.
         start = job.produced
         if not self._task.call(lambda model: model.submit(job)):
             self._seen.refused(request_id, "queue full")
