--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -2,7 +2,19 @@
 
 from laburnumreel.state._configuration import Change, Configuration, Route
 from laburnumreel.state._errors import ERROR_ANSWERS, ErrorAnswer, ErrorKind, Refusal, RunState
+from laburnumreel.state._journal import (
+    ORDER_TABLE,
+    Order,
+    OrderState,
+    Receipt,
+    Target,
+    WantedOrder,
+    receipt_of_answer,
+    receipt_of_list,
+    settle,
+)
 from laburnumreel.state._keys import WithdrawnKeys, key_digest, new_key
+from laburnumreel.state._lease import LEASE_TABLE, Authority, Lease, LeaseAttempt
 from laburnumreel.state._platform import (
     CapacityOrder,
     Check,
@@ -23,14 +35,23 @@
     Service,
     merge_sections,
 )
-from laburnumreel.state._settings import SETTINGS_SCHEMA, Settings, load_settings
+from laburnumreel.state._settings import (
+    SETTINGS_SCHEMA,
+    LeaseSettings,
+    Settings,
+    UsageSettings,
+    load_settings,
+)
 
 __all__ = [
     "CUSTOMER_SCHEMA",
     "ERROR_ANSWERS",
+    "LEASE_TABLE",
+    "ORDER_TABLE",
     "PROFILE_SCHEMA",
     "SERVICE_SCHEMA",
     "SETTINGS_SCHEMA",
+    "Authority",
     "CapacityOrder",
     "Change",
     "Check",
@@ -40,20 +61,32 @@
     "ErrorKind",
     "Host",
     "HttpPlatform",
+    "Lease",
+    "LeaseAttempt",
+    "LeaseSettings",
+    "Order",
+    "OrderState",
     "Page",
     "Platform",
     "PlatformError",
     "Profile",
+    "Receipt",
     "Refusal",
     "Route",
     "Row",
     "RunState",
     "Service",
     "Settings",
+    "Target",
+    "UsageSettings",
+    "WantedOrder",
     "WithdrawnKeys",
     "Write",
     "key_digest",
     "load_settings",
     "merge_sections",
     "new_key",
+    "receipt_of_answer",
+    "receipt_of_list",
+    "settle",
 ]
