--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,239 @@
+"""Tests of the HTTP server towards callers and the connections towards back ends."""
+
+import http.client
+import socket
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from support import free_port, fresh_host, wait_until
+
+from laburnumreel.transport import BackEndFailureError, BackEndPool, HttpServer, admin_server
+
+
+@pytest.fixture
+def serve():
+    """Start HTTP servers that end with the test."""
+    servers, executor = [], ThreadPoolExecutor(8)
+
+    def start(application, **options):
+        host = fresh_host()
+        address = (host, free_port(host))
+        server = HttpServer(application, address, 4, **options)
+        server.start(executor)
+        servers.append(server)
+        return address
+
+    yield start
+    for server in servers:
+        server.stop()
+    executor.shutdown()
+
+
+def echo(environ, start_response):
+    body = environ["wsgi.input"].read()
+    start_response("200 OK", [("Content-Length", str(len(body)))])
+    return [body]
+
+
+def raw_call(address, request):
+    """Send raw bytes and return all that comes back."""
+    with socket.create_connection(address, 10) as sock:
+        sock.sendall(request)
+        answer = b""
+        while part := sock.recv(65536):
+            answer += part
+        return answer
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "kind"),
+    [
+        (b"GET / HTTP/1.1\r\nA: " + b"x" * 40_000 + b"\r\n\r\n", b"header_too_large"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 2001\r\n\r\n" + b"x" * 2001, b"body_too_large"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 900000\r\n\r\n" + b"x" * 900_000, b"body_too_large"),
+        (b"POST / HTTP/1.1\r\nContent-Length: -4\r\n\r\n", b"bad_request"),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"bad_request"),
+        (b"GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", b"bad_request"),
+        (b"GET / HTTP/1.1\r\n : odd\r\n\r\n", b"bad_request"),
+    ],
+)
+def test_unreadable_requests_get_a_documented_kind(serve, request_bytes, kind):
+    """Guards against a refusal without a kind, or a reset while the caller still sends."""
+    address = serve(echo, max_body_bytes=2000)
+    answer = raw_call(address, request_bytes)
+    assert b"x-error-kind: " + kind in answer.lower()
+    assert b"x-run-state: not-run" in answer.lower()
+    ok = raw_call(address, b"POST / HTTP/1.0\r\nContent-Length: 5\r\n\r\nhello")
+    assert ok.endswith(b"hello")
+
+
+def test_stalled_reader_is_disconnected(serve):
+    """Guards against a reader that takes nothing and holds a thread and its buffers for ever."""
+    ended = threading.Event()
+
+    def endless(environ, start_response):
+        start_response("200 OK", [])
+        try:
+            while True:
+                yield b"x" * 65536
+        finally:
+            ended.set()
+
+    address = serve(endless, stall_limit_s=1.0)
+    with socket.create_connection(address, 10) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        assert ended.wait(15)
+
+
+def test_slow_reader_that_takes_bytes_is_kept(serve):
+    """Guards against a limit that cuts a reader who is only slow."""
+
+    def some(environ, start_response):
+        start_response("200 OK", [("Content-Length", str(40 * 65536))])
+        for _ in range(40):
+            yield b"x" * 65536
+
+    address = serve(some, stall_limit_s=1.5)
+    with socket.create_connection(address, 10) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        sock.sendall(b"GET / HTTP/1.0\r\n\r\n")
+        read = 0
+        for _ in range(8):
+            time.sleep(0.5)
+            read += len(sock.recv(200_000))
+        while part := sock.recv(1 << 20):
+            read += len(part)
+    assert read > 40 * 65536
+
+
+def test_admin_answers_health_readiness_and_metrics():
+    """Guards against a load balancer that cannot tell a node that is not ready."""
+    host = fresh_host()
+    state = {"ready": False}
+    with ThreadPoolExecutor(1) as executor:
+        server = admin_server((host, free_port(host)), lambda: (state["ready"], {}))
+        server.start(executor)
+        answers = []
+        for path in ("/healthz", "/readyz", "/metrics", "/other"):
+            connection = http.client.HTTPConnection(*server.address, timeout=5)
+            connection.request("GET", path)
+            answers.append(connection.getresponse().status)
+            connection.close()
+        server.stop()
+    assert answers == [200, 503, 200, 404]
+
+
+class ScriptedServer:
+    """Answers each connection with given bytes, then keeps it open or closes it."""
+
+    def __init__(self, *answers, keep=True):
+        self.address = (host := fresh_host(), free_port(host))
+        self._listener = socket.create_server(self.address)
+        self._answers = answers
+        self._keep = keep
+        self.connections = 0
+        self._open = []
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self):
+        try:
+            while True:
+                sock, _ = self._listener.accept()
+                self.connections += 1
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+        except OSError:
+            return
+
+    def _serve(self, sock):
+        self._open.append(sock)
+        for answer in self._answers:
+            if not sock.recv(65536):
+                return
+            sock.sendall(answer)
+        if not self._keep:
+            sock.close()
+
+    def end(self):
+        # A close alone would leave the listener open while `accept` waits on it.
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for sock in self._open:
+            sock.close()
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def exchange_once(pool, address, timeout_s=5.0, fresh=False):
+    exchange = pool.open(address, fresh)
+    try:
+        exchange.send("GET", "/", {}, None, timeout_s)
+        body = b""
+        while part := exchange.read():
+            body += part
+        return body
+    finally:
+        exchange.close()
+
+
+def test_connection_is_reused_only_after_a_whole_answer():
+    """Guards against a late or broken answer that is read as the answer to the next request."""
+    server, pool = ScriptedServer(OK, OK, OK), BackEndPool()
+    assert exchange_once(pool, server.address) == exchange_once(pool, server.address) == b"ok"
+    assert server.connections == 1
+    assert exchange_once(pool, server.address, fresh=True) == b"ok"
+    assert server.connections == 2
+    server.end()
+
+
+@pytest.mark.parametrize(
+    ("answer", "keep", "reason"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", False, "short"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", False, "short"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", True, "silent"),
+        (b"", False, "lost"),
+        (b"nonsense\r\n\r\n", True, "lost"),
+    ],
+)
+def test_broken_answers_are_told_apart_and_never_reused(answer, keep, reason):
+    """Guards against half an answer that is taken for a whole one."""
+    server, pool = ScriptedServer(answer, keep=keep), BackEndPool()
+    for expected in (1, 2):
+        with pytest.raises(BackEndFailureError) as caught:
+            exchange_once(pool, server.address, 0.3)
+        assert (caught.value.reason, server.connections) == (reason, expected)
+    server.end()
+
+
+def test_silence_drops_the_older_idle_connections():
+    """Guards against requests that each wait for another dead pooled connection."""
+    server, pool = ScriptedServer(OK, OK, OK), BackEndPool()
+    idle = [pool.open(server.address, fresh=True) for _ in range(3)]
+    for exchange in idle:
+        exchange.send("GET", "/", {}, None, 5)
+        while exchange.read():
+            continue
+    for exchange in idle:
+        exchange.close()
+    assert pool.went_silent(server.address)
+    assert exchange_once(pool, server.address) == b"ok"
+    wait_until(lambda: server.connections == 5, "the probe and the new connection")
+    server.end()
+    with pytest.raises(BackEndFailureError) as caught:
+        pool.open(server.address, fresh=True)
+    assert caught.value.reason == "connect_failed" and not caught.value.sent
+
+
+def test_abort_from_another_thread_ends_a_read():
+    """Guards against a withdrawn key whose exchange runs on until the back end answers."""
+    server = ScriptedServer(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", keep=True)
+    exchange = BackEndPool().open(server.address)
+    exchange.send("GET", "/", {}, None, 30)
+    threading.Timer(0.2, exchange.abort).start()
+    with pytest.raises(BackEndFailureError):
+        exchange.read()
+    exchange.close()
+    server.end()
