--- a/src/laburnumreel_standins/_engine.py
+++ b/src/laburnumreel_standins/_engine.py
@@ -88,6 +88,10 @@
             raise DropConnectionError
         return answer
 
+    def close(self) -> None:
+        """End the model's thread."""
+        self._task.stop()
+
     def _route(self, request: Request) -> Answer:
         match request.method, request.segments:
             case "POST", ("v1", "completions"):
