Abort, resume, retry and quarantine requests; use the policy modules

Running requests had no oversight, and poison requests no limit. The request registry aborts exchanges for withdrawn keys, deadlines and callers who have gone; streams resume on another engine from the last token delivered; requests that crash back ends are quarantined; refusals and leaving hosts become drain marks. Fleet, router, admission and retry budget of coordination replace the simple versions, and a task reads hosts, load and cache reports.

A request that was alone on a crashed back end is quarantined at once only where no peer could have run anything there and no token had come back; a long stream whose engine dies must resume.

--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -21,6 +21,7 @@
 from laburnumreel.coordination._leases import LeaseKeeper
 from laburnumreel.coordination._orders import ORDERS_LEASE, OrderSender, Plan, Receivers
 from laburnumreel.coordination._prefixes import prompt_prefixes
+from laburnumreel.coordination._quarantine import Quarantine
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
 
 __all__ = [
@@ -45,6 +46,7 @@
     "OrderSender",
     "Plan",
     "ProcessTimer",
+    "Quarantine",
     "Queued",
     "Receivers",
     "Refused",
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -49,7 +49,13 @@
             settings.platform.address, settings.platform.timeout_s, settings.platform.token
         )
         self._config = ConfigSync(platform, self._clock)
-        self._dispatcher = Dispatcher(self._clock, node.zone, node.region, self._rng)
+        self._dispatcher = Dispatcher(
+            self._clock,
+            node.zone,
+            node.region,
+            self._rng,
+            gateways=max(1, len(settings.peers.gateways)),
+        )
         self._registry = RequestRegistry(self._clock, self._keys_lost)
         self._usage = UsageFlush(platform, node.name, self._boot, self._clock)
         self._watch = FleetWatch(platform, self._dispatcher)
--- a/src/laburnumreel/protocol/__init__.py
+++ b/src/laburnumreel/protocol/__init__.py
@@ -2,6 +2,7 @@
 
 from laburnumreel.protocol._answers import (
     Answer,
+    count_refusal,
     json_answer,
     new_request_id,
     refusal_answer,
@@ -38,6 +39,7 @@
     "ModelRequest",
     "SseParser",
     "answer_headers",
+    "count_refusal",
     "engine_body",
     "error_body",
     "forwarded_headers",
--- a/src/laburnumreel/protocol/_answers.py
+++ b/src/laburnumreel/protocol/_answers.py
@@ -49,6 +49,11 @@
     return Answer(status_line(status), headers, body)
 
 
+def count_refusal(refusal: Refusal) -> None:
+    """Count a refusal that no answer can tell the caller."""
+    REFUSALS.inc(kind=str(refusal.kind))
+
+
 def refusal_answer(refusal: Refusal, request_id: str) -> Answer:
     """Return the answer of a refusal and count it."""
     REFUSALS.inc(kind=str(refusal.kind))
--- a/src/laburnumreel/serving/_application.py
+++ b/src/laburnumreel/serving/_application.py
@@ -4,12 +4,14 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
+from laburnumreel.coordination import Offer, Work, prompt_prefixes
 from laburnumreel.core import Log
 from laburnumreel.protocol import (
     DONE,
     Answer,
     AnswerBuilder,
     ModelRequest,
+    count_refusal,
     forwarded_headers,
     json_answer,
     models_body,
@@ -38,7 +40,6 @@
 from laburnumreel.serving._parts import Parts
 from laburnumreel.serving._plain import PlainRequest, PlainRun
 from laburnumreel.serving._registry import Running
-from laburnumreel.serving._stopgap import Offer, Work
 from laburnumreel.state import ErrorKind, Profile, Refusal, Service
 
 _log = Log("serving.application")
@@ -116,7 +117,7 @@
             prompt_tokens=request.prompt_tokens,
             prompt_bytes=len(request.prompt),
             output_tokens=request.output_tokens,
-            prefixes=(),
+            prefixes=prompt_prefixes(request.prompt.decode("utf-8", "replace")),
             priority=profile.priority,
         )
         # The engine's position in a stream counts tokens of a single choice.
@@ -209,6 +210,9 @@
         digest: str,
     ) -> tuple[Place, Job]:
         parts = self._parts
+        held_s = parts.dispatcher.held_for(digest)
+        if held_s is not None:
+            raise RequestFailedError(Refusal(ErrorKind.QUARANTINED, retry_after_s=held_s))
         deadline = arrived.arrived_at + profile.deadline_s
         gone = arrived.environ.get("waitress.client_disconnected", lambda: False)
         running = Running(arrived.request_id, caller.digest, deadline, gone)
@@ -251,15 +255,26 @@
         REQUESTS.inc(service=work.service)
     except RequestFailedError as error:
         yield refusal_event(error.refusal)
+    except GeneratorExit:
+        count_refusal(Refusal(ErrorKind.CALLER_GONE))
+        raise
     finally:
         source.close()
         place.tokens = run.tokens
 
 
 def _pass_through(first: bytes, run: PlainRun, service: str) -> Iterator[bytes]:
-    yield first
-    yield from run.rest()
-    REQUESTS.inc(service=service)
+    try:
+        yield first
+        yield from run.rest()
+        REQUESTS.inc(service=service)
+    except RequestFailedError as error:
+        # The head is out: the caller learns of it by the missing end.
+        count_refusal(error.refusal)
+        raise
+    except GeneratorExit:
+        count_refusal(Refusal(ErrorKind.CALLER_GONE))
+        raise
 
 
 def _whole(
--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -3,12 +3,12 @@
 import socket
 from typing import NamedTuple
 
+from laburnumreel.coordination import BackEnd, Work
 from laburnumreel.core import Log
 from laburnumreel.serving._events import REQUEST_RETRIED
 from laburnumreel.serving._metrics import CANCELS, RETRIES
 from laburnumreel.serving._parts import Parts
 from laburnumreel.serving._registry import Running
-from laburnumreel.serving._stopgap import BackEnd, Work
 from laburnumreel.state import ErrorKind, Profile, Refusal, RunState, Service
 from laburnumreel.transport import BackEndFailureError, Exchange
 
@@ -104,15 +104,22 @@
             raise self.failure(Refusal(ErrorKind.BACK_END_REFUSED, detail, wait))
         self._retry("back_end_refused", Refusal(ErrorKind.BACK_END_REFUSED, detail))
 
-    def lost(self, error: BackEndFailureError, delivered: int = 0) -> None:
-        """The exchange broke: go on with another back end, or fail with what is known."""
+    def lost(
+        self, error: BackEndFailureError, delivered: int = 0, progressed: bool = False
+    ) -> None:
+        """The exchange broke: go on with another back end, or fail with what is known.
+
+        `delivered` counts the tokens of all attempts; `progressed` says whether this one had any.
+        """
         back_end = self._back_end
         aborted = self._job.running.aborted is not None
         crashed = not aborted and error.reason in ("lost", "short") and _refuses(back_end.address)
         if error.reason == "silent" and not aborted:
             # A back end that does not even take a connection is as good as crashed.
             crashed = not self._parts.pool.went_silent(back_end.address)
-        quarantined = crashed and self._parts.dispatcher.crashed(back_end.name, self._job.digest)
+        quarantined = crashed and self._parts.dispatcher.crashed(
+            back_end.name, self._job.running.request_id, progressed
+        )
         self._close(failed=crashed, cancel=error.sent and not crashed)
         if aborted:
             raise self.failure(Refusal(ErrorKind.INTERNAL))
@@ -153,7 +160,7 @@
             if job.running.aborted is not None:
                 raise self.failure(Refusal(ErrorKind.INTERNAL))
             cheap = job.profile.cheap_back_ends == "interruptible"
-            back_end = dispatcher.choose(job.work, cheap, self._tried)
+            back_end = dispatcher.choose(job.work, cheap, self._tried, job.digest)
             if back_end is not None:
                 self._tried.append(back_end.name)
                 return back_end
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -5,21 +5,31 @@
 from concurrent.futures import Future
 from typing import Any, NamedTuple
 
-from laburnumreel.core import Clock, Task
-from laburnumreel.serving._stopgap import (
+from laburnumreel.coordination import (
     Admission,
     Admitted,
     BackEnd,
     Fleet,
+    LoadReport,
     Offer,
+    Quarantine,
     Queued,
     RetryBudget,
     Router,
     Work,
 )
+from laburnumreel.core import Clock, Log, Task
+from laburnumreel.serving._events import BACK_END_CRASHED
+from laburnumreel.serving._metrics import DRAIN_MARKS, QUARANTINED
 from laburnumreel.state import Configuration, Host, Refusal
 
 EXPIRE_S = 0.05
+# How long a back end that refused gets nothing: long enough for its own report to tell why.
+REFUSED_MARK_S = 1.0
+LEAVING_MARK_S = 60.0
+CAPACITY_S = 0.2
+
+_log = Log("serving.dispatcher")
 
 
 class _Call(NamedTuple):
@@ -33,16 +43,32 @@
     Request threads call the public methods, which pass messages to the task.
     """
 
-    def __init__(self, clock: Clock, zone: str, region: str, rng: random.Random) -> None:
+    def __init__(
+        self, clock: Clock, zone: str, region: str, rng: random.Random, gateways: int = 1
+    ) -> None:
         super().__init__("dispatcher", tick_s=EXPIRE_S)
         self._clock = clock
         self._random = rng
         self._fleet = Fleet()
         self._router = Router(zone, region, rng)
-        self._admission = Admission()
+        self._admission = Admission(rng)
         self._budgets: dict[str, RetryBudget] = {}
         self._configuration = Configuration()
         self._waiting: dict[str, Future] = {}
+        self._quarantine = Quarantine()
+        # Only a gateway without peers knows all requests that ran on a back end.
+        self._gateways = gateways
+        self._capacity_at = 0.0
+        # The body digests by request id of what runs on each back end, and what ran at its crash.
+        self._running: dict[str, dict[str, str]] = {}
+        self._crashed: dict[str, dict[str, str]] = {}
+        self._marks: dict[str, tuple[str, float]] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._on_news: Callable[[], None] = lambda: None
+
+    def on_news(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when there is something that peers must hear at once."""
+        self._on_news = listener
 
     def offer(self, offer: Offer) -> "Future[Refusal | None]":
         """Ask for admission. The future is done with None when the request may run."""
@@ -58,9 +84,15 @@
         """Give back the place of an admitted request that received this much service."""
         self._send(self._on_finish, request_id, tokens)
 
-    def choose(self, work: Work, cheap: bool, exclude: Collection[str]) -> BackEnd | None:
+    def choose(
+        self, work: Work, cheap: bool, exclude: Collection[str], digest: str
+    ) -> BackEnd | None:
         """Return the back end for this work and count the work as sent to it."""
-        return self._ask(self._on_choose, work, cheap, tuple(exclude))
+        return self._ask(self._on_choose, work, cheap, tuple(exclude), digest)
+
+    def held_for(self, digest: str) -> float | None:
+        """Return for how many seconds a request is quarantined, or None."""
+        return self._quarantine.held_for(digest, self._clock.now())
 
     def attempt_ended(self, back_end: str, request_id: str, failed: bool) -> None:
         """Tell that a request no longer runs on a back end."""
@@ -70,13 +102,18 @@
         """Send nothing more to a back end that refused, for a while."""
         self._send(self._on_refused, back_end)
 
-    def crashed(self, back_end: str, digest: str) -> bool:
-        """Tell that a back end crashed. True if this request is now quarantined for it."""
-        return False
+    def crashed(self, back_end: str, request_id: str, progressed: bool) -> bool:
+        """Tell that a back end crashed. True if this request is now quarantined.
+
+        `progressed` says that the back end had sent a part of the answer. A crash then proves
+        little against a request that was alone: machines fail under long streams too, and those
+        must resume. It counts as a strike only.
+        """
+        return self._ask(self._on_crashed, back_end, request_id, progressed)
 
     def leaving(self, back_end: str) -> bool:
-        """Return whether a back end is about to leave."""
-        return False
+        """Return whether a back end is leaving or has left the host list."""
+        return back_end in self._leaving
 
     def take_retry(self, service: str) -> bool:
         """Take one retry from the service's budget, if it has one."""
@@ -94,15 +131,33 @@
         """Take up the platform's host list."""
         self._send(self._on_hosts, hosts)
 
-    def known(self, service: str, model: str) -> bool:
-        """Return whether any back end could take this work now."""
-        return self._ask(self._on_known, service, model)
+    def load(self, name: str, report: LoadReport) -> None:
+        """Take up an engine's load report."""
+        self._send(self._on_load, name, report)
+
+    def cache_events(
+        self, name: str, stored: Sequence[str], evicted: Sequence[str], gap: bool
+    ) -> None:
+        """Take up an engine's cache events."""
+        self._send(self._on_cache_events, name, stored, evicted, gap)
+
+    def settle(self) -> None:
+        """Return when what was told before is taken up, the usable capacity included."""
+        self._ask(self._update_capacity)
+
+    def engines(self) -> "Future[dict[str, tuple[str, int]]]":
+        """Ask for the addresses of the listed engines by name."""
+        return self.ask(_Call(self._fleet.addresses, ()))
 
     def handle(self, message: _Call) -> Any:
         return message.function(*message.arguments)
 
     def tick(self) -> None:
-        admitted, refused = self._admission.expire(self._clock.now())
+        now = self._clock.now()
+        self._marks = {name: mark for name, mark in self._marks.items() if mark[1] > now}
+        if now - self._capacity_at >= CAPACITY_S:
+            self._update_capacity()
+        admitted, refused = self._admission.expire(now)
         self._admit(admitted)
         for request_id, refusal in refused:
             self._decide(request_id, refusal)
@@ -129,23 +184,46 @@
     def _on_finish(self, request_id: str, tokens: int) -> None:
         self._admit(self._admission.finish(request_id, tokens, self._clock.now()))
 
-    def _on_choose(self, work: Work, cheap: bool, exclude: tuple[str, ...]) -> BackEnd | None:
+    def _on_choose(
+        self, work: Work, cheap: bool, exclude: tuple[str, ...], digest: str
+    ) -> BackEnd | None:
         now = self._clock.now()
         candidates = self._fleet.candidates(work.service, work.model, now, cheap, exclude)
         choice = self._router.choose(work, candidates)
         if choice is None:
             return None
-        self._fleet.on_sent(choice.back_end.name, work.request_id, work.prompt_tokens, now)
+        name = choice.back_end.name
+        self._fleet.on_sent(name, work.request_id, choice.prefill_tokens, now, work.prefixes)
+        self._running.setdefault(name, {})[work.request_id] = digest
         return choice.back_end
 
     def _on_attempt_ended(self, back_end: str, request_id: str, failed: bool) -> None:
         now = self._clock.now()
         self._fleet.on_finished(back_end, request_id, now)
+        running = self._running.get(back_end, {})
+        running.pop(request_id, None)
+        if not running:
+            self._running.pop(back_end, None)
         if failed:
             self._fleet.on_failed(back_end, now)
 
     def _on_refused(self, back_end: str) -> None:
-        self._fleet.on_failed(back_end, self._clock.now())
+        self._mark(back_end, "refused", self._clock.now() + REFUSED_MARK_S)
+
+    def _on_crashed(self, back_end: str, request_id: str, progressed: bool) -> bool:
+        now = self._clock.now()
+        victims = self._crashed.get(back_end, {})
+        if request_id not in victims:
+            victims = self._crashed[back_end] = dict(self._running.get(back_end, {}))
+            alone = self._gateways <= 1 and not progressed
+            held = self._quarantine.crashed(victims.values(), alone, now)
+            _log.warning(
+                BACK_END_CRASHED, back_end=back_end, requests=len(victims), quarantined=len(held)
+            )
+            if held:
+                QUARANTINED.inc(len(held))
+                self._on_news()
+        return self._quarantine.held_for(victims.get(request_id, ""), now) is not None
 
     def _on_take_retry(self, service: str) -> bool:
         return self._budget(service).take(self._clock.now())
@@ -156,15 +234,44 @@
     def _on_configure(self, configuration: Configuration) -> None:
         self._configuration = configuration
         self._budgets.clear()
-        self._admission.configure(
-            configuration.profiles, configuration.customers, configuration.services, {}
-        )
+        self._update_capacity()
 
     def _on_hosts(self, hosts: Sequence[Host]) -> None:
-        self._fleet.on_hosts(hosts, self._clock.now())
-
-    def _on_known(self, service: str, model: str) -> bool:
-        return bool(self._fleet.candidates(service, model, self._clock.now(), True))
+        now = self._clock.now()
+        self._fleet.on_hosts(hosts, now)
+        self._update_capacity()
+        leaving = frozenset(host.name for host in hosts if host.state != "live")
+        for name in leaving - self._leaving:
+            self._mark(name, "leaving", now + LEAVING_MARK_S)
+        self._leaving = leaving
+
+    def _on_load(self, name: str, report: LoadReport) -> None:
+        self._fleet.on_load(name, report, self._clock.now())
+
+    def _on_cache_events(
+        self, name: str, stored: Sequence[str], evicted: Sequence[str], gap: bool
+    ) -> None:
+        self._fleet.on_cache_events(name, stored, evicted, gap)
+
+    def _update_capacity(self) -> None:
+        """Tell the admission how much the usable back ends can run."""
+        now = self._capacity_at = self._clock.now()
+        services, profiles = self._configuration.services, self._configuration.profiles
+        capacity = {}
+        for service in services.values():
+            profile = profiles.get(service.profile)
+            cheap = profile is not None and profile.cheap_back_ends == "interruptible"
+            capacity[service.name] = self._fleet.capacity(service.name, now, cheap, self._gateways)
+        self._admission.configure(profiles, self._configuration.customers, services, capacity)
+
+    def _mark(self, target: str, reason: str, until: float) -> None:
+        """Send nothing more to a back end, and tell the peers if that is new."""
+        new = self._marks.get(target, ("", 0.0))[1] <= self._clock.now()
+        self._marks[target] = (reason, until)
+        self._fleet.on_drain(target, reason, until)
+        if new:
+            DRAIN_MARKS.inc(reason=reason)
+            self._on_news()
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/src/laburnumreel/serving/_events.py
+++ b/src/laburnumreel/serving/_events.py
@@ -14,3 +14,4 @@
 ANSWER_NOT_STORED = define_event(
     115, "answer_not_stored", "the answer to a request with an Idempotency-Key was not stored"
 )
+BACK_END_CRASHED = define_event(116, "back_end_crashed", "a back end crashed while requests ran")
--- a/src/laburnumreel/serving/_lifecycle.py
+++ b/src/laburnumreel/serving/_lifecycle.py
@@ -6,11 +6,11 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from types import TracebackType
 
+from laburnumreel.coordination import Offer
 from laburnumreel.serving._attempts import RequestFailedError
 from laburnumreel.serving._checks import Caller, check_key
 from laburnumreel.serving._parts import Parts
 from laburnumreel.serving._registry import Running
-from laburnumreel.serving._stopgap import Offer
 from laburnumreel.state import ErrorKind, Refusal, RunState
 
 ABORT_CHECK_S = 0.1
--- a/src/laburnumreel/serving/_metrics.py
+++ b/src/laburnumreel/serving/_metrics.py
@@ -18,3 +18,9 @@
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.31, 0.5, 1.0, 2.5, 5.0, 10.0],
     ["service"],
 )
+QUARANTINED = define_counter(
+    "laburnumreel_quarantined_total", "Requests quarantined because back ends crashed on them."
+)
+DRAIN_MARKS = define_counter(
+    "laburnumreel_drain_marks_total", "Back ends that get no new work, by reason.", ["reason"]
+)
--- a/src/laburnumreel/serving/_model.py
+++ b/src/laburnumreel/serving/_model.py
@@ -53,16 +53,15 @@
         """Yield the answer's events. Raises RequestFailedError where it cannot be completed."""
         try:
             while True:
-                exchange = self._attempts.open()
+                exchange, before = self._attempts.open(), self._tokens
                 try:
                     if self._send(exchange):
                         yield from self._read(exchange)
                         return
                 except BackEndFailureError as error:
-                    self._attempts.lost(error, self._tokens)
+                    self._lost(error, before)
                 except EventTooLargeError:
-                    error = BackEndFailureError("lost", "an event is too large", True)
-                    self._attempts.lost(error, self._tokens)
+                    self._lost(BackEndFailureError("lost", "an event is too large", True), before)
         finally:
             self._attempts.abandon()
             if self._tokens:
@@ -74,6 +73,9 @@
             self._counted = True
             self._parts.usage.count(self._job.running.request_id, self._count())
 
+    def _lost(self, error: BackEndFailureError, before: int) -> None:
+        self._attempts.lost(error, self._tokens, self._tokens > before)
+
     def _send(self, exchange: Exchange) -> bool:
         ran_before = self._attempts.may_have_run
         headers = {"Content-Type": "application/json", "Accept": "text/event-stream"}
--- a/src/laburnumreel/serving/_plain.py
+++ b/src/laburnumreel/serving/_plain.py
@@ -75,7 +75,6 @@
                 yield data
             self._finish()
         except BackEndFailureError as error:
-            # The head is out: the caller learns of it by the missing end.
             raise self._attempts.failure(_refusal_of(error)) from error
         finally:
             self._attempts.abandon()
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -302,8 +302,15 @@
             "usage": "flush_s = 0.2\n",
             "stop": "notice_s = 0.3\ngrace_s = 60\n",
         }
+        # An override replaces the section's keys that it names.
         for section, text in sections.items():
-            lines[section] = lines.get(section, "") + text
+            named = {line.partition("=")[0].strip() for line in text.splitlines()}
+            kept = [
+                line
+                for line in lines.get(section, "").splitlines(keepends=True)
+                if line.partition("=")[0].strip() not in named
+            ]
+            lines[section] = "".join(kept) + text
         path = Path(self._folder.name) / f"{name}.ini"
         path.write_text("".join(f"[{section}]\n{text}" for section, text in lines.items()))
         return path, addresses
--- /dev/null
+++ b/tests/test_gateway_faults.py
@@ -0,0 +1,255 @@
+"""Tests of the gateway when callers, keys and back ends misbehave."""
+
+import json
+import signal
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from deployment import KEY, MODEL, OTHER_KEY, Deployment, Stream, bearer, call
+from support import wait_until
+
+from laburnumreel_standins._text import output_text
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture
+def deployment():
+    running = Deployment()
+    yield running
+    running.end()
+
+
+def completion(gateway, prompt="x", tokens=5, headers=None, **fields):
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": tokens, **fields}
+    return call(gateway.callers, "POST", "/v1/completions", body, headers or bearer())
+
+
+def engine_of(deployment, request_id):
+    """Return the name of the engine that runs a request."""
+    for name, (process, _) in deployment.engines.items():
+        if process.code is None and request_id in deployment.engine_state(name)["requests"]:
+            return name
+    return None
+
+
+def begin(deployment, gateway, prompt, tokens, **fields):
+    """Return a stream that has delivered its first tokens, what was read, and its engine."""
+    stream = Stream(gateway.callers, {"prompt": prompt, "max_tokens": tokens, **fields})
+    payloads = stream.payloads()
+    read = "".join(json.loads(next(payloads))["choices"][0]["text"] for _ in range(3))
+    return stream, read, engine_of(deployment, stream.answer.getheader("X-Request-Id"))
+
+
+def test_withdrawn_key_cuts_a_stream(deployment):
+    """Guards against a connected caller that goes on with a withdrawn key."""
+    deployment.configure()
+    deployment.add_engine("--stream-tokens-per-s", "20")
+    gateway = deployment.start_gateway()
+    stream, _, engine = begin(deployment, gateway, "long", 400)
+    deployment.withdraw(KEY)
+    started = time.monotonic()
+    assert stream.finish()[1:] == (False, "withdrawn_key")
+    assert time.monotonic() - started < 5
+    wait_until(lambda: deployment.engine_state(engine)["running"] == 0, "the engine to be free")
+    reply = completion(gateway)
+    assert (reply.status, reply.kind, reply.run_state) == (401, "withdrawn_key", "not-run")
+    assert gateway.metric("laburnumreel_refusals_total", kind="withdrawn_key") == 2
+
+
+@pytest.mark.parametrize("fault", ["kill", "silent"])
+def test_stream_resumes_elsewhere_with_the_same_text(deployment, fault):
+    """Guards against a resumed stream that loses, repeats or changes tokens."""
+    deployment.configure(profile__chat={"silence_s": 1.0})
+    for _ in range(2):
+        deployment.add_engine("--stream-tokens-per-s", "40")
+    gateway = deployment.start_gateway()
+    stream, read, engine = begin(deployment, gateway, "steady", 60)
+    number = signal.SIGKILL if fault == "kill" else signal.SIGSTOP
+    deployment.engines[engine][0].send(number)
+    text, done, error = stream.finish()
+    assert (read + text, done, error) == (output_text("steady", 60), True, None)
+    assert gateway.metric("laburnumreel_retries_total") >= 1
+    counts = wait_until(lambda: deployment.usage(), "the usage row")
+    assert counts
+
+
+@pytest.mark.parametrize("fault", ["break_streams", "wrong_request_id"])
+def test_broken_streams_are_errors(deployment, fault):
+    """Guards against half an answer, or another request's answer, that looks complete."""
+    deployment.configure()
+    engine = deployment.add_engine()
+    gateway = deployment.start_gateway()
+    deployment.engine_faults(engine, **{fault: 1})
+    stream = Stream(gateway.callers, {"prompt": "steady", "max_tokens": 60})
+    text, done, error = stream.finish()
+    assert not done and output_text("steady", 60).startswith(text)
+    if fault == "break_streams":
+        assert text and error in ("incomplete_answer", "back_end_lost")
+    else:
+        assert not text and stream.answer.getheader("X-Error-Kind") == "back_end_lost"
+        assert stream.answer.getheader("X-Run-State") == "unknown"
+    assert completion(gateway, "steady", 60).json["choices"][0]["text"] == output_text("steady", 60)
+
+
+def test_whole_answer_survives_a_crash(deployment):
+    """Guards against a caller without a stream that gets half an answer, or none."""
+    deployment.configure()
+    for _ in range(2):
+        deployment.add_engine("--stream-tokens-per-s", "40")
+    gateway = deployment.start_gateway()
+    with ThreadPoolExecutor(1) as executor:
+        answer = executor.submit(completion, gateway, "steady", 60)
+        name = wait_until(
+            lambda: next(
+                (n for n in deployment.engines if deployment.engine_state(n)["running"]), 0
+            ),
+            "an engine to run it",
+        )
+        time.sleep(0.3)
+        deployment.engines[name][0].send(signal.SIGKILL)
+        reply = answer.result()
+    assert reply.status == 200 and reply.json["choices"][0]["text"] == output_text("steady", 60)
+    assert reply.json["usage"]["completion_tokens"] == 60
+
+
+def test_poison_request_is_quarantined(deployment):
+    """Guards against a request that crashes engine after engine."""
+    deployment.configure()
+    for _ in range(4):
+        name = deployment.add_engine("--stream-tokens-per-s", "40")
+        deployment.engine_faults(name, crash_on="poison")
+    gateway = deployment.start_gateway()
+    neighbours = [begin(deployment, gateway, f"good {n}", 80)[:2] for n in range(4)]
+    reply = completion(gateway, "poison", 5)
+    assert (reply.status, reply.kind, reply.run_state) == (422, "quarantined", "unknown")
+    crashed = [
+        name for name, (process, _) in deployment.engines.items() if process.code is not None
+    ]
+    assert 1 <= len(crashed) <= 2
+    for _ in range(2):
+        reply = completion(gateway, "poison", 5)
+        assert (reply.kind, reply.run_state) == ("quarantined", "not-run")
+        assert int(reply.headers["retry-after"]) > 500
+    for number, (stream, read) in enumerate(neighbours):
+        text, done, error = stream.finish()
+        assert (read + text, done, error) == (output_text(f"good {number}", 80), True, None)
+    # The retry budget may be spent until the dead engines are known to be gone.
+    wait_until(lambda: completion(gateway, "good 0", 5).status == 200, "other work to run")
+
+
+def test_silent_connections_are_replaced(deployment):
+    """Guards against requests that wait one after another on dead pooled connections."""
+    deployment.configure(profile__chat={"silence_s": 0.8})
+    engine = deployment.add_engine()
+    gateway = deployment.start_gateway()
+    with ThreadPoolExecutor(8) as executor:
+        assert all(r.status == 200 for r in executor.map(lambda n: completion(gateway), range(8)))
+    deployment.engine_faults(engine, silent="open")
+    deployment.add_engine()
+    started = time.monotonic()
+    assert [completion(gateway).status for _ in range(6)] == [200] * 6
+    assert time.monotonic() - started < 5
+    assert gateway.metric("laburnumreel_silent_connections_total") <= 2
+
+
+def test_refusing_engine_is_left_alone(deployment):
+    """Guards against work that is sent again and again to an engine that refuses it."""
+    deployment.configure()
+    engines = [deployment.add_engine() for _ in range(2)]
+    gateway = deployment.start_gateway()
+    deployment.engine_faults(engines[0], refuse=True)
+    assert [completion(gateway).status for _ in range(12)] == [200] * 12
+    assert sum(deployment.engine_state(engines[0])["refused"].values()) <= 4
+    deployment.engine_faults(engines[1], refuse=True)
+    reply = completion(gateway)
+    assert (reply.status, reply.run_state) in ((502, "not-run"), (503, "not-run"))
+    assert reply.headers["retry-after"]
+
+
+def test_hung_request_ends_at_its_deadline(deployment):
+    """Guards against a request that holds its caller for ever."""
+    deployment.configure(profile__chat={"deadline_s": 1.5, "silence_s": 60.0})
+    engine = deployment.add_engine()
+    gateway = deployment.start_gateway()
+    deployment.engines[engine][0].send(signal.SIGSTOP)
+    started = time.monotonic()
+    reply = completion(gateway)
+    assert (reply.status, reply.kind, reply.run_state) == (504, "back_end_timeout", "unknown")
+    assert time.monotonic() - started < 4
+
+
+def test_caller_that_goes_away_frees_the_engine(deployment):
+    """Guards against an engine that works on for a caller who has gone."""
+    deployment.configure()
+    engine = deployment.add_engine("--stream-tokens-per-s", "20")
+    gateway = deployment.start_gateway()
+    stream, _, _ = begin(deployment, gateway, "long", 400)
+    stream.answer.close()
+    stream.close()
+    with socket.create_connection(gateway.callers) as sock:
+        body = json.dumps({"model": MODEL, "prompt": "whole", "max_tokens": 400}).encode()
+        head = f"POST /v1/completions HTTP/1.1\r\nAuthorization: Bearer {KEY}\r\n"
+        sock.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        wait_until(lambda: deployment.engine_state(engine)["running"] == 1, "the first to end")
+        wait_until(lambda: len(deployment.engine_state(engine)["requests"]) == 2, "the second")
+    wait_until(lambda: deployment.engine_state(engine)["running"] == 0, "the engine to be free")
+    wait_until(lambda: gateway.metric("laburnumreel_running_requests") == 0, "free threads")
+    assert gateway.metric("laburnumreel_refusals_total", kind="caller_gone") == 2
+    assert completion(gateway).status == 200
+
+
+def test_bad_input_gets_one_documented_kind(deployment):
+    """Guards against bad input that gets an undocumented answer or harms the next request."""
+    deployment.configure(profile__chat={"max_body_bytes": 5000, "max_tokens": 100})
+    deployment.add_engine()
+    plain = deployment.add_plain()
+    gateway = deployment.start_gateway()
+    good = {"model": MODEL, "prompt": "x", "max_tokens": 2}
+    path = "/v1/completions"
+    cases = [
+        ("bad_request", "POST", path, b"{", bearer()),
+        ("bad_request", "POST", path, {**good, "max_tokens": -4}, bearer()),
+        ("bad_request", "POST", path, {**good, "max_tokens": 10**9}, bearer()),
+        ("bad_request", "POST", "/v1/chat/completions", {"model": MODEL}, bearer()),
+        ("body_too_large", "POST", path, {**good, "prompt": "x" * 6000}, bearer()),
+        ("body_too_large", "POST", path, {**good, "prompt": "x" * 2_000_000}, bearer()),
+        ("header_too_large", "GET", "/v1/models", None, bearer(A="x" * 40_000)),
+        ("missing_key", "POST", path, good, {}),
+        ("unknown_key", "POST", path, good, bearer("lr-nobody")),
+        ("unknown_key", "POST", path, good, bearer("x" * 5000)),
+        ("not_allowed", "POST", path, good, bearer(OTHER_KEY)),
+        ("unknown_model", "POST", path, {**good, "model": "huge"}, bearer()),
+        ("unknown_route", "GET", "/nothing", None, bearer()),
+        ("bad_request", "GET", "/orders/../v1/models", None, bearer()),
+        ("bad_request", "GET", "/orders/%2e%2e/x", None, bearer()),
+        ("method_not_allowed", "GET", path, None, bearer()),
+        ("method_not_allowed", "TRACE", "/orders/x", None, bearer()),
+    ]
+    for kind, method, target, body, headers in cases:
+        before = gateway.metric("laburnumreel_refusals_total", kind=kind)
+        reply = call(gateway.callers, method, target, body, headers)
+        assert (reply.kind, reply.run_state) == (kind, "not-run"), (kind, target, reply)
+        assert reply.headers["x-request-id"]
+        assert reply.json["error"]["code"] == kind
+        assert gateway.metric("laburnumreel_refusals_total", kind=kind) == before + 1
+        assert call(gateway.callers, "POST", path, good, bearer()).status == 200
+    assert not plain.requests
+
+
+def test_full_gateway_refuses_at_once(deployment):
+    """Guards against a request that waits for a thread without an answer."""
+    deployment.configure()
+    deployment.add_engine("--stream-tokens-per-s", "20")
+    gateway = deployment.start_gateway(threads="callers = 2\nreserve = 2\n")
+    streams = [begin(deployment, gateway, f"long {n}", 400)[0] for n in range(2)]
+    started = time.monotonic()
+    reply = completion(gateway)
+    assert (reply.kind, reply.run_state) == ("threads_exhausted", "not-run")
+    assert reply.headers["retry-after"] and time.monotonic() - started < 2
+    for stream in streams:
+        stream.answer.close()
+        stream.close()
+    wait_until(lambda: completion(gateway).status == 200, "a free place")
