Add configuration sync, peer exchange and their thrift transport

Cause: gateways need the configuration and the withdrawn keys from the store and, with the store down, from one another. Withdrawals have a sequence log (withdrawn_log), because rows keyed by digest cannot be read incrementally.

--- /dev/null
+++ b/src/laburnumreel/coordination/_config_sync.py
@@ -0,0 +1,171 @@
+"""The task that keeps configuration and withdrawn keys current from the store and from peers."""
+
+import random
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from laburnumreel.coordination._events import (
+    CONFIG_CHANGED,
+    CONFIG_READY,
+    CONFIG_REFUSED,
+    KEYS_WITHDRAWN,
+    STORE_READ_AGAIN,
+    STORE_READ_FAILED,
+)
+from laburnumreel.coordination._messages import Address, PeerLink, address_text
+from laburnumreel.coordination._metrics import (
+    CONFIG_CHANGES,
+    CONFIG_VERSION,
+    STORE_READ_FAILURES,
+    WITHDRAWN_KEYS,
+)
+from laburnumreel.coordination._replica import Listener, Replica
+from laburnumreel.coordination._store_sync import StoreSync
+from laburnumreel.core import Clock, Log, SystemClock, Task
+from laburnumreel.state import Change, Configuration, Platform, Settings, WithdrawnKeys
+
+POLL_S = 1.0
+FETCH_LIMIT = 500
+# About this many processes store a withdrawal at once after an outage of the store.
+STORE_WRITERS = 4
+
+_log = Log("coordination.config_sync")
+
+
+class PeerAhead(NamedTuple):
+    """A peer that holds this version, newer than ours when it was heard of."""
+
+    address: Address
+    version: int
+
+
+class Poll(NamedTuple):
+    """Read the store now rather than at the next tick."""
+
+
+def fetch_from_peer(replica: Replica, link: PeerLink, ahead: PeerAhead) -> str | None:
+    """Take over a peer's newer configuration, as changes or else whole; return what failed."""
+    ours = replica.configuration.version
+    if ours >= ahead.version:
+        return None
+    changes = link.fetch_changes(ahead.address, ours, FETCH_LIMIT)
+    if changes.is_error():
+        return changes.error
+    problem = replica.adopt_changes(changes.ok)
+    if problem is None and replica.configuration.version > ours:
+        return None
+    whole = link.fetch_snapshot(ahead.address)
+    if whole.is_error():
+        return whole.error
+    replica.adopt_whole(whole.ok)
+    return problem
+
+
+class ConfigSync(Task):
+    """Polls the store each second and fetches from peers what they have sooner.
+
+    Readers take `configuration` and `withdrawn` as snapshots from any thread. A fresh process is
+    `ready` once it has read the store to its end or, with the store down, holds a configuration
+    that a peer held.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        link: PeerLink,
+        clock: Clock | None = None,
+        source: random.Random | None = None,
+        processes: int = 1,
+        poll_s: float = POLL_S,
+    ) -> None:
+        super().__init__("config-sync", tick_s=poll_s)
+        self._replica = Replica()
+        share = min(1.0, STORE_WRITERS / max(1, processes))
+        self._store = StoreSync(platform, self._replica, source or random.Random(), share)
+        self._link = link
+        self._clock = clock or SystemClock()
+        self._reachable: bool | None = None
+        self._ready_logged = False
+
+    @classmethod
+    def from_settings(
+        cls, settings: Settings, platform: Platform, link: PeerLink, clock: Clock | None = None
+    ) -> "ConfigSync":
+        processes = len(settings.peers.gateways) + len(settings.peers.coordinators)
+        return cls(platform, link, clock, processes=processes)
+
+    @property
+    def configuration(self) -> Configuration:
+        return self._replica.configuration
+
+    @property
+    def withdrawn(self) -> WithdrawnKeys:
+        return self._replica.withdrawn
+
+    @property
+    def ready(self) -> bool:
+        return self._store.complete or self._replica.configuration.version > 0
+
+    @property
+    def store_reachable(self) -> bool:
+        """Whether the last poll read the store."""
+        return bool(self._reachable)
+
+    @property
+    def replica(self) -> Replica:
+        return self._replica
+
+    def store_read_at(self) -> float:
+        """Return when the last complete read of the store began; minus infinity before one."""
+        return self._store.read_at
+
+    def subscribe(self, listener: Callable[[Configuration, WithdrawnKeys], None]) -> None:
+        """Call `listener` after each change, and once now. It must not block."""
+        checked: Listener = listener
+        self._replica.subscribe(checked)
+
+    def withdraw(self, digests: Iterable[str]) -> None:
+        """Withdraw keys at once; they are stored at the next poll."""
+        if self._replica.withdraw(digests):
+            self._note()
+
+    def changes_after(self, version: int, limit: int) -> list[Change]:
+        return self._replica.changes_after(version, limit)
+
+    def handle(self, message: PeerAhead | Poll) -> None:
+        if isinstance(message, Poll):
+            self.tick()
+            return
+        before = self._replica.configuration
+        problem = fetch_from_peer(self._replica, self._link, message)
+        if problem is not None:
+            _log.warning(CONFIG_REFUSED, peer=address_text(message.address), detail=problem)
+        self._note_change(before, "peer")
+
+    def tick(self) -> None:
+        before, known = self._replica.configuration, len(self._replica.withdrawn)
+        polled = self._store.poll(self._clock.now())
+        if polled.is_error():
+            STORE_READ_FAILURES.inc()
+            if self._reachable is not False:
+                _log.warning(STORE_READ_FAILED, detail=str(polled.error))
+        elif self._reachable is False:
+            _log.info(STORE_READ_AGAIN)
+        self._reachable = polled.is_ok()
+        self._note_change(before, "store")
+        if len(self._replica.withdrawn) != known:
+            self._note()
+
+    def _note_change(self, before: Configuration, source: str) -> None:
+        configuration = self._replica.configuration
+        if configuration is not before:
+            CONFIG_VERSION.set(configuration.version)
+            CONFIG_CHANGES.inc(source=source)
+            _log.info(CONFIG_CHANGED, version=configuration.version, source=source)
+        if self.ready and not self._ready_logged:
+            self._ready_logged = True
+            _log.info(CONFIG_READY, version=configuration.version, source=source)
+
+    def _note(self) -> None:
+        WITHDRAWN_KEYS.set(len(self._replica.withdrawn))
+        _log.info(KEYS_WITHDRAWN, count=len(self._replica.withdrawn))
--- /dev/null
+++ b/src/laburnumreel/coordination/_gossip.py
@@ -0,0 +1,222 @@
+"""The decisions of the peer exchange: what to send, what is learned, who was heard from."""
+
+import random
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from laburnumreel.coordination._messages import (
+    Address,
+    ExchangeMessage,
+    PeerNews,
+    address_text,
+)
+from laburnumreel.coordination._replica import Replica
+from laburnumreel.state import WithdrawnKeys
+
+EXCHANGE_BYTES = 64 * 1024
+# What a message's fixed fields may take; the lists share the rest.
+FIXED_BYTES = 2048
+# The thrift binary protocol's overhead of a list element: field headers, lengths and numbers.
+ELEMENT_BYTES = 32
+FULL_ROUND_PEERS = 16
+ROUND_PEERS = 8
+# A peer that is unreachable for long gathers no more customers' figures than this.
+PENDING_CUSTOMERS = 512
+
+
+class Learned(NamedTuple):
+    """What a message told us: whether the sender's configuration is ahead or in conflict."""
+
+    peer_ahead: bool
+    conflict: bool
+    in_sync: bool
+
+
+class _Peer:
+    """What we know of one peer: withdrawals it may lack, its boot, and figures to tell it."""
+
+    def __init__(self, withdrawn: Iterable[str]) -> None:
+        self.boot = ""
+        self.pending = list(withdrawn)
+        self.received: dict[str, tuple[int, int]] = {}
+        self.heard_at = float("-inf")
+        self.called_with = WithdrawnKeys()
+
+
+class Gossip:
+    """The exchange of one process with its peers. Not thread-safe: the task serialises calls.
+
+    Withdrawals that a peer may lack are kept for each peer until it has confirmed them; the newest
+    are sent first. Only a peer's answer confirms: an answer of ours can be lost, so what it carried
+    is sent again.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        role: str,
+        boot: str,
+        address: Address,
+        gateways: Sequence[Address],
+        coordinators: Sequence[Address],
+        cut_off_s: float,
+        replica: Replica,
+        source: random.Random,
+    ) -> None:
+        self._identity = (name, role, boot, address_text(address))
+        self._address = address
+        self._gateways = frozenset(gateways)
+        self._others = [a for a in dict.fromkeys([*gateways, *coordinators]) if a != address]
+        self._cut_off_s = cut_off_s
+        self._replica = replica
+        self._random = source
+        self._seen = replica.withdrawn
+        self._peers = {address_text(a): _Peer(self._seen) for a in self._others}
+        self._news = PeerNews()
+        self._stopping = False
+
+    @property
+    def peers(self) -> list[Address]:
+        return list(self._others)
+
+    def round(self) -> list[Address]:
+        """Return the peers to exchange with now."""
+        if len(self._others) <= FULL_ROUND_PEERS:
+            return list(self._others)
+        return self._random.sample(self._others, ROUND_PEERS)
+
+    def on_own_news(self, news: PeerNews, stopping: bool) -> None:
+        """Take this process' news; what customers received is added up for each peer."""
+        self._news = news
+        self._stopping = stopping
+        for customer, (tokens, requests) in news.received.items():
+            for peer in self._peers.values():
+                if customer in peer.received or len(peer.received) < PENDING_CUSTOMERS:
+                    old = peer.received.get(customer, (0, 0))
+                    peer.received[customer] = (old[0] + tokens, old[1] + requests)
+
+    def message(self, address: str) -> ExchangeMessage:
+        """Return what to send to a peer, as a call or as the answer to one."""
+        self._note_withdrawals()
+        peer = self._peers.get(address)
+        budget = _Budget(EXCHANGE_BYTES - FIXED_BYTES)
+        withdrawn = budget.take(reversed(peer.pending) if peer else (), len)
+        news = self._news
+        sent = PeerNews(
+            tuple(budget.take(news.drains, lambda mark: len(mark.target) + len(mark.reason))),
+            tuple(budget.take(news.quarantines, lambda entry: len(entry.digest))),
+            dict(budget.take(news.in_flight.items(), lambda item: len(item[0]))),
+            dict(budget.take(peer.received.items() if peer else (), lambda item: len(item[0]))),
+        )
+        if peer:
+            # Figures are told at most once: a repeated one would count against a customer twice.
+            for customer in sent.received:
+                del peer.received[customer]
+        configuration, keys = self._replica.configuration, self._seen
+        return ExchangeMessage(
+            *self._identity,
+            config_version=configuration.version,
+            config_digest=configuration.digest,
+            withdrawn=tuple(withdrawn),
+            withdrawn_count=len(keys),
+            withdrawn_digest=keys.digest,
+            news=sent,
+            stopping=self._stopping,
+        )
+
+    def call(self, address: Address) -> ExchangeMessage:
+        """Return what to call a peer with. Its answer goes to `on_answer` before the next call."""
+        message = self.message(address_text(address))
+        self._peers[address_text(address)].called_with = self._seen
+        return message
+
+    def on_call(self, theirs: ExchangeMessage, now: float) -> tuple[ExchangeMessage, Learned]:
+        """Take a peer's message and return our answer."""
+        learned = self._learn(theirs, self._replica.withdrawn, now)
+        answer = self.message(theirs.address)
+        differ = theirs.withdrawn_digest != answer.withdrawn_digest
+        if differ and not theirs.withdrawn and not answer.withdrawn:
+            if theirs.address in self._peers:
+                self._peers[theirs.address].pending = list(self._seen)
+            answer = answer._replace(wants_all_withdrawn=True)
+        return answer, learned
+
+    def on_answer(
+        self, address: Address, ours: ExchangeMessage, theirs: ExchangeMessage, sent_at: float
+    ) -> Learned:
+        """Take a peer's answer to our call, which it has therefore taken in."""
+        theirs = theirs._replace(address=address_text(address))
+        peer = self._peers[theirs.address]
+        self._note_boot(peer, theirs.boot)
+        confirmed = set(ours.withdrawn)
+        peer.pending = [digest for digest in peer.pending if digest not in confirmed]
+        if theirs.wants_all_withdrawn:
+            peer.pending = list(self._seen)
+        # The answer covers what we held when we called; we may have learned more since.
+        return self._learn(theirs, peer.called_with, sent_at)
+
+    def hears_majority(self, now: float) -> bool:
+        """Return whether a majority of the gateways, this one counted, was heard from lately."""
+        heard = sum(
+            address in self._gateways
+            and now - self._peers[address_text(address)].heard_at <= self._cut_off_s
+            for address in self._others
+        )
+        heard += self._address in self._gateways
+        return 2 * heard > len(self._gateways)
+
+    def _learn(self, theirs: ExchangeMessage, before: WithdrawnKeys, at: float) -> Learned:
+        after = before.with_members(theirs.withdrawn)
+        in_sync = after.digest == theirs.withdrawn_digest
+        self._replica.withdraw(theirs.withdrawn)
+        self._note_withdrawals()
+        peer = self._peers.get(theirs.address)
+        if peer is not None:
+            self._note_boot(peer, theirs.boot)
+            if self._seen.digest == theirs.withdrawn_digest:
+                peer.pending = []
+            elif theirs.withdrawn:
+                known = set(theirs.withdrawn)
+                peer.pending = [digest for digest in peer.pending if digest not in known]
+            # Heard only when nothing that the peer holds is missing here: a withdrawal that did not
+            # fit into its message would otherwise be taken as checked.
+            if in_sync:
+                peer.heard_at = max(peer.heard_at, at)
+        ours = self._replica.configuration
+        return Learned(
+            theirs.config_version > ours.version,
+            theirs.config_version == ours.version and theirs.config_digest != ours.digest,
+            in_sync,
+        )
+
+    def _note_withdrawals(self) -> None:
+        keys = self._replica.withdrawn
+        if keys is self._seen:
+            return
+        added = keys.added_since(self._seen)
+        self._seen = keys
+        for peer in self._peers.values():
+            peer.pending.extend(added)
+
+    def _note_boot(self, peer: _Peer, boot: str) -> None:
+        if peer.boot != boot:
+            peer.boot = boot
+            peer.pending = list(self._seen)
+
+
+class _Budget:
+    """Bytes left in a message; what does not fit waits for the next round."""
+
+    def __init__(self, left: int) -> None:
+        self._left = left
+
+    def take(self, items: Iterable, size) -> list:
+        taken = []
+        for item in items:
+            cost = size(item) + ELEMENT_BYTES
+            if cost > self._left:
+                self._left = 0
+                break
+            self._left -= cost
+            taken.append(item)
+        return taken
--- /dev/null
+++ b/src/laburnumreel/coordination/_replica.py
@@ -0,0 +1,117 @@
+"""A process' copy of the configuration and the withdrawn keys; both only move forward."""
+
+import threading
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from laburnumreel.state import Change, Configuration, WithdrawnKeys
+
+Listener = Callable[[Configuration, WithdrawnKeys], None]
+
+# Peers that lag further behind fetch the whole configuration instead.
+RECENT_CHANGES = 1000
+
+
+class Replica:
+    """The newest known configuration and withdrawn keys, published as immutable snapshots.
+
+    Any thread may call it. Withdrawals take effect within the call, so that a slow store cannot
+    delay them. Listeners are called on the thread that made the change, in the order of changes.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.RLock()
+        self._configuration = Configuration()
+        self._withdrawn = WithdrawnKeys()
+        self._recent: deque[Change] = deque(maxlen=RECENT_CHANGES)
+        self._listeners: list[Listener] = []
+        self._unstored: set[str] = set()
+        self._stored: set[str] = set()
+
+    @property
+    def configuration(self) -> Configuration:
+        return self._configuration
+
+    @property
+    def withdrawn(self) -> WithdrawnKeys:
+        return self._withdrawn
+
+    @property
+    def unstored(self) -> list[str]:
+        """Withdrawals that are not known to be in the store."""
+        with self._lock:
+            return sorted(self._unstored)
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call `listener` after each change, and once now."""
+        with self._lock:
+            self._listeners.append(listener)
+            listener(self._configuration, self._withdrawn)
+
+    def adopt_changes(self, changes: Iterable[Change]) -> str | None:
+        """Apply the changes that follow; return why the first bad one does not, or None."""
+        with self._lock:
+            configuration, problem = self._configuration, None
+            for change in changes:
+                if change.version <= configuration.version:
+                    continue
+                applied = configuration.apply(change)
+                if applied.is_error():
+                    problem = applied.error
+                    break
+                configuration = applied.ok
+                self._recent.append(change)
+            if configuration is not self._configuration:
+                self._configuration = configuration
+                self._publish()
+            return problem
+
+    def adopt_whole(self, configuration: Configuration, repair: bool = False) -> bool:
+        """Take over a whole configuration if it is newer.
+
+        With `repair`, one of the same version replaces ours: the store's is the accepted one.
+        """
+        with self._lock:
+            ours = self._configuration
+            newer = configuration.version > ours.version
+            mended = (
+                repair
+                and configuration.version == ours.version
+                and configuration.digest != ours.digest
+            )
+            if not newer and not mended:
+                return False
+            self._configuration = configuration
+            self._recent.clear()
+            self._publish()
+            return True
+
+    def withdraw(self, digests: Iterable[str], stored: bool = False) -> bool:
+        """Add withdrawn keys; return whether any was new. `stored` ones are in the store."""
+        digests = set(digests)
+        with self._lock:
+            if stored:
+                self._stored |= digests
+                self._unstored -= digests
+            else:
+                self._unstored |= digests - self._stored
+            union = self._withdrawn.with_members(digests)
+            if union is self._withdrawn:
+                return False
+            self._withdrawn = union
+            self._publish()
+            return True
+
+    def changes_after(self, version: int, limit: int) -> list[Change]:
+        """Return changes that follow `version`; none if the next one is no longer held."""
+        with self._lock:
+            if not self._recent or self._recent[0].version > version + 1:
+                return []
+            start = max(0, version + 1 - self._recent[0].version)
+            return [
+                self._recent[index] for index in range(start, min(start + limit, len(self._recent)))
+            ]
+
+    def _publish(self) -> None:
+        for listener in self._listeners:
+            listener(self._configuration, self._withdrawn)
--- /dev/null
+++ b/src/laburnumreel/coordination/_store_sync.py
@@ -0,0 +1,226 @@
+"""Reading the configuration and the withdrawn keys from the store, and storing withdrawals."""
+
+import random
+from collections.abc import Sequence
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from laburnumreel.coordination._replica import Replica
+from laburnumreel.state import Change, Check, Configuration, Platform, PlatformError, Write
+
+HEAD = ("config_head", "head")
+CHANGES = "config_change"
+SNAPSHOT = ("config_snapshot", "latest")
+WITHDRAWN = "withdrawn"
+# Rows of `withdrawn` are keyed by digest and so cannot be read in the order of their writing. Each
+# writer of withdrawals also adds a row to this log, which readers follow by its sequence.
+WITHDRAWN_LOG = "withdrawn_log"
+
+PAGE = 500
+# The bound on pages in one poll keeps a task responsive; the next poll continues.
+PAGES = 40
+STORE_BATCH = 50
+
+
+def sequence_key(number: int) -> str:
+    """Return the 12-digit row key of a version or sequence."""
+    return f"{number:012d}"
+
+
+class StoreSync:
+    """Keeps a replica current with the store. It has no thread: a caller polls it."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        replica: Replica,
+        source: random.Random,
+        write_share: float = 1.0,
+    ) -> None:
+        """`write_share` is the share of polls that store peers' withdrawals.
+
+        Every process hears of them and any one can store them, so in a large fleet few try at once.
+        """
+        self._platform = platform
+        self._replica = replica
+        self._random = source
+        self._write_share = write_share
+        self._log_end = 0
+        self._read_at = float("-inf")
+        self._complete = False
+
+    @property
+    def read_at(self) -> float:
+        """When the last poll that read everything began, on the caller's clock."""
+        return self._read_at
+
+    @property
+    def complete(self) -> bool:
+        """Whether the store has ever been read to its end."""
+        return self._complete
+
+    def poll(self, now: float) -> Result[None, PlatformError]:
+        """Read what is new, withdrawals first, and store what peers withdrew meanwhile."""
+        read = self._read_withdrawn().bind(lambda _: self._read_configuration())
+        if read.is_ok():
+            self._read_at = max(self._read_at, now)
+            self._complete = True
+            return self._store_withdrawals()
+        return read
+
+    def _read_withdrawn(self) -> Result[None, PlatformError]:
+        for _ in range(PAGES):
+            page = self._platform.scan(
+                WITHDRAWN_LOG,
+                after=sequence_key(self._log_end) if self._log_end else "",
+                limit=PAGE,
+            )
+            if page.is_error():
+                return Error(page.error)
+            for row in page.ok.rows:
+                self._replica.withdraw(row.value["digests"], stored=True)
+                self._log_end = int(row.key)
+            if not page.ok.more:
+                return Ok(None)
+        return Error(PlatformError("unreachable", "more withdrawals than one poll reads"))
+
+    def _read_configuration(self) -> Result[None, PlatformError]:
+        head = self._platform.read(*HEAD)
+        if head.is_error():
+            return Error(head.error)
+        if head.ok is None:
+            return Ok(None)
+        version, digest = head.ok.value["version"], head.ok.value["digest"]
+        ours = self._replica.configuration
+        if version > ours.version:
+            return self._read_changes(version)
+        if version == ours.version and digest != ours.digest:
+            return self._read_whole(version)
+        return Ok(None)
+
+    def _read_changes(self, target: int) -> Result[None, PlatformError]:
+        if target - self._replica.configuration.version > PAGE:
+            # A snapshot object is one read; the changes before it would be many.
+            snapshot = read_snapshot(self._platform)
+            if snapshot.is_ok() and snapshot.ok is not None:
+                self._replica.adopt_whole(snapshot.ok)
+        for _ in range(PAGES):
+            changes = scan_changes(self._platform, self._replica.configuration.version)
+            if changes.is_error():
+                return Error(changes.error)
+            before = self._replica.configuration.version
+            problem = self._replica.adopt_changes(changes.ok)
+            if problem is not None:
+                return self._read_whole(target)
+            version = self._replica.configuration.version
+            if version >= target:
+                return Ok(None)
+            if version == before:
+                return self._read_whole(target)
+        return Error(PlatformError("unreachable", "more changes than one poll reads"))
+
+    def _read_whole(self, target: int) -> Result[None, PlatformError]:
+        whole = read_configuration(self._platform, target)
+        if whole.is_error():
+            return Error(whole.error)
+        self._replica.adopt_whole(whole.ok, repair=True)
+        return Ok(None)
+
+    def _store_withdrawals(self) -> Result[None, PlatformError]:
+        unstored = self._replica.unstored[:STORE_BATCH]
+        if not unstored:
+            return Ok(None)
+        if self._random.random() >= self._write_share:
+            return Ok(None)
+        checks, writes = withdrawal_rows(unstored, self._log_end + 1, {})
+        stored = self._platform.transact(checks, writes)
+        if stored.is_ok():
+            self._replica.withdraw(unstored, stored=True)
+            self._log_end += 1
+            return Ok(None)
+        # A conflict means that others stored some of them or took the sequence. A lost response is
+        # no different: the next poll reads the log and tries what is still missing.
+        if stored.error.kind == "conflict":
+            rows = stored.error.rows
+            known = [digest for digest in unstored if rows.get((WITHDRAWN, digest))]
+            self._replica.withdraw(known, stored=True)
+            return Ok(None)
+        return Error(stored.error)
+
+
+def withdrawal_rows(
+    digests: Sequence[str], sequence: int, value: dict[str, Any]
+) -> tuple[list[Check], list[Write]]:
+    """Return the checks and writes that store new withdrawals with this log sequence."""
+    key = sequence_key(sequence)
+    checks = [Check(WITHDRAWN, digest, 0) for digest in digests]
+    writes = [Write(WITHDRAWN, digest, {**value, "sequence": sequence}) for digest in digests]
+    return (
+        [*checks, Check(WITHDRAWN_LOG, key, 0)],
+        [*writes, Write(WITHDRAWN_LOG, key, {"digests": list(digests)})],
+    )
+
+
+def scan_changes(
+    platform: Platform, after: int, limit: int = PAGE
+) -> Result[list[Change], PlatformError]:
+    """Return the next page of changes after a version."""
+    page = platform.scan(CHANGES, after=sequence_key(after), limit=limit)
+    return page.map(lambda found: [Change.from_value(row.value) for row in found.rows])
+
+
+def read_snapshot(platform: Platform) -> Result[Configuration | None, PlatformError]:
+    """Return the newest snapshot object if it is whole and as the change log has it, or None."""
+    row = platform.read(*SNAPSHOT)
+    if row.is_error():
+        return Error(row.error)
+    if row.ok is None:
+        return Ok(None)
+    body = platform.get_object(row.ok.value["object"])
+    if body.is_error():
+        return Error(body.error)
+    change = platform.read(CHANGES, sequence_key(row.ok.value["version"]))
+    if change.is_error():
+        return Error(change.error)
+    if body.ok is None or change.ok is None:
+        return Ok(None)
+    try:
+        configuration = Configuration.from_bytes(body.ok)
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return Ok(None)
+    same = (configuration.version, configuration.digest) == (
+        row.ok.value["version"],
+        change.ok.value["digest"],
+    )
+    return Ok(configuration if same else None)
+
+
+def read_configuration(
+    platform: Platform, target: int | None = None
+) -> Result[Configuration, PlatformError]:
+    """Read the whole configuration from the store, up to version `target` or the newest."""
+    configuration = Configuration()
+    snapshot = read_snapshot(platform)
+    if snapshot.is_error():
+        return Error(snapshot.error)
+    if snapshot.ok is not None and (target is None or snapshot.ok.version <= target):
+        configuration = snapshot.ok
+    while target is None or configuration.version < target:
+        changes = scan_changes(platform, configuration.version)
+        if changes.is_error():
+            return Error(changes.error)
+        for change in changes.ok:
+            if target is not None and change.version > target:
+                break
+            applied = configuration.apply(change)
+            if applied.is_error():
+                return Error(
+                    PlatformError("refused", f"the change log is damaged: {applied.error}")
+                )
+            configuration = applied.ok
+        if len(changes.ok) < PAGE:
+            break
+    if target is not None and configuration.version < target:
+        return Error(PlatformError("refused", f"the change log ends before version {target}"))
+    return Ok(configuration)
--- /dev/null
+++ b/src/laburnumreel/protocol/_wire.py
@@ -0,0 +1,174 @@
+"""Thrift structs to and from the values of the coordination layer."""
+
+import json
+import re
+from typing import Any
+
+from laburnumreel.coordination import (
+    ClaimState,
+    DrainMark,
+    ExchangeMessage,
+    NodeStatus,
+    PeerNews,
+    QuarantineEntry,
+)
+from laburnumreel.protocol.gen.node import ttypes
+from laburnumreel.state import Change, Configuration
+
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_MS_PER_S = 1000
+_MAX_I32 = (1 << 31) - 1
+_MAX_I64 = (1 << 63) - 1
+
+
+class WireError(ValueError):
+    """A message from another process has a form that no process of ours sends."""
+
+
+def exchange_to_wire(message: ExchangeMessage) -> ttypes.Exchange:
+    news = message.news
+    return ttypes.Exchange(
+        sender=message.sender,
+        role=message.role,
+        boot=message.boot,
+        address=message.address,
+        config_version=message.config_version,
+        config_digest=message.config_digest,
+        withdrawn=list(message.withdrawn),
+        withdrawn_count=message.withdrawn_count,
+        withdrawn_digest=message.withdrawn_digest,
+        drains=[
+            ttypes.DrainMark(mark.target, mark.reason, _ms(mark.remaining_s))
+            for mark in news.drains
+        ],
+        quarantines=[
+            ttypes.QuarantineEntry(entry.digest, _ms(entry.remaining_s))
+            for entry in news.quarantines
+        ],
+        in_flight=[
+            ttypes.BackEndWork(name, _i32(requests), _i64(tokens))
+            for name, (requests, tokens) in news.in_flight.items()
+        ],
+        received=[
+            ttypes.ServiceReceived(customer, _i64(tokens), _i32(requests))
+            for customer, (tokens, requests) in news.received.items()
+        ],
+        wants_all_withdrawn=message.wants_all_withdrawn,
+        stopping=message.stopping,
+    )
+
+
+def exchange_from_wire(wire: ttypes.Exchange) -> ExchangeMessage:
+    """Raises WireError where a field is missing or a digest is malformed."""
+    _require(wire, "sender", "role", "boot", "address", "config_version", "config_digest")
+    _require(wire, "withdrawn", "withdrawn_count", "withdrawn_digest")
+    return ExchangeMessage(
+        sender=wire.sender,
+        role=wire.role,
+        boot=wire.boot,
+        address=wire.address,
+        config_version=wire.config_version,
+        config_digest=digest_from_wire(wire.config_digest),
+        withdrawn=tuple(digest_from_wire(digest) for digest in wire.withdrawn),
+        withdrawn_count=wire.withdrawn_count,
+        withdrawn_digest=digest_from_wire(wire.withdrawn_digest),
+        news=_news_from_wire(wire),
+        wants_all_withdrawn=bool(wire.wants_all_withdrawn),
+        stopping=bool(wire.stopping),
+    )
+
+
+def digest_from_wire(digest: str | None) -> str:
+    """Return a hex SHA-256, or raise WireError."""
+    if digest is None or not _DIGEST.fullmatch(digest):
+        raise WireError(f"not a digest: {digest!r:.80}")
+    return digest
+
+
+def change_to_wire(change: Change) -> ttypes.Change:
+    body = json.dumps(change.to_value(), sort_keys=True, separators=(",", ":"))
+    return ttypes.Change(change.version, body.encode())
+
+
+def change_from_wire(wire: ttypes.Change) -> Change:
+    """Raises WireError on anything but a change whose body has the announced version."""
+    _require(wire, "version", "body")
+    try:
+        change = Change.from_value(json.loads(wire.body))
+    except (ValueError, KeyError, TypeError) as error:
+        raise WireError(f"not a change: {error!r}") from error
+    if change.version != wire.version or not isinstance(change.puts, dict):
+        raise WireError(f"not the change of version {wire.version}")
+    return change
+
+
+def snapshot_to_wire(configuration: Configuration) -> ttypes.Snapshot:
+    return ttypes.Snapshot(configuration.version, configuration.to_bytes())
+
+
+def snapshot_from_wire(wire: ttypes.Snapshot) -> Configuration:
+    """Raises WireError on anything but a whole configuration of the announced version."""
+    _require(wire, "version", "body")
+    try:
+        configuration = Configuration.from_bytes(wire.body)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise WireError(f"not a configuration: {error!r}") from error
+    if configuration.version != wire.version:
+        raise WireError(f"not the configuration of version {wire.version}")
+    return configuration
+
+
+def status_to_wire(status: NodeStatus) -> ttypes.NodeStatus:
+    return ttypes.NodeStatus(**{**status._asdict(), "leases": list(status.leases)})
+
+
+def status_from_wire(wire: ttypes.NodeStatus) -> NodeStatus:
+    fields = {name: getattr(wire, name) for name in NodeStatus._fields}
+    if any(value is None for value in fields.values()):
+        raise WireError("a status lacks fields")
+    return NodeStatus(**{**fields, "leases": tuple(wire.leases)})
+
+
+def claim_state_to_wire(state: ClaimState) -> ttypes.ClaimState:
+    return ttypes.ClaimState(state.boot, state.running)
+
+
+def claim_state_from_wire(wire: ttypes.ClaimState) -> ClaimState:
+    _require(wire, "boot", "running")
+    return ClaimState(wire.boot, wire.running)
+
+
+def _news_from_wire(wire: ttypes.Exchange) -> PeerNews:
+    for part in (wire.drains, wire.quarantines, wire.in_flight, wire.received):
+        for item in part or ():
+            _require(item, *(spec[2] for spec in item.thrift_spec if spec))
+    return PeerNews(
+        tuple(
+            DrainMark(mark.target, mark.reason, mark.remaining_ms / _MS_PER_S)
+            for mark in wire.drains or ()
+        ),
+        tuple(
+            QuarantineEntry(entry.digest, entry.remaining_ms / _MS_PER_S)
+            for entry in wire.quarantines or ()
+        ),
+        {work.back_end: (work.requests, work.prefill_tokens) for work in wire.in_flight or ()},
+        {item.customer: (item.tokens, item.requests) for item in wire.received or ()},
+    )
+
+
+def _require(wire: Any, *names: str) -> None:
+    for name in names:
+        if getattr(wire, name) is None:
+            raise WireError(f"{type(wire).__name__} lacks {name}")
+
+
+def _ms(seconds: float) -> int:
+    return _i32(round(seconds * _MS_PER_S))
+
+
+def _i32(value: int) -> int:
+    return max(0, min(value, _MAX_I32))
+
+
+def _i64(value: int) -> int:
+    return max(0, min(value, _MAX_I64))
--- a/src/laburnumreel/state/_keys.py
+++ b/src/laburnumreel/state/_keys.py
@@ -45,6 +45,10 @@
     def __iter__(self):
         return iter(sorted(self._members))
 
+    def added_since(self, older: "WithdrawnKeys") -> list[str]:
+        """Return the members that `older` lacks, sorted."""
+        return sorted(self._members - older._members)
+
     def with_members(self, members: Iterable[str]) -> "WithdrawnKeys":
         """Return the union with `members`, or this set itself where it has them all."""
         added = frozenset(members) - self._members
--- /dev/null
+++ b/src/laburnumreel/transport/_peer_server.py
@@ -0,0 +1,270 @@
+"""The server of calls from other processes and from the command line, over thrift."""
+
+import selectors
+import socket
+import threading
+import time
+from concurrent.futures import Executor, Future, ThreadPoolExecutor
+from typing import Any, Protocol
+
+from thrift.Thrift import TException
+
+from laburnumreel.coordination import ClaimState, ConfigSync, NodeStatus, PeerExchange
+from laburnumreel.core import Log
+from laburnumreel.protocol import _wire
+from laburnumreel.protocol.gen.node import Node
+from laburnumreel.transport._events import PEER_CALL_FAILED, PEER_REFUSED
+from laburnumreel.transport._frames import HEADER, MAX_CALL_BYTES, reader, writer, written
+
+CALL_THREADS = 8
+MAX_CONNECTIONS = 1024
+# Calls beyond this many wait unread in their sockets.
+MAX_CALLS = 64
+SELECT_S = 0.5
+FULL_PAUSE_S = 0.01
+# A peer that sends part of a call and then nothing, or takes no answer, is disconnected after this.
+PARTIAL_S = 5.0
+IDLE_S = 120.0
+FETCH_LIMIT = 500
+FETCH_BYTES = 1 << 20
+
+_log = Log("transport.peer_server")
+
+
+class NodeCalls(Protocol):
+    """What the program that owns the server answers about itself."""
+
+    def status(self) -> NodeStatus: ...
+
+    def claim_state(self, claim_key: str) -> ClaimState: ...
+
+
+class _Handler:
+    """The thrift service: each method converts, asks the owning task and converts back."""
+
+    def __init__(self, exchange: PeerExchange, config_sync: ConfigSync, node: NodeCalls) -> None:
+        self._exchange = exchange
+        self._config_sync = config_sync
+        self._node = node
+
+    def exchange(self, ours: Any) -> Any:
+        answer = self._exchange.answer(_wire.exchange_from_wire(ours))
+        return _wire.exchange_to_wire(answer)
+
+    def fetch_changes(self, after_version: int, limit: int) -> list[Any]:
+        size, answer = 0, []
+        limit = max(0, min(limit, FETCH_LIMIT))
+        for change in self._config_sync.changes_after(after_version, limit):
+            wire = _wire.change_to_wire(change)
+            size += len(wire.body)
+            if answer and size > FETCH_BYTES:
+                break
+            answer.append(wire)
+        return answer
+
+    def fetch_snapshot(self) -> Any:
+        return _wire.snapshot_to_wire(self._config_sync.configuration)
+
+    def withdraw_key(self, key_digest: str) -> int:
+        self._config_sync.withdraw([_wire.digest_from_wire(key_digest)])
+        return len(self._config_sync.withdrawn)
+
+    def status(self) -> Any:
+        return _wire.status_to_wire(self._node.status())
+
+    def claim_state(self, claim_key: str) -> Any:
+        return _wire.claim_state_to_wire(self._node.claim_state(claim_key))
+
+
+class _Connection:
+    """A peer's connection: the bytes read so far, and whether a call of it is being answered."""
+
+    def __init__(self, peer: socket.socket) -> None:
+        self.socket = peer
+        self.read = bytearray()
+        self.busy = False
+        self.active_at = time.monotonic()
+
+    def frame(self) -> bytes | None:
+        """Take out the next whole frame, or return None. Raises ValueError on a bad size."""
+        if len(self.read) < HEADER.size:
+            return None
+        (size,) = HEADER.unpack_from(self.read)
+        if not 0 < size <= MAX_CALL_BYTES:
+            raise ValueError(f"a call of {size} bytes")
+        end = HEADER.size + size
+        if len(self.read) < end:
+            return None
+        frame = bytes(self.read[HEADER.size : end])
+        del self.read[:end]
+        return frame
+
+
+class PeerServer:
+    """Serves peers on one address.
+
+    One thread watches all connections and reads whole frames; a bounded pool answers them. An idle
+    connection therefore holds no thread, and a slow peer holds one for at most `PARTIAL_S`.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        exchange: PeerExchange,
+        config_sync: ConfigSync,
+        node: NodeCalls,
+    ) -> None:
+        self._processor = Node.Processor(_Handler(exchange, config_sync, node))
+        self._listener = socket.create_server(address, backlog=128)
+        self._listener.setblocking(False)
+        self._wake, self._woken = socket.socketpair()
+        self._wake.setblocking(False)
+        self._woken.setblocking(False)
+        self._selector = selectors.DefaultSelector()
+        self._selector.register(self._listener, selectors.EVENT_READ)
+        self._selector.register(self._woken, selectors.EVENT_READ)
+        self._calls = ThreadPoolExecutor(CALL_THREADS, "peer-call")
+        self._connections: set[_Connection] = set()
+        self._answered: list[tuple[_Connection, bool]] = []
+        self._lock = threading.Lock()
+        self._running = 0
+        self._stopping = False
+        self._done: Future | None = None
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self._listener.getsockname()[:2]
+
+    def start(self, executor: Executor) -> None:
+        """Serve on a thread of `executor`."""
+        self._done = executor.submit(self._serve)
+
+    def stop(self, timeout_s: float = 10.0) -> None:
+        """Close all connections and wait until the thread has ended."""
+        self._stopping = True
+        self._notify()
+        if self._done is not None:
+            self._done.result(timeout_s)
+
+    def _serve(self) -> None:
+        try:
+            while not self._stopping:
+                if self._running >= MAX_CALLS:
+                    # Further calls wait unread in their sockets.
+                    time.sleep(FULL_PAUSE_S)
+                    self._resume_answered()
+                    continue
+                for key, _ in self._selector.select(SELECT_S):
+                    if key.fileobj is self._listener:
+                        self._accept()
+                    elif key.fileobj is self._woken:
+                        self._drain_wake()
+                    else:
+                        self._on_readable(key.data)
+                self._resume_answered()
+                self._drop_silent()
+        finally:
+            self._calls.shutdown(wait=False, cancel_futures=True)
+            for connection in list(self._connections):
+                self._drop(connection)
+            self._selector.close()
+            for end in (self._listener, self._wake, self._woken):
+                end.close()
+
+    def _accept(self) -> None:
+        try:
+            peer, _ = self._listener.accept()
+        except OSError:
+            return
+        if len(self._connections) >= MAX_CONNECTIONS:
+            _log.warning(PEER_REFUSED, detail="too many connections")
+            peer.close()
+            return
+        peer.setblocking(False)
+        peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = _Connection(peer)
+        self._connections.add(connection)
+        self._selector.register(peer, selectors.EVENT_READ, connection)
+
+    def _on_readable(self, connection: _Connection) -> None:
+        try:
+            part = connection.socket.recv(1 << 16)
+        except BlockingIOError:
+            return
+        except OSError:
+            part = b""
+        if not part:
+            self._drop(connection)
+            return
+        connection.active_at = time.monotonic()
+        connection.read += part
+        self._dispatch(connection)
+
+    def _dispatch(self, connection: _Connection) -> None:
+        try:
+            frame = connection.frame()
+        except ValueError as error:
+            _log.warning(PEER_REFUSED, detail=str(error))
+            self._drop(connection)
+            return
+        if frame is None:
+            return
+        connection.busy = True
+        self._running += 1
+        self._selector.unregister(connection.socket)
+        self._calls.submit(self._answer, connection, frame)
+
+    def _answer(self, connection: _Connection, frame: bytes) -> None:
+        good = False
+        try:
+            output = writer()
+            self._processor.process(reader(frame), output)
+            connection.socket.settimeout(PARTIAL_S)
+            connection.socket.sendall(written(output))
+            connection.socket.setblocking(False)
+            good = True
+        except (OSError, TException, EOFError, ValueError, TypeError) as error:
+            _log.warning(PEER_CALL_FAILED, detail=f"{error!r:.200}")
+        finally:
+            with self._lock:
+                self._answered.append((connection, good))
+            self._notify()
+
+    def _resume_answered(self) -> None:
+        with self._lock:
+            answered, self._answered = self._answered, []
+        for connection, good in answered:
+            self._running -= 1
+            connection.active_at = time.monotonic()
+            if not good:
+                self._drop(connection)
+                continue
+            connection.busy = False
+            self._selector.register(connection.socket, selectors.EVENT_READ, connection)
+            self._dispatch(connection)
+
+    def _drop_silent(self) -> None:
+        now = time.monotonic()
+        for connection in list(self._connections):
+            limit_s = PARTIAL_S if connection.read else IDLE_S
+            if not connection.busy and now - connection.active_at > limit_s:
+                self._drop(connection)
+
+    def _drop(self, connection: _Connection) -> None:
+        self._connections.discard(connection)
+        if not connection.busy:
+            self._selector.unregister(connection.socket)
+        connection.socket.close()
+
+    def _notify(self) -> None:
+        try:
+            self._wake.send(b"x")
+        except OSError:
+            # The server has stopped, or a wake-up is already waiting.
+            return
+
+    def _drain_wake(self) -> None:
+        try:
+            self._woken.recv(4096)
+        except BlockingIOError:
+            return
--- /dev/null
+++ b/tests/test_peer_calls.py
@@ -0,0 +1,169 @@
+"""Tests of the messages between processes and of the peer server and client on real sockets."""
+
+import socket
+import struct
+from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
+
+import pytest
+from expression import Error
+from hypothesis import given
+from hypothesis import strategies as st
+from support import fresh_host, wait_until
+
+from laburnumreel.coordination import (
+    ClaimState,
+    ConfigSync,
+    DrainMark,
+    ExchangeMessage,
+    NodeStatus,
+    NoNews,
+    PeerExchange,
+    PeerNews,
+    QuarantineEntry,
+)
+from laburnumreel.protocol import _wire
+from laburnumreel.protocol.gen.node import ttypes
+from laburnumreel.state import PlatformError
+from laburnumreel.transport import PeerClient, PeerServer
+from laburnumreel.transport._frames import MAX_CALL_BYTES, reader, writer
+
+DIGESTS = st.integers(0, (1 << 256) - 1).map(lambda number: f"{number:064x}")
+COUNTS = st.integers(0, (1 << 31) - 1)
+SECONDS = st.integers(0, 10**6).map(lambda ms: ms / 1000)
+TEXTS = st.text(max_size=20)
+NEWS = st.builds(
+    PeerNews,
+    st.lists(st.builds(DrainMark, TEXTS, TEXTS, SECONDS), max_size=3).map(tuple),
+    st.lists(st.builds(QuarantineEntry, TEXTS, SECONDS), max_size=3).map(tuple),
+    st.dictionaries(TEXTS, st.tuples(COUNTS, COUNTS), max_size=3),
+    st.dictionaries(TEXTS, st.tuples(COUNTS, COUNTS), max_size=3),
+)
+MESSAGES = st.builds(
+    ExchangeMessage,
+    *(TEXTS,) * 4,
+    COUNTS,
+    DIGESTS,
+    st.lists(DIGESTS, max_size=5).map(tuple),
+    COUNTS,
+    DIGESTS,
+    NEWS,
+    st.booleans(),
+    st.booleans(),
+)
+
+
+class DownPlatform:
+    """A platform whose store cannot be reached."""
+
+    def scan(self, *_, **__):
+        return Error(PlatformError("unreachable"))
+
+    read = scan
+
+
+class Node:
+    """A process with a configuration task, a peer exchange and a peer server."""
+
+    def __init__(self, number, addresses, platform=None):
+        self.address = addresses[number]
+        settings = SimpleNamespace(
+            node=SimpleNamespace(name=f"node-{number}", zone="antigua-a", region="antigua"),
+            listen=SimpleNamespace(peers=self.address, coordinator_peers=self.address),
+            peers=SimpleNamespace(
+                gateways=tuple(addresses), coordinators=(), exchange_s=0.1, cut_off_s=3.0
+            ),
+        )
+        self.link = PeerClient()
+        self.config = ConfigSync(platform or DownPlatform(), self.link, poll_s=0.1)
+        self.exchange = PeerExchange(settings, self.config, self.link, NoNews())
+        self.server = PeerServer(self.address, self.exchange, self.config, self)
+        self._threads = ThreadPoolExecutor(3)
+        for part in (self.config, self.exchange, self.server):
+            part.start(self._threads)
+
+    def status(self):
+        config = self.config.configuration
+        return NodeStatus(
+            "n", "gateway", "z", "b", True, False, config.version, config.digest, 0, False
+        )
+
+    def claim_state(self, claim_key):
+        return ClaimState(self.exchange.boot, claim_key == "running")
+
+    def stop(self):
+        for part in (self.server, self.exchange, self.config):
+            part.stop()
+        self.link.close()
+        self._threads.shutdown()
+
+
+@pytest.fixture
+def nodes():
+    addresses = [(fresh_host(), 7000) for _ in range(3)]
+    started = [Node(number, addresses) for number in range(3)]
+    yield started
+    for node in started:
+        node.stop()
+
+
+@given(MESSAGES)
+def test_exchange_is_equal_after_the_wire(message):
+    """Guards against a field that is dropped or swapped between processes."""
+    output = writer()
+    _wire.exchange_to_wire(message).write(output)
+    wire = ttypes.Exchange()
+    wire.read(reader(output.trans.getvalue()))
+    assert _wire.exchange_from_wire(wire) == message
+
+
+def test_withdrawal_reaches_all_peers_with_the_store_down(nodes):
+    """Guards against a withdrawn key that works on until the store is back."""
+    digest = "ab" * 32
+    assert nodes[0].link.withdraw_key(nodes[1].address, digest).ok == 1
+    for node in nodes:
+        wait_until(lambda node=node: digest in node.config.withdrawn, "the withdrawal", 5)
+        wait_until(lambda node=node: node.exchange.hears_majority(node.exchange._clock.now()), "a")
+    assert nodes[2].link.withdraw_key(nodes[1].address, "no digest").is_error()
+
+
+def test_a_fresh_node_takes_a_peers_configuration_with_the_store_down(nodes):
+    """Guards against a restarted node that cannot serve until the store is back."""
+    config = nodes[0].config.configuration
+    assert not nodes[1].config.ready
+    change = config.next_change("ana", {"customer/hall-a": {"weight": 2.0}})
+    nodes[0].config.replica.adopt_changes([change])
+    for node in nodes:
+        wait_until(lambda node=node: node.config.configuration.version == 1, "version 1", 5)
+        assert node.config.ready
+    assert nodes[1].link.status(nodes[2].address).ok.config_digest == change.digest
+    assert nodes[1].link.claim_state(nodes[2].address, "running").ok.running
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        struct.pack("!i", MAX_CALL_BYTES + 1),
+        struct.pack("!i", -1),
+        struct.pack("!i", 9) + b"\xff" * 9,
+        b"GET / HTTP/1.1\r\n\r\n",
+    ],
+)
+def test_server_closes_a_connection_with_a_bad_frame_and_serves_on(nodes, frame):
+    """Guards against memory or threads that a malformed or oversized call holds."""
+    with socket.create_connection(nodes[0].address, timeout=5) as raw:
+        raw.sendall(frame)
+        raw.settimeout(5)
+        while raw.recv(4096):
+            continue
+    assert nodes[1].link.status(nodes[0].address).is_ok()
+
+
+def test_silent_connections_hold_no_call_thread(nodes):
+    """Guards against idle or half-sent calls that keep others from being answered."""
+    silent = [socket.create_connection(nodes[0].address, timeout=5) for _ in range(40)]
+    for raw in silent:
+        raw.sendall(b"\0\0")
+    assert nodes[1].link.status(nodes[0].address).is_ok()
+    for raw in silent:
+        raw.close()
