--- a/src/laburnumreel/transport/__init__.py
+++ b/src/laburnumreel/transport/__init__.py
@@ -1,6 +1,21 @@
 """Servers and connections."""
 
+from laburnumreel.transport._admin import admin_server
+from laburnumreel.transport._backend import BackEndFailureError, BackEndPool, Exchange
+from laburnumreel.transport._orders import HttpOrderConnection, HttpOrderLink
 from laburnumreel.transport._peer_client import PeerClient
 from laburnumreel.transport._peer_server import NodeCalls, PeerServer
+from laburnumreel.transport._wsgi import HttpServer
 
-__all__ = ["NodeCalls", "PeerClient", "PeerServer"]
+__all__ = [
+    "BackEndFailureError",
+    "BackEndPool",
+    "Exchange",
+    "HttpOrderConnection",
+    "HttpOrderLink",
+    "HttpServer",
+    "NodeCalls",
+    "PeerClient",
+    "PeerServer",
+    "admin_server",
+]
