Add the operators' command line and sample profiles

Cause: operators need to check, apply, read and undo configurations and to grant and withdraw keys, also when responses are lost or operators race. Change: ui/ with one file a command group; load_folder checks a profiles folder with its cross references; write_change is a compare-and-set on the head that sends a lost transaction again and reads back its own row. Keys outlive a rollforward; those of a removed customer go with it.

--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -11,6 +11,17 @@
 from laburnumreel.coordination._authority import AlarmTimer, AuthorityBoard, ProcessTimer
 from laburnumreel.coordination._budget import RetryBudget
 from laburnumreel.coordination._config_sync import ConfigSync
+from laburnumreel.coordination._config_write import (
+    Base,
+    Edits,
+    WriteFailure,
+    edits_to,
+    managed_entries,
+    read_base,
+    write_change,
+    write_commuting,
+    write_withdrawal,
+)
 from laburnumreel.coordination._fleet import BackEnd, Drain, Fleet, LoadReport
 from laburnumreel.coordination._guarded_send import (
     Answer,
@@ -35,6 +46,7 @@
 from laburnumreel.coordination._peers import PeerExchange
 from laburnumreel.coordination._prefixes import prompt_prefixes
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
+from laburnumreel.coordination._store_sync import read_configuration
 
 __all__ = [
     "Admission",
@@ -43,6 +55,7 @@
     "Answer",
     "AuthorityBoard",
     "BackEnd",
+    "Base",
     "Choice",
     "ClaimState",
     "ConfigSync",
@@ -50,6 +63,7 @@
     "Decision",
     "Drain",
     "DrainMark",
+    "Edits",
     "ExchangeMessage",
     "Fleet",
     "GuardedSender",
@@ -76,5 +90,13 @@
     "Router",
     "SendFailure",
     "Work",
+    "WriteFailure",
+    "edits_to",
+    "managed_entries",
     "prompt_prefixes",
+    "read_base",
+    "read_configuration",
+    "write_change",
+    "write_commuting",
+    "write_withdrawal",
 ]
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -2,6 +2,7 @@
 
 from laburnumreel.state._configuration import Change, Configuration, Route
 from laburnumreel.state._errors import ERROR_ANSWERS, ErrorAnswer, ErrorKind, Refusal, RunState
+from laburnumreel.state._folder import load_folder
 from laburnumreel.state._journal import (
     ORDER_TABLE,
     Order,
@@ -44,28 +45,26 @@
 )
 
 __all__ = [
-    "CUSTOMER_SCHEMA",
-    "ERROR_ANSWERS",
-    "LEASE_TABLE",
-    "ORDER_TABLE",
-    "PROFILE_SCHEMA",
-    "SERVICE_SCHEMA",
-    "SETTINGS_SCHEMA",
     "Authority",
+    "CUSTOMER_SCHEMA",
     "CapacityOrder",
     "Change",
     "Check",
     "Configuration",
     "Customer",
+    "ERROR_ANSWERS",
     "ErrorAnswer",
     "ErrorKind",
     "Host",
     "HttpPlatform",
+    "LEASE_TABLE",
     "Lease",
     "LeaseAttempt",
     "LeaseSettings",
+    "ORDER_TABLE",
     "Order",
     "OrderState",
+    "PROFILE_SCHEMA",
     "Page",
     "Platform",
     "PlatformError",
@@ -75,6 +74,8 @@
     "Route",
     "Row",
     "RunState",
+    "SERVICE_SCHEMA",
+    "SETTINGS_SCHEMA",
     "Service",
     "Settings",
     "Target",
@@ -83,6 +84,7 @@
     "WithdrawnKeys",
     "Write",
     "key_digest",
+    "load_folder",
     "load_settings",
     "merge_sections",
     "new_key",
--- /dev/null
+++ b/src/laburnumreel/ui/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as `python -m laburnumreel.ui`."""
+
+from laburnumreel.ui import main
+
+main()
--- /dev/null
+++ b/src/laburnumreel/ui/_context.py
@@ -0,0 +1,182 @@
+"""What all commands share: the settings, the platform, the peers, and how results are printed."""
+
+import getpass
+import json
+import sys
+import time
+import uuid
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import click
+from expression import Result
+
+from laburnumreel.state import HttpPlatform, Platform, Settings, load_settings
+from laburnumreel.transport import PeerClient
+from laburnumreel.ui._errors import ExitCode, UserError
+
+Address = tuple[str, int]
+
+WAIT_S = 30.0
+POLL_S = 0.2
+PARALLEL_CALLS = 16
+
+
+class Context:
+    """One run of the command line."""
+
+    def __init__(self) -> None:
+        self.settings_file: Path | None = None
+        self.json = False
+        self._settings: Settings | None = None
+        self._peers = PeerClient()
+
+    @property
+    def settings(self) -> Settings:
+        if self._settings is None:
+            if self.settings_file is None:
+                raise UserError(
+                    ExitCode.USAGE, "no settings: give --settings FILE or set LABURNUMREEL_SETTINGS"
+                )
+            loaded = load_settings(self.settings_file)
+            if loaded.is_error():
+                raise UserError(ExitCode.USAGE, *loaded.error)
+            self._settings = loaded.ok
+        return self._settings
+
+    @property
+    def platform(self) -> Platform:
+        settings = self.settings.platform
+        return HttpPlatform(settings.address, settings.timeout_s, settings.token)
+
+    @property
+    def peers(self) -> PeerClient:
+        return self._peers
+
+    @property
+    def processes(self) -> list[Address]:
+        """The peer addresses of all gateways and coordinators."""
+        peers = self.settings.peers
+        return list(dict.fromkeys([*peers.gateways, *peers.coordinators]))
+
+    def author(self) -> str:
+        """Return this operator's name with an id that no other change has."""
+        try:
+            user = getpass.getuser()
+        except (KeyError, OSError):
+            user = "operator"
+        return f"{user}#{uuid.uuid4().hex[:12]}"
+
+    def show(self, value: Any, lines: Sequence[str]) -> None:
+        """Print a result: `value` as JSON for scripts, `lines` for people."""
+        if self.json:
+            click.echo(json.dumps(value, sort_keys=True))
+            return
+        for line in lines:
+            click.echo(line)
+
+    def progress(self, text: str) -> None:
+        """Print a line on how far a wait has come, apart from the result."""
+        if not self.json:
+            click.echo(text, err=True)
+
+    def ask_all(
+        self, addresses: Sequence[Address], call: Callable[[Address], Result[Any, str]]
+    ) -> dict[Address, Result[Any, str]]:
+        """Call several processes at once."""
+        with ThreadPoolExecutor(PARALLEL_CALLS) as executor:
+            return dict(zip(addresses, executor.map(call, addresses), strict=True))
+
+    def wait_for_all(
+        self,
+        addresses: Sequence[Address],
+        call: Callable[[Address], Result[Any, str]],
+        in_force: Callable[[Any], bool],
+        what: str,
+        timeout_s: float,
+    ) -> None:
+        """Call the processes until each is in force; name those that are not in time."""
+        deadline = time.monotonic() + timeout_s
+        waiting, last = list(addresses), -1
+        while waiting:
+            answers = self.ask_all(waiting, call)
+            waiting = [
+                address
+                for address, answer in answers.items()
+                if answer.is_error() or not in_force(answer.ok)
+            ]
+            done = len(addresses) - len(waiting)
+            if done != last:
+                last = done
+                self.progress(f"{what}: {done} of {len(addresses)} processes")
+            if waiting and time.monotonic() >= deadline:
+                names = [f"{host}:{port}" for host, port in waiting]
+                raise UserError(
+                    ExitCode.NOT_IN_FORCE,
+                    f"{what}: not in force within {timeout_s:g} s on {', '.join(names)}",
+                    not_in_force=names,
+                )
+            if waiting:
+                time.sleep(POLL_S)
+
+    def fail(self, error: UserError) -> int:
+        """Print an error and return its exit code."""
+        if self.json:
+            body = {"error": error.lines, "code": int(error.code), **error.fields}
+            click.echo(json.dumps(body, sort_keys=True), err=True)
+        else:
+            for line in error.lines:
+                click.echo(f"laburnumreel: {line}", err=True)
+        return int(error.code)
+
+
+pass_context = click.make_pass_decorator(Context)
+
+
+def common_options(command: Callable) -> Callable:
+    """Add --settings and --json, which may stand before or after the command's name."""
+
+    def keep_settings(context: click.Context, _: click.Parameter, value: Path | None) -> None:
+        if value is not None:
+            context.ensure_object(Context).settings_file = value
+
+    def keep_json(context: click.Context, _: click.Parameter, value: bool) -> None:
+        if value:
+            context.ensure_object(Context).json = True
+
+    command = click.option(
+        "--json",
+        is_flag=True,
+        expose_value=False,
+        callback=keep_json,
+        help="Print JSON for scripts.",
+    )(command)
+    return click.option(
+        "--settings",
+        type=click.Path(path_type=Path, dir_okay=False),
+        envvar="LABURNUMREEL_SETTINGS",
+        expose_value=False,
+        callback=keep_settings,
+        help="The daemon's settings file.",
+    )(command)
+
+
+def main_with(group: click.Group, arguments: Sequence[str] | None = None) -> int:
+    """Run a command group and return the exit code; errors are printed without a traceback."""
+    context = Context()
+    try:
+        group.main(args=arguments, prog_name="laburnumreel", standalone_mode=False, obj=context)
+    except UserError as error:
+        return context.fail(error)
+    except click.ClickException as error:
+        # Parsing may have failed before it reached the option.
+        context.json = "--json" in (sys.argv[1:] if arguments is None else arguments)
+        return context.fail(UserError(ExitCode.USAGE, error.format_message()))
+    except (click.Abort, KeyboardInterrupt):
+        return context.fail(UserError(ExitCode.USAGE, "interrupted"))
+    except BrokenPipeError:
+        sys.stderr.close()
+        return int(ExitCode.USAGE)
+    return int(ExitCode.DONE)
--- /dev/null
+++ b/src/laburnumreel/ui/_fleet.py
@@ -0,0 +1,25 @@
+"""The `fleet` commands."""
+
+import click
+
+from laburnumreel.ui._context import Context, common_options, pass_context
+from laburnumreel.ui._errors import raise_unreachable
+from laburnumreel.ui._lists import as_lines
+
+
+@click.group()
+def fleet() -> None:
+    """Backend servers."""
+
+
+@fleet.command("list")
+@common_options
+@pass_context
+def list_hosts(context: Context) -> None:
+    """Print the platform's list of backend servers, which lags by some seconds."""
+    hosts = context.platform.hosts()
+    if hosts.is_error():
+        raise_unreachable(hosts.error)
+    rows = [host._asdict() for host in hosts.ok]
+    columns = ("name", "address", "zone", "region", "service", "kind", "cheap", "state")
+    context.show({"hosts": rows}, as_lines(rows, columns))
--- /dev/null
+++ b/src/laburnumreel/ui/_key.py
@@ -0,0 +1,128 @@
+"""The `key` commands: grant, withdraw and list."""
+
+import re
+
+import click
+
+from laburnumreel.coordination import (
+    Edits,
+    read_base,
+    write_commuting,
+    write_withdrawal,
+)
+from laburnumreel.state import Configuration, key_digest, new_key
+from laburnumreel.ui._context import WAIT_S, Context, common_options, pass_context
+from laburnumreel.ui._errors import ExitCode, UserError, raise_unreachable, raise_write_failure
+
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+
+
+@click.group()
+def key() -> None:
+    """Callers' keys."""
+
+
+@key.command()
+@click.argument("customer")
+@click.option("--name", default="", help="A note that tells this key from others.")
+@common_options
+@pass_context
+def grant(context: Context, customer: str, name: str) -> None:
+    """Make a key for CUSTOMER and print it. It is printed only now and stored only as a digest."""
+    secret = new_key()
+    digest = key_digest(secret, context.settings.pepper)
+    author = context.author()
+
+    def edit(configuration: Configuration) -> Edits:
+        if customer not in configuration.customers:
+            known = ", ".join(sorted(configuration.customers)) or "none"
+            raise UserError(ExitCode.USAGE, f"unknown customer {customer}; customers: {known}")
+        value = {"customer": customer, "name": name, "author": author}
+        return Edits({f"key/{digest}": value}, ())
+
+    written = write_commuting(context.platform, author, edit)
+    if written.is_error():
+        raise_write_failure(written.error)
+    value = {"key": secret, "digest": digest, "customer": customer, "version": written.ok.version}
+    context.show(value, [secret])
+
+
+@key.command()
+@click.argument("secret", metavar="KEY", required=False)
+@click.option("--digest", help="The key's digest, as `key list` prints it, instead of KEY.")
+@click.option("--wait", is_flag=True, help="Wait until every gateway has confirmed.")
+@click.option("--timeout", default=WAIT_S, show_default=True, help="Longest wait in seconds.")
+@common_options
+@pass_context
+def withdraw(
+    context: Context, secret: str | None, digest: str | None, wait: bool, timeout: float
+) -> None:
+    """Withdraw a key. It stops working within seconds, for connected callers too.
+
+    The withdrawal goes to the store and to every gateway. It is applied once it is in the store or
+    a majority of the gateways has it.
+    """
+    if (secret is None) == (digest is None):
+        raise UserError(ExitCode.USAGE, "give either KEY or --digest")
+    if secret is not None:
+        digest = key_digest(secret, context.settings.pepper)
+    if not _DIGEST.fullmatch(digest or ""):
+        raise UserError(ExitCode.USAGE, f"not a key digest: {digest}; 64 hexadecimal digits")
+    gateways = list(context.settings.peers.gateways)
+
+    def tell(address: tuple[str, int]):
+        return context.peers.withdraw_key(address, digest)
+
+    told = context.ask_all(gateways, tell)
+    confirmed = [address for address in gateways if told[address].is_ok()]
+    stored = write_withdrawal(context.platform, context.author(), digest)
+    if stored.is_error() and 2 * len(confirmed) <= len(gateways):
+        raise UserError(
+            ExitCode.UNREACHABLE,
+            f"not applied: the store failed ({stored.error.detail or stored.error.kind}) and"
+            f" {len(confirmed)} of {len(gateways)} gateways confirmed, which is no majority",
+            confirmed=len(confirmed),
+        )
+    if wait:
+        missing = [address for address in gateways if address not in confirmed]
+        context.wait_for_all(missing, tell, lambda _: True, "withdrawal", timeout)
+        confirmed = gateways
+    value = {
+        "digest": digest,
+        "stored": stored.is_ok(),
+        "confirmed": len(confirmed),
+        "gateways": len(gateways),
+    }
+    where = "in the store" if stored.is_ok() else "not yet in the store"
+    context.show(
+        value, [f"withdrawn: {where}; {len(confirmed)} of {len(gateways)} gateways confirmed"]
+    )
+
+
+@key.command("list")
+@common_options
+@pass_context
+def list_keys(context: Context) -> None:
+    """Print the digests of all keys, with their customers, and of the withdrawn ones."""
+    base = read_base(context.platform)
+    if base.is_error():
+        raise_unreachable(base.error)
+    rows = [
+        {"digest": entry.removeprefix("key/"), "state": "granted", **value}
+        for entry, value in base.ok.configuration.entries.items()
+        if entry.startswith("key/")
+    ]
+    after, more = "", True
+    while more:
+        page = context.platform.scan("withdrawn", after=after)
+        if page.is_error():
+            raise_unreachable(page.error)
+        gone = {row.key for row in page.ok.rows}
+        rows = [row for row in rows if row["digest"] not in gone]
+        rows += [{"digest": r.key, "state": "withdrawn", **r.value} for r in page.ok.rows]
+        after, more = page.ok.rows[-1].key if page.ok.rows else "", page.ok.more
+    lines = [
+        f"{row['digest']} {row['state']} {row.get('customer', '-')} {row.get('name', '')}".rstrip()
+        for row in rows
+    ]
+    context.show({"keys": rows}, lines)
--- /dev/null
+++ b/src/laburnumreel/ui/_order.py
@@ -0,0 +1,21 @@
+"""The `order` commands."""
+
+import click
+
+from laburnumreel.ui._context import Context, common_options, pass_context
+from laburnumreel.ui._lists import as_lines, read_table
+
+
+@click.group()
+def order() -> None:
+    """Orders to engines and zones."""
+
+
+@order.command("list")
+@common_options
+@pass_context
+def list_orders(context: Context) -> None:
+    """Print the newest order to each target."""
+    rows = read_table(context, "order")
+    lines = as_lines(rows, ("key", "order_id", "fence", "action", "state", "arguments"))
+    context.show({"orders": rows}, lines)
--- /dev/null
+++ b/tests/test_ui.py
@@ -0,0 +1,188 @@
+"""Tests of the command line against the platform stand-in."""
+
+import json
+import threading
+
+import pytest
+from support import Process, fresh_host
+
+from laburnumreel.coordination import read_base, write_change
+from laburnumreel.state import HttpPlatform, PlatformError
+from laburnumreel.ui import _config, cli
+from laburnumreel.ui._context import main_with
+
+SETTINGS = """
+[node]
+name = ops
+zone = antigua-a
+region = antigua
+[platform]
+address = {host}:9000
+[peers]
+gateways = {host}:7001, {host}:7002
+[keys]
+pepper_env = TEST_PEPPER
+"""
+
+
+@pytest.fixture
+def folder(tmp_path):
+    for place in ("profiles", "services", "customers"):
+        (tmp_path / place).mkdir()
+    (tmp_path / "profiles/quotes.ini").write_text("[profile]\nkind = model\n")
+    service = "[service]\nprofile = quotes\nmodels = m\ncustomers = *\n"
+    (tmp_path / "services/quotes.ini").write_text(service)
+    (tmp_path / "customers/hall.ini").write_text("[customer]\nweight = 2\n")
+    return tmp_path
+
+
+@pytest.fixture
+def host():
+    return fresh_host()
+
+
+@pytest.fixture
+def platform(host):
+    process = Process("laburnumreel_standins.main", "platform", "--listen", f"{host}:9000")
+    process.listening(host, 9000)
+    yield HttpPlatform((host, 9000))
+    process.end()
+
+
+@pytest.fixture
+def run(tmp_path, host, monkeypatch, capsys):
+    """Run the command line; return exit code, JSON result and JSON error."""
+    monkeypatch.setenv("TEST_PEPPER", "pepper")
+    file = tmp_path / "node.ini"
+    file.write_text(SETTINGS.format(host=host))
+
+    def call(*arguments):
+        capsys.readouterr()
+        code = main_with(cli, ["--settings", str(file), *map(str, arguments), "--json"])
+        out, err = capsys.readouterr()
+        return code, json.loads(out) if out else None, json.loads(err) if err else None
+
+    return call
+
+
+@pytest.mark.processes
+def test_a_configuration_from_check_to_rollforward(run, folder, platform):
+    """Guards against commands that disagree on what the configuration is."""
+    assert run("config", "check", folder)[0] == 0
+    assert run("config", "diff", folder)[1]["puts"].keys() == {
+        "profile/quotes",
+        "service/quotes",
+        "customer/hall",
+    }
+    assert run("config", "apply", folder, "--expect", 0)[1]["version"] == 1
+    assert run("config", "apply", folder)[1]["changed"] is False
+    granted = run("key", "grant", "hall", "--name", "till")[1]
+    assert granted["version"] == 2 and len(granted["key"]) > 30
+    (folder / "customers/agency.ini").write_text("[customer]\n")
+    assert run("config", "apply", folder)[1]["version"] == 3
+    code, _, error = run("config", "apply", folder, "--expect", 1)
+    assert code == 4 and error["version"] == 3
+    forward = run("config", "rollforward", 1)[1]
+    assert forward["version"] == 4 and forward["deletes"] == ["customer/agency"]
+    entries = run("config", "show")[1]["entries"]
+    assert f"key/{granted['digest']}" in entries and "customer/agency" not in entries
+    assert granted["key"] not in json.dumps(entries)
+    withdrawn = run("key", "withdraw", granted["key"])[1]
+    assert withdrawn["stored"] and withdrawn["confirmed"] == 0
+    assert [row["state"] for row in run("key", "list")[1]["keys"]] == ["withdrawn"]
+    assert run("config", "rollforward", 2)[0] == 0
+    assert [row["state"] for row in run("key", "list")[1]["keys"]] == ["withdrawn"]
+    for command in ("lease", "order", "fleet"):
+        assert run(command, "list")[0] == 0
+
+
+@pytest.mark.processes
+def test_racing_operators_one_wins_and_the_other_is_told(run, folder, platform, monkeypatch):
+    """Guards against an apply that overwrites a change its operator never saw."""
+    assert run("config", "apply", folder)[0] == 0
+    read = _config.read_base
+
+    def read_then_lose(_):
+        base = read(platform)
+        rival = base.ok.configuration.next_change(
+            "rival#1", {"customer/hall": {"weight": 9.0, "tokens_per_s": 0, "requests_per_s": 0}}
+        )
+        assert write_change(platform, base.ok, rival).is_ok()
+        return base
+
+    monkeypatch.setattr(_config, "read_base", read_then_lose)
+    (folder / "customers/hall.ini").write_text("[customer]\nweight = 3\n")
+    code, _, error = run("config", "apply", folder)
+    assert code == 4 and error["winner"] == "rival#1" and error["both"] == ["customer/hall"]
+    assert read(platform).ok.configuration.customers["hall"].weight == 9.0
+
+
+@pytest.mark.processes
+def test_many_grants_at_once_all_take_effect(run, folder, platform, tmp_path):
+    """Guards against a grant that is lost to another operator's change."""
+    assert run("config", "apply", folder)[0] == 0
+    codes = []
+    arguments = ["--settings", str(tmp_path / "node.ini"), "key", "grant", "hall"]
+    threads = [
+        threading.Thread(target=lambda: codes.append(main_with(cli, arguments))) for _ in range(4)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert codes == [0] * 4
+    assert len(run("key", "list")[1]["keys"]) == 4
+
+
+@pytest.mark.processes
+def test_wait_names_the_gateways_that_are_behind(run, folder, platform, host):
+    """Guards against a success that some gateways never heard of."""
+    code, _, error = run("config", "apply", folder, "--wait", "--timeout", 0.5)
+    assert code == 5 and error["not_in_force"] == [f"{host}:7001", f"{host}:7002"]
+
+
+def test_errors_an_operator_can_mend_have_codes_and_no_traceback(run, folder):
+    """Guards against tracebacks and against scripts that cannot tell failures apart."""
+    assert run("config", "apply", folder)[0] == 3
+    assert run("status")[0] == 3
+    assert run("config", "bogus")[0] == 1
+    assert run("--settings", "nowhere.ini", "status")[0] == 1
+    assert run("key", "withdraw")[0] == 1
+    assert run("key", "withdraw", "lr-x")[0] == 3
+    (folder / "customers/hall.ini").write_text("[customer]\nweight = much\n")
+    code, _, error = run("config", "check", folder)
+    assert code == 2
+    assert error["errors"][0]["found"] == "'much'"
+
+
+class LosingPlatform:
+    """A platform whose transactions take effect or not, and whose answers to them are lost."""
+
+    def __init__(self, platform, effects):
+        self._platform = platform
+        self._effects = list(effects)
+
+    def __getattr__(self, name):
+        return getattr(self._platform, name)
+
+    def transact(self, checks, writes):
+        if not self._effects:
+            return self._platform.transact(checks, writes)
+        if self._effects.pop(0):
+            self._platform.transact(checks, writes)
+        return HttpPlatform(("127.0.0.1", 1)).hosts().map_error(lambda _: PlatformError("lost"))
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("effects", [[True], [False], [False, True, False], [True] * 9])
+def test_a_lost_answer_is_read_back(platform, effects):
+    """Guards against a change that is applied twice, or reported lost though it is the head."""
+    base = read_base(platform).ok
+    change = base.configuration.next_change("ana#1", {"customer/hall": {"weight": 1.0}})
+    losing = LosingPlatform(platform, effects)
+    written = write_change(losing, base, change, sleep=lambda _: None)
+    if len(effects) < 5:
+        assert written.ok == change
+    else:
+        assert written.error.kind == "unknown"
+    assert read_base(platform).ok.configuration.version == 1
