--- /dev/null
+++ b/src/laburnumreel/serving/_stopgap.py
@@ -0,0 +1,94 @@
+"""The simplest versions of parts that other modules provide, behind the same interfaces."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from laburnumreel.core import Clock, Task
+from laburnumreel.state import (
+    Check,
+    Configuration,
+    Platform,
+    WithdrawnKeys,
+    Write,
+)
+
+
+class UsageCount(NamedTuple):
+    customer: str
+    service: str
+    requests: int
+    prompt_tokens: int
+    output_tokens: int
+
+
+class ConfigSync(Task):
+    def __init__(self, platform: Platform, clock: Clock) -> None:
+        super().__init__("config-sync", tick_s=0.5)
+        self._platform = platform
+        self._clock = clock
+        self.configuration = Configuration()
+        self.withdrawn = WithdrawnKeys()
+        self.ready = False
+        self._read_at = float("-inf")
+        self._listeners: list[Callable[[Configuration, WithdrawnKeys], None]] = []
+
+    def store_read_at(self) -> float:
+        return self._read_at
+
+    def subscribe(self, listener: Callable[[Configuration, WithdrawnKeys], None]) -> None:
+        self._listeners.append(listener)
+
+    def withdraw(self, digests: Iterable[str]) -> None:
+        self.withdrawn = self.withdrawn.with_members(digests)
+
+    def tick(self) -> None:
+        now = self._clock.now()
+        after = f"{self.configuration.version:012d}" if self.configuration.version else ""
+        changes = self._platform.scan("config_change", after=after)
+        withdrawn = self._platform.scan("withdrawn")
+        if changes.is_error() or withdrawn.is_error():
+            return
+        from laburnumreel.state import Change
+
+        before = self.configuration, self.withdrawn
+        for row in changes.ok.rows:
+            self.configuration = self.configuration.apply(Change.from_value(row.value)).ok
+        self.withdrawn = self.withdrawn.with_members(row.key for row in withdrawn.ok.rows)
+        self._read_at = now
+        self.ready = True
+        if (self.configuration, self.withdrawn) != before:
+            for listener in self._listeners:
+                listener(self.configuration, self.withdrawn)
+
+
+class UsageFlush(Task):
+    def __init__(self, platform: Platform, node: str, boot: str, clock: Clock) -> None:
+        super().__init__("usage-flush", tick_s=0.5)
+        self._platform, self._node, self._boot, self._clock = platform, node, boot, clock
+        self._counted: set[str] = set()
+        self._pending: list[UsageCount] = []
+        self._sequence = 0
+
+    def count(self, request_id: str, count: UsageCount) -> None:
+        if request_id not in self._counted:
+            self._counted.add(request_id)
+            self._pending.append(count)
+
+    def flush_all(self, timeout_s: float) -> bool:
+        self.ask("flush").result(timeout_s)
+        return not self._pending
+
+    def handle(self, message: object) -> None:
+        self.tick()
+
+    def tick(self) -> None:
+        pending, self._pending = self._pending, []
+        if not pending:
+            return
+        self._sequence += 1
+        window = int(self._clock.wall() // 60)
+        key = f"{window}:0:{self._node}:{self._boot}:{self._sequence}"
+        value = {"counts": [count._asdict() for count in pending]}
+        write = Write("usage_delta", key, value)
+        if self._platform.transact([Check("usage_delta", key, 0)], [write]).is_error():
+            self._pending = pending + self._pending
