Add the coordinator process

Cause: leases and orders need a program that reads the configuration, hosts and loads and gives the orders that they ask for.

Workers are spread evenly over zones until the spend planner is there. On SIGTERM the current order is finished and leases are released; the lease orders lapses instead where a copy of an order may still arrive.

--- /dev/null
+++ b/src/laburnumreel/coordination/_snapshots.py
@@ -0,0 +1,61 @@
+"""The task that stores the whole configuration now and then, for fresh nodes."""
+
+from collections.abc import Callable
+
+from laburnumreel.coordination._authority import AuthorityBoard
+from laburnumreel.coordination._events import SNAPSHOT_WRITTEN
+from laburnumreel.core import Log, Task
+from laburnumreel.state import LEASE_TABLE, Check, Configuration, Platform, Write
+
+SNAPSHOT_LEASE = "snapshot"
+SNAPSHOT_EVERY_CHANGES = 500
+SNAPSHOT_TICK_S = 5.0
+SNAPSHOT_TABLE, SNAPSHOT_KEY = "config_snapshot", "latest"
+
+_log = Log("coordination.snapshots")
+
+
+class SnapshotWriter(Task):
+    """Writes an object and names it in the row `latest`, every 500 changes."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        board: AuthorityBoard,
+        configuration: Callable[[], Configuration | None],
+    ) -> None:
+        super().__init__("snapshots", SNAPSHOT_TICK_S)
+        self._platform = platform
+        self._board = board
+        self._configuration = configuration
+
+    def tick(self) -> None:
+        authority = self._board.current(SNAPSHOT_LEASE)
+        configuration = self._configuration()
+        if authority is None or configuration is None:
+            return
+        row = self._platform.read(SNAPSHOT_TABLE, SNAPSHOT_KEY)
+        if row.is_error():
+            return
+        version = 0 if row.ok is None else row.ok.value["version"]
+        if configuration.version < version + SNAPSHOT_EVERY_CHANGES:
+            return
+        name = f"config/{configuration.version:012d}"
+        if self._platform.put_object(name, configuration.to_bytes()).is_error():
+            return
+        # With a lost answer the next tick reads the row again.
+        result = self._platform.transact(
+            [
+                Check(LEASE_TABLE, SNAPSHOT_LEASE, authority.row_version),
+                Check(SNAPSHOT_TABLE, SNAPSHOT_KEY, 0 if row.ok is None else row.ok.version),
+            ],
+            [
+                Write(
+                    SNAPSHOT_TABLE,
+                    SNAPSHOT_KEY,
+                    {"version": configuration.version, "object": name},
+                )
+            ],
+        )
+        if result.is_ok():
+            _log.info(SNAPSHOT_WRITTEN, version=configuration.version)
--- /dev/null
+++ b/src/laburnumreel/coordination/_wanted.py
@@ -0,0 +1,67 @@
+"""Which orders the configuration asks for. Pure functions of configuration, hosts and loads."""
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from laburnumreel.state import Configuration, Host, Service, Target, WantedOrder
+
+DEDICATED = "dedicated"
+
+
+class EngineReport(NamedTuple):
+    """What an engine's load report says of its orders."""
+
+    role: str
+    models: tuple[str, ...]
+    draining: bool
+
+
+class Capacity(NamedTuple):
+    """The wanted total of back ends of one kind for a service in a zone."""
+
+    zone: str
+    service: str
+    kind: str
+    count: int
+
+
+def even_capacity(service: Service) -> list[Capacity]:
+    """Spread a service's workers over its zones, so that the rest suffices without any one zone."""
+    zones = service.zones
+    if not zones:
+        return []
+    bearing = len(zones) - 1 if service.spare_zone and len(zones) > 1 else len(zones)
+    count = -(-service.workers // bearing)
+    return [Capacity(zone, service.name, DEDICATED, count) for zone in zones]
+
+
+def capacity_orders(capacities: Sequence[Capacity]) -> list[WantedOrder]:
+    """Return the orders to the zones for these totals."""
+    return [
+        WantedOrder(
+            Target.zone(capacity.zone, capacity.service, capacity.kind),
+            "count",
+            {"count": capacity.count},
+        )
+        for capacity in capacities
+    ]
+
+
+def model_orders(
+    configuration: Configuration, hosts: Sequence[Host], reports: Mapping[str, EngineReport]
+) -> list[WantedOrder]:
+    """Return the orders that load each service's models on its engines.
+
+    An engine without a report gets no order: what it has loaded is not known.
+    """
+    wanted = []
+    for host in hosts:
+        service = configuration.services.get(host.service)
+        report = reports.get(host.name)
+        if service is None or report is None or host.kind != "engine" or host.state != "live":
+            continue
+        for model in service.models:
+            if model not in report.models:
+                target = Target.engine(host.name)
+                wanted.append(WantedOrder(target, "load", {"model": model}))
+    return wanted
--- /dev/null
+++ b/src/laburnumreel/coordinator.py
@@ -0,0 +1,168 @@
+"""The coordinator process: holds leases, gives orders, seals and sends usage."""
+
+import contextlib
+import random
+import secrets
+import signal
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from laburnumreel.coordination import (
+    ORDERS_LEASE,
+    SNAPSHOT_LEASE,
+    AlarmTimer,
+    AuthorityBoard,
+    LeaseKeeper,
+    OrderLink,
+    OrderSender,
+    Planner,
+    ProcessTimer,
+    Receivers,
+    SnapshotWriter,
+)
+from laburnumreel.core import Log, SystemClock, Task, define_event
+from laburnumreel.state import Change, Configuration, HttpPlatform, Lease, Settings
+from laburnumreel.transport import HttpLoadReader, HttpOrderLink, admin_server
+
+COORDINATOR_STARTED = define_event(110, "coordinator_started", "the coordinator runs")
+COORDINATOR_STOPPING = define_event(111, "coordinator_stopping", "the coordinator was told to stop")
+COORDINATOR_STOPPED = define_event(112, "coordinator_stopped", "the coordinator has stopped")
+
+USAGE_LEASE = "usage"
+TASK_THREADS = 16
+LOAD_READERS = 8
+STOP_WAIT_S = 30.0
+
+_log = Log("coordinator")
+
+
+class Coordinator:
+    """Wires a coordinator's tasks together and runs them until it is told to stop.
+
+    `wrap_link` and `timer` let a test stand between the order sender and its sockets.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        timer: ProcessTimer | None = None,
+        wrap_link: Callable[[OrderLink], OrderLink] = lambda link: link,
+    ) -> None:
+        self._settings = settings
+        self._boot = secrets.token_hex(8)
+        self._clock = SystemClock()
+        self._stop = threading.Event()
+        self._stopping = False
+        where, margin_s = settings.platform, settings.lease.margin_s
+        self._platform = HttpPlatform(where.address, where.timeout_s, where.token)
+        self._board = AuthorityBoard(self._clock)
+        self._keeper = self._make_keeper(timer or AlarmTimer(self._clock))
+        engine_link = HttpOrderLink(where.timeout_s, margin_s)
+        platform_link = wrap_link(HttpOrderLink(where.timeout_s, margin_s, where.token))
+        receivers = Receivers(wrap_link(engine_link), platform_link, where.address)
+        self._orders = OrderSender(
+            self._platform, self._board, receivers, self._clock, margin_s, self._boot
+        )
+        self._readers = ThreadPoolExecutor(LOAD_READERS, "loads")
+        self._config = ConfigReader(self._platform)
+        self._planner = Planner(
+            self._platform,
+            self._board,
+            HttpLoadReader(engine_link),
+            self._readers,
+            lambda: self._config.configuration,
+            self._orders.tell,
+        )
+        self._snapshots = SnapshotWriter(
+            self._platform, self._board, lambda: self._config.configuration
+        )
+        self._admin = admin_server(settings.listen.coordinator_admin, self._readiness)
+
+    @property
+    def leases(self) -> tuple[str, ...]:
+        """The names of the leases held now."""
+        return self._board.names
+
+    def run(self) -> int:
+        """Run until SIGTERM and return the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self._stop.set())
+        AlarmTimer.prepare()
+        # The thread that sends orders takes the timer's signal before it runs on after a pause.
+        order_thread = ThreadPoolExecutor(
+            1, "orders", initializer=AlarmTimer.receive_on_this_thread
+        )
+        with order_thread, self._readers, ThreadPoolExecutor(TASK_THREADS, "task") as executor:
+            self._orders.start(order_thread)
+            tasks: list[Task] = [self._keeper, self._config, self._planner, self._snapshots]
+            for task in tasks:
+                task.start(executor)
+            self._admin.start(executor)
+            _log.info(COORDINATOR_STARTED, node=self._settings.node.name, boot=self._boot)
+            self._stop.wait()
+            self._shut_down(tasks)
+        return 0
+
+    def _shut_down(self, tasks: list[Task]) -> None:
+        _log.info(COORDINATOR_STOPPING, leases=list(self.leases))
+        self._stopping = True
+        for task in (*reversed(tasks[1:]), self._orders):
+            with contextlib.suppress(TimeoutError):
+                task.stop(STOP_WAIT_S)
+        if self._orders.uncertain:
+            # A copy of the last order may still arrive: a successor waits out the term.
+            self._keeper.tell(("lapse", ORDERS_LEASE))
+        self._keeper.stop(STOP_WAIT_S)
+        self._admin.stop()
+        _log.info(COORDINATOR_STOPPED)
+
+    def _make_keeper(self, timer: ProcessTimer) -> LeaseKeeper:
+        settings = self._settings
+        term_s, margin_s = settings.lease
+        leases = [
+            Lease(name, settings.node.name, self._boot, term_s, margin_s)
+            for name in (ORDERS_LEASE, USAGE_LEASE, SNAPSHOT_LEASE)
+        ]
+        timeout_s = LeaseKeeper.call_timeout_s(settings.lease)
+        platform = HttpPlatform(settings.platform.address, timeout_s, settings.platform.token)
+        return LeaseKeeper(
+            platform, self._board, timer, self._clock, leases, settings.lease, random.Random()
+        )
+
+    def _readiness(self) -> tuple[bool, dict[str, Any]]:
+        configuration = self._config.configuration
+        ready = configuration is not None and self._keeper.store_reachable and not self._stopping
+        return ready, {
+            "stopping": self._stopping,
+            "leases": list(self.leases),
+            "configuration": 0 if configuration is None else configuration.version,
+        }
+
+
+class ConfigReader(Task):
+    """Reads new changes of the configuration from the store."""
+
+    def __init__(self, platform: HttpPlatform) -> None:
+        super().__init__("config", 1.0)
+        self._platform = platform
+        self.configuration: Configuration | None = None
+
+    def tick(self) -> None:
+        configuration = self.configuration or Configuration()
+        after = f"{configuration.version:012d}" if configuration.version else ""
+        page = self._platform.scan("config_change", after=after)
+        if page.is_error():
+            return
+        for row in page.ok.rows:
+            applied = configuration.apply(Change.from_value(row.value))
+            if applied.is_error():
+                return
+            configuration = applied.ok
+        self.configuration = configuration
+
+
+def run(settings: Settings) -> int:
+    """Run a coordinator until it is told to stop, and return the exit code."""
+    return Coordinator(settings).run()
--- /dev/null
+++ b/tests/coordinators.py
@@ -0,0 +1,101 @@
+"""Coordinator processes for tests, also ones that stop themselves between check and write."""
+
+import os
+import signal
+import sys
+import threading
+from pathlib import Path
+
+from deployment import MODEL, PEPPER, Deployment, call
+from support import Process, wait_until
+
+from laburnumreel.coordinator import Coordinator
+from laburnumreel.state import load_settings
+
+ZONES = ["zone-a", "zone-b"]
+LEASE = "term_s = 2.0\nmargin_s = 0.3\n"
+
+
+class CoordinatorProcess:
+    """A coordinator's process and its admin address."""
+
+    def __init__(self, deployment: Deployment, name: str, program: str = "", *options: str) -> None:
+        path, addresses = deployment.settings(name, lease=LEASE)
+        self.name, self.admin = name, addresses["coordinator_admin"]
+        arguments = (program, str(path), *options) if program else ("--config", str(path))
+        env = {"TEST_PEPPER": PEPPER, "TEST_CREDENTIAL": "x"}
+        if program:
+            self.process: Process = deployment.start(*arguments, env=env)
+        else:
+            module = "laburnumreel.daemon"
+            self.process = deployment.start(module, *arguments, "coordinator", env=env)
+        self.process.listening(*self.admin)
+
+    def leases(self) -> list[str]:
+        return call(self.admin, "GET", "/readyz").json["leases"]
+
+    def wait_for(self, lease: str) -> "CoordinatorProcess":
+        wait_until(lambda: lease in self.leases(), f"{self.name} to hold {lease}")
+        return self
+
+
+def ask_for(deployment: Deployment, models: list[str], workers: int) -> None:
+    """Accept a configuration that needs these models and workers."""
+    wanted = {"models": [MODEL, *models], "workers": workers, "zones": ZONES}
+    deployment.configure(service__models=wanted)
+
+
+def is_stopped(process: Process) -> bool:
+    """Whether a process was stopped by a signal."""
+    state = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()[0]
+    return state == "T"
+
+
+class _NoTimer:
+    """The planted fault: the process outlives its lease."""
+
+    def arm(self, end: float) -> None:
+        return
+
+    def disarm(self) -> None:
+        return
+
+
+class _StoppingLink:
+    """Stops the process between the check of the lease and the write of an order, once."""
+
+    def __init__(self, link) -> None:
+        self._link = link
+
+    def connect(self, address):
+        return self._link.connect(address).map(_StoppingConnection)
+
+    def read(self, address, path):
+        return self._link.read(address, path)
+
+
+class _StoppingConnection:
+    stopped = False
+
+    def __init__(self, connection) -> None:
+        self._connection = connection
+        self.answer, self.abort = connection.answer, connection.abort
+        self.close = connection.close
+
+    def write(self, path, body):
+        if not _StoppingConnection.stopped:
+            _StoppingConnection.stopped = True
+            signal.pthread_kill(threading.get_ident(), signal.SIGSTOP)
+        return self._connection.write(path, body)
+
+
+def main(path: str, timer: str) -> None:
+    """Run a coordinator that stops itself, with or without its process timer."""
+    settings = load_settings(Path(path)).ok
+    options = {"timer": _NoTimer()} if timer == "no-timer" else {}
+    sys.exit(Coordinator(settings, wrap_link=_StoppingLink, **options).run())
+
+
+if __name__ == "__main__":
+    os.environ.setdefault("PYTHONUNBUFFERED", "1")
+    main(*sys.argv[1:])
--- /dev/null
+++ b/tests/test_coordinator.py
@@ -0,0 +1,106 @@
+"""Coordinators as processes between engines, the platform and each other."""
+
+import signal
+import time
+
+import pytest
+from coordinators import CoordinatorProcess, ask_for, is_stopped
+from deployment import Deployment, call
+from support import wait_until
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture
+def deployment():
+    running = Deployment()
+    yield running
+    running.end()
+
+
+def zone_orders(deployment):
+    history = call(deployment.platform_address, "GET", "/standin/state").json["order_history"]
+    return [(item["order"]["fence"], item["order"]["count"]) for item in history]
+
+
+def engine_orders(deployment, name):
+    address = deployment.engines[name][1]
+    orders = call(address, "GET", "/standin/state").json["orders"]
+    return [(order["fence"], order["arguments"]) for order in orders]
+
+
+def ignore_fences(deployment, name):
+    call(deployment.platform_address, "POST", "/standin/faults", {"fence_check": False})
+    call(deployment.engines[name][1], "POST", "/standin/faults", {"fence_check": False})
+
+
+def test_configured_models_and_workers_are_ordered_once(deployment):
+    """Guards against orders that are missing, repeated or given by two coordinators."""
+    name = deployment.add_engine()
+    first, second = (CoordinatorProcess(deployment, f"node-{n}") for n in range(2))
+    ask_for(deployment, ["large"], 3)
+    wait_until(lambda: engine_orders(deployment, name), "the engine's order")
+    wait_until(lambda: len(zone_orders(deployment)) == 2, "the zones' orders")
+    time.sleep(3)
+    assert engine_orders(deployment, name) == [(1, {"model": "large"})]
+    assert zone_orders(deployment) == [(1, 3), (1, 3)]
+    assert sorted(first.leases() + second.leases()) == ["orders", "snapshot", "usage"]
+
+
+def test_planned_stop_hands_over_at_once(deployment):
+    """Guards against a planned stop that fails or leaves nobody in charge for a term."""
+    first = CoordinatorProcess(deployment, "node-1").wait_for("orders")
+    second = CoordinatorProcess(deployment, "node-2")
+    first.process.send(signal.SIGTERM)
+    assert first.process.wait() == 0
+    began = time.monotonic()
+    second.wait_for("orders")
+    assert time.monotonic() - began < 2.0
+
+
+def test_killed_coordinator_is_succeeded(deployment):
+    """Guards against a system without anybody in charge after a kill."""
+    first = CoordinatorProcess(deployment, "node-1").wait_for("orders")
+    CoordinatorProcess(deployment, "node-2")
+    first.process.end()
+    ask_for(deployment, [], 2)
+    wait_until(lambda: [fence for fence, _ in zone_orders(deployment)] == [2, 2], "a successor")
+
+
+def test_coordinator_outlives_the_store(deployment):
+    """Guards against coordinators that end, or keep their authority, while the store is down."""
+    first = CoordinatorProcess(deployment, "node-1").wait_for("orders")
+    call(deployment.platform_address, "POST", "/standin/faults", {"down": True})
+    wait_until(lambda: not first.leases(), "leases to be given up")
+    time.sleep(3)
+    assert first.process.code is None
+    call(deployment.platform_address, "POST", "/standin/faults", {"down": False})
+    first.wait_for("orders")
+
+
+@pytest.mark.parametrize("target", ["engine", "zone"])
+@pytest.mark.parametrize("timer", ["timer", "no-timer"])
+def test_order_of_a_coordinator_paused_past_its_lease(deployment, timer, target):
+    """Guards against an order that arrives after a successor's, at receivers without a check.
+
+    Without the process timer the order arrives, which shows that the pause is at the right place.
+    """
+    name = deployment.add_engine()
+    ignore_fences(deployment, name)
+    paused = CoordinatorProcess(deployment, "node-1", "coordinators", timer).wait_for("orders")
+    ask_for(deployment, ["old"] if target == "engine" else [], 0 if target == "engine" else 5)
+    wait_until(lambda: is_stopped(paused.process), "the coordinator to stop itself")
+    successor = CoordinatorProcess(deployment, "node-2")
+    successor.wait_for("orders")
+
+    def received():
+        return engine_orders(deployment, name) if target == "engine" else zone_orders(deployment)
+
+    wait_until(lambda: any(fence == 2 for fence, _ in received()), "the successor's order")
+    paused.process.send(signal.SIGCONT)
+    if timer == "timer":
+        assert paused.process.wait() == -signal.SIGALRM
+        time.sleep(0.5)
+        assert all(fence == 2 for fence, _ in received())
+    else:
+        wait_until(lambda: received()[-1][0] == 1, "the late order to arrive")
