--- a/src/laburnumreel/coordination/_planning.py
+++ b/src/laburnumreel/coordination/_planning.py
@@ -8,10 +8,10 @@
 
 from laburnumreel.coordination._authority import AuthorityBoard
 from laburnumreel.coordination._events import HOSTS_UNREADABLE
+from laburnumreel.coordination._fleet import LoadReport
 from laburnumreel.coordination._guarded_send import Address
 from laburnumreel.coordination._orders import ORDERS_LEASE, Plan
 from laburnumreel.coordination._wanted import (
-    EngineReport,
     capacity_orders,
     even_capacity,
     model_orders,
@@ -27,7 +27,7 @@
 class LoadReader(Protocol):
     """Reads an engine's load report."""
 
-    def read_load(self, address: Address) -> Result[EngineReport, str]: ...
+    def read_load(self, address: Address) -> Result[LoadReport, str]: ...
 
 
 class Planner(Task):
@@ -69,7 +69,7 @@
             wanted += capacity_orders(even_capacity(service))
         return Plan(tuple(wanted), engines)
 
-    def _read_loads(self, engines: dict[str, Address]) -> dict[str, EngineReport]:
+    def _read_loads(self, engines: dict[str, Address]) -> dict[str, LoadReport]:
         answers = self._readers.map(self._loads.read_load, engines.values())
         return {
             name: answer.ok for name, answer in zip(engines, answers, strict=True) if answer.is_ok()
--- a/src/laburnumreel/coordination/_wanted.py
+++ b/src/laburnumreel/coordination/_wanted.py
@@ -3,19 +3,12 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from laburnumreel.coordination._fleet import LoadReport
 from laburnumreel.state import Configuration, Host, Service, Target, WantedOrder
 
 DEDICATED = "dedicated"
 
 
-class EngineReport(NamedTuple):
-    """What an engine's load report says of its orders."""
-
-    role: str
-    models: tuple[str, ...]
-    draining: bool
-
-
 class Capacity(NamedTuple):
     """The wanted total of back ends of one kind for a service in a zone."""
 
@@ -48,7 +41,7 @@
 
 
 def model_orders(
-    configuration: Configuration, hosts: Sequence[Host], reports: Mapping[str, EngineReport]
+    configuration: Configuration, hosts: Sequence[Host], reports: Mapping[str, LoadReport]
 ) -> list[WantedOrder]:
     """Return the orders that load each service's models on its engines.
 
--- a/src/laburnumreel/transport/_loads.py
+++ b/src/laburnumreel/transport/_loads.py
@@ -1,8 +1,8 @@
 """Reads load reports of engines for the planners."""
 
-from expression import Error, Result
+from expression import Error, Ok, Result
 
-from laburnumreel.coordination import EngineReport
+from laburnumreel.coordination import LoadReport
 from laburnumreel.transport._orders import HttpOrderLink
 
 
@@ -12,12 +12,13 @@
     def __init__(self, link: HttpOrderLink) -> None:
         self._link = link
 
-    def read_load(self, address: tuple[str, int]) -> Result[EngineReport, str]:
+    def read_load(self, address: tuple[str, int]) -> Result[LoadReport, str]:
         answer = self._link.read(address, "/load")
-        if answer.is_ok() and answer.ok.status != 200:
+        if answer.is_error():
+            return Error(answer.error)
+        if answer.ok.status != 200:
             return Error(f"status {answer.ok.status}")
-        return answer.map(
-            lambda report: EngineReport(
-                report.body["role"], tuple(report.body["models"]), report.body["draining"]
-            )
-        )
+        try:
+            return Ok(LoadReport.from_value(answer.ok.body))
+        except (KeyError, TypeError) as error:
+            return Error(f"malformed load report: {error!r}")
