--- a/src/laburnumreel/coordination/_events.py
+++ b/src/laburnumreel/coordination/_events.py
@@ -18,5 +18,7 @@
 ORDER_UNCERTAIN = define_event(
     449, "order_uncertain", "answer to an order was lost; its receiver's list will be read"
 )
-HOSTS_UNREADABLE = define_event(450, "hosts_unreadable", "host list could not be read")
+HOSTS_UNREADABLE = define_event(
+    450, "planner_hosts_unreadable", "planner could not read the host list"
+)
 SNAPSHOT_WRITTEN = define_event(451, "snapshot_written", "configuration snapshot written")
