Fix the late order's test, which assumed that no order follows the late one

Cause: the successor gives an order for each of two zones, and the late order can come between. It now requires that the late order comes after a successor's order, which is what it guards against. Coordinator events move to 130 to 132 because the gateway's use 110 to 115.

--- a/src/laburnumreel/coordinator.py
+++ b/src/laburnumreel/coordinator.py
@@ -26,9 +26,9 @@
 from laburnumreel.state import Change, Configuration, HttpPlatform, Lease, Settings
 from laburnumreel.transport import HttpLoadReader, HttpOrderLink, admin_server
 
-COORDINATOR_STARTED = define_event(110, "coordinator_started", "the coordinator runs")
-COORDINATOR_STOPPING = define_event(111, "coordinator_stopping", "the coordinator was told to stop")
-COORDINATOR_STOPPED = define_event(112, "coordinator_stopped", "the coordinator has stopped")
+COORDINATOR_STARTED = define_event(130, "coordinator_started", "the coordinator runs")
+COORDINATOR_STOPPING = define_event(131, "coordinator_stopping", "the coordinator was told to stop")
+COORDINATOR_STOPPED = define_event(132, "coordinator_stopped", "the coordinator has stopped")
 
 USAGE_LEASE = "usage"
 TASK_THREADS = 16
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -103,4 +103,6 @@
         time.sleep(0.5)
         assert all(fence == 2 for fence, _ in received())
     else:
-        wait_until(lambda: received()[-1][0] == 1, "the late order to arrive")
+        # The successor may give more orders after the late one.
+        wait_until(lambda: 1 in [fence for fence, _ in received()][1:], "the late order to arrive")
+        assert received()[0][0] == 2
