--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -10,6 +10,18 @@
 )
 from laburnumreel.coordination._authority import AlarmTimer, AuthorityBoard, ProcessTimer
 from laburnumreel.coordination._budget import RetryBudget
+from laburnumreel.coordination._config_sync import ConfigSync
+from laburnumreel.coordination._config_write import (
+    Base,
+    Edits,
+    WriteFailure,
+    edits_to,
+    managed_entries,
+    read_base,
+    write_change,
+    write_commuting,
+    write_withdrawal,
+)
 from laburnumreel.coordination._fleet import BackEnd, Drain, Fleet, LoadReport
 from laburnumreel.coordination._guarded_send import (
     Answer,
@@ -19,11 +31,25 @@
     SendFailure,
 )
 from laburnumreel.coordination._leases import LeaseKeeper
+from laburnumreel.coordination._messages import (
+    ClaimState,
+    DrainMark,
+    ExchangeMessage,
+    NewsSource,
+    NodeStatus,
+    NoNews,
+    PeerLink,
+    PeerNews,
+    QuarantineEntry,
+)
 from laburnumreel.coordination._orders import ORDERS_LEASE, OrderSender, Plan, Receivers
+from laburnumreel.coordination._peers import PeerExchange
 from laburnumreel.coordination._planning import LoadReader, Planner
 from laburnumreel.coordination._prefixes import prompt_prefixes
+from laburnumreel.coordination._quarantine import Quarantine
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
 from laburnumreel.coordination._snapshots import SNAPSHOT_LEASE, SnapshotWriter
+from laburnumreel.coordination._store_sync import read_configuration
 from laburnumreel.coordination._wanted import Capacity
 
 __all__ = [
@@ -35,23 +61,37 @@
     "Answer",
     "AuthorityBoard",
     "BackEnd",
+    "Base",
     "Capacity",
     "Choice",
+    "ClaimState",
+    "ConfigSync",
     "Costs",
     "Decision",
     "Drain",
+    "DrainMark",
+    "Edits",
+    "ExchangeMessage",
     "Fleet",
     "GuardedSender",
     "LeaseKeeper",
     "LoadReader",
     "LoadReport",
+    "NewsSource",
+    "NoNews",
+    "NodeStatus",
     "Offer",
     "OrderConnection",
     "OrderLink",
     "OrderSender",
+    "PeerExchange",
+    "PeerLink",
+    "PeerNews",
     "Plan",
     "Planner",
     "ProcessTimer",
+    "Quarantine",
+    "QuarantineEntry",
     "Queued",
     "Receivers",
     "Refused",
@@ -60,5 +100,13 @@
     "SendFailure",
     "SnapshotWriter",
     "Work",
+    "WriteFailure",
+    "edits_to",
+    "managed_entries",
     "prompt_prefixes",
+    "read_base",
+    "read_configuration",
+    "write_change",
+    "write_commuting",
+    "write_withdrawal",
 ]
--- a/src/laburnumreel/transport/_events.py
+++ b/src/laburnumreel/transport/_events.py
@@ -9,3 +9,5 @@
 BACK_END_SILENT = define_event(
     202, "back_end_silent", "a back end sent no byte in time; dropped its older idle connections"
 )
+PEER_CALL_FAILED = define_event(220, "peer_call_failed", "a call from a peer failed")
+PEER_REFUSED = define_event(221, "peer_refused", "a peer's connection was closed")
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -90,6 +90,8 @@
     paused = CoordinatorProcess(deployment, "node-1", "coordinators", timer).wait_for("orders")
     ask_for(deployment, ["old"] if target == "engine" else [], 0 if target == "engine" else 5)
     wait_until(lambda: is_stopped(paused.process), "the coordinator to stop itself")
+    written = deployment.platform.scan("order").ok.rows
+    assert [row.key.split(":")[0] for row in written] == [target], "paused at another order"
     successor = CoordinatorProcess(deployment, "node-2")
     successor.wait_for("orders")
 
