--- a/src/laburnumreel/transport/__init__.py
+++ b/src/laburnumreel/transport/__init__.py
@@ -2,6 +2,7 @@
 
 from laburnumreel.transport._admin import admin_server
 from laburnumreel.transport._backend import Address, BackEndFailureError, BackEndPool, Exchange
+from laburnumreel.transport._loads import HttpLoadReader
 from laburnumreel.transport._orders import HttpOrderConnection, HttpOrderLink
 from laburnumreel.transport._peer_client import PeerClient
 from laburnumreel.transport._peer_server import NodeCalls, PeerServer
@@ -12,6 +13,7 @@
     "BackEndFailureError",
     "BackEndPool",
     "Exchange",
+    "HttpLoadReader",
     "HttpOrderConnection",
     "HttpOrderLink",
     "HttpServer",
