--- a/src/laburnumreel/coordination/_config_sync.py
+++ b/src/laburnumreel/coordination/_config_sync.py
@@ -106,6 +106,11 @@
     def ready(self) -> bool:
         return self._store.complete or self._replica.configuration.version > 0
 
+    @property
+    def store_complete(self) -> bool:
+        """Whether the store has ever been read to its end."""
+        return self._store.complete
+
     @property
     def store_reachable(self) -> bool:
         """Whether the last poll read the store."""
--- a/src/laburnumreel/coordination/_gossip.py
+++ b/src/laburnumreel/coordination/_gossip.py
@@ -1,7 +1,7 @@
 """The decisions of the peer exchange: what to send, what is learned, who was heard from."""
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 from laburnumreel.coordination._messages import (
@@ -62,7 +62,9 @@
         cut_off_s: float,
         replica: Replica,
         source: random.Random,
+        store_complete: Callable[[], bool],
     ) -> None:
+        """`store_complete` tells whether this process has ever read the store to its end."""
         self._identity = (name, role, boot, address_text(address))
         self._address = address
         self._gateways = frozenset(gateways)
@@ -74,6 +76,8 @@
         self._peers = {address_text(a): _Peer(self._seen) for a in self._others}
         self._news = PeerNews()
         self._stopping = False
+        self._store_complete = store_complete
+        self._complete = False
 
     @property
     def peers(self) -> list[Address]:
@@ -121,6 +125,7 @@
             withdrawn_count=len(keys),
             withdrawn_digest=keys.digest,
             news=sent,
+            wants_all_withdrawn=not self._knows_withdrawals(),
             stopping=self._stopping,
         )
 
@@ -130,9 +135,13 @@
         self._peers[address_text(address)].called_with = self._seen
         return message
 
-    def on_call(self, theirs: ExchangeMessage, now: float) -> tuple[ExchangeMessage, Learned]:
-        """Take a peer's message and return our answer."""
-        learned = self._learn(theirs, self._replica.withdrawn, now)
+    def on_call(self, theirs: ExchangeMessage) -> tuple[ExchangeMessage, Learned]:
+        """Take a peer's message and return our answer.
+
+        The peer does not count as heard from: the message may have waited here while this process
+        was paused, so nothing tells how old it is.
+        """
+        learned = self._learn(theirs, self._replica.withdrawn, None)
         answer = self.message(theirs.address)
         differ = theirs.withdrawn_digest != answer.withdrawn_digest
         if differ and not theirs.withdrawn and not answer.withdrawn:
@@ -156,16 +165,29 @@
         return self._learn(theirs, peer.called_with, sent_at)
 
     def hears_majority(self, now: float) -> bool:
-        """Return whether a majority of the gateways, this one counted, was heard from lately."""
-        heard = sum(
+        """Return whether a majority of the gateways was heard from lately.
+
+        This one counts unless it may have forgotten, in a restart, withdrawals that only gateways
+        held.
+        """
+        heard = self._heard(now) + (self._address in self._gateways and self._knows_withdrawals())
+        return 2 * heard > len(self._gateways)
+
+    def keys_verifiable(self, store_read_at: float, now: float) -> bool:
+        """Return whether withdrawals can still reach us, from the store or from a majority."""
+        return now - store_read_at <= self._cut_off_s or self.hears_majority(now)
+
+    def _heard(self, now: float) -> int:
+        return sum(
             address in self._gateways
             and now - self._peers[address_text(address)].heard_at <= self._cut_off_s
             for address in self._others
         )
-        heard += self._address in self._gateways
-        return 2 * heard > len(self._gateways)
 
-    def _learn(self, theirs: ExchangeMessage, before: WithdrawnKeys, at: float) -> Learned:
+    def _knows_withdrawals(self) -> bool:
+        return self._complete or self._store_complete()
+
+    def _learn(self, theirs: ExchangeMessage, before: WithdrawnKeys, at: float | None) -> Learned:
         after = before.with_members(theirs.withdrawn)
         in_sync = after.digest == theirs.withdrawn_digest
         self._replica.withdraw(theirs.withdrawn)
@@ -180,8 +202,10 @@
                 peer.pending = [digest for digest in peer.pending if digest not in known]
             # Heard only when nothing that the peer holds is missing here: a withdrawal that did not
             # fit into its message would otherwise be taken as checked.
-            if in_sync:
+            # A peer that was restarted and has not caught up vouches for nothing.
+            if at is not None and in_sync and not theirs.wants_all_withdrawn:
                 peer.heard_at = max(peer.heard_at, at)
+                self._complete = self._complete or 2 * self._heard(at) > len(self._gateways)
         ours = self._replica.configuration
         return Learned(
             theirs.config_version > ours.version,
--- a/src/laburnumreel/coordination/_peers.py
+++ b/src/laburnumreel/coordination/_peers.py
@@ -67,7 +67,6 @@
         super().__init__("peer-exchange", tick_s=settings.peers.exchange_s)
         listen = settings.listen
         self._address = listen.peers if role == "gateway" else listen.coordinator_peers
-        self._cut_off_s = settings.peers.cut_off_s
         self._config_sync = config_sync
         self._link = link
         self._source = source
@@ -80,9 +79,10 @@
             self._address,
             settings.peers.gateways,
             settings.peers.coordinators,
-            self._cut_off_s,
+            settings.peers.cut_off_s,
             config_sync.replica,
             random_source or random.Random(),
+            lambda: config_sync.store_complete,
         )
         self._calls = ThreadPoolExecutor(FULL_ROUND_PEERS, "exchange")
         self._under_way: set[Address] = set()
@@ -102,8 +102,7 @@
 
     def keys_verifiable(self, now: float) -> bool:
         """Return whether withdrawals can still reach us, from the store or from a majority."""
-        read_lately = now - self._config_sync.store_read_at() <= self._cut_off_s
-        return read_lately or self.hears_majority(now)
+        return self._gossip.keys_verifiable(self._config_sync.store_read_at(), now)
 
     def answer(self, ours: ExchangeMessage) -> ExchangeMessage:
         """Take a peer's message and return our answer. Called by the peer server's threads."""
@@ -150,9 +149,8 @@
 
     def _on_call(self, theirs: ExchangeMessage) -> ExchangeMessage:
         EXCHANGES_ANSWERED.inc()
-        now = self._clock.now()
-        answer, learned = self._gossip.on_call(theirs, now)
-        self._source.on_news(theirs.sender, theirs.news, now)
+        answer, learned = self._gossip.on_call(theirs)
+        self._source.on_news(theirs.sender, theirs.news, self._clock.now())
         address = parse_address(theirs.address)
         if address is not None:
             self._follow(address, theirs, learned)
