Run requests with an Idempotency-Key at most once; join the peers

A repeated booking could run twice. A claim row is now written before such a request leaves; answers and streams are stored as objects and replayed, a copy of a running request gets 409, a different one 422, and a claimer that is gone leaves the request unknown. The gateway uses ConfigSync and PeerExchange, serves its peers over thrift and asks them about claims.

Peers' news now carry the role with the name: a node's coordinator would otherwise have replaced the work in flight of its gateway.

--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -41,6 +41,8 @@
     PeerLink,
     PeerNews,
     QuarantineEntry,
+    address_text,
+    parse_address,
 )
 from laburnumreel.coordination._orders import ORDERS_LEASE, OrderSender, Plan, Receivers
 from laburnumreel.coordination._peers import PeerExchange
@@ -50,6 +52,8 @@
 from laburnumreel.coordination._store_sync import read_configuration
 
 __all__ = [
+    "parse_address",
+    "address_text",
     "Admission",
     "Admitted",
     "AlarmTimer",
--- a/src/laburnumreel/coordination/_peers.py
+++ b/src/laburnumreel/coordination/_peers.py
@@ -152,7 +152,7 @@
         EXCHANGES_ANSWERED.inc()
         now = self._clock.now()
         answer, learned = self._gossip.on_call(theirs, now)
-        self._source.on_news(theirs.sender, theirs.news, now)
+        self._source.on_news(f"{theirs.role}/{theirs.sender}", theirs.news, now)
         address = parse_address(theirs.address)
         if address is not None:
             self._follow(address, theirs, learned)
@@ -174,7 +174,9 @@
             _log.info(PEER_HEARD, peer=address_text(address))
         theirs = answer.result.ok
         learned = self._gossip.on_answer(address, answer.ours, theirs, answer.sent_at)
-        self._source.on_news(theirs.sender, theirs.news, self._clock.now())
+        # A node's two processes have one name; the role keeps their news apart.
+        peer = f"{theirs.role}/{theirs.sender}"
+        self._source.on_news(peer, theirs.news, self._clock.now())
         self._follow(address, theirs, learned)
         if address in self._again:
             self._again.discard(address)
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -9,6 +9,15 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
+from laburnumreel.coordination import (
+    ClaimState,
+    ConfigSync,
+    NodeStatus,
+    PeerExchange,
+    PeerNews,
+    address_text,
+    parse_address,
+)
 from laburnumreel.core import Log, SystemClock, Task, define_event
 from laburnumreel.serving import (
     Application,
@@ -19,9 +28,22 @@
     RequestRegistry,
     Slots,
 )
-from laburnumreel.serving._stopgap import ConfigSync, UsageFlush
-from laburnumreel.state import Configuration, HttpPlatform, Settings, WithdrawnKeys
-from laburnumreel.transport import BackEndPool, HttpServer, admin_server
+from laburnumreel.serving._stopgap import UsageFlush
+from laburnumreel.state import (
+    Claims,
+    Configuration,
+    HttpPlatform,
+    PeerClaim,
+    Settings,
+    WithdrawnKeys,
+)
+from laburnumreel.transport import (
+    BackEndPool,
+    HttpServer,
+    PeerClient,
+    PeerServer,
+    admin_server,
+)
 
 GATEWAY_STARTED = define_event(101, "gateway_started", "the gateway serves callers")
 GATEWAY_STOPPING = define_event(102, "gateway_stopping", "the gateway was told to stop")
@@ -30,10 +52,25 @@
 BACKGROUND_THREADS = 4
 TASK_THREADS = 16
 STOP_CHECK_S = 0.05
+NEWS_TIMEOUT_S = 1.0
 
 _log = Log("gateway")
 
 
+class _ClaimPeers:
+    """Asks peers about claims over thrift."""
+
+    def __init__(self, link: PeerClient) -> None:
+        self._link = link
+
+    def claim_state(self, address: str, claim_key: str) -> PeerClaim | None:
+        parsed = parse_address(address)
+        if parsed is None:
+            return None
+        answer = self._link.claim_state(parsed, claim_key)
+        return PeerClaim(*answer.ok) if answer.is_ok() else None
+
+
 class Gateway:
     """Wires a gateway's tasks together and runs them until it is told to stop."""
 
@@ -48,7 +85,8 @@
         platform = HttpPlatform(
             settings.platform.address, settings.platform.timeout_s, settings.platform.token
         )
-        self._config = ConfigSync(platform, self._clock)
+        self._link = PeerClient()
+        self._config = ConfigSync.from_settings(settings, platform, self._link, self._clock)
         self._dispatcher = Dispatcher(
             self._clock,
             node.zone,
@@ -59,6 +97,17 @@
         self._registry = RequestRegistry(self._clock, self._keys_lost)
         self._usage = UsageFlush(platform, node.name, self._boot, self._clock)
         self._watch = FleetWatch(platform, self._dispatcher)
+        self._exchange = PeerExchange(
+            settings, self._config, self._link, self, boot=self._boot, clock=self._clock
+        )
+        self._peers = PeerServer(settings.listen.peers, self._exchange, self._config, self)
+        self._claims = Claims(
+            platform,
+            node.name,
+            self._boot,
+            address_text(settings.listen.peers),
+            _ClaimPeers(self._link),
+        )
         self._credentials = Credentials()
         self._background = ThreadPoolExecutor(BACKGROUND_THREADS, "background")
         self._pool = BackEndPool()
@@ -70,11 +119,12 @@
                 dispatcher=self._dispatcher,
                 registry=self._registry,
                 usage=self._usage,
+                claims=self._claims,
                 pool=self._pool,
                 slots=self._slots,
                 credentials=self._credentials,
                 pepper=settings.pepper,
-                verifiable=self._verifiable,
+                verifiable=self._exchange.keys_verifiable,
                 background=self._background,
                 rng=self._rng,
             )
@@ -82,7 +132,42 @@
         threads = settings.threads.callers + settings.threads.reserve
         self._callers = HttpServer(self._application, settings.listen.callers, threads)
         self._admin = admin_server(settings.listen.admin, self._readiness)
+        self._keys_heard_at = self._clock.now()
         self._config.subscribe(self._configured)
+        self._dispatcher.on_news(self._exchange.push)
+
+    @property
+    def stopping(self) -> bool:
+        """Whether this gateway takes no new work, for its peers."""
+        return self._stopping
+
+    def news(self, now: float) -> PeerNews:
+        """Return this gateway's news for its peers."""
+        return self._dispatcher.news().result(NEWS_TIMEOUT_S)
+
+    def on_news(self, peer: str, news: PeerNews, now: float) -> None:
+        """Take up a peer's news."""
+        self._dispatcher.peer_news(peer, news)
+
+    def status(self) -> NodeStatus:
+        """Return this gateway's state for operators."""
+        configuration, node = self._config.configuration, self._settings.node
+        return NodeStatus(
+            name=node.name,
+            role="gateway",
+            zone=node.zone,
+            boot=self._boot,
+            ready=self._readiness()[0],
+            stopping=self._stopping,
+            config_version=configuration.version,
+            config_digest=configuration.digest,
+            running=self._slots.taken,
+            store_reachable=self._config.store_reachable,
+        )
+
+    def claim_state(self, claim_key: str) -> ClaimState:
+        """Tell a peer whether a claim's request runs here."""
+        return ClaimState(self._boot, self._claims.is_running(claim_key))
 
     def run(self) -> int:
         """Serve until SIGTERM and return the exit code."""
@@ -95,9 +180,11 @@
                 self._config,
                 self._usage,
                 self._watch,
+                self._exchange,
             ]
             for task in tasks:
                 task.start(executor)
+            self._peers.start(executor)
             self._admin.start(executor)
             self._callers.start(executor)
             _log.info(GATEWAY_STARTED, node=self._settings.node.name, boot=self._boot)
@@ -114,16 +201,18 @@
         self._application.stop_admitting()
         give_up_at = self._clock.now() + stop.grace_s
         while self._clock.now() < give_up_at:
-            if not self._slots.taken and self._callers.flushed():
+            if not self._slots.taken and not self._claims.running and self._callers.flushed():
                 break
             time.sleep(STOP_CHECK_S)
         self._usage.flush_all(stop.grace_s)
         self._callers.stop()
+        self._peers.stop()
         for task in reversed(tasks):
             with contextlib.suppress(TimeoutError):
                 task.stop()
         self._background.shutdown(wait=False, cancel_futures=True)
         self._pool.close()
+        self._link.close()
         self._admin.stop()
         _log.info(GATEWAY_STOPPED)
 
@@ -135,18 +224,19 @@
         if sizes:
             self._callers.set_max_body_bytes(max(sizes))
 
-    def _verifiable(self, now: float) -> bool:
-        return now - self._config.store_read_at() <= self._settings.peers.cut_off_s
-
     def _keys_lost(self, now: float) -> bool:
-        return now - self._config.store_read_at() > 2 * self._settings.peers.cut_off_s
+        """Return whether withdrawals could not be heard of for twice the cut-off time."""
+        if self._exchange.keys_verifiable(now):
+            self._keys_heard_at = now
+        # `keys_verifiable` turns false after one cut-off time.
+        return now - self._keys_heard_at > self._settings.peers.cut_off_s
 
     def _readiness(self) -> tuple[bool, dict[str, Any]]:
         ready = (
             self._config.ready
             and self._watch.ready
             and not self._stopping
-            and self._verifiable(self._clock.now())
+            and self._exchange.keys_verifiable(self._clock.now())
         )
         return ready, {
             "stopping": self._stopping,
--- a/src/laburnumreel/protocol/__init__.py
+++ b/src/laburnumreel/protocol/__init__.py
@@ -17,6 +17,12 @@
     safe_target,
     strip_query,
 )
+from laburnumreel.protocol._idempotency import (
+    MAX_STORED_BYTES,
+    idempotency_key,
+    replay,
+    request_digest,
+)
 from laburnumreel.protocol._openai import (
     DONE,
     AnswerBuilder,
@@ -32,6 +38,10 @@
 )
 
 __all__ = [
+    "MAX_STORED_BYTES",
+    "idempotency_key",
+    "replay",
+    "request_digest",
     "DONE",
     "Answer",
     "AnswerBuilder",
--- a/src/laburnumreel/serving/_application.py
+++ b/src/laburnumreel/serving/_application.py
@@ -13,11 +13,13 @@
     ModelRequest,
     count_refusal,
     forwarded_headers,
+    idempotency_key,
     json_answer,
     models_body,
     new_request_id,
     refusal_answer,
     refusal_event,
+    request_digest,
     status_line,
     strip_query,
 )
@@ -34,6 +36,7 @@
     model_request,
 )
 from laburnumreel.serving._events import REQUEST_FAILED
+from laburnumreel.serving._keyed import KeyedRun, claim, find
 from laburnumreel.serving._lifecycle import Body, Place
 from laburnumreel.serving._metrics import FIRST_BYTE_S, REQUESTS
 from laburnumreel.serving._model import Event, ModelRun
@@ -44,6 +47,7 @@
 
 _log = Log("serving.application")
 
+Headers = list[tuple[str, str]]
 StartResponse = Callable[..., Any]
 
 
@@ -108,7 +112,7 @@
         self, arrived: Arrived, caller: Caller, start_response: StartResponse
     ) -> Iterable[bytes]:
         chat = MODEL_PATHS[arrived.path]
-        request, service, profile = model_request(arrived, caller, chat)
+        request, raw, service, profile = model_request(arrived, caller, chat)
         work = Work(
             request_id=arrived.request_id,
             service=service.name,
@@ -123,11 +127,20 @@
         # The engine's position in a stream counts tokens of a single choice.
         repeatable = profile.resumable and request.choices == 1
         digest = body_digest(service.name, "POST", arrived.path, request.prompt)
-        place, job = self._admit(arrived, caller, work, service, profile, repeatable, digest)
-        with _ReleaseOnError(place):
+        key = _idempotency_key(arrived)
+        same = request_digest("POST", arrived.path, raw) if key else ""
+        place, job = self._place(arrived, caller, work, service, profile, repeatable, digest, key)
+        with _Guard(place) as guard:
+            keyed = self._claim(caller, job, place, key, same)
+            if isinstance(keyed, Answer):
+                return _whole(keyed, arrived.environ, start_response)
+            guard.keyed = keyed
             run = ModelRun(self._parts, job, request)
             if not request.stream:
                 answer = self._collect(run, request, arrived, place)
+                if keyed is not None:
+                    keyed.keep(answer.body)
+                    keyed.finish(200, answer.headers)
                 REQUESTS.inc(service=service.name)
                 return _whole(answer, arrived.environ, start_response)
             events = run.events()
@@ -139,7 +152,8 @@
                 ("X-Request-Id", arrived.request_id),
             ]
             start_response("200 OK", headers)
-            return Body(_stream(itertools.chain([first], events), events, run, place, work), place)
+            batches = itertools.chain([first], events)
+            return Body(_stream(batches, events, run, place, work, keyed, headers), place)
 
     def _collect(
         self, run: ModelRun, request: ModelRequest, arrived: Arrived, place: Place
@@ -181,13 +195,22 @@
         )
         repeatable = arrived.method in profile.idempotent_methods
         digest = body_digest(service.name, arrived.method, target, body)
-        place, job = self._admit(arrived, caller, work, service, profile, repeatable, digest)
-        with _ReleaseOnError(place):
+        key = _idempotency_key(arrived)
+        same = request_digest(arrived.method, target, body) if key else ""
+        place, job = self._place(arrived, caller, work, service, profile, repeatable, digest, key)
+        with _Guard(place) as guard:
+            keyed = self._claim(caller, job, place, key, same)
+            if isinstance(keyed, Answer):
+                return _whole(keyed, arrived.environ, start_response)
+            guard.keyed = keyed
             run = PlainRun(parts, job, request)
             answer = run.start()
             FIRST_BYTE_S.observe(parts.clock.now() - arrived.arrived_at, service=service.name)
             headers = [*answer.headers, ("X-Request-Id", arrived.request_id)]
             if answer.complete:
+                if keyed is not None:
+                    keyed.keep(answer.first)
+                    keyed.finish(answer.status, headers)
                 place.release()
                 REQUESTS.inc(service=service.name)
                 if arrived.method == "HEAD" and answer.length is not None:
@@ -197,9 +220,10 @@
             if answer.length is not None:
                 headers.append(("Content-Length", str(answer.length)))
             start_response(status_line(answer.status), headers)
-            return Body(_pass_through(answer.first, run, service.name), place)
+            pieces = _pass_through(answer.first, run, service.name, keyed, answer.status, headers)
+            return Body(pieces, place)
 
-    def _admit(
+    def _place(
         self,
         arrived: Arrived,
         caller: Caller,
@@ -208,6 +232,7 @@
         profile: Profile,
         repeatable: bool,
         digest: str,
+        key: str | None,
     ) -> tuple[Place, Job]:
         parts = self._parts
         held_s = parts.dispatcher.held_for(digest)
@@ -215,58 +240,108 @@
             raise RequestFailedError(Refusal(ErrorKind.QUARANTINED, retry_after_s=held_s))
         deadline = arrived.arrived_at + profile.deadline_s
         gone = arrived.environ.get("waitress.client_disconnected", lambda: False)
-        running = Running(arrived.request_id, caller.digest, deadline, gone)
-        place = Place(parts, running)
-        with _ReleaseOnError(place):
-            tokens = work.prompt_tokens + work.output_tokens
-            offer = Offer(arrived.request_id, service.name, caller.customer, tokens, deadline)
-            place.admit(offer, caller)
+        running = Running(arrived.request_id, caller.digest, deadline, gone, key is not None)
         credential = parts.credentials.of(service.name)
         job = Job(
             running, work, service, profile, credential, repeatable, digest, arrived.arrived_at
         )
-        return place, job
+        return Place(parts, running), job
 
+    def _claim(
+        self, caller: Caller, job: Job, place: Place, key: str | None, same: str
+    ) -> KeyedRun | Answer | None:
+        """Wait for admission and claim the request if it has a key; or return an earlier answer.
 
-class _ReleaseOnError:
-    """Gives a request's place back where the block fails."""
+        The claim is written after the wait, so that refused requests cost the store no writes.
+        """
+        parts, work = self._parts, job.work
+        if key is not None:
+            stored = find(parts, caller.customer, key, same)
+            if stored is not None:
+                place.release()
+                return stored
+        tokens = work.prompt_tokens + work.output_tokens
+        place.admit(
+            Offer(work.request_id, work.service, work.customer, tokens, job.running.deadline),
+            caller,
+        )
+        if key is None:
+            return None
+        claimed = claim(parts, caller.customer, key, same, work.request_id)
+        if isinstance(claimed, Answer):
+            place.release()
+        return claimed
+
+
+class _Guard:
+    """Gives a request's place back, and ends its claim, where the block fails."""
 
     def __init__(self, place: Place) -> None:
         self._place = place
+        self.keyed: KeyedRun | None = None
 
-    def __enter__(self) -> None:
-        return
+    def __enter__(self) -> "_Guard":
+        return self
 
     def __exit__(self, kind: type[BaseException] | None, error: object, trace: object) -> None:
-        if kind is not None:
-            self._place.release()
+        if kind is None:
+            return
+        if self.keyed is not None:
+            if isinstance(error, RequestFailedError):
+                self.keyed.fail(error.refusal)
+            self.keyed.close()
+        self._place.release()
 
 
 def _stream(
-    batches: Iterable[list[Event]],
+    batches: Iterator[list[Event]],
     source: Iterator[list[Event]],
     run: ModelRun,
     place: Place,
     work: Work,
+    keyed: KeyedRun | None,
+    headers: Headers,
 ) -> Iterator[bytes]:
+    """Yield the events of an answer, those of one read together."""
+    pieces = (
+        (b"".join([b"data: " + payload + b"\n\n" for payload, _ in batch]), batch[-1][0] == DONE)
+        for batch in batches
+    )
     try:
-        for batch in batches:
-            yield b"".join([b"data: " + payload + b"\n\n" for payload, _ in batch])
+        try:
+            for piece, last in pieces:
+                _keep(keyed, piece, last, 200, headers)
+                yield piece
+        except GeneratorExit:
+            count_refusal(Refusal(ErrorKind.CALLER_GONE))
+            if keyed is not None:
+                # The answer is completed for the caller's next try.
+                for piece, last in pieces:
+                    _keep(keyed, piece, last, 200, headers)
+            raise
         REQUESTS.inc(service=work.service)
     except RequestFailedError as error:
+        if keyed is not None:
+            keyed.fail(error.refusal)
         yield refusal_event(error.refusal)
-    except GeneratorExit:
-        count_refusal(Refusal(ErrorKind.CALLER_GONE))
-        raise
     finally:
         source.close()
+        if keyed is not None:
+            keyed.close()
         place.tokens = run.tokens
 
 
-def _pass_through(first: bytes, run: PlainRun, service: str) -> Iterator[bytes]:
+def _pass_through(
+    first: bytes, run: PlainRun, service: str, keyed: KeyedRun | None, status: int, headers: Headers
+) -> Iterator[bytes]:
+    """Yield the pieces of an answer that is too large to be held."""
+    pieces = itertools.chain([first], run.rest())
     try:
-        yield first
-        yield from run.rest()
+        for piece in pieces:
+            _keep(keyed, piece, False, status, headers)
+            yield piece
+        if keyed is not None:
+            keyed.finish(status, headers)
         REQUESTS.inc(service=service)
     except RequestFailedError as error:
         # The head is out: the caller learns of it by the missing end.
@@ -274,7 +349,29 @@
         raise
     except GeneratorExit:
         count_refusal(Refusal(ErrorKind.CALLER_GONE))
+        if keyed is not None:
+            for piece in pieces:
+                keyed.keep(piece)
+            keyed.finish(status, headers)
         raise
+    finally:
+        run.close()
+        if keyed is not None:
+            keyed.close()
+
+
+def _keep(keyed: KeyedRun | None, piece: bytes, last: bool, status: int, headers: Headers) -> None:
+    if keyed is not None:
+        keyed.keep(piece)
+        if last:
+            keyed.finish(status, headers)
+
+
+def _idempotency_key(arrived: Arrived) -> str | None:
+    key = idempotency_key(arrived.method, arrived.headers)
+    if key.is_error():
+        raise RequestFailedError(key.error)
+    return key.ok
 
 
 def _whole(
--- a/src/laburnumreel/serving/_checks.py
+++ b/src/laburnumreel/serving/_checks.py
@@ -122,8 +122,8 @@
 
 def model_request(
     arrived: Arrived, caller: Caller, chat: bool
-) -> tuple[ModelRequest, Service, Profile]:
-    """Return the checked body of a request to a model service, and what serves it."""
+) -> tuple[ModelRequest, bytes, Service, Profile]:
+    """Return the checked body of a request to a model service, as sent too, and what serves it."""
     configuration = arrived.configuration
     raw = arrived.environ["wsgi.input"].read()
     parsed = parse_model_request(raw, chat)
@@ -142,7 +142,7 @@
     if limit is not None and limit > profile.max_tokens:
         detail = f"max_tokens must be at most {profile.max_tokens}."
         raise RequestFailedError(Refusal(ErrorKind.BAD_REQUEST, detail))
-    return request, service, profile
+    return request, raw, service, profile
 
 
 def body_digest(service: str, method: str, target: str, body: bytes) -> str:
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -9,10 +9,13 @@
     Admission,
     Admitted,
     BackEnd,
+    DrainMark,
     Fleet,
     LoadReport,
     Offer,
+    PeerNews,
     Quarantine,
+    QuarantineEntry,
     Queued,
     RetryBudget,
     Router,
@@ -141,6 +144,14 @@
         """Take up an engine's cache events."""
         self._send(self._on_cache_events, name, stored, evicted, gap)
 
+    def news(self) -> "Future[PeerNews]":
+        """Ask for what peers should know: marks, quarantines, work in flight, service received."""
+        return self.ask(_Call(self._news, ()))
+
+    def peer_news(self, peer: str, news: PeerNews) -> None:
+        """Take up what a peer knows."""
+        self._send(self._on_peer_news, peer, news)
+
     def settle(self) -> None:
         """Return when what was told before is taken up, the usable capacity included."""
         self._ask(self._update_capacity)
@@ -253,6 +264,32 @@
     ) -> None:
         self._fleet.on_cache_events(name, stored, evicted, gap)
 
+    def _news(self) -> PeerNews:
+        now = self._clock.now()
+        # Only own marks: marks that nodes pass on for each other would never end.
+        return PeerNews(
+            drains=tuple(
+                DrainMark(target, reason, until - now)
+                for target, (reason, until) in self._marks.items()
+                if until > now
+            ),
+            quarantines=tuple(
+                QuarantineEntry(digest, remaining)
+                for digest, remaining in self._quarantine.entries(now).items()
+            ),
+            in_flight=self._fleet.own_work(),
+            received=self._admission.take_received(),
+        )
+
+    def _on_peer_news(self, peer: str, news: PeerNews) -> None:
+        now = self._clock.now()
+        for mark in news.drains:
+            self._fleet.on_drain(mark.target, mark.reason, now + mark.remaining_s)
+        entries = {entry.digest: entry.remaining_s for entry in news.quarantines}
+        self._quarantine.on_peer(entries, now)
+        self._fleet.on_peer_work(peer, news.in_flight, now)
+        self._admission.on_peer_received(peer, news.received, now)
+
     def _update_capacity(self) -> None:
         """Tell the admission how much the usable back ends can run."""
         now = self._capacity_at = self._clock.now()
--- /dev/null
+++ b/src/laburnumreel/serving/_keyed.py
@@ -0,0 +1,94 @@
+"""Requests with an Idempotency-Key: the claim before they run, the stored answer after."""
+
+import time
+from collections.abc import Callable
+
+from laburnumreel.core import Log
+from laburnumreel.protocol import MAX_STORED_BYTES, Answer, replay
+from laburnumreel.serving._attempts import RequestFailedError
+from laburnumreel.serving._events import ANSWER_NOT_STORED
+from laburnumreel.serving._metrics import REPLAYS
+from laburnumreel.serving._parts import Parts
+from laburnumreel.state import Claimed, Refusal, Refused, Replay, RunState, StoredAnswer
+
+# How often and how long the answer is offered to a store that does not take it. The caller does
+# not wait for it.
+STORE_AGAIN_S = 0.5
+STORE_LIMIT_S = 60.0
+
+_log = Log("serving.keyed")
+
+
+class KeyedRun:
+    """A claimed request, whose answer is kept until it is stored."""
+
+    def __init__(self, parts: Parts, claim: Claimed) -> None:
+        self._parts = parts
+        self._claim = claim
+        self._pieces: list[bytes] = []
+        self._size = 0
+        self._ended = False
+
+    def keep(self, piece: bytes) -> None:
+        """Keep a piece of the answer as it goes to the caller."""
+        self._size += len(piece)
+        if self._size <= MAX_STORED_BYTES:
+            self._pieces.append(piece)
+
+    def finish(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Store the answer that was kept, before its last piece goes to the caller."""
+        if self._size > MAX_STORED_BYTES:
+            self._unknown()
+            return
+        answer = StoredAnswer(status, headers, b"".join(self._pieces))
+        self._end(lambda: self._parts.claims.finish(self._claim, answer))
+
+    def fail(self, refusal: Refusal) -> None:
+        """Free the key where the request did not run, and else record that this is unknown."""
+        if refusal.state == RunState.NOT_RUN:
+            self._end(lambda: self._parts.claims.abandon(self._claim))
+        else:
+            self._unknown()
+
+    def close(self) -> None:
+        """Record that the outcome is unknown, unless the request has ended."""
+        if not self._ended:
+            self._unknown()
+
+    def _unknown(self) -> None:
+        self._end(lambda: self._parts.claims.give_up(self._claim))
+
+    def _end(self, write: Callable[[], bool]) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        if not write():
+            self._parts.background.submit(self._write_later, write)
+
+    def _write_later(self, write: Callable[[], bool]) -> None:
+        give_up_at = time.monotonic() + STORE_LIMIT_S
+        while time.monotonic() < give_up_at:
+            time.sleep(STORE_AGAIN_S)
+            if write():
+                return
+        _log.error(ANSWER_NOT_STORED, claim=self._claim.claim_key)
+        self._parts.claims.forget(self._claim)
+
+
+def find(parts: Parts, customer: str, key: str, digest: str) -> Answer | None:
+    """Return the stored answer of an earlier request with this key, or None to go on."""
+    outcome = parts.claims.find(customer, key, digest)
+    return None if outcome is None else _answer(outcome)
+
+
+def claim(parts: Parts, customer: str, key: str, digest: str, request_id: str) -> KeyedRun | Answer:
+    """Claim a request, or return the answer that its first run had."""
+    outcome = parts.claims.claim(customer, key, digest, request_id)
+    return KeyedRun(parts, outcome) if isinstance(outcome, Claimed) else _answer(outcome)
+
+
+def _answer(outcome: Replay | Refused) -> Answer:
+    if isinstance(outcome, Refused):
+        raise RequestFailedError(outcome.refusal)
+    REPLAYS.inc()
+    return replay(outcome.answer)
--- a/src/laburnumreel/serving/_metrics.py
+++ b/src/laburnumreel/serving/_metrics.py
@@ -24,3 +24,6 @@
 DRAIN_MARKS = define_counter(
     "laburnumreel_drain_marks_total", "Back ends that get no new work, by reason.", ["reason"]
 )
+REPLAYS = define_counter(
+    "laburnumreel_replays_total", "Requests answered with the stored answer of an earlier one."
+)
--- a/src/laburnumreel/serving/_plain.py
+++ b/src/laburnumreel/serving/_plain.py
@@ -79,6 +79,10 @@
         finally:
             self._attempts.abandon()
 
+    def close(self) -> None:
+        """End the exchange if it is still open."""
+        self._attempts.abandon()
+
     def _begin(self, exchange: Exchange) -> PlainAnswer:
         headers = answer_headers(exchange.headers)
         length = exchange.header("Content-Length")
--- a/src/laburnumreel/serving/_stopgap.py
+++ b/src/laburnumreel/serving/_stopgap.py
@@ -1,16 +1,9 @@
 """The simplest versions of parts that other modules provide, behind the same interfaces."""
 
-from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from laburnumreel.core import Clock, Task
-from laburnumreel.state import (
-    Check,
-    Configuration,
-    Platform,
-    WithdrawnKeys,
-    Write,
-)
+from laburnumreel.state import Check, Platform, Write
 
 
 class UsageCount(NamedTuple):
@@ -21,46 +14,6 @@
     output_tokens: int
 
 
-class ConfigSync(Task):
-    def __init__(self, platform: Platform, clock: Clock) -> None:
-        super().__init__("config-sync", tick_s=0.5)
-        self._platform = platform
-        self._clock = clock
-        self.configuration = Configuration()
-        self.withdrawn = WithdrawnKeys()
-        self.ready = False
-        self._read_at = float("-inf")
-        self._listeners: list[Callable[[Configuration, WithdrawnKeys], None]] = []
-
-    def store_read_at(self) -> float:
-        return self._read_at
-
-    def subscribe(self, listener: Callable[[Configuration, WithdrawnKeys], None]) -> None:
-        self._listeners.append(listener)
-
-    def withdraw(self, digests: Iterable[str]) -> None:
-        self.withdrawn = self.withdrawn.with_members(digests)
-
-    def tick(self) -> None:
-        now = self._clock.now()
-        after = f"{self.configuration.version:012d}" if self.configuration.version else ""
-        changes = self._platform.scan("config_change", after=after)
-        withdrawn = self._platform.scan("withdrawn")
-        if changes.is_error() or withdrawn.is_error():
-            return
-        from laburnumreel.state import Change
-
-        before = self.configuration, self.withdrawn
-        for row in changes.ok.rows:
-            self.configuration = self.configuration.apply(Change.from_value(row.value)).ok
-        self.withdrawn = self.withdrawn.with_members(row.key for row in withdrawn.ok.rows)
-        self._read_at = now
-        self.ready = True
-        if (self.configuration, self.withdrawn) != before:
-            for listener in self._listeners:
-                listener(self.configuration, self.withdrawn)
-
-
 class UsageFlush(Task):
     def __init__(self, platform: Platform, node: str, boot: str, clock: Clock) -> None:
         super().__init__("usage-flush", tick_s=0.5)
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -1,5 +1,14 @@
 """What lasts and its rules: errors, the platform's client, configuration, leases, usage."""
 
+from laburnumreel.state._claims import (
+    Claimed,
+    ClaimPeers,
+    Claims,
+    PeerClaim,
+    Refused,
+    Replay,
+    StoredAnswer,
+)
 from laburnumreel.state._configuration import Change, Configuration, Route
 from laburnumreel.state._errors import ERROR_ANSWERS, ErrorAnswer, ErrorKind, Refusal, RunState
 from laburnumreel.state._folder import load_folder
@@ -45,6 +54,13 @@
 )
 
 __all__ = [
+    "Claimed",
+    "ClaimPeers",
+    "Claims",
+    "PeerClaim",
+    "Refused",
+    "Replay",
+    "StoredAnswer",
     "Authority",
     "CUSTOMER_SCHEMA",
     "CapacityOrder",
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -1,5 +1,6 @@
 """A small deployment of real processes for tests: platform, engines, plain servers, gateways."""
 
+import contextlib
 import http.client
 import json
 import signal
@@ -12,6 +13,7 @@
 
 from support import Process, free_port, fresh_host, wait_until
 
+from laburnumreel.coordination._store_sync import withdrawal_rows
 from laburnumreel.state import (
     CUSTOMER_SCHEMA,
     PROFILE_SCHEMA,
@@ -148,7 +150,9 @@
                 self.send_header("Set-Cookie", "a=1")
                 self.end_headers()
                 if self.command != "HEAD":
-                    self.wfile.write(answer)
+                    # A caller that was killed takes no answer.
+                    with contextlib.suppress(OSError):
+                        self.wfile.write(answer)
 
             do_GET = do_POST = do_PUT = do_DELETE = do_HEAD = _answer  # noqa: N815
 
@@ -174,6 +178,8 @@
     callers: Address
     admin: Address
     name: str
+    path: Path
+    addresses: dict[str, Address]
 
     def metric(self, name: str, **labels: str) -> float:
         """Return the sum of the series of a metric that have these labels."""
@@ -279,8 +285,9 @@
         assert outcome.is_ok(), outcome
 
     def withdraw(self, key: str) -> None:
+        log = self.platform.scan("withdrawn_log").ok.rows
         digest = key_digest(key, PEPPER.encode())
-        assert self.platform.transact([], [Write("withdrawn", digest, {})]).is_ok()
+        assert self.platform.transact(*withdrawal_rows([digest], len(log) + 1, {})).is_ok()
 
     def settings(self, name: str, **sections: str) -> tuple[Path, dict[str, Address]]:
         """Write a node's settings file; return its path and the addresses in it."""
@@ -322,13 +329,33 @@
         path, addresses = self.settings(name, **sections)
         return self.run_gateway(name, path, addresses, ready)
 
+    def start_gateways(self, count: int, **sections: str) -> list[GatewayProcess]:
+        """Start gateways that are one another's peers, and wait until all are ready."""
+        files = [self.settings(f"node-{number + 1}", **sections) for number in range(count)]
+        peers = ", ".join("{}:{}".format(*addresses["peers"]) for _, addresses in files)
+        gateways = []
+        for number, (path, addresses) in enumerate(files):
+            lines = [
+                f"gateways = {peers}" if line.startswith("gateways = ") else line
+                for line in path.read_text().splitlines()
+            ]
+            path.write_text("\n".join(lines))
+            gateways.append(self.run_gateway(f"node-{number + 1}", path, addresses))
+        return gateways
+
+    def restart_gateway(self, gateway: GatewayProcess) -> GatewayProcess:
+        """Start a gateway again that has ended, with the same settings."""
+        return self.run_gateway(gateway.name, gateway.path, gateway.addresses)
+
     def run_gateway(
         self, name: str, path: Path, addresses: dict[str, Address], ready: bool = True
     ) -> GatewayProcess:
         env = {"TEST_PEPPER": PEPPER, "TEST_CREDENTIAL": CREDENTIAL}
         process = self.start("laburnumreel.daemon", "--config", str(path), "gateway", env=env)
         process.listening(*addresses["callers"]).listening(*addresses["admin"])
-        gateway = GatewayProcess(process, addresses["callers"], addresses["admin"], name)
+        gateway = GatewayProcess(
+            process, addresses["callers"], addresses["admin"], name, path, addresses
+        )
         if ready:
             wait_until(
                 lambda: call(gateway.admin, "GET", "/readyz").status == 200, f"{name} to be ready"
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,188 @@
+"""Tests of idempotency claims against an oracle of what ran."""
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from laburnumreel.state import (
+    Claimed,
+    Claims,
+    ErrorKind,
+    PeerClaim,
+    Refused,
+    Replay,
+    RunState,
+    StoredAnswer,
+    Write,
+)
+from laburnumreel_standins._memory_platform import MemoryPlatform
+from laburnumreel_standins._platform_state import PlatformState
+
+keys = st.sampled_from(["k1", "k2"])
+sides = st.sampled_from([0, 1])
+
+
+class Gateway:
+    """One gateway's claims; a kill leaves a new boot at the same address."""
+
+    def __init__(self, number, state, machine):
+        self.number, self.machine, self.boot = number, machine, 0
+        self.platform = MemoryPlatform(state, sleep=lambda _: None)
+        self.reachable = True
+        self.start()
+
+    def start(self):
+        self.boot += 1
+        address = f"gateway-{self.number}"
+        self.claims = self.machine.claims_class(
+            self.platform, address, f"boot-{self.boot}", address, self.machine
+        )
+
+
+class Open:
+    """A claimed request that has not ended."""
+
+    def __init__(self, gateway, claim, key, body):
+        self.gateway, self.claim, self.key, self.body = gateway, claim, key, body
+        self.ran = False
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Two gateways and one store. Kills, outages and lost calls strike at any moment."""
+
+    claims_class = Claims
+
+    def __init__(self):
+        super().__init__()
+        self.store = PlatformState()
+        self.gateways = [Gateway(number, self.store, self) for number in (0, 1)]
+        self.open = []
+        self.ran = {}
+        self.answers = {}
+        self.count = 0
+
+    def claim_state(self, address, claim_key):
+        gateway = self.gateways[int(address[-1])]
+        if not gateway.reachable:
+            return None
+        return PeerClaim(f"boot-{gateway.boot}", gateway.claims.is_running(claim_key))
+
+    @rule(side=sides, key=keys, body=st.sampled_from(["a", "b"]))
+    def request(self, side, key, body):
+        gateway = self.gateways[side]
+        self.count += 1
+        outcome = gateway.claims.claim("hall-a", key, body, f"r{self.count}")
+        if isinstance(outcome, Claimed):
+            assert key not in self.ran, "a request that ran already may run again"
+            self.open.append(Open(gateway, outcome, key, body))
+        elif isinstance(outcome, Replay):
+            assert self.answers[key] == (body, outcome.answer)
+        else:
+            assert isinstance(outcome, Refused)
+            refusal = outcome.refusal
+            if refusal.kind == ErrorKind.IDEMPOTENCY_RUNNING:
+                assert [item for item in self.open if item.key == key and item.body == body]
+            assert (refusal.state == RunState.NOT_RUN) == (
+                refusal.kind != ErrorKind.IDEMPOTENCY_UNKNOWN
+            )
+
+    @rule(data=st.data())
+    def run(self, data):
+        waiting = [item for item in self.open if not item.ran]
+        if waiting:
+            item = data.draw(st.sampled_from(waiting))
+            assert item.key not in self.ran, "a request runs a second time"
+            item.ran = True
+            self.ran[item.key] = item.body
+
+    @rule(data=st.data(), stored=st.booleans())
+    def end(self, data, stored):
+        if not self.open:
+            return
+        item = data.draw(st.sampled_from(self.open))
+        claims = item.gateway.claims
+        if not item.ran:
+            # The caller is told "not run", so the key must be free or marked, never run again.
+            if claims.abandon(item.claim):
+                self.open.remove(item)
+        elif stored:
+            answer = StoredAnswer(200, [("X-Request-Id", item.claim.row["request_id"])], b"answer")
+            # A replay may come as soon as the store has the answer, even if its reply was lost.
+            self.answers.setdefault(item.key, (item.body, answer))
+            if claims.finish(item.claim, answer):
+                self.open.remove(item)
+        elif claims.give_up(item.claim):
+            self.open.remove(item)
+
+    @rule(data=st.data())
+    def forget(self, data):
+        ended = [item for item in self.open if item.ran]
+        if ended:
+            item = data.draw(st.sampled_from(ended))
+            item.gateway.claims.forget(item.claim)
+            self.open.remove(item)
+
+    @rule(side=sides)
+    def kill(self, side):
+        gateway = self.gateways[side]
+        self.open = [item for item in self.open if item.gateway is not gateway]
+        gateway.start()
+
+    @rule(side=sides, down=st.booleans())
+    def outage(self, side, down):
+        self.gateways[side].platform.faults.change({"down": down})
+
+    @rule(side=sides, kind=st.sampled_from(["lose_answers", "lose_requests"]), n=st.integers(1, 3))
+    def lose(self, side, kind, n):
+        self.gateways[side].platform.faults.change({kind: n})
+
+    @rule(side=sides, reachable=st.booleans())
+    def partition(self, side, reachable):
+        self.gateways[side].reachable = reachable
+
+    @invariant()
+    def one_claim_for_a_key(self):
+        live = [item.key for item in self.open if not item.ran]
+        assert len(live) == len(set(live)), "two gateways may run the same request"
+
+
+TestClaims = ClaimsMachine.TestCase
+TestClaims.settings = settings(max_examples=150, stateful_step_count=40)
+
+
+class TrustsLostWrites(Claims):
+    """A planted fault: a claim whose answer was lost is taken for granted."""
+
+    def _claim(self, name, row):
+        outcome = super()._claim(name, row)
+        lost = isinstance(outcome, Refused) and outcome.refusal.kind == "store_unavailable"
+        return Claimed(name, row, 0) if lost else outcome
+
+
+class FreesKeysOfDeadGateways(Claims):
+    """A planted fault: a claim whose gateway is gone is taken over."""
+
+    def _mark_unknown(self, name, found):
+        return self._platform.transact([], [Write("claim", name, None)]).is_ok()
+
+
+@pytest.mark.parametrize("faulty", [TrustsLostWrites, FreesKeysOfDeadGateways])
+def test_oracle_sees_planted_faults(faulty):
+    """Guards against an oracle that lets a second run of a request pass."""
+
+    class Faulty(ClaimsMachine):
+        claims_class = faulty
+
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(
+            Faulty,
+            settings=settings(
+                max_examples=300,
+                stateful_step_count=40,
+                database=None,
+                report_multiple_bugs=False,
+                # The first failure is enough; shrinking it takes most of the time.
+                phases=[Phase.generate],
+            ),
+        )
--- /dev/null
+++ b/tests/test_gateway_idempotency.py
@@ -0,0 +1,148 @@
+"""Tests of Idempotency-Key over several gateways."""
+
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from deployment import MODEL, OTHER_KEY, Deployment, Stream, bearer, call
+from support import wait_until
+
+from laburnumreel_standins._text import output_text
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture
+def deployment():
+    running = Deployment()
+    yield running
+    running.end()
+
+
+@pytest.fixture
+def gateways(deployment):
+    deployment.configure()
+    deployment.add_engine("--stream-tokens-per-s", "60")
+    return deployment.start_gateways(2)
+
+
+def add_plain(deployment, gateways):
+    """Start a plain server and wait until all gateways know it."""
+    plain = deployment.add_plain()
+    for gateway in gateways:
+        wait_until(
+            lambda at=gateway.callers: call(at, "GET", "/orders/ping").status == 200, "plain"
+        )
+    return plain
+
+
+def book(gateway, key, body=b"12 crates", timeout_s=40):
+    headers = bearer(Idempotency_Key=key)
+    return call(gateway.callers, "POST", "/orders/new", body, headers, timeout_s)
+
+
+def test_replay_equals_the_first_answer(deployment, gateways):
+    """Guards against a repeated request that runs again or gets another answer."""
+    plain = add_plain(deployment, gateways)
+    seen = len(plain.requests)
+    first = book(gateways[0], "order-1")
+    again = [book(gateway, "order-1") for gateway in gateways]
+    assert len(plain.requests) == seen + 1
+    for reply in again:
+        assert (reply.status, reply.body) == (first.status, first.body) == (201, first.body)
+        assert reply.headers["x-request-id"] == first.headers["x-request-id"]
+        assert reply.headers["idempotency-replayed"] == "true"
+    assert book(gateways[1], "order-1", b"13 crates").kind == "idempotency_mismatch"
+    assert book(gateways[1], "not a key").kind == "bad_idempotency_key"
+    other = bearer(OTHER_KEY, Idempotency_Key="order-1")
+    assert call(gateways[1].callers, "POST", "/orders/new", b"12 crates", other).status == 201
+    assert len(plain.requests) == seen + 2
+
+
+def test_streams_are_replayed_with_their_events(deployment, gateways):
+    """Guards against a replayed stream that lacks events of the first."""
+    headers = bearer(Idempotency_Key="stream-1")
+    body = {"prompt": "steady", "max_tokens": 20}
+    first = Stream(gateways[0].callers, body, headers)
+    assert first.finish() == (output_text("steady", 20), True, None)
+    second = Stream(gateways[1].callers, body, headers)
+    second.finish()
+    assert second.raw == first.raw
+    whole = {"model": MODEL, "prompt": "steady", "max_tokens": 20}
+    answers = [
+        call(gateway.callers, "POST", "/v1/completions", whole, bearer(Idempotency_Key="whole-1"))
+        for gateway in gateways
+    ]
+    assert answers[0].body == answers[1].body and answers[0].status == 200
+    assert len(deployment.engine_state("engine-0")["requests"]) == 2
+
+
+def test_second_copy_waits_for_the_first(deployment, gateways):
+    """Guards against two gateways that run the same request at once."""
+    plain = add_plain(deployment, gateways)
+    seen = len(plain.requests)
+    plain.gate.clear()
+    with ThreadPoolExecutor(1) as executor:
+        first = executor.submit(book, gateways[0], "order-2")
+        wait_until(lambda: len(plain.requests) > seen, "the first to run")
+        for gateway in gateways:
+            reply = book(gateway, "order-2")
+            assert (reply.status, reply.kind) == (409, "idempotency_running")
+            assert reply.run_state == "not-run" and reply.headers["retry-after"]
+        plain.gate.set()
+        assert first.result().status == 201
+    assert book(gateways[1], "order-2").body == first.result().body
+    assert len(plain.requests) == seen + 1
+
+
+@pytest.mark.parametrize("after", ["kill", "restart", "pause"])
+def test_killed_gateway_leaves_the_request_unknown(deployment, gateways, after):
+    """Guards against a booking that a second gateway makes again for a dead one."""
+    plain = add_plain(deployment, gateways)
+    seen = len(plain.requests)
+    plain.gate.clear()
+    with ThreadPoolExecutor(1) as executor:
+        first = executor.submit(book, gateways[0], "order-3", timeout_s=3)
+        wait_until(lambda: len(plain.requests) > seen, "the first to run")
+        gateways[0].process.send(signal.SIGSTOP if after == "pause" else signal.SIGKILL)
+        assert first.exception() is not None
+    if after == "restart":
+        gateways[0].process.wait()
+        deployment.restart_gateway(gateways[0])
+    for _ in range(2):
+        reply = book(gateways[1], "order-3")
+        assert (reply.status, reply.kind) == (502, "idempotency_unknown")
+        assert reply.run_state == "unknown"
+    assert len(plain.requests) == seen + 1
+
+
+def test_store_outage_refuses_before_sending(deployment, gateways):
+    """Guards against a keyed request that runs without a claim."""
+    plain = add_plain(deployment, gateways)
+    seen = len(plain.requests)
+    deployment.platform_faults(down=True, paths=["/table", "/objects"])
+    reply = book(gateways[0], "order-4")
+    assert (reply.status, reply.kind, reply.run_state) == (503, "store_unavailable", "not-run")
+    assert len(plain.requests) == seen
+    unkeyed = call(gateways[0].callers, "POST", "/orders/new", b"1", bearer())
+    assert unkeyed.status == 201
+    deployment.platform_faults(down=False, paths=[])
+    assert book(gateways[1], "order-4").status == 201
+    deployment.platform_faults(lose_answers=1, paths=["/table/transact"])
+    assert book(gateways[1], "order-5").status == 201
+    assert book(gateways[0], "order-5").headers["idempotency-replayed"] == "true"
+    assert len(plain.requests) == seen + 3
+
+
+def test_answer_waits_for_a_caller_who_lost_the_connection(deployment, gateways):
+    """Guards against a booking whose outcome is lost because its caller hung up."""
+    plain = add_plain(deployment, gateways)
+    seen = len(plain.requests)
+    plain.gate.clear()
+    with pytest.raises(OSError):
+        book(gateways[0], "order-6", timeout_s=1.0)
+    time.sleep(0.6)
+    plain.gate.set()
+    wait_until(lambda: book(gateways[1], "order-6").status == 201, "the stored answer")
+    assert len(plain.requests) == seen + 1
