Add a load generator, ordered hosts and less jitter in the stand-ins

Experiments need a repeatable mix swing and a flooding customer, and a platform on which ordered hosts arrive late.

laburnumreel-standin load sends a seeded open-loop trace, compares each answer with the prompt's deterministic one and writes a JSON line a request and a table. Spare hosts that are set come up some time after an order. The engine's thread ticks every 2 ms, the interpreter switches threads after 0.5 ms, and calls without a delay no longer sleep for 0 s.

--- a/src/laburnumreel_standins/_engine.py
+++ b/src/laburnumreel_standins/_engine.py
@@ -19,6 +19,7 @@
     Request,
     error_answer,
     json_answer,
+    pause,
     silence_others,
 )
 from laburnumreel_standins._requests_seen import RequestsSeen
@@ -77,13 +78,13 @@
             request.channel.silent = True
             return Answer(200, b"")
         fault = self._call_faults.next(request.method, request.path)
-        time.sleep(fault.before_s)
+        pause(fault.before_s)
         if fault.outcome == "down":
             return error_answer(503, "the engine is down")
         if fault.outcome == "lose_request":
             raise DropConnectionError
         answer = self._route(request)
-        time.sleep(fault.after_s)
+        pause(fault.after_s)
         if fault.outcome == "lose_answer":
             raise DropConnectionError
         return answer
--- a/src/laburnumreel_standins/_engine_task.py
+++ b/src/laburnumreel_standins/_engine_task.py
@@ -7,7 +7,7 @@
 from laburnumreel.core import SystemClock, Task
 from laburnumreel_standins._engine_model import EngineModel
 
-TICK_S = 0.004
+TICK_S = 0.002
 ASK_TIMEOUT_S = 10.0
 
 Value = TypeVar("Value")
--- a/src/laburnumreel_standins/_http.py
+++ b/src/laburnumreel_standins/_http.py
@@ -6,6 +6,8 @@
 import os
 import signal
 import socket
+import sys
+import time
 from collections.abc import Iterable
 from http import HTTPStatus
 from typing import Any, NamedTuple, Protocol
@@ -18,6 +20,9 @@
 _CHANNEL = "laburnumreel_standins.channel"
 # KV imports are the largest bodies.
 MAX_BODY_BYTES = 256 * 1024 * 1024
+# With the interpreter's default of 5 ms, streams wait for each other on the interpreter's lock and
+# the gaps between their tokens grow.
+SWITCH_INTERVAL_S = 0.0005
 
 
 class BadRequestError(Exception):
@@ -115,6 +120,12 @@
     return json_answer({"error": error}, status, headers)
 
 
+def pause(seconds: float) -> None:
+    """Wait. Even a sleep of 0 s gives the interpreter's lock away, which busy stand-ins feel."""
+    if seconds > 0:
+        time.sleep(seconds)
+
+
 class Application:
     """The WSGI application around a service."""
 
@@ -183,6 +194,7 @@
     # for running streams.
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: os._exit(0))
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     logging.getLogger("waitress").setLevel(logging.ERROR)
     logging.getLogger("waitress.queue").setLevel(logging.ERROR)
     Server(service, host, port, threads).run()
--- a/src/laburnumreel_standins/_plain.py
+++ b/src/laburnumreel_standins/_plain.py
@@ -3,7 +3,6 @@
 import json
 import os
 import threading
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -13,6 +12,7 @@
     Request,
     error_answer,
     json_answer,
+    pause,
     silence_others,
 )
 
@@ -53,7 +53,7 @@
             request.channel.silent = True
             return Answer(200, b"")
         request_id = request.headers.get("X-Request-Id", "")
-        time.sleep(self._faults["delay_s"])
+        pause(self._faults["delay_s"])
         if self._take("refuse"):
             return error_answer(503, "the service refuses work", {"X-Request-Id": request_id})
         if self._take("drop_before"):
@@ -62,7 +62,7 @@
         if text and (text in request.body or text in request.path.encode()):
             self._crash()
         answer = self._run(request, request_id)
-        time.sleep(self._faults["delay_after_s"])
+        pause(self._faults["delay_after_s"])
         if self._take("drop_after"):
             raise DropConnectionError
         return self._spoil(answer, request_id)
--- a/src/laburnumreel_standins/_platform.py
+++ b/src/laburnumreel_standins/_platform.py
@@ -1,6 +1,5 @@
 """The platform over HTTP."""
 
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -14,6 +13,7 @@
     Request,
     error_answer,
     json_answer,
+    pause,
 )
 from laburnumreel_standins._platform_state import PlatformState
 
@@ -47,13 +47,13 @@
         call = f"{request.method} /{request.segments[0]}"
         self._calls[call] = self._calls.get(call, 0) + 1
         fault = self._faults.next(request.method, request.path)
-        time.sleep(fault.before_s)
+        pause(fault.before_s)
         if fault.outcome == "down":
             return error_answer(503, "the platform is down")
         if fault.outcome == "lose_request":
             raise DropConnectionError
         answer = route(request)
-        time.sleep(fault.after_s)
+        pause(fault.after_s)
         if fault.outcome == "lose_answer":
             raise DropConnectionError
         return answer
@@ -152,6 +152,11 @@
             case "POST", "hosts":
                 state.set_hosts([_host(host) for host in request.json()["hosts"]], now)
                 return json_answer({})
+            case "POST", "spares":
+                body = request.json()
+                hosts = [_host(host) for host in body["hosts"]]
+                state.set_spares(hosts, body["arrive_s"])
+                return json_answer({})
             case "POST", "capacity":
                 body = request.json()
                 state.deny_capacity(body["zone"], body["kind"], body["denied"])
--- a/src/laburnumreel_standins/_platform_state.py
+++ b/src/laburnumreel_standins/_platform_state.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from laburnumreel.state import CapacityOrder, Check, Host, Page, Row, Write
+from laburnumreel_standins._hosts import HostList
 
 MAX_SCAN_ROWS = 1000
 
@@ -68,16 +69,6 @@
         return Page(rows[:limit], len(rows) > limit)
 
 
-class _HostRecord(NamedTuple):
-    host: Host
-    arrives: float
-    leaves: float
-    gone: float
-
-
-_NEVER = float("inf")
-
-
 class PlatformState:
     """All that the platform holds. Methods may be called from several threads.
 
@@ -103,7 +94,7 @@
         self._no_capacity: set[tuple[str, str]] = set()
         self._usage: dict[tuple[str, str], dict[str, int]] = {}
         self._usage_history: list[UsageReceipt] = []
-        self._hosts: list[_HostRecord] = []
+        self._hosts = HostList()
         self._deferred: list[tuple[float, Callable[[], Any]]] = []
 
     @property
@@ -210,6 +201,7 @@
                 fences[zone, order.service] = max(
                     order.fence, fences.get((zone, order.service), order.fence)
                 )
+                self._hosts.apply(zone, order, now)
             return Ok(None) if outcome in ("applied", "repeated") else Error(outcome)
 
     def _order_outcome(self, zone: str, order: CapacityOrder) -> str:
@@ -261,36 +253,22 @@
     def set_hosts(self, hosts: Sequence[Host], now: float) -> None:
         """Make `hosts` the list of hosts from `now` on. Hosts that it lacks are gone."""
         with self._lock:
-            wanted = list(hosts)
-            records = []
-            for record in self._hosts:
-                if record.gone > now and record.host in wanted:
-                    wanted.remove(record.host)
-                elif record.gone > now:
-                    record = record._replace(gone=now)
-                records.append(record)
-            self._hosts = records + [_HostRecord(host, now, _NEVER, _NEVER) for host in wanted]
+            self._hosts.replace(hosts, now)
+
+    def set_spares(self, hosts: Sequence[Host], arrive_s: float) -> None:
+        """Let orders bring up these hosts, each `arrive_s` after its order, and give up hosts."""
+        with self._lock:
+            self._hosts.set_spares(hosts, arrive_s)
 
     def reclaim(self, zone: str, notice_s: float, now: float) -> list[str]:
         """Reclaim a zone's cheap hosts: they are leaving now and gone after the notice."""
         with self._lock:
-            names = []
-            for index, record in enumerate(self._hosts):
-                host = record.host
-                if host.zone == zone and host.cheap and record.arrives <= now < record.leaves:
-                    self._hosts[index] = record._replace(leaves=now, gone=now + notice_s)
-                    names.append(host.name)
-            return names
+            return self._hosts.reclaim(zone, notice_s, now)
 
     def hosts(self, now: float) -> list[Host]:
         """Return the hosts as they were `hosts_lag_s` before `now`."""
         with self._lock:
-            seen = now - self.hosts_lag_s
-            return [
-                record.host._replace(state="leaving") if record.leaves <= seen else record.host
-                for record in self._hosts
-                if record.arrives <= seen < record.gone
-            ]
+            return self._hosts.at(now - self.hosts_lag_s)
 
     def _table(self, name: str) -> _Table:
         return self._tables.setdefault(name, _Table())
--- a/src/laburnumreel_standins/_text.py
+++ b/src/laburnumreel_standins/_text.py
@@ -39,9 +39,11 @@
         model = body.get("model")
         if not isinstance(model, str):
             raise BadRequestError("model is missing")
-        limit = body.get("max_completion_tokens", body.get("max_tokens"))
+        limit = body.get("max_completion_tokens")
         if limit is None:
-            output_tokens = 16 + hashlib.sha256(text.encode()).digest()[0] % 48
+            limit = body.get("max_tokens")
+        if limit is None:
+            output_tokens = 16 + hashlib.sha256(text.encode("utf-8", "replace")).digest()[0] % 48
         elif isinstance(limit, int) and 1 <= limit <= MAX_OUTPUT_TOKENS:
             output_tokens = limit
         else:
@@ -50,12 +52,12 @@
 
     @property
     def tokens(self) -> int:
-        return max(1, -(-len(self.text.encode()) // BYTES_PER_TOKEN))
+        return max(1, -(-len(self.text.encode("utf-8", "replace")) // BYTES_PER_TOKEN))
 
     @property
     def prefixes(self) -> tuple[str, ...]:
         """The hex SHA-256 of each start of the text that is a multiple of 256 bytes long."""
-        raw = self.text.encode()
+        raw = self.text.encode("utf-8", "replace")
         running = hashlib.sha256()
         prefixes = []
         for end in range(BLOCK_BYTES, len(raw) + 1, BLOCK_BYTES):
@@ -82,7 +84,7 @@
 
 
 def _chain(text: str) -> Iterator[str]:
-    link = hashlib.sha256(text.encode()).digest()
+    link = hashlib.sha256(text.encode("utf-8", "replace")).digest()
     yield _WORDS[link[0] % len(_WORDS)]
     while True:
         link = hashlib.sha256(link).digest()
@@ -91,8 +93,8 @@
 
 def _completion_text(body: dict[str, Any]) -> str:
     prompt = body.get("prompt")
-    if isinstance(prompt, list) and all(isinstance(part, str) for part in prompt):
-        return "".join(prompt)
+    if isinstance(prompt, list) and prompt:
+        return "".join(map(str, prompt))
     if not isinstance(prompt, str):
         raise BadRequestError("prompt is not a text")
     return prompt
--- /dev/null
+++ b/src/laburnumreel_standins/load.py
@@ -0,0 +1,246 @@
+"""A load generator: an open loop of seeded requests against a gateway or an engine."""
+
+import http.client
+import itertools
+import json
+import time
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+
+from laburnumreel_standins._options import ADDRESS, Address
+from laburnumreel_standins._summary import Record, percentile, summary_table
+from laburnumreel_standins._text import output_text
+from laburnumreel_standins._trace import Arrival, Flood, Mix, TracePlan, make_trace
+
+# An open loop needs a free thread for each arrival, however many requests are waiting.
+MAX_THREADS = 512
+
+
+class Target(NamedTuple):
+    """Where requests go. `keys` holds each customer's key; a customer without one sends none."""
+
+    addresses: tuple[Address, ...]
+    model: str
+    keys: Mapping[str, str]
+    timeout_s: float
+    chat: bool = False
+
+
+class LoadRun:
+    """Sends a trace and keeps a record of each request. Requests go round the target's addresses."""
+
+    def __init__(
+        self, target: Target, trace: Sequence[Arrival], keep: Callable[[Record], None]
+    ) -> None:
+        self._target = target
+        self._trace = trace
+        self._keep = keep
+        self._addresses = itertools.cycle(target.addresses)
+        self._started = 0.0
+
+    def run(self) -> list[Record]:
+        """Send each request at its time, and return the records when all have ended."""
+        self._started = time.monotonic()
+        futures = []
+        with ThreadPoolExecutor(MAX_THREADS, thread_name_prefix="load") as executor:
+            for arrival in self._trace:
+                time.sleep(max(0.0, self._started + arrival.at - time.monotonic()))
+                futures.append(executor.submit(self._one, arrival, next(self._addresses)))
+            return [future.result() for future in futures]
+
+    def _one(self, arrival: Arrival, address: Address) -> Record:
+        exchange = _Exchange(self._target, arrival, address)
+        sent = time.monotonic()
+        exchange.run()
+        record = exchange.record(self._started, sent)
+        self._keep(record)
+        return record
+
+
+class _Exchange:
+    """One streamed request on a connection of its own."""
+
+    def __init__(self, target: Target, arrival: Arrival, address: Address) -> None:
+        self._target = target
+        self._arrival = arrival
+        self._connection = http.client.HTTPConnection(*address, timeout=target.timeout_s)
+        self._times: list[float] = []
+        self._text: list[str] = []
+        self._status = 0
+        self._request_id = ""
+        self._run_state = ""
+        self._error = ""
+
+    def run(self) -> None:
+        try:
+            self._error = self._send()
+        except TimeoutError:
+            self._error = "timeout"
+        except (OSError, http.client.HTTPException, ValueError):
+            self._error = "broken" if self._connection.sock or self._status else "connect"
+        finally:
+            self._connection.close()
+
+    def record(self, started: float, sent: float) -> Record:
+        times = self._times
+        gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+        return Record(
+            self._arrival.number,
+            self._request_id,
+            self._arrival.customer,
+            self._arrival.prompt_tokens,
+            self._arrival.output_tokens,
+            round(self._arrival.at, 4),
+            round(sent - started, 4),
+            round(times[0] - sent, 4) if times else None,
+            round(percentile(gaps, 0.95), 4) if gaps else None,
+            round(time.monotonic() - sent, 4),
+            len(times),
+            self._status,
+            self._error,
+            self._run_state,
+        )
+
+    def _send(self) -> str:
+        self._connection.connect()
+        path = "/v1/chat/completions" if self._target.chat else "/v1/completions"
+        self._connection.request("POST", path, json.dumps(self._body()), self._headers())
+        answer = self._connection.getresponse()
+        self._status = answer.status
+        self._request_id = answer.headers.get("X-Request-Id", "")
+        self._run_state = answer.headers.get("X-Run-State", "")
+        if answer.status != 200:
+            answer.read()
+            return answer.headers.get("X-Error-Kind", f"status_{answer.status}")
+        return self._read(answer)
+
+    def _read(self, answer: http.client.HTTPResponse) -> str:
+        done = False
+        while line := answer.readline():
+            if not line.startswith(b"data: "):
+                continue
+            payload = line[6:].strip()
+            if payload == b"[DONE]":
+                done = True
+                continue
+            error = self._chunk(json.loads(payload))
+            if error:
+                return error
+        if not done:
+            return "incomplete"
+        arrival = self._arrival
+        expected = output_text(self._prompt_text(), arrival.output_tokens)
+        return "" if "".join(self._text) == expected else "wrong"
+
+    def _chunk(self, chunk: dict[str, Any]) -> str:
+        if "error" in chunk:
+            return str(chunk["error"].get("code") or "error")
+        for choice in chunk["choices"]:
+            text = choice["delta"].get("content") if self._target.chat else choice["text"]
+            if text:
+                self._times.append(time.monotonic())
+                self._text.append(text)
+        return ""
+
+    def _body(self) -> dict[str, Any]:
+        body = {
+            "model": self._target.model,
+            "max_tokens": self._arrival.output_tokens,
+            "stream": True,
+        }
+        if self._target.chat:
+            return {**body, "messages": [{"role": "user", "content": self._arrival.prompt}]}
+        return {**body, "prompt": self._arrival.prompt}
+
+    def _prompt_text(self) -> str:
+        prompt = self._arrival.prompt
+        return f"user\n{prompt}\n" if self._target.chat else prompt
+
+    def _headers(self) -> dict[str, str]:
+        headers = {"Content-Type": "application/json"}
+        key = self._target.keys.get(self._arrival.customer)
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        return headers
+
+
+def read_keys(path: Path) -> dict[str, str]:
+    """Read customers' keys from a file with a line `CUSTOMER KEY` for each."""
+    keys = {}
+    for line in path.read_text(encoding="utf-8").splitlines():
+        if line.strip():
+            customer, key = line.split()
+            keys[customer] = key
+    return keys
+
+
+@click.command()
+@click.option("--target", "targets", type=ADDRESS, multiple=True, required=True)
+@click.option("--model", default="small")
+@click.option("--keys", type=click.Path(path_type=Path), help="File of lines CUSTOMER KEY.")
+@click.option("--customers", default="a,b,c,d", help="Without --keys: names, largest first.")
+@click.option("--chat/--completions", default=False)
+@click.option("--seconds", default=30.0, help="Length of the trace.")
+@click.option("--rate", default=10.0, help="Requests a second, of all customers.")
+@click.option("--seed", default=1)
+@click.option("--prompt-tokens", default=200, help="Mean length.")
+@click.option("--output-tokens", default=60, help="Mean length.")
+@click.option("--swing-at", default=float("inf"), help="Second at which the mix changes.")
+@click.option("--swing-prompt-tokens", default=1600, help="Mean length from then on.")
+@click.option("--swing-output-tokens", default=20, help="Mean length from then on.")
+@click.option("--flood-customer", default="", help="A customer that floods for a while.")
+@click.option("--flood-at", default=5.0)
+@click.option("--flood-s", default=10.0)
+@click.option("--flood-rate", default=50.0, help="Its requests a second beyond --rate.")
+@click.option("--shared", default=0.5, help="Share of a prompt that a customer's requests share.")
+@click.option("--timeout-s", default=60.0, help="Longest silence before a request is given up.")
+@click.option("--out", type=click.File("w", lazy=False), help="File for a JSON line a request.")
+def load(
+    targets: tuple[Address, ...],
+    model: str,
+    keys: Path | None,
+    customers: str,
+    chat: bool,
+    seed: int,
+    out: Any,
+    timeout_s: float,
+    **options: Any,
+) -> None:
+    """Send a seeded trace of requests and print a summary."""
+    known = read_keys(keys) if keys else {}
+    names = tuple(known) or tuple(name.strip() for name in customers.split(","))
+    plan = _plan(names, **options)
+    target = Target(targets, model, known, timeout_s, chat)
+
+    def keep(record: Record) -> None:
+        if out is not None:
+            # One write a line, so that threads do not mix their lines.
+            out.write(json.dumps(record._asdict()) + "\n")
+
+    records = LoadRun(target, make_trace(plan, seed), keep).run()
+    click.echo(summary_table(records, plan.seconds))
+
+
+def _plan(customers: tuple[str, ...], **options: Any) -> TracePlan:
+    flood = None
+    if options["flood_customer"]:
+        flood = Flood(
+            options["flood_customer"],
+            options["flood_at"],
+            options["flood_s"],
+            options["flood_rate"],
+        )
+    return TracePlan(
+        options["seconds"],
+        options["rate"],
+        customers,
+        Mix(options["prompt_tokens"], options["output_tokens"]),
+        Mix(options["swing_prompt_tokens"], options["swing_output_tokens"]),
+        options["swing_at"],
+        flood,
+        options["shared"],
+    )
--- a/src/laburnumreel_standins/main.py
+++ b/src/laburnumreel_standins/main.py
@@ -1,34 +1,26 @@
-"""The stand-ins' programs: `laburnumreel-standin platform|engine|plain`."""
+"""The program `laburnumreel-standin platform|engine|plain|load`."""
 
 import click
 
 from laburnumreel_standins._engine import EngineService
 from laburnumreel_standins._engine_model import ROLE_SPEEDS, Speeds
 from laburnumreel_standins._http import run_until_terminated
+from laburnumreel_standins._options import ADDRESS, Address
 from laburnumreel_standins._plain import PlainService
 from laburnumreel_standins._platform import PlatformService
 from laburnumreel_standins._platform_state import PlatformState
+from laburnumreel_standins.load import load
 
 # Threads beyond those of running and queued requests, for reports, orders and faults.
 SPARE_THREADS = 16
 
 
-class _Address(click.ParamType):
-    name = "HOST:PORT"
-
-    def convert(self, value: str, param: object, ctx: click.Context | None) -> tuple[str, int]:
-        host, _, port = value.rpartition(":")
-        if not host or not port.isdecimal():
-            self.fail(f"{value!r} is not HOST:PORT")
-        return host, int(port)
-
-
-_listen = click.option("--listen", type=_Address(), required=True, help="Address to serve HTTP on.")
+_listen = click.option("--listen", type=ADDRESS, required=True, help="Address to serve HTTP on.")
 
 
 @click.group()
 def main() -> None:
-    """Stand-ins for the platform, engines and plain services."""
+    """Stand-ins for the platform, engines and plain services, and a load generator."""
 
 
 @main.command()
@@ -36,7 +28,7 @@
 @click.option("--hosts-lag-s", default=0.0, help="Age of the host list that callers see.")
 @click.option("--fence-check/--no-fence-check", default=True, help="Refuse old fencing numbers.")
 @click.option("--threads", default=64, help="Calls at a time.")
-def platform(listen: tuple[str, int], hosts_lag_s: float, fence_check: bool, threads: int) -> None:
+def platform(listen: Address, hosts_lag_s: float, fence_check: bool, threads: int) -> None:
     """Serve the platform: tables, objects, orders, usage and hosts, all in memory."""
     state = PlatformState(fence_check, hosts_lag_s)
     run_until_terminated(PlatformService(state), *listen, threads)
@@ -53,9 +45,7 @@
 @click.option("--max-streams", default=Speeds().max_streams)
 @click.option("--max-queue", default=Speeds().max_queue)
 @click.option("--kv-tokens", default=Speeds().kv_tokens, help="Memory for KV, in tokens.")
-def engine(
-    listen: tuple[str, int], models: str, role: str, change_s: float, **speeds: float
-) -> None:
+def engine(listen: Address, models: str, role: str, change_s: float, **speeds: float) -> None:
     """Serve a model engine with a simple model of time and memory."""
     names = tuple(name.strip() for name in models.split(",") if name.strip())
     rates = Speeds(**speeds)
@@ -67,10 +57,12 @@
 @main.command()
 @_listen
 @click.option("--threads", default=64, help="Requests at a time.")
-def plain(listen: tuple[str, int], threads: int) -> None:
+def plain(listen: Address, threads: int) -> None:
     """Serve a small bookings service."""
     run_until_terminated(PlainService(), *listen, threads)
 
 
+main.add_command(load)
+
 if __name__ == "__main__":
     main()
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -234,3 +234,18 @@
     assert state.hosts(11.9) == [HOST, dedicated]
     assert state.hosts(12.0) == [HOST._replace(state="leaving"), dedicated]
     assert state.hosts(17.0) == [dedicated]
+
+
+@given(st.lists(st.integers(0, 4), max_size=8))
+def test_ordered_hosts_arrive_late_and_end_at_the_wanted_count(counts):
+    """Guards against capacity that is there at once, or an order that is applied by its difference."""
+    state = PlatformState()
+    spares = [HOST._replace(name=f"e{number}") for number in range(40)]
+    state.set_spares(spares, arrive_s=20.0)
+    now = 0.0
+    for number, count in enumerate(counts):
+        before = len(state.hosts(now))
+        state.order_capacity("xela-a", CapacityOrder(str(number), 1, "cheap", "quotes", count), now)
+        assert len(state.hosts(now + 10.0)) == min(before, count)
+        now += 30.0
+        assert [host.state for host in state.hosts(now)] == ["live"] * count
