--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -1,6 +1,104 @@
 """Decisions and agreement between nodes."""
 
+from laburnumreel.coordination._admission import (
+    Admission,
+    Admitted,
+    Decision,
+    Offer,
+    Queued,
+    Refused,
+)
 from laburnumreel.coordination._authority import AlarmTimer, AuthorityBoard, ProcessTimer
+from laburnumreel.coordination._budget import RetryBudget
+from laburnumreel.coordination._config_sync import ConfigSync
+from laburnumreel.coordination._config_write import (
+    Base,
+    Edits,
+    WriteFailure,
+    edits_to,
+    managed_entries,
+    read_base,
+    write_change,
+    write_commuting,
+    write_withdrawal,
+)
+from laburnumreel.coordination._fleet import BackEnd, Drain, Fleet, LoadReport
+from laburnumreel.coordination._guarded_send import (
+    Answer,
+    GuardedSender,
+    OrderConnection,
+    OrderLink,
+    SendFailure,
+)
 from laburnumreel.coordination._leases import LeaseKeeper
+from laburnumreel.coordination._messages import (
+    ClaimState,
+    DrainMark,
+    ExchangeMessage,
+    NewsSource,
+    NodeStatus,
+    NoNews,
+    PeerLink,
+    PeerNews,
+    QuarantineEntry,
+)
+from laburnumreel.coordination._orders import ORDERS_LEASE, OrderSender, Plan, Receivers
+from laburnumreel.coordination._peers import PeerExchange
+from laburnumreel.coordination._prefixes import prompt_prefixes
+from laburnumreel.coordination._quarantine import Quarantine
+from laburnumreel.coordination._routing import Choice, Costs, Router, Work
+from laburnumreel.coordination._store_sync import read_configuration
 
-__all__ = ["AlarmTimer", "AuthorityBoard", "LeaseKeeper", "ProcessTimer"]
+__all__ = [
+    "Admission",
+    "Admitted",
+    "AlarmTimer",
+    "Answer",
+    "AuthorityBoard",
+    "BackEnd",
+    "Base",
+    "Choice",
+    "ClaimState",
+    "ConfigSync",
+    "Costs",
+    "Decision",
+    "Drain",
+    "DrainMark",
+    "Edits",
+    "ExchangeMessage",
+    "Fleet",
+    "GuardedSender",
+    "LeaseKeeper",
+    "LoadReport",
+    "NewsSource",
+    "NoNews",
+    "NodeStatus",
+    "ORDERS_LEASE",
+    "Offer",
+    "OrderConnection",
+    "OrderLink",
+    "OrderSender",
+    "PeerExchange",
+    "PeerLink",
+    "PeerNews",
+    "Plan",
+    "ProcessTimer",
+    "Quarantine",
+    "QuarantineEntry",
+    "Queued",
+    "Receivers",
+    "Refused",
+    "RetryBudget",
+    "Router",
+    "SendFailure",
+    "Work",
+    "WriteFailure",
+    "edits_to",
+    "managed_entries",
+    "prompt_prefixes",
+    "read_base",
+    "read_configuration",
+    "write_change",
+    "write_commuting",
+    "write_withdrawal",
+]
--- a/src/laburnumreel/coordination/_metrics.py
+++ b/src/laburnumreel/coordination/_metrics.py
@@ -8,3 +8,26 @@
 LEASE_WRITES = define_counter(
     "laburnumreel_lease_writes_total", "lease transactions sent to the store", ["kind"]
 )
+ORDERS = define_counter(
+    "laburnumreel_orders_total",
+    "orders given, by what the receiver answered",
+    ["action", "receipt"],
+)
+CONFIG_VERSION = define_gauge(
+    "laburnumreel_config_version", "version of the configuration in force"
+)
+CONFIG_CHANGES = define_counter(
+    "laburnumreel_config_changes_total",
+    "configurations taken over, by where they came from",
+    ("source",),
+)
+STORE_READ_FAILURES = define_counter(
+    "laburnumreel_store_read_failures_total", "polls of the store that failed"
+)
+WITHDRAWN_KEYS = define_gauge("laburnumreel_withdrawn_keys", "withdrawn keys that are known")
+EXCHANGES = define_counter(
+    "laburnumreel_exchanges_total", "exchanges with peers, by result", ("result",)
+)
+EXCHANGES_ANSWERED = define_counter(
+    "laburnumreel_exchanges_answered_total", "exchanges begun by peers"
+)
