--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -41,14 +41,19 @@
     PeerLink,
     PeerNews,
     QuarantineEntry,
+    address_text,
+    parse_address,
 )
 from laburnumreel.coordination._orders import ORDERS_LEASE, OrderSender, Plan, Receivers
 from laburnumreel.coordination._peers import PeerExchange
 from laburnumreel.coordination._prefixes import prompt_prefixes
+from laburnumreel.coordination._quarantine import Quarantine
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
 from laburnumreel.coordination._store_sync import read_configuration
 
 __all__ = [
+    "parse_address",
+    "address_text",
     "Admission",
     "Admitted",
     "AlarmTimer",
@@ -82,6 +87,7 @@
     "PeerNews",
     "Plan",
     "ProcessTimer",
+    "Quarantine",
     "QuarantineEntry",
     "Queued",
     "Receivers",
--- a/src/laburnumreel/protocol/__init__.py
+++ b/src/laburnumreel/protocol/__init__.py
@@ -2,6 +2,7 @@
 
 from laburnumreel.protocol._answers import (
     Answer,
+    count_refusal,
     json_answer,
     new_request_id,
     refusal_answer,
@@ -16,6 +17,12 @@
     safe_target,
     strip_query,
 )
+from laburnumreel.protocol._idempotency import (
+    MAX_STORED_BYTES,
+    idempotency_key,
+    replay,
+    request_digest,
+)
 from laburnumreel.protocol._openai import (
     DONE,
     AnswerBuilder,
@@ -31,6 +38,10 @@
 )
 
 __all__ = [
+    "MAX_STORED_BYTES",
+    "idempotency_key",
+    "replay",
+    "request_digest",
     "DONE",
     "Answer",
     "AnswerBuilder",
@@ -38,6 +49,7 @@
     "ModelRequest",
     "SseParser",
     "answer_headers",
+    "count_refusal",
     "engine_body",
     "error_body",
     "forwarded_headers",
--- a/src/laburnumreel/serving/_plain.py
+++ b/src/laburnumreel/serving/_plain.py
@@ -75,11 +75,14 @@
                 yield data
             self._finish()
         except BackEndFailureError as error:
-            # The head is out: the caller learns of it by the missing end.
             raise self._attempts.failure(_refusal_of(error)) from error
         finally:
             self._attempts.abandon()
 
+    def close(self) -> None:
+        """End the exchange if it is still open."""
+        self._attempts.abandon()
+
     def _begin(self, exchange: Exchange) -> PlainAnswer:
         headers = answer_headers(exchange.headers)
         length = exchange.header("Content-Length")
