--- /dev/null
+++ b/tests/operator_support.py
@@ -0,0 +1,53 @@
+"""An operator of a test deployment: a profiles folder and the command line on it."""
+
+import contextlib
+import io
+import json
+import os
+from pathlib import Path
+from typing import Any
+
+from deployment import MODEL, PEPPER, Deployment, GatewayProcess
+
+from laburnumreel.ui import cli
+from laburnumreel.ui._context import main_with
+
+FOLDER = {
+    "profiles/chat.ini": "[profile]\nkind = model\ndeadline_s = 120\n",
+    "services/models.ini": (
+        f"[service]\nprofile = chat\nmodels = {MODEL}\ncustomers = hall-a\n"
+        "credential_env = TEST_CREDENTIAL\n"
+    ),
+    "customers/hall-a.ini": "[customer]\nweight = 1\n",
+}
+
+
+class Operator:
+    """Runs the command line with the settings of one of the gateways."""
+
+    def __init__(self, folder: Path, gateways: list[GatewayProcess]) -> None:
+        os.environ["TEST_PEPPER"] = PEPPER
+        self.folder = folder
+        self._settings = gateways[0].path
+        for name, text in FOLDER.items():
+            (folder / name).parent.mkdir(parents=True, exist_ok=True)
+            (folder / name).write_text(text)
+
+    def set_weight(self, weight: int) -> None:
+        """Change the folder so that `apply` has something to do."""
+        (self.folder / "customers/hall-a.ini").write_text(f"[customer]\nweight = {weight}\n")
+
+    def run(self, *arguments: object) -> tuple[int, Any]:
+        """Return the exit code and what was printed as JSON."""
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = main_with(
+                cli, ["--settings", str(self._settings), "--json", *map(str, arguments)]
+            )
+        return code, json.loads(out.getvalue() or err.getvalue())
+
+
+def start_six(deployment: Deployment, **sections: str) -> list[GatewayProcess]:
+    """Start an engine and the six gateways of a deployment of today's size."""
+    deployment.add_engine("--stream-tokens-per-s", "20")
+    return deployment.start_gateways(6, **sections)
