Count requests in flight exactly, and add the bench driver

Load reports 2 s old do not show requests that wait for a slot, and peers' ended requests and processed prompts were still counted.

Change: while all gateways are heard, Fleet takes an engine's requests and queued prompts from what the gateways have in flight (`own_work`, `on_first_token`); reports remain the fallback. `capacity` can hold engines to the token gap goal.

--- /dev/null
+++ b/bench/_engine.py
@@ -0,0 +1,200 @@
+"""A discrete-event clock and a fake engine with prefix cache, prefill queue and shared decoding."""
+
+import heapq
+import itertools
+from collections import OrderedDict, deque
+from collections.abc import Callable, Sequence
+
+from bench._traffic import BLOCK_TOKENS, Request
+from laburnumreel.coordination import LoadReport
+from laburnumreel.state import Host
+
+# The stand-in engine's speeds and role shares, so that both models of an engine agree.
+PREFILL_TOKENS_PER_S, DECODE_TOKENS_PER_S, STREAM_TOKENS_PER_S = 20_000.0, 3_200.0, 50.0
+MAX_STREAMS = 64
+ROLE_SPEEDS = {"both": (1.0, 1.0), "prefill": (1.5, 0.5), "decode": (0.5, 1.5)}
+CACHE_BLOCKS = 2_000
+
+
+class World:
+    """The event queue and its clock."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def at(self, time: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (max(time, self.now), next(self._numbers), action))
+
+    def every(self, period_s: float, action: Callable[[], None], start: float = 0.0) -> None:
+        def again() -> None:
+            action()
+            self.at(self.now + period_s, again)
+
+        self.at(start, again)
+
+    def run(self, until: float) -> None:
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = until
+
+
+class FakeEngine:
+    """One prefill queue, and streams that share the decode speed evenly."""
+
+    def __init__(self, world: World, host: Host, role: str = "both") -> None:
+        self.world, self.host, self.role = world, host, role
+        self.alive, self.draining = True, False
+        self.max_streams = MAX_STREAMS
+        self.queue: deque[tuple[Request, int]] = deque()
+        self.streams: list[tuple[float, int, Request]] = []
+        self.on_end: Callable[[Request, bool], None] = lambda request, complete: None
+        self.on_first: Callable[[Request], None] = lambda request: None
+        self.busy_s = 0.0
+        self.prefilled = self.decoded = 0.0
+        self.stored: list[str] = []
+        self.evicted: list[str] = []
+        self._cache: OrderedDict[str, None] = OrderedDict()
+        self._prefill_end: float | None = None
+        self._served = 0.0
+        self._served_at = 0.0
+        self._version = 0
+        self._numbers = itertools.count()
+
+    @property
+    def requests(self) -> list[Request]:
+        return [item[0] for item in self.queue] + [item[2] for item in self.streams]
+
+    @property
+    def changing(self) -> bool:
+        return self.draining
+
+    def receive(self, request: Request) -> bool:
+        """Take a request; False is a refused connection."""
+        if not self.alive or self.draining:
+            return False
+        hit = 0
+        for number, prefix in enumerate(request.prefixes, 1):
+            if prefix in self._cache:
+                self._cache.move_to_end(prefix)
+                hit = number
+        left = max(1, request.prompt_tokens - hit * BLOCK_TOKENS)
+        self.queue.append((request, left))
+        self._start_prefill()
+        return True
+
+    def report(self) -> LoadReport:
+        self._advance()
+        prefill, decode = self._speeds()
+        queued = sum(left for _, left in self.queue)
+        if self._prefill_end is not None:
+            queued -= self.queue[0][1] - int((self._prefill_end - self.world.now) * prefill)
+        return LoadReport(
+            self.world.now,
+            self.role,
+            ("m",),
+            max(0, queued),
+            len(self.streams),
+            self.max_streams,
+            prefill,
+            decode,
+            10**6,
+            self.draining,
+        )
+
+    def interrupt(self) -> None:
+        """End all requests incomplete, as a crash or a role change does."""
+        lost = self.requests
+        self.queue.clear()
+        self.streams.clear()
+        self._prefill_end = None
+        self._version += 1
+        for request in lost:
+            self.on_end(request, False)
+
+    def crash(self) -> None:
+        self.alive = False
+        self._cache.clear()
+        self.interrupt()
+
+    def change_role(self, role: str, change_s: float) -> None:
+        """Stop taking work, end what runs, and come back in the new role."""
+        self.draining = True
+        self.interrupt()
+
+        def back() -> None:
+            self.role, self.draining = role, False
+
+        self.world.at(self.world.now + change_s, back)
+
+    def _speeds(self) -> tuple[float, float]:
+        prefill, decode = ROLE_SPEEDS[self.role]
+        return PREFILL_TOKENS_PER_S * prefill, DECODE_TOKENS_PER_S * decode
+
+    def _rate(self) -> float:
+        return min(STREAM_TOKENS_PER_S, self._speeds()[1] / max(1, len(self.streams)))
+
+    def _advance(self) -> None:
+        passed = self.world.now - self._served_at
+        if self.streams:
+            self._served += passed * self._rate()
+            self.decoded += passed * self._rate() * len(self.streams)
+        if self.streams or self.queue:
+            self.busy_s += passed
+        self._served_at = self.world.now
+
+    def _start_prefill(self) -> None:
+        if self._prefill_end is not None or not self.queue or len(self.streams) >= self.max_streams:
+            return
+        self._advance()
+        self._prefill_end = self.world.now + self.queue[0][1] / self._speeds()[0]
+        version = self._version
+        self.world.at(self._prefill_end, lambda: self._prefill_done(version))
+
+    def _prefill_done(self, version: int) -> None:
+        if version != self._version:
+            return
+        self._advance()
+        self._prefill_end = None
+        request, left = self.queue.popleft()
+        self.prefilled += left
+        self._store(request.prefixes)
+        request.first_at = min(request.first_at, self.world.now)
+        self.on_first(request)
+        end = self._served + request.output_tokens
+        heapq.heappush(self.streams, (end, next(self._numbers), request))
+        self._schedule()
+        self._start_prefill()
+
+    def _schedule(self) -> None:
+        if not self.streams:
+            return
+        rate, version, count = self._rate(), self._version, len(self.streams)
+        left = max(0.0, self.streams[0][0] - self._served)
+        head = self.streams[0]
+
+        def check() -> None:
+            same = version == self._version and count == len(self.streams)
+            if same and self.streams[0] is head:
+                self._decode_done()
+
+        self.world.at(self.world.now + left / rate, check)
+
+    def _decode_done(self) -> None:
+        self._advance()
+        _, _, request = heapq.heappop(self.streams)
+        request.done_at = self.world.now
+        self.on_end(request, True)
+        self._schedule()
+        self._start_prefill()
+
+    def _store(self, prefixes: Sequence[str]) -> None:
+        for prefix in prefixes:
+            if prefix not in self._cache:
+                self.stored.append(prefix)
+            self._cache[prefix] = None
+            self._cache.move_to_end(prefix)
+        while len(self._cache) > CACHE_BLOCKS:
+            self.evicted.append(self._cache.popitem(last=False)[0])
--- /dev/null
+++ b/bench/_fake.py
@@ -0,0 +1,243 @@
+"""Gateways with the real policies, on fake engines that they see late."""
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
+from typing import Any
+
+from bench._engine import FakeEngine, World
+from bench._traffic import Deployment, Request
+from laburnumreel.coordination import (
+    Admitted,
+    BackEnd,
+    Choice,
+    Fleet,
+    LoadReport,
+    Queued,
+    Router,
+    Work,
+)
+from laburnumreel.coordination import Offer as AdmissionOffer
+from laburnumreel.state import Host
+
+SERVICE = "model"
+EXCHANGE_S = 0.5
+GATEWAYS = 6
+
+
+class Chooser:
+    """A routing policy; the baselines override `choose`."""
+
+    def choose(self, work: Work, candidates: Sequence[BackEnd]) -> Choice | None:
+        raise NotImplementedError
+
+
+class OpenGate:
+    """Admits everything: for benchmarks of routing alone."""
+
+    def offer(self, offer: AdmissionOffer, now: float) -> Any:
+        return Admitted()
+
+    def finish(self, request_id: str, tokens: int, now: float) -> list[str]:
+        return []
+
+    cancel = finish
+
+    def expire(self, now: float) -> tuple[list[str], list[Any]]:
+        return [], []
+
+    def take_received(self) -> dict[str, tuple[int, int]]:
+        return {}
+
+    def on_peer_received(self, peer: str, received: Mapping[str, Any], now: float) -> None:
+        return
+
+
+class FakeGateway:
+    """One gateway: the real fleet with a routing and an admission policy."""
+
+    def __init__(
+        self, cluster: "Cluster", name: str, zone: str, router: Any, admission: Any
+    ) -> None:
+        self.cluster, self.world, self.name, self.zone = cluster, cluster.world, name, zone
+        self.fleet = Fleet(gateways=GATEWAYS)
+        self.router, self.admission = router, admission
+        self.outstanding: dict[str, int] = {}
+        self.waiting: dict[str, Request] = {}
+        self.on_refused: Callable[[Request, float], None] = lambda request, retry_after_s: None
+
+    def submit(self, request: Request) -> None:
+        # A returning request is a new offer: it has an id of its own.
+        request.tries += 1
+        key = f"{request.request_id}.{request.tries}"
+        offer = AdmissionOffer(key, SERVICE, request.customer, request.tokens, request.deadline)
+        decision = self.admission.offer(offer, self.world.now)
+        if isinstance(decision, Admitted):
+            self._dispatch(request)
+        elif isinstance(decision, Queued):
+            self.waiting[key] = request
+        else:
+            self._refuse(request, decision.refusal.retry_after_s)
+
+    def tick(self) -> None:
+        admitted, given_up = self.admission.expire(self.world.now)
+        for key, refusal in given_up:
+            self._refuse(self.waiting.pop(key), refusal.retry_after_s)
+        self._admitted(admitted)
+
+    def first_token(self, request_id: str, name: str) -> None:
+        self.fleet.on_first_token(name, request_id, self.world.now)
+
+    def ended(self, request: Request, complete: bool) -> None:
+        engine = request.engine
+        assert engine is not None
+        name = engine.host.name
+        self.outstanding[name] -= 1
+        self.fleet.on_finished(name, request.request_id, self.world.now)
+        if not complete:
+            self.fleet.on_failed(name, self.world.now)
+            self._dispatch(request)
+            return
+        request.outcome = "done"
+        self._finish(request, request.tokens)
+
+    def _dispatch(self, request: Request) -> None:
+        work = Work(
+            request.request_id,
+            SERVICE,
+            request.customer,
+            "m",
+            request.prompt_tokens,
+            request.prompt_tokens * 4,
+            request.output_tokens,
+            request.prefixes,
+            0,
+        )
+        request.attempts += 1
+        found = self.fleet.candidates(SERVICE, "m", self.world.now, cheap=request.cheap)
+        choice = self.router.choose(work, found) if request.attempts <= 4 else None
+        if choice is None:
+            request.outcome = "lost"
+            self._finish(request, 0)
+            return
+        name = choice.back_end.name
+        engine = self.cluster.engines[name]
+        request.engine = engine
+        self.outstanding[name] = self.outstanding.get(name, 0) + 1
+        self.fleet.on_sent(
+            name, request.request_id, choice.prefill_tokens, self.world.now, work.prefixes
+        )
+        delay = self.cluster.delay(self.zone, engine.host.zone)
+
+        def arrive() -> None:
+            if not engine.receive(request):
+                self.ended(request, False)
+
+        self.cluster.owner[request.request_id] = self
+        self.world.at(self.world.now + delay, arrive)
+
+    def _finish(self, request: Request, tokens: int) -> None:
+        key = f"{request.request_id}.{request.tries}"
+        self._admitted(self.admission.finish(key, tokens, self.world.now))
+
+    def _admitted(self, keys: Sequence[str]) -> None:
+        for key in keys:
+            self._dispatch(self.waiting.pop(key))
+
+    def _refuse(self, request: Request, retry_after_s: float | None) -> None:
+        request.outcome = "refused"
+        self.on_refused(request, retry_after_s or 1.0)
+
+
+class Cluster:
+    """Engines over the zones of a deployment, and gateways that see them late."""
+
+    def __init__(self, deployment: Deployment, cheap: Sequence[int] = ()) -> None:
+        self.world = World()
+        self.deployment = deployment
+        self.engines: dict[str, FakeEngine] = {}
+        self.gateways: list[FakeGateway] = []
+        self.owner: dict[str, FakeGateway] = {}
+        self.cross_region_bytes = 0
+        for number in range(deployment.workers):
+            self.add_engine(f"e{number}", number % len(deployment.zones), number in cheap)
+        self.world.every(EXCHANGE_S, self._exchange)
+
+    def add_engine(self, name: str, zone: int, cheap: bool = False) -> FakeEngine:
+        zone_name = self.deployment.zones[zone]
+        address = f"127.0.0.1:{9000 + len(self.engines)}"
+        host = Host(name, address, zone_name, zone_name, SERVICE, "engine", cheap, "live")
+        engine = FakeEngine(self.world, host)
+        engine.on_end = self._ended
+        engine.on_first = self._first
+        self.engines[name] = engine
+        return engine
+
+    def add_gateway(self, router: Callable[[FakeGateway], Any], admission: Any) -> FakeGateway:
+        zone = self.deployment.zones[len(self.gateways) % len(self.deployment.zones)]
+        gateway = FakeGateway(self, f"g{len(self.gateways)}", zone, None, admission)
+        gateway.router = router(gateway)
+        self.gateways.append(gateway)
+        gateway.fleet.on_hosts([engine.host for engine in self.engines.values()], self.world.now)
+        for name, engine in self.engines.items():
+            gateway.fleet.on_load(name, engine.report(), self.world.now)
+        self.world.every(0.1, gateway.tick, self.world.now)
+        return gateway
+
+    def delay(self, one: str, other: str) -> float:
+        return 0.0002 if one == other else self.deployment.region_s
+
+    def _first(self, request: Request) -> None:
+        engine, gateway = request.engine, self.owner[request.request_id]
+        seen = partial(gateway.first_token, request.request_id, engine.host.name)
+        self.world.at(self.world.now + self.delay(gateway.zone, engine.host.zone), seen)
+
+    def _ended(self, request: Request, complete: bool) -> None:
+        engine = request.engine
+        assert engine is not None
+        gateway = self.owner[request.request_id]
+        if engine.host.zone != gateway.zone:
+            self.cross_region_bytes += 4 * request.tokens
+        delay = self.delay(gateway.zone, engine.host.zone)
+        self.world.at(self.world.now + delay, lambda: gateway.ended(request, complete))
+
+    def _exchange(self) -> None:
+        """Deliver load reports and cache events late, and peers' news at once."""
+        now, lag_s = self.world.now, self.deployment.lag_s
+        for name, engine in self.engines.items():
+            if engine.alive:
+                self.world.at(
+                    now + lag_s,
+                    partial(self._deliver, name, engine.report()),
+                )
+                stored, engine.stored = engine.stored, []
+                evicted, engine.evicted = engine.evicted, []
+                for gateway in self.gateways:
+                    events = partial(gateway.fleet.on_cache_events, name, stored, evicted, False)
+                    self.world.at(now + lag_s, events)
+        for gateway in self.gateways:
+            work, received = gateway.fleet.own_work(), gateway.admission.take_received()
+            for other in self.gateways:
+                if other is not gateway:
+                    other.fleet.on_peer_work(gateway.name, work, now)
+                    other.admission.on_peer_received(gateway.name, received, now)
+
+    def _deliver(self, name: str, report: LoadReport) -> None:
+        for gateway in self.gateways:
+            gateway.fleet.on_load(name, report, self.world.now)
+
+
+def drive(cluster: Cluster, requests: Sequence[Request], until: float, seed: int) -> None:
+    """Submit each request at a random gateway, as the load balancer does, and run."""
+    source = random.Random(f"balancer {seed}")
+    for request in requests:
+        gateway = source.choice(cluster.gateways)
+        cluster.world.at(request.arrival, lambda g=gateway, r=request: g.submit(r))
+    cluster.world.run(until)
+
+
+def cost_router(seed: int) -> Callable[[FakeGateway], Router]:
+    """Return a maker of the real router, for `Cluster.add_gateway`."""
+    return lambda gateway: Router(
+        gateway.zone, gateway.zone, random.Random(f"{gateway.name} {seed}")
+    )
--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,131 @@
+"""Routing by one cost against random, round robin and least outstanding."""
+
+import itertools
+import random
+from collections.abc import Callable, Sequence
+from statistics import quantiles
+
+from bench._fake import GATEWAYS, Chooser, Cluster, FakeGateway, OpenGate, cost_router, drive
+from bench._report import Report, Table, average_rows
+from bench._traffic import QUETZAL, SEITKALI, Deployment, Request, Traffic, spread
+from laburnumreel.coordination import BackEnd, Choice, Work
+
+RUN_S = 60.0
+FIRST_TOKEN_S, TOKEN_GAP_S = 0.31, 0.032
+
+
+class RandomChoice(Chooser):
+    def __init__(self, seed: str) -> None:
+        self._random = random.Random(seed)
+
+    def choose(self, work: Work, candidates: Sequence[BackEnd]) -> Choice | None:
+        if not candidates:
+            return None
+        return Choice(self._random.choice(candidates), 0.0, work.prompt_tokens)
+
+
+class RoundRobin(Chooser):
+    def __init__(self, start: int) -> None:
+        self._numbers = itertools.count(start)
+
+    def choose(self, work: Work, candidates: Sequence[BackEnd]) -> Choice | None:
+        if not candidates:
+            return None
+        place = next(self._numbers) % len(candidates)
+        return Choice(candidates[place], 0.0, work.prompt_tokens)
+
+
+class LeastOutstanding(Chooser):
+    def __init__(self, gateway: FakeGateway, seed: str) -> None:
+        self._gateway = gateway
+        self._random = random.Random(seed)
+
+    def choose(self, work: Work, candidates: Sequence[BackEnd]) -> Choice | None:
+        if not candidates:
+            return None
+        outstanding = self._gateway.outstanding
+        best = min(
+            candidates, key=lambda each: (outstanding.get(each.name, 0), self._random.random())
+        )
+        return Choice(best, 0.0, work.prompt_tokens)
+
+
+def policies(seed: int) -> dict[str, Callable[[FakeGateway], object]]:
+    """Return the makers of the compared policies."""
+    return {
+        "cost": cost_router(seed),
+        "random": lambda gateway: RandomChoice(f"{gateway.name} {seed}"),
+        "round robin": lambda gateway: RoundRobin(int(gateway.name[1:])),
+        "least outstanding": lambda gateway: LeastOutstanding(gateway, f"{gateway.name} {seed}"),
+    }
+
+
+def traffic(deployment: Deployment, seed: int, swing: bool, rate: float) -> list[Request]:
+    """Return one customer's requests; in a swing, prompts triple within half a minute."""
+
+    def sizes(now: float, source: random.Random) -> tuple[int, int]:
+        prompt, output = float(deployment.prompt_tokens), float(deployment.output_tokens)
+        if swing:
+            part = min(1.0, max(0.0, (now - 15) / 30))
+            prompt, output = prompt * (1 + 2 * part), output * (1 - 0.5 * part)
+        return spread(prompt, source), spread(output, source)
+
+    source = random.Random(f"traffic {seed}")
+    return list(Traffic("hall-a", lambda _: rate, sizes, prefix_groups=60).requests(RUN_S, source))
+
+
+def figures(requests: Sequence[Request], cluster: Cluster) -> tuple[float, ...]:
+    """Return the good share, first token p50 and p95 in ms, lost requests, cross-region MB."""
+    first = [1000 * min(30.0, request.first_at - request.arrival) for request in requests]
+    cuts = quantiles(first, n=100)
+    good = sum(request.good(FIRST_TOKEN_S, TOKEN_GAP_S) for request in requests)
+    lost = sum(request.outcome == "lost" for request in requests)
+    return (
+        good / len(requests),
+        cuts[49],
+        cuts[94],
+        float(lost),
+        cluster.cross_region_bytes / 1e6,
+    )
+
+
+SCENARIOS = ("steady", "swing", "crash", "slow")
+
+
+def one(
+    deployment: Deployment, scenario: str, maker: Callable[[FakeGateway], object], seed: int
+) -> tuple[float, ...]:
+    """Run one policy through one scenario."""
+    cluster = Cluster(deployment)
+    for _ in range(GATEWAYS):
+        cluster.add_gateway(maker, OpenGate())
+    requests = traffic(deployment, seed, scenario == "swing", deployment.requests_per_s)
+    if scenario == "crash":
+        cluster.world.at(20.0, cluster.engines["e1"].crash)
+    if scenario == "slow":
+        # A role change that takes seconds, and leaves one engine with half its prefill speed.
+        cluster.world.at(20.0, lambda: cluster.engines["e1"].change_role("decode", 5.0))
+    drive(cluster, requests, RUN_S + 30, seed)
+    return figures(requests, cluster)
+
+
+def run(seeds: Sequence[int]) -> Report:
+    rows = [
+        (f"{deployment.name} {scenario}", name, seed, *one(deployment, scenario, maker, seed))
+        for deployment in (QUETZAL, SEITKALI)
+        for scenario in SCENARIOS
+        for seed in seeds
+        for name, maker in policies(seed).items()
+    ]
+    headers = ("good share", "first p50 ms", "first p95 ms", "lost", "cross-region MB")
+    means = average_rows([(*row[:2], *row[3:]) for row in rows], 2)
+    return Report(
+        "Each policy gets the same candidates from 6 gateways' real Fleet; load reports and cache"
+        f" events are {QUETZAL.lag_s:.0f} s late. A request is good when its first token comes"
+        f" within {FIRST_TOKEN_S} s and its tokens within {1000 * TOKEN_GAP_S:.0f} ms of each"
+        " other. In `crash` a back end dies at 20 s; in `slow` one changes to the decode role.",
+        [
+            Table("means", ("scenario", "policy", *headers), means, "good share"),
+            Table("runs", ("scenario", "policy", "seed", *headers), rows),
+        ],
+    )
--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -9,8 +9,9 @@
     Refused,
 )
 from laburnumreel.coordination._authority import AlarmTimer, AuthorityBoard, ProcessTimer
+from laburnumreel.coordination._back_ends import BackEnd, Drain, LoadReport
 from laburnumreel.coordination._budget import RetryBudget
-from laburnumreel.coordination._fleet import BackEnd, Drain, Fleet, LoadReport
+from laburnumreel.coordination._fleet import Fleet
 from laburnumreel.coordination._guarded_send import (
     Answer,
     GuardedSender,
--- /dev/null
+++ b/src/laburnumreel/coordination/_back_ends.py
@@ -0,0 +1,61 @@
+"""What is known of a back end: its load report, routing's view of it, and drain marks."""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+
+class LoadReport(NamedTuple):
+    """An engine's answer to `GET /load`. `at` is in seconds on the engine's own clock."""
+
+    at: float
+    role: str
+    models: tuple[str, ...]
+    queued_prefill_tokens: int
+    decode_streams: int
+    max_streams: int
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    kv_free_tokens: int
+    draining: bool
+
+    @classmethod
+    def from_value(cls, value: Mapping[str, Any]) -> "LoadReport":
+        fields = {name: value[name] for name in cls._fields}
+        return cls(**{**fields, "models": tuple(fields["models"])})
+
+
+class BackEnd(NamedTuple):
+    """One known back end as routing sees it.
+
+    `queued_prefill_tokens` is the reported queue less what the engine has processed since at its
+    reported speed. The unreported figures are own and peers' sends that the report cannot show.
+    `decode_streams` and `unreported_requests` together are the requests that the engine has by
+    now, so the latter is negative where reported streams have ended.
+    """
+
+    name: str
+    address: tuple[str, int]
+    zone: str
+    region: str
+    service: str
+    kind: str
+    cheap: bool
+    role: str
+    models: tuple[str, ...]
+    queued_prefill_tokens: int
+    decode_streams: int
+    max_streams: int
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    kv_free_tokens: int
+    unreported_requests: int
+    unreported_prefill_tokens: int
+    cached_prefixes: frozenset[str]
+
+
+class Drain(NamedTuple):
+    """A back end or a zone that gets no new work until a time."""
+
+    target: str
+    reason: str
+    until: float
--- a/src/laburnumreel/coordination/_fleet.py
+++ b/src/laburnumreel/coordination/_fleet.py
@@ -1,8 +1,10 @@
 """The known back ends: host list, late load and cache reports, own and peers' work, drain marks."""
 
+import math
 from collections.abc import Collection, Mapping, Sequence
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
+from laburnumreel.coordination._back_ends import BackEnd, Drain, LoadReport
 from laburnumreel.state import Host
 
 # Reports are some seconds old. A send within this time before a report's arrival is taken as not
@@ -19,61 +21,6 @@
 PLAIN_REQUESTS_PER_WORKER = 16
 
 
-class LoadReport(NamedTuple):
-    """An engine's answer to `GET /load`. `at` is in seconds on the engine's own clock."""
-
-    at: float
-    role: str
-    models: tuple[str, ...]
-    queued_prefill_tokens: int
-    decode_streams: int
-    max_streams: int
-    prefill_tokens_per_s: float
-    decode_tokens_per_s: float
-    kv_free_tokens: int
-    draining: bool
-
-    @classmethod
-    def from_value(cls, value: Mapping[str, Any]) -> "LoadReport":
-        fields = {name: value[name] for name in cls._fields}
-        return cls(**{**fields, "models": tuple(fields["models"])})
-
-
-class BackEnd(NamedTuple):
-    """One known back end as routing sees it.
-
-    `queued_prefill_tokens` is the reported queue less what the engine has processed since at its
-    reported speed. The unreported figures are own and peers' sends that the report cannot show.
-    """
-
-    name: str
-    address: tuple[str, int]
-    zone: str
-    region: str
-    service: str
-    kind: str
-    cheap: bool
-    role: str
-    models: tuple[str, ...]
-    queued_prefill_tokens: int
-    decode_streams: int
-    max_streams: int
-    prefill_tokens_per_s: float
-    decode_tokens_per_s: float
-    kv_free_tokens: int
-    unreported_requests: int
-    unreported_prefill_tokens: int
-    cached_prefixes: frozenset[str]
-
-
-class Drain(NamedTuple):
-    """A back end or a zone that gets no new work until a time."""
-
-    target: str
-    reason: str
-    until: float
-
-
 class _Send(NamedTuple):
     at: float
     prefill_tokens: int
@@ -134,8 +81,10 @@
 class Fleet:
     """The back ends that a gateway knows.
 
-    Sends that the last report cannot show are counted on top of it, from this gateway
-    (`on_sent`) and from its peers (`on_peer_work`).
+    While all `gateways` (this one included) were heard lately, an engine's requests are those that
+    the gateways have in flight, and its prefill queue is the prompts whose first token has not
+    come: these are half a second old where reports are several. Otherwise the last report is used,
+    with the sends that it cannot show on top.
 
     >>> fleet = Fleet()
     >>> host = Host("w1", "127.0.0.1:80", "xela-a", "xela", "orders", "plain", False, "live")
@@ -144,7 +93,9 @@
     [('127.0.0.1', 80)]
     """
 
-    def __init__(self) -> None:
+    def __init__(self, gateways: int = 1) -> None:
+        self._gateways = gateways
+        self._first_tokens_seen = False
         self._entries: dict[str, _Entry] = {}
         self._services: dict[str, list[_Entry]] = {}
         self._peers: dict[str, tuple[float, dict[str, tuple[int, int]]]] = {}
@@ -213,6 +164,13 @@
             entry.sends[request_id] = _Send(now, prefill_tokens)
             self._store_prefixes(entry, prefixes)
 
+    def on_first_token(self, name: str, request_id: str, now: float) -> None:
+        """Count the first token of a request: its prompt has been processed."""
+        entry = self._entries.get(name)
+        if entry is not None and request_id in entry.sends:
+            self._first_tokens_seen = True
+            entry.sends[request_id] = entry.sends[request_id]._replace(prefill_tokens=0)
+
     def on_finished(self, name: str, request_id: str, now: float) -> None:
         """Count the end of a request, whatever its outcome."""
         entry = self._entries.get(name)
@@ -223,7 +181,7 @@
             entry.finished.append(now)
 
     def on_peer_work(self, peer: str, work: Mapping[str, tuple[int, int]], now: float) -> None:
-        """Replace what a peer has in flight: requests and prefill tokens by back end."""
+        """Replace what a peer's `own_work` returned: requests and prefill tokens by back end."""
         self._peers[peer] = (now, dict(work))
         self._peers = {
             name: item for name, item in self._peers.items() if now - item[0] <= PEER_WORK_S
@@ -251,24 +209,40 @@
         return [drain for drain in self._drains.values() if drain.until > now]
 
     def own_work(self) -> dict[str, tuple[int, int]]:
-        """Return this gateway's unreported requests and prefill tokens by back end, for peers."""
-        work = {}
-        for name, entry in self._entries.items():
-            if entry.sends and (sends := entry.unreported()):
-                work[name] = (len(sends), sum(send.prefill_tokens for send in sends))
-        return work
-
-    def capacity(self, service: str, now: float, cheap: bool, gateways: int = 1) -> int:
+        """Return by back end what this gateway has in flight, for the peers.
+
+        These are its requests that have not ended, and the prompt tokens of those whose first
+        token has not come.
+        """
+        return {
+            name: (len(entry.sends), sum(send.prefill_tokens for send in entry.sends.values()))
+            for name, entry in self._entries.items()
+            if entry.sends
+        }
+
+    def capacity(
+        self,
+        service: str,
+        now: float,
+        cheap: bool,
+        gateways: int = 1,
+        token_gap_s: float = math.inf,
+    ) -> int:
         """Return how many requests of a service this gateway may run at once.
 
-        It is an equal share for each gateway of the streams of the usable back ends, rounded up.
+        It is an equal share for each gateway, rounded up, of the streams that the usable back ends
+        have slots for and can decode within the token gap goal.
         """
-        total = 0
+        total = 0.0
         for entry in self._services.get(service, ()):
-            if self._usable(entry, now, cheap):
-                engine = entry.report.max_streams if entry.report else 0
-                total += PLAIN_REQUESTS_PER_WORKER if entry.host.kind == "plain" else engine
-        return -(-total // max(1, gateways))
+            if not self._usable(entry, now, cheap):
+                continue
+            if entry.host.kind == "plain":
+                total += PLAIN_REQUESTS_PER_WORKER
+            elif entry.report is not None:
+                in_time = max(1.0, entry.report.decode_tokens_per_s * token_gap_s)
+                total += min(entry.report.max_streams, in_time)
+        return math.ceil(total / max(1, gateways))
 
     def candidates(
         self, service: str, model: str, now: float, cheap: bool, exclude: Collection[str] = ()
@@ -290,7 +264,18 @@
         if not fitting:
             fitting = [entry for entry in usable if entry.report is None]
         peers = self._peer_work(now)
-        return [_back_end(entry, peers.get(entry.host.name, (0, 0)), now) for entry in fitting]
+        heard = sum(now - at <= PEER_WORK_S for at, _ in self._peers.values())
+        complete = heard + 1 >= self._gateways
+        return [
+            _back_end(
+                entry,
+                peers.get(entry.host.name, (0, 0)),
+                complete,
+                complete and self._first_tokens_seen,
+                now,
+            )
+            for entry in fitting
+        ]
 
     def _usable(self, entry: _Entry, now: float, cheap: bool) -> bool:
         host = entry.host
@@ -325,10 +310,26 @@
     return host, int(port)
 
 
-def _back_end(entry: _Entry, peers: tuple[int, int], now: float) -> BackEnd:
+def _back_end(
+    entry: _Entry, peers: tuple[int, int], all_requests: bool, all_prompts: bool, now: float
+) -> BackEnd:
+    """Return the view of a back end.
+
+    `all_requests` means that every gateway's requests in flight are known, `all_prompts` that
+    their first tokens are known as well.
+    """
     host, report = entry.host, entry.report
-    reported, unreported = entry.backlog(now)
     streams = max(0, report.decode_streams - len(entry.finished)) if report else 0
+    in_flight = len(entry.sends) + peers[0]
+    # In-flight counts also show requests that wait for a slot, which no report does. Where some
+    # gateways were not heard from, the report shows theirs; then the larger figure is used.
+    unseen = in_flight - streams
+    if not all_requests:
+        unseen = max(len(entry.unreported()), unseen)
+    if all_prompts:
+        reported, unreported = 0, sum(send.prefill_tokens for send in entry.sends.values())
+    else:
+        reported, unreported = entry.backlog(now)
     return BackEnd(
         name=host.name,
         address=_address(host.address),
@@ -345,7 +346,7 @@
         prefill_tokens_per_s=report.prefill_tokens_per_s if report else 0.0,
         decode_tokens_per_s=report.decode_tokens_per_s if report else 0.0,
         kv_free_tokens=report.kv_free_tokens if report else 0,
-        unreported_requests=len(entry.unreported()) + peers[0],
+        unreported_requests=unseen,
         unreported_prefill_tokens=unreported + peers[1],
         cached_prefixes=entry.frozen_prefixes(),
     )
--- a/src/laburnumreel/coordination/_routing.py
+++ b/src/laburnumreel/coordination/_routing.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from laburnumreel.coordination._fleet import BackEnd
+from laburnumreel.coordination._back_ends import BackEnd
 from laburnumreel.coordination._prefixes import BLOCK_BYTES
 
 BYTES_PER_OUTPUT_TOKEN = 4
@@ -26,7 +26,6 @@
     region_ms: float = 12.0
     cross_region_ms_per_kb: float = 0.2
     memory_ms: float = 500.0
-    role_ms: float = 200.0
 
 
 class Work(NamedTuple):
@@ -95,8 +94,6 @@
         cost = distance + self._prefill(prefill, back_end) + self._decode(work, back_end)
         if back_end.kv_free_tokens < prefill + work.output_tokens:
             cost += self._costs.memory_ms
-        if work.output_tokens and back_end.role == "prefill":
-            cost += self._costs.role_ms
         return Choice(back_end, cost, prefill)
 
     def _distance(self, work: Work, back_end: BackEnd) -> float:
