--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -11,7 +11,19 @@
 from laburnumreel.coordination._authority import AlarmTimer, AuthorityBoard, ProcessTimer
 from laburnumreel.coordination._back_ends import BackEnd, Drain, LoadReport
 from laburnumreel.coordination._budget import RetryBudget
-from laburnumreel.coordination._fleet import Fleet
+from laburnumreel.coordination._config_sync import ConfigSync
+from laburnumreel.coordination._config_write import (
+    Base,
+    Edits,
+    WriteFailure,
+    edits_to,
+    managed_entries,
+    read_base,
+    write_change,
+    write_commuting,
+    write_withdrawal,
+)
+from laburnumreel.coordination._fleet import BackEnd, Drain, Fleet, LoadReport
 from laburnumreel.coordination._guarded_send import (
     Answer,
     GuardedSender,
@@ -20,9 +32,25 @@
     SendFailure,
 )
 from laburnumreel.coordination._leases import LeaseKeeper
+from laburnumreel.coordination._messages import (
+    ClaimState,
+    DrainMark,
+    ExchangeMessage,
+    NewsSource,
+    NoNews,
+    NodeStatus,
+    PeerLink,
+    PeerNews,
+    QuarantineEntry,
+    address_text,
+    parse_address,
+)
 from laburnumreel.coordination._orders import ORDERS_LEASE, OrderSender, Plan, Receivers
+from laburnumreel.coordination._peers import PeerExchange
 from laburnumreel.coordination._prefixes import prompt_prefixes
+from laburnumreel.coordination._quarantine import Quarantine
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
+from laburnumreel.coordination._store_sync import read_configuration
 
 __all__ = [
     "ORDERS_LEASE",
@@ -32,20 +60,34 @@
     "Answer",
     "AuthorityBoard",
     "BackEnd",
+    "Base",
     "Choice",
+    "ClaimState",
+    "ConfigSync",
     "Costs",
     "Decision",
     "Drain",
+    "DrainMark",
+    "Edits",
+    "ExchangeMessage",
     "Fleet",
     "GuardedSender",
     "LeaseKeeper",
     "LoadReport",
+    "NewsSource",
+    "NoNews",
+    "NodeStatus",
     "Offer",
     "OrderConnection",
     "OrderLink",
     "OrderSender",
+    "PeerExchange",
+    "PeerLink",
+    "PeerNews",
     "Plan",
     "ProcessTimer",
+    "Quarantine",
+    "QuarantineEntry",
     "Queued",
     "Receivers",
     "Refused",
@@ -53,5 +95,15 @@
     "Router",
     "SendFailure",
     "Work",
+    "WriteFailure",
+    "address_text",
+    "edits_to",
+    "managed_entries",
+    "parse_address",
     "prompt_prefixes",
+    "read_base",
+    "read_configuration",
+    "write_change",
+    "write_commuting",
+    "write_withdrawal",
 ]
