--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -23,7 +23,7 @@
     write_commuting,
     write_withdrawal,
 )
-from laburnumreel.coordination._fleet import BackEnd, Drain, Fleet, LoadReport
+from laburnumreel.coordination._fleet import Fleet
 from laburnumreel.coordination._guarded_send import (
     Answer,
     GuardedSender,
@@ -37,8 +37,8 @@
     DrainMark,
     ExchangeMessage,
     NewsSource,
-    NoNews,
     NodeStatus,
+    NoNews,
     PeerLink,
     PeerNews,
     QuarantineEntry,
