--- /dev/null
+++ b/src/laburnumreel_standins/deployment.py
@@ -0,0 +1,410 @@
+"""A small deployment of real processes: platform, engines, plain servers, gateways."""
+
+import contextlib
+import http.client
+import json
+import signal
+import tempfile
+import threading
+from collections.abc import Iterator
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from laburnumreel.coordination._store_sync import withdrawal_rows
+from laburnumreel.state import (
+    CUSTOMER_SCHEMA,
+    PROFILE_SCHEMA,
+    SERVICE_SCHEMA,
+    Check,
+    Configuration,
+    HttpPlatform,
+    Write,
+    key_digest,
+    merge_sections,
+)
+from laburnumreel_standins.processes import Process, free_port, fresh_host, wait_until
+
+PEPPER = "test-pepper"
+KEY = "lr-test-key-of-hall-a"
+OTHER_KEY = "lr-test-key-of-hall-b"
+CREDENTIAL = "gateway-credential"
+MODEL = "small"
+
+Address = tuple[str, int]
+
+
+class Reply(NamedTuple):
+    """An answer as a test sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+    @property
+    def kind(self) -> str | None:
+        return self.headers.get("x-error-kind")
+
+    @property
+    def run_state(self) -> str | None:
+        return self.headers.get("x-run-state")
+
+
+def call(
+    address: Address,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 40,
+) -> Reply:
+    """Return the whole answer of one call on a connection of its own."""
+    connection = http.client.HTTPConnection(*address, timeout=timeout_s)
+    raw = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+    try:
+        connection.request(method, path, raw, headers or {})
+        answer = connection.getresponse()
+        return Reply(
+            answer.status,
+            {name.lower(): value for name, value in answer.getheaders()},
+            answer.read(),
+        )
+    finally:
+        connection.close()
+
+
+def bearer(key: str = KEY, **headers: str) -> dict[str, str]:
+    """Return the headers of a caller."""
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return {"Authorization": f"Bearer {key}", **named}
+
+
+class Stream:
+    """A streamed completion whose events a test reads one by one."""
+
+    def __init__(
+        self, address: Address, body: dict[str, Any], headers: dict[str, str] | None = None
+    ) -> None:
+        self._connection = http.client.HTTPConnection(*address, timeout=40)
+        path = "/v1/chat/completions" if "messages" in body else "/v1/completions"
+        raw = json.dumps({"model": MODEL, **body, "stream": True})
+        self._connection.request("POST", path, raw, headers or bearer())
+        self.answer = self._connection.getresponse()
+        self.raw = b""
+
+    def payloads(self) -> Iterator[bytes]:
+        """Yield each event's data as it comes, until the connection ends."""
+        while True:
+            line = self.answer.readline()
+            if not line:
+                return
+            self.raw += line
+            if line.startswith(b"data: "):
+                yield line[6:].strip()
+
+    def finish(self) -> tuple[str, bool, str | None]:
+        """Return the text of the rest, whether `[DONE]` came, and the code of an error event."""
+        text, done, error = "", False, None
+        for payload in self.payloads():
+            if payload == b"[DONE]":
+                done = True
+                continue
+            chunk = json.loads(payload)
+            if "error" in chunk:
+                error = chunk["error"]["code"]
+            for choice in chunk.get("choices", ()):
+                text += choice.get("text") or choice.get("delta", {}).get("content") or ""
+        self.close()
+        return text, done, error
+
+    def close(self) -> None:
+        self._connection.close()
+
+
+class PlainServer:
+    """A plain service in the test's own process that records what it was sent."""
+
+    def __init__(self) -> None:
+        self.requests: list[tuple[str, str, dict[str, str], bytes]] = []
+        self.gate = threading.Event()
+        self.gate.set()
+        server = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def _answer(self) -> None:
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                headers = {name.lower(): value for name, value in self.headers.items()}
+                server.requests.append((self.command, self.path, headers, body))
+                server.gate.wait(30)
+                answer = json.dumps({"path": self.path, "count": len(server.requests)}).encode()
+                self.send_response(201 if self.command == "POST" else 200)
+                self.send_header("Content-Length", str(len(answer)))
+                self.send_header("X-Plain", "yes")
+                self.send_header("Set-Cookie", "a=1")
+                self.end_headers()
+                if self.command != "HEAD":
+                    # A caller that was killed takes no answer.
+                    with contextlib.suppress(OSError):
+                        self.wfile.write(answer)
+
+            do_GET = do_POST = do_PUT = do_DELETE = do_HEAD = _answer  # noqa: N815
+
+            def log_message(self, *_: object) -> None:
+                return
+
+        host = fresh_host()
+        self._server = ThreadingHTTPServer((host, free_port(host)), Handler)
+        self._server.daemon_threads = True
+        self.address: Address = self._server.server_address
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def end(self) -> None:
+        self.gate.set()
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class GatewayProcess(NamedTuple):
+    """A gateway's process and addresses."""
+
+    process: Process
+    callers: Address
+    admin: Address
+    name: str
+    path: Path
+    addresses: dict[str, Address]
+
+    def metric(self, name: str, **labels: str) -> float:
+        """Return the sum of the series of a metric that have these labels."""
+        total = 0.0
+        for line in call(self.admin, "GET", "/metrics").body.decode().splitlines():
+            if line.startswith((f"{name}{{", f"{name} ")) and all(
+                f'{label}="{value}"' in line for label, value in labels.items()
+            ):
+                total += float(line.rpartition(" ")[2])
+        return total
+
+
+class Deployment:
+    """Processes that end with the test, and the configuration they share."""
+
+    def __init__(self) -> None:
+        self._processes: list[Process] = []
+        self._plain: list[PlainServer] = []
+        self._folder = tempfile.TemporaryDirectory(prefix="laburnumreel-test-")
+        self._configuration = Configuration()
+        self.hosts: list[dict[str, Any]] = []
+        self.engines: dict[str, tuple[Process, Address]] = {}
+        host = fresh_host()
+        self.platform_address: Address = (host, free_port(host))
+        self.start(
+            "laburnumreel_standins.main",
+            "platform",
+            "--listen",
+            "{}:{}".format(*self.platform_address),
+        ).listening(*self.platform_address)
+        self.platform = HttpPlatform(self.platform_address)
+
+    def start(self, module: str, *arguments: str, env: dict[str, str] | None = None) -> Process:
+        process = Process(module, *arguments, env=env)
+        self._processes.append(process)
+        return process
+
+    def add_engine(self, *options: str, zone: str = "zone-a", **fields: Any) -> str:
+        """Start an engine, list it, and return its name."""
+        host = fresh_host()
+        address = (host, free_port(host))
+        name = f"engine-{len(self.hosts)}"
+        process = self.start(
+            "laburnumreel_standins.main",
+            "engine",
+            "--listen",
+            f"{address[0]}:{address[1]}",
+            "--models",
+            MODEL,
+            *options,
+        )
+        process.listening(*address)
+        self.engines[name] = (process, address)
+        self._list(name, address, "models", "engine", zone, fields)
+        return name
+
+    def add_plain(self, zone: str = "zone-a") -> PlainServer:
+        """Start a plain server in this process and list it."""
+        server = PlainServer()
+        self._plain.append(server)
+        self._list(f"plain-{len(self.hosts)}", server.address, "orders", "plain", zone, {})
+        return server
+
+    def set_hosts(self) -> None:
+        call(self.platform_address, "POST", "/standin/hosts", {"hosts": self.hosts})
+
+    def configure(self, **overrides: dict[str, Any]) -> None:
+        """Accept a configuration with one model service, one plain service and two customers."""
+        values = {
+            "profile/chat": _value(PROFILE_SCHEMA, "[profile]\nkind = model\n"),
+            "profile/orders": _value(
+                PROFILE_SCHEMA,
+                "[profile]\nkind = plain\nprefix = /orders/\nopen_paths = ping\n",
+            ),
+            "service/models": _value(
+                SERVICE_SCHEMA,
+                f"[service]\nprofile = chat\nmodels = {MODEL}\ncustomers = hall-a\n"
+                "credential_env = TEST_CREDENTIAL\n",
+            ),
+            "service/orders": _value(
+                SERVICE_SCHEMA,
+                "[service]\nprofile = orders\ncustomers = *\ncredential_env = TEST_CREDENTIAL\n",
+            ),
+            "customer/hall-a": _value(CUSTOMER_SCHEMA, ""),
+            "customer/hall-b": _value(CUSTOMER_SCHEMA, ""),
+            f"key/{key_digest(KEY, PEPPER.encode())}": {"customer": "hall-a"},
+            f"key/{key_digest(OTHER_KEY, PEPPER.encode())}": {"customer": "hall-b"},
+        }
+        for name, fields in overrides.items():
+            values[name.replace("__", "/")].update(fields)
+        change = self._configuration.next_change("test", values)
+        before = self._configuration.version
+        head = self.platform.read("config_head", "head").ok
+        self._configuration = self._configuration.apply(change).ok
+        head_value = {"version": change.version, "digest": change.digest}
+        outcome = self.platform.transact(
+            [Check("config_head", "head", head.version if before else 0)],
+            [
+                Write("config_head", "head", head_value),
+                Write("config_change", f"{change.version:012d}", change.to_value()),
+            ],
+        )
+        assert outcome.is_ok(), outcome
+
+    def withdraw(self, key: str) -> None:
+        log = self.platform.scan("withdrawn_log").ok.rows
+        digest = key_digest(key, PEPPER.encode())
+        assert self.platform.transact(*withdrawal_rows([digest], len(log) + 1, {})).is_ok()
+
+    def settings(self, name: str, **sections: str) -> tuple[Path, dict[str, Address]]:
+        """Write a node's settings file; return its path and the addresses in it."""
+        host = fresh_host()
+        names = ("callers", "admin", "peers", "coordinator_admin", "coordinator_peers")
+        addresses: dict[str, Address] = {}
+        for listen in names:
+            # `free_port` may give the same port twice while nothing listens on it.
+            while (port := free_port(host)) in [taken for _, taken in addresses.values()]:
+                continue
+            addresses[listen] = (host, port)
+        lines = {
+            "node": f"name = {name}\nzone = zone-a\nregion = region-a\n",
+            "listen": "".join(f"{key} = {h}:{p}\n" for key, (h, p) in addresses.items()),
+            "platform": "address = {}:{}\n".format(*self.platform_address),
+            "peers": "gateways = {}:{}\nexchange_s = 0.2\n".format(*addresses["peers"]),
+            "threads": "callers = 96\nreserve = 8\n",
+            "keys": "pepper_env = TEST_PEPPER\n",
+            "usage": "flush_s = 0.2\n",
+            "stop": "notice_s = 0.3\ngrace_s = 60\n",
+        }
+        # An override replaces the section's keys that it names.
+        for section, text in sections.items():
+            named = {line.partition("=")[0].strip() for line in text.splitlines()}
+            kept = [
+                line
+                for line in lines.get(section, "").splitlines(keepends=True)
+                if line.partition("=")[0].strip() not in named
+            ]
+            lines[section] = "".join(kept) + text
+        path = Path(self._folder.name) / f"{name}.ini"
+        path.write_text("".join(f"[{section}]\n{text}" for section, text in lines.items()))
+        return path, addresses
+
+    def start_gateway(
+        self, name: str = "node-1", ready: bool = True, **sections: str
+    ) -> GatewayProcess:
+        """Start a gateway and wait until it is ready."""
+        path, addresses = self.settings(name, **sections)
+        return self.run_gateway(name, path, addresses, ready)
+
+    def start_gateways(self, count: int, **sections: str) -> list[GatewayProcess]:
+        """Start gateways that are one another's peers, and wait until all are ready."""
+        files = [self.settings(f"node-{number + 1}", **sections) for number in range(count)]
+        peers = ", ".join("{}:{}".format(*addresses["peers"]) for _, addresses in files)
+        gateways = []
+        for number, (path, addresses) in enumerate(files):
+            lines = [
+                f"gateways = {peers}" if line.startswith("gateways = ") else line
+                for line in path.read_text().splitlines()
+            ]
+            path.write_text("\n".join(lines))
+            gateways.append(self.run_gateway(f"node-{number + 1}", path, addresses))
+        return gateways
+
+    def restart_gateway(self, gateway: GatewayProcess) -> GatewayProcess:
+        """Start a gateway again that has ended, with the same settings."""
+        return self.run_gateway(gateway.name, gateway.path, gateway.addresses)
+
+    def run_gateway(
+        self, name: str, path: Path, addresses: dict[str, Address], ready: bool = True
+    ) -> GatewayProcess:
+        env = {"TEST_PEPPER": PEPPER, "TEST_CREDENTIAL": CREDENTIAL}
+        process = self.start("laburnumreel.daemon", "--config", str(path), "gateway", env=env)
+        process.listening(*addresses["callers"]).listening(*addresses["admin"])
+        gateway = GatewayProcess(
+            process, addresses["callers"], addresses["admin"], name, path, addresses
+        )
+        if ready:
+            wait_until(
+                lambda: call(gateway.admin, "GET", "/readyz").status == 200, f"{name} to be ready"
+            )
+        return gateway
+
+    def engine_state(self, name: str) -> dict[str, Any]:
+        return call(self.engines[name][1], "GET", "/standin/state").json
+
+    def engine_faults(self, name: str, **faults: Any) -> None:
+        reply = call(self.engines[name][1], "POST", "/standin/faults", faults)
+        assert reply.status == 200, reply
+
+    def platform_faults(self, **faults: Any) -> None:
+        reply = call(self.platform_address, "POST", "/standin/faults", faults)
+        assert reply.status == 200, reply
+
+    def usage(self) -> list[dict[str, Any]]:
+        """Return the values of all usage deltas in the store."""
+        return [row.value for row in self.platform.scan("usage_delta").ok.rows]
+
+    def end(self) -> None:
+        for process in self._processes:
+            if process.code is None:
+                process.send(signal.SIGCONT)
+            process.end()
+        for server in self._plain:
+            server.end()
+        self._folder.cleanup()
+
+    def _list(
+        self,
+        name: str,
+        address: Address,
+        service: str,
+        kind: str,
+        zone: str,
+        fields: dict[str, Any],
+    ) -> None:
+        host = {
+            "name": name,
+            "address": f"{address[0]}:{address[1]}",
+            "zone": zone,
+            "region": "region-a",
+            "service": service,
+            "kind": kind,
+        }
+        self.hosts.append({**host, **fields})
+        self.set_hosts()
+
+
+def _value(schema: Any, text: str) -> dict[str, Any]:
+    return merge_sections(schema.parse(text, "test.ini").ok)
--- a/tests/coordinators.py
+++ b/tests/coordinators.py
@@ -6,11 +6,10 @@
 import threading
 from pathlib import Path
 
-from deployment import MODEL, PEPPER, Deployment, call
-from support import Process, wait_until
-
 from laburnumreel.coordinator import Coordinator
 from laburnumreel.state import load_settings
+from laburnumreel_standins.deployment import MODEL, PEPPER, Deployment, call
+from laburnumreel_standins.processes import Process, wait_until
 
 ZONES = ["zone-a", "zone-b"]
 LEASE = "term_s = 2.0\nmargin_s = 0.3\n"
--- a/tests/operator_support.py
+++ b/tests/operator_support.py
@@ -7,10 +7,9 @@
 from pathlib import Path
 from typing import Any
 
-from deployment import MODEL, PEPPER, Deployment, GatewayProcess
-
 from laburnumreel.ui import cli
 from laburnumreel.ui._context import main_with
+from laburnumreel_standins.deployment import MODEL, PEPPER, Deployment, GatewayProcess
 
 FOLDER = {
     "profiles/chat.ini": "[profile]\nkind = model\ndeadline_s = 120\n",
--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -5,9 +5,10 @@
 import time
 
 import pytest
-from deployment import Deployment, Stream, bearer, call
 from operator_support import Operator, start_six
-from support import wait_until
+
+from laburnumreel_standins.deployment import Deployment, Stream, bearer, call
+from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -5,8 +5,9 @@
 
 import pytest
 from coordinators import CoordinatorProcess, ask_for, is_stopped
-from deployment import Deployment, call
-from support import wait_until
+
+from laburnumreel_standins.deployment import Deployment, call
+from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,10 +4,19 @@
 
 import openai
 import pytest
-from deployment import CREDENTIAL, KEY, MODEL, OTHER_KEY, Deployment, Stream, bearer, call
-from support import wait_until
 
 from laburnumreel_standins._text import output_text
+from laburnumreel_standins.deployment import (
+    CREDENTIAL,
+    KEY,
+    MODEL,
+    OTHER_KEY,
+    Deployment,
+    Stream,
+    bearer,
+    call,
+)
+from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
 
--- a/tests/test_gateway_idempotency.py
+++ b/tests/test_gateway_idempotency.py
@@ -5,10 +5,10 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from deployment import MODEL, OTHER_KEY, Deployment, Stream, bearer, call
-from support import wait_until
 
 from laburnumreel_standins._text import output_text
+from laburnumreel_standins.deployment import MODEL, OTHER_KEY, Deployment, Stream, bearer, call
+from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
 
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -8,7 +8,6 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from support import fresh_host, wait_until
 
 from laburnumreel.coordination import (
     ClaimState,
@@ -28,6 +27,7 @@
 from laburnumreel.transport._frames import MAX_CALL_BYTES, reader, writer
 from laburnumreel_standins._memory_platform import MemoryPlatform
 from laburnumreel_standins._platform_state import PlatformState
+from laburnumreel_standins.processes import fresh_host, wait_until
 
 DIGESTS = st.integers(0, (1 << 256) - 1).map(lambda number: f"{number:064x}")
 COUNTS = st.integers(0, (1 << 31) - 1)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -5,10 +5,10 @@
 import signal
 
 import pytest
-from support import Process, free_port, fresh_host, wait_until
 
 from laburnumreel.state import CapacityOrder, Check, Host, HttpPlatform, Row, Write
 from laburnumreel_standins._text import output_text
+from laburnumreel_standins.processes import Process, free_port, fresh_host, wait_until
 
 pytestmark = pytest.mark.processes
 
--- a/tests/test_standins_load.py
+++ b/tests/test_standins_load.py
@@ -6,11 +6,11 @@
 from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from support import Process, free_port, fresh_host
 
 from laburnumreel_standins._summary import Record, is_good, percentile
 from laburnumreel_standins._trace import Flood, Mix, TracePlan, make_trace
 from laburnumreel_standins.load import load
+from laburnumreel_standins.processes import Process, free_port, fresh_host
 
 
 @settings(max_examples=25)
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -8,13 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
-from support import fresh_host
 
 from laburnumreel.core import ManualClock
 from laburnumreel.state import CapacityOrder, Check, Host, HttpPlatform, Row, Write
 from laburnumreel_standins import MemoryPlatform, PlatformState
 from laburnumreel_standins._http import Server
 from laburnumreel_standins._platform import PlatformService
+from laburnumreel_standins.processes import fresh_host
 
 TABLES = st.sampled_from(["lease", "order"])
 KEYS = st.sampled_from(["", "a", "a/b", "ab", "b%", "é"])
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -7,9 +7,9 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from support import free_port, fresh_host, wait_until
 
 from laburnumreel.transport import BackEndFailureError, BackEndPool, HttpServer, admin_server
+from laburnumreel_standins.processes import free_port, fresh_host, wait_until
 
 
 @pytest.fixture
--- a/tests/test_ui.py
+++ b/tests/test_ui.py
@@ -4,12 +4,12 @@
 import threading
 
 import pytest
-from support import Process, fresh_host
 
 from laburnumreel.coordination import read_base, write_change
 from laburnumreel.state import HttpPlatform, PlatformError
 from laburnumreel.ui import _config, cli
 from laburnumreel.ui._context import main_with
+from laburnumreel_standins.processes import Process, fresh_host
 
 SETTINGS = """
 [node]
