Add usage deltas, the flush task and the sealer

Cause: usage has to reach the platform once per customer and window with one figure, through kills, lost answers and outages of the store.

Order sender and sealer share one thread (ActingTask), the only one that takes SIGALRM. The coordinator uses ConfigSync, the peer exchange and the peer server.

Fuzzing found a window older than the first closed one that was never reported; the sealer now goes back to it. The oracles catch a missing timer, sums of an open window and a flush sent twice.

--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -1,5 +1,6 @@
 """Decisions and agreement between nodes."""
 
+from laburnumreel.coordination._acting import ActingTask
 from laburnumreel.coordination._admission import (
     Admission,
     Admitted,
@@ -48,13 +49,17 @@
 from laburnumreel.coordination._prefixes import prompt_prefixes
 from laburnumreel.coordination._quarantine import Quarantine
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
+from laburnumreel.coordination._sealer import USAGE_LEASE, Sealer
 from laburnumreel.coordination._snapshots import SNAPSHOT_LEASE, SnapshotWriter
 from laburnumreel.coordination._store_sync import read_configuration
+from laburnumreel.coordination._usage_flush import UsageFlush
 from laburnumreel.coordination._wanted import Capacity
 
 __all__ = [
     "ORDERS_LEASE",
     "SNAPSHOT_LEASE",
+    "USAGE_LEASE",
+    "ActingTask",
     "Admission",
     "Admitted",
     "AlarmTimer",
@@ -97,8 +102,10 @@
     "Refused",
     "RetryBudget",
     "Router",
+    "Sealer",
     "SendFailure",
     "SnapshotWriter",
+    "UsageFlush",
     "Work",
     "WriteFailure",
     "edits_to",
--- a/src/laburnumreel/coordination/_events.py
+++ b/src/laburnumreel/coordination/_events.py
@@ -35,3 +35,14 @@
 CONFIG_READY = define_event(466, "config_ready", "the first configuration was read")
 PEER_LOST = define_event(470, "peer_lost", "an exchange with a peer failed")
 PEER_HEARD = define_event(471, "peer_heard", "a peer answers again")
+USAGE_FLUSH_FAILED = define_event(452, "usage_flush_failed", "usage could not be flushed yet")
+USAGE_CLOSED_WINDOW = define_event(
+    453, "usage_closed_window", "usage came after its window was closed and is counted as late"
+)
+USAGE_WINDOW_REPORTED = define_event(454, "usage_window_reported", "usage window reported")
+USAGE_REPORT_FAILED = define_event(
+    455, "usage_report_failed", "usage report failed and will be sent again"
+)
+USAGE_DIFFERS = define_event(
+    456, "usage_differs", "platform holds a different usage figure for this window"
+)
--- a/src/laburnumreel/coordination/_metrics.py
+++ b/src/laburnumreel/coordination/_metrics.py
@@ -31,3 +31,16 @@
 EXCHANGES_ANSWERED = define_counter(
     "laburnumreel_exchanges_answered_total", "exchanges begun by peers"
 )
+USAGE_FLUSHES = define_counter(
+    "laburnumreel_usage_flushes_total", "usage flushes sent to the store", ["outcome"]
+)
+USAGE_LATE_REQUESTS = define_counter(
+    "laburnumreel_usage_late_requests_total",
+    "requests whose usage was moved on because their window was closed",
+)
+USAGE_REPORTS = define_counter(
+    "laburnumreel_usage_reports_total", "usage reports sent to the platform", ["outcome"]
+)
+USAGE_REPORT_DELAY = define_gauge(
+    "laburnumreel_usage_report_delay_seconds", "time from a window's end to its last report"
+)
--- a/src/laburnumreel/coordination/_orders.py
+++ b/src/laburnumreel/coordination/_orders.py
@@ -1,4 +1,4 @@
-"""The task that gives orders to engines and zones, each written to the journal first."""
+"""Gives orders to engines and zones, each written to the journal first."""
 
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -13,7 +13,7 @@
 )
 from laburnumreel.coordination._guarded_send import Address, GuardedSender, OrderLink
 from laburnumreel.coordination._metrics import ORDERS
-from laburnumreel.core import Clock, Log, Task
+from laburnumreel.core import Clock, Log
 from laburnumreel.state import (
     LEASE_TABLE,
     ORDER_TABLE,
@@ -32,7 +32,6 @@
 )
 
 ORDERS_LEASE = "orders"
-SENDER_TICK_S = 0.1
 STEPS_PER_TICK = 100
 READ_BACK_EVERY_S = 0.5
 READ_BACK_AFTER_ERROR_S = 3.0
@@ -57,7 +56,7 @@
     platform_address: Address
 
 
-class OrderSender(Task):
+class OrderSender:
     """Gives one order at a time, and none to a target whose last order is not settled.
 
     A plan replaces the one before. Orders that the journal shows as written or sent are settled
@@ -74,7 +73,6 @@
         margin_s: float,
         boot: str,
     ) -> None:
-        super().__init__("orders", SENDER_TICK_S)
         self._platform = platform
         self._board = board
         self._receivers = receivers
@@ -106,13 +104,13 @@
         now = self._clock.now()
         return any(end > now for end in self._dead_after.values())
 
-    def handle(self, message: Any) -> Any:
-        if isinstance(message, Plan):
-            self._plan, self._planned = message, True
-            return len(message.wanted)
-        return super().handle(message)
+    def handle(self, message: Plan) -> int:
+        """Take a plan and return how many orders it wants."""
+        self._plan, self._planned = message, True
+        return len(message.wanted)
 
     def tick(self) -> None:
+        """Do what is due."""
         for _ in range(STEPS_PER_TICK):
             if not self.step():
                 return
--- /dev/null
+++ b/src/laburnumreel/coordination/_sealer.py
@@ -0,0 +1,224 @@
+"""Closes usage windows, seals their figures and reports them to the platform."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from laburnumreel.coordination._authority import AuthorityBoard
+from laburnumreel.coordination._events import (
+    USAGE_DIFFERS,
+    USAGE_REPORT_FAILED,
+    USAGE_WINDOW_REPORTED,
+)
+from laburnumreel.coordination._guarded_send import Address, GuardedSender, OrderLink
+from laburnumreel.coordination._metrics import USAGE_REPORT_DELAY, USAGE_REPORTS
+from laburnumreel.core import Clock, Log
+from laburnumreel.state import (
+    DELTA_TABLE,
+    LEASE_TABLE,
+    WINDOW_TABLE,
+    Authority,
+    Check,
+    Platform,
+    Row,
+    UsageSettings,
+    WindowShard,
+    WindowState,
+    Write,
+    figures_value,
+    sum_deltas,
+    window_of,
+)
+
+USAGE_LEASE = "usage"
+# The row that names the first window not reported yet, so that a successor need not search, and
+# the first window of all, before which a slow gateway may still store a delta.
+NEXT_WINDOW_KEY = "next"
+IDLE_WAIT_S = 0.5
+TICK_SHARE_S = 0.2
+REPORTS_PER_STEP = 50
+
+_log = Log("coordination.sealer")
+
+
+class Sealer:
+    """Works through the windows in order while this process holds the lease `usage`.
+
+    A window goes from absent to closing, which stops deltas; to sealed, which freezes the sums; to
+    reported. Each step is taken from the row as it is in the store, so that a lost answer or a new
+    holder goes on where the row stands, and a figure once frozen is the only one ever sent.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        board: AuthorityBoard,
+        link: OrderLink,
+        address: Address,
+        clock: Clock,
+        settings: UsageSettings,
+    ) -> None:
+        self._platform = platform
+        self._board = board
+        self._sender = GuardedSender(board, link)
+        self._address = address
+        self._clock = clock
+        self._settings = settings
+        self._fence = 0
+        self._next: Row | None = None
+        self._window: int | None = None
+        self._first = 0
+        self._shard = 0
+        self._sent: set[str] = set()
+        self._reachable_since: float | None = None
+        self._wait_until = 0.0
+
+    def tick(self) -> None:
+        """Take the steps that are due, but not for long: orders share the thread."""
+        began = self._clock.now()
+        if began < self._wait_until:
+            return
+        while self._clock.now() < began + TICK_SHARE_S:
+            if not self.step():
+                self._wait_until = self._clock.now() + IDLE_WAIT_S
+                return
+
+    def step(self) -> bool:
+        """Take one step, and return whether there may be more."""
+        authority = self._board.current(USAGE_LEASE)
+        if authority is None:
+            return False
+        if authority.fence != self._fence:
+            self._fence, self._window, self._reachable_since = authority.fence, None, None
+        if self._window is None and not self._find_window():
+            return False
+        if not self._due():
+            return False
+        if self._shard >= self._settings.shards:
+            return self._go_on(authority)
+        place = WindowShard(self._window, self._shard)
+        row = self._platform.read(WINDOW_TABLE, place.key)
+        if row.is_error():
+            return self._unreachable()
+        if row.ok is None:
+            return self._write(authority, place, 0, WindowState.CLOSING, None)
+        match row.ok.value["state"]:
+            case WindowState.CLOSING:
+                return self._seal(authority, place, row.ok)
+            case WindowState.SEALED:
+                return self._report(authority, place, row.ok)
+        self._shard += 1
+        self._sent.clear()
+        return True
+
+    def _find_window(self) -> bool:
+        """Find the first window that is not reported, and return whether the store answered."""
+        row = self._platform.read(WINDOW_TABLE, NEXT_WINDOW_KEY)
+        if row.is_error():
+            return self._unreachable()
+        oldest = self._platform.scan(DELTA_TABLE, limit=1)
+        if oldest.is_error():
+            return self._unreachable()
+        self._next, self._shard = row.ok, 0
+        self._sent.clear()
+        if row.ok is not None:
+            self._window, self._first = row.ok.value["window"], row.ok.value["first"]
+        else:
+            now = window_of(self._clock.wall(), self._settings.window_s)
+            self._window = self._first = now
+        for delta in oldest.ok.rows:
+            window = WindowShard.from_key(delta.key).window
+            if window < self._first:
+                # Nothing closed that window yet. Those after it that are reported take no time.
+                self._window = self._first = window
+        if self._reachable_since is None:
+            self._reachable_since = self._clock.now()
+        return True
+
+    def _due(self) -> bool:
+        """Return whether the window is over and gateways had time to flush.
+
+        After an outage of the store they need the grace time again, or all they kept comes late.
+        """
+        grace_s = self._settings.grace_s
+        over = self._clock.wall() >= self._window + self._settings.window_s + grace_s
+        since = self._reachable_since
+        if since is None:
+            # The last call failed: look whether the store is back.
+            self._find_window()
+            return False
+        return over and self._clock.now() >= since + grace_s
+
+    def _go_on(self, authority: Authority) -> bool:
+        """Record that all shards of the window are reported, and go on to the next window."""
+        delay_s = self._clock.wall() - (self._window + self._settings.window_s)
+        after = self._window + self._settings.window_s
+        version = 0 if self._next is None else self._next.version
+        checks = [self._lease(authority), Check(WINDOW_TABLE, NEXT_WINDOW_KEY, version)]
+        write = Write(WINDOW_TABLE, NEXT_WINDOW_KEY, {"window": after, "first": self._first})
+        result = self._platform.transact(checks, [write])
+        # Whether it took effect, and what the next window is, is read from the store.
+        reported, self._window = self._window, None
+        if result.is_error():
+            return False
+        USAGE_REPORT_DELAY.set(delay_s)
+        _log.info(USAGE_WINDOW_REPORTED, window=reported)
+        return True
+
+    def _seal(self, authority: Authority, place: WindowShard, row: Row) -> bool:
+        deltas: list[Row] = []
+        more = True
+        while more:
+            after = deltas[-1].key if deltas else ""
+            page = self._platform.scan(DELTA_TABLE, f"{place.key}:", after)
+            if page.is_error():
+                return self._unreachable()
+            deltas += page.ok.rows
+            more = page.ok.more and bool(page.ok.rows)
+        figures = figures_value(sum_deltas(deltas))
+        state = WindowState.SEALED if figures else WindowState.REPORTED
+        return self._write(authority, place, row.version, state, figures)
+
+    def _report(self, authority: Authority, place: WindowShard, row: Row) -> bool:
+        figures: dict[str, dict[str, int]] = row.value["figures"]
+        unsent = [customer for customer in figures if customer not in self._sent]
+        for customer in unsent[:REPORTS_PER_STEP]:
+            body = {"customer": customer, "window": place.label, "figures": figures[customer]}
+            answer = self._sender.post(authority, self._address, "/usage", body)
+            status = answer.ok.status if answer.is_ok() else 0
+            USAGE_REPORTS.inc(outcome={200: "accepted", 409: "differs"}.get(status, "failed"))
+            if status == 409:
+                _log.error(USAGE_DIFFERS, customer=customer, window=place.label)
+            elif status != 200:
+                detail = f"status {status}" if status else answer.error.detail
+                _log.warning(USAGE_REPORT_FAILED, window=place.label, error=detail)
+                return False
+            self._sent.add(customer)
+        if len(unsent) > REPORTS_PER_STEP:
+            return True
+        return self._write(authority, place, row.version, WindowState.REPORTED, figures)
+
+    def _write(
+        self,
+        authority: Authority,
+        place: WindowShard,
+        version: int,
+        state: WindowState,
+        figures: dict[str, Any] | None,
+    ) -> bool:
+        value: dict[str, Any] = {"state": str(state)}
+        if figures is not None:
+            value["figures"] = figures
+        checks: Sequence[Check] = [
+            self._lease(authority),
+            Check(WINDOW_TABLE, place.key, version),
+        ]
+        result = self._platform.transact(checks, [Write(WINDOW_TABLE, place.key, value)])
+        # After any failure the next step starts from the row as it then is.
+        return result.is_ok()
+
+    def _lease(self, authority: Authority) -> Check:
+        return Check(LEASE_TABLE, USAGE_LEASE, authority.row_version)
+
+    def _unreachable(self) -> bool:
+        self._reachable_since = None
+        return False
--- /dev/null
+++ b/src/laburnumreel/coordination/_usage_flush.py
@@ -0,0 +1,137 @@
+"""The task that flushes a gateway's usage deltas."""
+
+import time
+from collections import OrderedDict
+
+from laburnumreel.coordination._events import USAGE_CLOSED_WINDOW, USAGE_FLUSH_FAILED
+from laburnumreel.coordination._metrics import USAGE_FLUSHES, USAGE_LATE_REQUESTS
+from laburnumreel.core import Clock, Log, Task
+from laburnumreel.state import (
+    DELTA_TABLE,
+    WINDOW_TABLE,
+    Batch,
+    Platform,
+    PlatformError,
+    Settings,
+    UsageCount,
+    UsageDeltas,
+    UsageSettings,
+    WindowShard,
+)
+
+# A request's counts come at its end; a repeated count of the same request comes soon after.
+REMEMBERED_REQUESTS = 100_000
+FLUSH_PAUSE_S = 0.05
+
+_log = Log("coordination.usage_flush")
+
+
+class Count(tuple):
+    """The message of one request's usage: request id, count and wall time."""
+
+
+class UsageFlush(Task):
+    """Collects the usage of a gateway's requests and flushes it every `flush_s`."""
+
+    def __init__(
+        self, platform: Platform, node: str, boot: str, settings: UsageSettings, clock: Clock
+    ) -> None:
+        super().__init__("usage-flush", settings.flush_s)
+        self._platform = platform
+        self._clock = clock
+        self._deltas = UsageDeltas(node, boot, settings.window_s, settings.shards)
+        self._counted: OrderedDict[str, None] = OrderedDict()
+        self._failing = False
+
+    @classmethod
+    def from_settings(
+        cls, settings: Settings, platform: Platform, boot: str, clock: Clock
+    ) -> "UsageFlush":
+        return cls(platform, settings.node.name, boot, settings.usage, clock)
+
+    def count(self, request_id: str, count: UsageCount) -> None:
+        """Count a request's usage. A request id counts once."""
+        self.tell(Count((request_id, count, self._clock.wall())))
+
+    def flush_all(self, timeout_s: float) -> bool:
+        """Flush until nothing waits, and return whether that succeeded in time."""
+        deadline = time.monotonic() + timeout_s
+        while True:
+            remaining_s = deadline - time.monotonic()
+            try:
+                if self.ask("flush").result(max(0.0, remaining_s)):
+                    return True
+            except TimeoutError:
+                return False
+            if time.monotonic() + FLUSH_PAUSE_S >= deadline:
+                return False
+            time.sleep(FLUSH_PAUSE_S)
+
+    def handle(self, message: object) -> bool | None:
+        match message:
+            case Count():
+                return self._count(*message)
+            case "flush":
+                self.flush()
+                return self._deltas.empty
+        return super().handle(message)
+
+    def tick(self) -> None:
+        self.flush()
+
+    def flush(self) -> None:
+        """Send the next batch and take in what became of it."""
+        batch = self._deltas.next_batch()
+        if batch is None:
+            return
+        checks, writes = self._deltas.transaction(batch)
+        result = self._platform.transact(checks, writes)
+        USAGE_FLUSHES.inc(outcome="stored" if result.is_ok() else result.error.kind)
+        if result.is_ok():
+            self._deltas.stored(batch)
+        elif result.error.kind == "conflict":
+            self._on_conflict(batch, result.error)
+        else:
+            # Sent again as it is: if it took effect, its rows make the repeated one fail.
+            self._note_failure(result.error)
+            return
+        self._failing = False
+
+    def _on_conflict(self, batch: Batch, error: PlatformError) -> None:
+        failed = error.rows
+        keys = [self._deltas.delta_key(batch, place) for place in batch.deltas]
+        if any(failed.get((DELTA_TABLE, key)) is not None for key in keys):
+            # The batch is all or nothing, so one row of it proves that an earlier send succeeded.
+            self._deltas.stored(batch)
+            return
+        closed: list[WindowShard] = [
+            place for place in batch.deltas if failed.get((WINDOW_TABLE, place.key)) is not None
+        ]
+        if not closed:
+            self._note_failure(error)
+            return
+        row = self._platform.read(DELTA_TABLE, keys[0])
+        if row.is_error():
+            self._note_failure(row.error)
+            return
+        if row.ok is not None:
+            self._deltas.stored(batch)
+            return
+        # A closed window stays closed, so no earlier copy of the batch can take effect now.
+        self._deltas.rejected(batch, closed)
+        late = sum(figures.requests for place in closed for figures in batch.deltas[place].values())
+        USAGE_LATE_REQUESTS.inc(late)
+        _log.info(USAGE_CLOSED_WINDOW, windows=[place.key for place in closed], requests=late)
+
+    def _count(self, request_id: str, count: UsageCount, wall: float) -> None:
+        if request_id in self._counted:
+            return
+        self._counted[request_id] = None
+        if len(self._counted) > REMEMBERED_REQUESTS:
+            self._counted.popitem(last=False)
+        self._deltas.count(count, wall)
+
+    def _note_failure(self, error: PlatformError) -> None:
+        if not self._failing:
+            _log.warning(USAGE_FLUSH_FAILED, kind=error.kind, error=error.detail)
+        self._failing = True
--- a/src/laburnumreel/coordinator.py
+++ b/src/laburnumreel/coordinator.py
@@ -12,25 +12,38 @@
 from laburnumreel.coordination import (
     ORDERS_LEASE,
     SNAPSHOT_LEASE,
+    USAGE_LEASE,
+    ActingTask,
     AlarmTimer,
     AuthorityBoard,
+    ClaimState,
+    ConfigSync,
     LeaseKeeper,
+    NodeStatus,
+    NoNews,
     OrderLink,
     OrderSender,
+    PeerExchange,
     Planner,
     ProcessTimer,
     Receivers,
+    Sealer,
     SnapshotWriter,
 )
 from laburnumreel.core import Log, SystemClock, Task, define_event
-from laburnumreel.state import Change, Configuration, HttpPlatform, Lease, Settings
-from laburnumreel.transport import HttpLoadReader, HttpOrderLink, admin_server
+from laburnumreel.state import Configuration, HttpPlatform, Lease, Settings
+from laburnumreel.transport import (
+    HttpLoadReader,
+    HttpOrderLink,
+    PeerClient,
+    PeerServer,
+    admin_server,
+)
 
 COORDINATOR_STARTED = define_event(130, "coordinator_started", "the coordinator runs")
 COORDINATOR_STOPPING = define_event(131, "coordinator_stopping", "the coordinator was told to stop")
 COORDINATOR_STOPPED = define_event(132, "coordinator_stopped", "the coordinator has stopped")
 
-USAGE_LEASE = "usage"
 TASK_THREADS = 16
 LOAD_READERS = 8
 STOP_WAIT_S = 30.0
@@ -50,6 +63,8 @@
         timer: ProcessTimer | None = None,
         wrap_link: Callable[[OrderLink], OrderLink] = lambda link: link,
     ) -> None:
+        # Threads inherit the blocked signal, so this comes before the first of them starts.
+        AlarmTimer.prepare()
         self._settings = settings
         self._boot = secrets.token_hex(8)
         self._clock = SystemClock()
@@ -65,19 +80,33 @@
         self._orders = OrderSender(
             self._platform, self._board, receivers, self._clock, margin_s, self._boot
         )
+        sealer = Sealer(
+            self._platform,
+            self._board,
+            platform_link,
+            where.address,
+            self._clock,
+            settings.usage,
+        )
+        self._acting = ActingTask([self._orders.tick, sealer.tick], self._orders.handle)
         self._readers = ThreadPoolExecutor(LOAD_READERS, "loads")
-        self._config = ConfigReader(self._platform)
+        peers = PeerClient()
+        self._config = ConfigSync.from_settings(settings, self._platform, peers, self._clock)
+        self._exchange = PeerExchange(
+            settings, self._config, peers, NoNews(), "coordinator", self._boot, self._clock
+        )
+        self._peer_server = PeerServer(
+            settings.listen.coordinator_peers, self._exchange, self._config, self
+        )
         self._planner = Planner(
             self._platform,
             self._board,
             HttpLoadReader(engine_link),
             self._readers,
-            lambda: self._config.configuration,
-            self._orders.tell,
-        )
-        self._snapshots = SnapshotWriter(
-            self._platform, self._board, lambda: self._config.configuration
+            self._configuration,
+            self._acting.tell,
         )
+        self._snapshots = SnapshotWriter(self._platform, self._board, self._configuration)
         self._admin = admin_server(settings.listen.coordinator_admin, self._readiness)
 
     @property
@@ -89,17 +118,20 @@
         """Run until SIGTERM and return the exit code."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._stop.set())
-        AlarmTimer.prepare()
-        # The thread that sends orders takes the timer's signal before it runs on after a pause.
-        order_thread = ThreadPoolExecutor(
-            1, "orders", initializer=AlarmTimer.receive_on_this_thread
-        )
-        with order_thread, self._readers, ThreadPoolExecutor(TASK_THREADS, "task") as executor:
-            self._orders.start(order_thread)
-            tasks: list[Task] = [self._keeper, self._config, self._planner, self._snapshots]
+        acting = ThreadPoolExecutor(1, "acting", initializer=AlarmTimer.receive_on_this_thread)
+        with acting, self._readers, ThreadPoolExecutor(TASK_THREADS, "task") as executor:
+            self._acting.start(acting)
+            tasks: list[Task] = [
+                self._keeper,
+                self._config,
+                self._exchange,
+                self._planner,
+                self._snapshots,
+            ]
             for task in tasks:
                 task.start(executor)
             self._admin.start(executor)
+            self._peer_server.start(executor)
             _log.info(COORDINATOR_STARTED, node=self._settings.node.name, boot=self._boot)
             self._stop.wait()
             self._shut_down(tasks)
@@ -108,7 +140,8 @@
     def _shut_down(self, tasks: list[Task]) -> None:
         _log.info(COORDINATOR_STOPPING, leases=list(self.leases))
         self._stopping = True
-        for task in (*reversed(tasks[1:]), self._orders):
+        self._peer_server.stop()
+        for task in (*reversed(tasks[1:]), self._acting):
             with contextlib.suppress(TimeoutError):
                 task.stop(STOP_WAIT_S)
         if self._orders.uncertain:
@@ -131,38 +164,42 @@
             platform, self._board, timer, self._clock, leases, settings.lease, random.Random()
         )
 
+    def status(self) -> NodeStatus:
+        """Return this process as operators see it."""
+        node, configuration = self._settings.node, self._config.configuration
+        return NodeStatus(
+            name=node.name,
+            role="coordinator",
+            zone=node.zone,
+            boot=self._boot,
+            ready=self._ready,
+            stopping=self._stopping,
+            config_version=configuration.version,
+            config_digest=configuration.digest,
+            running=0,
+            store_reachable=self._keeper.store_reachable,
+            leases=self.leases,
+        )
+
+    def claim_state(self, claim_key: str) -> ClaimState:
+        """Return that no request runs here: coordinators serve no callers."""
+        return ClaimState(self._boot, False)
+
+    @property
+    def _ready(self) -> bool:
+        return self._config.ready and self._keeper.store_reachable and not self._stopping
+
+    def _configuration(self) -> Configuration | None:
+        return self._config.configuration if self._config.ready else None
+
     def _readiness(self) -> tuple[bool, dict[str, Any]]:
-        configuration = self._config.configuration
-        ready = configuration is not None and self._keeper.store_reachable and not self._stopping
-        return ready, {
+        return self._ready, {
             "stopping": self._stopping,
             "leases": list(self.leases),
-            "configuration": 0 if configuration is None else configuration.version,
+            "configuration": self._config.configuration.version,
         }
 
 
-class ConfigReader(Task):
-    """Reads new changes of the configuration from the store."""
-
-    def __init__(self, platform: HttpPlatform) -> None:
-        super().__init__("config", 1.0)
-        self._platform = platform
-        self.configuration: Configuration | None = None
-
-    def tick(self) -> None:
-        configuration = self.configuration or Configuration()
-        after = f"{configuration.version:012d}" if configuration.version else ""
-        page = self._platform.scan("config_change", after=after)
-        if page.is_error():
-            return
-        for row in page.ok.rows:
-            applied = configuration.apply(Change.from_value(row.value))
-            if applied.is_error():
-                return
-            configuration = applied.ok
-        self.configuration = configuration
-
-
 def run(settings: Settings) -> int:
     """Run a coordinator until it is told to stop, and return the exit code."""
     return Coordinator(settings).run()
--- a/tests/authority_world.py
+++ b/tests/authority_world.py
@@ -88,7 +88,7 @@
         if process.late_s > 0:
             process.world.late.append((process.world.clock.now() + process.late_s, path, body))
             return Ok(None)
-        self._answer = process.world.receive(path, body)
+        self._answer = process.world.receive(path, body, process)
         return Ok(None)
 
     def answer(self):
@@ -142,6 +142,9 @@
             self.sleep(seconds)
         self.timer.check()
 
+    def died(self):
+        """Called when the process has ended within a step."""
+
     def step(self):
         self.timer.check()
         self.keeper.step()
@@ -156,6 +159,7 @@
     def __init__(self, coordinator_type, count=3):
         self.clock = ManualClock()
         self.state = PlatformState(fence_check=False)
+        self.others = []
         self.late, self.received, self.violations = [], [], []
         self._type, self._boots, self._busy = coordinator_type, 0, set()
         self.engines = {}
@@ -177,18 +181,22 @@
         for _ in range(round(seconds / TICK_S)):
             self.clock.advance(TICK_S)
             self._deliver_late()
-            for number, process in enumerate(self.coordinators):
-                if process in self._busy or process is None:
-                    continue
-                try:
-                    process.step()
-                except DiedError:
-                    self.coordinators[number] = None
-                finally:
-                    self._busy.discard(process)
+            for group in (self.coordinators, self.others):
+                for number, process in enumerate(group):
+                    if process not in self._busy and process is not None:
+                        self._step(group, number, process)
         self._busy.discard(without)
 
-    def receive(self, path, body):
+    def _step(self, group, number, process):
+        try:
+            process.step()
+        except DiedError:
+            group[number] = None
+            process.died()
+        finally:
+            self._busy.discard(process)
+
+    def receive(self, path, body, process=None):
         """Take an order, and note what is wrong with its coming now."""
         key = (
             f"engine:{body['arguments']['at']}" if path == "/orders" else self._zone_key(path, body)
@@ -203,7 +211,10 @@
         if any(order_id == body["order_id"] for _, _, order_id in self.received):
             self.violations.append(f"{body} comes twice")
         self.received.append((key, body["fence"], body["order_id"]))
-        return Ok(Answer(200, {"order_id": body["order_id"], "state": "done"}))
+        return self.answered({"order_id": body["order_id"], "state": "done"})
+
+    def answered(self, body):
+        return Ok(Answer(200, body))
 
     def lists(self, path, address):
         prefix = f"engine:{address}" if path == "/orders" else f"zone:{path.split('/')[2]}:"
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -1,7 +1,9 @@
 """Coordinators as processes between engines, the platform and each other."""
 
+import re
 import signal
 import time
+from pathlib import Path
 
 import pytest
 from coordinators import CoordinatorProcess, ask_for, is_stopped
@@ -47,6 +49,16 @@
     assert sorted(first.leases() + second.leases()) == ["orders", "snapshot", "usage"]
 
 
+def test_only_the_acting_thread_takes_the_timer_signal(deployment):
+    """Guards against another thread taking the signal while an order's thread runs on."""
+    running = CoordinatorProcess(deployment, "node-1").wait_for("orders")
+    open_threads = 0
+    for status in Path(f"/proc/{running.process.pid}/task").glob("*/status"):
+        blocked = int(re.search(r"SigBlk:\s*(\w+)", status.read_text())[1], 16)
+        open_threads += not blocked >> (signal.SIGALRM - 1) & 1
+    assert open_threads == 1
+
+
 def test_planned_stop_hands_over_at_once(deployment):
     """Guards against a planned stop that fails or leaves nobody in charge for a term."""
     first = CoordinatorProcess(deployment, "node-1").wait_for("orders")
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -1,5 +1,6 @@
 """A state machine over several coordinators against receivers that ignore fencing numbers."""
 
+import pytest
 from authority_world import SimulatedCoordinator, World
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -122,10 +123,6 @@
     sender_type = CarelessSender
 
 
-class NoTimerMachine(AuthorityMachine):
-    coordinator_type = NoTimer
-
-
 class CarelessMachine(AuthorityMachine):
     coordinator_type = CarelessCoordinator
 
@@ -134,9 +131,20 @@
 TestAuthority.settings = settings(stateful_step_count=30)
 
 
-def test_oracle_catches_a_process_without_its_timer():
-    """Guards against an oracle that does not see an order after a successor's."""
-    assert_oracle_fails(NoTimerMachine)
+@pytest.mark.parametrize("place", ["write", "connect"])
+@pytest.mark.parametrize("coordinator", [SimulatedCoordinator, NoTimer])
+def test_order_of_a_coordinator_paused_past_its_lease(coordinator, place):
+    """Guards against an order after a successor's, and against an oracle that does not see it."""
+    world = World(coordinator)
+    world.run(3.0)
+    for number in range(3):
+        world.plan(number, [wanted_order("e1", number)])
+    holder = next(process for process in world.coordinators if "orders" in process.board.names)
+    holder.pause = (place, 12.0)
+    world.run(10.0)
+    assert holder.pause is None and world.received
+    # A pause before the check of the authority does no harm even without the timer.
+    assert bool(world.violations) == (coordinator is NoTimer and place == "write")
 
 
 def test_oracle_catches_orders_that_are_not_read_back():
--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,170 @@
+"""A state machine over gateways that count usage and coordinators that report it."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from planted import assert_oracle_fails
+from usage_world import CUSTOMERS, SealingCoordinator, SimulatedGateway, UsageWorld
+
+from laburnumreel.coordination import Sealer, UsageFlush
+from laburnumreel.state import Row, WindowState
+
+NUMBERS = st.integers(0, 1)
+PLACES = st.sampled_from(["call", "connect", "write", "answer"])
+FAULTS = st.sampled_from(
+    [
+        {},
+        {"down": True},
+        {"delay_s": 0.2},
+        {"delay_s": 0.7},
+        {"delay_after_s": 0.7},
+        {"lose_answers": 2},
+        {"lose_requests": 1},
+    ]
+)
+
+
+class UsageMachine(RuleBasedStateMachine):
+    """Guards against usage counted twice or lost, and windows reported with two figures."""
+
+    coordinator_type = SealingCoordinator
+    gateway_type = SimulatedGateway
+
+    @initialize()
+    def start(self):
+        self.world = UsageWorld(self.coordinator_type, self.gateway_type)
+        self.world.run(1.0)
+
+    @rule(seconds=st.sampled_from([0.3, 2.0, 7.0]))
+    def run(self, seconds):
+        self.world.run(seconds)
+
+    @rule(number=NUMBERS, customer=st.sampled_from(CUSTOMERS), count=st.integers(1, 3))
+    def count(self, number, customer, count):
+        gateway = self.world.others[number]
+        for _ in range(count if gateway is not None else 0):
+            gateway.count(customer)
+
+    @rule(
+        gateway=st.booleans(), number=NUMBERS, place=PLACES, seconds=st.sampled_from([1, 8, None])
+    )
+    def pause_or_kill(self, gateway, number, place, seconds):
+        process = (self.world.others if gateway else self.world.coordinators)[number]
+        if process is not None:
+            process.pause = (place, seconds)
+
+    @rule(gateway=st.booleans(), number=NUMBERS)
+    def restart(self, gateway, number):
+        (self.world.restart_gateway if gateway else self.world.restart)(number)
+
+    @rule(gateway=st.booleans(), number=NUMBERS, faults=FAULTS)
+    def fault_store(self, gateway, number, faults):
+        process = (self.world.others if gateway else self.world.coordinators)[number]
+        if process is not None:
+            clean = {"down": False, "delay_s": 0.0, "delay_after_s": 0.0}
+            process.platform.faults.change({**clean, **faults})
+
+    @rule(number=NUMBERS, requests=st.integers(0, 1), answers=st.integers(0, 2))
+    def fault_reports(self, number, requests, answers):
+        process = self.world.coordinators[number]
+        if process is not None:
+            process.lost_requests, process.lost_answers = requests, answers
+
+    @invariant()
+    def nothing_wrong_reported(self):
+        if hasattr(self, "world"):
+            assert not self.world.violations, self.world.violations[0]
+
+    def teardown(self):
+        if hasattr(self, "world"):
+            self.world.heal()
+            self.nothing_wrong_reported()
+            self.world.check_totals()
+
+
+class NoTimer(SealingCoordinator):
+    """The planted fault: a process runs on after its lease's end."""
+
+    timer_works = False
+
+
+class SlowSealer(Sealer):
+    """A sealer that is paused between reading the deltas and writing their sum."""
+
+    def _write(self, authority, place, version, state, figures):
+        if figures and state is WindowState.SEALED:
+            self._platform._process.sleep(1.0)
+        return super()._write(authority, place, version, state, figures)
+
+
+class HastySealer(SlowSealer):
+    """The planted fault: sums are read while the window still takes deltas."""
+
+    def _write(self, authority, place, version, state, figures):
+        if state is WindowState.CLOSING:
+            return self._seal(authority, place, Row(place.key, {}, 0))
+        return super()._write(authority, place, version, state, figures)
+
+
+def run_with_slow_flushes(sealer):
+    """Count on two gateways that reach the store only for a moment in each window."""
+    coordinator = type("Coordinator", (SealingCoordinator,), {"sealer_type": sealer})
+    world = UsageWorld(coordinator)
+    for step in range(300):
+        for number, gateway in enumerate(world.others):
+            gateway.count(CUSTOMERS[step % 3])
+            gateway.platform.faults.change({"down": (step + 7 * number) % 16 < 12})
+        world.run(0.3)
+    world.heal()
+    return world
+
+
+class RepeatingFlush(UsageFlush):
+    """The planted fault: a flush whose answer was lost is sent again as a new one."""
+
+    def flush(self):
+        super().flush()
+        batch = self._deltas.batch
+        if batch is not None:
+            self._deltas.rejected(batch, [])
+
+
+class RepeatingGateway(SimulatedGateway):
+    flush_type = RepeatingFlush
+
+
+class RepeatingMachine(UsageMachine):
+    gateway_type = RepeatingGateway
+
+
+TestUsage = UsageMachine.TestCase
+TestUsage.settings = settings(stateful_step_count=25)
+
+
+@pytest.mark.parametrize("coordinator", [SealingCoordinator, NoTimer])
+def test_report_of_a_coordinator_paused_past_its_lease(coordinator):
+    """Guards against a report after a successor's, and against an oracle that does not see it."""
+    world = UsageWorld(coordinator)
+    world.run(4.0)
+    for customer in CUSTOMERS:
+        world.others[0].count(customer)
+    holder = next(process for process in world.coordinators if "usage" in process.board.names)
+    holder.pause = ("write", 12.0)
+    world.run(10.0)
+    assert holder.pause is None and len(world.reports) == len(CUSTOMERS)
+    assert bool(world.violations) == (coordinator is NoTimer)
+
+
+def test_counts_that_come_while_a_window_is_sealed_are_late_and_not_lost():
+    """Guards against counts lost between sum and seal, and against an oracle blind to that."""
+    world = run_with_slow_flushes(SlowSealer)
+    world.check_totals()
+    assert any(figures["late_requests"] for figures in world.reports.values())
+    with pytest.raises(AssertionError):
+        run_with_slow_flushes(HastySealer).check_totals()
+
+
+def test_oracle_catches_a_flush_sent_twice():
+    """Guards against an oracle that does not see usage counted twice."""
+    assert_oracle_fails(RepeatingMachine)
--- /dev/null
+++ b/tests/usage_world.py
@@ -0,0 +1,141 @@
+"""Gateways that count usage and coordinators that seal it, on the clock of `authority_world`."""
+
+from authority_world import DiedError, SimulatedCoordinator, SimulatedLink, SimulatedPlatform, World
+
+from laburnumreel.coordination import Sealer, UsageFlush
+from laburnumreel.coordination._usage_flush import Count
+from laburnumreel.state import Figures, UsageCount, UsageSettings
+
+USAGE = UsageSettings(window_s=5, flush_s=0.5, shards=2, grace_s=1.0)
+CUSTOMERS = ("hall-a", "hall-b", "hall-c")
+
+
+class SealingCoordinator(SimulatedCoordinator):
+    """A coordinator that also seals usage."""
+
+    sealer_type = Sealer
+
+    def __init__(self, world, number, boot):
+        super().__init__(world, number, boot)
+        self.sealer = self.sealer_type(
+            self.platform, self.board, SimulatedLink(self), "platform", world.clock, USAGE
+        )
+
+    def step(self):
+        self.timer.check()
+        self.keeper.step()
+        self.sealer.tick()
+
+
+class SimulatedGateway:
+    """A gateway's usage flush, without threads."""
+
+    flush_type = UsageFlush
+
+    def __init__(self, world, number, boot):
+        self.world, self.pause = world, None
+        self.platform = SimulatedPlatform(self)
+        name = f"gateway-{number}"
+        self.flush = self.flush_type(self.platform, name, boot, USAGE, world.clock)
+        self._next_flush = 0.0
+        self._requests = 0
+
+    def sleep(self, seconds):
+        self.world.run(seconds, without=self)
+
+    def reach(self, place):
+        if self.pause is not None and self.pause[0] == place:
+            _, seconds = self.pause
+            self.pause = None
+            if seconds is None:
+                raise DiedError
+            self.sleep(seconds)
+
+    def count(self, customer):
+        self._requests += 1
+        self.world.counted[customer] += 1
+        count = UsageCount(customer, "quoting", 1, 7, 3)
+        # The same request is counted again now and then, as a retried clean-up would.
+        for _ in range(1 + self._requests % 2):
+            self.flush.handle(Count((f"request-{self._requests}", count, self.world.clock.wall())))
+
+    def step(self):
+        if self.world.clock.now() >= self._next_flush:
+            self._next_flush = self.world.clock.now() + USAGE.flush_s
+            self.flush.flush()
+
+    def died(self):
+        """Note what the process took with it: certainly what waited, perhaps the open batch."""
+        deltas = self.flush._deltas
+        batch = deltas.batch.deltas if deltas.batch else {}
+        for held, bounds in ((deltas._waiting, ("low", "high")), (batch, ("low",))):
+            for figures in held.values():
+                for customer, item in figures.items():
+                    for bound in bounds:
+                        self.world.lost[bound][customer] += item.requests
+
+
+class UsageWorld(World):
+    """The oracle of what is counted and what the platform is told."""
+
+    gateway_type = SimulatedGateway
+
+    def __init__(self, coordinator_type=SealingCoordinator, gateway_type=SimulatedGateway):
+        self.counted = dict.fromkeys(CUSTOMERS, 0)
+        self.lost = {"low": dict.fromkeys(CUSTOMERS, 0), "high": dict.fromkeys(CUSTOMERS, 0)}
+        self.reports, self.usage_fence = {}, 0
+        super().__init__(coordinator_type, count=2)
+        self._gateway_type = gateway_type
+        self.others = [None, None]
+        for number in range(2):
+            self.restart_gateway(number)
+
+    def restart_gateway(self, number):
+        if self.others[number] is not None:
+            self.others[number].died()
+        self._boots += 1
+        self.others[number] = self._gateway_type(self, number, f"boot{self._boots}")
+
+    def receive(self, path, body, process=None):
+        fence = process.sealer._fence if process is not None else self.usage_fence
+        key = body["customer"], body["window"]
+        if fence < self.usage_fence:
+            self.violations.append(f"{body} comes after a report of a successor")
+        if self.reports.setdefault(key, body["figures"]) != body["figures"]:
+            self.violations.append(f"{body} differs from {self.reports[key]}")
+        self.usage_fence = max(fence, self.usage_fence)
+        return super().answered(body)
+
+    def heal(self):
+        """End all faults and let everything that was kept be reported."""
+        for number, process in enumerate(self.coordinators):
+            if process is None:
+                self.restart(number)
+                continue
+            process.pause, process.cut = None, False
+            process.lost_requests, process.lost_answers, process.late_s = 0, 0, 0.0
+        for process in [*self.coordinators, *self.others]:
+            if process is not None:
+                process.pause = None
+                process.platform.faults.change(
+                    {
+                        "down": False,
+                        "delay_s": 0.0,
+                        "delay_after_s": 0.0,
+                        "lose_answers": 0,
+                        "lose_requests": 0,
+                    }
+                )
+        self.run(45.0)
+
+    def check_totals(self):
+        """Compare what was reported with what was counted."""
+        for customer in CUSTOMERS:
+            reported = sum(
+                Figures.from_value(figures).requests
+                for (name, _), figures in self.reports.items()
+                if name == customer
+            )
+            low = self.counted[customer] - self.lost["low"][customer]
+            high = self.counted[customer] - self.lost["high"][customer]
+            assert low <= reported <= high, f"{customer}: {reported} is not in {low}..{high}"
