--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -10,6 +10,7 @@
     Refused,
 )
 from laburnumreel.coordination._authority import AlarmTimer, AuthorityBoard, ProcessTimer
+from laburnumreel.coordination._back_ends import BackEnd, Drain, LoadReport
 from laburnumreel.coordination._budget import RetryBudget
 from laburnumreel.coordination._config_sync import ConfigSync
 from laburnumreel.coordination._config_write import (
@@ -23,7 +24,7 @@
     write_commuting,
     write_withdrawal,
 )
-from laburnumreel.coordination._fleet import BackEnd, Drain, Fleet, LoadReport
+from laburnumreel.coordination._fleet import Fleet
 from laburnumreel.coordination._guarded_send import (
     Answer,
     GuardedSender,
@@ -42,6 +43,8 @@
     PeerLink,
     PeerNews,
     QuarantineEntry,
+    address_text,
+    parse_address,
 )
 from laburnumreel.coordination._orders import ORDERS_LEASE, OrderSender, Plan, Receivers
 from laburnumreel.coordination._peers import PeerExchange
@@ -108,8 +111,10 @@
     "UsageFlush",
     "Work",
     "WriteFailure",
+    "address_text",
     "edits_to",
     "managed_entries",
+    "parse_address",
     "prompt_prefixes",
     "read_base",
     "read_configuration",
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -1,5 +1,14 @@
 """What lasts and its rules: errors, the platform's client, configuration, leases, usage."""
 
+from laburnumreel.state._claims import (
+    Claimed,
+    ClaimPeers,
+    Claims,
+    PeerClaim,
+    Refused,
+    Replay,
+    StoredAnswer,
+)
 from laburnumreel.state._configuration import Change, Configuration, Route
 from laburnumreel.state._errors import ERROR_ANSWERS, ErrorAnswer, ErrorKind, Refusal, RunState
 from laburnumreel.state._folder import load_folder
@@ -72,6 +81,9 @@
     "CapacityOrder",
     "Change",
     "Check",
+    "ClaimPeers",
+    "Claimed",
+    "Claims",
     "Configuration",
     "Customer",
     "ErrorAnswer",
@@ -85,16 +97,20 @@
     "Order",
     "OrderState",
     "Page",
+    "PeerClaim",
     "Platform",
     "PlatformError",
     "Profile",
     "Receipt",
     "Refusal",
+    "Refused",
+    "Replay",
     "Route",
     "Row",
     "RunState",
     "Service",
     "Settings",
+    "StoredAnswer",
     "Target",
     "UsageCount",
     "UsageDeltas",
