--- a/tests/coordinators.py
+++ b/tests/coordinators.py
@@ -14,13 +14,14 @@
 
 ZONES = ["zone-a", "zone-b"]
 LEASE = "term_s = 2.0\nmargin_s = 0.3\n"
+USAGE = "window_s = 2\ngrace_s = 1\n"
 
 
 class CoordinatorProcess:
     """A coordinator's process and its admin address."""
 
     def __init__(self, deployment: Deployment, name: str, program: str = "", *options: str) -> None:
-        path, addresses = deployment.settings(name, lease=LEASE)
+        path, addresses = deployment.settings(name, lease=LEASE, usage=USAGE)
         self.name, self.admin = name, addresses["coordinator_admin"]
         arguments = (program, str(path), *options) if program else ("--config", str(path))
         env = {"TEST_PEPPER": PEPPER, "TEST_CREDENTIAL": "x"}
@@ -34,6 +35,10 @@
     def leases(self) -> list[str]:
         return call(self.admin, "GET", "/readyz").json["leases"]
 
+    def wait_for_ready(self) -> "CoordinatorProcess":
+        wait_until(lambda: call(self.admin, "GET", "/readyz").status == 200, f"{self.name} ready")
+        return self
+
     def wait_for(self, lease: str) -> "CoordinatorProcess":
         wait_until(lambda: lease in self.leases(), f"{self.name} to hold {lease}")
         return self
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -3,6 +3,7 @@
 import re
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -10,6 +11,10 @@
 from deployment import Deployment, call
 from support import wait_until
 
+from laburnumreel.coordination import UsageFlush
+from laburnumreel.core import SystemClock
+from laburnumreel.state import UsageCount, UsageSettings
+
 pytestmark = pytest.mark.processes
 
 
@@ -90,6 +95,37 @@
     first.wait_for("orders")
 
 
+def test_usage_is_reported_once_though_its_holder_is_killed(deployment):
+    """Guards against usage lost or reported with two figures when the sealer's process dies."""
+    running = [CoordinatorProcess(deployment, f"node-{n}").wait_for_ready() for n in range(2)]
+    settings = UsageSettings(window_s=2, flush_s=0.2, shards=4, grace_s=1.0)
+    flush = UsageFlush(deployment.platform, "gateway-1", "boot", settings, SystemClock())
+    with ThreadPoolExecutor(1) as executor:
+        flush.start(executor)
+        for number in range(40):
+            flush.count(f"r{number}", UsageCount(f"customer-{number % 5}", "models", 1, 9, 4))
+            if number == 20:
+                holder = wait_until(
+                    lambda: next((c for c in running if "usage" in c.leases()), None), "a holder"
+                )
+                holder.process.end()
+            time.sleep(0.1)
+        assert flush.flush_all(10.0)
+        flush.stop()
+
+    def reports():
+        state = call(deployment.platform_address, "GET", "/standin/state").json
+        return [(r["customer"], r["window"], r["figures"]) for r in state["usage_history"]]
+
+    def total():
+        figures = {(customer, window): item for customer, window, item in reports()}
+        return sum(item["requests"] for item in figures.values())
+
+    wait_until(lambda: total() == 40, "all requests to be reported")
+    different = {(customer, window, str(item)) for customer, window, item in reports()}
+    assert len(different) == len({(customer, window) for customer, window, _ in different})
+
+
 @pytest.mark.parametrize("target", ["engine", "zone"])
 @pytest.mark.parametrize("timer", ["timer", "no-timer"])
 def test_order_of_a_coordinator_paused_past_its_lease(deployment, timer, target):
