--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -8,57 +8,22 @@
 import threading
 
 import pytest
-from expression import Error, Ok
+from authority_world import SimulatedTimer
 
 from laburnumreel.coordination import AuthorityBoard, LeaseKeeper
 from laburnumreel.core import ManualClock
-from laburnumreel.state import Authority, Lease, LeaseSettings, Page, PlatformError, Row
+from laburnumreel.state import Authority, Lease, LeaseSettings
+from laburnumreel_standins import MemoryPlatform, PlatformState
 
 SETTINGS = LeaseSettings(term_s=4.0, margin_s=0.5)
 
 
-class LeaseStore:
-    """A table of leases that can be switched off."""
-
-    def __init__(self):
-        self.rows, self.commit, self.down = {}, 0, False
-
-    def scan(self, table, prefix="", after="", limit=500):
-        if self.down:
-            return Error(PlatformError("unreachable"))
-        return Ok(Page(list(self.rows.values()), False))
-
-    def transact(self, checks, writes):
-        if self.down:
-            return Error(PlatformError("unreachable"))
-        for check in checks:
-            row = self.rows.get(check.key)
-            if check.version != (row.version if row else 0):
-                return Error(PlatformError("conflict", rows={("lease", check.key): row}))
-        self.commit += 1
-        for write in writes:
-            self.rows[write.key] = Row(write.key, write.value, self.commit)
-        return Ok(self.commit)
-
-
-class RecordedTimer:
-    """Records for when the timer is armed."""
-
-    def __init__(self):
-        self.end = None
-
-    def arm(self, end):
-        self.end = end
-
-    def disarm(self):
-        self.end = None
-
-
-def make_keeper(store, clock, name="node-a"):
-    board, timer = AuthorityBoard(clock), RecordedTimer()
+def make_keeper(state, clock, name="node-a"):
+    board, timer = AuthorityBoard(clock), SimulatedTimer(clock, works=False)
+    platform = MemoryPlatform(state, clock, clock.advance)
     leases = [Lease(lease, name, "boot", 4.0, 0.5) for lease in ("orders", "usage")]
-    keeper = LeaseKeeper(store, board, timer, clock, leases, SETTINGS, random.Random(1))
-    return keeper, board, timer
+    keeper = LeaseKeeper(platform, board, timer, clock, leases, SETTINGS, random.Random(1))
+    return keeper, board, timer, platform
 
 
 def run(keeper, clock, seconds):
@@ -69,18 +34,18 @@
 
 def test_keeper_gives_up_before_the_end_and_disarms_only_then():
     """Guards against a process killed by its timer, or still in force, while the store is down."""
-    store, clock = LeaseStore(), ManualClock()
-    keeper, board, timer = make_keeper(store, clock)
+    clock = ManualClock()
+    keeper, board, timer, platform = make_keeper(PlatformState(), clock)
     run(keeper, clock, 6)
     assert board.names == ("orders", "usage")
     assert timer.end == min(board.current(name).end for name in board.names)
-    store.down = True
+    platform.faults.change({"down": True})
     ended = clock.now() + 4
     while board.names:
         assert timer.end is not None and timer.end > clock.now()
         run(keeper, clock, 0.1)
     assert clock.now() < ended and timer.end is None
-    store.down = False
+    platform.faults.change({"down": False})
     run(keeper, clock, 6)
     assert board.names == ("orders", "usage")
     assert board.current("orders").fence == 2
@@ -88,9 +53,9 @@
 
 def test_release_lets_a_successor_in_at_once():
     """Guards against a planned stop that leaves the system without authority for a whole term."""
-    store, clock = LeaseStore(), ManualClock()
-    first, board, timer = make_keeper(store, clock)
-    second, successor, _ = make_keeper(store, clock, "node-b")
+    store, clock = PlatformState(), ManualClock()
+    first, board, timer, _ = make_keeper(store, clock)
+    second, successor, _, _ = make_keeper(store, clock, "node-b")
     run(first, clock, 6)
     first.release_all()
     assert not board.names and timer.end is None
