--- a/src/laburnumreel_standins/_engine.py
+++ b/src/laburnumreel_standins/_engine.py
@@ -238,7 +238,7 @@
                 return json_answer(self._describe())
             case "POST", "faults":
                 self._change_faults(request)
-                return json_answer({**vars(self._faults), **self._call_faults.values})
+                return json_answer(self._fault_values())
         return error_answer(404, "no such route")
 
     def _change_faults(self, request: Request) -> None:
@@ -266,6 +266,10 @@
             silence_others(request.channel)
         self._faults.silent = "all" if value in (True, "all") else ""
 
+    def _fault_values(self) -> dict[str, Any]:
+        own = {"fence_check": self._orders.fence_check, "change_s": self._orders.change_s}
+        return {**vars(self._faults), **self._call_faults.values, **own}
+
     def _describe(self) -> dict[str, Any]:
         orders = self._settled()
         running, cached = self._task.call(lambda model: (model.running, model.cache.prefixes))
@@ -276,7 +280,9 @@
             "role": orders.role,
             "models": orders.models,
             "draining": orders.draining,
+            "now": self._now(),
             "running": running,
             "interrupted": self._interrupted,
             "cached_prefixes": cached,
+            "faults": self._fault_values(),
         }
--- a/src/laburnumreel_standins/_engine_answers.py
+++ b/src/laburnumreel_standins/_engine_answers.py
@@ -60,7 +60,6 @@
         An answer that ends early, or a caller who has gone, raises DropConnectionError.
         """
         produced = self.start
-        self._run.outcome = "gone"
         try:
             while True:
                 progress = self._next()
@@ -80,6 +79,8 @@
                     self._run.outcome = progress.end
                     return
         finally:
+            if self._run.outcome == "running":
+                self._run.outcome = "gone"
             self._cancel()
 
     def events(self) -> Iterator[bytes]:
--- a/tests/test_standins_engine.py
+++ b/tests/test_standins_engine.py
@@ -73,12 +73,12 @@
 @given(st.integers(0, 30), st.integers(1, 30))
 def test_resumed_request_makes_only_what_is_missing(resume, output):
     """Guards against a resumed run that costs or delivers the whole answer again."""
-    requests = Requests()
+    requests = Requests(SPEEDS._replace(prefill_tokens_per_s=100))
     requests.add("resumed", prompt=100, output=output, resume=resume)
     requests.run_until(5.0)
     assert requests.tokens["resumed"] == output
     missing = max(0, output - min(resume, output) - 1)
-    prefill = (100 + min(resume, output)) / 1000
+    prefill = (100 + min(resume, output)) / 100
     assert abs(requests.ends["resumed"][1] - prefill - missing / 50) < 0.05
 
 
@@ -204,3 +204,44 @@
         assert service._seen.describe().popitem()[1]["tokens"] == [3]
     finally:
         service.close()
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 400), st.integers(1, 30), st.floats(0, 0.5), st.booleans()),
+        max_size=15,
+    ),
+    st.floats(0, 2),
+)
+def test_model_stays_within_its_limits_and_its_reports_lag(jobs, lag_s):
+    """Guards against overfull batches, lost requests, and load reports that are too new."""
+    requests = Requests(SPEEDS._replace(kv_tokens=1024, max_queue=100))
+    model = requests.model
+    model.lag_s = lag_s
+    for name, (prompt, output, wait, cancel) in enumerate(jobs):
+        prefixes = [f"{name % 4}-{index}" for index in range(prompt // TOKENS_PER_BLOCK)]
+        requests.add(name, prompt, output, name % 3, prefixes=prefixes)
+        if cancel:
+            model.cancel(name)
+        requests.run_until(model.now + wait, step=0.05)
+        report = model.report()
+        assert report.decode_streams <= SPEEDS.max_streams
+        assert report.kv_free_tokens >= 0 and model.cache.tokens <= 1024
+        assert report.queued_prefill_tokens >= 0
+        assert model.lagged_report().at <= max(0.0, model.now - lag_s) + 0.06
+    requests.run_until(model.now + 60.0)
+    assert sorted(requests.ends) == list(range(len(jobs)))
+    assert model.running == 0
+    for name, (_, output, _, cancel) in enumerate(jobs):
+        assert requests.tokens[name] == (0 if cancel else output)
+
+
+def test_prefill_goes_to_the_highest_priority_in_the_batch():
+    """Guards against an urgent request that waits for a long prefill that began before it."""
+    requests = Requests()
+    requests.add("long", prompt=5000, output=1)
+    requests.run_until(0.1)
+    requests.add("urgent", prompt=100, output=1, priority=1)
+    requests.run_until(10.0)
+    assert list(requests.ends) == ["urgent", "long"]
+    assert requests.ends["urgent"][1] < 0.25
