--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -48,6 +48,9 @@
 GATEWAY_STARTED = define_event(101, "gateway_started", "the gateway serves callers")
 GATEWAY_STOPPING = define_event(102, "gateway_stopping", "the gateway was told to stop")
 GATEWAY_STOPPED = define_event(103, "gateway_stopped", "the gateway has stopped")
+STOP_INCOMPLETE = define_event(
+    104, "stop_incomplete", "requests still run after the grace time of a planned stop"
+)
 
 BACKGROUND_THREADS = 4
 TASK_THREADS = 16
@@ -200,8 +203,9 @@
         time.sleep(stop.notice_s)
         self._application.stop_admitting()
         give_up_at = self._clock.now() + stop.grace_s
-        while self._clock.now() < give_up_at:
-            if not self._slots.taken and not self._claims.running and self._callers.flushed():
+        while not self._idle():
+            if self._clock.now() >= give_up_at:
+                _log.error(STOP_INCOMPLETE, running=self._slots.taken, claims=self._claims.running)
                 break
             time.sleep(STOP_CHECK_S)
         self._usage.flush_all(stop.grace_s)
@@ -216,6 +220,10 @@
         self._admin.stop()
         _log.info(GATEWAY_STOPPED)
 
+    def _idle(self) -> bool:
+        """Return whether no request runs, no answer waits for its caller or for the store."""
+        return not self._slots.taken and not self._claims.running and self._callers.flushed()
+
     def _configured(self, configuration: Configuration, withdrawn: WithdrawnKeys) -> None:
         self._registry.withdrawn(withdrawn)
         self._credentials.load(configuration)
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -373,6 +373,10 @@
         reply = call(self.platform_address, "POST", "/standin/faults", faults)
         assert reply.status == 200, reply
 
+    def requests_counted(self) -> int:
+        """Return the number of requests in all usage deltas in the store."""
+        return sum(count["requests"] for value in self.usage() for count in value.get("counts", ()))
+
     def usage(self) -> list[dict[str, Any]]:
         """Return the values of all usage deltas in the store."""
         return [row.value for row in self.platform.scan("usage_delta").ok.rows]
--- /dev/null
+++ b/tests/test_gateway_stop.py
@@ -0,0 +1,111 @@
+"""Tests of planned stops: no request is interrupted and no usage is lost."""
+
+import json
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from deployment import MODEL, Deployment, Stream, bearer, call
+from support import wait_until
+
+from laburnumreel_standins._text import output_text
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture
+def deployment():
+    running = Deployment()
+    yield running
+    running.end()
+
+
+def complete(gateway, prompt="x"):
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": 3}
+    return call(gateway.callers, "POST", "/v1/completions", body, bearer())
+
+
+def test_planned_stop_lets_a_long_stream_end(deployment):
+    """Guards against a stop, or a second signal, that cuts a running stream or loses usage."""
+    deployment.configure()
+    deployment.add_engine("--stream-tokens-per-s", "20")
+    gateway = deployment.start_gateway()
+    assert complete(gateway).status == 200
+    stream = Stream(gateway.callers, {"prompt": "long", "max_tokens": 90})
+    payloads = stream.payloads()
+    read = json.loads(next(payloads))["choices"][0]["text"]
+    gateway.process.send(signal.SIGTERM)
+    wait_until(lambda: call(gateway.admin, "GET", "/readyz").status == 503, "not ready")
+    wait_until(lambda: complete(gateway).kind == "stopping", "refusals")
+    reply = complete(gateway)
+    assert (reply.status, reply.run_state) == (503, "not-run") and reply.headers["retry-after"]
+    gateway.process.send(signal.SIGTERM)
+    gateway.process.send(signal.SIGINT)
+    text, done, error = stream.finish()
+    assert (read + text, done, error) == (output_text("long", 90), True, None)
+    assert gateway.process.wait() == 0
+    assert deployment.requests_counted() >= 2
+
+
+def test_hung_request_does_not_hold_up_a_stop_for_ever(deployment):
+    """Guards against a stop that waits for a request without a bound."""
+    deployment.configure(profile__chat={"deadline_s": 3.0, "silence_s": 60.0})
+    engine = deployment.add_engine()
+    gateway = deployment.start_gateway()
+    deployment.engines[engine][0].send(signal.SIGSTOP)
+    with ThreadPoolExecutor(1) as executor:
+        answer = executor.submit(complete, gateway)
+        wait_until(lambda: gateway.metric("laburnumreel_running_requests") == 1, "it to run")
+        gateway.process.send(signal.SIGTERM)
+        assert answer.result().kind == "back_end_timeout"
+    assert gateway.process.wait(10) == 0
+
+
+def test_rolling_replacement_cuts_no_stream(deployment):
+    """Guards against a replacement of all gateways that any caller notices."""
+    deployment.configure()
+    for _ in range(2):
+        deployment.add_engine("--stream-tokens-per-s", "30")
+    gateways = deployment.start_gateways(3)
+    ready = {gateway.name: gateway for gateway in gateways}
+    failed, results = [], []
+    stop_at = time.monotonic() + 60
+
+    def caller(number):
+        """Call like a load balancer's client: only gateways that report ready are used."""
+        while not done and time.monotonic() < stop_at:
+            choices = [ready[name] for name in sorted(ready)]
+            gateway = choices[number % len(choices)]
+            prompt = f"caller {number} {len(results)}"
+            stream = Stream(gateway.callers, {"prompt": prompt, "max_tokens": 45})
+            if stream.answer.status != 200:
+                failed.append((stream.answer.status, stream.answer.getheader("X-Error-Kind")))
+                continue
+            outcome = stream.finish()
+            if outcome != (output_text(prompt, 45), True, None):
+                failed.append(outcome)
+            results.append(gateway.name)
+
+    done = []
+    with ThreadPoolExecutor(9) as executor:
+        callers = [executor.submit(caller, number) for number in range(9)]
+        for gateway in gateways:
+            wait_until(
+                lambda at=gateway: at.metric("laburnumreel_running_requests") > 0, "streams to run"
+            )
+            gateway.process.send(signal.SIGTERM)
+            wait_until(
+                lambda at=gateway: call(at.admin, "GET", "/readyz").status == 503, "not ready"
+            )
+            del ready[gateway.name]
+            assert gateway.process.wait() == 0
+            ready[gateway.name] = deployment.restart_gateway(gateway)
+        done.append(True)
+        for future in callers:
+            future.result()
+    assert not failed and len(set(results)) == 3
+    for gateway in ready.values():
+        gateway.process.send(signal.SIGTERM)
+        assert gateway.process.wait() == 0
+    assert deployment.requests_counted() == len(results)
