Prove key withdrawal, reclaimed hosts and lost answers with processes

Cut-off and paused gateways, withdrawals without the store, quarantines heard by peers, reclaimed hosts and lost answers had no test over real processes.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -133,6 +133,8 @@
         self.requests: list[tuple[str, str, dict[str, str], bytes]] = []
         self.gate = threading.Event()
         self.gate.set()
+        # How many further requests are read and then left without an answer.
+        self.drop = 0
         server = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -143,6 +145,10 @@
                 headers = {name.lower(): value for name, value in self.headers.items()}
                 server.requests.append((self.command, self.path, headers, body))
                 server.gate.wait(30)
+                if server.drop > 0:
+                    server.drop -= 1
+                    self.close_connection = True
+                    return
                 answer = json.dumps({"path": self.path, "count": len(server.requests)}).encode()
                 self.send_response(201 if self.command == "POST" else 200)
                 self.send_header("Content-Length", str(len(answer)))
--- /dev/null
+++ b/tests/test_gateway_keys.py
@@ -0,0 +1,145 @@
+"""Tests of withdrawn keys, leaving hosts and lost answers, over several gateways."""
+
+import json
+import signal
+import time
+
+import pytest
+from deployment import KEY, MODEL, OTHER_KEY, PEPPER, Deployment, Stream, bearer, call
+from support import wait_until
+
+from laburnumreel.state import key_digest
+from laburnumreel.transport import PeerClient
+from laburnumreel_standins._text import output_text
+
+pytestmark = pytest.mark.processes
+CUT_OFF = "cut_off_s = 1.0\n"
+
+
+@pytest.fixture
+def deployment():
+    running = Deployment()
+    yield running
+    running.end()
+
+
+def complete(gateway, prompt="x", key=KEY):
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": 3}
+    return call(gateway.callers, "POST", "/v1/completions", body, bearer(key))
+
+
+def begin(gateway, prompt="long", tokens=300):
+    stream = Stream(gateway.callers, {"prompt": prompt, "max_tokens": tokens})
+    return stream, json.loads(next(stream.payloads()))["choices"][0]["text"]
+
+
+def test_gateway_that_cannot_hear_of_withdrawals_stops(deployment):
+    """Guards against a cut-off gateway that goes on with keys withdrawn meanwhile."""
+    deployment.configure()
+    deployment.add_engine("--stream-tokens-per-s", "20")
+    gateways = deployment.start_gateways(2, peers=CUT_OFF)
+    stream, _ = begin(gateways[0])
+    started = time.monotonic()
+    deployment.platform_faults(down=True)
+    time.sleep(2.5)
+    # A majority is as good as the store.
+    assert complete(gateways[0]).status == 200
+    gateways[1].process.send(signal.SIGSTOP)
+    reply = wait_until(lambda: (r := complete(gateways[0])).status != 200 and r, "refusals")
+    assert (reply.status, reply.kind, reply.run_state) == (503, "keys_unverifiable", "not-run")
+    assert stream.finish()[1:] == (False, "keys_unverifiable")
+    assert time.monotonic() - started < 10
+    deployment.platform_faults(down=False)
+    wait_until(lambda: complete(gateways[0]).status == 200, "keys to be verifiable again")
+
+
+def test_paused_gateway_admits_no_withdrawn_key(deployment):
+    """Guards against a gateway that goes on after a pause with what it knew before."""
+    deployment.configure(service__models={"customers": ["*"]})
+    deployment.add_engine()
+    gateway = deployment.start_gateways(2, peers=CUT_OFF)[0]
+    assert complete(gateway).status == complete(gateway, key=OTHER_KEY).status == 200
+    gateway.process.send(signal.SIGSTOP)
+    deployment.withdraw(KEY)
+    time.sleep(1.5)
+    gateway.process.send(signal.SIGCONT)
+    for _ in range(20):
+        reply = complete(gateway)
+        assert reply.kind in ("keys_unverifiable", "withdrawn_key"), reply
+    wait_until(lambda: complete(gateway, key=OTHER_KEY).status == 200, "the other key to work")
+
+
+def test_withdrawal_reaches_streams_without_the_store(deployment):
+    """Guards against a withdrawal that an outage of the store holds up."""
+    deployment.configure()
+    deployment.add_engine("--stream-tokens-per-s", "20")
+    gateways = deployment.start_gateways(2)
+    stream, _ = begin(gateways[1])
+    deployment.platform_faults(down=True)
+    digest = key_digest(KEY, PEPPER.encode())
+    assert PeerClient().withdraw_key(gateways[0].addresses["peers"], digest).is_ok()
+    started = time.monotonic()
+    assert stream.finish()[1:] == (False, "withdrawn_key")
+    assert time.monotonic() - started < 5
+    assert complete(gateways[0]).kind == "withdrawn_key"
+
+
+def test_quarantine_reaches_the_peers(deployment):
+    """Guards against a poison request that its caller sends on to another gateway."""
+    deployment.configure()
+    for _ in range(4):
+        deployment.engine_faults(deployment.add_engine(), crash_on="poison")
+    gateways = deployment.start_gateways(2)
+    assert complete(gateways[0], "poison").kind == "quarantined"
+    crashed = [
+        name for name, (process, _) in deployment.engines.items() if process.code is not None
+    ]
+    assert len(crashed) == 2
+    # News takes a round of the exchange; a request that is faster may still crash an engine.
+    time.sleep(1.0)
+    assert complete(gateways[1], "poison").kind == "quarantined"
+    crashed = [
+        name for name, (process, _) in deployment.engines.items() if process.code is not None
+    ]
+    assert len(crashed) == 2
+
+
+def test_streams_of_a_reclaimed_host_resume_elsewhere(deployment):
+    """Guards against a reclaimed zone that gets new work or cuts streams."""
+    deployment.configure(profile__chat={"cheap_back_ends": "interruptible"})
+    first = deployment.add_engine("--stream-tokens-per-s", "30", zone="zone-a", cheap=True)
+    gateway = deployment.start_gateway()
+    stream, read = begin(gateway, tokens=90)
+    second = deployment.add_engine("--stream-tokens-per-s", "30", zone="zone-b")
+    deployment.hosts[0]["state"] = "leaving"
+    deployment.set_hosts()
+    wait_until(
+        lambda: complete(gateway).status == 200
+        and len(deployment.engine_state(second)["requests"]) > 0,
+        "new work to go elsewhere",
+    )
+    ran = len(deployment.engine_state(first)["requests"])
+    assert [complete(gateway).status for _ in range(5)] == [200] * 5
+    assert len(deployment.engine_state(first)["requests"]) == ran
+    deployment.engines[first][0].send(signal.SIGKILL)
+    text, done, error = stream.finish()
+    assert (read + text, done, error) == (output_text("long", 90), True, None)
+    assert gateway.metric("laburnumreel_retries_total", reason="zone_reclaimed") == 1
+
+
+def test_only_idempotent_requests_are_sent_again(deployment):
+    """Guards against a booking that runs twice because its answer was lost."""
+    deployment.configure()
+    servers = [deployment.add_plain(), deployment.add_plain()]
+    gateway = deployment.start_gateway()
+    wait_until(lambda: call(gateway.callers, "GET", "/orders/ping").status == 200, "plain")
+    for server in servers:
+        server.requests.clear()
+        server.drop = 1
+    reply = call(gateway.callers, "POST", "/orders/new", b"12", bearer())
+    assert (reply.status, reply.kind, reply.run_state) == (502, "back_end_lost", "unknown")
+    assert sum(len(server.requests) for server in servers) == 1
+    reply = call(gateway.callers, "GET", "/orders/list", None, bearer())
+    tries = sum(len(server.requests) for server in servers) - 1
+    assert reply.status == 200 or tries == 2
+    assert gateway.metric("laburnumreel_retries_total", reason="idempotent_lost") == tries - 1
