--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks. Each module has `run(seeds)`, which returns rows of figures."""
+"""Benchmarks of the policies: the real state machines on a fake of engines and traffic."""
--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -9,6 +9,7 @@
     Refused,
 )
 from laburnumreel.coordination._authority import AlarmTimer, AuthorityBoard, ProcessTimer
+from laburnumreel.coordination._back_ends import BackEnd, Drain, LoadReport
 from laburnumreel.coordination._budget import RetryBudget
 from laburnumreel.coordination._config_sync import ConfigSync
 from laburnumreel.coordination._config_write import (
@@ -22,7 +23,7 @@
     write_commuting,
     write_withdrawal,
 )
-from laburnumreel.coordination._fleet import BackEnd, Drain, Fleet, LoadReport
+from laburnumreel.coordination._fleet import Fleet
 from laburnumreel.coordination._guarded_send import (
     Answer,
     GuardedSender,
@@ -52,8 +53,7 @@
 from laburnumreel.coordination._store_sync import read_configuration
 
 __all__ = [
-    "parse_address",
-    "address_text",
+    "ORDERS_LEASE",
     "Admission",
     "Admitted",
     "AlarmTimer",
@@ -77,7 +77,6 @@
     "NewsSource",
     "NoNews",
     "NodeStatus",
-    "ORDERS_LEASE",
     "Offer",
     "OrderConnection",
     "OrderLink",
@@ -97,8 +96,10 @@
     "SendFailure",
     "Work",
     "WriteFailure",
+    "address_text",
     "edits_to",
     "managed_entries",
+    "parse_address",
     "prompt_prefixes",
     "read_base",
     "read_configuration",
