--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -47,13 +47,17 @@
 )
 from laburnumreel.coordination._orders import ORDERS_LEASE, OrderSender, Plan, Receivers
 from laburnumreel.coordination._peers import PeerExchange
+from laburnumreel.coordination._planning import LoadReader, Planner
 from laburnumreel.coordination._prefixes import prompt_prefixes
 from laburnumreel.coordination._quarantine import Quarantine
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
+from laburnumreel.coordination._snapshots import SNAPSHOT_LEASE, SnapshotWriter
 from laburnumreel.coordination._store_sync import read_configuration
+from laburnumreel.coordination._wanted import Capacity
 
 __all__ = [
     "ORDERS_LEASE",
+    "SNAPSHOT_LEASE",
     "Admission",
     "Admitted",
     "AlarmTimer",
@@ -61,6 +65,7 @@
     "AuthorityBoard",
     "BackEnd",
     "Base",
+    "Capacity",
     "Choice",
     "ClaimState",
     "ConfigSync",
@@ -73,6 +78,7 @@
     "Fleet",
     "GuardedSender",
     "LeaseKeeper",
+    "LoadReader",
     "LoadReport",
     "NewsSource",
     "NoNews",
@@ -85,6 +91,7 @@
     "PeerLink",
     "PeerNews",
     "Plan",
+    "Planner",
     "ProcessTimer",
     "Quarantine",
     "QuarantineEntry",
@@ -94,6 +101,7 @@
     "RetryBudget",
     "Router",
     "SendFailure",
+    "SnapshotWriter",
     "Work",
     "WriteFailure",
     "address_text",
