--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -9,6 +9,7 @@
     Refused,
 )
 from laburnumreel.coordination._authority import AlarmTimer, AuthorityBoard, ProcessTimer
+from laburnumreel.coordination._back_ends import BackEnd, Drain, LoadReport
 from laburnumreel.coordination._budget import RetryBudget
 from laburnumreel.coordination._config_sync import ConfigSync
 from laburnumreel.coordination._config_write import (
@@ -22,7 +23,7 @@
     write_commuting,
     write_withdrawal,
 )
-from laburnumreel.coordination._fleet import BackEnd, Drain, Fleet, LoadReport
+from laburnumreel.coordination._fleet import Fleet
 from laburnumreel.coordination._guarded_send import (
     Answer,
     GuardedSender,
@@ -41,15 +42,22 @@
     PeerLink,
     PeerNews,
     QuarantineEntry,
+    address_text,
+    parse_address,
 )
 from laburnumreel.coordination._orders import ORDERS_LEASE, OrderSender, Plan, Receivers
 from laburnumreel.coordination._peers import PeerExchange
+from laburnumreel.coordination._planning import LoadReader, Planner
 from laburnumreel.coordination._prefixes import prompt_prefixes
 from laburnumreel.coordination._quarantine import Quarantine
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
+from laburnumreel.coordination._snapshots import SNAPSHOT_LEASE, SnapshotWriter
 from laburnumreel.coordination._store_sync import read_configuration
+from laburnumreel.coordination._wanted import Capacity
 
 __all__ = [
+    "ORDERS_LEASE",
+    "SNAPSHOT_LEASE",
     "Admission",
     "Admitted",
     "AlarmTimer",
@@ -57,6 +65,7 @@
     "AuthorityBoard",
     "BackEnd",
     "Base",
+    "Capacity",
     "Choice",
     "ClaimState",
     "ConfigSync",
@@ -69,11 +78,11 @@
     "Fleet",
     "GuardedSender",
     "LeaseKeeper",
+    "LoadReader",
     "LoadReport",
     "NewsSource",
     "NoNews",
     "NodeStatus",
-    "ORDERS_LEASE",
     "Offer",
     "OrderConnection",
     "OrderLink",
@@ -82,6 +91,7 @@
     "PeerLink",
     "PeerNews",
     "Plan",
+    "Planner",
     "ProcessTimer",
     "Quarantine",
     "QuarantineEntry",
@@ -91,10 +101,13 @@
     "RetryBudget",
     "Router",
     "SendFailure",
+    "SnapshotWriter",
     "Work",
     "WriteFailure",
+    "address_text",
     "edits_to",
     "managed_entries",
+    "parse_address",
     "prompt_prefixes",
     "read_base",
     "read_configuration",
--- a/src/laburnumreel/coordination/_events.py
+++ b/src/laburnumreel/coordination/_events.py
@@ -18,6 +18,10 @@
 ORDER_UNCERTAIN = define_event(
     449, "order_uncertain", "answer to an order was lost; its receiver's list will be read"
 )
+HOSTS_UNREADABLE = define_event(
+    450, "planner_hosts_unreadable", "planner could not read the host list"
+)
+SNAPSHOT_WRITTEN = define_event(451, "snapshot_written", "configuration snapshot written")
 CONFIG_CHANGED = define_event(460, "config_changed", "a new configuration is in force")
 CONFIG_REFUSED = define_event(
     461, "config_refused", "changes from the store or a peer do not fit and are reread whole"
--- a/src/laburnumreel/coordination/_orders.py
+++ b/src/laburnumreel/coordination/_orders.py
@@ -204,6 +204,9 @@
             is_zone = wanted.target.engine_name is None
             if is_zone and last and last.state is OrderState.DONE and last.asks(wanted):
                 continue
+            if is_zone and last is None and not wanted.arguments["count"]:
+                # Nothing was ever ordered there.
+                continue
             if now < self._given_at.get(_key(wanted), float("-inf")) + REPEAT_AFTER_S:
                 continue
             return self._write(authority, wanted, last)
