Add the planner of engine roles

Cause: the prompt-to-output mix shifts within minutes, and a role change takes an engine away for seconds.

Change: RolePlanner weighs the gain of a change on a short and a long mean of the demand against the seconds lost, drains an engine before its change, and keeps the zone limit, the minimum of each kind and what running streams need. The benchmark compares it with a fixed split, a threshold without hysteresis and an oracle.

--- a/bench/_engine.py
+++ b/bench/_engine.py
@@ -48,6 +48,7 @@
         self.world, self.host, self.role = world, host, role
         self.alive, self.draining = True, False
         self.max_streams = MAX_STREAMS
+        self.refuses: Callable[[], bool] = lambda: False
         self.queue: deque[tuple[Request, int]] = deque()
         self.streams: list[tuple[float, int, Request]] = []
         self.on_end: Callable[[Request, bool], None] = lambda request, complete: None
@@ -73,7 +74,7 @@
 
     def receive(self, request: Request) -> bool:
         """Take a request; False is a refused connection."""
-        if not self.alive or self.draining:
+        if not self.alive or self.draining or self.refuses():
             return False
         hit = 0
         for number, prefix in enumerate(request.prefixes, 1):
--- /dev/null
+++ b/bench/roles.py
@@ -0,0 +1,301 @@
+"""Role planning against a fixed split, a threshold without hysteresis, and an oracle."""
+
+import random
+from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from typing import Any
+
+from bench._engine import DECODE_TOKENS_PER_S, PREFILL_TOKENS_PER_S, ROLE_SPEEDS
+from bench._fake import GATEWAYS, SERVICE, Cluster, FakeGateway, cost_router, drive
+from bench._report import Report, Table, average_rows
+from bench._traffic import QUETZAL, Request, Traffic, spread
+from laburnumreel.coordination import Admission, EngineView, RoleChange, RolePlan, RolePlanner
+
+DEADLINE_S, TOKEN_GAP_S, CHANGE_S, DRAIN_S = 10.0, 0.032, 5.0, 5.0
+MAX_STREAMS = 96
+SLOT_S = 10.0
+PROCESSES = 4
+# Prompt tokens, output tokens and requests a second of the two ends of the mix.
+PREFILL_HEAVY, DECODE_HEAVY = (3000.0, 40.0, 50.0), (300.0, 280.0, 85.0)
+# Times and the part of the decode-heavy end, linear between them.
+TRACES: dict[str, list[tuple[float, float]]] = {
+    "swing": [(0, 1), (70, 1), (90, 0), (170, 0), (190, 1), (240, 1)],
+    "bursts": [(0, 1)]
+    + [(t + d, v) for t in (40, 80) for d, v in ((0, 1), (2, 0), (10, 0), (12, 1))]
+    + [(130, 1)],
+    "level": [(0, 0.5), (80, 0.5)],
+}
+
+
+def mix(trace: Sequence[tuple[float, float]], now: float) -> tuple[float, float, float]:
+    """Return prompt tokens, output tokens and requests a second at a time."""
+    part = trace[-1][1]
+    for (start, one), (end, other) in zip(trace, trace[1:], strict=False):
+        if start <= now < end:
+            part = one + (other - one) * (now - start) / (end - start)
+            break
+    return tuple(
+        heavy + part * (light - heavy)
+        for heavy, light in zip(PREFILL_HEAVY, DECODE_HEAVY, strict=True)
+    )
+
+
+class Fixed:
+    """The baseline that never changes a role."""
+
+    def observe(self, prefill: float, decode: float, now: float) -> None:
+        return
+
+    def plan(self, engines: Sequence[EngineView], now: float) -> RolePlan:
+        return RolePlan()
+
+
+class Threshold:
+    """The baseline that follows the last sample: an engine moves to the busier kind of work."""
+
+    def __init__(self) -> None:
+        self._demand, self._at = (0.0, 0.0), 0.0
+        self._wanted: dict[str, str] = {}
+
+    def observe(self, prefill: float, decode: float, now: float) -> None:
+        passed = max(0.1, now - self._at)
+        self._demand, self._at = (prefill / passed, decode / passed), now
+
+    def plan(self, engines: Sequence[EngineView], now: float) -> RolePlan:
+        for engine in engines:
+            if self._wanted.get(engine.name) == engine.role:
+                del self._wanted[engine.name]
+        prefill = self._demand[0] / sum(each.prefill_tokens_per_s for each in engines)
+        decode = self._demand[1] / sum(each.decode_tokens_per_s for each in engines)
+        role = "prefill" if prefill > decode else "decode"
+        free = [each for each in engines if each.name not in self._wanted and each.role != role]
+        if free and not self._wanted and abs(prefill - decode) > 0.1:
+            self._wanted[min(free, key=lambda each: each.streams).name] = role
+        return _drained(self._wanted, engines)
+
+
+class Oracle:
+    """Knows the trace: a best path over role counts, with the seconds lost by each change."""
+
+    def __init__(
+        self, trace: Sequence[tuple[float, float]], together: int = 3, lead_s: float = SLOT_S
+    ) -> None:
+        self._together, self._lead_s = together, lead_s
+        slots = int(trace[-1][0] / SLOT_S)
+        workers = QUETZAL.workers
+        counts = [(p, d) for p in range(workers + 1) for d in range(workers + 1 - p)]
+
+        def value(count: tuple[int, int], slot: int, away: int) -> float:
+            prompt, output, rate = mix(trace, (slot + 0.5) * SLOT_S)
+            numbers = {"prefill": count[0], "decode": count[1], "both": workers - sum(count)}
+            total = 0.0
+            for role, number in numbers.items():
+                speeds = ROLE_SPEEDS[role]
+                total += number * min(
+                    PREFILL_TOKENS_PER_S * speeds[0] / (prompt * rate),
+                    DECODE_TOKENS_PER_S * speeds[1] / (output * rate),
+                )
+            served = min(1.0, 0.9 * total)
+            return served * SLOT_S - away * (CHANGE_S + 0.5 * DRAIN_S) / workers
+
+        best = {count: (value(count, 0, sum(count)), [count]) for count in counts}
+        for slot in range(1, slots):
+            step = {}
+            for count in counts:
+                found = []
+                for before, (total, path) in best.items():
+                    away = max(abs(count[0] - before[0]), abs(count[1] - before[1]))
+                    found.append((total + value(count, slot, away), [*path, count]))
+                step[count] = max(found)
+            best = step
+        self._path = max(best.values())[1]
+        self._wanted: dict[str, str] = {}
+
+    def observe(self, prefill: float, decode: float, now: float) -> None:
+        return
+
+    def plan(self, engines: Sequence[EngineView], now: float) -> RolePlan:
+        for engine in engines:
+            if self._wanted.get(engine.name) == engine.role:
+                del self._wanted[engine.name]
+        prefill, decode = self._path[min(len(self._path) - 1, int((now + self._lead_s) / SLOT_S))]
+        wanted = {"prefill": prefill, "decode": decode}
+        wanted["both"] = len(engines) - prefill - decode
+        roles = [self._wanted.get(each.name, each.role) for each in engines]
+        for engine in sorted(engines, key=lambda each: each.streams):
+            short = [role for role, count in wanted.items() if roles.count(role) < count]
+            spare = roles.count(engine.role) > wanted[engine.role]
+            if (
+                short
+                and spare
+                and engine.name not in self._wanted
+                and len(self._wanted) < self._together
+            ):
+                self._wanted[engine.name] = short[0]
+                roles.remove(engine.role)
+                roles.append(short[0])
+        return _drained(self._wanted, engines)
+
+
+def _drained(wanted: dict[str, str], engines: Sequence[EngineView]) -> RolePlan:
+    changes = tuple(
+        RoleChange(each.name, wanted[each.name])
+        for each in engines
+        if each.name in wanted and not each.streams and not each.queued_prefill_tokens
+    )
+    return RolePlan(tuple(wanted), changes)
+
+
+def planner(policy: str, trace: Sequence[tuple[float, float]]) -> Any:
+    """Return a new planner; an oracle's name carries its changes at once and its lead."""
+    if policy == "planner":
+        return RolePlanner(1, 1, 1, CHANGE_S, TOKEN_GAP_S)
+    if policy == "fixed":
+        return Fixed()
+    if policy == "threshold":
+        return Threshold()
+    _, together, lead_s = policy.split()
+    return Oracle(trace, int(together), float(lead_s))
+
+
+POLICIES = ("planner", "fixed", "threshold")
+ORACLES = tuple(f"oracle {together} {lead}" for together in (1, 2, 3) for lead in (10, 20))
+
+
+class Coordinator:
+    """Applies a planner's plan each half second, on late reports and demand."""
+
+    def __init__(self, cluster: Cluster, planner: Any) -> None:
+        self.cluster, self.planner, self.changes = cluster, planner, 0
+        self.interrupted = 0
+        # The baselines are spared wrong orders on late reports.
+        self.exact = not isinstance(planner, RolePlanner)
+        self.arrived = [0.0, 0.0]
+        cluster.world.every(0.5, self.step)
+
+    def count(self, kind: int, tokens: int) -> None:
+        self.arrived[kind] += tokens
+
+    def step(self) -> None:
+        world, lag_s = self.cluster.world, self.cluster.deployment.lag_s
+        sample, self.arrived = self.arrived, [0.0, 0.0]
+        views = []
+        for name, engine in self.cluster.engines.items():
+            if self.exact or not engine.changing:
+                report = engine.report()
+                views.append(
+                    EngineView(
+                        name,
+                        engine.host.zone,
+                        report.role,
+                        report.prefill_tokens_per_s,
+                        report.decode_tokens_per_s,
+                        report.max_streams,
+                        report.decode_streams,
+                        report.queued_prefill_tokens,
+                    )
+                )
+        world.at(world.now + lag_s, lambda: self.act(sample, views))
+
+    def act(self, sample: list[float], views: list[EngineView]) -> None:
+        now = self.cluster.world.now
+        self.planner.observe(sample[0], sample[1], now)
+        plan = self.planner.plan(views, now)
+        for gateway in self.cluster.gateways:
+            for name in plan.drain:
+                gateway.fleet.on_drain(name, "role", now + 1.0)
+        for change in plan.change:
+            engine = self.cluster.engines[change.name]
+            if engine.changing or engine.role == change.role:
+                continue
+            if self.exact and engine.requests:
+                continue
+            self.changes += 1
+            self.interrupted += len(engine.requests)
+            engine.change_role(change.role, CHANGE_S)
+
+
+def one(job: tuple[str, str, int]) -> tuple[float, ...]:
+    """Run a policy over a trace: good share, goodput, changes, interrupted requests."""
+    name, policy, seed = job
+    trace = TRACES[name]
+    end = trace[-1][0]
+
+    def sizes(now: float, source: random.Random) -> tuple[int, int]:
+        prompt, output, _ = mix(trace, now)
+        return spread(prompt, source), spread(output, source)
+
+    cluster = Cluster(QUETZAL)
+    for engine in cluster.engines.values():
+        engine.max_streams = MAX_STREAMS
+    coordinator = Coordinator(cluster, planner(policy, trace))
+    traffic = Traffic("hall-a", lambda now: mix(trace, now)[2], sizes, DEADLINE_S)
+    requests = list(traffic.requests(end, random.Random(f"{name} {seed}")))
+    for number in range(GATEWAYS):
+        admission = Admission(random.Random(f"admission {number} {seed}"))
+        gateway = cluster.add_gateway(cost_router(seed), admission)
+        _configure(cluster, gateway, admission)
+    for request in requests:
+        cluster.world.at(request.arrival, _count(coordinator, 0, request.prompt_tokens))
+        # The length of an answer is known to a gateway only at about its end.
+        ended = request.arrival + request.output_tokens * 0.025
+        cluster.world.at(ended, _count(coordinator, 1, request.output_tokens))
+    drive(cluster, requests, end + 15, seed)
+    return (*_goodput(requests, end), float(coordinator.changes), float(coordinator.interrupted))
+
+
+def _configure(cluster: Cluster, gateway: FakeGateway, admission: Admission) -> None:
+    def configure() -> None:
+        room = gateway.fleet.capacity(SERVICE, cluster.world.now, False, GATEWAYS, TOKEN_GAP_S)
+        admission.configure({}, {}, {}, {SERVICE: room})
+
+    cluster.world.every(0.5, configure)
+    configure()
+
+
+def _count(coordinator: Coordinator, kind: int, tokens: int) -> Callable[[], None]:
+    return lambda: coordinator.count(kind, tokens)
+
+
+def _goodput(requests: Sequence[Request], run_s: float) -> tuple[float, float]:
+    good = sum(each.tokens for each in requests if each.good(DEADLINE_S, TOKEN_GAP_S))
+    return good / sum(each.tokens for each in requests), good / run_s
+
+
+def run(seeds: Sequence[int]) -> Report:
+    jobs = [
+        (name, policy, seed)
+        for name in TRACES
+        for seed in seeds
+        for policy in (*POLICIES, *ORACLES)
+    ]
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        results = dict(zip(jobs, pool.map(one, jobs), strict=True))
+    rows = []
+    for name in TRACES:
+        for seed in seeds:
+            figures = {policy: results[name, policy, seed] for policy in POLICIES}
+            # The oracle also knows where it is best to change nothing, and its best pace.
+            known = [figures["fixed"], *(results[name, policy, seed] for policy in ORACLES)]
+            figures["oracle"] = max(known, key=lambda row: row[1])
+            for policy, row in figures.items():
+                rows.append((name, policy, seed, *row, row[1] / figures["oracle"][1]))
+    headers = ("good share", "goodput tokens/s", "changes", "interrupted", "of oracle")
+    return Report(
+        "Six engines that start in the role `both`. `swing`: decode-heavy, prefill-heavy from 70 s,"
+        " back at 170 s. `bursts`: two prefill bursts of 10 s, too short for a change. `level`:"
+        f" no change of the mix. A change takes {CHANGE_S:g} s after a drain; load and demand are"
+        f" {QUETZAL.lag_s:g} s late. The oracle knows the trace: it"
+        " is the best run of a path found with that knowledge, at six paces, or of no change. A"
+        " request is good when it ends within its deadline of 10 s, with 32 ms between"
+        " tokens. Goal: at least 0.9 of the oracle and ahead of each baseline.",
+        [
+            Table(
+                "means",
+                ("trace", "policy", *headers),
+                average_rows([(*row[:2], *row[3:]) for row in rows], 2),
+                "good share",
+            ),
+            Table("runs", ("trace", "policy", "seed", *headers), rows),
+        ],
+    )
--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -49,6 +49,7 @@
 from laburnumreel.coordination._peers import PeerExchange
 from laburnumreel.coordination._prefixes import prompt_prefixes
 from laburnumreel.coordination._quarantine import Quarantine
+from laburnumreel.coordination._roles import EngineView, RoleChange, RolePlan, RolePlanner
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
 from laburnumreel.coordination._store_sync import read_configuration
 
@@ -69,6 +70,7 @@
     "Drain",
     "DrainMark",
     "Edits",
+    "EngineView",
     "ExchangeMessage",
     "Fleet",
     "GuardedSender",
@@ -92,6 +94,9 @@
     "Receivers",
     "Refused",
     "RetryBudget",
+    "RoleChange",
+    "RolePlan",
+    "RolePlanner",
     "Router",
     "SendFailure",
     "Work",
--- /dev/null
+++ b/src/laburnumreel/coordination/_roles.py
@@ -0,0 +1,239 @@
+"""Engine roles: prefill demand against decode demand, with the cost of a change weighed in."""
+
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from laburnumreel.state import Profile, Service
+
+# Shares of an engine's prefill and decode speed in each role.
+ROLE_SPEEDS: Mapping[str, tuple[float, float]] = {
+    "both": (1.0, 1.0),
+    "prefill": (1.5, 0.5),
+    "decode": (0.5, 1.5),
+}
+# A swing of the mix is seen in the short mean within seconds; the long mean keeps a burst of a few
+# seconds from moving engines.
+SHORT_MEAN_S, LONG_MEAN_S = 6.0, 15.0
+# Answers are counted when they end, so the first seconds show too little decode demand.
+WARM_UP_S = 15.0
+SHORT_HORIZON_S, LONG_HORIZON_S = 20.0, 40.0
+# Queues grow without bound near full load, so demand above this share of the speed counts as lost.
+USABLE_SHARE = 0.95
+# The gain must beat the loss by this factor, because both are estimates.
+GAIN_FACTOR = 1.5
+# A drain that takes longer is given up; the streams are longer than the swing.
+LONGEST_DRAIN_S = 60.0
+
+
+class EngineView(NamedTuple):
+    """An engine as its last load report shows it; speeds are those in its present role."""
+
+    name: str
+    zone: str
+    role: str
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    max_streams: int
+    streams: int
+    queued_prefill_tokens: int
+
+
+class RoleChange(NamedTuple):
+    """An engine that has run dry and shall take a role."""
+
+    name: str
+    role: str
+
+
+class RolePlan(NamedTuple):
+    """The engines that get no new work, and those whose role is to be ordered now."""
+
+    drain: tuple[str, ...] = ()
+    change: tuple[RoleChange, ...] = ()
+
+
+class _Pending:
+    def __init__(self, view: EngineView, role: str, since: float) -> None:
+        self.view = view
+        self.role = role
+        self.since = since
+        self.ordered = False
+
+
+class _Mean:
+    """A mean rate over about `time_s`."""
+
+    def __init__(self, time_s: float) -> None:
+        self._time_s = time_s
+        self._weight = 0.0
+        self.rates = (0.0, 0.0)
+
+    def add(self, rates: tuple[float, float], passed_s: float) -> None:
+        kept = math.exp(-passed_s / self._time_s)
+        # The first samples count fully, so that a fresh coordinator does not start from nothing.
+        weight = self._weight * kept + (1 - kept)
+        part = (1 - kept) / weight
+        self._weight = weight
+        self.rates = tuple(
+            old + part * (new - old) for old, new in zip(self.rates, rates, strict=True)
+        )
+
+
+class RolePlanner:
+    """Plans the roles of one service's engines.
+
+    A change first drains its engine, so that it interrupts no request, and is ordered once the
+    engine has run dry. The engines that stay must have the slots and the speed for all running
+    streams at the token gap goal.
+
+    >>> planner = RolePlanner(1, 1, zone_limit=1, change_s=5.0, token_gap_s=0.032)
+    >>> planner.plan([], now=0.0)
+    RolePlan(drain=(), change=())
+    """
+
+    def __init__(
+        self,
+        prefill_min: int,
+        decode_min: int,
+        zone_limit: int,
+        change_s: float,
+        token_gap_s: float,
+    ) -> None:
+        self._minimum = {"prefill": prefill_min, "decode": decode_min}
+        self._zone_limit = zone_limit
+        self._change_s = change_s
+        self._token_gap_s = token_gap_s
+        self._short, self._long = _Mean(SHORT_MEAN_S), _Mean(LONG_MEAN_S)
+        self._observed_at: float | None = None
+        self._observed_since = math.inf
+        self._pending: dict[str, _Pending] = {}
+        self._drain_s = 5.0
+
+    @classmethod
+    def from_service(cls, service: Service, profile: Profile) -> "RolePlanner":
+        return cls(
+            service.prefill_min,
+            service.decode_min,
+            service.zone_limit,
+            service.change_s,
+            profile.token_gap_s,
+        )
+
+    @property
+    def demand(self) -> tuple[float, float]:
+        """The short mean of the wanted prefill and decode tokens a second."""
+        return self._short.rates
+
+    def observe(self, prefill_tokens: float, decode_tokens: float, now: float) -> None:
+        """Count the prompt and output tokens that callers asked for since the last call."""
+        if self._observed_at is not None and now > self._observed_at:
+            passed = now - self._observed_at
+            rates = (prefill_tokens / passed, decode_tokens / passed)
+            self._short.add(rates, passed)
+            self._long.add(rates, passed)
+        self._observed_at = now
+        self._observed_since = min(self._observed_since, now)
+
+    def plan(self, engines: Sequence[EngineView], now: float) -> RolePlan:
+        """Return what to drain and to change now. Call it with every round of load reports."""
+        self._settle(engines, now)
+        warm = now - self._observed_since >= WARM_UP_S
+        chosen = self._best_change(engines) if warm else None
+        if chosen is not None:
+            view = next(each for each in engines if each.name == chosen.name)
+            self._pending[chosen.name] = _Pending(view, chosen.role, now)
+        changes = []
+        for engine in engines:
+            pending = self._pending.get(engine.name)
+            dry = not engine.streams and not engine.queued_prefill_tokens
+            # Reports lag, so an engine counts as dry only after it was drained for a moment.
+            if pending and (pending.ordered or (dry and now - pending.since >= 2.0)):
+                if not pending.ordered:
+                    self._drain_s += 0.3 * (now - pending.since - self._drain_s)
+                pending.ordered = True
+                changes.append(RoleChange(engine.name, pending.role))
+        return RolePlan(tuple(self._pending), tuple(changes))
+
+    def _settle(self, engines: Sequence[EngineView], now: float) -> None:
+        views = {engine.name: engine for engine in engines}
+        for name, pending in list(self._pending.items()):
+            view = views.get(name)
+            # An engine gives no report while it changes, so a missing one stays for some time.
+            patience = LONGEST_DRAIN_S + (self._change_s if pending.ordered else 0.0)
+            if now - pending.since > patience or (view and view.role == pending.role):
+                del self._pending[name]
+            elif view:
+                pending.view = view
+
+    def _best_change(self, engines: Sequence[EngineView]) -> RoleChange | None:
+        staying = [engine for engine in engines if engine.name not in self._pending]
+        # Engines that are on their way count in the role they will have.
+        after = [*staying, *(_in_role(item.view, item.role) for item in self._pending.values())]
+        best, best_gain = None, 0.0
+        for engine in sorted(staying, key=lambda each: each.streams):
+            if not self._allowed(engine, staying, engines):
+                continue
+            others = [each for each in after if each.name != engine.name]
+            for role in ROLE_SPEEDS:
+                if role == engine.role or not self._keeps_minimum(others, role):
+                    continue
+                changed = [*others, _in_role(engine, role)]
+                gain = self._gain(after, changed) - GAIN_FACTOR * self._loss(after, others)
+                if gain > best_gain + 1e-9:
+                    best, best_gain = RoleChange(engine.name, role), gain
+        return best
+
+    def _allowed(
+        self, engine: EngineView, staying: Sequence[EngineView], engines: Sequence[EngineView]
+    ) -> bool:
+        zones = [pending.view.zone for pending in self._pending.values()]
+        if zones.count(engine.zone) >= self._zone_limit:
+            return False
+        left = [each for each in staying if each.name != engine.name]
+        streams = sum(each.streams for each in engines)
+        speed = sum(each.decode_tokens_per_s for each in left)
+        slots = sum(each.max_streams for each in left)
+        return slots >= streams and speed * self._token_gap_s >= streams
+
+    def _keeps_minimum(self, others: Iterable[EngineView], role: str) -> bool:
+        roles = [*(each.role for each in others), role]
+        return all(
+            sum(each in (kind, "both") for each in roles) >= least
+            for kind, least in self._minimum.items()
+        )
+
+    def _gain(self, before: Sequence[EngineView], after: Sequence[EngineView]) -> float:
+        """Return the seconds of full service that the change wins over the horizon."""
+        short = _served(after, self._short.rates) - _served(before, self._short.rates)
+        long = _served(after, self._long.rates) - _served(before, self._long.rates)
+        return SHORT_HORIZON_S * short + (LONG_HORIZON_S - SHORT_HORIZON_S) * long
+
+    def _loss(self, before: Sequence[EngineView], without: Sequence[EngineView]) -> float:
+        """Return the seconds of full service lost while the engine drains and changes."""
+        lost = _served(before, self._short.rates) - _served(without, self._short.rates)
+        # A draining engine still serves its streams: about half of it is lost.
+        return lost * (self._change_s + 0.5 * self._drain_s)
+
+
+def _in_role(engine: EngineView, role: str) -> EngineView:
+    now, then = ROLE_SPEEDS.get(engine.role, (1.0, 1.0)), ROLE_SPEEDS[role]
+    return engine._replace(
+        role=role,
+        prefill_tokens_per_s=engine.prefill_tokens_per_s * then[0] / now[0],
+        decode_tokens_per_s=engine.decode_tokens_per_s * then[1] / now[1],
+    )
+
+
+def _served(engines: Sequence[EngineView], demand: tuple[float, float]) -> float:
+    """Return the share of the demand that the engines serve.
+
+    A request runs its prompt and its answer on one engine, so each engine is bounded by the
+    scarcer of its two speeds; spare decode speed of one does not help the prompts of another.
+    """
+    prefill, decode = (max(wanted, 1e-9) for wanted in demand)
+    total = sum(
+        min(each.prefill_tokens_per_s / prefill, each.decode_tokens_per_s / decode)
+        for each in engines
+    )
+    return min(1.0, USABLE_SHARE * total)
