Add the planner of spend

Cause: dedicated back ends arrive minutes late, and cheap ones are reclaimed a whole zone at a time.

Change: SpendPlanner orders dedicated back ends for the forecast of firm work, so many that any one zone may be lost, and cheap ones only for interruptible work that idle dedicated ones do not take.

--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -51,6 +51,7 @@
 from laburnumreel.coordination._quarantine import Quarantine
 from laburnumreel.coordination._roles import EngineView, RoleChange, RolePlan, RolePlanner
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
+from laburnumreel.coordination._spend import SpendPlanner, Wanted
 from laburnumreel.coordination._store_sync import read_configuration
 
 __all__ = [
@@ -99,6 +100,8 @@
     "RolePlanner",
     "Router",
     "SendFailure",
+    "SpendPlanner",
+    "Wanted",
     "Work",
     "WriteFailure",
     "address_text",
