--- a/bench/_fake.py
+++ b/bench/_fake.py
@@ -64,6 +64,7 @@
         self.router, self.admission = router, admission
         self.outstanding: dict[str, int] = {}
         self.waiting: dict[str, Request] = {}
+        self.on_outcome: Callable[[str, bool], None] = lambda name, complete: None
         self.on_refused: Callable[[Request, float], None] = lambda request, retry_after_s: None
 
     def submit(self, request: Request) -> None:
@@ -93,6 +94,7 @@
         assert engine is not None
         name = engine.host.name
         self.outstanding[name] -= 1
+        self.on_outcome(name, complete)
         self.fleet.on_finished(name, request.request_id, self.world.now)
         if not complete:
             self.fleet.on_failed(name, self.world.now)
@@ -227,11 +229,17 @@
             gateway.fleet.on_load(name, report, self.world.now)
 
 
-def drive(cluster: Cluster, requests: Sequence[Request], until: float, seed: int) -> None:
-    """Submit each request at a random gateway, as the load balancer does, and run."""
+def drive(
+    cluster: Cluster, requests: Sequence[Request], until: float, seed: int, skew: float = 0.0
+) -> None:
+    """Submit each request at a random gateway, as the load balancer does, and run.
+
+    A share `skew` of the requests enters in the first zone whatever the balancer does.
+    """
     source = random.Random(f"balancer {seed}")
+    first = [each for each in cluster.gateways if each.zone == cluster.gateways[0].zone]
     for request in requests:
-        gateway = source.choice(cluster.gateways)
+        gateway = source.choice(first if skew and source.random() < skew else cluster.gateways)
         cluster.world.at(request.arrival, lambda g=gateway, r=request: g.submit(r))
     cluster.world.run(until)
 
