--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -47,15 +47,19 @@
 )
 from laburnumreel.coordination._orders import ORDERS_LEASE, OrderSender, Plan, Receivers
 from laburnumreel.coordination._peers import PeerExchange
+from laburnumreel.coordination._planning import LoadReader, Planner
 from laburnumreel.coordination._prefixes import prompt_prefixes
 from laburnumreel.coordination._quarantine import Quarantine
 from laburnumreel.coordination._roles import EngineView, RoleChange, RolePlan, RolePlanner
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
+from laburnumreel.coordination._snapshots import SNAPSHOT_LEASE, SnapshotWriter
 from laburnumreel.coordination._spend import SpendPlanner, Wanted
 from laburnumreel.coordination._store_sync import read_configuration
+from laburnumreel.coordination._wanted import Capacity
 
 __all__ = [
     "ORDERS_LEASE",
+    "SNAPSHOT_LEASE",
     "Admission",
     "Admitted",
     "AlarmTimer",
@@ -63,6 +67,7 @@
     "AuthorityBoard",
     "BackEnd",
     "Base",
+    "Capacity",
     "Choice",
     "ClaimState",
     "ConfigSync",
@@ -76,6 +81,7 @@
     "Fleet",
     "GuardedSender",
     "LeaseKeeper",
+    "LoadReader",
     "LoadReport",
     "NewsSource",
     "NoNews",
@@ -88,6 +94,7 @@
     "PeerLink",
     "PeerNews",
     "Plan",
+    "Planner",
     "ProcessTimer",
     "Quarantine",
     "QuarantineEntry",
@@ -100,6 +107,7 @@
     "RolePlanner",
     "Router",
     "SendFailure",
+    "SnapshotWriter",
     "SpendPlanner",
     "Wanted",
     "Work",
