--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -1,5 +1,6 @@
 """Decisions and agreement between nodes."""
 
+from laburnumreel.coordination._acting import ActingTask
 from laburnumreel.coordination._admission import (
     Admission,
     Admitted,
@@ -47,13 +48,21 @@
 )
 from laburnumreel.coordination._orders import ORDERS_LEASE, OrderSender, Plan, Receivers
 from laburnumreel.coordination._peers import PeerExchange
+from laburnumreel.coordination._planning import LoadReader, Planner
 from laburnumreel.coordination._prefixes import prompt_prefixes
 from laburnumreel.coordination._quarantine import Quarantine
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
+from laburnumreel.coordination._sealer import USAGE_LEASE, Sealer
+from laburnumreel.coordination._snapshots import SNAPSHOT_LEASE, SnapshotWriter
 from laburnumreel.coordination._store_sync import read_configuration
+from laburnumreel.coordination._usage_flush import UsageFlush
+from laburnumreel.coordination._wanted import Capacity
 
 __all__ = [
     "ORDERS_LEASE",
+    "SNAPSHOT_LEASE",
+    "USAGE_LEASE",
+    "ActingTask",
     "Admission",
     "Admitted",
     "AlarmTimer",
@@ -61,6 +70,7 @@
     "AuthorityBoard",
     "BackEnd",
     "Base",
+    "Capacity",
     "Choice",
     "ClaimState",
     "ConfigSync",
@@ -73,6 +83,7 @@
     "Fleet",
     "GuardedSender",
     "LeaseKeeper",
+    "LoadReader",
     "LoadReport",
     "NewsSource",
     "NoNews",
@@ -85,6 +96,7 @@
     "PeerLink",
     "PeerNews",
     "Plan",
+    "Planner",
     "ProcessTimer",
     "Quarantine",
     "QuarantineEntry",
@@ -93,7 +105,10 @@
     "Refused",
     "RetryBudget",
     "Router",
+    "Sealer",
     "SendFailure",
+    "SnapshotWriter",
+    "UsageFlush",
     "Work",
     "WriteFailure",
     "address_text",
