--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -1,13 +1,20 @@
 """Coordinators as processes between engines, the platform and each other."""
 
+import re
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 import pytest
 from coordinators import CoordinatorProcess, ask_for, is_stopped
 from deployment import Deployment, call
 from support import wait_until
 
+from laburnumreel.coordination import UsageFlush
+from laburnumreel.core import SystemClock
+from laburnumreel.state import UsageCount, UsageSettings
+
 pytestmark = pytest.mark.processes
 
 
@@ -47,6 +54,16 @@
     assert sorted(first.leases() + second.leases()) == ["orders", "snapshot", "usage"]
 
 
+def test_only_the_acting_thread_takes_the_timer_signal(deployment):
+    """Guards against another thread taking the signal while an order's thread runs on."""
+    running = CoordinatorProcess(deployment, "node-1").wait_for("orders")
+    open_threads = 0
+    for status in Path(f"/proc/{running.process.pid}/task").glob("*/status"):
+        blocked = int(re.search(r"SigBlk:\s*(\w+)", status.read_text())[1], 16)
+        open_threads += not blocked >> (signal.SIGALRM - 1) & 1
+    assert open_threads == 1
+
+
 def test_planned_stop_hands_over_at_once(deployment):
     """Guards against a planned stop that fails or leaves nobody in charge for a term."""
     first = CoordinatorProcess(deployment, "node-1").wait_for("orders")
@@ -78,12 +95,43 @@
     first.wait_for("orders")
 
 
+def test_usage_is_reported_once_though_its_holder_is_killed(deployment):
+    """Guards against usage lost or reported with two figures when the sealer's process dies."""
+    running = [CoordinatorProcess(deployment, f"node-{n}").wait_for_ready() for n in range(2)]
+    settings = UsageSettings(window_s=2, flush_s=0.2, shards=4, grace_s=1.0)
+    flush = UsageFlush(deployment.platform, "gateway-1", "boot", settings, SystemClock())
+    with ThreadPoolExecutor(1) as executor:
+        flush.start(executor)
+        for number in range(40):
+            flush.count(f"r{number}", UsageCount(f"customer-{number % 5}", "models", 1, 9, 4))
+            if number == 20:
+                holder = wait_until(
+                    lambda: next((c for c in running if "usage" in c.leases()), None), "a holder"
+                )
+                holder.process.end()
+            time.sleep(0.1)
+        assert flush.flush_all(10.0)
+        flush.stop()
+
+    def reports():
+        state = call(deployment.platform_address, "GET", "/standin/state").json
+        return [(r["customer"], r["window"], r["figures"]) for r in state["usage_history"]]
+
+    def total():
+        figures = {(customer, window): item for customer, window, item in reports()}
+        return sum(item["requests"] for item in figures.values())
+
+    wait_until(lambda: total() == 40, "all requests to be reported")
+    different = {(customer, window, str(item)) for customer, window, item in reports()}
+    assert len(different) == len({(customer, window) for customer, window, _ in different})
+
+
 @pytest.mark.parametrize("target", ["engine", "zone"])
 @pytest.mark.parametrize("timer", ["timer", "no-timer"])
 def test_order_of_a_coordinator_paused_past_its_lease(deployment, timer, target):
     """Guards against an order that arrives after a successor's, at receivers without a check.
 
-    Without the process timer the order arrives, which shows that the pause is at the right place.
+    Without the process timer and the keeper's abort the order arrives, which shows that the pause is at the right place.
     """
     name = deployment.add_engine()
     ignore_fences(deployment, name)
