--- a/bench/changes.py
+++ b/bench/changes.py
@@ -17,15 +17,8 @@
 from types import SimpleNamespace
 from typing import Any
 
-ROOT = Path(__file__).parent.parent
-sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests")]
-
-from deployment import Deployment, Stream, bearer, call  # noqa: E402
-from operator_support import Operator, start_six  # noqa: E402
-from support import fresh_host, wait_until  # noqa: E402
-
-from bench._report import Report, Table  # noqa: E402
-from laburnumreel.coordination import (  # noqa: E402
+from bench._report import Report, Table
+from laburnumreel.coordination import (
     Base,
     ClaimState,
     ConfigSync,
@@ -34,11 +27,16 @@
     PeerNews,
     write_change,
 )
-from laburnumreel.state import Configuration  # noqa: E402
-from laburnumreel.transport import PeerClient, PeerServer  # noqa: E402
-from laburnumreel_standins._memory_platform import MemoryPlatform  # noqa: E402
-from laburnumreel_standins._platform_state import PlatformState  # noqa: E402
+from laburnumreel.state import Configuration
+from laburnumreel.transport import PeerClient, PeerServer
+from laburnumreel_standins._memory_platform import MemoryPlatform
+from laburnumreel_standins._platform_state import PlatformState
+from laburnumreel_standins.caller import Stream, bearer
+from laburnumreel_standins.deployment import Deployment, call
+from laburnumreel_standins.operator import Operator, start_six
+from laburnumreel_standins.processes import fresh_host, wait_until
 
+ROOT = Path(__file__).parent.parent
 SAMPLES = 20
 POLL_S = 0.01
 CUT_TIMEOUT_S = 30.0
--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -13,7 +13,8 @@
 
 from bench._report import Report, Table
 from laburnumreel_standins._text import output_text
-from laburnumreel_standins.deployment import Deployment, GatewayProcess, Stream, bearer, call
+from laburnumreel_standins.caller import Stream, bearer, call
+from laburnumreel_standins.deployment import Deployment, GatewayProcess
 from laburnumreel_standins.processes import wait_until
 
 GATEWAYS = 6
--- /dev/null
+++ b/src/laburnumreel_standins/caller.py
@@ -0,0 +1,102 @@
+"""A caller's side of the gateway for tests and benchmarks: whole answers and streams."""
+
+import http.client
+import json
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+KEY = "lr-test-key-of-hall-a"
+MODEL = "small"
+
+Address = tuple[str, int]
+
+
+class Reply(NamedTuple):
+    """An answer as a test sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+    @property
+    def kind(self) -> str | None:
+        return self.headers.get("x-error-kind")
+
+    @property
+    def run_state(self) -> str | None:
+        return self.headers.get("x-run-state")
+
+
+def call(
+    address: Address,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 40,
+) -> Reply:
+    """Return the whole answer of one call on a connection of its own."""
+    connection = http.client.HTTPConnection(*address, timeout=timeout_s)
+    raw = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+    try:
+        connection.request(method, path, raw, headers or {})
+        answer = connection.getresponse()
+        return Reply(
+            answer.status,
+            {name.lower(): value for name, value in answer.getheaders()},
+            answer.read(),
+        )
+    finally:
+        connection.close()
+
+
+def bearer(key: str = KEY, **headers: str) -> dict[str, str]:
+    """Return the headers of a caller."""
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return {"Authorization": f"Bearer {key}", **named}
+
+
+class Stream:
+    """A streamed completion whose events a test reads one by one."""
+
+    def __init__(
+        self, address: Address, body: dict[str, Any], headers: dict[str, str] | None = None
+    ) -> None:
+        self._connection = http.client.HTTPConnection(*address, timeout=40)
+        path = "/v1/chat/completions" if "messages" in body else "/v1/completions"
+        raw = json.dumps({"model": MODEL, **body, "stream": True})
+        self._connection.request("POST", path, raw, headers or bearer())
+        self.answer = self._connection.getresponse()
+        self.raw = b""
+
+    def payloads(self) -> Iterator[bytes]:
+        """Yield each event's data as it comes, until the connection ends."""
+        while True:
+            line = self.answer.readline()
+            if not line:
+                return
+            self.raw += line
+            if line.startswith(b"data: "):
+                yield line[6:].strip()
+
+    def finish(self) -> tuple[str, bool, str | None]:
+        """Return the text of the rest, whether `[DONE]` came, and the code of an error event."""
+        text, done, error = "", False, None
+        for payload in self.payloads():
+            if payload == b"[DONE]":
+                done = True
+                continue
+            chunk = json.loads(payload)
+            if "error" in chunk:
+                error = chunk["error"]["code"]
+            for choice in chunk.get("choices", ()):
+                text += choice.get("text") or choice.get("delta", {}).get("content") or ""
+        self.close()
+        return text, done, error
+
+    def close(self) -> None:
+        self._connection.close()
--- a/src/laburnumreel_standins/deployment.py
+++ b/src/laburnumreel_standins/deployment.py
@@ -1,13 +1,7 @@
 """A small deployment of real processes: platform, engines, plain servers, gateways."""
 
-import contextlib
-import http.client
-import json
 import signal
 import tempfile
-import threading
-from collections.abc import Iterator
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -23,159 +17,17 @@
     key_digest,
     merge_sections,
 )
+from laburnumreel_standins.caller import KEY, MODEL, call
 from laburnumreel_standins.processes import Process, free_port, fresh_host, wait_until
+from laburnumreel_standins.recording import PlainServer
 
 PEPPER = "test-pepper"
-KEY = "lr-test-key-of-hall-a"
 OTHER_KEY = "lr-test-key-of-hall-b"
 CREDENTIAL = "gateway-credential"
-MODEL = "small"
 
 Address = tuple[str, int]
 
 
-class Reply(NamedTuple):
-    """An answer as a test sees it."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def json(self) -> Any:
-        return json.loads(self.body)
-
-    @property
-    def kind(self) -> str | None:
-        return self.headers.get("x-error-kind")
-
-    @property
-    def run_state(self) -> str | None:
-        return self.headers.get("x-run-state")
-
-
-def call(
-    address: Address,
-    method: str,
-    path: str,
-    body: Any = None,
-    headers: dict[str, str] | None = None,
-    timeout_s: float = 40,
-) -> Reply:
-    """Return the whole answer of one call on a connection of its own."""
-    connection = http.client.HTTPConnection(*address, timeout=timeout_s)
-    raw = body if isinstance(body, bytes | None) else json.dumps(body).encode()
-    try:
-        connection.request(method, path, raw, headers or {})
-        answer = connection.getresponse()
-        return Reply(
-            answer.status,
-            {name.lower(): value for name, value in answer.getheaders()},
-            answer.read(),
-        )
-    finally:
-        connection.close()
-
-
-def bearer(key: str = KEY, **headers: str) -> dict[str, str]:
-    """Return the headers of a caller."""
-    named = {name.replace("_", "-"): value for name, value in headers.items()}
-    return {"Authorization": f"Bearer {key}", **named}
-
-
-class Stream:
-    """A streamed completion whose events a test reads one by one."""
-
-    def __init__(
-        self, address: Address, body: dict[str, Any], headers: dict[str, str] | None = None
-    ) -> None:
-        self._connection = http.client.HTTPConnection(*address, timeout=40)
-        path = "/v1/chat/completions" if "messages" in body else "/v1/completions"
-        raw = json.dumps({"model": MODEL, **body, "stream": True})
-        self._connection.request("POST", path, raw, headers or bearer())
-        self.answer = self._connection.getresponse()
-        self.raw = b""
-
-    def payloads(self) -> Iterator[bytes]:
-        """Yield each event's data as it comes, until the connection ends."""
-        while True:
-            line = self.answer.readline()
-            if not line:
-                return
-            self.raw += line
-            if line.startswith(b"data: "):
-                yield line[6:].strip()
-
-    def finish(self) -> tuple[str, bool, str | None]:
-        """Return the text of the rest, whether `[DONE]` came, and the code of an error event."""
-        text, done, error = "", False, None
-        for payload in self.payloads():
-            if payload == b"[DONE]":
-                done = True
-                continue
-            chunk = json.loads(payload)
-            if "error" in chunk:
-                error = chunk["error"]["code"]
-            for choice in chunk.get("choices", ()):
-                text += choice.get("text") or choice.get("delta", {}).get("content") or ""
-        self.close()
-        return text, done, error
-
-    def close(self) -> None:
-        self._connection.close()
-
-
-class PlainServer:
-    """A plain service in the test's own process that records what it was sent."""
-
-    def __init__(self) -> None:
-        self.requests: list[tuple[str, str, dict[str, str], bytes]] = []
-        self.gate = threading.Event()
-        self.gate.set()
-        # How many further requests are read and then left without an answer.
-        self.drop = 0
-        server = self
-
-        class Handler(BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def _answer(self) -> None:
-                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
-                headers = {name.lower(): value for name, value in self.headers.items()}
-                server.requests.append((self.command, self.path, headers, body))
-                server.gate.wait(30)
-                if server.drop > 0:
-                    server.drop -= 1
-                    self.close_connection = True
-                    return
-                answer = json.dumps({"path": self.path, "count": len(server.requests)}).encode()
-                self.send_response(201 if self.command == "POST" else 200)
-                self.send_header("Content-Length", str(len(answer)))
-                self.send_header("X-Plain", "yes")
-                self.send_header("Set-Cookie", "a=1")
-                self.end_headers()
-                if self.command != "HEAD":
-                    # A caller that was killed takes no answer.
-                    with contextlib.suppress(OSError):
-                        self.wfile.write(answer)
-
-            do_GET = do_POST = do_PUT = do_DELETE = do_HEAD = _answer  # noqa: N815
-
-            def log_message(self, *_: object) -> None:
-                return
-
-        host = fresh_host()
-        self._server = ThreadingHTTPServer((host, free_port(host)), Handler)
-        self._server.daemon_threads = True
-        self.address: Address = self._server.server_address
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
-
-    def end(self) -> None:
-        self.gate.set()
-        self._server.shutdown()
-        self._server.server_close()
-
-
 class GatewayProcess(NamedTuple):
     """A gateway's process and addresses."""
 
--- a/tests/operator_support.py
+++ b/src/laburnumreel_standins/operator.py
@@ -9,7 +9,8 @@
 
 from laburnumreel.ui import cli
 from laburnumreel.ui._context import main_with
-from laburnumreel_standins.deployment import MODEL, PEPPER, Deployment, GatewayProcess
+from laburnumreel_standins.caller import MODEL
+from laburnumreel_standins.deployment import PEPPER, Deployment, GatewayProcess
 
 FOLDER = {
     "profiles/chat.ini": "[profile]\nkind = model\ndeadline_s = 120\n",
--- /dev/null
+++ b/src/laburnumreel_standins/recording.py
@@ -0,0 +1,61 @@
+"""A plain service in the caller's own process, which records every request that it runs."""
+
+import contextlib
+import json
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from laburnumreel_standins.processes import free_port, fresh_host
+
+Address = tuple[str, int]
+
+
+class PlainServer:
+    """A plain service in the test's own process that records what it was sent."""
+
+    def __init__(self) -> None:
+        self.requests: list[tuple[str, str, dict[str, str], bytes]] = []
+        self.gate = threading.Event()
+        self.gate.set()
+        # How many further requests are read and then left without an answer.
+        self.drop = 0
+        server = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def _answer(self) -> None:
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                headers = {name.lower(): value for name, value in self.headers.items()}
+                server.requests.append((self.command, self.path, headers, body))
+                server.gate.wait(30)
+                if server.drop > 0:
+                    server.drop -= 1
+                    self.close_connection = True
+                    return
+                answer = json.dumps({"path": self.path, "count": len(server.requests)}).encode()
+                self.send_response(201 if self.command == "POST" else 200)
+                self.send_header("Content-Length", str(len(answer)))
+                self.send_header("X-Plain", "yes")
+                self.send_header("Set-Cookie", "a=1")
+                self.end_headers()
+                if self.command != "HEAD":
+                    # A caller that was killed takes no answer.
+                    with contextlib.suppress(OSError):
+                        self.wfile.write(answer)
+
+            do_GET = do_POST = do_PUT = do_DELETE = do_HEAD = _answer  # noqa: N815
+
+            def log_message(self, *_: object) -> None:
+                return
+
+        host = fresh_host()
+        self._server = ThreadingHTTPServer((host, free_port(host)), Handler)
+        self._server.daemon_threads = True
+        self.address: Address = self._server.server_address
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def end(self) -> None:
+        self.gate.set()
+        self._server.shutdown()
+        self._server.server_close()
--- a/tests/coordinators.py
+++ b/tests/coordinators.py
@@ -8,7 +8,8 @@
 
 from laburnumreel.coordinator import Coordinator
 from laburnumreel.state import load_settings
-from laburnumreel_standins.deployment import MODEL, PEPPER, Deployment, call
+from laburnumreel_standins.caller import MODEL, call
+from laburnumreel_standins.deployment import PEPPER, Deployment
 from laburnumreel_standins.processes import Process, wait_until
 
 ZONES = ["zone-a", "zone-b"]
--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -5,9 +5,10 @@
 import time
 
 import pytest
-from operator_support import Operator, start_six
 
-from laburnumreel_standins.deployment import Deployment, Stream, bearer, call
+from laburnumreel_standins.caller import Stream, bearer, call
+from laburnumreel_standins.deployment import Deployment
+from laburnumreel_standins.operator import Operator, start_six
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -12,7 +12,8 @@
 from laburnumreel.coordination import UsageFlush
 from laburnumreel.core import SystemClock
 from laburnumreel.state import UsageCount, UsageSettings
-from laburnumreel_standins.deployment import Deployment, call
+from laburnumreel_standins.caller import call
+from laburnumreel_standins.deployment import Deployment
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -9,7 +9,8 @@
 import pytest
 
 from laburnumreel_standins._text import output_text
-from laburnumreel_standins.deployment import KEY, MODEL, OTHER_KEY, Deployment, Stream, bearer, call
+from laburnumreel_standins.caller import KEY, MODEL, Stream, bearer, call
+from laburnumreel_standins.deployment import OTHER_KEY, Deployment
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -9,16 +9,8 @@
 from laburnumreel.state import key_digest
 from laburnumreel.transport import PeerClient
 from laburnumreel_standins._text import output_text
-from laburnumreel_standins.deployment import (
-    KEY,
-    MODEL,
-    OTHER_KEY,
-    PEPPER,
-    Deployment,
-    Stream,
-    bearer,
-    call,
-)
+from laburnumreel_standins.caller import KEY, MODEL, Stream, bearer, call
+from laburnumreel_standins.deployment import OTHER_KEY, PEPPER, Deployment
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -8,7 +8,8 @@
 import pytest
 
 from laburnumreel_standins._text import output_text
-from laburnumreel_standins.deployment import MODEL, Deployment, Stream, bearer, call
+from laburnumreel_standins.caller import MODEL, Stream, bearer, call
+from laburnumreel_standins.deployment import Deployment
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
--- a/tools/catalogue.py
+++ b/tools/catalogue.py
@@ -57,7 +57,7 @@
 def import_all() -> None:
     """Import every module of the product, so that all definitions are made."""
     for module in pkgutil.walk_packages(laburnumreel.__path__, "laburnumreel."):
-        if ".gen" not in module.name:
+        if ".gen" not in module.name and not module.name.endswith(".__main__"):
             importlib.import_module(module.name)
 
 
