Do not tell peers of prompts that are already processed

Cause: a gateway that never calls Fleet.on_first_token told its peers the prompt tokens of each request until its answer ended, and they took the engine's prefill queue as that long.

Change: without first tokens, own_work gives the prompts that the load report cannot show.

Result: the assertion added to the test of late reports fails before the change and passes after it.

--- a/src/laburnumreel/coordination/_fleet.py
+++ b/src/laburnumreel/coordination/_fleet.py
@@ -212,13 +212,15 @@
         """Return by back end what this gateway has in flight, for the peers.
 
         These are its requests that have not ended, and the prompt tokens of those whose first
-        token has not come.
+        token has not come. A gateway that is not told of first tokens gives the prompts that the
+        load report cannot show: otherwise each prompt would count as queued until its answer ends.
         """
-        return {
-            name: (len(entry.sends), sum(send.prefill_tokens for send in entry.sends.values()))
-            for name, entry in self._entries.items()
-            if entry.sends
-        }
+        work = {}
+        for name, entry in self._entries.items():
+            if entry.sends:
+                queued = entry.sends.values() if self._first_tokens_seen else entry.unreported()
+                work[name] = (len(entry.sends), sum(send.prefill_tokens for send in queued))
+        return work
 
     def capacity(
         self,
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -272,6 +272,7 @@
     (seen,) = fleet.candidates("chat", "m", now + 10, False)
     assert (seen.unreported_requests, seen.unreported_prefill_tokens) == (0, 0)
     assert seen.decode_streams == len(sends) + 5
+    assert all(tokens == 0 for _, tokens in fleet.own_work().values())
 
 
 @given(sends=sends, peers=st.lists(st.integers(0, 500), max_size=3), data=st.data())
