--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -51,9 +51,11 @@
 from laburnumreel.coordination._planning import LoadReader, Planner
 from laburnumreel.coordination._prefixes import prompt_prefixes
 from laburnumreel.coordination._quarantine import Quarantine
+from laburnumreel.coordination._roles import EngineView, RoleChange, RolePlan, RolePlanner
 from laburnumreel.coordination._routing import Choice, Costs, Router, Work
 from laburnumreel.coordination._sealer import USAGE_LEASE, Sealer
 from laburnumreel.coordination._snapshots import SNAPSHOT_LEASE, SnapshotWriter
+from laburnumreel.coordination._spend import SpendPlanner, Wanted
 from laburnumreel.coordination._store_sync import read_configuration
 from laburnumreel.coordination._usage_flush import UsageFlush
 from laburnumreel.coordination._wanted import Capacity
@@ -79,6 +81,7 @@
     "Drain",
     "DrainMark",
     "Edits",
+    "EngineView",
     "ExchangeMessage",
     "Fleet",
     "GuardedSender",
@@ -104,11 +107,16 @@
     "Receivers",
     "Refused",
     "RetryBudget",
+    "RoleChange",
+    "RolePlan",
+    "RolePlanner",
     "Router",
     "Sealer",
     "SendFailure",
     "SnapshotWriter",
+    "SpendPlanner",
     "UsageFlush",
+    "Wanted",
     "Work",
     "WriteFailure",
     "address_text",
