--- a/bench/changes.py
+++ b/bench/changes.py
@@ -31,8 +31,8 @@
 from laburnumreel.transport import PeerClient, PeerServer
 from laburnumreel_standins._memory_platform import MemoryPlatform
 from laburnumreel_standins._platform_state import PlatformState
-from laburnumreel_standins.caller import Stream, bearer
-from laburnumreel_standins.deployment import Deployment, call
+from laburnumreel_standins.caller import Stream, bearer, call
+from laburnumreel_standins.deployment import Deployment
 from laburnumreel_standins.operator import Operator, start_six
 from laburnumreel_standins.processes import fresh_host, wait_until
 
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -27,6 +27,6 @@
         text=True,
         check=True,
     ).stdout
-    assert (ROOT / "docs" / page).read_text(encoding="utf-8") == written, (
-        "run `python tools/catalogue.py`"
-    )
+    assert (ROOT / "docs" / page).read_text(
+        encoding="utf-8"
+    ) == written, "run `python tools/catalogue.py`"
