--- a/src/laburnumreel_standins/deployment.py
+++ b/src/laburnumreel_standins/deployment.py
@@ -127,7 +127,11 @@
         }
         for name, fields in overrides.items():
             values[name.replace("__", "/")].update(fields)
-        change = self._configuration.next_change("test", values)
+        self.apply(values)
+
+    def apply(self, entries: dict[str, dict[str, Any]]) -> None:
+        """Accept a change that puts these entries."""
+        change = self._configuration.next_change("test", entries)
         before = self._configuration.version
         head = self.platform.read("config_head", "head").ok
         self._configuration = self._configuration.apply(change).ok
