Refuse to write usage with settings that differ from the store's

Cause: [usage] window_s and shards must be equal on all processes, and nothing checked it; a process with other values puts deltas where no sealer looks. Change: the first process writes usage_window/format if it is absent. Flush and sealer compare it with their settings, write nothing and turn not ready when it differs, and check its version in every usage transaction.

--- a/src/laburnumreel/coordination/_events.py
+++ b/src/laburnumreel/coordination/_events.py
@@ -46,3 +46,8 @@
 USAGE_DIFFERS = define_event(
     456, "usage_differs", "platform holds a different usage figure for this window"
 )
+USAGE_FORMAT_DIFFERS = define_event(
+    457,
+    "usage_format_differs",
+    "usage settings differ from those in the store; no usage is written",
+)
--- a/src/laburnumreel/coordination/_metrics.py
+++ b/src/laburnumreel/coordination/_metrics.py
@@ -44,3 +44,7 @@
 USAGE_REPORT_DELAY = define_gauge(
     "laburnumreel_usage_report_delay_seconds", "time from a window's end to its last report"
 )
+USAGE_FORMAT_MISMATCH = define_gauge(
+    "laburnumreel_usage_format_mismatch",
+    "1 while [usage] window_s or shards differ from those in the store",
+)
--- a/src/laburnumreel/coordination/_sealer.py
+++ b/src/laburnumreel/coordination/_sealer.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 from typing import Any
 
+from expression import Result
+
 from laburnumreel.coordination._authority import AuthorityBoard
 from laburnumreel.coordination._events import (
     USAGE_DIFFERS,
@@ -11,6 +13,7 @@
 )
 from laburnumreel.coordination._guarded_send import Address, GuardedSender, OrderLink
 from laburnumreel.coordination._metrics import USAGE_REPORT_DELAY, USAGE_REPORTS
+from laburnumreel.coordination._usage_format import UsageFormatGuard
 from laburnumreel.core import Clock, Log
 from laburnumreel.state import (
     DELTA_TABLE,
@@ -19,6 +22,7 @@
     Authority,
     Check,
     Platform,
+    PlatformError,
     Row,
     UsageSettings,
     WindowShard,
@@ -63,6 +67,7 @@
         self._address = address
         self._clock = clock
         self._settings = settings
+        self._format = UsageFormatGuard(platform, settings, clock)
         self._fence = 0
         self._next: Row | None = None
         self._window: int | None = None
@@ -72,6 +77,11 @@
         self._reachable_since: float | None = None
         self._wait_until = 0.0
 
+    @property
+    def format_differs(self) -> bool:
+        """Whether the usage settings are known to differ from those in the store."""
+        return self._format.differs
+
     def tick(self) -> None:
         """Take the steps that are due, but not for long: orders share the thread."""
         began = self._clock.now()
@@ -84,6 +94,8 @@
 
     def step(self) -> bool:
         """Take one step, and return whether there may be more."""
+        if not self._format.agrees():
+            return False
         authority = self._board.current(USAGE_LEASE)
         if authority is None:
             return False
@@ -153,9 +165,9 @@
         delay_s = self._clock.wall() - (self._window + self._settings.window_s)
         after = self._window + self._settings.window_s
         version = 0 if self._next is None else self._next.version
-        checks = [self._lease(authority), Check(WINDOW_TABLE, NEXT_WINDOW_KEY, version)]
+        checks = [Check(WINDOW_TABLE, NEXT_WINDOW_KEY, version)]
         write = Write(WINDOW_TABLE, NEXT_WINDOW_KEY, {"window": after, "first": self._first})
-        result = self._platform.transact(checks, [write])
+        result = self._transact(authority, checks, [write])
         # Whether it took effect, and what the next window is, is read from the store.
         reported, self._window = self._window, None
         if result.is_error():
@@ -208,16 +220,19 @@
         value: dict[str, Any] = {"state": str(state)}
         if figures is not None:
             value["figures"] = figures
-        checks: Sequence[Check] = [
-            self._lease(authority),
-            Check(WINDOW_TABLE, place.key, version),
-        ]
-        result = self._platform.transact(checks, [Write(WINDOW_TABLE, place.key, value)])
+        checks = [Check(WINDOW_TABLE, place.key, version)]
+        result = self._transact(authority, checks, [Write(WINDOW_TABLE, place.key, value)])
         # After any failure the next step starts from the row as it then is.
         return result.is_ok()
 
-    def _lease(self, authority: Authority) -> Check:
-        return Check(LEASE_TABLE, USAGE_LEASE, authority.row_version)
+    def _transact(
+        self, authority: Authority, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> Result[int, PlatformError]:
+        lease = Check(LEASE_TABLE, USAGE_LEASE, authority.row_version)
+        result = self._platform.transact([lease, self._format.check, *checks], writes)
+        if result.is_error():
+            self._format.note_failure(result.error)
+        return result
 
     def _unreachable(self) -> bool:
         self._reachable_since = None
--- a/src/laburnumreel/coordination/_usage_flush.py
+++ b/src/laburnumreel/coordination/_usage_flush.py
@@ -5,6 +5,7 @@
 
 from laburnumreel.coordination._events import USAGE_CLOSED_WINDOW, USAGE_FLUSH_FAILED
 from laburnumreel.coordination._metrics import USAGE_FLUSHES, USAGE_LATE_REQUESTS
+from laburnumreel.coordination._usage_format import UsageFormatGuard
 from laburnumreel.core import Clock, Log, Task
 from laburnumreel.state import (
     DELTA_TABLE,
@@ -40,6 +41,7 @@
         self._platform = platform
         self._clock = clock
         self._deltas = UsageDeltas(node, boot, settings.window_s, settings.shards)
+        self._format = UsageFormatGuard(platform, settings, clock)
         self._counted: OrderedDict[str, None] = OrderedDict()
         self._failing = False
 
@@ -49,6 +51,11 @@
     ) -> "UsageFlush":
         return cls(platform, settings.node.name, boot, settings.usage, clock)
 
+    @property
+    def format_differs(self) -> bool:
+        """Whether the usage settings are known to differ from those in the store."""
+        return self._format.differs
+
     def count(self, request_id: str, count: UsageCount) -> None:
         """Count a request's usage. A request id counts once."""
         self.tell(Count((request_id, count, self._clock.wall())))
@@ -81,11 +88,12 @@
 
     def flush(self) -> None:
         """Send the next batch and take in what became of it."""
-        batch = self._deltas.next_batch()
+        agrees = self._format.agrees()
+        batch = self._deltas.next_batch() if agrees else None
         if batch is None:
             return
         checks, writes = self._deltas.transaction(batch)
-        result = self._platform.transact(checks, writes)
+        result = self._platform.transact([self._format.check, *checks], writes)
         USAGE_FLUSHES.inc(outcome="stored" if result.is_ok() else result.error.kind)
         if result.is_ok():
             self._deltas.stored(batch)
@@ -99,6 +107,7 @@
 
     def _on_conflict(self, batch: Batch, error: PlatformError) -> None:
         failed = error.rows
+        self._format.note_failure(error)
         keys = [self._deltas.delta_key(batch, place) for place in batch.deltas]
         if any(failed.get((DELTA_TABLE, key)) is not None for key in keys):
             # The batch is all or nothing, so one row of it proves that an earlier send succeeded.
--- a/src/laburnumreel/coordinator.py
+++ b/src/laburnumreel/coordinator.py
@@ -80,7 +80,7 @@
         self._orders = OrderSender(
             self._platform, self._board, receivers, self._clock, margin_s, self._boot
         )
-        sealer = Sealer(
+        self._sealer = Sealer(
             self._platform,
             self._board,
             platform_link,
@@ -88,7 +88,7 @@
             self._clock,
             settings.usage,
         )
-        self._acting = ActingTask([self._orders.tick, sealer.tick], self._orders.handle)
+        self._acting = ActingTask([self._orders.tick, self._sealer.tick], self._orders.handle)
         self._readers = ThreadPoolExecutor(LOAD_READERS, "loads")
         peers = PeerClient()
         self._config = ConfigSync.from_settings(settings, self._platform, peers, self._clock)
@@ -187,7 +187,12 @@
 
     @property
     def _ready(self) -> bool:
-        return self._config.ready and self._keeper.store_reachable and not self._stopping
+        return (
+            self._config.ready
+            and self._keeper.store_reachable
+            and not self._stopping
+            and not self._sealer.format_differs
+        )
 
     def _configuration(self) -> Configuration | None:
         return self._config.configuration if self._config.ready else None
@@ -196,6 +201,7 @@
         return self._ready, {
             "stopping": self._stopping,
             "leases": list(self.leases),
+            "usage_format_differs": self._sealer.format_differs,
             "configuration": self._config.configuration.version,
         }
 
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -248,11 +248,13 @@
             self._config.ready
             and self._watch.ready
             and not self._stopping
+            and not self._usage.format_differs
             and self._exchange.keys_verifiable(self._clock.now())
         )
         return ready, {
             "stopping": self._stopping,
             "running": self._slots.taken,
+            "usage_format_differs": self._usage.format_differs,
             "configuration": self._config.configuration.version,
         }
 
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -54,6 +54,7 @@
 )
 from laburnumreel.state._usage import (
     DELTA_TABLE,
+    USAGE_FORMAT_KEY,
     WINDOW_TABLE,
     Batch,
     Figures,
@@ -75,6 +76,7 @@
     "PROFILE_SCHEMA",
     "SERVICE_SCHEMA",
     "SETTINGS_SCHEMA",
+    "USAGE_FORMAT_KEY",
     "WINDOW_TABLE",
     "Authority",
     "Batch",
--- a/src/laburnumreel/state/_usage.py
+++ b/src/laburnumreel/state/_usage.py
@@ -9,6 +9,8 @@
 
 DELTA_TABLE = "usage_delta"
 WINDOW_TABLE = "usage_window"
+# The row with the window length and the number of shards that all processes have to use.
+USAGE_FORMAT_KEY = "format"
 # Pads window starts, in seconds since the Unix epoch, so that keys sort by time.
 WINDOW_DIGITS = 12
 # Beyond this many windows kept in memory, the oldest counts join the next window as late ones.
@@ -95,7 +97,7 @@
 
 
 def shard_of(customer: str, shards: int) -> int:
-    """Return a customer's shard. All processes must be set to the same number of shards."""
+    """Return a customer's shard. All processes use the same number of shards."""
     return zlib.crc32(customer.encode()) % shards
 
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -5,10 +5,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from planted import assert_oracle_fails
-from usage_world import CUSTOMERS, SealingCoordinator, SimulatedGateway, UsageWorld
+from usage_world import CUSTOMERS, USAGE, SealingCoordinator, SimulatedGateway, UsageWorld
 
 from laburnumreel.coordination import Sealer, UsageFlush
-from laburnumreel.state import Row, WindowState
+from laburnumreel.state import USAGE_FORMAT_KEY, WINDOW_TABLE, Row, WindowState, Write
 
 NUMBERS = st.integers(0, 1)
 PLACES = st.sampled_from(["call", "connect", "write", "answer"])
@@ -168,3 +168,22 @@
 def test_oracle_catches_a_flush_sent_twice():
     """Guards against an oracle that does not see usage counted twice."""
     assert_oracle_fails(RepeatingMachine)
+
+
+@pytest.mark.parametrize("change", [{"shards": 3}, {"window_s": 7}])
+def test_processes_with_other_settings_write_no_usage(change):
+    """Guards against deltas and windows laid out in two ways, and a change under a live process."""
+    world = UsageWorld()
+    world.run(2.0)
+    ours = {"window_s": USAGE.window_s, "shards": USAGE.shards}
+    assert world.state.read(WINDOW_TABLE, USAGE_FORMAT_KEY).value == ours
+    world.state.transact([], [Write(WINDOW_TABLE, USAGE_FORMAT_KEY, {**ours, **change})])
+    before = world.state.scan("usage_delta"), world.state.scan(WINDOW_TABLE)
+    world.others[0].count(CUSTOMERS[0])
+    world.run(20.0)
+    assert (world.state.scan("usage_delta"), world.state.scan(WINDOW_TABLE)) == before
+    assert world.others[0].flush.format_differs
+    world.state.transact([], [Write(WINDOW_TABLE, USAGE_FORMAT_KEY, ours)])
+    world.heal()
+    assert not world.others[0].flush.format_differs
+    world.check_totals()
