Delete usage deltas an hour after their window's end

Cause: usage_delta rows were never deleted, so the table grew for ever. Change: the holder of lease `usage` deletes deltas of reported windows in batches of at most 200, in transactions that check the lease row and the window's row, which stays. The deleted row no longer proves to a gateway that a flush with a lost answer took effect, so a gateway drops such a flush from half the retention time on instead of counting it again as late.

--- a/src/laburnumreel/coordination/_events.py
+++ b/src/laburnumreel/coordination/_events.py
@@ -51,3 +51,8 @@
     "usage_format_differs",
     "usage settings differ from those in the store; no usage is written",
 )
+USAGE_OUTCOME_UNKNOWN = define_event(
+    458,
+    "usage_outcome_unknown",
+    "usage of a flush with a lost answer is dropped because its rows may have been deleted",
+)
--- a/src/laburnumreel/coordination/_metrics.py
+++ b/src/laburnumreel/coordination/_metrics.py
@@ -48,3 +48,10 @@
     "laburnumreel_usage_format_mismatch",
     "1 while [usage] window_s or shards differ from those in the store",
 )
+USAGE_DELTAS_DELETED = define_counter(
+    "laburnumreel_usage_deltas_deleted_total", "usage deltas deleted after their retention time"
+)
+USAGE_UNCERTAIN_REQUESTS = define_counter(
+    "laburnumreel_usage_uncertain_requests_total",
+    "requests whose usage was dropped because it may have been counted already",
+)
--- a/src/laburnumreel/coordination/_sealer.py
+++ b/src/laburnumreel/coordination/_sealer.py
@@ -13,9 +13,11 @@
 )
 from laburnumreel.coordination._guarded_send import Address, GuardedSender, OrderLink
 from laburnumreel.coordination._metrics import USAGE_REPORT_DELAY, USAGE_REPORTS
+from laburnumreel.coordination._usage_cleaner import DeltaCleaner
 from laburnumreel.coordination._usage_format import UsageFormatGuard
 from laburnumreel.core import Clock, Log
 from laburnumreel.state import (
+    DELTA_RETENTION_S,
     DELTA_TABLE,
     LEASE_TABLE,
     WINDOW_TABLE,
@@ -60,6 +62,7 @@
         address: Address,
         clock: Clock,
         settings: UsageSettings,
+        retention_s: float = DELTA_RETENTION_S,
     ) -> None:
         self._platform = platform
         self._board = board
@@ -68,6 +71,9 @@
         self._clock = clock
         self._settings = settings
         self._format = UsageFormatGuard(platform, settings, clock)
+        self._cleaner = DeltaCleaner(
+            platform, clock, self._transact, settings.window_s, retention_s
+        )
         self._fence = 0
         self._next: Row | None = None
         self._window: int | None = None
@@ -89,6 +95,7 @@
             return
         while self._clock.now() < began + TICK_SHARE_S:
             if not self.step():
+                self._clean()
                 self._wait_until = self._clock.now() + IDLE_WAIT_S
                 return
 
@@ -122,6 +129,11 @@
         self._sent.clear()
         return True
 
+    def _clean(self) -> None:
+        authority = self._board.current(USAGE_LEASE)
+        if authority is not None and self._format.agrees():
+            self._cleaner.step(authority)
+
     def _find_window(self) -> bool:
         """Find the first window that is not reported, and return whether the store answered."""
         row = self._platform.read(WINDOW_TABLE, NEXT_WINDOW_KEY)
--- /dev/null
+++ b/src/laburnumreel/coordination/_usage_cleaner.py
@@ -0,0 +1,74 @@
+"""Deletes usage deltas whose window was reported long ago."""
+
+from collections.abc import Callable, Sequence
+
+from expression import Result
+
+from laburnumreel.coordination._metrics import USAGE_DELTAS_DELETED
+from laburnumreel.core import Clock
+from laburnumreel.state import (
+    DELTA_TABLE,
+    WINDOW_TABLE,
+    Authority,
+    Check,
+    Platform,
+    PlatformError,
+    WindowShard,
+    WindowState,
+    Write,
+)
+
+ROWS_PER_BATCH = 200
+CLEAN_WAIT_S = 30.0
+
+Transact = Callable[[Authority, Sequence[Check], Sequence[Write]], Result[int, PlatformError]]
+
+
+class DeltaCleaner:
+    """Deletes a bounded batch of deltas with each step. The rows of windows stay as the record.
+
+    `transact` checks the lease. A delta is kept for `retention_s` after its window's end, because
+    a gateway whose answer was lost finds out from the row that its flush took effect.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: Clock,
+        transact: Transact,
+        window_s: int,
+        retention_s: float,
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._transact = transact
+        self._kept_s = window_s + retention_s
+        self._after = ""
+        self._wait_until = 0.0
+
+    def step(self, authority: Authority) -> None:
+        """Delete some deltas of one window and shard, the oldest first."""
+        if self._clock.now() < self._wait_until:
+            return
+        oldest = self._platform.scan(DELTA_TABLE, after=self._after, limit=1)
+        if oldest.is_error():
+            return
+        places = [WindowShard.from_key(row.key) for row in oldest.ok.rows]
+        if not places or self._clock.wall() < places[0].window + self._kept_s:
+            self._after = ""
+            self._wait_until = self._clock.now() + CLEAN_WAIT_S
+            return
+        window = self._platform.read(WINDOW_TABLE, places[0].key)
+        if window.is_error():
+            return
+        if window.ok is None or window.ok.value["state"] != WindowState.REPORTED:
+            # ";" follows ":", so this is after all deltas of the window and shard.
+            self._after = f"{places[0].key};"
+            return
+        page = self._platform.scan(DELTA_TABLE, f"{places[0].key}:", limit=ROWS_PER_BATCH)
+        if page.is_error() or not page.ok.rows:
+            return
+        checks = [Check(WINDOW_TABLE, places[0].key, window.ok.version)]
+        writes = [Write(DELTA_TABLE, row.key, None) for row in page.ok.rows]
+        if self._transact(authority, checks, writes).is_ok():
+            USAGE_DELTAS_DELETED.inc(len(writes))
--- a/src/laburnumreel/coordination/_usage_flush.py
+++ b/src/laburnumreel/coordination/_usage_flush.py
@@ -3,11 +3,20 @@
 import time
 from collections import OrderedDict
 
-from laburnumreel.coordination._events import USAGE_CLOSED_WINDOW, USAGE_FLUSH_FAILED
-from laburnumreel.coordination._metrics import USAGE_FLUSHES, USAGE_LATE_REQUESTS
+from laburnumreel.coordination._events import (
+    USAGE_CLOSED_WINDOW,
+    USAGE_FLUSH_FAILED,
+    USAGE_OUTCOME_UNKNOWN,
+)
+from laburnumreel.coordination._metrics import (
+    USAGE_FLUSHES,
+    USAGE_LATE_REQUESTS,
+    USAGE_UNCERTAIN_REQUESTS,
+)
 from laburnumreel.coordination._usage_format import UsageFormatGuard
 from laburnumreel.core import Clock, Log, Task
 from laburnumreel.state import (
+    DELTA_RETENTION_S,
     DELTA_TABLE,
     WINDOW_TABLE,
     Batch,
@@ -35,7 +44,13 @@
     """Collects the usage of a gateway's requests and flushes it every `flush_s`."""
 
     def __init__(
-        self, platform: Platform, node: str, boot: str, settings: UsageSettings, clock: Clock
+        self,
+        platform: Platform,
+        node: str,
+        boot: str,
+        settings: UsageSettings,
+        clock: Clock,
+        retention_s: float = DELTA_RETENTION_S,
     ) -> None:
         super().__init__("usage-flush", settings.flush_s)
         self._platform = platform
@@ -44,6 +59,9 @@
         self._format = UsageFormatGuard(platform, settings, clock)
         self._counted: OrderedDict[str, None] = OrderedDict()
         self._failing = False
+        # Half of the time, as the wall clocks of gateways and coordinators differ.
+        self._surely_kept_s = settings.window_s + retention_s / 2
+        self._lost_sequence = 0
 
     @classmethod
     def from_settings(
@@ -101,6 +119,8 @@
             self._on_conflict(batch, result.error)
         else:
             # Sent again as it is: if it took effect, its rows make the repeated one fail.
+            if result.error.kind == "lost":
+                self._lost_sequence = batch.sequence
             self._note_failure(result.error)
             return
         self._failing = False
@@ -126,12 +146,28 @@
         if row.ok is not None:
             self._deltas.stored(batch)
             return
+        oldest = min(place.window for place in batch.deltas)
+        if (
+            self._lost_sequence == batch.sequence
+            and self._clock.wall() >= oldest + self._surely_kept_s
+        ):
+            self._drop(batch)
+            return
         # A closed window stays closed, so no earlier copy of the batch can take effect now.
         self._deltas.rejected(batch, closed)
         late = sum(figures.requests for place in closed for figures in batch.deltas[place].values())
         USAGE_LATE_REQUESTS.inc(late)
         _log.info(USAGE_CLOSED_WINDOW, windows=[place.key for place in closed], requests=late)
 
+    def _drop(self, batch: Batch) -> None:
+        """Give up a batch that may have taken effect: usage must not be counted twice."""
+        requests = sum(
+            item.requests for figures in batch.deltas.values() for item in figures.values()
+        )
+        USAGE_UNCERTAIN_REQUESTS.inc(requests)
+        _log.error(USAGE_OUTCOME_UNKNOWN, requests=requests)
+        self._deltas.stored(batch)
+
     def _count(self, request_id: str, count: UsageCount, wall: float) -> None:
         if request_id in self._counted:
             return
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -53,6 +53,7 @@
     load_settings,
 )
 from laburnumreel.state._usage import (
+    DELTA_RETENTION_S,
     DELTA_TABLE,
     USAGE_FORMAT_KEY,
     WINDOW_TABLE,
@@ -69,6 +70,7 @@
 
 __all__ = [
     "CUSTOMER_SCHEMA",
+    "DELTA_RETENTION_S",
     "DELTA_TABLE",
     "ERROR_ANSWERS",
     "LEASE_TABLE",
--- a/src/laburnumreel/state/_usage.py
+++ b/src/laburnumreel/state/_usage.py
@@ -15,6 +15,8 @@
 WINDOW_DIGITS = 12
 # Beyond this many windows kept in memory, the oldest counts join the next window as late ones.
 MAX_WAITING_WINDOWS = 240
+# How long deltas are kept after their window's end.
+DELTA_RETENTION_S = 3600.0
 
 
 class UsageCount(NamedTuple):
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -187,3 +187,33 @@
     world.heal()
     assert not world.others[0].flush.format_differs
     world.check_totals()
+
+
+class ForgetfulGateway(SimulatedGateway):
+    """The planted fault: a gateway that believes deltas to be kept for longer than they are."""
+
+    retention_s = 1e6
+
+
+@pytest.mark.parametrize("gateway", [SimulatedGateway, ForgetfulGateway])
+def test_old_deltas_are_deleted_and_a_late_repeat_does_not_count_again(gateway):
+    """Guards against a delta table that grows for ever, and usage counted after its deletion."""
+    world = UsageWorld(gateway_type=gateway)
+    world.run(4.0)
+    for customer in CUSTOMERS:
+        world.others[0].count(customer)
+    world.others[0].platform.faults.change({"lose_answers": 100})
+    world.run(1.0)
+    assert world.state.scan("usage_delta").rows
+    world.others[0].platform.faults.change({"lose_answers": 0, "down": True})
+    world.run(90.0)
+    assert not world.state.scan("usage_delta").rows
+    assert {customer for customer, _ in world.reports} == set(CUSTOMERS)
+    assert any(row.value.get("figures") for row in world.state.scan(WINDOW_TABLE).rows)
+    world.heal()
+    if gateway is SimulatedGateway:
+        world.check_totals()
+        assert sum(world.lost["low"].values()) == len(CUSTOMERS)
+    else:
+        with pytest.raises(AssertionError):
+            world.check_totals()
