--- a/src/laburnumreel/state/_usage.py
+++ b/src/laburnumreel/state/_usage.py
@@ -9,10 +9,14 @@
 
 DELTA_TABLE = "usage_delta"
 WINDOW_TABLE = "usage_window"
+# The row with the window length and the number of shards that all processes have to use.
+USAGE_FORMAT_KEY = "format"
 # Pads window starts, in seconds since the Unix epoch, so that keys sort by time.
 WINDOW_DIGITS = 12
 # Beyond this many windows kept in memory, the oldest counts join the next window as late ones.
 MAX_WAITING_WINDOWS = 240
+# How long deltas are kept after their window's end.
+DELTA_RETENTION_S = 3600.0
 
 
 class UsageCount(NamedTuple):
@@ -95,7 +99,7 @@
 
 
 def shard_of(customer: str, shards: int) -> int:
-    """Return a customer's shard. All processes must be set to the same number of shards."""
+    """Return a customer's shard. All processes use the same number of shards."""
     return zlib.crc32(customer.encode()) % shards
 
 
