Order roles and back ends from the planners

The coordinator spread workers evenly and never changed a role, although the role and the spend planner existed.

A plan carries the fencing number it was made under, because a role order from before a gap in the authority could reach an engine that a successor has given work again. The repeat time of an order also counts from its end, so that a long role change is not repeated before a report shows it.

--- a/src/laburnumreel/coordination/_orders.py
+++ b/src/laburnumreel/coordination/_orders.py
@@ -42,10 +42,15 @@
 
 
 class Plan(NamedTuple):
-    """The orders that should be given, and the addresses of the engines known now."""
+    """The orders that should be given, and the addresses of the engines known now.
+
+    `fence` is the authority that it was made under: a role order from before a gap in the
+    authority could reach an engine that another process has given work again.
+    """
 
     wanted: tuple[WantedOrder, ...] = ()
     engines: Mapping[str, Address] = MappingProxyType({})
+    fence: int | None = None
 
 
 class Receivers(NamedTuple):
@@ -120,6 +125,8 @@
         authority = self._board.current(ORDERS_LEASE)
         if authority is None or not self._planned:
             return False
+        if self._plan.fence not in (None, authority.fence):
+            return False
         if authority.fence != self._fence:
             return self._load(authority)
         if self._stale:
@@ -274,6 +281,8 @@
             return self._on_record_failed(order, result.error)
         self._journal[order.target] = order._replace(state=state, version=result.ok)
         if not self._journal[order.target].open:
+            # A long order may end after its repeat time, still before a report shows its effect.
+            self._given_at[_key(order)] = self._clock.now()
             _log.debug(ORDER_SETTLED, target=order.target.key, state=str(state))
         return True
 
--- a/src/laburnumreel/coordination/_roles.py
+++ b/src/laburnumreel/coordination/_roles.py
@@ -61,7 +61,7 @@
         self.ordered = False
 
 
-class _Mean:
+class Mean:
     """A mean rate over about `time_s`."""
 
     def __init__(self, time_s: float) -> None:
@@ -104,7 +104,7 @@
         self._zone_limit = zone_limit
         self._change_s = change_s
         self._token_gap_s = token_gap_s
-        self._short, self._long = _Mean(SHORT_MEAN_S), _Mean(LONG_MEAN_S)
+        self._short, self._long = Mean(SHORT_MEAN_S), Mean(LONG_MEAN_S)
         self._observed_at: float | None = None
         self._observed_since = math.inf
         self._pending: dict[str, _Pending] = {}
--- a/src/laburnumreel/coordination/_wanted.py
+++ b/src/laburnumreel/coordination/_wanted.py
@@ -4,9 +4,7 @@
 from typing import NamedTuple
 
 from laburnumreel.coordination._fleet import LoadReport
-from laburnumreel.state import Configuration, Host, Service, Target, WantedOrder
-
-DEDICATED = "dedicated"
+from laburnumreel.state import Configuration, Host, Target, WantedOrder
 
 
 class Capacity(NamedTuple):
@@ -18,16 +16,6 @@
     count: int
 
 
-def even_capacity(service: Service) -> list[Capacity]:
-    """Spread a service's workers over its zones, so that the rest suffices without any one zone."""
-    zones = service.zones
-    if not zones:
-        return []
-    bearing = len(zones) - 1 if service.spare_zone and len(zones) > 1 else len(zones)
-    count = -(-service.workers // bearing)
-    return [Capacity(zone, service.name, DEDICATED, count) for zone in zones]
-
-
 def capacity_orders(capacities: Sequence[Capacity]) -> list[WantedOrder]:
     """Return the orders to the zones for these totals."""
     return [
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from planted import assert_oracle_fails
 
-from laburnumreel.coordination import OrderSender
+from laburnumreel.coordination import OrderSender, Plan
 from laburnumreel.state import OrderState, Target, WantedOrder
 
 NUMBERS = st.integers(0, 2)
@@ -164,3 +164,15 @@
     ]
     rows = [row.value["state"] for row in world.state.scan("order").rows]
     assert rows == ["done", "done"]
+
+
+@pytest.mark.parametrize("age", [0, 1])
+def test_plan_from_an_earlier_authority_is_not_carried_out(age):
+    """Guards against a role order to an engine that another holder has given work again."""
+    world = World(SimulatedCoordinator)
+    world.run(8.0)
+    holder = next(process for process in world.coordinators if "orders" in process.board.names)
+    fence = holder.board.current("orders").fence - age
+    holder.sender.handle(Plan((wanted_order("e1", 1),), {"e1": "e1"}, fence))
+    world.run(3.0)
+    assert bool(world.received) == (age == 0)
