--- a/src/laburnumreel/coordination/_events.py
+++ b/src/laburnumreel/coordination/_events.py
@@ -46,3 +46,13 @@
 USAGE_DIFFERS = define_event(
     456, "usage_differs", "platform holds a different usage figure for this window"
 )
+USAGE_FORMAT_DIFFERS = define_event(
+    457,
+    "usage_format_differs",
+    "usage settings differ from those in the store; no usage is written",
+)
+USAGE_OUTCOME_UNKNOWN = define_event(
+    458,
+    "usage_outcome_unknown",
+    "usage of a flush with a lost answer is dropped because its rows may have been deleted",
+)
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -53,7 +53,9 @@
     load_settings,
 )
 from laburnumreel.state._usage import (
+    DELTA_RETENTION_S,
     DELTA_TABLE,
+    USAGE_FORMAT_KEY,
     WINDOW_TABLE,
     Batch,
     Figures,
@@ -68,6 +70,7 @@
 
 __all__ = [
     "CUSTOMER_SCHEMA",
+    "DELTA_RETENTION_S",
     "DELTA_TABLE",
     "ERROR_ANSWERS",
     "LEASE_TABLE",
@@ -75,6 +78,7 @@
     "PROFILE_SCHEMA",
     "SERVICE_SCHEMA",
     "SETTINGS_SCHEMA",
+    "USAGE_FORMAT_KEY",
     "WINDOW_TABLE",
     "Authority",
     "Batch",
