Seal windows before the first one without walking to the present

Cause: a delta with a far too old window moved the sealer back there, and it closed every window since then one by one before it came to the current one. Change: windows before the first one are found by scans of the deltas and sealed one at a time, at most 32 for each current window. The ones between have no deltas and are not touched; a delta that comes there later is found by a later scan. Result: the whole suite passes, with gateways whose clock is 20,000 s behind in the usage state machine. The new test fails with the sealer as it was.

--- a/src/laburnumreel/coordination/_sealer.py
+++ b/src/laburnumreel/coordination/_sealer.py
@@ -37,11 +37,14 @@
 
 USAGE_LEASE = "usage"
 # The row that names the first window not reported yet, so that a successor need not search, and
-# the first window of all, before which a slow gateway may still store a delta.
+# the first window of all. All windows from the first one up to that are closed; before the first
+# one, a gateway with a wrong or slow clock may still store a delta.
 NEXT_WINDOW_KEY = "next"
 IDLE_WAIT_S = 0.5
 TICK_SHARE_S = 0.2
 REPORTS_PER_STEP = 50
+# Bounds how long windows before the first one hold up the current window.
+MAX_STRAYS_PER_WINDOW = 32
 
 _log = Log("coordination.sealer")
 
@@ -78,6 +81,9 @@
         self._next: Row | None = None
         self._window: int | None = None
         self._first = 0
+        self._strays = 0
+        self._stray_after = ""
+        self._wrote = False
         self._shard = 0
         self._sent: set[str] = set()
         self._reachable_since: float | None = None
@@ -108,6 +114,7 @@
             return False
         if authority.fence != self._fence:
             self._fence, self._window, self._reachable_since = authority.fence, None, None
+            self._stray_after = ""
         if self._window is None and not self._find_window():
             return False
         if not self._due():
@@ -139,25 +146,39 @@
         row = self._platform.read(WINDOW_TABLE, NEXT_WINDOW_KEY)
         if row.is_error():
             return self._unreachable()
-        oldest = self._platform.scan(DELTA_TABLE, limit=1)
+        oldest = self._platform.scan(DELTA_TABLE, after=self._stray_after, limit=1)
         if oldest.is_error():
             return self._unreachable()
         self._next, self._shard = row.ok, 0
         self._sent.clear()
+        self._wrote = False
         if row.ok is not None:
             self._window, self._first = row.ok.value["window"], row.ok.value["first"]
         else:
             now = window_of(self._clock.wall(), self._settings.window_s)
             self._window = self._first = now
-        for delta in oldest.ok.rows:
-            window = WindowShard.from_key(delta.key).window
-            if window < self._first:
-                # Nothing closed that window yet. Those after it that are reported take no time.
-                self._window = self._first = window
+        self._choose_stray(oldest.ok.rows)
         if self._reachable_since is None:
             self._reachable_since = self._clock.now()
         return True
 
+    def _choose_stray(self, oldest: Sequence[Row]) -> None:
+        """Take a window before the first one if it has deltas and it is its turn.
+
+        The windows between it and the first one are not walked: those with deltas are found by the
+        next scans, and one that gets its first delta later is found after the next window.
+        """
+        windows = [WindowShard.from_key(row.key).window for row in oldest]
+        if not windows or windows[0] >= self._first:
+            self._strays, self._stray_after = 0, ""
+        elif self._strays >= MAX_STRAYS_PER_WINDOW:
+            self._strays = 0
+        else:
+            self._strays += 1
+            # ";" follows ":", so this is after all deltas of the window.
+            self._stray_after = f"{WindowShard(windows[0], 0).label};"
+            self._window = windows[0]
+
     def _due(self) -> bool:
         """Return whether the window is over and gateways had time to flush.
 
@@ -174,6 +195,11 @@
 
     def _go_on(self, authority: Authority) -> bool:
         """Record that all shards of the window are reported, and go on to the next window."""
+        if self._window < self._first:
+            if self._wrote:
+                _log.info(USAGE_WINDOW_REPORTED, window=self._window)
+            self._window = None
+            return True
         delay_s = self._clock.wall() - (self._window + self._settings.window_s)
         after = self._window + self._settings.window_s
         version = 0 if self._next is None else self._next.version
@@ -234,6 +260,7 @@
             value["figures"] = figures
         checks = [Check(WINDOW_TABLE, place.key, version)]
         result = self._transact(authority, checks, [Write(WINDOW_TABLE, place.key, value)])
+        self._wrote = self._wrote or result.is_ok()
         # After any failure the next step starts from the row as it then is.
         return result.is_ok()
 
@@ -247,5 +274,5 @@
         return result
 
     def _unreachable(self) -> bool:
-        self._reachable_since = None
+        self._reachable_since, self._stray_after = None, ""
         return False
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -40,11 +40,16 @@
     def run(self, seconds):
         self.world.run(seconds)
 
-    @rule(number=NUMBERS, customer=st.sampled_from(CUSTOMERS), count=st.integers(1, 3))
-    def count(self, number, customer, count):
+    @rule(
+        number=NUMBERS,
+        customer=st.sampled_from(CUSTOMERS),
+        count=st.integers(1, 3),
+        behind_s=st.sampled_from([0.0, 0.0, 0.0, 40.0, 20_000.0]),
+    )
+    def count(self, number, customer, count, behind_s):
         gateway = self.world.others[number]
         for _ in range(count if gateway is not None else 0):
-            gateway.count(customer)
+            gateway.count(customer, behind_s)
 
     @rule(
         gateway=st.booleans(), number=NUMBERS, place=PLACES, seconds=st.sampled_from([1, 8, None])
@@ -217,3 +222,19 @@
     else:
         with pytest.raises(AssertionError):
             world.check_totals()
+
+
+def test_a_far_too_old_delta_holds_up_no_window():
+    """Guards against a walk through all windows since a delta of a gateway with a wrong clock."""
+    world = UsageWorld()
+    world.run(20.0)
+    windows = len(world.state.scan(WINDOW_TABLE).rows)
+    for behind_s in (20_000.0, 10_000.0, 0.0):
+        world.others[0].count(CUSTOMERS[0], behind_s)
+    world.run(20.0)
+    world.check_totals()
+    # Four windows pass meanwhile, and one may be open at each end.
+    added = len(world.state.scan(WINDOW_TABLE).rows) - windows
+    assert added <= USAGE.shards * (2 + 6)
+    world.run(10.0)
+    assert len(world.state.scan(WINDOW_TABLE).rows) - windows - added <= USAGE.shards * 3
--- a/tests/usage_world.py
+++ b/tests/usage_world.py
@@ -72,13 +72,14 @@
                 raise DiedError
             self.sleep(seconds)
 
-    def count(self, customer):
+    def count(self, customer, behind_s=0.0):
         self._requests += 1
         self.world.counted[customer] += 1
         count = UsageCount(customer, "quoting", 1, 7, 3)
+        wall = self.world.clock.wall() - behind_s
         # The same request is counted again now and then, as a retried clean-up would.
         for _ in range(1 + self._requests % 2):
-            self.flush.handle(Count((f"request-{self._requests}", count, self.world.clock.wall())))
+            self.flush.handle(Count((f"request-{self._requests}", count, wall)))
 
     def step(self):
         if self.world.clock.now() >= self._next_flush:
