Let gateways vouch for one another through their peers

Cause: above 16 peers a gateway calls 8 random ones each round, so with 380 gateways it cannot hear a majority directly within cut_off_s. With the store down the whole fleet would stop admitting.

Change: an answer carries how old the answerer's knowledge of each gateway's withdrawals is, in units of 20 ms rounded up, with a digest of the list of gateways. The caller counts the ages from when it sent its call, and only where the answer is in sync. hears_majority counts gateways that are vouched for within cut_off_s. A restarted process counts only times after its own start towards its first majority. Ages are sent above 16 peers. Also, a peer that asks for all withdrawals while some are still to be sent is no longer sent the newest again from the start: with more than a message holds it never got the oldest.

--- a/idl/node.thrift
+++ b/idl/node.thrift
@@ -42,6 +42,9 @@
   13: list<ServiceReceived> received
   14: bool wants_all_withdrawn
   15: bool stopping
+  // Ages of two bytes each, and the digest of the list of gateways that they are for.
+  16: binary ages
+  17: binary gateways_digest
 }
 
 struct Change {
--- a/src/laburnumreel/coordination/_gossip.py
+++ b/src/laburnumreel/coordination/_gossip.py
@@ -11,6 +11,7 @@
     address_text,
 )
 from laburnumreel.coordination._replica import Replica
+from laburnumreel.coordination._vouching import Vouching
 from laburnumreel.state import WithdrawnKeys
 
 EXCHANGE_BYTES = 64 * 1024
@@ -39,7 +40,6 @@
         self.boot = ""
         self.pending = list(withdrawn)
         self.received: dict[str, tuple[int, int]] = {}
-        self.heard_at = float("-inf")
         self.called_with = WithdrawnKeys()
 
 
@@ -70,6 +70,7 @@
         self._gateways = frozenset(gateways)
         self._others = [a for a in dict.fromkeys([*gateways, *coordinators]) if a != address]
         self._cut_off_s = cut_off_s
+        self._vouching = Vouching(gateways, address, cut_off_s)
         self._replica = replica
         self._random = source
         self._seen = replica.withdrawn
@@ -103,7 +104,7 @@
         """Return what to send to a peer, as a call or as the answer to one."""
         self._note_withdrawals()
         peer = self._peers.get(address)
-        budget = _Budget(EXCHANGE_BYTES - FIXED_BYTES)
+        budget = _Budget(EXCHANGE_BYTES - FIXED_BYTES - self._vouching.ages_bytes)
         withdrawn = budget.take(reversed(peer.pending) if peer else (), len)
         news = self._news if with_news else PeerNews()
         received = peer.received if peer and with_news else {}
@@ -136,15 +137,20 @@
         self._peers[address_text(address)].called_with = self._seen
         return message
 
-    def on_call(self, theirs: ExchangeMessage) -> tuple[ExchangeMessage, Learned]:
-        """Take a peer's message and return our answer.
+    def on_call(self, theirs: ExchangeMessage, now: float) -> tuple[ExchangeMessage, Learned]:
+        """Take a peer's message and return our answer. `now` is read after its arrival.
 
         The peer does not count as heard from: the message may have waited here while this process
         was paused, so nothing tells how old it is.
         """
         learned = self._learn(theirs, self._replica.withdrawn, None)
         # Where this process calls every peer in each round, its calls carry the news already.
-        answer = self.message(theirs.address, with_news=len(self._others) > FULL_ROUND_PEERS)
+        many = len(self._others) > FULL_ROUND_PEERS
+        answer = self.message(theirs.address, with_news=many)
+        if many and self._knows_withdrawals():
+            answer = answer._replace(
+                ages=self._vouching.ages(now), gateways_digest=self._vouching.gateways_digest
+            )
         differ = theirs.withdrawn_digest != answer.withdrawn_digest
         if differ and not theirs.withdrawn and not answer.withdrawn:
             if theirs.address in self._peers:
@@ -161,31 +167,25 @@
         self._note_boot(peer, theirs.boot)
         confirmed = set(ours.withdrawn)
         peer.pending = [digest for digest in peer.pending if digest not in confirmed]
-        if theirs.wants_all_withdrawn:
+        # Starting over before all was sent would repeat the newest and never reach the oldest.
+        if theirs.wants_all_withdrawn and not peer.pending:
             peer.pending = list(self._seen)
         # The answer covers what we held when we called; we may have learned more since.
         return self._learn(theirs, peer.called_with, sent_at)
 
     def hears_majority(self, now: float) -> bool:
-        """Return whether a majority of the gateways was heard from lately.
+        """Return whether a majority of the gateways was heard from lately, directly or through others.
 
         This one counts unless it may have forgotten, in a restart, withdrawals that only gateways
         held.
         """
-        heard = self._heard(now) + (self._address in self._gateways and self._knows_withdrawals())
-        return 2 * heard > len(self._gateways)
+        own = self._address in self._gateways and self._knows_withdrawals()
+        return self._vouching.is_majority(self._vouching.heard(now) + own)
 
     def keys_verifiable(self, store_read_at: float, now: float) -> bool:
         """Return whether withdrawals can still reach us, from the store or from a majority."""
         return now - store_read_at <= self._cut_off_s or self.hears_majority(now)
 
-    def _heard(self, now: float) -> int:
-        return sum(
-            address in self._gateways
-            and now - self._peers[address_text(address)].heard_at <= self._cut_off_s
-            for address in self._others
-        )
-
     def _knows_withdrawals(self) -> bool:
         return self._complete or self._store_complete()
 
@@ -206,8 +206,8 @@
             # fit into its message would otherwise be taken as checked.
             # A peer that was restarted and has not caught up vouches for nothing.
             if at is not None and in_sync and not theirs.wants_all_withdrawn:
-                peer.heard_at = max(peer.heard_at, at)
-                self._complete = self._complete or 2 * self._heard(at) > len(self._gateways)
+                self._vouching.on_answer(theirs.address, at, theirs.ages, theirs.gateways_digest)
+                self._complete = self._complete or self._vouching.heard_majority_since_start(at)
         ours = self._replica.configuration
         return Learned(
             theirs.config_version > ours.version,
--- a/src/laburnumreel/coordination/_messages.py
+++ b/src/laburnumreel/coordination/_messages.py
@@ -39,7 +39,11 @@
 
 
 class ExchangeMessage(NamedTuple):
-    """One side of an exchange between two processes."""
+    """One side of an exchange between two processes.
+
+    An answer's `ages` tell, for each gateway in sorted address order, how old the answerer's
+    knowledge of its withdrawals is; `gateways_digest` names that list of gateways.
+    """
 
     sender: str
     role: str
@@ -53,6 +57,8 @@
     news: PeerNews = PeerNews()
     wants_all_withdrawn: bool = False
     stopping: bool = False
+    ages: bytes = b""
+    gateways_digest: bytes = b""
 
 
 class NodeStatus(NamedTuple):
--- a/src/laburnumreel/coordination/_peers.py
+++ b/src/laburnumreel/coordination/_peers.py
@@ -149,7 +149,7 @@
 
     def _on_call(self, theirs: ExchangeMessage) -> ExchangeMessage:
         EXCHANGES_ANSWERED.inc()
-        answer, learned = self._gossip.on_call(theirs)
+        answer, learned = self._gossip.on_call(theirs, self._clock.now())
         self._source.on_news(f"{theirs.role}/{theirs.sender}", theirs.news, self._clock.now())
         address = parse_address(theirs.address)
         if address is not None:
--- a/src/laburnumreel/protocol/_wire.py
+++ b/src/laburnumreel/protocol/_wire.py
@@ -55,6 +55,8 @@
         ],
         wants_all_withdrawn=message.wants_all_withdrawn,
         stopping=message.stopping,
+        ages=message.ages or None,
+        gateways_digest=message.gateways_digest or None,
     )
 
 
@@ -75,6 +77,8 @@
         news=_news_from_wire(wire),
         wants_all_withdrawn=bool(wire.wants_all_withdrawn),
         stopping=bool(wire.stopping),
+        ages=wire.ages or b"",
+        gateways_digest=wire.gateways_digest or b"",
     )
 
 
--- a/src/laburnumreel/protocol/gen/node/ttypes.py
+++ b/src/laburnumreel/protocol/gen/node/ttypes.py
@@ -339,11 +339,13 @@
      - received
      - wants_all_withdrawn
      - stopping
+     - ages
+     - gateways_digest
 
     """
 
 
-    def __init__(self, sender=None, role=None, boot=None, address=None, config_version=None, config_digest=None, withdrawn=None, withdrawn_count=None, withdrawn_digest=None, drains=None, quarantines=None, in_flight=None, received=None, wants_all_withdrawn=None, stopping=None,):
+    def __init__(self, sender=None, role=None, boot=None, address=None, config_version=None, config_digest=None, withdrawn=None, withdrawn_count=None, withdrawn_digest=None, drains=None, quarantines=None, in_flight=None, received=None, wants_all_withdrawn=None, stopping=None, ages=None, gateways_digest=None,):
         self.sender = sender
         self.role = role
         self.boot = boot
@@ -359,6 +361,8 @@
         self.received = received
         self.wants_all_withdrawn = wants_all_withdrawn
         self.stopping = stopping
+        self.ages = ages
+        self.gateways_digest = gateways_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -473,6 +477,16 @@
                     self.stopping = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRING:
+                    self.ages = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRING:
+                    self.gateways_digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -558,6 +572,14 @@
             oprot.writeFieldBegin('stopping', TType.BOOL, 15)
             oprot.writeBool(self.stopping)
             oprot.writeFieldEnd()
+        if self.ages is not None:
+            oprot.writeFieldBegin('ages', TType.STRING, 16)
+            oprot.writeBinary(self.ages)
+            oprot.writeFieldEnd()
+        if self.gateways_digest is not None:
+            oprot.writeFieldBegin('gateways_digest', TType.STRING, 17)
+            oprot.writeBinary(self.gateways_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -998,6 +1020,8 @@
     (13, TType.LIST, 'received', (TType.STRUCT, [ServiceReceived, None], False), None, ),  # 13
     (14, TType.BOOL, 'wants_all_withdrawn', None, None, ),  # 14
     (15, TType.BOOL, 'stopping', None, None, ),  # 15
+    (16, TType.STRING, 'ages', 'BINARY', None, ),  # 16
+    (17, TType.STRING, 'gateways_digest', 'BINARY', None, ),  # 17
 )
 all_structs.append(Change)
 Change.thrift_spec = (
--- a/tests/config_cluster.py
+++ b/tests/config_cluster.py
@@ -74,7 +74,7 @@
         peer = self.cluster.reach(self, address)
         if peer is None:
             return
-        answer, learned = peer.gossip.on_call(ours)
+        answer, learned = peer.gossip.on_call(ours, now)
         if learned.peer_ahead:
             fetch_from_peer(peer.replica, peer, PeerAhead(self.address, ours.config_version))
         if lose_answer:
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -54,6 +54,8 @@
     NEWS,
     st.booleans(),
     st.booleans(),
+    st.binary(max_size=40),
+    st.binary(max_size=8),
 )
 
 
