--- a/src/laburnumreel/coordination/_sealer.py
+++ b/src/laburnumreel/coordination/_sealer.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 from typing import Any
 
+from expression import Result
+
 from laburnumreel.coordination._authority import AuthorityBoard
 from laburnumreel.coordination._events import (
     USAGE_DIFFERS,
@@ -11,14 +13,18 @@
 )
 from laburnumreel.coordination._guarded_send import Address, GuardedSender, OrderLink
 from laburnumreel.coordination._metrics import USAGE_REPORT_DELAY, USAGE_REPORTS
+from laburnumreel.coordination._usage_cleaner import DeltaCleaner
+from laburnumreel.coordination._usage_format import UsageFormatGuard
 from laburnumreel.core import Clock, Log
 from laburnumreel.state import (
+    DELTA_RETENTION_S,
     DELTA_TABLE,
     LEASE_TABLE,
     WINDOW_TABLE,
     Authority,
     Check,
     Platform,
+    PlatformError,
     Row,
     UsageSettings,
     WindowShard,
@@ -31,11 +37,14 @@
 
 USAGE_LEASE = "usage"
 # The row that names the first window not reported yet, so that a successor need not search, and
-# the first window of all, before which a slow gateway may still store a delta.
+# the first window of all. All windows from the first one up to that are closed; before the first
+# one, a gateway with a wrong or slow clock may still store a delta.
 NEXT_WINDOW_KEY = "next"
 IDLE_WAIT_S = 0.5
 TICK_SHARE_S = 0.2
 REPORTS_PER_STEP = 50
+# Bounds how long windows before the first one hold up the current window.
+MAX_STRAYS_PER_WINDOW = 32
 
 _log = Log("coordination.sealer")
 
@@ -56,6 +65,7 @@
         address: Address,
         clock: Clock,
         settings: UsageSettings,
+        retention_s: float = DELTA_RETENTION_S,
     ) -> None:
         self._platform = platform
         self._board = board
@@ -63,15 +73,27 @@
         self._address = address
         self._clock = clock
         self._settings = settings
+        self._format = UsageFormatGuard(platform, settings, clock)
+        self._cleaner = DeltaCleaner(
+            platform, clock, self._transact, settings.window_s, retention_s
+        )
         self._fence = 0
         self._next: Row | None = None
         self._window: int | None = None
         self._first = 0
+        self._strays = 0
+        self._stray_after = ""
+        self._wrote = False
         self._shard = 0
         self._sent: set[str] = set()
         self._reachable_since: float | None = None
         self._wait_until = 0.0
 
+    @property
+    def format_differs(self) -> bool:
+        """Whether the usage settings are known to differ from those in the store."""
+        return self._format.differs
+
     def tick(self) -> None:
         """Take the steps that are due, but not for long: orders share the thread."""
         began = self._clock.now()
@@ -79,16 +101,20 @@
             return
         while self._clock.now() < began + TICK_SHARE_S:
             if not self.step():
+                self._clean()
                 self._wait_until = self._clock.now() + IDLE_WAIT_S
                 return
 
     def step(self) -> bool:
         """Take one step, and return whether there may be more."""
+        if not self._format.agrees():
+            return False
         authority = self._board.current(USAGE_LEASE)
         if authority is None:
             return False
         if authority.fence != self._fence:
             self._fence, self._window, self._reachable_since = authority.fence, None, None
+            self._stray_after = ""
         if self._window is None and not self._find_window():
             return False
         if not self._due():
@@ -110,30 +136,49 @@
         self._sent.clear()
         return True
 
+    def _clean(self) -> None:
+        authority = self._board.current(USAGE_LEASE)
+        if authority is not None and self._format.agrees():
+            self._cleaner.step(authority)
+
     def _find_window(self) -> bool:
         """Find the first window that is not reported, and return whether the store answered."""
         row = self._platform.read(WINDOW_TABLE, NEXT_WINDOW_KEY)
         if row.is_error():
             return self._unreachable()
-        oldest = self._platform.scan(DELTA_TABLE, limit=1)
+        oldest = self._platform.scan(DELTA_TABLE, after=self._stray_after, limit=1)
         if oldest.is_error():
             return self._unreachable()
         self._next, self._shard = row.ok, 0
         self._sent.clear()
+        self._wrote = False
         if row.ok is not None:
             self._window, self._first = row.ok.value["window"], row.ok.value["first"]
         else:
             now = window_of(self._clock.wall(), self._settings.window_s)
             self._window = self._first = now
-        for delta in oldest.ok.rows:
-            window = WindowShard.from_key(delta.key).window
-            if window < self._first:
-                # Nothing closed that window yet. Those after it that are reported take no time.
-                self._window = self._first = window
+        self._choose_stray(oldest.ok.rows)
         if self._reachable_since is None:
             self._reachable_since = self._clock.now()
         return True
 
+    def _choose_stray(self, oldest: Sequence[Row]) -> None:
+        """Take a window before the first one if it has deltas and it is its turn.
+
+        The windows between it and the first one are not walked: those with deltas are found by the
+        next scans, and one that gets its first delta later is found after the next window.
+        """
+        windows = [WindowShard.from_key(row.key).window for row in oldest]
+        if not windows or windows[0] >= self._first:
+            self._strays, self._stray_after = 0, ""
+        elif self._strays >= MAX_STRAYS_PER_WINDOW:
+            self._strays = 0
+        else:
+            self._strays += 1
+            # ";" follows ":", so this is after all deltas of the window.
+            self._stray_after = f"{WindowShard(windows[0], 0).label};"
+            self._window = windows[0]
+
     def _due(self) -> bool:
         """Return whether the window is over and gateways had time to flush.
 
@@ -150,12 +195,17 @@
 
     def _go_on(self, authority: Authority) -> bool:
         """Record that all shards of the window are reported, and go on to the next window."""
+        if self._window < self._first:
+            if self._wrote:
+                _log.info(USAGE_WINDOW_REPORTED, window=self._window)
+            self._window = None
+            return True
         delay_s = self._clock.wall() - (self._window + self._settings.window_s)
         after = self._window + self._settings.window_s
         version = 0 if self._next is None else self._next.version
-        checks = [self._lease(authority), Check(WINDOW_TABLE, NEXT_WINDOW_KEY, version)]
+        checks = [Check(WINDOW_TABLE, NEXT_WINDOW_KEY, version)]
         write = Write(WINDOW_TABLE, NEXT_WINDOW_KEY, {"window": after, "first": self._first})
-        result = self._platform.transact(checks, [write])
+        result = self._transact(authority, checks, [write])
         # Whether it took effect, and what the next window is, is read from the store.
         reported, self._window = self._window, None
         if result.is_error():
@@ -208,17 +258,21 @@
         value: dict[str, Any] = {"state": str(state)}
         if figures is not None:
             value["figures"] = figures
-        checks: Sequence[Check] = [
-            self._lease(authority),
-            Check(WINDOW_TABLE, place.key, version),
-        ]
-        result = self._platform.transact(checks, [Write(WINDOW_TABLE, place.key, value)])
+        checks = [Check(WINDOW_TABLE, place.key, version)]
+        result = self._transact(authority, checks, [Write(WINDOW_TABLE, place.key, value)])
+        self._wrote = self._wrote or result.is_ok()
         # After any failure the next step starts from the row as it then is.
         return result.is_ok()
 
-    def _lease(self, authority: Authority) -> Check:
-        return Check(LEASE_TABLE, USAGE_LEASE, authority.row_version)
+    def _transact(
+        self, authority: Authority, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> Result[int, PlatformError]:
+        lease = Check(LEASE_TABLE, USAGE_LEASE, authority.row_version)
+        result = self._platform.transact([lease, self._format.check, *checks], writes)
+        if result.is_error():
+            self._format.note_failure(result.error)
+        return result
 
     def _unreachable(self) -> bool:
-        self._reachable_since = None
+        self._reachable_since, self._stray_after = None, ""
         return False
--- a/src/laburnumreel/coordination/_usage_flush.py
+++ b/src/laburnumreel/coordination/_usage_flush.py
@@ -3,10 +3,20 @@
 import time
 from collections import OrderedDict
 
-from laburnumreel.coordination._events import USAGE_CLOSED_WINDOW, USAGE_FLUSH_FAILED
-from laburnumreel.coordination._metrics import USAGE_FLUSHES, USAGE_LATE_REQUESTS
+from laburnumreel.coordination._events import (
+    USAGE_CLOSED_WINDOW,
+    USAGE_FLUSH_FAILED,
+    USAGE_OUTCOME_UNKNOWN,
+)
+from laburnumreel.coordination._metrics import (
+    USAGE_FLUSHES,
+    USAGE_LATE_REQUESTS,
+    USAGE_UNCERTAIN_REQUESTS,
+)
+from laburnumreel.coordination._usage_format import UsageFormatGuard
 from laburnumreel.core import Clock, Log, Task
 from laburnumreel.state import (
+    DELTA_RETENTION_S,
     DELTA_TABLE,
     WINDOW_TABLE,
     Batch,
@@ -34,14 +44,24 @@
     """Collects the usage of a gateway's requests and flushes it every `flush_s`."""
 
     def __init__(
-        self, platform: Platform, node: str, boot: str, settings: UsageSettings, clock: Clock
+        self,
+        platform: Platform,
+        node: str,
+        boot: str,
+        settings: UsageSettings,
+        clock: Clock,
+        retention_s: float = DELTA_RETENTION_S,
     ) -> None:
         super().__init__("usage-flush", settings.flush_s)
         self._platform = platform
         self._clock = clock
         self._deltas = UsageDeltas(node, boot, settings.window_s, settings.shards)
+        self._format = UsageFormatGuard(platform, settings, clock)
         self._counted: OrderedDict[str, None] = OrderedDict()
         self._failing = False
+        # Half of the time, as the wall clocks of gateways and coordinators differ.
+        self._surely_kept_s = settings.window_s + retention_s / 2
+        self._lost_sequence = 0
 
     @classmethod
     def from_settings(
@@ -49,6 +69,11 @@
     ) -> "UsageFlush":
         return cls(platform, settings.node.name, boot, settings.usage, clock)
 
+    @property
+    def format_differs(self) -> bool:
+        """Whether the usage settings are known to differ from those in the store."""
+        return self._format.differs
+
     def count(self, request_id: str, count: UsageCount) -> None:
         """Count a request's usage. A request id counts once."""
         self.tell(Count((request_id, count, self._clock.wall())))
@@ -81,11 +106,12 @@
 
     def flush(self) -> None:
         """Send the next batch and take in what became of it."""
-        batch = self._deltas.next_batch()
+        agrees = self._format.agrees()
+        batch = self._deltas.next_batch() if agrees else None
         if batch is None:
             return
         checks, writes = self._deltas.transaction(batch)
-        result = self._platform.transact(checks, writes)
+        result = self._platform.transact([self._format.check, *checks], writes)
         USAGE_FLUSHES.inc(outcome="stored" if result.is_ok() else result.error.kind)
         if result.is_ok():
             self._deltas.stored(batch)
@@ -93,12 +119,15 @@
             self._on_conflict(batch, result.error)
         else:
             # Sent again as it is: if it took effect, its rows make the repeated one fail.
+            if result.error.kind == "lost":
+                self._lost_sequence = batch.sequence
             self._note_failure(result.error)
             return
         self._failing = False
 
     def _on_conflict(self, batch: Batch, error: PlatformError) -> None:
         failed = error.rows
+        self._format.note_failure(error)
         keys = [self._deltas.delta_key(batch, place) for place in batch.deltas]
         if any(failed.get((DELTA_TABLE, key)) is not None for key in keys):
             # The batch is all or nothing, so one row of it proves that an earlier send succeeded.
@@ -117,12 +146,28 @@
         if row.ok is not None:
             self._deltas.stored(batch)
             return
+        oldest = min(place.window for place in batch.deltas)
+        if (
+            self._lost_sequence == batch.sequence
+            and self._clock.wall() >= oldest + self._surely_kept_s
+        ):
+            self._drop(batch)
+            return
         # A closed window stays closed, so no earlier copy of the batch can take effect now.
         self._deltas.rejected(batch, closed)
         late = sum(figures.requests for place in closed for figures in batch.deltas[place].values())
         USAGE_LATE_REQUESTS.inc(late)
         _log.info(USAGE_CLOSED_WINDOW, windows=[place.key for place in closed], requests=late)
 
+    def _drop(self, batch: Batch) -> None:
+        """Give up a batch that may have taken effect: usage must not be counted twice."""
+        requests = sum(
+            item.requests for figures in batch.deltas.values() for item in figures.values()
+        )
+        USAGE_UNCERTAIN_REQUESTS.inc(requests)
+        _log.error(USAGE_OUTCOME_UNKNOWN, requests=requests)
+        self._deltas.stored(batch)
+
     def _count(self, request_id: str, count: UsageCount, wall: float) -> None:
         if request_id in self._counted:
             return
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -5,10 +5,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from planted import assert_oracle_fails
-from usage_world import CUSTOMERS, SealingCoordinator, SimulatedGateway, UsageWorld
+from usage_world import CUSTOMERS, USAGE, SealingCoordinator, SimulatedGateway, UsageWorld
 
 from laburnumreel.coordination import Sealer, UsageFlush
-from laburnumreel.state import Row, WindowState
+from laburnumreel.state import USAGE_FORMAT_KEY, WINDOW_TABLE, Row, WindowState, Write
 
 NUMBERS = st.integers(0, 1)
 PLACES = st.sampled_from(["call", "connect", "write", "answer"])
@@ -40,11 +40,16 @@
     def run(self, seconds):
         self.world.run(seconds)
 
-    @rule(number=NUMBERS, customer=st.sampled_from(CUSTOMERS), count=st.integers(1, 3))
-    def count(self, number, customer, count):
+    @rule(
+        number=NUMBERS,
+        customer=st.sampled_from(CUSTOMERS),
+        count=st.integers(1, 3),
+        behind_s=st.sampled_from([0.0, 0.0, 0.0, 40.0, 20_000.0]),
+    )
+    def count(self, number, customer, count, behind_s):
         gateway = self.world.others[number]
         for _ in range(count if gateway is not None else 0):
-            gateway.count(customer)
+            gateway.count(customer, behind_s)
 
     @rule(
         gateway=st.booleans(), number=NUMBERS, place=PLACES, seconds=st.sampled_from([1, 8, None])
@@ -168,3 +173,68 @@
 def test_oracle_catches_a_flush_sent_twice():
     """Guards against an oracle that does not see usage counted twice."""
     assert_oracle_fails(RepeatingMachine)
+
+
+@pytest.mark.parametrize("change", [{"shards": 3}, {"window_s": 7}])
+def test_processes_with_other_settings_write_no_usage(change):
+    """Guards against deltas and windows laid out in two ways, and a change under a live process."""
+    world = UsageWorld()
+    world.run(2.0)
+    ours = {"window_s": USAGE.window_s, "shards": USAGE.shards}
+    assert world.state.read(WINDOW_TABLE, USAGE_FORMAT_KEY).value == ours
+    world.state.transact([], [Write(WINDOW_TABLE, USAGE_FORMAT_KEY, {**ours, **change})])
+    before = world.state.scan("usage_delta"), world.state.scan(WINDOW_TABLE)
+    world.others[0].count(CUSTOMERS[0])
+    world.run(20.0)
+    assert (world.state.scan("usage_delta"), world.state.scan(WINDOW_TABLE)) == before
+    assert world.others[0].flush.format_differs
+    world.state.transact([], [Write(WINDOW_TABLE, USAGE_FORMAT_KEY, ours)])
+    world.heal()
+    assert not world.others[0].flush.format_differs
+    world.check_totals()
+
+
+class ForgetfulGateway(SimulatedGateway):
+    """The planted fault: a gateway that believes deltas to be kept for longer than they are."""
+
+    retention_s = 1e6
+
+
+@pytest.mark.parametrize("gateway", [SimulatedGateway, ForgetfulGateway])
+def test_old_deltas_are_deleted_and_a_late_repeat_does_not_count_again(gateway):
+    """Guards against a delta table that grows for ever, and usage counted after its deletion."""
+    world = UsageWorld(gateway_type=gateway)
+    world.run(4.0)
+    for customer in CUSTOMERS:
+        world.others[0].count(customer)
+    world.others[0].platform.faults.change({"lose_answers": 100})
+    world.run(1.0)
+    assert world.state.scan("usage_delta").rows
+    world.others[0].platform.faults.change({"lose_answers": 0, "down": True})
+    world.run(90.0)
+    assert not world.state.scan("usage_delta").rows
+    assert {customer for customer, _ in world.reports} == set(CUSTOMERS)
+    assert any(row.value.get("figures") for row in world.state.scan(WINDOW_TABLE).rows)
+    world.heal()
+    if gateway is SimulatedGateway:
+        world.check_totals()
+        assert sum(world.lost["low"].values()) == len(CUSTOMERS)
+    else:
+        with pytest.raises(AssertionError):
+            world.check_totals()
+
+
+def test_a_far_too_old_delta_holds_up_no_window():
+    """Guards against a walk through all windows since a delta of a gateway with a wrong clock."""
+    world = UsageWorld()
+    world.run(20.0)
+    windows = len(world.state.scan(WINDOW_TABLE).rows)
+    for behind_s in (20_000.0, 10_000.0, 0.0):
+        world.others[0].count(CUSTOMERS[0], behind_s)
+    world.run(20.0)
+    world.check_totals()
+    # Four windows pass meanwhile, and one may be open at each end.
+    added = len(world.state.scan(WINDOW_TABLE).rows) - windows
+    assert added <= USAGE.shards * (2 + 6)
+    world.run(10.0)
+    assert len(world.state.scan(WINDOW_TABLE).rows) - windows - added <= USAGE.shards * 3
