Keep shortened messages to the tests that ask for them

Cause: the fixture that shortens messages lasted for the whole module, so in a worker process that ran another test of the module first, the messages of 380 gateways had no room for a withdrawal and that test failed.

Change: the fixture lasts for one test.

--- a/tests/test_vouching.py
+++ b/tests/test_vouching.py
@@ -135,7 +135,7 @@
     return gateways
 
 
-@pytest.fixture(scope="module")
+@pytest.fixture
 def short_messages():
     """Messages that hold three withdrawals, so that answers are often not in sync."""
     with pytest.MonkeyPatch.context() as patch:
