Count silent gateways' requests and report first tokens

Cause: the gateway built its fleet for a single gateway, so in-flight counts replaced the load reports even while a peer was silent. A coordinator's exchange would have counted as a gateway's. The answer to an exchange carries no news in small deployments, yet it replaced the work that the peer's last call had told of. Nothing told the fleet when a prompt had been processed.

Change: build the fleet with the number of gateways, count only gateways as heard, and ignore the news of answers where calls carry it. The model run reports the first token of each exchange to the fleet.

--- a/src/laburnumreel/coordination/_gossip.py
+++ b/src/laburnumreel/coordination/_gossip.py
@@ -83,9 +83,14 @@
     def peers(self) -> list[Address]:
         return list(self._others)
 
+    @property
+    def answers_carry_news(self) -> bool:
+        """Whether answers carry news: where every peer is called in each round, calls do so."""
+        return len(self._others) > FULL_ROUND_PEERS
+
     def round(self) -> list[Address]:
         """Return the peers to exchange with now."""
-        if len(self._others) <= FULL_ROUND_PEERS:
+        if not self.answers_carry_news:
             return list(self._others)
         return self._random.sample(self._others, ROUND_PEERS)
 
@@ -143,8 +148,7 @@
         was paused, so nothing tells how old it is.
         """
         learned = self._learn(theirs, self._replica.withdrawn, None)
-        # Where this process calls every peer in each round, its calls carry the news already.
-        answer = self.message(theirs.address, with_news=len(self._others) > FULL_ROUND_PEERS)
+        answer = self.message(theirs.address, with_news=self.answers_carry_news)
         differ = theirs.withdrawn_digest != answer.withdrawn_digest
         if differ and not theirs.withdrawn and not answer.withdrawn:
             if theirs.address in self._peers:
--- a/src/laburnumreel/coordination/_peers.py
+++ b/src/laburnumreel/coordination/_peers.py
@@ -172,9 +172,11 @@
             _log.info(PEER_HEARD, peer=address_text(address))
         theirs = answer.result.ok
         learned = self._gossip.on_answer(address, answer.ours, theirs, answer.sent_at)
-        # A node's two processes have one name; the role keeps their news apart.
-        peer = f"{theirs.role}/{theirs.sender}"
-        self._source.on_news(peer, theirs.news, self._clock.now())
+        if self._gossip.answers_carry_news:
+            # An answer without news must not replace the work that the peer's last call told of.
+            # A node's two processes have one name; the role keeps their news apart.
+            peer = f"{theirs.role}/{theirs.sender}"
+            self._source.on_news(peer, theirs.news, self._clock.now())
         self._follow(address, theirs, learned)
         if address in self._again:
             self._again.discard(address)
--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -96,6 +96,11 @@
         if echoed is not None and echoed != self._job.running.request_id:
             raise BackEndFailureError("lost", "the answer belongs to another request", True)
 
+    def first_token(self) -> None:
+        """The first token of this exchange came."""
+        request_id = self._job.running.request_id
+        self._parts.dispatcher.first_token(self._back_end.name, request_id)
+
     def refused(self, ran_before: bool, retry_after: str | None, detail: str) -> None:
         """The back end refused: go on with another one, or fail with its time to come back."""
         self._may_have_run = ran_before
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -32,6 +32,8 @@
 LEAVING_MARK_S = 60.0
 CAPACITY_S = 0.2
 LOST_S = 1.0
+# How the peer exchange names the peers that run requests.
+GATEWAY_PEER = "gateway/"
 
 _log = Log("serving.dispatcher")
 
@@ -61,7 +63,7 @@
         super().__init__("dispatcher", tick_s=EXPIRE_S)
         self._clock = clock
         self._random = rng
-        self._fleet = Fleet()
+        self._fleet = Fleet(gateways)
         self._router = Router(zone, region, rng)
         self._admission = Admission(rng)
         self._budgets: dict[str, RetryBudget] = {}
@@ -111,6 +113,10 @@
         """Return for how many seconds a request is quarantined, or None."""
         return self._quarantine.held_for(digest, self._clock.now())
 
+    def first_token(self, back_end: str, request_id: str) -> None:
+        """Tell that the first token of an answer came: its prompt is no longer queued."""
+        self._send(self._on_first_token, back_end, request_id)
+
     def attempt_ended(
         self, back_end: str, request_id: str, failed: bool, lost: bool = False
     ) -> None:
@@ -229,6 +235,9 @@
         self._running.setdefault(name, {})[work.request_id] = digest
         return choice.back_end
 
+    def _on_first_token(self, back_end: str, request_id: str) -> None:
+        self._fleet.on_first_token(back_end, request_id, self._clock.now())
+
     def _on_attempt_ended(self, back_end: str, request_id: str, failed: bool, lost: bool) -> None:
         now = self._clock.now()
         self._fleet.on_finished(back_end, request_id, now)
@@ -315,7 +324,9 @@
             self._fleet.on_drain(mark.target, mark.reason, now + mark.remaining_s)
         entries = {entry.digest: entry.remaining_s for entry in news.quarantines}
         self._quarantine.on_peer(entries, now)
-        self._fleet.on_peer_work(peer, news.in_flight, now)
+        # Coordinators run no requests: hearing one must not stand in for a silent gateway.
+        if peer.startswith(GATEWAY_PEER):
+            self._fleet.on_peer_work(peer, news.in_flight, now)
         self._admission.on_peer_received(peer, news.received, now)
 
     def _update_capacity(self) -> None:
--- a/src/laburnumreel/serving/_model.py
+++ b/src/laburnumreel/serving/_model.py
@@ -101,7 +101,7 @@
     def _read(self, exchange: Exchange) -> Iterator[list[Event]]:
         parser = SseParser()
         request_id = self._job.running.request_id
-        resumed = self._begun
+        resumed, before = self._begun, self._tokens
         held: list[Event] = []
         while True:
             data = exchange.read()
@@ -125,6 +125,8 @@
                     if chunk.get("usage"):
                         self._usage = chunk["usage"]
                 elif _has_token(chunk):
+                    if self._tokens == before:
+                        self._attempts.first_token()
                     self._tokens += 1
                     ready.append((payload, chunk))
                 elif not resumed:
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -211,3 +211,42 @@
     assert nodes[1].link.status(nodes[0].address).is_ok()
     for raw in silent:
         raw.close()
+
+
+class RecordingSource(NoNews):
+    """A source with work in flight that keeps what peers tell."""
+
+    def __init__(self):
+        self.heard = []
+
+    def news(self, now):
+        return PeerNews(in_flight={"w0": (1, 5)})
+
+    def on_news(self, peer, news, now):
+        self.heard.append((peer, news.in_flight))
+
+    def after_first_work(self):
+        """Return what was heard from each peer since it first told of its work."""
+        heard = {}
+        for peer, in_flight in list(self.heard):
+            if in_flight or peer in heard:
+                heard.setdefault(peer, []).append(in_flight)
+        return heard
+
+
+def test_answers_do_not_hide_a_peers_work(nodes):
+    """Guards against in-flight work that counts as ended because an answer carries no news."""
+    sources = [RecordingSource() for _ in nodes]
+    for node, source in zip(nodes, sources, strict=True):
+        node.exchange._source = source
+    wait_until(
+        lambda: all(
+            sum(len(told) > 4 for told in source.after_first_work().values()) == len(nodes) - 1
+            for source in sources
+        ),
+        "news from the peers",
+    )
+    for source in sources:
+        assert all(
+            work == {"w0": (1, 5)} for told in source.after_first_work().values() for work in told
+        )
