Limit admission by the profile's token gap

Cause: the dispatcher computed capacity without the profile's token_gap_s, so it admitted as many streams as engines have slots.

Change: pass token_gap_s to the fleet's capacity.

Result: with a goal of 2 ms on an engine of 1000 tokens/s the new test admits 2 of 4 requests; without the change it admits all 4.

--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -1,5 +1,6 @@
 """The task that owns a gateway's view of back ends, its queues and its retry budgets."""
 
+import math
 import random
 from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import Future
@@ -337,7 +338,10 @@
         for service in services.values():
             profile = profiles.get(service.profile)
             cheap = profile is not None and profile.cheap_back_ends == "interruptible"
-            capacity[service.name] = self._fleet.capacity(service.name, now, cheap, self._gateways)
+            gap = profile.token_gap_s if profile is not None else math.inf
+            capacity[service.name] = self._fleet.capacity(
+                service.name, now, cheap, self._gateways, gap
+            )
         self._admission.configure(profiles, self._configuration.customers, services, capacity)
 
     def _mark(self, target: str, reason: str, until: float) -> None:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from laburnumreel.coordination import LoadReport, PeerNews, Work, prompt_prefixes
+from laburnumreel.coordination import LoadReport, Offer, PeerNews, Work, prompt_prefixes
 from laburnumreel.core import ManualClock
 from laburnumreel.protocol import ModelRequest
 from laburnumreel.serving._attempts import Job
-from laburnumreel.serving._dispatcher import Dispatcher
+from laburnumreel.serving._dispatcher import Dispatcher, Wanted
 from laburnumreel.serving._model import ModelRun
 from laburnumreel.state import Host
 
@@ -85,6 +85,34 @@
     assert len(names) == 1
 
 
+def test_capacity_keeps_the_token_gap_of_the_profile(start):
+    """Guards against more streams at once than the engines can serve within the profile's goal."""
+    profile = SimpleNamespace(
+        cheap_back_ends="never",
+        token_gap_s=0.002,
+        queue=64,
+        weight=1.0,
+        tokens_per_s=0,
+        requests_per_s=0,
+        priority=0,
+    )
+    service = SimpleNamespace(name="chat", profile="chat")
+    dispatcher = start(streams=(0,))
+    dispatcher.configure(
+        SimpleNamespace(profiles={"chat": profile}, customers={}, services={"chat": service})
+    )
+    dispatcher.settle()
+    answers = [
+        dispatcher.offer(
+            Offer(f"r{number}", "chat", "hall-a", 10, 1000.0),
+            Wanted(work(f"r{number}"), False, ""),
+        )
+        for number in range(4)
+    ]
+    dispatcher.settle()
+    assert [answer.done() for answer in answers] == [True, True, False, False]
+
+
 class FakeExchange:
     """An answer of three tokens."""
 
