--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -6,8 +6,10 @@
 
 import pytest
 from coordinators import CoordinatorProcess
-from deployment import Deployment, Stream
-from support import wait_until
+
+from laburnumreel_standins.caller import Stream
+from laburnumreel_standins.deployment import Deployment
+from laburnumreel_standins.processes import wait_until
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(200)]
 
