--- a/tests/coordinators.py
+++ b/tests/coordinators.py
@@ -26,6 +26,9 @@
         arguments = (program, str(path), *options) if program else ("--config", str(path))
         env = {"TEST_PEPPER": PEPPER, "TEST_CREDENTIAL": "x"}
         if program:
+            # The program is a module of the tests, which only this process can find by itself.
+            found = [str(Path(__file__).parent), os.environ.get("PYTHONPATH", "")]
+            env["PYTHONPATH"] = os.pathsep.join(filter(None, found))
             self.process: Process = deployment.start(*arguments, env=env)
         else:
             module = "laburnumreel.daemon"
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -13,19 +13,11 @@
 from laburnumreel.core import SystemClock
 from laburnumreel.state import UsageCount, UsageSettings
 from laburnumreel_standins.caller import call
-from laburnumreel_standins.deployment import Deployment
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
 
 
-@pytest.fixture
-def deployment():
-    running = Deployment()
-    yield running
-    running.end()
-
-
 def zone_orders(deployment):
     history = call(deployment.platform_address, "GET", "/standin/state").json["order_history"]
     return [(item["order"]["fence"], item["order"]["count"]) for item in history]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,19 +7,12 @@
 
 from laburnumreel_standins._text import output_text
 from laburnumreel_standins.caller import KEY, MODEL, Stream, bearer, call
-from laburnumreel_standins.deployment import CREDENTIAL, OTHER_KEY, Deployment
+from laburnumreel_standins.deployment import CREDENTIAL, OTHER_KEY
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
 
 
-@pytest.fixture
-def deployment():
-    running = Deployment()
-    yield running
-    running.end()
-
-
 @pytest.fixture
 def gateway(deployment):
     deployment.configure()
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -10,19 +10,12 @@
 
 from laburnumreel_standins._text import output_text
 from laburnumreel_standins.caller import KEY, MODEL, Stream, bearer, call
-from laburnumreel_standins.deployment import OTHER_KEY, Deployment
+from laburnumreel_standins.deployment import OTHER_KEY
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
 
 
-@pytest.fixture
-def deployment():
-    running = Deployment()
-    yield running
-    running.end()
-
-
 def completion(gateway, prompt="x", tokens=5, headers=None, **fields):
     body = {"model": MODEL, "prompt": prompt, "max_tokens": tokens, **fields}
     return call(gateway.callers, "POST", "/v1/completions", body, headers or bearer())
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -10,20 +10,13 @@
 from laburnumreel.transport import PeerClient
 from laburnumreel_standins._text import output_text
 from laburnumreel_standins.caller import KEY, MODEL, Stream, bearer, call
-from laburnumreel_standins.deployment import OTHER_KEY, PEPPER, Deployment
+from laburnumreel_standins.deployment import OTHER_KEY, PEPPER
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
 CUT_OFF = "cut_off_s = 1.0\n"
 
 
-@pytest.fixture
-def deployment():
-    running = Deployment()
-    yield running
-    running.end()
-
-
 def complete(gateway, prompt="x", key=KEY):
     body = {"model": MODEL, "prompt": prompt, "max_tokens": 3}
     return call(gateway.callers, "POST", "/v1/completions", body, bearer(key))
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -9,19 +9,11 @@
 
 from laburnumreel_standins._text import output_text
 from laburnumreel_standins.caller import MODEL, Stream, bearer, call
-from laburnumreel_standins.deployment import Deployment
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
 
 
-@pytest.fixture
-def deployment():
-    running = Deployment()
-    yield running
-    running.end()
-
-
 def complete(gateway, prompt="x"):
     body = {"model": MODEL, "prompt": prompt, "max_tokens": 3}
     return call(gateway.callers, "POST", "/v1/completions", body, bearer())
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -8,7 +8,6 @@
 from coordinators import CoordinatorProcess
 
 from laburnumreel_standins.caller import Stream
-from laburnumreel_standins.deployment import Deployment
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(200)]
@@ -46,13 +45,6 @@
             self.begun.append(stream.finish()[1:])
 
 
-@pytest.fixture
-def deployment():
-    running = Deployment()
-    yield running
-    running.end()
-
-
 def role_orders(deployment, names):
     orders = [order for name in names for order in deployment.engine_state(name)["orders"]]
     return [order for order in orders if order["action"] == "role"]
