--- a/bench/_fake.py
+++ b/bench/_fake.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable, Mapping, Sequence
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
 from bench._engine import FakeEngine, World
 from bench._traffic import Deployment, Request
@@ -25,11 +25,10 @@
 GATEWAYS = 6
 
 
-class Chooser:
-    """A routing policy; the baselines override `choose`."""
+class Chooser(Protocol):
+    """A routing policy: the router or a baseline."""
 
-    def choose(self, work: Work, candidates: Sequence[BackEnd]) -> Choice | None:
-        raise NotImplementedError
+    def choose(self, work: Work, candidates: Sequence[BackEnd]) -> Choice | None: ...
 
 
 class OpenGate:
--- a/bench/changes.py
+++ b/bench/changes.py
@@ -252,10 +252,10 @@
             part.start(self.threads)
 
     def status(self) -> NodeStatus:
-        raise NotImplementedError
+        raise AssertionError("no operator asks in this benchmark")
 
     def claim_state(self, claim_key: str) -> ClaimState:
-        raise NotImplementedError
+        raise AssertionError("no request is claimed in this benchmark")
 
     def bytes_carried(self) -> tuple[int, int]:
         return sum(self.link.traffic), self.platform.read_bytes
--- a/src/laburnumreel/core/_task.py
+++ b/src/laburnumreel/core/_task.py
@@ -71,7 +71,7 @@
             self._done.result(timeout=timeout_s)
 
     def handle(self, message: Any) -> Any:
-        raise NotImplementedError(f"{self._name} takes no messages")
+        raise TypeError(f"{self._name} takes no messages")
 
     def tick(self) -> None:
         """Run periodic work."""
--- /dev/null
+++ b/tests/test_packaging.py
@@ -0,0 +1,22 @@
+"""Tests of what a fresh clone installs."""
+
+import re
+import tomllib
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def test_requirements_are_exact_pins():
+    """Guards against a path or an open range, which another machine resolves differently."""
+    lines = (ROOT / "requirements.txt").read_text().split()
+    assert lines and all(re.fullmatch(r"[\w.-]+==[\w.]+", line) for line in lines)
+
+
+def test_every_dependency_is_pinned():
+    """Guards against a dependency that the set-up would not install."""
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    wanted = project["dependencies"] + project["optional-dependencies"]["dev"]
+    names = {re.match(r"[\w-]+", name)[0].lower() for name in wanted}
+    pinned = {line.partition("==")[0].lower() for line in (ROOT / "requirements.txt").open()}
+    assert names <= pinned
