Correct the claims oracle: a request refused as not run cannot run later

The trace: a claim is abandoned while the store is away or its answer is lost, and the same gateway then claims the key again. The oracle still counted the first request as able to run. It is not: KeyedRun marks itself ended before the abandon is sent, and a repeated abandon checks the old row version, which the second claim has replaced. Ruled out: a second run, which the machine's other check would have shown. Change: after an abandon the machine may not run that request; all other checks stand, and both planted faults are still caught.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -46,6 +46,8 @@
     def __init__(self, gateway, claim, key, body):
         self.gateway, self.claim, self.key, self.body = gateway, claim, key, body
         self.ran = False
+        # Its caller was told "not run", so it never runs; only its row may still be in the store.
+        self.refused = False
 
 
 class ClaimsMachine(RuleBasedStateMachine):
@@ -89,7 +91,7 @@
 
     @rule(data=st.data())
     def run(self, data):
-        waiting = [item for item in self.open if not item.ran]
+        waiting = [item for item in self.open if not item.ran and not item.refused]
         if waiting:
             item = data.draw(st.sampled_from(waiting))
             assert item.key not in self.ran, "a request runs a second time"
@@ -103,7 +105,8 @@
         item = data.draw(st.sampled_from(self.open))
         claims = item.gateway.claims
         if not item.ran:
-            # The caller is told "not run", so the key must be free or marked, never run again.
+            # The key must be free or marked, or be taken over by this gateway alone.
+            item.refused = True
             if claims.abandon(item.claim):
                 self.open.remove(item)
         elif stored:
@@ -143,7 +146,7 @@
 
     @invariant()
     def one_claim_for_a_key(self):
-        live = [item.key for item in self.open if not item.ran]
+        live = [item.key for item in self.open if not item.ran and not item.refused]
         assert len(live) == len(set(live)), "two gateways may run the same request"
 
 
