Read resident memory with one function in both benchmarks

Change: resident_mb in laburnumreel_standins.processes serves both and raises there. Figures keep their rounding.

--- a/bench/memory.py
+++ b/bench/memory.py
@@ -7,7 +7,7 @@
 from laburnumreel.state import key_digest
 from laburnumreel_standins.caller import call
 from laburnumreel_standins.deployment import PEPPER, Deployment
-from laburnumreel_standins.processes import Process, wait_until
+from laburnumreel_standins.processes import Process, resident_mb, wait_until
 
 CUSTOMERS = (100, 1000, 10000, 36000)
 CUSTOMER = {"weight": 1.0, "tokens_per_s": 0.0, "requests_per_s": 0.0}
@@ -52,7 +52,7 @@
                 lambda at=admin: call(at, "GET", "/readyz").json.get("configuration") == version,
                 f"version {version}",
             )
-        sizes = [_resident_mb(process.pid) for process in (gateway.process, coordinator)]
+        sizes = [resident_mb(process.pid) for process in (gateway.process, coordinator)]
         return (*sizes, sum(sizes))
     finally:
         deployment.end()
@@ -70,10 +70,3 @@
         digest = key_digest(f"lr-memory-key-{number}", PEPPER.encode())
         entries[f"key/{digest}"] = {"customer": f"hall-{number}"}
     return entries
-
-
-def _resident_mb(pid: int) -> float:
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    raise ValueError(f"process {pid} has no resident size")
--- a/bench/speed.py
+++ b/bench/speed.py
@@ -26,6 +26,7 @@
     key_digest,
     merge_sections,
 )
+from laburnumreel_standins.processes import resident_mb
 
 STREAM_COUNTS = (1, 16, 64)
 TOKENS = 100
@@ -237,9 +238,9 @@
             row[f"{name}_p{share}_direct_ms"] = round(apart[0], 3)
             row[f"{name}_p{share}_added_ms"] = round(apart[1] - apart[0], 3)
     row["cpu_ms_per_1000_tokens"] = round(used_s * 1e6 / (streams * TOKENS), 1)
-    row["gateway_mb"] = _resident_mb(processes.gateway.pid)
+    row["gateway_mb"] = round(resident_mb(processes.gateway.pid), 1)
     row["coordinator_mb"] = (
-        _resident_mb(processes.coordinator.pid) if processes.coordinator else 0.0
+        round(resident_mb(processes.coordinator.pid), 1) if processes.coordinator else 0.0
     )
     return row
 
@@ -254,13 +255,6 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-def _resident_mb(pid: int) -> float:
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return round(int(line.split()[1]) / 1024, 1)
-    return 0.0
-
-
 def _configure(platform: Address, engine: str) -> None:
     client = HttpPlatform(platform)
     texts = {
--- a/src/laburnumreel_standins/processes.py
+++ b/src/laburnumreel_standins/processes.py
@@ -51,6 +51,14 @@
         return probe.connect_ex((host, port)) == 0
 
 
+def resident_mb(pid: int) -> float:
+    """Return a process' resident memory in MB. Raises ValueError where it has none."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    raise ValueError(f"process {pid} has no resident size")
+
+
 class Process:
     """A process of this project, run with `python -m`, whose output goes to a file."""
 
