--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,8 @@
 	$(VENV)/bin/python -m pytest
 
 lint: setup
-	$(VENV)/bin/black --check --quiet src tests bench examples
-	$(VENV)/bin/ruff check src tests bench examples
+	$(VENV)/bin/black --check --quiet src platform tests bench examples
+	$(VENV)/bin/ruff check src platform tests bench examples
 
 bench: setup
 	$(VENV)/bin/python -m bench
--- /dev/null
+++ b/idl/relay.thrift
@@ -0,0 +1,40 @@
+// What the relays of a deployment tell one another, one struct a datagram. Regenerate with:
+//   thrift --gen py:package_prefix=laburnumreel.protocol.gen. -out src/laburnumreel/protocol/gen idl/relay.thrift
+
+namespace py relay
+
+// Work of the sender that a backend server has not finished.
+struct Work {
+  1: string back_end
+  2: i32 requests
+  3: i64 reading_tokens
+  4: i32 streams
+  5: i64 kv_tokens
+}
+
+// A belief that ends by itself.
+struct Timed {
+  1: string subject
+  2: i32 remaining_ms
+}
+
+// Requests that began to run at the sender in a window, by customer.
+struct WindowCounts {
+  1: i64 window
+  2: map<string, i32> counts
+}
+
+struct News {
+  1: string sender
+  2: string boot
+  3: string address
+  4: i64 sequence
+  5: i64 config_version
+  6: bool stopping
+  7: list<Work> work
+  8: list<Timed> avoided
+  9: list<Timed> held_back
+  10: list<string> leaving
+  11: list<WindowCounts> usage
+  12: list<Timed> crashes
+}
--- a/src/laburnumreel/coordination/_budget.py
+++ b/src/laburnumreel/coordination/_budget.py
@@ -13,7 +13,8 @@
 
     def __init__(self, ratio: float, minimum: int, window_s: float = 10) -> None:
         self._ratio = ratio
-        self._minimum = minimum
+        # The share of this process changes with the number of those that share the budget.
+        self.minimum = minimum
         self._window_s = window_s
         # Successes are counted in slices so that memory does not grow with the request rate.
         self._slice_s = window_s / 20
@@ -32,7 +33,7 @@
     def take(self, now: float) -> bool:
         """Return whether one retry is allowed, and count it."""
         self._forget(now)
-        if len(self._retries) + 1 > self._minimum + self._ratio * self._success_count:
+        if len(self._retries) + 1 > self.minimum + self._ratio * self._success_count:
             return False
         self._retries.append(now)
         return True
--- a/src/laburnumreel/coordination/_guarded_send.py
+++ b/src/laburnumreel/coordination/_guarded_send.py
@@ -21,7 +21,9 @@
 class OrderConnection(Protocol):
     """An open connection that carries one request. Errors are texts for the log."""
 
-    def write(self, path: str, body: Mapping[str, Any]) -> Result[None, str]: ...
+    def write(
+        self, path: str, body: Mapping[str, Any], headers: Mapping[str, str] | None = None
+    ) -> Result[None, str]: ...
 
     def answer(self) -> Result[Answer, str]: ...
 
@@ -55,7 +57,12 @@
         self._link = link
 
     def post(
-        self, authority: Authority, address: Address, path: str, body: Mapping[str, Any]
+        self,
+        authority: Authority,
+        address: Address,
+        path: str,
+        body: Mapping[str, Any],
+        headers: Mapping[str, str] | None = None,
     ) -> Result[Answer, SendFailure]:
         """Send one request and wait for its answer.
 
@@ -70,7 +77,7 @@
             with self._board.writing(authority) as in_force:
                 if not in_force:
                     return Error(SendFailure("not_sent", "the authority is not in force"))
-                written = connection.write(path, body)
+                written = connection.write(path, body, headers)
             if written.is_error():
                 return Error(SendFailure("lost", written.error))
             answer = connection.answer()
--- a/src/laburnumreel/core/_ini.py
+++ b/src/laburnumreel/core/_ini.py
@@ -60,6 +60,10 @@
         lambda raw: tuple(_address(part.strip()) for part in raw.split(",") if part.strip()),
         "HOST:PORT, separated by commas",
     )
+    pairs = Kind(
+        lambda raw: tuple(_pair(part) for part in raw.split(",") if part.strip()),
+        "NAME=VALUE, separated by commas",
+    )
 
     @staticmethod
     def whole(low: int, high: int) -> Kind:
@@ -174,3 +178,8 @@
     if not host:
         raise ValueError(raw)
     return host, _between(int(port), 0, 65535)
+
+
+def _pair(raw: str) -> tuple[str, str]:
+    name, _, value = raw.partition("=")
+    return _non_empty(name), _non_empty(value)
--- a/src/laburnumreel/core/_logs.py
+++ b/src/laburnumreel/core/_logs.py
@@ -1,11 +1,23 @@
 """Structured logs whose events carry numbers from a closed catalogue."""
 
+import atexit
 import logging
+import os
+import queue
 import sys
-from typing import Any, NamedTuple
+import threading
+import time
+from typing import Any, NamedTuple, TextIO
 
 import structlog
 
+# Lines that may wait to be written. Beyond it they are dropped and counted: a reader of the logs
+# that stops must not stop the requests.
+MOST_WAITING_LINES = 5000
+# Lines are written together up to this size.
+WRITE_BYTES = 32 * 1024
+FLUSH_S = 0.2
+
 
 class Event(NamedTuple):
     """A kind of log line: its number, its short name and what it says."""
@@ -54,13 +66,69 @@
         self._logger.error(event.text, number=event.number, name=event.name, **fields)
 
 
-def setup_logs(style: str = "json", level: str = "info") -> None:
-    """Write logs to standard error as JSON lines or, for a person, as console text."""
+class _Writer:
+    """Writes lines on a thread of its own and never makes the caller wait."""
+
+    def __init__(self, stream: TextIO) -> None:
+        self._descriptor = stream.fileno()
+        self._lines: queue.SimpleQueue[str] = queue.SimpleQueue()
+        self._dropped = 0
+        threading.Thread(target=self._run, name="logs", daemon=True).start()
+        atexit.register(self._flush)
+
+    def msg(self, line: str) -> None:
+        if self._lines.qsize() >= MOST_WAITING_LINES:
+            self._dropped += 1
+            return
+        self._lines.put(line)
+
+    debug = info = warning = error = critical = msg
+
+    def _run(self) -> None:
+        while True:
+            lines = [self._lines.get()]
+            size = len(lines[0])
+            while size < WRITE_BYTES and not self._lines.empty():
+                lines.append(self._lines.get())
+                size += len(lines[-1])
+            dropped, self._dropped = self._dropped, 0
+            if dropped:
+                lines.append(f'{{"name": "lines_dropped", "count": {dropped}}}')
+            self._write(("\n".join(lines) + "\n").encode())
+
+    def _write(self, data: bytes) -> None:
+        try:
+            while data:
+                data = data[os.write(self._descriptor, data) :]
+        except OSError:
+            # The reader has gone; there is nowhere to tell of it.
+            self._dropped += data.count(b"\n")
+
+    def _flush(self) -> None:
+        """Give the last lines a moment when the process ends."""
+        until = time.monotonic() + FLUSH_S
+        while not self._lines.empty() and time.monotonic() < until:
+            time.sleep(FLUSH_S / 20)
+
+
+def setup_logs(style: str = "json", level: str = "info", stream: TextIO | None = None) -> None:
+    """Write logs as JSON lines or, for a person, as console text.
+
+    They go to standard error, or to `stream` by a thread that drops lines rather than wait.
+    """
     renderer = (
         structlog.processors.JSONRenderer()
         if style == "json"
         else structlog.dev.ConsoleRenderer(colors=False)
     )
+    if stream is None:
+        factory = structlog.PrintLoggerFactory(file=sys.stderr)
+    else:
+        writer = _Writer(stream)
+
+        def factory(*arguments: Any) -> _Writer:
+            return writer
+
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -71,7 +139,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=factory,
         cache_logger_on_first_use=False,
     )
 
--- a/src/laburnumreel/protocol/__init__.py
+++ b/src/laburnumreel/protocol/__init__.py
@@ -10,6 +10,7 @@
     status_line,
 )
 from laburnumreel.protocol._headers import (
+    HOP_BY_HOP,
     answer_headers,
     forwarded_headers,
     headers_from_environ,
@@ -38,6 +39,7 @@
 )
 
 __all__ = [
+    "HOP_BY_HOP",
     "MAX_STORED_BYTES",
     "idempotency_key",
     "replay",
--- /dev/null
+++ b/src/laburnumreel/relay/__init__.py
@@ -0,0 +1,79 @@
+"""Relays: routed requests to backend servers, on hosts that share all they know.
+
+A relay picks a service by host and path, a customer by key, and backend servers by what they keep
+and how much they have to do. An `Adapter` connects it to the systems around it.
+"""
+
+from laburnumreel.relay._back_ends import Address, BackEndList, ListedBackEnd, Role
+from laburnumreel.relay._config import (
+    CallerLimits,
+    EngineTraits,
+    RelayConfig,
+    RelayCustomer,
+    RelayService,
+    Route,
+    RouteKind,
+    RouteTable,
+    Scaling,
+    Share,
+)
+from laburnumreel.relay._event_stream import EventSplitter, StreamEvent
+from laburnumreel.relay._events import RECORD_UNREADABLE
+from laburnumreel.relay._node import Adapter, RelayNode, run_relay
+from laburnumreel.relay._ports import (
+    BackEndWire,
+    CallerWire,
+    Directory,
+    DutyCall,
+    DutyWire,
+    Feed,
+    Listing,
+)
+from laburnumreel.relay._requests import (
+    Dispatch,
+    Part,
+    Prompt,
+    PromptCopy,
+    RelayRequest,
+    Verdict,
+)
+from laburnumreel.relay._settings import RelaySettings, load_relay_settings, parse_relay_settings
+
+__all__ = [
+    "RECORD_UNREADABLE",
+    "Adapter",
+    "Address",
+    "BackEndList",
+    "BackEndWire",
+    "CallerLimits",
+    "CallerWire",
+    "Directory",
+    "Dispatch",
+    "DutyCall",
+    "DutyWire",
+    "EngineTraits",
+    "EventSplitter",
+    "Feed",
+    "ListedBackEnd",
+    "Listing",
+    "Part",
+    "Prompt",
+    "PromptCopy",
+    "RelayConfig",
+    "RelayCustomer",
+    "RelayNode",
+    "RelayRequest",
+    "RelayService",
+    "RelaySettings",
+    "Role",
+    "Route",
+    "RouteKind",
+    "RouteTable",
+    "Scaling",
+    "Share",
+    "StreamEvent",
+    "Verdict",
+    "load_relay_settings",
+    "parse_relay_settings",
+    "run_relay",
+]
--- /dev/null
+++ b/src/laburnumreel/relay/_application.py
@@ -0,0 +1,277 @@
+"""The WSGI application of a relay."""
+
+import random
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from laburnumreel.core import Clock, Log
+from laburnumreel.protocol import Answer, status_line
+from laburnumreel.relay._config import RelayConfig, RouteTable, pick_share
+from laburnumreel.relay._engine import EngineRun
+from laburnumreel.relay._events import (
+    RELAY_REQUEST_FAILED,
+    REQUEST_LOST,
+    REQUEST_REFUSED,
+    REQUEST_SERVED,
+)
+from laburnumreel.relay._job import Job, Parts, RelayFailedError
+from laburnumreel.relay._metrics import RELAY_FIRST_BYTE_S, RELAY_REQUESTS, RELAY_WAIT_S
+from laburnumreel.relay._plain import serve_plain
+from laburnumreel.relay._ports import CallerWire
+from laburnumreel.relay._requests import Prompt, RelayRequest
+from laburnumreel.serving import RequestRegistry, Running
+from laburnumreel.state import ErrorKind, Refusal, RunState
+
+# A host that does not have a configuration that its peers have is behind for about this time.
+BEHIND_RETRY_S = 0.2
+NOT_READY_RETRY_S = 0.5
+STOPPING_RETRY_S = 0.1
+
+# Stands for the prompt of a request that does not describe it.
+_NO_PROMPT = Prompt("", (), 0, 0)
+
+StartResponse = Callable[..., Any]
+
+_log = Log("relay.application")
+
+
+class RelayApplication:
+    """Checks, places and serves requests, each on the thread that waitress gave it.
+
+    `newest_version` tells the newest configuration that any host is known to have.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        callers: CallerWire,
+        registry: RequestRegistry,
+        newest_version: Callable[[], int],
+        rng: random.Random,
+    ) -> None:
+        self._parts = parts
+        self._clock: Clock = parts.clock
+        self._callers = callers
+        self._registry = registry
+        self._newest_version = newest_version
+        self._rng = rng
+        self._table: RouteTable | None = None
+        self._stopping = False
+        self._running = 0
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The routes in force, or None before the first configuration."""
+        return self._table
+
+    def configure(self, config: RelayConfig) -> bool:
+        """Put a configuration in force; False if a newer one is."""
+        if self._table is not None and config.version <= self._table.version:
+            return False
+        self._table = RouteTable(config)
+        return True
+
+    def stop_admitting(self) -> None:
+        """Refuse new requests from now on; running ones go on."""
+        self._stopping = True
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        decoded = self._callers.request(environ, self._clock.now())
+        if decoded.is_error():
+            return self._refuse(decoded.error, None, "", start_response)
+        request = decoded.ok
+        try:
+            return self._serve(request, start_response)
+        except RelayFailedError as error:
+            return self._refuse(error.refusal, request, "", start_response)
+        except Exception as error:
+            _log.error(
+                RELAY_REQUEST_FAILED, request=request.request_id, error=repr(error), exc_info=True
+            )
+            return self._refuse(Refusal(ErrorKind.INTERNAL), request, "", start_response)
+
+    def _serve(self, request: RelayRequest, start_response: StartResponse) -> Iterable[bytes]:
+        job = self._checked(request)
+        self._registry.started(job.running)
+        try:
+            if job.service.engine is not None:
+                return self._serve_stream(job, start_response)
+            return self._serve_whole(job, start_response)
+        except RelayFailedError as error:
+            return self._refuse(error.refusal, request, job.route.kind, start_response, job)
+        finally:
+            if not job.streaming:
+                self._registry.ended(request.request_id)
+
+    def _checked(self, request: RelayRequest) -> Job:
+        """Find the route, the customer and the service of a request."""
+        if self._stopping:
+            raise RelayFailedError(Refusal(ErrorKind.STOPPING, retry_after_s=STOPPING_RETRY_S))
+        table = self._table
+        if table is None:
+            detail = "no configuration is known yet"
+            raise RelayFailedError(Refusal(ErrorKind.NOT_READY, detail, NOT_READY_RETRY_S))
+        route = table.route(request.host, request.path)
+        if route is None:
+            self._refuse_if_behind(table)
+            raise RelayFailedError(Refusal(ErrorKind.UNKNOWN_ROUTE))
+        if request.prompt is None:
+            request = request._replace(prompt=_NO_PROMPT)
+        customer, priority = "", route.priority
+        if table.needs_keys and not route.public:
+            found = table.customer(request.key) if request.key else None
+            if found is None:
+                self._refuse_if_behind(table)
+                kind = ErrorKind.UNKNOWN_KEY if request.key else ErrorKind.MISSING_KEY
+                raise RelayFailedError(Refusal(kind))
+            customer = found.name
+            priority = route.priority if found.priority is None else found.priority
+        name = pick_share(route.shares, self._rng.random()) if route.shares else ""
+        service = table.config.services.get(name)
+        if service is None:
+            detail = f"service {name} is not configured"
+            raise RelayFailedError(Refusal(ErrorKind.NO_BACK_END, detail, NOT_READY_RETRY_S))
+        patience_s = route.timeout_s
+        if request.patience_s is not None:
+            patience_s = min(patience_s, request.patience_s)
+        running = Running(request.request_id, None, request.arrived_at + patience_s, request.gone)
+        job = Job(self._parts, request, route, service, customer, priority, running, table.version)
+        held_s = self._parts.dispatcher.held_for(job.digest)
+        if held_s is not None:
+            detail = "the request crashed backend servers and is held back"
+            raise RelayFailedError(Refusal(ErrorKind.CRASHES_BACK_ENDS, detail, held_s))
+        return job
+
+    def _refuse_if_behind(self, table: RouteTable) -> None:
+        """Do not judge a request by a configuration that is known to be old."""
+        if self._newest_version() > table.version:
+            detail = f"configuration {table.version} is not the newest"
+            raise RelayFailedError(Refusal(ErrorKind.NOT_READY, detail, BEHIND_RETRY_S))
+
+    def _serve_whole(self, job: Job, start_response: StartResponse) -> Iterable[bytes]:
+        reply = serve_plain(job)
+        self._observe(job)
+        self._served(job, reply.status, reply.back_end, len(reply.body))
+        headers = self._callers.answer_headers(reply.headers)
+        return _whole(
+            Answer(status_line(reply.status), headers, reply.body),
+            job.request.method,
+            start_response,
+        )
+
+    def _serve_stream(self, job: Job, start_response: StartResponse) -> Iterable[bytes]:
+        run = EngineRun(job)
+        first = run.start()
+        self._observe(job)
+        headers = self._callers.answer_headers(run.headers)
+        if not run.streams:
+            self._served(job, run.status, run.back_end, len(first))
+            run.close()
+            return _whole(
+                Answer(status_line(run.status), headers, first), job.request.method, start_response
+            )
+        job.streaming = True
+        start_response(status_line(run.status), headers)
+        return _Stream(self._events(job, run, first), lambda: self._stream_ended(job, run))
+
+    def _events(self, job: Job, run: EngineRun, first: bytes) -> Iterator[bytes]:
+        sent = len(first)
+        try:
+            yield first
+            for piece in run.rest():
+                sent += len(piece)
+                yield piece
+        except RelayFailedError as error:
+            self._lost(job, error.refusal, sent)
+            # The answer must not look complete: waitress closes the connection in its middle.
+            raise
+        except GeneratorExit:
+            self._lost(job, Refusal(ErrorKind.CALLER_GONE), sent)
+            raise
+        self._served(job, run.status, run.back_end, sent)
+
+    def _stream_ended(self, job: Job, run: EngineRun) -> None:
+        run.close()
+        self._registry.ended(job.request.request_id)
+
+    def _observe(self, job: Job) -> None:
+        RELAY_FIRST_BYTE_S.observe(job.waited_s, kind=str(job.route.kind))
+
+    def _served(self, job: Job, status: int, back_end: str, size: int) -> None:
+        RELAY_REQUESTS.inc(kind=str(job.route.kind), outcome="served")
+        RELAY_WAIT_S.observe(job.waited_s)
+        _log.info(
+            REQUEST_SERVED,
+            request=job.request.request_id,
+            route=job.route.name,
+            customer=job.customer,
+            status=status,
+            back_end=back_end,
+            bytes=size,
+            took_ms=round(1000 * job.waited_s),
+            sends=job.sends,
+        )
+
+    def _lost(self, job: Job, refusal: Refusal, sent: int) -> None:
+        RELAY_REQUESTS.inc(kind=str(job.route.kind), outcome="lost")
+        _log.warning(
+            REQUEST_LOST,
+            request=job.request.request_id,
+            route=job.route.name,
+            kind=str(refusal.kind),
+            detail=refusal.detail,
+            bytes=sent,
+            took_ms=round(1000 * job.waited_s),
+            sends=job.sends,
+        )
+
+    def _refuse(
+        self,
+        refusal: Refusal,
+        request: RelayRequest | None,
+        kind: str,
+        start_response: StartResponse,
+        job: Job | None = None,
+    ) -> Iterable[bytes]:
+        RELAY_REQUESTS.inc(kind=str(kind), outcome=str(refusal.kind))
+        request_id = request.request_id if request is not None else ""
+        not_run = refusal.state is RunState.NOT_RUN
+        _log.info(
+            REQUEST_REFUSED if not_run else REQUEST_LOST,
+            request=request_id,
+            kind=str(refusal.kind),
+            run_state=str(refusal.state),
+            detail=refusal.detail[:200],
+            retry_after_s=refusal.retry_after_s,
+            config_version=self._table.version if self._table is not None else None,
+            waited_ms=round(1000 * job.waited_s) if job is not None else None,
+            sends=job.sends if job is not None else 0,
+        )
+        answer = self._callers.refusal(refusal, request_id)
+        method = request.method if request is not None else "GET"
+        return _whole(answer, method, start_response)
+
+
+class _Stream:
+    """The body of a stream, whose clean-up runs once, also if waitress never iterates it."""
+
+    def __init__(self, pieces: Iterator[bytes], ended: Callable[[], None]) -> None:
+        self._pieces = pieces
+        self._ended = ended
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._pieces
+
+    def close(self) -> None:
+        try:
+            self._pieces.close()
+        finally:
+            self._ended()
+
+
+def _whole(answer: Answer, method: str, start_response: StartResponse) -> Iterable[bytes]:
+    headers = [pair for pair in answer.headers if pair[0].lower() != "content-length"]
+    if method != "HEAD":
+        headers.append(("Content-Length", str(len(answer.body))))
+    start_response(answer.status, headers)
+    return [b"" if method == "HEAD" else answer.body]
--- /dev/null
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -0,0 +1,138 @@
+"""The backend servers of a relay, as the directory lists them."""
+
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import NamedTuple
+
+Address = tuple[str, int]
+
+
+class Role(StrEnum):
+    """What an engine does: read prompts, or generate tokens."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+class ListedBackEnd(NamedTuple):
+    """A backend server as its own entry in the directory describes it.
+
+    `name` is that of one incarnation. `role` is None for a backend server that is no engine.
+    `started_at_ms` tells two starts under the same name apart; it is in milliseconds of the Unix
+    epoch, or 0 where the entry does not say. `beat` grows with each writing of the entry since the
+    start.
+    """
+
+    name: str
+    service: str
+    address: Address
+    zone: str
+    slots: int
+    draining: bool = False
+    role: Role | None = None
+    model_versions: tuple[tuple[str, int], ...] = ()
+    cheap: bool = False
+    started_at_ms: int = 0
+    beat: int = 0
+
+    @property
+    def written(self) -> tuple[int, int]:
+        """Orders the writings of an entry in time."""
+        return self.started_at_ms, self.beat
+
+
+class BackEndList:
+    """Which backend servers may get new work.
+
+    An entry that is dropped while the directory is away, or just after it is back, may only have
+    lapsed because its backend server could not renew it. It counts for `return_grace_s` seconds
+    after the return and is gone if it has not come back by then.
+
+    >>> listed = ListedBackEnd("b1", "orders", ("10.0.0.1", 80), "zone-a", 4)
+    >>> back_ends = BackEndList(return_grace_s=2.0)
+    >>> back_ends.replace([listed], now=0.0)
+    >>> back_ends.directory_lost(now=1.0)
+    >>> back_ends.directory_back(now=5.0)
+    >>> back_ends.drop("b1", now=5.1)
+    >>> [len(back_ends.usable("orders", now)) for now in (5.2, 7.2)]
+    [1, 0]
+    """
+
+    def __init__(self, return_grace_s: float) -> None:
+        self._return_grace_s = return_grace_s
+        self._listed: dict[str, ListedBackEnd] = {}
+        # Names that were dropped in the grace time, and when each is gone for good.
+        self._doubtful: dict[str, float] = {}
+        self._away = False
+        self._grace_ends = float("-inf")
+
+    def __iter__(self):
+        return iter(list(self._listed.values()))
+
+    def __len__(self) -> int:
+        return len(self._listed)
+
+    def get(self, name: str) -> ListedBackEnd | None:
+        """Return the entry of a name, or None."""
+        return self._listed.get(name)
+
+    def replace(self, entries: Iterable[ListedBackEnd], now: float) -> None:
+        """Take a complete list."""
+        entries = {entry.name: entry for entry in entries}
+        for name in list(self._listed):
+            if name not in entries:
+                self.drop(name, now)
+        for entry in entries.values():
+            self.put(entry)
+
+    def put(self, entry: ListedBackEnd) -> None:
+        """Take a new or changed entry, unless it was written before the known one."""
+        known = self._listed.get(entry.name)
+        if known is not None and entry.written < known.written:
+            return
+        self._listed[entry.name] = entry
+        self._doubtful.pop(entry.name, None)
+
+    def drop(self, name: str, now: float) -> None:
+        """Take in that an entry was removed."""
+        entry = self._listed.get(name)
+        if entry is None:
+            return
+        if not entry.draining and (self._away or now < self._grace_ends):
+            self._doubtful[name] = max(self._grace_ends, now)
+        else:
+            self.forget(name)
+
+    def forget(self, name: str) -> None:
+        """Drop an entry at once, because its backend server is known to be gone."""
+        self._listed.pop(name, None)
+        self._doubtful.pop(name, None)
+
+    def directory_lost(self, now: float) -> None:
+        """Take in that the directory does not answer."""
+        self._away = True
+
+    def directory_back(self, now: float) -> None:
+        """Take in that the directory answers again."""
+        if self._away:
+            self._away = False
+            self._grace_ends = now + self._return_grace_s
+            for name in self._doubtful:
+                self._doubtful[name] = self._grace_ends
+
+    def expire(self, now: float) -> None:
+        """Forget the entries that did not come back in the grace time."""
+        if self._away:
+            return
+        for name, gone_at in list(self._doubtful.items()):
+            if now >= gone_at:
+                self.forget(name)
+
+    def usable(self, service: str, now: float) -> list[ListedBackEnd]:
+        """Return the backend servers of a service that may get new work."""
+        self.expire(now)
+        return [
+            entry
+            for entry in self._listed.values()
+            if entry.service == service and not entry.draining
+        ]
--- /dev/null
+++ b/src/laburnumreel/relay/_config.py
@@ -0,0 +1,183 @@
+"""The configuration of a relay: routes, services and customers, as one version."""
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import Iterable, Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class RouteKind(StrEnum):
+    """How often a request on a route may run."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+class Share(NamedTuple):
+    """A service and its weight among the services of a route."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """Requests for a host and a path prefix, and how they are served.
+
+    Times are in seconds. `objective_s` is the time to the first byte of an answer that is on time,
+    `gap_s` the longest pause between two events of a stream that is on time. `priority` 0 is the
+    most urgent. `attempts` is the number of backend servers that one request may be sent to.
+    `resumable` streams may be continued by another backend server. A `public` route needs no key.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[Share, ...]
+    timeout_s: float
+    objective_s: float
+    gap_s: float
+    priority: int
+    attempts: int
+    public: bool
+    resumable: bool
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+
+
+class EngineTraits(NamedTuple):
+    """What the engines of a service can do.
+
+    `kv_tokens` is the memory of one engine in tokens of `kv_token_bytes` each, `link_bytes_per_s`
+    the rate at which engines copy it. A prompt's copy is kept for `copy_keep_s`. A change of role
+    takes an engine away for `switch_s`.
+    """
+
+    slots: int
+    kv_tokens: int
+    kv_token_bytes: int
+    link_bytes_per_s: float
+    copy_keep_s: float
+    switch_s: float
+
+
+class Scaling(NamedTuple):
+    """How many backend servers of a service may be ordered in each availability zone.
+
+    `cheap_price` is the price of a cheap backend server as a share of a dedicated one's, which is
+    in `zone_prices`. A new backend server serves `boot_s` seconds after its order.
+    """
+
+    least: int
+    most: int
+    boot_s: float
+    cheap_price: float | None
+    zone_prices: Mapping[str, float]
+
+
+class RelayService(NamedTuple):
+    """A group of backend servers that serve the same requests."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: EngineTraits | None = None
+    scaling: Scaling | None = None
+
+
+class RelayCustomer(NamedTuple):
+    """A customer and its keys. Its priority, if it has one, goes before a route's."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
+class CallerLimits(NamedTuple):
+    """What a caller may send. Sizes are in bytes, times in seconds."""
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    idle_s: float = 15.0
+
+
+class RelayConfig(NamedTuple):
+    """One version of the whole configuration."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: Mapping[str, RelayService] = {}
+    customers: tuple[RelayCustomer, ...] = ()
+    limits: CallerLimits = CallerLimits()
+
+
+class RouteTable:
+    """The routes of a configuration by host and path, and its customers by key.
+
+    Keys are held as digests under a random secret of this process.
+
+    >>> route = Route("r", "a.example", "/quotes/", RouteKind.IDEMPOTENT, (), 1, 1, 0, 0, 1, 0, 0)
+    >>> table = RouteTable(RelayConfig(1, routes=(route,)))
+    >>> table.route("a.example", "/quotes/7").name
+    'r'
+    >>> table.route("a.example", "/other") is None
+    True
+    """
+
+    def __init__(self, config: RelayConfig) -> None:
+        self._config = config
+        self._secret = secrets.token_bytes(16)
+        self._by_host: dict[str, list[Route]] = {}
+        for route in sorted(config.routes, key=lambda route: -len(route.prefix)):
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+        self._customers = {
+            self._digest(key): customer for customer in config.customers for key in customer.keys
+        }
+
+    @property
+    def config(self) -> RelayConfig:
+        return self._config
+
+    @property
+    def version(self) -> int:
+        return self._config.version
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether routes that are not public need a key."""
+        return bool(self._config.customers)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix that begins the path, or None."""
+        routes = self._by_host.get(host.lower())
+        if routes is None:
+            routes = self._by_host.get(host.lower().partition(":")[0], ())
+        return next((route for route in routes if path.startswith(route.prefix)), None)
+
+    def customer(self, key: str) -> RelayCustomer | None:
+        """Return the customer that holds a key, or None."""
+        return self._customers.get(self._digest(key))
+
+    def _digest(self, key: str) -> bytes:
+        return hmac.new(self._secret, key.encode("utf-8", "replace"), hashlib.sha256).digest()
+
+
+def pick_share(shares: Iterable[Share], draw: float) -> str:
+    """Return the service that a draw from 0 to 1 falls to, by the weights.
+
+    >>> pick_share([Share("old", 90), Share("new", 10)], 0.95)
+    'new'
+    """
+    shares = [share for share in shares if share.weight > 0] or list(shares)
+    left = draw * sum(share.weight for share in shares)
+    for share in shares:
+        left -= share.weight
+        if left < 0:
+            return share.service
+    return shares[-1].service
--- /dev/null
+++ b/src/laburnumreel/relay/_duties.py
@@ -0,0 +1,160 @@
+"""The task that does what only one host may do: it reports usage and gives orders."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from laburnumreel.coordination import Answer, AuthorityBoard, GuardedSender
+from laburnumreel.core import Clock, Log, Task
+from laburnumreel.relay._back_ends import Address
+from laburnumreel.relay._events import (
+    REPORT_FAILED,
+    SEAL_FAILED,
+    WINDOW_REPORTED,
+    WINDOW_SEALED,
+)
+from laburnumreel.relay._metrics import RELAY_WINDOWS
+from laburnumreel.relay._ports import DutyWire
+from laburnumreel.relay._settings import UsageSettings
+from laburnumreel.relay._true_time import TrueTime
+from laburnumreel.relay._usage import UsageBook
+from laburnumreel.state import LEASE_TABLE, Authority, Check, Platform, Write
+
+DUTY_LEASE = "relay_duties"
+SEAL_TABLE = "relay_windows"
+TICK_S = 0.25
+# How long after its end a window is fixed: peers repeat their counts well within this time.
+SEAL_DELAY_S = 1.4
+# A window that is late by more than this many times the limit is given up.
+GIVE_UP_TIMES = 2.0
+# Fixed windows that are kept, so that a successor finds what its predecessor fixed.
+KEEP_WINDOWS = 40
+
+_log = Log("relay.duties")
+
+
+class Planner(Protocol):
+    """Gives orders while the lease is held."""
+
+    def step(self, authority: Authority, now: float) -> None: ...
+
+
+class Duties(Task):
+    """Works under the lease, from a while after it was gained.
+
+    The platform must never hear two holders in turn within its lease time; so a new holder keeps
+    still for `quiet_s`.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        board: AuthorityBoard,
+        sender: GuardedSender,
+        wire: DutyWire,
+        address: Callable[[], Address],
+        clock: Clock,
+        true_time: TrueTime,
+        book: UsageBook,
+        usage: UsageSettings,
+        quiet_s: float,
+        planner: Planner | None = None,
+    ) -> None:
+        super().__init__("duties", TICK_S)
+        self._platform = platform
+        self._board = board
+        self._sender = sender
+        self._wire = wire
+        self._address = address
+        self._clock = clock
+        self._true_time = true_time
+        self._book = book
+        self._usage = usage
+        self._quiet_s = quiet_s
+        self._planner = planner
+        self._fence: int | None = None
+        self._act_from = 0.0
+        self._reported: set[int] = set()
+        self._retry_at = 0.0
+
+    @property
+    def holds(self) -> bool:
+        """Whether this host does the duties now."""
+        return self._board.current(DUTY_LEASE) is not None
+
+    def tick(self) -> None:
+        now = self._clock.now()
+        authority = self._board.current(DUTY_LEASE)
+        if authority is None:
+            self._fence = None
+            return
+        if authority.fence != self._fence:
+            self._fence = authority.fence
+            self._act_from = now + self._quiet_s
+        if now < self._act_from:
+            return
+        if now >= self._retry_at:
+            self._report(authority)
+        if self._planner is not None:
+            self._planner.step(authority, now)
+
+    def _report(self, authority: Authority) -> None:
+        true_now = self._true_time.now()
+        newest = self._book.window(true_now - SEAL_DELAY_S) - 1
+        oldest = self._book.window(true_now - GIVE_UP_TIMES * self._usage.late_s)
+        for window in range(oldest, newest + 1):
+            if window in self._reported:
+                continue
+            counts = self._sealed(authority, window)
+            if counts is None or not self._send(authority, window, counts):
+                break
+        self._reported = {window for window in self._reported if window >= oldest}
+
+    def _sealed(self, authority: Authority, window: int) -> dict[str, int] | None:
+        """Fix a window's counts, or return those that were fixed before; None to try later."""
+        counts = self._book.sums(window)
+        key = f"{window:016d}"
+        if not counts:
+            row = self._platform.read(SEAL_TABLE, key)
+            if row.is_error():
+                return None
+            if row.ok is None:
+                # Nothing ran, or all who knew are gone; a report could only be wrong.
+                self._reported.add(window)
+                return None
+            return dict(row.ok.value["counts"])
+        checks = [
+            Check(LEASE_TABLE, DUTY_LEASE, authority.row_version),
+            Check(SEAL_TABLE, key, 0),
+        ]
+        sealed = self._platform.transact(checks, [Write(SEAL_TABLE, key, {"counts": counts})])
+        if sealed.is_ok():
+            _log.info(WINDOW_SEALED, window=window, counts=counts, fence=authority.fence)
+            return counts
+        error = sealed.error
+        row = error.rows.get((SEAL_TABLE, key))
+        if error.kind == "conflict" and row is not None:
+            return dict(row.value["counts"])
+        _log.warning(SEAL_FAILED, window=window, kind=error.kind, detail=error.detail[:200])
+        return None
+
+    def _send(self, authority: Authority, window: int, counts: dict[str, int]) -> bool:
+        current = self._board.current(DUTY_LEASE)
+        if current is None or current.fence != authority.fence:
+            return False
+        call = self._wire.usage(current, window, counts)
+        sent = self._sender.post(current, self._address(), call.path, call.body, call.headers)
+        detail = sent.error.detail if sent.is_error() else _problem(sent.ok)
+        if detail:
+            self._retry_at = self._clock.now() + 2 * TICK_S
+            RELAY_WINDOWS.inc(outcome="failed")
+            _log.warning(REPORT_FAILED, window=window, detail=detail[:200], fence=current.fence)
+            return False
+        self._reported.add(window)
+        RELAY_WINDOWS.inc(outcome="reported")
+        late_s = self._true_time.now() - self._book.ends_at(window)
+        _log.info(WINDOW_REPORTED, window=window, after_s=round(late_s, 2), fence=current.fence)
+        return True
+
+
+def _problem(answer: Answer) -> str:
+    return "" if answer.status == 200 else f"status {answer.status}: {answer.body}"
--- /dev/null
+++ b/src/laburnumreel/relay/_engine.py
@@ -0,0 +1,343 @@
+"""Requests to engines: a prompt is read, perhaps at an engine of its own, then a stream runs."""
+
+import http.client
+from collections.abc import Iterator
+
+from laburnumreel.core import Log
+from laburnumreel.relay._dispatcher import Assignment, Order
+from laburnumreel.relay._event_stream import EventSplitter
+from laburnumreel.relay._events import COPY_RELEASED, REQUEST_PLACED, REQUEST_RESUMED
+from laburnumreel.relay._job import LEAST_TIME_S, Job, RelayFailedError
+from laburnumreel.relay._requests import Dispatch, PromptCopy, Verdict
+from laburnumreel.relay._sending import Attempt, SendFailedError
+from laburnumreel.state import ErrorKind, Refusal, RunState
+from laburnumreel.transport import BackEndFailureError
+
+# A stream that can go on elsewhere is taken from an engine that is silent for this many of the
+# route's longest pauses, and before its first event for this many of its objectives. Both are below
+# the time after which callers give a silent stream up.
+SILENT_GAPS = 5.0
+SILENT_OBJECTIVES = 1.6
+LEAST_SILENT_S = 0.8
+# What an engine may take longer than was expected before it counts as silent.
+EXPECTED_TIMES = 2.5
+RELEASE_TIMEOUT_S = 1.0
+# Where a refusing engine names no time to come back.
+REFUSED_RETRY_S = 0.25
+
+_log = Log("relay.engine")
+
+
+class EngineRun:
+    """One request's way over engines, and the stream of its answer."""
+
+    def __init__(self, job: Job) -> None:
+        self._job = job
+        self._attempt: Attempt | None = None
+        self._assignment: Assignment | None = None
+        self._splitter = EventSplitter()
+        self._last_id = job.request.resume_after
+        self._ready: list[bytes] = []
+        self._read_before = False
+        self._ended = False
+        # The body of an engine's own failure, which is passed on if nothing better comes.
+        self._failure = b""
+        self.status = 0
+        self.headers: list[tuple[str, str]] = []
+        self.streams = False
+
+    @property
+    def back_end(self) -> str:
+        return self._assignment.runner.name if self._assignment is not None else ""
+
+    def start(self) -> bytes:
+        """Return the first event of the stream, or the whole of an answer that is none.
+
+        Raises `RelayFailedError`. `status`, `headers` and `streams` are set afterwards.
+        """
+        while True:
+            assignment, copy = self._read_prompt()
+            try:
+                return self._first(assignment, copy)
+            except SendFailedError as error:
+                self._give_up_attempt()
+                if self._may_go_on(error):
+                    continue
+                if error.trouble == "failed":
+                    return self._failure
+                raise RelayFailedError(_refusal(self._job, error)) from error
+            except BaseException:
+                self._give_up_attempt()
+                raise
+
+    def rest(self) -> Iterator[bytes]:
+        """Yield the events after the first; raises `RelayFailedError` where the stream breaks."""
+        try:
+            while True:
+                try:
+                    while (piece := self._next()) is not None:
+                        yield piece
+                    return
+                except SendFailedError as error:
+                    self._give_up_attempt()
+                    self._resume(error)
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """End the run and give its place back."""
+        self._give_up_attempt()
+
+    def _read_prompt(self) -> tuple[Assignment, PromptCopy | None]:
+        """Get places and, where the plan says so, have the prompt read by an engine of its own."""
+        while True:
+            assignment = self._place(self._job.sends_left >= 1 and not self._read_before)
+            if assignment.reader is None:
+                return assignment, None
+            try:
+                return assignment, self._read_apart(assignment)
+            except SendFailedError as error:
+                self._job.excluded |= {assignment.reader.name}
+                self._give_back_run(assignment)
+                if error.trouble != "unreachable":
+                    self._read_before = True
+                    self._job.sends += 1
+                    if not self._job.may_send_again():
+                        raise RelayFailedError(_refusal(self._job, error)) from error
+            except BaseException:
+                self._give_back_run(assignment)
+                raise
+
+    def _place(self, read_apart: bool, copied: bool = False) -> Assignment:
+        job, request = self._job, self._job.request
+        size = len(request.body or b"")
+        order = Order(
+            job.waiting, job.service.name, request.prompt, size, job.excluded, read_apart, copied
+        )
+        assignment = job.wait_for(job.parts.dispatcher.place(order))
+        plan = assignment.plan
+        _log.info(
+            REQUEST_PLACED,
+            request=request.request_id,
+            route=job.route.name,
+            back_end=assignment.runner.name,
+            reader=assignment.reader.name if assignment.reader else None,
+            read_tokens=plan.read_tokens if plan else None,
+            input_tokens=request.prompt.input_tokens,
+            expected_ms=round(plan.first_token_ms) if plan else None,
+            cost_ms=round(plan.cost_ms) if plan else None,
+            ahead_tokens=assignment.ahead_tokens,
+            streams=plan.generator.work.streams if plan else None,
+            candidates=assignment.candidates,
+            news_age_ms=round(1000 * assignment.news_age_s),
+            config_version=job.config_version,
+            waited_ms=round(1000 * job.waited_s),
+            sends=job.sends,
+        )
+        return assignment
+
+    def _read_apart(self, assignment: Assignment) -> PromptCopy:
+        job, parts, reader = self._job, self._job.parts, assignment.reader
+        dispatch = Dispatch(
+            job.request,
+            reader,
+            job.customer,
+            job.left_s,
+            priority=job.engine_priority,
+            only_read=True,
+        )
+        started = parts.clock.now()
+        expected_s = EXPECTED_TIMES * assignment.plan.first_token_ms / 1000
+        silent_s = min(max(LEAST_SILENT_S, expected_s), max(0.01, job.left_s))
+        try:
+            with Attempt(job, dispatch) as attempt:
+                verdict = attempt.send(silent_s)
+                body = attempt.read_all()
+                status = attempt.exchange.status
+                if verdict.outcome != "success":
+                    raise SendFailedError("lost", f"reading was answered {status}", False)
+        except BaseException:
+            parts.dispatcher.ended(reader.name, assignment.read_work, job.service.name)
+            raise
+        took_ms = 1000 * (parts.clock.now() - started)
+        parts.dispatcher.read(assignment, job.request.prompt, took_ms)
+        copy = parts.wire.prompt_copy(reader.address, body)
+        if copy.is_error():
+            raise SendFailedError("not_genuine", copy.error, False)
+        return copy.ok
+
+    def _first(self, assignment: Assignment, copy: PromptCopy | None) -> bytes:
+        """Send the request to the engine that generates and return the beginning of its answer."""
+        job = self._job
+        try:
+            verdict = self._send_copy(assignment, copy)
+        except BaseException as error:
+            self._release(copy, error)
+            raise
+        exchange = self._attempt.exchange
+        self.status, self.headers = exchange.status, exchange.headers
+        if verdict.outcome == "failure":
+            self._failure = self._attempt.read_all()
+            job.parts.dispatcher.judged(self.back_end, failed=True)
+            job.ran = RunState.RAN
+            raise SendFailedError("failed", f"status {self.status}", True)
+        piece = self._next()
+        if piece is None:
+            raise SendFailedError("lost", "the stream has no event", True)
+        self.streams = True
+        job.count_begun()
+        return piece
+
+    def _send_copy(self, assignment: Assignment, copy: PromptCopy | None) -> Verdict:
+        """Send the request; a copy that was read for it is taken to another engine if need be."""
+        while True:
+            try:
+                return self._send(assignment, copy)
+            except SendFailedError as error:
+                if copy is None or error.trouble != "unreachable":
+                    raise
+                assignment = self._place(read_apart=False, copied=True)
+
+    def _send(self, assignment: Assignment, copy: PromptCopy | None) -> Verdict:
+        job = self._job
+        self._assignment = assignment
+        self._splitter = EventSplitter()
+        self._ready = []
+        self._ended = False
+        dispatch = Dispatch(
+            job.request,
+            assignment.runner,
+            job.customer,
+            job.left_s,
+            priority=job.engine_priority,
+            prompt_copy=copy,
+            resume_after=self._last_id,
+        )
+        job.excluded |= {assignment.runner.name}
+        self._attempt = Attempt(job, dispatch)
+        try:
+            verdict = self._attempt.send(self._first_silent_s(assignment))
+        except SendFailedError as error:
+            if error.trouble != "unreachable":
+                job.sends += 1
+            self._give_up_attempt()
+            raise
+        job.sends += 1
+        return verdict
+
+    def _next(self) -> bytes | None:
+        """Return the next whole events, those of one read together, or None at the end."""
+        while not self._ready:
+            if self._ended:
+                return None
+            data = self._attempt.read()
+            if not data:
+                if not self._attempt.exchange.complete or self._splitter.rest:
+                    raise SendFailedError("lost", "the stream ended early", True)
+                self._ended = True
+                self._job.parts.dispatcher.judged(self.back_end, failed=False)
+                return None
+            try:
+                events = self._splitter.feed(data)
+            except ValueError as error:
+                raise SendFailedError("not_genuine", str(error), True) from error
+            if events:
+                self._last_id = events[-1].id or self._last_id
+                self._ready.append(b"".join(event.raw for event in events))
+                self._attempt.exchange.set_timeout(self._gap_silent_s())
+        return self._ready.pop(0)
+
+    def _resume(self, error: SendFailedError) -> None:
+        """Let the stream go on at another engine, or raise `RelayFailedError`."""
+        job = self._job
+        while True:
+            allowed = job.route.resumable and self._last_id is not None and job.may_send_again()
+            if not allowed:
+                raise RelayFailedError(_refusal(job, error)) from error
+            assignment = self._place(read_apart=False)
+            _log.info(
+                REQUEST_RESUMED,
+                request=job.request.request_id,
+                back_end=assignment.runner.name,
+                after=self._last_id,
+                cause=error.trouble,
+            )
+            try:
+                verdict = self._send(assignment, None)
+                if verdict.outcome == "success":
+                    return
+                error = SendFailedError("lost", "resuming was answered by a failure", True)
+            except SendFailedError as failure:
+                error = failure
+            self._give_up_attempt()
+
+    def _may_go_on(self, error: SendFailedError) -> bool:
+        job = self._job
+        if job.running.aborted is not None or job.left_s <= LEAST_TIME_S:
+            return False
+        if error.trouble == "unreachable":
+            return True
+        if error.may_have_run and not job.route.repeatable:
+            return False
+        return job.may_send_again()
+
+    def _first_silent_s(self, assignment: Assignment) -> float:
+        job = self._job
+        left_s = max(0.01, job.left_s)
+        if not job.route.repeatable or job.sends_left <= 1:
+            return left_s
+        expected_s = EXPECTED_TIMES * assignment.plan.first_token_ms / 1000
+        silent_s = max(LEAST_SILENT_S, SILENT_OBJECTIVES * job.route.objective_s, expected_s)
+        return min(silent_s, left_s / 2)
+
+    def _gap_silent_s(self) -> float:
+        job = self._job
+        left_s = max(0.01, job.left_s)
+        if not job.route.resumable or job.sends_left <= 0:
+            return left_s
+        return min(left_s, max(LEAST_SILENT_S, SILENT_GAPS * job.route.gap_s))
+
+    def _give_up_attempt(self) -> None:
+        attempt, self._attempt = self._attempt, None
+        assignment, self._assignment = self._assignment, None
+        if attempt is not None:
+            attempt.close()
+        if assignment is not None:
+            self._give_back_run(assignment)
+
+    def _give_back_run(self, assignment: Assignment) -> None:
+        service = self._job.service.name
+        self._job.parts.dispatcher.ended(assignment.runner.name, assignment.run_work, service)
+
+    def _release(self, copy: PromptCopy | None, error: BaseException) -> None:
+        """Free a copy that will not be taken, so that its engine gets the memory back."""
+        if copy is None:
+            return
+        parts = self._job.parts
+        method, path = parts.wire.release(copy)
+        _log.info(
+            COPY_RELEASED,
+            request=self._job.request.request_id,
+            cause=str(error)[:200],
+        )
+        try:
+            exchange = parts.pool.open(copy.address)
+            try:
+                exchange.send(method, path, {}, None, RELEASE_TIMEOUT_S)
+                while exchange.read():
+                    pass
+            finally:
+                exchange.close()
+        except (BackEndFailureError, http.client.HTTPException) as failure:
+            # The engine frees the copy by itself after its keep time.
+            _log.debug(COPY_RELEASED, cause=str(failure))
+
+
+def _refusal(job: Job, error: SendFailedError) -> Refusal:
+    if job.running.aborted is not None:
+        return job.abort_refusal()
+    if job.ran is RunState.NOT_RUN:
+        retry_after_s = error.retry_after_s if error.retry_after_s is not None else REFUSED_RETRY_S
+        return Refusal(ErrorKind.NO_BACK_END, str(error), retry_after_s)
+    kind = ErrorKind.BACK_END_TIMEOUT if error.trouble == "silent" else ErrorKind.INCOMPLETE_ANSWER
+    return Refusal(kind, str(error), run_state=RunState.UNKNOWN)
--- /dev/null
+++ b/src/laburnumreel/relay/_events.py
@@ -0,0 +1,54 @@
+"""The log events of the relay."""
+
+from laburnumreel.core import define_event
+
+RELAY_STARTED = define_event(600, "relay_started", "the relay serves callers")
+RELAY_STOPPING = define_event(601, "relay_stopping", "the relay was told to stop")
+RELAY_STOPPED = define_event(602, "relay_stopped", "the relay has stopped")
+RELAY_STOP_INCOMPLETE = define_event(
+    603, "relay_stop_incomplete", "requests still run at the end of the time to stop"
+)
+SETTINGS_RELOADED = define_event(604, "relay_settings_reloaded", "the settings file has changed")
+SETTINGS_REJECTED = define_event(
+    605, "relay_settings_rejected", "the changed settings file is wrong; the old settings stay"
+)
+RELAY_READY = define_event(606, "relay_ready", "the relay became ready or stopped being ready")
+
+RELAY_CONFIGURED = define_event(610, "relay_configured", "a new configuration is in force")
+DIRECTORY_LOST = define_event(611, "directory_lost", "a table of the store does not answer")
+DIRECTORY_BACK = define_event(612, "directory_back", "a table of the store answers again")
+DIRECTORY_REREAD = define_event(613, "directory_reread", "a table of the store is read whole")
+BACK_END_LISTED = define_event(614, "back_end_listed", "a backend server was listed or changed")
+BACK_END_GONE = define_event(615, "back_end_gone", "a backend server is no longer listed")
+PEER_HEARD = define_event(616, "relay_peer_heard", "a peer was heard for the first time")
+PEER_SILENT = define_event(617, "relay_peer_silent", "a peer was not heard for too long")
+NEWS_UNREADABLE = define_event(618, "news_unreadable", "a datagram from a peer is unreadable")
+BACK_END_AVOIDED = define_event(
+    619, "back_end_avoided", "a backend server gets no requests for a time"
+)
+MEMBERS_UNREADABLE = define_event(620, "members_unreadable", "the list of hosts is not available")
+RECORD_UNREADABLE = define_event(
+    621, "record_unreadable", "an entry of the store names nothing usable"
+)
+TRUE_TIME_AGREED = define_event(622, "true_time_agreed", "the time of day was agreed on")
+
+REQUEST_PLACED = define_event(630, "request_placed", "backend servers were chosen for a request")
+REQUEST_REFUSED = define_event(631, "request_refused", "a request was refused without running")
+ATTEMPT_FAILED = define_event(632, "attempt_failed", "a backend server did not serve a request")
+REQUEST_SERVED = define_event(633, "request_served", "a request was answered")
+REQUEST_LOST = define_event(634, "request_lost", "a request ended without a whole answer")
+REQUEST_RESUMED = define_event(635, "request_resumed", "a stream goes on at another backend server")
+REQUEST_HELD_BACK = define_event(
+    636, "request_held_back", "a request crashed backend servers and is held back"
+)
+COPY_RELEASED = define_event(637, "copy_released", "a prompt that was read will not be used")
+RELAY_REQUEST_FAILED = define_event(638, "relay_request_failed", "a request met an internal error")
+
+WINDOW_SEALED = define_event(650, "window_sealed", "the usage of a window was fixed")
+WINDOW_REPORTED = define_event(651, "window_reported", "the usage of a window was reported")
+REPORT_FAILED = define_event(652, "report_failed", "the usage of a window could not be reported")
+SEAL_FAILED = define_event(653, "seal_failed", "the usage of a window could not be fixed")
+CAPACITY_ORDERED = define_event(654, "capacity_ordered", "backend servers were ordered")
+CAPACITY_REFUSED = define_event(655, "capacity_refused", "an order of backend servers failed")
+ROLE_ORDERED = define_event(656, "role_ordered", "an engine was ordered to change its role")
+ROLE_REFUSED = define_event(657, "role_refused", "an order to an engine failed")
--- /dev/null
+++ b/src/laburnumreel/relay/_job.py
@@ -0,0 +1,180 @@
+"""One request in work, and what its thread uses."""
+
+import hashlib
+import random
+from collections.abc import Callable
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import NamedTuple
+
+from laburnumreel.core import Clock
+from laburnumreel.relay._config import RelayService, Route
+from laburnumreel.relay._dispatcher import Assignment, Dispatcher
+from laburnumreel.relay._ports import BackEndWire
+from laburnumreel.relay._requests import RelayRequest
+from laburnumreel.relay._waiting import Waiting
+from laburnumreel.serving import Running
+from laburnumreel.state import ErrorKind, Refusal, RunState
+from laburnumreel.transport import BackEndPool
+
+# A request that waits looks this often whether its caller has left.
+WAIT_SLICE_S = 0.1
+# What a request needs at least to be answered; with less time left it is not sent any more.
+LEAST_TIME_S = 0.03
+# Priorities that engines know: requests that can still be on time by their route's rank, then the
+# late ones.
+MOST_URGENT, LEAST_URGENT_ON_TIME, LATE = 1, 4, 6
+
+
+class RelayFailedError(Exception):
+    """A request that ends without a backend server's answer."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail or refusal.kind)
+        self.refusal = refusal
+
+
+class Parts(NamedTuple):
+    """What every request thread uses."""
+
+    clock: Clock
+    dispatcher: Dispatcher
+    pool: BackEndPool
+    wire: BackEndWire
+    rng: random.Random
+    began: Callable[[str], None]
+
+
+class Job:
+    """A request that passed its checks: its route, customer, times, and sends so far.
+
+    `ran` tells what is known of its execution: not-run until a byte was sent to a backend server
+    that may have run it.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        request: RelayRequest,
+        route: Route,
+        service: RelayService,
+        customer: str,
+        priority: int,
+        running: Running,
+        config_version: int,
+    ) -> None:
+        self.parts = parts
+        self.request = request
+        self.route = route
+        self.service = service
+        self.customer = customer
+        self.priority = priority
+        self.running = running
+        self.config_version = config_version
+        self.digest = request_digest(request, customer)
+        self.excluded: frozenset[str] = frozenset()
+        self.ran = RunState.NOT_RUN
+        self.sends = 0
+        # Whether the answer goes on after the application has returned.
+        self.streaming = False
+        self._counted = False
+
+    @property
+    def due(self) -> float:
+        """When the answer must begin to be on time."""
+        return self.request.arrived_at + self.route.objective_s
+
+    @property
+    def left_s(self) -> float:
+        """The time until the request is given up, in seconds."""
+        return self.running.deadline - self.parts.clock.now()
+
+    @property
+    def waited_s(self) -> float:
+        return self.parts.clock.now() - self.request.arrived_at
+
+    @property
+    def sends_left(self) -> int:
+        return self.route.attempts - self.sends
+
+    @property
+    def waiting(self) -> Waiting:
+        return Waiting(
+            self.request.request_id,
+            self.priority,
+            self.request.arrived_at,
+            self.due,
+            self.running.deadline - LEAST_TIME_S,
+        )
+
+    @property
+    def engine_priority(self) -> int:
+        """The priority that an engine is told: 0 is the most urgent."""
+        if self.parts.clock.now() >= self.due:
+            return LATE
+        return min(LEAST_URGENT_ON_TIME, MOST_URGENT + self.priority)
+
+    def wait_for(self, future: Future) -> Assignment:
+        """Return the place that the dispatcher gives, or raise `RelayFailedError`."""
+        request_id = self.request.request_id
+        while True:
+            try:
+                outcome = future.result(WAIT_SLICE_S)
+                break
+            except FutureTimeoutError:
+                if self.running.aborted is None:
+                    continue
+                self.parts.dispatcher.withdraw(request_id)
+                if future.done():
+                    self.give_back(future.result())
+                raise RelayFailedError(self.abort_refusal()) from None
+        if isinstance(outcome, Refusal):
+            raise RelayFailedError(self.truthful(outcome))
+        if self.running.aborted is not None:
+            self.give_back(outcome)
+            raise RelayFailedError(self.abort_refusal())
+        return outcome
+
+    def give_back(self, assignment: Assignment | Refusal) -> None:
+        """Give places back that will not be used."""
+        if isinstance(assignment, Refusal):
+            return
+        dispatcher = self.parts.dispatcher
+        if assignment.reader is not None:
+            dispatcher.ended(assignment.reader.name, assignment.read_work, self.service.name)
+        dispatcher.ended(assignment.runner.name, assignment.run_work, self.service.name)
+
+    def truthful(self, refusal: Refusal) -> Refusal:
+        """Return a refusal that does not promise more than is known of the request."""
+        if self.ran is RunState.NOT_RUN:
+            return refusal
+        return Refusal(ErrorKind.BACK_END_LOST, refusal.detail, run_state=self.ran)
+
+    def abort_refusal(self) -> Refusal:
+        """Return why the request was aborted, with what is known of its execution."""
+        aborted = self.running.aborted
+        kind = aborted.kind if aborted is not None else ErrorKind.BACK_END_TIMEOUT
+        if kind is ErrorKind.BACK_END_TIMEOUT and self.ran is RunState.NOT_RUN:
+            kind = ErrorKind.DEADLINE_UNMEETABLE
+        return Refusal(kind, "the request's time is over", run_state=self.ran)
+
+    def may_send_again(self) -> bool:
+        """Return whether one more send is allowed by the route and the budget, and count it."""
+        if self.sends_left <= 0 or self.left_s <= LEAST_TIME_S or self.running.aborted is not None:
+            return False
+        return self.parts.dispatcher.may_retry(self.service.name)
+
+    def count_begun(self) -> None:
+        """Count the request for its customer, once."""
+        if not self._counted:
+            self._counted = True
+            self.parts.began(self.customer)
+
+
+def request_digest(request: RelayRequest, customer: str) -> str:
+    """Return what a request has in common with the same one sent again."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (customer, request.method, request.host, request.target):
+        digest.update(part.encode("utf-8", "replace") + b"\0")
+    digest.update(request.body or b"")
+    return digest.hexdigest()
--- /dev/null
+++ b/src/laburnumreel/relay/_members.py
@@ -0,0 +1,66 @@
+"""The hosts of a deployment, as rows that each writes for itself."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from expression import Result
+
+from laburnumreel.coordination import address_text, parse_address
+from laburnumreel.relay._back_ends import Address
+from laburnumreel.state import Check, Platform, PlatformError, Row, Write
+
+MEMBER_TABLE = "relay_hosts"
+TIME_TABLE = "relay_time"
+STORE_ZERO_KEY = "store_zero"
+MOST_MEMBERS = 500
+
+
+class Member(NamedTuple):
+    """A host's row: where its peers reach it, and which start of its process wrote it."""
+
+    name: str
+    address: Address
+    boot: str
+
+
+class Members:
+    """Reads and writes the rows of hosts, and the row on which all agree the time of day."""
+
+    def __init__(self, platform: Platform) -> None:
+        self._platform = platform
+
+    def join(self, member: Member) -> Result[int, PlatformError]:
+        """Write this host's row, whatever an earlier start left there."""
+        value = {"address": address_text(member.address), "boot": member.boot}
+        return self._platform.transact([], [Write(MEMBER_TABLE, member.name, value)])
+
+    def leave(self, name: str) -> Result[int, PlatformError]:
+        """Remove the row of a host."""
+        return self._platform.transact([], [Write(MEMBER_TABLE, name, None)])
+
+    def list(self) -> Result[list[Member], PlatformError]:
+        """Return the hosts that have a row."""
+        page = self._platform.scan(MEMBER_TABLE, limit=MOST_MEMBERS)
+        return page.map(lambda ok: [member for row in ok.rows if (member := _member(row))])
+
+    def store_zero(self) -> Result[float | None, PlatformError]:
+        """Return the agreed time of day at which the store's clock was zero, or None."""
+        return self._platform.read(TIME_TABLE, STORE_ZERO_KEY).map(_store_zero)
+
+    def propose_store_zero(self, store_zero: float) -> Result[int, PlatformError]:
+        """Write the time of day of the store clock's zero unless another host has."""
+        return self._platform.transact(
+            [Check(TIME_TABLE, STORE_ZERO_KEY, 0)],
+            [Write(TIME_TABLE, STORE_ZERO_KEY, {"unix_s": store_zero})],
+        )
+
+
+def _member(row: Row) -> Member | None:
+    address = parse_address(str(row.value.get("address", "")))
+    return Member(row.key, address, str(row.value.get("boot", ""))) if address else None
+
+
+def _store_zero(row: Row | None) -> float | None:
+    value: Mapping = row.value if row is not None else {}
+    found = value.get("unix_s")
+    return float(found) if isinstance(found, int | float) else None
--- /dev/null
+++ b/src/laburnumreel/relay/_membership.py
@@ -0,0 +1,88 @@
+"""The task that makes this host known to its peers, and agrees the time of day with them."""
+
+from collections.abc import Callable
+
+from laburnumreel.core import Clock, Log, Task
+from laburnumreel.relay._events import MEMBERS_UNREADABLE, TRUE_TIME_AGREED
+from laburnumreel.relay._members import Member, Members
+from laburnumreel.relay._peers import PeerNews
+from laburnumreel.relay._true_time import TrueTime
+
+TICK_S = 0.5
+# Peers that come later make themselves known; the list only helps where their news was lost.
+LIST_EVERY_S = 20.0
+LIST_EVERY_ALONE_S = 2.0
+
+_log = Log("relay.membership")
+
+
+class Membership(Task):
+    """Writes this host's row, introduces the peers, and settles the time of day."""
+
+    def __init__(
+        self,
+        me: Member,
+        members: Members,
+        peers: PeerNews,
+        true_time: TrueTime,
+        clock: Clock,
+        on_hosts: Callable[[int], None],
+    ) -> None:
+        super().__init__("membership", TICK_S)
+        self._me = me
+        self._members = members
+        self._peers = peers
+        self._true_time = true_time
+        self._clock = clock
+        self._on_hosts = on_hosts
+        self._joined = False
+        self._agreed = False
+        self._next_list = 0.0
+        self._hosts = 0
+
+    def tick(self) -> None:
+        if not self._joined:
+            joined = self._members.join(self._me)
+            self._joined = joined.is_ok()
+            if joined.is_error():
+                _log.warning(MEMBERS_UNREADABLE, kind=joined.error.kind, detail=joined.error.detail)
+        now = self._clock.now()
+        if now >= self._next_list:
+            self._list(now)
+        if not self._agreed:
+            self._agree()
+        hosts = 1 + len(self._peers.heard)
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._on_hosts(hosts)
+
+    def close(self) -> None:
+        left = self._members.leave(self._me.name)
+        if left.is_error():
+            _log.warning(MEMBERS_UNREADABLE, kind=left.error.kind, detail=left.error.detail)
+
+    def _list(self, now: float) -> None:
+        listed = self._members.list()
+        if listed.is_error():
+            _log.warning(MEMBERS_UNREADABLE, kind=listed.error.kind, detail=listed.error.detail)
+            self._next_list = now + LIST_EVERY_ALONE_S
+            return
+        self._peers.meet(member.address for member in listed.ok if member.name != self._me.name)
+        alone = not self._peers.heard
+        self._next_list = now + (LIST_EVERY_ALONE_S if alone else LIST_EVERY_S)
+
+    def _agree(self) -> None:
+        proposal = self._true_time.proposal()
+        if proposal is None:
+            return
+        agreed = self._members.store_zero()
+        if agreed.is_error():
+            return
+        if agreed.ok is None:
+            self._members.propose_store_zero(proposal)
+            return
+        self._true_time.agree(agreed.ok)
+        self._agreed = True
+        _log.info(
+            TRUE_TIME_AGREED, own_clock_off_s=round(proposal - agreed.ok, 3), hosts=self._hosts
+        )
--- /dev/null
+++ b/src/laburnumreel/relay/_metrics.py
@@ -0,0 +1,29 @@
+"""The metrics of the relay."""
+
+from laburnumreel.core import define_counter, define_gauge, define_histogram
+
+SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0)
+
+RELAY_REQUESTS = define_counter(
+    "laburnumreel_relay_requests_total", "requests by route kind and outcome", ("kind", "outcome")
+)
+RELAY_FIRST_BYTE_S = define_histogram(
+    "laburnumreel_relay_first_byte_seconds",
+    "time from a request to the first byte of its answer",
+    SECONDS,
+    ("kind",),
+)
+RELAY_WAIT_S = define_histogram(
+    "laburnumreel_relay_wait_seconds", "time that requests waited for a place", SECONDS
+)
+RELAY_ATTEMPTS = define_counter(
+    "laburnumreel_relay_attempts_total", "sends to backend servers by outcome", ("outcome",)
+)
+RELAY_WAITING = define_gauge("laburnumreel_relay_waiting", "requests that wait for a place")
+RELAY_PEERS = define_gauge("laburnumreel_relay_peers", "peers heard from lately")
+RELAY_STORE_CALLS = define_counter(
+    "laburnumreel_relay_store_calls_total", "calls to the store by outcome", ("outcome",)
+)
+RELAY_WINDOWS = define_counter(
+    "laburnumreel_relay_windows_total", "usage windows by what became of them", ("outcome",)
+)
--- /dev/null
+++ b/src/laburnumreel/relay/_news.py
@@ -0,0 +1,97 @@
+"""News between the hosts of a deployment, and its datagrams."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.Thrift import TException
+from thrift.transport.TTransport import TMemoryBuffer
+
+from laburnumreel.protocol.gen.relay import ttypes
+from laburnumreel.relay._work import Work
+
+# What one UDP datagram over IPv4 can carry.
+MOST_BYTES = 65507
+
+
+class News(NamedTuple):
+    """What a host tells its peers, all of it each time.
+
+    `work` is its unfinished work by backend server. `avoided` and `held_back` are beliefs with the
+    seconds for which they still hold: backend servers that could not be reached, and digests of
+    requests that crash backend servers; `crashes` are digests with one crash against them. `usage`
+    are counts of requests by window and customer.
+    """
+
+    sender: str
+    boot: str
+    address: str
+    sequence: int
+    config_version: int
+    stopping: bool
+    work: Mapping[str, Work]
+    avoided: Mapping[str, float]
+    held_back: Mapping[str, float]
+    crashes: Mapping[str, float]
+    leaving: tuple[str, ...]
+    usage: Mapping[int, Mapping[str, int]]
+
+
+def encode_news(news: News) -> bytes:
+    """Return the datagram of a host's news."""
+    struct = ttypes.News(
+        sender=news.sender,
+        boot=news.boot,
+        address=news.address,
+        sequence=news.sequence,
+        config_version=news.config_version,
+        stopping=news.stopping,
+        work=[ttypes.Work(name, *work) for name, work in news.work.items()],
+        avoided=_timed(news.avoided),
+        held_back=_timed(news.held_back),
+        crashes=_timed(news.crashes),
+        leaving=list(news.leaving),
+        usage=[ttypes.WindowCounts(window, dict(counts)) for window, counts in news.usage.items()],
+    )
+    buffer = TMemoryBuffer()
+    struct.write(TCompactProtocol(buffer))
+    return buffer.getvalue()
+
+
+def decode_news(datagram: bytes) -> Result[News, str]:
+    """Return the news of a datagram, or what is wrong with it."""
+    struct = ttypes.News()
+    try:
+        struct.read(TCompactProtocol(TMemoryBuffer(datagram)))
+        return Ok(
+            News(
+                sender=struct.sender,
+                boot=struct.boot,
+                address=struct.address,
+                sequence=struct.sequence,
+                config_version=struct.config_version,
+                stopping=struct.stopping,
+                work={
+                    each.back_end: Work(
+                        each.requests, each.reading_tokens, each.streams, each.kv_tokens
+                    )
+                    for each in struct.work
+                },
+                avoided=_seconds(struct.avoided),
+                held_back=_seconds(struct.held_back),
+                crashes=_seconds(struct.crashes),
+                leaving=tuple(struct.leaving),
+                usage={each.window: each.counts for each in struct.usage},
+            )
+        )
+    except (TException, EOFError, TypeError, ValueError, UnicodeDecodeError) as error:
+        return Error(repr(error))
+
+
+def _timed(beliefs: Mapping[str, float]) -> list[ttypes.Timed]:
+    return [ttypes.Timed(subject, round(1000 * left)) for subject, left in beliefs.items()]
+
+
+def _seconds(beliefs: list[ttypes.Timed]) -> dict[str, float]:
+    return {each.subject: each.remaining_ms / 1000 for each in beliefs}
--- /dev/null
+++ b/src/laburnumreel/relay/_node.py
@@ -0,0 +1,372 @@
+"""The relay's one process on a host: its tasks wired together, from start to stop."""
+
+import contextlib
+import gc
+import random
+import secrets
+import signal
+import threading
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from expression import Result
+
+from laburnumreel.coordination import AuthorityBoard, GuardedSender, LeaseKeeper
+from laburnumreel.core import Log, SettingsError, SystemClock, Task
+from laburnumreel.relay._application import RelayApplication
+from laburnumreel.relay._back_ends import ListedBackEnd
+from laburnumreel.relay._config import RelayConfig
+from laburnumreel.relay._dispatcher import Dispatcher
+from laburnumreel.relay._duties import DUTY_LEASE, Duties
+from laburnumreel.relay._events import (
+    RELAY_CONFIGURED,
+    RELAY_READY,
+    RELAY_STARTED,
+    RELAY_STOP_INCOMPLETE,
+    RELAY_STOPPED,
+    RELAY_STOPPING,
+    SETTINGS_REJECTED,
+    SETTINGS_RELOADED,
+)
+from laburnumreel.relay._feeds import FeedFollower
+from laburnumreel.relay._job import Parts
+from laburnumreel.relay._members import Member, Members
+from laburnumreel.relay._membership import Membership
+from laburnumreel.relay._news import News
+from laburnumreel.relay._peers import PeerNews
+from laburnumreel.relay._placement import Place
+from laburnumreel.relay._ports import BackEndWire, CallerWire, Directory, DutyWire, Listing
+from laburnumreel.relay._settings import RelaySettings
+from laburnumreel.relay._true_time import TrueTime
+from laburnumreel.relay._usage import UsageBook
+from laburnumreel.serving import RequestRegistry
+from laburnumreel.state import Lease, LeaseSettings, Platform
+from laburnumreel.transport import BackEndPool, HttpOrderLink, HttpServer, admin_server
+
+# The balancer asks once a second and takes a host out after two answers that say not ready, so
+# that new connections come for about this long after a stop began.
+NOTICE_S = 3.0
+# What is left of the time to stop when the last requests are cut.
+LAST_MOMENT_S = 0.8
+STOP_CHECK_S = 0.05
+# How often the settings file is looked at, for changes that no signal tells.
+SETTINGS_CHECK_S = 1.0
+# A caller that has left is noticed within this time, and its work is stopped.
+GONE_CHECK_S = 0.1
+# A backend server that lapsed while the store was away is back within about two seconds.
+RETURN_GRACE_S = 2.2
+# The longest way to a backend server is some tens of milliseconds, and a lost packet is sent again
+# after a second.
+CONNECT_TIMEOUT_S = 0.4
+TASK_THREADS = 20
+READINESS_THREADS = 1
+# Threads that refuse while all others are in work.
+SPARE_THREADS = 8
+# Peers hear of usage with every so many news, which is several times before a window is fixed.
+USAGE_EVERY = 3
+USAGE_WINDOWS = 4
+# The platform must never hear two holders of a duty in turn within three seconds.
+QUIET_S = 3.2
+ORDER_TIMEOUT_S = 1.5
+# New objects between collections of the youngest generation.
+GC_THRESHOLD = 20_000
+
+_log = Log("relay.node")
+
+
+class Adapter(NamedTuple):
+    """What connects a relay to the systems around it.
+
+    `platform` serves the lease with short timeouts of its own, `store` everything else.
+    """
+
+    store: Platform
+    lease_store: Platform
+    directory: Directory
+    callers: CallerWire
+    back_ends: BackEndWire
+    duties: DutyWire
+    readiness_path: str
+
+
+class _NoTimer:
+    """Stands for the timer that ends a process with its authority.
+
+    A relay serves callers in the same process, and looks at its authority right before each send.
+    A process that is paused in between sends as it wakes, which the platform allows for.
+    """
+
+    def arm(self, end: float) -> None:
+        """Leave the process alone."""
+
+    def disarm(self) -> None:
+        """Leave the process alone."""
+
+
+class RelayNode:
+    """Wires a relay's tasks together and runs them until it is told to stop."""
+
+    def __init__(self, settings: RelaySettings, adapter: Adapter) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._boot = secrets.token_hex(4)
+        self._clock = SystemClock()
+        self._rng = random.Random()
+        self._stop = threading.Event()
+        self._reload = threading.Event()
+        self._stopping = False
+        self._ready = False
+        self._peer_version = 0
+        host = settings.host
+        self._true_time = TrueTime(self._clock)
+        self._book = UsageBook(settings.usage.window_s)
+        self._dispatcher = Dispatcher(
+            self._clock,
+            Place(host.zone, host.region),
+            host.regions,
+            settings.retry,
+            RETURN_GRACE_S,
+            self._rng,
+        )
+        self._registry = RequestRegistry(self._clock, lambda now: False, GONE_CHECK_S)
+        self._pool = BackEndPool(connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._application = RelayApplication(
+            Parts(
+                self._clock,
+                self._dispatcher,
+                self._pool,
+                adapter.back_ends,
+                self._rng,
+                self._began,
+            ),
+            adapter.callers,
+            self._registry,
+            lambda: self._peer_version,
+            self._rng,
+        )
+        directory = adapter.directory
+        self._config_feed = FeedFollower(
+            "configuration",
+            directory.configuration,
+            self._clock,
+            self._rng,
+            self._on_configuration,
+            lambda back: None,
+        )
+        self._back_end_feed = FeedFollower(
+            "back_ends",
+            directory.back_ends,
+            self._clock,
+            self._rng,
+            self._on_back_ends,
+            self._dispatcher.directory,
+        )
+        self._peers = PeerNews(
+            settings.listen.peers,
+            self._clock,
+            settings.news_interval_s,
+            self._news,
+            self._on_news,
+            self._dispatcher.peer_silent,
+        )
+        self._membership = Membership(
+            Member(host.name, settings.listen.peers, self._boot),
+            Members(adapter.store),
+            self._peers,
+            self._true_time,
+            self._clock,
+            self._dispatcher.hosts,
+        )
+        board = AuthorityBoard(self._clock)
+        lease_settings = LeaseSettings(settings.lease.term_s, settings.lease.margin_s)
+        lease = Lease(DUTY_LEASE, host.name, self._boot, *lease_settings)
+        self._keeper = LeaseKeeper(
+            adapter.lease_store,
+            board,
+            _NoTimer(),
+            self._clock,
+            [lease],
+            lease_settings,
+            self._rng,
+        )
+        self._duties = Duties(
+            adapter.store,
+            board,
+            GuardedSender(board, HttpOrderLink(ORDER_TIMEOUT_S, settings.lease.margin_s)),
+            adapter.duties,
+            lambda: self._settings.duties,
+            self._clock,
+            self._true_time,
+            self._book,
+            settings.usage,
+            QUIET_S,
+        )
+        self._callers = HttpServer(
+            self._application, settings.listen.callers, settings.threads + SPARE_THREADS
+        )
+        self._readiness = HttpServer(
+            self._answer_readiness, settings.listen.readiness, READINESS_THREADS
+        )
+        self._admin = admin_server(settings.listen.admin, self._admin_readiness)
+
+    def run(self, reread: Callable[[], Result[RelaySettings, list[SettingsError]]]) -> int:
+        """Serve until SIGTERM and return the exit code. `reread` loads the settings again."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self._stop.set())
+        signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
+        tasks: list[Task] = [
+            self._dispatcher,
+            self._registry,
+            self._config_feed,
+            self._back_end_feed,
+            self._peers,
+            self._membership,
+            self._keeper,
+            self._duties,
+        ]
+        with ThreadPoolExecutor(TASK_THREADS, "task") as executor:
+            for task in tasks:
+                task.start(executor)
+            for server in (self._readiness, self._callers, self._admin):
+                server.start(executor)
+            gc.collect()
+            gc.freeze()
+            gc.set_threshold(GC_THRESHOLD)
+            host = self._settings.host
+            _log.info(RELAY_STARTED, host=host.name, zone=host.zone, boot=self._boot)
+            while not self._stop.wait(SETTINGS_CHECK_S):
+                self._look_at_settings(reread)
+            self._shut_down(tasks)
+        return 0
+
+    def _look_at_settings(
+        self, reread: Callable[[], Result[RelaySettings, list[SettingsError]]]
+    ) -> None:
+        """Take up settings that have changed, told by a signal or not."""
+        told = self._reload.is_set()
+        self._reload.clear()
+        loaded = reread()
+        if loaded.is_error():
+            for error in loaded.error:
+                _log.error(SETTINGS_REJECTED, problem=str(error))
+            return
+        changed = [
+            name
+            for name, old, new in zip(RelaySettings._fields, self._settings, loaded.ok, strict=True)
+            if old != new
+        ]
+        if changed or told:
+            _log.info(SETTINGS_RELOADED, told=told, changed=changed)
+        self._settings = loaded.ok
+
+    def _shut_down(self, tasks: Iterable[Task]) -> None:
+        began = self._clock.now()
+        _log.info(RELAY_STOPPING, host=self._settings.host.name)
+        self._stopping = True
+        self._callers.close_after_answers()
+        time.sleep(min(NOTICE_S, self._settings.stop.grace_s / 2))
+        self._application.stop_admitting()
+        end = began + self._settings.stop.grace_s - LAST_MOMENT_S
+        while not self._callers.flushed():
+            if self._clock.now() >= end:
+                _log.error(RELAY_STOP_INCOMPLETE)
+                break
+            time.sleep(STOP_CHECK_S)
+        for task in reversed(list(tasks)):
+            with contextlib.suppress(TimeoutError):
+                task.stop(timeout_s=max(0.05, end + LAST_MOMENT_S / 2 - self._clock.now()))
+        for server in (self._callers, self._readiness, self._admin):
+            server.stop()
+        self._pool.close()
+        _log.info(RELAY_STOPPED, took_s=round(self._clock.now() - began, 2))
+
+    def _began(self, customer: str) -> None:
+        if customer:
+            self._book.began(customer, self._true_time.now())
+
+    def _on_configuration(
+        self, listing: Listing[RelayConfig], sent_at: float, answered_at: float
+    ) -> None:
+        self._true_time.store_read(sent_at, answered_at, listing.store_time_s)
+        for config in listing.entries.values():
+            if config is None or not self._application.configure(config):
+                continue
+            self._dispatcher.configured(config)
+            self._callers.set_max_body_bytes(config.limits.body_bytes)
+            _log.info(
+                RELAY_CONFIGURED,
+                version=config.version,
+                routes=len(config.routes),
+                services=len(config.services),
+                customers=len(config.customers),
+                store_version=listing.version,
+            )
+
+    def _on_back_ends(
+        self, listing: Listing[ListedBackEnd], sent_at: float, answered_at: float
+    ) -> None:
+        self._true_time.store_read(sent_at, answered_at, listing.store_time_s)
+        self._dispatcher.listed(listing)
+
+    def _news(self, sequence: int) -> News:
+        beliefs = self._dispatcher.beliefs().result()
+        table = self._application.table
+        host = self._settings.host
+        usage = {}
+        if sequence % USAGE_EVERY == 0:
+            window = self._book.window(self._true_time.now())
+            usage = self._book.own_since(window - USAGE_WINDOWS)
+            self._book.forget_before(window - 10 * USAGE_WINDOWS)
+        return News(
+            sender=host.name,
+            boot=self._boot,
+            address="",
+            sequence=sequence,
+            config_version=table.version if table is not None else 0,
+            stopping=self._stopping,
+            usage=usage,
+            **beliefs._asdict(),
+        )
+
+    def _on_news(self, news: News) -> None:
+        self._peer_version = max(self._peer_version, news.config_version)
+        for window, counts in news.usage.items():
+            self._book.peer(news.sender, news.boot, window, counts)
+        self._dispatcher.peer(news)
+
+    def _is_ready(self) -> bool:
+        ready = (
+            not self._stopping
+            and self._application.table is not None
+            and self._back_end_feed.listed
+        )
+        if ready != self._ready:
+            self._ready = ready
+            _log.info(RELAY_READY, ready=ready, stopping=self._stopping)
+        return ready
+
+    def _answer_readiness(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        if environ["PATH_INFO"] != self._adapter.readiness_path:
+            start_response("404 Not Found", [("Content-Length", "0")])
+        elif self._is_ready():
+            start_response("200 OK", [("Content-Length", "0")])
+        else:
+            start_response("503 Service Unavailable", [("Content-Length", "0")])
+        return [b""]
+
+    def _admin_readiness(self) -> tuple[bool, dict[str, Any]]:
+        table = self._application.table
+        return self._is_ready(), {
+            "stopping": self._stopping,
+            "configuration": table.version if table is not None else 0,
+            "peers": sorted(self._peers.heard),
+            "duties": self._duties.holds,
+        }
+
+
+def run_relay(path: Path, settings: RelaySettings, adapter: Adapter, load: Callable) -> int:
+    """Run a relay until it is told to stop, and return the exit code."""
+    return RelayNode(settings, adapter).run(lambda: load(path))
--- /dev/null
+++ b/src/laburnumreel/relay/_placement.py
@@ -0,0 +1,255 @@
+"""The choice of backend servers: one cost in milliseconds for each way, the least wins.
+
+Load patterns that this answers: prompts that share long starts, which cost several times as much
+where another engine kept the start; a shift from long answers to long prompts, in which reading at
+engines that generate holds up their streams; bursts, in which a kept start is not worth a long
+queue; backend servers that turn slow or fail a share of their requests.
+"""
+
+import hashlib
+from collections.abc import Iterable, Sequence
+from functools import lru_cache
+from typing import NamedTuple
+
+from laburnumreel.relay._back_ends import ListedBackEnd, Role
+from laburnumreel.relay._config import EngineTraits
+from laburnumreel.relay._requests import Prompt
+from laburnumreel.relay._work import Work
+
+GIGABYTE = 1e9
+
+
+class PlacementCosts(NamedTuple):
+    """What each disadvantage of a backend server costs, in milliseconds.
+
+    A kilobyte of a request that crosses regions costs `region_ms_per_kb`, and a gigabyte of KV
+    memory that is copied `copy_ms_per_gb`, both for what the platform charges. `failure_ms` is the
+    cost of a request that fails. An engine that generates reads `mixed_read_factor` times as slowly
+    as one that only reads, and each of its streams is held up meanwhile by `stall_share` of the
+    reading. `full_ms` is the cost of an engine whose places are all taken.
+    """
+
+    zone_ms: float = 1.0
+    region_ms: float = 16.0
+    region_ms_per_kb: float = 1.5
+    copy_ms_per_gb: float = 10.0
+    failure_ms: float = 1500.0
+    mixed_read_factor: float = 2.0
+    stall_share: float = 0.25
+    full_ms: float = 150.0
+    memory_ms: float = 400.0
+
+
+# Copies between zones and between regions take this many times as long as within a zone, and are
+# charged up to three times as much.
+ZONE_COPY_FACTOR = 2.0
+REGION_COPY_FACTOR = 10.0
+REGION_COPY_PRICE_FACTOR = 3.0
+# Above this share of an engine's memory its newest streams are in danger of being preempted.
+SAFE_MEMORY_SHARE = 0.8
+
+
+class Place(NamedTuple):
+    """Where something stands, for distances."""
+
+    zone: str
+    region: str
+
+
+class Candidate(NamedTuple):
+    """A backend server that may get a request.
+
+    `kept_tokens` is how much of the prompt's start it is believed to keep. `read_ms` is its time
+    for a prompt token, `plain_ms` for a plain request.
+    """
+
+    back_end: ListedBackEnd
+    region: str
+    work: Work
+    failure_share: float = 0.0
+    kept_tokens: int = 0
+    read_ms: float = 0.0
+    plain_ms: float = 0.0
+
+    @property
+    def name(self) -> str:
+        return self.back_end.name
+
+    @property
+    def place(self) -> Place:
+        return Place(self.back_end.zone, self.region)
+
+
+class EnginePlan(NamedTuple):
+    """The engines of a request: one that reads the prompt, if any, and one that generates.
+
+    `read_tokens` are the prompt tokens that must be read. `first_token_ms` is the expected time to
+    the first token, `cost_ms` what the choice was made by.
+    """
+
+    reader: Candidate | None
+    generator: Candidate
+    read_tokens: int
+    first_token_ms: float
+    cost_ms: float
+
+
+def distance_ms(here: Place, there: Place, costs: PlacementCosts) -> float:
+    """Return the cost of the way between two places, without that of the volume."""
+    if here.region != there.region:
+        return costs.region_ms
+    return 0.0 if here.zone == there.zone else costs.zone_ms
+
+
+def volume_ms(here: Place, there: Place, size: int, costs: PlacementCosts) -> float:
+    """Return the cost of sending `size` bytes between two places."""
+    return size / 1000 * costs.region_ms_per_kb if here.region != there.region else 0.0
+
+
+def copy_time_ms(source: Place, target: Place, size: float, link_bytes_per_s: float) -> float:
+    """Return how long engines need to copy `size` bytes of KV memory."""
+    factor = 1.0
+    if source.region != target.region:
+        factor = REGION_COPY_FACTOR
+    elif source.zone != target.zone:
+        factor = ZONE_COPY_FACTOR
+    return 1000 * factor * size / max(1.0, link_bytes_per_s)
+
+
+def choose_plain(
+    candidates: Sequence[Candidate], here: Place, body_bytes: int, costs: PlacementCosts
+) -> Candidate | None:
+    """Return the backend server of a plain request, or None if all their places are taken.
+
+    >>> listed = ListedBackEnd("b1", "orders", ("10.0.0.1", 80), "z", slots=1)
+    >>> free = Candidate(listed, "r", Work(), plain_ms=50.0)
+    >>> choose_plain([free], Place("z", "r"), 100, PlacementCosts()).name
+    'b1'
+    >>> choose_plain([free._replace(work=Work(requests=1))], Place("z", "r"), 100, PlacementCosts())
+    """
+
+    def cost(candidate: Candidate) -> float:
+        there = candidate.place
+        return (
+            candidate.plain_ms * (1 + candidate.work.requests / max(1, candidate.back_end.slots))
+            + candidate.failure_share * costs.failure_ms
+            + distance_ms(here, there, costs)
+            + volume_ms(here, there, body_bytes, costs)
+        )
+
+    free = [each for each in candidates if each.work.requests < max(1, each.back_end.slots)]
+    return min(free, key=cost, default=None)
+
+
+class EnginePlacement:
+    """Chooses the engines of a request to a model service."""
+
+    def __init__(self, here: Place, costs: PlacementCosts | None = None) -> None:
+        self._here = here
+        self._costs = costs or PlacementCosts()
+
+    def choose(
+        self,
+        prompt: Prompt,
+        body_bytes: int,
+        traits: EngineTraits,
+        candidates: Sequence[Candidate],
+        read_apart: bool = True,
+        copied: bool = False,
+    ) -> EnginePlan | None:
+        """Return the plan with the least cost, or None while no engine that generates is free.
+
+        `read_apart` is False for a request whose prompt can't be read by an engine of its own any
+        more, because that would send it to one backend server too many. A prompt that is `copied`
+        was read already.
+        """
+        generators = [
+            each
+            for each in candidates
+            if each.back_end.role is not Role.PREFILL
+            and each.work.streams < max(1, each.back_end.slots)
+        ]
+        readers = [each for each in candidates if each.back_end.role is Role.PREFILL]
+        if copied:
+            generators = [each._replace(kept_tokens=prompt.input_tokens) for each in generators]
+        plans = [self._alone(prompt, body_bytes, traits, each) for each in generators]
+        if read_apart:
+            plans += [
+                self._apart(prompt, body_bytes, traits, reader, generator)
+                for reader in readers
+                for generator in generators
+            ]
+        return min(plans, key=lambda plan: plan.cost_ms, default=None)
+
+    def _alone(
+        self, prompt: Prompt, body_bytes: int, traits: EngineTraits, generator: Candidate
+    ) -> EnginePlan:
+        costs = self._costs
+        unread = max(0, prompt.input_tokens - generator.kept_tokens)
+        token_ms = generator.read_ms * costs.mixed_read_factor
+        reading_ms = unread * token_ms
+        first_ms = (
+            distance_ms(self._here, generator.place, costs)
+            + generator.work.reading_tokens * token_ms
+            + reading_ms
+        )
+        cost = (
+            first_ms
+            + volume_ms(self._here, generator.place, body_bytes, costs)
+            + self._generating(prompt, traits, generator)
+            + reading_ms * generator.work.streams * costs.stall_share
+        )
+        return EnginePlan(None, generator, unread, first_ms, cost)
+
+    def _apart(
+        self,
+        prompt: Prompt,
+        body_bytes: int,
+        traits: EngineTraits,
+        reader: Candidate,
+        generator: Candidate,
+    ) -> EnginePlan:
+        costs, here = self._costs, self._here
+        unread = max(0, prompt.input_tokens - reader.kept_tokens)
+        size = prompt.input_tokens * traits.kv_token_bytes
+        copy_ms = copy_time_ms(reader.place, generator.place, size, traits.link_bytes_per_s)
+        price = REGION_COPY_PRICE_FACTOR if reader.region != generator.region else 1.0
+        first_ms = (
+            distance_ms(here, reader.place, costs)
+            + distance_ms(here, generator.place, costs)
+            + (reader.work.reading_tokens + unread) * reader.read_ms
+            + copy_ms
+        )
+        cost = (
+            first_ms
+            + price * size / GIGABYTE * costs.copy_ms_per_gb
+            + volume_ms(here, reader.place, body_bytes, costs)
+            + volume_ms(here, generator.place, body_bytes, costs)
+            + reader.failure_share * costs.failure_ms
+            + self._generating(prompt, traits, generator)
+        )
+        return EnginePlan(reader, generator, unread, first_ms, cost)
+
+    def _generating(self, prompt: Prompt, traits: EngineTraits, generator: Candidate) -> float:
+        costs, work = self._costs, generator.work
+        taken = (work.streams + 1) / max(1, generator.back_end.slots)
+        memory = (work.kv_tokens + prompt.input_tokens) / max(1, traits.kv_tokens)
+        return (
+            costs.full_ms * taken
+            + costs.memory_ms * max(0.0, memory - SAFE_MEMORY_SHARE)
+            + generator.failure_share * costs.failure_ms
+        )
+
+
+def home_of(part: str, back_ends: Iterable[str]) -> str | None:
+    """Return the backend server that keeps a prompt part, the same one on every host.
+
+    It is the one with the highest hash of the pair, so that a backend server that comes or goes
+    only moves the parts that it gets or had.
+    """
+    return max(back_ends, key=lambda name: _weight(part, name), default=None)
+
+
+@lru_cache(maxsize=65536)
+def _weight(part: str, back_end: str) -> bytes:
+    return hashlib.blake2b(f"{part} {back_end}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/laburnumreel/relay/_plain.py
@@ -0,0 +1,136 @@
+"""Requests to plain services: whole answers, passed on unchanged."""
+
+from typing import NamedTuple
+
+from laburnumreel.core import Log
+from laburnumreel.relay._dispatcher import Assignment, Order
+from laburnumreel.relay._events import REQUEST_PLACED
+from laburnumreel.relay._job import Job, RelayFailedError
+from laburnumreel.relay._requests import Dispatch
+from laburnumreel.relay._sending import Attempt, SendFailedError
+from laburnumreel.state import ErrorKind, Refusal, RunState
+
+# A request that may be repeated is taken from a silent backend server after its objective, or after
+# this many times what a request usually takes, whichever is longer.
+PATIENCE_TIMES = 6.0
+
+_log = Log("relay.plain")
+
+
+class Reply(NamedTuple):
+    """A backend server's whole answer."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    back_end: str
+
+
+def serve_plain(job: Job) -> Reply:
+    """Return a backend server's answer, or raise `RelayFailedError`.
+
+    The answer of a failure that may be repeated is kept while the request is tried elsewhere, and
+    is returned if that brings nothing better.
+    """
+    failure: Reply | None = None
+    while True:
+        try:
+            assignment = _place(job)
+        except RelayFailedError:
+            if failure is not None:
+                return failure
+            raise
+        back_end = assignment.runner
+        job.excluded |= {back_end.name}
+        try:
+            reply, failed = _send(job, assignment)
+        except SendFailedError as error:
+            if _may_go_on(job, error):
+                continue
+            if failure is not None:
+                return failure
+            raise RelayFailedError(_refusal(job, error)) from error
+        finally:
+            job.parts.dispatcher.ended(back_end.name, assignment.run_work, job.service.name)
+        if not failed:
+            return reply
+        failure = reply
+        if not (job.route.repeatable and job.may_send_again()):
+            return failure
+
+
+def _place(job: Job) -> Assignment:
+    request = job.request
+    size = len(request.body or b"")
+    order = Order(job.waiting, job.service.name, None, size, job.excluded)
+    assignment = job.wait_for(job.parts.dispatcher.place(order))
+    _log.info(
+        REQUEST_PLACED,
+        request=request.request_id,
+        route=job.route.name,
+        back_end=assignment.runner.name,
+        candidates=assignment.candidates,
+        news_age_ms=round(1000 * assignment.news_age_s),
+        config_version=job.config_version,
+        waited_ms=round(1000 * job.waited_s),
+        sends=job.sends,
+    )
+    return assignment
+
+
+def _send(job: Job, assignment: Assignment) -> tuple[Reply, bool]:
+    """Return the answer of one backend server, and whether it is a failure."""
+    parts = job.parts
+    dispatch = Dispatch(job.request, assignment.runner, job.customer, job.left_s)
+    started = parts.clock.now()
+    with Attempt(job, dispatch) as attempt:
+        verdict = _counted(job, attempt)
+        body = attempt.read_all()
+        exchange = attempt.exchange
+        reply = Reply(exchange.status, exchange.headers, body, assignment.runner.name)
+    failed = verdict.outcome == "failure"
+    took_ms = 1000 * (parts.clock.now() - started)
+    parts.dispatcher.judged(assignment.runner.name, failed, took_ms)
+    job.ran = RunState.RAN
+    job.count_begun()
+    return reply, failed
+
+
+def _counted(job: Job, attempt: Attempt):
+    try:
+        verdict = attempt.send(_silent_s(job))
+    except SendFailedError as error:
+        if error.trouble != "unreachable":
+            job.sends += 1
+        if error.may_have_run:
+            job.count_begun()
+        raise
+    job.sends += 1
+    return verdict
+
+
+def _silent_s(job: Job) -> float:
+    left_s = max(0.01, job.left_s)
+    if not job.route.repeatable or job.sends_left <= 1:
+        return left_s
+    return min(left_s / 2, max(job.route.objective_s, PATIENCE_TIMES * 0.06))
+
+
+def _may_go_on(job: Job, error: SendFailedError) -> bool:
+    if job.running.aborted is not None or job.left_s <= 0:
+        return False
+    if error.trouble == "unreachable":
+        return True
+    if error.may_have_run and not job.route.repeatable:
+        return False
+    return job.may_send_again()
+
+
+def _refusal(job: Job, error: SendFailedError) -> Refusal:
+    if job.running.aborted is not None:
+        return job.abort_refusal()
+    if job.ran is RunState.NOT_RUN:
+        retry_after_s = error.retry_after_s if error.retry_after_s is not None else 0.2
+        return Refusal(ErrorKind.NO_BACK_END, str(error), retry_after_s)
+    kind = ErrorKind.BACK_END_TIMEOUT if error.trouble == "silent" else ErrorKind.BACK_END_LOST
+    return Refusal(kind, str(error), run_state=RunState.UNKNOWN)
--- /dev/null
+++ b/src/laburnumreel/relay/_requests.py
@@ -0,0 +1,93 @@
+"""Requests as a relay sees them, whatever protocol they came by."""
+
+from collections.abc import Callable
+from typing import Literal, NamedTuple
+
+from laburnumreel.relay._back_ends import Address, ListedBackEnd
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class Part(NamedTuple):
+    """A part of a prompt that other prompts may begin with too, and its length in tokens."""
+
+    name: str
+    tokens: int
+
+
+class Prompt(NamedTuple):
+    """A prompt by its parts in order; the last one belongs to the request or its session."""
+
+    model: str
+    parts: tuple[Part, ...]
+    input_tokens: int
+    max_output_tokens: int
+
+    @property
+    def shared(self) -> tuple[Part, ...]:
+        """The parts that prompts of other sessions begin with too."""
+        return self.parts[:-1]
+
+
+class RelayRequest(NamedTuple):
+    """A request of a caller.
+
+    `headers` are those that are passed on: none that only concerns the connection, none that the
+    system sets itself. `patience_s` is how long the caller waits in all, counted from `arrived_at`
+    on the process' clock. `gone` tells whether the caller has closed its connection.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    path: str
+    headers: Headers
+    body: bytes | None
+    key: str | None
+    patience_s: float | None
+    prompt: Prompt | None
+    resume_after: str | None
+    arrived_at: float
+    gone: Callable[[], bool] = lambda: False
+
+
+class PromptCopy(NamedTuple):
+    """A prompt that an engine has read and keeps for another engine to take over, once."""
+
+    address: Address
+    handle: str
+    tokens: int
+
+
+class Dispatch(NamedTuple):
+    """A request as it is sent to one backend server.
+
+    `deadline_s` is what is left of the caller's patience. `only_read` asks an engine to read the
+    prompt and keep it; `prompt_copy` names a prompt read elsewhere. `resume_after` is the id of the
+    last event that the caller has.
+    """
+
+    request: RelayRequest
+    back_end: ListedBackEnd
+    customer: str
+    deadline_s: float
+    priority: int | None = None
+    only_read: bool = False
+    prompt_copy: PromptCopy | None = None
+    resume_after: str | None = None
+
+
+class Verdict(NamedTuple):
+    """What the head of a backend server's answer says.
+
+    `not_run` is the backend server's word that it did not run the request. `other_incarnation`
+    means that another backend server has the address. `genuine` is whether a success bears the
+    mark that only the backend server can give.
+    """
+
+    outcome: Literal["success", "failure", "refused"]
+    not_run: bool = False
+    other_incarnation: bool = False
+    genuine: bool = True
+    retry_after_s: float | None = None
--- /dev/null
+++ b/src/laburnumreel/relay/_sending.py
@@ -0,0 +1,196 @@
+"""Sends to backend servers: one exchange each, with its failure named."""
+
+import http.client
+import socket
+from collections.abc import Mapping
+from typing import Literal
+
+from laburnumreel.core import Log
+from laburnumreel.relay._events import ATTEMPT_FAILED
+from laburnumreel.relay._job import Job, RelayFailedError
+from laburnumreel.relay._metrics import RELAY_ATTEMPTS
+from laburnumreel.relay._requests import Dispatch, Verdict
+from laburnumreel.state import RunState
+from laburnumreel.transport import BackEndFailureError, Exchange
+
+# A request that must not be repeated only goes out on a connection that was used this lately.
+FRESH_IDLE_S = 1.5
+# A backend server that does not take a connection in this time is not there: the longest way is
+# some tens of milliseconds.
+CRASH_CONNECT_S = 0.25
+
+_log = Log("relay.sending")
+
+Trouble = Literal["unreachable", "refused", "moved", "lost", "silent", "not_genuine", "failed"]
+
+
+class SendFailedError(Exception):
+    """A send that brought no answer for the caller.
+
+    `may_have_run` is whether the backend server may have run the request.
+    """
+
+    def __init__(
+        self, trouble: Trouble, detail: str, may_have_run: bool, retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(f"{trouble}: {detail}")
+        self.trouble = trouble
+        self.may_have_run = may_have_run
+        self.retry_after_s = retry_after_s
+
+
+class Attempt:
+    """One send of a request to one backend server.
+
+    Use it as a context manager, which ends the exchange.
+    """
+
+    def __init__(self, job: Job, dispatch: Dispatch) -> None:
+        self._job = job
+        self._dispatch = dispatch
+        self._exchange: Exchange | None = None
+        self._ran_before = job.ran
+        self.verdict: Verdict | None = None
+
+    def __enter__(self) -> "Attempt":
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self.close()
+
+    @property
+    def exchange(self) -> Exchange:
+        return self._exchange
+
+    def close(self) -> None:
+        """End the exchange; its connection is used again if the whole answer was read."""
+        if self._exchange is not None:
+            self._job.running.detach()
+            self._exchange.close()
+            self._exchange = None
+
+    def send(self, silent_s: float) -> Verdict:
+        """Send the request and return what the answer's head says, or raise `SendFailedError`.
+
+        `silent_s` is the longest wait for the head.
+        """
+        job, dispatch, parts = self._job, self._dispatch, self._job.parts
+        back_end, request = dispatch.back_end, dispatch.request
+        repeatable = job.route.repeatable or dispatch.only_read
+        try:
+            exchange = parts.pool.open(
+                back_end.address,
+                idle_at_most_s=float("inf") if repeatable else FRESH_IDLE_S,
+            )
+        except BackEndFailureError as error:
+            parts.dispatcher.unreachable(back_end.name)
+            raise self._failed("unreachable", str(error), False) from error
+        self._exchange = exchange
+        if not job.running.attach(exchange):
+            raise RelayFailedError(job.abort_refusal())
+        self._ran_before = job.ran
+        if not dispatch.only_read:
+            job.ran = RunState.UNKNOWN
+        verdicts: list[Verdict] = []
+
+        def is_ours(status: int, headers: Mapping[str, str]) -> bool:
+            verdict = parts.wire.verdict(status, headers, dispatch)
+            if verdict is not None:
+                verdicts.append(verdict)
+            return verdict is not None
+
+        try:
+            headers = parts.wire.headers(dispatch)
+            exchange.send(request.method, request.target, headers, request.body, silent_s, is_ours)
+        except BackEndFailureError as error:
+            raise self._broken(error) from error
+        self.verdict = verdicts[-1]
+        return self._checked(self.verdict)
+
+    def read(self) -> bytes:
+        """Return the next bytes of the answer; none at its end."""
+        try:
+            return self._exchange.read()
+        except BackEndFailureError as error:
+            raise self._broken(error) from error
+
+    def read_all(self) -> bytes:
+        """Return the whole answer."""
+        pieces = []
+        while piece := self.read():
+            pieces.append(piece)
+        if not self._exchange.complete:
+            raise self._failed("lost", "the exchange was aborted", not self._dispatch.only_read)
+        return b"".join(pieces)
+
+    def _checked(self, verdict: Verdict) -> Verdict:
+        job, name = self._job, self._dispatch.back_end.name
+        if verdict.other_incarnation:
+            job.parts.dispatcher.moved(name)
+            self._refused()
+            raise self._failed("moved", "another backend server answered", False)
+        if verdict.not_run:
+            self._refused()
+            raise self._failed(
+                "refused", f"status {self._exchange.status}", False, verdict.retry_after_s
+            )
+        if not verdict.genuine:
+            raise self._failed("not_genuine", "a success without its mark", True)
+        return verdict
+
+    def _refused(self) -> None:
+        """Take the backend server's word that the request did not run."""
+        self._job.ran = self._ran_before
+        # The rest of a short refusal is read, so that the connection can be used again.
+        try:
+            while self._exchange.read():
+                pass
+        except BackEndFailureError as error:
+            RELAY_ATTEMPTS.inc(outcome="refusal_cut")
+            _log.debug(ATTEMPT_FAILED, trouble="refusal_cut", detail=str(error))
+
+    def _broken(self, error: BackEndFailureError) -> SendFailedError:
+        """Judge an exchange that broke off, and look whether the backend server is still there."""
+        job, back_end = self._job, self._dispatch.back_end
+        silent = error.reason == "silent"
+        if job.running.aborted is None:
+            if silent:
+                if not job.parts.pool.went_silent(back_end.address):
+                    job.parts.dispatcher.unreachable(back_end.name)
+            elif not _takes_connections(back_end.address):
+                job.parts.dispatcher.unreachable(back_end.name)
+                job.parts.dispatcher.crashed(back_end.name, job.digest)
+        trouble = "silent" if silent else "lost"
+        return self._failed(trouble, str(error), not self._dispatch.only_read)
+
+    def _failed(
+        self,
+        trouble: Trouble,
+        detail: str,
+        may_have_run: bool,
+        retry_after_s: float | None = None,
+    ) -> SendFailedError:
+        job, dispatch = self._job, self._dispatch
+        RELAY_ATTEMPTS.inc(outcome=trouble)
+        if job.running.aborted is None:
+            if trouble not in ("unreachable", "moved"):
+                job.parts.dispatcher.judged(dispatch.back_end.name, failed=True)
+            _log.info(
+                ATTEMPT_FAILED,
+                request=dispatch.request.request_id,
+                back_end=dispatch.back_end.name,
+                trouble=trouble,
+                detail=detail[:200],
+                only_read=dispatch.only_read,
+                may_have_run=may_have_run,
+                waited_ms=round(1000 * job.waited_s),
+            )
+        return SendFailedError(trouble, detail, may_have_run, retry_after_s)
+
+
+def _takes_connections(address: tuple[str, int]) -> bool:
+    try:
+        with socket.create_connection(address, CRASH_CONNECT_S):
+            return True
+    except (OSError, http.client.HTTPException):
+        return False
--- /dev/null
+++ b/src/laburnumreel/relay/_settings.py
@@ -0,0 +1,146 @@
+"""The settings of a relay host: one schema, and the checked values as named tuples."""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from laburnumreel.core import Field, Schema, SettingsError, Values, kinds
+from laburnumreel.relay._back_ends import Address
+from laburnumreel.state import LeaseSettings
+
+
+class HostSettings(NamedTuple):
+    """Who and where this host is. `regions` gives the region of each availability zone."""
+
+    name: str
+    zone: str
+    region: str
+    regions: Mapping[str, str]
+
+
+class ListenSettings(NamedTuple):
+    """Where the host listens: for callers, for readiness checks, for metrics, and for peers."""
+
+    callers: Address
+    readiness: Address
+    admin: Address
+    peers: Address
+
+
+class StoreSettings(NamedTuple):
+    """The platform's store. `writes_per_s` and `reads_per_s` are shared by all hosts."""
+
+    address: Address
+    writes_per_s: float
+    reads_per_s: float
+
+
+class RetrySettings(NamedTuple):
+    """The budget of all hosts for sending a request once more, in a sliding window."""
+
+    ratio: float
+    slack: int
+    window_s: float
+
+
+class UsageSettings(NamedTuple):
+    """Usage windows, and how long after its end a window may be reported, in seconds."""
+
+    window_s: float
+    late_s: float
+
+
+class StopSettings(NamedTuple):
+    """A planned stop: the time until the process is killed, in seconds."""
+
+    grace_s: float
+
+
+class RelaySettings(NamedTuple):
+    """All settings of a relay host."""
+
+    host: HostSettings
+    listen: ListenSettings
+    store: StoreSettings
+    duties: Address
+    retry: RetrySettings
+    lease: LeaseSettings
+    usage: UsageSettings
+    stop: StopSettings
+    threads: int
+    news_interval_s: float
+    log_format: str
+    log_level: str
+
+
+RELAY_SCHEMA = Schema(
+    [
+        Field("host", "name", kinds.text, None, "the host's unique name", required=True),
+        Field("host", "zone", kinds.text, None, "its availability zone", required=True),
+        Field("host", "region", kinds.text, None, "its region", required=True),
+        Field("host", "regions", kinds.pairs, (), "ZONE=REGION of all availability zones"),
+        Field("listen", "callers", kinds.address, None, "callers' HTTP", required=True),
+        Field("listen", "readiness", kinds.address, None, "readiness checks", required=True),
+        Field("listen", "admin", kinds.address, None, "health and metrics", required=True),
+        Field("listen", "peers", kinds.address, None, "news of peers, UDP", required=True),
+        Field("store", "address", kinds.address, None, "the platform's store", required=True),
+        Field("store", "writes_per_s", kinds.number(1, 1e6), 400.0, "writes of all hosts a second"),
+        Field("store", "reads_per_s", kinds.number(1, 1e6), 2000.0, "reads of all hosts a second"),
+        Field("duties", "address", kinds.address, None, "usage reports and orders", required=True),
+        Field("retry", "ratio", kinds.number(0, 10), 0.2, "repeated sends a request"),
+        Field("retry", "slack", kinds.whole(0, 100_000), 50, "repeated sends besides"),
+        Field("retry", "window_s", kinds.number(0.1, 3600), 10.0, "window of that budget"),
+        Field("lease", "term_s", kinds.number(0.5, 60), 4.0, "term of the lease"),
+        Field("lease", "margin_s", kinds.number(0.05, 10), 0.4, "how early a holder stops"),
+        Field("usage", "window_s", kinds.number(0.5, 86400), 5.0, "length of a usage window"),
+        Field("usage", "late_s", kinds.number(0.5, 86400), 10.0, "when a report is late"),
+        Field("stop", "grace_s", kinds.number(1, 86400), 8.0, "time from SIGTERM to SIGKILL"),
+        Field("threads", "callers", kinds.whole(1, 4096), 96, "requests in work at once"),
+        Field("peers", "interval_s", kinds.number(0.02, 60), 0.15, "time between news to peers"),
+        Field("log", "format", kinds.choice("json", "console"), "json", "how logs are written"),
+        Field(
+            "log",
+            "level",
+            kinds.choice("debug", "info", "warning", "error"),
+            "info",
+            "least level that is written",
+        ),
+    ]
+)
+
+
+def load_relay_settings(path: Path) -> Result[RelaySettings, list[SettingsError]]:
+    """Read, check and return a relay host's settings."""
+    return RELAY_SCHEMA.load(path).bind(lambda values: _build(values, str(path)))
+
+
+def parse_relay_settings(text: str, file: str) -> Result[RelaySettings, list[SettingsError]]:
+    """Check a settings file's text and return the settings."""
+    return RELAY_SCHEMA.parse(text, file).bind(lambda values: _build(values, file))
+
+
+def _build(values: Values, file: str) -> Result[RelaySettings, list[SettingsError]]:
+    lease = LeaseSettings(**values["lease"])
+    if lease.term_s <= 2 * lease.margin_s:
+        allowed = f"more than twice margin_s ({2 * lease.margin_s:g})"
+        return Error([SettingsError(file, "lease", "term_s", f"{lease.term_s:g}", allowed)])
+    host = values["host"]
+    regions = {**dict(host["regions"]), host["zone"]: host["region"]}
+    return Ok(
+        RelaySettings(
+            host=HostSettings(host["name"], host["zone"], host["region"], regions),
+            listen=ListenSettings(**values["listen"]),
+            store=StoreSettings(**values["store"]),
+            duties=values["duties"]["address"],
+            retry=RetrySettings(**values["retry"]),
+            lease=lease,
+            usage=UsageSettings(**values["usage"]),
+            stop=StopSettings(**values["stop"]),
+            threads=values["threads"]["callers"],
+            news_interval_s=values["peers"]["interval_s"],
+            log_format=values["log"]["format"],
+            log_level=values["log"]["level"],
+        )
+    )
--- a/src/laburnumreel/serving/__init__.py
+++ b/src/laburnumreel/serving/__init__.py
@@ -3,7 +3,7 @@
 from laburnumreel.serving._application import Application
 from laburnumreel.serving._dispatcher import Dispatcher
 from laburnumreel.serving._parts import Parts
-from laburnumreel.serving._registry import RequestRegistry
+from laburnumreel.serving._registry import RequestRegistry, Running
 from laburnumreel.serving._slots import Credentials, Slots
 from laburnumreel.serving._watch import FleetWatch
 
@@ -14,5 +14,6 @@
     "FleetWatch",
     "Parts",
     "RequestRegistry",
+    "Running",
     "Slots",
 ]
--- a/src/laburnumreel/serving/_registry.py
+++ b/src/laburnumreel/serving/_registry.py
@@ -95,8 +95,10 @@
     `keys_lost` tells whether keys could not be verified for so long that running streams are cut.
     """
 
-    def __init__(self, clock: Clock, keys_lost: Callable[[float], bool]) -> None:
-        super().__init__("request-registry", tick_s=CHECK_S)
+    def __init__(
+        self, clock: Clock, keys_lost: Callable[[float], bool], check_s: float = CHECK_S
+    ) -> None:
+        super().__init__("request-registry", tick_s=check_s)
         self._clock = clock
         self._keys_lost = keys_lost
         self._running: dict[str, Running] = {}
--- a/src/laburnumreel/state/_errors.py
+++ b/src/laburnumreel/state/_errors.py
@@ -31,6 +31,7 @@
     NOT_READY = "not_ready"
     STORE_UNAVAILABLE = "store_unavailable"
     QUARANTINED = "quarantined"
+    CRASHES_BACK_ENDS = "crashes_back_ends"
     BACK_END_REFUSED = "back_end_refused"
     BACK_END_LOST = "back_end_lost"
     BACK_END_TIMEOUT = "back_end_timeout"
@@ -165,6 +166,13 @@
             True,
             "This request crashed back ends and is held back.",
         ),
+        ErrorKind.CRASHES_BACK_ENDS: (
+            503,
+            _SERVER,
+            _NOT_RUN,
+            True,
+            "Requests like this one crashed back ends; it is held back for a time.",
+        ),
         ErrorKind.BACK_END_REFUSED: (502, _SERVER, _NOT_RUN, True, "The back end refused."),
         ErrorKind.BACK_END_LOST: (502, _SERVER, _UNKNOWN, False, "The back end was lost."),
         ErrorKind.BACK_END_TIMEOUT: (
--- a/src/laburnumreel/state/_platform.py
+++ b/src/laburnumreel/state/_platform.py
@@ -69,9 +69,10 @@
     `unreachable` means that the call had no effect. `lost` means that it may have had one, and the
     caller must read back. `conflict` means that a check failed and had no effect; `rows` holds the
     rows as they are, or None for absent ones, by (table, key). `refused` had no effect.
+    `history_gone` means that changes can't be told any more and the table must be read whole.
     """
 
-    kind: Literal["unreachable", "lost", "conflict", "refused"]
+    kind: Literal["unreachable", "lost", "conflict", "refused", "history_gone"]
     detail: str = ""
     rows: dict[tuple[str, str], Row | None] = {}
 
--- a/src/laburnumreel/transport/__init__.py
+++ b/src/laburnumreel/transport/__init__.py
@@ -2,6 +2,7 @@
 
 from laburnumreel.transport._admin import admin_server
 from laburnumreel.transport._backend import Address, BackEndFailureError, BackEndPool, Exchange
+from laburnumreel.transport._json_calls import CallAnswer, CallFailure, JsonCalls
 from laburnumreel.transport._loads import HttpLoadReader
 from laburnumreel.transport._orders import HttpOrderConnection, HttpOrderLink
 from laburnumreel.transport._peer_client import PeerClient
@@ -12,11 +13,14 @@
     "Address",
     "BackEndFailureError",
     "BackEndPool",
+    "CallAnswer",
+    "CallFailure",
     "Exchange",
     "HttpLoadReader",
     "HttpOrderConnection",
     "HttpOrderLink",
     "HttpServer",
+    "JsonCalls",
     "NodeCalls",
     "PeerClient",
     "PeerServer",
--- a/src/laburnumreel/transport/_backend.py
+++ b/src/laburnumreel/transport/_backend.py
@@ -1,14 +1,15 @@
 """Exchanges with back ends over http.client, and the pool of their idle connections."""
 
 import http.client
+import io
 import select
 import socket
 import struct
 import threading
 import time
 from collections import defaultdict
-from collections.abc import Callable
-from typing import Literal
+from collections.abc import Callable, Mapping
+from typing import Any, Literal
 
 from laburnumreel.core import Log
 from laburnumreel.transport._events import BACK_END_SILENT
@@ -18,6 +19,8 @@
 MAX_IDLE_CONNECTIONS = 16
 MAX_IDLE_S = 20.0
 READ_BYTES = 64 * 1024
+# A connection is used for this share of the time for which the back end says it keeps it.
+IDLE_LIMIT_SHARE = 0.7
 # The kernel may end a wait a moment before its time by another clock.
 TIMED_OUT_SHARE = 0.98
 
@@ -66,6 +69,43 @@
         self.send(whole)
 
 
+class _KeptReader:
+    """The buffered reader of a connection, which outlives each answer.
+
+    http.client closes its reader with an answer and would lose the bytes read ahead: those of an
+    answer to another request that came first.
+    """
+
+    def __init__(self, reader: io.BufferedReader) -> None:
+        self._reader = reader
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._reader, name)
+
+    def close(self) -> None:
+        """Keep the reader open for the next answer."""
+
+    def close_for_good(self) -> None:
+        self._reader.close()
+
+
+class _Socket(socket.socket):
+    """A socket whose reader is shared by all answers on it."""
+
+    _kept: _KeptReader | None = None
+
+    def makefile(self, *arguments: Any, **options: Any) -> Any:
+        if self._kept is None:
+            self._kept = _KeptReader(super().makefile(*arguments, **options))
+        return self._kept
+
+    def end(self) -> None:
+        """Close the socket and its reader. `close` alone leaves the reader to the last answer."""
+        if self._kept is not None:
+            self._kept.close_for_good()
+        self.close()
+
+
 class Exchange:
     """One request and its answer on one connection.
 
@@ -82,11 +122,14 @@
         self.address = address
         self.opened_at = opened_at
         self.connection = connection
+        # How long the back end keeps the connection when it is idle, by its own word.
+        self.idle_limit_s = float("inf")
         self._give_back = give_back
         self._socket = connection.sock
         self._response: http.client.HTTPResponse | None = None
         self._complete = False
         self._aborted = False
+        self._foreign = False
         self._timeout_s = 0.0
 
     @property
@@ -112,16 +155,32 @@
         headers: dict[str, str],
         body: bytes | None,
         timeout_s: float,
+        is_ours: Callable[[int, Mapping[str, str]], bool] | None = None,
     ) -> None:
-        """Send the request and read the answer's head."""
+        """Send the request and read the answer's head.
+
+        An answer for which `is_ours` is false belongs to an earlier request on the connection. It
+        is read and dropped, and the connection is not used again.
+        """
         self.set_timeout(timeout_s)
         started = time.monotonic()
         try:
             self.connection.request_at_once(method, target, body, headers)
             self._response = self.connection.getresponse()
+            while is_ours is not None and not is_ours(self.status, self._response.headers):
+                self._foreign = True
+                self._skip(method)
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise self._failure("lost", error, started) from error
 
+    def _skip(self, method: str) -> None:
+        """Drop an answer to another request and read the head of the next one."""
+        if self._response.will_close:
+            raise http.client.RemoteDisconnected("the last answer belongs to another request")
+        self._response.read()
+        self._response = self.connection.response_class(self.connection.sock, method=method)
+        self._response.begin()
+
     def set_timeout(self, timeout_s: float) -> None:
         """Set the longest wait for the next byte."""
         if timeout_s != self._timeout_s:
@@ -157,14 +216,20 @@
 
     def close(self) -> None:
         """End the exchange. Only a connection whose whole answer was read is used again."""
-        if self._complete and not self._aborted and not self._response.will_close:
+        reusable = self._complete and not self._aborted and not self._foreign
+        if reusable and not self._response.will_close:
+            self.idle_limit_s = _idle_limit_s(self._response.getheader("Keep-Alive"))
             self._response.close()
             self._give_back(self)
             return
-        self.connection.close()
         if self._response is not None:
             self._response.close()
-        self._socket.close()
+        self.discard()
+
+    def discard(self) -> None:
+        """Close the connection, whatever state it is in."""
+        self.connection.close()
+        self._socket.end()
 
     def _failure(self, reason: FailureReason, error: object, started: float) -> BackEndFailureError:
         if self._timed_out(started) and not self._aborted:
@@ -185,23 +250,30 @@
     """
 
     def __init__(
-        self, max_idle: int = MAX_IDLE_CONNECTIONS, max_idle_s: float = MAX_IDLE_S
+        self,
+        max_idle: int = MAX_IDLE_CONNECTIONS,
+        max_idle_s: float = MAX_IDLE_S,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         self._max_idle = max_idle
         self._max_idle_s = max_idle_s
+        self._connect_timeout_s = connect_timeout_s
         self._lock = threading.Lock()
         self._idle: dict[Address, list[tuple[float, Exchange]]] = defaultdict(list)
         # Connections opened before this time are not used again.
         self._not_before: dict[Address, float] = {}
 
-    def open(self, address: Address, fresh: bool = False) -> Exchange:
+    def open(
+        self, address: Address, fresh: bool = False, idle_at_most_s: float = float("inf")
+    ) -> Exchange:
         """Return an exchange on an idle connection or, if there is none or `fresh`, a new one.
 
-        A request that must not be repeated needs a fresh one: an idle connection may just have
-        been closed by the back end, and the loss would leave it unknown whether the request ran.
+        A request that must not be repeated needs a fresh one, or one that was idle for a short time
+        only: an idle connection may just have been closed by the back end, and the loss would leave
+        it unknown whether the request ran.
         """
         if not fresh:
-            idle = self._take(address)
+            idle = self._take(address, idle_at_most_s)
             if idle is not None:
                 return idle
         return self._dial(address)
@@ -213,7 +285,7 @@
         """
         started = time.monotonic()
         try:
-            probe = socket.create_connection(address, CONNECT_TIMEOUT_S)
+            probe = socket.create_connection(address, self._connect_timeout_s)
         except OSError:
             return False
         probe.close()
@@ -231,7 +303,7 @@
                 self._idle[address] = kept
         for _, exchange in dropped:
             if exchange.opened_at < opened_before:
-                exchange.connection.close()
+                exchange.discard()
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -239,7 +311,7 @@
             idle = [entry for entries in self._idle.values() for entry in entries]
             self._idle.clear()
         for _, exchange in idle:
-            exchange.connection.close()
+            exchange.discard()
 
     def prune(self) -> None:
         """Close the connections that were idle for too long."""
@@ -252,26 +324,31 @@
                 if not self._idle[address]:
                     del self._idle[address]
         for _, exchange in old:
-            exchange.connection.close()
+            exchange.discard()
 
-    def _take(self, address: Address) -> Exchange | None:
+    def _take(self, address: Address, idle_at_most_s: float) -> Exchange | None:
         while True:
             with self._lock:
                 entries = self._idle.get(address)
                 if not entries:
                     return None
                 idle_since, exchange = entries.pop()
-            usable = time.monotonic() - idle_since < self._max_idle_s
+            idle_s = time.monotonic() - idle_since
+            if idle_s >= idle_at_most_s:
+                # The others were idle for longer still.
+                self._give_back(exchange, idle_since)
+                return None
+            usable = idle_s < min(self._max_idle_s, exchange.idle_limit_s)
             if usable and not _readable(exchange.connection.sock):
                 return Exchange(address, exchange.connection, exchange.opened_at, self._give_back)
-            exchange.connection.close()
+            exchange.discard()
 
     def _dial(self, address: Address) -> Exchange:
         connection = _Connection(*address)
         opened_at = time.monotonic()
-        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+        sock = _Socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
         try:
-            _set_timeout(sock, CONNECT_TIMEOUT_S)
+            _set_timeout(sock, self._connect_timeout_s)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.connect(address)
         except OSError as error:
@@ -281,14 +358,27 @@
         BACK_END_CONNECTIONS.inc()
         return Exchange(address, connection, opened_at, self._give_back)
 
-    def _give_back(self, exchange: Exchange) -> None:
+    def _give_back(self, exchange: Exchange, idle_since: float | None = None) -> None:
         with self._lock:
             entries = self._idle[exchange.address]
             young = exchange.opened_at >= self._not_before.get(exchange.address, 0.0)
             if young and len(entries) < self._max_idle and exchange.connection.sock is not None:
-                entries.append((time.monotonic(), exchange))
+                entries.append((idle_since or time.monotonic(), exchange))
                 return
-        exchange.connection.close()
+        exchange.discard()
+
+
+def _idle_limit_s(keep_alive: str | None) -> float:
+    """Return how long a connection may be idle by a `Keep-Alive` header, with a margin.
+
+    >>> _idle_limit_s("timeout=5"), _idle_limit_s(None)
+    (3.5, inf)
+    """
+    for part in (keep_alive or "").split(","):
+        name, _, value = part.partition("=")
+        if name.strip().lower() == "timeout" and value.strip().isdigit():
+            return int(value) * IDLE_LIMIT_SHARE
+    return float("inf")
 
 
 def _set_timeout(sock: socket.socket, seconds: float) -> None:
--- a/src/laburnumreel/transport/_orders.py
+++ b/src/laburnumreel/transport/_orders.py
@@ -24,9 +24,12 @@
         self._connection = http.client.HTTPConnection(*connected.getpeername()[:2])
         self._connection.sock = connected
 
-    def write(self, path: str, body: Mapping[str, Any]) -> Result[None, str]:
+    def write(
+        self, path: str, body: Mapping[str, Any], headers: Mapping[str, str] | None = None
+    ) -> Result[None, str]:
+        sent = {**self._headers, **(headers or {})}
         try:
-            self._connection.request("POST", path, json.dumps(body).encode(), self._headers)
+            self._connection.request("POST", path, json.dumps(body).encode(), sent)
         except (OSError, http.client.HTTPException) as error:
             return Error(repr(error))
         return Ok(None)
--- a/tests/authority_world.py
+++ b/tests/authority_world.py
@@ -79,7 +79,7 @@
         self._process, self._answer = process, Error("no answer")
         self.abort = self.close = lambda: None
 
-    def write(self, path, body):
+    def write(self, path, body, headers=None):
         process = self._process
         process.reach("write")
         if process.lost_requests > 0:
--- a/tests/coordinators.py
+++ b/tests/coordinators.py
@@ -91,7 +91,7 @@
         self.answer, self.close = connection.answer, connection.close
         self.abort = connection.abort if self.aborts else lambda: None
 
-    def write(self, path, body):
+    def write(self, path, body, headers=None):
         if not _StoppingConnection.stopped:
             _StoppingConnection.stopped = True
             signal.pthread_kill(threading.get_ident(), signal.SIGSTOP)
