Order cheap engines, set roles, and price reading again in placement

Cause: with 6 engines, readers queue and generators read prompts themselves, which holds up their streams: of the late streams on the second site most had a pause over 200 ms, and a third of all prompts were read by generators.

Ruled out: refusals by engines (few), processor time of the hosts (0.002 of a core).

--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -175,11 +175,14 @@
         return _Stream(self._events(job, run, first), lambda: self._stream_ended(job, run))
 
     def _events(self, job: Job, run: EngineRun, first: bytes) -> Iterator[bytes]:
-        sent = len(first)
+        sent, pause_s, last_at = len(first), 0.0, self._clock.now()
+        first_ms = round(1000 * job.waited_s)
         try:
             yield first
             for piece in run.rest():
                 sent += len(piece)
+                now = self._clock.now()
+                pause_s, last_at = max(pause_s, now - last_at), now
                 yield piece
         except RelayFailedError as error:
             self._lost(job, error.refusal, sent)
@@ -188,7 +191,16 @@
         except GeneratorExit:
             self._lost(job, Refusal(ErrorKind.CALLER_GONE), sent)
             raise
-        self._served(job, run.status, run.back_end, sent)
+        back_end = run.back_end
+        self._served(
+            job,
+            run.status,
+            back_end,
+            sent,
+            first_ms=first_ms,
+            longest_pause_ms=round(1000 * pause_s),
+            on_time=first_ms <= 1000 * job.route.objective_s and pause_s <= job.route.gap_s,
+        )
 
     def _stream_ended(self, job: Job, run: EngineRun) -> None:
         run.close()
@@ -197,7 +209,9 @@
     def _observe(self, job: Job) -> None:
         RELAY_FIRST_BYTE_S.observe(job.waited_s, kind=str(job.route.kind))
 
-    def _served(self, job: Job, status: int, back_end: str, size: int) -> None:
+    def _served(
+        self, job: Job, status: int, back_end: str, size: int, **stream: int | bool
+    ) -> None:
         RELAY_REQUESTS.inc(kind=str(job.route.kind), outcome="served")
         RELAY_WAIT_S.observe(job.waited_s)
         _log.info(
@@ -210,6 +224,7 @@
             bytes=size,
             took_ms=round(1000 * job.waited_s),
             sends=job.sends,
+            **stream,
         )
 
     def _lost(self, job: Job, refusal: Refusal, sent: int) -> None:
--- /dev/null
+++ b/src/laburnumreel/relay/_capacity.py
@@ -0,0 +1,115 @@
+"""How many backend servers of each kind a service should have in each availability zone.
+
+Load patterns that this answers: a mix of prompts and answers that shifts faster than backend servers
+start, so that room for the heavier mix is kept where it costs little; and an availability zone that
+loses all its cheap backend servers at once, so that dedicated ones stay in every zone and cheap ones
+are spread over all of them.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
+
+from laburnumreel.coordination import GuardedSender
+from laburnumreel.core import Log
+from laburnumreel.relay._back_ends import Address, ListedBackEnd
+from laburnumreel.relay._config import RelayService, Scaling
+from laburnumreel.relay._events import CAPACITY_ORDERED, CAPACITY_REFUSED
+from laburnumreel.relay._ports import DutyWire
+from laburnumreel.relay._work import Work
+from laburnumreel.state import Authority
+
+# Cheap backend servers are worth room for the heavier mix up to this share of a dedicated one's
+# price.
+WORTHWHILE_PRICE_SHARE = 0.5
+# Engines of a zone, with the dedicated ones.
+CHEAP_IN_ZONE = 4
+DEDICATED_IN_ZONE = 2
+# An order that did not show in the list is repeated after the time to start and this much more.
+REPEAT_S = 3.0
+REFUSED_RETRY_S = 2.0
+
+_log = Log("relay.capacity")
+
+
+class Group(NamedTuple):
+    """Backend servers of one kind of a service in an availability zone."""
+
+    service: str
+    zone: str
+    cheap: bool
+
+
+def wanted_counts(
+    service: RelayService, scaling: Scaling, zones: Iterable[str]
+) -> Mapping[Group, int]:
+    """Return how many backend servers of each kind a service should have in each zone."""
+    wanted = {}
+    for zone in zones:
+        dedicated = max(scaling.least, min(scaling.most, DEDICATED_IN_ZONE))
+        wanted[Group(service.name, zone, False)] = dedicated
+        if scaling.cheap_price is not None and scaling.cheap_price <= WORTHWHILE_PRICE_SHARE:
+            cheap = max(0, min(CHEAP_IN_ZONE, scaling.most - dedicated))
+            wanted[Group(service.name, zone, True)] = cheap
+    return wanted
+
+
+class CapacityPlanner:
+    """Orders backend servers until the list shows the wanted counts."""
+
+    def __init__(
+        self,
+        sender: GuardedSender,
+        wire: DutyWire,
+        address: Callable[[], Address],
+        services: Callable[[], Mapping[str, RelayService]],
+        fleet: Callable[[], tuple[Iterable[ListedBackEnd], Mapping[str, Work]]],
+    ) -> None:
+        self._sender = sender
+        self._wire = wire
+        self._address = address
+        self._services = services
+        self._fleet = fleet
+        self._ordered: dict[Group, tuple[int, float]] = {}
+        self._fence = 0
+
+    def step(self, authority: Authority, now: float) -> None:
+        """Give the orders that are due."""
+        if authority.fence != self._fence:
+            self._fence = authority.fence
+            self._ordered.clear()
+        back_ends, _ = self._fleet()
+        listed = [entry for entry in back_ends if not entry.draining]
+        for service in self._services().values():
+            if service.scaling is None:
+                continue
+            zones = set(service.scaling.zone_prices) | {
+                entry.zone for entry in listed if entry.service == service.name
+            }
+            for group, count in wanted_counts(service, service.scaling, sorted(zones)).items():
+                have = sum(
+                    1 for entry in listed if Group(entry.service, entry.zone, entry.cheap) == group
+                )
+                if have != count:
+                    self._order(authority, group, count, have, service.scaling.boot_s, now)
+
+    def _order(
+        self,
+        authority: Authority,
+        group: Group,
+        count: int,
+        have: int,
+        boot_s: float,
+        now: float,
+    ) -> None:
+        ordered, next_at = self._ordered.get(group, (-1, 0.0))
+        if ordered == count and now < next_at:
+            return
+        call = self._wire.capacity(authority, group.service, group.zone, count, group.cheap)
+        sent = self._sender.post(authority, self._address(), call.path, call.body, call.headers)
+        if sent.is_ok() and sent.ok.status == 200:
+            self._ordered[group] = (count, now + boot_s + REPEAT_S)
+            _log.info(CAPACITY_ORDERED, **group._asdict(), count=count, have=have)
+            return
+        self._ordered[group] = (count, now + REFUSED_RETRY_S)
+        detail = sent.error.detail if sent.is_error() else f"status {sent.ok.status}"
+        _log.warning(CAPACITY_REFUSED, **group._asdict(), count=count, detail=detail[:200])
--- a/src/laburnumreel/relay/_conduct.py
+++ b/src/laburnumreel/relay/_conduct.py
@@ -66,6 +66,11 @@
         record.rests += 1
         record.rest_until = now + rest_s
 
+    def rest(self, back_end: str, until: float, now: float) -> None:
+        """Let a backend server rest until a time."""
+        record = self._record(back_end, now)
+        record.rest_until = max(record.rest_until, until)
+
     def told(self, back_end: str, until: float) -> None:
         """Take a peer's word that a backend server cannot be reached."""
         self._told[back_end] = until
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -113,6 +113,11 @@
     back_end: str
 
 
+class _Avoid(NamedTuple):
+    back_end: str
+    seconds: float
+
+
 class _Moved(NamedTuple):
     back_end: str
 
@@ -224,6 +229,10 @@
         """Take in that a backend server could not be connected to, or went silent."""
         self.tell(_Unreachable(back_end))
 
+    def avoid(self, back_end: str, seconds: float) -> None:
+        """Send nothing to a backend server for a time, and tell the peers."""
+        self.tell(_Avoid(back_end, seconds))
+
     def moved(self, back_end: str) -> None:
         """Take in that another backend server has this one's address."""
         self.tell(_Moved(back_end))
@@ -293,6 +302,8 @@
                     self._conduct.worked(back_end, took_ms, now)
             case _Unreachable(back_end):
                 self._on_unreachable(back_end, now)
+            case _Avoid(back_end, seconds):
+                self._conduct.rest(back_end, now + seconds, now)
             case _Moved(back_end):
                 self._back_ends.forget(back_end)
                 _log.info(BACK_END_GONE, back_end=back_end, reason="another has its address")
--- a/src/laburnumreel/relay/_duties.py
+++ b/src/laburnumreel/relay/_duties.py
@@ -1,6 +1,6 @@
 """The task that does what only one host may do: it reports usage and gives orders."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from laburnumreel.coordination import Answer, AuthorityBoard, GuardedSender
@@ -57,7 +57,7 @@
         book: UsageBook,
         usage: UsageSettings,
         quiet_s: float,
-        planner: Planner | None = None,
+        planners: Sequence[Planner] = (),
     ) -> None:
         super().__init__("duties", TICK_S)
         self._platform = platform
@@ -70,7 +70,7 @@
         self._book = book
         self._usage = usage
         self._quiet_s = quiet_s
-        self._planner = planner
+        self._planners = planners
         self._fence: int | None = None
         self._act_from = 0.0
         self._reported: set[int] = set()
@@ -94,8 +94,8 @@
             return
         if now >= self._retry_at:
             self._report(authority)
-        if self._planner is not None:
-            self._planner.step(authority, now)
+        for planner in self._planners:
+            planner.step(authority, now)
 
     def _report(self, authority: Authority) -> None:
         true_now = self._true_time.now()
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -35,6 +35,7 @@
         self._job = job
         self._attempt: Attempt | None = None
         self._assignment: Assignment | None = None
+        self._runner = ""
         self._splitter = EventSplitter()
         self._last_id = job.request.resume_after
         self._ready: list[bytes] = []
@@ -48,7 +49,8 @@
 
     @property
     def back_end(self) -> str:
-        return self._assignment.runner.name if self._assignment is not None else ""
+        """The engine that the request was sent to last."""
+        return self._runner
 
     def start(self) -> bytes:
         """Return the first event of the stream, or the whole of an answer that is none.
@@ -201,6 +203,7 @@
     def _send(self, assignment: Assignment, copy: PromptCopy | None) -> Verdict:
         job = self._job
         self._assignment = assignment
+        self._runner = assignment.runner.name
         self._splitter = EventSplitter()
         self._ready = []
         self._ended = False
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -7,7 +7,7 @@
 import signal
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -18,7 +18,8 @@
 from laburnumreel.core import Log, SettingsError, SystemClock, Task
 from laburnumreel.relay._application import RelayApplication
 from laburnumreel.relay._back_ends import ListedBackEnd
-from laburnumreel.relay._config import RelayConfig
+from laburnumreel.relay._capacity import CapacityPlanner
+from laburnumreel.relay._config import RelayConfig, RelayService
 from laburnumreel.relay._dispatcher import Dispatcher
 from laburnumreel.relay._duties import DUTY_LEASE, Duties
 from laburnumreel.relay._events import (
@@ -39,9 +40,11 @@
 from laburnumreel.relay._peers import PeerNews
 from laburnumreel.relay._placement import Place
 from laburnumreel.relay._ports import BackEndWire, CallerWire, Directory, DutyWire, Listing
+from laburnumreel.relay._roles import RolePlanner
 from laburnumreel.relay._settings import RelaySettings
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._usage import UsageBook
+from laburnumreel.relay._work import Work
 from laburnumreel.serving import RequestRegistry
 from laburnumreel.state import Lease, LeaseSettings, Platform
 from laburnumreel.transport import BackEndPool, HttpOrderLink, HttpServer, admin_server
@@ -192,10 +195,25 @@
             lease_settings,
             self._rng,
         )
+        sender = GuardedSender(board, HttpOrderLink(ORDER_TIMEOUT_S, settings.lease.margin_s))
+        capacity = CapacityPlanner(
+            sender,
+            adapter.duties,
+            lambda: self._settings.duties,
+            self._services,
+            self._fleet,
+        )
+        roles = RolePlanner(
+            sender,
+            adapter.duties,
+            self._services,
+            self._fleet,
+            self._dispatcher.avoid,
+        )
         self._duties = Duties(
             adapter.store,
             board,
-            GuardedSender(board, HttpOrderLink(ORDER_TIMEOUT_S, settings.lease.margin_s)),
+            sender,
             adapter.duties,
             lambda: self._settings.duties,
             self._clock,
@@ -203,6 +221,7 @@
             self._book,
             settings.usage,
             QUIET_S,
+            (capacity, roles),
         )
         self._callers = HttpServer(
             self._application, settings.listen.callers, settings.threads + SPARE_THREADS
@@ -283,6 +302,14 @@
         self._pool.close()
         _log.info(RELAY_STOPPED, took_s=round(self._clock.now() - began, 2))
 
+    def _services(self) -> Mapping[str, RelayService]:
+        table = self._application.table
+        return table.config.services if table is not None else {}
+
+    def _fleet(self) -> tuple[Iterable[ListedBackEnd], Mapping[str, Work]]:
+        view = self._dispatcher.view().result()
+        return view.back_ends, view.work
+
     def _began(self, customer: str) -> None:
         if customer:
             self._book.began(customer, self._true_time.now())
--- a/src/laburnumreel/relay/_placement.py
+++ b/src/laburnumreel/relay/_placement.py
@@ -26,7 +26,8 @@
     memory that is copied `copy_ms_per_gb`, both for what the platform charges. `failure_ms` is the
     cost of a request that fails. An engine that generates reads `mixed_read_factor` times as slowly
     as one that only reads, and each of its streams is held up meanwhile by `stall_share` of the
-    reading. `full_ms` is the cost of an engine whose places are all taken.
+    reading. Every thousand tokens that another engine keeps and this one must read again cost
+    `reread_ms_per_k` besides the time. `full_ms` is the cost of an engine whose places are all taken.
     """
 
     zone_ms: float = 1.0
@@ -35,7 +36,8 @@
     copy_ms_per_gb: float = 10.0
     failure_ms: float = 1500.0
     mixed_read_factor: float = 2.0
-    stall_share: float = 0.25
+    stall_share: float = 1.5
+    reread_ms_per_k: float = 20.0
     full_ms: float = 150.0
     memory_ms: float = 400.0
 
@@ -198,6 +200,7 @@
             + volume_ms(self._here, generator.place, body_bytes, costs)
             + self._generating(prompt, traits, generator)
             + reading_ms * generator.work.streams * costs.stall_share
+            + self._rereading(prompt, unread)
         )
         return EnginePlan(None, generator, unread, first_ms, cost)
 
@@ -226,10 +229,16 @@
             + volume_ms(here, reader.place, body_bytes, costs)
             + volume_ms(here, generator.place, body_bytes, costs)
             + reader.failure_share * costs.failure_ms
+            + self._rereading(prompt, unread)
             + self._generating(prompt, traits, generator)
         )
         return EnginePlan(reader, generator, unread, first_ms, cost)
 
+    def _rereading(self, prompt: Prompt, unread: int) -> float:
+        """Return the cost of reading shared parts that another engine keeps."""
+        own = prompt.input_tokens - sum(part.tokens for part in prompt.shared)
+        return max(0, unread - own) / 1000 * self._costs.reread_ms_per_k
+
     def _generating(self, prompt: Prompt, traits: EngineTraits, generator: Candidate) -> float:
         costs, work = self._costs, generator.work
         taken = (work.streams + 1) / max(1, generator.back_end.slots)
--- /dev/null
+++ b/src/laburnumreel/relay/_roles.py
@@ -0,0 +1,110 @@
+"""Which engines read prompts and which generate.
+
+Load patterns that this answers: a fleet whose engines come up with whatever role, and a mix of long
+prompts and long answers that shifts: the roles that suit the load cost one order each and an engine
+for the seconds of its change.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
+
+from laburnumreel.coordination import GuardedSender
+from laburnumreel.core import Log
+from laburnumreel.relay._back_ends import ListedBackEnd, Role
+from laburnumreel.relay._config import RelayService
+from laburnumreel.relay._events import ROLE_ORDERED, ROLE_REFUSED
+from laburnumreel.relay._ports import DutyWire
+from laburnumreel.relay._work import NO_WORK, Work
+from laburnumreel.state import Authority
+
+# The share of a service's engines that reads prompts.
+READING_SHARE = 0.5
+# Engines that generate below this number can't be spared, so that the loss of one is borne.
+LEAST_GENERATING = 3
+# A changed engine shows in the list this long after its change at the latest.
+SHOW_S = 2.0
+REFUSED_RETRY_S = 2.0
+
+_log = Log("relay.roles")
+
+
+class RoleChange(NamedTuple):
+    """An engine and the role that it should get."""
+
+    back_end: ListedBackEnd
+    role: Role
+
+
+def wanted_change(
+    engines: Iterable[ListedBackEnd], work: Mapping[str, Work], reading_share: float
+) -> RoleChange | None:
+    """Return the next change of a role that brings the engines nearer to a share, or None.
+
+    The engine with the least work changes, one from the zone that has most of its role.
+    """
+    engines = [each for each in engines if each.role is not None]
+    readers = [each for each in engines if each.role is Role.PREFILL]
+    generators = [each for each in engines if each.role is Role.DECODE]
+    wanted = round(len(engines) * reading_share)
+    wanted = max(0, min(wanted, len(engines) - LEAST_GENERATING))
+    if len(readers) < wanted:
+        candidates, role = generators, Role.PREFILL
+    elif len(readers) > wanted + 1:
+        candidates, role = readers, Role.DECODE
+    else:
+        return None
+
+    def burden(engine: ListedBackEnd) -> tuple[int, int]:
+        peers = sum(1 for each in candidates if each.zone == engine.zone)
+        at_work = work.get(engine.name, NO_WORK)
+        return -peers, at_work.streams + at_work.requests
+
+    return RoleChange(min(candidates, key=burden), role)
+
+
+class RolePlanner:
+    """Orders role changes, one at a time for each service."""
+
+    def __init__(
+        self,
+        sender: GuardedSender,
+        wire: DutyWire,
+        services: Callable[[], Mapping[str, RelayService]],
+        fleet: Callable[[], tuple[Iterable[ListedBackEnd], Mapping[str, Work]]],
+        avoid: Callable[[str, float], None],
+    ) -> None:
+        self._sender = sender
+        self._wire = wire
+        self._services = services
+        self._fleet = fleet
+        self._avoid = avoid
+        self._next_at: dict[str, float] = {}
+
+    def step(self, authority: Authority, now: float) -> None:
+        """Give the orders that are due."""
+        back_ends, work = self._fleet()
+        for service in self._services().values():
+            if service.engine is None or now < self._next_at.get(service.name, 0.0):
+                continue
+            engines = [
+                each for each in back_ends if each.service == service.name and not each.draining
+            ]
+            change = wanted_change(engines, work, READING_SHARE)
+            if change is not None:
+                self._order(authority, service, change, now)
+
+    def _order(
+        self, authority: Authority, service: RelayService, change: RoleChange, now: float
+    ) -> None:
+        engine, switch_s = change.back_end, service.engine.switch_s
+        call = self._wire.role(authority, engine, change.role)
+        sent = self._sender.post(authority, engine.address, call.path, call.body, call.headers)
+        fields = {"back_end": engine.name, "role": str(change.role), "fence": authority.fence}
+        if sent.is_ok() and sent.ok.status in (200, 202):
+            self._avoid(engine.name, switch_s)
+            self._next_at[service.name] = now + switch_s + SHOW_S
+            _log.info(ROLE_ORDERED, **fields)
+            return
+        self._next_at[service.name] = now + REFUSED_RETRY_S
+        detail = sent.error.detail if sent.is_error() else f"status {sent.ok.status}"
+        _log.warning(ROLE_REFUSED, detail=detail[:200], **fields)
