Scale the exchange between hosts, the store calls and the plans to sixty hosts

News goes to other regions about once a second where there are many hosts, usage to the holder of the lease only, feeds wait 2.5 to 4.5 s and gather changes, and a host that peers show to be behind reads its table again. The lease is not looked at while a peer says that it holds it. The dedicated engines that a deployment came with stay. Regions whose engines can keep all starts keep to themselves.

--- a/idl/relay.thrift
+++ b/idl/relay.thrift
@@ -33,7 +33,7 @@
 struct News {
   1: string sender
   2: string boot
-  3: string address
+  3: string zone
   4: i64 sequence
   5: i64 config_version
   6: bool stopping
@@ -44,4 +44,6 @@
   11: list<WindowCounts> usage
   12: list<Timed> crashes
   13: list<Kept> kept
+  14: i64 duty_fence
+  15: i64 listing_version
 }
--- a/src/laburnumreel/coordination/_leases.py
+++ b/src/laburnumreel/coordination/_leases.py
@@ -1,7 +1,7 @@
 """The task that acquires, renews and gives up this process's leases."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from laburnumreel.coordination._authority import AuthorityBoard, ProcessTimer
 from laburnumreel.coordination._events import (
@@ -37,7 +37,9 @@
 
     Each step makes at most one call to the platform, so that the end of a lease is looked at often
     enough while the store is slow. The platform client given here should time out after
-    `call_timeout_s`.
+    `call_timeout_s`. While `held_elsewhere` tells that another process is known to hold the leases,
+    they are not looked at; a wrong word delays a successor and does no other harm. Without
+    `tell_release`, a planned stop lets the leases run out.
     """
 
     def __init__(
@@ -49,8 +51,12 @@
         leases: Sequence[Lease],
         settings: LeaseSettings,
         rng: random.Random,
+        held_elsewhere: Callable[[], bool] = lambda: False,
+        tell_release: bool = True,
     ) -> None:
         super().__init__("leases", KEEPER_TICK_S)
+        self._held_elsewhere = held_elsewhere
+        self._tell_release = tell_release
         self._platform = platform
         self._board = board
         self._timer = timer
@@ -84,6 +90,8 @@
         if any(lease.read_needed for lease in self._leases):
             self._watch()
             return
+        if not self._published and self._held_elsewhere():
+            return
         due = [lease for lease in self._leases if lease.renewal_due(now)]
         if due:
             self._send(due)
@@ -127,7 +135,11 @@
                 super().handle(message)
 
     def close(self) -> None:
-        self.release_all()
+        if self._tell_release:
+            self.release_all()
+            return
+        for lease in self._leases:
+            self.lapse(lease.name)
 
     def _give_up_ending(self, now: float) -> None:
         for name, authority in list(self._published.items()):
--- a/src/laburnumreel/protocol/gen/relay/ttypes.py
+++ b/src/laburnumreel/protocol/gen/relay/ttypes.py
@@ -344,7 +344,7 @@
     Attributes:
      - sender
      - boot
-     - address
+     - zone
      - sequence
      - config_version
      - stopping
@@ -355,14 +355,16 @@
      - usage
      - crashes
      - kept
+     - duty_fence
+     - listing_version
 
     """
 
 
-    def __init__(self, sender=None, boot=None, address=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None,):
+    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None,):
         self.sender = sender
         self.boot = boot
-        self.address = address
+        self.zone = zone
         self.sequence = sequence
         self.config_version = config_version
         self.stopping = stopping
@@ -373,6 +375,8 @@
         self.usage = usage
         self.crashes = crashes
         self.kept = kept
+        self.duty_fence = duty_fence
+        self.listing_version = listing_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -395,7 +399,7 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -489,6 +493,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.duty_fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.listing_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -507,9 +521,9 @@
             oprot.writeFieldBegin('boot', TType.STRING, 2)
             oprot.writeString(self.boot.encode('utf-8') if sys.version_info[0] == 2 else self.boot)
             oprot.writeFieldEnd()
-        if self.address is not None:
-            oprot.writeFieldBegin('address', TType.STRING, 3)
-            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 3)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
             oprot.writeFieldEnd()
         if self.sequence is not None:
             oprot.writeFieldBegin('sequence', TType.I64, 4)
@@ -572,6 +586,14 @@
                 iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.duty_fence is not None:
+            oprot.writeFieldBegin('duty_fence', TType.I64, 14)
+            oprot.writeI64(self.duty_fence)
+            oprot.writeFieldEnd()
+        if self.listing_version is not None:
+            oprot.writeFieldBegin('listing_version', TType.I64, 15)
+            oprot.writeI64(self.listing_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -620,7 +642,7 @@
     None,  # 0
     (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'boot', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
     (4, TType.I64, 'sequence', None, None, ),  # 4
     (5, TType.I64, 'config_version', None, None, ),  # 5
     (6, TType.BOOL, 'stopping', None, None, ),  # 6
@@ -631,6 +653,8 @@
     (11, TType.LIST, 'usage', (TType.STRUCT, [WindowCounts, None], False), None, ),  # 11
     (12, TType.LIST, 'crashes', (TType.STRUCT, [Timed, None], False), None, ),  # 12
     (13, TType.LIST, 'kept', (TType.STRUCT, [Kept, None], False), None, ),  # 13
+    (14, TType.I64, 'duty_fence', None, None, ),  # 14
+    (15, TType.I64, 'listing_version', None, None, ),  # 15
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/laburnumreel/relay/_capacity.py
+++ b/src/laburnumreel/relay/_capacity.py
@@ -6,6 +6,7 @@
 are spread over all of them.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
@@ -16,14 +17,17 @@
 from laburnumreel.relay._events import CAPACITY_ORDERED, CAPACITY_REFUSED
 from laburnumreel.relay._ports import DutyWire
 from laburnumreel.relay._work import Work
-from laburnumreel.state import Authority
+from laburnumreel.state import Authority, Check, Platform, Write
 
 # Cheap backend servers are worth room for the heavier mix up to this share of a dedicated one's
 # price.
 WORTHWHILE_PRICE_SHARE = 0.5
-# Engines of a zone, with the dedicated ones.
-CHEAP_IN_ZONE = 4
-DEDICATED_IN_ZONE = 2
+# Cheap backend servers for each dedicated one that the deployment came with.
+CHEAP_FOR_DEDICATED = 1.0
+CAPACITY_TABLE = "relay_capacity"
+# Backend servers make themselves known one by one; the list is believed when it has stood this long,
+# which is longer than they take between two signs of life.
+STANDS_S = 1.8
 # An order that did not show in the list is repeated after the time to start and this much more.
 REPEAT_S = 3.0
 REFUSED_RETRY_S = 2.0
@@ -40,16 +44,21 @@
 
 
 def wanted_counts(
-    service: RelayService, scaling: Scaling, zones: Iterable[str]
+    service: RelayService, scaling: Scaling, found: Mapping[str, int]
 ) -> Mapping[Group, int]:
-    """Return how many backend servers of each kind a service should have in each zone."""
+    """Return how many backend servers of each kind a service should have in each zone.
+
+    `found` gives the dedicated ones by zone that the deployment came with. They stay, so that each
+    zone can do without its cheap ones.
+    """
     wanted = {}
-    for zone in zones:
-        dedicated = max(scaling.least, min(scaling.most, DEDICATED_IN_ZONE))
+    cheap_enough = scaling.cheap_price is not None and scaling.cheap_price <= WORTHWHILE_PRICE_SHARE
+    for zone, count in found.items():
+        dedicated = max(scaling.least, min(scaling.most, count))
         wanted[Group(service.name, zone, False)] = dedicated
-        if scaling.cheap_price is not None and scaling.cheap_price <= WORTHWHILE_PRICE_SHARE:
-            cheap = max(0, min(CHEAP_IN_ZONE, scaling.most - dedicated))
-            wanted[Group(service.name, zone, True)] = cheap
+        if cheap_enough:
+            cheap = min(round(CHEAP_FOR_DEDICATED * dedicated), scaling.most - dedicated)
+            wanted[Group(service.name, zone, True)] = max(0, cheap)
     return wanted
 
 
@@ -58,18 +67,22 @@
 
     def __init__(
         self,
+        platform: Platform,
         sender: GuardedSender,
         wire: DutyWire,
         address: Callable[[], Address],
         services: Callable[[], Mapping[str, RelayService]],
         fleet: Callable[[], tuple[Iterable[ListedBackEnd], Mapping[str, Work]]],
     ) -> None:
+        self._platform = platform
         self._sender = sender
         self._wire = wire
         self._address = address
         self._services = services
         self._fleet = fleet
         self._ordered: dict[Group, tuple[int, float]] = {}
+        self._found: dict[str, Mapping[str, int]] = {}
+        self._seen: dict[str, tuple[Counter, float]] = {}
         self._fence = 0
 
     def step(self, authority: Authority, now: float) -> None:
@@ -77,21 +90,59 @@
         if authority.fence != self._fence:
             self._fence = authority.fence
             self._ordered.clear()
+            self._found.clear()
         back_ends, _ = self._fleet()
         listed = [entry for entry in back_ends if not entry.draining]
         for service in self._services().values():
             if service.scaling is None:
                 continue
-            zones = set(service.scaling.zone_prices) | {
-                entry.zone for entry in listed if entry.service == service.name
-            }
-            for group, count in wanted_counts(service, service.scaling, sorted(zones)).items():
+            found = self._found_counts(service, listed, now)
+            if found is None:
+                continue
+            for group, count in wanted_counts(service, service.scaling, found).items():
                 have = sum(
                     1 for entry in listed if Group(entry.service, entry.zone, entry.cheap) == group
                 )
                 if have != count:
                     self._order(authority, group, count, have, service.scaling.boot_s, now)
 
+    def _found_counts(
+        self, service: RelayService, listed: list[ListedBackEnd], now: float
+    ) -> Mapping[str, int] | None:
+        """Return the dedicated backend servers by zone that the deployment came with.
+
+        The first holder writes them down, so that its successors do not take a loss for the plan.
+        """
+        if service.name in self._found:
+            return self._found[service.name]
+        row = self._platform.read(CAPACITY_TABLE, service.name)
+        if row.is_error():
+            return None
+        if row.ok is None:
+            counts = Counter(
+                entry.zone for entry in listed if entry.service == service.name and not entry.cheap
+            )
+            if not self._stands(service.name, counts, now):
+                return None
+            # Another holder may have written meanwhile; the next step reads what stands.
+            self._platform.transact(
+                [Check(CAPACITY_TABLE, service.name, 0)],
+                [Write(CAPACITY_TABLE, service.name, {"dedicated": dict(counts)})],
+            )
+            return None
+        self._found[service.name] = {
+            str(zone): int(count) for zone, count in row.ok.value["dedicated"].items()
+        }
+        return self._found[service.name]
+
+    def _stands(self, service: str, counts: Counter, now: float) -> bool:
+        """Return whether the list has shown the same counts for a while."""
+        known, since = self._seen.get(service, (None, now))
+        if counts != known:
+            self._seen[service] = (counts, now)
+            return False
+        return bool(counts) and now - since >= STANDS_S
+
     def _order(
         self,
         authority: Authority,
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -43,6 +43,8 @@
 # The share of the deployment's budget for repeated sends that the hosts plan with. The rest covers
 # what one host can't see of the others.
 PLANNED_BUDGET_SHARE = 0.7
+# The share of a reading engine's memory that keeps starts of prompts; the rest holds what is read.
+START_MEMORY_SHARE = 0.6
 # A crash counts against a request for this long, and is told to peers as long.
 CRASH_S = 30.0
 
@@ -432,6 +434,7 @@
             candidates,
             order.read_apart and not order.copied,
             order.copied,
+            self._settled(service, candidates, now),
         )
         if plan is None:
             return None
@@ -465,6 +468,15 @@
             plan.generator.back_end, run_work, reader, read_work, plan, ahead, candidates, age_s
         )
 
+    def _settled(self, service: RelayService, candidates: Iterable[Candidate], now: float) -> bool:
+        """Return whether the engines of this region can keep all starts that are asked for."""
+        near = [each for each in candidates if each.region == self._here.region]
+        readers = sum(1 for each in near if each.back_end.role is Role.PREFILL)
+        if readers == len(near):
+            return False
+        room = readers * service.engine.kv_tokens * START_MEMORY_SHARE
+        return room >= self._prompts.working_set(now) > 0
+
     def _candidates(self, order: Order, now: float) -> list[Candidate]:
         usable = [
             back_end
--- a/src/laburnumreel/relay/_duties.py
+++ b/src/laburnumreel/relay/_duties.py
@@ -23,7 +23,7 @@
 SEAL_TABLE = "relay_windows"
 TICK_S = 0.25
 # How long after its end a window is fixed: peers repeat their counts well within this time.
-SEAL_DELAY_S = 1.4
+SEAL_DELAY_S = 2.2
 # A window that is late by more than this many times the limit is given up.
 GIVE_UP_TIMES = 2.0
 # Fixed windows that are kept, so that a successor finds what its predecessor fixed.
@@ -39,10 +39,10 @@
 
 
 class Duties(Task):
-    """Works under the lease, from a while after it was gained.
+    """Works under the lease.
 
-    The platform must never hear two holders in turn within its lease time; so a new holder keeps
-    still for `quiet_s`.
+    A holder that stops lets the lease run out instead of handing it on: the platform must never hear
+    two holders in turn within its lease time.
     """
 
     def __init__(
@@ -56,7 +56,6 @@
         true_time: TrueTime,
         book: UsageBook,
         usage: UsageSettings,
-        quiet_s: float,
         planners: Sequence[Planner] = (),
     ) -> None:
         super().__init__("duties", TICK_S)
@@ -69,28 +68,20 @@
         self._true_time = true_time
         self._book = book
         self._usage = usage
-        self._quiet_s = quiet_s
         self._planners = planners
-        self._fence: int | None = None
-        self._act_from = 0.0
         self._reported: set[int] = set()
         self._retry_at = 0.0
 
     @property
-    def holds(self) -> bool:
-        """Whether this host does the duties now."""
-        return self._board.current(DUTY_LEASE) is not None
+    def fence(self) -> int:
+        """The fencing number under which this host does the duties now, or 0."""
+        authority = self._board.current(DUTY_LEASE)
+        return authority.fence if authority is not None else 0
 
     def tick(self) -> None:
         now = self._clock.now()
         authority = self._board.current(DUTY_LEASE)
         if authority is None:
-            self._fence = None
-            return
-        if authority.fence != self._fence:
-            self._fence = authority.fence
-            self._act_from = now + self._quiet_s
-        if now < self._act_from:
             return
         if now >= self._retry_at:
             self._report(authority)
--- a/src/laburnumreel/relay/_feeds.py
+++ b/src/laburnumreel/relay/_feeds.py
@@ -12,8 +12,12 @@
 from laburnumreel.relay._ports import Entry, Feed, Listing
 from laburnumreel.state import PlatformError
 
-# A call that waits for changes ends after this time, so that a connection that went silent shows.
-FOLLOW_S = 2.0
+# A call that waits for changes ends after a time between these, so that a connection that went
+# silent shows, at some host soon; its peers then see that they are behind.
+SHORTEST_FOLLOW_S = 2.5
+LONGEST_FOLLOW_S = 4.5
+# After changes the next call waits a moment, so that changes that come in a row cost one call.
+GATHER_S = 0.2
 # Failed calls are repeated after a time that doubles up to the limit, spread over half of it.
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.8
@@ -45,6 +49,8 @@
         self._on_listing = on_listing
         self._on_link = on_link
         self._version: int | None = None
+        self._changed_at = 0
+        self._nudged = False
         self._failures = 0
         self._listed = False
         self._answers = True
@@ -55,6 +61,21 @@
         """Whether the table was read whole at least once."""
         return self._listed
 
+    @property
+    def changed_at(self) -> int:
+        """The version of the newest change that was taken."""
+        return self._changed_at
+
+    @property
+    def seen_through(self) -> int:
+        """The version of the store up to which all changes were taken."""
+        return self._version or 0
+
+    def nudge(self) -> None:
+        """Give up the call that waits, from another thread, and read the table whole."""
+        self._nudged = True
+        self._feed.interrupt()
+
     def tick(self) -> None:
         sent_at = self._clock.now()
         result = self._call()
@@ -66,7 +87,8 @@
     def _call(self) -> Result[Listing[Entry], PlatformError]:
         if self._version is None:
             return self._feed.read()
-        return self._feed.follow(self._version, FOLLOW_S)
+        wait_s = self._rng.uniform(SHORTEST_FOLLOW_S, LONGEST_FOLLOW_S)
+        return self._feed.follow(self._version, wait_s)
 
     def _take(self, listing: Listing[Entry], sent_at: float) -> None:
         now = self._clock.now()
@@ -77,6 +99,7 @@
             self._on_link(True)
         self._failures = 0
         self._answered_at = now
+        self._changed_at = max(self._changed_at, listing.changed_at)
         if listing.complete:
             _log.info(
                 DIRECTORY_REREAD,
@@ -87,9 +110,12 @@
         self._version = listing.version
         self._listed = True
         self._on_listing(listing, sent_at, now)
+        if listing.entries and not listing.complete:
+            time.sleep(GATHER_S)
 
     def _failed(self, error: PlatformError) -> None:
-        if error.kind == "history_gone":
+        nudged, self._nudged = self._nudged, False
+        if error.kind == "history_gone" or nudged:
             self._version = None
             return
         if self._answers:
--- a/src/laburnumreel/relay/_news.py
+++ b/src/laburnumreel/relay/_news.py
@@ -21,12 +21,13 @@
     seconds for which they still hold: backend servers that could not be reached, and digests of
     requests that crash backend servers; `crashes` are digests with one crash against them. `usage`
     are counts of requests by window and customer. `kept` are the parts of prompts that engines have
-    got through this host since its last news.
+    got through this host since its last news. `duty_fence` is the fencing number under which the
+    host does the duties, or 0. `listing_version` is the newest change of the back ends' table that it knows.
     """
 
     sender: str
     boot: str
-    address: str
+    zone: str
     sequence: int
     config_version: int
     stopping: bool
@@ -37,6 +38,8 @@
     leaving: tuple[str, ...]
     usage: Mapping[int, Mapping[str, int]]
     kept: Mapping[str, tuple[str, ...]]
+    duty_fence: int
+    listing_version: int
 
 
 def encode_news(news: News) -> bytes:
@@ -44,7 +47,7 @@
     struct = ttypes.News(
         sender=news.sender,
         boot=news.boot,
-        address=news.address,
+        zone=news.zone,
         sequence=news.sequence,
         config_version=news.config_version,
         stopping=news.stopping,
@@ -53,6 +56,8 @@
         held_back=_timed(news.held_back),
         crashes=_timed(news.crashes),
         leaving=list(news.leaving),
+        duty_fence=news.duty_fence,
+        listing_version=news.listing_version,
         kept=[ttypes.Kept(name, list(parts)) for name, parts in news.kept.items()],
         usage=[ttypes.WindowCounts(window, dict(counts)) for window, counts in news.usage.items()],
     )
@@ -70,7 +75,7 @@
             News(
                 sender=struct.sender,
                 boot=struct.boot,
-                address=struct.address,
+                zone=struct.zone,
                 sequence=struct.sequence,
                 config_version=struct.config_version,
                 stopping=struct.stopping,
@@ -86,6 +91,8 @@
                 leaving=tuple(struct.leaving),
                 usage={each.window: each.counts for each in struct.usage},
                 kept={each.back_end: tuple(each.parts) for each in struct.kept},
+                duty_fence=struct.duty_fence,
+                listing_version=struct.listing_version,
             )
         )
     except Exception as error:
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -68,11 +68,14 @@
 READINESS_THREADS = 1
 # Threads that refuse while all others are in work.
 SPARE_THREADS = 8
-# Peers hear of usage with every so many news, which is several times before a window is fixed.
-USAGE_EVERY = 3
-USAGE_WINDOWS = 4
-# The platform must never hear two holders of a duty in turn within three seconds.
-QUIET_S = 3.2
+# Peers hear of the usage of this many windows, which are those that are not fixed yet.
+USAGE_WINDOWS = 2
+# Counts are forgotten after this many windows.
+FORGET_WINDOWS = 40
+# A peer that said so this lately does the duties; the lease need not be looked at.
+DUTY_CLAIM_S = 1.5
+# A peer that knows more of a table for this long shows that the connection to it has gone silent.
+BEHIND_S = 0.8
 ORDER_TIMEOUT_S = 1.5
 # New objects between collections of the youngest generation.
 GC_THRESHOLD = 20_000
@@ -123,6 +126,9 @@
         self._stopping = False
         self._ready = False
         self._peer_version = 0
+        self._peer_listing = 0
+        self._behind_since: dict[FeedFollower, float] = {}
+        self._kept: dict[bool, dict[str, set[str]]] = {False: {}, True: {}}
         host = settings.host
         self._true_time = TrueTime(self._clock)
         self._book = UsageBook(settings.usage.window_s)
@@ -172,6 +178,8 @@
             self._clock,
             settings.news_interval_s,
             self._news,
+            self._usage,
+            lambda zone: host.regions.get(zone, host.region) != host.region,
             self._on_news,
             self._dispatcher.peer_silent,
         )
@@ -194,9 +202,12 @@
             [lease],
             lease_settings,
             self._rng,
+            held_elsewhere=lambda: self._peers.duty_claimed(DUTY_CLAIM_S),
+            tell_release=False,
         )
         sender = GuardedSender(board, HttpOrderLink(ORDER_TIMEOUT_S, settings.lease.margin_s))
         capacity = CapacityPlanner(
+            adapter.store,
             sender,
             adapter.duties,
             lambda: self._settings.duties,
@@ -220,7 +231,6 @@
             self._true_time,
             self._book,
             settings.usage,
-            QUIET_S,
             (capacity, roles),
         )
         self._callers = HttpServer(
@@ -338,32 +348,53 @@
         self._true_time.store_read(sent_at, answered_at, listing.store_time_s)
         self._dispatcher.listed(listing)
 
-    def _news(self, sequence: int) -> News:
+    def _news(self, far: bool) -> News:
         beliefs = self._dispatcher.beliefs().result()
+        for kept in self._kept.values():
+            for engine, parts in beliefs.kept.items():
+                kept.setdefault(engine, set()).update(parts)
+        kept, self._kept[far] = self._kept[far], {}
         table = self._application.table
         host = self._settings.host
-        usage = {}
-        if sequence % USAGE_EVERY == 0:
-            window = self._book.window(self._true_time.now())
-            usage = self._book.own_since(window - USAGE_WINDOWS)
-            self._book.forget_before(window - 10 * USAGE_WINDOWS)
         return News(
             sender=host.name,
             boot=self._boot,
-            address="",
-            sequence=sequence,
+            zone=host.zone,
+            sequence=0,
             config_version=table.version if table is not None else 0,
             stopping=self._stopping,
-            usage=usage,
-            **beliefs._asdict(),
+            usage={},
+            **beliefs._replace(
+                kept={engine: tuple(parts) for engine, parts in kept.items()}
+            )._asdict(),
+            duty_fence=self._duties.fence,
+            listing_version=self._back_end_feed.changed_at,
         )
 
+    def _usage(self) -> Mapping[int, Mapping[str, int]]:
+        window = self._book.window(self._true_time.now())
+        self._book.forget_before(window - FORGET_WINDOWS)
+        return self._book.own_since(window - USAGE_WINDOWS + 1)
+
     def _on_news(self, news: News) -> None:
         self._peer_version = max(self._peer_version, news.config_version)
+        self._peer_listing = max(self._peer_listing, news.listing_version)
+        table = self._application.table
+        self._nudge(self._config_feed, table is None or table.version >= self._peer_version)
+        self._nudge(self._back_end_feed, self._back_end_feed.seen_through >= self._peer_listing)
         for window, counts in news.usage.items():
             self._book.peer(news.sender, news.boot, window, counts)
         self._dispatcher.peer(news)
 
+    def _nudge(self, feed: FeedFollower, current: bool) -> None:
+        """Have a table read again that peers know more of than its connection has told."""
+        now = self._clock.now()
+        if current:
+            self._behind_since.pop(feed, None)
+        elif now - self._behind_since.setdefault(feed, now) >= BEHIND_S:
+            self._behind_since.pop(feed)
+            feed.nudge()
+
     def _is_ready(self) -> bool:
         ready = (
             not self._stopping
@@ -390,7 +421,7 @@
             "stopping": self._stopping,
             "configuration": table.version if table is not None else 0,
             "peers": sorted(self._peers.heard),
-            "duties": self._duties.holds,
+            "duties": self._duties.fence > 0,
         }
 
 
--- a/src/laburnumreel/relay/_peers.py
+++ b/src/laburnumreel/relay/_peers.py
@@ -12,14 +12,24 @@
 from laburnumreel.relay._metrics import RELAY_PEERS
 from laburnumreel.relay._news import MOST_BYTES, News, decode_news, encode_news
 
-# A peer that is not heard for this long is taken as gone; it sends several times a second.
-SILENT_S = 2.0
+# With many peers, news goes out more seldom, so that a host sends at most this many datagrams a
+# second: to peers nearby, and to those in other regions, whose datagrams are paid for and whose
+# engines are seldom used where there are many.
+MOST_NEAR_PER_S = 80.0
+MOST_FAR_PER_S = 40.0
+# A peer that is not heard for this long is taken as gone.
+SILENT_S = 3.0
 # Addresses that nobody answers from are tried again this often, in case a path came back.
-RETRY_SILENT_S = 1.0
+RETRY_SILENT_S = 1.5
 # An address of which nothing was heard for this long is dropped; the list of hosts brings it back.
 FORGET_S = 30.0
 # Bounds the log lines on datagrams that do not come from a peer.
 UNREADABLE_LOG_S = 5.0
+# Up to this many hosts each tells all others of its usage, so that no loss of a host takes its
+# counts along; more only tell the one that reports it.
+USAGE_TO_ALL_HOSTS = 12
+# Usage goes along this often.
+USAGE_INTERVAL_S = 0.6
 
 _log = Log("relay.peers")
 
@@ -30,15 +40,19 @@
     known_at: float
     heard_at: float | None = None
     sent_at: float = float("-inf")
+    usage_at: float = float("-inf")
     name: str = ""
     boot: str = ""
+    far: bool = False
     sequence: int = 0
+    duty_fence: int = 0
 
 
 class PeerNews(Task):
     """Sends this host's news to all peers, and hands theirs on.
 
-    `own_news` gives what to send, given whether the slow part, usage, is due. `on_news` and
+    `own_news` gives what to send to the peers in this region or, called with True, in others;
+    `own_usage` adds the usage. `is_far` tells whether a zone is in another region. `on_news` and
     `on_silent` take what is heard; all run on this task's thread.
     """
 
@@ -47,7 +61,9 @@
         listen: Address,
         clock: Clock,
         interval_s: float,
-        own_news: Callable[[int], News],
+        own_news: Callable[[bool], News],
+        own_usage: Callable[[], Mapping[int, Mapping[str, int]]],
+        is_far: Callable[[str], bool],
         on_news: Callable[[News], None],
         on_silent: Callable[[str], None],
     ) -> None:
@@ -55,6 +71,8 @@
         self._clock = clock
         self._interval_s = interval_s
         self._own_news = own_news
+        self._own_usage = own_usage
+        self._is_far = is_far
         self._on_news = on_news
         self._on_silent = on_silent
         self._address = listen
@@ -67,6 +85,7 @@
         # The count of news starts at the time of day: a restart must not begin below it.
         self._sequence = time.time_ns() // 1_000_000
         self._next_send = 0.0
+        self._next_far = 0.0
         self._unreadable_at = float("-inf")
 
     @property
@@ -79,6 +98,14 @@
             if peer.heard_at is not None and now - peer.heard_at < SILENT_S
         }
 
+    def duty_claimed(self, within_s: float) -> bool:
+        """Return whether a peer said within a time that it does the duties."""
+        now = self._clock.now()
+        return any(
+            peer.duty_fence and peer.heard_at is not None and now - peer.heard_at < within_s
+            for peer in list(self._peers.values())
+        )
+
     def meet(self, addresses: Iterable[Address]) -> None:
         """Send news to these addresses too."""
         self.tell(("meet", tuple(addresses)))
@@ -97,10 +124,12 @@
             self._receive()
         now = self._clock.now()
         if now >= self._next_send:
-            self._next_send = now + self._interval_s
+            near = sum(1 for peer in self._peers.values() if not peer.far)
+            self._next_send = now + max(self._interval_s, near / MOST_NEAR_PER_S)
             self._send(now)
 
     def close(self) -> None:
+        self._next_far = 0.0
         self._send(self._clock.now())
         self._selector.close()
         self._socket.close()
@@ -134,32 +163,52 @@
             return
         now = self._clock.now()
         if known.heard_at is None or known.boot != news.boot:
-            _log.info(PEER_HEARD, peer=news.sender, boot=news.boot)
+            _log.info(PEER_HEARD, peer=news.sender, boot=news.boot, zone=news.zone)
         self._peers[address] = known._replace(
-            heard_at=now, name=news.sender, boot=news.boot, sequence=news.sequence
+            heard_at=now,
+            name=news.sender,
+            boot=news.boot,
+            far=self._is_far(news.zone),
+            sequence=news.sequence,
+            duty_fence=news.duty_fence,
         )
         self._on_news(news)
 
     def _send(self, now: float) -> None:
         self._drop_silent(now)
-        due = [
-            address
-            for address, peer in self._peers.items()
-            if (peer.heard_at is not None and now - peer.heard_at < SILENT_S)
-            or now - peer.sent_at >= RETRY_SILENT_S
-        ]
+        far_due = now >= self._next_far
+        if far_due:
+            far = sum(1 for peer in self._peers.values() if peer.far)
+            self._next_far = now + far / MOST_FAR_PER_S
         RELAY_PEERS.set(len(self.heard))
-        if not due:
-            return
-        self._sequence += 1
-        datagram = encode_news(self._own_news(self._sequence))
-        for address in due:
-            self._peers[address] = self._peers[address]._replace(sent_at=now)
+        news: dict[bool, News] = {}
+        datagrams: dict[tuple[bool, bool], bytes] = {}
+        for address, peer in list(self._peers.items()):
+            silent = peer.heard_at is None or now - peer.heard_at >= SILENT_S
+            due = now - peer.sent_at >= RETRY_SILENT_S if silent else far_due or not peer.far
+            if not due:
+                continue
+            usage = self._usage_due(peer, now)
+            if peer.far not in news:
+                news[peer.far] = self._own_news(peer.far)
+            if (peer.far, usage) not in datagrams:
+                self._sequence += 1
+                told = news[peer.far]._replace(
+                    sequence=self._sequence, usage=self._own_usage() if usage else {}
+                )
+                datagrams[peer.far, usage] = encode_news(told)
+            self._peers[address] = peer._replace(
+                sent_at=now, usage_at=now if usage else peer.usage_at
+            )
             try:
-                self._socket.sendto(datagram, address)
+                self._socket.sendto(datagrams[peer.far, usage], address)
             except OSError as error:
                 self._unreadable(f"sending to {address[0]}: {error}")
 
+    def _usage_due(self, peer: _Peer, now: float) -> bool:
+        wanted = peer.duty_fence > 0 or len(self._peers) < USAGE_TO_ALL_HOSTS
+        return wanted and now - peer.usage_at >= USAGE_INTERVAL_S
+
     def _drop_silent(self, now: float) -> None:
         for address, peer in list(self._peers.items()):
             last = peer.known_at if peer.heard_at is None else peer.heard_at
--- a/src/laburnumreel/relay/_placement.py
+++ b/src/laburnumreel/relay/_placement.py
@@ -28,7 +28,9 @@
     as one that only reads, and each of its streams is held up meanwhile by `stall_share` of the
     reading. Every thousand tokens that another engine keeps and this one must read again cost
     `reread_ms_per_k` besides the time. An engine that is not the home of the prompt's start costs
-    `home_ms`, so that hosts that know nothing of each other's prompts agree. `full_ms` is the cost of an engine whose places are all taken.
+    `home_ms`, so that hosts that know nothing of each other's prompts agree. Where the engines of a
+    region can keep all starts, one in another region costs `away_ms`, and reading again only its
+    `settled_reread_share`, as the start then serves many prompts of the region. `full_ms` is the cost of an engine whose places are all taken.
     """
 
     zone_ms: float = 1.0
@@ -40,6 +42,8 @@
     stall_share: float = 1.5
     reread_ms_per_k: float = 20.0
     home_ms: float = 40.0
+    away_ms: float = 150.0
+    settled_reread_share: float = 0.3
     full_ms: float = 150.0
     memory_ms: float = 400.0
 
@@ -162,12 +166,13 @@
         candidates: Sequence[Candidate],
         read_apart: bool = True,
         copied: bool = False,
+        settled: bool = False,
     ) -> EnginePlan | None:
         """Return the plan with the least cost, or None while no engine that generates is free.
 
         `read_apart` is False for a request whose prompt can't be read by an engine of its own any
         more, because that would send it to one backend server too many. A prompt that is `copied`
-        was read already.
+        was read already. `settled` tells that the engines of this region can keep all starts of prompts.
         """
         generators = [
             each
@@ -178,17 +183,22 @@
         readers = [each for each in candidates if each.back_end.role is Role.PREFILL]
         if copied:
             generators = [each._replace(kept_tokens=prompt.input_tokens) for each in generators]
-        plans = [self._alone(prompt, body_bytes, traits, each) for each in generators]
+        plans = [self._alone(prompt, body_bytes, traits, each, settled) for each in generators]
         if read_apart:
             plans += [
-                self._apart(prompt, body_bytes, traits, reader, generator)
+                self._apart(prompt, body_bytes, traits, reader, generator, settled)
                 for reader in readers
                 for generator in generators
             ]
         return min(plans, key=lambda plan: plan.cost_ms, default=None)
 
     def _alone(
-        self, prompt: Prompt, body_bytes: int, traits: EngineTraits, generator: Candidate
+        self,
+        prompt: Prompt,
+        body_bytes: int,
+        traits: EngineTraits,
+        generator: Candidate,
+        settled: bool,
     ) -> EnginePlan:
         costs = self._costs
         unread = max(0, prompt.input_tokens - generator.kept_tokens)
@@ -204,7 +214,7 @@
             + volume_ms(self._here, generator.place, body_bytes, costs)
             + self._generating(prompt, traits, generator)
             + reading_ms * generator.work.streams * costs.stall_share
-            + self._rereading(prompt, unread)
+            + self._rereading(prompt, unread, generator, settled)
         )
         return EnginePlan(None, generator, unread, first_ms, cost)
 
@@ -215,6 +225,7 @@
         traits: EngineTraits,
         reader: Candidate,
         generator: Candidate,
+        settled: bool,
     ) -> EnginePlan:
         costs, here = self._costs, self._here
         unread = max(0, prompt.input_tokens - reader.kept_tokens)
@@ -233,16 +244,22 @@
             + volume_ms(here, reader.place, body_bytes, costs)
             + volume_ms(here, generator.place, body_bytes, costs)
             + reader.failure_share * costs.failure_ms
-            + self._rereading(prompt, unread)
+            + self._rereading(prompt, unread, reader, settled)
+            + (costs.away_ms if settled and generator.region != here.region else 0.0)
             + (0.0 if reader.home or unread < prompt.input_tokens else costs.home_ms)
             + self._generating(prompt, traits, generator)
         )
         return EnginePlan(reader, generator, unread, first_ms, cost)
 
-    def _rereading(self, prompt: Prompt, unread: int) -> float:
-        """Return the cost of reading shared parts that another engine keeps."""
+    def _rereading(self, prompt: Prompt, unread: int, reader: Candidate, settled: bool) -> float:
+        """Return the cost of reading shared parts that another engine keeps, and of going away."""
         own = prompt.input_tokens - sum(part.tokens for part in prompt.shared)
-        return max(0, unread - own) / 1000 * self._costs.reread_ms_per_k
+        again = max(0, unread - own) / 1000 * self._costs.reread_ms_per_k
+        if not settled:
+            return again
+        if reader.region != self._here.region:
+            return again + self._costs.away_ms
+        return again * self._costs.settled_reread_share
 
     def _generating(self, prompt: Prompt, traits: EngineTraits, generator: Candidate) -> float:
         costs, work = self._costs, generator.work
--- a/src/laburnumreel/relay/_ports.py
+++ b/src/laburnumreel/relay/_ports.py
@@ -17,14 +17,16 @@
 class Listing(NamedTuple, Generic[Entry]):
     """Entries of a table by name; None for one that was removed or names nothing usable.
 
-    A `complete` listing holds all entries. `version` is where the next call goes on. `store_time_s`
-    is the store's steady clock as it answered, in seconds.
+    A `complete` listing holds all entries. `version` is where the next call goes on, `changed_at` the
+    version of the newest entry in it. `store_time_s` is the store's steady clock as it answered, in
+    seconds.
     """
 
     entries: Mapping[str, Entry | None]
     version: int
     store_time_s: float
     complete: bool
+    changed_at: int = 0
 
 
 class Feed(Protocol[Entry]):
@@ -38,6 +40,9 @@
         The error kind `history_gone` asks for a complete read.
         """
 
+    def interrupt(self) -> None:
+        """Let a call that waits in another thread fail."""
+
 
 class Directory(Protocol):
     """The tables that tell a relay what to serve and where."""
--- a/src/laburnumreel/relay/_prompts.py
+++ b/src/laburnumreel/relay/_prompts.py
@@ -9,6 +9,8 @@
 # An engine's least recently used parts yield. A part that no host is known to have used there for
 # this long is no longer counted on.
 REMEMBER_S = 12.0
+# The working set changes slowly and is added up this often.
+WORKING_SET_EVERY_S = 1.0
 # Bounds the memory of what was used where, for each engine.
 MOST_PARTS = 4096
 
@@ -30,11 +32,20 @@
 
     def __init__(self) -> None:
         self._used: dict[str, OrderedDict[str, float]] = {}
+        # The sizes of parts that requests at this host had.
+        self._sizes: OrderedDict[str, int] = OrderedDict()
+        self._working_set = 0
+        self._working_set_at = float("-inf")
         self._news: dict[str, dict[str, None]] = {}
 
     def used(self, engine: str, prompt: Prompt, now: float) -> None:
         """Count that an engine holds a prompt's shared parts now."""
         parts = [part.name for part in prompt.shared]
+        for part in prompt.shared:
+            self._sizes[part.name] = part.tokens
+            self._sizes.move_to_end(part.name)
+        while len(self._sizes) > MOST_PARTS:
+            self._sizes.popitem(last=False)
         self._count(engine, parts, now)
         self._news.setdefault(engine, {}).update(dict.fromkeys(parts))
 
@@ -58,6 +69,25 @@
             kept += part.tokens
         return kept
 
+    def working_set(self, now: float) -> int:
+        """Return the tokens of all shared parts that any host had read lately, about.
+
+        Parts whose size this host has not met count as the mean of the others.
+        """
+        if now - self._working_set_at < WORKING_SET_EVERY_S:
+            return self._working_set
+        parts = {
+            part
+            for used in self._used.values()
+            for part, at in used.items()
+            if now - at <= REMEMBER_S
+        }
+        known = [self._sizes[part] for part in parts if part in self._sizes]
+        mean = sum(known) / len(known) if known else 0
+        self._working_set = round(sum(known) + mean * (len(parts) - len(known)))
+        self._working_set_at = now
+        return self._working_set
+
     def restarted(self, engine: str) -> None:
         """Forget an engine that has lost its memory."""
         self._used.pop(engine, None)
--- a/src/laburnumreel/relay/_roles.py
+++ b/src/laburnumreel/relay/_roles.py
@@ -21,6 +21,8 @@
 READING_SHARE = 0.5
 # Engines that generate below this number can't be spared, so that the loss of one is borne.
 LEAST_GENERATING = 3
+# Of a service's engines, this share may be away for a change of role at once, and at least one.
+CHANGING_SHARE = 0.1
 # A changed engine shows in the list this long after its change at the latest.
 SHOW_S = 2.0
 REFUSED_RETRY_S = 2.0
@@ -63,7 +65,7 @@
 
 
 class RolePlanner:
-    """Orders role changes, one at a time for each service."""
+    """Orders role changes, a few at a time for each service."""
 
     def __init__(
         self,
@@ -79,32 +81,58 @@
         self._fleet = fleet
         self._avoid = avoid
         self._next_at: dict[str, float] = {}
+        # Engines that were told to change, and when their change must show in the list.
+        self._changing: dict[str, tuple[Role, float]] = {}
 
     def step(self, authority: Authority, now: float) -> None:
         """Give the orders that are due."""
         back_ends, work = self._fleet()
+        self._forget_shown(back_ends, now)
         for service in self._services().values():
             if service.engine is None or now < self._next_at.get(service.name, 0.0):
                 continue
-            engines = [
+            engines = self._as_ordered(
                 each for each in back_ends if each.service == service.name and not each.draining
-            ]
-            change = wanted_change(engines, work, READING_SHARE)
-            if change is not None:
-                self._order(authority, service, change, now)
+            )
+            for _ in range(max(1, round(len(engines) * CHANGING_SHARE)) - len(self._changing)):
+                change = wanted_change(engines, work, READING_SHARE)
+                if change is None or not self._order(authority, service, change, now):
+                    break
+                engines = self._as_ordered(engines)
+
+    def _forget_shown(self, back_ends: Iterable[ListedBackEnd], now: float) -> None:
+        """Forget the changes that the list shows, and those that it should have shown by now."""
+        shown = {each.name: each.role for each in back_ends}
+        self._changing = {
+            name: (role, until)
+            for name, (role, until) in self._changing.items()
+            if now < until and name in shown and shown[name] is not role
+        }
+
+    def _as_ordered(self, engines: Iterable[ListedBackEnd]) -> list[ListedBackEnd]:
+        """Return the engines with the roles that they were told to take."""
+        return [
+            (
+                each._replace(role=self._changing[each.name][0])
+                if each.name in self._changing
+                else each
+            )
+            for each in engines
+        ]
 
     def _order(
         self, authority: Authority, service: RelayService, change: RoleChange, now: float
-    ) -> None:
+    ) -> bool:
         engine, switch_s = change.back_end, service.engine.switch_s
         call = self._wire.role(authority, engine, change.role)
         sent = self._sender.post(authority, engine.address, call.path, call.body, call.headers)
         fields = {"back_end": engine.name, "role": str(change.role), "fence": authority.fence}
         if sent.is_ok() and sent.ok.status in (200, 202):
             self._avoid(engine.name, switch_s)
-            self._next_at[service.name] = now + switch_s + SHOW_S
+            self._changing[engine.name] = (change.role, now + switch_s + SHOW_S)
             _log.info(ROLE_ORDERED, **fields)
-            return
+            return True
         self._next_at[service.name] = now + REFUSED_RETRY_S
         detail = sent.error.detail if sent.is_error() else f"status {sent.ok.status}"
         _log.warning(ROLE_REFUSED, detail=detail[:200], **fields)
+        return False
--- a/src/laburnumreel/relay/_work.py
+++ b/src/laburnumreel/relay/_work.py
@@ -3,9 +3,9 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-# News of a peer that is older than this says nothing about the present. Peers send several times a
-# second, so that a few lost datagrams do not matter.
-PEER_NEWS_S = 1.5
+# News of a peer that is older than this says nothing about the present. Peers in other regions send
+# about once a second, so that a lost datagram does not matter.
+PEER_NEWS_S = 2.5
 
 
 class Work(NamedTuple):
--- a/src/laburnumreel/transport/_json_calls.py
+++ b/src/laburnumreel/transport/_json_calls.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import socket
 import threading
 from collections.abc import Mapping
 from typing import Any, Literal, NamedTuple
@@ -62,6 +63,16 @@
         finally:
             connection.close()
 
+    def interrupt(self) -> None:
+        """Shut the kept connection down, which ends a read on another thread."""
+        kept = self._kept
+        try:
+            if kept is not None and kept.sock is not None:
+                kept.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The other thread has closed it already.
+            return
+
     def close(self) -> None:
         """Close the kept connection."""
         with self._lock:
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -1,11 +1,14 @@
 """Tests of the relay's decisions, without sockets."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
+from expression import Ok
 from hypothesis import given
 from hypothesis import strategies as st
 
+from laburnumreel.coordination import Answer
 from laburnumreel.core import ManualClock
 from laburnumreel.relay._back_ends import BackEndList, ListedBackEnd, Role
 from laburnumreel.relay._capacity import Group, wanted_counts
@@ -32,9 +35,10 @@
     choose_plain,
     home_of,
 )
+from laburnumreel.relay._ports import DutyCall
 from laburnumreel.relay._prompts import REMEMBER_S, PromptMemory
 from laburnumreel.relay._requests import Part, Prompt
-from laburnumreel.relay._roles import LEAST_GENERATING, wanted_change
+from laburnumreel.relay._roles import LEAST_GENERATING, RolePlanner, wanted_change
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._usage import UsageBook
 from laburnumreel.relay._waiting import (
@@ -47,6 +51,7 @@
     retry_after_s,
 )
 from laburnumreel.relay._work import PEER_NEWS_S, Work, WorkLedger
+from laburnumreel.state import Authority
 
 HERE = Place("zone-a", "region-a")
 TRAITS = EngineTraits(48, 444_000, 131_072, 2e11, 5.0, 3.0)
@@ -403,7 +408,7 @@
         news = News(
             "h1",
             "boot",
-            "",
+            "zone-a",
             5,
             7,
             True,
@@ -414,6 +419,8 @@
             ("b3",),
             {9: {"hall-a": 2}},
             {"e1": ("a", "b")},
+            4,
+            90,
         )
         assert decode_news(encode_news(news)).ok == news
 
@@ -447,7 +454,7 @@
 
     def test_every_zone_keeps_dedicated_engines_when_its_cheap_ones_are_lost(self):
         service = RelayService("quotes", "/health", 300, TRAITS, self.SCALING)
-        wanted = wanted_counts(service, self.SCALING, ["zone-a", "zone-b"])
+        wanted = wanted_counts(service, self.SCALING, {"zone-a": 2, "zone-b": 3})
         assert all(wanted[Group("quotes", zone, False)] >= 2 for zone in ("zone-a", "zone-b"))
         assert all(
             wanted[Group("quotes", zone, False)] + wanted[Group("quotes", zone, True)] <= 4
@@ -457,7 +464,7 @@
     def test_cheap_engines_that_are_not_cheap_are_not_ordered(self):
         scaling = self.SCALING._replace(cheap_price=0.9)
         service = RelayService("quotes", "/health", 300, TRAITS, scaling)
-        assert not [group for group in wanted_counts(service, scaling, ["z"]) if group.cheap]
+        assert not [group for group in wanted_counts(service, scaling, {"z": 2}) if group.cheap]
 
     def engines(self, readers, generators):
         return [listed(f"p{index}", role=Role.PREFILL) for index in range(readers)] + [
@@ -469,6 +476,30 @@
         change = wanted_change(self.engines(2, 8), work, 0.5)
         assert (change.back_end.name, change.role) == ("d0", Role.PREFILL)
 
+    def test_engine_that_changes_gets_one_order(self):
+        """Guards against an order each step until the list shows the change seconds later."""
+        engines, orders = self.engines(1, 39), []
+        wire = SimpleNamespace(
+            role=lambda authority, engine, role: DutyCall(engine.name, {}, {"role": str(role)})
+        )
+
+        def post(authority, address, path, body, headers):
+            orders.append(path)
+            return Ok(Answer(202, {}))
+
+        services = {"orders": RelayService("orders", "/health", 300, TRAITS)}
+        planner = RolePlanner(
+            SimpleNamespace(post=post),
+            wire,
+            lambda: services,
+            lambda: (engines, {}),
+            lambda name, seconds: None,
+        )
+        authority = Authority("relay_duties", 3, 9, 100.0)
+        for step in range(30):
+            planner.step(authority, step * 0.1)
+        assert len(orders) == len(set(orders)) == 4
+
     def test_enough_engines_go_on_generating(self):
         assert wanted_change(self.engines(1, LEAST_GENERATING), {}, 0.9) is None
 
