Do not take a route's short time for a silent worker

Each opened a connection to look at the worker, dropped the idle ones and counted as its failure.

Test fails first (back_end_silent logged). A mute worker is still found by requests that may repeat, which the host gives up on by its own patience; a second test holds that.

--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -354,5 +354,9 @@
     if job.ran is RunState.NOT_RUN:
         retry_after_s = error.retry_after_s if error.retry_after_s is not None else REFUSED_RETRY_S
         return Refusal(ErrorKind.NO_BACK_END, str(error), retry_after_s)
-    kind = ErrorKind.BACK_END_TIMEOUT if error.trouble == "silent" else ErrorKind.INCOMPLETE_ANSWER
+    kind = (
+        ErrorKind.BACK_END_TIMEOUT
+        if error.trouble in ("silent", "out_of_time")
+        else ErrorKind.INCOMPLETE_ANSWER
+    )
     return Refusal(kind, str(error), run_state=RunState.UNKNOWN)
--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -132,5 +132,9 @@
     if job.ran is RunState.NOT_RUN:
         retry_after_s = error.retry_after_s if error.retry_after_s is not None else 0.2
         return Refusal(ErrorKind.NO_BACK_END, str(error), retry_after_s)
-    kind = ErrorKind.BACK_END_TIMEOUT if error.trouble == "silent" else ErrorKind.BACK_END_LOST
+    kind = (
+        ErrorKind.BACK_END_TIMEOUT
+        if error.trouble in ("silent", "out_of_time")
+        else ErrorKind.BACK_END_LOST
+    )
     return Refusal(kind, str(error), run_state=RunState.UNKNOWN)
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -7,7 +7,7 @@
 
 from laburnumreel.core import Log
 from laburnumreel.relay._events import ATTEMPT_FAILED
-from laburnumreel.relay._job import Job, RelayFailedError
+from laburnumreel.relay._job import LEAST_TIME_S, Job, RelayFailedError
 from laburnumreel.relay._metrics import RELAY_ATTEMPTS
 from laburnumreel.relay._requests import Dispatch, Verdict
 from laburnumreel.state import RunState
@@ -15,13 +15,17 @@
 
 # A request that must not be repeated only goes out on a connection that was used this lately.
 FRESH_IDLE_S = 1.5
+# Silence that is shorter than this does not show that a connection or a backend server is dead.
+SILENT_EVIDENCE_S = 0.7
 # A backend server that does not take a connection in this time is not there: the longest way is
 # some tens of milliseconds.
 CRASH_CONNECT_S = 0.25
 
 _log = Log("relay.sending")
 
-Trouble = Literal["unreachable", "refused", "moved", "lost", "silent", "not_genuine", "failed"]
+Trouble = Literal[
+    "unreachable", "refused", "moved", "lost", "silent", "out_of_time", "not_genuine", "failed"
+]
 
 
 class SendFailedError(Exception):
@@ -50,6 +54,9 @@
         self._dispatch = dispatch
         self._exchange: Exchange | None = None
         self._ran_before = job.ran
+        self._sent_at = 0.0
+        # Whether the wait for the head lasts until the request is given up.
+        self._until_end = False
         self.verdict: Verdict | None = None
 
     def __enter__(self) -> "Attempt":
@@ -89,6 +96,8 @@
         if not job.running.attach(exchange):
             raise RelayFailedError(job.abort_refusal())
         self._ran_before = job.ran
+        self._sent_at = parts.clock.now()
+        self._until_end = silent_s >= job.left_s - LEAST_TIME_S
         if not dispatch.only_read:
             job.ran = RunState.UNKNOWN
         verdicts: list[Verdict] = []
@@ -153,6 +162,10 @@
         """Judge an exchange that broke off, and look whether the backend server is still there."""
         job, back_end = self._job, self._dispatch.back_end
         silent = error.reason == "silent"
+        waited_s = job.parts.clock.now() - self._sent_at
+        if silent and self._until_end and waited_s < SILENT_EVIDENCE_S:
+            # The route's own time was too short for an answer; that says nothing of the backend.
+            return self._failed("out_of_time", str(error), not self._dispatch.only_read)
         if job.running.aborted is None:
             if silent:
                 if not job.parts.pool.went_silent(back_end.address):
@@ -173,7 +186,7 @@
         job, dispatch = self._job, self._dispatch
         RELAY_ATTEMPTS.inc(outcome=trouble)
         if job.running.aborted is None:
-            if trouble not in ("unreachable", "moved"):
+            if trouble not in ("unreachable", "moved", "out_of_time"):
                 job.parts.dispatcher.judged(dispatch.back_end.name, failed=True)
             _log.info(
                 ATTEMPT_FAILED,
--- a/tests/test_relay_platform.py
+++ b/tests/test_relay_platform.py
@@ -163,6 +163,14 @@
         assert {Caller(relay).ask("/once/x")[0] for _ in range(6)} == {200}
         assert all(seen[2]["Expect-Instance"] in ("w1", "gone") for seen in old.seen)
 
+    def test_mute_worker_is_found_by_requests_that_may_repeat(self, world):
+        mute = world.worker("w1", usual=lambda handler: time.sleep(2))
+        world.worker("w2")
+        relay = world.relay()
+        for _ in range(12):
+            assert Caller(relay).ask("/safe/x")[0] == 200
+        assert len(mute.seen) <= 4
+
     def test_caller_that_leaves_takes_its_work_along(self, world):
         ended = threading.Event()
 
@@ -193,9 +201,13 @@
         ]
         world.store.put("op", "config", config(2, routes))
         world.worker("w1", usual=lambda handler: time.sleep(2))
+        relay = world.relay()
         started = time.monotonic()
-        status, _, _ = Caller(world.relay()).ask("/short/x")
+        status, _, _ = Caller(relay).ask("/short/x")
         assert status == 504 and 0.35 < time.monotonic() - started < 0.9
+        # A time that is too short for an answer says nothing of the worker's connections.
+        assert not relay.logged("back_end_silent")
+        assert [line["trouble"] for line in relay.logged("attempt_failed")] == ["out_of_time"]
 
 
 class TestStreams:
