Let cheap engines take the place of dedicated ones where a zone has many

Cheap ones come first, dedicated ones go as they arrive and are ordered back when a zone loses them.

--- a/src/laburnumreel/relay/_capacity.py
+++ b/src/laburnumreel/relay/_capacity.py
@@ -6,6 +6,7 @@
 are spread over all of them.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
@@ -22,8 +23,13 @@
 # Cheap backend servers are worth room for the heavier mix up to this share of a dedicated one's
 # price.
 WORTHWHILE_PRICE_SHARE = 0.5
-# Cheap backend servers for each dedicated one that the deployment came with.
-CHEAP_FOR_DEDICATED = 1.0
+# Backend servers of both kinds together, for each one that the deployment came with: room for the
+# heavier mix, and for the loss of a zone's cheap ones.
+ROOM = 2.0
+# What a zone keeps of its dedicated ones when cheap ones have taken the place of the others.
+DEDICATED_SHARE = 0.5
+# Two leave one when one fails.
+LEAST_DEDICATED = 2
 CAPACITY_TABLE = "relay_capacity"
 # Backend servers make themselves known one by one; the list is believed when it has stood this long,
 # which is longer than they take between two signs of life.
@@ -44,21 +50,30 @@
 
 
 def wanted_counts(
-    service: RelayService, scaling: Scaling, found: Mapping[str, int]
+    service: RelayService,
+    scaling: Scaling,
+    found: Mapping[str, int],
+    cheap_now: Mapping[str, int],
 ) -> Mapping[Group, int]:
     """Return how many backend servers of each kind a service should have in each zone.
 
-    `found` gives the dedicated ones by zone that the deployment came with. They stay, so that each
-    zone can do without its cheap ones.
+    `found` gives the dedicated ones by zone that the deployment came with, `cheap_now` the cheap ones
+    that serve. Cheap ones take the place of dedicated ones as they come, down to a number that lets a
+    zone do without its cheap ones; where they go, dedicated ones are ordered back.
     """
     wanted = {}
     cheap_enough = scaling.cheap_price is not None and scaling.cheap_price <= WORTHWHILE_PRICE_SHARE
     for zone, count in found.items():
-        dedicated = max(scaling.least, min(scaling.most, count))
+        count = max(scaling.least, min(scaling.most, count))
+        if not cheap_enough:
+            wanted[Group(service.name, zone, False)] = count
+            continue
+        total = min(round(ROOM * count), scaling.most)
+        least = max(scaling.least, LEAST_DEDICATED, math.ceil(DEDICATED_SHARE * count))
+        least = min(least, count)
+        wanted[Group(service.name, zone, True)] = total - least
+        dedicated = max(least, min(count, total - cheap_now.get(zone, 0)))
         wanted[Group(service.name, zone, False)] = dedicated
-        if cheap_enough:
-            cheap = min(round(CHEAP_FOR_DEDICATED * dedicated), scaling.most - dedicated)
-            wanted[Group(service.name, zone, True)] = max(0, cheap)
     return wanted
 
 
@@ -99,12 +114,13 @@
             found = self._found_counts(service, listed, now)
             if found is None:
                 continue
-            for group, count in wanted_counts(service, service.scaling, found).items():
-                have = sum(
-                    1 for entry in listed if Group(entry.service, entry.zone, entry.cheap) == group
-                )
-                if have != count:
-                    self._order(authority, group, count, have, service.scaling.boot_s, now)
+            have = Counter(Group(entry.service, entry.zone, entry.cheap) for entry in listed)
+            cheap_now = {zone: have[Group(service.name, zone, True)] for zone in found}
+            wanted = wanted_counts(service, service.scaling, found, cheap_now)
+            for group, count in wanted.items():
+                if have[group] != count:
+                    boot_s = service.scaling.boot_s
+                    self._order(authority, group, count, have[group], boot_s, now)
 
     def _found_counts(
         self, service: RelayService, listed: list[ListedBackEnd], now: float
--- a/src/laburnumreel/relay/_feeds.py
+++ b/src/laburnumreel/relay/_feeds.py
@@ -17,7 +17,7 @@
 SHORTEST_FOLLOW_S = 2.5
 LONGEST_FOLLOW_S = 4.5
 # After changes the next call waits a moment, so that changes that come in a row cost one call.
-GATHER_S = 0.2
+GATHER_S = 0.5
 # Failed calls are repeated after a time that doubles up to the limit, spread over half of it.
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.8
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -14,7 +14,7 @@
 from laburnumreel.transport import BackEndFailureError, Exchange
 
 # A request that must not be repeated only goes out on a connection that was used this lately.
-FRESH_IDLE_S = 1.5
+FRESH_IDLE_S = 3.0
 # Silence that is shorter than this does not show that a connection or a backend server is dead.
 SILENT_EVIDENCE_S = 0.7
 # A backend server that does not take a connection in this time is not there: the longest way is
