--- a/src/laburnumreel/relay/__init__.py
+++ b/src/laburnumreel/relay/__init__.py
@@ -37,10 +37,16 @@
     RelayRequest,
     Verdict,
 )
-from laburnumreel.relay._settings import RelaySettings, load_relay_settings, parse_relay_settings
+from laburnumreel.relay._settings import (
+    RELAY_SCHEMA,
+    RelaySettings,
+    load_relay_settings,
+    parse_relay_settings,
+)
 
 __all__ = [
     "RECORD_UNREADABLE",
+    "RELAY_SCHEMA",
     "Adapter",
     "Address",
     "BackEndList",
--- a/src/laburnumreel/ui/__init__.py
+++ b/src/laburnumreel/ui/__init__.py
@@ -10,6 +10,7 @@
 from laburnumreel.ui._key import key
 from laburnumreel.ui._lease import lease
 from laburnumreel.ui._order import order
+from laburnumreel.ui._relay import relay
 from laburnumreel.ui._status import status
 
 __all__ = ["cli", "main"]
@@ -25,7 +26,7 @@
     """
 
 
-for _command in (config, key, status, lease, fleet, order):
+for _command in (config, key, status, lease, fleet, order, relay):
     cli.add_command(_command)
 
 
--- /dev/null
+++ b/src/laburnumreel/ui/_relay.py
@@ -0,0 +1,109 @@
+"""The `relay` commands."""
+
+import http.client
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import click
+
+from laburnumreel.coordination import parse_address
+from laburnumreel.relay import RELAY_SCHEMA, load_relay_settings
+from laburnumreel.ui._context import Context, common_options, pass_context
+from laburnumreel.ui._errors import ExitCode, UserError
+from laburnumreel.ui._lists import as_lines
+
+STATUS_TIMEOUT_S = 2.0
+_HIDDEN = ("event", "level", "logger_name", "number", "name", "timestamp", "request")
+
+
+@click.group()
+def relay() -> None:
+    """Relay hosts: their settings, their state, and the way of a request through them."""
+
+
+@relay.command("check")
+@click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
+@common_options
+@pass_context
+def check(context: Context, file: Path) -> None:
+    """Check a relay host's settings and print what is in force, or every error."""
+    loaded = load_relay_settings(file)
+    if loaded.is_error():
+        raise UserError(ExitCode.CHECK_FAILED, *loaded.error)
+    values = RELAY_SCHEMA.load(file).ok
+    rows = [
+        {"section": field.section, "key": field.key, "value": str(values[field.section][field.key])}
+        for field in RELAY_SCHEMA.fields
+    ]
+    context.show({"settings": rows}, as_lines(rows, ("section", "key", "value")))
+
+
+@relay.command("status")
+@click.argument("addresses", nargs=-1, required=True)
+@common_options
+@pass_context
+def status(context: Context, addresses: tuple[str, ...]) -> None:
+    """Ask hosts at their admin ADDRESSES for readiness, configuration version and peers."""
+    rows = [_ask(address) for address in addresses]
+    columns = ("address", "ready", "configuration", "peers", "duties", "stopping")
+    context.show({"hosts": rows}, as_lines(rows, columns))
+    versions = {row["configuration"] for row in rows}
+    if len(versions) > 1 or not all(row["ready"] for row in rows):
+        raise UserError(
+            ExitCode.NOT_IN_FORCE, "not all hosts are ready with the same configuration"
+        )
+
+
+@relay.command("trace")
+@click.argument("request_id")
+@click.argument("logs", nargs=-1, required=True, type=click.File(errors="replace"))
+@common_options
+@pass_context
+def trace(context: Context, request_id: str, logs: tuple[Any, ...]) -> None:
+    """Print what the LOGS of all hosts say of one request, in order of time."""
+    found = [line for log in logs for line in _lines(log) if line.get("request") == request_id]
+    if not found:
+        raise UserError(ExitCode.CHECK_FAILED, f"no log line names request {request_id}")
+    found.sort(key=lambda line: str(line.get("timestamp")))
+    texts = []
+    for line in found:
+        fields = {name: value for name, value in line.items() if name not in _HIDDEN}
+        details = " ".join(f"{name}={value}" for name, value in fields.items() if value is not None)
+        texts.append(f"{line.get('timestamp')} {line.get('event')}: {details}")
+    context.show({"lines": found}, texts)
+
+
+def _lines(log: Any) -> Iterator[dict[str, Any]]:
+    """Yield the JSON lines of a log; collectors may have put something before each."""
+    for text in log:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            line = json.loads(text[start:])
+        except ValueError:
+            # Not a line of ours, such as a traceback of another program.
+            continue
+        if isinstance(line, dict):
+            yield line
+
+
+def _ask(address: str) -> dict[str, Any]:
+    row = {"address": address, "ready": False, "configuration": 0, "peers": 0}
+    row |= {"duties": False, "stopping": False}
+    parsed = parse_address(address)
+    if parsed is None:
+        raise UserError(ExitCode.USAGE, f"{address}: HOST:PORT is expected")
+    connection = http.client.HTTPConnection(*parsed, timeout=STATUS_TIMEOUT_S)
+    try:
+        connection.request("GET", "/readyz")
+        told = json.loads(connection.getresponse().read())
+    except (OSError, http.client.HTTPException, ValueError) as error:
+        raise UserError(ExitCode.UNREACHABLE, f"{address} does not answer: {error}") from error
+    finally:
+        connection.close()
+    row |= {name: told[name] for name in ("ready", "configuration", "duties", "stopping")}
+    row["peers"] = len(told["peers"])
+    return row
--- a/src/laburnumreel/ui/_tables.py
+++ b/src/laburnumreel/ui/_tables.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from laburnumreel.core import Field, Schema
+from laburnumreel.relay import RELAY_SCHEMA
 from laburnumreel.state import (
     CUSTOMER_SCHEMA,
     PROFILE_SCHEMA,
@@ -20,6 +21,7 @@
     "profile": PROFILE_SCHEMA,
     "service": SERVICE_SCHEMA,
     "customer": CUSTOMER_SCHEMA,
+    "relay": RELAY_SCHEMA,
 }
 
 # Why a key exists or has its default, by "schema.section.key".
@@ -88,6 +90,30 @@
     "customer.customer.weight": "Equal shares unless contracts differ.",
     "customer.customer.tokens_per_s": "Unlimited: the fair queue shares what there is.",
     "customer.customer.requests_per_s": "Unlimited: the fair queue shares what there is.",
+    "relay.host.name": "Names the holder of the lease and the host's row; unique at a time.",
+    "relay.host.zone": "Placement prefers near back ends.",
+    "relay.host.region": "Traffic between regions is slow and paid by volume.",
+    "relay.host.regions": "Tells distances to back ends and peers.",
+    "relay.listen.callers": "The balancer forwards callers there.",
+    "relay.listen.readiness": "The balancer asks there; a port of its own answers while callers' threads are busy.",
+    "relay.listen.admin": "Health and metrics stay off the callers' port.",
+    "relay.listen.peers": "Hosts tell their load several times a second; a lost datagram does no harm.",
+    "relay.store.address": "All that lasts is there.",
+    "relay.store.writes_per_s": "What the platform publishes; for operators, as a relay stays far below it.",
+    "relay.store.reads_per_s": "What the platform publishes; for operators, as a relay stays far below it.",
+    "relay.duties.address": "Only the holder of the lease calls it.",
+    "relay.retry.ratio": "Retries must not multiply the load of an outage.",
+    "relay.retry.slack": "A service with little traffic can still retry.",
+    "relay.retry.window_s": "The budget slides over this time.",
+    "relay.lease.term_s": "A successor waits this long; longer than the three seconds in which two holders must not take turns.",
+    "relay.lease.margin_s": "Covers delays between a holder's stop and its last bytes.",
+    "relay.usage.window_s": "The platform takes one report for each window.",
+    "relay.usage.late_s": "A window is fixed well before, and given up at twice this time.",
+    "relay.stop.grace_s": "What still runs shortly before is cut, so that the process ends by itself.",
+    "relay.threads.callers": "waitress holds a thread for each running request; a host serves some tens at once.",
+    "relay.peers.interval_s": "News must be younger than most requests are long.",
+    "relay.log.format": "JSON for collectors, console for people.",
+    "relay.log.level": "Debug is for finding faults.",
 }
 
 _BLOCK = re.compile(r"<!-- table (\w+) -->\n.*?<!-- end -->", re.DOTALL)
--- /dev/null
+++ b/tests/test_ui_relay.py
@@ -0,0 +1,90 @@
+"""Tests of the operators' commands for relay hosts."""
+
+import json
+
+import pytest
+from click.testing import CliRunner
+from platform_world import HOST, World
+
+from laburnumreel.ui import cli
+from laburnumreel.ui._context import Context, main_with
+
+
+def run(capsys, *words):
+    """Return the exit code, standard output and standard error of a command."""
+    code = main_with(cli, [str(word) for word in words])
+    out, err = capsys.readouterr()
+    return code, out, err
+
+
+GOOD = """
+[host]
+name = front-1
+zone = zone-a
+region = region-a
+[listen]
+callers = 127.0.0.1:80
+readiness = 127.0.0.1:81
+admin = 127.0.0.1:82
+peers = 127.0.0.1:83
+[store]
+address = 127.0.0.1:84
+[duties]
+address = 127.0.0.1:85
+"""
+
+
+def test_check_prints_what_is_in_force(tmp_path, capsys):
+    file = tmp_path / "relay.ini"
+    file.write_text(GOOD)
+    code, out, _ = run(capsys, "relay", "check", file)
+    assert code == 0 and "window_s" in out and "front-1" in out
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "words"),
+    [
+        ("name = front-1", "name =", "[host] name: found ''"),
+        ("zone = zone-a", "zone = zone-a\nregions = a", "NAME=VALUE"),
+        ("[duties]", "[lease]\nterm_s = 1\nmargin_s = 0.6\n[duties]", "more than twice margin_s"),
+        ("peers = 127.0.0.1:83", "peers = 127.0.0.1:99999", "HOST:PORT"),
+        ("[store]", "[stores]\nx = 1\n[store]", "an unknown section"),
+    ],
+)
+def test_check_names_file_key_found_and_allowed(tmp_path, capsys, old, new, words):
+    file = tmp_path / "relay.ini"
+    file.write_text(GOOD.replace(old, new))
+    code, _, err = run(capsys, "relay", "check", file)
+    assert code == 2 and words in err and "relay.ini" in err
+
+
+def test_trace_orders_the_lines_of_all_hosts(tmp_path, capsys):
+    def line(at, request, event):
+        return json.dumps({"timestamp": at, "request": request, "event": event, "sends": 1})
+
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text(f"{line('2', 'r1', 'placed')}\nnot json {{\n{line('1', 'r2', 'other')}\n")
+    second.write_text(f"  12.5 front-b {line('1', 'r1', 'refused')}\n")
+    code, out, _ = run(capsys, "relay", "trace", "r1", first, second)
+    assert code == 0
+    assert [text.split()[1] for text in out.splitlines()] == ["refused:", "placed:"]
+    assert run(capsys, "relay", "trace", "r9", first)[0] == 2
+
+
+@pytest.mark.processes
+def test_status_of_hosts(tmp_path, capsys):
+    world = World(tmp_path)
+    try:
+        host = world.relay()
+        code, out, _ = run(capsys, "--json", "relay", "status", f"{HOST}:{host.admin_port}")
+        row = json.loads(out)["hosts"][0]
+        assert code == 0 and row["ready"] and row["configuration"] == 1
+        host.end()
+        assert run(capsys, "relay", "status", f"{HOST}:{host.admin_port}")[0] == 3
+    finally:
+        world.end()
+
+
+def test_help_lists_the_commands():
+    shown = CliRunner().invoke(cli, ["relay", "--help"], obj=Context()).output
+    assert all(word in shown for word in ("check", "status", "trace"))
--- a/tools/catalogue.py
+++ b/tools/catalogue.py
@@ -30,7 +30,7 @@
 
 Both processes serve these at `/metrics` on their admin address, in the Prometheus text format. No
 label holds a customer's data. The table is written from the code by `tools/catalogue.py`; what to
-do about a counter that grows is in [operations.md](operations.md).
+do about a counter that grows is in [OPERATIONS.md](OPERATIONS.md).
 
 | name | type | labels | meaning |
 | --- | --- | --- | --- |
