--- /dev/null
+++ b/tests/relay_soak.py
@@ -0,0 +1,448 @@
+"""A randomized soak of real relay processes, with faults from outside.
+
+`python tests/relay_soak.py --seeds 50` runs fifty seeds and prints each seed's faults and findings. What is
+checked is what callers, workers and the platform's interface for duties saw.
+"""
+
+import argparse
+import http.client
+import itertools
+import random
+import selectors
+import signal
+import socket
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter
+
+from platform_world import HOST, Relay, World, config, echo, event, wait_until
+
+# A leaving worker gets nothing new after this time.
+LEAVE_S = 2.5
+# Faults heal within two seconds, and a host is in touch again three seconds after that.
+UNSURE_S = 5.0
+QUIET_END_S = 3.0
+
+
+class Proxy:
+    """A loopback proxy whose `mode` is pass, slow, silent (nothing passes), deaf (answers do not), or reset."""
+
+    def __init__(self, target):
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._listener = socket.create_server((HOST, 0))
+        self._listener.settimeout(0.2)
+        self._ended = False
+        self.mode = "pass"
+        self.address = f"{HOST}:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def end(self):
+        self._ended = True
+
+    def _accept(self):
+        while not self._ended:
+            try:
+                near, _ = self._listener.accept()
+            except TimeoutError:
+                continue
+            threading.Thread(target=self._serve, args=(near,), daemon=True).start()
+        self._listener.close()
+
+    def _serve(self, near):
+        try:
+            with near, socket.create_connection(self._target, 2.0) as far:
+                self._pass(near, far)
+        except OSError:
+            # Either end closed; the other one sees its own connection end.
+            return
+
+    def _pass(self, near, far):
+        selector = selectors.DefaultSelector()
+        selector.register(near, selectors.EVENT_READ, far)
+        selector.register(far, selectors.EVENT_READ, near)
+        while not self._ended:
+            for key, _ in selector.select(0.1):
+                mode = self.mode
+                if mode == "reset":
+                    linger = b"\x01\0\0\0\0\0\0\0"
+                    near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    return
+                if mode == "silent" or (mode == "deaf" and key.fileobj is far):
+                    time.sleep(0.02)
+                    continue
+                data = key.fileobj.recv(65536)
+                if not data:
+                    return
+                if mode == "slow":
+                    time.sleep(0.15)
+                key.data.sendall(data)
+
+
+class Ledger:
+    """What workers ran and what callers got, by request id."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.runs = Counter()
+        self.late = []
+        self.leaving = {}
+        # Until then a relay may not have heard of a leaving worker: it was paused, or without the store.
+        self.unsure_until = 0.0
+        self.outcomes = Counter()
+        self.found = []
+
+    def ran(self, request_id, worker):
+        with self.lock:
+            self.runs[request_id] += 1
+            since = self.leaving.get(worker)
+            now = time.monotonic()
+            if since is not None and now - since > LEAVE_S and now > self.unsure_until:
+                self.late.append((request_id, worker))
+
+    def finding(self, text):
+        with self.lock:
+            self.found.append(text)
+
+
+def plain_answer(ledger, name, rng):
+    def answer(handler):
+        request_id = handler.headers["Request-Id"]
+        draw = rng.random()
+        if draw < 0.05:
+            handler.respond(503, headers=[("Not-Executed", "1"), *echo(handler)])
+            return
+        ledger.ran(request_id, name)
+        time.sleep(rng.uniform(0.0, 0.08))
+        if draw < 0.08:
+            handler.close_connection = True
+            handler.connection.shutdown(socket.SHUT_RDWR)
+            return
+        body = f"for {request_id}".encode()
+        handler.respond(200, body, [*echo(handler), ("Response-Signature", f"s.{request_id}")])
+        if draw > 0.95:
+            handler.wfile.write(
+                b"HTTP/1.1 200 OK\r\nRequest-Id: x\r\nResponse-Signature: x\r\nContent-Length: 1\r\n\r\nx"
+            )
+
+    return answer
+
+
+def stream_answer(ledger, name, rng, count=8):
+    def answer(handler):
+        if handler.command == "DELETE":
+            handler.respond(200)
+            return
+        if handler.headers.get("Serving-Stage") == "prefill":
+            body = b'{"Handle":"h","Tokens":10,"Version":1}'
+            handler.respond(200, body, echo(handler))
+            return
+        request_id = handler.headers["Request-Id"]
+        ledger.ran(request_id, name)
+        handler.send_response_only(200)
+        for header, value in (
+            *echo(handler),
+            ("Response-Signature", f"s.{request_id}"),
+            ("Transfer-Encoding", "chunked"),
+        ):
+            handler.send_header(header, value)
+        handler.end_headers()
+        cut_at = rng.randrange(1, count) if rng.random() < 0.1 else None
+        for number in range(int(handler.headers.get("Last-Event-Id") or 0) + 1, count + 1):
+            data = event(number)
+            if number == cut_at:
+                data = data[: rng.randrange(len(data))]
+            if data:
+                handler.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+                handler.wfile.flush()
+            if number == cut_at:
+                handler.close_connection = True
+                handler.connection.shutdown(socket.SHUT_RDWR)
+                return
+            time.sleep(rng.uniform(0.0, 0.03))
+        handler.wfile.write(b"0\r\n\r\n")
+
+    return answer
+
+
+STREAM = b"".join(event(number) for number in range(1, 9))
+
+
+class Soak:
+    """One seed: relays, workers behind proxies, callers, and faults in series and overlapping."""
+
+    def __init__(self, seed, seconds, folder):
+        self.rng = random.Random(seed)
+        self.seed, self.seconds = seed, seconds
+        self.world = World(folder)
+        self.ledger = Ledger()
+        self.store_proxy = Proxy(self.world.store.address)
+        self.proxies = {}
+        self.relays = []
+        self.names = itertools.count(1)
+        self.faults = []
+        self.stop = threading.Event()
+        self.version = 1
+        self.ids = itertools.count(1)
+        # Requests that must run once at most, and those of them that were refused as not run.
+        self.once, self.refused = [], []
+
+    def run(self):
+        """Return the findings of the seed."""
+        try:
+            for name, service, stage in (
+                ("w1", "orders", None),
+                ("w2", "orders", None),
+                ("p1", "quotes", "prefill"),
+                ("d1", "quotes", "decode"),
+                ("d2", "quotes", "decode"),
+            ):
+                self._add_worker(name, service, stage)
+            for _ in range(2):
+                self._add_relay()
+            for relay in self.relays:
+                wait_until(relay.ready, "a relay is ready", 15)
+            callers = [threading.Thread(target=self._call, args=(n,)) for n in range(6)]
+            for caller in callers:
+                caller.start()
+            self._disturb()
+            self.stop.set()
+            for caller in callers:
+                caller.join(20)
+            time.sleep(QUIET_END_S)
+            self._check_end()
+        finally:
+            self.stop.set()
+            for proxy in (self.store_proxy, *self.proxies.values()):
+                proxy.end()
+            for relay in self.world.relays:
+                if relay.process.poll() is None:
+                    relay.process.send_signal(signal.SIGCONT)
+            self.world.end()
+        return self.ledger.found
+
+    def _add_worker(self, name, service, stage):
+        rng = random.Random(f"{self.seed} {name}")
+        make = plain_answer if service == "orders" else stream_answer
+        fields = {"Stage": stage} if stage else {}
+        worker = self.world.worker(name, service, make(self.ledger, name, rng), **fields)
+        proxy = self.proxies[name] = Proxy(worker.address)
+        worker.listed = worker.entry(service, Address=proxy.address, **fields)
+        self.world.store.put("servers", name, worker.listed)
+
+    def _add_relay(self):
+        name = f"relay-{next(self.names)}"
+        direct, self.world.store.address = self.world.store.address, self.store_proxy.address
+        try:
+            relay = Relay(self.world, name)
+        finally:
+            self.world.store.address = direct
+        self.world.relays.append(relay)
+        self.relays.append(relay)
+
+    def _call(self, number):
+        rng = random.Random(f"{self.seed} caller {number}")
+        connection, target = None, None
+        while not self.stop.is_set():
+            if connection is None or rng.random() < 0.2:
+                target = rng.choice(self.relays)
+                connection = http.client.HTTPConnection(HOST, target.port, timeout=6)
+            path = rng.choice(["/safe/", "/once/", "/once/", "/ask/", "/talk/"])
+            request_id = f"q{self.seed}-{next(self.ids)}"
+            if not self._ask(connection, path, request_id):
+                connection.close()
+                connection = None
+            time.sleep(rng.uniform(0.0, 0.05))
+
+    def _ask(self, connection, path, request_id):
+        headers = {"Host": "shop.example", "Request-Id": request_id, "Key": "key-a"}
+        headers["Deadline-Ms"] = "3000"
+        if path in ("/ask/", "/talk/"):
+            headers |= {"Model-Id": "m", "Token-Usage": "900,50", "Prefix-Hash": "aa:800,bb:100"}
+        try:
+            connection.request("POST", path + "x", b"{}", headers)
+            answer = connection.getresponse()
+            body = answer.read()
+        except (OSError, http.client.HTTPException):
+            # No promise was made; the runs are checked at the end.
+            self.ledger.outcomes["cut"] += 1
+            self._note(path, request_id, None)
+            return False
+        self.ledger.outcomes[str(answer.status)] += 1
+        if answer.status == 200:
+            wanted = STREAM if path in ("/ask/", "/talk/") else f"for {request_id}".encode()
+            if body != wanted:
+                self.ledger.finding(f"{path} {request_id}: wrong body {body[:80]!r}")
+            if answer.getheader("Response-Signature") != f"s.{request_id}":
+                self.ledger.finding(f"{path} {request_id}: signature of another answer")
+        elif answer.status in (400, 401, 403, 404):
+            self.ledger.finding(f"{path} {request_id}: {answer.status} for a proper request")
+        self._note(path, request_id, answer.status)
+        return not answer.will_close
+
+    def _note(self, path, request_id, status):
+        with self.ledger.lock:
+            self.ledger.outcomes[path] += 1
+        if status in (429, 503) and path in ("/once/", "/ask/"):
+            self.refused.append(request_id)
+        if path in ("/once/", "/ask/"):
+            self.once.append(request_id)
+
+    def _disturb(self):
+        end = time.monotonic() + self.seconds
+        healing = []
+        while time.monotonic() < end:
+            for at, heal in list(healing):
+                if time.monotonic() >= at:
+                    heal()
+                    healing.remove((at, heal))
+            if self.rng.random() < 0.5:
+                fault = self.rng.choice(FAULTS)
+                heal = fault(self)
+                self.faults.append(fault.__name__.lstrip("_"))
+                if heal is not None:
+                    lasts_s = 4.0 if fault is worker_leaves else self.rng.uniform(0.3, 2.0)
+                    healing.append((time.monotonic() + lasts_s, heal))
+            time.sleep(self.rng.uniform(0.1, 0.6))
+        for _, heal in healing:
+            heal()
+
+    def _check_end(self):
+        ledger = self.ledger
+        for request_id in self.once:
+            if ledger.runs[request_id] > 1:
+                ledger.finding(f"{request_id} ran {ledger.runs[request_id]} times")
+        for request_id in self.refused:
+            if ledger.runs[request_id]:
+                ledger.finding(f"{request_id} was refused as not run, and ran")
+        for request_id, worker in ledger.late:
+            ledger.finding(f"{request_id} ran at {worker} after it was leaving")
+        windows, fence = {}, 0
+        for path, headers, body in self.world.duties.calls:
+            token = int(headers["Fencing-Token"])
+            if token < fence:
+                ledger.finding(f"fencing number {token} after {fence}")
+            fence = max(fence, token)
+            if path == "/usage":
+                before = windows.setdefault(body["WindowId"], body["Counts"])
+                if before != body["Counts"]:
+                    ledger.finding(f"window {body['WindowId']} reported twice with other figures")
+        if not ledger.outcomes["200"]:
+            ledger.finding("nothing was served")
+
+
+def kill_relay(soak):
+    relay = soak.rng.choice(soak.relays)
+    relay.process.kill()
+    relay.process.wait()
+    soak.relays.remove(relay)
+    soak._add_relay()
+
+
+def stop_relay(soak):
+    relay = soak.rng.choice(soak.relays)
+    soak.relays.remove(relay)
+    soak._add_relay()
+    relay.process.terminate()
+
+
+def _unsure(soak):
+    soak.ledger.unsure_until = time.monotonic() + UNSURE_S
+
+
+def pause_relay(soak):
+    _unsure(soak)
+    relay = soak.rng.choice(soak.relays)
+    if relay.process.poll() is None:
+        relay.process.send_signal(signal.SIGSTOP)
+    return lambda: relay.process.poll() is None and relay.process.send_signal(signal.SIGCONT)
+
+
+def store_down(soak):
+    _unsure(soak)
+    soak.world.store.down = True
+    return lambda: setattr(soak.world.store, "down", False)
+
+
+def store_cut(soak):
+    _unsure(soak)
+    soak.store_proxy.mode = soak.rng.choice(["silent", "reset", "slow", "deaf"])
+    return lambda: setattr(soak.store_proxy, "mode", "pass")
+
+
+def store_history(soak):
+    soak.world.store.history_gone = True
+
+
+def worker_cut(soak):
+    proxy = soak.rng.choice(list(soak.proxies.values()))
+    proxy.mode = soak.rng.choice(["silent", "reset", "slow", "deaf"])
+    return lambda: setattr(proxy, "mode", "pass")
+
+
+def worker_leaves(soak):
+    """Let a worker say that it leaves, for longer than the others may still send to it."""
+    name = soak.rng.choice(["w1", "d1"])
+    worker = soak.world.workers[name]
+    beat = worker.listed["Sequence"] + 1
+    worker.listed = {**worker.listed, "State": "draining", "Sequence": beat}
+    if soak.world.store.down or soak.store_proxy.mode != "pass":
+        return None
+    soak.world.store.put("servers", name, worker.listed)
+    soak.ledger.leaving[name] = time.monotonic()
+
+    def come_back():
+        worker.listed = {**worker.listed, "State": "ready", "Sequence": beat + 1}
+        soak.ledger.leaving.pop(name, None)
+        soak.world.store.put("servers", name, worker.listed)
+
+    return come_back
+
+
+def change_config(soak):
+    soak.version += soak.rng.randrange(1, 4)
+    soak.world.store.put("op", "config", config(soak.version))
+
+
+FAULTS = (
+    kill_relay,
+    stop_relay,
+    pause_relay,
+    store_down,
+    store_cut,
+    store_history,
+    worker_cut,
+    worker_cut,
+    worker_leaves,
+    change_config,
+)
+
+
+def run_seed(seed, seconds):
+    """Run one seed and return its soak and findings."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(seed, seconds, folder)
+        return soak, soak.run()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.first, options.first + options.seeds):
+        soak, found = run_seed(seed, options.seconds)
+        failed += bool(found)
+        print(f"seed {seed}: {dict(soak.ledger.outcomes)} faults {dict(Counter(soak.faults))}")
+        for finding in found:
+            print(f"  FOUND {finding}")
+    print(f"{options.seeds} seeds, {failed} with findings")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_relay_soak.py
@@ -0,0 +1,53 @@
+"""A short seeded run of the soak, and tests that its checks find planted faults."""
+
+from types import SimpleNamespace
+
+import pytest
+from relay_soak import Ledger, Soak, run_seed
+
+
+def checked(runs=(), once=(), refused=(), late=(), calls=(), served=1):
+    """Return what the soak finds in a made-up history."""
+    ledger = Ledger()
+    for request_id in runs:
+        ledger.ran(request_id, "w1")
+    ledger.late = list(late)
+    ledger.outcomes["200"] = served
+    duties = SimpleNamespace(calls=list(calls))
+    soak = SimpleNamespace(
+        ledger=ledger, once=list(once), refused=list(refused), world=SimpleNamespace(duties=duties)
+    )
+    Soak._check_end(soak)
+    return ledger.found
+
+
+def usage(fence, window, count):
+    return "/usage", {"Fencing-Token": str(fence)}, {"WindowId": window, "Counts": {"a": count}}
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        {"runs": ["q1", "q1"], "once": ["q1"]},
+        {"runs": ["q1"], "refused": ["q1"]},
+        {"late": [("q1", "w1")]},
+        {"calls": [usage(2, 7, 3), usage(1, 8, 3)]},
+        {"calls": [usage(1, 7, 3), usage(2, 7, 4)]},
+        {"served": 0},
+    ],
+)
+def test_each_planted_fault_is_found(history):
+    assert checked(**history)
+
+
+def test_sound_history_has_no_finding():
+    calls = [usage(1, 7, 3), usage(1, 7, 3), usage(2, 8, 1)]
+    assert not checked(runs=["q1", "q2"], once=["q1", "q3"], refused=["q3"], calls=calls)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [3])
+def test_seeded_run_has_no_finding(seed):
+    soak, found = run_seed(seed, seconds=6.0)
+    assert not found, soak.faults
+    assert soak.ledger.outcomes["200"] > 50
