Choose pairs of engines by the best of each place

Cause: a choice among 48 readers and 48 generators weighs 2,304 pairs, some 10 ms of processor time a request, on hosts with half a core. What joins two engines depends on their places only. A property test compares it with all pairs.

--- a/src/laburnumreel/relay/_placement.py
+++ b/src/laburnumreel/relay/_placement.py
@@ -104,6 +104,25 @@
     cost_ms: float
 
 
+class _Half(NamedTuple):
+    """One of the two engines of a plan, with what it adds to time and cost."""
+
+    candidate: Candidate
+    read_tokens: int
+    first_ms: float
+    cost_ms: float
+
+
+def _best_of_places(halves: Iterable[_Half]) -> list[_Half]:
+    """Return the half with the least cost of each place."""
+    best: dict[Place, _Half] = {}
+    for half in halves:
+        known = best.get(half.candidate.place)
+        if known is None or half.cost_ms < known.cost_ms:
+            best[half.candidate.place] = half
+    return list(best.values())
+
+
 def distance_ms(here: Place, there: Place, costs: PlacementCosts) -> float:
     """Return the cost of the way between two places, without that of the volume."""
     if here.region != there.region:
@@ -185,10 +204,16 @@
             generators = [each._replace(kept_tokens=prompt.input_tokens) for each in generators]
         plans = [self._alone(prompt, body_bytes, traits, each, settled) for each in generators]
         if read_apart:
+            # What joins two engines depends on their places only, so the best one of each place
+            # stands for the others.
+            reading = [self._reading(prompt, body_bytes, each, settled) for each in readers]
+            running = [
+                self._running(prompt, body_bytes, traits, each, settled) for each in generators
+            ]
             plans += [
-                self._apart(prompt, body_bytes, traits, reader, generator, settled)
-                for reader in readers
-                for generator in generators
+                self._joined(prompt, traits, reader, generator)
+                for reader in _best_of_places(reading)
+                for generator in _best_of_places(running)
             ]
         return min(plans, key=lambda plan: plan.cost_ms, default=None)
 
@@ -218,38 +243,54 @@
         )
         return EnginePlan(None, generator, unread, first_ms, cost)
 
-    def _apart(
+    def _reading(self, prompt: Prompt, body_bytes: int, reader: Candidate, settled: bool) -> _Half:
+        """Return the cost of reading the prompt at an engine, without the way on from there."""
+        costs = self._costs
+        unread = max(0, prompt.input_tokens - reader.kept_tokens)
+        first_ms = (
+            distance_ms(self._here, reader.place, costs)
+            + (reader.work.reading_tokens + unread) * reader.read_ms
+        )
+        cost = (
+            first_ms
+            + volume_ms(self._here, reader.place, body_bytes, costs)
+            + reader.failure_share * costs.failure_ms
+            + self._rereading(prompt, unread, reader, settled)
+            + (0.0 if reader.home or unread < prompt.input_tokens else costs.home_ms)
+        )
+        return _Half(reader, unread, first_ms, cost)
+
+    def _running(
         self,
         prompt: Prompt,
         body_bytes: int,
         traits: EngineTraits,
-        reader: Candidate,
         generator: Candidate,
         settled: bool,
-    ) -> EnginePlan:
+    ) -> _Half:
+        """Return the cost of generating at an engine that need not read the prompt."""
         costs, here = self._costs, self._here
-        unread = max(0, prompt.input_tokens - reader.kept_tokens)
-        size = prompt.input_tokens * traits.kv_token_bytes
-        copy_ms = copy_time_ms(reader.place, generator.place, size, traits.link_bytes_per_s)
-        price = REGION_COPY_PRICE_FACTOR if reader.region != generator.region else 1.0
-        first_ms = (
-            distance_ms(here, reader.place, costs)
-            + distance_ms(here, generator.place, costs)
-            + (reader.work.reading_tokens + unread) * reader.read_ms
-            + copy_ms
-        )
+        first_ms = distance_ms(here, generator.place, costs)
         cost = (
             first_ms
-            + price * size / GIGABYTE * costs.copy_ms_per_gb
-            + volume_ms(here, reader.place, body_bytes, costs)
             + volume_ms(here, generator.place, body_bytes, costs)
-            + reader.failure_share * costs.failure_ms
-            + self._rereading(prompt, unread, reader, settled)
-            + (costs.away_ms if settled and generator.region != here.region else 0.0)
-            + (0.0 if reader.home or unread < prompt.input_tokens else costs.home_ms)
             + self._generating(prompt, traits, generator)
+            + (costs.away_ms if settled and generator.region != here.region else 0.0)
         )
-        return EnginePlan(reader, generator, unread, first_ms, cost)
+        return _Half(generator, 0, first_ms, cost)
+
+    def _joined(
+        self, prompt: Prompt, traits: EngineTraits, reader: _Half, generator: _Half
+    ) -> EnginePlan:
+        """Return the plan of two engines, with the copy from one to the other."""
+        source, target = reader.candidate, generator.candidate
+        size = prompt.input_tokens * traits.kv_token_bytes
+        copy_ms = copy_time_ms(source.place, target.place, size, traits.link_bytes_per_s)
+        price = REGION_COPY_PRICE_FACTOR if source.region != target.region else 1.0
+        first_ms = reader.first_ms + generator.first_ms + copy_ms
+        price_ms = price * size / GIGABYTE * self._costs.copy_ms_per_gb
+        cost = reader.cost_ms + generator.cost_ms + copy_ms + price_ms
+        return EnginePlan(source, target, reader.read_tokens, first_ms, cost)
 
     def _rereading(self, prompt: Prompt, unread: int, reader: Candidate, settled: bool) -> float:
         """Return the cost of reading shared parts that another engine keeps, and of going away."""
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -279,6 +279,45 @@
         )
         assert plan.generator.name == "near"
 
+    @given(st.integers(0, 10_000), st.booleans())
+    def test_best_of_each_place_is_the_best_of_all_pairs(self, seed, settled):
+        """Guards against a short cut that misses a pair of engines."""
+        rng = random.Random(seed)
+        candidates = [
+            candidate(
+                f"e{index}",
+                zone := f"zone-{rng.randrange(4)}",
+                rng.choice([Role.PREFILL, Role.DECODE]),
+                f"region-{ord(zone[-1]) % 2}",
+                Work(1, rng.randrange(40_000), rng.randrange(50), rng.randrange(400_000)),
+                read_ms=0.013,
+                kept_tokens=rng.choice([0, 12_000]),
+                failure_share=rng.random() * 0.3,
+            )
+            for index in range(12)
+        ]
+        wanted, placement = prompt(("start", 12_000), own=2000), EnginePlacement(HERE)
+        plan = placement.choose(wanted, 17_000, TRAITS, candidates, settled=settled)
+        readers = [each for each in candidates if each.back_end.role is Role.PREFILL]
+        free = [
+            each
+            for each in candidates
+            if each.back_end.role is Role.DECODE and each.work.streams < 48
+        ]
+        costs = [placement._alone(wanted, 17_000, TRAITS, each, settled).cost_ms for each in free]
+        costs += [
+            placement._joined(
+                wanted,
+                TRAITS,
+                placement._reading(wanted, 17_000, reader, settled),
+                placement._running(wanted, 17_000, TRAITS, generator, settled),
+            ).cost_ms
+            for reader in readers
+            for generator in free
+        ]
+        assert (plan is None) == (not costs)
+        assert plan is None or plan.cost_ms == pytest.approx(min(costs))
+
     def test_hosts_agree_on_a_home_and_few_starts_move(self):
         engines = [f"e{index}" for index in range(6)]
         parts = [f"part-{index}" for index in range(600)]
