--- a/tests/test_relay_platform.py
+++ b/tests/test_relay_platform.py
@@ -207,6 +207,10 @@
         assert status == 504 and 0.35 < time.monotonic() - started < 0.9
         # A time that is too short for an answer says nothing of the worker's connections.
         assert not relay.logged("back_end_silent")
+        # Logs are written by a thread of their own, perhaps after the answer.
+        wait_until(
+            lambda: relay.logged("attempt_failed") or relay.logged("request_aborted"), "its log"
+        )
         # The send's own limit and the watch over running requests end it at the same moment; the
         # one that comes first logs it.
         ended = [line["trouble"] for line in relay.logged("attempt_failed")]
