Count the fleet as it fills, and never plan from its first engines

The log shows the back ends listed over 3.2 s, with 2.2 s between two engines of the service; the planner believed a list that stood for 1.8 s, wrote down one engine in one zone, ended another and ordered one cheap engine for the whole deployment.

Now the most that were seen in the first eight seconds count, nothing is taken away meanwhile, and the counts are written down after it.

--- a/src/laburnumreel/relay/_capacity.py
+++ b/src/laburnumreel/relay/_capacity.py
@@ -31,9 +31,9 @@
 # Two leave one when one fails.
 LEAST_DEDICATED = 2
 CAPACITY_TABLE = "relay_capacity"
-# Backend servers make themselves known one by one; the list is believed when it has stood this long,
-# which is longer than they take between two signs of life.
-STANDS_S = 1.8
+# A deployment's backend servers make themselves known within some seconds of its start, each with its
+# next sign of life.
+GROW_S = 8.0
 # An order that did not show in the list is repeated after the time to start and this much more.
 REPEAT_S = 3.0
 REFUSED_RETRY_S = 2.0
@@ -97,7 +97,8 @@
         self._fleet = fleet
         self._ordered: dict[Group, tuple[int, float]] = {}
         self._found: dict[str, Mapping[str, int]] = {}
-        self._seen: dict[str, tuple[Counter, float]] = {}
+        # Services whose backend servers still make themselves known, and until when.
+        self._growing: dict[str, float] = {}
         self._fence = 0
 
     def step(self, authority: Authority, now: float) -> None:
@@ -106,6 +107,7 @@
             self._fence = authority.fence
             self._ordered.clear()
             self._found.clear()
+            self._growing.clear()
         back_ends, _ = self._fleet()
         listed = [entry for entry in back_ends if not entry.draining]
         for service in self._services().values():
@@ -127,37 +129,37 @@
     ) -> Mapping[str, int] | None:
         """Return the dedicated backend servers by zone that the deployment came with.
 
-        The first holder writes them down, so that its successors do not take a loss for the plan.
+        They make themselves known one by one, so for a while the most that were seen count. Then the
+        holder writes them down, so that its successors do not take a loss for the plan.
         """
-        if service.name in self._found:
-            return self._found[service.name]
-        row = self._platform.read(CAPACITY_TABLE, service.name)
-        if row.is_error():
-            return None
-        if row.ok is None:
-            counts = Counter(
-                entry.zone for entry in listed if entry.service == service.name and not entry.cheap
-            )
-            if not self._stands(service.name, counts, now):
+        name = service.name
+        found = self._found.get(name)
+        if found is not None and name not in self._growing:
+            return found
+        if found is None:
+            row = self._platform.read(CAPACITY_TABLE, name)
+            if row.is_error():
                 return None
-            # Another holder may have written meanwhile; the next step reads what stands.
-            self._platform.transact(
-                [Check(CAPACITY_TABLE, service.name, 0)],
-                [Write(CAPACITY_TABLE, service.name, {"dedicated": dict(counts)})],
+            if row.ok is not None:
+                counts = row.ok.value["dedicated"]
+                self._found[name] = {str(zone): int(count) for zone, count in counts.items()}
+                return self._found[name]
+            found = self._found[name] = {}
+            self._growing[name] = now + GROW_S
+        dedicated = [entry for entry in listed if entry.service == name and not entry.cheap]
+        for zone, count in Counter(entry.zone for entry in dedicated).items():
+            found[zone] = max(count, found.get(zone, 0))
+        if found and now >= self._growing[name]:
+            written = self._platform.transact(
+                [Check(CAPACITY_TABLE, name, 0)],
+                [Write(CAPACITY_TABLE, name, {"dedicated": found})],
             )
-            return None
-        self._found[service.name] = {
-            str(zone): int(count) for zone, count in row.ok.value["dedicated"].items()
-        }
-        return self._found[service.name]
-
-    def _stands(self, service: str, counts: Counter, now: float) -> bool:
-        """Return whether the list has shown the same counts for a while."""
-        known, since = self._seen.get(service, (None, now))
-        if counts != known:
-            self._seen[service] = (counts, now)
-            return False
-        return bool(counts) and now - since >= STANDS_S
+            if written.is_ok():
+                del self._growing[name]
+            elif written.error.kind == "conflict":
+                # Another holder was first; what it wrote is read in the next step.
+                del self._growing[name], self._found[name]
+        return found
 
     def _order(
         self,
