Keep the relay within its share of the store, and name a taken address

Cause: (1) wait_seconds was fed the whole time of a served request (test: 0.30 s of work counted as wait). (2) The store's published rates, the limits of a caller's head, idle time and the connections that a back end takes were read and never used. (3) Rows of fixed windows and of hosts that are gone stayed for ever. (4) A relay whose address is taken ended with a traceback that no log line named.

The relay logs listen_failed and returns 3.

Placement asks each engine's work of all peers; the sums are now kept as news comes.

--- a/src/laburnumreel/relay/__init__.py
+++ b/src/laburnumreel/relay/__init__.py
@@ -41,7 +41,6 @@
     RELAY_SCHEMA,
     RelaySettings,
     load_relay_settings,
-    parse_relay_settings,
 )
 
 __all__ = [
@@ -80,6 +79,5 @@
     "StreamEvent",
     "Verdict",
     "load_relay_settings",
-    "parse_relay_settings",
     "run_relay",
 ]
--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -15,7 +15,7 @@
     REQUEST_SERVED,
 )
 from laburnumreel.relay._job import Job, Parts, RelayFailedError
-from laburnumreel.relay._metrics import RELAY_FIRST_BYTE_S, RELAY_REQUESTS, RELAY_WAIT_S
+from laburnumreel.relay._metrics import RELAY_FIRST_BYTE_S, RELAY_REQUESTS
 from laburnumreel.relay._plain import serve_plain
 from laburnumreel.relay._ports import CallerWire
 from laburnumreel.relay._requests import Prompt, RelayRequest
@@ -213,7 +213,6 @@
         self, job: Job, status: int, back_end: str, size: int, **stream: int | bool
     ) -> None:
         RELAY_REQUESTS.inc(kind=str(job.route.kind), outcome="served")
-        RELAY_WAIT_S.observe(job.waited_s)
         _log.info(
             REQUEST_SERVED,
             request=job.request.request_id,
--- a/src/laburnumreel/relay/_back_ends.py
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -30,7 +30,6 @@
     slots: int
     draining: bool = False
     role: Role | None = None
-    model_versions: tuple[tuple[str, int], ...] = ()
     cheap: bool = False
     started_at_ms: int = 0
     beat: int = 0
--- a/src/laburnumreel/relay/_config.py
+++ b/src/laburnumreel/relay/_config.py
@@ -85,7 +85,6 @@
     """A group of backend servers that serve the same requests."""
 
     name: str
-    health_path: str
     max_connections: int
     engine: EngineTraits | None = None
     scaling: Scaling | None = None
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -166,7 +166,6 @@
 
     back_ends: tuple[ListedBackEnd, ...]
     work: Mapping[str, Work]
-    waiting: int
 
 
 class Dispatcher(Task):
@@ -613,7 +612,7 @@
         back_ends: Iterable[ListedBackEnd] = self._back_ends
         listed = tuple(back_ends)
         work = {entry.name: self._ledger.total(entry.name, now) for entry in listed}
-        return FleetView(listed, work, len(self._waiting))
+        return FleetView(listed, work)
 
 
 def _lasting(beliefs: dict, now: float) -> dict:
--- a/src/laburnumreel/relay/_duties.py
+++ b/src/laburnumreel/relay/_duties.py
@@ -16,11 +16,10 @@
 from laburnumreel.relay._ports import DutyWire
 from laburnumreel.relay._settings import UsageSettings
 from laburnumreel.relay._true_time import TrueTime
-from laburnumreel.relay._usage import UsageBook
+from laburnumreel.relay._usage import SEAL_TABLE, UsageBook, seal_key
 from laburnumreel.state import LEASE_TABLE, Authority, Check, Platform, Write
 
 DUTY_LEASE = "relay_duties"
-SEAL_TABLE = "relay_windows"
 TICK_S = 0.25
 # How long after its end a window is fixed: peers repeat their counts well within this time.
 SEAL_DELAY_S = 2.2
@@ -101,7 +100,7 @@
     def _sealed(self, authority: Authority, window: int) -> dict[str, int] | None:
         """Fix a window's counts, or return those that were fixed before; None to try later."""
         counts = self._book.sums(window)
-        key = f"{window:016d}"
+        key = seal_key(window)
         if not counts:
             row = self._platform.read(SEAL_TABLE, key)
             if row.is_error():
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -12,6 +12,7 @@
 SETTINGS_REJECTED = define_event(
     605, "relay_settings_rejected", "the changed settings file is wrong; the old settings stay"
 )
+LISTEN_FAILED = define_event(607, "listen_failed", "an address of the relay can't be listened on")
 RELAY_READY = define_event(606, "relay_ready", "the relay became ready or stopped being ready")
 
 RELAY_CONFIGURED = define_event(610, "relay_configured", "a new configuration is in force")
@@ -31,6 +32,9 @@
     621, "record_unreadable", "an entry of the store names nothing usable"
 )
 TRUE_TIME_AGREED = define_event(622, "true_time_agreed", "the time of day was agreed on")
+MEMBER_ROW_MISSING = define_event(
+    623, "member_row_missing", "this host's row was removed and is written again"
+)
 
 REQUEST_PLACED = define_event(630, "request_placed", "backend servers were chosen for a request")
 REQUEST_REFUSED = define_event(631, "request_refused", "a request was refused without running")
@@ -53,3 +57,5 @@
 CAPACITY_REFUSED = define_event(655, "capacity_refused", "an order of backend servers failed")
 ROLE_ORDERED = define_event(656, "role_ordered", "an engine was ordered to change its role")
 ROLE_REFUSED = define_event(657, "role_refused", "an order to an engine failed")
+ROWS_REMOVED = define_event(658, "rows_removed", "rows that nobody needs were removed")
+ROWS_UNREADABLE = define_event(659, "rows_unreadable", "rows could not be looked through")
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -10,6 +10,7 @@
 from laburnumreel.core import Clock
 from laburnumreel.relay._config import RelayService, Route
 from laburnumreel.relay._dispatcher import Assignment, Dispatcher
+from laburnumreel.relay._metrics import RELAY_WAIT_S
 from laburnumreel.relay._ports import BackEndWire
 from laburnumreel.relay._requests import RelayRequest
 from laburnumreel.relay._waiting import Waiting
@@ -117,6 +118,7 @@
     def wait_for(self, future: Future) -> Assignment:
         """Return the place that the dispatcher gives, or raise `RelayFailedError`."""
         request_id = self.request.request_id
+        asked_at = self.parts.clock.now()
         while True:
             try:
                 outcome = future.result(WAIT_SLICE_S)
@@ -133,6 +135,7 @@
         if self.running.aborted is not None:
             self.give_back(outcome)
             raise RelayFailedError(self.abort_refusal())
+        RELAY_WAIT_S.observe(self.parts.clock.now() - asked_at)
         return outcome
 
     def give_back(self, assignment: Assignment | Refusal) -> None:
--- a/src/laburnumreel/relay/_members.py
+++ b/src/laburnumreel/relay/_members.py
@@ -16,11 +16,15 @@
 
 
 class Member(NamedTuple):
-    """A host's row: where its peers reach it, and which start of its process wrote it."""
+    """A host's row: where its peers reach it, and which start of its process wrote it.
+
+    `version` is that of the row as it was read, 0 for one that is to be written.
+    """
 
     name: str
     address: Address
     boot: str
+    version: int = 0
 
 
 class Members:
@@ -38,6 +42,13 @@
         """Remove the row of a host."""
         return self._platform.transact([], [Write(MEMBER_TABLE, name, None)])
 
+    def remove(self, member: Member) -> Result[int, PlatformError]:
+        """Remove the row of a host that is gone, unless it was written again since."""
+        return self._platform.transact(
+            [Check(MEMBER_TABLE, member.name, member.version)],
+            [Write(MEMBER_TABLE, member.name, None)],
+        )
+
     def list(self) -> Result[list[Member], PlatformError]:
         """Return the hosts that have a row."""
         page = self._platform.scan(MEMBER_TABLE, limit=MOST_MEMBERS)
@@ -57,7 +68,8 @@
 
 def _member(row: Row) -> Member | None:
     address = parse_address(str(row.value.get("address", "")))
-    return Member(row.key, address, str(row.value.get("boot", ""))) if address else None
+    boot = str(row.value.get("boot", ""))
+    return Member(row.key, address, boot, row.version) if address else None
 
 
 def _store_zero(row: Row | None) -> float | None:
--- a/src/laburnumreel/relay/_membership.py
+++ b/src/laburnumreel/relay/_membership.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from laburnumreel.core import Clock, Log, Task
-from laburnumreel.relay._events import MEMBERS_UNREADABLE, TRUE_TIME_AGREED
+from laburnumreel.relay._events import MEMBER_ROW_MISSING, MEMBERS_UNREADABLE, TRUE_TIME_AGREED
 from laburnumreel.relay._members import Member, Members
 from laburnumreel.relay._peers import PeerNews
 from laburnumreel.relay._true_time import TrueTime
@@ -67,7 +67,12 @@
             _log.warning(MEMBERS_UNREADABLE, kind=listed.error.kind, detail=listed.error.detail)
             self._next_list = now + LIST_EVERY_ALONE_S
             return
-        self._peers.meet(member.address for member in listed.ok if member.name != self._me.name)
+        others = [member for member in listed.ok if member.name != self._me.name]
+        if self._joined and len(others) == len(listed.ok):
+            # Who cleans up takes a host that was cut off for long for one that is gone.
+            self._joined = False
+            _log.warning(MEMBER_ROW_MISSING, host=self._me.name)
+        self._peers.meet(member.address for member in others)
         alone = not self._peers.heard
         self._next_list = now + (LIST_EVERY_ALONE_S if alone else LIST_EVERY_S)
 
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -14,15 +14,22 @@
 
 from expression import Result
 
-from laburnumreel.coordination import AuthorityBoard, GuardedSender, LeaseKeeper
+from laburnumreel.coordination import (
+    AuthorityBoard,
+    GuardedSender,
+    LeaseKeeper,
+    address_text,
+)
 from laburnumreel.core import Log, SettingsError, SystemClock, Task
 from laburnumreel.relay._application import RelayApplication
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._capacity import CapacityPlanner
+from laburnumreel.relay._cleaning import RowCleaner
 from laburnumreel.relay._config import RelayConfig, RelayService
 from laburnumreel.relay._dispatcher import Dispatcher
 from laburnumreel.relay._duties import DUTY_LEASE, Duties
 from laburnumreel.relay._events import (
+    LISTEN_FAILED,
     RELAY_CONFIGURED,
     RELAY_READY,
     RELAY_STARTED,
@@ -47,7 +54,7 @@
 from laburnumreel.relay._work import Work
 from laburnumreel.serving import RequestRegistry
 from laburnumreel.state import Lease, LeaseSettings, Platform
-from laburnumreel.transport import BackEndPool, HttpOrderLink, HttpServer, admin_server
+from laburnumreel.transport import BackEndPool, CallPace, HttpOrderLink, HttpServer, admin_server
 
 # The balancer asks once a second and takes a host out after two answers that say not ready, so
 # that new connections come for about this long after a stop began.
@@ -64,9 +71,11 @@
 # The longest way to a backend server is some tens of milliseconds, and a lost packet is sent again
 # after a second.
 CONNECT_TIMEOUT_S = 0.4
-# Idle connections to a backend server that a host keeps. A backend server takes some hundred from all
-# hosts together, and a host seldom has more than a few requests at one.
-MOST_IDLE = 6
+# Idle connections to a backend server that a host keeps: all hosts together keep at most this share
+# of those that it takes, as requests in work need the others. A host seldom has more than a few
+# requests at one backend server, and without an idle one each request opens a connection.
+IDLE_SHARE = 0.5
+MOST_IDLE, LEAST_IDLE = 6, 1
 TASK_THREADS = 20
 READINESS_THREADS = 1
 # Threads that refuse while all others are in work.
@@ -80,6 +89,8 @@
 # A peer that knows more of a table for this long shows that the connection to it has gone silent.
 BEHIND_S = 0.8
 ORDER_TIMEOUT_S = 1.5
+# The exit code of a host one of whose addresses is taken.
+LISTEN_FAILED_CODE = 3
 # New objects between collections of the youngest generation.
 GC_THRESHOLD = 20_000
 
@@ -89,11 +100,13 @@
 class Adapter(NamedTuple):
     """What connects a relay to the systems around it.
 
-    `platform` serves the lease with short timeouts of its own, `store` everything else.
+    `lease_store` serves the lease with short timeouts of its own, `store` everything else.
+    `store_pace` holds the calls of both to this host's share.
     """
 
     store: Platform
     lease_store: Platform
+    store_pace: CallPace
     directory: Directory
     callers: CallerWire
     back_ends: BackEndWire
@@ -131,6 +144,7 @@
         self._peer_version = 0
         self._peer_listing = 0
         self._behind_since: dict[FeedFollower, float] = {}
+        self._hosts = 1
         self._kept: dict[bool, dict[str, set[str]]] = {False: {}, True: {}}
         host = settings.host
         self._true_time = TrueTime(self._clock)
@@ -186,13 +200,14 @@
             self._on_news,
             self._dispatcher.peer_silent,
         )
+        members = Members(adapter.store)
         self._membership = Membership(
             Member(host.name, settings.listen.peers, self._boot),
-            Members(adapter.store),
+            members,
             self._peers,
             self._true_time,
             self._clock,
-            self._dispatcher.hosts,
+            self._on_hosts,
         )
         board = AuthorityBoard(self._clock)
         lease_settings = LeaseSettings(settings.lease.term_s, settings.lease.margin_s)
@@ -224,6 +239,13 @@
             self._fleet,
             self._dispatcher.avoid,
         )
+        cleaner = RowCleaner(
+            adapter.store,
+            members,
+            self._book,
+            self._true_time.now,
+            lambda: {host.name, *self._peers.heard},
+        )
         self._duties = Duties(
             adapter.store,
             board,
@@ -234,7 +256,7 @@
             self._true_time,
             self._book,
             settings.usage,
-            (capacity, roles),
+            (capacity, roles, cleaner),
         )
         self._callers = HttpServer(
             self._application, settings.listen.callers, settings.threads + SPARE_THREADS
@@ -335,7 +357,8 @@
             if config is None or not self._application.configure(config):
                 continue
             self._dispatcher.configured(config)
-            self._callers.set_max_body_bytes(config.limits.body_bytes)
+            self._callers.set_limits(*config.limits)
+            self._share_connections()
             _log.info(
                 RELAY_CONFIGURED,
                 version=config.version,
@@ -345,6 +368,18 @@
                 store_version=listing.version,
             )
 
+    def _on_hosts(self, hosts: int) -> None:
+        self._hosts = hosts
+        self._dispatcher.hosts(hosts)
+        self._adapter.store_pace.set_hosts(hosts)
+        self._share_connections()
+
+    def _share_connections(self) -> None:
+        """Keep the idle connections of all hosts below what a backend server takes."""
+        taken = [service.max_connections for service in self._services().values()]
+        share = int(IDLE_SHARE * min(taken, default=0) / self._hosts)
+        self._pool.set_max_idle(max(LEAST_IDLE, min(MOST_IDLE, share)))
+
     def _on_back_ends(
         self, listing: Listing[ListedBackEnd], sent_at: float, answered_at: float
     ) -> None:
@@ -430,4 +465,10 @@
 
 def run_relay(path: Path, settings: RelaySettings, adapter: Adapter, load: Callable) -> int:
     """Run a relay until it is told to stop, and return the exit code."""
-    return RelayNode(settings, adapter).run(lambda: load(path))
+    try:
+        node = RelayNode(settings, adapter)
+    except OSError as error:
+        listen = {name: address_text(at) for name, at in settings.listen._asdict().items()}
+        _log.error(LISTEN_FAILED, detail=str(error), **listen)
+        return LISTEN_FAILED_CODE
+    return node.run(lambda: load(path))
--- a/src/laburnumreel/relay/_settings.py
+++ b/src/laburnumreel/relay/_settings.py
@@ -116,11 +116,6 @@
     return RELAY_SCHEMA.load(path).bind(lambda values: _build(values, str(path)))
 
 
-def parse_relay_settings(text: str, file: str) -> Result[RelaySettings, list[SettingsError]]:
-    """Check a settings file's text and return the settings."""
-    return RELAY_SCHEMA.parse(text, file).bind(lambda values: _build(values, file))
-
-
 def _build(values: Values, file: str) -> Result[RelaySettings, list[SettingsError]]:
     lease = LeaseSettings(**values["lease"])
     if lease.term_s <= 2 * lease.margin_s:
--- a/src/laburnumreel/relay/_usage.py
+++ b/src/laburnumreel/relay/_usage.py
@@ -6,6 +6,14 @@
 
 Counts = dict[str, int]
 
+# The table of windows that were fixed.
+SEAL_TABLE = "relay_windows"
+
+
+def seal_key(window: int) -> str:
+    """Return the key of a window's row; keys are in the order of the windows."""
+    return f"{window:016d}"
+
 
 class SenderCounts(NamedTuple):
     """The counts of one process of one host, which only grow."""
--- a/src/laburnumreel/relay/_work.py
+++ b/src/laburnumreel/relay/_work.py
@@ -1,5 +1,6 @@
 """Work that backend servers have not finished, as this host and its peers sent it."""
 
+from collections import OrderedDict
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -33,6 +34,9 @@
 class WorkLedger:
     """This host's own work by backend server, and what each peer last said of its work.
 
+    The sums over the peers are kept as news comes, since each placement asks for those of all
+    backend servers.
+
     >>> ledger = WorkLedger()
     >>> ledger.add("b1", Work(requests=1))
     >>> ledger.peer("host-2", {"b1": Work(requests=2)}, now=10.0)
@@ -42,7 +46,9 @@
 
     def __init__(self) -> None:
         self._own: dict[str, Work] = {}
-        self._peers: dict[str, tuple[float, Mapping[str, Work]]] = {}
+        # The peers in the order in which they were heard last.
+        self._peers: OrderedDict[str, tuple[float, Mapping[str, Work]]] = OrderedDict()
+        self._of_peers: dict[str, Work] = {}
 
     @property
     def own(self) -> Mapping[str, Work]:
@@ -51,33 +57,48 @@
 
     def add(self, back_end: str, work: Work) -> None:
         """Count work that is being sent."""
-        self._own[back_end] = self._own.get(back_end, NO_WORK).plus(work)
+        _change(self._own, back_end, work)
 
     def remove(self, back_end: str, work: Work) -> None:
         """Count work that has ended."""
-        left = self._own.get(back_end, NO_WORK).minus(work)
-        if any(left):
-            self._own[back_end] = left
-        else:
-            self._own.pop(back_end, None)
+        _change(self._own, back_end, NO_WORK.minus(work))
 
     def peer(self, sender: str, work: Mapping[str, Work], now: float) -> None:
         """Take what a peer says of all its work."""
+        self.forget_peer(sender)
         self._peers[sender] = (now, work)
+        for back_end, each in work.items():
+            _change(self._of_peers, back_end, each)
 
     def forget_peer(self, sender: str) -> None:
         """Drop what a peer said, because it has stopped."""
-        self._peers.pop(sender, None)
+        _, work = self._peers.pop(sender, (0.0, {}))
+        for back_end, each in work.items():
+            _change(self._of_peers, back_end, NO_WORK.minus(each))
 
     def total(self, back_end: str, now: float) -> Work:
         """Return the work of this host and of the peers heard from lately."""
-        total = self._own.get(back_end, NO_WORK)
-        for heard_at, work in self._peers.values():
-            if now - heard_at <= PEER_NEWS_S and back_end in work:
-                total = total.plus(work[back_end])
-        return total
+        self._forget_old(now)
+        own, others = self._own.get(back_end), self._of_peers.get(back_end, NO_WORK)
+        return others if own is None else own.plus(others)
 
     def oldest_news_s(self, now: float) -> float:
         """Return the age of the oldest peer news that still counts, in seconds."""
-        ages = [now - heard_at for heard_at, _ in self._peers.values()]
-        return max((age for age in ages if age <= PEER_NEWS_S), default=0.0)
+        self._forget_old(now)
+        return now - next(iter(self._peers.values()))[0] if self._peers else 0.0
+
+    def _forget_old(self, now: float) -> None:
+        while self._peers:
+            sender, (heard_at, _) = next(iter(self._peers.items()))
+            if now - heard_at <= PEER_NEWS_S:
+                return
+            self.forget_peer(sender)
+
+
+def _change(sums: dict[str, Work], back_end: str, work: Work) -> None:
+    """Add work to the sum of a backend server; a sum of nothing leaves no entry."""
+    total = sums.get(back_end, NO_WORK).plus(work)
+    if any(total):
+        sums[back_end] = total
+    else:
+        sums.pop(back_end, None)
--- a/src/laburnumreel/transport/__init__.py
+++ b/src/laburnumreel/transport/__init__.py
@@ -2,6 +2,7 @@
 
 from laburnumreel.transport._admin import admin_server
 from laburnumreel.transport._backend import Address, BackEndFailureError, BackEndPool, Exchange
+from laburnumreel.transport._call_pace import CallPace
 from laburnumreel.transport._json_calls import CallAnswer, CallFailure, JsonCalls
 from laburnumreel.transport._loads import HttpLoadReader
 from laburnumreel.transport._orders import HttpOrderConnection, HttpOrderLink
@@ -15,6 +16,7 @@
     "BackEndPool",
     "CallAnswer",
     "CallFailure",
+    "CallPace",
     "Exchange",
     "HttpLoadReader",
     "HttpOrderConnection",
--- a/src/laburnumreel/transport/_backend.py
+++ b/src/laburnumreel/transport/_backend.py
@@ -263,6 +263,10 @@
         # Connections opened before this time are not used again.
         self._not_before: dict[Address, float] = {}
 
+    def set_max_idle(self, max_idle: int) -> None:
+        """Change how many idle connections to one address are kept from now on."""
+        self._max_idle = max_idle
+
     def open(
         self, address: Address, fresh: bool = False, idle_at_most_s: float = float("inf")
     ) -> Exchange:
--- a/src/laburnumreel/transport/_json_calls.py
+++ b/src/laburnumreel/transport/_json_calls.py
@@ -9,6 +9,8 @@
 
 from expression import Error, Ok, Result
 
+from laburnumreel.transport._call_pace import CallKind, CallPace
+
 
 class CallAnswer(NamedTuple):
     """An answer's status and its JSON body; an empty mapping where the body is none."""
@@ -24,23 +26,39 @@
     detail: str
 
 
+_BEYOND_SHARE = CallFailure("not_sent", "this host's share of the calls is used up")
+
+
 class JsonCalls:
     """Calls to one address. An instance may be shared between threads, which take turns.
 
     Reads use one kept connection and are sent again on a new one if the kept one was closed. A call
     that changes something goes out on a connection of its own, so that no stale connection leaves
     its effect unknown.
+
+    With a `pace`, calls keep to the host's share of what the address takes; those of an `urgent`
+    instance are counted there and never wait.
     """
 
-    def __init__(self, address: tuple[str, int], timeout_s: float) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        timeout_s: float,
+        pace: CallPace | None = None,
+        urgent: bool = False,
+    ) -> None:
         self._address = address
         self._timeout_s = timeout_s
+        self._pace = pace
+        self._urgent = urgent
         self._lock = threading.Lock()
         self._kept: http.client.HTTPConnection | None = None
         self._interrupted = False
 
     def read(self, path: str, wait_s: float = 0.0) -> Result[CallAnswer, CallFailure]:
         """GET a path; the answer may take `wait_s` longer than the timeout."""
+        if not self._may_call("read"):
+            return Error(_BEYOND_SHARE)
         with self._lock:
             kept = self._kept is not None
             self._interrupted = False
@@ -52,6 +70,8 @@
 
     def change(self, path: str, body: Any, method: str = "POST") -> Result[CallAnswer, CallFailure]:
         """Send a call that changes something."""
+        if not self._may_call("write"):
+            return Error(_BEYOND_SHARE)
         connection = self._connection(0.0)
         try:
             connection.connect()
@@ -82,6 +102,14 @@
         with self._lock:
             self._drop()
 
+    def _may_call(self, kind: CallKind) -> bool:
+        if self._pace is None:
+            return True
+        if self._urgent:
+            self._pace.took(kind)
+            return True
+        return self._pace.take(kind)
+
     def _read_once(self, path: str, wait_s: float) -> Result[CallAnswer, CallFailure]:
         try:
             if self._kept is None:
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -278,6 +278,15 @@
         """Change the largest request body for the requests that come from now on."""
         self._adjustments.max_request_body_size = max_body_bytes + 1
 
+    def set_limits(self, header_bytes: int, body_bytes: int, idle_s: float) -> None:
+        """Change the largest head and body of requests, and how long a connection may be idle.
+
+        They hold for the requests that come from now on.
+        """
+        self._adjustments.max_request_header_size = header_bytes
+        self.set_max_body_bytes(body_bytes)
+        self._adjustments.channel_timeout = idle_s
+
     def close_after_answers(self) -> None:
         """Close each connection after its next answer, because the server is stopping."""
         self._server.stopping = True
