--- a/tests/test_relay_upkeep.py
+++ b/tests/test_relay_upkeep.py
@@ -1,15 +1,28 @@
 """Tests of what a relay keeps in order: its calls to the store, its rows, its connections."""
 
+import random
 import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
 from types import SimpleNamespace
 
 import pytest
 from expression import Error, Ok
-from platform_world import Store
+from platform_world import Store, wait_until
 
+from laburnumreel.core import SystemClock
 from laburnumreel.relay._cleaning import CLEAN_EVERY_S, HOST_GONE_S, KEEP_WINDOWS_S, RowCleaner
+from laburnumreel.relay._feeds import (
+    LONGEST_FOLLOW_S,
+    LONGEST_GATHER_S,
+    LOOKS_PER_S,
+    MOST_TIMES_LONGER,
+    SHORTEST_GATHER_S,
+    FeedFollower,
+)
 from laburnumreel.relay._members import MEMBER_TABLE, Member, Members
 from laburnumreel.relay._membership import LIST_EVERY_S, Membership
+from laburnumreel.relay._ports import Listing
 from laburnumreel.relay._usage import SEAL_TABLE, UsageBook, seal_key
 from laburnumreel.state import Authority, Page, PlatformError, Row
 from laburnumreel.transport import BackEndPool, CallPace, JsonCalls
@@ -188,6 +201,68 @@
         assert rows.keys(MEMBER_TABLE) == ["me"]
 
 
+class Table:
+    """A table that always has changes; the calls that were made, and how long each would wait."""
+
+    def __init__(self, entries=True):
+        self.waits = []
+        self.entries = {"a": 1} if entries else {}
+        self.interrupted = 0
+
+    def read(self):
+        return Ok(Listing(self.entries, 5, 0.0, True, 5))
+
+    def follow(self, version, wait_s):
+        self.waits.append(wait_s)
+        return Ok(Listing(self.entries, version + 1, 0.0, False, version + 1))
+
+    def interrupt(self):
+        self.interrupted += 1
+
+
+def follower(table, on_link=None):
+    return FeedFollower("t", table, SystemClock(), random.Random(1), lambda *taken: None, on_link)
+
+
+class TestFeeds:
+    """Many hosts whose workers renew their entries all the time, which made each host call twice a
+    second."""
+
+    @pytest.mark.parametrize("hosts", [1, 6, 12, 24, 58, 300])
+    def test_hosts_together_look_at_a_bounded_rate(self, hosts):
+        feed = follower(Table())
+        feed.set_hosts(hosts)
+        assert SHORTEST_GATHER_S <= feed.gather_s <= LONGEST_GATHER_S
+        if SHORTEST_GATHER_S < feed.gather_s < LONGEST_GATHER_S:
+            assert hosts / feed.gather_s == pytest.approx(LOOKS_PER_S)
+
+    def test_configuration_is_waited_for_longer_with_more_hosts_and_the_list_is_not(self):
+        table = Table(entries=False)
+        feed = follower(table)
+        listed = Table(entries=False)
+        list_feed = follower(listed, on_link=lambda back: None)
+        for each in (feed, list_feed):
+            each.set_hosts(58)
+            for _ in range(20):
+                each.tick()
+        assert max(table.waits) > 2 * LONGEST_FOLLOW_S
+        assert max(table.waits) <= MOST_TIMES_LONGER * LONGEST_FOLLOW_S < 30
+        assert max(listed.waits) <= LONGEST_FOLLOW_S
+
+    def test_stop_and_nudge_end_the_wait_between_calls(self):
+        table = Table()
+        feed = follower(table)
+        feed.set_hosts(300)
+        with ThreadPoolExecutor(1) as executor:
+            feed.start(executor)
+            wait_until(lambda: len(table.waits) == 1, "the first call")
+            started = time.monotonic()
+            feed.nudge()
+            wait_until(lambda: len(table.waits) == 2, "the call after the nudge")
+            feed.stop()
+            assert time.monotonic() - started < 1.0
+
+
 def test_idle_connections_follow_the_hosts_that_share_a_back_end():
     """Three hundred hosts at a backend server that takes some hundred connections from all."""
     listener = socket.create_server(("127.0.0.1", 0), backlog=32)
