--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 from hypothesis import HealthCheck, settings
+from platform_world import World
 
 from laburnumreel_standins.deployment import Deployment
 
@@ -22,3 +23,11 @@
     running = Deployment()
     yield running
     running.end()
+
+
+@pytest.fixture
+def world(tmp_path):
+    """The users' platform in miniature, with relay processes that end with the test."""
+    running = World(tmp_path)
+    yield running
+    running.end()
--- /dev/null
+++ b/tests/platform_answers.py
@@ -0,0 +1,89 @@
+"""Answers of workers in the stand-in of the users' platform."""
+
+import json
+import socket
+import time
+
+
+def echo(handler):
+    request_id = handler.headers.get("Request-Id")
+    return [("Request-Id", request_id)] if request_id else []
+
+
+def whole(handler, status=200, body=b"done"):
+    signature = [("Response-Signature", f"s.{handler.headers.get('Request-Id')}")]
+    handler.respond(status, body, [*echo(handler), *signature])
+
+
+def refused(handler):
+    handler.respond(503, headers=[("Not-Executed", "1"), *echo(handler)])
+
+
+def lost(handler):
+    """Close the connection without an answer."""
+    handler.close_connection = True
+    handler.connection.shutdown(socket.SHUT_RDWR)
+
+
+def truncated(handler):
+    handler.wfile.write(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: "
+        + handler.headers["Request-Id"].encode()
+        + b"\r\nResponse-Signature: s\r\nContent-Length: 100\r\n\r\nhalf"
+    )
+    handler.wfile.flush()
+    lost(handler)
+
+
+def with_extra(handler):
+    """A whole answer, followed by one that belongs to no request."""
+    whole(handler)
+    handler.wfile.write(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s.other\r\n"
+        b"Content-Length: 5\r\n\r\nother"
+    )
+
+
+def event(number):
+    return f"id: {number}\ndata: token{number}\n\n".encode()
+
+
+def stream(count=5, break_after=None, gap_s=0.0, torn=False):
+    """Return an answer of events; it goes on after `Last-Event-Id` and may break off."""
+
+    def answer(handler):
+        first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        handler.send_response_only(200)
+        for name, value in echo(handler):
+            handler.send_header(name, value)
+        handler.send_header("Response-Signature", f"s.{handler.headers.get('Request-Id')}")
+        handler.send_header("Content-Type", "text/event-stream")
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        for number in range(first, count + 1):
+            if break_after is not None and number > break_after:
+                if torn:
+                    chunk(handler, event(number)[:7])
+                lost(handler)
+                return
+            chunk(handler, event(number))
+            time.sleep(gap_s)
+        handler.wfile.write(b"0\r\n\r\n")
+
+    return answer
+
+
+def chunk(handler, data):
+    handler.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+    handler.wfile.flush()
+
+
+def engine(handler):
+    """An engine's usual answers: a copy for a prompt that is only read, a stream otherwise."""
+    if handler.headers.get("Serving-Stage") == "prefill":
+        body = json.dumps({"Handle": "h1", "Tokens": 10, "Version": 1}).encode()
+        handler.respond(200, body, [*echo(handler), ("Content-Type", "application/json")])
+    elif handler.command == "DELETE":
+        handler.respond(200)
+    else:
+        stream()(handler)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -14,6 +14,9 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
+from platform_answers import echo, engine, whole
+from platform_config import config
+
 from laburnumreel_standins.processes import fresh_host
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -224,90 +227,6 @@
         return [seen for seen in list(self.seen) if method in (None, seen[0])]
 
 
-def echo(handler):
-    request_id = handler.headers.get("Request-Id")
-    return [("Request-Id", request_id)] if request_id else []
-
-
-def whole(handler, status=200, body=b"done"):
-    signature = [("Response-Signature", f"s.{handler.headers.get('Request-Id')}")]
-    handler.respond(status, body, [*echo(handler), *signature])
-
-
-def refused(handler):
-    handler.respond(503, headers=[("Not-Executed", "1"), *echo(handler)])
-
-
-def lost(handler):
-    """Close the connection without an answer."""
-    handler.close_connection = True
-    handler.connection.shutdown(socket.SHUT_RDWR)
-
-
-def truncated(handler):
-    handler.wfile.write(
-        b"HTTP/1.1 200 OK\r\nRequest-Id: "
-        + handler.headers["Request-Id"].encode()
-        + b"\r\nResponse-Signature: s\r\nContent-Length: 100\r\n\r\nhalf"
-    )
-    handler.wfile.flush()
-    lost(handler)
-
-
-def with_extra(handler):
-    """A whole answer, followed by one that belongs to no request."""
-    whole(handler)
-    handler.wfile.write(
-        b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s.other\r\n"
-        b"Content-Length: 5\r\n\r\nother"
-    )
-
-
-def event(number):
-    return f"id: {number}\ndata: token{number}\n\n".encode()
-
-
-def stream(count=5, break_after=None, gap_s=0.0, torn=False):
-    """Return an answer of events; it goes on after `Last-Event-Id` and may break off."""
-
-    def answer(handler):
-        first = int(handler.headers.get("Last-Event-Id") or 0) + 1
-        handler.send_response_only(200)
-        for name, value in echo(handler):
-            handler.send_header(name, value)
-        handler.send_header("Response-Signature", f"s.{handler.headers.get('Request-Id')}")
-        handler.send_header("Content-Type", "text/event-stream")
-        handler.send_header("Transfer-Encoding", "chunked")
-        handler.end_headers()
-        for number in range(first, count + 1):
-            if break_after is not None and number > break_after:
-                if torn:
-                    chunk(handler, event(number)[:7])
-                lost(handler)
-                return
-            chunk(handler, event(number))
-            time.sleep(gap_s)
-        handler.wfile.write(b"0\r\n\r\n")
-
-    return answer
-
-
-def chunk(handler, data):
-    handler.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
-    handler.wfile.flush()
-
-
-def engine(handler):
-    """An engine's usual answers: a copy for a prompt that is only read, a stream otherwise."""
-    if handler.headers.get("Serving-Stage") == "prefill":
-        body = json.dumps({"Handle": "h1", "Tokens": 10, "Version": 1}).encode()
-        handler.respond(200, body, [*echo(handler), ("Content-Type", "application/json")])
-    elif handler.command == "DELETE":
-        handler.respond(200)
-    else:
-        stream()(handler)
-
-
 class Duties(_Server):
     """The platform's interface for usage reports and orders; `calls` holds what came."""
 
@@ -324,61 +243,6 @@
         super().__init__(Handler)
 
 
-ROUTE = {
-    "Host": "shop.example",
-    "TimeoutMs": 3000,
-    "TargetLatencyMs": 300,
-    "Priority": 1,
-    "MaxAttempts": 2,
-    "Public": False,
-    "Sticky": False,
-    "Resumable": False,
-    "GapAimMs": 250,
-}
-ENGINE = {
-    "Slots": 8,
-    "KvTokens": 100_000,
-    "KvBytes": 1000,
-    "LinkMbps": 1e6,
-    "HandleS": 5.0,
-    "SwitchS": 3.0,
-    "Models": [{"Name": "m"}],
-}
-
-
-def config(version=1, extra_routes=(), keys=("key-a",)):
-    """Return a configuration with a plain service `orders` and a model service `quotes`."""
-    routes = [
-        {"Name": "safe", "Prefix": "/safe/", "RouteType": "idempotent", "Service": "orders"},
-        {"Name": "once", "Prefix": "/once/", "RouteType": "non_idempotent", "Service": "orders"},
-        {"Name": "open", "Prefix": "/open/", "RouteType": "idempotent", "Service": "orders"},
-        {"Name": "ask", "Prefix": "/ask/", "RouteType": "streaming", "Service": "quotes"},
-        {"Name": "talk", "Prefix": "/talk/", "RouteType": "streaming", "Service": "quotes"},
-    ]
-    routes[2]["Public"] = True
-    routes[4]["Resumable"] = True
-    return {
-        "Version": version,
-        "Routes": [{**ROUTE, **route} for route in [*routes, *extra_routes]],
-        "Services": [
-            {"Name": "orders", "HealthPath": "/health", "MaxConnections": 50},
-            {
-                "Name": "quotes",
-                "HealthPath": "/health",
-                "MaxConnections": 50,
-                "Engine": ENGINE,
-            },
-        ],
-        "Limits": {
-            "MaxHeaderBytes": 16384,
-            "MaxBodyBytes": 65536,
-            "HeaderTimeoutMs": 3000,
-            "IdleTimeoutMs": 15000,
-        },
-        "Tenants": [{"Name": "hall-a", "ApiKeys": list(keys), "Priority": 1}],
-    }
-
-
 class Relay:
     """A relay process on loopback."""
 
--- /dev/null
+++ b/tests/relay_caller.py
@@ -0,0 +1,30 @@
+"""A caller of a relay, for tests."""
+
+import http.client
+import itertools
+
+_ids = itertools.count(1)
+
+
+class Caller:
+    """A caller's connection."""
+
+    def __init__(self, relay, timeout_s=8.0):
+        self.connection = http.client.HTTPConnection(relay.host, relay.port, timeout=timeout_s)
+
+    def ask(self, path, method="POST", body=b"{}", key="key-a", **headers):
+        """Return status, headers by lower-case name, and body."""
+        self.send(path, method, body, key, **headers)
+        answer = self.connection.getresponse()
+        found = {name.lower(): value for name, value in answer.getheaders()}
+        return answer.status, found, answer.read()
+
+    def send(self, path, method="POST", body=b"{}", key="key-a", **headers):
+        sent = {"Host": "shop.example", "Request-Id": f"req{next(_ids)}", "Deadline-Ms": "3000"}
+        if key is not None:
+            sent["Key"] = key
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        self.connection.request(method, path, body, sent)
+
+
+PROMPT = {"Model_Id": "m", "Token_Usage": "3000,50", "Prefix_Hash": "aa:2500,bb:500"}
--- a/tests/relay_soak.py
+++ b/tests/relay_soak.py
@@ -8,168 +8,22 @@
 import http.client
 import itertools
 import random
-import selectors
 import signal
-import socket
 import sys
 import tempfile
 import threading
 import time
 from collections import Counter
 
-from platform_world import HOST, Relay, World, config, echo, event, wait_until
+from platform_config import config
+from platform_world import Relay, World, wait_until
+from relay_soak_parts import STREAM, Ledger, Proxy, plain_answer, stream_answer
 
-# A leaving worker gets nothing new after this time.
-LEAVE_S = 2.5
 # Faults heal within two seconds, and a host is in touch again three seconds after that.
 UNSURE_S = 5.0
 QUIET_END_S = 3.0
 
 
-class Proxy:
-    """A loopback proxy whose `mode` is pass, slow, silent (nothing passes), deaf (answers do not), or reset."""
-
-    def __init__(self, target):
-        host, _, port = target.rpartition(":")
-        self._target = (host, int(port))
-        self._listener = socket.create_server((HOST, 0))
-        self._listener.settimeout(0.2)
-        self._ended = False
-        self.mode = "pass"
-        self.address = f"{HOST}:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def end(self):
-        self._ended = True
-
-    def _accept(self):
-        while not self._ended:
-            try:
-                near, _ = self._listener.accept()
-            except TimeoutError:
-                continue
-            threading.Thread(target=self._serve, args=(near,), daemon=True).start()
-        self._listener.close()
-
-    def _serve(self, near):
-        try:
-            with near, socket.create_connection(self._target, 2.0) as far:
-                self._pass(near, far)
-        except OSError:
-            # Either end closed; the other one sees its own connection end.
-            return
-
-    def _pass(self, near, far):
-        selector = selectors.DefaultSelector()
-        selector.register(near, selectors.EVENT_READ, far)
-        selector.register(far, selectors.EVENT_READ, near)
-        while not self._ended:
-            for key, _ in selector.select(0.1):
-                mode = self.mode
-                if mode == "reset":
-                    linger = b"\x01\0\0\0\0\0\0\0"
-                    near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                    return
-                if mode == "silent" or (mode == "deaf" and key.fileobj is far):
-                    time.sleep(0.02)
-                    continue
-                data = key.fileobj.recv(65536)
-                if not data:
-                    return
-                if mode == "slow":
-                    time.sleep(0.15)
-                key.data.sendall(data)
-
-
-class Ledger:
-    """What workers ran and what callers got, by request id."""
-
-    def __init__(self):
-        self.lock = threading.Lock()
-        self.runs = Counter()
-        self.late = []
-        self.leaving = {}
-        # Until then a relay may not have heard of a leaving worker: it was paused, or without the store.
-        self.unsure_until = 0.0
-        self.outcomes = Counter()
-        self.found = []
-
-    def ran(self, request_id, worker):
-        with self.lock:
-            self.runs[request_id] += 1
-            since = self.leaving.get(worker)
-            now = time.monotonic()
-            if since is not None and now - since > LEAVE_S and now > self.unsure_until:
-                self.late.append((request_id, worker))
-
-    def finding(self, text):
-        with self.lock:
-            self.found.append(text)
-
-
-def plain_answer(ledger, name, rng):
-    def answer(handler):
-        request_id = handler.headers["Request-Id"]
-        draw = rng.random()
-        if draw < 0.05:
-            handler.respond(503, headers=[("Not-Executed", "1"), *echo(handler)])
-            return
-        ledger.ran(request_id, name)
-        time.sleep(rng.uniform(0.0, 0.08))
-        if draw < 0.08:
-            handler.close_connection = True
-            handler.connection.shutdown(socket.SHUT_RDWR)
-            return
-        body = f"for {request_id}".encode()
-        handler.respond(200, body, [*echo(handler), ("Response-Signature", f"s.{request_id}")])
-        if draw > 0.95:
-            handler.wfile.write(
-                b"HTTP/1.1 200 OK\r\nRequest-Id: x\r\nResponse-Signature: x\r\nContent-Length: 1\r\n\r\nx"
-            )
-
-    return answer
-
-
-def stream_answer(ledger, name, rng, count=8):
-    def answer(handler):
-        if handler.command == "DELETE":
-            handler.respond(200)
-            return
-        if handler.headers.get("Serving-Stage") == "prefill":
-            body = b'{"Handle":"h","Tokens":10,"Version":1}'
-            handler.respond(200, body, echo(handler))
-            return
-        request_id = handler.headers["Request-Id"]
-        ledger.ran(request_id, name)
-        handler.send_response_only(200)
-        for header, value in (
-            *echo(handler),
-            ("Response-Signature", f"s.{request_id}"),
-            ("Transfer-Encoding", "chunked"),
-        ):
-            handler.send_header(header, value)
-        handler.end_headers()
-        cut_at = rng.randrange(1, count) if rng.random() < 0.1 else None
-        for number in range(int(handler.headers.get("Last-Event-Id") or 0) + 1, count + 1):
-            data = event(number)
-            if number == cut_at:
-                data = data[: rng.randrange(len(data))]
-            if data:
-                handler.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
-                handler.wfile.flush()
-            if number == cut_at:
-                handler.close_connection = True
-                handler.connection.shutdown(socket.SHUT_RDWR)
-                return
-            time.sleep(rng.uniform(0.0, 0.03))
-        handler.wfile.write(b"0\r\n\r\n")
-
-    return answer
-
-
-STREAM = b"".join(event(number) for number in range(1, 9))
-
-
 class Soak:
     """One seed: relays, workers behind proxies, callers, and faults in series and overlapping."""
 
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -1,44 +1,24 @@
 """Tests of the relay's decisions, without sockets."""
 
 import random
-from types import SimpleNamespace
 
 import pytest
-from expression import Ok
 from hypothesis import given
 from hypothesis import strategies as st
+from relay_samples import listed, route
 
-from laburnumreel.coordination import Answer
 from laburnumreel.core import ManualClock
-from laburnumreel.relay._back_ends import BackEndList, ListedBackEnd, Role
-from laburnumreel.relay._capacity import CapacityPlanner, Group, wanted_counts
+from laburnumreel.relay._back_ends import BackEndList
 from laburnumreel.relay._conduct import Conduct
 from laburnumreel.relay._config import (
-    EngineTraits,
     RelayConfig,
     RelayCustomer,
-    RelayService,
-    Route,
-    RouteKind,
     RouteTable,
-    Scaling,
     Share,
     pick_share,
 )
 from laburnumreel.relay._event_stream import EventSplitter
 from laburnumreel.relay._news import News, decode_news, encode_news
-from laburnumreel.relay._placement import (
-    Candidate,
-    EnginePlacement,
-    Place,
-    PlacementCosts,
-    choose_plain,
-    home_of,
-)
-from laburnumreel.relay._ports import DutyCall
-from laburnumreel.relay._prompts import REMEMBER_S, PromptMemory
-from laburnumreel.relay._requests import Part, Prompt
-from laburnumreel.relay._roles import LEAST_GENERATING, RolePlanner, wanted_change
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._usage import UsageBook
 from laburnumreel.relay._waiting import (
@@ -51,42 +31,6 @@
     retry_after_s,
 )
 from laburnumreel.relay._work import PEER_NEWS_S, Work, WorkLedger
-from laburnumreel.state import Authority, Row
-
-HERE = Place("zone-a", "region-a")
-TRAITS = EngineTraits(48, 444_000, 131_072, 2e11, 5.0, 3.0)
-
-
-def route(prefix, service="orders", **fields):
-    values = {
-        "name": prefix,
-        "host": "shop.example",
-        "prefix": prefix,
-        "kind": RouteKind.IDEMPOTENT,
-        "shares": (Share(service, 1),),
-        "timeout_s": 3.0,
-        "objective_s": 0.3,
-        "gap_s": 0.0,
-        "priority": 1,
-        "attempts": 2,
-        "public": False,
-        "resumable": False,
-    }
-    return Route(**{**values, **fields})
-
-
-def listed(name, zone="zone-a", role=None, slots=6, **fields):
-    return ListedBackEnd(name, "orders", ("10.0.0.1", 80), zone, slots, role=role, **fields)
-
-
-def candidate(name, zone="zone-a", role=None, region="region-a", work=None, **fields):
-    slots = fields.pop("slots", 48)
-    return Candidate(listed(name, zone, role, slots), region, work or Work(), **fields)
-
-
-def prompt(*shared, own=100):
-    parts = tuple(Part(name, tokens) for name, tokens in shared)
-    return Prompt("m", (*parts, Part("own", own)), own + sum(part.tokens for part in parts), 50)
 
 
 class TestRoutes:
@@ -219,161 +163,6 @@
         assert conduct.resting("b1", 2.9) and not conduct.resting("b1", 3.1)
 
 
-class TestPlainPlacement:
-    def test_full_back_ends_get_nothing(self):
-        full = candidate("b1", slots=2, work=Work(requests=2), plain_ms=50.0)
-        assert choose_plain([full], HERE, 0, PlacementCosts()) is None
-
-    def test_failing_back_end_gets_work_only_before_a_queue(self):
-        costs = PlacementCosts()
-        grey = candidate("grey", plain_ms=50.0, failure_share=0.4)
-        sound = candidate("sound", plain_ms=50.0, work=Work(requests=40))
-        assert choose_plain([grey, sound], HERE, 0, costs).name == "sound"
-
-    def test_back_end_nearby_is_preferred(self):
-        far = candidate("far", "zone-b", region="region-b", plain_ms=50.0)
-        near = candidate("near", plain_ms=50.0)
-        assert choose_plain([far, near], HERE, 800, PlacementCosts()).name == "near"
-
-
-class TestEnginePlacement:
-    def choose(self, candidates, wanted=None, **fields):
-        wanted = wanted or prompt(("start", 12_000), own=2000)
-        return EnginePlacement(HERE).choose(wanted, 17_000, TRAITS, candidates, **fields)
-
-    def test_prompt_is_read_where_its_start_is_kept(self):
-        plan = self.choose(
-            [
-                candidate("p1", role=Role.PREFILL, read_ms=0.013),
-                candidate("p2", role=Role.PREFILL, read_ms=0.013, kept_tokens=12_000),
-                candidate("d1", role=Role.DECODE, read_ms=0.013),
-            ]
-        )
-        assert plan.reader.name == "p2" and plan.read_tokens == 2000
-
-    def test_kept_start_is_not_worth_a_long_queue(self):
-        plan = self.choose(
-            [
-                candidate("p1", role=Role.PREFILL, read_ms=0.013),
-                candidate(
-                    "p2",
-                    role=Role.PREFILL,
-                    read_ms=0.013,
-                    kept_tokens=12_000,
-                    work=Work(reading_tokens=90_000),
-                ),
-                candidate("d1", role=Role.DECODE, read_ms=0.013),
-            ]
-        )
-        assert plan.reader.name == "p1"
-
-    def test_streams_are_not_held_up_while_a_reader_is_there(self):
-        plan = self.choose(
-            [
-                candidate("p1", role=Role.PREFILL, read_ms=0.013),
-                candidate("d1", role=Role.DECODE, read_ms=0.013, work=Work(streams=6)),
-            ]
-        )
-        assert plan.reader.name == "p1"
-
-    def test_without_readers_or_sends_the_generator_reads(self):
-        engines = [
-            candidate("p1", role=Role.PREFILL, read_ms=0.013),
-            candidate("d1", role=Role.DECODE, read_ms=0.013),
-        ]
-        assert self.choose(engines[1:]).reader is None
-        assert self.choose(engines, read_apart=False).reader is None
-
-    def test_copy_that_was_read_already_costs_no_reading(self):
-        plan = self.choose([candidate("d1", role=Role.DECODE, read_ms=0.013)], copied=True)
-        assert plan.read_tokens == 0
-
-    def test_no_plan_while_all_places_to_generate_are_taken(self):
-        full = candidate("d1", role=Role.DECODE, slots=4, work=Work(streams=4))
-        assert self.choose([candidate("p1", role=Role.PREFILL), full]) is None
-
-    def test_copies_stay_in_their_region(self):
-        plan = self.choose(
-            [
-                candidate("p1", role=Role.PREFILL, read_ms=0.013),
-                candidate("near", role=Role.DECODE, read_ms=0.013, work=Work(streams=2)),
-                candidate("far", "zone-b", role=Role.DECODE, region="region-b", read_ms=0.013),
-            ]
-        )
-        assert plan.generator.name == "near"
-
-    @given(st.integers(0, 10_000), st.booleans())
-    def test_best_of_each_place_is_the_best_of_all_pairs(self, seed, settled):
-        """Guards against a short cut that misses a pair of engines."""
-        rng = random.Random(seed)
-        candidates = [
-            candidate(
-                f"e{index}",
-                zone := f"zone-{rng.randrange(4)}",
-                rng.choice([Role.PREFILL, Role.DECODE]),
-                f"region-{ord(zone[-1]) % 2}",
-                Work(1, rng.randrange(40_000), rng.randrange(50), rng.randrange(400_000)),
-                read_ms=0.013,
-                kept_tokens=rng.choice([0, 12_000]),
-                failure_share=rng.random() * 0.3,
-            )
-            for index in range(12)
-        ]
-        wanted, placement = prompt(("start", 12_000), own=2000), EnginePlacement(HERE)
-        plan = placement.choose(wanted, 17_000, TRAITS, candidates, settled=settled)
-        readers = [each for each in candidates if each.back_end.role is Role.PREFILL]
-        free = [
-            each
-            for each in candidates
-            if each.back_end.role is Role.DECODE and each.work.streams < 48
-        ]
-        costs = [placement._alone(wanted, 17_000, TRAITS, each, settled).cost_ms for each in free]
-        costs += [
-            placement._joined(
-                wanted,
-                TRAITS,
-                placement._reading(wanted, 17_000, reader, settled),
-                placement._running(wanted, 17_000, TRAITS, generator, settled),
-            ).cost_ms
-            for reader in readers
-            for generator in free
-        ]
-        assert (plan is None) == (not costs)
-        assert plan is None or plan.cost_ms == pytest.approx(min(costs))
-
-    def test_hosts_agree_on_a_home_and_few_starts_move(self):
-        engines = [f"e{index}" for index in range(6)]
-        parts = [f"part-{index}" for index in range(600)]
-        before = {part: home_of(part, engines) for part in parts}
-        after = {part: home_of(part, engines[1:]) for part in parts}
-        moved = [part for part in parts if before[part] != after[part]]
-        assert all(before[part] == "e0" for part in moved)
-        assert 60 <= len(moved) <= 140
-
-
-class TestPromptMemory:
-    def test_start_counts_as_far_as_all_parts_before_it_are_kept(self):
-        memory = PromptMemory()
-        memory.used("e1", prompt(("a", 100)), now=0.0)
-        assert memory.kept_tokens("e1", prompt(("a", 100), ("b", 50)), now=1.0) == 100
-        assert memory.kept_tokens("e1", prompt(("b", 50), ("a", 100)), now=1.0) == 0
-
-    def test_parts_are_forgotten_with_time_and_with_a_restart(self):
-        memory = PromptMemory()
-        memory.used("e1", prompt(("a", 100)), now=0.0)
-        assert memory.kept_tokens("e1", prompt(("a", 100)), now=REMEMBER_S + 0.1) == 0
-        memory.used("e1", prompt(("a", 100)), now=20.0)
-        memory.restarted("e1")
-        assert memory.kept_tokens("e1", prompt(("a", 100)), now=20.0) == 0
-
-    def test_peers_learn_what_was_read(self):
-        mine, theirs = PromptMemory(), PromptMemory()
-        mine.used("e1", prompt(("a", 100)), now=0.0)
-        theirs.peer(mine.take_news(), now=5.0)
-        assert theirs.kept_tokens("e1", prompt(("a", 100)), now=6.0) == 100
-        assert mine.take_news() == {}
-
-
 class TestWaiting:
     @given(
         st.lists(
@@ -510,120 +299,3 @@
     def test_event_that_never_ends_is_an_error(self):
         with pytest.raises(ValueError, match="larger"):
             EventSplitter().feed(b"x" * (2 << 20))
-
-
-class TestPlans:
-    SCALING = Scaling(1, 4, 4.0, 0.18, {"zone-a": 1.0, "zone-b": 0.8})
-
-    def wanted(self, found, cheap_now, scaling=SCALING):
-        service = RelayService("quotes", 300, TRAITS, scaling)
-        wanted = wanted_counts(service, scaling, {"z": found}, {"z": cheap_now})
-        return wanted[Group("quotes", "z", False)], wanted.get(Group("quotes", "z", True), 0)
-
-    def test_small_zone_keeps_its_dedicated_engines(self):
-        assert self.wanted(2, 0) == self.wanted(2, 2) == (2, 2)
-
-    def test_cheap_engines_take_over_as_they_come_and_dedicated_ones_return(self):
-        """A zone of eight gets cheap ones, then loses them all at once."""
-        large = self.SCALING._replace(most=16)
-        assert self.wanted(8, 0, large) == (8, 12)
-        assert self.wanted(8, 10, large) == (6, 12)
-        assert self.wanted(8, 12, large) == (4, 12)
-        assert self.wanted(8, 0, large) == (8, 12)
-
-    def test_cheap_engines_that_are_not_cheap_are_not_ordered(self):
-        assert self.wanted(3, 0, self.SCALING._replace(cheap_price=0.9)) == (3, 0)
-        assert self.wanted(3, 0, self.SCALING._replace(cheap_price=None)) == (3, 0)
-
-    @given(st.integers(0, 30), st.integers(0, 30), st.integers(0, 5), st.integers(1, 30))
-    def test_orders_stay_within_the_limits(self, found, cheap_now, least, most):
-        scaling = self.SCALING._replace(least=least, most=max(least, most))
-        dedicated, cheap = self.wanted(found, cheap_now, scaling)
-        assert scaling.least <= dedicated <= scaling.most and cheap >= 0
-        assert min(dedicated, scaling.most) + cheap <= scaling.most or cheap_now < cheap
-
-    def test_planner_takes_no_engine_away_while_the_list_fills(self):
-        """Engines come one by one, up to 2.5 s apart; a plan from the first ones ended the others."""
-        back_ends, orders, rows = [], [], {}
-
-        def transact(checks, writes):
-            rows[writes[0].key] = Row(writes[0].key, writes[0].value, 1)
-            return Ok(1)
-
-        platform = SimpleNamespace(read=lambda table, key: Ok(rows.get(key)), transact=transact)
-        wire = SimpleNamespace(
-            capacity=lambda authority, service, zone, count, cheap: DutyCall(
-                "/", {}, {"zone": zone, "count": count, "cheap": cheap}
-            )
-        )
-
-        def post(authority, address, path, body, headers):
-            orders.append((body["zone"], body["cheap"], body["count"]))
-            return Ok(Answer(200, {}))
-
-        services = {"orders": RelayService("orders", 300, TRAITS, self.SCALING)}
-        planner = CapacityPlanner(
-            platform,
-            SimpleNamespace(post=post),
-            wire,
-            lambda: ("10.0.0.9", 80),
-            lambda: services,
-            lambda: (tuple(back_ends), {}),
-        )
-        authority = Authority("relay_duties", 3, 9, 100.0)
-        for step in range(40):
-            if step in (2, 12, 16, 26):
-                zone = "zone-a" if step < 14 else "zone-b"
-                back_ends.append(listed(f"e{step}", zone, Role.DECODE))
-            planner.step(authority, step * 0.25)
-        assert rows["orders"].value == {"dedicated": {"zone-a": 2, "zone-b": 2}}
-        assert [order for order in orders if not order[1]] == []
-        assert orders[-1] == ("zone-b", True, 2) and ("zone-a", True, 2) in orders
-        assert len(orders) == len(set(orders)) == 4
-
-    def engines(self, readers, generators):
-        return [listed(f"p{index}", role=Role.PREFILL) for index in range(readers)] + [
-            listed(f"d{index}", role=Role.DECODE) for index in range(generators)
-        ]
-
-    def test_idle_engine_changes_first(self):
-        work = {f"d{index}": Work(streams=index) for index in range(8)}
-        change = wanted_change(self.engines(2, 8), work, 0.5)
-        assert (change.back_end.name, change.role) == ("d0", Role.PREFILL)
-
-    def test_engine_that_changes_gets_one_order(self):
-        """Guards against an order each step until the list shows the change seconds later."""
-        engines, orders = self.engines(1, 39), []
-        wire = SimpleNamespace(
-            role=lambda authority, engine, role: DutyCall(engine.name, {}, {"role": str(role)})
-        )
-
-        def post(authority, address, path, body, headers):
-            orders.append(path)
-            return Ok(Answer(202, {}))
-
-        services = {"orders": RelayService("orders", 300, TRAITS)}
-        planner = RolePlanner(
-            SimpleNamespace(post=post),
-            wire,
-            lambda: services,
-            lambda: (engines, {}),
-            lambda name, seconds: None,
-        )
-        authority = Authority("relay_duties", 3, 9, 100.0)
-        for step in range(30):
-            planner.step(authority, step * 0.1)
-        assert len(orders) == len(set(orders)) == 4
-
-    def test_enough_engines_go_on_generating(self):
-        assert wanted_change(self.engines(1, LEAST_GENERATING), {}, 0.9) is None
-
-    @pytest.mark.parametrize("total", range(4, 16))
-    def test_changes_come_to_rest(self, total):
-        readers = 0
-        for _ in range(2 * total):
-            change = wanted_change(self.engines(readers, total - readers), {}, 0.5)
-            if change is None:
-                break
-            readers += 1 if change.role is Role.PREFILL else -1
-        assert change is None
--- /dev/null
+++ b/tests/test_relay_life.py
@@ -0,0 +1,183 @@
+"""Tests of a relay's start, stop, settings and bad input against the stand-in of the users' platform."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+from platform_answers import whole
+from platform_config import config
+from platform_world import ROOT, Relay, wait_until
+from relay_caller import Caller
+
+pytestmark = pytest.mark.processes
+
+
+class TestLife:
+    def test_planned_stop_answers_what_runs(self, world):
+        world.worker("w1", usual=lambda handler: (time.sleep(1.0), whole(handler)))
+        relay = world.relay()
+        caller = Caller(relay)
+        caller.send("/once/x")
+        time.sleep(0.2)
+        relay.process.terminate()
+        wait_until(lambda: not relay.ready(), "it says that it is not ready", 1.0)
+        assert caller.connection.getresponse().read() == b"done"
+        # The platform kills a process eight seconds after SIGTERM.
+        assert relay.process.wait(7) == 0
+        assert relay.logged("relay_stopped")
+
+    def test_bad_settings_are_all_named(self, world, tmp_path):
+        bad = tmp_path / "bad.ini"
+        bad.write_text("[host]\nname = a\nzone =\n[store]\naddress = nowhere\n[other]\nx = 1\n")
+        ended = subprocess.run(
+            [sys.executable, "-m", "laburnumreel_platform"],
+            env={**os.environ, "LABURNUMREEL_BOOT": str(bad)},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert ended.returncode == 2
+        for words in ("zone", "'nowhere'", "HOST:PORT", "an unknown section", "[duties] address"):
+            assert words in ended.stderr
+
+    def test_address_that_is_taken_is_named(self, world):
+        running = world.relay()
+        second = Relay(world, "relay-2")
+        world.relays.append(second)
+        text = second.settings.read_text()
+        second.end(signal.SIGKILL)
+        second.settings.write_text(text.replace(second.host, running.host))
+        again = subprocess.run(
+            [sys.executable, "-m", "laburnumreel_platform"],
+            cwd=ROOT,
+            env={**os.environ, "LABURNUMREEL_BOOT": str(second.settings)},
+            capture_output=True,
+            text=True,
+            timeout=15,
+            check=False,
+        )
+        line = json.loads(again.stdout.splitlines()[-1])
+        assert again.returncode == 3 and line["name"] == "listen_failed"
+        assert "in use" in line["detail"] and line["callers"] == f"{running.host}:{running.port}"
+        assert "Traceback" not in again.stdout + again.stderr
+
+    def test_changed_settings_are_taken_without_a_signal_and_bad_ones_refused(self, world):
+        relay = world.relay()
+        text = relay.settings.read_text()
+        relay.settings.write_text(text + "[retry]\nratio = 0.5\n")
+        wait_until(lambda: relay.logged("relay_settings_reloaded"), "the change is seen")
+        relay.settings.write_text("[host]\nname =\n")
+        wait_until(lambda: relay.logged("relay_settings_rejected"), "the fault is seen")
+        assert relay.ready()
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b"GET /safe/x\r\n\r\n",
+            b"POST /safe/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: x\r\n\r\n",
+            b"POST /safe/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 1\r\n"
+            b"Content-Length: 2\r\n\r\nab",
+            b"POST /safe/x HTTP/1.1\r\nHost: shop.example\r\nBad Header: 1\r\n\r\n",
+            b"POST /safe/x HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: gzip\r\n\r\n",
+            b"GET /safe/x HTTP/1.1\r\nHost: shop.example\r\nLong: " + b"a" * 70_000 + b"\r\n\r\n",
+            b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n",
+        ],
+    )
+    def test_malformed_requests_get_one_error_and_reach_nobody(self, world, raw):
+        worker = world.worker("w1")
+        relay = world.relay()
+        with socket.create_connection((relay.host, relay.port), 3.0) as connection:
+            connection.sendall(raw)
+            connection.settimeout(3.0)
+            answer = connection.recv(65536)
+        assert not answer or answer.split()[1][:1] in (b"4", b"5")
+        assert answer.count(b"HTTP/1.1 ") <= 1
+        assert not worker.seen
+        assert Caller(relay).ask("/safe/x")[0] == 200
+
+    def test_limits_of_the_configuration_hold_from_its_version_on(self, world):
+        worker = world.worker("w1")
+        relay = world.relay()
+        head, body = {"X_Long": "a" * 12_000}, b"b" * 40_000
+        assert Caller(relay).ask("/safe/x", body=body, **head)[0] == 200
+        limits = {"MaxHeaderBytes": 8000, "MaxBodyBytes": 20_000, "IdleTimeoutMs": 1000}
+        changed = config(2)
+        changed["Limits"] |= limits
+        idle = Caller(relay)
+        assert idle.ask("/safe/x")[0] == 200
+        world.store.put("op", "config", changed)
+        wait_until(
+            lambda: [line["version"] for line in relay.logged("relay_configured")] == [1, 2],
+            "the new limits are in force",
+        )
+        served = len(worker.seen)
+        assert Caller(relay).ask("/safe/x", **head)[0] == 431
+        assert Caller(relay).ask("/safe/x", body=body)[0] == 413
+        assert len(worker.seen) == served
+        assert Caller(relay).ask("/safe/x")[0] == 200
+        idle.connection.sock.settimeout(6.0)
+        assert idle.connection.sock.recv(1) == b""
+
+    def test_length_beside_chunks_is_one_request_at_a_worker(self, world):
+        """Guards against a second request smuggled in a body whose end two readers see apart."""
+        worker = world.worker("w1")
+        relay = world.relay()
+        smuggled = b"POST /once/evil HTTP/1.1\r\nHost: shop.example\r\nKey: key-a\r\n\r\n"
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(smuggled), smuggled)
+        raw = (
+            b"POST /safe/x HTTP/1.1\r\nHost: shop.example\r\nKey: key-a\r\nRequest-Id: s1\r\n"
+            b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" + body
+        )
+        with socket.create_connection((relay.host, relay.port), 3.0) as connection:
+            connection.sendall(raw)
+            connection.settimeout(1.0)
+            answer = connection.recv(65536)
+        assert answer.startswith(b"HTTP/1.1 ")
+        assert all(seen[1] == "/safe/x" for seen in worker.seen) and len(worker.seen) <= 1
+        if worker.seen:
+            assert worker.seen[0][3] == smuggled
+
+
+class TestDeployment:
+    def test_folder_of_the_adapter_hides_no_module_of_python(self, world):
+        told = subprocess.run(
+            [sys.executable, "-c", "import platform; print(platform.python_version())"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        assert told.stdout.strip().count(".") == 2
+
+    def test_metrics_are_served(self, world):
+        world.worker("w1")
+        relay = world.relay()
+        Caller(relay).ask("/safe/x")
+        status, body = relay.get(relay.admin_port, "/metrics")
+        assert status == 200 and b"laburnumreel_relay_requests_total" in body
+        details = json.loads(relay.get(relay.admin_port, "/readyz")[1])
+        assert details["ready"] and details["configuration"] == 1
+
+    def test_wait_for_a_place_does_not_count_the_work(self, world):
+        def slow(handler):
+            time.sleep(0.3)
+            whole(handler)
+
+        world.worker("w1", usual=slow)
+        relay = world.relay()
+        assert Caller(relay).ask("/safe/x")[0] == 200
+        metrics = relay.get(relay.admin_port, "/metrics")[1].decode()
+        waits = dict(
+            line.rsplit(" ", 1)
+            for line in metrics.splitlines()
+            if line.startswith("laburnumreel_relay_wait_seconds")
+        )
+        assert float(waits["laburnumreel_relay_wait_seconds_count"]) == 1
+        assert float(waits["laburnumreel_relay_wait_seconds_sum"]) < 0.2
--- /dev/null
+++ b/tests/test_relay_streams.py
@@ -0,0 +1,85 @@
+"""Tests of a deployed relay's streams against the stand-in of the users' platform."""
+
+import http.client
+import itertools
+import threading
+import time
+
+import pytest
+from platform_answers import refused, stream
+from platform_world import wait_until
+from relay_caller import PROMPT, Caller
+
+pytestmark = pytest.mark.processes
+
+
+class TestStreams:
+    def test_prompt_is_read_apart_and_the_copy_taken(self, world):
+        reader = world.worker("p1", "quotes", Stage="prefill")
+        generator = world.worker("d1", "quotes", Stage="decode")
+        status, headers, body = Caller(world.relay()).ask("/ask/x", **PROMPT)
+        assert status == 200 and body.count(b"data:") == 5
+        read, ran = reader.seen[0][2], generator.seen[0][2]
+        assert read["Serving-Stage"] == "prefill" and "Kv-Source" not in read
+        assert ran["Kv-Source"] == f"{reader.address}/h1" and "Serving-Stage" not in ran
+
+    def test_copy_that_will_not_be_taken_is_freed(self, world):
+        reader = world.worker("p1", "quotes", Stage="prefill")
+        world.worker("d1", "quotes", usual=refused, Stage="decode")
+        status, _, _ = Caller(world.relay()).ask("/ask/x", **PROMPT)
+        assert status == 503
+        wait_until(lambda: reader.requests("DELETE"), "the copy is freed")
+        assert reader.requests("DELETE")[0][1] == "/v1/kv-handle/h1"
+
+    def test_events_pass_as_they_come(self, world):
+        world.worker("d1", "quotes", usual=stream(gap_s=0.3), Stage="decode")
+        caller = Caller(world.relay())
+        caller.send("/ask/x", **PROMPT)
+        answer = caller.connection.getresponse()
+        started = time.monotonic()
+        assert answer.read1(1000) == b"id: 1\ndata: token1\n\n"
+        assert time.monotonic() - started < 0.25
+
+    @pytest.mark.parametrize("torn", [False, True])
+    def test_stream_goes_on_elsewhere_within_one_answer(self, world, torn):
+        sends = itertools.count()
+
+        def breaks_once(handler):
+            stream(break_after=2 if next(sends) == 0 else None, torn=torn)(handler)
+
+        workers = [
+            world.worker(name, "quotes", usual=breaks_once, Stage="decode") for name in ("d1", "d2")
+        ]
+        status, headers, body = Caller(world.relay()).ask("/talk/x", Request_Id="one", **PROMPT)
+        assert status == 200 and headers["response-signature"] == "s.one"
+        assert body == b"".join(f"id: {n}\ndata: token{n}\n\n".encode() for n in range(1, 6))
+        seen = sorted((seen[2] for worker in workers for seen in worker.seen), key=len)
+        assert [len(worker.seen) for worker in workers] == [1, 1]
+        assert "2" in {headers.get("last-event-id") for headers in seen}
+
+    def test_stream_that_breaks_for_good_does_not_look_complete(self, world):
+        world.worker("d1", "quotes", usual=stream(break_after=2), Stage="decode")
+        caller = Caller(world.relay())
+        caller.send("/ask/x", **PROMPT)
+        answer = caller.connection.getresponse()
+        with pytest.raises(http.client.IncompleteRead):
+            answer.read()
+
+    def test_stream_is_cut_at_its_engine_when_the_caller_leaves(self, world):
+        left = threading.Event()
+
+        def endless(handler):
+            try:
+                stream(count=1000, gap_s=0.02)(handler)
+            except OSError:
+                left.set()
+                raise
+
+        world.worker("d1", "quotes", usual=endless, Stage="decode")
+        caller = Caller(world.relay())
+        caller.send("/ask/x", **PROMPT)
+        answer = caller.connection.getresponse()
+        answer.read1(100)
+        answer.close()
+        caller.connection.close()
+        assert left.wait(3.0)
