Kill the reclaimed host's engine while its stream still runs

Cause: the stream took 3 s from its begin; the test starts an engine and waits for the list meanwhile, 1.44 s on a quiet machine, before it kills the first engine. Shown: with 3.2 s more before the kill the test fails the same way, with the whole text delivered and nothing to resume. Ruled out: a retry that was counted under another reason (the text came from one engine).

--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -110,8 +110,9 @@
     deployment.configure(profile__chat={"cheap_back_ends": "interruptible"})
     first = deployment.add_engine("--stream-tokens-per-s", "30", zone="zone-a", cheap=True)
     gateway = deployment.start_gateway()
-    stream, read = begin(gateway, tokens=90)
-    second = deployment.add_engine("--stream-tokens-per-s", "30", zone="zone-b")
+    # Ten seconds long, so that it still runs when its engine is killed, also on a slow machine.
+    stream, read = begin(gateway, tokens=300)
+    second = deployment.add_engine("--stream-tokens-per-s", "300", zone="zone-b")
     deployment.hosts[0]["state"] = "leaving"
     deployment.set_hosts()
     # The second read after the change has surely begun after it, so the first one's mark is known.
@@ -125,9 +126,10 @@
     ran = len(deployment.engine_state(first)["requests"])
     assert [complete(gateway).status for _ in range(5)] == [200] * 5
     assert len(deployment.engine_state(first)["requests"]) == ran
+    assert deployment.engine_state(first)["running"]
     deployment.engines[first][0].send(signal.SIGKILL)
     text, done, error = stream.finish()
-    assert (read + text, done, error) == (output_text("long", 90), True, None)
+    assert (read + text, done, error) == (output_text("long", 300), True, None)
     assert gateway.metric("laburnumreel_retries_total", reason="zone_reclaimed") == 1
 
 
