Keep one bounded record of untold prompt parts, and close connections nobody uses

Cause: (1) what engines got and peers were not told yet stood twice, in PromptMemory and in Exchange, and neither was bounded: a deployment in one region has no far peers and a single host none, so that record grew without end, engines that had gone included. (2) BackEndPool.prune was written and never called, so idle connections to addresses of back ends that came back elsewhere stayed open. Relay and gateway call it. What it closes was too old to be used anyway. (3) Work.minus was dead since sums are kept; CallPace computed a gap twice; seven public methods of FleetBeliefs had no docstring; UsageBook kept the names of hosts for ever.

The new tests fail on the code before, but for that of prune itself, which had no caller. What peers are told is the same. Placement, sends and waits are not touched.

--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -46,6 +46,9 @@
     admin_server,
 )
 
+# How often idle connections are looked through for those that nobody will use again.
+PRUNE_EVERY_S = 5.0
+
 GATEWAY_STARTED = define_event(101, "gateway_started", "the gateway serves callers")
 GATEWAY_STOPPING = define_event(102, "gateway_stopping", "the gateway was told to stop")
 GATEWAY_STOPPED = define_event(103, "gateway_stopped", "the gateway has stopped")
@@ -195,7 +198,8 @@
             self._callers.start(executor)
             _keep_pauses_short()
             _log.info(GATEWAY_STARTED, node=self._settings.node.name, boot=self._boot)
-            self._stop.wait()
+            while not self._stop.wait(PRUNE_EVERY_S):
+                self._pool.prune()
             self._shut_down(tasks)
         return 0
 
--- a/src/laburnumreel/relay/_beliefs.py
+++ b/src/laburnumreel/relay/_beliefs.py
@@ -140,6 +140,7 @@
         self._left = _lasting(self._left, now)
 
     def read(self, assignment: Assignment, prompt: Prompt, took_ms: float, now: float) -> None:
+        """Take in that an engine has read a prompt in some milliseconds."""
         reader, work = assignment.reader, assignment.read_work
         self.ledger.remove(reader.name, work)
         self._conduct.ended(reader.name, False, now)
@@ -148,11 +149,13 @@
         self._prompts.used(reader.name, prompt, now)
 
     def unreachable(self, back_end: str, now: float) -> None:
+        """Take in that a backend server could not be connected to, or went silent."""
         self._conduct.unreachable(back_end, now)
         rest_s = self._conduct.rests(now).get(back_end, 0.0)
         _log.warning(BACK_END_AVOIDED, back_end=back_end, rest_s=round(rest_s, 2))
 
     def crashed(self, back_end: str, digest: str, now: float) -> None:
+        """Take in that a backend server crashed while it ran a request."""
         self._prompts.restarted(back_end)
         self._crashes[digest] = now + CRASH_S
         self._strike(digest, now)
@@ -162,6 +165,7 @@
             _log.warning(REQUEST_HELD_BACK, digest=digest[:16])
 
     def listed(self, listing: Listing[ListedBackEnd], now: float) -> None:
+        """Take what the directory says, and forget what is known of those that are gone."""
         before = {entry.name: entry for entry in self._back_ends}
         present = {name: entry for name, entry in listing.entries.items() if entry is not None}
         if listing.complete:
@@ -195,6 +199,7 @@
         self._prompts.keep_only(lambda name: self._back_ends.get(name) is not None)
 
     def peer(self, news: News, now: float) -> None:
+        """Take a peer's news."""
         if news.stopping:
             self.ledger.forget_peer(news.sender)
         else:
@@ -212,17 +217,19 @@
                 self._strike(digest, now)
             self._crashes_heard[heard] = now + CRASH_S
 
-    def own(self, now: float) -> OwnBeliefs:
+    def own(self, far: bool, now: float) -> OwnBeliefs:
+        """Return what this host tells its peers; kept parts only once to those near and far."""
         return OwnBeliefs(
             work=dict(self.ledger.own),
             avoided=self._conduct.rests(now),
             held_back=self._quarantine.entries(now),
             crashes={digest: until - now for digest, until in self._crashes.items()},
             leaving=tuple(entry.name for entry in self._back_ends if entry.draining),
-            kept=self._prompts.take_news(),
+            kept=self._prompts.take_news(far),
         )
 
     def view(self, now: float) -> FleetView:
+        """Return the backend servers and the work at each."""
         back_ends: Iterable[ListedBackEnd] = self._back_ends
         listed = tuple(back_ends)
         work = {entry.name: self.ledger.total(entry.name, now) for entry in listed}
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -101,7 +101,7 @@
 
 
 class _OwnNews(NamedTuple):
-    pass
+    far: bool
 
 
 class _Held(NamedTuple):
@@ -207,9 +207,9 @@
         """Return for how many seconds a request is held back, or None."""
         return self.ask(_Held(digest)).result()
 
-    def beliefs(self) -> Future:
-        """Return the future of this host's `OwnBeliefs`."""
-        return self.ask(_OwnNews())
+    def beliefs(self, far: bool) -> Future:
+        """Return the future of this host's `OwnBeliefs` for peers nearby or in other regions."""
+        return self.ask(_OwnNews(far))
 
     def view(self) -> Future:
         """Return the future of the `FleetView`."""
@@ -260,8 +260,8 @@
                 return self._budget(service).take(now)
             case _Held(digest):
                 return self._beliefs.held_for(digest, now)
-            case _OwnNews():
-                return self._beliefs.own(now)
+            case _OwnNews(far):
+                return self._beliefs.own(far, now)
             case "view":
                 return self._beliefs.view(now)
             case _:
--- a/src/laburnumreel/relay/_exchange.py
+++ b/src/laburnumreel/relay/_exchange.py
@@ -57,8 +57,6 @@
         self._peer_version = 0
         self._peer_listing = 0
         self._behind_since: dict[FeedFollower, float] = {}
-        # Parts of prompts that peers nearby and far were not told of yet, by engine.
-        self._kept: dict[bool, dict[str, set[str]]] = {False: {}, True: {}}
 
     @property
     def newest_version(self) -> int:
@@ -67,11 +65,7 @@
 
     def news(self, far: bool) -> News:
         """Return this host's news for the peers in its region, or for those in others."""
-        beliefs = self._dispatcher.beliefs().result()
-        for kept in self._kept.values():
-            for engine, parts in beliefs.kept.items():
-                kept.setdefault(engine, set()).update(parts)
-        kept, self._kept[far] = self._kept[far], {}
+        beliefs = self._dispatcher.beliefs(far).result()
         table = self._table()
         return News(
             sender=self._host.name,
@@ -81,9 +75,7 @@
             config_version=table.version if table is not None else 0,
             stopping=self._stopping(),
             usage={},
-            **beliefs._replace(
-                kept={engine: tuple(parts) for engine, parts in kept.items()}
-            )._asdict(),
+            **beliefs._asdict(),
             duty_fence=self._fence(),
             listing_version=self._back_end_feed.changed_at,
         )
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -266,6 +266,7 @@
             _log.info(RELAY_STARTED, host=host.name, zone=host.zone, boot=self._boot)
             while not self._stop.wait(SETTINGS_CHECK_S):
                 self._look_at_settings(reread)
+                self._pool.prune()
             self._shut_down(tasks)
         return 0
 
--- a/src/laburnumreel/relay/_prompts.py
+++ b/src/laburnumreel/relay/_prompts.py
@@ -36,7 +36,8 @@
         self._sizes: OrderedDict[str, int] = OrderedDict()
         self._working_set = 0
         self._working_set_at = float("-inf")
-        self._news: dict[str, dict[str, None]] = {}
+        # What peers nearby and far were not told yet: parts by engine, the oldest first.
+        self._untold: dict[bool, dict[str, dict[str, None]]] = {False: {}, True: {}}
 
     def used(self, engine: str, prompt: Prompt, now: float) -> None:
         """Count that an engine holds a prompt's shared parts now."""
@@ -47,17 +48,21 @@
         while len(self._sizes) > MOST_PARTS:
             self._sizes.popitem(last=False)
         self._count(engine, parts, now)
-        self._news.setdefault(engine, {}).update(dict.fromkeys(parts))
+        for untold in self._untold.values():
+            told_next = untold.setdefault(engine, {})
+            told_next.update(dict.fromkeys(parts))
+            while len(told_next) > MOST_PARTS:
+                del told_next[next(iter(told_next))]
 
     def peer(self, kept: Mapping[str, Iterable[str]], now: float) -> None:
         """Take the parts that a peer had engines get."""
         for engine, parts in kept.items():
             self._count(engine, parts, now)
 
-    def take_news(self) -> dict[str, tuple[str, ...]]:
-        """Return what this host had engines get since the last call."""
-        news, self._news = self._news, {}
-        return {engine: tuple(parts) for engine, parts in news.items() if parts}
+    def take_news(self, far: bool = False) -> dict[str, tuple[str, ...]]:
+        """Return what this host had engines get since the last call for the same peers."""
+        untold, self._untold[far] = self._untold[far], {}
+        return {engine: tuple(parts) for engine, parts in untold.items() if parts}
 
     def kept_tokens(self, engine: str, prompt: Prompt, now: float) -> int:
         """Return how many tokens of a prompt's start an engine is expected to keep."""
@@ -94,8 +99,9 @@
 
     def keep_only(self, known: Callable[[str], bool]) -> None:
         """Forget the engines that are not known any more."""
-        for engine in [engine for engine in self._used if not known(engine)]:
-            del self._used[engine]
+        for engines in (self._used, *self._untold.values()):
+            for engine in [engine for engine in engines if not known(engine)]:
+                del engines[engine]
 
     def _count(self, engine: str, parts: Iterable[str], now: float) -> None:
         used = self._used.setdefault(engine, OrderedDict())
--- a/src/laburnumreel/relay/_usage.py
+++ b/src/laburnumreel/relay/_usage.py
@@ -97,3 +97,4 @@
             for book in (self._own, self._peers):
                 for number in [number for number in book if number < window]:
                     del book[number]
+            self._told = {host: told for host, told in self._told.items() if told >= window}
--- a/src/laburnumreel/relay/_work.py
+++ b/src/laburnumreel/relay/_work.py
@@ -24,9 +24,6 @@
     def plus(self, other: "Work") -> "Work":
         return self.times_added(other, 1)
 
-    def minus(self, other: "Work") -> "Work":
-        return self.times_added(other, -1)
-
     def times_added(self, other: "Work", times: int) -> "Work":
         """Return this work and `times` that of `other`."""
         return Work(
--- a/src/laburnumreel/transport/_backend.py
+++ b/src/laburnumreel/transport/_backend.py
@@ -318,7 +318,10 @@
             exchange.discard()
 
     def prune(self) -> None:
-        """Close the connections that were idle for too long."""
+        """Close the connections that were idle for too long.
+
+        Call it now and then: nothing is sent any more to the addresses of back ends that are gone.
+        """
         oldest = time.monotonic() - self._max_idle_s
         with self._lock:
             old = []
--- a/src/laburnumreel/transport/_call_pace.py
+++ b/src/laburnumreel/transport/_call_pace.py
@@ -54,7 +54,7 @@
         """Wait until a call may go out; False, at once, if that would take too long."""
         with self._lock:
             now = self._clock()
-            gap_s = self._hosts / (PLANNED_SHARE * self._rates[kind])
+            gap_s = self._gap_s(kind)
             due = max(self._due.get(kind, now - BURST_S), now - max(0.0, BURST_S - gap_s))
             wait_s = due - now
             if wait_s > LONGEST_WAIT_S:
@@ -70,5 +70,7 @@
         """Count a call that can't wait, such as the renewal of a lease; others wait for it."""
         with self._lock:
             now = self._clock()
-            gap_s = self._hosts / (PLANNED_SHARE * self._rates[kind])
-            self._due[kind] = max(self._due.get(kind, now), now - BURST_S) + gap_s
+            self._due[kind] = max(self._due.get(kind, now), now - BURST_S) + self._gap_s(kind)
+
+    def _gap_s(self, kind: CallKind) -> float:
+        return self._hosts / (PLANNED_SHARE * self._rates[kind])
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -14,7 +14,7 @@
     choose_plain,
     home_of,
 )
-from laburnumreel.relay._prompts import REMEMBER_S, PromptMemory
+from laburnumreel.relay._prompts import MOST_PARTS, REMEMBER_S, PromptMemory
 from laburnumreel.relay._work import Work
 
 
@@ -171,3 +171,20 @@
         theirs.peer(mine.take_news(), now=5.0)
         assert theirs.kept_tokens("e1", prompt(("a", 100)), now=6.0) == 100
         assert mine.take_news() == {}
+
+    def test_what_nobody_asks_for_is_bounded(self):
+        """A deployment in one region has no far peers to tell, and one of a single host none."""
+        memory = PromptMemory()
+        for number in range(MOST_PARTS + 500):
+            memory.used("e1", prompt((f"p{number}", 10)), now=0.0)
+        memory.used("gone", prompt(("a", 10)), now=0.0)
+        memory.keep_only(lambda engine: engine == "e1")
+        told = memory.take_news(far=True)
+        assert set(told) == {"e1"} and len(told["e1"]) == MOST_PARTS
+        assert told["e1"][-1] == f"p{MOST_PARTS + 499}"
+
+    def test_peers_nearby_and_far_are_each_told_once(self):
+        memory = PromptMemory()
+        memory.used("e1", prompt(("a", 10)), now=0.0)
+        assert memory.take_news(far=False) == memory.take_news(far=True) == {"e1": ("a",)}
+        assert memory.take_news(far=False) == memory.take_news(far=True) == {}
--- a/tests/test_relay_upkeep.py
+++ b/tests/test_relay_upkeep.py
@@ -276,3 +276,14 @@
     finally:
         pool.close()
         listener.close()
+
+
+def test_idle_connections_to_back_ends_that_are_gone_are_closed():
+    """Workers come back at new addresses all day; nothing is sent to the old ones any more."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        pool = BackEndPool(max_idle_s=0.05)
+        exchange = pool.open(listener.getsockname())
+        pool._give_back(exchange)
+        time.sleep(0.1)
+        pool.prune()
+        assert not pool._idle and exchange.connection.sock is None
