--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -46,9 +46,6 @@
     admin_server,
 )
 
-# How often idle connections are looked through for those that nobody will use again.
-PRUNE_EVERY_S = 5.0
-
 GATEWAY_STARTED = define_event(101, "gateway_started", "the gateway serves callers")
 GATEWAY_STOPPING = define_event(102, "gateway_stopping", "the gateway was told to stop")
 GATEWAY_STOPPED = define_event(103, "gateway_stopped", "the gateway has stopped")
@@ -59,6 +56,8 @@
 BACKGROUND_THREADS = 4
 TASK_THREADS = 16
 STOP_CHECK_S = 0.05
+# How often idle connections are looked through for those that nobody will use again.
+PRUNE_EVERY_S = 5.0
 # New objects between collections of the youngest generation.
 GC_THRESHOLD = 20_000
 NEWS_TIMEOUT_S = 1.0
