--- a/idl/relay.thrift
+++ b/idl/relay.thrift
@@ -64,4 +64,10 @@
   19: bool listing_away
   // Back ends whose entries have gone lately.
   20: list<string> gone
+  // When the back ends of `leaving` started, in its order; milliseconds of the Unix epoch, 0 if unknown.
+  21: list<i64> leaving_started_ms
+  // The store's era as the sender knows it.
+  22: i32 store_era
+  // Windows whose counts some holder of the duties has fixed.
+  23: list<i64> fixed
 }
--- a/src/laburnumreel/coordination/_guarded_send.py
+++ b/src/laburnumreel/coordination/_guarded_send.py
@@ -12,10 +12,11 @@
 
 
 class Answer(NamedTuple):
-    """A receiver's answer: HTTP status and JSON body."""
+    """A receiver's answer: HTTP status, JSON body, and headers by name."""
 
     status: int
     body: dict[str, Any]
+    headers: Mapping[str, str] = {}
 
 
 class OrderConnection(Protocol):
--- a/src/laburnumreel/coordination/_leases.py
+++ b/src/laburnumreel/coordination/_leases.py
@@ -44,7 +44,8 @@
     enough while the store is slow. The platform client given here should time out after
     `call_timeout_s`. While `held_elsewhere` tells that another process is known to hold the leases,
     they are not looked at; a wrong word delays a successor and does no other harm. Without
-    `tell_release`, a planned stop lets the leases run out.
+    `tell_release`, a planned stop lets the leases run out. `era` gives the era of a store that may come
+    back from an older copy, and `fence_heard` the highest fencing number that other processes told.
     """
 
     def __init__(
@@ -58,10 +59,14 @@
         rng: random.Random,
         held_elsewhere: Callable[[], bool] = lambda: False,
         tell_release: bool = True,
+        era: Callable[[], int] = lambda: 0,
+        fence_heard: Callable[[], int] = lambda: 0,
     ) -> None:
         super().__init__("leases", KEEPER_TICK_S)
         self._held_elsewhere = held_elsewhere
         self._tell_release = tell_release
+        self._era = era
+        self._fence_heard = fence_heard
         self._platform = platform
         self._board = board
         self._timer = timer
@@ -97,6 +102,11 @@
     def step(self) -> None:
         """Give up what is about to end, then make the most urgent call."""
         now = self._clock.now()
+        for lease in self._leases:
+            lease.heard_fence(self._fence_heard())
+        entered = [lease.enter_era(self._era(), now) for lease in self._leases]
+        if any(entered):
+            self._publish()
         self._give_up_ending(now)
         if any(lease.read_needed for lease in self._leases):
             self._watch()
--- a/src/laburnumreel/protocol/gen/relay/ttypes.py
+++ b/src/laburnumreel/protocol/gen/relay/ttypes.py
@@ -462,11 +462,14 @@
      - listing_seen
      - listing_away
      - gone
+     - leaving_started_ms
+     - store_era
+     - fixed
 
     """
 
 
-    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None, usage_window=None, ended=None, listing_seen=None, listing_away=None, gone=None,):
+    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None, usage_window=None, ended=None, listing_seen=None, listing_away=None, gone=None, leaving_started_ms=None, store_era=None, fixed=None,):
         self.sender = sender
         self.boot = boot
         self.zone = zone
@@ -487,6 +490,9 @@
         self.listing_seen = listing_seen
         self.listing_away = listing_away
         self.gone = gone
+        self.leaving_started_ms = leaving_started_ms
+        self.store_era = store_era
+        self.fixed = fixed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -649,6 +655,31 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.LIST:
+                    self.leaving_started_ms = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = iprot.readI64()
+                        self.leaving_started_ms.append(_elem84)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.I32:
+                    self.store_era = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.LIST:
+                    self.fixed = []
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = iprot.readI64()
+                        self.fixed.append(_elem90)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -686,50 +717,50 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter79 in self.work:
-                iter79.write(oprot)
+            for iter91 in self.work:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.avoided is not None:
             oprot.writeFieldBegin('avoided', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.avoided))
-            for iter80 in self.avoided:
-                iter80.write(oprot)
+            for iter92 in self.avoided:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held_back is not None:
             oprot.writeFieldBegin('held_back', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.held_back))
-            for iter81 in self.held_back:
-                iter81.write(oprot)
+            for iter93 in self.held_back:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter82 in self.leaving:
-                oprot.writeString(iter82.encode('utf-8') if sys.version_info[0] == 2 else iter82)
+            for iter94 in self.leaving:
+                oprot.writeString(iter94.encode('utf-8') if sys.version_info[0] == 2 else iter94)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter83 in self.usage:
-                iter83.write(oprot)
+            for iter95 in self.usage:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter84 in self.crashes:
-                iter84.write(oprot)
+            for iter96 in self.crashes:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept is not None:
             oprot.writeFieldBegin('kept', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.kept))
-            for iter85 in self.kept:
-                iter85.write(oprot)
+            for iter97 in self.kept:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.duty_fence is not None:
@@ -747,8 +778,8 @@
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.ended))
-            for iter86 in self.ended:
-                iter86.write(oprot)
+            for iter98 in self.ended:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.listing_seen is not None:
@@ -762,8 +793,26 @@
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter87 in self.gone:
-                oprot.writeString(iter87.encode('utf-8') if sys.version_info[0] == 2 else iter87)
+            for iter99 in self.gone:
+                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving_started_ms is not None:
+            oprot.writeFieldBegin('leaving_started_ms', TType.LIST, 21)
+            oprot.writeListBegin(TType.I64, len(self.leaving_started_ms))
+            for iter100 in self.leaving_started_ms:
+                oprot.writeI64(iter100)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.store_era is not None:
+            oprot.writeFieldBegin('store_era', TType.I32, 22)
+            oprot.writeI32(self.store_era)
+            oprot.writeFieldEnd()
+        if self.fixed is not None:
+            oprot.writeFieldBegin('fixed', TType.LIST, 23)
+            oprot.writeListBegin(TType.I64, len(self.fixed))
+            for iter101 in self.fixed:
+                oprot.writeI64(iter101)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -840,6 +889,9 @@
     (18, TType.I64, 'listing_seen', None, None, ),  # 18
     (19, TType.BOOL, 'listing_away', None, None, ),  # 19
     (20, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 20
+    (21, TType.LIST, 'leaving_started_ms', (TType.I64, None, False), None, ),  # 21
+    (22, TType.I32, 'store_era', None, None, ),  # 22
+    (23, TType.LIST, 'fixed', (TType.I64, None, False), None, ),  # 23
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/laburnumreel/relay/__init__.py
+++ b/src/laburnumreel/relay/__init__.py
@@ -37,6 +37,7 @@
     PromptCopy,
     RelayRequest,
     Verdict,
+    Word,
 )
 from laburnumreel.relay._settings import (
     RELAY_SCHEMA,
@@ -79,6 +80,7 @@
     "Share",
     "StreamEvent",
     "Verdict",
+    "Word",
     "load_relay_settings",
     "run_relay",
 ]
--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -26,6 +26,9 @@
 BEHIND_RETRY_S = 0.2
 NOT_READY_RETRY_S = 0.5
 STOPPING_RETRY_S = 0.1
+# Within this time after its first configuration a host has heard its peers: news comes several times
+# a second.
+PEERS_HEARD_S = 1.0
 
 # Stands for the prompt of a request that does not describe it.
 _NO_PROMPT = Prompt("", (), 0, 0)
@@ -38,7 +41,8 @@
 class RelayApplication:
     """Checks, places and serves requests, each on the thread that waitress gave it.
 
-    `newest_version` tells the newest configuration that any host is known to have.
+    `newest_version` tells the newest configuration that any host is known to have, or None before a
+    peer was heard; `era` the era of the store that gave this host's.
     """
 
     def __init__(
@@ -46,8 +50,9 @@
         parts: Parts,
         callers: CallerWire,
         registry: RequestRegistry,
-        newest_version: Callable[[], int],
+        newest_version: Callable[[], int | None],
         rng: random.Random,
+        era: Callable[[], int] = lambda: 0,
     ) -> None:
         self._parts = parts
         self._clock: Clock = parts.clock
@@ -55,9 +60,12 @@
         self._registry = registry
         self._newest_version = newest_version
         self._rng = rng
+        self._era = era
         self._table: RouteTable | None = None
         self._stopping = False
         self._running = 0
+        self._first_at, self._first_era = 0.0, 0
+        self._caught_up = False
 
     @property
     def table(self) -> RouteTable | None:
@@ -68,9 +76,28 @@
         """Put a configuration in force; False if a newer one is."""
         if self._table is not None and config.version <= self._table.version:
             return False
+        if self._table is None:
+            self._first_at, self._first_era = self._clock.now(), self._era()
         self._table = RouteTable(config)
         return True
 
+    @property
+    def is_current(self) -> bool:
+        """Whether this host, since it began, has had a configuration as new as its peers'.
+
+        A store that comes back from an older copy may give a host that starts a configuration from
+        which routes or keys were removed meanwhile. It waits until the newer one is written again.
+        """
+        if self._caught_up or self._table is None:
+            return self._table is not None
+        newest = self._newest_version()
+        settled = self._clock.now() - self._first_at >= PEERS_HEARD_S
+        if newest is None and not settled:
+            # A store that never came back from a copy gives the newest configuration.
+            return self._first_era == 0
+        self._caught_up = settled and (newest or 0) <= self._table.version
+        return (newest or 0) <= self._table.version
+
     def stop_admitting(self) -> None:
         """Refuse new requests from now on; running ones go on."""
         self._stopping = True
@@ -100,6 +127,7 @@
         except RelayFailedError as error:
             return self._refuse(error.refusal, request, job.route.kind, start_response, job)
         finally:
+            job.drop_answer()
             if not job.streaming:
                 self._registry.ended(request.request_id)
 
@@ -108,8 +136,8 @@
         if self._stopping:
             raise RelayFailedError(Refusal(ErrorKind.STOPPING, retry_after_s=STOPPING_RETRY_S))
         table = self._table
-        if table is None:
-            detail = "no configuration is known yet"
+        if table is None or not self.is_current:
+            detail = "no configuration is known yet that is as new as the peers'"
             raise RelayFailedError(Refusal(ErrorKind.NOT_READY, detail, NOT_READY_RETRY_S))
         route = table.route(request.host, request.path)
         if route is None:
@@ -144,7 +172,7 @@
 
     def _refuse_if_behind(self, table: RouteTable) -> None:
         """Do not judge a request by a configuration that is known to be old."""
-        if self._newest_version() > table.version:
+        if (self._newest_version() or 0) > table.version:
             detail = f"configuration {table.version} is not the newest"
             raise RelayFailedError(Refusal(ErrorKind.NOT_READY, detail, BEHIND_RETRY_S))
 
--- a/src/laburnumreel/relay/_back_ends.py
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -6,6 +6,10 @@
 
 Address = tuple[str, int]
 
+# Entries that went, of which a list remembers how far they were written.
+MOST_ENDED = 1000
+UNWRITTEN = (-1, -1)
+
 
 class Role(StrEnum):
     """What an engine does: read prompts, or generate tokens."""
@@ -62,6 +66,9 @@
         self._listed: dict[str, ListedBackEnd] = {}
         # Names that were dropped in the grace time, and when each is gone for good.
         self._doubtful: dict[str, float] = {}
+        # How far the entries that went were written, the oldest first: a store that comes back from
+        # an older copy shows them again.
+        self._ended: dict[str, tuple[int, int]] = {}
         self._away = False
         self._grace_ends = float("-inf")
 
@@ -85,10 +92,13 @@
             self.put(entry)
 
     def put(self, entry: ListedBackEnd) -> None:
-        """Take a new or changed entry, unless it was written before the known one."""
+        """Take a new or changed entry, unless it was written before the known or the last one."""
         known = self._listed.get(entry.name)
         if known is not None and entry.written < known.written:
             return
+        if entry.written <= self._ended.get(entry.name, UNWRITTEN):
+            return
+        self._ended.pop(entry.name, None)
         self._listed[entry.name] = entry
         self._doubtful.pop(entry.name, None)
 
@@ -104,8 +114,12 @@
 
     def forget(self, name: str) -> None:
         """Drop an entry at once, because its backend server is known to be gone."""
-        self._listed.pop(name, None)
+        entry = self._listed.pop(name, None)
         self._doubtful.pop(name, None)
+        if entry is not None and entry.written > (0, 0):
+            self._ended[name] = entry.written
+            if len(self._ended) > MOST_ENDED:
+                del self._ended[next(iter(self._ended))]
 
     def directory_lost(self, now: float) -> None:
         """Take in that the directory does not answer."""
--- a/src/laburnumreel/relay/_beliefs.py
+++ b/src/laburnumreel/relay/_beliefs.py
@@ -1,5 +1,6 @@
 """What a host believes of the backend servers: listed, at work, kept prompts, conduct, crashes."""
 
+import random
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -19,7 +20,8 @@
 from laburnumreel.relay._placement import Candidate, Place
 from laburnumreel.relay._ports import Listing
 from laburnumreel.relay._prompts import PromptMemory, home_engine
-from laburnumreel.relay._requests import Prompt
+from laburnumreel.relay._requests import Prompt, Word
+from laburnumreel.relay._self_reports import SelfReports
 from laburnumreel.relay._work import Work, WorkLedger
 
 # The share of a reading engine's memory that keeps starts of prompts; the rest holds what is read.
@@ -41,7 +43,7 @@
     avoided: Mapping[str, float]
     held_back: Mapping[str, float]
     crashes: Mapping[str, float]
-    leaving: tuple[str, ...]
+    leaving: Mapping[str, int]
     kept: Mapping[str, tuple[str, ...]]
     gone: tuple[str, ...]
 
@@ -69,7 +71,7 @@
         self._crashes: dict[str, float] = {}
         # Crashes that peers told of, so that each counts once, and when they are forgotten.
         self._crashes_heard: dict[tuple[str, str, str], float] = {}
-        self._left: dict[str, float] = {}
+        self._self_reports = SelfReports()
         # Backend servers whose entries went from this host's list, and from a peer's.
         self._gone: dict[str, float] = {}
         self._gone_heard: dict[str, float] = {}
@@ -128,6 +130,17 @@
         """Let a backend server rest."""
         self._conduct.rest(back_end, now + seconds, now)
 
+    def said(self, back_end: ListedBackEnd, word: Word, rng: random.Random, now: float) -> None:
+        """Take what a backend server said of itself in an answer to this host."""
+        self._self_reports.heard(back_end, word, rng.random(), now)
+
+    def full_for(self, service: str, now: float) -> float | None:
+        """Return in how many seconds a service's first full backend server takes work again.
+
+        None where another reason than that keeps its backend servers from work.
+        """
+        return self._self_reports.full_for(self._back_ends.usable(service, now), now)
+
     def moved(self, back_end: str) -> None:
         """Take in that another backend server has this one's address."""
         self._back_ends.forget(back_end)
@@ -146,9 +159,10 @@
 
     def forget_old(self, now: float) -> None:
         """Drop the beliefs whose time is over."""
+        self._self_reports.listed(self._back_ends, now)
         self._crashes = _lasting(self._crashes, now)
         self._crashes_heard = _lasting(self._crashes_heard, now)
-        self._left = _lasting(self._left, now)
+        self._self_reports.forget_old(now)
         self._gone = _lasting(self._gone, now)
         self._gone_heard = _lasting(self._gone_heard, now)
 
@@ -194,7 +208,6 @@
             old = before.get(name)
             if old is not None and old.started_at_ms != entry.started_at_ms:
                 self._prompts.restarted(name)
-                self._left.pop(name, None)
             if old is None or old._replace(beat=0) != entry._replace(beat=0):
                 _log.info(
                     BACK_END_LISTED,
@@ -221,9 +234,8 @@
             self.ledger.peer(news.sender, news.work, now)
         for back_end, left_s in news.avoided.items():
             self._conduct.told(back_end, now + left_s)
-        for back_end in news.leaving:
-            if back_end not in self._left:
-                self._left[back_end] = now + CRASH_S
+        for back_end, started_at_ms in news.leaving.items():
+            self._self_reports.told_leaving(back_end, started_at_ms, now)
         self._gone_heard.update(dict.fromkeys(news.gone, now + GONE_S))
         self._prompts.peer(news.kept, now)
         self._quarantine.on_peer(news.held_back, now)
@@ -240,7 +252,7 @@
             avoided=self._conduct.rests(now),
             held_back=self._quarantine.entries(now),
             crashes={digest: until - now for digest, until in self._crashes.items()},
-            leaving=tuple(entry.name for entry in self._back_ends if entry.draining),
+            leaving=self._self_reports.leaving(self._back_ends),
             kept=self._prompts.take_news(far),
             gone=tuple(self._gone),
         )
@@ -257,7 +269,7 @@
             back_end
             for back_end in self._back_ends.usable(order.service, now)
             if back_end.name not in order.excluded
-            and back_end.name not in self._left
+            and self._self_reports.takes_work(back_end, now)
             and back_end.name not in self._gone_heard
             and not self._conduct.resting(back_end.name, now)
         ]
--- a/src/laburnumreel/relay/_capacity.py
+++ b/src/laburnumreel/relay/_capacity.py
@@ -97,6 +97,8 @@
         self._fleet = fleet
         self._ordered: dict[Group, tuple[int, float]] = {}
         self._found: dict[str, Mapping[str, int]] = {}
+        # What this host found under earlier authorities, for a store that has forgotten it.
+        self._remembered: dict[str, Mapping[str, int]] = {}
         # Services whose backend servers still make themselves known, and until when.
         self._growing: dict[str, float] = {}
         self._fence = 0
@@ -106,6 +108,7 @@
         if authority.fence != self._fence:
             self._fence = authority.fence
             self._ordered.clear()
+            self._remembered.update(self._found)
             self._found.clear()
             self._growing.clear()
         back_ends, _ = self._fleet()
@@ -144,8 +147,9 @@
                 counts = row.ok.value["dedicated"]
                 self._found[name] = {str(zone): int(count) for zone, count in counts.items()}
                 return self._found[name]
-            found = self._found[name] = {}
-            self._growing[name] = now + GROW_S
+            remembered = self._remembered.get(name)
+            found = self._found[name] = dict(remembered or {})
+            self._growing[name] = now if remembered else now + GROW_S
         dedicated = [entry for entry in listed if entry.service == name and not entry.cheap]
         for zone, count in Counter(entry.zone for entry in dedicated).items():
             found[zone] = max(count, found.get(zone, 0))
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -26,6 +26,7 @@
     Placing,
     Read,
     RetryWanted,
+    Said,
     Unreachable,
     Withdraw,
 )
@@ -41,7 +42,7 @@
     choose_plain,
 )
 from laburnumreel.relay._ports import Listing
-from laburnumreel.relay._requests import Prompt
+from laburnumreel.relay._requests import Prompt, Word
 from laburnumreel.relay._settings import RetrySettings
 from laburnumreel.relay._waiting import FreedRate, order_waiting, retry_after_s
 from laburnumreel.relay._work import Work
@@ -59,6 +60,9 @@
 # A client that finds no backend server at all comes back after about this time, in which the
 # directory or a restart may bring one.
 NO_BACK_END_RETRY_S = 0.5
+# Callers that are refused as all backend servers are full come back spread over this share of the
+# time.
+FULL_SPREAD_SHARE = 0.2
 # The share of the deployment's budget for repeated sends that the hosts plan with. The rest covers
 # what one host can't see of the others.
 PLANNED_BUDGET_SHARE = 0.7
@@ -128,6 +132,11 @@
         """Send nothing to a backend server for a time, and tell the peers."""
         self.tell(Avoid(back_end, seconds))
 
+    def heed(self, back_end: ListedBackEnd, word: Word) -> None:
+        """Take what a backend server said of itself in an answer."""
+        if word != Word():
+            self.tell(Said(back_end, word))
+
     def moved(self, back_end: str) -> None:
         """Take in that another backend server has this one's address."""
         self.tell(Moved(back_end))
@@ -201,6 +210,8 @@
                 self._beliefs.unreachable(back_end, now)
             case Avoid(back_end, seconds):
                 self._beliefs.avoid(back_end, seconds, now)
+            case Said(back_end, word):
+                self._beliefs.said(back_end, word, self._rng, now)
             case Moved(back_end):
                 self._beliefs.moved(back_end)
             case Crashed(back_end, digest):
@@ -257,7 +268,7 @@
         if order.copied_in is not None:
             return None
         if not self._beliefs.any_usable(order, now):
-            return self._no_back_end(order)
+            return self._no_back_end(order, now)
         ahead = sum(1 for each in self._waiting.values() if each.order.service == order.service)
         per_s = self._freed.setdefault(order.service, FreedRate()).per_s(now)
         wait_s = ahead / per_s if ahead and per_s > 0 else 0.0
@@ -304,7 +315,7 @@
     def _assign(self, order: Order, now: float) -> Assignment | Refusal | None:
         candidates = self._beliefs.candidates(order, now)
         if not candidates:
-            return self._no_back_end(order)
+            return self._no_back_end(order, now)
         age_s = self._beliefs.ledger.oldest_news_s(now)
         service = self._services.get(order.service)
         if order.prompt is None or service is None or service.engine is None:
@@ -389,7 +400,12 @@
             age_s,
         )
 
-    def _no_back_end(self, order: Order) -> Refusal:
+    def _no_back_end(self, order: Order, now: float) -> Refusal:
+        full_s = self._beliefs.full_for(order.service, now)
+        if full_s is not None:
+            detail = f"all back ends of service {order.service} said that they are full"
+            back_s = full_s * (1 + FULL_SPREAD_SHARE * self._rng.random())
+            return Refusal(ErrorKind.NO_BACK_END, detail, retry_after_s=back_s)
         return Refusal(
             ErrorKind.NO_BACK_END,
             f"service {order.service} has no usable back end",
--- a/src/laburnumreel/relay/_duties.py
+++ b/src/laburnumreel/relay/_duties.py
@@ -9,6 +9,7 @@
 from laburnumreel.relay._events import (
     REPORT_FAILED,
     SEAL_FAILED,
+    WINDOW_FORGOTTEN,
     WINDOW_INCOMPLETE,
     WINDOW_REPORTED,
     WINDOW_SEALED,
@@ -18,7 +19,7 @@
 from laburnumreel.relay._settings import UsageSettings
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._usage import SEAL_TABLE, UsageBook, seal_key
-from laburnumreel.state import LEASE_TABLE, Authority, Check, Platform, Write
+from laburnumreel.state import LEASE_TABLE, Authority, Check, Platform, Write, era_of_fence
 
 DUTY_LEASE = "relay_duties"
 TICK_S = 0.25
@@ -60,7 +61,8 @@
     """Works under the lease.
 
     A holder that stops lets the lease run out instead of handing it on: the platform must never hear
-    two holders in turn within its lease time. `peers` gives the names of the hosts that are heard.
+    two holders in turn within its lease time. `peers` gives the names of the hosts that are heard, `era`
+    the store's era.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         usage: UsageSettings,
         peers: Callable[[], Iterable[str]],
         planners: Sequence[Planner] = (),
+        era: Callable[[], int] = lambda: 0,
     ) -> None:
         super().__init__("duties", TICK_S)
         self._platform = platform
@@ -89,6 +92,10 @@
         self._usage = usage
         self._peers = peers
         self._planners = planners
+        self._era = era
+        # The counts of the windows that this process has fixed, to write them again where the store
+        # has forgotten them.
+        self._fixed: dict[int, dict[str, int]] = {}
         self._reported: set[int] = set()
         self._incomplete: set[int] = set()
         self._retry_at = 0.0
@@ -98,12 +105,12 @@
     @property
     def fence(self) -> int:
         """The fencing number under which this host does the duties now, or 0."""
-        authority = self._board.current(DUTY_LEASE)
+        authority = self._authority()
         return authority.fence if authority is not None else 0
 
     def tick(self) -> None:
         now = self._clock.now()
-        authority = self._board.current(DUTY_LEASE)
+        authority = self._authority()
         if authority is None:
             return
         if authority.fence != self._held_fence:
@@ -113,6 +120,13 @@
         for planner in self._planners:
             planner.step(authority, now)
 
+    def _authority(self) -> Authority | None:
+        """Return the authority in force; one of an earlier era of the store counts no more."""
+        authority = self._board.current(DUTY_LEASE)
+        if authority is None or era_of_fence(authority.fence) != self._era():
+            return None
+        return authority
+
     def _report(self, authority: Authority) -> None:
         true_now = self._true_time.now()
         newest = self._book.window(true_now - SEAL_DELAY_S) - 1
@@ -127,6 +141,7 @@
                 break
         self._reported = {window for window in self._reported if window >= oldest}
         self._incomplete = {window for window in self._incomplete if window >= oldest}
+        self._fixed = {window: each for window, each in self._fixed.items() if window >= oldest}
 
     def _awaited(self, window: int, true_now: float) -> bool:
         """Return whether counts of hosts that are heard are still missing in a window."""
@@ -146,7 +161,7 @@
 
     def _sealed(self, authority: Authority, window: int) -> dict[str, int] | None:
         """Fix a window's counts, or return those that were fixed before; None to try later."""
-        counts = self._book.sums(window)
+        counts = self._fixed.get(window) or self._book.sums(window)
         key = seal_key(window)
         if not counts:
             row = self._platform.read(SEAL_TABLE, key)
@@ -157,6 +172,16 @@
                 self._reported.add(window)
                 return None
             return dict(row.ok.value["counts"])
+        if window not in self._fixed and self._book.is_fixed(window):
+            # Fixed by another holder. The row tells the figures, unless the store has forgotten it.
+            row = self._platform.read(SEAL_TABLE, key)
+            if row.is_error():
+                return None
+            if row.ok is None:
+                _log.warning(WINDOW_FORGOTTEN, window=window, fence=authority.fence)
+                self._reported.add(window)
+                return None
+            return dict(row.ok.value["counts"])
         checks = [
             Check(LEASE_TABLE, DUTY_LEASE, authority.row_version),
             Check(SEAL_TABLE, key, 0),
@@ -164,6 +189,8 @@
         sealed = self._platform.transact(checks, [Write(SEAL_TABLE, key, {"counts": counts})])
         if sealed.is_ok():
             _log.info(WINDOW_SEALED, window=window, counts=counts, fence=authority.fence)
+            self._fixed[window] = counts
+            self._book.fix(window)
             return counts
         error = sealed.error
         row = error.rows.get((SEAL_TABLE, key))
@@ -173,7 +200,7 @@
         return None
 
     def _send(self, authority: Authority, window: int, counts: dict[str, int]) -> bool:
-        current = self._board.current(DUTY_LEASE)
+        current = self._authority()
         if current is None or current.fence != authority.fence:
             return False
         call = self._wire.usage(current, window, counts)
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -5,7 +5,8 @@
 
 from laburnumreel.core import Log
 from laburnumreel.relay._assignments import Assignment, Order
-from laburnumreel.relay._event_stream import EventSplitter
+from laburnumreel.relay._back_ends import ListedBackEnd
+from laburnumreel.relay._event_stream import CommentPace, EventSplitter, StreamEvent
 from laburnumreel.relay._events import (
     COPY_RELEASED,
     PROMPT_READ,
@@ -28,6 +29,10 @@
 # What an engine may take longer than was expected before it counts as silent.
 EXPECTED_TIMES = 2.5
 RELEASE_TIMEOUT_S = 1.0
+# What the answers of engines that are no streams may have: the handle of a prompt that was read, a
+# failure with its reason, and the answer to a release.
+MOST_HANDLE_BYTES = 64 * 1024
+MOST_FAILURE_BYTES = 256 * 1024
 
 _log = Log("relay.engine")
 
@@ -43,9 +48,14 @@
         # What the engine that runs the request has still to read of its prompt.
         self._unread = Work()
         self._splitter = EventSplitter()
+        self._comments = CommentPace()
+        # How long the engine may be silent now, and how long it has been since its last event.
+        self._silent_limit_s = 0.0
+        self._silent_for_s = 0.0
         self._last_id = job.request.resume_after
         self._ready: list[bytes] = []
         self._read_before = False
+        self._has_begun = False
         self._ended = False
         # The body of an engine's own failure, which is passed on if nothing better comes.
         self._failure = b""
@@ -162,7 +172,7 @@
         try:
             with Attempt(job, dispatch) as attempt:
                 verdict = attempt.send(silent_s)
-                body = attempt.read_all()
+                body = attempt.read_all(MOST_HANDLE_BYTES)
                 status = attempt.exchange.status
                 if verdict.outcome != "success":
                     raise SendFailedError("lost", f"reading was answered {status}", False)
@@ -191,12 +201,13 @@
             else:
                 verdict = self._send_copy(assignment.reader.zone, copy)
         except BaseException as error:
-            self._release(copy, error)
+            if copy is not None:
+                self._release(copy, assignment.reader, error)
             raise
         exchange = self._attempt.exchange
         self.status, self.headers = exchange.status, exchange.headers
         if verdict.outcome == "failure":
-            self._failure = self._attempt.read_all()
+            self._failure = self._attempt.read_all(MOST_FAILURE_BYTES)
             job.parts.dispatcher.judged(self.back_end, failed=True)
             job.ran = RunState.RAN
             raise SendFailedError("failed", f"status {self.status}", True)
@@ -244,19 +255,22 @@
             self._give_up_attempt()
             raise
         job.sends += 1
+        self._silent_limit_s, self._silent_for_s = self._attempt.exchange.timeout_s, 0.0
         return verdict
 
     def _next(self) -> bytes | None:
         """Return the next whole events, those of one read together, or None at the end.
 
-        An engine that only sends pieces of an event is silent: the time is that of a whole event.
+        An engine that only sends pieces of an event, or comments, is silent: the time is that of a
+        whole event. Only the waits for the engine count, not the time that the caller takes.
         """
-        clock, exchange = self._job.parts.clock, self._attempt and self._attempt.exchange
-        silent_at = clock.now() + exchange.timeout_s if exchange else 0.0
+        clock = self._job.parts.clock
         while not self._ready:
             if self._ended:
                 return None
+            began = clock.now()
             data = self._attempt.read()
+            self._silent_for_s += clock.now() - began
             if not data:
                 if not self._attempt.exchange.complete or self._splitter.rest:
                     raise SendFailedError("lost", "the stream ended early", True)
@@ -267,17 +281,33 @@
                 events = self._splitter.feed(data)
             except ValueError as error:
                 raise SendFailedError("not_genuine", str(error), True) from error
-            if events:
-                self._has_read()
-                self._last_id = events[-1].id or self._last_id
-                self._ready.append(b"".join(event.raw for event in events))
-                exchange.set_timeout(self._gap_silent_s())
-            elif (left_s := silent_at - clock.now()) > 0:
-                exchange.set_timeout(left_s)
-            else:
-                raise self._attempt.silent("pieces of an event came, but too slowly")
+            self._take_events(events)
         return self._ready.pop(0)
 
+    def _take_events(self, events: list[StreamEvent]) -> None:
+        """Take what an engine has sent, and judge whether it goes on."""
+        now, exchange = self._job.parts.clock.now(), self._attempt.exchange
+        going_on = any(event.is_progress for event in events)
+        # Nothing is passed on before the first event: until then the request can go elsewhere.
+        begun = going_on or self._has_begun
+        passed = [
+            event.raw
+            for event in events
+            if event.is_progress or (begun and self._comments.may_pass(now))
+        ]
+        if passed:
+            self._ready.append(b"".join(passed))
+        if going_on:
+            self._has_begun = True
+            self._has_read()
+            ids = [event.id for event in events if event.id]
+            self._last_id = ids[-1] if ids else self._last_id
+            self._silent_limit_s, self._silent_for_s = self._gap_silent_s(), 0.0
+        left_s = self._silent_limit_s - self._silent_for_s
+        if left_s <= 0:
+            raise self._attempt.silent("pieces of an event or comments came, and no whole event")
+        exchange.set_timeout(left_s)
+
     def _resume(self, error: SendFailedError) -> None:
         """Let the stream go on at another engine, or raise `RelayFailedError`."""
         job = self._job
@@ -336,10 +366,8 @@
             self._unread = Work()
             self._job.parts.dispatcher.ended(self._runner, work, self._job.service.name)
 
-    def _release(self, copy: PromptCopy | None, error: BaseException) -> None:
+    def _release(self, copy: PromptCopy, reader: ListedBackEnd, error: BaseException) -> None:
         """Free a copy that will not be taken, so that its engine gets the memory back."""
-        if copy is None:
-            return
         parts = self._job.parts
         method, path = parts.wire.release(copy)
         _log.info(
@@ -351,8 +379,9 @@
             exchange = parts.pool.open(copy.address)
             try:
                 exchange.send(method, path, {}, None, RELEASE_TIMEOUT_S)
-                while exchange.read():
-                    pass
+                word = parts.wire.word(exchange.status, exchange.message, reader.name)
+                parts.dispatcher.heed(reader, word)
+                exchange.read_whole(MOST_HANDLE_BYTES, RELEASE_TIMEOUT_S)
             finally:
                 exchange.close()
         except (BackEndFailureError, http.client.HTTPException) as failure:
--- a/src/laburnumreel/relay/_event_stream.py
+++ b/src/laburnumreel/relay/_event_stream.py
@@ -6,11 +6,37 @@
 MOST_EVENT_BYTES = 1 << 20
 
 
+# Comments that are passed on in a row, and a second after that: a keep-alive comes seldom.
+MOST_COMMENTS = 16
+COMMENTS_PER_S = 2.0
+
+
 class StreamEvent(NamedTuple):
-    """An event as it came, with its blank line, and its id if it has one."""
+    """An event as it came, with its blank line, and its id if it has one.
+
+    `is_progress` is False for comments and empty events, which say nothing to the caller.
+    """
 
     raw: bytes
     id: str | None
+    is_progress: bool = True
+
+
+class CommentPace:
+    """Lets as many comments pass as keep a connection alive."""
+
+    def __init__(self) -> None:
+        self._left = float(MOST_COMMENTS)
+        self._at = float("-inf")
+
+    def may_pass(self, now: float) -> bool:
+        """Count a comment, and return whether it may be passed on."""
+        self._left = min(MOST_COMMENTS, self._left + COMMENTS_PER_S * (now - self._at))
+        self._at = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
 
 
 class EventSplitter:
@@ -40,7 +66,7 @@
             if end is None:
                 break
             raw, self._rest = self._rest[:end], self._rest[end:]
-            events.append(StreamEvent(raw, _event_id(raw)))
+            events.append(_event(raw))
         if len(self._rest) > MOST_EVENT_BYTES:
             raise ValueError(f"an event is larger than {MOST_EVENT_BYTES} bytes")
         return events
@@ -52,9 +78,12 @@
         return min(ends, default=None)
 
 
-def _event_id(raw: bytes) -> str | None:
+def _event(raw: bytes) -> StreamEvent:
+    event_id, is_progress = None, False
     for line in raw.split(b"\n"):
         name, colon, value = line.partition(b":")
-        if colon and name == b"id":
-            return value.strip().decode("latin-1")
-    return None
+        if name.strip() in (b"id", b"data"):
+            is_progress = True
+        if colon and name == b"id" and event_id is None:
+            event_id = value.strip().decode("latin-1")
+    return StreamEvent(raw, event_id, is_progress)
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -35,6 +35,15 @@
 MEMBER_ROW_MISSING = define_event(
     623, "member_row_missing", "this host's row was removed and is written again"
 )
+BACK_END_LEAVING = define_event(
+    624, "back_end_leaving", "a backend server said in an answer that it leaves"
+)
+BACK_END_FULL = define_event(
+    625, "back_end_full", "a backend server wants nothing from this host for a time"
+)
+STORE_ERA_ENTERED = define_event(
+    626, "store_era_entered", "the store came back from an older copy of itself"
+)
 
 REQUEST_PLACED = define_event(630, "request_placed", "backend servers were chosen for a request")
 REQUEST_REFUSED = define_event(631, "request_refused", "a request was refused without running")
@@ -62,6 +71,11 @@
 WINDOW_INCOMPLETE = define_event(
     660, "window_incomplete", "a window is fixed without the counts of some hosts"
 )
+WINDOW_FORGOTTEN = define_event(
+    662,
+    "window_forgotten",
+    "a window was fixed by another host and the store has lost its row; it is not reported again",
+)
 USAGE_NOT_TOLD = define_event(
     661, "usage_not_told", "counts of ended processes did not fit in the news"
 )
--- a/src/laburnumreel/relay/_exchange.py
+++ b/src/laburnumreel/relay/_exchange.py
@@ -10,6 +10,7 @@
 from laburnumreel.relay._settings import HostSettings
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._usage import UsageBook, UsageNews
+from laburnumreel.state import StoreEra
 
 # Peers hear of the usage of this many windows, which are those that are not fixed yet. One that
 # begins to report usage hears of more, since its predecessor may have left some.
@@ -17,6 +18,8 @@
 ALL_USAGE_WINDOWS = 6
 # Counts are forgotten after this many windows.
 FORGET_WINDOWS = 40
+# Windows that hosts tell one another as fixed. Older ones are not reported any more.
+TOLD_FIXED = 8
 # A peer that knows more of a table for this long, and the time for which changes gather, shows that
 # the connection to it has gone silent.
 BEHIND_S = 0.8
@@ -42,6 +45,7 @@
         table: Callable[[], RouteTable | None],
         fence: Callable[[], int],
         stopping: Callable[[], bool],
+        era: StoreEra,
     ) -> None:
         self._host = host
         self._boot = boot
@@ -54,14 +58,16 @@
         self._table = table
         self._fence = fence
         self._stopping = stopping
+        self._era = era
+        self._heard_any = False
         self._peer_version = 0
         self._peer_listing = 0
         self._behind_since: dict[FeedFollower, float] = {}
 
     @property
-    def newest_version(self) -> int:
-        """The newest configuration that any peer is known to have."""
-        return self._peer_version
+    def newest_version(self) -> int | None:
+        """The newest configuration that any peer is known to have, or None before one was heard."""
+        return self._peer_version if self._heard_any else None
 
     def news(self, far: bool) -> News:
         """Return this host's news for the peers in its region, or for those in others."""
@@ -80,6 +86,8 @@
             listing_version=self._back_end_feed.looks.changed,
             listing_seen=self._back_end_feed.looks.seen,
             listing_away=self._back_end_feed.looks.away,
+            store_era=self._era.known,
+            fixed=self._book.fixed()[-TOLD_FIXED:],
         )
 
     def usage(self, older: bool) -> UsageNews:
@@ -96,7 +104,10 @@
 
     def heard(self, batch: Sequence[News]) -> None:
         """Take the news of some peers."""
+        self._heard_any = True
         for news in batch:
+            self._era.heard(news.store_era)
+            self._book.fix(*news.fixed)
             self._peer_version = max(self._peer_version, news.config_version)
             self._back_end_feed.heard(news.listing_seen, news.listing_version, news.listing_away)
             self._peer_listing = max(self._peer_listing, news.listing_version)
--- a/src/laburnumreel/relay/_feeds.py
+++ b/src/laburnumreel/relay/_feeds.py
@@ -12,7 +12,7 @@
 from laburnumreel.relay._events import DIRECTORY_BACK, DIRECTORY_LOST, DIRECTORY_REREAD
 from laburnumreel.relay._looks import Looks
 from laburnumreel.relay._ports import Entry, Feed, Listing
-from laburnumreel.state import PlatformError
+from laburnumreel.state import PlatformError, era_of
 
 # A call that waits for changes ends after a time between these, so that a connection that went
 # silent shows, at some host soon; its peers then see that they are behind.
@@ -58,6 +58,7 @@
         self._same = same
         self._waits = waits
         self._version: int | None = None
+        self._era = 0
         self._nudged = False
         self._ending = False
         self._looks = Looks(rng)
@@ -159,6 +160,11 @@
                 entries=len(listing.entries),
                 version=listing.version,
             )
+        if self._version is None and era_of(listing.version) > self._era and self._listed:
+            # Whoever wrote into the table since the copy was made writes it again soon.
+            self._tell_link(False)
+            self._tell_link(True)
+        self._era = era_of(listing.version)
         self._version = listing.version
         self._listed = True
         self._on_listing(listing, sent_at, now)
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from laburnumreel.core import Clock
+from laburnumreel.relay._answer_room import AnswerRoom
 from laburnumreel.relay._assignments import Assignment
 from laburnumreel.relay._config import RelayService, Route
 from laburnumreel.relay._dispatcher import Dispatcher
@@ -23,6 +24,8 @@
 WAIT_SLICE_S = 0.1
 # What a request needs at least to be answered; with less time left it is not sent any more.
 LEAST_TIME_S = 0.03
+# All whole answers that a host holds at once: a sixth of the memory of the smallest hosts (200 MB).
+MOST_HELD_BYTES = 32 * 1024 * 1024
 # Priorities that engines know: requests that can still be on time by their route's rank, then the
 # late ones.
 MOST_URGENT, LEAST_URGENT_ON_TIME, LATE = 1, 4, 6
@@ -45,6 +48,7 @@
     wire: BackEndWire
     rng: random.Random
     began: Callable[[str], None]
+    room: AnswerRoom
 
 
 class Job:
@@ -80,6 +84,7 @@
         # Whether the answer goes on after the application has returned.
         self.streaming = False
         self._counted = False
+        self._held_bytes = 0
 
     @property
     def due(self) -> float:
@@ -170,6 +175,18 @@
             return False
         return self.parts.dispatcher.may_retry(self.service.name)
 
+    def hold_answer(self, size: int) -> bool:
+        """Count bytes of an answer that are held, and return whether there is room for them."""
+        if not self.parts.room.take(size):
+            return False
+        self._held_bytes += size
+        return True
+
+    def drop_answer(self) -> None:
+        """Count the bytes of answers off, as they were handed on or are not needed."""
+        self.parts.room.give_back(self._held_bytes)
+        self._held_bytes = 0
+
     def count_begun(self) -> None:
         """Count the request for its customer, once."""
         if not self._counted:
--- a/src/laburnumreel/relay/_membership.py
+++ b/src/laburnumreel/relay/_membership.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable
 
 from laburnumreel.core import Clock, Log, Task
-from laburnumreel.relay._events import MEMBER_ROW_MISSING, MEMBERS_UNREADABLE, TRUE_TIME_AGREED
+from laburnumreel.relay._events import (
+    MEMBER_ROW_MISSING,
+    MEMBERS_UNREADABLE,
+    STORE_ERA_ENTERED,
+    TRUE_TIME_AGREED,
+)
 from laburnumreel.relay._members import Member, Members
 from laburnumreel.relay._peers import PeerNews
 from laburnumreel.relay._true_time import TrueTime
@@ -22,7 +27,7 @@
     """Writes this host's row, introduces the peers, and settles the time of day.
 
     `on_hosts` takes how many hosts there are, and those peers of this region that can look at the
-    back ends' table.
+    back ends' table. `era` gives the store's era.
     """
 
     def __init__(
@@ -33,6 +38,7 @@
         true_time: TrueTime,
         clock: Clock,
         on_hosts: Callable[[int, frozenset[str]], None],
+        era: Callable[[], int] = lambda: 0,
     ) -> None:
         super().__init__("membership", TICK_S)
         self._me = me
@@ -41,6 +47,8 @@
         self._true_time = true_time
         self._clock = clock
         self._on_hosts = on_hosts
+        self._era = era
+        self._known_era: int | None = None
         self._joined = False
         self._agreed = False
         self._next_list = 0.0
@@ -48,6 +56,7 @@
         self._readers: frozenset[str] = frozenset()
 
     def tick(self) -> None:
+        self._enter_era(self._era())
         if not self._joined:
             joined = self._members.join(self._me)
             self._joined = joined.is_ok()
@@ -68,6 +77,13 @@
         if left.is_error():
             _log.warning(MEMBERS_UNREADABLE, kind=left.error.kind, detail=left.error.detail)
 
+    def _enter_era(self, era: int) -> None:
+        """Write again what this host had in a store that came back from an older copy."""
+        if self._known_era is not None and era > self._known_era:
+            _log.warning(STORE_ERA_ENTERED, era=era, before=self._known_era)
+            self._joined = self._agreed = False
+        self._known_era = era
+
     def _list(self, now: float) -> None:
         listed = self._members.list()
         if listed.is_error():
--- a/src/laburnumreel/relay/_messages.py
+++ b/src/laburnumreel/relay/_messages.py
@@ -8,7 +8,7 @@
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._news import News
 from laburnumreel.relay._ports import Listing
-from laburnumreel.relay._requests import Prompt
+from laburnumreel.relay._requests import Prompt, Word
 from laburnumreel.relay._work import Work
 
 
@@ -53,6 +53,11 @@
     seconds: float
 
 
+class Said(NamedTuple):
+    back_end: ListedBackEnd
+    word: Word
+
+
 class Moved(NamedTuple):
     back_end: str
 
--- a/src/laburnumreel/relay/_news.py
+++ b/src/laburnumreel/relay/_news.py
@@ -1,6 +1,7 @@
 """News between the hosts of a deployment, and its datagrams."""
 
 from collections.abc import Mapping
+from itertools import zip_longest
 from typing import NamedTuple
 
 from expression import Error, Ok, Result
@@ -27,7 +28,9 @@
     `usage_window` is the sender's window as it told `usage`, whose earlier windows are whole, or 0.
     `ended` are counts of processes that have ended. `listing_seen` is the version of the store up to
     which the host has seen the back ends' table, `listing_away` whether it can't look at it. `gone`
-    are backend servers whose entries have gone lately.
+    are backend servers whose entries have gone lately. `leaving` gives the starts of backend servers
+    that leave, in milliseconds of the Unix epoch, 0 if unknown. `store_era` is the store's era,
+    `fixed` are windows whose counts some holder of the duties has fixed.
     """
 
     sender: str
@@ -40,7 +43,7 @@
     avoided: Mapping[str, float]
     held_back: Mapping[str, float]
     crashes: Mapping[str, float]
-    leaving: tuple[str, ...]
+    leaving: Mapping[str, int]
     usage: Mapping[int, Mapping[str, int]]
     kept: Mapping[str, tuple[str, ...]]
     duty_fence: int
@@ -50,6 +53,8 @@
     listing_seen: int = 0
     listing_away: bool = False
     gone: tuple[str, ...] = ()
+    store_era: int = 0
+    fixed: tuple[int, ...] = ()
 
 
 def encode_news(news: News) -> bytes:
@@ -66,6 +71,9 @@
         held_back=_timed(news.held_back),
         crashes=_timed(news.crashes),
         leaving=list(news.leaving),
+        leaving_started_ms=list(news.leaving.values()),
+        store_era=news.store_era,
+        fixed=list(news.fixed),
         duty_fence=news.duty_fence,
         listing_version=news.listing_version,
         usage_window=news.usage_window,
@@ -110,7 +118,7 @@
                 avoided=_seconds(struct.avoided),
                 held_back=_seconds(struct.held_back),
                 crashes=_seconds(struct.crashes),
-                leaving=tuple(struct.leaving),
+                leaving=_leaving(struct.leaving, struct.leaving_started_ms or []),
                 usage={each.window: each.counts for each in struct.usage},
                 kept={each.back_end: tuple(each.parts) for each in struct.kept},
                 duty_fence=struct.duty_fence,
@@ -124,6 +132,8 @@
                 listing_seen=struct.listing_seen or 0,
                 listing_away=bool(struct.listing_away),
                 gone=tuple(struct.gone or ()),
+                store_era=struct.store_era or 0,
+                fixed=tuple(struct.fixed or ()),
             )
         )
     except Exception as error:
@@ -131,6 +141,11 @@
         return Error(repr(error))
 
 
+def _leaving(names: list[str], started_ms: list[int]) -> dict[str, int]:
+    # A host of an earlier release does not say the starts.
+    return dict(zip_longest(names, started_ms[: len(names)], fillvalue=0))
+
+
 def _timed(beliefs: Mapping[str, float]) -> list[ttypes.Timed]:
     return [ttypes.Timed(subject, round(1000 * left)) for subject, left in beliefs.items()]
 
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -15,12 +15,14 @@
 from expression import Result
 
 from laburnumreel.coordination import (
+    Answer,
     AuthorityBoard,
     GuardedSender,
     LeaseKeeper,
     address_text,
 )
 from laburnumreel.core import Log, SettingsError, SystemClock, Task
+from laburnumreel.relay._answer_room import AnswerRoom
 from laburnumreel.relay._application import RelayApplication
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._capacity import CapacityPlanner
@@ -41,7 +43,7 @@
 )
 from laburnumreel.relay._exchange import Exchange
 from laburnumreel.relay._feeds import FeedFollower
-from laburnumreel.relay._job import Parts
+from laburnumreel.relay._job import MOST_HELD_BYTES, Parts
 from laburnumreel.relay._members import Member, Members
 from laburnumreel.relay._membership import Membership
 from laburnumreel.relay._peers import PeerNews, rank_of
@@ -126,11 +128,13 @@
                 adapter.back_ends,
                 self._rng,
                 self._began,
+                AnswerRoom(MOST_HELD_BYTES),
             ),
             adapter.callers,
             self._registry,
             lambda: self._exchange.newest_version,
             self._rng,
+            lambda: adapter.store_era.known,
         )
         directory = adapter.directory
         self._config_feed = FeedFollower(
@@ -162,6 +166,7 @@
             lambda: self._application.table,
             lambda: self._duties.fence,
             lambda: self._stopping,
+            adapter.store_era,
         )
         self._peers = PeerNews(
             settings.listen.peers,
@@ -182,6 +187,7 @@
             self._true_time,
             self._clock,
             self._on_hosts,
+            lambda: adapter.store_era.known,
         )
         board = AuthorityBoard(self._clock)
         lease_settings = LeaseSettings(settings.lease.term_s, settings.lease.margin_s)
@@ -196,6 +202,8 @@
             self._rng,
             held_elsewhere=lambda: self._peers.duty_claimed(DUTY_CLAIM_S),
             tell_release=False,
+            era=lambda: adapter.store_era.known,
+            fence_heard=lambda: self._peers.highest_fence,
         )
         sender = GuardedSender(board, HttpOrderLink(ORDER_TIMEOUT_S, settings.lease.margin_s))
         capacity = CapacityPlanner(
@@ -212,6 +220,7 @@
             self._services,
             self._fleet,
             self._dispatcher.avoid,
+            self._heed,
         )
         cleaner = RowCleaner(
             adapter.store,
@@ -232,6 +241,7 @@
             settings.usage,
             lambda: self._peers.heard,
             (capacity, roles, cleaner),
+            lambda: adapter.store_era.known,
         )
         self._callers = HttpServer(
             self._application, settings.listen.callers, settings.threads + SPARE_THREADS
@@ -321,6 +331,11 @@
         view = self._dispatcher.view().result()
         return view.back_ends, view.work
 
+    def _heed(self, back_end: ListedBackEnd, answer: Answer) -> None:
+        """Take what a backend server says of itself in its answer to an order."""
+        word = self._adapter.back_ends.word(answer.status, answer.headers, back_end.name)
+        self._dispatcher.heed(back_end, word)
+
     def _began(self, customer: str) -> None:
         if customer:
             self._book.began(customer, self._true_time.now())
@@ -367,11 +382,7 @@
         self._dispatcher.listed(listing)
 
     def _is_ready(self) -> bool:
-        ready = (
-            not self._stopping
-            and self._application.table is not None
-            and self._back_end_feed.listed
-        )
+        ready = not self._stopping and self._application.is_current and self._back_end_feed.listed
         if ready != self._ready:
             self._ready = ready
             _log.info(RELAY_READY, ready=ready, stopping=self._stopping)
--- a/src/laburnumreel/relay/_peers.py
+++ b/src/laburnumreel/relay/_peers.py
@@ -109,6 +109,7 @@
         self._next_far = 0.0
         self._heirs: frozenset[Address] = frozenset()
         self._unreadable_at = float("-inf")
+        self._highest_fence = 0
         # The time between two news to peers nearby and in other regions.
         self._between_s = {False: interval_s, True: interval_s}
 
@@ -132,6 +133,11 @@
             if not peer.far and not peer.listing_away and not self._is_silent(peer, now)
         ]
 
+    @property
+    def highest_fence(self) -> int:
+        """The highest fencing number under which any peer said it does the duties."""
+        return self._highest_fence
+
     def duty_claimed(self, within_s: float) -> bool:
         """Return whether a peer said within a time that it does the duties."""
         now = self._clock.now()
@@ -206,6 +212,7 @@
             return False
         if known.boot == news.boot and news.sequence <= known.sequence:
             return False
+        self._highest_fence = max(self._highest_fence, news.duty_fence)
         now = self._clock.now()
         if known.heard_at is None or known.boot != news.boot:
             _log.info(PEER_HEARD, peer=news.sender, boot=news.boot, zone=news.zone)
--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -14,6 +14,9 @@
 # sooner than this: several times what a plain request takes.
 LEAST_PATIENCE_S = 0.36
 
+# Answers of plain services are held whole, so that a failure can still be tried elsewhere.
+MOST_ANSWER_BYTES = 8 * 1024 * 1024
+
 _log = Log("relay.plain")
 
 
@@ -85,7 +88,7 @@
     started = parts.clock.now()
     with Attempt(job, dispatch) as attempt:
         verdict = _counted(job, attempt)
-        body = attempt.read_all()
+        body = attempt.read_all(MOST_ANSWER_BYTES)
         exchange = attempt.exchange
         reply = Reply(exchange.status, exchange.headers, body, assignment.runner.name)
     failed = verdict.outcome == "failure"
--- a/src/laburnumreel/relay/_ports.py
+++ b/src/laburnumreel/relay/_ports.py
@@ -8,8 +8,8 @@
 from laburnumreel.protocol import Answer
 from laburnumreel.relay._back_ends import Address, ListedBackEnd, Role
 from laburnumreel.relay._config import RelayConfig
-from laburnumreel.relay._requests import Dispatch, PromptCopy, RelayRequest, Verdict
-from laburnumreel.state import Authority, Platform, PlatformError, Refusal
+from laburnumreel.relay._requests import Dispatch, PromptCopy, RelayRequest, Verdict, Word
+from laburnumreel.state import Authority, Platform, PlatformError, Refusal, StoreEra
 from laburnumreel.transport import CallPace
 
 Entry = TypeVar("Entry")
@@ -76,6 +76,9 @@
     ) -> Verdict | None:
         """Return what an answer's head says, or None where it answers another request."""
 
+    def word(self, status: int, headers: Mapping[str, str], back_end: str) -> Word:
+        """Return what a backend server says of itself in an answer's head."""
+
     def prompt_copy(self, address: Address, body: bytes) -> Result[PromptCopy, str]: ...
 
     def release(self, copy: PromptCopy) -> tuple[str, str]:
@@ -106,12 +109,14 @@
     """What connects a relay to the systems around it.
 
     `lease_store` serves the lease with short timeouts of its own, `store` everything else.
-    `store_pace` holds the calls of both to this host's share.
+    `store_pace` holds the calls of both to this host's share, and `store_era` is the era of the answers
+    to them.
     """
 
     store: Platform
     lease_store: Platform
     store_pace: CallPace
+    store_era: StoreEra
     directory: Directory
     callers: CallerWire
     back_ends: BackEndWire
--- a/src/laburnumreel/relay/_requests.py
+++ b/src/laburnumreel/relay/_requests.py
@@ -78,6 +78,16 @@
     resume_after: str | None = None
 
 
+class Word(NamedTuple):
+    """What a backend server says of itself in any answer, whatever the answer is to.
+
+    `leaving` means that it ends soon. For `full_s` seconds it wants nothing more from this host.
+    """
+
+    leaving: bool = False
+    full_s: float | None = None
+
+
 class Verdict(NamedTuple):
     """What the head of a backend server's answer says.
 
--- a/src/laburnumreel/relay/_roles.py
+++ b/src/laburnumreel/relay/_roles.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
-from laburnumreel.coordination import GuardedSender
+from laburnumreel.coordination import Answer, GuardedSender
 from laburnumreel.core import Log
 from laburnumreel.relay._back_ends import ListedBackEnd, Role
 from laburnumreel.relay._config import RelayService
@@ -74,12 +74,14 @@
         services: Callable[[], Mapping[str, RelayService]],
         fleet: Callable[[], tuple[Iterable[ListedBackEnd], Mapping[str, Work]]],
         avoid: Callable[[str, float], None],
+        heed: Callable[[ListedBackEnd, Answer], None],
     ) -> None:
         self._sender = sender
         self._wire = wire
         self._services = services
         self._fleet = fleet
         self._avoid = avoid
+        self._heed = heed
         self._next_at: dict[str, float] = {}
         # Engines that were told to change, and when their change must show in the list.
         self._changing: dict[str, tuple[Role, float]] = {}
@@ -126,6 +128,8 @@
         engine, switch_s = change.back_end, service.engine.switch_s
         call = self._wire.role(authority, engine, change.role)
         sent = self._sender.post(authority, engine.address, call.path, call.body, call.headers)
+        if sent.is_ok():
+            self._heed(engine, sent.ok)
         fields = {"back_end": engine.name, "role": str(change.role), "fence": authority.fence}
         if sent.is_ok() and sent.ok.status in (200, 202):
             self._avoid(engine.name, switch_s)
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -2,6 +2,7 @@
 
 import http.client
 import socket
+import time
 from collections.abc import Mapping
 from typing import Literal
 
@@ -9,7 +10,7 @@
 from laburnumreel.relay._events import ATTEMPT_FAILED
 from laburnumreel.relay._job import LEAST_TIME_S, Job, RelayFailedError
 from laburnumreel.relay._metrics import RELAY_ATTEMPTS
-from laburnumreel.relay._requests import Dispatch, Verdict
+from laburnumreel.relay._requests import Dispatch, Verdict, Word
 from laburnumreel.state import ErrorKind, Refusal, RunState
 from laburnumreel.transport import BackEndFailureError, Exchange
 
@@ -20,13 +21,24 @@
 # A backend server that does not take a connection in this time is not there: the longest way is
 # some tens of milliseconds.
 CRASH_CONNECT_S = 0.25
+# A refusal is a short text. One that is longer, or comes more slowly, costs its connection.
+MOST_REFUSAL_BYTES = 64 * 1024
+REFUSAL_READ_S = 0.1
 # Where a backend server that refuses names no time to come back.
 REFUSED_RETRY_S = 0.25
 
 _log = Log("relay.sending")
 
 Trouble = Literal[
-    "unreachable", "refused", "moved", "lost", "silent", "out_of_time", "not_genuine", "failed"
+    "unreachable",
+    "refused",
+    "moved",
+    "lost",
+    "silent",
+    "out_of_time",
+    "too_long",
+    "not_genuine",
+    "failed",
 ]
 
 
@@ -59,6 +71,7 @@
         self._sent_at = 0.0
         # Whether the wait for the head lasts until the request is given up.
         self._until_end = False
+        self._leaving = False
         self.verdict: Verdict | None = None
 
     def __enter__(self) -> "Attempt":
@@ -72,10 +85,16 @@
         return self._exchange
 
     def close(self) -> None:
-        """End the exchange; its connection is used again if the whole answer was read."""
+        """End the exchange; its connection is used again if the whole answer was read.
+
+        One to a backend server that leaves is closed.
+        """
         if self._exchange is not None:
             self._job.running.detach()
-            self._exchange.close()
+            if self._leaving:
+                self._exchange.discard()
+            else:
+                self._exchange.close()
             self._exchange = None
 
     def send(self, silent_s: float) -> Verdict:
@@ -105,6 +124,7 @@
         verdicts: list[Verdict] = []
 
         def is_ours(status: int, headers: Mapping[str, str]) -> bool:
+            self._heed(parts.wire.word(status, headers, back_end.name))
             verdict = parts.wire.verdict(status, headers, dispatch)
             if verdict is not None:
                 verdicts.append(verdict)
@@ -125,19 +145,34 @@
         except BackEndFailureError as error:
             raise self._broken(error) from error
 
-    def read_all(self) -> bytes:
-        """Return the whole answer."""
-        pieces = []
+    def read_all(self, most_bytes: int) -> bytes:
+        """Return the whole answer, which must not be longer than `most_bytes`."""
+        # Pieces may be as short as a byte, so that a list of them would be many times as large.
+        whole = bytearray()
+        may_have_run = not self._dispatch.only_read
         while piece := self.read():
-            pieces.append(piece)
+            whole += piece
+            if len(whole) > most_bytes:
+                detail = f"the answer has more than {most_bytes} bytes"
+                raise self._failed("too_long", detail, may_have_run)
+            if not self._job.hold_answer(len(piece)):
+                raise self._failed("too_long", "answers fill the memory for them", may_have_run)
         if not self._exchange.complete:
-            raise self._failed("lost", "the exchange was aborted", not self._dispatch.only_read)
-        return b"".join(pieces)
+            raise self._failed("lost", "the exchange was aborted", may_have_run)
+        return bytes(whole)
 
     def silent(self, detail: str) -> SendFailedError:
         """Judge a backend server that sends bytes, but no progress."""
         return self._broken(BackEndFailureError("silent", detail, sent=True))
 
+    def _heed(self, word: Word) -> None:
+        """Take what the backend server says of itself, in whichever answer."""
+        if word.leaving:
+            self._leaving = True
+            self._job.parts.pool.drop(self._dispatch.back_end.address, time.monotonic())
+        if word.leaving or word.full_s is not None:
+            self._job.parts.dispatcher.heed(self._dispatch.back_end, word)
+
     def _checked(self, verdict: Verdict) -> Verdict:
         job, name = self._job, self._dispatch.back_end.name
         if verdict.other_incarnation:
@@ -158,8 +193,7 @@
         self._job.ran = self._ran_before
         # The rest of a short refusal is read, so that the connection can be used again.
         try:
-            while self._exchange.read():
-                pass
+            self._exchange.read_whole(MOST_REFUSAL_BYTES, REFUSAL_READ_S)
         except BackEndFailureError as error:
             RELAY_ATTEMPTS.inc(outcome="refusal_cut")
             _log.debug(ATTEMPT_FAILED, trouble="refusal_cut", detail=str(error))
--- a/src/laburnumreel/relay/_usage.py
+++ b/src/laburnumreel/relay/_usage.py
@@ -72,6 +72,8 @@
         self._running: dict[str, str] = {}
         # The window at which each peer told its counts last; those of earlier windows are whole.
         self._told: dict[str, int] = {}
+        # Windows whose counts some holder of the duties has fixed.
+        self._fixed: set[int] = set()
 
     def window(self, true_time: float) -> int:
         """Return the number of the window of a time in seconds of the Unix epoch."""
@@ -143,6 +145,20 @@
         with self._lock:
             return [host for host in hosts if self._told.get(host, 0) <= window]
 
+    def fix(self, *windows: int) -> None:
+        """Take in that the counts of some windows are fixed, and may have been reported."""
+        with self._lock:
+            self._fixed.update(windows)
+
+    def is_fixed(self, window: int) -> bool:
+        """Return whether any holder of the duties is known to have fixed a window's counts."""
+        return window in self._fixed
+
+    def fixed(self) -> tuple[int, ...]:
+        """Return the windows whose counts are fixed, for the peers."""
+        with self._lock:
+            return tuple(sorted(self._fixed))
+
     def sums(self, window: int) -> Counts:
         """Return the counts of a window over all processes."""
         with self._lock:
@@ -158,4 +174,5 @@
             for book in (self._own, self._peers):
                 for number in [number for number in book if number < window]:
                     del book[number]
+            self._fixed = {number for number in self._fixed if number >= window}
             self._told = {host: told for host, told in self._told.items() if told >= window}
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -10,6 +10,14 @@
     StoredAnswer,
 )
 from laburnumreel.state._configuration import Change, Configuration, Route
+from laburnumreel.state._era import (
+    StoreEra,
+    era_of,
+    era_of_fence,
+    first_fence,
+    number_of,
+    version_in,
+)
 from laburnumreel.state._errors import ERROR_ANSWERS, ErrorAnswer, ErrorKind, Refusal, RunState
 from laburnumreel.state._folder import load_folder
 from laburnumreel.state._journal import (
@@ -69,6 +77,12 @@
 )
 
 __all__ = [
+    "StoreEra",
+    "era_of",
+    "era_of_fence",
+    "first_fence",
+    "number_of",
+    "version_in",
     "CUSTOMER_SCHEMA",
     "DELTA_RETENTION_S",
     "DELTA_TABLE",
--- a/src/laburnumreel/state/_lease.py
+++ b/src/laburnumreel/state/_lease.py
@@ -2,6 +2,7 @@
 
 from typing import Any, Literal, NamedTuple
 
+from laburnumreel.state._era import first_fence
 from laburnumreel.state._platform import Check, PlatformError, Row, Write
 
 LEASE_TABLE = "lease"
@@ -9,6 +10,8 @@
 RENEW_SHARE = 1 / 3
 # The field of a lease's row that says when its term is over on the store's clock.
 END_FIELD = "ends_at_store_s"
+# The field that says in which era of the store the row was written; absent in the first one.
+ERA_FIELD = "era"
 
 
 class StoreTime(NamedTuple):
@@ -80,6 +83,12 @@
         self._unresolved_since: float | None = None
         self._read_needed = False
         self._store_time: StoreTime | None = None
+        self._era = 0
+        self._era_seen_at = 0.0
+        # Whether this process held the lease as it learned of the era: then nobody else does.
+        self._held_before_era = False
+        # The highest fencing number that this process has heard of.
+        self._highest_fence = 0
 
     @property
     def name(self) -> str:
@@ -116,12 +125,34 @@
         if not self._observed or version != known:
             self._first_seen_at = now
         self._observed, self._row = True, row
+        if row is not None:
+            self.heard_fence(row.value["fence"])
         if row is None or not self._is_ours(row.value):
             self._held = None
             self._unresolved_since = None
         elif self._held is None or row.version != self._held.row_version:
             self._adopt(row)
 
+    def heard_fence(self, fence: int) -> None:
+        """Take in a fencing number that any process has used."""
+        self._highest_fence = max(self._highest_fence, fence)
+
+    def enter_era(self, era: int, now: float) -> bool:
+        """Take in that the store came back from an older copy of itself, and return whether it did.
+
+        The authority ends, as the row that proves it may be gone. Nobody may take the lease before a
+        term has passed since it first saw the new era, as a holder that has not heard of it yet
+        counts on its term; only the holder itself need not wait.
+        """
+        if era <= self._era:
+            return False
+        self._held_before_era = self.authority(now) is not None
+        self._era, self._era_seen_at = era, now
+        self._held, self._unresolved_since = None, None
+        self._observed, self._row = False, None
+        self._read_needed = True
+        return True
+
     def renewal_due(self, now: float) -> bool:
         """Return whether the lease is held and it is time to renew it."""
         held = self.authority(now)
@@ -136,6 +167,9 @@
         """
         if not self._observed or self.authority(now) is not None:
             return False
+        if not self._written_in_era():
+            waited_s = now - self._era_seen_at
+            return self._held_before_era or waited_s >= self._term_s + 2 * self._margin_s
         if self._row is None or not self._row.value["holder"] or self._is_ours(self._row.value):
             return True
         if now >= self._first_seen_at + self._row.value["term_s"] + 2 * self._margin_s:
@@ -152,9 +186,10 @@
             return self._attempt("renew", held.row_version, held.fence, now)
         if not self.may_acquire(now):
             return None
-        if self._row is None:
-            return self._attempt("acquire", 0, 1, now)
-        return self._attempt("acquire", self._row.version, self._row.value["fence"] + 1, now)
+        # A row may be older than the fence that was used last, where the store came back.
+        fence = max(first_fence(self._era), self._highest_fence + 1)
+        version = 0 if self._row is None else self._row.version
+        return self._attempt("acquire", version, fence, now)
 
     def release(self, now: float) -> LeaseAttempt | None:
         """Give the authority up and return the attempt that tells others, or None if not held."""
@@ -184,8 +219,11 @@
             self._read_needed = True
             if self._unresolved_since is None and attempt.kind != "release":
                 self._unresolved_since = attempt.sent_at
-        if error.kind == "conflict" and (LEASE_TABLE, self._name) in error.rows:
-            self.observe(error.rows[LEASE_TABLE, self._name], now)
+        if error.kind == "conflict":
+            if (LEASE_TABLE, self._name) in error.rows:
+                self.observe(error.rows[LEASE_TABLE, self._name], now)
+            else:
+                self._read_needed = True
 
     def _adopt(self, row: Row) -> None:
         """Take over a row that an attempt with a lost answer wrote.
@@ -200,10 +238,17 @@
             self._hold(row.value["fence"], row.version, since)
 
     def _hold(self, fence: int, version: int, sent_at: float) -> None:
+        self.heard_fence(fence)
         end = sent_at + self._term_s - self._margin_s
         self._held = Authority(self._name, fence, version, end)
         self._renewed_at = sent_at
 
+    def _written_in_era(self) -> bool:
+        """Return whether the row, or its absence, is the word of the present era."""
+        if self._row is None:
+            return self._era == 0
+        return self._row.value.get(ERA_FIELD, 0) == self._era
+
     def _is_ours(self, value: dict[str, Any]) -> bool:
         return value["holder"] == self._holder and value["boot"] == self._boot
 
@@ -217,6 +262,8 @@
             "fence": fence,
             "term_s": 0.0 if released else self._term_s,
         }
+        if self._era:
+            value[ERA_FIELD] = self._era
         if self._store_time is not None and not released:
             # Too late rather than too early: the holder's own time is over before.
             value[END_FIELD] = round(self._store_time.latest(now) + self._term_s, 3)
--- a/src/laburnumreel/transport/_backend.py
+++ b/src/laburnumreel/transport/_backend.py
@@ -6,7 +6,7 @@
 import threading
 import time
 from collections import defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Literal
 
 from laburnumreel.core import Log
@@ -18,13 +18,22 @@
 MAX_IDLE_CONNECTIONS = 16
 MAX_IDLE_S = 20.0
 READ_BYTES = 64 * 1024
+# What may come before the body of an answer: its head, interim answers, and an answer to an earlier
+# request. http.client takes heads of up to 100 lines of 64 KiB; servers send a few KiB.
+MOST_HEAD_BYTES = 256 * 1024
+# What one read of a body may receive: its bytes, and the line of a chunk or the trailers.
+MOST_READ_BYTES = 2 * READ_BYTES
+# Status codes of interim answers, which the answer proper follows on the same connection. 101 is
+# none: the connection is another protocol's from there on.
+INTERIM = range(100, 200)
+SWITCHING_PROTOCOLS = 101
 # A connection is used for this share of the time for which the back end says it keeps it.
 IDLE_LIMIT_SHARE = 0.7
 # The kernel may end a wait a moment before its time by another clock.
 TIMED_OUT_SHARE = 0.98
 
 Address = tuple[str, int]
-FailureReason = Literal["connect_failed", "silent", "lost", "short"]
+FailureReason = Literal["connect_failed", "silent", "lost", "short", "too_long"]
 
 _log = Log("transport.back_end")
 
@@ -33,7 +42,7 @@
     """An exchange that did not end well.
 
     `sent` is whether a byte of the request may have left. `silent` means that no byte came in
-    time, `short` that the answer ended before its end.
+    time, `short` that the answer ended before its end, `too_long` that it did not end where it had to.
     """
 
     def __init__(self, reason: FailureReason, detail: str, sent: bool) -> None:
@@ -94,6 +103,10 @@
         self._foreign = False
         self._timeout_s = 0.0
 
+    def again(self) -> "Exchange":
+        """Return an exchange for the next request on the same connection."""
+        return Exchange(self.address, self.connection, self.opened_at, self._give_back)
+
     @property
     def status(self) -> int:
         return self._response.status
@@ -102,6 +115,11 @@
     def headers(self) -> list[tuple[str, str]]:
         return self._response.getheaders()
 
+    @property
+    def message(self) -> Mapping[str, str]:
+        """The headers by name, in any case."""
+        return self._response.headers
+
     def header(self, name: str) -> str | None:
         return self._response.getheader(name)
 
@@ -129,15 +147,42 @@
         An answer for which `is_ours` is false belongs to an earlier request on the connection. It
         is read and dropped, and the connection is not used again.
         """
+        self.write(method, target, headers, body, timeout_s)
+        self.read_head(method, timeout_s, is_ours)
+
+    def write(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        timeout_s: float,
+    ) -> None:
+        """Send the request."""
         self.set_timeout(timeout_s)
         started = time.monotonic()
-        self._socket.begin_wait(timeout_s)
         try:
             self.connection.request_at_once(method, target, body, headers)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise self._failure("lost", error, started) from error
+
+    def read_head(
+        self,
+        method: str,
+        timeout_s: float,
+        is_ours: Callable[[int, Mapping[str, str]], bool] | None = None,
+    ) -> None:
+        """Read the head of the answer to a request with a method."""
+        self.set_timeout(timeout_s)
+        started = time.monotonic()
+        self._socket.begin_wait(timeout_s, MOST_HEAD_BYTES)
+        try:
             self._response = self.connection.getresponse()
+            self._pass_interim(method)
             while is_ours is not None and not is_ours(self.status, self._response.headers):
                 self._foreign = True
                 self._skip(method)
+                self._pass_interim(method)
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise self._failure("lost", error, started) from error
         finally:
@@ -149,7 +194,17 @@
         if self._response.will_close:
             raise http.client.RemoteDisconnected("the last answer belongs to another request")
         self._response.read()
-        self._response = self.connection.response_class(self.connection.sock, method=method)
+        self._begin_next(method)
+
+    def _pass_interim(self, method: str) -> None:
+        """Pass over interim answers. http.client passes over those with status 100 only."""
+        while self.status in INTERIM and self.status != SWITCHING_PROTOCOLS:
+            self._begin_next(method)
+
+    def _begin_next(self, method: str) -> None:
+        """Read the head of the next answer on the connection."""
+        self._response.close()
+        self._response = self.connection.response_class(self._socket, method=method)
         self._response.begin()
 
     def set_timeout(self, timeout_s: float) -> None:
@@ -159,13 +214,20 @@
             set_timeout(self._socket, timeout_s)
 
     def read(self) -> bytes:
-        """Return the next bytes of the answer as soon as there are some; none at its end."""
-        response = self._response
+        """Return the next bytes of the answer as soon as there are some; none at its end.
+
+        The timeout holds for all of it, also where trailers or the line of a chunk come bit by bit.
+        """
+        response, timeout_s = self._response, self._timeout_s
         started = time.monotonic()
+        self._socket.begin_wait(timeout_s, MOST_READ_BYTES)
         try:
             data = response.read1(READ_BYTES)
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise self._failure("short", error, started) from error
+        finally:
+            if self._socket.end_wait():
+                set_timeout(self._socket, timeout_s)
         if not data:
             # http.client takes a read that timed out for the end of an answer without a length.
             if self._timed_out(started):
@@ -176,6 +238,19 @@
             self._complete = not self._aborted
         return data
 
+    def read_whole(self, most_bytes: int, within_s: float) -> bytes:
+        """Return the rest of the answer, which must end within the bounds."""
+        # Pieces may be as short as a byte, so that a list of them would be many times as large.
+        whole = bytearray()
+        self.set_timeout(min(self._timeout_s, within_s))
+        ends_at = time.monotonic() + within_s
+        while piece := self.read():
+            whole += piece
+            if len(whole) > most_bytes or time.monotonic() >= ends_at:
+                detail = f"the answer did not end within {most_bytes} bytes and {within_s:.1f} s"
+                raise BackEndFailureError("too_long", detail, sent=True)
+        return bytes(whole)
+
     def abort(self) -> None:
         """Shut the connection down, which ends a read on another thread."""
         self._aborted = True
@@ -188,7 +263,7 @@
     def close(self) -> None:
         """End the exchange. Only a connection whose whole answer was read is used again."""
         reusable = self._complete and not self._aborted and not self._foreign
-        if reusable and not self._response.will_close:
+        if reusable and not self._response.will_close and not self._socket.has_read_ahead():
             self.idle_limit_s = _idle_limit_s(self._response.getheader("Keep-Alive"))
             self._response.close()
             self._give_back(self)
@@ -318,23 +393,13 @@
                 return None
             usable = idle_s < min(self._max_idle_s, exchange.idle_limit_s)
             if usable and not _readable(exchange.connection.sock):
-                return Exchange(address, exchange.connection, exchange.opened_at, self._give_back)
+                return exchange.again()
             exchange.discard()
 
     def _dial(self, address: Address) -> Exchange:
-        connection = _Connection(*address)
-        opened_at = time.monotonic()
-        sock = BackEndSocket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
-        try:
-            set_timeout(sock, self._connect_timeout_s)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.connect(address)
-        except OSError as error:
-            sock.close()
-            raise BackEndFailureError("connect_failed", repr(error), sent=False) from error
-        connection.sock = sock
+        exchange = dial(address, self._connect_timeout_s, self._give_back)
         BACK_END_CONNECTIONS.inc()
-        return Exchange(address, connection, opened_at, self._give_back)
+        return exchange
 
     def _give_back(self, exchange: Exchange, idle_since: float | None = None) -> None:
         with self._lock:
@@ -346,6 +411,32 @@
         exchange.discard()
 
 
+def dial(
+    address: Address,
+    timeout_s: float,
+    give_back: Callable[[Exchange], None],
+    options: Iterable[tuple[int, int, int | bytes]] = (),
+) -> Exchange:
+    """Return an exchange on a new connection, which goes to `give_back` when it can be used again.
+
+    `options` are set on its socket first, each a level, a name and a value.
+    """
+    connection = _Connection(*address)
+    opened_at = time.monotonic()
+    sock = BackEndSocket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+    try:
+        set_timeout(sock, timeout_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for option in options:
+            sock.setsockopt(*option)
+        sock.connect(address)
+    except OSError as error:
+        sock.close()
+        raise BackEndFailureError("connect_failed", repr(error), sent=False) from error
+    connection.sock = sock
+    return Exchange(address, connection, opened_at, give_back)
+
+
 def _idle_limit_s(keep_alive: str | None) -> float:
     """Return how long a connection may be idle by a `Keep-Alive` header, with a margin.
 
--- a/src/laburnumreel/transport/_json_calls.py
+++ b/src/laburnumreel/transport/_json_calls.py
@@ -1,22 +1,25 @@
 """Calls with JSON bodies over HTTP, on a kept connection where that is safe."""
 
-import http.client
 import json
-import socket
 import threading
 from collections.abc import Mapping
 from typing import Any, Literal, NamedTuple
 
 from expression import Error, Ok, Result
 
+from laburnumreel.transport._backend import BackEndFailureError, Exchange, dial
 from laburnumreel.transport._call_pace import CallKind, CallPace
 
+# What the body of an answer may have: the store's answers have 1 MB of rows at most, in base64.
+MOST_BODY_BYTES = 8 * 1024 * 1024
+
 
 class CallAnswer(NamedTuple):
-    """An answer's status and its JSON body; an empty mapping where the body is none."""
+    """An answer's status, its JSON body and its headers; an empty mapping where the body is none."""
 
     status: int
     body: Mapping[str, Any]
+    headers: Mapping[str, str] = {}
 
 
 class CallFailure(NamedTuple):
@@ -52,7 +55,9 @@
         self._pace = pace
         self._urgent = urgent
         self._lock = threading.Lock()
-        self._kept: http.client.HTTPConnection | None = None
+        # The exchange whose connection is kept, and the one at work, for `interrupt`.
+        self._kept: Exchange | None = None
+        self._running: Exchange | None = None
         self._interrupted = False
 
     def read(self, path: str, wait_s: float = 0.0) -> Result[CallAnswer, CallFailure]:
@@ -60,47 +65,52 @@
         if not self._may_call("read"):
             return Error(_BEYOND_SHARE)
         with self._lock:
-            kept = self._kept is not None
             self._interrupted = False
-            result = self._read_once(path, wait_s)
-            closed = result.is_error() and result.error.detail.startswith("closed")
-            if closed and kept and not self._interrupted:
-                result = self._read_once(path, wait_s)
-            return result
+            kept, self._kept = self._kept, None
+            try:
+                if kept is None:
+                    return Ok(self._read_once(self._dial(), path, wait_s))
+                try:
+                    return Ok(self._read_once(kept.again(), path, wait_s))
+                except BackEndFailureError as error:
+                    if error.reason != "lost" or self._interrupted:
+                        raise
+                # The kept connection was closed meanwhile; a read may be sent again.
+                return Ok(self._read_once(self._dial(), path, wait_s))
+            except (BackEndFailureError, ValueError) as error:
+                return Error(CallFailure("lost", str(error)))
 
     def change(self, path: str, body: Any, method: str = "POST") -> Result[CallAnswer, CallFailure]:
         """Send a call that changes something."""
         if not self._may_call("write"):
             return Error(_BEYOND_SHARE)
-        connection = self._connection(0.0)
         try:
-            connection.connect()
-        except OSError as error:
-            return Error(CallFailure("not_sent", repr(error)))
+            exchange = self._dial()
+        except BackEndFailureError as error:
+            return Error(CallFailure("not_sent", str(error)))
         try:
             payload = json.dumps(body, separators=(",", ":")).encode()
-            connection.request(method, path, payload, {"Content-Type": "application/json"})
-            return Ok(_answer(connection.getresponse()))
-        except (OSError, http.client.HTTPException, ValueError) as error:
-            return Error(CallFailure("lost", repr(error)))
+            headers = {"Content-Type": "application/json"}
+            exchange.send(method, path, headers, payload, self._timeout_s)
+            return Ok(_answer(exchange, self._timeout_s))
+        except (BackEndFailureError, ValueError) as error:
+            return Error(CallFailure("lost", str(error)))
         finally:
-            connection.close()
+            exchange.discard()
 
     def interrupt(self) -> None:
         """Shut the kept connection down, which ends a read on another thread."""
         self._interrupted = True
-        kept = self._kept
-        try:
-            if kept is not None and kept.sock is not None:
-                kept.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The other thread has closed it already.
-            return
+        running = self._running
+        if running is not None:
+            running.abort()
 
     def close(self) -> None:
         """Close the kept connection."""
         with self._lock:
-            self._drop()
+            kept, self._kept = self._kept, None
+            if kept is not None:
+                kept.discard()
 
     def _may_call(self, kind: CallKind) -> bool:
         if self._pace is None:
@@ -110,35 +120,23 @@
             return True
         return self._pace.take(kind)
 
-    def _read_once(self, path: str, wait_s: float) -> Result[CallAnswer, CallFailure]:
+    def _read_once(self, exchange: Exchange, path: str, wait_s: float) -> CallAnswer:
+        self._running = exchange
         try:
-            if self._kept is None:
-                self._kept = self._connection(wait_s)
-                self._kept.connect()
-            self._kept.sock.settimeout(self._timeout_s + wait_s)
-            self._kept.request("GET", path)
-            answer = self._kept.getresponse()
-            result = _answer(answer)
-            if answer.will_close:
-                self._drop()
-            return Ok(result)
-        except (ConnectionError, http.client.RemoteDisconnected) as error:
-            self._drop()
-            return Error(CallFailure("lost", f"closed: {error!r}"))
-        except (OSError, http.client.HTTPException, ValueError) as error:
-            self._drop()
-            return Error(CallFailure("lost", repr(error)))
-
-    def _connection(self, wait_s: float) -> http.client.HTTPConnection:
-        return http.client.HTTPConnection(*self._address, timeout=self._timeout_s + wait_s)
-
-    def _drop(self) -> None:
-        if self._kept is not None:
-            self._kept.close()
-            self._kept = None
-
-
-def _answer(answer: http.client.HTTPResponse) -> CallAnswer:
-    payload = answer.read()
+            exchange.send("GET", path, {}, None, self._timeout_s + wait_s)
+            return _answer(exchange, self._timeout_s)
+        finally:
+            self._running = None
+            exchange.close()
+
+    def _dial(self) -> Exchange:
+        return dial(self._address, self._timeout_s, self._keep)
+
+    def _keep(self, exchange: Exchange) -> None:
+        self._kept = exchange
+
+
+def _answer(exchange: Exchange, timeout_s: float) -> CallAnswer:
+    payload = exchange.read_whole(MOST_BODY_BYTES, timeout_s)
     body = json.loads(payload) if payload else {}
-    return CallAnswer(answer.status, body if isinstance(body, dict) else {})
+    return CallAnswer(exchange.status, body if isinstance(body, dict) else {}, exchange.message)
--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -1,4 +1,8 @@
-"""Sockets to back ends, whose reader serves all answers and whose waits have an end."""
+"""Sockets to back ends, whose reader serves all answers and whose waits have an end.
+
+A wait is bounded in time and in bytes: a server in trouble may send bytes that are no answer until
+its caller closes.
+"""
 
 import io
 import socket
@@ -7,6 +11,10 @@
 from typing import Any
 
 
+class TooManyBytesError(OSError):
+    """More bytes came than the awaited part of an answer may have."""
+
+
 class _KeptReader:
     """The buffered reader of a connection, which outlives each answer.
 
@@ -31,15 +39,22 @@
     """The raw reader of a socket whose waits have an end, however many bytes come meanwhile."""
 
     def readinto(self, buffer: Any) -> int | None:
+        if self._sock.only_buffered:
+            return None
         self._sock.shorten_wait()
-        return super().readinto(buffer)
+        received = super().readinto(buffer)
+        self._sock.count(received or 0)
+        return received
 
 
 class BackEndSocket(socket.socket):
     """A socket whose reader is shared by all answers on it."""
 
+    # While set, the reader gives what it has read ahead and receives nothing.
+    only_buffered = False
     _kept: _KeptReader | None = None
     _wait_ends: float | None = None
+    _bytes_left = 0
     _received = False
     _shortened = False
 
@@ -49,9 +64,10 @@
             self._kept = _KeptReader(io.BufferedReader(_BoundedIO(self, "r")))
         return self._kept
 
-    def begin_wait(self, timeout_s: float) -> None:
+    def begin_wait(self, timeout_s: float, most_bytes: int) -> None:
         """Bound all that is received from now on, not only the time between two pieces."""
         self._wait_ends = time.monotonic() + timeout_s
+        self._bytes_left = most_bytes
         self._received = self._shortened = False
 
     def end_wait(self) -> bool:
@@ -63,6 +79,8 @@
         """Leave the next reception what the earlier ones of the same wait have left."""
         if self._wait_ends is None:
             return
+        if self._bytes_left <= 0:
+            raise TooManyBytesError("more bytes came than an answer may have here")
         if self._received:
             left_s = self._wait_ends - time.monotonic()
             if left_s <= 0:
@@ -71,6 +89,20 @@
             self._shortened = True
         self._received = True
 
+    def count(self, received: int) -> None:
+        """Count received bytes against the bound of the wait."""
+        self._bytes_left -= received
+
+    def has_read_ahead(self) -> bool:
+        """Return whether the reader holds bytes that came after the last answer."""
+        if self._kept is None:
+            return False
+        self.only_buffered = True
+        try:
+            return bool(self._kept.peek(1))
+        finally:
+            self.only_buffered = False
+
     def end(self) -> None:
         """Close the socket and its reader. `close` alone leaves the reader to the last answer."""
         if self._kept is not None:
--- /dev/null
+++ b/tests/endless_server.py
@@ -0,0 +1,81 @@
+"""Servers in trouble: they send bytes that are no answer, until the caller closes."""
+
+import contextlib
+import itertools
+import socket
+import threading
+import time
+
+from laburnumreel_standins.processes import free_port, fresh_host
+
+# What a caller that does not notice would have read by then.
+MOST_SENT = 400 * 1024 * 1024
+PIECE = 64 * 1024
+
+
+def repeated(before, piece, pause_s=0.0):
+    """Return an answer that begins and then goes on without end."""
+
+    def answer(sock):
+        sock.sendall(before)
+        block = piece if pause_s else piece * max(1, PIECE // len(piece))
+        for _ in range(MOST_SENT // len(block)):
+            sock.sendall(block)
+            time.sleep(pause_s)
+
+    return answer
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+LAST_CHUNK = CHUNKED + b"2\r\nok\r\n0\r\n"
+LONG_BODY = b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"
+
+# Answers that never end, by what goes on. None of them has a whole body.
+ENDLESS = {
+    "lines of a head": repeated(b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n"),
+    "one line of a head": repeated(b"HTTP/1.1 200 OK\r\nX-More: ", b"x"),
+    "lines of a head, bit by bit": repeated(b"HTTP/1.1 200 OK\r\n", b"X: 1\r\n", 0.05),
+    "answers with 100": repeated(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "answers with 103": repeated(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "answers with 102, bit by bit": repeated(b"", b"HTTP/1.1 102 Processing\r\n\r\n", 0.05),
+    "bytes of no protocol": repeated(b"", b"\x00\xff"),
+    "a body": repeated(LONG_BODY, b"x"),
+    "a body without length": repeated(b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    "chunks": repeated(CHUNKED, b"2\r\nok\r\n"),
+    "the line of a chunk": repeated(CHUNKED + b"2;", b"x"),
+    "the line of a chunk, bit by bit": repeated(CHUNKED + b"2;", b"x", 0.05),
+    "trailers": repeated(LAST_CHUNK, b"X-More: 1\r\n"),
+    "trailers, bit by bit": repeated(LAST_CHUNK, b"X: 1\r\n", 0.05),
+}
+
+
+class EndlessServer:
+    """Answers each request on each connection by a function of the socket."""
+
+    def __init__(self, *answers):
+        self.address = (host := fresh_host(), free_port(host))
+        self.connections = 0
+        self._listener = socket.create_server(self.address)
+        self._answers = itertools.cycle(answers)
+        self._open = []
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                self.connections += 1
+                self._open.append(sock)
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        # The caller closes when it has had enough.
+        with contextlib.suppress(OSError):
+            while sock.recv(PIECE):
+                next(self._answers)(sock)
+
+    def end(self):
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for sock in self._open:
+            sock.close()
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -89,6 +89,8 @@
         self.down = False
         self.history_gone = False
         self.calls = []
+        # Said in all answers from the first drill on; a store without drills says none.
+        self.era = 0
         store = self
 
         class Handler(_Handler):
@@ -107,6 +109,19 @@
             self._write(table, key, None if value is None else base64.b64encode(raw).decode())
             self.changed.notify_all()
 
+    def copy(self):
+        """Return what `come_back` restores."""
+        with self.changed:
+            return dict(self.rows), list(self.log), self.version
+
+    def come_back(self, copy):
+        """Forget all that was written since a copy was made, as in a drill."""
+        with self.changed:
+            rows, log, self.version = copy
+            self.rows, self.log = dict(rows), list(log)
+            self.era += 1
+            self.changed.notify_all()
+
     def value(self, table, key):
         row = self.rows.get((table, key))
         return None if row is None else json.loads(base64.b64decode(row["Value"]))
@@ -123,14 +138,15 @@
 
     def _answer(self, handler, status, body):
         body = {**body, "Ver": self.version, "NowMs": int(time.monotonic() * 1000)}
-        handler.respond(status, json.dumps(body).encode(), [("Content-Type", "application/json")])
+        headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
+        handler.respond(status, json.dumps(body).encode(), headers)
 
     def _get(self, handler):
         url = urlsplit(handler.path)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         self.calls.append(url.path)
         if self.down:
-            handler.respond(503)
+            self._answer(handler, 503, {})
             return
         if url.path == "/v1/rows-get":
             low, high = query.get("From", ""), query.get("To")
@@ -145,7 +161,10 @@
             return
         if self.history_gone:
             self.history_gone = False
-            handler.respond(410)
+            self._answer(handler, 410, {})
+            return
+        if int(query["after"]) > self.version:
+            self._answer(handler, 410, {})
             return
         after, end = int(query["after"]), time.monotonic() + int(query["WaitMs"]) / 1000
         with self.changed:
@@ -163,7 +182,7 @@
         call = json.loads(handler.body())
         self.calls.append(handler.path)
         if self.down:
-            handler.respond(503)
+            self._answer(handler, 503, {})
             return
         with self.changed:
             found = [self.rows.get((row["Table"], row["Key"])) for row in call["Precondition"]]
@@ -319,9 +338,14 @@
         self.store.put("servers", name, worker.entry(service, **fields))
         return worker
 
-    def relay(self, name="relay-1"):
+    def start(self, name):
+        """Start a relay without waiting for it."""
         relay = Relay(self, name)
         self.relays.append(relay)
+        return relay
+
+    def relay(self, name="relay-1"):
+        relay = self.start(name)
         try:
             wait_until(relay.ready, "the relay is ready")
         except AssertionError as error:
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,145 @@
+"""Tests of answers that never end, at the transport: a bound on bytes and one on time each."""
+
+import resource
+import threading
+import time
+
+import pytest
+from endless_server import ENDLESS, EndlessServer, repeated
+
+from laburnumreel.coordination import AuthorityBoard, GuardedSender
+from laburnumreel.core import SystemClock
+from laburnumreel.state import Authority
+from laburnumreel.transport import (
+    BackEndFailureError,
+    BackEndPool,
+    HttpOrderLink,
+    JsonCalls,
+)
+
+TIMEOUT_S = 0.5
+# A call may have its timeout for the head and once more for each read of the body.
+END_S = 8 * TIMEOUT_S
+MOST_BYTES = 1024 * 1024
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.fixture
+def serve():
+    running = []
+
+    def start(*answers):
+        running.append(EndlessServer(*answers))
+        return running[-1]
+
+    yield start
+    for server in running:
+        server.end()
+
+
+def ask(pool, server, is_ours=None):
+    exchange = pool.open(server.address)
+    try:
+        exchange.send("GET", "/", {}, None, TIMEOUT_S, is_ours)
+        return exchange.read_whole(MOST_BYTES, 4 * TIMEOUT_S)
+    finally:
+        exchange.close()
+
+
+@pytest.mark.parametrize("form", ENDLESS)
+class TestEndlessAnswers:
+    def test_exchange_ends_and_its_connection_is_not_used_again(self, serve, form):
+        server, pool = serve(ENDLESS[form]), BackEndPool()
+        started = time.monotonic()
+        with pytest.raises(BackEndFailureError) as failed:
+            ask(pool, server)
+        assert time.monotonic() - started < END_S and failed.value.sent
+        with pytest.raises(BackEndFailureError):
+            ask(pool, server)
+        assert server.connections == 2
+
+    def test_call_to_the_store_ends_without_an_answer(self, serve, form):
+        calls = JsonCalls(serve(ENDLESS[form]).address, TIMEOUT_S)
+        started = time.monotonic()
+        assert calls.read("/rows").error.kind == "lost"
+        assert calls.change("/rows", {}).error.kind == "lost"
+        assert time.monotonic() - started < 2 * END_S
+
+    def test_order_ends_without_an_answer(self, serve, form):
+        board = AuthorityBoard(SystemClock())
+        authority = Authority("duties", 1, 1, SystemClock().now() + 100)
+        board.publish(authority)
+        sender = GuardedSender(board, HttpOrderLink(TIMEOUT_S, 1.0))
+        started = time.monotonic()
+        sent = sender.post(authority, serve(ENDLESS[form]).address, "/order", {}, {})
+        assert sent.is_error() and time.monotonic() - started < END_S
+
+
+class TestBounds:
+    def test_answer_after_interim_ones_is_taken(self, serve):
+        interim = b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+        server, pool = serve(lambda sock: sock.sendall(interim + OK)), BackEndPool()
+        assert [ask(pool, server), ask(pool, server)] == [b"ok", b"ok"]
+        assert server.connections == 1
+
+    def test_bytes_after_a_whole_answer_end_the_connection(self, serve):
+        """Guards against the rest of one answer that is read as the head of the next."""
+        server, pool = serve(lambda sock: sock.sendall(OK + b"more")), BackEndPool()
+        assert [ask(pool, server), ask(pool, server)] == [b"ok", b"ok"]
+        assert server.connections == 2
+
+    def test_second_copy_of_an_answer_is_not_the_next_ones(self, serve):
+        server, pool = serve(lambda sock: sock.sendall(OK + OK)), BackEndPool()
+        assert [ask(pool, server), ask(pool, server)] == [b"ok", b"ok"]
+        assert server.connections == 2
+
+    def test_answer_to_another_request_is_skipped_only_while_it_is_short(self, serve):
+        foreign = b"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n"
+        server, pool = serve(repeated(foreign, b"x")), BackEndPool()
+        with pytest.raises(BackEndFailureError):
+            ask(pool, server, is_ours=lambda status, headers: False)
+
+    def test_rest_of_a_refusal_is_read_only_while_it_is_short_and_quick(self, serve):
+        for form in ("a body", "chunks", "trailers, bit by bit"):
+            exchange = BackEndPool().open(serve(ENDLESS[form]).address)
+            exchange.send("GET", "/", {}, None, TIMEOUT_S)
+            started = time.monotonic()
+            with pytest.raises(BackEndFailureError):
+                exchange.read_whole(64 * 1024, 0.1)
+            assert time.monotonic() - started < 0.4
+            exchange.close()
+
+    def test_slow_but_sound_body_is_read_to_its_end(self, serve):
+        """Guards against a bound on the time of a whole body, which a slow one needs."""
+
+        def slowly(sock):
+            sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for _ in range(6):
+                time.sleep(0.5 * TIMEOUT_S)
+                sock.sendall(b"2\r\nok\r\n")
+            sock.sendall(b"0\r\nX-Sum: 1\r\n\r\n")
+
+        assert ask(BackEndPool(), serve(slowly)) == 6 * b"ok"
+
+    def test_memory_stays_bounded_with_many_such_servers(self, serve):
+        """Fifty answers at once hold less than fifty times what one may have."""
+        pool, failures = BackEndPool(), []
+
+        def call():
+            try:
+                ask(pool, server)
+            except BackEndFailureError as error:
+                failures.append(error)
+
+        server = serve(ENDLESS["a body"], ENDLESS["chunks"], ENDLESS["trailers"])
+        before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        threads = [threading.Thread(target=call) for _ in range(50)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(30)
+        grown_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before
+        assert len(failures) == 50
+        # Two copies of what each may hold, while its pieces are put together, and as much for threads.
+        assert grown_kb < 3 * 50 * MOST_BYTES / 1024
--- a/tests/test_json_calls.py
+++ b/tests/test_json_calls.py
@@ -44,7 +44,7 @@
 def test_kept_connection_that_was_closed_is_replaced(store):
     calls = calls_to(store)
     assert calls.read("/v1/rows-get?Table=op&part=").is_ok()
-    calls._kept.sock.shutdown(socket.SHUT_RDWR)
+    calls._kept.connection.sock.shutdown(socket.SHUT_RDWR)
     assert calls.read("/v1/rows-get?Table=op&part=").is_ok()
 
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -5,7 +5,16 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from planted import assert_oracle_fails
 
-from laburnumreel.state import Lease, PlatformError, Row, StoreTime
+from laburnumreel.state import (
+    Lease,
+    PlatformError,
+    Row,
+    StoreTime,
+    era_of,
+    era_of_fence,
+    number_of,
+    version_in,
+)
 
 TERM_S, MARGIN_S = 4.0, 0.5
 # The store's clock when the test's is 0.
@@ -86,6 +95,12 @@
         else:
             lease.succeeded(attempt, commit)
 
+    @rule(owner=OWNERS)
+    def read_and_write(self, owner):
+        """Bring two holders about in fewer steps than single reads and writes do."""
+        self.read(owner)
+        self.write(owner, "answered", 0.0, False)
+
     @rule()
     def deliver_late(self):
         if self.late:
@@ -117,6 +132,126 @@
     lease_type = HastyLease
 
 
+class DrilledLeaseMachine(LeaseMachine):
+    """The store comes back from older copies of itself and gives its versions out again.
+
+    Guards against two processes in force in two eras, and against a fence that is used again.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.era = 0
+        self.copy = (None, 0)
+
+    def _apply(self, attempt):
+        version = number_of(self.row.version) if self.row else 0
+        if number_of(attempt.check.version) != version:
+            return None
+        self.commit += 1
+        self.row = Row("orders", attempt.write.value, version_in(self.era, self.commit))
+        return self.row.version
+
+    def _told_era(self, owner):
+        self.leases[owner].enter_era(self.era, self.now)
+
+    @rule()
+    def make_copy(self):
+        self.copy = (self.row, self.commit)
+
+    @rule()
+    def come_back(self):
+        self.era += 1
+        row, self.commit = self.copy
+        self.row = row and row._replace(version=version_in(self.era, number_of(row.version)))
+
+    @rule(owner=OWNERS)
+    def read(self, owner):
+        self._told_era(owner)
+        super().read(owner)
+
+    @rule(owner=OWNERS, way_s=st.sampled_from([0.0, 3.0]), back_s=st.sampled_from([0.4, 3.0]))
+    def read_slowly(self, owner, way_s, back_s):
+        self._told_era(owner)
+        super().read_slowly(owner, way_s, back_s)
+
+    @rule(owner=OWNERS, release=st.booleans())
+    def write_in_another_era(self, owner, release):
+        """The answer of the new era ends all that the old one gave."""
+        lease = self.leases[owner]
+        attempt = lease.release(self.now) if release else lease.attempt(self.now)
+        if attempt is None:
+            return
+        self.come_back()
+        self._apply(attempt)
+        lease.failed(attempt, PlatformError("lost"), self.now)
+        self._told_era(owner)
+
+    @rule(
+        owner=OWNERS,
+        outcome=st.sampled_from(["answered", "lost_after", "lost_before", "late", "unreachable"]),
+        delay_s=st.sampled_from([0.0, 0.5, 3.0]),
+        release=st.booleans(),
+    )
+    def write(self, owner, outcome, delay_s, release):
+        if outcome in ("answered", "lost_after"):
+            self._told_era(owner)
+        super().write(owner, outcome, delay_s, release)
+
+    @invariant()
+    def one_in_force(self):
+        held = [
+            (lease._boot, authority)
+            for lease in self.leases
+            if (authority := lease.authority(self.now)) is not None
+        ]
+        assert len(held) <= 1, held
+        for boot, authority in held:
+            owner = self.fences.setdefault(authority.fence, boot)
+            assert owner == boot, "a fence was given to two processes"
+            assert authority.fence == max(self.fences)
+
+
+class ForgetfulLease(Lease):
+    """The planted fault: a lease that takes the row of a store that came back at its word."""
+
+    def _written_in_era(self):
+        return True
+
+
+class ForgetfulMachine(DrilledLeaseMachine):
+    lease_type = ForgetfulLease
+
+
+TestDrilledLease = DrilledLeaseMachine.TestCase
+TestDrilledLease.settings = settings(stateful_step_count=40)
+
+
+def test_oracle_catches_a_lease_that_trusts_a_row_from_an_older_copy():
+    assert_oracle_fails(ForgetfulMachine)
+
+
+def test_holder_that_learns_of_a_new_era_takes_the_lease_again_at_once():
+    holder = Lease("duties", "node-a", "1", TERM_S, MARGIN_S)
+    holder.observe(None, 0.0)
+    holder.succeeded(holder.attempt(0.0), commit=7)
+    holder.enter_era(1, now=1.0)
+    assert holder.authority(1.0) is None and holder.read_needed
+    holder.observe(None, 1.1)
+    attempt = holder.attempt(1.1)
+    assert attempt.check.version == 0 and era_of_fence(attempt.fence) == 1
+    holder.succeeded(attempt, commit=version_in(1, 5))
+    assert era_of(holder.authority(1.2).row_version) == 1
+
+
+def test_others_wait_a_term_from_their_first_sight_of_a_new_era():
+    """Guards against two holders, one of which can't reach the store and counts on its term."""
+    other = Lease("duties", "node-b", "1", TERM_S, MARGIN_S)
+    other.enter_era(1, now=10.0)
+    other.observe(None, 10.1)
+    assert not other.may_acquire(10.0 + TERM_S + 2 * MARGIN_S - 0.1)
+    assert other.may_acquire(10.0 + TERM_S + 2 * MARGIN_S)
+
+
 TestLease = LeaseMachine.TestCase
 TestLease.settings = settings(stateful_step_count=40)
 
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -279,13 +279,15 @@
             {"b2": 1.5},
             {"d1": 20.0},
             {"d2": 3.25},
-            ("b3",),
+            {"b3": 1_700_000_000_000},
             {9: {"hall-a": 2}},
             {"e1": ("a", "b")},
             4,
             90,
             9,
             (EndedCounts(Process("h2", "old"), 8, {"hall-b": 3}),),
+            store_era=2,
+            fixed=(7, 8),
         )
         assert decode_news(encode_news(news)).ok == news
 
--- a/tests/test_relay_peers.py
+++ b/tests/test_relay_peers.py
@@ -26,7 +26,7 @@
         "avoided": {},
         "held_back": {},
         "crashes": {},
-        "leaving": (),
+        "leaving": {},
         "usage": {},
         "kept": {},
         "duty_fence": 0,
--- a/tests/test_relay_plans.py
+++ b/tests/test_relay_plans.py
@@ -102,7 +102,7 @@
 
     def test_engine_that_changes_gets_one_order(self):
         """Guards against an order each step until the list shows the change seconds later."""
-        engines, orders = self.engines(1, 39), []
+        engines, orders, heeded = self.engines(1, 39), [], []
         wire = SimpleNamespace(
             role=lambda authority, engine, role: DutyCall(engine.name, {}, {"role": str(role)})
         )
@@ -118,11 +118,13 @@
             lambda: services,
             lambda: (engines, {}),
             lambda name, seconds: None,
+            lambda engine, answer: heeded.append(engine.name),
         )
         authority = Authority("relay_duties", 3, 9, 100.0)
         for step in range(30):
             planner.step(authority, step * 0.1)
         assert len(orders) == len(set(orders)) == 4
+        assert heeded == orders
 
     def test_enough_engines_go_on_generating(self):
         assert wanted_change(self.engines(1, LEAST_GENERATING), {}, 0.9) is None
--- /dev/null
+++ b/tests/test_relay_self_reports.py
@@ -0,0 +1,185 @@
+"""Tests of what backend servers say of themselves: leaving, full, and answers that never end."""
+
+import random
+import time
+
+import pytest
+from laburnumreel_platform._workers import Workers
+from platform_answers import begin_stream, chunk, echo, event, whole
+from platform_world import wait_until
+from relay_caller import PROMPT, Caller
+from relay_samples import listed
+
+from laburnumreel.relay._requests import Word
+from laburnumreel.relay._self_reports import MOST_FULL_S, SelfReports
+
+
+def leaving(handler):
+    signature = f"s.{handler.headers.get('Request-Id')}"
+    headers = [*echo(handler), ("Response-Signature", signature), ("Server-Leaving", "1")]
+    handler.respond(200, b"done", headers)
+
+
+def full(retry_after):
+    def answer(handler):
+        headers = [*echo(handler), ("Not-Executed", "1"), ("Retry-After", retry_after)]
+        handler.respond(503, headers=headers)
+
+    return answer
+
+
+def endless(status, *headers):
+    """Return an answer whose body goes on until the caller closes, or 400 MB have gone."""
+
+    def answer(handler):
+        handler.close_connection = True
+        handler.send_response_only(status)
+        for name, value in (*echo(handler), ("Response-Signature", "s"), *headers):
+            handler.send_header(name, value)
+        handler.send_header("Content-Length", "99999999999")
+        handler.end_headers()
+        for _ in range(6400):
+            handler.wfile.write(64 * 1024 * b"x")
+
+    return answer
+
+
+def comments_only(handler):
+    """One event, and then comments for longer than any caller waits."""
+    begin_stream(handler)
+    chunk(handler, event(1))
+    for _ in range(300):
+        chunk(handler, b": still here\n\n")
+        time.sleep(0.02)
+
+
+class TestSelfReports:
+    def test_word_of_one_incarnation_does_not_count_for_the_next(self):
+        reports, engine = SelfReports(), listed("b1", started_at_ms=5)
+        reports.heard(engine, Word(leaving=True, full_s=2.0), 0.0, now=0.0)
+        assert not reports.takes_work(engine, now=0.1)
+        assert reports.takes_work(listed("b1", started_at_ms=6), now=0.1)
+
+    def test_leaving_counts_as_long_as_the_entry_lives_and_is_told(self):
+        reports, engine = SelfReports(), listed("b1", started_at_ms=5)
+        reports.heard(engine, Word(leaving=True), 0.0, now=0.0)
+        for now in range(0, 2000, 100):
+            reports.listed([engine], now)
+            reports.forget_old(now)
+        assert not reports.takes_work(engine, now=2000.0)
+        assert reports.leaving([engine, listed("b2")]) == {"b1": 5}
+
+    def test_peers_word_counts_for_that_incarnation_only(self):
+        reports = SelfReports()
+        reports.told_leaving("b1", 5, now=0.0)
+        assert not reports.takes_work(listed("b1", started_at_ms=5), now=1.0)
+        assert reports.takes_work(listed("b1", started_at_ms=9), now=1.0)
+
+    @pytest.mark.parametrize("asked_s", [0.0, 0.8, 5.0, 1e6])
+    def test_full_one_gets_nothing_until_its_time_is_over(self, asked_s):
+        """Replays the load of many hosts that were told the same time at once."""
+        rng, ends = random.Random(1), []
+        engine = listed("b1", started_at_ms=5)
+        for _ in range(60):
+            reports = SelfReports()
+            reports.heard(engine, Word(full_s=asked_s), rng.random(), now=0.0)
+            rest_s = reports.full_for([engine], 0.0) or 0.0
+            assert min(asked_s, MOST_FULL_S) <= rest_s <= 1.1 * asked_s + 1e-9 or asked_s == 0
+            ends.append(rest_s)
+        assert asked_s == 0 or max(ends) - min(ends) > 0.5 * min(0.1 * asked_s, 0.5)
+
+    def test_shorter_time_that_comes_later_does_not_end_a_longer_one(self):
+        reports, engine = SelfReports(), listed("b1")
+        reports.heard(engine, Word(full_s=3.0), 0.0, now=0.0)
+        reports.heard(engine, Word(full_s=0.1), 0.0, now=0.2)
+        assert not reports.takes_work(engine, now=2.9) and reports.takes_work(engine, now=3.0)
+
+    @pytest.mark.parametrize("text", ["-3", "soon", "", "nan", "inf", "1e400", "Fri, 04 Dec 2026"])
+    def test_time_that_is_none_is_ignored(self, text):
+        assert Workers().word(503, {"Retry-After": text}, "b1") == Word()
+
+    def test_word_of_another_incarnation_at_the_address_is_not_this_ones(self):
+        headers = {"Instance-Id": "b2", "Server-Leaving": "1"}
+        assert Workers().word(421, headers, "b1") == Word()
+
+
+@pytest.mark.processes
+class TestAnswers:
+    def test_server_that_says_it_leaves_gets_nothing_more(self, world):
+        first = world.worker("w1", usual=leaving)
+        relay = world.relay()
+        assert Caller(relay).ask("/safe/x")[0] == 200
+        wait_until(lambda: relay.logged("back_end_leaving"), "the word is logged")
+        status, headers, _ = Caller(relay).ask("/safe/x")
+        assert status == 503 and "retry-after" in headers and len(first.seen) == 1
+        # A new start under the same name is free of it.
+        first.usual = whole
+        world.store.put("servers", "w1", first.entry("orders", born=1_900_000_000_000))
+        wait_until(lambda: Caller(relay).ask("/safe/x")[0] == 200, "the new start is used")
+
+    def test_peers_hear_of_it(self, world):
+        worker = world.worker("w1", usual=leaving)
+        relays = [world.relay(name) for name in ("relay-1", "relay-2")]
+        wait_until(lambda: relays[1].logged("relay_peer_heard"), "the relays hear each other")
+        Caller(relays[0]).ask("/safe/x")
+        wait_until(lambda: Caller(relays[1]).ask("/none/x")[0] == 404, "the peer answers")
+        time.sleep(1.0)
+        assert Caller(relays[1]).ask("/safe/x")[0] == 503 and len(worker.seen) == 1
+
+    def test_full_server_rests_and_callers_are_told_until_when(self, world):
+        worker = world.worker("w1", usual=full("1.5"))
+        relay = world.relay()
+        started = time.monotonic()
+        assert Caller(relay).ask("/once/x")[0] == 503
+        wait_until(lambda: relay.logged("back_end_full"), "the word is logged")
+        status, headers, _ = Caller(relay).ask("/once/x")
+        assert status == 503 and len(worker.seen) == 1
+        left_s = 1.5 - (time.monotonic() - started)
+        assert left_s - 0.2 < float(headers["retry-after"]) < 1.2 * 1.65 + 0.1
+        worker.usual = whole
+        wait_until(lambda: Caller(relay).ask("/once/x")[0] == 200, "it is used again")
+        assert time.monotonic() - started >= 1.4
+
+    def test_body_without_end_is_no_success_and_ends_soon(self, world):
+        world.worker("w1", usual=endless(200))
+        started = time.monotonic()
+        status, _, body = Caller(world.relay()).ask("/once/x")
+        assert status in (502, 504) and len(body) < 2000
+        assert time.monotonic() - started < 4.0
+
+    def test_failure_without_end_is_a_failure(self, world):
+        world.worker("d1", "quotes", usual=endless(500), Stage="decode")
+        started = time.monotonic()
+        status, _, _ = Caller(world.relay()).ask("/talk/x", **PROMPT)
+        assert status in (502, 504) and time.monotonic() - started < 4.0
+
+    def test_refusal_without_end_does_not_hold_the_request(self, world):
+        """Another backend server answers within its objective."""
+        world.worker("w1", usual=endless(503, ("Not-Executed", "1")))
+        world.worker("w2")
+        caller = Caller(world.relay())
+        for _ in range(4):
+            started = time.monotonic()
+            assert caller.ask("/safe/x")[0] == 200
+            assert time.monotonic() - started < 1.0
+
+    def test_stream_of_comments_is_a_silent_one_and_goes_on_elsewhere(self, world):
+        sends = []
+
+        def comments_once(handler):
+            sends.append(handler)
+            if len(sends) == 1:
+                comments_only(handler)
+                return
+            begin_stream(handler)
+            for number in range(2, 4):
+                chunk(handler, event(number))
+            handler.wfile.write(b"0\r\n\r\n")
+
+        for name in ("d1", "d2"):
+            world.worker(name, "quotes", usual=comments_once, Stage="decode")
+        status, _, body = Caller(world.relay()).ask("/talk/x", **PROMPT)
+        assert status == 200 and len(sends) == 2
+        events = [part for part in body.split(b"\n\n") if part.startswith(b"id:")]
+        assert events == [event(number).strip() for number in (1, 2, 3)]
+        assert body.count(b": still here") <= 20
--- /dev/null
+++ b/tests/test_relay_store_era.py
@@ -0,0 +1,163 @@
+"""Tests of a store that comes back from an older copy of itself."""
+
+import time
+
+import pytest
+from laburnumreel_platform._records import decode_back_end
+from laburnumreel_platform._store import StoreTables, TableFeed
+from platform_config import config
+from platform_world import HOST, Store, wait_until
+from relay_caller import Caller
+
+from laburnumreel.relay._back_ends import BackEndList, ListedBackEnd
+from laburnumreel.state import Check, StoreEra, Write, era_of
+from laburnumreel.transport import JsonCalls
+
+KEY = "k"
+
+
+@pytest.fixture
+def store():
+    running = Store()
+    yield running
+    running.end()
+
+
+@pytest.fixture
+def era():
+    return StoreEra()
+
+
+def calls_to(store):
+    return JsonCalls((HOST, int(store.address.rpartition(":")[2])), 1.0)
+
+
+@pytest.fixture
+def tables(store, era):
+    return StoreTables(calls_to(store), era)
+
+
+def write(tables, value, version=0):
+    return tables.transact([Check("t", KEY, version)], [Write("t", KEY, {"value": value})])
+
+
+class TestTables:
+    def test_version_that_was_given_out_again_is_not_the_one_that_was_read(self, store, tables):
+        """Guards against a write over a row that another has written under the same version."""
+        copy = store.copy()
+        version = write(tables, "ours").ok
+        store.come_back(copy)
+        store.put("t", KEY, {"value": "another's"})
+        assert store.rows["t", KEY]["Ver"] == version
+        assert tables.read("t", "other").is_ok()
+        assert write(tables, "ours again", version).error.kind == "conflict"
+        assert store.value("t", KEY) == {"value": "another's"}
+
+    def test_write_that_meets_a_new_era_is_in_doubt(self, store, tables):
+        copy = store.copy()
+        version = write(tables, "ours").ok
+        store.come_back(copy)
+        assert write(tables, "next", version).error.kind == "lost"
+
+    def test_answer_of_an_earlier_era_is_dropped(self, store, tables, era):
+        assert write(tables, "ours").is_ok()
+        era.heard(1)
+        assert tables.read("t", KEY).error.kind == "lost"
+        store.come_back(store.copy())
+        row = tables.read("t", KEY).ok
+        assert row.value == {"value": "ours"} and era_of(row.version) == 1
+
+
+class TestFeed:
+    def entry(self, name, beat):
+        return {
+            "Service": "orders",
+            "Address": "10.0.0.1:80",
+            "Zone": "zone-a",
+            "Version": "v1",
+            "Slots": 4,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Sequence": beat,
+            "born": 1_800_000_000_000,
+        }
+
+    def test_feed_never_goes_on_from_a_version_of_another_era(self, store, era):
+        feed = TableFeed(calls_to(store), "servers", decode_back_end, era)
+        store.put("servers", "w1", self.entry("w1", 1))
+        copy = store.copy()
+        store.put("servers", "w2", self.entry("w2", 1))
+        listing = feed.read().ok
+        store.come_back(copy)
+        # The version is given out again, to another entry.
+        store.put("servers", "w3", self.entry("w3", 1))
+        assert feed.follow(listing.version, 0.0).error.kind == "history_gone"
+        assert sorted(feed.read().ok.entries) == ["w1", "w3"]
+
+    def test_version_that_the_store_does_not_have_asks_for_a_whole_read(self, store, era):
+        feed = TableFeed(calls_to(store), "servers", decode_back_end, era)
+        store.put("servers", "w1", self.entry("w1", 1))
+        listing = feed.read().ok
+        store.version = 0
+        assert feed.follow(listing.version, 0.0).error.kind == "history_gone"
+
+    def test_entry_that_went_does_not_come_back_with_an_older_copy(self):
+        """Guards against requests to a backend server that left before the store came back."""
+        back_ends = BackEndList(return_grace_s=2.0)
+        entry = ListedBackEnd(
+            "b1", "orders", ("10.0.0.1", 80), "zone-a", 4, started_at_ms=5, beat=3
+        )
+        back_ends.put(entry)
+        back_ends.drop("b1", now=0.0)
+        back_ends.replace([entry._replace(beat=2)], now=1.0)
+        assert not back_ends.usable("orders", now=1.0)
+        back_ends.put(entry._replace(beat=4))
+        assert back_ends.usable("orders", now=1.0)
+
+
+@pytest.mark.processes
+class TestRelays:
+    def test_relay_serves_on_and_works_under_a_higher_fence(self, world):
+        worker = world.worker("w1")
+        relay = world.relay()
+        copy = world.store.copy()
+        caller = Caller(relay)
+        assert caller.ask("/safe/x")[0] == 200
+        wait_until(lambda: world.duties.calls, "usage is reported", 15)
+        before = {call[2]["WindowId"]: call[2]["Counts"] for call in list(world.duties.calls)}
+        world.store.come_back(copy)
+        world.store.put("servers", "w1", worker.entry("orders", Sequence=9))
+        wait_until(lambda: relay.logged("store_era_entered"), "the era is known", 10)
+        end = time.monotonic() + 6.0
+        while time.monotonic() < end:
+            assert caller.ask("/safe/x")[0] == 200
+            time.sleep(0.1)
+        calls = [call for call in list(world.duties.calls) if call[0] == "/usage"]
+        fences = [
+            int({k.lower(): v for k, v in call[1].items()}["fencing-token"]) for call in calls
+        ]
+        assert fences == sorted(fences) and fences[-1] >> 32 == 1 and fences[0] >> 32 == 0
+        for _, _, body in calls:
+            assert before.setdefault(body["WindowId"], body["Counts"]) == body["Counts"]
+        assert world.store.value("relay_hosts", "relay-1") is not None
+
+    def test_configuration_in_force_never_goes_back(self, world):
+        """A key that was taken away stays so, also at a host that starts from the copy."""
+        world.worker("w1")
+        first = world.relay("relay-1")
+        copy = world.store.copy()
+        newer = config(version=900, keys=("key-b",))
+        world.store.put("op", "config", newer)
+        wait_until(lambda: Caller(first).ask("/safe/x")[0] == 401, "the key is taken away")
+        world.store.come_back(copy)
+        wait_until(lambda: first.logged("store_era_entered"), "the era is known", 10)
+        assert Caller(first).ask("/safe/x")[0] == 401
+        second = world.start("relay-2")
+        end = time.monotonic() + 2.5
+        while time.monotonic() < end:
+            assert not second.ready()
+            time.sleep(0.05)
+        assert Caller(second).ask("/safe/x")[0] in (401, 503)
+        world.store.put("op", "config", newer)
+        wait_until(second.ready, "the newer configuration is back", 10)
+        assert Caller(second).ask("/safe/x")[0] == 401
