--- a/src/laburnumreel/relay/_capacity.py
+++ b/src/laburnumreel/relay/_capacity.py
@@ -6,7 +6,6 @@
 are spread over all of them.
 """
 
-import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
@@ -24,12 +23,11 @@
 # price.
 WORTHWHILE_PRICE_SHARE = 0.5
 # Backend servers of both kinds together, for each one that the deployment came with: room for the
-# heavier mix, and for the loss of a zone's cheap ones.
-ROOM = 2.0
-# What a zone keeps of its dedicated ones when cheap ones have taken the place of the others.
-DEDICATED_SHARE = 0.5
-# Two leave one when one fails.
-LEAST_DEDICATED = 2
+# heavier mix, and for the loss of a zone's cheap ones. The service's own limit is mostly lower.
+ROOM = 3.0
+# The zones that may lose all their cheap backend servers at once, before those that are left are
+# fewer than the deployment came with.
+LOST_ZONES = 2
 CAPACITY_TABLE = "relay_capacity"
 # A deployment's backend servers make themselves known within some seconds of its start, each with its
 # next sign of life.
@@ -49,34 +47,78 @@
     cheap: bool
 
 
+class ZoneState(NamedTuple):
+    """What serves in a zone: dedicated and cheap backend servers, and whether cheap ones can be had.
+
+    `cheap_refused` means that the last order of cheap ones was refused, or that they did not come.
+    """
+
+    dedicated: int = 0
+    cheap: int = 0
+    cheap_refused: bool = False
+
+
+def least_dedicated(scaling: Scaling, found: Mapping[str, int]) -> int:
+    """Return the least dedicated backend servers of a zone that bears the loss of the cheap ones.
+
+    What is left when some zones lose all their cheap ones must be as many as the deployment came
+    with.
+
+    >>> scaling = Scaling(1, 4, 4.0, 0.18, {})
+    >>> least_dedicated(scaling, {"a": 2, "b": 2, "c": 2}), least_dedicated(scaling, {"a": 2})
+    (1, 2)
+    """
+    for least in range(max(1, scaling.least), max(found.values(), default=1)):
+        totals = {zone: _total(scaling, count) for zone, count in found.items()}
+        cheap = sorted(totals[zone] - min(least, count) for zone, count in found.items())
+        if sum(totals.values()) - sum(cheap[-LOST_ZONES:]) >= sum(found.values()):
+            return least
+    return max(found.values(), default=1)
+
+
 def wanted_counts(
     service: RelayService,
     scaling: Scaling,
     found: Mapping[str, int],
-    cheap_now: Mapping[str, int],
+    zones: Mapping[str, ZoneState],
+    settled: bool = True,
 ) -> Mapping[Group, int]:
     """Return how many backend servers of each kind a service should have in each zone.
 
-    `found` gives the dedicated ones by zone that the deployment came with, `cheap_now` the cheap ones
-    that serve. Cheap ones take the place of dedicated ones as they come, down to a number that lets a
-    zone do without its cheap ones; where they go, dedicated ones are ordered back.
+    `found` gives the dedicated ones by zone that the deployment came with, and `settled` whether all
+    of them have made themselves known. Cheap ones take the place of dedicated ones in steps: a zone's
+    limit counts both kinds, so that the dedicated ones of a step go first. Where cheap ones can't be
+    had, dedicated ones are ordered back.
     """
     wanted = {}
     cheap_enough = scaling.cheap_price is not None and scaling.cheap_price <= WORTHWHILE_PRICE_SHARE
+    least = least_dedicated(scaling, found)
     for zone, count in found.items():
         count = max(scaling.least, min(scaling.most, count))
+        now = zones.get(zone, ZoneState())
         if not cheap_enough:
             wanted[Group(service.name, zone, False)] = count
             continue
-        total = min(round(ROOM * count), scaling.most)
-        least = max(scaling.least, LEAST_DEDICATED, math.ceil(DEDICATED_SHARE * count))
-        least = min(least, count)
-        wanted[Group(service.name, zone, True)] = total - least
-        dedicated = max(least, min(count, total - cheap_now.get(zone, 0)))
-        wanted[Group(service.name, zone, False)] = dedicated
+        total, least_here = _total(scaling, count), min(least, count)
+        room = max(0, scaling.most - max(now.dedicated, least_here))
+        cheap = min(total - least_here, room)
+        expected = now.cheap if now.cheap_refused else cheap
+        dedicated = max(least_here, min(count, total - expected))
+        spare = now.dedicated - least_here
+        if cheap < total - least_here and now.cheap >= cheap and spare > 0:
+            dedicated = now.dedicated - max(1, spare // 2)
+        if not settled:
+            dedicated = max(count, now.dedicated)
+        wanted[Group(service.name, zone, True)] = cheap
+        wanted[Group(service.name, zone, False)] = min(dedicated, scaling.most)
     return wanted
 
 
+def _total(scaling: Scaling, count: int) -> int:
+    """Return the backend servers of both kinds of a zone that came with some dedicated ones."""
+    return max(count, min(round(ROOM * count), scaling.most))
+
+
 class CapacityPlanner:
     """Orders backend servers until the list shows the wanted counts."""
 
@@ -96,6 +138,8 @@
         self._services = services
         self._fleet = fleet
         self._ordered: dict[Group, tuple[int, float]] = {}
+        # Groups whose last order was refused or got no answer.
+        self._refused: set[Group] = set()
         self._found: dict[str, Mapping[str, int]] = {}
         # What this host found under earlier authorities, for a store that has forgotten it.
         self._remembered: dict[str, Mapping[str, int]] = {}
@@ -108,6 +152,7 @@
         if authority.fence != self._fence:
             self._fence = authority.fence
             self._ordered.clear()
+            self._refused.clear()
             self._remembered.update(self._found)
             self._found.clear()
             self._growing.clear()
@@ -120,13 +165,23 @@
             if found is None:
                 continue
             have = Counter(Group(entry.service, entry.zone, entry.cheap) for entry in listed)
-            cheap_now = {zone: have[Group(service.name, zone, True)] for zone in found}
-            wanted = wanted_counts(service, service.scaling, found, cheap_now)
+            zones = {zone: self._zone_state(service.name, zone, have, now) for zone in found}
+            settled = service.name not in self._growing
+            wanted = wanted_counts(service, service.scaling, found, zones, settled)
             for group, count in wanted.items():
                 if have[group] != count:
                     boot_s = service.scaling.boot_s
                     self._order(authority, group, count, have[group], boot_s, now)
 
+    def _zone_state(
+        self, service: str, zone: str, have: Mapping[Group, int], now: float
+    ) -> ZoneState:
+        cheap = Group(service, zone, True)
+        ordered, next_at = self._ordered.get(cheap, (-1, 0.0))
+        # An order that is due again has not brought what it asked for.
+        refused = cheap in self._refused or (have[cheap] < ordered and now >= next_at)
+        return ZoneState(have[Group(service, zone, False)], have[cheap], refused)
+
     def _found_counts(
         self, service: RelayService, listed: list[ListedBackEnd], now: float
     ) -> Mapping[str, int] | None:
@@ -181,8 +236,10 @@
         sent = self._sender.post(authority, self._address(), call.path, call.body, call.headers)
         if sent.is_ok() and sent.ok.status == 200:
             self._ordered[group] = (count, now + boot_s + REPEAT_S)
+            self._refused.discard(group)
             _log.info(CAPACITY_ORDERED, **group._asdict(), count=count, have=have)
             return
         self._ordered[group] = (count, now + REFUSED_RETRY_S)
+        self._refused.add(group)
         detail = sent.error.detail if sent.is_error() else f"status {sent.ok.status}"
         _log.warning(CAPACITY_REFUSED, **group._asdict(), count=count, detail=detail[:200])
