--- a/src/laburnumreel/relay/_beliefs.py
+++ b/src/laburnumreel/relay/_beliefs.py
@@ -17,11 +17,12 @@
     REQUEST_HELD_BACK,
 )
 from laburnumreel.relay._news import News
-from laburnumreel.relay._placement import Candidate, Place
+from laburnumreel.relay._placement import Candidate, Place, place_of
 from laburnumreel.relay._ports import Listing
 from laburnumreel.relay._prompts import PromptMemory, home_engine
 from laburnumreel.relay._requests import Prompt, Word
 from laburnumreel.relay._self_reports import SelfReports
+from laburnumreel.relay._standings import Standings
 from laburnumreel.relay._work import Work, WorkLedger
 
 # The share of a reading engine's memory that keeps starts of prompts; the rest holds what is read.
@@ -49,10 +50,14 @@
 
 
 class FleetView(NamedTuple):
-    """The backend servers and the work at each, for planning."""
+    """The backend servers and the work at each, for planning.
+
+    `pressed` tells when a request last found no place of a service at once.
+    """
 
     back_ends: tuple[ListedBackEnd, ...]
     work: Mapping[str, Work]
+    pressed: Mapping[str, float]
 
 
 class FleetBeliefs:
@@ -76,36 +81,31 @@
         self._gone: dict[str, float] = {}
         self._gone_heard: dict[str, float] = {}
         self.ledger = WorkLedger()
+        self._standings = Standings(self._standing, self.ledger)
 
     def candidates(self, order: Order, now: float) -> list[Candidate]:
         """Return the backend servers that a request may be sent to, as placement sees them."""
-        usable = self._usable(order, now)
+        standing = self._standings.of(order.service, now)
         if order.prompt is None:
-            return [self._plain_candidate(back_end, now) for back_end in usable]
-        homes = {
-            home_engine(order.prompt, [each.name for each in usable if each.role is role])
-            for role in (Role.PREFILL, Role.DECODE, None)
-        }
-        return [
-            Candidate(
-                back_end,
-                self.place(back_end.zone).region,
-                self.ledger.total(back_end.name, now),
-                self._conduct.failure_share(back_end.name, now),
-                self._prompts.kept_tokens(back_end.name, order.prompt, now),
-                self._conduct.read_ms(back_end.name, now),
-                home=back_end.name in homes,
-            )
-            for back_end in usable
-        ]
+            return [each for name, each in standing.items() if name not in order.excluded]
+        usable = {name: each for name, each in standing.items() if name not in order.excluded}
+        for name, tokens in self._prompts.kept(usable, order.prompt, now):
+            usable[name] = usable[name]._replace(kept_tokens=tokens)
+        for role in (Role.PREFILL, Role.DECODE, None):
+            names = [name for name, each in usable.items() if each.back_end.role is role]
+            home = home_engine(order.prompt, names)
+            if home is not None:
+                usable[home] = usable[home]._replace(home=True)
+        return list(usable.values())
 
     def place(self, zone: str) -> Place:
         """Return an availability zone with its region."""
-        return Place(zone, self._regions.get(zone, zone))
+        return place_of(zone, self._regions.get(zone, zone))
 
     def any_usable(self, order: Order, now: float) -> bool:
         """Return whether a request could be sent anywhere."""
-        return bool(self._usable(order, now))
+        standing = self._standings.of(order.service, now)
+        return any(name not in order.excluded for name in standing)
 
     def settled(self, traits: EngineTraits, candidates: Iterable[Candidate], now: float) -> bool:
         """Return whether the engines of this region can keep all starts that are asked for."""
@@ -125,14 +125,18 @@
         self._conduct.ended(back_end, failed, now)
         if took_ms is not None:
             self._conduct.worked(back_end, took_ms, now)
+        if failed:
+            self._standings.changed()
 
     def avoid(self, back_end: str, seconds: float, now: float) -> None:
         """Let a backend server rest."""
         self._conduct.rest(back_end, now + seconds, now)
+        self._standings.changed()
 
     def said(self, back_end: ListedBackEnd, word: Word, rng: random.Random, now: float) -> None:
         """Take what a backend server said of itself in an answer to this host."""
         self._self_reports.heard(back_end, word, rng.random(), now)
+        self._standings.changed()
 
     def full_for(self, service: str, now: float) -> float | None:
         """Return in how many seconds a service's first full backend server takes work again.
@@ -144,10 +148,12 @@
     def moved(self, back_end: str) -> None:
         """Take in that another backend server has this one's address."""
         self._back_ends.forget(back_end)
+        self._standings.changed()
         _log.info(BACK_END_GONE, back_end=back_end, reason="another has its address")
 
     def directory(self, back: bool, now: float) -> None:
         """Take in that the directory was lost or is back."""
+        self._standings.changed()
         if back:
             self._back_ends.directory_back(now)
         else:
@@ -178,6 +184,7 @@
     def unreachable(self, back_end: str, now: float) -> None:
         """Take in that a backend server could not be connected to, or went silent."""
         self._conduct.unreachable(back_end, now)
+        self._standings.changed()
         rest_s = self._conduct.rests(now).get(back_end, 0.0)
         _log.warning(BACK_END_AVOIDED, back_end=back_end, rest_s=round(rest_s, 2))
 
@@ -193,6 +200,7 @@
 
     def listed(self, listing: Listing[ListedBackEnd], now: float) -> None:
         """Take what the directory says, and forget what is known of those that are gone."""
+        self._standings.changed()
         before = {entry.name: entry for entry in self._back_ends}
         present = {name: entry for name, entry in listing.entries.items() if entry is not None}
         if listing.complete:
@@ -228,6 +236,8 @@
 
     def peer(self, news: News, now: float) -> None:
         """Take a peer's news."""
+        if news.avoided or news.leaving or news.gone:
+            self._standings.changed()
         if news.stopping:
             self.ledger.forget_peer(news.sender)
         else:
@@ -257,31 +267,29 @@
             gone=tuple(self._gone),
         )
 
-    def view(self, now: float) -> FleetView:
-        """Return the backend servers and the work at each."""
+    def view(self, pressed: Mapping[str, float], now: float) -> FleetView:
+        """Return the backend servers and the work at each, with when places were last short."""
         back_ends: Iterable[ListedBackEnd] = self._back_ends
         listed = tuple(back_ends)
         work = {entry.name: self.ledger.total(entry.name, now) for entry in listed}
-        return FleetView(listed, work)
-
-    def _usable(self, order: Order, now: float) -> list[ListedBackEnd]:
-        return [
-            back_end
-            for back_end in self._back_ends.usable(order.service, now)
-            if back_end.name not in order.excluded
-            and self._self_reports.takes_work(back_end, now)
+        return FleetView(listed, work, dict(pressed))
+
+    def _standing(self, service: str, now: float) -> dict[str, Candidate]:
+        """Return the backend servers of a service that take work, by name."""
+        return {
+            back_end.name: Candidate(
+                back_end,
+                self.place(back_end.zone).region,
+                self.ledger.total(back_end.name, now),
+                self._conduct.failure_share(back_end.name, now),
+                read_ms=self._conduct.read_ms(back_end.name, now),
+                plain_ms=self._conduct.plain_ms(back_end.name, now),
+            )
+            for back_end in self._back_ends.usable(service, now)
+            if self._self_reports.takes_work(back_end, now)
             and back_end.name not in self._gone_heard
             and not self._conduct.resting(back_end.name, now)
-        ]
-
-    def _plain_candidate(self, back_end: ListedBackEnd, now: float) -> Candidate:
-        return Candidate(
-            back_end,
-            self.place(back_end.zone).region,
-            self.ledger.total(back_end.name, now),
-            self._conduct.failure_share(back_end.name, now),
-            plain_ms=self._conduct.plain_ms(back_end.name, now),
-        )
+        }
 
 
 def _lasting(beliefs: dict, now: float) -> dict:
--- a/src/laburnumreel/relay/_capacity.py
+++ b/src/laburnumreel/relay/_capacity.py
@@ -6,6 +6,7 @@
 are spread over all of them.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
@@ -16,7 +17,6 @@
 from laburnumreel.relay._config import RelayService, Scaling
 from laburnumreel.relay._events import CAPACITY_ORDERED, CAPACITY_REFUSED
 from laburnumreel.relay._ports import DutyWire
-from laburnumreel.relay._work import Work
 from laburnumreel.state import Authority, Check, Platform, Write
 
 # Cheap backend servers are worth room for the heavier mix up to this share of a dedicated one's
@@ -35,6 +35,11 @@
 # An order that did not show in the list is repeated after the time to start and this much more.
 REPEAT_S = 3.0
 REFUSED_RETRY_S = 2.0
+# After a refusal, cheap backend servers are taken as not to be had for this long: several tries.
+DRY_S = 5 * REFUSED_RETRY_S
+# Dedicated backend servers are given back only where no request has waited for a place for this long,
+# about the time that one needs to start.
+CALM_S = 5.0
 
 _log = Log("relay.capacity")
 
@@ -50,7 +55,7 @@
 class ZoneState(NamedTuple):
     """What serves in a zone: dedicated and cheap backend servers, and whether cheap ones can be had.
 
-    `cheap_refused` means that the last order of cheap ones was refused, or that they did not come.
+    `cheap_refused` means that an order of cheap ones was refused lately, or that they did not come.
     """
 
     dedicated: int = 0
@@ -81,14 +86,14 @@
     scaling: Scaling,
     found: Mapping[str, int],
     zones: Mapping[str, ZoneState],
-    settled: bool = True,
+    may_give_back: bool = True,
 ) -> Mapping[Group, int]:
     """Return how many backend servers of each kind a service should have in each zone.
 
-    `found` gives the dedicated ones by zone that the deployment came with, and `settled` whether all
-    of them have made themselves known. Cheap ones take the place of dedicated ones in steps: a zone's
+    `found` gives the dedicated ones by zone that the deployment came with. Cheap ones take the place of dedicated ones in steps: a zone's
     limit counts both kinds, so that the dedicated ones of a step go first. Where cheap ones can't be
-    had, dedicated ones are ordered back.
+    had, dedicated ones are ordered back. None is given back unless `may_give_back`: while the
+    deployment still makes itself known, and while requests wait for places.
     """
     wanted = {}
     cheap_enough = scaling.cheap_price is not None and scaling.cheap_price <= WORTHWHILE_PRICE_SHARE
@@ -99,16 +104,20 @@
         if not cheap_enough:
             wanted[Group(service.name, zone, False)] = count
             continue
-        total, least_here = _total(scaling, count), min(least, count)
+        total = _total(scaling, count)
+        least_here = max(scaling.least, min(least, count))
         room = max(0, scaling.most - max(now.dedicated, least_here))
-        cheap = min(total - least_here, room)
+        # Cheap ones that serve stay, whatever else has come back meanwhile.
+        cheap = min(total - least_here, max(room, now.cheap))
         expected = now.cheap if now.cheap_refused else cheap
-        dedicated = max(least_here, min(count, total - expected))
+        # A zone that came with few keeps more than it came with, as cheap ones are most of it.
+        dedicated = max(least_here, min(max(count, math.ceil(total / 2)), total - expected))
         spare = now.dedicated - least_here
-        if cheap < total - least_here and now.cheap >= cheap and spare > 0:
+        full_step = cheap < total - least_here and now.cheap >= cheap
+        if full_step and spare > 0 and not now.cheap_refused:
             dedicated = now.dedicated - max(1, spare // 2)
-        if not settled:
-            dedicated = max(count, now.dedicated)
+        if not may_give_back:
+            dedicated = max(dedicated, now.dedicated)
         wanted[Group(service.name, zone, True)] = cheap
         wanted[Group(service.name, zone, False)] = min(dedicated, scaling.most)
     return wanted
@@ -120,7 +129,11 @@
 
 
 class CapacityPlanner:
-    """Orders backend servers until the list shows the wanted counts."""
+    """Orders backend servers until the list shows the wanted counts.
+
+    `fleet` gives the backend servers as listed, and when a request last waited for a place of each
+    service.
+    """
 
     def __init__(
         self,
@@ -129,7 +142,7 @@
         wire: DutyWire,
         address: Callable[[], Address],
         services: Callable[[], Mapping[str, RelayService]],
-        fleet: Callable[[], tuple[Iterable[ListedBackEnd], Mapping[str, Work]]],
+        fleet: Callable[[], tuple[Iterable[ListedBackEnd], Mapping[str, float]]],
     ) -> None:
         self._platform = platform
         self._sender = sender
@@ -138,8 +151,8 @@
         self._services = services
         self._fleet = fleet
         self._ordered: dict[Group, tuple[int, float]] = {}
-        # Groups whose last order was refused or got no answer.
-        self._refused: set[Group] = set()
+        # When the last order of a group was refused or got no answer.
+        self._refused: dict[Group, float] = {}
         self._found: dict[str, Mapping[str, int]] = {}
         # What this host found under earlier authorities, for a store that has forgotten it.
         self._remembered: dict[str, Mapping[str, int]] = {}
@@ -156,7 +169,7 @@
             self._remembered.update(self._found)
             self._found.clear()
             self._growing.clear()
-        back_ends, _ = self._fleet()
+        back_ends, pressed = self._fleet()
         listed = [entry for entry in back_ends if not entry.draining]
         for service in self._services().values():
             if service.scaling is None:
@@ -166,8 +179,9 @@
                 continue
             have = Counter(Group(entry.service, entry.zone, entry.cheap) for entry in listed)
             zones = {zone: self._zone_state(service.name, zone, have, now) for zone in found}
-            settled = service.name not in self._growing
-            wanted = wanted_counts(service, service.scaling, found, zones, settled)
+            calm = now - pressed.get(service.name, float("-inf")) >= CALM_S
+            may_give_back = calm and service.name not in self._growing
+            wanted = wanted_counts(service, service.scaling, found, zones, may_give_back)
             for group, count in wanted.items():
                 if have[group] != count:
                     boot_s = service.scaling.boot_s
@@ -179,7 +193,8 @@
         cheap = Group(service, zone, True)
         ordered, next_at = self._ordered.get(cheap, (-1, 0.0))
         # An order that is due again has not brought what it asked for.
-        refused = cheap in self._refused or (have[cheap] < ordered and now >= next_at)
+        refused_at = self._refused.get(cheap, float("-inf"))
+        refused = now - refused_at < DRY_S or (have[cheap] < ordered and now >= next_at)
         return ZoneState(have[Group(service, zone, False)], have[cheap], refused)
 
     def _found_counts(
@@ -236,10 +251,10 @@
         sent = self._sender.post(authority, self._address(), call.path, call.body, call.headers)
         if sent.is_ok() and sent.ok.status == 200:
             self._ordered[group] = (count, now + boot_s + REPEAT_S)
-            self._refused.discard(group)
+            self._refused.pop(group, None)
             _log.info(CAPACITY_ORDERED, **group._asdict(), count=count, have=have)
             return
         self._ordered[group] = (count, now + REFUSED_RETRY_S)
-        self._refused.add(group)
+        self._refused[group] = now
         detail = sent.error.detail if sent.is_error() else f"status {sent.ok.status}"
         _log.warning(CAPACITY_REFUSED, **group._asdict(), count=count, detail=detail[:200])
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -93,6 +93,8 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._freed: dict[str, FreedRate] = {}
         self._waiting: dict[str, Placing] = {}
+        # When a request last found no place of a service at once.
+        self._pressed: dict[str, float] = {}
         self._hosts = 1
         self._next_pass = float("-inf")
 
@@ -238,7 +240,7 @@
             case OwnNews(far):
                 return self._beliefs.own(far, now)
             case "view":
-                return self._beliefs.view(now)
+                return self._beliefs.view(self._pressed, now)
             case _:
                 return super().handle(message)
         return None
@@ -292,6 +294,7 @@
             assignment = self._assign(place.order, now)
             if assignment is None:
                 failed[service] += 1
+                self._pressed[service] = now
                 continue
             del self._waiting[item.request_id]
             place.future.set_result(assignment)
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -212,7 +212,7 @@
             adapter.duties,
             lambda: self._settings.duties,
             self._services,
-            self._fleet,
+            self._fleet_pressed,
         )
         roles = RolePlanner(
             sender,
@@ -331,6 +331,10 @@
         view = self._dispatcher.view().result()
         return view.back_ends, view.work
 
+    def _fleet_pressed(self) -> tuple[Iterable[ListedBackEnd], Mapping[str, float]]:
+        view = self._dispatcher.view().result()
+        return view.back_ends, view.pressed
+
     def _heed(self, back_end: ListedBackEnd, answer: Answer) -> None:
         """Take what a backend server says of itself in its answer to an order."""
         word = self._adapter.back_ends.word(answer.status, answer.headers, back_end.name)
--- a/src/laburnumreel/relay/_placement.py
+++ b/src/laburnumreel/relay/_placement.py
@@ -77,6 +77,12 @@
     region: str
 
 
+@lru_cache(maxsize=1024)
+def place_of(zone: str, region: str) -> Place:
+    """Return the place of an availability zone in a region."""
+    return Place(zone, region)
+
+
 class Candidate(NamedTuple):
     """A backend server that may get a request.
 
@@ -100,7 +106,7 @@
 
     @property
     def place(self) -> Place:
-        return Place(self.back_end.zone, self.region)
+        return place_of(self.back_end.zone, self.region)
 
 
 class EnginePlan(NamedTuple):
@@ -220,6 +226,118 @@
         return queue_ms <= max(REREAD_QUEUE_SHARE * self._objective_ms, own_ms)
 
 
+class _Way(NamedTuple):
+    """What the way from the host to a place adds: time, cost, and the cost of leaving the region."""
+
+    ms: float
+    cost_ms: float
+    away_ms: float
+
+
+class Weighing:
+    """The costs of one prompt at each engine; what depends on places only is worked out once."""
+
+    def __init__(
+        self,
+        here: Place,
+        costs: PlacementCosts,
+        prompt: Prompt,
+        body_bytes: int,
+        traits: EngineTraits,
+        settled: bool,
+    ) -> None:
+        self._here = here
+        self._costs = costs
+        self._tokens = prompt.input_tokens
+        self._own_tokens = prompt.input_tokens - sum(part.tokens for part in prompt.shared)
+        self._body_bytes = body_bytes
+        self._kv_tokens = max(1, traits.kv_tokens)
+        self._link_bytes_per_s = traits.link_bytes_per_s
+        self._copy_bytes = prompt.input_tokens * traits.kv_token_bytes
+        self._settled = settled
+        self._ways: dict[Place, _Way] = {}
+
+    def alone(self, generator: Candidate, running: _Half) -> EnginePlan:
+        """Return the plan of an engine that reads the prompt and generates."""
+        costs, work = self._costs, generator.work
+        unread = max(0, self._tokens - generator.kept_tokens)
+        token_ms = generator.read_ms * costs.mixed_read_factor
+        reading_ms = unread * token_ms
+        queue_ms = work.reading_tokens * token_ms
+        # Reading again has its own cost of being away.
+        cost = (
+            running.cost_ms
+            - self._way(generator.place).away_ms
+            + queue_ms
+            + reading_ms * (1 + work.streams * costs.stall_share)
+            + self._rereading(unread, generator)
+        )
+        return EnginePlan(None, generator, unread, running.first_ms + queue_ms + reading_ms, cost)
+
+    def reading(self, reader: Candidate) -> _Half:
+        """Return the cost of reading the prompt at an engine, without the way on from there."""
+        costs, way = self._costs, self._way(reader.place)
+        unread = max(0, self._tokens - reader.kept_tokens)
+        read_ms = (reader.work.reading_tokens + unread) * reader.read_ms
+        cost = (
+            way.cost_ms
+            + read_ms
+            + reader.failure_share * costs.failure_ms
+            + self._rereading(unread, reader)
+            + (0.0 if reader.home or unread < self._tokens else costs.home_ms)
+        )
+        return _Half(reader, unread, way.ms + read_ms, cost)
+
+    def running(self, generator: Candidate) -> _Half:
+        """Return the cost of generating at an engine that need not read the prompt."""
+        way = self._way(generator.place)
+        cost = way.cost_ms + way.away_ms + self._generating(generator)
+        return _Half(generator, 0, way.ms, cost)
+
+    def joined(self, reader: _Half, generator: _Half) -> EnginePlan:
+        """Return the plan of two engines, with the copy from one to the other."""
+        taking = self.taking(reader.candidate.place, generator)
+        first_ms = reader.first_ms + taking.first_token_ms
+        cost = reader.cost_ms + taking.cost_ms
+        return EnginePlan(reader.candidate, generator.candidate, reader.read_tokens, first_ms, cost)
+
+    def taking(self, source: Place, generator: _Half) -> EnginePlan:
+        """Return the plan of an engine that takes a copy of the prompt from another place."""
+        target, size = generator.candidate, self._copy_bytes
+        copy_ms = copy_time_ms(source, target.place, size, self._link_bytes_per_s)
+        price = REGION_COPY_PRICE_FACTOR if source.region != target.region else 1.0
+        price_ms = price * size / GIGABYTE * self._costs.copy_ms_per_gb
+        return EnginePlan(
+            None, target, 0, generator.first_ms + copy_ms, generator.cost_ms + copy_ms + price_ms
+        )
+
+    def _way(self, place: Place) -> _Way:
+        way = self._ways.get(place)
+        if way is None:
+            ms = distance_ms(self._here, place, self._costs)
+            cost_ms = ms + volume_ms(self._here, place, self._body_bytes, self._costs)
+            is_away = self._settled and place.region != self._here.region
+            way = self._ways[place] = _Way(ms, cost_ms, self._costs.away_ms if is_away else 0.0)
+        return way
+
+    def _rereading(self, unread: int, reader: Candidate) -> float:
+        """Return the cost of reading shared parts that another engine keeps, and of going away."""
+        again = max(0, unread - self._own_tokens) / 1000 * self._costs.reread_ms_per_k
+        if not self._settled:
+            return again
+        away_ms = self._way(reader.place).away_ms
+        return again + away_ms if away_ms else again * self._costs.settled_reread_share
+
+    def _generating(self, generator: Candidate) -> float:
+        costs, work = self._costs, generator.work
+        memory = (work.kv_tokens + self._tokens) / self._kv_tokens
+        return (
+            costs.full_ms * (work.streams + 1) / max(1, generator.back_end.slots)
+            + costs.memory_ms * max(0.0, memory - SAFE_MEMORY_SHARE)
+            + generator.failure_share * costs.failure_ms
+        )
+
+
 class EnginePlacement:
     """Chooses the engines of a request to a model service."""
 
@@ -246,31 +364,28 @@
         region can keep all starts of prompts. `queues`, where given, tells which engines have room
         for the prompt.
         """
-        generators = [
-            each
+        weighing = Weighing(self._here, self._costs, prompt, body_bytes, traits, settled)
+        running = [
+            weighing.running(each)
             for each in candidates
             if each.back_end.role is not Role.PREFILL
             and each.work.streams < max(1, each.back_end.slots)
         ]
-        readers = [each for each in candidates if each.back_end.role is Role.PREFILL]
         if copied_in is not None:
-            running = [
-                self._running(prompt, body_bytes, traits, each, settled) for each in generators
-            ]
-            plans = [self._taking(prompt, traits, copied_in, each) for each in running]
+            plans = [weighing.taking(copied_in, each) for each in _best_of_places(running)]
             return min(plans, key=lambda plan: plan.cost_ms, default=None)
-        plans = [self._alone(prompt, body_bytes, traits, each, settled) for each in generators]
+        plans = [weighing.alone(each.candidate, each) for each in running]
         if read_apart:
             # What joins two engines depends on their places only, so the best one of each place
             # stands for the others.
-            reading = [self._reading(prompt, body_bytes, each, settled) for each in readers]
-            running = [
-                self._running(prompt, body_bytes, traits, each, settled) for each in generators
+            reading = [
+                weighing.reading(each) for each in candidates if each.back_end.role is Role.PREFILL
             ]
+            generating = _best_of_places(running)
             plans += [
-                self._joined(prompt, traits, reader, generator)
+                weighing.joined(reader, generator)
                 for reader in _best_of_places(reading)
-                for generator in _best_of_places(running)
+                for generator in generating
             ]
         plan = min(plans, key=lambda plan: plan.cost_ms, default=None)
         if plan is None or queues is None or queues.has_room(plan.reader or plan.generator):
@@ -278,110 +393,6 @@
         # Any other way costs more than to wait for this one.
         return None
 
-    def _alone(
-        self,
-        prompt: Prompt,
-        body_bytes: int,
-        traits: EngineTraits,
-        generator: Candidate,
-        settled: bool,
-    ) -> EnginePlan:
-        costs = self._costs
-        unread = max(0, prompt.input_tokens - generator.kept_tokens)
-        token_ms = generator.read_ms * costs.mixed_read_factor
-        reading_ms = unread * token_ms
-        first_ms = (
-            distance_ms(self._here, generator.place, costs)
-            + generator.work.reading_tokens * token_ms
-            + reading_ms
-        )
-        cost = (
-            first_ms
-            + volume_ms(self._here, generator.place, body_bytes, costs)
-            + self._generating(prompt, traits, generator)
-            + reading_ms * generator.work.streams * costs.stall_share
-            + self._rereading(prompt, unread, generator, settled)
-        )
-        return EnginePlan(None, generator, unread, first_ms, cost)
-
-    def _reading(self, prompt: Prompt, body_bytes: int, reader: Candidate, settled: bool) -> _Half:
-        """Return the cost of reading the prompt at an engine, without the way on from there."""
-        costs = self._costs
-        unread = max(0, prompt.input_tokens - reader.kept_tokens)
-        first_ms = (
-            distance_ms(self._here, reader.place, costs)
-            + (reader.work.reading_tokens + unread) * reader.read_ms
-        )
-        cost = (
-            first_ms
-            + volume_ms(self._here, reader.place, body_bytes, costs)
-            + reader.failure_share * costs.failure_ms
-            + self._rereading(prompt, unread, reader, settled)
-            + (0.0 if reader.home or unread < prompt.input_tokens else costs.home_ms)
-        )
-        return _Half(reader, unread, first_ms, cost)
-
-    def _running(
-        self,
-        prompt: Prompt,
-        body_bytes: int,
-        traits: EngineTraits,
-        generator: Candidate,
-        settled: bool,
-    ) -> _Half:
-        """Return the cost of generating at an engine that need not read the prompt."""
-        costs, here = self._costs, self._here
-        first_ms = distance_ms(here, generator.place, costs)
-        cost = (
-            first_ms
-            + volume_ms(here, generator.place, body_bytes, costs)
-            + self._generating(prompt, traits, generator)
-            + (costs.away_ms if settled and generator.region != here.region else 0.0)
-        )
-        return _Half(generator, 0, first_ms, cost)
-
-    def _joined(
-        self, prompt: Prompt, traits: EngineTraits, reader: _Half, generator: _Half
-    ) -> EnginePlan:
-        """Return the plan of two engines, with the copy from one to the other."""
-        taking = self._taking(prompt, traits, reader.candidate.place, generator)
-        first_ms = reader.first_ms + taking.first_token_ms
-        cost = reader.cost_ms + taking.cost_ms
-        return EnginePlan(reader.candidate, generator.candidate, reader.read_tokens, first_ms, cost)
-
-    def _taking(
-        self, prompt: Prompt, traits: EngineTraits, source: Place, generator: _Half
-    ) -> EnginePlan:
-        """Return the plan of an engine that takes a copy of the prompt from another place."""
-        target = generator.candidate
-        size = prompt.input_tokens * traits.kv_token_bytes
-        copy_ms = copy_time_ms(source, target.place, size, traits.link_bytes_per_s)
-        price = REGION_COPY_PRICE_FACTOR if source.region != target.region else 1.0
-        price_ms = price * size / GIGABYTE * self._costs.copy_ms_per_gb
-        return EnginePlan(
-            None, target, 0, generator.first_ms + copy_ms, generator.cost_ms + copy_ms + price_ms
-        )
-
-    def _rereading(self, prompt: Prompt, unread: int, reader: Candidate, settled: bool) -> float:
-        """Return the cost of reading shared parts that another engine keeps, and of going away."""
-        own = prompt.input_tokens - sum(part.tokens for part in prompt.shared)
-        again = max(0, unread - own) / 1000 * self._costs.reread_ms_per_k
-        if not settled:
-            return again
-        if reader.region != self._here.region:
-            return again + self._costs.away_ms
-        return again * self._costs.settled_reread_share
-
-    def _generating(self, prompt: Prompt, traits: EngineTraits, generator: Candidate) -> float:
-        costs, work = self._costs, generator.work
-        taken = (work.streams + 1) / max(1, generator.back_end.slots)
-        memory = (work.kv_tokens + prompt.input_tokens) / max(1, traits.kv_tokens)
-        return (
-            costs.full_ms * taken
-            + costs.memory_ms * max(0.0, memory - SAFE_MEMORY_SHARE)
-            + generator.failure_share * costs.failure_ms
-        )
-
 
 def home_of(part: str, back_ends: Iterable[str]) -> str | None:
     """Return the backend server that keeps a prompt part, the same one on every host.
--- a/src/laburnumreel/relay/_prompts.py
+++ b/src/laburnumreel/relay/_prompts.py
@@ -74,6 +74,18 @@
             kept += part.tokens
         return kept
 
+    def kept(self, engines: Iterable[str], prompt: Prompt, now: float) -> list[tuple[str, int]]:
+        """Return the engines that are expected to keep a start of a prompt, with its tokens."""
+        if not prompt.shared:
+            return []
+        first = prompt.shared[0].name
+        return [
+            (engine, self.kept_tokens(engine, prompt, now))
+            for engine in engines
+            if (used := self._used.get(engine)) is not None
+            and now - used.get(first, float("-inf")) <= REMEMBER_S
+        ]
+
     def working_set(self, now: float) -> int:
         """Return the tokens of all shared parts that any host had read lately, about.
 
--- a/src/laburnumreel/relay/_work.py
+++ b/src/laburnumreel/relay/_work.py
@@ -67,6 +67,8 @@
         # Nothing that peers said ends before this time.
         self._next_end = float("inf")
         self._of_peers: dict[str, Work] = {}
+        # Backend servers whose work has changed since `take_changed`.
+        self._changed: set[str] = set()
 
     @property
     def own(self) -> Mapping[str, Work]:
@@ -76,10 +78,18 @@
     def add(self, back_end: str, work: Work) -> None:
         """Count work that is being sent."""
         _change(self._own, back_end, work, 1)
+        self._changed.add(back_end)
 
     def remove(self, back_end: str, work: Work) -> None:
         """Count work that has ended."""
         _change(self._own, back_end, work, -1)
+        self._changed.add(back_end)
+
+    def take_changed(self, now: float) -> set[str]:
+        """Return the backend servers whose work has changed since the last call."""
+        self._forget_old(now)
+        changed, self._changed = self._changed, set()
+        return changed
 
     def peer(self, sender: str, work: Mapping[str, Work], now: float) -> None:
         """Take what a peer says of all its work."""
@@ -91,6 +101,7 @@
         self._next_end = min(self._next_end, now + lasts_s)
         for back_end, each in work.items():
             _change(self._of_peers, back_end, each, 1)
+        self._changed.update(work)
 
     def forget_peer(self, sender: str) -> None:
         """Drop what a peer said, because it has stopped."""
@@ -103,6 +114,7 @@
             return
         for back_end, each in told.work.items():
             _change(self._of_peers, back_end, each, -1)
+        self._changed.update(told.work)
 
     def total(self, back_end: str, now: float) -> Work:
         """Return the work of this host and of the peers heard from lately."""
