--- a/src/laburnumreel/relay/_beliefs.py
+++ b/src/laburnumreel/relay/_beliefs.py
@@ -19,7 +19,7 @@
 from laburnumreel.relay._news import News
 from laburnumreel.relay._placement import Candidate, Place, place_of
 from laburnumreel.relay._ports import Listing
-from laburnumreel.relay._prompts import PromptMemory, home_engine
+from laburnumreel.relay._prompts import PromptMemory
 from laburnumreel.relay._requests import Prompt, Word
 from laburnumreel.relay._self_reports import SelfReports
 from laburnumreel.relay._standings import Standings
@@ -91,10 +91,9 @@
         usable = {name: each for name, each in standing.items() if name not in order.excluded}
         for name, tokens in self._prompts.kept(usable, order.prompt, now):
             usable[name] = usable[name]._replace(kept_tokens=tokens)
-        for role in (Role.PREFILL, Role.DECODE, None):
-            names = [name for name, each in usable.items() if each.back_end.role is role]
-            home = home_engine(order.prompt, names)
-            if home is not None:
+        if order.prompt.shared:
+            start = order.prompt.shared[-1].name
+            for home in self._standings.homes(order.service, start, order.excluded):
                 usable[home] = usable[home]._replace(home=True)
         return list(usable.values())
 
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -266,8 +266,12 @@
             place.future.set_result(refusal)
             return
         self._waiting[order.waiting.request_id] = place
-        self._next_pass = now
-        self._serve_waiting(now)
+        if len(self._waiting) == 1 or now >= self._next_pass:
+            self._next_pass = now
+            self._serve_waiting(now)
+        else:
+            # The others were tried a moment ago.
+            self._try(place, now)
 
     def _refusal_at_once(self, order: Order, now: float) -> Refusal | None:
         if order.copied_in is not None:
@@ -295,19 +299,25 @@
             service = place.order.service
             if failed[service] >= MOST_TRIES:
                 continue
-            candidates = self._beliefs.candidates(place.order, now)
-            weighed = max(weighed, len(candidates))
-            assignment = self._assign(place.order, candidates, now)
-            if assignment is None:
+            weighed = max(weighed, self._try(place, now))
+            if item.request_id in self._waiting:
                 failed[service] += 1
-                self._pressed[service] = now
-                continue
-            del self._waiting[item.request_id]
-            place.future.set_result(assignment)
         if failed:
             self._next_pass = now + max(PASS_S, PASS_FOR_EACH_S * weighed)
         RELAY_WAITING.set(len(self._waiting))
 
+    def _try(self, place: Placing, now: float) -> int:
+        """Place a request if there is room, and return how many backend servers were weighed."""
+        order = place.order
+        candidates = self._beliefs.candidates(order, now)
+        assignment = self._assign(order, candidates, now)
+        if assignment is None:
+            self._pressed[order.service] = now
+        else:
+            del self._waiting[order.waiting.request_id]
+            place.future.set_result(assignment)
+        return len(candidates)
+
     def _give_up(self, now: float) -> None:
         for request_id, place in list(self._waiting.items()):
             if now >= place.order.waiting.given_up_at:
--- a/src/laburnumreel/relay/_placement.py
+++ b/src/laburnumreel/relay/_placement.py
@@ -226,6 +226,27 @@
         return queue_ms <= max(REREAD_QUEUE_SHARE * self._objective_ms, own_ms)
 
 
+class _Copy(NamedTuple):
+    """What a copy of the prompt's memory takes, and what it is charged as."""
+
+    ms: float
+    price_ms: float
+
+
+# Places that stand for each distance of a copy.
+_DISTANCES = (
+    ("none", Place("a", "x"), Place("a", "x")),
+    ("zone", Place("a", "x"), Place("b", "x")),
+    ("region", Place("a", "x"), Place("b", "y")),
+)
+
+
+def _distance(source: Place, target: Place) -> str:
+    if source == target:
+        return "none"
+    return "zone" if source.region == target.region else "region"
+
+
 class _Way(NamedTuple):
     """What the way from the host to a place adds: time, cost, and the cost of leaving the region."""
 
@@ -252,8 +273,15 @@
         self._own_tokens = prompt.input_tokens - sum(part.tokens for part in prompt.shared)
         self._body_bytes = body_bytes
         self._kv_tokens = max(1, traits.kv_tokens)
-        self._link_bytes_per_s = traits.link_bytes_per_s
-        self._copy_bytes = prompt.input_tokens * traits.kv_token_bytes
+        size = prompt.input_tokens * traits.kv_token_bytes
+        price_ms = size / GIGABYTE * costs.copy_ms_per_gb
+        self._copies = {
+            distance: _Copy(
+                copy_time_ms(source, target, size, traits.link_bytes_per_s),
+                price_ms * (REGION_COPY_PRICE_FACTOR if distance == "region" else 1.0),
+            )
+            for distance, source, target in _DISTANCES
+        }
         self._settled = settled
         self._ways: dict[Place, _Way] = {}
 
@@ -294,22 +322,29 @@
         cost = way.cost_ms + way.away_ms + self._generating(generator)
         return _Half(generator, 0, way.ms, cost)
 
-    def joined(self, reader: _Half, generator: _Half) -> EnginePlan:
-        """Return the plan of two engines, with the copy from one to the other."""
+    def joined(self, readers: Iterable[_Half], generators: Sequence[_Half]) -> EnginePlan | None:
+        """Return the best plan of two engines, with the copy from one to the other, or None."""
+        best: tuple[float, _Half, _Half] | None = None
+        for reader in readers:
+            place = reader.candidate.place
+            for generator in generators:
+                copy = self._copies[_distance(place, generator.candidate.place)]
+                cost = reader.cost_ms + generator.cost_ms + copy.ms + copy.price_ms
+                if best is None or cost < best[0]:
+                    best = (cost, reader, generator)
+        if best is None:
+            return None
+        cost, reader, generator = best
         taking = self.taking(reader.candidate.place, generator)
         first_ms = reader.first_ms + taking.first_token_ms
-        cost = reader.cost_ms + taking.cost_ms
-        return EnginePlan(reader.candidate, generator.candidate, reader.read_tokens, first_ms, cost)
+        return EnginePlan(reader.candidate, taking.generator, reader.read_tokens, first_ms, cost)
 
     def taking(self, source: Place, generator: _Half) -> EnginePlan:
         """Return the plan of an engine that takes a copy of the prompt from another place."""
-        target, size = generator.candidate, self._copy_bytes
-        copy_ms = copy_time_ms(source, target.place, size, self._link_bytes_per_s)
-        price = REGION_COPY_PRICE_FACTOR if source.region != target.region else 1.0
-        price_ms = price * size / GIGABYTE * self._costs.copy_ms_per_gb
-        return EnginePlan(
-            None, target, 0, generator.first_ms + copy_ms, generator.cost_ms + copy_ms + price_ms
-        )
+        copy = self._copies[_distance(source, generator.candidate.place)]
+        first_ms = generator.first_ms + copy.ms
+        cost_ms = generator.cost_ms + copy.ms + copy.price_ms
+        return EnginePlan(None, generator.candidate, 0, first_ms, cost_ms)
 
     def _way(self, place: Place) -> _Way:
         way = self._ways.get(place)
@@ -381,12 +416,8 @@
             reading = [
                 weighing.reading(each) for each in candidates if each.back_end.role is Role.PREFILL
             ]
-            generating = _best_of_places(running)
-            plans += [
-                weighing.joined(reader, generator)
-                for reader in _best_of_places(reading)
-                for generator in generating
-            ]
+            joined = weighing.joined(_best_of_places(reading), _best_of_places(running))
+            plans += [joined] if joined is not None else []
         plan = min(plans, key=lambda plan: plan.cost_ms, default=None)
         if plan is None or queues is None or queues.has_room(plan.reader or plan.generator):
             return plan
--- a/src/laburnumreel/relay/_standings.py
+++ b/src/laburnumreel/relay/_standings.py
@@ -4,13 +4,16 @@
 to place one asks for all of them, and little has changed since the last try.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
-from laburnumreel.relay._placement import Candidate
+from laburnumreel.relay._back_ends import Role
+from laburnumreel.relay._placement import Candidate, home_of
 from laburnumreel.relay._work import WorkLedger
 
 # What changes by time alone, as rests that end and failures that fade, is seen this much later.
 KEPT_S = 0.05
+# Bounds the memory for the homes of starts.
+MOST_HOMES = 8192
 
 
 class Standings:
@@ -28,6 +31,9 @@
         self._build = build
         self._ledger = ledger
         self._kept: dict[str, tuple[float, dict[str, Candidate]]] = {}
+        # The home of a prompt's start among the engines of a role, while these are the same.
+        self._homes: dict[tuple[str, Role | None, str], str | None] = {}
+        self._named: dict[str, dict[Role | None, list[str]]] = {}
 
     def of(self, service: str, now: float) -> dict[str, Candidate]:
         """Return the candidates of a service by name. The caller must not change them."""
@@ -39,8 +45,31 @@
         kept = self._kept.get(service)
         if kept is None or not kept[0] <= now < kept[0] + KEPT_S:
             kept = self._kept[service] = (now, self._build(service, now))
+            self._name(service, kept[1])
         return kept[1]
 
+    def homes(self, service: str, part: str, excluded: Collection[str]) -> list[str]:
+        """Return the engines of each role at which prompts with a start are read first."""
+        homes = []
+        for role, names in self._named[service].items():
+            key = (service, role, part)
+            if key not in self._homes:
+                self._homes[key] = home_of(part, names)
+            home = self._homes[key]
+            if home in excluded:
+                home = home_of(part, [name for name in names if name not in excluded])
+            if home is not None:
+                homes.append(home)
+        return homes
+
+    def _name(self, service: str, candidates: dict[str, Candidate]) -> None:
+        named: dict[Role | None, list[str]] = {}
+        for name, each in candidates.items():
+            named.setdefault(each.back_end.role, []).append(name)
+        if named != self._named.get(service) or len(self._homes) > MOST_HOMES:
+            self._named[service] = named
+            self._homes.clear()
+
     def changed(self) -> None:
         """Take in that anything but the work has changed."""
         self._kept.clear()
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -130,7 +130,7 @@
         weighing = Weighing(HERE, PlacementCosts(), wanted, 17_000, TRAITS, settled)
         costs = [weighing.alone(each, weighing.running(each)).cost_ms for each in free]
         costs += [
-            weighing.joined(weighing.reading(reader), weighing.running(generator)).cost_ms
+            weighing.joined([weighing.reading(reader)], [weighing.running(generator)]).cost_ms
             for reader in readers
             for generator in free
         ]
