--- a/src/laburnumreel/relay/_capacity.py
+++ b/src/laburnumreel/relay/_capacity.py
@@ -28,6 +28,8 @@
 # The zones that may lose all their cheap backend servers at once, before those that are left are
 # fewer than the deployment came with.
 LOST_ZONES = 2
+# Of a service's backend servers, this share may be away at once for such a step, and at least one.
+STEP_SHARE = 0.1
 CAPACITY_TABLE = "relay_capacity"
 # A deployment's backend servers make themselves known within some seconds of its start, each with its
 # next sign of life.
@@ -37,9 +39,9 @@
 REFUSED_RETRY_S = 2.0
 # After a refusal, cheap backend servers are taken as not to be had for this long: several tries.
 DRY_S = 5 * REFUSED_RETRY_S
-# Dedicated backend servers are given back only where no request has waited for a place for this long,
-# about the time that one needs to start.
-CALM_S = 5.0
+# Dedicated backend servers are given back only where no request has waited for a place for this long:
+# a burst that has passed may come again, and one takes several seconds to come back.
+CALM_S = 15.0
 
 _log = Log("relay.capacity")
 
@@ -96,6 +98,12 @@
     deployment still makes itself known, and while requests wait for places.
     """
     wanted = {}
+    # A step takes a zone's room for some seconds. It waits until the others have all that they can get.
+    is_whole = all(
+        not now.cheap_refused and now.dedicated + now.cheap >= _total(scaling, found[zone])
+        for zone, now in zones.items()
+    )
+    steps_left = max(1, round(STEP_SHARE * sum(_total(scaling, each) for each in found.values())))
     cheap_enough = scaling.cheap_price is not None and scaling.cheap_price <= WORTHWHILE_PRICE_SHARE
     least = least_dedicated(scaling, found)
     for zone, count in found.items():
@@ -114,8 +122,10 @@
         dedicated = max(least_here, min(max(count, math.ceil(total / 2)), total - expected))
         spare = now.dedicated - least_here
         full_step = cheap < total - least_here and now.cheap >= cheap
-        if full_step and spare > 0 and not now.cheap_refused:
-            dedicated = now.dedicated - max(1, spare // 2)
+        if full_step and spare > 0 and is_whole:
+            step = min(max(1, spare // 2), steps_left)
+            steps_left -= step
+            dedicated = now.dedicated - step
         if not may_give_back:
             dedicated = max(dedicated, now.dedicated)
         wanted[Group(service.name, zone, True)] = cheap
