--- a/src/laburnumreel/relay/__init__.py
+++ b/src/laburnumreel/relay/__init__.py
@@ -30,6 +30,7 @@
     Feed,
     Listing,
 )
+from laburnumreel.relay._report import STAGES, SecondReport, report_seconds
 from laburnumreel.relay._requests import (
     Dispatch,
     Part,
@@ -81,6 +82,9 @@
     "StreamEvent",
     "Verdict",
     "Word",
+    "STAGES",
+    "SecondReport",
     "load_relay_settings",
+    "report_seconds",
     "run_relay",
 ]
--- a/src/laburnumreel/ui/_relay.py
+++ b/src/laburnumreel/ui/_relay.py
@@ -3,13 +3,20 @@
 import http.client
 import json
 from collections.abc import Iterator
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
 
 import click
 
 from laburnumreel.coordination import parse_address
-from laburnumreel.relay import RELAY_SCHEMA, load_relay_settings
+from laburnumreel.relay import (
+    RELAY_SCHEMA,
+    STAGES,
+    SecondReport,
+    load_relay_settings,
+    report_seconds,
+)
 from laburnumreel.ui._context import Context, common_options, pass_context
 from laburnumreel.ui._errors import ExitCode, UserError
 from laburnumreel.ui._lists import as_lines
@@ -75,6 +82,52 @@
     context.show({"lines": found}, texts)
 
 
+@relay.command("report")
+@click.argument("logs", nargs=-1, required=True, type=click.File(errors="replace"))
+@click.option(
+    "--plot", type=click.Path(dir_okay=False, path_type=Path), help="Write a picture too."
+)
+@common_options
+@pass_context
+def report(context: Context, logs: tuple[Any, ...], plot: Path | None) -> None:
+    """Show by second where the time of late requests went, from the LOGS of all hosts."""
+    reports = report_seconds(line for log in logs for line in _lines(log))
+    if not reports:
+        raise UserError(ExitCode.CHECK_FAILED, "no request's end is in the logs")
+    rows = [_report_row(each) for each in reports]
+    if plot is not None:
+        _plot(reports, plot)
+    context.show({"seconds": rows}, as_lines(rows, tuple(rows[0])))
+
+
+def _report_row(each: SecondReport) -> dict[str, Any]:
+    at = datetime.fromtimestamp(each.second, UTC).strftime("%H:%M:%S")
+    row = {"second": at, "requests": each.requests, "late": each.late}
+    row |= {"refused": each.refused, "lost": each.lost}
+    row |= {f"{stage}_ms": round(each.late_ms[stage]) for stage in STAGES}
+    return row | {"dearest": each.dearest or "-"}
+
+
+def _plot(reports: list[SecondReport], file: Path) -> None:
+    try:
+        from matplotlib.figure import Figure
+    except ImportError as error:
+        raise UserError(ExitCode.USAGE, "--plot needs the package matplotlib") from error
+    figure = Figure(figsize=(9, 4))
+    axes = figure.subplots()
+    seconds = [each.second - reports[0].second for each in reports]
+    below = [0.0] * len(reports)
+    for stage in STAGES:
+        # Late requests times their mean: the seconds of callers' waits that a stage took.
+        waits = [each.late * each.late_ms[stage] / 1000 for each in reports]
+        axes.bar(seconds, waits, bottom=below, label=stage.replace("_", " "))
+        below = [low + wait for low, wait in zip(below, waits, strict=True)]
+    axes.set_xlabel("second of the logs")
+    axes.set_ylabel("time of late requests (s)")
+    axes.legend()
+    figure.savefig(file)
+
+
 def _lines(log: Any) -> Iterator[dict[str, Any]]:
     """Yield the JSON lines of a log; collectors may have put something before each."""
     for text in log:
--- a/tests/test_ui_relay.py
+++ b/tests/test_ui_relay.py
@@ -88,3 +88,44 @@
 def test_help_lists_the_commands():
     shown = CliRunner().invoke(cli, ["relay", "--help"], obj=Context()).output
     assert all(word in shown for word in ("check", "status", "trace"))
+
+
+def log_lines(request, waits, first_ms, took_ms, on_time, second=0):
+    """Return the log lines of a request that was placed after some waits, in milliseconds."""
+    at = f"2026-01-01T00:00:{second + took_ms / 1000:09.6f}Z"
+    lines = [
+        {"name": "request_placed", "request": request, "timestamp": at, "waited_ms": wait}
+        for wait in waits
+    ]
+    end = {"name": "request_served", "request": request, "timestamp": at, "took_ms": took_ms}
+    return [*lines, end | {"first_ms": first_ms, "on_time": on_time}]
+
+
+def test_report_says_by_second_where_late_requests_spent_their_time(tmp_path, capsys):
+    lines = log_lines("r1", [300, 400], 450, 460, False)
+    lines += log_lines("r2", [0, 50], 60, 70, True)
+    lines += log_lines("r3", [10, 900], 930, 940, False, second=2)
+    lines.append(
+        {
+            "name": "request_refused",
+            "request": "r4",
+            "timestamp": "2026-01-01T00:00:02.900000Z",
+            "waited_ms": 500,
+        }
+    )
+    log = tmp_path / "host.log"
+    log.write_text("".join(f"7.0 front-1 {json.dumps(line)}\n" for line in lines) + "{broken\n")
+    code, out, _ = run(capsys, "relay", "report", log, "--json", "--plot", tmp_path / "late.png")
+    rows = json.loads(out)["seconds"]
+    assert code == 0 and [row["second"] for row in rows] == ["00:00:00", "00:00:02"]
+    first, last = rows
+    assert (first["requests"], first["late"], first["dearest"]) == (2, 1, "held")
+    assert (first["held_ms"], first["read_ms"], first["first_token_ms"]) == (300, 100, 50)
+    assert (last["late"], last["refused"], last["dearest"]) == (1, 1, "read")
+    assert (tmp_path / "late.png").stat().st_size > 0
+
+
+def test_report_without_requests_is_an_error(tmp_path, capsys):
+    log = tmp_path / "host.log"
+    log.write_text("nothing\n")
+    assert run(capsys, "relay", "report", log)[0] == 2
