--- a/src/laburnumreel/relay/_exchange.py
+++ b/src/laburnumreel/relay/_exchange.py
@@ -106,8 +106,10 @@
         """Take the news of some peers."""
         self._heard_any = True
         for news in batch:
-            self._era.heard(news.store_era)
-            self._book.fix(*news.fixed)
+            if news.store_era != self._era.known:
+                self._era.heard(news.store_era)
+            if news.fixed:
+                self._book.fix(*news.fixed)
             self._peer_version = max(self._peer_version, news.config_version)
             self._back_end_feed.heard(news.listing_seen, news.listing_version, news.listing_away)
             self._peer_listing = max(self._peer_listing, news.listing_version)
--- a/src/laburnumreel/relay/_peers.py
+++ b/src/laburnumreel/relay/_peers.py
@@ -18,7 +18,7 @@
 # With many peers, news goes out more seldom, so that a host sends at most this many datagrams a
 # second: to peers nearby, and to those in other regions, whose datagrams are paid for and whose
 # engines are seldom used where there are many.
-MOST_NEAR_PER_S = 80.0
+MOST_NEAR_PER_S = 50.0
 MOST_FAR_PER_S = 40.0
 # A peer that is not heard for this long is taken as gone, and where news goes out more seldom, after
 # this many times the time between them: two lost datagrams are no sign.
--- a/src/laburnumreel/relay/_work.py
+++ b/src/laburnumreel/relay/_work.py
@@ -95,13 +95,17 @@
         """Take what a peer says of all its work."""
         gap_s = now - self._heard_at.get(sender, now)
         lasts_s = min(LONGEST_NEWS_S, max(PEER_NEWS_S, NEWS_TIMES * gap_s))
-        self._drop(sender)
+        told = self._peers.get(sender)
+        before = told.work if told is not None else {}
         self._heard_at[sender] = now
         self._peers[sender] = _Told(now, now + lasts_s, work)
         self._next_end = min(self._next_end, now + lasts_s)
-        for back_end, each in work.items():
-            _change(self._of_peers, back_end, each, 1)
-        self._changed.update(work)
+        # Most of what a peer tells is what it told before.
+        for back_end in {**before, **work}:
+            was, is_now = before.get(back_end, NO_WORK), work.get(back_end, NO_WORK)
+            if was != is_now:
+                _change(self._of_peers, back_end, is_now.times_added(was, -1), 1)
+                self._changed.add(back_end)
 
     def forget_peer(self, sender: str) -> None:
         """Drop what a peer said, because it has stopped."""
--- a/tests/test_relay_standings.py
+++ b/tests/test_relay_standings.py
@@ -16,7 +16,7 @@
 from laburnumreel.relay._requests import Word
 from laburnumreel.relay._standings import KEPT_S
 from laburnumreel.relay._waiting import Waiting
-from laburnumreel.relay._work import Work
+from laburnumreel.relay._work import Work, WorkLedger
 
 NAMES = [f"e{index}" for index in range(6)]
 ENGINES = {
@@ -100,3 +100,33 @@
         host.peers(())
     # A pass each 21 ms with as many tries as one may have, and one for each that comes.
     assert host.tries <= 2.0 / 0.021 * MOST_TRIES + 10 + MOST_TRIES
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["h1", "h2", "h3"]),
+            st.dictionaries(st.sampled_from(NAMES), st.integers(1, 5), max_size=4),
+            st.booleans(),
+        ),
+        max_size=12,
+    )
+)
+def test_sums_of_peers_work_are_those_of_what_each_said_last(told):
+    ledger, last = WorkLedger(), {}
+    for sender, counts, stops in told:
+        ledger.take_changed(1.0)
+        before = {name: ledger.total(name, 1.0) for name in NAMES}
+        if stops:
+            ledger.forget_peer(sender)
+            last.pop(sender, None)
+        else:
+            work = {name: Work(count, 10 * count) for name, count in counts.items()}
+            ledger.peer(sender, work, now=1.0)
+            last[sender] = work
+        changed = ledger.take_changed(1.0)
+        for name in NAMES:
+            said = [work[name] for work in last.values() if name in work]
+            requests = sum(each.requests for each in said)
+            assert ledger.total(name, 1.0) == Work(requests, 10 * requests)
+            assert name in changed or ledger.total(name, 1.0) == before[name]
