--- a/src/laburnumreel/relay/_assignments.py
+++ b/src/laburnumreel/relay/_assignments.py
@@ -3,9 +3,9 @@
 from typing import NamedTuple
 
 from laburnumreel.relay._back_ends import ListedBackEnd
-from laburnumreel.relay._placement import EnginePlan
 from laburnumreel.relay._requests import Prompt
 from laburnumreel.relay._waiting import Waiting
+from laburnumreel.relay._weighing import EnginePlan
 from laburnumreel.relay._work import Work
 
 
--- a/src/laburnumreel/relay/_beliefs.py
+++ b/src/laburnumreel/relay/_beliefs.py
@@ -17,12 +17,12 @@
     REQUEST_HELD_BACK,
 )
 from laburnumreel.relay._news import News
-from laburnumreel.relay._placement import Candidate, Place, place_of
 from laburnumreel.relay._ports import Listing
 from laburnumreel.relay._prompts import PromptMemory
 from laburnumreel.relay._requests import Prompt, Word
 from laburnumreel.relay._self_reports import SelfReports
 from laburnumreel.relay._standings import Standings
+from laburnumreel.relay._weighing import Candidate, Place, place_of
 from laburnumreel.relay._work import Work, WorkLedger
 
 # The share of a reading engine's memory that keeps starts of prompts; the rest holds what is read.
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -32,19 +32,12 @@
 )
 from laburnumreel.relay._metrics import RELAY_WAITING
 from laburnumreel.relay._news import News
-from laburnumreel.relay._placement import (
-    Candidate,
-    EnginePlacement,
-    EnginePlan,
-    Place,
-    PlacementCosts,
-    Queues,
-    choose_plain,
-)
+from laburnumreel.relay._placement import EnginePlacement, Queues, choose_plain
 from laburnumreel.relay._ports import Listing
 from laburnumreel.relay._requests import Prompt, Word
 from laburnumreel.relay._settings import RetrySettings
 from laburnumreel.relay._waiting import FreedRate, order_waiting, retry_after_s
+from laburnumreel.relay._weighing import Candidate, EnginePlan, Place, PlacementCosts
 from laburnumreel.relay._work import Work
 from laburnumreel.state import ErrorKind, Refusal
 
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -47,12 +47,12 @@
 from laburnumreel.relay._members import Member, Members
 from laburnumreel.relay._membership import Membership
 from laburnumreel.relay._peers import PeerNews, rank_of
-from laburnumreel.relay._placement import Place
 from laburnumreel.relay._ports import Adapter, Listing
 from laburnumreel.relay._roles import RolePlanner
 from laburnumreel.relay._settings import RelaySettings
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._usage import UsageBook
+from laburnumreel.relay._weighing import Place
 from laburnumreel.relay._work import Work
 from laburnumreel.serving import RequestRegistry
 from laburnumreel.state import Lease, LeaseSettings
--- a/src/laburnumreel/relay/_standings.py
+++ b/src/laburnumreel/relay/_standings.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable, Collection
 
 from laburnumreel.relay._back_ends import Role
-from laburnumreel.relay._placement import Candidate, home_of
+from laburnumreel.relay._placement import home_of
+from laburnumreel.relay._weighing import Candidate
 from laburnumreel.relay._work import WorkLedger
 
 # What changes by time alone, as rests that end and failures that fade, is seen this much later.
--- /dev/null
+++ b/src/laburnumreel/transport/_exchange.py
@@ -0,0 +1,317 @@
+"""One request and its answer on one connection, over http.client."""
+
+import http.client
+import socket
+import time
+from collections.abc import Callable, Iterable, Mapping
+from typing import Literal
+
+from laburnumreel.transport._metrics import SILENT_CONNECTIONS
+from laburnumreel.transport._sockets import BackEndSocket, set_timeout
+
+READ_BYTES = 64 * 1024
+# What may come before the body of an answer: its head, interim answers, and an answer to an earlier
+# request. http.client takes heads of up to 100 lines of 64 KiB; servers send a few KiB.
+MOST_HEAD_BYTES = 256 * 1024
+# What one read of a body may receive: its bytes, and the line of a chunk or the trailers.
+MOST_READ_BYTES = 2 * READ_BYTES
+# Status codes of interim answers, which the answer proper follows on the same connection. 101 is
+# none: the connection is another protocol's from there on.
+INTERIM = range(100, 200)
+SWITCHING_PROTOCOLS = 101
+# A connection is used for this share of the time for which the back end says it keeps it.
+IDLE_LIMIT_SHARE = 0.7
+# The kernel may end a wait a moment before its time by another clock.
+TIMED_OUT_SHARE = 0.98
+
+Address = tuple[str, int]
+FailureReason = Literal["connect_failed", "silent", "lost", "short", "too_long"]
+
+
+class BackEndFailureError(Exception):
+    """An exchange that did not end well.
+
+    `sent` is whether a byte of the request may have left. `silent` means that no byte came in
+    time, `short` that the answer ended before its end, `too_long` that it did not end where it had to.
+    """
+
+    def __init__(self, reason: FailureReason, detail: str, sent: bool) -> None:
+        super().__init__(f"{reason}: {detail}")
+        self.reason = reason
+        self.sent = sent
+
+
+class _Connection(http.client.HTTPConnection):
+    """Sends the head and the body of a request in one piece.
+
+    http.client sends two, which costs the gateway a system call and the back end a wake-up.
+    """
+
+    _held: list[bytes] | None = None
+
+    def send(self, data: bytes) -> None:
+        if self._held is None:
+            super().send(data)
+        else:
+            self._held.append(data)
+
+    def request_at_once(
+        self, method: str, target: str, body: bytes | None, headers: dict[str, str]
+    ) -> None:
+        self._held = []
+        try:
+            self.request(method, target, body, headers)
+            whole = b"".join(self._held)
+        finally:
+            self._held = None
+        self.send(whole)
+
+
+class Exchange:
+    """One request and its answer on one connection.
+
+    It belongs to one thread, but for `abort`, which any thread may call.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        connection: _Connection,
+        opened_at: float,
+        give_back: Callable[["Exchange"], None],
+    ) -> None:
+        self.address = address
+        self.opened_at = opened_at
+        self.connection = connection
+        # How long the back end keeps the connection when it is idle, by its own word.
+        self.idle_limit_s = float("inf")
+        self._give_back = give_back
+        self._socket = connection.sock
+        self._response: http.client.HTTPResponse | None = None
+        self._complete = False
+        self._aborted = False
+        self._foreign = False
+        self._timeout_s = 0.0
+
+    def again(self) -> "Exchange":
+        """Return an exchange for the next request on the same connection."""
+        return Exchange(self.address, self.connection, self.opened_at, self._give_back)
+
+    @property
+    def status(self) -> int:
+        return self._response.status
+
+    @property
+    def headers(self) -> list[tuple[str, str]]:
+        return self._response.getheaders()
+
+    @property
+    def message(self) -> Mapping[str, str]:
+        """The headers by name, in any case."""
+        return self._response.headers
+
+    def header(self, name: str) -> str | None:
+        return self._response.getheader(name)
+
+    @property
+    def timeout_s(self) -> float:
+        """The longest wait for the next byte, in seconds."""
+        return self._timeout_s
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole answer was read."""
+        return self._complete
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        timeout_s: float,
+        is_ours: Callable[[int, Mapping[str, str]], bool] | None = None,
+    ) -> None:
+        """Send the request and read the answer's head, all of it within `timeout_s`.
+
+        An answer for which `is_ours` is false belongs to an earlier request on the connection. It
+        is read and dropped, and the connection is not used again.
+        """
+        self.write(method, target, headers, body, timeout_s)
+        self.read_head(method, timeout_s, is_ours)
+
+    def write(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        timeout_s: float,
+    ) -> None:
+        """Send the request."""
+        self.set_timeout(timeout_s)
+        started = time.monotonic()
+        try:
+            self.connection.request_at_once(method, target, body, headers)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise self._failure("lost", error, started) from error
+
+    def read_head(
+        self,
+        method: str,
+        timeout_s: float,
+        is_ours: Callable[[int, Mapping[str, str]], bool] | None = None,
+    ) -> None:
+        """Read the head of the answer to a request with a method."""
+        self.set_timeout(timeout_s)
+        started = time.monotonic()
+        self._socket.begin_wait(timeout_s, MOST_HEAD_BYTES)
+        try:
+            self._response = self.connection.getresponse()
+            self._pass_interim(method)
+            while is_ours is not None and not is_ours(self.status, self._response.headers):
+                self._foreign = True
+                self._skip(method)
+                self._pass_interim(method)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise self._failure("lost", error, started) from error
+        finally:
+            if self._socket.end_wait():
+                set_timeout(self._socket, timeout_s)
+
+    def _skip(self, method: str) -> None:
+        """Drop an answer to another request and read the head of the next one."""
+        if self._response.will_close:
+            raise http.client.RemoteDisconnected("the last answer belongs to another request")
+        self._response.read()
+        self._begin_next(method)
+
+    def _pass_interim(self, method: str) -> None:
+        """Pass over interim answers. http.client passes over those with status 100 only."""
+        while self.status in INTERIM and self.status != SWITCHING_PROTOCOLS:
+            self._begin_next(method)
+
+    def _begin_next(self, method: str) -> None:
+        """Read the head of the next answer on the connection."""
+        self._response.close()
+        self._response = self.connection.response_class(self._socket, method=method)
+        self._response.begin()
+
+    def set_timeout(self, timeout_s: float) -> None:
+        """Set the longest wait for the next byte."""
+        if timeout_s != self._timeout_s:
+            self._timeout_s = timeout_s
+            set_timeout(self._socket, timeout_s)
+
+    def read(self) -> bytes:
+        """Return the next bytes of the answer as soon as there are some; none at its end.
+
+        The timeout holds for all of it, also where trailers or the line of a chunk come bit by bit.
+        """
+        response, timeout_s = self._response, self._timeout_s
+        started = time.monotonic()
+        self._socket.begin_wait(timeout_s, MOST_READ_BYTES)
+        try:
+            data = response.read1(READ_BYTES)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise self._failure("short", error, started) from error
+        finally:
+            if self._socket.end_wait():
+                set_timeout(self._socket, timeout_s)
+        if not data:
+            # http.client takes a read that timed out for the end of an answer without a length.
+            if self._timed_out(started):
+                raise self._failure("silent", "no byte came", started)
+            if not response.chunked and response.length:
+                missing = f"{response.length} bytes are missing"
+                raise self._failure("short", missing, started)
+            self._complete = not self._aborted
+        return data
+
+    def read_whole(self, most_bytes: int, within_s: float) -> bytes:
+        """Return the rest of the answer, which must end within the bounds."""
+        # Pieces may be as short as a byte, so that a list of them would be many times as large.
+        whole = bytearray()
+        self.set_timeout(min(self._timeout_s, within_s))
+        ends_at = time.monotonic() + within_s
+        while piece := self.read():
+            whole += piece
+            if len(whole) > most_bytes or time.monotonic() >= ends_at:
+                detail = f"the answer did not end within {most_bytes} bytes and {within_s:.1f} s"
+                raise BackEndFailureError("too_long", detail, sent=True)
+        return bytes(whole)
+
+    def abort(self) -> None:
+        """Shut the connection down, which ends a read on another thread."""
+        self._aborted = True
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # Already closed by the back end.
+            return
+
+    def close(self) -> None:
+        """End the exchange. Only a connection whose whole answer was read is used again."""
+        reusable = self._complete and not self._aborted and not self._foreign
+        if reusable and not self._response.will_close and not self._socket.has_read_ahead():
+            self.idle_limit_s = _idle_limit_s(self._response.getheader("Keep-Alive"))
+            self._response.close()
+            self._give_back(self)
+            return
+        if self._response is not None:
+            self._response.close()
+        self.discard()
+
+    def discard(self) -> None:
+        """Close the connection, whatever state it is in."""
+        self.connection.close()
+        self._socket.end()
+
+    def _failure(self, reason: FailureReason, error: object, started: float) -> BackEndFailureError:
+        if self._timed_out(started) and not self._aborted:
+            SILENT_CONNECTIONS.inc()
+            reason = "silent"
+        return BackEndFailureError(reason, repr(error), sent=True)
+
+    def _timed_out(self, started: float) -> bool:
+        # The socket's timeout shows as EAGAIN, which http.client reports in several ways.
+        return time.monotonic() - started >= self._timeout_s * TIMED_OUT_SHARE
+
+
+def dial(
+    address: Address,
+    timeout_s: float,
+    give_back: Callable[[Exchange], None],
+    options: Iterable[tuple[int, int, int | bytes]] = (),
+) -> Exchange:
+    """Return an exchange on a new connection, which goes to `give_back` when it can be used again.
+
+    `options` are set on its socket first, each a level, a name and a value.
+    """
+    connection = _Connection(*address)
+    opened_at = time.monotonic()
+    sock = BackEndSocket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+    try:
+        set_timeout(sock, timeout_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for option in options:
+            sock.setsockopt(*option)
+        sock.connect(address)
+    except OSError as error:
+        sock.close()
+        raise BackEndFailureError("connect_failed", repr(error), sent=False) from error
+    connection.sock = sock
+    return Exchange(address, connection, opened_at, give_back)
+
+
+def _idle_limit_s(keep_alive: str | None) -> float:
+    """Return how long a connection may be idle by a `Keep-Alive` header, with a margin.
+
+    >>> _idle_limit_s("timeout=5"), _idle_limit_s(None)
+    (3.5, inf)
+    """
+    for part in (keep_alive or "").split(","):
+        name, _, value = part.partition("=")
+        if name.strip().lower() == "timeout" and value.strip().isdigit():
+            return int(value) * IDLE_LIMIT_SHARE
+    return float("inf")
--- a/src/laburnumreel/transport/_json_calls.py
+++ b/src/laburnumreel/transport/_json_calls.py
@@ -7,8 +7,8 @@
 
 from expression import Error, Ok, Result
 
-from laburnumreel.transport._backend import BackEndFailureError, Exchange, dial
 from laburnumreel.transport._call_pace import CallKind, CallPace
+from laburnumreel.transport._exchange import BackEndFailureError, Exchange, dial
 
 # What the body of an answer may have: the store's answers have 1 MB of rows at most, in base64.
 MOST_BODY_BYTES = 8 * 1024 * 1024
--- a/src/laburnumreel/transport/_orders.py
+++ b/src/laburnumreel/transport/_orders.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok, Result
 
 from laburnumreel.coordination import Answer
-from laburnumreel.transport._backend import BackEndFailureError, Exchange, dial
+from laburnumreel.transport._exchange import BackEndFailureError, Exchange, dial
 
 # What the whole answer to an order may have.
 MOST_ANSWER_BYTES = 1024 * 1024
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -16,11 +16,11 @@
 from laburnumreel.relay._config import EngineTraits, RelayConfig, RelayService
 from laburnumreel.relay._dispatcher import Dispatcher
 from laburnumreel.relay._news import News
-from laburnumreel.relay._placement import Place
 from laburnumreel.relay._ports import Listing
 from laburnumreel.relay._requests import Part, Prompt
 from laburnumreel.relay._settings import RetrySettings
 from laburnumreel.relay._waiting import Waiting
+from laburnumreel.relay._weighing import Place
 from laburnumreel.state import Refusal
 
 TRAITS = EngineTraits(64, 1_200_000, 18_432, 3.6e11, 5.0, 3.0)
--- a/tests/relay_samples.py
+++ b/tests/relay_samples.py
@@ -7,11 +7,8 @@
     RouteKind,
     Share,
 )
-from laburnumreel.relay._placement import (
-    Candidate,
-    Place,
-)
 from laburnumreel.relay._requests import Part, Prompt
+from laburnumreel.relay._weighing import Candidate, Place
 from laburnumreel.relay._work import Work
 
 HERE = Place("zone-a", "region-a")
--- a/tests/test_relay_burst.py
+++ b/tests/test_relay_burst.py
@@ -10,9 +10,10 @@
 from laburnumreel.relay._assignments import Order
 from laburnumreel.relay._back_ends import Role
 from laburnumreel.relay._beliefs import GONE_S
-from laburnumreel.relay._placement import QUEUE_SHARE, PlacementCosts, Queues
+from laburnumreel.relay._placement import QUEUE_SHARE, Queues
 from laburnumreel.relay._ports import Listing
 from laburnumreel.relay._waiting import Waiting
+from laburnumreel.relay._weighing import PlacementCosts
 from laburnumreel.relay._work import Work
 
 SECONDS = 8.0
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -8,14 +8,9 @@
 from relay_samples import HERE, TRAITS, candidate, prompt
 
 from laburnumreel.relay._back_ends import Role
-from laburnumreel.relay._placement import (
-    EnginePlacement,
-    PlacementCosts,
-    Weighing,
-    choose_plain,
-    home_of,
-)
+from laburnumreel.relay._placement import EnginePlacement, choose_plain, home_of
 from laburnumreel.relay._prompts import MOST_PARTS, REMEMBER_S, PromptMemory
+from laburnumreel.relay._weighing import PlacementCosts, Weighing
 from laburnumreel.relay._work import Work
 
 
--- a/tests/test_relay_placement_load.py
+++ b/tests/test_relay_placement_load.py
@@ -9,9 +9,10 @@
 
 from laburnumreel.relay._back_ends import ListedBackEnd, Role
 from laburnumreel.relay._config import EngineTraits
-from laburnumreel.relay._placement import Candidate, EnginePlacement, Place
+from laburnumreel.relay._placement import EnginePlacement
 from laburnumreel.relay._prompts import PromptMemory, home_engine
 from laburnumreel.relay._requests import Part, Prompt
+from laburnumreel.relay._weighing import Candidate, Place
 from laburnumreel.relay._work import NO_WORK, Work, WorkLedger
 
 READ_MS, KV_TOKENS = 0.013, 444_000
