Give nothing back while a host can't see the list

A dedicated engine was given back at 36.0 s while the store turned 22 of 63 hosts away; hosts of one region sent to it 4.1 s later. Ruled out: the marks of leaving by incarnation and the kept candidates (tests over all changes).

--- a/src/laburnumreel/relay/_capacity.py
+++ b/src/laburnumreel/relay/_capacity.py
@@ -148,7 +148,8 @@
     """Orders backend servers until the list shows the wanted counts.
 
     `fleet` gives the backend servers as listed, and when a request last waited for a place of each
-    service.
+    service. `all_look` tells whether all hosts can look at the list: one that can't sees late that a
+    backend server leaves, so that none is given back then.
     """
 
     def __init__(
@@ -159,6 +160,7 @@
         address: Callable[[], Address],
         services: Callable[[], Mapping[str, RelayService]],
         fleet: Callable[[], tuple[Iterable[ListedBackEnd], Mapping[str, float]]],
+        all_look: Callable[[], bool] = lambda: True,
     ) -> None:
         self._platform = platform
         self._sender = sender
@@ -166,6 +168,7 @@
         self._address = address
         self._services = services
         self._fleet = fleet
+        self._all_look = all_look
         self._ordered: dict[Group, tuple[int, float]] = {}
         # When the last order of a group was refused or got no answer.
         self._refused: dict[Group, float] = {}
@@ -196,7 +199,8 @@
             have = Counter(Group(entry.service, entry.zone, entry.cheap) for entry in listed)
             zones = {zone: self._zone_state(service.name, zone, have, now) for zone in found}
             calm = now - pressed.get(service.name, float("-inf")) >= CALM_S
-            may_give_back = calm and service.name not in self._growing
+            known = service.name not in self._growing
+            may_give_back = calm and known and self._all_look()
             wanted = wanted_counts(service, service.scaling, found, zones, may_give_back)
             for group, count in wanted.items():
                 if have[group] != count:
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -213,6 +213,7 @@
             lambda: self._settings.duties,
             self._services,
             self._fleet_pressed,
+            lambda: not (self._back_end_feed.looks.away or self._peers.any_away),
         )
         roles = RolePlanner(
             sender,
--- a/src/laburnumreel/relay/_peers.py
+++ b/src/laburnumreel/relay/_peers.py
@@ -138,6 +138,15 @@
         """The highest fencing number under which any peer said it does the duties."""
         return self._highest_fence
 
+    @property
+    def any_away(self) -> bool:
+        """Whether a peer that was heard lately can't look at the back ends' table."""
+        now = self._clock.now()
+        return any(
+            peer.listing_away and not self._is_silent(peer, now)
+            for peer in list(self._peers.values())
+        )
+
     def duty_claimed(self, within_s: float) -> bool:
         """Return whether a peer said within a time that it does the duties."""
         now = self._clock.now()
--- a/tests/test_relay_plans.py
+++ b/tests/test_relay_plans.py
@@ -156,6 +156,41 @@
             gaps = [later - earlier for earlier, later in itertools.pairwise(at)]
             assert all(gap >= self.SCALING.boot_s for gap in gaps)
 
+    def test_nothing_is_given_back_while_a_host_cannot_see_the_list(self):
+        """Guards against requests to a backend server that leaves, by hosts that the store turns away
+        (further-grown, scale-2: 17 requests later than 4 s after)."""
+        counts = {"dedicated": dict.fromkeys("uvwxyz", 2)}
+        listed_now = tuple(
+            listed(f"{zone}{index}", zone, cheap=index > 1)
+            for zone in "uvwxyz"
+            for index in range(4)
+        )
+        orders, looks = [], []
+
+        def post(authority, address, path, body, headers):
+            orders.append((body["cheap"], body["count"]))
+            return Ok(Answer(200, {}))
+
+        planner = CapacityPlanner(
+            SimpleNamespace(read=lambda table, key: Ok(Row(key, counts, 1))),
+            SimpleNamespace(post=post),
+            SimpleNamespace(
+                capacity=lambda authority, service, zone, count, cheap: DutyCall(
+                    "/", {}, {"count": count, "cheap": cheap}
+                )
+            ),
+            lambda: ("10.0.0.9", 80),
+            lambda: {"orders": RelayService("orders", 300, TRAITS, self.SCALING)},
+            lambda: (listed_now, {}),
+            lambda: bool(looks),
+        )
+        authority = Authority("relay_duties", 3, 9, 100.0)
+        planner.step(authority, 100.0)
+        assert not orders
+        looks.append("all")
+        planner.step(authority, 101.0)
+        assert orders and all(order == (False, 1) for order in orders)
+
     def engines(self, readers, generators):
         return [listed(f"p{index}", role=Role.PREFILL) for index in range(readers)] + [
             listed(f"d{index}", role=Role.DECODE) for index in range(generators)
