--- a/src/laburnumreel/relay/_beliefs.py
+++ b/src/laburnumreel/relay/_beliefs.py
@@ -52,12 +52,14 @@
 class FleetView(NamedTuple):
     """The backend servers and the work at each, for planning.
 
-    `pressed` tells when a request last found no place of a service at once.
+    `pressed` tells when a request last found no place of a service at once, `busy` names the services
+    with any work.
     """
 
     back_ends: tuple[ListedBackEnd, ...]
     work: Mapping[str, Work]
     pressed: Mapping[str, float]
+    busy: frozenset[str]
 
 
 class FleetBeliefs:
@@ -271,7 +273,8 @@
         back_ends: Iterable[ListedBackEnd] = self._back_ends
         listed = tuple(back_ends)
         work = {entry.name: self.ledger.total(entry.name, now) for entry in listed}
-        return FleetView(listed, work, dict(pressed))
+        busy = frozenset(entry.service for entry in listed if any(work[entry.name]))
+        return FleetView(listed, work, dict(pressed), busy)
 
     def _standing(self, service: str, now: float) -> dict[str, Candidate]:
         """Return the backend servers of a service that take work, by name."""
--- a/src/laburnumreel/relay/_capacity.py
+++ b/src/laburnumreel/relay/_capacity.py
@@ -8,12 +8,13 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from laburnumreel.coordination import GuardedSender
 from laburnumreel.core import Log
 from laburnumreel.relay._back_ends import Address, ListedBackEnd
+from laburnumreel.relay._beliefs import FleetView
 from laburnumreel.relay._config import RelayService, Scaling
 from laburnumreel.relay._events import CAPACITY_ORDERED, CAPACITY_REFUSED
 from laburnumreel.relay._ports import DutyWire
@@ -95,6 +96,7 @@
     found: Mapping[str, int],
     zones: Mapping[str, ZoneState],
     may_give_back: bool = True,
+    is_idle: bool = False,
 ) -> Mapping[Group, int]:
     """Return how many backend servers of each kind a service should have in each zone.
 
@@ -102,6 +104,7 @@
     of dedicated ones in steps: a zone's limit counts both kinds, so that the dedicated ones of a step
     go first. Where cheap ones can't be had, dedicated ones are ordered back. None is given back
     without `may_give_back`, while the deployment still makes itself known or requests wait for places.
+    Where a service `is_idle`, as before its first request, all steps are made at once.
     """
     wanted = {}
     # A step costs a zone some of its backend servers for seconds: no other zone may be short then.
@@ -109,7 +112,8 @@
         not now.cheap_refused and now.dedicated + now.cheap >= _total(scaling, found[zone])
         for zone, now in zones.items()
     )
-    steps_left = max(1, round(STEP_SHARE * sum(_total(scaling, each) for each in found.values())))
+    fleet = sum(_total(scaling, each) for each in found.values())
+    steps_left = fleet if is_idle else max(1, round(STEP_SHARE * fleet))
     cheap_enough = scaling.cheap_price is not None and scaling.cheap_price <= WORTHWHILE_PRICE_SHARE
     least = least_dedicated(scaling, found)
     for zone, count in found.items():
@@ -129,7 +133,7 @@
         spare = now.dedicated - least_here
         full_step = cheap < total - least_here and now.cheap >= cheap
         if full_step and spare > 0 and is_whole:
-            step = min(max(1, spare // 2), steps_left)
+            step = spare if is_idle else min(max(1, spare // 2), steps_left)
             steps_left -= step
             dedicated = now.dedicated - step
         if not may_give_back:
@@ -147,8 +151,7 @@
 class CapacityPlanner:
     """Orders backend servers until the list shows the wanted counts.
 
-    `fleet` gives the backend servers as listed, and when a request last waited for a place of each
-    service. `all_look` tells whether all hosts can look at the list: one that can't sees late that a
+    `fleet` gives the backend servers as listed and how busy their services are. `all_look` tells whether all hosts can look at the list: one that can't sees late that a
     backend server leaves, so that none is given back then.
     """
 
@@ -159,7 +162,7 @@
         wire: DutyWire,
         address: Callable[[], Address],
         services: Callable[[], Mapping[str, RelayService]],
-        fleet: Callable[[], tuple[Iterable[ListedBackEnd], Mapping[str, float]]],
+        fleet: Callable[[], FleetView],
         all_look: Callable[[], bool] = lambda: True,
     ) -> None:
         self._platform = platform
@@ -170,6 +173,8 @@
         self._fleet = fleet
         self._all_look = all_look
         self._ordered: dict[Group, tuple[int, float]] = {}
+        # When each service last had any work.
+        self._busy_at: dict[str, float] = {}
         # When the last order of a group was refused or got no answer.
         self._refused: dict[Group, float] = {}
         self._found: dict[str, Mapping[str, int]] = {}
@@ -188,8 +193,9 @@
             self._remembered.update(self._found)
             self._found.clear()
             self._growing.clear()
-        back_ends, pressed = self._fleet()
-        listed = [entry for entry in back_ends if not entry.draining]
+        view = self._fleet()
+        self._busy_at.update(dict.fromkeys(view.busy, now))
+        listed = [entry for entry in view.back_ends if not entry.draining]
         for service in self._services().values():
             if service.scaling is None:
                 continue
@@ -198,10 +204,11 @@
                 continue
             have = Counter(Group(entry.service, entry.zone, entry.cheap) for entry in listed)
             zones = {zone: self._zone_state(service.name, zone, have, now) for zone in found}
-            calm = now - pressed.get(service.name, float("-inf")) >= CALM_S
+            calm = now - view.pressed.get(service.name, float("-inf")) >= CALM_S
+            is_idle = now - self._busy_at.get(service.name, float("-inf")) >= CALM_S
             known = service.name not in self._growing
             may_give_back = calm and known and self._all_look()
-            wanted = wanted_counts(service, service.scaling, found, zones, may_give_back)
+            wanted = wanted_counts(service, service.scaling, found, zones, may_give_back, is_idle)
             for group, count in wanted.items():
                 if have[group] != count:
                     boot_s = service.scaling.boot_s
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -212,7 +212,7 @@
             adapter.duties,
             lambda: self._settings.duties,
             self._services,
-            self._fleet_pressed,
+            lambda: self._dispatcher.view().result(),
             lambda: not (self._back_end_feed.looks.away or self._peers.any_away),
         )
         roles = RolePlanner(
@@ -332,10 +332,6 @@
         view = self._dispatcher.view().result()
         return view.back_ends, view.work
 
-    def _fleet_pressed(self) -> tuple[Iterable[ListedBackEnd], Mapping[str, float]]:
-        view = self._dispatcher.view().result()
-        return view.back_ends, view.pressed
-
     def _heed(self, back_end: ListedBackEnd, answer: Answer) -> None:
         """Take what a backend server says of itself in its answer to an order."""
         word = self._adapter.back_ends.word(answer.status, answer.headers, back_end.name)
--- a/tests/test_relay_plans.py
+++ b/tests/test_relay_plans.py
@@ -11,6 +11,7 @@
 
 from laburnumreel.coordination import Answer
 from laburnumreel.relay._back_ends import Role
+from laburnumreel.relay._beliefs import FleetView
 from laburnumreel.relay._capacity import (
     LOST_ZONES,
     MOST_LOST_SHARE,
@@ -74,6 +75,17 @@
         assert self.wanted(2, ZoneState(2, 2), may_give_back=False) == (2, 2)
         assert self.wanted(2, ZoneState(2, 2)) == (1, 2)
 
+    def test_all_steps_are_made_at_once_before_the_first_request(self):
+        service = RelayService("quotes", 300, TRAITS, self.SCALING._replace(most=16))
+        found = dict.fromkeys("uvwxyz", 8)
+        zones = dict.fromkeys(found, ZoneState(8, 8))
+
+        def given_back(is_idle):
+            wanted = wanted_counts(service, service.scaling, found, zones, is_idle=is_idle)
+            return sum(8 - wanted[Group("quotes", zone, False)] for zone in found)
+
+        assert given_back(is_idle=False) == 10 and given_back(is_idle=True) == 42
+
     def test_cheap_engines_stay_when_lost_dedicated_ones_come_back(self):
         """Guards against a cheap engine given back for one that had crashed, when others are dry."""
         assert self.wanted(2, ZoneState(2, 3)) == (1, 3)
@@ -139,7 +151,7 @@
             wire,
             lambda: ("10.0.0.9", 80),
             lambda: services,
-            lambda: (tuple(back_ends), {}),
+            lambda: FleetView(tuple(back_ends), {}, {}, frozenset()),
         )
         authority = Authority("relay_duties", 3, 9, 100.0)
         for step in range(40):
@@ -181,7 +193,7 @@
             ),
             lambda: ("10.0.0.9", 80),
             lambda: {"orders": RelayService("orders", 300, TRAITS, self.SCALING)},
-            lambda: (listed_now, {}),
+            lambda: FleetView(listed_now, {}, {}, frozenset()),
             lambda: bool(looks),
         )
         authority = Authority("relay_duties", 3, 9, 100.0)
