--- a/src/laburnumreel/relay/_prompts.py
+++ b/src/laburnumreel/relay/_prompts.py
@@ -3,7 +3,6 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
 
-from laburnumreel.relay._placement import home_of
 from laburnumreel.relay._requests import Prompt
 
 # An engine's least recently used parts yield. A part that no host is known to have used there for
@@ -122,9 +121,3 @@
             used.move_to_end(part)
         while len(used) > MOST_PARTS:
             used.popitem(last=False)
-
-
-def home_engine(prompt: Prompt, engines: Iterable[str]) -> str | None:
-    """Return the engine at which a prompt's start is read first, the same one on every host."""
-    shared = prompt.shared
-    return home_of(shared[-1].name, engines) if shared else None
--- a/tests/test_relay_placement_load.py
+++ b/tests/test_relay_placement_load.py
@@ -9,8 +9,8 @@
 
 from laburnumreel.relay._back_ends import ListedBackEnd, Role
 from laburnumreel.relay._config import EngineTraits
-from laburnumreel.relay._placement import EnginePlacement
-from laburnumreel.relay._prompts import PromptMemory, home_engine
+from laburnumreel.relay._placement import EnginePlacement, home_of
+from laburnumreel.relay._prompts import PromptMemory
 from laburnumreel.relay._requests import Part, Prompt
 from laburnumreel.relay._weighing import Candidate, Place
 from laburnumreel.relay._work import NO_WORK, Work, WorkLedger
@@ -59,7 +59,7 @@
         if now - self.told_at >= NEWS_S:
             self.tell(now)
         self.ledger, memory = rng.choice(self.hosts)
-        home = home_engine(prompt, [each.listed.name for each in readers])
+        home = home_of(prompt.shared[-1].name, [each.listed.name for each in readers])
         candidates = [
             Candidate(
                 each.listed,
