Log what decides on repeated sends, and each that is made

The logs could not tell whether a host allowed itself too many repeated sends, sent more than it had allowed, or counted too few hosts. Events 640 (decision, with the window's figures and the number of hosts) and 641 (a send beyond the first), a counter, the service in request_placed, and `laburnumreel relay repeats LOG...`, which adds up the hosts' windows beside the deployment's limit.

--- a/src/laburnumreel/coordination/_budget.py
+++ b/src/laburnumreel/coordination/_budget.py
@@ -30,10 +30,25 @@
         self._successes[-1][1] += 1
         self._success_count += 1
 
+    @property
+    def spent(self) -> int:
+        """The retries of the window, as of the last call."""
+        return len(self._retries)
+
+    @property
+    def successes(self) -> int:
+        """The successes of the window, as of the last call."""
+        return self._success_count
+
+    @property
+    def limit(self) -> float:
+        """The retries that the window may have, as of the last call."""
+        return self.minimum + self._ratio * self._success_count
+
     def take(self, now: float) -> bool:
         """Return whether one retry is allowed, and count it."""
         self._forget(now)
-        if len(self._retries) + 1 > self.minimum + self._ratio * self._success_count:
+        if len(self._retries) + 1 > self.limit:
             return False
         self._retries.append(now)
         return True
--- a/src/laburnumreel/relay/__init__.py
+++ b/src/laburnumreel/relay/__init__.py
@@ -30,6 +30,7 @@
     Feed,
     Listing,
 )
+from laburnumreel.relay._repeats_report import WindowRepeats, report_repeats
 from laburnumreel.relay._report import STAGES, SecondReport, report_seconds
 from laburnumreel.relay._requests import (
     Dispatch,
@@ -81,10 +82,12 @@
     "Share",
     "StreamEvent",
     "Verdict",
+    "WindowRepeats",
     "Word",
     "STAGES",
     "SecondReport",
     "load_relay_settings",
+    "report_repeats",
     "report_seconds",
     "run_relay",
 ]
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -25,7 +25,8 @@
     OwnNews,
     Placing,
     Read,
-    RetryWanted,
+    RepeatDecision,
+    RepeatWanted,
     Said,
     Unreachable,
     Withdraw,
@@ -167,9 +168,9 @@
         """Take how many hosts share the budget for repeated sends."""
         self.tell(("hosts", count))
 
-    def may_retry(self, service: str) -> bool:
-        """Return whether one more send of a request is within the budget, and count it."""
-        return self.ask(RetryWanted(service)).result()
+    def may_repeat(self, service: str) -> RepeatDecision:
+        """Decide whether one more send of a request is within the budget, and count it."""
+        return self.ask(RepeatWanted(service)).result()
 
     def held_for(self, digest: str) -> float | None:
         """Return for how many seconds a request is held back, or None."""
@@ -229,8 +230,8 @@
                 self._beliefs.ledger.forget_peer(name)
             case ("hosts", count):
                 self._hosts = max(1, count)
-            case RetryWanted(service):
-                return self._budget(service).take(now)
+            case RepeatWanted(service):
+                return self._decide_repeat(service, now)
             case Held(digest):
                 return self._beliefs.held_for(digest, now)
             case OwnNews(far):
@@ -425,6 +426,11 @@
             retry_after_s=NO_BACK_END_RETRY_S * (1 + self._rng.random()),
         )
 
+    def _decide_repeat(self, service: str, now: float) -> RepeatDecision:
+        budget = self._budget(service)
+        allowed = budget.take(now)
+        return RepeatDecision(allowed, budget.spent, budget.limit, budget.successes, self._hosts)
+
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -121,7 +121,7 @@
                 if error.trouble != "unreachable":
                     self._read_before = True
                     self._job.sends += 1
-                    if not self._job.may_send_again():
+                    if not self._job.may_send_again(error.trouble):
                         raise RelayFailedError(
                             refusal_after(self._job, error, ErrorKind.INCOMPLETE_ANSWER)
                         ) from error
@@ -138,6 +138,7 @@
         _log.info(
             REQUEST_PLACED,
             request=request.request_id,
+            service=job.service.name,
             route=job.route.name,
             back_end=assignment.runner.name,
             reader=assignment.reader.name if assignment.reader else None,
@@ -179,6 +180,7 @@
         except BaseException:
             parts.dispatcher.ended(reader.name, assignment.read_work, job.service.name)
             raise
+        job.count_reading()
         took_ms = 1000 * (parts.clock.now() - started)
         parts.dispatcher.read(assignment, job.request.prompt, took_ms)
         _log.debug(
@@ -312,7 +314,11 @@
         """Let the stream go on at another engine, or raise `RelayFailedError`."""
         job = self._job
         while True:
-            allowed = job.route.resumable and self._last_id is not None and job.may_send_again()
+            allowed = (
+                job.route.resumable
+                and self._last_id is not None
+                and job.may_send_again(error.trouble)
+            )
             if not allowed:
                 raise RelayFailedError(
                     refusal_after(job, error, ErrorKind.INCOMPLETE_ANSWER)
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -57,6 +57,12 @@
 COPY_RELEASED = define_event(637, "copy_released", "a prompt that was read will not be used")
 RELAY_REQUEST_FAILED = define_event(638, "relay_request_failed", "a request met an internal error")
 PROMPT_READ = define_event(639, "prompt_read", "an engine has read a prompt for another one")
+REPEAT_DECIDED = define_event(
+    640, "repeat_decided", "one more send of a request was allowed or denied by the retry budget"
+)
+REQUEST_REPEATED = define_event(
+    641, "request_repeated", "a request was sent to a backend server once more"
+)
 
 WINDOW_SEALED = define_event(650, "window_sealed", "the usage of a window was fixed")
 WINDOW_REPORTED = define_event(651, "window_reported", "the usage of a window was reported")
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -7,14 +7,15 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import NamedTuple
 
-from laburnumreel.core import Clock
+from laburnumreel.core import Clock, Log
 from laburnumreel.relay._answer_room import AnswerRoom
 from laburnumreel.relay._assignments import Assignment
 from laburnumreel.relay._config import RelayService, Route
 from laburnumreel.relay._dispatcher import Dispatcher
-from laburnumreel.relay._metrics import RELAY_WAIT_S
+from laburnumreel.relay._events import REPEAT_DECIDED, REQUEST_REPEATED
+from laburnumreel.relay._metrics import RELAY_REPEATS, RELAY_WAIT_S
 from laburnumreel.relay._ports import BackEndWire
-from laburnumreel.relay._requests import RelayRequest
+from laburnumreel.relay._requests import Dispatch, RelayRequest
 from laburnumreel.relay._waiting import Waiting
 from laburnumreel.serving import Running
 from laburnumreel.state import ErrorKind, Refusal, RunState
@@ -30,6 +31,8 @@
 # late ones.
 MOST_URGENT, LEAST_URGENT_ON_TIME, LATE = 1, 4, 6
 
+_log = Log("relay.job")
+
 
 class RelayFailedError(Exception):
     """A request that ends without a backend server's answer."""
@@ -81,6 +84,9 @@
         self.excluded: frozenset[str] = frozenset()
         self.ran = RunState.NOT_RUN
         self.sends = 0
+        # Sends that have reached a backend server, readings of the prompt included.
+        self.arrivals = 0
+        self._has_read = False
         # Whether the answer goes on after the application has returned.
         self.streaming = False
         self._counted = False
@@ -169,11 +175,46 @@
             kind = ErrorKind.DEADLINE_UNMEETABLE
         return Refusal(kind, "the request's time is over", run_state=self.ran)
 
-    def may_send_again(self) -> bool:
+    def may_send_again(self, cause: str) -> bool:
         """Return whether one more send is allowed by the route and the budget, and count it."""
         if self.sends_left <= 0 or self.left_s <= LEAST_TIME_S or self.running.aborted is not None:
             return False
-        return self.parts.dispatcher.may_retry(self.service.name)
+        decision = self.parts.dispatcher.may_repeat(self.service.name)
+        RELAY_REPEATS.inc(outcome="allowed" if decision.allowed else "denied")
+        _log.info(
+            REPEAT_DECIDED,
+            request=self.request.request_id,
+            service=self.service.name,
+            cause=cause,
+            allowed=decision.allowed,
+            spent=decision.spent,
+            limit=round(decision.limit, 2),
+            requests=decision.requests,
+            hosts=decision.hosts,
+            arrivals=self.arrivals,
+        )
+        return decision.allowed
+
+    def count_reading(self) -> None:
+        """Take in that an engine has read the prompt: the first reading is no send of its own."""
+        if not self._has_read:
+            self._has_read = True
+            self.arrivals -= 1
+
+    def count_arrival(self, dispatch: Dispatch) -> None:
+        """Count a send whose first byte is about to leave."""
+        self.arrivals += 1
+        if self.arrivals == 1:
+            return
+        RELAY_REPEATS.inc(outcome="sent")
+        _log.info(
+            REQUEST_REPEATED,
+            request=self.request.request_id,
+            service=self.service.name,
+            back_end=dispatch.back_end.name,
+            only_read=dispatch.only_read,
+            arrivals=self.arrivals,
+        )
 
     def hold_answer(self, size: int) -> bool:
         """Count bytes of an answer that are held, and return whether there is room for them."""
--- a/src/laburnumreel/relay/_messages.py
+++ b/src/laburnumreel/relay/_messages.py
@@ -79,10 +79,20 @@
     batch: Sequence[News]
 
 
-class RetryWanted(NamedTuple):
+class RepeatWanted(NamedTuple):
     service: str
 
 
+class RepeatDecision(NamedTuple):
+    """Whether a request may be sent once more, and the figures of the window that decided it."""
+
+    allowed: bool
+    spent: int
+    limit: float
+    requests: int
+    hosts: int
+
+
 class OwnNews(NamedTuple):
     far: bool
 
--- a/src/laburnumreel/relay/_metrics.py
+++ b/src/laburnumreel/relay/_metrics.py
@@ -19,6 +19,11 @@
 RELAY_ATTEMPTS = define_counter(
     "laburnumreel_relay_attempts_total", "sends to backend servers by outcome", ("outcome",)
 )
+RELAY_REPEATS = define_counter(
+    "laburnumreel_relay_repeats_total",
+    "sends beyond the first of a request: allowed or denied by the retry budget, and sent",
+    ("outcome",),
+)
 RELAY_WAITING = define_gauge("laburnumreel_relay_waiting", "requests that wait for a place")
 RELAY_PEERS = define_gauge("laburnumreel_relay_peers", "peers heard from lately")
 RELAY_WINDOWS = define_counter(
--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -58,7 +58,7 @@
         if not failed:
             return reply
         failure = reply
-        if not (job.route.repeatable and job.may_send_again()):
+        if not (job.route.repeatable and job.may_send_again("failed")):
             return failure
 
 
@@ -70,6 +70,7 @@
     _log.info(
         REQUEST_PLACED,
         request=request.request_id,
+        service=job.service.name,
         route=job.route.name,
         back_end=assignment.runner.name,
         candidates=assignment.candidates,
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -130,6 +130,7 @@
                 verdicts.append(verdict)
             return verdict is not None
 
+        job.count_arrival(dispatch)
         try:
             headers = parts.wire.headers(dispatch)
             exchange.send(request.method, request.target, headers, request.body, silent_s, is_ours)
@@ -249,7 +250,7 @@
         return True
     if error.may_have_run and not job.route.repeatable:
         return False
-    return job.may_send_again()
+    return job.may_send_again(error.trouble)
 
 
 def refusal_after(job: Job, error: SendFailedError, cut: ErrorKind) -> Refusal:
--- a/src/laburnumreel/ui/_relay.py
+++ b/src/laburnumreel/ui/_relay.py
@@ -14,7 +14,9 @@
     RELAY_SCHEMA,
     STAGES,
     SecondReport,
+    WindowRepeats,
     load_relay_settings,
+    report_repeats,
     report_seconds,
 )
 from laburnumreel.ui._context import Context, common_options, pass_context
@@ -22,6 +24,7 @@
 from laburnumreel.ui._lists import as_lines
 
 STATUS_TIMEOUT_S = 2.0
+_RETRY = {field.key: field.default for field in RELAY_SCHEMA.fields if field.section == "retry"}
 _HIDDEN = ("event", "level", "logger_name", "number", "name", "timestamp", "request")
 
 
@@ -100,6 +103,31 @@
     context.show({"seconds": rows}, as_lines(rows, tuple(rows[0])))
 
 
+@relay.command("repeats")
+@click.argument("logs", nargs=-1, required=True, type=click.File(errors="replace"))
+@click.option("--window-s", type=float, default=_RETRY["window_s"], help="The budget's window.")
+@click.option("--ratio", type=float, default=_RETRY["ratio"], help="Repeated sends a request.")
+@click.option("--slack", type=float, default=_RETRY["slack"], help="Repeated sends besides.")
+@common_options
+@pass_context
+def repeats(
+    context: Context, logs: tuple[Any, ...], window_s: float, ratio: float, slack: float
+) -> None:
+    """Show by service and second what the hosts spent of the retry budget, from their LOGS."""
+    reports = report_repeats((line for log in logs for line in _lines(log)), window_s)
+    if not reports:
+        raise UserError(ExitCode.CHECK_FAILED, "no placed request is in the logs")
+    rows = [_repeats_row(each, ratio * each.requests + slack) for each in reports]
+    context.show({"windows": rows}, as_lines(rows, tuple(rows[0])))
+
+
+def _repeats_row(each: WindowRepeats, limit: float) -> dict[str, Any]:
+    at = datetime.fromtimestamp(each.second, UTC).strftime("%H:%M:%S")
+    row = {"service": each.service, "second": at, "requests": each.requests}
+    row |= {"repeats": each.repeats, "limit": round(limit, 1), "allowed": each.allowed}
+    return row | {"denied": each.denied, "least_hosts": each.least_hosts or "-"}
+
+
 def _report_row(each: SecondReport) -> dict[str, Any]:
     at = datetime.fromtimestamp(each.second, UTC).strftime("%H:%M:%S")
     row = {"second": at, "requests": each.requests, "late": each.late}
