--- /dev/null
+++ b/tests/repeats_world.py
@@ -0,0 +1,187 @@
+"""Requests on several hosts before engines that fail, without sockets, threads or real time.
+
+The hosts run the product's dispatcher and its way of a request over engines; what the engines get
+is counted as a deployment counts it.
+"""
+
+import random
+from bisect import bisect_right
+from collections import defaultdict
+
+from relay_fleet import SERVICE, Host
+from relay_samples import route
+
+from laburnumreel.core import ManualClock
+from laburnumreel.relay._answer_room import AnswerRoom
+from laburnumreel.relay._back_ends import ListedBackEnd, Role
+from laburnumreel.relay._config import RelayConfig, RouteKind
+from laburnumreel.relay._engine import EngineRun
+from laburnumreel.relay._job import Job, Parts, RelayFailedError
+from laburnumreel.relay._ports import Listing
+from laburnumreel.relay._requests import Part, Prompt, RelayRequest
+from laburnumreel.relay._settings import RetrySettings
+from laburnumreel.relay._weighing import Place
+from laburnumreel.serving import Running
+from laburnumreel.transport import BackEndFailureError
+from laburnumreel_platform._workers import Workers
+
+RATIO, SLACK, WINDOW_S = 0.2, 60.0, 10.0
+ROUTE = route("/talk/", "quotes", kind=RouteKind.STREAMING, attempts=2, resumable=True, gap_s=0.2)
+PROMPT = Prompt("m", (Part("start", 4000), Part("own", 100)), 4100, 20)
+
+
+class Answers:
+    """What engines do: shares of readings and runs that they refuse, and of streams that break."""
+
+    def __init__(self):
+        self.readings_refused = self.runs_refused = self.streams_broken = 0.0
+
+
+class EngineExchange:
+    """One exchange with an engine of the world."""
+
+    timeout_s = 1.0
+    message = {}
+    headers = []
+
+    def __init__(self, world):
+        self._world = world
+        self._pieces = []
+        self._breaks = False
+        self.complete = False
+        self.status = 0
+
+    def send(self, method, target, headers, body, timeout_s, is_ours=None):
+        if method == "DELETE":
+            self.status = 200
+            return
+        world, answers = self._world, self._world.answers
+        only_read = headers.get("Serving-Stage") == "prefill"
+        share = answers.readings_refused if only_read else answers.runs_refused
+        refused = world.rng.random() < share
+        world.arrived(headers["Request-Id"], only_read and not refused)
+        echoed = {"Request-Id": headers["Request-Id"], "Response-Signature": "s"}
+        self.status = 503 if refused else 200
+        if refused:
+            echoed["Not-Executed"] = "1"
+        elif only_read:
+            self._pieces = [b'{"Handle": "h", "Tokens": 4100, "Version": 1}']
+        else:
+            self._pieces = [b"id: 1\ndata: token\n\n"]
+            self._breaks = world.rng.random() < answers.streams_broken
+        assert is_ours(self.status, echoed)
+
+    def read(self):
+        if self._pieces:
+            return self._pieces.pop(0)
+        if self._breaks:
+            raise BackEndFailureError("silent", "no byte came", sent=True)
+        self.complete = True
+        return b""
+
+    def read_whole(self, most_bytes, within_s):
+        return b""
+
+    def set_timeout(self, timeout_s):
+        pass
+
+    def close(self):
+        pass
+
+    discard = abort = close
+
+
+class World:
+    """Hosts, engines, and the count of what reached the engines."""
+
+    def __init__(self, seed, hosts):
+        self.rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.answers = Answers()
+        self.requests = []
+        self.repeats = []
+        self.outcomes = defaultdict(int)
+        self._arrivals = defaultdict(int)
+        self._read = set()
+        self._count = hosts
+        self.hosts = [self.start(number) for number in range(hosts)]
+
+    # The pool of connections and the room for answers.
+
+    def open(self, address, idle_at_most_s=0.0):
+        return EngineExchange(self)
+
+    def went_silent(self, address):
+        return True
+
+    def start(self, number, knows_others=True):
+        """Return a host whose process has just begun."""
+        retry = RetrySettings(RATIO, SLACK, WINDOW_S)
+        host = Host(self.clock, Place("z", "r"), {"z": "r"}, retry, 2.0, random.Random(number))
+        host.configured(RelayConfig(1, services={"quotes": SERVICE}))
+        address = ("10.0.0.1", 80)
+        roles = {f"p{n}": Role.PREFILL for n in range(6)} | {f"d{n}": Role.DECODE for n in range(6)}
+        entries = {
+            name: ListedBackEnd(name, "quotes", address, "z", 64, role=role)
+            for name, role in roles.items()
+        }
+        host.listed(Listing(entries, 1, 0.0, True))
+        if knows_others:
+            host.hosts(self._count)
+        return host
+
+    def arrived(self, request_id, reads):
+        """Count a request that reached an engine; the first reading that is taken is none."""
+        if reads and request_id not in self._read:
+            self._read.add(request_id)
+            return
+        self._arrivals[request_id] += 1
+        if self._arrivals[request_id] > 1:
+            self.repeats.append(self.clock.now())
+
+    def run(self, seconds, per_s):
+        """Let clients ask at random hosts, `per_s` requests a second in all."""
+        end = self.clock.now() + seconds
+        while self.clock.now() < end:
+            self.clock.advance(self.rng.expovariate(per_s))
+            self.ask(self.rng.choice(self.hosts))
+
+    def ask(self, host):
+        now = self.clock.now()
+        self.requests.append(now)
+        name = f"r{len(self.requests)}"
+        headers = (("Request-Id", name),)
+        request = RelayRequest(
+            name, "POST", "/talk/x", "h", "/talk/x", headers, b"", None, 3.0, PROMPT, None, now
+        )
+        parts = Parts(
+            self.clock, host, self, Workers(), self.rng, lambda customer: None, AnswerRoom(10**6)
+        )
+        running = Running(name, None, now + 3.0, lambda: False)
+        run = EngineRun(Job(parts, request, ROUTE, SERVICE, "", 1, running, 1))
+        try:
+            run.start()
+            for _ in run.rest():
+                pass
+            self.outcomes["served"] += 1
+        except RelayFailedError:
+            self.outcomes["failed"] += 1
+        finally:
+            run.close()
+
+    def worst_excess(self):
+        """Return by how much the worst window is over what the deployment allows, as its rule says.
+
+        The requests are those of the window, of the one before, or of the one half a window before.
+        """
+
+        def within(times, end):
+            return bisect_right(times, end) - bisect_right(times, end - WINDOW_S)
+
+        return max(
+            within(self.repeats, at)
+            - RATIO
+            * max(within(self.requests, at - back) for back in (0.0, WINDOW_S, WINDOW_S / 2))
+            - SLACK
+            for at in self.repeats
+        )
