Send nothing beyond a request's first send without a permit of the budget

Callers of a service with failing engines saw hosts send more repeats than the deployment allows (BUDGET): in any 10 s, 0.2 of the requests and a fixed number, over all hosts.

Cause: the budget was asked where a thread decided to go on, and earned where a place was asked for, not where a request is sent. A request whose copied prompt was refused asked once and then sent twice, as its prompt was read apart again, which counts as a send. Each placement earned like a request: the second one of a request that is read apart, and those after failures, so that the allowed share rose to 0.28 of the requests and more, the more the more failed. The figure that was planned with, 0.7 of the budget, hid this while few requests failed.

Change: a send beyond the first needs a permit, which is checked and counted in the one place where bytes leave (Job.count_arrival); the window counts it from when it is sent, and an unused one is given back. A request earns once. A prompt is read apart again only where the route and the budget have room for that send too, else the engine that generates reads it. The fixed part is no longer rounded down to a whole number for each host.

--- a/src/laburnumreel/coordination/_budget.py
+++ b/src/laburnumreel/coordination/_budget.py
@@ -4,57 +4,82 @@
 
 
 class RetryBudget:
-    """Allows retries up to a share of recent successes plus a minimum, in a sliding window.
+    """Allows retries up to a share of what earns them, plus a minimum, in a sliding window.
+
+    What earns them is up to the user: requests, or successes only. A retry that is not made at
+    once is reserved first; it counts from then on, and for a whole window from when it is used.
 
     >>> budget = RetryBudget(ratio=0.1, minimum=1)
     >>> budget.take(0.0), budget.take(0.0), budget.take(11.0)
     (True, False, True)
+    >>> budget.reserve(30.0), budget.reserve(45.0)
+    (True, False)
+    >>> budget.use(50.0)
+    >>> budget.take(59.0), budget.take(61.0)
+    (False, True)
     """
 
-    def __init__(self, ratio: float, minimum: int, window_s: float = 10) -> None:
-        self._ratio = ratio
-        # The share of this process changes with the number of those that share the budget.
+    def __init__(self, ratio: float, minimum: float, window_s: float = 10) -> None:
+        # The limits of a service may change, and with them those of a window that has begun.
+        self.ratio = ratio
         self.minimum = minimum
         self._window_s = window_s
-        # Successes are counted in slices so that memory does not grow with the request rate.
+        # What earns is counted in slices so that memory does not grow with the request rate.
         self._slice_s = window_s / 20
-        self._successes: deque[list[float]] = deque()
-        self._success_count = 0
-        self._retries: deque[float] = deque()
-
-    def succeeded(self, now: float) -> None:
-        """Count a success that was not a retry."""
-        self._forget(now)
-        if not self._successes or now - self._successes[-1][0] >= self._slice_s:
-            self._successes.append([now, 0])
-        self._successes[-1][1] += 1
-        self._success_count += 1
+        self._slices: deque[list[float]] = deque()
+        self._earned = 0
+        self._reserved = 0
+        self._used: deque[float] = deque()
 
     @property
     def spent(self) -> int:
-        """The retries of the window, as of the last call."""
-        return len(self._retries)
+        """The retries of the window and those reserved, as of the last call."""
+        return len(self._used) + self._reserved
 
     @property
-    def successes(self) -> int:
-        """The successes of the window, as of the last call."""
-        return self._success_count
+    def earned(self) -> int:
+        """What has earned retries in the window, as of the last call."""
+        return self._earned
 
     @property
     def limit(self) -> float:
         """The retries that the window may have, as of the last call."""
-        return self.minimum + self._ratio * self._success_count
+        return self.minimum + self.ratio * self._earned
+
+    def earn(self, now: float) -> None:
+        """Count something that earns a share of a retry."""
+        self._forget(now)
+        if not self._slices or now - self._slices[-1][0] >= self._slice_s:
+            self._slices.append([now, 0])
+        self._slices[-1][1] += 1
+        self._earned += 1
 
     def take(self, now: float) -> bool:
-        """Return whether one retry is allowed, and count it."""
+        """Return whether one retry is allowed at once, and count it."""
+        if not self.reserve(now):
+            return False
+        self.use(now)
+        return True
+
+    def reserve(self, now: float) -> bool:
+        """Return whether one retry is allowed, and keep room for it until it is used or released."""
         self._forget(now)
-        if len(self._retries) + 1 > self.limit:
+        if self.spent + 1 > self.limit:
             return False
-        self._retries.append(now)
+        self._reserved += 1
         return True
 
+    def use(self, now: float) -> None:
+        """Count a reserved retry that is made now."""
+        self._reserved -= 1
+        self._used.append(now)
+
+    def release(self) -> None:
+        """Give back the room of a reserved retry that will not be made."""
+        self._reserved -= 1
+
     def _forget(self, now: float) -> None:
-        while self._successes and self._successes[0][0] <= now - self._window_s:
-            self._success_count -= int(self._successes.popleft()[1])
-        while self._retries and self._retries[0] <= now - self._window_s:
-            self._retries.popleft()
+        while self._slices and self._slices[0][0] <= now - self._window_s:
+            self._earned -= int(self._slices.popleft()[1])
+        while self._used and self._used[0] <= now - self._window_s:
+            self._used.popleft()
--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -129,6 +129,7 @@
         finally:
             job.drop_answer()
             if not job.streaming:
+                job.drop_permits()
                 self._registry.ended(request.request_id)
 
     def _checked(self, request: RelayRequest) -> Job:
@@ -232,6 +233,7 @@
 
     def _stream_ended(self, job: Job, run: EngineRun) -> None:
         run.close()
+        job.drop_permits()
         self._registry.ended(job.request.request_id)
 
     def _observe(self, job: Job) -> None:
--- a/src/laburnumreel/relay/_assignments.py
+++ b/src/laburnumreel/relay/_assignments.py
@@ -14,7 +14,8 @@
 
     `excluded` are backend servers that it met already. `read_apart` is False where its prompt
     can't be read by an engine of its own. `copied_in` is the availability zone of the engine that has
-    read it already and keeps a copy for the one that will generate.
+    read it already and keeps a copy for the one that will generate. `again` is a request that was
+    placed before.
     """
 
     waiting: Waiting
@@ -24,6 +25,7 @@
     excluded: frozenset[str] = frozenset()
     read_apart: bool = True
     copied_in: str | None = None
+    again: bool = False
 
 
 class Assignment(NamedTuple):
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -5,7 +5,6 @@
 from collections.abc import Mapping, Sequence
 from concurrent.futures import Future
 
-from laburnumreel.coordination import RetryBudget
 from laburnumreel.core import Clock, Task
 from laburnumreel.relay._assignments import Assignment, Order
 from laburnumreel.relay._back_ends import ListedBackEnd
@@ -25,7 +24,8 @@
     OwnNews,
     Placing,
     Read,
-    RepeatDecision,
+    Repeated,
+    RepeatUnused,
     RepeatWanted,
     Said,
     Unreachable,
@@ -35,6 +35,7 @@
 from laburnumreel.relay._news import News
 from laburnumreel.relay._placement import EnginePlacement, Queues, choose_plain
 from laburnumreel.relay._ports import Listing
+from laburnumreel.relay._repeats import RepeatDecision, Repeats
 from laburnumreel.relay._requests import Prompt, Word
 from laburnumreel.relay._settings import RetrySettings
 from laburnumreel.relay._waiting import FreedRate, order_waiting, retry_after_s
@@ -60,9 +61,6 @@
 # Callers that are refused as all backend servers are full come back spread over this share of the
 # time.
 FULL_SPREAD_SHARE = 0.2
-# The share of the deployment's budget for repeated sends that the hosts plan with. The rest covers
-# what one host can't see of the others.
-PLANNED_BUDGET_SHARE = 0.7
 
 
 class Dispatcher(Task):
@@ -82,17 +80,15 @@
         self._clock = clock
         self._here = here
         self._beliefs = FleetBeliefs(here, regions, return_grace_s)
-        self._retry = retry
         self._rng = rng
         self._costs = costs or PlacementCosts()
         self._engines = EnginePlacement(here, self._costs)
         self._services: Mapping[str, RelayService] = {}
-        self._budgets: dict[str, RetryBudget] = {}
+        self._repeats = Repeats(retry)
         self._freed: dict[str, FreedRate] = {}
         self._waiting: dict[str, Placing] = {}
         # When a request last found no place of a service at once.
         self._pressed: dict[str, float] = {}
-        self._hosts = 1
         self._next_pass = float("-inf")
 
     # Calls from other threads.
@@ -169,9 +165,17 @@
         self.tell(("hosts", count))
 
     def may_repeat(self, service: str) -> RepeatDecision:
-        """Decide whether one more send of a request is within the budget, and count it."""
+        """Decide whether one more send of a request is within the budget, and keep room for it."""
         return self.ask(RepeatWanted(service)).result()
 
+    def repeated(self, service: str) -> None:
+        """Count a send that `may_repeat` allowed and that is made now."""
+        self.tell(Repeated(service))
+
+    def repeat_unused(self, service: str) -> None:
+        """Take in that a send which `may_repeat` allowed will not be made."""
+        self.tell(RepeatUnused(service))
+
     def held_for(self, digest: str) -> float | None:
         """Return for how many seconds a request is held back, or None."""
         return self.ask(Held(digest)).result()
@@ -229,9 +233,13 @@
             case ("silent", name):
                 self._beliefs.ledger.forget_peer(name)
             case ("hosts", count):
-                self._hosts = max(1, count)
+                self._repeats.share_with(count)
             case RepeatWanted(service):
-                return self._decide_repeat(service, now)
+                return self._repeats.reserve(service, now)
+            case Repeated(service):
+                self._repeats.sent(service, now)
+            case RepeatUnused(service):
+                self._repeats.unused(service, now)
             case Held(digest):
                 return self._beliefs.held_for(digest, now)
             case OwnNews(far):
@@ -254,7 +262,8 @@
 
     def _offer(self, place: Placing, now: float) -> None:
         order = place.order
-        self._budget(order.service).succeeded(now)
+        if not order.again:
+            self._repeats.requested(order.service, now)
         refusal = self._refusal_at_once(order, now)
         if refusal is not None:
             place.future.set_result(refusal)
@@ -425,17 +434,3 @@
             f"service {order.service} has no usable back end",
             retry_after_s=NO_BACK_END_RETRY_S * (1 + self._rng.random()),
         )
-
-    def _decide_repeat(self, service: str, now: float) -> RepeatDecision:
-        budget = self._budget(service)
-        allowed = budget.take(now)
-        return RepeatDecision(allowed, budget.spent, budget.limit, budget.successes, self._hosts)
-
-    def _budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = RetryBudget(
-                self._retry.ratio * PLANNED_BUDGET_SHARE, 0, self._retry.window_s
-            )
-        budget.minimum = int(self._retry.slack * PLANNED_BUDGET_SHARE / self._hosts)
-        return budget
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 from laburnumreel.core import Log
-from laburnumreel.relay._assignments import Assignment, Order
+from laburnumreel.relay._assignments import Assignment
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._event_stream import CommentPace, EventSplitter, StreamEvent
 from laburnumreel.relay._events import (
@@ -54,7 +54,7 @@
         self._silent_for_s = 0.0
         self._last_id = job.request.resume_after
         self._ready: list[bytes] = []
-        self._read_before = False
+        self._reading_failed = False
         self._has_begun = False
         self._ended = False
         # The body of an engine's own failure, which is passed on if nothing better comes.
@@ -111,7 +111,7 @@
     def _read_prompt(self) -> tuple[Assignment, PromptCopy | None]:
         """Get a place and, where the plan says so, have the prompt read by an engine of its own."""
         while True:
-            assignment = self._place(self._job.sends_left >= 1 and not self._read_before)
+            assignment = self._place(self._may_read_apart())
             if assignment.reader is None:
                 return assignment, None
             try:
@@ -119,20 +119,28 @@
             except SendFailedError as error:
                 self._job.excluded |= {assignment.reader.name}
                 if error.trouble != "unreachable":
-                    self._read_before = True
+                    self._reading_failed = True
                     self._job.sends += 1
                     if not self._job.may_send_again(error.trouble):
                         raise RelayFailedError(
                             refusal_after(self._job, error, ErrorKind.INCOMPLETE_ANSWER)
                         ) from error
 
+    def _may_read_apart(self) -> bool:
+        """Return whether an engine of its own may read the prompt.
+
+        The first reading is no send of its own. A second one, after the copy was lost, is: where the
+        route or the budget has no room for it besides the run, the engine that generates reads.
+        """
+        if self._reading_failed:
+            return False
+        if self._job.has_read:
+            return self._job.may_send_again("copy_lost", sends=2)
+        return self._job.sends_left >= 1
+
     def _place(self, read_apart: bool, copied_in: str | None = None) -> Assignment:
         job, request = self._job, self._job.request
-        size = len(request.body or b"")
-        waiting = job.waiting._replace(begun=copied_in is not None)
-        order = Order(
-            waiting, job.service.name, request.prompt, size, job.excluded, read_apart, copied_in
-        )
+        order = job.order(request.prompt, read_apart, copied_in)
         assignment = job.wait_for(job.parts.dispatcher.place(order))
         plan = assignment.plan
         _log.info(
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -9,13 +9,13 @@
 
 from laburnumreel.core import Clock, Log
 from laburnumreel.relay._answer_room import AnswerRoom
-from laburnumreel.relay._assignments import Assignment
+from laburnumreel.relay._assignments import Assignment, Order
 from laburnumreel.relay._config import RelayService, Route
 from laburnumreel.relay._dispatcher import Dispatcher
 from laburnumreel.relay._events import REPEAT_DECIDED, REQUEST_REPEATED
 from laburnumreel.relay._metrics import RELAY_REPEATS, RELAY_WAIT_S
 from laburnumreel.relay._ports import BackEndWire
-from laburnumreel.relay._requests import Dispatch, RelayRequest
+from laburnumreel.relay._requests import Dispatch, Prompt, RelayRequest
 from laburnumreel.relay._waiting import Waiting
 from laburnumreel.serving import Running
 from laburnumreel.state import ErrorKind, Refusal, RunState
@@ -86,7 +86,11 @@
         self.sends = 0
         # Sends that have reached a backend server, readings of the prompt included.
         self.arrivals = 0
-        self._has_read = False
+        # Whether an engine has read the prompt for another one.
+        self.has_read = False
+        # Sends beyond the first that the budget allowed and that were not made yet.
+        self._permits = 0
+        self._ordered = False
         # Whether the answer goes on after the application has returned.
         self.streaming = False
         self._counted = False
@@ -127,6 +131,22 @@
             return LATE
         return min(LEAST_URGENT_ON_TIME, MOST_URGENT + self.priority)
 
+    def order(
+        self, prompt: Prompt | None = None, read_apart: bool = True, copied_in: str | None = None
+    ) -> Order:
+        """Return what to ask the dispatcher for; the arguments are those of `Order`."""
+        again, self._ordered = self._ordered, True
+        return Order(
+            self.waiting._replace(begun=copied_in is not None),
+            self.service.name,
+            prompt,
+            len(self.request.body or b""),
+            self.excluded,
+            read_apart,
+            copied_in,
+            again,
+        )
+
     def wait_for(self, future: Future) -> Assignment:
         """Return the place that the dispatcher gives, or raise `RelayFailedError`."""
         request_id = self.request.request_id
@@ -175,10 +195,21 @@
             kind = ErrorKind.DEADLINE_UNMEETABLE
         return Refusal(kind, "the request's time is over", run_state=self.ran)
 
-    def may_send_again(self, cause: str) -> bool:
-        """Return whether one more send is allowed by the route and the budget, and count it."""
-        if self.sends_left <= 0 or self.left_s <= LEAST_TIME_S or self.running.aborted is not None:
+    def may_send_again(self, cause: str, sends: int = 1) -> bool:
+        """Return whether so many more sends are allowed by the route and the budget.
+
+        Each needs a permit of the budget. One that is left from before serves again.
+        """
+        over = self.left_s <= LEAST_TIME_S or self.running.aborted is not None
+        if over or self.sends_left < sends:
             return False
+        while self._permits < sends:
+            if not self._ask_permit(cause):
+                return False
+            self._permits += 1
+        return True
+
+    def _ask_permit(self, cause: str) -> bool:
         decision = self.parts.dispatcher.may_repeat(self.service.name)
         RELAY_REPEATS.inc(outcome="allowed" if decision.allowed else "denied")
         _log.info(
@@ -197,15 +228,22 @@
 
     def count_reading(self) -> None:
         """Take in that an engine has read the prompt: the first reading is no send of its own."""
-        if not self._has_read:
-            self._has_read = True
+        if self.has_read:
+            self.sends += 1
+        else:
+            self.has_read = True
             self.arrivals -= 1
 
     def count_arrival(self, dispatch: Dispatch) -> None:
-        """Count a send whose first byte is about to leave."""
+        """Count a send whose first byte is about to leave; one beyond the first uses a permit."""
         self.arrivals += 1
         if self.arrivals == 1:
             return
+        if not self._permits:
+            detail = "a send beyond the first without a permit"
+            raise RelayFailedError(self.truthful(Refusal(ErrorKind.INTERNAL, detail)))
+        self._permits -= 1
+        self.parts.dispatcher.repeated(self.service.name)
         RELAY_REPEATS.inc(outcome="sent")
         _log.info(
             REQUEST_REPEATED,
@@ -216,6 +254,12 @@
             arrivals=self.arrivals,
         )
 
+    def drop_permits(self) -> None:
+        """Give back the permits for sends that will not be made."""
+        for _ in range(self._permits):
+            self.parts.dispatcher.repeat_unused(self.service.name)
+        self._permits = 0
+
     def hold_answer(self, size: int) -> bool:
         """Count bytes of an answer that are held, and return whether there is room for them."""
         if not self.parts.room.take(size):
--- a/src/laburnumreel/relay/_messages.py
+++ b/src/laburnumreel/relay/_messages.py
@@ -83,14 +83,12 @@
     service: str
 
 
-class RepeatDecision(NamedTuple):
-    """Whether a request may be sent once more, and the figures of the window that decided it."""
-
-    allowed: bool
-    spent: int
-    limit: float
-    requests: int
-    hosts: int
+class Repeated(NamedTuple):
+    service: str
+
+
+class RepeatUnused(NamedTuple):
+    service: str
 
 
 class OwnNews(NamedTuple):
--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from laburnumreel.core import Log
-from laburnumreel.relay._assignments import Assignment, Order
+from laburnumreel.relay._assignments import Assignment
 from laburnumreel.relay._events import REQUEST_PLACED
 from laburnumreel.relay._job import Job, RelayFailedError
 from laburnumreel.relay._requests import Dispatch
@@ -64,9 +64,7 @@
 
 def _place(job: Job) -> Assignment:
     request = job.request
-    size = len(request.body or b"")
-    order = Order(job.waiting, job.service.name, None, size, job.excluded)
-    assignment = job.wait_for(job.parts.dispatcher.place(order))
+    assignment = job.wait_for(job.parts.dispatcher.place(job.order()))
     _log.info(
         REQUEST_PLACED,
         request=request.request_id,
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -116,6 +116,7 @@
         self._exchange = exchange
         if not job.running.attach(exchange):
             raise RelayFailedError(job.abort_refusal())
+        job.count_arrival(dispatch)
         self._ran_before = job.ran
         self._sent_at = parts.clock.now()
         self._until_end = silent_s >= job.left_s - LEAST_TIME_S
@@ -130,7 +131,6 @@
                 verdicts.append(verdict)
             return verdict is not None
 
-        job.count_arrival(dispatch)
         try:
             headers = parts.wire.headers(dispatch)
             exchange.send(request.method, request.target, headers, request.body, silent_s, is_ours)
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -278,7 +278,7 @@
         return self._budget(service).take(self._clock.now())
 
     def _on_succeeded(self, service: str) -> None:
-        self._budget(service).succeeded(self._clock.now())
+        self._budget(service).earn(self._clock.now())
 
     def _on_configure(self, configuration: Configuration) -> None:
         self._configuration = configuration
--- a/tests/repeats_world.py
+++ b/tests/repeats_world.py
@@ -8,6 +8,7 @@
 from bisect import bisect_right
 from collections import defaultdict
 
+from laburnumreel_platform._workers import Workers
 from relay_fleet import SERVICE, Host
 from relay_samples import route
 
@@ -23,7 +24,6 @@
 from laburnumreel.relay._weighing import Place
 from laburnumreel.serving import Running
 from laburnumreel.transport import BackEndFailureError
-from laburnumreel_platform._workers import Workers
 
 RATIO, SLACK, WINDOW_S = 0.2, 60.0, 10.0
 ROUTE = route("/talk/", "quotes", kind=RouteKind.STREAMING, attempts=2, resumable=True, gap_s=0.2)
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -203,7 +203,7 @@
     for kind, step in steps:
         now += step
         if kind == "ok":
-            budget.succeeded(now)
+            budget.earn(now)
             successes.append(now)
         elif budget.take(now):
             taken.append(now)
