Divide the retry budget by the hosts that there are, not by those that are heard

Callers of hosts that had just started, or were cut off from their peers, saw them send repeats as if each had the deployment's fixed part of the budget for itself.

Cause: a host divided what all hosts share by how many peers it heard. A process that starts has heard none, one that is cut off hears none soon, and one that was killed takes what it spent along, so that its successor began with an empty window.

Change: the number of hosts is the larger of those heard and those with a row in the store, which stay when the store or the peers can't be reached; for the budget, the most that there were in its window; nothing fixed is spent before the list was read once, nor, by a process that finds the row of one that was killed, for a window. The host's share of the store's call rates and of connections to backend servers follows the same number: they had the same fault.

--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -84,7 +84,7 @@
         self._costs = costs or PlacementCosts()
         self._engines = EnginePlacement(here, self._costs)
         self._services: Mapping[str, RelayService] = {}
-        self._repeats = Repeats(retry)
+        self._repeats = Repeats(retry, clock.now())
         self._freed: dict[str, FreedRate] = {}
         self._waiting: dict[str, Placing] = {}
         # When a request last found no place of a service at once.
@@ -160,9 +160,10 @@
         """Take in that a peer is not heard any more."""
         self.tell(("silent", name))
 
-    def hosts(self, count: int) -> None:
-        """Take how many hosts share the budget for repeated sends."""
-        self.tell(("hosts", count))
+    def hosts(self, count: int, replaces_killed: bool = False) -> None:
+        """Take how many hosts share the budget for repeated sends, and whether the process before
+        this one was killed."""
+        self.tell(("hosts", count, replaces_killed))
 
     def may_repeat(self, service: str) -> RepeatDecision:
         """Decide whether one more send of a request is within the budget, and keep room for it."""
@@ -232,8 +233,8 @@
                 self._serve_waiting(now)
             case ("silent", name):
                 self._beliefs.ledger.forget_peer(name)
-            case ("hosts", count):
-                self._repeats.share_with(count)
+            case ("hosts", count, replaces_killed):
+                self._repeats.share_with(count, replaces_killed, now)
             case RepeatWanted(service):
                 return self._repeats.reserve(service, now)
             case Repeated(service):
--- a/src/laburnumreel/relay/_membership.py
+++ b/src/laburnumreel/relay/_membership.py
@@ -26,8 +26,9 @@
 class Membership(Task):
     """Writes this host's row, introduces the peers, and settles the time of day.
 
-    `on_hosts` takes how many hosts there are, and those peers of this region that can look at the
-    back ends' table. `era` gives the store's era.
+    `on_hosts` takes how many hosts there are, those that have a row though they are not heard
+    included, and those peers of this region that can look at the back ends' table. `era` gives the
+    store's era.
     """
 
     def __init__(
@@ -52,25 +53,42 @@
         self._joined = False
         self._agreed = False
         self._next_list = 0.0
-        self._heard: int | None = None
-        self._readers: frozenset[str] = frozenset()
+        self._listed = 0
+        self._replaces_killed = False
+        self._told: tuple[int, bool, frozenset[str]] | None = None
+
+    @property
+    def has_listed(self) -> bool:
+        """Whether the list of hosts was read since this process began."""
+        return self._listed > 0
+
+    @property
+    def replaces_killed(self) -> bool:
+        """Whether the process before this one left its row, which one that stops removes."""
+        return self._replaces_killed
+
+    @property
+    def _hosts(self) -> int:
+        # A host that is cut off hears nobody, and the others are still there.
+        return max(1 + len(self._peers.heard), self._listed)
 
     def tick(self) -> None:
         self._enter_era(self._era())
-        if not self._joined:
+        now = self._clock.now()
+        if now >= self._next_list:
+            self._list(now)
+        # The row of the process before this one is looked at before it is written over.
+        if not self._joined and self.has_listed:
             joined = self._members.join(self._me)
             self._joined = joined.is_ok()
             if joined.is_error():
                 _log.warning(MEMBERS_UNREADABLE, kind=joined.error.kind, detail=joined.error.detail)
-        now = self._clock.now()
-        if now >= self._next_list:
-            self._list(now)
         if not self._agreed:
             self._agree()
-        heard, readers = len(self._peers.heard), frozenset(self._peers.readers)
-        if (heard, readers) != (self._heard, self._readers):
-            self._heard, self._readers = heard, readers
-            self._on_hosts(1 + heard, readers)
+        told = self._hosts, self.has_listed, frozenset(self._peers.readers)
+        if told != self._told:
+            self._told = told
+            self._on_hosts(self._hosts, told[2])
 
     def close(self) -> None:
         left = self._members.leave(self._me.name)
@@ -91,6 +109,9 @@
             self._next_list = now + LIST_EVERY_ALONE_S
             return
         others = [member for member in listed.ok if member.name != self._me.name]
+        if not self.has_listed:
+            self._replaces_killed = len(others) < len(listed.ok)
+        self._listed = 1 + len(others)
         if self._joined and len(others) == len(listed.ok):
             # Who cleans up takes a host that was cut off for long for one that is gone.
             self._joined = False
@@ -115,5 +136,5 @@
         _log.info(
             TRUE_TIME_AGREED,
             own_clock_off_s=round(proposal - agreed.ok, 3),
-            hosts=1 + (self._heard or 0),
+            hosts=self._hosts,
         )
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -362,7 +362,8 @@
 
     def _on_hosts(self, hosts: int, readers: frozenset[str]) -> None:
         self._hosts = hosts
-        self._dispatcher.hosts(hosts)
+        if self._membership.has_listed:
+            self._dispatcher.hosts(hosts, self._membership.replaces_killed)
         self._adapter.store_pace.set_hosts(hosts)
         rank = rank_of(self._settings.host.name, readers)
         for feed in (self._config_feed, self._back_end_feed):
--- a/src/laburnumreel/relay/_repeats.py
+++ b/src/laburnumreel/relay/_repeats.py
@@ -1,7 +1,8 @@
 """Decides whether a request may be sent once more, within a budget that all hosts share.
 
 Load patterns that this answers: a failure that many requests meet at once, so that every host wants
-to send again, more than once for each.
+to send again, more than once for each; hosts that start or are cut off meanwhile, which hear of no
+others and would take what is for all.
 """
 
 from typing import NamedTuple
@@ -17,58 +18,80 @@
 class RepeatDecision(NamedTuple):
     """Whether a request may be sent once more, and the figures of the window that decided it.
 
-    `hosts` share the fixed part of the budget.
+    `hosts` share the fixed part of the budget; it is None while their number is not known.
     """
 
     allowed: bool
     spent: int
     limit: float
     requests: int
-    hosts: int
+    hosts: int | None
 
 
 class Repeats:
     """This host's part of the budget for sends beyond the first of each request, by service.
 
-    Each request earns its share at the host that it came to.
+    Each request earns its share at the host that it came to. The fixed part is divided by the most
+    hosts that there were in the window. A process that replaces one that was killed has none of it
+    for the length of a window, as that one may have spent it.
 
-    >>> repeats = Repeats(RetrySettings(ratio=0.2, slack=10.0, window_s=10.0))
-    >>> repeats.share_with(4)
-    >>> repeats.reserve("s", now=2.0).allowed, repeats.reserve("s", now=2.0).allowed
-    (True, True)
+    >>> repeats = Repeats(RetrySettings(ratio=0.2, slack=10.0, window_s=10.0), began_at=0.0)
+    >>> repeats.share_with(4, replaces_killed=True, now=1.0)
+    >>> repeats.reserve("s", now=2.0).allowed, repeats.reserve("s", now=11.0).allowed
+    (False, True)
     """
 
-    def __init__(self, retry: RetrySettings) -> None:
+    def __init__(self, retry: RetrySettings, began_at: float) -> None:
         self._retry = retry
+        self._began_at = began_at
+        self._replaces_killed = False
         self._budgets: dict[str, RetryBudget] = {}
-        self._hosts = 1
+        # Numbers of hosts and since when each held, the newest last.
+        self._hosts: list[tuple[float, int]] = []
 
-    def share_with(self, hosts: int) -> None:
-        """Take how many hosts share the budget, this one included."""
-        self._hosts = max(1, hosts)
+    def share_with(self, hosts: int, replaces_killed: bool, now: float) -> None:
+        """Take how many hosts share the budget, this one included, and whether the process before
+        this one was killed."""
+        self._replaces_killed = replaces_killed
+        self._hosts.append((now, max(1, hosts)))
+        self._most_hosts(now)
 
     def requested(self, service: str, now: float) -> None:
         """Count a request of a caller, once."""
-        self._budget(service).earn(now)
+        self._budget(service, now).earn(now)
 
     def reserve(self, service: str, now: float) -> RepeatDecision:
         """Decide whether a request may be sent once more, and keep room for that send."""
-        budget = self._budget(service)
+        budget = self._budget(service, now)
         allowed = budget.reserve(now)
-        return RepeatDecision(allowed, budget.spent, budget.limit, budget.earned, self._hosts)
+        hosts = self._most_hosts(now)
+        return RepeatDecision(allowed, budget.spent, budget.limit, budget.earned, hosts)
 
     def sent(self, service: str, now: float) -> None:
         """Count a reserved send that is made now."""
-        self._budget(service).use(now)
+        self._budget(service, now).use(now)
 
     def unused(self, service: str, now: float) -> None:
         """Give back the room for a send that will not be made."""
-        self._budget(service).release()
+        self._budget(service, now).release()
 
-    def _budget(self, service: str) -> RetryBudget:
+    def _budget(self, service: str, now: float) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
             ratio = self._retry.ratio * PLANNED_SHARE
             budget = self._budgets[service] = RetryBudget(ratio, 0, self._retry.window_s)
-        budget.minimum = self._retry.slack * PLANNED_SHARE / self._hosts
+        budget.minimum = self._fixed_part(now)
         return budget
+
+    def _fixed_part(self, now: float) -> float:
+        hosts = self._most_hosts(now)
+        begins = now - self._began_at < self._retry.window_s
+        if hosts is None or (begins and self._replaces_killed):
+            return 0.0
+        return self._retry.slack * PLANNED_SHARE / hosts
+
+    def _most_hosts(self, now: float) -> int | None:
+        """Return the most hosts that there were in the window, or None if that is not known."""
+        while len(self._hosts) > 1 and self._hosts[1][0] <= now - self._retry.window_s:
+            del self._hosts[0]
+        return max((count for _, count in self._hosts), default=None)
--- a/tests/test_relay_upkeep.py
+++ b/tests/test_relay_upkeep.py
@@ -202,6 +202,29 @@
         membership.tick()
         assert rows.keys(MEMBER_TABLE) == ["me"]
 
+    def test_host_that_is_cut_off_counts_those_that_it_does_not_hear(self):
+        """A host that heard nobody took what all hosts share for itself alone."""
+        rows, time, told = Rows(), FakeTime(), []
+        for number in range(24):
+            Members(rows).join(Member(f"host-{number}", ("10.0.0.1", 7000 + number), "boot"))
+        heard = {f"host-{number}": None for number in range(1, 24)}
+        peers = SimpleNamespace(heard=heard, readers=[], meet=lambda addresses: None)
+        membership = Membership(
+            Member("host-0", ("10.0.0.1", 7000), "boot"),
+            Members(rows),
+            peers,
+            SimpleNamespace(proposal=lambda: None),
+            SimpleNamespace(now=time),
+            lambda hosts, readers: told.append(hosts),
+        )
+        membership.tick()
+        heard.clear()
+        rows.down = True
+        for _ in range(20):
+            time.sleep(LIST_EVERY_S / 10)
+            membership.tick()
+        assert set(told) == {24} and membership.has_listed
+
 
 class Table:
     """A table that always has changes; the calls that were made, and how long each would wait."""
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -3,6 +3,9 @@
 import pytest
 from repeats_world import World
 
+from laburnumreel.relay._repeats import PLANNED_SHARE, Repeats
+from laburnumreel.relay._settings import RetrySettings
+
 HOSTS = 24
 PER_S = 96.0
 
@@ -37,6 +40,28 @@
     world.hosts = [world.start(number, knows_others=False) for number in range(HOSTS)]
     world.run(4.0, PER_S)
     for host in world.hosts:
-        host.hosts(HOSTS)
+        host.hosts(HOSTS, replaces_killed=True)
     world.run(10.0, PER_S)
     assert world.worst_excess() <= 0
+
+
+def test_part_of_a_host_grows_a_window_after_the_others_left():
+    """What a host that left has spent still counts in the window."""
+    repeats = Repeats(RetrySettings(ratio=0.0, slack=40.0, window_s=10.0), began_at=-10.0)
+    repeats.share_with(20, replaces_killed=False, now=0.0)
+    repeats.share_with(2, replaces_killed=False, now=5.0)
+    assert repeats.reserve("s", now=14.9).limit == 40.0 * PLANNED_SHARE / 20
+    assert repeats.reserve("s", now=15.1).limit == 40.0 * PLANNED_SHARE / 2
+
+
+def test_nothing_fixed_is_spent_before_the_number_of_hosts_is_known():
+    """The list of hosts could not be read yet, and a host knew of no others."""
+    repeats = Repeats(RetrySettings(ratio=0.0, slack=40.0, window_s=10.0), began_at=0.0)
+    assert not repeats.reserve("s", now=100.0).allowed
+
+
+def test_host_without_a_process_before_it_has_its_part_at_once():
+    """A fresh host could not try a single request again in its first window."""
+    repeats = Repeats(RetrySettings(ratio=0.2, slack=40.0, window_s=10.0), began_at=0.0)
+    repeats.share_with(1, replaces_killed=False, now=0.1)
+    assert repeats.reserve("s", now=0.2).allowed
