Keep the retries that a gateway has spent over a change of the configuration

Change: the limits of a budget that exists are set anew, what was spent stays. test_changed_configuration_does_not_renew_the_retry_budget allowed 15 retries instead of 3 before.

--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -33,6 +33,8 @@
 LEAVING_MARK_S = 60.0
 CAPACITY_S = 0.2
 LOST_S = 1.0
+# For a service that the configuration in force does not name.
+DEFAULT_RETRY_RATIO, DEFAULT_RETRY_MINIMUM = 0.1, 3
 # How the peer exchange names the peers that run requests.
 GATEWAY_PEER = "gateway/"
 
@@ -282,7 +284,8 @@
 
     def _on_configure(self, configuration: Configuration) -> None:
         self._configuration = configuration
-        self._budgets.clear()
+        for name, budget in self._budgets.items():
+            budget.ratio, budget.minimum = self._retry_limits(name)
         self._update_capacity()
 
     def _on_hosts(self, hosts: Sequence[Host]) -> None:
@@ -356,14 +359,17 @@
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            ratio, minimum = 0.1, 3
-            entry = self._configuration.services.get(service)
-            profile = entry and self._configuration.profiles.get(entry.profile)
-            if profile:
-                ratio, minimum = profile.retry_ratio, profile.retry_minimum
-            budget = self._budgets[service] = RetryBudget(ratio, minimum)
+            budget = self._budgets[service] = RetryBudget(*self._retry_limits(service))
         return budget
 
+    def _retry_limits(self, service: str) -> tuple[float, float]:
+        """Return the share of successes and the minimum that a service's retries may have."""
+        entry = self._configuration.services.get(service)
+        profile = entry and self._configuration.profiles.get(entry.profile)
+        if not profile:
+            return DEFAULT_RETRY_RATIO, DEFAULT_RETRY_MINIMUM
+        return profile.retry_ratio, profile.retry_minimum
+
     def _admit(self, request_ids: Collection[str]) -> None:
         for request_id in request_ids:
             self._decide(request_id, None)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -10,9 +10,9 @@
 from laburnumreel.core import ManualClock
 from laburnumreel.protocol import ModelRequest
 from laburnumreel.serving._attempts import Job
-from laburnumreel.serving._dispatcher import Dispatcher, Wanted
+from laburnumreel.serving._dispatcher import DEFAULT_RETRY_MINIMUM, Dispatcher, Wanted
 from laburnumreel.serving._model import ModelRun
-from laburnumreel.state import Host
+from laburnumreel.state import Configuration, Host
 
 SLOTS = 8
 
@@ -113,6 +113,16 @@
     assert [answer.done() for answer in answers] == [True, True, False, False]
 
 
+def test_changed_configuration_does_not_renew_the_retry_budget(start):
+    """Each configuration that came forgot the retries of the window."""
+    dispatcher = start()
+    allowed = 0
+    for version in range(1, 6):
+        dispatcher.configure(Configuration(version))
+        allowed += sum(dispatcher.take_retry("chat") for _ in range(5))
+    assert allowed == DEFAULT_RETRY_MINIMUM
+
+
 class FakeExchange:
     """An answer of three tokens."""
 
