Be ready only once the list of hosts was asked for

A request in the first moments of a host could be denied a second send, as the number of hosts that share the budget was not read yet: two tests failed once each beside load (test_stream_goes_on_elsewhere_within_one_answer[True], test_refusal_without_end_does_not_hold_the_ request, 2 of 571). The list is asked for with the first tick; where the store does not answer, the host is ready all the same.

--- a/src/laburnumreel/relay/_membership.py
+++ b/src/laburnumreel/relay/_membership.py
@@ -56,6 +56,12 @@
         self._listed = 0
         self._replaces_killed = False
         self._told: tuple[int, bool, frozenset[str]] | None = None
+        self._has_begun = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the list was asked for and what it says was told; it may not have answered."""
+        return self._has_begun
 
     @property
     def has_listed(self) -> bool:
@@ -89,6 +95,7 @@
         if told != self._told:
             self._told = told
             self._on_hosts(self._hosts, told[2])
+        self._has_begun = True
 
     def close(self) -> None:
         left = self._members.leave(self._me.name)
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -384,7 +384,8 @@
         self._dispatcher.listed(listing)
 
     def _is_ready(self) -> bool:
-        ready = not self._stopping and self._application.is_current and self._back_end_feed.listed
+        informed = self._application.is_current and self._back_end_feed.listed
+        ready = not self._stopping and informed and self._membership.has_begun
         if ready != self._ready:
             self._ready = ready
             _log.info(RELAY_READY, ready=ready, stopping=self._stopping)
--- a/tests/test_relay_upkeep.py
+++ b/tests/test_relay_upkeep.py
@@ -217,7 +217,9 @@
             SimpleNamespace(now=time),
             lambda hosts, readers: told.append(hosts),
         )
+        assert not membership.has_begun
         membership.tick()
+        assert membership.has_begun
         heard.clear()
         rows.down = True
         for _ in range(20):
