Check the retry budget in the soak, and count it in one place for all tests

The soak's deployment has a budget that its faults use up (0.05 of the requests and 6); workers count what reaches them beyond the first send of each request, callers what they ask for.

--- a/tests/relay_soak.py
+++ b/tests/relay_soak.py
@@ -17,7 +17,7 @@
 
 from platform_config import config
 from platform_world import Relay, World, wait_until
-from relay_soak_parts import STREAM, Ledger, Proxy, plain_answer, stream_answer
+from relay_soak_parts import RETRY, STREAM, Ledger, Proxy, plain_answer, stream_answer
 
 # Faults heal within two seconds, and a host is in touch again three seconds after that.
 UNSURE_S = 5.0
@@ -32,6 +32,7 @@
         self.rng = random.Random(seed)
         self.seed, self.seconds = seed, seconds
         self.world = World(folder)
+        self.world.retry = RETRY
         self.ledger = Ledger()
         self.store_proxy = Proxy(self.world.store.address)
         self.proxies = {}
@@ -116,6 +117,8 @@
         headers["Deadline-Ms"] = "3000"
         if path in ("/ask/", "/talk/"):
             headers |= {"Model-Id": "m", "Token-Usage": "900,50", "Prefix-Hash": "aa:800,bb:100"}
+        service = "quotes" if path in ("/ask/", "/talk/") else "orders"
+        self.ledger.repeats[service].requested(time.monotonic())
         try:
             connection.request("POST", path + "x", b"{}", headers)
             answer = connection.getresponse()
@@ -174,6 +177,10 @@
                 ledger.finding(f"{request_id} was refused as not run, and ran")
         for request_id, worker in ledger.late:
             ledger.finding(f"{request_id} ran at {worker} after it was leaving")
+        for service, count in ledger.repeats.items():
+            if count.worst_excess() > 0:
+                excess = count.worst_excess()
+                ledger.finding(f"{service}: {excess:.1f} repeated sends beyond the budget")
         windows, fence = {}, 0
         for path, headers, body in self.world.duties.calls:
             token = int(headers["Fencing-Token"])
@@ -314,7 +321,9 @@
     for seed in range(options.first, options.first + options.seeds):
         soak, found = run_seed(seed, options.seconds, WITH_DRILLS if options.drills else FAULTS)
         failed += bool(found)
-        print(f"seed {seed}: {dict(soak.ledger.outcomes)} faults {dict(Counter(soak.faults))}")
+        repeats = {name: len(count.repeats) for name, count in soak.ledger.repeats.items()}
+        outcomes, faults = dict(soak.ledger.outcomes), dict(Counter(soak.faults))
+        print(f"seed {seed}: {outcomes} repeats {repeats} faults {faults}")
         for finding in found:
             print(f"  FOUND {finding}")
     print(f"{options.seeds} seeds, {failed} with findings")
--- a/tests/relay_soak_parts.py
+++ b/tests/relay_soak_parts.py
@@ -8,7 +8,12 @@
 
 from platform_answers import echo, event
 from platform_world import HOST
+from repeat_count import RepeatCount
 
+from laburnumreel.relay._settings import RetrySettings
+
+# A budget that the faults of a soak use up.
+RETRY = RetrySettings(ratio=0.05, slack=6.0, window_s=10.0)
 # A leaving worker gets nothing new after this time.
 LEAVE_S = 2.5
 
@@ -69,9 +74,10 @@
 
 
 class Ledger:
-    """What workers ran and what callers got, by request id."""
+    """What workers ran and what callers got, by request id, and each service's repeated sends."""
 
-    def __init__(self):
+    def __init__(self, retry=RETRY):
+        self.repeats = {service: RepeatCount(retry) for service in ("orders", "quotes")}
         self.lock = threading.Lock()
         self.runs = Counter()
         self.late = []
@@ -97,6 +103,7 @@
 def plain_answer(ledger, name, rng):
     def answer(handler):
         request_id = handler.headers["Request-Id"]
+        ledger.repeats["orders"].arrived(request_id, time.monotonic())
         draw = rng.random()
         if draw < 0.05:
             handler.respond(503, headers=[("Not-Executed", "1"), *echo(handler)])
@@ -122,11 +129,13 @@
         if handler.command == "DELETE":
             handler.respond(200)
             return
-        if handler.headers.get("Serving-Stage") == "prefill":
+        request_id = handler.headers["Request-Id"]
+        only_read = handler.headers.get("Serving-Stage") == "prefill"
+        ledger.repeats["quotes"].arrived(request_id, time.monotonic(), only_read)
+        if only_read:
             body = b'{"Handle":"h","Tokens":10,"Version":1}'
             handler.respond(200, body, echo(handler))
             return
-        request_id = handler.headers["Request-Id"]
         ledger.ran(request_id, name)
         handler.send_response_only(200)
         for header, value in (
--- a/tests/repeats_world.py
+++ b/tests/repeats_world.py
@@ -4,13 +4,14 @@
 is counted as a deployment counts it.
 """
 
+import itertools
 import random
-from bisect import bisect_right
 from collections import defaultdict
 
 from laburnumreel_platform._workers import Workers
 from relay_fleet import SERVICE, Host
 from relay_samples import route
+from repeat_count import RepeatCount
 
 from laburnumreel.core import ManualClock
 from laburnumreel.relay._answer_room import AnswerRoom
@@ -25,7 +26,7 @@
 from laburnumreel.serving import Running
 from laburnumreel.transport import BackEndFailureError
 
-RATIO, SLACK, WINDOW_S = 0.2, 60.0, 10.0
+RETRY = RetrySettings(0.2, 60.0, 10.0)
 ROUTE = route("/talk/", "quotes", kind=RouteKind.STREAMING, attempts=2, resumable=True, gap_s=0.2)
 PROMPT = Prompt("m", (Part("start", 4000), Part("own", 100)), 4100, 20)
 
@@ -59,7 +60,8 @@
         only_read = headers.get("Serving-Stage") == "prefill"
         share = answers.readings_refused if only_read else answers.runs_refused
         refused = world.rng.random() < share
-        world.arrived(headers["Request-Id"], only_read and not refused)
+        now = world.clock.now()
+        world.count.arrived(headers["Request-Id"], now, only_read and not refused)
         echoed = {"Request-Id": headers["Request-Id"], "Response-Signature": "s"}
         self.status = 503 if refused else 200
         if refused:
@@ -98,12 +100,10 @@
         self.rng = random.Random(seed)
         self.clock = ManualClock()
         self.answers = Answers()
-        self.requests = []
-        self.repeats = []
+        self.count = RepeatCount(RETRY)
         self.outcomes = defaultdict(int)
-        self._arrivals = defaultdict(int)
-        self._read = set()
-        self._count = hosts
+        self._number = itertools.count()
+        self._size = hosts
         self.hosts = [self.start(number) for number in range(hosts)]
 
     # The pool of connections and the room for answers.
@@ -116,8 +116,7 @@
 
     def start(self, number, knows_others=True):
         """Return a host whose process has just begun."""
-        retry = RetrySettings(RATIO, SLACK, WINDOW_S)
-        host = Host(self.clock, Place("z", "r"), {"z": "r"}, retry, 2.0, random.Random(number))
+        host = Host(self.clock, Place("z", "r"), {"z": "r"}, RETRY, 2.0, random.Random(number))
         host.configured(RelayConfig(1, services={"quotes": SERVICE}))
         address = ("10.0.0.1", 80)
         roles = {f"p{n}": Role.PREFILL for n in range(6)} | {f"d{n}": Role.DECODE for n in range(6)}
@@ -127,18 +126,9 @@
         }
         host.listed(Listing(entries, 1, 0.0, True))
         if knows_others:
-            host.hosts(self._count)
+            host.hosts(self._size)
         return host
 
-    def arrived(self, request_id, reads):
-        """Count a request that reached an engine; the first reading that is taken is none."""
-        if reads and request_id not in self._read:
-            self._read.add(request_id)
-            return
-        self._arrivals[request_id] += 1
-        if self._arrivals[request_id] > 1:
-            self.repeats.append(self.clock.now())
-
     def run(self, seconds, per_s):
         """Let clients ask at random hosts, `per_s` requests a second in all."""
         end = self.clock.now() + seconds
@@ -148,8 +138,8 @@
 
     def ask(self, host):
         now = self.clock.now()
-        self.requests.append(now)
-        name = f"r{len(self.requests)}"
+        self.count.requested(now)
+        name = f"r{next(self._number)}"
         headers = (("Request-Id", name),)
         request = RelayRequest(
             name, "POST", "/talk/x", "h", "/talk/x", headers, b"", None, 3.0, PROMPT, None, now
@@ -168,20 +158,3 @@
             self.outcomes["failed"] += 1
         finally:
             run.close()
-
-    def worst_excess(self):
-        """Return by how much the worst window is over what the deployment allows, as its rule says.
-
-        The requests are those of the window, of the one before, or of the one half a window before.
-        """
-
-        def within(times, end):
-            return bisect_right(times, end) - bisect_right(times, end - WINDOW_S)
-
-        return max(
-            within(self.repeats, at)
-            - RATIO
-            * max(within(self.requests, at - back) for back in (0.0, WINDOW_S, WINDOW_S / 2))
-            - SLACK
-            for at in self.repeats
-        )
--- a/tests/test_relay_soak.py
+++ b/tests/test_relay_soak.py
@@ -3,12 +3,14 @@
 from types import SimpleNamespace
 
 import pytest
-from relay_soak import WITH_DRILLS, Ledger, Soak, run_seed
+from relay_soak import RETRY, WITH_DRILLS, Ledger, Soak, run_seed
 
 
-def checked(runs=(), once=(), refused=(), late=(), calls=(), served=1):
+def checked(runs=(), once=(), refused=(), late=(), calls=(), served=1, repeats=0):
     """Return what the soak finds in a made-up history."""
     ledger = Ledger()
+    for number in range(2 * repeats):
+        ledger.repeats["orders"].arrived(f"q{number // 2}", at=1.0)
     for request_id in runs:
         ledger.ran(request_id, "w1")
     ledger.late = list(late)
@@ -34,6 +36,7 @@
         {"calls": [usage(2, 7, 3), usage(1, 8, 3)]},
         {"calls": [usage(1, 7, 3), usage(2, 7, 4)]},
         {"served": 0},
+        {"repeats": int(RETRY.slack) + 1},
     ],
 )
 def test_each_planted_fault_is_found(history):
@@ -42,7 +45,8 @@
 
 def test_sound_history_has_no_finding():
     calls = [usage(1, 7, 3), usage(1, 7, 3), usage(2, 8, 1)]
-    assert not checked(runs=["q1", "q2"], once=["q1", "q3"], refused=["q3"], calls=calls)
+    repeats = int(RETRY.slack)
+    assert not checked(["q1", "q2"], ["q1", "q3"], ["q3"], calls=calls, repeats=repeats)
 
 
 @pytest.mark.processes
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -17,7 +17,7 @@
     world.run(12.0, PER_S)
     world.answers.runs_refused = 0.6
     world.run(15.0, PER_S)
-    assert world.worst_excess() <= 0
+    assert world.count.worst_excess() <= 0
     assert world.outcomes["served"] > world.outcomes["failed"]
 
 
@@ -28,7 +28,7 @@
     world.run(12.0, PER_S)
     world.answers.streams_broken = 0.9
     world.run(15.0, PER_S)
-    assert world.worst_excess() <= 0
+    assert world.count.worst_excess() <= 0
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -42,7 +42,7 @@
     for host in world.hosts:
         host.hosts(HOSTS, replaces_killed=True)
     world.run(10.0, PER_S)
-    assert world.worst_excess() <= 0
+    assert world.count.worst_excess() <= 0
 
 
 def test_part_of_a_host_grows_a_window_after_the_others_left():
