Count a first reading of a prompt only when it is known whether an engine took it

Callers got an internal error (500) where an engine had refused a request that was then read apart: the reading used the permit for the next send and gave none back when it turned out to be free.

Change: such a reading may go out with the permit in hand, and uses it only if it was not taken.

--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -120,7 +120,6 @@
                 self._job.excluded |= {assignment.reader.name}
                 if error.trouble != "unreachable":
                     self._reading_failed = True
-                    self._job.sends += 1
                     if not self._job.may_send_again(error.trouble):
                         raise RelayFailedError(
                             refusal_after(self._job, error, ErrorKind.INCOMPLETE_ANSWER)
@@ -185,10 +184,12 @@
                 status = attempt.exchange.status
                 if verdict.outcome != "success":
                     raise SendFailedError("lost", f"reading was answered {status}", False)
-        except BaseException:
+        except BaseException as error:
             parts.dispatcher.ended(reader.name, assignment.read_work, job.service.name)
+            if isinstance(error, SendFailedError) and error.trouble != "unreachable":
+                job.count_reading(dispatch, taken=False)
             raise
-        job.count_reading()
+        job.count_reading(dispatch, taken=True)
         took_ms = 1000 * (parts.clock.now() - started)
         parts.dispatcher.read(assignment, job.request.prompt, took_ms)
         _log.debug(
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -226,22 +226,31 @@
         )
         return decision.allowed
 
-    def count_reading(self) -> None:
-        """Take in that an engine has read the prompt: the first reading is no send of its own."""
-        if self.has_read:
-            self.sends += 1
-        else:
-            self.has_read = True
-            self.arrivals -= 1
-
     def count_arrival(self, dispatch: Dispatch) -> None:
-        """Count a send whose first byte is about to leave; one beyond the first uses a permit."""
+        """Count a send whose first byte is about to leave; one beyond the first uses a permit.
+
+        A first reading of the prompt is counted once it is known whether an engine took it.
+        """
+        if self.arrivals and not self._permits:
+            detail = "a send beyond the first without a permit"
+            raise RelayFailedError(self.truthful(Refusal(ErrorKind.INTERNAL, detail)))
+        if self.has_read or not dispatch.only_read:
+            self._count(dispatch)
+
+    def count_reading(self, dispatch: Dispatch, taken: bool) -> None:
+        """Count how a reading of the prompt ended: the first that is taken is no send of its own."""
+        first = not self.has_read
+        self.has_read = self.has_read or taken
+        if first and taken:
+            return
+        self.sends += 1
+        if first:
+            self._count(dispatch)
+
+    def _count(self, dispatch: Dispatch) -> None:
         self.arrivals += 1
         if self.arrivals == 1:
             return
-        if not self._permits:
-            detail = "a send beyond the first without a permit"
-            raise RelayFailedError(self.truthful(Refusal(ErrorKind.INTERNAL, detail)))
         self._permits -= 1
         self.parts.dispatcher.repeated(self.service.name)
         RELAY_REPEATS.inc(outcome="sent")
--- a/tests/relay_soak.py
+++ b/tests/relay_soak.py
@@ -135,7 +135,7 @@
                 self.ledger.finding(f"{path} {request_id}: wrong body {body[:80]!r}")
             if answer.getheader("Response-Signature") != f"s.{request_id}":
                 self.ledger.finding(f"{path} {request_id}: signature of another answer")
-        elif answer.status in (400, 401, 403, 404):
+        elif answer.status in (400, 401, 403, 404, 500):
             self.ledger.finding(f"{path} {request_id}: {answer.status} for a proper request")
         self._note(path, request_id, answer.status)
         return not answer.will_close
--- a/tests/repeats_world.py
+++ b/tests/repeats_world.py
@@ -6,7 +6,7 @@
 
 import itertools
 import random
-from collections import defaultdict
+from collections import Counter
 
 from laburnumreel_platform._workers import Workers
 from relay_fleet import SERVICE, Host
@@ -96,12 +96,14 @@
 class World:
     """Hosts, engines, and the count of what reached the engines."""
 
-    def __init__(self, seed, hosts):
+    def __init__(self, seed, hosts, attempts=2):
         self.rng = random.Random(seed)
         self.clock = ManualClock()
         self.answers = Answers()
+        self.route = ROUTE._replace(attempts=attempts)
         self.count = RepeatCount(RETRY)
-        self.outcomes = defaultdict(int)
+        self.outcomes = Counter()
+        self.refusals = set()
         self._number = itertools.count()
         self._size = hosts
         self.hosts = [self.start(number) for number in range(hosts)]
@@ -136,10 +138,11 @@
             self.clock.advance(self.rng.expovariate(per_s))
             self.ask(self.rng.choice(self.hosts))
 
-    def ask(self, host):
+    def job(self, host):
+        """Return a new request in work at a host."""
         now = self.clock.now()
-        self.count.requested(now)
         name = f"r{next(self._number)}"
+        self.count.requested(now)
         headers = (("Request-Id", name),)
         request = RelayRequest(
             name, "POST", "/talk/x", "h", "/talk/x", headers, b"", None, 3.0, PROMPT, None, now
@@ -148,13 +151,19 @@
             self.clock, host, self, Workers(), self.rng, lambda customer: None, AnswerRoom(10**6)
         )
         running = Running(name, None, now + 3.0, lambda: False)
-        run = EngineRun(Job(parts, request, ROUTE, SERVICE, "", 1, running, 1))
+        return Job(parts, request, self.route, SERVICE, "", 1, running, 1)
+
+    def ask(self, host):
+        job = self.job(host)
+        run = EngineRun(job)
         try:
             run.start()
             for _ in run.rest():
                 pass
             self.outcomes["served"] += 1
-        except RelayFailedError:
+        except RelayFailedError as error:
             self.outcomes["failed"] += 1
+            self.refusals.add(error.refusal.kind)
         finally:
             run.close()
+            job.drop_permits()
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,10 +1,13 @@
 """Repeated sends of all hosts together stay within the deployment's budget (incident of issue 23)."""
 
 import pytest
-from repeats_world import World
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from repeats_world import RETRY, World
 
 from laburnumreel.relay._repeats import PLANNED_SHARE, Repeats
 from laburnumreel.relay._settings import RetrySettings
+from laburnumreel.state import ErrorKind
 
 HOSTS = 24
 PER_S = 96.0
@@ -65,3 +68,54 @@
     repeats = Repeats(RetrySettings(ratio=0.2, slack=40.0, window_s=10.0), began_at=0.0)
     repeats.share_with(1, replaces_killed=False, now=0.1)
     assert repeats.reserve("s", now=0.2).allowed
+
+
+shares = st.sampled_from([0.0, 0.1, 0.5, 0.9])
+phases = st.lists(
+    st.tuples(st.floats(0.5, 8.0), st.sampled_from([10, 60, 160]), shares, shares, shares),
+    min_size=2,
+    max_size=5,
+)
+
+
+@given(
+    seed=st.integers(0, 1000),
+    attempts=st.integers(1, 4),
+    phases=phases,
+    killed=st.sets(st.integers(0, 7)),
+)
+@settings(max_examples=25)
+def test_no_load_and_no_failures_lead_beyond_the_budget(seed, attempts, phases, killed):
+    """Whatever share of readings, runs and streams fails, and whichever hosts are killed meanwhile."""
+    world = World(seed, hosts=8, attempts=attempts)
+    for number, (seconds, per_s, *failing) in enumerate(phases):
+        answers = world.answers
+        answers.readings_refused, answers.runs_refused, answers.streams_broken = failing
+        world.run(seconds, per_s)
+        if number == 0:
+            for host in killed:
+                world.hosts[host] = world.start(host, knows_others=False)
+                world.hosts[host].hosts(8, replaces_killed=True)
+    assert world.count.worst_excess() <= 0
+    assert ErrorKind.INTERNAL not in world.refusals
+
+
+def test_permit_for_a_send_that_is_not_made_is_given_back():
+    """A request that found no place after its permit would keep the permit for ever."""
+    world = World(1, hosts=1)
+    for _ in range(3 * int(RETRY.slack)):
+        job = world.job(world.hosts[0])
+        assert job.may_send_again("refused")
+        job.drop_permits()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_request_that_was_refused_is_read_apart_with_the_same_permit(seed):
+    """The reading used up the permit of the run, which then was an internal error."""
+    world = World(seed, hosts=8)
+    world.run(4.0, 60)
+    world.answers.readings_refused = 0.3
+    world.run(6.0, 60)
+    world.answers.readings_refused, world.answers.runs_refused = 0.0, 0.3
+    world.run(6.0, 60)
+    assert ErrorKind.INTERNAL not in world.refusals and world.outcomes["failed"]
