--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -17,7 +17,6 @@
 from platform_answers import echo, engine, whole
 from platform_config import config
 
-from laburnumreel.relay._settings import RetrySettings
 from laburnumreel_standins.processes import fresh_host
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -293,9 +292,9 @@
             f"admin = {self.host}:{self.admin_port}\npeers = {self.host}:{self.peer_port}\n"
             f"[store]\naddress = {world.store.address}\n"
             f"[duties]\naddress = {world.duties.address}\n"
-            f"[retry]\nratio = {world.retry.ratio}\nslack = {world.retry.slack}\n"
             f"[usage]\nwindow_s = 1\nlate_s = 10\n"
             f"[log]\nlevel = debug\n"
+            f"{world.more_settings}"
         )
 
     def ready(self):
@@ -332,7 +331,8 @@
         self.folder = Path(folder)
         self.store, self.duties = Store(), Duties()
         self.workers, self.relays = {}, []
-        self.retry = RetrySettings(ratio=0.2, slack=50.0, window_s=10.0)
+        # Sections of every relay's settings that a test adds.
+        self.more_settings = ""
         self.store.put("op", "config", config())
 
     def worker(self, name, service="orders", usual=None, **fields):
--- a/tests/relay_soak.py
+++ b/tests/relay_soak.py
@@ -32,7 +32,7 @@
         self.rng = random.Random(seed)
         self.seed, self.seconds = seed, seconds
         self.world = World(folder)
-        self.world.retry = RETRY
+        self.world.more_settings = f"[retry]\nratio = {RETRY.ratio}\nslack = {RETRY.slack}\n"
         self.ledger = Ledger()
         self.store_proxy = Proxy(self.world.store.address)
         self.proxies = {}
