--- a/tests/test_ui_relay.py
+++ b/tests/test_ui_relay.py
@@ -129,3 +129,32 @@
     log = tmp_path / "host.log"
     log.write_text("nothing\n")
     assert run(capsys, "relay", "report", log)[0] == 2
+
+
+def test_repeats_of_all_hosts_are_added_up(tmp_path, capsys):
+    def line(second, name, request, **fields):
+        timestamp = f"2026-01-01T00:00:{second:02}.5Z"
+        fields |= {"timestamp": timestamp, "name": name, "request": request, "service": "s"}
+        return json.dumps(fields) + "\n"
+
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text(
+        line(1, "request_placed", "r1")
+        + line(2, "repeat_decided", "r1", allowed=True, hosts=3)
+        + line(2, "request_placed", "r1")
+        + line(2, "request_repeated", "r1")
+    )
+    second.write_text(
+        line(2, "request_placed", "r2")
+        + line(12, "repeat_decided", "r2", allowed=False, hosts=2)
+        + line(40, "request_repeated", "r9")
+    )
+    code, out, _ = run(
+        capsys, "--json", "relay", "repeats", "--ratio", "0.5", "--slack", "1", first, second
+    )
+    keys = ("requests", "repeats", "limit", "allowed", "denied", "least_hosts")
+    rows = [tuple(row[key] for key in keys) for row in json.loads(out)["windows"]]
+    assert code == 0
+    assert rows[:2] == [(1, 0, 1.5, 0, 0, "-"), (2, 1, 2.0, 1, 0, 3)]
+    assert rows[2:] == [(0, 0, 1.0, 0, 1, 2), (0, 1, 1.0, 0, 0, "-")]
+    assert run(capsys, "relay", "repeats", tmp_path / "a.log")[0] == 0
