--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -21,6 +21,7 @@
 from laburnumreel.relay._requests import Prompt, RelayRequest
 from laburnumreel.serving import Body, RequestRegistry, Running
 from laburnumreel.state import ErrorKind, Refusal, RunState
+from laburnumreel.transport import READ_AT
 
 # A host that does not have a configuration that its peers have is behind for about this time.
 BEHIND_RETRY_S = 0.2
@@ -103,10 +104,11 @@
         self._stopping = True
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
-        decoded = self._callers.request(environ, self._clock.now())
+        now = self._clock.now()
+        decoded = self._callers.request(environ, now)
         if decoded.is_error():
             return self._refuse(decoded.error, None, "", start_response)
-        request = decoded.ok
+        request = decoded.ok._replace(queued_s=now - environ.get(READ_AT, now))
         try:
             return self._serve(request, start_response)
         except RelayFailedError as error:
@@ -252,6 +254,7 @@
             back_end=back_end,
             bytes=size,
             took_ms=round(1000 * job.waited_s),
+            queued_ms=round(1000 * job.request.queued_s),
             sends=job.sends,
             **stream,
         )
@@ -266,6 +269,7 @@
             detail=refusal.detail,
             bytes=sent,
             took_ms=round(1000 * job.waited_s),
+            left_ms=round(1000 * job.left_s),
             sends=job.sends,
         )
 
@@ -289,6 +293,8 @@
             retry_after_s=refusal.retry_after_s,
             config_version=self._table.version if self._table is not None else None,
             waited_ms=round(1000 * job.waited_s) if job is not None else None,
+            left_ms=round(1000 * job.left_s) if job is not None else None,
+            queued_ms=round(1000 * request.queued_s) if request is not None else None,
             sends=job.sends if job is not None else 0,
         )
         answer = self._callers.refusal(refusal, request_id)
--- a/src/laburnumreel/relay/_requests.py
+++ b/src/laburnumreel/relay/_requests.py
@@ -34,7 +34,8 @@
 
     `headers` are those that are passed on: none that only concerns the connection, none that the
     system sets itself. `patience_s` is how long the caller waits in all, counted from `arrived_at`
-    on the process' clock. `gone` tells whether the caller has closed its connection.
+    on the process' clock. `gone` tells whether the caller has closed its connection. `queued_s` is
+    how long the request, read whole, waited for a thread.
     """
 
     request_id: str
@@ -50,6 +51,7 @@
     resume_after: str | None
     arrived_at: float
     gone: Callable[[], bool] = lambda: False
+    queued_s: float = 0.0
 
 
 class PromptCopy(NamedTuple):
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -244,6 +244,7 @@
                 only_read=dispatch.only_read,
                 may_have_run=may_have_run,
                 waited_ms=round(1000 * job.waited_s),
+                left_ms=round(1000 * job.left_s),
             )
         return SendFailedError(trouble, detail, may_have_run, retry_after_s)
 
--- a/src/laburnumreel/transport/__init__.py
+++ b/src/laburnumreel/transport/__init__.py
@@ -9,9 +9,10 @@
 from laburnumreel.transport._orders import HttpOrderConnection, HttpOrderLink
 from laburnumreel.transport._peer_client import PeerClient
 from laburnumreel.transport._peer_server import NodeCalls, PeerServer
-from laburnumreel.transport._wsgi import HttpServer
+from laburnumreel.transport._wsgi import READ_AT, HttpServer
 
 __all__ = [
+    "READ_AT",
     "Address",
     "BackEndFailureError",
     "BackEndPool",
--- a/src/laburnumreel/transport/_events.py
+++ b/src/laburnumreel/transport/_events.py
@@ -9,5 +9,8 @@
 BACK_END_SILENT = define_event(
     202, "back_end_silent", "a back end sent no byte in time; dropped its older idle connections"
 )
+CALLER_CUT = define_event(
+    203, "caller_cut", "the host closed a caller's connection with a request on it"
+)
 PEER_CALL_FAILED = define_event(220, "peer_call_failed", "a call from a peer failed")
 PEER_REFUSED = define_event(221, "peer_refused", "a peer's connection was closed")
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -17,10 +17,10 @@
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 from waitress.utilities import RequestEntityTooLarge, RequestHeaderFieldsTooLarge
 
-from laburnumreel.core import Log
+from laburnumreel.core import Log, SystemClock
 from laburnumreel.protocol import new_request_id, refusal_answer
 from laburnumreel.state import ErrorKind, Refusal
-from laburnumreel.transport._events import HTTP_SERVER_PROBLEM, READER_STALLED
+from laburnumreel.transport._events import CALLER_CUT, HTTP_SERVER_PROBLEM, READER_STALLED
 from laburnumreel.transport._metrics import STALLED_READERS
 
 STALL_LIMIT_S = 30.0
@@ -36,10 +36,13 @@
 DISCARD_LIMIT_BYTES = 16 * 1024 * 1024
 IDLE_LIMIT_S = 120
 CONNECTIONS_PER_THREAD = 4
+# The key of a request's environment under which stands when it was read whole, by `SystemClock`.
+READ_AT = "laburnumreel.read_at"
 
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 _log = Log("transport.wsgi")
+_clock = SystemClock()
 
 
 class _LogHandler(logging.Handler):
@@ -59,10 +62,14 @@
 
 
 class _Parser(HTTPRequestParser):
-    """Reads on, within a limit, after a size error has decided the answer."""
+    """Reads on, within a limit, after a size error has decided the answer.
+
+    `read_at` is when the request was read whole, in seconds of `SystemClock`.
+    """
 
     def __init__(self, adj: Adjustments) -> None:
         super().__init__(adj)
+        self.read_at: float | None = None
         self._discard_bytes = 0
         self._discard_to_blank_line = False
         self._tail = b""
@@ -71,6 +78,8 @@
         if self._discard_bytes or self._discard_to_blank_line:
             return self._discard(data)
         consumed = super().received(data)
+        if self.completed:
+            self.read_at = _clock.now()
         if not self.completed or self.error is None:
             return consumed
         if isinstance(self.error, RequestHeaderFieldsTooLarge):
@@ -147,6 +156,11 @@
             self.channel = channel
         channel.write_soon(b"".join(written))
 
+    def get_environment(self) -> dict[str, Any]:
+        environ = super().get_environment()
+        environ[READ_AT] = self.request.read_at
+        return environ
+
     def build_response_header(self) -> bytes:
         if self.channel.server.stopping:
             self.set_close_on_finish()
@@ -186,6 +200,18 @@
                 return sent
         return sent + super().write_soon(data[sent:] if sent else data)
 
+    def end(self, reason: str) -> None:
+        """Close the connection for a reason of the host's own, and say so if a request is on it."""
+        if self.requests or self.request is not None:
+            _log.warning(
+                CALLER_CUT,
+                caller=str(self.addr),
+                reason=reason,
+                requests=len(self.requests),
+                reading=self.request is not None,
+            )
+        self.handle_close()
+
     def stalled(self, now: float) -> bool:
         """Return whether output has waited for the whole limit without one byte taken."""
         if not self.total_outbufs_len or self.sent_bytes != self._checked_bytes:
@@ -215,8 +241,12 @@
                 STALLED_READERS.inc()
                 _log.warning(READER_STALLED, caller=str(channel.addr))
                 # `will_close` alone would wait until the socket is writable, which it never is.
-                channel.handle_close()
-        super().maintenance(now)
+                channel.end("stalled")
+        # waitress closes those that were idle for too long, also with a request that is being read.
+        for channel in list(self.active_channels.values()):
+            idle = not channel.requests
+            if idle and channel.last_activity < now - self.adj.channel_timeout:
+                channel.end("idle")
 
 
 class HttpServer:
@@ -310,4 +340,6 @@
         while not self._stopped.is_set():
             wasyncore.loop(timeout=1, use_poll=True, map=self._map, count=1)
         self._server.closed = True
+        for channel in list(self._server.active_channels.values()):
+            channel.end("stop")
         wasyncore.close_all(self._map, ignore_all=True)
