Show that silence of a sound server cuts requests, in tests that fail

Ten cases on the present code: streams and whole answers whose server stands still for 1.2 to 1.7 s are cut or answered 502 or 504 where no other place or no permit can be had, and a stream that broke off is refused a place though its caller waits. Dead servers are left after as long as before; those tests pass and hold what the mend may cost.

--- /dev/null
+++ b/tests/test_silent_servers.py
@@ -0,0 +1,180 @@
+"""Tests of sound backend servers that fall silent and go on, beside dead ones."""
+
+import threading
+import time
+
+import pytest
+from platform_answers import begin_stream, chunk, event, lost, stream, whole
+from platform_world import wait_until
+from relay_caller import PROMPT, Caller
+
+pytestmark = pytest.mark.processes
+
+# Longer than the relay waits before it looks for another backend server.
+SILENCE_S = 1.7
+NO_REPEATS = "[retry]\nratio = 0\nslack = 0\n"
+EVENTS = b"".join(event(number) for number in range(1, 6))
+
+
+def pausing(after, pause_s=SILENCE_S):
+    """Return an answer of five events with one pause, before the head for None."""
+
+    def answer(handler):
+        first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        if after is None:
+            time.sleep(pause_s)
+        begin_stream(handler)
+        for number in range(first, 6):
+            if number - first == after:
+                time.sleep(pause_s)
+            chunk(handler, event(number))
+        handler.wfile.write(b"0\r\n\r\n")
+
+    return answer
+
+
+def slow_whole(handler):
+    time.sleep(1.2)
+    whole(handler)
+
+
+def dead(handler):
+    """Say nothing until the caller has left."""
+    handler.connection.settimeout(10.0)
+    handler.rfile.read(1)
+    handler.close_connection = True
+
+
+def ask_stream(relay, path="/talk/x"):
+    return Caller(relay).ask(path, Deadline_Ms="5000", **PROMPT)
+
+
+class TestSilence:
+    """A request stays with a silent backend server until something better is held."""
+
+    @pytest.mark.parametrize("after", [None, 0, 2], ids=["head", "first", "middle"])
+    def test_stream_without_another_place_is_not_cut(self, world, after):
+        worker = world.worker("d1", "quotes", usual=pausing(after), Stage="decode")
+        status, _, body = ask_stream(world.relay())
+        assert (status, body) == (200, EVENTS)
+        assert len(worker.seen) == 1
+
+    @pytest.mark.parametrize("after", [None, 0, 2], ids=["head", "first", "middle"])
+    def test_stream_that_no_permit_is_left_for_is_not_cut(self, world, after):
+        world.more_settings = NO_REPEATS
+        workers = [
+            world.worker(name, "quotes", usual=pausing(after), Stage="decode")
+            for name in ("d1", "d2")
+        ]
+        status, _, body = ask_stream(world.relay())
+        assert (status, body) == (200, EVENTS)
+        assert sum(len(worker.seen) for worker in workers) == 1
+
+    def test_streams_at_full_servers_are_not_cut(self, world):
+        """All engines stand still with all their places taken."""
+        for name in ("d1", "d2"):
+            world.worker(name, "quotes", usual=pausing(2), Stage="decode", Slots=2)
+        relay = world.relay()
+        answers = []
+        threads = [
+            threading.Thread(target=lambda: answers.append(ask_stream(relay))) for _ in range(4)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert [(status, body) for status, _, body in answers] == [(200, EVENTS)] * 4
+
+    def test_whole_answer_without_another_place_is_waited_for(self, world):
+        worker = world.worker("w1", usual=slow_whole)
+        status, _, body = Caller(world.relay()).ask("/safe/x", "GET")
+        assert (status, body) == (200, b"done")
+        assert len(worker.seen) == 1
+
+    def test_whole_answer_that_no_permit_is_left_for_is_waited_for(self, world):
+        world.more_settings = NO_REPEATS
+        workers = [world.worker(name, usual=slow_whole) for name in ("w1", "w2")]
+        status, _, body = Caller(world.relay()).ask("/safe/x", "GET")
+        assert (status, body) == (200, b"done")
+        assert sum(len(worker.seen) for worker in workers) == 1
+
+    def test_body_that_pauses_is_waited_for(self, world):
+        def pauses(handler):
+            handler.send_response_only(200)
+            handler.send_header("Request-Id", handler.headers["Request-Id"])
+            handler.send_header("Response-Signature", "s")
+            handler.send_header("Content-Length", "4")
+            handler.end_headers()
+            handler.wfile.write(b"do")
+            handler.wfile.flush()
+            time.sleep(1.2)
+            handler.wfile.write(b"ne")
+
+        world.worker("w1", usual=pauses)
+        assert Caller(world.relay()).ask("/safe/x", "GET")[2] == b"done"
+
+
+class TestDeadServers:
+    """What a dead backend server costs callers."""
+
+    @pytest.mark.parametrize("path", ["/talk/x", "/safe/x"])
+    def test_silent_for_good_is_left_for_another_one(self, world, path):
+        service, usual = ("quotes", stream()) if path == "/talk/x" else ("orders", whole)
+        sends = []
+
+        def first_is_dead(handler):
+            sends.append(time.monotonic())
+            (dead if len(sends) == 1 else usual)(handler)
+
+        for name in ("b1", "b2"):
+            world.worker(name, service, usual=first_is_dead, Stage="decode")
+        started = time.monotonic()
+        status, _, body = Caller(world.relay()).ask(path, Deadline_Ms="5000", **PROMPT)
+        assert status == 200 and body in (EVENTS, b"done")
+        assert len(sends) == 2
+        assert sends[1] - sends[0] < 1.2 and sends[1] > started
+
+    def test_stream_that_falls_silent_for_good_goes_on_elsewhere(self, world):
+        sends = []
+
+        def first_stops(handler):
+            sends.append(time.monotonic())
+            if len(sends) > 1:
+                stream()(handler)
+                return
+            begin_stream(handler)
+            chunk(handler, event(1))
+            dead(handler)
+
+        for name in ("d1", "d2"):
+            world.worker(name, "quotes", usual=first_stops, Stage="decode")
+        status, _, body = ask_stream(world.relay())
+        assert (status, body) == (200, EVENTS)
+        assert sends[1] - sends[0] < 1.7
+
+    def test_broken_stream_waits_for_a_place(self, world):
+        """A stream that broke off goes before new requests, and waits as long as its caller."""
+        sends = []
+
+        def breaks_once(handler):
+            sends.append(handler.headers["Request-Id"])
+            if handler.headers["Request-Id"] == "busy":
+                pausing(1, 1.0)(handler)
+            elif sends.count("one") == 1:
+                begin_stream(handler)
+                chunk(handler, event(1))
+                lost(handler)
+            else:
+                stream()(handler)
+
+        for name in ("d1", "d2"):
+            world.worker(name, "quotes", usual=breaks_once, Stage="decode", Slots=1)
+        relay = world.relay()
+        busy = threading.Thread(
+            target=lambda: Caller(relay).ask("/talk/x", Request_Id="busy", **PROMPT)
+        )
+        busy.start()
+        wait_until(lambda: sends, "one engine is busy")
+        status, _, body = Caller(relay).ask("/talk/x", Request_Id="one", **PROMPT)
+        busy.join()
+        assert (status, body) == (200, EVENTS)
