Leave a silent backend server only for another one that is held

Cause: silence was taken for failure. The exchange was closed after five pauses of the route (streams), 1.6 objectives (before the first event) or one objective (plain requests); only then were the retry budget and the dispatcher asked for a permit and a place.

Change: the decision to leave comes after the decision that something better is held. A wait whose time is over asks the request (transport/_sockets.py, Patience) whether to go on; relay/_elsewhere.py looks for permit, place and connection meanwhile, and ends the wait once it has all three and the server has still said nothing. Until then the server has the whole time of the request. One that takes no connection is still given up early where the caller has nothing of the answer yet. A timeout no longer loses what http.client had read of a head or a chunk.

--- /dev/null
+++ b/src/laburnumreel/relay/_elsewhere.py
@@ -0,0 +1,216 @@
+"""Another backend server for a request whose server is silent, held before that one is left."""
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import NamedTuple
+
+from laburnumreel.core import Event, Log
+from laburnumreel.relay._assignments import Assignment, Order
+from laburnumreel.relay._back_ends import ListedBackEnd
+from laburnumreel.relay._events import SILENT_SERVER_LEFT, SILENT_SERVER_SPOKE, SILENT_SERVER_STAYS
+from laburnumreel.relay._job import LEAST_TIME_S, Job
+from laburnumreel.relay._metrics import RELAY_SILENCES
+from laburnumreel.state import Refusal
+from laburnumreel.transport import BackEndFailureError, Exchange
+
+# The dispatcher answers within about a millisecond where there is a place.
+PLACE_WAIT_S = 0.005
+# How often a request looks for a place that it waits for.
+LOOK_S = 0.05
+# What was denied is asked for again after this time, doubled each time up to the limit.
+FIRST_ASK_AGAIN_S, LONGEST_ASK_AGAIN_S = 0.1, 0.8
+
+_log = Log("relay.elsewhere")
+
+
+class Held(NamedTuple):
+    """A place, and the connection to the backend server that gets the request first."""
+
+    assignment: Assignment
+    exchange: Exchange
+
+
+class Elsewhere:
+    """Looks for another backend server while one that has a request is silent.
+
+    Silence does not show that a backend server has failed: a sound one may go on a moment later,
+    and a request that has left it and finds no other place is lost. So the exchange goes on until a
+    permit of the retry budget, a place and a connection are held; `held` is then what the request
+    goes on with. Where they can't be had, the silent server has until the end of the request's time.
+
+    `order` gives what to ask the dispatcher for, or None where the route, its attempts or the retry
+    budget allow no other backend server. `begun` tells whether the caller has a part of the answer:
+    until then a request is also taken from a server that takes no connection, as its caller can be
+    told at once that it failed. `most_silent_s` bounds the wait where nothing was run yet.
+
+    Load pattern that this answers: most backend servers of a service stand still at once, so that
+    all of their requests want to be sent again at the same moment.
+    """
+
+    def __init__(
+        self,
+        job: Job,
+        back_end: ListedBackEnd,
+        order: Callable[[], Order | None],
+        begun: Callable[[], bool] = lambda: False,
+        most_silent_s: float = float("inf"),
+    ) -> None:
+        self._job = job
+        self._back_end = back_end
+        self._order = order
+        self._begun = begun
+        self._most_silent_s = most_silent_s
+        self._silent_since: float | None = None
+        self._future: Future | None = None
+        self._ask_at = 0.0
+        self._ask_again_s = FIRST_ASK_AGAIN_S
+        self._told = False
+        self._reachable: bool | None = None
+        self.held: Held | None = None
+
+    @property
+    def found_gone(self) -> bool:
+        """Whether the silent server took no connection."""
+        return self._reachable is False
+
+    def wait(self, silent_s: float, has_spoken: Callable[[], bool]) -> float | None:
+        """Return for how many more seconds to await the silent server, or None to leave it.
+
+        It has been silent for `silent_s` already at the first call. `has_spoken` tells whether
+        bytes of it came while this looked elsewhere. Without `held`, None means that the request's
+        time is over.
+        """
+        job, now = self._job, self._job.parts.clock.now()
+        if self._silent_since is None:
+            self._silent_since, self._ask_at = now - silent_s, now
+        if job.running.aborted is not None or job.left_s <= LEAST_TIME_S:
+            self.stop()
+            return None
+        if self._future is None and now >= self._ask_at:
+            self._ask(now)
+        assignment = self._placed(now)
+        if assignment is not None and self._connect(assignment, now):
+            if has_spoken():
+                self._give_back()
+                return LOOK_S
+            self._tell_left()
+            return None
+        if self._future is None and not self._may_stay(now):
+            return None
+        self._tell_stays()
+        next_s = LOOK_S if self._future is not None else max(LOOK_S, self._ask_at - now)
+        return min(next_s, job.left_s)
+
+    def spoke(self) -> None:
+        """Take in that the server has gone on, and give back what is held."""
+        if self._silent_since is None:
+            return
+        self.stop()
+        silent_ms = round(1000 * (self._job.parts.clock.now() - self._silent_since))
+        self._silent_since, self._told, self._reachable = None, False, None
+        self._ask_again_s = FIRST_ASK_AGAIN_S
+        self._job.drop_permits()
+        RELAY_SILENCES.inc(outcome="spoke")
+        _log.info(
+            SILENT_SERVER_SPOKE,
+            request=self._job.request.request_id,
+            back_end=self._back_end.name,
+            silent_ms=silent_ms,
+        )
+
+    def take(self) -> Held | None:
+        """Return what is held, which is the caller's from now on."""
+        held, self.held = self.held, None
+        return held
+
+    def stop(self) -> None:
+        """Let a place go that was asked for."""
+        future, self._future = self._future, None
+        if future is None:
+            return
+        self._job.parts.dispatcher.withdraw(self._job.request.request_id)
+        # The dispatcher takes its messages in order: a place that it gives before it hears of the
+        # withdrawal comes with this future.
+        future.add_done_callback(lambda done: self._job.give_back(done.result()))
+
+    def _may_stay(self, now: float) -> bool:
+        """Return whether a request for which nothing better is to be had stays with its server."""
+        if self._begun():
+            return True
+        if now - self._silent_since >= self._most_silent_s:
+            return False
+        if self._reachable is None:
+            self._reachable = self._job.parts.pool.went_silent(self._back_end.address)
+            if not self._reachable:
+                self._job.parts.dispatcher.unreachable(self._back_end.name)
+        return self._reachable
+
+    def _ask(self, now: float) -> None:
+        order = self._order()
+        if order is None:
+            self._put_off(now)
+            return
+        self._future = self._job.parts.dispatcher.place(order)
+
+    def _placed(self, now: float) -> Assignment | None:
+        """Return the place that was asked for, if there is one by now."""
+        if self._future is None:
+            return None
+        try:
+            outcome = self._future.result(PLACE_WAIT_S)
+        except FutureTimeoutError:
+            return None
+        self._future = None
+        if isinstance(outcome, Refusal):
+            self._put_off(now)
+            return None
+        return outcome
+
+    def _connect(self, assignment: Assignment, now: float) -> bool:
+        """Open a connection to the backend server of a place, and hold both."""
+        job, first = self._job, assignment.reader or assignment.runner
+        try:
+            exchange = job.parts.pool.open(first.address)
+        except BackEndFailureError:
+            job.parts.dispatcher.unreachable(first.name)
+            job.give_back(assignment)
+            self._put_off(now)
+            return False
+        self.held = Held(assignment, exchange)
+        return True
+
+    def _put_off(self, now: float) -> None:
+        self._ask_at = now + self._ask_again_s
+        self._ask_again_s = min(LONGEST_ASK_AGAIN_S, 2 * self._ask_again_s)
+
+    def _give_back(self) -> None:
+        give_back(self._job, self.take())
+
+    def _tell_stays(self) -> None:
+        if self._told:
+            return
+        self._told = True
+        self._tell(SILENT_SERVER_STAYS, place_asked=self._future is not None)
+
+    def _tell_left(self) -> None:
+        RELAY_SILENCES.inc(outcome="left")
+        self._tell(SILENT_SERVER_LEFT, to=self.held.assignment.runner.name)
+
+    def _tell(self, event: Event, **fields: str | bool) -> None:
+        job = self._job
+        _log.info(
+            event,
+            request=job.request.request_id,
+            back_end=self._back_end.name,
+            silent_ms=round(1000 * (job.parts.clock.now() - self._silent_since)),
+            left_ms=round(1000 * job.left_s),
+            **fields,
+        )
+
+
+def give_back(job: Job, held: Held | None) -> None:
+    """Give a place and its connection back, which a request does not need any more."""
+    if held is not None:
+        job.give_back(held.assignment)
+        held.exchange.put_back()
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -1,11 +1,12 @@
 """Requests to engines: a prompt is read, perhaps at an engine of its own, then a stream runs."""
 
 import http.client
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from laburnumreel.core import Log
-from laburnumreel.relay._assignments import Assignment
+from laburnumreel.relay._assignments import Assignment, Order
 from laburnumreel.relay._back_ends import ListedBackEnd
+from laburnumreel.relay._elsewhere import Elsewhere, Held, give_back
 from laburnumreel.relay._event_stream import CommentPace, EventSplitter, StreamEvent
 from laburnumreel.relay._events import (
     COPY_RELEASED,
@@ -18,7 +19,7 @@
 from laburnumreel.relay._sending import Attempt, SendFailedError, may_go_on, refusal_after
 from laburnumreel.relay._work import Work
 from laburnumreel.state import ErrorKind, RunState
-from laburnumreel.transport import BackEndFailureError
+from laburnumreel.transport import BackEndFailureError, Exchange
 
 # A stream that can go on elsewhere is taken from an engine that is silent for this many of the
 # route's longest pauses, and before its first event for this many of its objectives. Both are below
@@ -28,6 +29,9 @@
 LEAST_SILENT_S = 0.8
 # What an engine may take longer than was expected before it counts as silent.
 EXPECTED_TIMES = 2.5
+# A reading apart has run nothing: its caller is told so where it is silent for longer and nothing
+# better is to be had. Sound engines fall silent for about a second.
+MOST_SILENT_READING_S = 1.6
 RELEASE_TIMEOUT_S = 1.0
 # What the answers of engines that are no streams may have: the handle of a prompt that was read, a
 # failure with its reason, and the answer to a release.
@@ -44,6 +48,8 @@
         self._job = job
         self._attempt: Attempt | None = None
         self._assignment: Assignment | None = None
+        # What the request goes on with after it has left a silent engine.
+        self._held: Held | None = None
         self._runner = ""
         # What the engine that runs the request has still to read of its prompt.
         self._unread = Work()
@@ -55,6 +61,8 @@
         self._last_id = job.request.resume_after
         self._ready: list[bytes] = []
         self._reading_failed = False
+        # The search for another engine while this one is silent.
+        self._elsewhere: Elsewhere | None = None
         self._has_begun = False
         self._ended = False
         # The body of an engine's own failure, which is passed on if nothing better comes.
@@ -73,22 +81,11 @@
 
         Raises `RelayFailedError`. `status`, `headers` and `streams` are set afterwards.
         """
-        while True:
-            assignment, copy = self._read_prompt()
-            try:
-                return self._first(assignment, copy)
-            except SendFailedError as error:
-                self._give_up_attempt()
-                if may_go_on(self._job, error):
-                    continue
-                if error.trouble == "failed":
-                    return self._failure
-                raise RelayFailedError(
-                    refusal_after(self._job, error, ErrorKind.INCOMPLETE_ANSWER)
-                ) from error
-            except BaseException:
-                self._give_up_attempt()
-                raise
+        try:
+            return self._start()
+        except BaseException:
+            self.close()
+            raise
 
     def rest(self) -> Iterator[bytes]:
         """Yield the events after the first; raises `RelayFailedError` where the stream breaks."""
@@ -107,11 +104,28 @@
     def close(self) -> None:
         """End the run and give its place back."""
         self._give_up_attempt()
+        give_back(self._job, self._held)
+        self._held = None
+
+    def _start(self) -> bytes:
+        while True:
+            assignment, copy = self._read_prompt()
+            try:
+                return self._first(assignment, copy)
+            except SendFailedError as error:
+                self._give_up_attempt()
+                if may_go_on(self._job, error):
+                    continue
+                if error.trouble == "failed":
+                    return self._failure
+                raise RelayFailedError(
+                    refusal_after(self._job, error, ErrorKind.INCOMPLETE_ANSWER)
+                ) from error
 
     def _read_prompt(self) -> tuple[Assignment, PromptCopy | None]:
         """Get a place and, where the plan says so, have the prompt read by an engine of its own."""
         while True:
-            assignment = self._place(self._may_read_apart())
+            assignment = self._place(self._may_read_apart)
             if assignment.reader is None:
                 return assignment, None
             try:
@@ -131,16 +145,23 @@
         The first reading is no send of its own. A second one, after the copy was lost, is: where the
         route or the budget has no room for it besides the run, the engine that generates reads.
         """
+        sends_left = self._job.sends_left - self._job.unfinished
         if self._reading_failed:
             return False
         if self._job.has_read:
-            return self._job.may_send_again("copy_lost", sends=2)
-        return self._job.sends_left >= 1
+            return sends_left >= 2 and self._job.may_send_again("copy_lost", sends=2)
+        return sends_left >= 1
 
-    def _place(self, read_apart: bool, copied_in: str | None = None) -> Assignment:
+    def _place(
+        self, read_apart: Callable[[], bool] = lambda: False, copied_in: str | None = None
+    ) -> Assignment:
+        """Return the place that is held already, or wait for one."""
         job, request = self._job, self._job.request
-        order = job.order(request.prompt, read_apart, copied_in)
-        assignment = job.wait_for(job.parts.dispatcher.place(order))
+        if self._held is not None:
+            assignment = self._held.assignment
+        else:
+            order = job.order(request.prompt, read_apart(), copied_in)
+            assignment = job.wait_for(job.parts.dispatcher.place(order))
         plan = assignment.plan
         _log.info(
             REQUEST_PLACED,
@@ -178,14 +199,21 @@
         started = parts.clock.now()
         expected_s = EXPECTED_TIMES * assignment.plan.first_token_ms / 1000
         silent_s = min(max(LEAST_SILENT_S, expected_s), max(0.01, job.left_s))
+        elsewhere = Elsewhere(
+            job,
+            reader,
+            lambda: self._order_without(reader.name),
+            most_silent_s=max(silent_s, MOST_SILENT_READING_S),
+        )
         try:
-            with Attempt(job, dispatch) as attempt:
+            with Attempt(job, dispatch, elsewhere, self._take_connection()) as attempt:
                 verdict = attempt.send(silent_s)
                 body = attempt.read_all(MOST_HANDLE_BYTES)
                 status = attempt.exchange.status
                 if verdict.outcome != "success":
                     raise SendFailedError("lost", f"reading was answered {status}", False)
         except BaseException as error:
+            self._held = elsewhere.take()
             parts.dispatcher.ended(reader.name, assignment.read_work, job.service.name)
             if isinstance(error, SendFailedError) and error.trouble != "unreachable":
                 job.count_reading(dispatch, taken=False)
@@ -233,7 +261,7 @@
     def _send_copy(self, zone: str, copy: PromptCopy) -> Verdict:
         """Send the request to an engine that takes the copy which was read for it in a zone."""
         while True:
-            assignment = self._place(read_apart=False, copied_in=zone)
+            assignment = self._place(copied_in=zone)
             try:
                 return self._send(assignment, copy)
             except SendFailedError as error:
@@ -259,7 +287,10 @@
             limited=assignment.limited,
         )
         job.excluded |= {assignment.runner.name}
-        self._attempt = Attempt(job, dispatch)
+        self._elsewhere = Elsewhere(
+            job, assignment.runner, self._order_elsewhere, lambda: self._has_begun
+        )
+        self._attempt = Attempt(job, dispatch, self._elsewhere, self._take_connection())
         try:
             verdict = self._attempt.send(self._first_silent_s(assignment))
         except SendFailedError as error:
@@ -271,6 +302,31 @@
         self._silent_limit_s, self._silent_for_s = self._attempt.exchange.timeout_s, 0.0
         return verdict
 
+    def _take_connection(self) -> Exchange | None:
+        """Return the connection that is held for the next send, if there is one."""
+        held, self._held = self._held, None
+        return held.exchange if held is not None else None
+
+    def _order_without(self, reader: str) -> Order | None:
+        """Return what to ask for while an engine that reads apart is silent."""
+        job = self._job
+        # Its reading counts as a send if it is given up.
+        if job.sends_left <= 1 or not job.may_send_again("silent"):
+            return None
+        return job.order(job.request.prompt, read_apart=False, excluded=frozenset({reader}))
+
+    def _order_elsewhere(self) -> Order | None:
+        """Return what to ask for while the engine that runs the request is silent."""
+        job = self._job
+        if self._has_begun:
+            may_leave = job.route.resumable and self._last_id is not None
+        else:
+            may_leave = job.route.repeatable
+        if not may_leave or job.sends_left <= job.unfinished or not job.may_send_again("silent"):
+            return None
+        apart = not self._has_begun and self._may_read_apart()
+        return job.order(job.request.prompt, apart)
+
     def _next(self) -> bytes | None:
         """Return the next whole events, those of one read together, or None at the end.
 
@@ -299,7 +355,7 @@
 
     def _take_events(self, events: list[StreamEvent]) -> None:
         """Take what an engine has sent, and judge whether it goes on."""
-        now, exchange = self._job.parts.clock.now(), self._attempt.exchange
+        now = self._job.parts.clock.now()
         going_on = any(event.is_progress for event in events)
         # Nothing is passed on before the first event: until then the request can go elsewhere.
         begun = going_on or self._has_begun
@@ -312,14 +368,18 @@
             self._ready.append(b"".join(passed))
         if going_on:
             self._has_begun = True
+            self._elsewhere.spoke()
             self._has_read()
             ids = [event.id for event in events if event.id]
             self._last_id = ids[-1] if ids else self._last_id
             self._silent_limit_s, self._silent_for_s = self._gap_silent_s(), 0.0
+            self._attempt.await_event(self._silent_limit_s)
+            return
         left_s = self._silent_limit_s - self._silent_for_s
-        if left_s <= 0:
-            raise self._attempt.silent("pieces of an event or comments came, and no whole event")
-        exchange.set_timeout(left_s)
+        if left_s > 0:
+            self._attempt.exchange.set_timeout(left_s)
+        else:
+            self._attempt.prolong(self._silent_limit_s)
 
     def _resume(self, error: SendFailedError) -> None:
         """Let the stream go on at another engine, or raise `RelayFailedError`."""
@@ -334,7 +394,7 @@
                 raise RelayFailedError(
                     refusal_after(job, error, ErrorKind.INCOMPLETE_ANSWER)
                 ) from error
-            assignment = self._place(read_apart=False)
+            assignment = self._place()
             _log.info(
                 REQUEST_RESUMED,
                 request=job.request.request_id,
@@ -377,6 +437,7 @@
         attempt, self._attempt = self._attempt, None
         assignment, self._assignment = self._assignment, None
         if attempt is not None:
+            self._held = self._elsewhere.take()
             attempt.close()
         if assignment is not None:
             work = assignment.run_work.plus(self._unread)
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -85,6 +85,18 @@
     643, "limited_send_denied", "a call that is no request found no room in a server's limit"
 )
 
+SILENT_SERVER_STAYS = define_event(
+    645,
+    "silent_server_stays",
+    "a backend server is silent, and its request stays there until another one is held",
+)
+SILENT_SERVER_LEFT = define_event(
+    646, "silent_server_left", "a silent backend server is left for another one, which is held"
+)
+SILENT_SERVER_SPOKE = define_event(
+    647, "silent_server_spoke", "a backend server that was silent has gone on"
+)
+
 WINDOW_SEALED = define_event(650, "window_sealed", "the usage of a window was fixed")
 WINDOW_REPORTED = define_event(651, "window_reported", "the usage of a window was reported")
 REPORT_FAILED = define_event(652, "report_failed", "the usage of a window could not be reported")
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -86,6 +86,8 @@
         self.excluded: frozenset[str] = frozenset()
         self.ran = RunState.NOT_RUN
         self.sends = 0
+        # Sends whose head is awaited, which `sends` does not count yet.
+        self.unfinished = 0
         # Sends that have reached a backend server, readings of the prompt included.
         self.arrivals = 0
         # Whether an engine has read the prompt for another one.
@@ -134,16 +136,23 @@
         return min(LEAST_URGENT_ON_TIME, MOST_URGENT + self.priority)
 
     def order(
-        self, prompt: Prompt | None = None, read_apart: bool = True, copied_in: str | None = None
+        self,
+        prompt: Prompt | None = None,
+        read_apart: bool = True,
+        copied_in: str | None = None,
+        excluded: frozenset[str] = frozenset(),
     ) -> Order:
-        """Return what to ask the dispatcher for; the arguments are those of `Order`."""
+        """Return what to ask the dispatcher for; the arguments are those of `Order`.
+
+        `excluded` are backend servers besides those that the request has left.
+        """
         again, self._ordered = self._ordered, True
         return Order(
             self.waiting._replace(begun=copied_in is not None),
             self.service.name,
             prompt,
             len(self.request.body or b""),
-            self.excluded,
+            self.excluded | excluded,
             read_apart,
             copied_in,
             again,
--- a/src/laburnumreel/relay/_metrics.py
+++ b/src/laburnumreel/relay/_metrics.py
@@ -19,6 +19,11 @@
 RELAY_ATTEMPTS = define_counter(
     "laburnumreel_relay_attempts_total", "sends to backend servers by outcome", ("outcome",)
 )
+RELAY_SILENCES = define_counter(
+    "laburnumreel_relay_silences_total",
+    "silent backend servers: left for another one, or waited for until they spoke",
+    ("outcome",),
+)
 RELAY_REPEATS = define_counter(
     "laburnumreel_relay_repeats_total",
     "sends beyond the first of a request: allowed or denied by the retry budget, and sent",
--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -3,12 +3,14 @@
 from typing import NamedTuple
 
 from laburnumreel.core import Log
-from laburnumreel.relay._assignments import Assignment
+from laburnumreel.relay._assignments import Assignment, Order
+from laburnumreel.relay._elsewhere import Elsewhere, Held, give_back
 from laburnumreel.relay._events import REQUEST_PLACED
 from laburnumreel.relay._job import Job, RelayFailedError
 from laburnumreel.relay._requests import Dispatch
 from laburnumreel.relay._sending import Attempt, SendFailedError, may_go_on, refusal_after
 from laburnumreel.state import ErrorKind, RunState
+from laburnumreel.transport import Exchange
 
 # A request that may be repeated is taken from a silent backend server after its objective, but not
 # sooner than this: several times what a plain request takes.
@@ -36,20 +38,27 @@
     is returned if that brings nothing better.
     """
     failure: Reply | None = None
+    held: Held | None = None
     while True:
         try:
-            assignment = _place(job)
+            assignment = held.assignment if held is not None else _wait_for_place(job)
         except RelayFailedError:
             if failure is not None:
                 return failure
             raise
+        _log_place(job, assignment)
         back_end = assignment.runner
         job.excluded |= {back_end.name}
+        elsewhere = Elsewhere(job, back_end, lambda: _order_elsewhere(job))
+        exchange = held.exchange if held is not None else None
+        held = None
         try:
-            reply, failed = _send(job, assignment)
+            reply, failed = _send(job, assignment, elsewhere, exchange)
         except SendFailedError as error:
+            held = elsewhere.take()
             if may_go_on(job, error):
                 continue
+            give_back(job, held)
             if failure is not None:
                 return failure
             raise RelayFailedError(refusal_after(job, error, ErrorKind.BACK_END_LOST)) from error
@@ -62,9 +71,18 @@
             return failure
 
 
-def _place(job: Job) -> Assignment:
+def _wait_for_place(job: Job) -> Assignment:
+    return job.wait_for(job.parts.dispatcher.place(job.order()))
+
+
+def _order_elsewhere(job: Job) -> Order | None:
+    """Return what to ask for while the backend server is silent."""
+    may_leave = job.route.repeatable and job.sends_left > job.unfinished
+    return job.order() if may_leave and job.may_send_again("silent") else None
+
+
+def _log_place(job: Job, assignment: Assignment) -> None:
     request = job.request
-    assignment = job.wait_for(job.parts.dispatcher.place(job.order()))
     _log.info(
         REQUEST_PLACED,
         request=request.request_id,
@@ -77,17 +95,18 @@
         waited_ms=round(1000 * job.waited_s),
         sends=job.sends,
     )
-    return assignment
 
 
-def _send(job: Job, assignment: Assignment) -> tuple[Reply, bool]:
+def _send(
+    job: Job, assignment: Assignment, elsewhere: Elsewhere, exchange: Exchange | None
+) -> tuple[Reply, bool]:
     """Return the answer of one backend server, and whether it is a failure."""
     parts = job.parts
     dispatch = Dispatch(
         job.request, assignment.runner, job.customer, job.left_s, limited=assignment.limited
     )
     started = parts.clock.now()
-    with Attempt(job, dispatch) as attempt:
+    with Attempt(job, dispatch, elsewhere, exchange) as attempt:
         verdict = _counted(job, attempt)
         body = attempt.read_all(MOST_ANSWER_BYTES)
         exchange = attempt.exchange
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -7,6 +7,7 @@
 from typing import Literal
 
 from laburnumreel.core import Log
+from laburnumreel.relay._elsewhere import Elsewhere
 from laburnumreel.relay._events import ATTEMPT_FAILED
 from laburnumreel.relay._job import LEAST_TIME_S, Job, RelayFailedError
 from laburnumreel.relay._metrics import RELAY_ATTEMPTS
@@ -60,12 +61,21 @@
 class Attempt:
     """One send of a request to one backend server.
 
-    Use it as a context manager, which ends the exchange.
+    `elsewhere` looks for another one while this one is silent. `exchange` is on a connection that
+    was held for the request. Use it as a context manager, which ends the exchange.
     """
 
-    def __init__(self, job: Job, dispatch: Dispatch) -> None:
+    def __init__(
+        self,
+        job: Job,
+        dispatch: Dispatch,
+        elsewhere: Elsewhere,
+        exchange: Exchange | None = None,
+    ) -> None:
         self._job = job
         self._dispatch = dispatch
+        self._elsewhere = elsewhere
+        self._connected = exchange
         self._exchange: Exchange | None = None
         self._ran_before = job.ran
         self._sent_at = 0.0
@@ -90,6 +100,7 @@
 
         One to a backend server that leaves is closed.
         """
+        self._elsewhere.stop()
         if self._exchange is not None:
             self._job.running.detach()
             if self._leaving:
@@ -101,19 +112,12 @@
     def send(self, silent_s: float) -> Verdict:
         """Send the request and return what the answer's head says, or raise `SendFailedError`.
 
-        `silent_s` is the longest wait for the head.
+        `silent_s` is the longest wait for the head before another backend server is looked for.
         """
         job, dispatch, parts = self._job, self._dispatch, self._job.parts
         back_end, request = dispatch.back_end, dispatch.request
         repeatable = job.route.repeatable or dispatch.only_read
-        try:
-            exchange = parts.pool.open(
-                back_end.address,
-                idle_at_most_s=float("inf") if repeatable else FRESH_IDLE_S,
-            )
-        except BackEndFailureError as error:
-            parts.dispatcher.unreachable(back_end.name)
-            raise self._failed("unreachable", str(error), False) from error
+        exchange = self._connected or self._connect(repeatable)
         self._exchange = exchange
         if not job.running.attach(exchange):
             raise RelayFailedError(job.abort_refusal())
@@ -135,14 +139,53 @@
                 self._names_limit = word.limit_per_s is not None
             return verdict is not None
 
+        self._await(silent_s)
+        job.unfinished = 1
         try:
             headers = parts.wire.headers(dispatch)
             exchange.send(request.method, request.target, headers, request.body, silent_s, is_ours)
         except BackEndFailureError as error:
             raise self._broken(error) from error
+        finally:
+            job.unfinished = 0
+        self._elsewhere.spoke()
         self.verdict = verdicts[-1]
         return self._checked(self.verdict)
 
+    def _connect(self, repeatable: bool) -> Exchange:
+        parts, back_end = self._job.parts, self._dispatch.back_end
+        try:
+            return parts.pool.open(
+                back_end.address,
+                idle_at_most_s=float("inf") if repeatable else FRESH_IDLE_S,
+            )
+        except BackEndFailureError as error:
+            parts.dispatcher.unreachable(back_end.name)
+            raise self._failed("unreachable", str(error), False) from error
+
+    def _await(self, silent_s: float) -> None:
+        """Let a silent server be left only for another one that is held."""
+        exchange, elsewhere = self._exchange, self._elsewhere
+
+        def patience(bytes_came: bool) -> float | None:
+            has_spoken = (lambda: False) if bytes_came else (lambda: exchange.has_unread)
+            return elsewhere.wait(silent_s, has_spoken)
+
+        exchange.patience = patience
+
+    def await_event(self, silent_s: float) -> None:
+        """Wait that long for the next whole event, and then look for another backend server."""
+        self._await(silent_s)
+        self._exchange.set_timeout(silent_s)
+
+    def prolong(self, silent_s: float) -> None:
+        """Wait on for an event of which only pieces come, or raise `SendFailedError`."""
+        more_s = self._elsewhere.wait(silent_s, lambda: False)
+        if more_s is None:
+            detail = "pieces of an event or comments came, and no whole event"
+            raise self._broken(BackEndFailureError("silent", detail, sent=True))
+        self._exchange.set_timeout(more_s)
+
     def read(self) -> bytes:
         """Return the next bytes of the answer; none at its end."""
         try:
@@ -156,6 +199,7 @@
         whole = bytearray()
         may_have_run = not self._dispatch.only_read
         while piece := self.read():
+            self._elsewhere.spoke()
             whole += piece
             if len(whole) > most_bytes:
                 detail = f"the answer has more than {most_bytes} bytes"
@@ -166,10 +210,6 @@
             raise self._failed("lost", "the exchange was aborted", may_have_run)
         return bytes(whole)
 
-    def silent(self, detail: str) -> SendFailedError:
-        """Judge a backend server that sends bytes, but no progress."""
-        return self._broken(BackEndFailureError("silent", detail, sent=True))
-
     def _heed(self, word: Word) -> None:
         """Take what the backend server says of itself, in whichever answer."""
         if word.leaving:
@@ -198,6 +238,7 @@
     def _refused(self) -> None:
         """Take the backend server's word that the request did not run."""
         self._job.ran = self._ran_before
+        self._exchange.patience = None
         # The rest of a short refusal is read, so that the connection can be used again.
         try:
             self._exchange.read_whole(MOST_REFUSAL_BYTES, REFUSAL_READ_S)
@@ -215,7 +256,8 @@
             return self._failed("out_of_time", str(error), not self._dispatch.only_read)
         if job.running.aborted is None:
             if silent:
-                if not job.parts.pool.went_silent(back_end.address):
+                gone = self._elsewhere.found_gone
+                if not gone and not job.parts.pool.went_silent(back_end.address):
                     job.parts.dispatcher.unreachable(back_end.name)
             elif not _takes_connections(back_end.address):
                 job.parts.dispatcher.unreachable(back_end.name)
--- a/src/laburnumreel/transport/_backend.py
+++ b/src/laburnumreel/transport/_backend.py
@@ -1,6 +1,5 @@
 """The pool of idle connections to back ends."""
 
-import select
 import socket
 import threading
 import time
@@ -10,6 +9,7 @@
 from laburnumreel.transport._events import BACK_END_SILENT
 from laburnumreel.transport._exchange import Address, Exchange, dial
 from laburnumreel.transport._metrics import BACK_END_CONNECTIONS
+from laburnumreel.transport._sockets import readable
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 16
@@ -122,7 +122,7 @@
                 self._give_back(exchange, idle_since)
                 return None
             usable = idle_s < min(self._max_idle_s, exchange.idle_limit_s)
-            if usable and not _readable(exchange.connection.sock):
+            if usable and not readable(exchange.connection.sock):
                 return exchange.again()
             exchange.discard()
 
@@ -139,12 +139,3 @@
                 entries.append((idle_since or time.monotonic(), exchange))
                 return
         exchange.discard()
-
-
-def _readable(sock: socket.socket | None) -> bool:
-    """Return whether an idle connection has bytes or an end to read, and so is of no use."""
-    if sock is None:
-        return True
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -7,7 +7,7 @@
 from typing import Literal
 
 from laburnumreel.transport._metrics import SILENT_CONNECTIONS
-from laburnumreel.transport._sockets import BackEndSocket, set_timeout
+from laburnumreel.transport._sockets import BackEndSocket, Patience, readable, set_timeout
 
 READ_BYTES = 64 * 1024
 # What may come before the body of an answer: its head, interim answers, and an answer to an earlier
@@ -118,6 +118,20 @@
         """The longest wait for the next byte, in seconds."""
         return self._timeout_s
 
+    @property
+    def patience(self) -> Patience | None:
+        """What is asked when no byte has come in time; None where the wait ends then."""
+        return self._socket.patience
+
+    @patience.setter
+    def patience(self, patience: Patience | None) -> None:
+        self._socket.patience = patience
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have come, or the end of the connection, that are not read yet."""
+        return readable(self._socket)
+
     @property
     def complete(self) -> bool:
         """Whether the whole answer was read."""
@@ -154,7 +168,10 @@
         try:
             self.connection.request_at_once(method, target, body, headers)
         except (OSError, http.client.HTTPException, ValueError) as error:
-            raise self._failure("lost", error, started) from error
+            # The socket's timeout shows as EAGAIN.
+            waited_s = time.monotonic() - started
+            self._socket.timed_out = waited_s >= timeout_s * TIMED_OUT_SHARE
+            raise self._failure("lost", error) from error
 
     def read_head(
         self,
@@ -164,7 +181,6 @@
     ) -> None:
         """Read the head of the answer to a request with a method."""
         self.set_timeout(timeout_s)
-        started = time.monotonic()
         self._socket.begin_wait(timeout_s, MOST_HEAD_BYTES)
         try:
             self._response = self.connection.getresponse()
@@ -174,7 +190,7 @@
                 self._skip(method)
                 self._pass_interim(method)
         except (OSError, http.client.HTTPException, ValueError) as error:
-            raise self._failure("lost", error, started) from error
+            raise self._failure("lost", error) from error
         finally:
             if self._socket.end_wait():
                 set_timeout(self._socket, timeout_s)
@@ -209,22 +225,21 @@
         The timeout holds for all of it, also where trailers or the line of a chunk come bit by bit.
         """
         response, timeout_s = self._response, self._timeout_s
-        started = time.monotonic()
         self._socket.begin_wait(timeout_s, MOST_READ_BYTES)
         try:
             data = response.read1(READ_BYTES)
         except (OSError, http.client.HTTPException, ValueError) as error:
-            raise self._failure("short", error, started) from error
+            raise self._failure("short", error) from error
         finally:
             if self._socket.end_wait():
                 set_timeout(self._socket, timeout_s)
         if not data:
             # http.client takes a read that timed out for the end of an answer without a length.
-            if self._timed_out(started):
-                raise self._failure("silent", "no byte came", started)
+            if self._socket.timed_out:
+                raise self._failure("silent", "no byte came")
             if not response.chunked and response.length:
                 missing = f"{response.length} bytes are missing"
-                raise self._failure("short", missing, started)
+                raise self._failure("short", missing)
             self._complete = not self._aborted
         return data
 
@@ -250,8 +265,13 @@
             # Already closed by the back end.
             return
 
+    def put_back(self) -> None:
+        """Give the connection of an exchange back on which nothing was sent."""
+        self._give_back(self)
+
     def close(self) -> None:
         """End the exchange. Only a connection whose whole answer was read is used again."""
+        self.patience = None
         reusable = self._complete and not self._aborted and not self._foreign
         if reusable and not self._response.will_close and not self._socket.has_read_ahead():
             self.idle_limit_s = _idle_limit_s(self._response.getheader("Keep-Alive"))
@@ -267,16 +287,13 @@
         self.connection.close()
         self._socket.end()
 
-    def _failure(self, reason: FailureReason, error: object, started: float) -> BackEndFailureError:
-        if self._timed_out(started) and not self._aborted:
+    def _failure(self, reason: FailureReason, error: object) -> BackEndFailureError:
+        # http.client reports a wait that ended without a byte in several ways.
+        if self._socket.timed_out and not self._aborted:
             SILENT_CONNECTIONS.inc()
             reason = "silent"
         return BackEndFailureError(reason, repr(error), sent=True)
 
-    def _timed_out(self, started: float) -> bool:
-        # The socket's timeout shows as EAGAIN, which http.client reports in several ways.
-        return time.monotonic() - started >= self._timeout_s * TIMED_OUT_SHARE
-
 
 def dial(
     address: Address,
--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -5,11 +5,17 @@
 """
 
 import io
+import select
 import socket
 import struct
 import time
+from collections.abc import Callable
 from typing import Any
 
+# Decides, when what is awaited has not come in time, for how many more seconds to wait, or that the
+# wait ends. The argument is whether bytes came meanwhile.
+Patience = Callable[[bool], float | None]
+
 
 class TooManyBytesError(OSError):
     """More bytes came than the awaited part of an answer may have."""
@@ -43,13 +49,22 @@
             return None
         self._sock.shorten_wait()
         received = super().readinto(buffer)
-        self._sock.count(received or 0)
+        while received is None and self._sock.wait_on(bytes_came=False):
+            received = super().readinto(buffer)
+        self._sock.count(received)
         return received
 
 
 class BackEndSocket(socket.socket):
-    """A socket whose reader is shared by all answers on it."""
+    """A socket whose reader is shared by all answers on it.
+
+    `patience`, where it is set, is asked whenever no byte has come in time; what was read so far of
+    an answer stays valid while it prolongs the wait. `timed_out` is whether the last wait ended
+    without a byte that had to come.
+    """
 
+    patience: Patience | None = None
+    timed_out = False
     # While set, the reader gives what it has read ahead and receives nothing.
     only_buffered = False
     _kept: _KeptReader | None = None
@@ -68,7 +83,7 @@
         """Bound all that is received from now on, not only the time between two pieces."""
         self._wait_ends = time.monotonic() + timeout_s
         self._bytes_left = most_bytes
-        self._received = self._shortened = False
+        self._received = self._shortened = self.timed_out = False
 
     def end_wait(self) -> bool:
         """Bound only single receptions again; return whether their timeout was changed."""
@@ -83,15 +98,29 @@
             raise TooManyBytesError("more bytes came than an answer may have here")
         if self._received:
             left_s = self._wait_ends - time.monotonic()
-            if left_s <= 0:
+            if left_s > 0:
+                set_timeout(self, left_s)
+                self._shortened = True
+            elif not self.wait_on(bytes_came=True):
+                self.timed_out = True
                 raise TimeoutError("bytes come, but too slowly")
-            set_timeout(self, left_s)
-            self._shortened = True
         self._received = True
 
-    def count(self, received: int) -> None:
-        """Count received bytes against the bound of the wait."""
-        self._bytes_left -= received
+    def wait_on(self, bytes_came: bool) -> bool:
+        """Prolong a wait whose time is over, and return whether it goes on."""
+        more_s = self.patience(bytes_came) if self.patience is not None else None
+        if more_s is None:
+            return False
+        if self._wait_ends is not None:
+            self._wait_ends = max(self._wait_ends, time.monotonic() + more_s)
+        set_timeout(self, more_s)
+        self._shortened = True
+        return True
+
+    def count(self, received: int | None) -> None:
+        """Count received bytes against the bound of the wait; None for a wait without a byte."""
+        self._bytes_left -= received or 0
+        self.timed_out = received is None
 
     def has_read_ahead(self) -> bool:
         """Return whether the reader holds bytes that came after the last answer."""
@@ -119,3 +148,12 @@
     limit = struct.pack("ll", int(seconds), int(seconds % 1 * 1_000_000))
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, limit)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
+
+
+def readable(sock: socket.socket | None) -> bool:
+    """Return whether a connection has bytes or an end to read; an idle one is then of no use."""
+    if sock is None:
+        return True
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
