Let a stream that broke off wait for another place as long as its caller

What callers saw: a stream whose engine died was cut at once with seconds left, where all other engines were full for a moment.

Cause: it asked for its place like a new request, which is refused after a quarter of its caller's patience; a stream in its middle has mostly waited longer. Requests that are begun (a prompt read apart) had the right order already: before the others, until the deadline.

--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -296,7 +296,7 @@
             self._try(place, now)
 
     def _refusal_at_once(self, order: Order, now: float) -> Refusal | None:
-        if order.copied_in is not None:
+        if order.waiting.begun:
             # It goes before those that wait.
             return self._refusals.beyond_limits(order, 0, now)
         ahead = sum(1 for each in self._waiting.values() if each.order.service == order.service)
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -153,14 +153,17 @@
         return sends_left >= 1
 
     def _place(
-        self, read_apart: Callable[[], bool] = lambda: False, copied_in: str | None = None
+        self,
+        read_apart: Callable[[], bool] = lambda: False,
+        copied_in: str | None = None,
+        begun: bool = False,
     ) -> Assignment:
         """Return the place that is held already, or wait for one."""
         job, request = self._job, self._job.request
         if self._held is not None:
             assignment = self._held.assignment
         else:
-            order = job.order(request.prompt, read_apart(), copied_in)
+            order = job.order(request.prompt, read_apart(), copied_in, begun=begun)
             assignment = job.wait_for(job.parts.dispatcher.place(order))
         plan = assignment.plan
         _log.info(
@@ -394,7 +397,7 @@
                 raise RelayFailedError(
                     refusal_after(job, error, ErrorKind.INCOMPLETE_ANSWER)
                 ) from error
-            assignment = self._place()
+            assignment = self._place(begun=True)
             _log.info(
                 REQUEST_RESUMED,
                 request=job.request.request_id,
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -141,14 +141,16 @@
         read_apart: bool = True,
         copied_in: str | None = None,
         excluded: frozenset[str] = frozenset(),
+        begun: bool = False,
     ) -> Order:
         """Return what to ask the dispatcher for; the arguments are those of `Order`.
 
-        `excluded` are backend servers besides those that the request has left.
+        `excluded` are backend servers besides those that the request has left. `begun` is a stream
+        that broke off.
         """
         again, self._ordered = self._ordered, True
         return Order(
-            self.waiting._replace(begun=copied_in is not None),
+            self.waiting._replace(begun=begun or copied_in is not None),
             self.service.name,
             prompt,
             len(self.request.body or b""),
