End idle connections by the time that their callers count on

What callers saw: a connection that was idle for less than its time was closed, and the request that they were just sending on it was not answered, right after a configuration with a shorter idle time or a jump of the time of day.

Change: the server counts idle time on a steady clock, and a connection that is idle has at least the limit under which it became so.

Evidence: test_shorter_idle_time_does_not_end_connections_that_are_idle_already and test_jump_of_the_time_of_day_ends_no_connection failed before.

--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -176,6 +176,10 @@
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         self.sent_bytes = 0
+        # The last activity that was seen, when that was, and how long it might be idle then.
+        self._seen_activity = 0.0
+        self._idle_since = time.monotonic()
+        self._idle_limit_s = 0.0
         self._checked_bytes = -1
         self._progress_at = time.monotonic()
         super().__init__(*arguments, **options)
@@ -212,6 +216,17 @@
             )
         self.handle_close()
 
+    def idle_too_long(self, now: float, limit_s: float) -> bool:
+        """Return whether the connection has been idle beyond its limit.
+
+        A shorter limit does not hold for the time in which its caller counted on a longer one: the
+        caller may be about to use the connection. The time of day, which may jump, does not count.
+        """
+        if self.requests or self.last_activity != self._seen_activity:
+            self._seen_activity, self._idle_since = self.last_activity, now
+            self._idle_limit_s = limit_s
+        return now - self._idle_since > max(limit_s, self._idle_limit_s)
+
     def stalled(self, now: float) -> bool:
         """Return whether output has waited for the whole limit without one byte taken."""
         if not self.total_outbufs_len or self.sent_bytes != self._checked_bytes:
@@ -235,17 +250,16 @@
                 raise
 
     def maintenance(self, now: float) -> None:
+        # Instead of waitress' own, which goes by the time of day.
+        steady = time.monotonic()
         # A copy, because closing a channel removes it from the mapping.
         for channel in list(self.active_channels.values()):
-            if channel.stalled(time.monotonic()):
+            if channel.stalled(steady):
                 STALLED_READERS.inc()
                 _log.warning(READER_STALLED, caller=str(channel.addr))
                 # `will_close` alone would wait until the socket is writable, which it never is.
                 channel.end("stalled")
-        # waitress closes those that were idle for too long, also with a request that is being read.
-        for channel in list(self.active_channels.values()):
-            idle = not channel.requests
-            if idle and channel.last_activity < now - self.adj.channel_timeout:
+            elif channel.idle_too_long(steady, self.adj.channel_timeout):
                 channel.end("idle")
 
 
@@ -311,7 +325,8 @@
     def set_limits(self, header_bytes: int, body_bytes: int, idle_s: float) -> None:
         """Change the largest head and body of requests, and how long a connection may be idle.
 
-        They hold for the requests that come from now on.
+        They hold for the requests that come from now on; a connection that is idle already has at
+        least the time that it had.
         """
         self._adjustments.max_request_header_size = header_bytes
         self.set_max_body_bytes(body_bytes)
