Refuse a request that finds no request thread at once

What callers saw: with all 48 request threads at silent servers, further requests were read and waited in the HTTP server's queue; they were not refused, had no log line, and their servers were told the whole deadline though a part of it was over.

Cause: nothing counted the requests in work. Four threads are kept for refusals, but took requests like the others.

Change: _request_places.py counts them; one beyond is refused by the threads that are kept for it, with a time to come back from the rate at which places become free.

Evidence: test_requests_that_find_no_thread_are_refused_at_once failed before (14 of 14 served, the last after several times the server's 1.5 s) and passes now; test_time_in_the_queue_for_a_thread_counts.

--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -18,6 +18,7 @@
 from laburnumreel.relay._metrics import RELAY_FIRST_BYTE_S, RELAY_REQUESTS
 from laburnumreel.relay._plain import serve_plain
 from laburnumreel.relay._ports import CallerWire
+from laburnumreel.relay._request_places import RequestPlaces
 from laburnumreel.relay._requests import Prompt, RelayRequest
 from laburnumreel.serving import Body, RequestRegistry, Running
 from laburnumreel.state import ErrorKind, Refusal, RunState
@@ -43,7 +44,8 @@
     """Checks, places and serves requests, each on the thread that waitress gave it.
 
     `newest_version` tells the newest configuration that any host is known to have, or None before a
-    peer was heard; `era` the era of the store that gave this host's.
+    peer was heard; `era` the era of the store that gave this host's. At most `most_requests` are in
+    work at once.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         registry: RequestRegistry,
         newest_version: Callable[[], int | None],
         rng: random.Random,
+        most_requests: int,
         era: Callable[[], int] = lambda: 0,
     ) -> None:
         self._parts = parts
@@ -64,7 +67,7 @@
         self._era = era
         self._table: RouteTable | None = None
         self._stopping = False
-        self._running = 0
+        self._places = RequestPlaces(most_requests, parts.clock, rng)
         self._first_at, self._first_era = 0.0, 0
         self._caught_up = False
 
@@ -105,10 +108,11 @@
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         now = self._clock.now()
-        decoded = self._callers.request(environ, now)
+        # Deadlines count from when the request was read, also where it waited for a thread.
+        decoded = self._callers.request(environ, environ.get(READ_AT, now))
         if decoded.is_error():
             return self._refuse(decoded.error, None, "", start_response)
-        request = decoded.ok._replace(queued_s=now - environ.get(READ_AT, now))
+        request = decoded.ok._replace(queued_s=now - decoded.ok.arrived_at)
         try:
             return self._serve(request, start_response)
         except RelayFailedError as error:
@@ -121,6 +125,9 @@
 
     def _serve(self, request: RelayRequest, start_response: StartResponse) -> Iterable[bytes]:
         job = self._checked(request)
+        back_s = self._places.take()
+        if back_s is not None:
+            raise RelayFailedError(Refusal(ErrorKind.THREADS_EXHAUSTED, retry_after_s=back_s))
         self._registry.started(job.running)
         try:
             if job.service.engine is not None:
@@ -131,8 +138,7 @@
         finally:
             job.drop_answer()
             if not job.streaming:
-                job.drop_permits()
-                self._registry.ended(request.request_id)
+                self._ended(job)
 
     def _checked(self, request: RelayRequest) -> Job:
         """Find the route, the customer and the service of a request."""
@@ -235,8 +241,12 @@
 
     def _stream_ended(self, job: Job, run: EngineRun) -> None:
         run.close()
+        self._ended(job)
+
+    def _ended(self, job: Job) -> None:
         job.drop_permits()
         self._registry.ended(job.request.request_id)
+        self._places.give_back()
 
     def _observe(self, job: Job) -> None:
         RELAY_FIRST_BYTE_S.observe(job.waited_s, kind=str(job.route.kind))
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -137,6 +137,7 @@
             self._registry,
             lambda: self._exchange.newest_version,
             self._rng,
+            settings.threads,
             lambda: adapter.store_era.known,
         )
         directory = adapter.directory
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -1,10 +1,14 @@
-"""Tests of how long callers' connections are kept."""
+"""Tests of callers' connections: how long they are kept, and requests that find no thread."""
 
 import http.client
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from platform_answers import whole
+from platform_world import wait_until
+from relay_caller import Caller
 
 from laburnumreel.transport import HttpServer
 from laburnumreel_standins.processes import free_port, fresh_host
@@ -64,3 +68,44 @@
         monkeypatch.setattr(time, "time", lambda: jumped)
         time.sleep(2.5)
         assert ask(connection) == (200, b"ok")
+
+
+@pytest.mark.processes
+class TestRequestThreads:
+    def test_requests_that_find_no_thread_are_refused_at_once(self, world):
+        world.more_settings = "[threads]\ncallers = 2\n"
+        world.worker("w1", usual=lambda handler: (time.sleep(1.5), whole(handler)), Slots=50)
+        relay = world.relay()
+        answers = []
+
+        def ask_slowly():
+            started = time.monotonic()
+            status, headers, _ = Caller(relay).ask("/safe/x", "GET")
+            answers.append((status, headers, time.monotonic() - started))
+
+        threads = [threading.Thread(target=ask_slowly) for _ in range(14)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        served = [took_s for status, _, took_s in answers if status == 200]
+        refused = [(headers, took_s) for status, headers, took_s in answers if status == 503]
+        assert len(served) == 2 and len(refused) == 12
+        assert all(headers["x-error-kind"] == "threads_exhausted" for headers, _ in refused)
+        assert all(float(headers["retry-after"]) > 0 for headers, _ in refused)
+        assert max(took_s for _, took_s in refused) < 1.2
+
+    def test_time_in_the_queue_for_a_thread_counts(self, world):
+        """A request's deadline counts from when it was read, and so does what its server is told."""
+        world.more_settings = "[threads]\ncallers = 1\n"
+        worker = world.worker("w1", usual=lambda handler: (time.sleep(0.3), whole(handler)))
+        relay = world.relay()
+        callers = [Caller(relay) for _ in range(8)]
+        for caller in callers:
+            caller.send("/safe/x", "GET", Deadline_Ms="2000")
+        for caller in callers:
+            caller.connection.getresponse().read()
+        wait_until(lambda: relay.logged("request_served"), "served requests are logged")
+        assert all(int(headers["Deadline-Ms"]) <= 2000 for _, _, headers, _ in worker.seen)
+        refused = relay.logged("request_refused")
+        assert all(line["queued_ms"] is not None for line in refused)
