Place a request by the configuration under which it came

What callers saw: a configuration removed a service while a stream of it ran; the stream's engine died or fell silent, and the stream was cut although another engine took it over: beside a change of the configuration, without an answer or a log line of the loss.

Cause: the dispatcher looked the service up in the newest configuration. Where it was gone, the request got a place without a plan, as if it were plain, and the code that sends it failed on that (AttributeError; 500 where nothing was sent yet).

Change: an order carries what the service's engines can do, from the request's own configuration; the dispatcher keeps none.

Evidence: test_stream_of_a_service_that_is_gone_goes_on_elsewhere failed before, for an engine that breaks off and for one that is silent. Replays of loads pass the traits with their orders now; what they check is unchanged.

--- a/src/laburnumreel/relay/_assigner.py
+++ b/src/laburnumreel/relay/_assigner.py
@@ -1,10 +1,10 @@
 """The choice of backend servers for one request, and the work that is counted for it."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 from laburnumreel.relay._assignments import Assignment, Order
 from laburnumreel.relay._beliefs import FleetBeliefs
-from laburnumreel.relay._config import EngineTraits, RelayService
+from laburnumreel.relay._config import EngineTraits
 from laburnumreel.relay._placement import EnginePlacement, Queues, choose_plain
 from laburnumreel.relay._refusals import Refusals
 from laburnumreel.relay._weighing import Candidate, EnginePlan, Place, PlacementCosts
@@ -26,11 +26,6 @@
         self._refusals = refusals
         self._costs = costs
         self._engines = EnginePlacement(here, costs)
-        self._services: Mapping[str, RelayService] = {}
-
-    def configure(self, services: Mapping[str, RelayService]) -> None:
-        """Take the services of a configuration."""
-        self._services = services
 
     def assign(
         self, order: Order, candidates: Sequence[Candidate], contended: bool, now: float
@@ -44,8 +39,7 @@
         if not candidates:
             return self._refusals.no_back_end(order, now)
         age_s = self._beliefs.ledger.oldest_news_s(now)
-        service = self._services.get(order.service)
-        if order.prompt is None or service is None or service.engine is None:
+        if order.prompt is None or order.engine is None:
             chosen = choose_plain(candidates, self._here, order.body_bytes, self._costs)
             if chosen is None:
                 return None
@@ -58,7 +52,7 @@
                 news_age_s=age_s,
                 limited=self._beliefs.limits.take(chosen.back_end, order.waiting.request_id, now),
             )
-        plan = self._engine_plan(order, service.engine, candidates, contended, now)
+        plan = self._engine_plan(order, order.engine, candidates, contended, now)
         if plan is None:
             return self._refusals.beyond_limits(order, 0, now)
         late_s = now + plan.first_token_ms / 1000 - order.waiting.deadline
--- a/src/laburnumreel/relay/_assignments.py
+++ b/src/laburnumreel/relay/_assignments.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from laburnumreel.relay._back_ends import ListedBackEnd
+from laburnumreel.relay._config import EngineTraits
 from laburnumreel.relay._requests import Prompt
 from laburnumreel.relay._waiting import Waiting
 from laburnumreel.relay._weighing import EnginePlan
@@ -15,7 +16,8 @@
     `excluded` are backend servers that it met already. `read_apart` is False where its prompt
     can't be read by an engine of its own. `copied_in` is the availability zone of the engine that has
     read it already and keeps a copy for the one that will generate. `again` is a request that was
-    placed before.
+    placed before. `engine` is what the service's engines can do by the configuration under which the
+    request came, None for a plain service.
     """
 
     waiting: Waiting
@@ -26,6 +28,7 @@
     read_apart: bool = True
     copied_in: str | None = None
     again: bool = False
+    engine: EngineTraits | None = None
 
 
 class Assignment(NamedTuple):
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -10,7 +10,6 @@
 from laburnumreel.relay._assignments import Assignment, Order
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._beliefs import FleetBeliefs
-from laburnumreel.relay._config import RelayConfig
 from laburnumreel.relay._feeds import Link
 from laburnumreel.relay._messages import (
     Avoid,
@@ -155,10 +154,6 @@
         """Take in what became of the directory."""
         self.tell(Directory(link))
 
-    def configured(self, config: RelayConfig) -> None:
-        """Take a configuration."""
-        self.tell(config)
-
     def peers(self, batch: Sequence[News]) -> None:
         """Take the news of some peers."""
         self.tell(Heard(batch))
@@ -240,8 +235,6 @@
                 self._serve_waiting(now)
             case Directory(link):
                 self._beliefs.directory(link, now)
-            case RelayConfig():
-                self._assigner.configure(message.services)
             case RetrySettings():
                 self._repeats.set_retry(message)
             case Heard(batch):
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -158,6 +158,7 @@
             read_apart,
             copied_in,
             again,
+            self.service.engine,
         )
 
     def wait_for(self, future: Future) -> Assignment:
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -355,7 +355,6 @@
         for config in listing.entries.values():
             if config is None or not self._application.configure(config):
                 continue
-            self._dispatcher.configured(config)
             self._callers.set_limits(*config.limits)
             self._share_connections()
             _log.info(
--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -3,9 +3,8 @@
 from collections import defaultdict
 
 from limit_count import CONTACT_S, LimitCount
-from relay_fleet import SERVICE, Replay
+from relay_fleet import Replay
 
-from laburnumreel.relay._config import RelayConfig
 from laburnumreel.relay._peers import SILENT_S
 from laburnumreel.relay._requests import Word
 
@@ -33,7 +32,6 @@
         """Let the process of a host end and another one begin."""
         host = self.hosts[number] = self._make_host(number)
         self._heard_at[number] = {}
-        host.configured(RelayConfig(1, services={"quotes": SERVICE}))
         self.list_engines()
         host.hosts(len(self.hosts), replaces_killed=True)
         self._excused_until[number] = self.clock.now() + CONTACT_S
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -13,7 +13,7 @@
 from laburnumreel.core import ManualClock
 from laburnumreel.relay._assignments import Order
 from laburnumreel.relay._back_ends import ListedBackEnd, Role
-from laburnumreel.relay._config import EngineTraits, RelayConfig, RelayService
+from laburnumreel.relay._config import EngineTraits, RelayService
 from laburnumreel.relay._dispatcher import Dispatcher
 from laburnumreel.relay._news import News
 from laburnumreel.relay._ports import Listing
@@ -96,8 +96,6 @@
         self.starts = [Part(f"s{n}", self.rng.randrange(4000, 8600)) for n in range(150)]
         self.outcomes = Counter()
         self._events, self._number = [], itertools.count()
-        for host in self.hosts:
-            host.configured(RelayConfig(1, services={"quotes": SERVICE}))
         self.list_engines()
 
     def list_engines(self):
@@ -169,7 +167,7 @@
             else self.rng.choice(self.hosts)
         )
         request = (host, waiting, prompt, first_at, retries)
-        self._place(request, Order(waiting, "quotes", prompt, 17_000))
+        self._place(request, Order(waiting, "quotes", prompt, 17_000, engine=TRAITS))
 
     def _place(self, request, order):
         future = request[0].place(order)
@@ -209,7 +207,7 @@
         host, waiting, prompt, *_ = request
         host.read(assignment, prompt, took_ms)
         begun = waiting._replace(begun=True)
-        self._place(request, Order(begun, "quotes", prompt, 17_000, copied_in="z"))
+        self._place(request, Order(begun, "quotes", prompt, 17_000, copied_in="z", engine=TRAITS))
 
     def _answered(self, request, assignment):
         host, _, _, first_at, _ = request
--- a/tests/repeats_world.py
+++ b/tests/repeats_world.py
@@ -16,7 +16,7 @@
 from laburnumreel.core import ManualClock
 from laburnumreel.relay._answer_room import AnswerRoom
 from laburnumreel.relay._back_ends import ListedBackEnd, Role
-from laburnumreel.relay._config import RelayConfig, RouteKind
+from laburnumreel.relay._config import RouteKind
 from laburnumreel.relay._engine import EngineRun
 from laburnumreel.relay._job import Job, Parts, RelayFailedError
 from laburnumreel.relay._ports import Listing
@@ -120,7 +120,6 @@
     def start(self, number, knows_others=True):
         """Return a host whose process has just begun."""
         host = Host(self.clock, Place("z", "r"), {"z": "r"}, RETRY, 2.0, random.Random(number))
-        host.configured(RelayConfig(1, services={"quotes": SERVICE}))
         address = ("10.0.0.1", 80)
         roles = {f"p{n}": Role.PREFILL for n in range(6)} | {f"d{n}": Role.DECODE for n in range(6)}
         entries = {
--- a/tests/test_relay_burst.py
+++ b/tests/test_relay_burst.py
@@ -128,7 +128,11 @@
     def order(self, replay, name, **fields):
         waiting = Waiting(name, 1, 0.0, 100.0, 200.0)
         wanted = prompt((name, 500), own=100)
-        return replay.hosts[0].place(Order(waiting, "quotes", wanted, 1000, **fields)).result(0)
+        return (
+            replay.hosts[0]
+            .place(Order(waiting, "quotes", wanted, 1000, engine=TRAITS, **fields))
+            .result(0)
+        )
 
     def test_prompt_that_is_read_elsewhere_takes_no_place_to_generate(self):
         replay = Replay(1, hosts=1, generators=1)
@@ -162,7 +166,9 @@
     second.peers([replay._news(0, first)])
     for number in range(20):
         waiting = Waiting(f"r{number}", 1, 0.0, 100.0, 200.0)
-        placed = second.place(Order(waiting, "quotes", prompt(("s", 500)), 1000)).result(0)
+        placed = second.place(
+            Order(waiting, "quotes", prompt(("s", 500)), 1000, engine=TRAITS)
+        ).result(0)
         assert placed.runner.name == "d1"
     # An entry that comes back counts again.
     replay.clock.advance(GONE_S + 0.1)
@@ -171,5 +177,7 @@
         host.tick()
     second.peers([replay._news(0, first)])
     waiting = Waiting("again", 1, 0.0, 100.0, 200.0)
-    order = Order(waiting, "quotes", prompt(("s", 500)), 1000, excluded=frozenset({"d1"}))
+    order = Order(
+        waiting, "quotes", prompt(("s", 500)), 1000, excluded=frozenset({"d1"}), engine=TRAITS
+    )
     assert second.place(order).result(0).runner.name == "d0"
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -5,6 +5,7 @@
 
 import pytest
 from platform_answers import begin_stream, chunk, event, lost, stream, whole
+from platform_config import config
 from platform_world import wait_until
 from relay_caller import PROMPT, Caller
 
@@ -114,6 +115,48 @@
         assert Caller(world.relay()).ask("/safe/x", "GET")[2] == b"done"
 
 
+class TestChangedConfiguration:
+    """Requests go on as they began while the configuration changes."""
+
+    @pytest.mark.parametrize("trouble", ["breaks", "silent"])
+    def test_stream_of_a_service_that_is_gone_goes_on_elsewhere(self, world, trouble):
+        changed = threading.Event()
+        sends = []
+        before = config()
+        for route in before["Routes"]:
+            route["MaxAttempts"] = 3
+        world.store.put("op", "config", before)
+
+        def first_fails(handler):
+            sends.append(handler.headers["Request-Id"])
+            if len(sends) > 1:
+                stream()(handler)
+                return
+            begin_stream(handler)
+            chunk(handler, event(1))
+            changed.wait(5.0)
+            (lost if trouble == "breaks" else dead)(handler)
+
+        for name in ("d1", "d2"):
+            world.worker(name, "quotes", usual=first_fails, Stage="decode")
+        relay = world.relay()
+        answers = []
+        caller = threading.Thread(target=lambda: answers.append(ask_stream(relay)))
+        caller.start()
+        wait_until(lambda: sends, "the stream has begun")
+        without = config(2)
+        without["Routes"] = [route for route in without["Routes"] if route["Service"] != "quotes"]
+        without["Services"] = without["Services"][:1]
+        world.store.put("op", "config", without)
+        wait_until(
+            lambda: any(line["version"] == 2 for line in relay.logged("relay_configured")),
+            "the configuration is in force",
+        )
+        changed.set()
+        caller.join()
+        assert [(status, body) for status, _, body in answers] == [(200, EVENTS)]
+
+
 class TestDeadServers:
     """What a dead backend server costs callers."""
 
