Look for cut requests beside silent servers in the soak

The soak never found it: its proxies hold whole connections up, its oracle promised nothing for a connection that ended early, and its servers were never silent and sound at once.

The oracle takes each request's end by the platform's rules and prints a finding with the request's log lines and what its servers did. It also prints what requests paid that met a server that was gone.

--- a/tests/relay_soak.py
+++ b/tests/relay_soak.py
@@ -15,10 +15,11 @@
 import time
 from collections import Counter
 
+import silence_soak
 from limit_count import WINDOW_S, LimitCount
 from platform_config import config
 from platform_world import Relay, World, wait_until
-from relay_soak_parts import RETRY, STREAM, Ledger, Proxy, plain_answer, stream_answer
+from relay_soak_parts import RETRY, STREAM, Ledger, Proxy, keep_logs, plain_answer, stream_answer
 
 # Faults heal within two seconds, and a host is in touch again three seconds after that.
 UNSURE_S = 5.0
@@ -335,11 +336,13 @@
 FAULT_SETS = {"plain": FAULTS, "drills": WITH_DRILLS, "limits": WITH_LIMITS}
 
 
-def run_seed(seed, seconds, faults=FAULTS):
-    """Run one seed and return its soak and findings."""
+def run_seed(seed, seconds, faults=FAULTS, keep=None):
+    """Run one seed and return its soak and findings; the hosts' logs are kept where there are some."""
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, seconds, folder, faults)
-        return soak, soak.run()
+        found = soak.run()
+        keep_logs(folder, seed, found, keep)
+        return soak, found
 
 
 def main():
@@ -347,19 +350,30 @@
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10.0)
-    parser.add_argument("--faults", choices=FAULT_SETS, default="plain")
+    parser.add_argument("--faults", choices=(*FAULT_SETS, "silence"), default="plain")
+    parser.add_argument("--keep", help="a folder for the hosts' logs of seeds with findings")
     options = parser.parse_args()
+    seeds = range(options.first, options.first + options.seeds)
+    if options.faults == "silence":
+        failed = silence_soak.run_seeds(seeds, options.seconds, options.keep)
+    else:
+        failed = run_seeds(seeds, options)
+    print(f"{options.seeds} seeds, {failed} with findings")
+    sys.exit(1 if failed else 0)
+
+
+def run_seeds(seeds, options):
+    """Run and print seeds, and return how many have findings."""
     failed = 0
-    for seed in range(options.first, options.first + options.seeds):
-        soak, found = run_seed(seed, options.seconds, FAULT_SETS[options.faults])
+    for seed in seeds:
+        soak, found = run_seed(seed, options.seconds, FAULT_SETS[options.faults], options.keep)
         failed += bool(found)
         repeats = {name: len(count.repeats) for name, count in soak.ledger.repeats.items()}
         outcomes, faults = dict(soak.ledger.outcomes), dict(Counter(soak.faults))
         print(f"seed {seed}: {outcomes} repeats {repeats} faults {faults}")
         for finding in found:
             print(f"  FOUND {finding}")
-    print(f"{options.seeds} seeds, {failed} with findings")
-    sys.exit(1 if failed else 0)
+    return failed
 
 
 if __name__ == "__main__":
--- a/tests/relay_soak_parts.py
+++ b/tests/relay_soak_parts.py
@@ -1,10 +1,12 @@
 """Proxies, workers' answers and the record of a soak."""
 
 import selectors
+import shutil
 import socket
 import threading
 import time
 from collections import Counter
+from pathlib import Path
 
 from platform_answers import echo, event
 from platform_world import HOST
@@ -73,6 +75,15 @@
                 key.data.sendall(data)
 
 
+def keep_logs(folder, seed, found, keep):
+    """Copy the hosts' logs of a seed with findings to the folder `keep`, if one is given."""
+    if keep and found:
+        kept = Path(keep) / f"seed-{seed}"
+        kept.mkdir(parents=True, exist_ok=True)
+        for log in Path(folder).glob("*.log"):
+            shutil.copy(log, kept)
+
+
 class Ledger:
     """What workers ran and what callers got, by request id, and each service's repeated sends."""
 
