Take no answer whose head ends with its connection

What callers saw: 200 with the server's signature and an empty body, complete by its length, for a request whose server had been killed while it sent the head of its answer.

Cause: http.client takes the end of the connection for the end of the head. The missing line was the one with the length of the body, so the body seemed to be one that ends with the connection, and was empty. The same held for a head of which a timeout had left a part.

Change: the shared reader knows whether the last line had its end, and a head whose last line has none is a lost connection. It holds for the relay and for the gateway, which use the same exchange. Calls to the store and to peers decode a JSON body, which an empty one is not.

--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -41,12 +41,26 @@
         self.sent = sent
 
 
+class _Response(http.client.HTTPResponse):
+    """Takes no head that ends with its connection.
+
+    http.client does, and what is missing may be the line that says how long the body is: the answer
+    would be a whole one without a body.
+    """
+
+    def begin(self) -> None:
+        super().begin()
+        if not self.fp.line_is_whole:
+            raise http.client.RemoteDisconnected("the connection ended in the head")
+
+
 class _Connection(http.client.HTTPConnection):
     """Sends the head and the body of a request in one piece.
 
     http.client sends two, which costs the gateway a system call and the back end a wake-up.
     """
 
+    response_class = _Response
     _held: list[bytes] | None = None
 
     def send(self, data: bytes) -> None:
--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -30,6 +30,14 @@
 
     def __init__(self, reader: io.BufferedReader) -> None:
         self._reader = reader
+        # Whether the last line that was read has its end.
+        self.line_is_whole = True
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line; it has no end where nothing more comes."""
+        line = self._reader.readline(limit)
+        self.line_is_whole = line.endswith(b"\n")
+        return line
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._reader, name)
--- a/tests/platform_answers.py
+++ b/tests/platform_answers.py
@@ -35,6 +35,17 @@
     lost(handler)
 
 
+def head_cut(handler):
+    """Close the connection in the head, before the length of the body."""
+    handler.wfile.write(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: "
+        + handler.headers["Request-Id"].encode()
+        + b"\r\nResponse-Signature: s\r\nContent-"
+    )
+    handler.wfile.flush()
+    lost(handler)
+
+
 def with_extra(handler):
     """A whole answer, followed by one that belongs to no request."""
     whole(handler)
--- a/tests/test_relay_platform.py
+++ b/tests/test_relay_platform.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from platform_answers import lost, refused, truncated, with_extra
+from platform_answers import head_cut, lost, refused, truncated, with_extra
 from platform_config import config
 from platform_world import Relay, wait_until
 from relay_caller import Caller
@@ -65,7 +65,7 @@
     def test_request_that_may_repeat_is_tried_elsewhere(self, world):
         workers = [world.worker("w1"), world.worker("w2")]
         relay = world.relay()
-        for behaviour in (refused, lost, truncated):
+        for behaviour in (refused, lost, truncated, head_cut):
             for worker in workers:
                 worker.script = [behaviour]
             before = sum(len(worker.seen) for worker in workers)
@@ -77,7 +77,7 @@
             for worker in workers:
                 worker.script = []
 
-    @pytest.mark.parametrize("behaviour", [lost, truncated])
+    @pytest.mark.parametrize("behaviour", [lost, truncated, head_cut])
     def test_request_that_must_not_repeat_is_sent_once(self, world, behaviour):
         workers = [world.worker("w1"), world.worker("w2")]
         relay = world.relay()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -211,6 +211,27 @@
     server.end()
 
 
+def test_head_that_ends_with_the_connection_is_no_answer():
+    """A head without its last lines, also that with the length of the body, was taken for whole: the
+    caller got an empty success."""
+    head = b"HTTP/1.1 200 OK\r\nMark: genuine\r\nContent-Length: 2\r\n\r\n"
+    for end in range(len(head)):
+        server, pool = ScriptedServer(head[:end], keep=False), BackEndPool()
+        with pytest.raises(BackEndFailureError) as caught:
+            exchange_once(pool, server.address)
+            pytest.fail(f"an answer from {head[:end]}")
+        assert caught.value.reason == "lost", head[:end]
+        server.end()
+
+
+def test_interim_head_that_ends_with_the_connection_is_no_answer():
+    server = ScriptedServer(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + OK[:30], keep=False)
+    with pytest.raises(BackEndFailureError) as caught:
+        exchange_once(BackEndPool(), server.address)
+    assert caught.value.reason == "lost"
+    server.end()
+
+
 def test_silence_drops_the_older_idle_connections():
     """Guards against requests that each wait for another dead pooled connection."""
     server, pool = ScriptedServer(OK, OK, OK), BackEndPool()
