Keep a wait for a silent backend server given up

What callers saw: requests at a server that was gone for good ran to the end of their time although another place was held for them.

Cause: where the server stops in the middle of a line of the head or of a chunk, http.client takes the part for the line and reads on. That read began another wait, which asked for patience again; the request then looked elsewhere once more, over what it held, and could be told to wait.

Change: a wait that was given up stays so until the next one begins.

--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -80,6 +80,7 @@
     _bytes_left = 0
     _received = False
     _shortened = False
+    _given_up = False
 
     def makefile(self, *arguments: Any, **options: Any) -> Any:
         if self._kept is None:
@@ -91,7 +92,7 @@
         """Bound all that is received from now on, not only the time between two pieces."""
         self._wait_ends = time.monotonic() + timeout_s
         self._bytes_left = most_bytes
-        self._received = self._shortened = self.timed_out = False
+        self._received = self._shortened = self._given_up = self.timed_out = False
 
     def end_wait(self) -> bool:
         """Bound only single receptions again; return whether their timeout was changed."""
@@ -115,9 +116,16 @@
         self._received = True
 
     def wait_on(self, bytes_came: bool) -> bool:
-        """Prolong a wait whose time is over, and return whether it goes on."""
+        """Prolong a wait whose time is over, and return whether it goes on.
+
+        One that was given up stays so: http.client takes a part of a line for the line, and would
+        begin to wait for what follows.
+        """
+        if self._given_up:
+            return False
         more_s = self.patience(bytes_came) if self.patience is not None else None
         if more_s is None:
+            self._given_up = True
             return False
         if self._wait_ends is not None:
             self._wait_ends = max(self._wait_ends, time.monotonic() + more_s)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -251,6 +251,25 @@
     assert caught.value.reason == "connect_failed" and not caught.value.sent
 
 
+CHUNKED = b"HTTP/1.1 200 OK\r\nMark: genuine\r\nTransfer-Encoding: chunked\r\n\r\n1a\r\n" + b"x" * 9
+
+
+@pytest.mark.parametrize("end", range(1, len(CHUNKED)))
+def test_wait_that_was_given_up_is_not_begun_again(end):
+    """A part of a line was taken for the line, and the wait for what follows asked once more: what was
+    held elsewhere was forgotten, and the silent server kept its request."""
+    server, asked = ScriptedServer(CHUNKED[:end]), []
+    exchange = BackEndPool().open(server.address)
+    exchange.patience = lambda bytes_came: asked.append(bytes_came)
+    with pytest.raises(BackEndFailureError) as caught:
+        exchange.send("GET", "/", {}, None, 0.02)
+        while exchange.read():
+            exchange.set_timeout(0.02)
+    assert caught.value.reason == "silent" and len(asked) == 1
+    exchange.close()
+    server.end()
+
+
 def test_abort_from_another_thread_ends_a_read():
     """Guards against a withdrawn key whose exchange runs on until the back end answers."""
     server = ScriptedServer(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", keep=True)
