Print what requests paid that met a server that was gone and could go elsewhere

Requests that must not be repeated can't leave such a server, and hid what the others paid. The soak with silent servers prints, for each seed and for the run, how many of the others were served whole, how many of these began within a second, and the first byte's p50, p90 and p99.

--- a/tests/silence_history.py
+++ b/tests/silence_history.py
@@ -245,13 +245,21 @@
     ]
 
 
-def first_bytes_ms(history):
-    """Return the times to the first byte of served requests that met a server that was gone."""
-    return sorted(
-        1000 * (asked.first_at - asked.sent_at)
+class Met(NamedTuple):
+    """Requests that may go elsewhere and met a server that was gone; times to the first byte of those served."""
+
+    count: int
+    first_ms: list[float]
+
+
+def met_gone(history):
+    met = [
+        asked
         for asked in history.asked
-        if asked.request_id in history.met_gone and asked.status == 200 and asked.first_at
-    )
+        if asked.request_id in history.met_gone and asked.kind not in ONCE and asked.end != "left"
+    ]
+    served = [asked for asked in met if asked.status == 200 and asked.end == "whole"]
+    return Met(len(met), [1000 * (asked.first_at - asked.sent_at) for asked in served])
 
 
 def silences(history):
--- a/tests/silence_report.py
+++ b/tests/silence_report.py
@@ -3,7 +3,7 @@
 import json
 import sys
 
-from silence_history import first_bytes_ms, given_up_early, outcomes, silences
+from silence_history import given_up_early, met_gone, outcomes, silences
 
 
 def evidence(soak, finding):
@@ -52,19 +52,21 @@
         f"{outcomes(soak.history)} given up early {len(given_up_early(soak.history))}",
         f"silences of servers, and those in which they were left: {silences(soak.history)}",
         f"faults {dict(soak.faults)} lag {1000 * soak.lag_s:.0f} ms",
-        met_gone(len(soak.history.met_gone), first_bytes_ms(soak.history)),
+        describe(met_gone(soak.history)),
     ]
 
 
-def met_gone(count, first_ms):
-    """Return what requests paid that met a server that was gone."""
+def describe(met):
+    """Return what requests paid that met a server that was gone and could go elsewhere."""
+    first_ms = sorted(met.first_ms)
+    text = f"met a server that was gone and could go elsewhere: {met.count}, {len(first_ms)} served whole"
     if not first_ms:
-        return f"met a server that was gone: {count}, none served"
-    first_ms = sorted(first_ms)
-    p50, p99 = first_ms[len(first_ms) // 2], first_ms[int(0.99 * len(first_ms))]
+        return text
+    p50, p90, p99 = (first_ms[int(share * len(first_ms))] for share in (0.5, 0.9, 0.99))
+    soon = sum(1 for each in first_ms if each <= 1000)
     return (
-        f"met a server that was gone: {count}, {len(first_ms)} served,"
-        f" first byte p50 {p50:.0f} ms, p99 {p99:.0f} ms"
+        f"{text}, {soon} of them begun within a second;"
+        f" first byte p50 {p50:.0f}, p90 {p90:.0f}, p99 {p99:.0f} ms"
     )
 
 
--- a/tests/silence_soak.py
+++ b/tests/silence_soak.py
@@ -14,8 +14,8 @@
 from platform_world import Relay, World, wait_until
 from relay_soak_parts import keep_logs
 from silence_callers import Caller
-from silence_history import GRACE_S, Finding, History, Version, check, first_bytes_ms
-from silence_report import evidence, met_gone, print_seed
+from silence_history import GRACE_S, Finding, History, Met, Version, check, met_gone
+from silence_report import describe, evidence, print_seed
 from silence_servers import Server
 
 from laburnumreel.relay._settings import RetrySettings
@@ -354,12 +354,12 @@
 
 def run_seeds(seeds, seconds, keep):
     """Run and print seeds, and return how many have findings."""
-    failed, met, first_ms = 0, 0, []
+    failed, met = 0, Met(0, [])
     for seed in seeds:
         soak, found = run_seed(seed, seconds, keep=keep)
         print_seed(soak, found)
         failed += bool(found)
-        met += len(soak.history.met_gone)
-        first_ms += first_bytes_ms(soak.history)
-    print(met_gone(met, first_ms))
+        more = met_gone(soak.history)
+        met = Met(met.count + more.count, met.first_ms + more.first_ms)
+    print(describe(met))
     return failed
