Show that a request is lost where the next server refuses

What callers see: a stream is cut, or a whole answer becomes 502, with seconds to go, though the first server is sound and goes on a moment later.

Cause: what is held before a silent server is left (permit, place, connection) doesn't include that the next one takes the request; the first exchange is closed before the second one's head is there.

--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from platform_answers import begin_stream, chunk, event, lost, stream, whole
+from platform_answers import begin_stream, chunk, event, lost, refused, stream, whole
 from platform_config import config
 from platform_world import wait_until
 from relay_caller import PROMPT, Caller
@@ -99,6 +99,26 @@
         assert (status, body) == (200, b"done")
         assert sum(len(worker.seen) for worker in workers) == 1
 
+    @pytest.mark.parametrize(
+        ("path", "service", "usual", "wanted"),
+        [("/talk/x", "quotes", pausing(2), EVENTS), ("/safe/x", "orders", slow_whole, b"done")],
+        ids=["stream", "whole"],
+    )
+    def test_answer_is_not_lost_where_the_next_server_refuses(
+        self, world, path, service, usual, wanted
+    ):
+        """The silent server was left for one that refuses, and no send was left after that."""
+        sends = []
+
+        def refuses_all_but_the_first(handler):
+            sends.append(time.monotonic())
+            (usual if len(sends) == 1 else refused)(handler)
+
+        for name in ("b1", "b2"):
+            world.worker(name, service, usual=refuses_all_but_the_first, Stage="decode")
+        status, _, body = Caller(world.relay()).ask(path, Deadline_Ms="5000", **PROMPT)
+        assert (status, body) == (200, wanted)
+
     def test_body_that_pauses_is_waited_for(self, world):
         def pauses(handler):
             handler.send_response_only(200)
