Contain an odd row of another writer, and check all that it says

Callers saw requests that ended without their answer (500, or no answer) at every host once one entry among those of the workers had a port out of range, a number too large or a text that can't be sent. The hosts of a deployment also stopped hearing one another.

Cause: decoding took a row's fields as they came. What failed in the decoder cost its row, but a port above 65535 raised OverflowError in connect, a count of 10**400 in the sums of placement, a start of 10**30 in the datagrams of news, and a name with a control character in the header that carries it, each far from the row and in the middle of a caller's request. A row of the product's own tables that is no JSON ended the whole page, so that a host among such rows was never ready. A row that stayed as it was was logged at each read of the table.

Change: `state/_fields.py` reads fields with their type and range, as named constants; decoders use nothing else. An answer of the store that is odd itself is an error like a lost one.

--- a/src/laburnumreel/relay/__init__.py
+++ b/src/laburnumreel/relay/__init__.py
@@ -4,7 +4,7 @@
 and how much they have to do. An `Adapter` connects it to the systems around it.
 """
 
-from laburnumreel.relay._back_ends import Address, BackEndList, ListedBackEnd, Role
+from laburnumreel.relay._back_ends import MOST_SLOTS, Address, BackEndList, ListedBackEnd, Role
 from laburnumreel.relay._config import (
     CallerLimits,
     EngineTraits,
@@ -18,7 +18,6 @@
     Share,
 )
 from laburnumreel.relay._event_stream import EventSplitter, StreamEvent
-from laburnumreel.relay._events import RECORD_UNREADABLE
 from laburnumreel.relay._node import RelayNode, run_relay
 from laburnumreel.relay._ports import (
     Adapter,
@@ -33,6 +32,7 @@
 from laburnumreel.relay._repeats_report import WindowRepeats, report_repeats
 from laburnumreel.relay._report import STAGES, SecondReport, report_seconds
 from laburnumreel.relay._requests import (
+    MOST_TOKENS,
     Dispatch,
     Part,
     Prompt,
@@ -48,7 +48,8 @@
 )
 
 __all__ = [
-    "RECORD_UNREADABLE",
+    "MOST_SLOTS",
+    "MOST_TOKENS",
     "RELAY_SCHEMA",
     "Adapter",
     "Address",
--- a/src/laburnumreel/relay/_back_ends.py
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -9,6 +9,8 @@
 # Entries that went, of which a list remembers how far they were written.
 MOST_ENDED = 1000
 UNWRITTEN = (-1, -1)
+# Requests that one backend server may work on at once, by its own word.
+MOST_SLOTS = 1_000_000
 
 
 class Role(StrEnum):
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -28,9 +28,6 @@
     619, "back_end_avoided", "a backend server gets no requests for a time"
 )
 MEMBERS_UNREADABLE = define_event(620, "members_unreadable", "the list of hosts is not available")
-RECORD_UNREADABLE = define_event(
-    621, "record_unreadable", "an entry of the store names nothing usable"
-)
 TRUE_TIME_AGREED = define_event(622, "true_time_agreed", "the time of day was agreed on")
 MEMBER_ROW_MISSING = define_event(
     623, "member_row_missing", "this host's row was removed and is written again"
--- a/src/laburnumreel/relay/_requests.py
+++ b/src/laburnumreel/relay/_requests.py
@@ -5,6 +5,10 @@
 
 from laburnumreel.relay._back_ends import Address, ListedBackEnd
 
+# Tokens that a prompt, a part of it or its answer may have. Work of many prompts at one engine still fits
+# into the datagrams between hosts.
+MOST_TOKENS = 1_000_000_000
+
 Headers = tuple[tuple[str, str], ...]
 
 
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -11,6 +11,8 @@
 )
 from laburnumreel.state._configuration import Change, Configuration, Route
 from laburnumreel.state._era import (
+    MOST_ERA,
+    MOST_NUMBER,
     StoreEra,
     era_of,
     era_of_fence,
@@ -19,6 +21,16 @@
     version_in,
 )
 from laburnumreel.state._errors import ERROR_ANSWERS, ErrorAnswer, ErrorKind, Refusal, RunState
+from laburnumreel.state._fields import (
+    MOST_UNIX_S,
+    MOST_WHOLE,
+    RECORD_UNREADABLE,
+    FieldError,
+    Fields,
+    OddRows,
+    is_header_text,
+    problem_of,
+)
 from laburnumreel.state._folder import load_folder
 from laburnumreel.state._journal import (
     ORDER_TABLE,
@@ -77,6 +89,16 @@
 )
 
 __all__ = [
+    "MOST_ERA",
+    "MOST_NUMBER",
+    "MOST_UNIX_S",
+    "MOST_WHOLE",
+    "RECORD_UNREADABLE",
+    "FieldError",
+    "Fields",
+    "OddRows",
+    "is_header_text",
+    "problem_of",
     "StoreEra",
     "era_of",
     "era_of_fence",
--- /dev/null
+++ b/src/laburnumreel/state/_fields.py
@@ -0,0 +1,244 @@
+"""Rows that another writer may have left: their fields, checked as they are read, and their log lines.
+
+Whatever passes these checks also fits what uses it later: a socket takes the addresses, a datagram
+the numbers, a header the names.
+"""
+
+import ipaddress
+import math
+import time
+from collections.abc import Callable, Collection
+from typing import Any, TypeVar
+
+from laburnumreel.core import Log, define_event
+
+RECORD_UNREADABLE = define_event(
+    621, "record_unreadable", "an entry of the store names nothing usable"
+)
+
+Address = tuple[str, int]
+Value = TypeVar("Value")
+
+# The store's bound on the names of tables, parts and rows, in bytes.
+MOST_NAME_BYTES = 200
+# What a JSON number holds exactly at both ends. News between hosts has room for 64 bits.
+MOST_WHOLE = 2**53 - 1
+MOST_PORT = 65535
+# The start of the year 2100 in seconds of the Unix epoch.
+MOST_UNIX_S = 4_102_444_800
+# A row that is written again and again with the same fault has a log line this often.
+SAME_FAULT_LOG_S = 10.0
+# Rows of which it is remembered that they were logged.
+MOST_REMEMBERED = 1000
+MOST_PROBLEM_CHARACTERS = 200
+
+_REQUIRED: Any = object()
+
+
+class FieldError(ValueError):
+    """A field that is missing, of another type or out of its range.
+
+    The text names the field and never holds its value, which may be too large to be printed.
+    """
+
+
+class Fields:
+    """The fields of a JSON object. Each reader returns a value that it has checked.
+
+    A field that is absent or null takes the default, where there is one.
+
+    >>> fields = Fields({"places": 4, "at": "10.0.0.1:80"})
+    >>> fields.whole("places", 1, 100), fields.address("at"), fields.whole("start", default=0)
+    (4, ('10.0.0.1', 80), 0)
+    >>> fields.text("name")
+    Traceback (most recent call last):
+    laburnumreel.state._fields.FieldError: name is missing
+    """
+
+    def __init__(self, value: Any) -> None:
+        if not isinstance(value, dict):
+            raise FieldError("the value is no object")
+        self._value = value
+
+    def has(self, name: str) -> bool:
+        """Return whether a field is there and not null."""
+        return self._value.get(name) is not None
+
+    def text(self, name: str, default: Any = _REQUIRED, most_bytes: int = MOST_NAME_BYTES) -> str:
+        """Return a text that isn't empty and can be sent."""
+        return self._read(name, default, lambda value: _text(value, most_bytes))
+
+    def choice(self, name: str, options: Collection[str], default: Any = _REQUIRED) -> str:
+        """Return one of some texts."""
+
+        def chosen(value: Any) -> str:
+            if not isinstance(value, str) or value not in options:
+                raise FieldError(f"is none of {', '.join(options)}")
+            return value
+
+        return self._read(name, default, chosen)
+
+    def whole(
+        self, name: str, low: int = 0, high: int = MOST_WHOLE, default: Any = _REQUIRED
+    ) -> int:
+        """Return a whole number from `low` to `high`."""
+        return self._read(name, default, lambda value: _whole(value, low, high))
+
+    def number(self, name: str, low: float, high: float, default: Any = _REQUIRED) -> float:
+        """Return a number from `low` to `high`."""
+        return self._read(name, default, lambda value: _number(value, low, high))
+
+    def flag(self, name: str, default: Any = _REQUIRED) -> bool:
+        """Return true or false."""
+
+        def checked(value: Any) -> bool:
+            if not isinstance(value, bool):
+                raise FieldError("is neither true nor false")
+            return value
+
+        return self._read(name, default, checked)
+
+    def address(self, name: str) -> Address:
+        """Return an IPv4 address and a port to connect or send to."""
+        return self._read(name, _REQUIRED, _address)
+
+    def fields(self, name: str, default: Any = _REQUIRED) -> "Fields":
+        """Return the fields of an object."""
+        return self._read(name, default, Fields)
+
+    def each(self, name: str, default: Any = _REQUIRED) -> list["Fields"]:
+        """Return the fields of each object of a list."""
+        return self._read(name, default, lambda value: [Fields(each) for each in _list(value)])
+
+    def texts(self, name: str, most_bytes: int = MOST_NAME_BYTES) -> list[str]:
+        """Return a list of texts."""
+
+        def checked(value: Any) -> list[str]:
+            return [_text(each, most_bytes) for each in _list(value)]
+
+        return self._read(name, _REQUIRED, checked)
+
+    def wholes(self, low: int = 0, high: int = MOST_WHOLE) -> dict[str, int]:
+        """Return all fields, each with a whole number."""
+        return {_key(name): self.whole(name, low, high) for name in self._value}
+
+    def numbers(self, low: float, high: float) -> dict[str, float]:
+        """Return all fields, each with a number."""
+        return {_key(name): self.number(name, low, high) for name in self._value}
+
+    def _read(self, name: str, default: Any, check: Callable[[Any], Value]) -> Value:
+        value = self._value.get(name)
+        if value is None:
+            if default is _REQUIRED:
+                raise FieldError(f"{_shown(name)} is missing")
+            return default
+        try:
+            return check(value)
+        except FieldError as error:
+            raise FieldError(f"{_shown(name)}: {error}") from None
+
+
+class OddRows:
+    """Logs rows that name nothing usable, one line for each time they were written.
+
+    >>> odd = OddRows(Log("doctest"))
+    >>> odd.tell("hosts", "h1", 7, "no address"), odd.tell("hosts", "h1", 7, "no address")
+    (True, False)
+    """
+
+    def __init__(self, log: Log, clock: Callable[[], float] = time.monotonic) -> None:
+        self._log = log
+        self._clock = clock
+        # The version, the problem and the time of each row's last line, the oldest first.
+        self._told: dict[tuple[str, str], tuple[int, str, float]] = {}
+
+    def tell(self, table: str, key: str, version: int, problem: str) -> bool:
+        """Log a row, unless that was done, and return whether it was."""
+        problem = problem[:MOST_PROBLEM_CHARACTERS]
+        now, row = self._clock(), (table, key)
+        known_version, known_problem, at = self._told.get(row, (None, "", float("-inf")))
+        if version == known_version:
+            return False
+        if problem == known_problem and now - at < SAME_FAULT_LOG_S:
+            return False
+        self._told.pop(row, None)
+        self._told[row] = (version, problem, now)
+        if len(self._told) > MOST_REMEMBERED:
+            # Request threads and tasks share tables.
+            self._told.pop(next(iter(self._told)), None)
+        self._log.warning(RECORD_UNREADABLE, table=table, key=key, problem=problem)
+        return True
+
+
+def problem_of(error: Exception) -> str:
+    """Return what a log line says of a row that could not be read.
+
+    Only the texts of ValueErrors are known not to hold values from the row.
+    """
+    return str(error) if isinstance(error, ValueError) else type(error).__name__
+
+
+def is_header_text(text: str) -> bool:
+    """Return whether a text can stand in a header and arrives there as it is.
+
+    >>> is_header_text("i-7f3a91c2"), is_header_text("a\\nb"), is_header_text(" a")
+    (True, False, False)
+    """
+    return text.isascii() and text.isprintable() and " " not in text and bool(text)
+
+
+def _text(value: Any, most_bytes: int = MOST_NAME_BYTES) -> str:
+    if not isinstance(value, str) or not value:
+        raise FieldError("is no text")
+    try:
+        encoded = value.encode()
+    except UnicodeEncodeError:
+        raise FieldError("is no text that can be sent") from None
+    if len(encoded) > most_bytes:
+        raise FieldError(f"is longer than {most_bytes} bytes")
+    return value
+
+
+def _whole(value: Any, low: int, high: int) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or not low <= value <= high:
+        raise FieldError(f"is no whole number from {low} to {high}")
+    return value
+
+
+def _number(value: Any, low: float, high: float) -> float:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    # Whole numbers of any size compare with floats; only then they can be converted.
+    if not is_number or not low <= value <= high or math.isnan(value):
+        raise FieldError(f"is no number from {low:g} to {high:g}")
+    return value
+
+
+def _address(value: Any) -> Address:
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MOST_PORT))
+    if not is_number or not 1 <= int(port) <= MOST_PORT:
+        raise FieldError(f"has no port from 1 to {MOST_PORT}")
+    try:
+        address = ipaddress.IPv4Address(host)
+    except ValueError:
+        raise FieldError("is no IPv4 address") from None
+    if address.is_unspecified or address.is_multicast:
+        raise FieldError("is no address of one machine")
+    return host, int(port)
+
+
+def _list(value: Any) -> list:
+    if not isinstance(value, list):
+        raise FieldError("is no list")
+    return value
+
+
+def _key(name: str) -> str:
+    try:
+        return _text(name)
+    except FieldError as error:
+        raise FieldError(f"a name {error}") from None
+
+
+def _shown(name: str) -> str:
+    return name[:MOST_NAME_BYTES] if name.isascii() and name.isprintable() else "a field"
--- a/src/laburnumreel/transport/_json_calls.py
+++ b/src/laburnumreel/transport/_json_calls.py
@@ -77,7 +77,7 @@
                         raise
                 # The kept connection was closed meanwhile; a read may be sent again.
                 return Ok(self._read_once(self._dial(), path, wait_s))
-            except (BackEndFailureError, ValueError) as error:
+            except (BackEndFailureError, ValueError, RecursionError) as error:
                 return Error(CallFailure("lost", str(error)))
 
     def change(self, path: str, body: Any, method: str = "POST") -> Result[CallAnswer, CallFailure]:
@@ -93,7 +93,7 @@
             headers = {"Content-Type": "application/json"}
             exchange.send(method, path, headers, payload, self._timeout_s)
             return Ok(_answer(exchange, self._timeout_s))
-        except (BackEndFailureError, ValueError) as error:
+        except (BackEndFailureError, ValueError, RecursionError) as error:
             return Error(CallFailure("lost", str(error)))
         finally:
             exchange.discard()
--- a/src/laburnumreel/transport/_orders.py
+++ b/src/laburnumreel/transport/_orders.py
@@ -83,6 +83,6 @@
         exchange.read_head(method, timeout_s)
         payload = exchange.read_whole(MOST_ANSWER_BYTES, timeout_s)
         body = json.loads(payload) if payload else {}
-    except (BackEndFailureError, ValueError) as error:
+    except (BackEndFailureError, ValueError, RecursionError) as error:
         return Error(repr(error))
     return Ok(Answer(exchange.status, body if isinstance(body, dict) else {}, exchange.message))
