Leave a host's row out whose address no datagram can go to

A host that started among rows of `relay_hosts` with an odd address was never ready, so that callers were refused there for as long as the row stayed.

Cause: a row's address was parsed without a bound on its digits, and one with a port above 65535 or a name went on to the socket of news, whose send raises OverflowError or asks the name service.

Change: a row is read with checked fields; one without an IPv4 address and a port is logged once and left out.

--- a/src/laburnumreel/relay/_members.py
+++ b/src/laburnumreel/relay/_members.py
@@ -5,15 +5,27 @@
 
 from expression import Result
 
-from laburnumreel.coordination import address_text, parse_address
+from laburnumreel.coordination import address_text
+from laburnumreel.core import Log
 from laburnumreel.relay._back_ends import Address
-from laburnumreel.state import Check, Platform, PlatformError, Row, Write
+from laburnumreel.state import (
+    Check,
+    FieldError,
+    Fields,
+    OddRows,
+    Platform,
+    PlatformError,
+    Row,
+    Write,
+)
 
 MEMBER_TABLE = "relay_hosts"
 TIME_TABLE = "relay_time"
 STORE_ZERO_KEY = "store_zero"
 MOST_MEMBERS = 500
 
+_log = Log("relay.members")
+
 
 class Member(NamedTuple):
     """A host's row: where its peers reach it, and which start of its process wrote it.
@@ -32,6 +44,7 @@
 
     def __init__(self, platform: Platform) -> None:
         self._platform = platform
+        self._odd = OddRows(_log)
 
     def join(self, member: Member) -> Result[int, PlatformError]:
         """Write this host's row, whatever an earlier start left there."""
@@ -50,9 +63,18 @@
         )
 
     def list(self) -> Result[list[Member], PlatformError]:
-        """Return the hosts that have a row."""
+        """Return the hosts that have a row; one that names no address is logged and left out."""
         page = self._platform.scan(MEMBER_TABLE, limit=MOST_MEMBERS)
-        return page.map(lambda ok: [member for row in ok.rows if (member := _member(row))])
+        return page.map(lambda ok: [member for row in ok.rows if (member := self._member(row))])
+
+    def _member(self, row: Row) -> Member | None:
+        try:
+            fields = Fields(row.value)
+            # Datagrams come from addresses, so that a name would only stand for one unknown.
+            return Member(row.key, fields.address("address"), fields.text("boot"), row.version)
+        except FieldError as error:
+            self._odd.tell(MEMBER_TABLE, row.key, row.version, str(error))
+            return None
 
     def store_zero(self) -> Result[float | None, PlatformError]:
         """Return the agreed time of day at which the store's clock was zero, or None."""
@@ -66,12 +88,6 @@
         )
 
 
-def _member(row: Row) -> Member | None:
-    address = parse_address(str(row.value.get("address", "")))
-    boot = str(row.value.get("boot", ""))
-    return Member(row.key, address, boot, row.version) if address else None
-
-
 def _store_zero(row: Row | None) -> float | None:
     value: Mapping = row.value if row is not None else {}
     found = value.get("unix_s")
