Agree on the time of day again where its row says nothing that can be it

With an odd row in `relay_time` hosts never agreed on the time of day, and a host that started was not ready with some of them: the time was converted without a check (OverflowError each half second), or each host proposed its own again and again under the condition that there is no row.

Change: the row is read with a checked field, and an odd one is logged once and written over under its own version, so that the first of several hosts wins.

--- a/src/laburnumreel/relay/_members.py
+++ b/src/laburnumreel/relay/_members.py
@@ -1,6 +1,5 @@
 """The hosts of a deployment, as rows that each writes for itself."""
 
-from collections.abc import Mapping
 from typing import NamedTuple
 
 from expression import Result
@@ -9,6 +8,7 @@
 from laburnumreel.core import Log
 from laburnumreel.relay._back_ends import Address
 from laburnumreel.state import (
+    MOST_UNIX_S,
     Check,
     FieldError,
     Fields,
@@ -39,6 +39,16 @@
     version: int = 0
 
 
+class StoreZero(NamedTuple):
+    """The agreed time of day at which the store's clock was zero, in seconds of the Unix epoch.
+
+    It is None where no row says it, or where the row of this version says nothing that can be it.
+    """
+
+    unix_s: float | None
+    version: int
+
+
 class Members:
     """Reads and writes the rows of hosts, and the row on which all agree the time of day."""
 
@@ -67,6 +77,27 @@
         page = self._platform.scan(MEMBER_TABLE, limit=MOST_MEMBERS)
         return page.map(lambda ok: [member for row in ok.rows if (member := self._member(row))])
 
+    def store_zero(self) -> Result[StoreZero, PlatformError]:
+        """Return the agreed time of day at which the store's clock was zero."""
+        return self._platform.read(TIME_TABLE, STORE_ZERO_KEY).map(self._store_zero)
+
+    def propose_store_zero(self, store_zero: float, version: int) -> Result[int, PlatformError]:
+        """Write the time of day of the store clock's zero unless the row has another version."""
+        return self._platform.transact(
+            [Check(TIME_TABLE, STORE_ZERO_KEY, version)],
+            [Write(TIME_TABLE, STORE_ZERO_KEY, {"unix_s": store_zero})],
+        )
+
+    def _store_zero(self, row: Row | None) -> StoreZero:
+        if row is None:
+            return StoreZero(None, 0)
+        try:
+            unix_s = Fields(row.value).number("unix_s", -MOST_UNIX_S, MOST_UNIX_S)
+            return StoreZero(float(unix_s), row.version)
+        except FieldError as error:
+            self._odd.tell(TIME_TABLE, row.key, row.version, str(error))
+            return StoreZero(None, row.version)
+
     def _member(self, row: Row) -> Member | None:
         try:
             fields = Fields(row.value)
@@ -75,20 +106,3 @@
         except FieldError as error:
             self._odd.tell(MEMBER_TABLE, row.key, row.version, str(error))
             return None
-
-    def store_zero(self) -> Result[float | None, PlatformError]:
-        """Return the agreed time of day at which the store's clock was zero, or None."""
-        return self._platform.read(TIME_TABLE, STORE_ZERO_KEY).map(_store_zero)
-
-    def propose_store_zero(self, store_zero: float) -> Result[int, PlatformError]:
-        """Write the time of day of the store clock's zero unless another host has."""
-        return self._platform.transact(
-            [Check(TIME_TABLE, STORE_ZERO_KEY, 0)],
-            [Write(TIME_TABLE, STORE_ZERO_KEY, {"unix_s": store_zero})],
-        )
-
-
-def _store_zero(row: Row | None) -> float | None:
-    value: Mapping = row.value if row is not None else {}
-    found = value.get("unix_s")
-    return float(found) if isinstance(found, int | float) else None
--- a/src/laburnumreel/relay/_membership.py
+++ b/src/laburnumreel/relay/_membership.py
@@ -147,13 +147,14 @@
         agreed = self._members.store_zero()
         if agreed.is_error():
             return
-        if agreed.ok is None:
-            self._members.propose_store_zero(proposal)
+        store_zero, version = agreed.ok
+        if store_zero is None:
+            self._members.propose_store_zero(proposal, version)
             return
-        self._true_time.agree(agreed.ok)
+        self._true_time.agree(store_zero)
         self._agreed = True
         _log.info(
             TRUE_TIME_AGREED,
-            own_clock_off_s=round(proposal - agreed.ok, 3),
+            own_clock_off_s=round(proposal - store_zero, 3),
             hosts=self._hosts,
         )
--- a/tests/test_odd_own_rows.py
+++ b/tests/test_odd_own_rows.py
@@ -5,6 +5,7 @@
 import pytest
 from odd_rows import GARBAGE, odd_addresses
 from platform_world import wait_until
+from relay_caller import Caller
 
 pytestmark = pytest.mark.processes
 
@@ -26,3 +27,28 @@
         time.sleep(WHILE_S)
         for relay in relays:
             assert not relay.logged("task_failed") and not relay.logged("relay_peer_silent")
+
+
+class TestTime:
+    @pytest.mark.parametrize("label", ["deep", "list", "text", "missing", "huge", "nan"])
+    def test_odd_row_of_the_agreed_time_is_written_again(self, world, label):
+        """Guards against hosts that never agree on the time of day, and report no usage."""
+        odd = {
+            "text": {"unix_s": "noon"},
+            "missing": {"other": 1},
+            "huge": {"unix_s": 10**400},
+            "nan": b'{"unix_s":NaN}',
+        }
+        world.store.put("relay_time", "store_zero", odd.get(label) or GARBAGE[label])
+        world.worker("w1")
+        relays = [world.relay(), world.relay("relay-2")]
+        for relay in relays:
+            wait_until(lambda relay=relay: relay.logged("true_time_agreed"), "the time is agreed")
+            assert Caller(relay).ask("/safe/x")[0] == 200
+        wait_until(lambda: world.duties.calls, "usage is reported", 15)
+        assert not any(relay.logged("task_failed") for relay in relays)
+        assert abs(world.store.value("relay_time", "store_zero")["unix_s"] - store_zero()) < 60
+
+
+def store_zero():
+    return time.time() - time.monotonic()
