Wait out a lease whose row another writer has left

With an odd row under the lease of the duties no host did them any more: usage was not reported and no order given for as long as the row stayed.

Cause: the row's fields were used as they came. A missing field or a text raised in each look at the row; a term of 1e308 s was waited out; a fencing number of 10**30 doesn't fit into news, and one of a later era of the store is never valid.

Change: the row is checked in one place, `Lease._checked`. One that can't be a lease counts like that of another holder with our own term from our first sight of it; its fencing number counts if it can be one. It is logged once, also where both the store's client and the keeper find it odd (`own_rows`).

Evidence: test_odd_row_of_the_lease_is_waited_out failed before with all nine rows: no usage in 20 s with seven of them, `true` taken for the fencing number 1 with one, no log line with one. The lease's machine in test_lease.py holds as before. What stays: where no living process knows the last fencing number, and the row doesn't tell it either, the next one begins at the lowest of the era.

--- a/src/laburnumreel/coordination/_leases.py
+++ b/src/laburnumreel/coordination/_leases.py
@@ -23,6 +23,7 @@
     Platform,
     PlatformError,
     StoreTime,
+    own_rows,
 )
 
 KEEPER_TICK_S = 0.1
@@ -183,7 +184,10 @@
         store_s = page.ok.store_time_s
         store_time = None if store_s is None else StoreTime(sent_at, now, store_s)
         for lease in self._leases:
-            lease.observe(rows.get(lease.name), now, store_time)
+            row = rows.get(lease.name)
+            lease.observe(row, now, store_time)
+            if row is not None and lease.problem is not None:
+                own_rows.tell(LEASE_TABLE, row.key, row.version, lease.problem)
         self._publish()
 
     def _send(self, leases: list[Lease]) -> None:
--- a/src/laburnumreel/relay/_members.py
+++ b/src/laburnumreel/relay/_members.py
@@ -5,18 +5,17 @@
 from expression import Result
 
 from laburnumreel.coordination import address_text
-from laburnumreel.core import Log
 from laburnumreel.relay._back_ends import Address
 from laburnumreel.state import (
     MOST_UNIX_S,
     Check,
     FieldError,
     Fields,
-    OddRows,
     Platform,
     PlatformError,
     Row,
     Write,
+    own_rows,
 )
 
 MEMBER_TABLE = "relay_hosts"
@@ -24,8 +23,6 @@
 STORE_ZERO_KEY = "store_zero"
 MOST_MEMBERS = 500
 
-_log = Log("relay.members")
-
 
 class Member(NamedTuple):
     """A host's row: where its peers reach it, and which start of its process wrote it.
@@ -54,7 +51,6 @@
 
     def __init__(self, platform: Platform) -> None:
         self._platform = platform
-        self._odd = OddRows(_log)
 
     def join(self, member: Member) -> Result[int, PlatformError]:
         """Write this host's row, whatever an earlier start left there."""
@@ -95,7 +91,7 @@
             unix_s = Fields(row.value).number("unix_s", -MOST_UNIX_S, MOST_UNIX_S)
             return StoreZero(float(unix_s), row.version)
         except FieldError as error:
-            self._odd.tell(TIME_TABLE, row.key, row.version, str(error))
+            own_rows.tell(TIME_TABLE, row.key, row.version, str(error))
             return StoreZero(None, row.version)
 
     def _member(self, row: Row) -> Member | None:
@@ -104,5 +100,5 @@
             # Datagrams come from addresses, so that a name would only stand for one unknown.
             return Member(row.key, fields.address("address"), fields.text("boot"), row.version)
         except FieldError as error:
-            self._odd.tell(MEMBER_TABLE, row.key, row.version, str(error))
+            own_rows.tell(MEMBER_TABLE, row.key, row.version, str(error))
             return None
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -29,6 +29,7 @@
     Fields,
     OddRows,
     is_header_text,
+    own_rows,
     problem_of,
 )
 from laburnumreel.state._folder import load_folder
@@ -98,6 +99,7 @@
     "Fields",
     "OddRows",
     "is_header_text",
+    "own_rows",
     "problem_of",
     "StoreEra",
     "era_of",
--- a/src/laburnumreel/state/_fields.py
+++ b/src/laburnumreel/state/_fields.py
@@ -170,6 +170,11 @@
         return True
 
 
+# Rows of the product's own tables are read by their owner through a client, and each of the two may find
+# one odd: together they log it once.
+own_rows = OddRows(Log("state.rows"))
+
+
 def problem_of(error: Exception) -> str:
     """Return what a log line says of a row that could not be read.
 
--- a/src/laburnumreel/state/_lease.py
+++ b/src/laburnumreel/state/_lease.py
@@ -2,7 +2,8 @@
 
 from typing import Any, Literal, NamedTuple
 
-from laburnumreel.state._era import first_fence
+from laburnumreel.state._era import FENCE_BITS, era_of_fence, first_fence
+from laburnumreel.state._fields import FieldError, Fields
 from laburnumreel.state._platform import Check, PlatformError, Row, Write
 
 LEASE_TABLE = "lease"
@@ -12,6 +13,14 @@
 END_FIELD = "ends_at_store_s"
 # The field that says in which era of the store the row was written; absent in the first one.
 ERA_FIELD = "era"
+# No lease is held for longer than this at a time, in seconds.
+MOST_TERM_S = 3600.0
+# Half of the fencing numbers of an era: one above was never given out, and leaves none for its successors.
+MOST_FENCE_STEP = 1 << FENCE_BITS - 1
+# A bound on the store's clock, in seconds.
+MOST_STORE_S = 1e12
+# Stands for the holder that an odd row does not name.
+UNKNOWN_HOLDER = "?"
 
 
 class StoreTime(NamedTuple):
@@ -89,6 +98,7 @@
         self._held_before_era = False
         # The highest fencing number that this process has heard of.
         self._highest_fence = 0
+        self._problem: str | None = None
 
     @property
     def name(self) -> str:
@@ -109,6 +119,11 @@
         """The newest row seen."""
         return self._row
 
+    @property
+    def problem(self) -> str | None:
+        """What is odd in the newest row read, or None. Another holder's term is taken to be ours."""
+        return self._problem
+
     def authority(self, now: float) -> Authority | None:
         """Return the authority that is in force at `now`, or None."""
         return self._held if self._held is not None and now < self._held.end else None
@@ -118,6 +133,8 @@
         self._read_needed = False
         if store_time is not None:
             self._store_time = store_time
+        if row is not None:
+            row = self._checked(row)
         version = 0 if row is None else row.version
         known = 0 if self._row is None else self._row.version
         if self._observed and version < known:
@@ -243,6 +260,24 @@
         self._held = Authority(self._name, fence, version, end)
         self._renewed_at = sent_at
 
+    def _checked(self, row: Row) -> Row:
+        """Return a row whose fields can be relied on.
+
+        One that another writer left tells neither who holds the lease nor for how long, so that it is
+        waited out like that of a holder with our own term. Its fencing number counts if it can be one.
+        """
+        self._problem = None
+        try:
+            _check_fields(row.value, self._era)
+        except FieldError as error:
+            self._problem = str(error)
+            value = {"holder": UNKNOWN_HOLDER, "boot": "", "term_s": self._term_s}
+            value["fence"] = row.value.get("fence") if _is_fence(row.value, self._era) else 0
+            if self._era:
+                value[ERA_FIELD] = self._era
+            return row._replace(value=value)
+        return row
+
     def _written_in_era(self) -> bool:
         """Return whether the row, or its absence, is the word of the present era."""
         if self._row is None:
@@ -269,3 +304,27 @@
             value[END_FIELD] = round(self._store_time.latest(now) + self._term_s, 3)
         check = Check(LEASE_TABLE, self._name, version)
         return LeaseAttempt(kind, check, Write(LEASE_TABLE, self._name, value), fence, now)
+
+
+def _check_fields(value: dict[str, Any], era: int) -> None:
+    """Raise a `FieldError` unless a row's fields are those of a lease."""
+    fields = Fields(value)
+    # A lease that was given up names nobody.
+    for name in ("holder", "boot"):
+        if value.get(name) != "":
+            fields.text(name)
+    fields.number("term_s", 0, MOST_TERM_S)
+    fields.number(END_FIELD, -MOST_STORE_S, MOST_STORE_S, None)
+    fields.whole(ERA_FIELD, default=0)
+    if not _is_fence(value, era):
+        raise FieldError("fence is no fencing number of this era")
+
+
+def _is_fence(value: dict[str, Any], era: int) -> bool:
+    try:
+        fence = Fields(value).whole("fence")
+    except FieldError:
+        return False
+    return (
+        era_of_fence(fence) <= era and fence - (era_of_fence(fence) << FENCE_BITS) < MOST_FENCE_STEP
+    )
--- a/tests/test_odd_own_rows.py
+++ b/tests/test_odd_own_rows.py
@@ -52,3 +52,38 @@
 
 def store_zero():
     return time.time() - time.monotonic()
+
+
+class TestLease:
+    @pytest.mark.parametrize(
+        "value",
+        [
+            GARBAGE["deep"],
+            GARBAGE["list"],
+            {"holder": "relay-9"},
+            {"holder": "relay-9", "boot": "b", "fence": 10**30, "term_s": 1.0},
+            {"holder": "relay-9", "boot": "b", "fence": 2**40, "term_s": 1.0},
+            {"holder": "relay-9", "boot": "b", "fence": "7", "term_s": 1.0},
+            {"holder": "relay-9", "boot": "b", "fence": 7, "term_s": "1"},
+            {"holder": "relay-9", "boot": "b", "fence": 7, "term_s": 1e308},
+            {"holder": ["x"], "boot": None, "fence": True, "term_s": -1},
+        ],
+        ids=["deep", "list", "fields", "huge", "era", "text", "term-text", "term-huge", "all"],
+    )
+    def test_odd_row_of_the_lease_is_waited_out(self, world, value):
+        """Guards against a fleet in which nobody can do the duties any more."""
+        world.store.put("lease", "relay_duties", value)
+        world.worker("w1")
+        relays = [world.relay(), world.relay("relay-2")]
+        # The usage of windows before anybody holds the lease may be given up.
+        caller, end = Caller(relays[0]), time.monotonic() + 20
+        while not world.duties.calls and time.monotonic() < end:
+            assert caller.ask("/safe/x")[0] == 200
+            time.sleep(0.2)
+        assert world.duties.calls, "usage is reported"
+        fences = [call[1]["Fencing-Token"] for call in list(world.duties.calls)]
+        known = isinstance(value, dict) and value.get("fence") == 7
+        assert set(fences) == ({"8"} if known else {"1"})
+        for relay in relays:
+            assert len(relay.logged("record_unreadable")) == 1
+            assert not relay.logged("task_failed") and not relay.logged("relay_peer_silent")
