Find the backend servers of a service anew where its row tells no counts

With an odd row in `relay_capacity` the lease's holder did nothing of its duties that come after the look at it: no orders, no role changes, no rows removed, at each tick again (KeyError, ValueError, AttributeError). A number of 10**30 was taken and written into orders' bounds.

Change: the counts are read with checked fields; a row without them is logged once, the list is watched as at the start of a deployment, and the row is written over under its own version.

Evidence: test_odd_row_of_capacity_is_found_anew_and_holds_up_no_other_duty failed before with its four rows.

--- a/src/laburnumreel/relay/_capacity.py
+++ b/src/laburnumreel/relay/_capacity.py
@@ -18,7 +18,16 @@
 from laburnumreel.relay._config import RelayService, Scaling
 from laburnumreel.relay._events import CAPACITY_ORDERED, CAPACITY_REFUSED
 from laburnumreel.relay._ports import DutyWire
-from laburnumreel.state import Authority, Check, Platform, Write
+from laburnumreel.state import (
+    Authority,
+    Check,
+    FieldError,
+    Fields,
+    Platform,
+    Row,
+    Write,
+    own_rows,
+)
 
 # Cheap backend servers are worth room for the heavier mix up to this share of a dedicated one's
 # price.
@@ -35,6 +44,8 @@
 # Of a service's backend servers, this share may be away at once for such a step, and at least one.
 STEP_SHARE = 0.1
 CAPACITY_TABLE = "relay_capacity"
+# Backend servers of a zone that a row may tell of.
+MOST_FOUND = 1_000_000
 # A deployment's backend servers make themselves known within some seconds of its start, each with its
 # next sign of life.
 GROW_S = 8.0
@@ -182,6 +193,8 @@
         self._remembered: dict[str, Mapping[str, int]] = {}
         # Services whose backend servers still make themselves known, and until when.
         self._growing: dict[str, float] = {}
+        # The version of a row that tells no counts and is to be written over, 0 where there is none.
+        self._row_versions: dict[str, int] = {}
         self._fence = 0
 
     def step(self, authority: Authority, now: float) -> None:
@@ -243,10 +256,11 @@
             row = self._platform.read(CAPACITY_TABLE, name)
             if row.is_error():
                 return None
-            if row.ok is not None:
-                counts = row.ok.value["dedicated"]
-                self._found[name] = {str(zone): int(count) for zone, count in counts.items()}
-                return self._found[name]
+            counts = _counts(row.ok)
+            if counts is not None:
+                self._found[name] = counts
+                return counts
+            self._row_versions[name] = row.ok.version if row.ok is not None else 0
             remembered = self._remembered.get(name)
             found = self._found[name] = dict(remembered or {})
             self._growing[name] = now if remembered else now + GROW_S
@@ -255,7 +269,7 @@
             found[zone] = max(count, found.get(zone, 0))
         if found and now >= self._growing[name]:
             written = self._platform.transact(
-                [Check(CAPACITY_TABLE, name, 0)],
+                [Check(CAPACITY_TABLE, name, self._row_versions.get(name, 0))],
                 [Write(CAPACITY_TABLE, name, {"dedicated": found})],
             )
             if written.is_ok():
@@ -288,3 +302,14 @@
         self._refused[group] = now
         detail = sent.error.detail if sent.is_error() else f"status {sent.ok.status}"
         _log.warning(CAPACITY_REFUSED, **group._asdict(), count=count, detail=detail[:200])
+
+
+def _counts(row: Row | None) -> dict[str, int] | None:
+    """Return the counts by zone that a row tells, or None where they are to be found anew."""
+    if row is None:
+        return None
+    try:
+        return Fields(row.value).fields("dedicated").wholes(0, MOST_FOUND)
+    except FieldError as error:
+        own_rows.tell(CAPACITY_TABLE, row.key, row.version, str(error))
+        return None
--- a/tests/test_odd_own_rows.py
+++ b/tests/test_odd_own_rows.py
@@ -1,9 +1,11 @@
 """Tests of relay processes among odd rows in the product's own tables."""
 
+import base64
 import time
 
 import pytest
 from odd_rows import GARBAGE, odd_addresses
+from platform_config import ENGINE, config
 from platform_world import wait_until
 from relay_caller import Caller
 
@@ -87,3 +89,44 @@
         for relay in relays:
             assert len(relay.logged("record_unreadable")) == 1
             assert not relay.logged("task_failed") and not relay.logged("relay_peer_silent")
+
+
+class TestCapacity:
+    @pytest.mark.parametrize(
+        "value",
+        [
+            GARBAGE["nested"],
+            {"dedicated": {"zone-a": "many"}},
+            {"dedicated": {"zone-a": 10**30}},
+            {"dedicated": 7},
+        ],
+        ids=["nested", "text", "huge", "number"],
+    )
+    def test_odd_row_of_capacity_is_found_anew_and_holds_up_no_other_duty(self, world, value):
+        """Guards against orders for what an odd row tells, and duties that end where it is read."""
+        service = {
+            "Name": "quotes",
+            "MaxConnections": 50,
+            "Engine": ENGINE,
+            "Scaling": {"Min": 1, "Max": 4, "BootS": 1.0, "ZonePrices": {"zone-a": 1.0}},
+        }
+        plain = config()["Services"][0]
+        world.store.put("op", "config", {**config(2), "Services": [plain, service]})
+        world.store.put("relay_capacity", "quotes", value)
+        world.worker("w1")
+        world.worker("e1", "quotes")
+        relay = world.relay()
+        found = {"dedicated": {"zone-a": 1}}
+        wait_until(
+            lambda: b"zone-a" in raw_value(world, "relay_capacity", "quotes")
+            and world.store.value("relay_capacity", "quotes") == found,
+            "what was found is written",
+            25,
+        )
+        assert not relay.logged("task_failed")
+        orders = [call[2]["DesiredCount"] for call in world.duties.calls if call[0] == "/scaling"]
+        assert all(count <= 4 for count in orders)
+
+
+def raw_value(world, table, key):
+    return base64.b64decode(world.store.rows[table, key]["Value"])
