Give up a usage window whose row tells no counts, and go on with the next

With an odd row in `relay_windows` the lease's holder reported no window any more and gave no order, at each tick again (KeyError, TypeError); counts that were texts were reported as they were.

Change: a window's counts are read with checked fields. A row without them is logged once and its window given up: what it fixed before may have been reported, so that a report could be a second one with other figures.

Evidence: test_odd_row_of_a_window_is_left_and_later_windows_are_reported failed before with its four rows.

--- a/src/laburnumreel/relay/_duties.py
+++ b/src/laburnumreel/relay/_duties.py
@@ -19,7 +19,18 @@
 from laburnumreel.relay._settings import UsageSettings
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._usage import SEAL_TABLE, UsageBook, seal_key
-from laburnumreel.state import LEASE_TABLE, Authority, Check, Platform, Write, era_of_fence
+from laburnumreel.state import (
+    LEASE_TABLE,
+    Authority,
+    Check,
+    FieldError,
+    Fields,
+    Platform,
+    Row,
+    Write,
+    era_of_fence,
+    own_rows,
+)
 
 DUTY_LEASE = "relay_duties"
 TICK_S = 0.25
@@ -171,7 +182,7 @@
                 # Nothing ran, or all who knew are gone; a report could only be wrong.
                 self._reported.add(window)
                 return None
-            return dict(row.ok.value["counts"])
+            return self._written(window, row.ok)
         if window not in self._fixed and self._book.is_fixed(window):
             # Fixed by another holder. The row tells the figures, unless the store has forgotten it.
             row = self._platform.read(SEAL_TABLE, key)
@@ -181,7 +192,7 @@
                 _log.warning(WINDOW_FORGOTTEN, window=window, fence=authority.fence)
                 self._reported.add(window)
                 return None
-            return dict(row.ok.value["counts"])
+            return self._written(window, row.ok)
         checks = [
             Check(LEASE_TABLE, DUTY_LEASE, authority.row_version),
             Check(SEAL_TABLE, key, 0),
@@ -195,10 +206,23 @@
         error = sealed.error
         row = error.rows.get((SEAL_TABLE, key))
         if error.kind == "conflict" and row is not None:
-            return dict(row.value["counts"])
+            return self._written(window, row)
         _log.warning(SEAL_FAILED, window=window, kind=error.kind, detail=error.detail[:200])
         return None
 
+    def _written(self, window: int, row: Row) -> dict[str, int] | None:
+        """Return the counts that a window's row fixes.
+
+        One that tells none was written by somebody else. What it fixed before may have been reported, so
+        that a report could only be a second one with other figures: the window is given up.
+        """
+        try:
+            return Fields(row.value).fields("counts").wholes()
+        except FieldError as error:
+            own_rows.tell(SEAL_TABLE, row.key, row.version, str(error))
+            self._reported.add(window)
+            return None
+
     def _send(self, authority: Authority, window: int, counts: dict[str, int]) -> bool:
         current = self._authority()
         if current is None or current.fence != authority.fence:
--- a/tests/test_odd_own_rows.py
+++ b/tests/test_odd_own_rows.py
@@ -130,3 +130,26 @@
 
 def raw_value(world, table, key):
     return base64.b64decode(world.store.rows[table, key]["Value"])
+
+
+class TestWindows:
+    @pytest.mark.parametrize(
+        "value",
+        [GARBAGE["deep"], {"counts": [1]}, {"counts": {"hall-a": "3"}}, {}],
+        ids=["deep", "list", "text", "missing"],
+    )
+    def test_odd_row_of_a_window_is_left_and_later_windows_are_reported(self, world, value):
+        """Guards against duties that end at an odd row of one window for good."""
+        world.worker("w1")
+        now = int(time.time())
+        odd = range(now, now + 10)
+        for window in odd:
+            world.store.put("relay_windows", f"{window:016d}", value)
+        relay = world.relay()
+        caller, end = Caller(relay), time.monotonic() + 20
+        while time.monotonic() < end and not world.duties.calls:
+            assert caller.ask("/safe/x")[0] == 200
+            time.sleep(0.2)
+        windows = [call[2]["WindowId"] for call in world.duties.calls if call[0] == "/usage"]
+        assert windows and not set(windows) & set(odd)
+        assert not relay.logged("task_failed")
