--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -1,6 +1,7 @@
 """Properties of decoders over values that another writer may leave, and of all that comes after them."""
 
 import contextlib
+import http.client
 import json
 import socket
 
@@ -8,13 +9,18 @@
 from expression import Ok
 from hypothesis import given
 from hypothesis import strategies as st
+from laburnumreel_platform._callers import _prompt as prompt_of
 from laburnumreel_platform._records import decode_back_end, decode_config
 from laburnumreel_platform._store import StoreTables, TableFeed
+from laburnumreel_platform._workers import Workers
 from odd_rows import ENTRY, GARBAGE, ODD_NAMES, odd_addresses, odd_entries, row
 from platform_config import config
 from structlog.testing import capture_logs
+from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.transport.TTransport import TMemoryBuffer
 
 from laburnumreel.core import ManualClock
+from laburnumreel.protocol.gen.relay import ttypes
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._beliefs import FleetBeliefs
 from laburnumreel.relay._capacity import wanted_counts
@@ -30,9 +36,10 @@
 from laburnumreel.relay._news import News, decode_news, encode_news
 from laburnumreel.relay._placement import EnginePlacement, choose_plain
 from laburnumreel.relay._ports import Listing
-from laburnumreel.relay._requests import Part, Prompt
+from laburnumreel.relay._requests import MOST_TOKENS, Part, Prompt
 from laburnumreel.relay._roles import wanted_change
 from laburnumreel.relay._server_limits import LimitNews
+from laburnumreel.relay._usage import UsageBook
 from laburnumreel.relay._weighing import Candidate, Place, PlacementCosts
 from laburnumreel.relay._work import Work
 from laburnumreel.state import Fields, OddRows, StoreEra
@@ -264,3 +271,26 @@
                 getattr(Fields({name: value}), reader)(name)
             except ValueError as error:
                 assert len(str(error)) < 1000 and str(error).isprintable()
+
+
+class TestPromptCopies:
+    @given(
+        st.one_of(
+            mutations({"Handle": "h1", "Tokens": 10, "Version": 1}).map(raw),
+            VALUES.map(raw),
+            st.binary(max_size=40),
+            st.sampled_from([*GARBAGE.values(), b'{"Handle":"h","Tokens":1e999}']),
+        )
+    )
+    def test_any_answer_names_a_copy_that_can_be_taken_and_freed_or_none(self, body):
+        """Guards against a request that ends without an answer for what an engine says of its copy."""
+        found = Workers().prompt_copy(("10.0.0.1", 80), body)
+        if found.is_error():
+            assert isinstance(found.error, str)
+            return
+        copy = found.ok
+        method, path = Workers().release(copy)
+        connection = http.client.HTTPConnection("10.0.0.1")
+        connection.putrequest(method, path)
+        connection.putheader("Kv-Source", f"10.0.0.1:80/{copy.handle}")
+        assert 0 <= copy.tokens <= MOST_TOKENS
