--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -294,3 +294,30 @@
         connection.putrequest(method, path)
         connection.putheader("Kv-Source", f"10.0.0.1:80/{copy.handle}")
         assert 0 <= copy.tokens <= MOST_TOKENS
+
+
+class TestCallers:
+    @given(st.one_of(st.text(max_size=20), st.tuples(NUMBERS, NUMBERS).map("{0[0]},{0[1]}".format)))
+    def test_tokens_that_a_caller_names_fit_into_news(self, tokens):
+        """Guards against a host that tells its peers nothing for what one caller says of its prompt."""
+        for usage, parts in ((tokens, "aa:5"), ("10,5", f"aa:{tokens.partition(',')[0]}")):
+            prompt = prompt_of({"token-usage": usage, "prefix-hash": parts})
+            if prompt is None:
+                continue
+            encode_news(
+                NEWS._replace(
+                    work={
+                        "e1": Work(
+                            1,
+                            prompt.input_tokens,
+                            1,
+                            prompt.input_tokens + prompt.max_output_tokens,
+                        )
+                    }
+                )
+            )
+            assert all(0 <= part.tokens <= MOST_TOKENS for part in prompt.parts)
+            assert prompt.input_tokens >= 0 and prompt.max_output_tokens >= 0
+
+
+NEWS = News("h", "b", "z", 1, 1, False, {}, {}, {}, {}, {}, {}, {}, 0, 0)
