Drop a datagram of news that lacks what every release says

A datagram without a sequence, a sender or the window of its counts was taken as news with None in their place, which failed later in the sums of the task that read it, together with the news that came beside it, and stayed in the book of usage.

Change: `decode_news` refuses news with such a gap, as it does bytes that are none.

Evidence: the seven cases of TestNews that leave a field out failed before. Shown at the decoder only. What numbers a peer tells is believed as before: the network of peers is the deployment's own.

--- a/src/laburnumreel/relay/_news.py
+++ b/src/laburnumreel/relay/_news.py
@@ -113,50 +113,64 @@
     )
     try:
         struct.read(protocol)
-        return Ok(
-            News(
-                sender=struct.sender,
-                boot=struct.boot,
-                zone=struct.zone,
-                sequence=struct.sequence,
-                config_version=struct.config_version,
-                stopping=struct.stopping,
-                work={
-                    each.back_end: Work(
-                        each.requests, each.reading_tokens, each.streams, each.kv_tokens
-                    )
-                    for each in struct.work
-                },
-                avoided=_seconds(struct.avoided),
-                held_back=_seconds(struct.held_back),
-                crashes=_seconds(struct.crashes),
-                leaving=_leaving(struct.leaving, struct.leaving_started_ms or []),
-                usage={each.window: each.counts for each in struct.usage},
-                kept={each.back_end: tuple(each.parts) for each in struct.kept},
-                duty_fence=struct.duty_fence,
-                listing_version=struct.listing_version,
-                # A host of an earlier release does not say these.
-                usage_window=struct.usage_window or 0,
-                ended=tuple(
-                    EndedCounts(Process(each.sender, each.boot), each.window, each.counts)
-                    for each in struct.ended or ()
-                ),
-                listing_seen=struct.listing_seen or 0,
-                listing_away=bool(struct.listing_away),
-                gone=tuple(struct.gone or ()),
-                store_era=struct.store_era or 0,
-                fixed=tuple(struct.fixed or ()),
-                limits={
-                    each.back_end: LimitNews(each.started_ms, each.per_s, each.age_ms / 1000)
-                    for each in struct.limits or ()
-                },
-                asked=struct.asked or {},
-                limited_sends=struct.limited_sends or {},
-            )
+        news = News(
+            sender=struct.sender,
+            boot=struct.boot,
+            zone=struct.zone,
+            sequence=struct.sequence,
+            config_version=struct.config_version,
+            stopping=struct.stopping,
+            work={
+                each.back_end: Work(
+                    each.requests, each.reading_tokens, each.streams, each.kv_tokens
+                )
+                for each in struct.work
+            },
+            avoided=_seconds(struct.avoided),
+            held_back=_seconds(struct.held_back),
+            crashes=_seconds(struct.crashes),
+            leaving=_leaving(struct.leaving, struct.leaving_started_ms or []),
+            usage={each.window: each.counts for each in struct.usage},
+            kept={each.back_end: tuple(each.parts) for each in struct.kept},
+            duty_fence=struct.duty_fence,
+            listing_version=struct.listing_version,
+            # A host of an earlier release does not say these.
+            usage_window=struct.usage_window or 0,
+            ended=tuple(
+                EndedCounts(Process(each.sender, each.boot), each.window, each.counts)
+                for each in struct.ended or ()
+            ),
+            listing_seen=struct.listing_seen or 0,
+            listing_away=bool(struct.listing_away),
+            gone=tuple(struct.gone or ()),
+            store_era=struct.store_era or 0,
+            fixed=tuple(struct.fixed or ()),
+            limits={
+                each.back_end: LimitNews(each.started_ms, each.per_s, each.age_ms / 1000)
+                for each in struct.limits or ()
+            },
+            asked=struct.asked or {},
+            limited_sends=struct.limited_sends or {},
         )
     except Exception as error:
         # Thrift raises whatever the bytes lead it to; none of it may end the task.
         return Error(repr(error))
+    return Error("a field is missing") if _has_gaps(news) else Ok(news)
+
+
+def _has_gaps(news: News) -> bool:
+    """Return whether something is missing that every release says. Thrift leaves None for it."""
+    said = (news.sender, news.boot, news.zone, news.sequence, news.config_version)
+    said += (news.stopping, news.duty_fence, news.listing_version)
+    by_name = (news.work, news.avoided, news.held_back, news.crashes, news.usage, news.kept)
+    return (
+        None in said
+        or any(None in each for each in (*by_name, news.limits))
+        or any(None in work for work in news.work.values())
+        or None in news.usage.values()
+        or any(None in (*each.process, each.window, each.counts) for each in news.ended)
+        or any(each.started_at_ms is None for each in news.limits.values())
+    )
 
 
 def _leaving(names: list[str], started_ms: list[int]) -> dict[str, int]:
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -321,3 +321,83 @@
 
 
 NEWS = News("h", "b", "z", 1, 1, False, {}, {}, {}, {}, {}, {}, {}, 0, 0)
+# Every field by its number, with values that no host sends.
+ODD_STRUCTS = st.fixed_dictionaries(
+    {},
+    optional={
+        name: st.sampled_from([None, 0, -1, 2**31 - 1, 2**63 - 1, "a", "", [], {}, True, 1.5])
+        for name in ("sender", "boot", "zone", "sequence", "config_version", "stopping", "work",
+                     "avoided", "held_back", "crashes", "leaving", "usage", "kept", "duty_fence",
+                     "listing_version", "usage_window", "ended", "gone", "fixed", "limits", "asked")
+    },
+)  # fmt: skip
+
+
+def datagram(struct):
+    buffer = TMemoryBuffer()
+    struct.write(TCompactProtocol(buffer))
+    return buffer.getvalue()
+
+
+def whole_struct():
+    struct = ttypes.News()
+    struct.read(TCompactProtocol(TMemoryBuffer(encode_news(NEWS))))
+    return struct
+
+
+class TestNews:
+    @given(ODD_STRUCTS)
+    def test_datagram_without_a_field_is_none(self, fields):
+        """Guards against a host that hears no peer any more after one datagram."""
+        struct = whole_struct()
+        for name, value in fields.items():
+            setattr(struct, name, value)
+        try:
+            sent = datagram(struct)
+        except Exception:
+            # The encoder of a host can't write it either.
+            return
+        assert_news_is_usable(sent)
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_news_or_none(self, sent):
+        assert_news_is_usable(sent)
+
+    @given(st.sampled_from(["back_end", "requests", "reading_tokens", "streams", "kv_tokens"]))
+    def test_work_without_a_field_is_none(self, name):
+        struct = whole_struct()
+        struct.work = [ttypes.Work("e1", 1, 2, 3, 4)]
+        setattr(struct.work[0], name, None)
+        assert decode_news(datagram(struct)).is_error()
+
+    @pytest.mark.parametrize("name", ["sender", "boot", "zone", "sequence", "config_version"])
+    def test_news_that_does_not_say_who_sent_it_is_none(self, name):
+        struct = whole_struct()
+        setattr(struct, name, None)
+        assert decode_news(datagram(struct)).is_error()
+
+    def test_counts_without_a_window_are_none(self):
+        struct = whole_struct()
+        struct.usage = [ttypes.WindowCounts(None, {"a": 1})]
+        assert decode_news(datagram(struct)).is_error()
+        struct.usage = [ttypes.WindowCounts(1, None)]
+        assert decode_news(datagram(struct)).is_error()
+
+
+def assert_news_is_usable(sent):
+    found = decode_news(sent)
+    if found.is_error():
+        assert isinstance(found.error, str)
+        return
+    news = found.ok
+    assert decode_news(encode_news(news)).is_ok()
+    beliefs = FleetBeliefs(HERE, {"zone-a": "region-a"}, 2.0)
+    beliefs.peer(news, now=0.0)
+    beliefs.own(False, now=0.1)
+    book = UsageBook(5.0)
+    for window, counts in news.usage.items():
+        book.peer(news.sender, news.boot, window, counts)
+        book.sums(window)
+    book.fix(*news.fixed)
+    book.ended_since(0)
+    book.forget_before(3)
