Leave a host out of the platform's list whose address or fields are odd, and take no odd load report

In the gateway, one host of a service without a port that can be read left the whole service without back ends, as each request's look at them raised; with a field missing the whole list wasn't taken, at each look again. An engine whose report held a text for a number did the same to its service, and a coordinator's plan for all services ended with an address of one engine.

A host may still have a name in place of an address.

--- a/src/laburnumreel/coordination/_back_ends.py
+++ b/src/laburnumreel/coordination/_back_ends.py
@@ -3,6 +3,11 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+from laburnumreel.state import MOST_WHOLE, Fields
+
+# A bound on the clocks of engines, in seconds.
+MOST_CLOCK_S = 1e12
+
 
 class LoadReport(NamedTuple):
     """An engine's answer to `GET /load`. `at` is in seconds on the engine's own clock."""
@@ -20,8 +25,20 @@
 
     @classmethod
     def from_value(cls, value: Mapping[str, Any]) -> "LoadReport":
-        fields = {name: value[name] for name in cls._fields}
-        return cls(**{**fields, "models": tuple(fields["models"])})
+        """Read a report; one that is odd is a ValueError."""
+        fields = Fields(value)
+        return cls(
+            at=fields.number("at", -MOST_CLOCK_S, MOST_CLOCK_S),
+            role=fields.text("role"),
+            models=tuple(fields.texts("models")),
+            queued_prefill_tokens=fields.whole("queued_prefill_tokens"),
+            decode_streams=fields.whole("decode_streams"),
+            max_streams=fields.whole("max_streams"),
+            prefill_tokens_per_s=fields.number("prefill_tokens_per_s", 0, MOST_WHOLE),
+            decode_tokens_per_s=fields.number("decode_tokens_per_s", 0, MOST_WHOLE),
+            kv_free_tokens=fields.whole("kv_free_tokens", -MOST_WHOLE),
+            draining=fields.flag("draining"),
+        )
 
 
 class BackEnd(NamedTuple):
--- a/src/laburnumreel/serving/_watch.py
+++ b/src/laburnumreel/serving/_watch.py
@@ -81,7 +81,14 @@
             self._next_events[name] = body["next"] if body["next"] >= after else 0
             if gap or body["events"]:
                 self._dispatcher.cache_events(name, by_kind["stored"], by_kind["evicted"], gap)
-        except (OSError, http.client.HTTPException, ValueError, KeyError, TypeError):
+        except (
+            OSError,
+            http.client.HTTPException,
+            ValueError,
+            KeyError,
+            TypeError,
+            RecursionError,
+        ):
             # An engine that does not report is judged by its requests.
             return
 
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -56,6 +56,7 @@
     PlatformError,
     Row,
     Write,
+    read_hosts,
 )
 from laburnumreel.state._profiles import (
     CUSTOMER_SCHEMA,
@@ -101,6 +102,7 @@
     "is_header_text",
     "own_rows",
     "problem_of",
+    "read_hosts",
     "StoreEra",
     "era_of",
     "era_of_fence",
--- a/src/laburnumreel/state/_fields.py
+++ b/src/laburnumreel/state/_fields.py
@@ -24,6 +24,8 @@
 # What a JSON number holds exactly at both ends. News between hosts has room for 64 bits.
 MOST_WHOLE = 2**53 - 1
 MOST_PORT = 65535
+# Characters of a part of a host's name.
+MOST_LABEL = 63
 # The start of the year 2100 in seconds of the Unix epoch.
 MOST_UNIX_S = 4_102_444_800
 # A row that is written again and again with the same fault has a log line this often.
@@ -102,6 +104,10 @@
         """Return an IPv4 address and a port to connect or send to."""
         return self._read(name, _REQUIRED, _address)
 
+    def host_and_port(self, name: str) -> Address:
+        """Return a host, which may be a name, and a port."""
+        return self._read(name, _REQUIRED, _host_and_port)
+
     def fields(self, name: str, default: Any = _REQUIRED) -> "Fields":
         """Return the fields of an object."""
         return self._read(name, default, Fields)
@@ -219,16 +225,24 @@
 
 
 def _address(value: Any) -> Address:
-    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MOST_PORT))
-    if not is_number or not 1 <= int(port) <= MOST_PORT:
-        raise FieldError(f"has no port from 1 to {MOST_PORT}")
+    host, port = _host_and_port(value)
     try:
         address = ipaddress.IPv4Address(host)
     except ValueError:
         raise FieldError("is no IPv4 address") from None
     if address.is_unspecified or address.is_multicast:
         raise FieldError("is no address of one machine")
+    return host, port
+
+
+def _host_and_port(value: Any) -> Address:
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MOST_PORT))
+    if not is_number or not 1 <= int(port) <= MOST_PORT:
+        raise FieldError(f"has no port from 1 to {MOST_PORT}")
+    labels_fit = all(0 < len(label) <= MOST_LABEL for label in host.split("."))
+    if not is_header_text(host) or not labels_fit:
+        raise FieldError("has no host")
     return host, int(port)
 
 
--- a/src/laburnumreel/state/_platform.py
+++ b/src/laburnumreel/state/_platform.py
@@ -2,12 +2,20 @@
 
 import http.client
 import json
+import zlib
 from collections.abc import Sequence
 from typing import Any, Literal, NamedTuple, Protocol
 from urllib.parse import quote, urlencode
 
 from expression import Error, Ok, Result
 
+from laburnumreel.state._fields import FieldError, Fields, own_rows
+
+# Stands for a table in log lines.
+HOST_LIST = "hosts"
+MOST_ADDRESS_BYTES = 300
+MOST_KEY = 200
+
 
 class Row(NamedTuple):
     """A row of a table. The table assigns `version`, a commit number that grows."""
@@ -175,9 +183,7 @@
         return answer.map(lambda body: None if body is None else body["figures"])
 
     def hosts(self) -> Result[list[Host], PlatformError]:
-        return self._call("GET", "/hosts").map(
-            lambda body: [_named(Host, host) for host in body["hosts"]]
-        )
+        return self._call("GET", "/hosts").bind(_listed_hosts)
 
     def _call(
         self,
@@ -234,6 +240,50 @@
     return Error(PlatformError("lost" if status >= 500 else "refused", detail))
 
 
+def read_hosts(hosts: Any) -> list[Host]:
+    """Return the hosts of a list; each that is odd is logged and left out.
+
+    A list that is none is a ValueError.
+    """
+    if not isinstance(hosts, list):
+        raise FieldError("hosts is no list")
+    found = []
+    for place, host in enumerate(hosts):
+        try:
+            found.append(_host(Fields(host)))
+        except FieldError as error:
+            _tell_odd(place, host, str(error))
+    return found
+
+
+def _host(fields: Fields) -> Host:
+    fields.host_and_port("address")
+    return Host(
+        name=fields.text("name"),
+        address=fields.text("address", most_bytes=MOST_ADDRESS_BYTES),
+        zone=fields.text("zone"),
+        region=fields.text("region"),
+        service=fields.text("service"),
+        kind=fields.text("kind"),
+        cheap=fields.flag("cheap"),
+        state=fields.text("state"),
+    )
+
+
+def _tell_odd(place: int, host: Any, problem: str) -> None:
+    name = host.get("name") if isinstance(host, dict) else None
+    key = name[:MOST_KEY] if isinstance(name, str) else str(place)
+    # The list has no versions: another problem of the same host is logged anew.
+    own_rows.tell(HOST_LIST, key, zlib.crc32(problem.encode()), problem)
+
+
+def _listed_hosts(body: Any) -> Result[list[Host], PlatformError]:
+    try:
+        return Ok(read_hosts(body.get("hosts") if isinstance(body, dict) else None))
+    except FieldError as error:
+        return Error(PlatformError("lost", str(error)))
+
+
 def _row(key: str, body: dict[str, Any]) -> Row:
     return Row(key, body["value"], body["version"])
 
--- a/src/laburnumreel/transport/_loads.py
+++ b/src/laburnumreel/transport/_loads.py
@@ -20,5 +20,5 @@
             return Error(f"status {answer.ok.status}")
         try:
             return Ok(LoadReport.from_value(answer.ok.body))
-        except (KeyError, TypeError) as error:
-            return Error(f"malformed load report: {error!r}")
+        except ValueError as error:
+            return Error(f"malformed load report: {error}")
