Show odd answers of engines and odd tokens of callers with relay processes

With relay processes and the two files as they were before: an infinite number of tokens of a copy ended requests with 500, a handle with a line break with 502; a caller's -10**30 tokens stopped the news of its host (OverflowError in peer-news), and 10**30 got the caller 503, as no engine could ever be on time. A nested answer and a handle with a blank were served otherwise before, too, and are kept as tests.

--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -4,6 +4,7 @@
 
 import pytest
 from odd_rows import ENTRY, GARBAGE, ODD_NAMES, odd_entries
+from platform_answers import echo, stream
 from platform_config import config
 from platform_world import wait_until
 from relay_caller import PROMPT, Caller
@@ -122,3 +123,37 @@
         caller = Caller(relay)
         wait_until(lambda: caller.ask("/safe/x", key="key-b")[0] == 200, "it is in force")
         assert not relay.logged("task_failed") and not relay.logged("directory_lost")
+
+
+class TestCallersAndEngines:
+    @pytest.mark.parametrize(
+        "body",
+        [
+            GARBAGE["deep"],
+            b'{"Handle":"h","Tokens":1e999}',
+            b'{"Handle":"h\\r\\nX: 1","Tokens":10}',
+            b'{"Handle":"a b/c","Tokens":10}',
+        ],
+        ids=["deep", "infinite", "line-break", "blank"],
+    )
+    def test_request_is_served_though_an_engine_names_no_copy_that_can_be_used(self, world, body):
+        """Guards against a request that ends without an answer for what an engine says of its copy."""
+
+        def odd_copy(handler):
+            handler.respond(200, body, echo(handler))
+
+        world.worker("reader", "quotes", odd_copy, Stage="prefill")
+        world.worker("generator", "quotes", Stage="decode")
+        relay = world.relay()
+        statuses = {Caller(relay).ask("/talk/x", **PROMPT)[0] for _ in range(3)}
+        assert statuses == {200} and not relay.logged("request_failed")
+
+    @pytest.mark.parametrize("tokens", [10**30, -(10**30)], ids=["huge", "negative"])
+    def test_host_tells_its_peers_of_its_work_whatever_tokens_a_caller_names(self, world, tokens):
+        """Guards against a host that tells nothing while one caller's request is in work."""
+        world.worker("e1", "quotes", stream(count=8, gap_s=0.2))
+        relay, other = world.relay(), world.relay("relay-2")
+        wait_until(lambda: other.logged("relay_peer_heard"), "the hosts hear each other")
+        odd = {"Model_Id": "m", "Token_Usage": f"{tokens},50", "Prefix_Hash": f"aa:{tokens},bb:5"}
+        assert Caller(relay).ask("/talk/x", **odd)[0] == 200
+        assert not relay.logged("task_failed") and not other.logged("relay_peer_silent")
