Prove by its id that a refusal on a kept connection is the request's

What callers saw: a request that must not be repeated was answered "not run" though its server was running it, or ran at a second server as well, where a server in trouble wrote an earlier refusal once more without an id (seen by operators of similar systems).

Cause: an answer with status 400 or above and no Request-Id counted as the request's own on any connection. On one that carried a request before, it may answer that one.

Change: the adapter says whether the answer names the request, and the exchange whether the connection carried anything else. An answer without an id is taken only where it did not; else it is passed over, as one with another id is, and the request's own answer is awaited. Without one the state stays unknown. Passing one over is logged (648).

Ids of earlier requests were told apart before already.

Why it works: on a new connection there is no earlier request whose answer could come, and on all others the id decides.

--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -81,6 +81,9 @@
 LIMITED_SEND_DENIED = define_event(
     643, "limited_send_denied", "a call that is no request found no room in a server's limit"
 )
+ANSWER_SKIPPED = define_event(
+    648, "answer_skipped", "an answer that may belong to an earlier request was passed over"
+)
 
 SILENT_SERVER_STAYS = define_event(
     645,
--- a/src/laburnumreel/relay/_ports.py
+++ b/src/laburnumreel/relay/_ports.py
@@ -74,7 +74,10 @@
     def verdict(
         self, status: int, headers: Mapping[str, str], dispatch: Dispatch
     ) -> Verdict | None:
-        """Return what an answer's head says, or None where it answers another request."""
+        """Return what an answer's head says, or None where it answers another request.
+
+        Where the verdict is not `named`, it only holds if the connection carried no other request.
+        """
 
     def word(self, status: int, headers: Mapping[str, str], back_end: str) -> Word:
         """Return what a backend server says of itself in an answer's head."""
--- a/src/laburnumreel/relay/_requests.py
+++ b/src/laburnumreel/relay/_requests.py
@@ -101,13 +101,15 @@
 class Verdict(NamedTuple):
     """What the head of a backend server's answer says.
 
-    `not_run` is the backend server's word that it did not run the request. `other_incarnation`
-    means that another backend server has the address. `genuine` is whether a success bears the
+    `not_run` is the backend server's word that it did not run the request. `named` is whether the
+    answer names the request; one that doesn't may also answer an earlier request on the
+    connection. `other_incarnation` means that another backend server has the address. `genuine` is whether a success bears the
     mark that only the backend server can give.
     """
 
     outcome: Literal["success", "failure", "refused"]
     not_run: bool = False
+    named: bool = True
     other_incarnation: bool = False
     genuine: bool = True
     retry_after_s: float | None = None
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -8,7 +8,7 @@
 
 from laburnumreel.core import Log
 from laburnumreel.relay._elsewhere import Elsewhere
-from laburnumreel.relay._events import ATTEMPT_FAILED
+from laburnumreel.relay._events import ANSWER_SKIPPED, ATTEMPT_FAILED
 from laburnumreel.relay._job import LEAST_TIME_S, Job, RelayFailedError
 from laburnumreel.relay._metrics import RELAY_ATTEMPTS
 from laburnumreel.relay._requests import Dispatch, Verdict, Word
@@ -134,10 +134,12 @@
             self._heed(word)
             parts.unknown_headers.note(parts.wire.unknown_headers(headers), back_end.name)
             verdict = parts.wire.verdict(status, headers, dispatch)
-            if verdict is not None:
-                verdicts.append(verdict)
-                self._names_limit = word.limit_per_s is not None
-            return verdict is not None
+            if verdict is None or not (verdict.named or exchange.is_alone):
+                self._log_skipped(status)
+                return False
+            verdicts.append(verdict)
+            self._names_limit = word.limit_per_s is not None
+            return True
 
         self._await(silent_s)
         job.unfinished = 1
@@ -217,6 +219,14 @@
             self._job.parts.pool.drop(self._dispatch.back_end.address, time.monotonic())
         self._job.parts.dispatcher.heed(self._dispatch.back_end, word)
 
+    def _log_skipped(self, status: int) -> None:
+        _log.warning(
+            ANSWER_SKIPPED,
+            request=self._dispatch.request.request_id,
+            back_end=self._dispatch.back_end.name,
+            status=status,
+        )
+
     def _checked(self, verdict: Verdict) -> Verdict:
         job, name = self._job, self._dispatch.back_end.name
         if verdict.other_incarnation:
--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -93,10 +93,12 @@
         connection: _Connection,
         opened_at: float,
         give_back: Callable[["Exchange"], None],
+        reused: bool = False,
     ) -> None:
         self.address = address
         self.opened_at = opened_at
         self.connection = connection
+        self._reused = reused
         # How long the back end keeps the connection when it is idle, by its own word.
         self.idle_limit_s = float("inf")
         self._give_back = give_back
@@ -109,7 +111,15 @@
 
     def again(self) -> "Exchange":
         """Return an exchange for the next request on the same connection."""
-        return Exchange(self.address, self.connection, self.opened_at, self._give_back)
+        return Exchange(self.address, self.connection, self.opened_at, self._give_back, reused=True)
+
+    @property
+    def is_alone(self) -> bool:
+        """Whether what comes on the connection can only answer this exchange's request.
+
+        After an earlier request, or an answer to one, it may be another answer to that.
+        """
+        return not self._reused and not self._foreign
 
     @property
     def status(self) -> int:
--- /dev/null
+++ b/tests/test_repeated_refusals.py
@@ -0,0 +1,112 @@
+"""Tests of refusals that a server in trouble writes once more on a kept connection."""
+
+import time
+
+import pytest
+from platform_answers import whole
+from relay_caller import Caller
+
+pytestmark = pytest.mark.processes
+
+PROMISES = (408, 421, 429, 503)
+REFUSALS = {
+    "with the earlier id": (503, [("Request-Id", "{earlier}"), ("Not-Executed", "1")]),
+    "moved, with the earlier id": (421, [("Request-Id", "{earlier}"), ("Not-Executed", "1")]),
+    "full, without id": (503, [("Not-Executed", "1")]),
+    "too many, without id": (429, [("Not-Executed", "1")]),
+    "unreadable, without id": (400, [("Not-Executed", "1")]),
+    "moved, without id": (421, []),
+    "another server's, without id": (421, [("Instance-Id", "w9")]),
+    "failed, without id": (500, []),
+}
+
+
+def refusal(status, headers, earlier):
+    lines = [f"HTTP/1.1 {status} Refused", *(f"{name}: {value}" for name, value in headers)]
+    return (
+        "\r\n".join([*lines, "Content-Length: 7", "", "refused"]).format(earlier=earlier).encode()
+    )
+
+
+class Repeating:
+    """A server that runs each request, and on a kept connection writes a refusal before that.
+
+    `then` is what follows the refusal: the `answer`, nothing, or the `end` of the connection.
+    """
+
+    def __init__(self, status, headers, then="answer", pieces=1):
+        self._status, self._headers = status, headers
+        self._then, self._pieces = then, pieces
+        self.ran = []
+        self.repeated = 0
+
+    def __call__(self, handler):
+        earlier = getattr(handler, "earlier", None)
+        handler.earlier = handler.headers["Request-Id"]
+        self.ran.append(handler.earlier)
+        if earlier is None:
+            whole(handler)
+            return
+        self.repeated += 1
+        raw = refusal(self._status, self._headers, earlier)
+        size = -(-len(raw) // self._pieces)
+        for start in range(0, len(raw), size):
+            handler.wfile.write(raw[start : start + size])
+            handler.wfile.flush()
+            time.sleep(0.01 if self._pieces > 1 else 0)
+        handler.close_connection = self._then == "end"
+        if self._then == "answer":
+            time.sleep(0.02)
+            whole(handler)
+        elif self._then == "nothing":
+            handler.connection.settimeout(3.0)
+            handler.connection.recv(1)
+
+
+class TestRequests:
+    @pytest.mark.parametrize(("then", "pieces"), [("answer", 1), ("answer", 4), ("end", 1)])
+    def test_refusal_of_an_earlier_request_promises_nothing(self, world, then, pieces):
+        workers = [world.worker("w1"), world.worker("w2")]
+        relay = world.relay()
+        for form, (status, headers) in REFUSALS.items():
+            usual = Repeating(status, headers, then, pieces)
+            for worker in workers:
+                worker.usual = usual
+            answers = {}
+            for index in range(6):
+                request_id = f"{form}-{index}".replace(" ", "-").replace(",", "")
+                answers[request_id] = Caller(relay).ask("/once/x", Request_Id=request_id)
+            assert usual.repeated, form
+            assert len(usual.ran) == len(set(usual.ran)), f"{form}: run twice"
+            for request_id, (answered, seen, _) in answers.items():
+                said = f"{form}: {request_id} was answered {answered}"
+                assert request_id in usual.ran, said
+                assert answered == 200 or (then == "end" and answered == 502), said
+                assert seen.get("x-run-state") in (None, "unknown"), said
+
+    def test_refusal_of_an_earlier_request_alone_leaves_the_state_unknown(self, world):
+        usual = Repeating(503, [("Not-Executed", "1")], then="nothing")
+        world.worker("w1", usual=usual)
+        world.worker("w2", usual=usual)
+        relay = world.relay()
+        for index in range(4):
+            status, headers, _ = Caller(relay).ask("/once/x", Deadline_Ms="500")
+            assert status == 200 or headers["x-run-state"] == "unknown", index
+            assert status not in PROMISES
+        assert usual.repeated and len(usual.ran) == len(set(usual.ran)) == 4
+
+    def test_request_that_may_repeat_is_served_past_it(self, world):
+        usual = Repeating(503, [("Not-Executed", "1")])
+        world.worker("w1", usual=usual)
+        relay = world.relay()
+        assert {Caller(relay).ask("/safe/x")[0] for _ in range(4)} == {200}
+        assert usual.repeated
+
+    def test_refusal_without_id_on_a_connection_of_its_own_is_the_requests(self, world):
+        def refused(handler):
+            handler.close_connection = True
+            handler.respond(503, headers=[("Not-Executed", "1")])
+
+        world.worker("w1", usual=refused)
+        status, headers, _ = Caller(world.relay()).ask("/once/x")
+        assert (status, headers["x-run-state"]) == (503, "not-run")
