Heed what a server says of itself only in answers to the request

What callers saw: refusals with 503 while a sound server was there, after a server in trouble wrote an earlier refusal once more that said that it is full, leaves or has a limit.

Cause: the word was taken before it was known whether the answer is the request's.

Change: it is taken once that is known. What an earlier answer said was heeded when it came.

Evidence: test_word_of_an_earlier_refusal_is_not_heeded failed before, with and without the earlier id: the requests after the first two got 503, as the server counted as leaving.

The server of test_repeated_refusals.py now also closes its connection where nothing follows the refusal: it had taken a byte of the next request off it. The test failed on the code before the fix with that, too (a request ran twice).

--- a/src/laburnumreel/relay/_requests.py
+++ b/src/laburnumreel/relay/_requests.py
@@ -88,6 +88,8 @@
 class Word(NamedTuple):
     """What a backend server says of itself in any answer, whatever the answer is to.
 
+    One in an answer that may belong to an earlier request is old, and is not heeded.
+
     `leaving` means that it ends soon. For `full_s` seconds it wants nothing more from this host.
     `limit_per_s` are the requests a second that it takes from all hosts together, NaN where it names
     a limit that can't be read, and None where it names none.
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -130,13 +130,13 @@
         verdicts: list[Verdict] = []
 
         def is_ours(status: int, headers: Mapping[str, str]) -> bool:
-            word = parts.wire.word(status, headers, back_end.name)
-            self._heed(word)
             parts.unknown_headers.note(parts.wire.unknown_headers(headers), back_end.name)
             verdict = parts.wire.verdict(status, headers, dispatch)
             if verdict is None or not (verdict.named or exchange.is_alone):
                 self._log_skipped(status)
                 return False
+            word = parts.wire.word(status, headers, back_end.name)
+            self._heed(word)
             verdicts.append(verdict)
             self._names_limit = word.limit_per_s is not None
             return True
@@ -213,7 +213,7 @@
         return bytes(whole)
 
     def _heed(self, word: Word) -> None:
-        """Take what the backend server says of itself, in whichever answer."""
+        """Take what the backend server says of itself, in whichever answer to the request."""
         if word.leaving:
             self._leaving = True
             self._job.parts.pool.drop(self._dispatch.back_end.address, time.monotonic())
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -4,6 +4,7 @@
 
 import pytest
 from platform_answers import whole
+from platform_world import wait_until
 from relay_caller import Caller
 
 pytestmark = pytest.mark.processes
@@ -19,6 +20,7 @@
     "another server's, without id": (421, [("Instance-Id", "w9")]),
     "failed, without id": (500, []),
 }
+WORDS = [("Retry-After", "5"), ("Server-Leaving", "1"), ("Server-Limit", "0.1")]
 
 
 def refusal(status, headers, earlier):
@@ -54,7 +56,7 @@
             handler.wfile.write(raw[start : start + size])
             handler.wfile.flush()
             time.sleep(0.01 if self._pieces > 1 else 0)
-        handler.close_connection = self._then == "end"
+        handler.close_connection = self._then != "answer"
         if self._then == "answer":
             time.sleep(0.02)
             whole(handler)
@@ -110,3 +112,16 @@
         world.worker("w1", usual=refused)
         status, headers, _ = Caller(world.relay()).ask("/once/x")
         assert (status, headers["x-run-state"]) == (503, "not-run")
+
+
+class TestWords:
+    @pytest.mark.parametrize("named", [[], [("Request-Id", "{earlier}")]])
+    def test_word_of_an_earlier_refusal_is_not_heeded(self, world, named):
+        usual = Repeating(503, [*named, ("Not-Executed", "1"), *WORDS])
+        world.worker("w1", usual=usual)
+        relay = world.relay()
+        assert [Caller(relay).ask("/once/x")[0] for _ in range(4)] == [200] * 4
+        assert usual.repeated
+        wait_until(lambda: relay.logged("answer_skipped"), "the refusal is logged")
+        for event in ("back_end_leaving", "back_end_full", "back_end_limited"):
+            assert not relay.logged(event)
