Resume a stream only with what goes on after its last event

Cause: of the next server's answer only its status was looked at, and any from 200 to 299 did. Parts of a body that are no events passed as comments do, ids were noted and not compared, and an end without an event counted as the stream's.

Change: the resumed answer must have the status, media type and encoding that the caller was told (`continues_head`). Its events must go on after the last one passed on, without a gap where ids had gone up by one, and there must be one (`StreamPosition`, a state machine apart from sockets). What comes before that event is dropped. Else the server is left, and the stream goes on at another one or ends broken. After an event without an id a stream isn't resumed, as the next server would send that event again.

Why it works: nothing of the next server is passed on before its head and its first event are shown to continue the answer, and a read with a wrong event is taken as a whole or not at all.

--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -17,6 +17,11 @@
 from laburnumreel.relay._job import Job, RelayFailedError
 from laburnumreel.relay._requests import Dispatch, PromptCopy, Verdict
 from laburnumreel.relay._sending import Attempt, SendFailedError, may_go_on, refusal_after
+from laburnumreel.relay._stream_position import (
+    NotContinuedError,
+    StreamPosition,
+    continues_head,
+)
 from laburnumreel.relay._work import Work
 from laburnumreel.state import ErrorKind, RunState
 from laburnumreel.transport import BackEndFailureError, Exchange
@@ -58,7 +63,7 @@
         # How long the engine may be silent now, and how long it has been since its last event.
         self._silent_limit_s = 0.0
         self._silent_for_s = 0.0
-        self._last_id = job.request.resume_after
+        self._position = StreamPosition(job.request.resume_after)
         self._ready: list[bytes] = []
         self._reading_failed = False
         # The search for another engine while this one is silent.
@@ -286,7 +291,7 @@
             job.left_s,
             priority=job.engine_priority,
             prompt_copy=copy,
-            resume_after=self._last_id,
+            resume_after=self._position.last_id,
             limited=assignment.limited,
         )
         job.excluded |= {assignment.runner.name}
@@ -322,7 +327,7 @@
         """Return what to ask for while the engine that runs the request is silent."""
         job = self._job
         if self._has_begun:
-            may_leave = job.route.resumable and self._last_id is not None
+            may_leave = job.route.resumable and self._position.can_resume
         else:
             may_leave = job.route.repeatable
         if not may_leave or job.sends_left <= job.unfinished or not job.may_send_again("silent"):
@@ -346,6 +351,8 @@
             if not data:
                 if not self._attempt.exchange.complete or self._splitter.rest:
                     raise SendFailedError("lost", "the stream ended early", True)
+                if self._position.awaits_event:
+                    raise self._attempt.not_continued("the resumed stream has no event")
                 self._ended = True
                 self._job.parts.dispatcher.judged(self.back_end, failed=False)
                 return None
@@ -359,6 +366,10 @@
     def _take_events(self, events: list[StreamEvent]) -> None:
         """Take what an engine has sent, and judge whether it goes on."""
         now = self._job.parts.clock.now()
+        try:
+            events = self._position.take(events)
+        except NotContinuedError as error:
+            raise self._attempt.not_continued(str(error)) from error
         going_on = any(event.is_progress for event in events)
         # Nothing is passed on before the first event: until then the request can go elsewhere.
         begun = going_on or self._has_begun
@@ -373,8 +384,6 @@
             self._has_begun = True
             self._elsewhere.spoke()
             self._has_read()
-            ids = [event.id for event in events if event.id]
-            self._last_id = ids[-1] if ids else self._last_id
             self._silent_limit_s, self._silent_for_s = self._gap_silent_s(), 0.0
             self._attempt.await_event(self._silent_limit_s)
             return
@@ -390,7 +399,7 @@
         while True:
             allowed = (
                 job.route.resumable
-                and self._last_id is not None
+                and self._position.can_resume
                 and job.may_send_again(error.trouble)
             )
             if not allowed:
@@ -402,14 +411,19 @@
                 REQUEST_RESUMED,
                 request=job.request.request_id,
                 back_end=assignment.runner.name,
-                after=self._last_id,
+                after=self._position.last_id,
                 cause=error.trouble,
             )
             try:
                 verdict = self._send(assignment, None)
-                if verdict.outcome == "success":
+                exchange = self._attempt.exchange
+                resumed = (exchange.status, exchange.headers)
+                if verdict.outcome == "success" and continues_head(
+                    (self.status, self.headers), resumed
+                ):
+                    self._position.resume()
                     return
-                error = SendFailedError("lost", "resuming was answered by a failure", True)
+                error = self._attempt.not_continued(f"resuming was answered {exchange.status}")
             except SendFailedError as failure:
                 error = failure
             self._give_up_attempt()
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -212,6 +212,10 @@
             raise self._failed("lost", "the exchange was aborted", may_have_run)
         return bytes(whole)
 
+    def not_continued(self, detail: str) -> SendFailedError:
+        """Judge a backend server that was asked to resume a stream and does not go on with it."""
+        return self._failed("not_genuine", detail, True)
+
     def _heed(self, word: Word) -> None:
         """Take what the backend server says of itself, in whichever answer to the request."""
         if word.leaving:
--- a/tests/repeats_world.py
+++ b/tests/repeats_world.py
@@ -70,7 +70,8 @@
         elif only_read:
             self._pieces = [b'{"Handle": "h", "Tokens": 4100, "Version": 1}']
         else:
-            self._pieces = [b"id: 1\ndata: token\n\n"]
+            number = int(headers.get("last-event-id", 0)) + 1
+            self._pieces = [f"id: {number}\ndata: token\n\n".encode()]
             self._breaks = world.rng.random() < answers.streams_broken
         assert is_ours(self.status, echoed)
 
--- /dev/null
+++ b/tests/test_resumed_streams.py
@@ -0,0 +1,161 @@
+"""Tests of streams that broke off and of what the next server answers then."""
+
+import http.client
+
+import pytest
+from platform_answers import begin_stream, chunk, echo, event, lost, refused, stream
+from platform_config import config
+from relay_caller import PROMPT, Caller
+
+pytestmark = pytest.mark.processes
+
+WHOLE = b"".join(event(number) for number in range(1, 6))
+BEGUN = event(1) + event(2)
+REST = event(3) + event(4) + event(5)
+EVENTS, JSON, TEXT = "text/event-stream", "application/json", "text/plain"
+
+
+def answer(status, body, kind, *headers):
+    """Return an answer with a length and the server's mark."""
+
+    def respond(handler):
+        mark = [("Response-Signature", f"s.{handler.headers.get('Request-Id')}")]
+        kinds = [("Content-Type", kind)] if kind else []
+        handler.respond(status, body, [*echo(handler), *mark, *kinds, *headers])
+
+    return respond
+
+
+def events(*pieces):
+    """Return a stream of pieces with its proper end."""
+
+    def respond(handler):
+        begin_stream(handler)
+        for piece in pieces:
+            chunk(handler, piece)
+        handler.wfile.write(b"0\r\n\r\n")
+
+    return respond
+
+
+STATUSES = (400, 401, 404, 408, 409, 413, 421, 429, 500, 502, 503, 504)
+FAILURES = {
+    **{f"{status} in JSON": answer(status, b'{"Error":"x"}\n\n', JSON) for status in STATUSES},
+    **{f"{status} as events": answer(status, REST, EVENTS) for status in STATUSES},
+    **{
+        f"{status}, not executed": answer(status, b"refused\n\n", TEXT, ("Not-Executed", "1"))
+        for status in STATUSES
+    },
+}
+NO_STREAMS = {
+    "200 in JSON": answer(200, b'{"Error":"x"}\n\n', JSON),
+    "200 in text": answer(200, b"out of\n\nmemory\n\n", TEXT),
+    "200 in text that looks like events": answer(200, REST, TEXT),
+    "200 without a type": answer(200, REST, None),
+    "200 with an encoding": answer(200, REST, EVENTS, ("Content-Encoding", "br")),
+    "201 as events": answer(201, REST, EVENTS),
+    "204": answer(204, b"", EVENTS),
+    "206 as events": answer(206, REST, EVENTS),
+}
+NO_CONTINUATIONS = {
+    "nothing": events(),
+    "a comment alone": events(b": still here\n\n"),
+    "from 1 again": events(WHOLE),
+    "the last event again": events(event(2), REST),
+    "an event is missing": events(event(4), event(5)),
+    "an event is missing later": events(event(3), event(5)),
+    "an event twice": events(event(3), event(3), event(4), event(5)),
+    "the rest of an event with data": events(b"data: ken2\n\n", REST),
+    "the rest of an id": events(b"2\ndata: token2\n\n", REST),
+    "an event without id": events(b"data: token3\n\n", event(4), event(5)),
+    "an id that is no number": events(b"id: x\ndata: token3\n\n", event(4), event(5)),
+    "text between events": events(b"out of memory\n\n"),
+}
+# These are right, whatever came first.
+CONTINUATIONS = {
+    "the rest": events(REST),
+    "bit by bit": events(*(bytes([byte]) for byte in REST)),
+    "a comment first": events(b": hello\n\n", REST),
+    "the end of an event that has no data": events(b"ken2\n\n", REST),
+    "with a charset": answer(200, REST, "text/event-stream; charset=utf-8"),
+}
+
+
+class Breaking:
+    """Servers of which the first breaks off after two events, and the next answer as told."""
+
+    def __init__(self, *then):
+        self._then = then
+        self.sends = {}
+
+    def __call__(self, handler):
+        sends = self.sends.setdefault(handler.headers["Request-Id"], [])
+        sends.append(handler.headers.get("Last-Event-Id") or handler.headers.get("last-event-id"))
+        first = stream(break_after=2)
+        (first, *self._then)[min(len(sends), 1 + len(self._then)) - 1](handler)
+
+
+def read(caller):
+    """Return the bytes of an answer, and whether it looked complete."""
+    found = caller.connection.getresponse()
+    assert found.status == 200
+    try:
+        return found.read(), True
+    except http.client.IncompleteRead as error:
+        return error.partial, False
+    finally:
+        caller.connection.close()
+
+
+def ask_each(world, forms, path="/talk/x", more=()):
+    """Yield what the caller got where the second server answers in each form."""
+    world.more_settings = "[retry]\nslack = 1000\n"
+    workers = [world.worker(f"d{number}", "quotes", Stage="decode") for number in (1, 2, 3)]
+    relay = world.relay()
+    for number, (form, respond) in enumerate(forms.items()):
+        servers = Breaking(respond, *more)
+        for worker in workers:
+            worker.usual = servers
+        caller = Caller(relay)
+        caller.send(path, Request_Id=f"r{number}", **PROMPT)
+        got = read(caller)
+        asked = servers.sends[f"r{number}"]
+        assert asked[:2] == [None, "2"], f"{form}: {asked}"
+        yield form, asked, got
+
+
+class TestWhatTheNextServerAnswers:
+    @pytest.mark.parametrize("forms", [FAILURES, NO_STREAMS, NO_CONTINUATIONS])
+    def test_nothing_of_it_reaches_the_caller_and_the_stream_is_not_complete(self, world, forms):
+        """Guards against an error's text, or pieces of another run, in the middle of a stream."""
+        wrong = {}
+        for form, _, (body, complete) in ask_each(world, forms):
+            if complete or not WHOLE.startswith(body) or not body.startswith(BEGUN):
+                wrong[form] = (body, complete)
+        assert not wrong
+
+    def test_stream_that_goes_on_is_passed_on(self, world):
+        for form, _, (body, complete) in ask_each(world, CONTINUATIONS):
+            progress = body.replace(b": hello\n\n", b"")
+            assert (progress, complete) == (WHOLE, True), form
+
+    def test_stream_goes_on_at_a_third_server_after_a_second_that_does_not(self, world):
+        route = {
+            "Name": "long",
+            "Prefix": "/long/",
+            "RouteType": "streaming",
+            "Service": "quotes",
+            "Resumable": True,
+            "MaxAttempts": 3,
+        }
+        world.store.put("op", "config", config(2, [route]))
+        forms = {
+            "503": FAILURES["503 in JSON"],
+            "200 in text": NO_STREAMS["200 in text"],
+            "nothing": NO_CONTINUATIONS["nothing"],
+            "from 1 again": NO_CONTINUATIONS["from 1 again"],
+            "refused": refused,
+            "lost": lost,
+        }
+        for form, asked, got in ask_each(world, forms, "/long/x", [stream()]):
+            assert (got, asked) == ((WHOLE, True), [None, "2", "2"]), form
