Take no answer for whole that ends in the middle of a line

What callers saw: a stream whose server broke off in the length of a chunk that begins with a zero ended as if complete. A success that was cut in its head, before its length, was passed on as a whole empty body.

Cause: http.client takes the end of a connection for the end of a head and of trailers, and the beginning of a chunk's length for the whole: "0" of "02" is the last chunk. It also takes all that `int` does for a length, "-1" and "0x0" included.

Change: the reader of a connection gives no line without its end, and the length of a chunk has hexadecimal digits only. Both hold for all exchanges: relay, gateway, store and orders.

Why it works: each part of an answer that http.client reads by lines ends with a whole line, so a cut shows in whichever part it falls; the parts that are counted in bytes were checked before.

--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -1,6 +1,7 @@
 """One request and its answer on one connection, over http.client."""
 
 import http.client
+import re
 import socket
 import time
 from collections.abc import Callable, Iterable, Mapping
@@ -24,6 +25,11 @@
 # The kernel may end a wait a moment before its time by another clock.
 TIMED_OUT_SHARE = 0.98
 
+# The line of a chunk, with its extensions.
+MOST_CHUNK_LINE_BYTES = 64 * 1024
+
+_CHUNK_LENGTH = re.compile(rb"[0-9A-Fa-f]{1,16}")
+
 Address = tuple[str, int]
 FailureReason = Literal["connect_failed", "silent", "lost", "short", "too_long"]
 
@@ -42,16 +48,14 @@
 
 
 class _Response(http.client.HTTPResponse):
-    """Takes no head that ends with its connection.
-
-    http.client does, and what is missing may be the line that says how long the body is: the answer
-    would be a whole one without a body.
-    """
-
-    def begin(self) -> None:
-        super().begin()
-        if not self.fp.line_is_whole:
-            raise http.client.RemoteDisconnected("the connection ended in the head")
+    """Takes only digits for the length of a chunk; http.client takes all that `int` does."""
+
+    def _read_next_chunk_size(self) -> int:
+        line = self.fp.readline(MOST_CHUNK_LINE_BYTES)
+        length = line.partition(b";")[0].strip(b" \t\r\n")
+        if not line.endswith(b"\n") or not _CHUNK_LENGTH.fullmatch(length):
+            raise ValueError(f"no length of a chunk: {line[:40]!r}")
+        return int(length, 16)
 
 
 class _Connection(http.client.HTTPConnection):
--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -21,6 +21,10 @@
     """More bytes came than the awaited part of an answer may have."""
 
 
+class CutLineError(ConnectionError):
+    """The connection ended, or its time, in the middle of a line."""
+
+
 class _KeptReader:
     """The buffered reader of a connection, which outlives each answer.
 
@@ -30,18 +34,21 @@
 
     def __init__(self, reader: io.BufferedReader) -> None:
         self._reader = reader
-        # Whether the last line that was read has its end.
-        self.line_is_whole = True
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._reader, name)
 
     def readline(self, limit: int = -1) -> bytes:
-        """Return the next line; it has no end where nothing more comes."""
+        """Return the next line with its end, or as many bytes of it as the limit allows.
+
+        http.client takes the end of a connection for the end of a head, and a beginning of a line
+        for the whole.
+        """
         line = self._reader.readline(limit)
-        self.line_is_whole = line.endswith(b"\n")
+        if not line.endswith(b"\n") and len(line) != limit:
+            raise CutLineError(f"the connection ended in a line, after {line[-40:]!r}")
         return line
 
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._reader, name)
-
     def close(self) -> None:
         """Keep the reader open for the next answer."""
 
--- /dev/null
+++ b/tests/test_cut_answers.py
@@ -0,0 +1,83 @@
+"""Tests of answers that are cut at any byte: none of them may look whole."""
+
+import socket
+
+import pytest
+from endless_server import EndlessServer
+
+from laburnumreel.transport import BackEndFailureError, BackEndPool
+
+TIMEOUT_S = 2.0
+MOST_BYTES = 1024 * 1024
+
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s.r1\r\n"
+# Each with the part of it that must have come.
+ANSWERS = {
+    "with a length": HEAD + b"Content-Length: 4\r\n\r\nbody",
+    "in chunks": HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n02\r\ndy\r\n0\r\n\r\n",
+    "in chunks with extensions": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n002;a=b\r\nbo\r\n02;a\r\ndy\r\n0;b\r\n\r\n"
+    ),
+    "with trailers": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Sum: 1\r\nX-More: 2\r\n\r\n"
+    ),
+    "after an interim one": b"HTTP/1.1 103 Early Hints\r\n\r\n"
+    + HEAD
+    + b"Content-Length: 0\r\n\r\n",
+    "a refusal": b"HTTP/1.1 503 Full\r\nRetry-After: 1.5\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+}
+NO_LENGTHS = [b"-1", b"0x4", b"+4", b" 4_0", b"0x0", b"-0", b"", b"x"]
+
+
+@pytest.fixture
+def serve():
+    running = []
+
+    def start(*answers):
+        running.append(EndlessServer(*(answer_with(each) for each in answers)))
+        return running[-1]
+
+    yield start
+    for server in running:
+        server.end()
+
+
+def answer_with(raw):
+    def answer(sock):
+        sock.sendall(raw)
+        sock.shutdown(socket.SHUT_WR)
+
+    return answer
+
+
+def ask(server):
+    exchange = BackEndPool().open(server.address)
+    try:
+        exchange.send("GET", "/", {}, None, TIMEOUT_S)
+        return exchange.status, exchange.read_whole(MOST_BYTES, TIMEOUT_S)
+    finally:
+        exchange.discard()
+
+
+class TestCutAnswers:
+    @pytest.mark.parametrize("form", ANSWERS)
+    def test_answer_that_is_cut_is_never_whole(self, serve, form):
+        raw = ANSWERS[form]
+        server = serve(*(raw[:end] for end in range(len(raw))))
+        taken = {}
+        for end in range(len(raw)):
+            try:
+                taken[raw[:end][-40:]] = ask(server)
+            except BackEndFailureError as error:
+                assert error.reason in ("lost", "short")
+        assert not taken
+
+    @pytest.mark.parametrize("form", ANSWERS)
+    def test_whole_answer_is_taken(self, serve, form):
+        assert ask(serve(ANSWERS[form]))[1] in (b"body", b"")
+
+    @pytest.mark.parametrize("length", NO_LENGTHS)
+    def test_length_of_a_chunk_that_is_none_ends_the_answer(self, serve, length):
+        chunk = length + b"\r\nbody\r\n0\r\n\r\n"
+        with pytest.raises(BackEndFailureError):
+            ask(serve(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunk))
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -84,15 +84,15 @@
 class Breaking:
     """Servers of which the first breaks off after two events, and the next answer as told."""
 
-    def __init__(self, *then):
+    def __init__(self, *then, first=None):
+        self._first = first or stream(break_after=2)
         self._then = then
         self.sends = {}
 
     def __call__(self, handler):
         sends = self.sends.setdefault(handler.headers["Request-Id"], [])
         sends.append(handler.headers.get("Last-Event-Id") or handler.headers.get("last-event-id"))
-        first = stream(break_after=2)
-        (first, *self._then)[min(len(sends), 1 + len(self._then)) - 1](handler)
+        (self._first, *self._then)[min(len(sends), 1 + len(self._then)) - 1](handler)
 
 
 def read(caller):
@@ -159,3 +159,67 @@
         }
         for form, asked, got in ask_each(world, forms, "/long/x", [stream()]):
             assert (got, asked) == ((WHOLE, True), [None, "2", "2"]), form
+
+
+def cut(tail, head=BEGUN):
+    """Return a stream of two events in a chunk, and then a piece of framing and the end."""
+
+    def respond(handler):
+        begin_stream(handler)
+        chunk(handler, head)
+        handler.wfile.write(tail)
+        handler.wfile.flush()
+        lost(handler)
+
+    return respond
+
+
+# Where the first server's answer may break, all of it before a last chunk that is whole.
+CUTS = {
+    "between chunks": b"",
+    "in the length of a chunk": b"1",
+    "in the length of a chunk, which looks like the last one": b"0",
+    "in the length of a chunk with zeros before it": b"00",
+    "after the length of a chunk, before its line's end": b"0\r",
+    "in an extension": b"0;x",
+    "after the line of a chunk": b"16\r\n",
+    "in an event": b"16\r\nid: 3\nda",
+    "after an event, in its chunk": b"20\r\nid: 3\ndata: token3\n\n",
+    "before the end of a chunk": b"14\r\nid: 3\ndata: tok\n\n"[:-1],
+    "in a length that is none": b"-1\r\nid: 3\ndata: token3\n\n",
+    "in a length by another name": b"0x0\r\n\r\n",
+}
+
+
+class TestWhereTheFirstServerBreaks:
+    def test_stream_goes_on_after_its_last_whole_event(self, world):
+        """Guards against the beginning of a chunk's length that is taken for the last chunk."""
+        servers = {}
+        world.more_settings = "[retry]\nslack = 1000\n"
+        workers = [world.worker(f"d{number}", "quotes", Stage="decode") for number in (1, 2)]
+        relay = world.relay()
+        wrong = {}
+        for number, (form, tail) in enumerate(CUTS.items()):
+            servers = Breaking(stream(), first=cut(tail))
+            for worker in workers:
+                worker.usual = servers
+            caller = Caller(relay)
+            caller.send("/talk/x", Request_Id=f"r{number}", **PROMPT)
+            got = read(caller)
+            if got != (WHOLE, True):
+                wrong[form] = got
+        assert not wrong
+
+    def test_stream_that_breaks_for_good_does_not_look_complete(self, world):
+        world.more_settings = "[retry]\nslack = 1000\n"
+        worker = world.worker("d1", "quotes", Stage="decode")
+        relay = world.relay()
+        wrong = {}
+        for form, tail in CUTS.items():
+            worker.usual = cut(tail)
+            caller = Caller(relay)
+            caller.send("/ask/x", **PROMPT)
+            body, complete = read(caller)
+            if complete or not WHOLE.startswith(body):
+                wrong[form] = (body, complete)
+        assert not wrong
