Reset the connection of a caller without chunks whose answer broke off

What callers saw: callers of HTTP/1.0 took a stream that broke off for a whole one.

Cause: such an answer has no length and no chunks; its end is the end of the connection, which was closed in both cases.

Change: from its head on the connection is set to end with a reset, and to end properly once the answer is written whole. The kernel does the same where the process is killed. LINGER_NONE of the order connections moves to _sockets.py.

Evidence: both tests of broken streams in TestCallersWithoutChunks failed before (no ConnectionResetError); the one of a whole stream passed before and after. Not covered: a process that is killed between the last write and its sending.

Why it works: a reset reaches the caller as an error.

--- a/src/laburnumreel/transport/_orders.py
+++ b/src/laburnumreel/transport/_orders.py
@@ -2,7 +2,6 @@
 
 import json
 import socket
-import struct
 from collections.abc import Mapping
 from typing import Any
 
@@ -10,11 +9,10 @@
 
 from laburnumreel.coordination import Answer
 from laburnumreel.transport._exchange import BackEndFailureError, Exchange, dial
+from laburnumreel.transport._sockets import LINGER_NONE
 
 # What the whole answer to an order may have.
 MOST_ANSWER_BYTES = 1024 * 1024
-# On, for 0 seconds: closing resets the connection and drops what was not sent yet.
-LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 class HttpOrderConnection:
--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -16,6 +16,11 @@
 # wait ends. The argument is whether bytes came meanwhile.
 Patience = Callable[[bool], float | None]
 
+# On, for 0 seconds: closing resets the connection and drops what was not sent yet.
+LINGER_NONE = struct.pack("ii", 1, 0)
+# Off: what was not sent yet is sent after closing.
+LINGER_DEFAULT = struct.pack("ii", 0, 0)
+
 
 class TooManyBytesError(OSError):
     """More bytes came than the awaited part of an answer may have."""
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -22,6 +22,7 @@
 from laburnumreel.state import ErrorKind, Refusal
 from laburnumreel.transport._events import CALLER_CUT, HTTP_SERVER_PROBLEM, READER_STALLED
 from laburnumreel.transport._metrics import STALLED_READERS
+from laburnumreel.transport._sockets import LINGER_DEFAULT, LINGER_NONE
 
 STALL_LIMIT_S = 30.0
 MAX_HEADER_BYTES = 32 * 1024
@@ -144,6 +145,10 @@
 class _RequestTask(WSGITask):
     """Sends an answer's head with its first piece, and closes connections while stopping."""
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        return self.has_body and not self.chunked_response and self.content_length is None
+
     def write(self, data: bytes) -> None:
         if self.wrote_header or not data:
             super().write(data)
@@ -154,6 +159,9 @@
             written = self.channel.written
         finally:
             self.channel = channel
+        if self._ends_with_connection:
+            # Until it is whole, the end of the connection must not look like the answer's.
+            channel.set_linger(LINGER_NONE)
         channel.write_soon(b"".join(written))
 
     def get_environment(self) -> dict[str, Any]:
@@ -161,6 +169,11 @@
         environ[READ_AT] = self.request.read_at
         return environ
 
+    def finish(self) -> None:
+        super().finish()
+        if self._ends_with_connection:
+            self.channel.set_linger(LINGER_DEFAULT)
+
     def build_response_header(self) -> bytes:
         if self.channel.server.stopping:
             self.set_close_on_finish()
@@ -227,6 +240,12 @@
             self._idle_limit_s = limit_s
         return now - self._idle_since > max(limit_s, self._idle_limit_s)
 
+    def set_linger(self, linger: bytes) -> None:
+        """Set how the connection ends, for the end of this process as well."""
+        # The caller may have closed it already.
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def stalled(self, now: float) -> bool:
         """Return whether output has waited for the whole limit without one byte taken."""
         if not self.total_outbufs_len or self.sent_bytes != self._checked_bytes:
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -1,6 +1,7 @@
 """Tests of streams that broke off and of what the next server answers then."""
 
 import http.client
+import socket
 
 import pytest
 from platform_answers import begin_stream, chunk, echo, event, lost, refused, stream
@@ -223,3 +224,37 @@
             if complete or not WHOLE.startswith(body):
                 wrong[form] = (body, complete)
         assert not wrong
+
+
+class TestCallersWithoutChunks:
+    """A caller of HTTP/1.0 takes the end of the connection for the end of the answer."""
+
+    def ask(self, relay, path, begun=lambda: None):
+        headers = {"Host": "shop.example", "Request-Id": "r1", "Key": "key-a"}
+        headers |= {name.replace("_", "-"): value for name, value in PROMPT.items()}
+        lines = [f"POST {path} HTTP/1.0", *(f"{name}: {value}" for name, value in headers.items())]
+        with socket.create_connection((relay.host, relay.port), 8.0) as sock:
+            sock.sendall("\r\n".join([*lines, "Content-Length: 2", "", "{}"]).encode())
+            answer = b""
+            while data := sock.recv(65536):
+                answer += data
+                if BEGUN in answer:
+                    begun()
+            return answer.partition(b"\r\n\r\n")
+
+    def test_broken_stream_is_reset(self, world):
+        world.worker("d1", "quotes", usual=stream(break_after=2), Stage="decode")
+        relay = world.relay()
+        with pytest.raises(ConnectionResetError):
+            self.ask(relay, "/ask/x")
+
+    def test_stream_of_a_relay_that_is_killed_is_reset(self, world):
+        world.worker("d1", "quotes", usual=stream(gap_s=0.3), Stage="decode")
+        relay = world.relay()
+        with pytest.raises(ConnectionResetError):
+            self.ask(relay, "/ask/x", relay.process.kill)
+
+    def test_whole_stream_ends_properly(self, world):
+        world.worker("d1", "quotes", Stage="decode")
+        head, _, body = self.ask(world.relay(), "/ask/x")
+        assert head.startswith(b"HTTP/1.0 200") and body == WHOLE
