Pass on no promise that a server did not give

What callers saw: nothing reported; found while looking at refusals. A server that ran a request and answered 408, 429 or 503 made its caller believe that it had not run (REFUSED).

Cause: such an answer without Not-Executed counted as any failure and was passed on unchanged, and its status promises that the request did not run and never will.

Change: it is not genuine, as a success without its mark: the request is repeated where the route allows it, else the caller gets 502 and an unknown state.

Evidence: test_status_that_promises_without_the_servers_word_is_not_passed_on failed before on both kinds of routes. test_other_failures_pass_unchanged passed before and after.

Why it works: a caller gets these statuses from the product alone, which knows whether a server may have run the request.

--- a/src/laburnumreel/relay/_requests.py
+++ b/src/laburnumreel/relay/_requests.py
@@ -106,7 +106,8 @@
     `not_run` is the backend server's word that it did not run the request. `named` is whether the
     answer names the request; one that doesn't may also answer an earlier request on the
     connection. `other_incarnation` means that another backend server has the address. `genuine` is whether a success bears the
-    mark that only the backend server can give.
+    mark that only the backend server can give, and a status that promises that the request did not
+    run the backend server's word for it.
     """
 
     outcome: Literal["success", "failure", "refused"]
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -243,7 +243,8 @@
                 "refused", f"status {self._exchange.status}", False, verdict.retry_after_s
             )
         if not verdict.genuine:
-            raise self._failed("not_genuine", "a success without its mark", True)
+            detail = f"status {self._exchange.status} without the mark that it needs"
+            raise self._failed("not_genuine", detail, True)
         # Other answers may be made without the server's own headers.
         if self._dispatch.limited and not self._names_limit and verdict.outcome == "success":
             job.parts.dispatcher.limit_ended(self._dispatch.back_end)
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -5,7 +5,7 @@
 import pytest
 from platform_answers import whole
 from platform_world import wait_until
-from relay_caller import Caller
+from relay_caller import PROMPT, Caller
 
 pytestmark = pytest.mark.processes
 
@@ -114,6 +114,30 @@
         assert (status, headers["x-run-state"]) == (503, "not-run")
 
 
+class TestStatuses:
+    @pytest.mark.parametrize("path", ["/once/x", "/ask/x"])
+    def test_status_that_promises_without_the_servers_word_is_not_passed_on(self, world, path):
+        """Guards against a caller who is told that a request did not run by a server that ran it."""
+        worker = world.worker("w1", "quotes" if path == "/ask/x" else "orders", Stage="decode")
+        relay, wrong = world.relay(), {}
+        for status in PROMISES:
+            worker.usual = lambda handler, status=status: whole(handler, status)
+            answered, headers, _ = Caller(relay).ask(path, **PROMPT)
+            if status != 421 and (answered, headers.get("x-run-state")) != (502, "unknown"):
+                wrong[status] = answered, headers
+            if "response-signature" in headers:
+                wrong[status] = answered, headers
+        assert not wrong
+
+    def test_other_failures_pass_unchanged(self, world):
+        worker = world.worker("w1")
+        relay = world.relay()
+        for status in (400, 404, 409, 500, 504):
+            worker.usual = lambda handler, status=status: whole(handler, status)
+            answered, headers, body = Caller(relay).ask("/once/x")
+            assert (answered, body) == (status, b"done") and "response-signature" in headers
+
+
 class TestWords:
     @pytest.mark.parametrize("named", [[], [("Request-Id", "{earlier}")]])
     def test_word_of_an_earlier_refusal_is_not_heeded(self, world, named):
