Send a request a second time to a server on a new connection

What callers saw: nothing reported; found while looking at refusals. Where a prompt was read a second time by one engine, as the copy of the first reading was lost, a late second copy of the first answer was taken for the second's: the handle of memory that was freed, which its taker then refuses.

Cause: answers are told apart by the request's id, which both readings bear.

Change: a request that was sent to an address before goes there on a new connection.

Evidence: test_second_reading_is_not_given_the_copy_of_the_first failed before (h1 was taken twice).

Why it works: nothing of the first send can come on a connection that was opened after it.

--- a/src/laburnumreel/relay/_elsewhere.py
+++ b/src/laburnumreel/relay/_elsewhere.py
@@ -171,7 +171,7 @@
         """Open a connection to the backend server of a place, and hold both."""
         job, first = self._job, assignment.reader or assignment.runner
         try:
-            exchange = job.parts.pool.open(first.address)
+            exchange = job.parts.pool.open(first.address, fresh=first.address in job.asked)
         except BackEndFailureError:
             job.parts.dispatcher.unreachable(first.name)
             job.give_back(assignment)
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -10,6 +10,7 @@
 from laburnumreel.core import Clock, Log
 from laburnumreel.relay._answer_room import AnswerRoom
 from laburnumreel.relay._assignments import Assignment, Order
+from laburnumreel.relay._back_ends import Address
 from laburnumreel.relay._config import RelayService, Route
 from laburnumreel.relay._dispatcher import Dispatcher
 from laburnumreel.relay._events import REPEAT_DECIDED, REQUEST_REPEATED
@@ -90,6 +91,8 @@
         self.unfinished = 0
         # Sends that have reached a backend server, readings of the prompt included.
         self.arrivals = 0
+        # Addresses that the request was sent to.
+        self.asked: set[Address] = set()
         # Whether an engine has read the prompt for another one.
         self.has_read = False
         # Sends beyond the first that the budget allowed and that were not made yet.
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -119,6 +119,7 @@
         repeatable = job.route.repeatable or dispatch.only_read
         exchange = self._connected or self._connect(repeatable)
         self._exchange = exchange
+        job.asked.add(back_end.address)
         if not job.running.attach(exchange):
             raise RelayFailedError(job.abort_refusal())
         job.count_arrival(dispatch)
@@ -159,6 +160,8 @@
         try:
             return parts.pool.open(
                 back_end.address,
+                # The request's id doesn't tell answers to two sends of it apart.
+                fresh=back_end.address in self._job.asked,
                 idle_at_most_s=float("inf") if repeatable else FRESH_IDLE_S,
             )
         except BackEndFailureError as error:
--- a/tests/repeats_world.py
+++ b/tests/repeats_world.py
@@ -112,7 +112,7 @@
 
     # The pool of connections and the room for answers.
 
-    def open(self, address, idle_at_most_s=0.0):
+    def open(self, address, fresh=False, idle_at_most_s=0.0):
         return EngineExchange(self)
 
     def went_silent(self, address):
--- a/tests/test_elsewhere.py
+++ b/tests/test_elsewhere.py
@@ -29,8 +29,10 @@
         # What the dispatcher answers at once: a place, a refusal, or nothing yet.
         self.outcome = "place"
         self.pending = []
-        self.places = self.connections = self.asked = self.silent_probes = 0
+        self.places = self.connections = self.orders = self.silent_probes = 0
         self.permits_dropped = 0
+        # Addresses of the servers that it was sent to.
+        self.asked = set()
         self.running = SimpleNamespace(aborted=None)
         self.request = SimpleNamespace(request_id="r")
         self.parts = SimpleNamespace(clock=self.clock, dispatcher=self, pool=self)
@@ -43,7 +45,7 @@
         return object() if self.permit else None
 
     def place(self, order):
-        self.asked += 1
+        self.orders += 1
         future = Future()
         self.pending.append(future)
         if self.outcome != "wait":
@@ -69,7 +71,7 @@
     def drop_permits(self):
         self.permits_dropped += 1
 
-    def open(self, address):
+    def open(self, address, fresh=False):
         if not self.connects:
             raise BackEndFailureError("connect_failed", "no", sent=False)
         self.connections += 1
@@ -117,7 +119,7 @@
         assert elsewhere.take() is None
         assert (request.places, request.connections) == (0, 0)
         # What is denied is asked for seldom: a few times a second.
-        assert request.asked <= 10
+        assert request.orders <= 10
 
     def test_server_that_speaks_meanwhile_is_not_left(self):
         request = Request()
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -1,9 +1,11 @@
 """Tests of refusals that a server in trouble writes once more on a kept connection."""
 
+import json
 import time
 
 import pytest
-from platform_answers import whole
+from platform_answers import engine, refused, whole
+from platform_config import config
 from platform_world import wait_until
 from relay_caller import PROMPT, Caller
 
@@ -149,3 +151,56 @@
         wait_until(lambda: relay.logged("answer_skipped"), "the refusal is logged")
         for event in ("back_end_leaving", "back_end_full", "back_end_limited"):
             assert not relay.logged(event)
+
+
+class Reader:
+    """An engine that reads prompts, and on a kept connection writes its last answer once more."""
+
+    def __init__(self, before_release=b""):
+        self._before_release = before_release
+        self.read = 0
+        self.repeated = 0
+
+    def __call__(self, handler):
+        if handler.command == "DELETE":
+            if getattr(handler, "earlier", None):
+                self.repeated += bool(self._before_release)
+                handler.wfile.write(self._before_release)
+            handler.respond(200)
+            return
+        if getattr(handler, "earlier", None) and not self._before_release:
+            self.repeated += 1
+            handler.wfile.write(handler.earlier)
+            handler.wfile.flush()
+        self.read += 1
+        body = json.dumps({"Handle": f"h{self.read}", "Tokens": 10, "Version": 1})
+        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {handler.headers['Request-Id']}\r\n"
+        handler.earlier = f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode()
+        handler.wfile.write(handler.earlier)
+
+
+class TestReadingsApart:
+    def test_second_reading_is_not_given_the_copy_of_the_first(self, world):
+        """Both bear the request's id, and the first copy has been freed."""
+        route = {
+            "Name": "long",
+            "Prefix": "/long/",
+            "RouteType": "streaming",
+            "Service": "quotes",
+            "Resumable": True,
+            "MaxAttempts": 5,
+        }
+        world.more_settings = "[retry]\nslack = 1000\n"
+        world.store.put("op", "config", config(2, [route]))
+        reader, takers = Reader(), []
+
+        def takes_the_second(handler):
+            takers.append(handler.headers["Kv-Source"].rpartition("/")[2])
+            (refused if len(takers) == 1 else engine)(handler)
+
+        world.worker("p1", "quotes", usual=reader, Stage="prefill")
+        for name in ("d1", "d2"):
+            world.worker(name, "quotes", usual=takes_the_second, Stage="decode")
+        status, _, body = Caller(world.relay()).ask("/long/x", **PROMPT)
+        assert (status, body.count(b"data:")) == (200, 5)
+        assert reader.read == 2 and takers == ["h1", "h2"]
