Heed of the answer to a release only that the engine leaves

What callers saw: nothing reported; found while looking at refusals. An engine got no prompts to read for seconds, or few from all hosts, after an earlier refusal was written once more where the answer to a release was due.

Cause: a release bears no id, so whatever comes on its connection was taken for its answer and heeded.

Change: on a connection that carried a request before, only the word that the engine leaves is heeded, which stays true. A release whose own answer comes later leaves the connection as it is: an answer without an id is not the next request's.

Evidence: test_word_before_the_answer_to_a_release_is_not_heeded failed before (the engine got no further prompt in 10 s).

Why it works: how full a server is and its limit change, and only an answer that is proved to be new says how they are.

--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -15,7 +15,7 @@
     REQUEST_RESUMED,
 )
 from laburnumreel.relay._job import Job, RelayFailedError
-from laburnumreel.relay._requests import Dispatch, PromptCopy, Verdict
+from laburnumreel.relay._requests import Dispatch, PromptCopy, Verdict, Word
 from laburnumreel.relay._sending import Attempt, SendFailedError, may_go_on, refusal_after
 from laburnumreel.relay._stream_position import (
     NotContinuedError,
@@ -478,6 +478,9 @@
             try:
                 exchange.send(method, path, {}, None, RELEASE_TIMEOUT_S)
                 word = parts.wire.word(exchange.status, exchange.message, reader.name)
+                if not exchange.is_alone:
+                    # A release has no id; what comes may be old, and only leaving stays true.
+                    word = Word(leaving=word.leaving)
                 parts.dispatcher.heed(reader, word)
                 exchange.read_whole(MOST_HANDLE_BYTES, RELEASE_TIMEOUT_S)
             finally:
--- a/tests/repeats_world.py
+++ b/tests/repeats_world.py
@@ -45,6 +45,7 @@
     timeout_s = 1.0
     message = {}
     headers = []
+    is_alone = True
 
     def __init__(self, world):
         self._world = world
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -204,3 +204,16 @@
         status, _, body = Caller(world.relay()).ask("/long/x", **PROMPT)
         assert (status, body.count(b"data:")) == (200, 5)
         assert reader.read == 2 and takers == ["h1", "h2"]
+
+    def test_word_before_the_answer_to_a_release_is_not_heeded(self, world):
+        old = refusal(503, [("Request-Id", "old"), ("Not-Executed", "1"), WORDS[0], WORDS[2]], "")
+        reader = Reader(before_release=old)
+        reading = world.worker("p1", "quotes", usual=reader, Stage="prefill")
+        world.worker("d1", "quotes", usual=refused, Stage="decode")
+        relay = world.relay()
+        for _ in range(3):
+            Caller(relay).ask("/ask/x", **PROMPT)
+        wait_until(lambda: len(reading.requests("DELETE")) == reader.read == 3, "all are read")
+        assert reader.repeated
+        for event in ("back_end_full", "back_end_limited"):
+            assert not relay.logged(event)
