Read the store several times within the time for which a read vouches for keys

A gateway may admit while it has read the store, or heard a majority of the gateways, within `cut_off_s`. Reads of the store were 1 s and the read's own time apart whatever `cut_off_s` was, so with 1 s or less a gateway that heard no majority was without either at the end of each pause.

Ruled out for it: a majority that was heard and lost again, as the same gateways with exchanges each 0.2 s refused nothing in 5 s.

The store is now read three times in `cut_off_s`, and as before each second where that is 3 s or more, which the default is. So one read may also fail.

--- a/src/laburnumreel/coordination/_config_sync.py
+++ b/src/laburnumreel/coordination/_config_sync.py
@@ -25,6 +25,8 @@
 from laburnumreel.state import Change, Configuration, Platform, Settings, WithdrawnKeys
 
 POLL_S = 1.0
+# A read of the store vouches for keys for `cut_off_s`; with three in that time, one may fail.
+POLLS_PER_CUT_OFF = 3
 FETCH_LIMIT = 500
 # About this many processes store a withdrawal at once after an outage of the store.
 STORE_WRITERS = 4
@@ -62,7 +64,8 @@
 
 
 class ConfigSync(Task):
-    """Polls the store each second and fetches from peers what they have sooner.
+    """Polls the store each second, or more often where `cut_off_s` is short, and fetches from peers
+    what they have sooner.
 
     Readers take `configuration` and `withdrawn` as snapshots from any thread. A fresh process is
     `ready` once it has read the store to its end or, with the store down, holds a configuration
@@ -91,8 +94,10 @@
     def from_settings(
         cls, settings: Settings, platform: Platform, link: PeerLink, clock: Clock | None = None
     ) -> "ConfigSync":
-        processes = len(settings.peers.gateways) + len(settings.peers.coordinators)
-        return cls(platform, link, clock, processes=processes)
+        peers = settings.peers
+        processes = len(peers.gateways) + len(peers.coordinators)
+        poll_s = min(POLL_S, peers.cut_off_s / POLLS_PER_CUT_OFF)
+        return cls(platform, link, clock, processes=processes, poll_s=poll_s)
 
     @property
     def configuration(self) -> Configuration:
--- a/src/laburnumreel/ui/_tables.py
+++ b/src/laburnumreel/ui/_tables.py
@@ -40,7 +40,8 @@
     "settings.peers.gateways": "A majority of these replaces the store while it is down.",
     "settings.peers.coordinators": "They exchange news but do not count for the majority.",
     "settings.peers.exchange_s": "Several exchanges must fit into `cut_off_s`.",
-    "settings.peers.cut_off_s": "Bounds how long a withdrawn key works on a node that is cut off.",
+    "settings.peers.cut_off_s": "Bounds how long a withdrawn key works on a node that is cut off; a "
+    "third of it, at most 1 s, is the time between reads of the store.",
     "settings.threads.callers": "waitress holds a thread for each running request.",
     "settings.threads.reserve": "A full node still refuses at once.",
     "settings.log.format": "JSON for collectors, console for people.",
