Log when a gateway can't verify keys any more, and when it can again

Events 105 and 106 tell the change with the age of the last read of the store and the number of gateways heard.

--- a/src/laburnumreel/coordination/_gossip.py
+++ b/src/laburnumreel/coordination/_gossip.py
@@ -185,6 +185,10 @@
         own = self._address in self._gateways and self._knows_withdrawals()
         return self._vouching.is_majority(self._vouching.heard(now) + own)
 
+    def gateways_heard(self, now: float) -> int:
+        """Return how many other gateways were heard from lately, directly or through others."""
+        return self._vouching.heard(now)
+
     def keys_verifiable(self, store_read_at: float, now: float) -> bool:
         """Return whether withdrawals can still reach us, from the store or from a majority."""
         return now - store_read_at <= self._cut_off_s or self.hears_majority(now)
--- a/src/laburnumreel/coordination/_peers.py
+++ b/src/laburnumreel/coordination/_peers.py
@@ -100,6 +100,10 @@
         """Return whether a majority of the gateways was heard from within `cut_off_s`."""
         return self._gossip.hears_majority(now)
 
+    def gateways_heard(self, now: float) -> int:
+        """Return how many other gateways were heard from within `cut_off_s`, for the log."""
+        return self._gossip.gateways_heard(now)
+
     def keys_verifiable(self, now: float) -> bool:
         """Return whether withdrawals can still reach us, from the store or from a majority."""
         return self._gossip.keys_verifiable(self._config_sync.store_read_at(), now)
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import gc
+import math
 import random
 import secrets
 import signal
@@ -52,6 +53,14 @@
 STOP_INCOMPLETE = define_event(
     104, "stop_incomplete", "requests still run after the grace time of a planned stop"
 )
+KEYS_UNVERIFIABLE = define_event(
+    105,
+    "keys_unverifiable",
+    "withdrawals cannot be heard of; no keyed request is admitted until they can",
+)
+KEYS_VERIFIABLE = define_event(
+    106, "keys_verifiable", "withdrawals can be heard of; keyed requests are admitted"
+)
 
 BACKGROUND_THREADS = 4
 TASK_THREADS = 16
@@ -141,6 +150,7 @@
         self._callers = HttpServer(self._application, settings.listen.callers, threads)
         self._admin = admin_server(settings.listen.admin, self._readiness)
         self._keys_heard_at = self._clock.now()
+        self._keys_verifiable = False
         self._config.subscribe(self._configured)
         self._dispatcher.on_news(self._exchange.push)
 
@@ -241,11 +251,27 @@
 
     def _keys_lost(self, now: float) -> bool:
         """Return whether withdrawals could not be heard of for twice the cut-off time."""
-        if self._exchange.keys_verifiable(now):
+        verifiable = self._exchange.keys_verifiable(now)
+        if verifiable:
             self._keys_heard_at = now
+        if verifiable != self._keys_verifiable:
+            self._keys_verifiable = verifiable
+            self._log_verifiable(now)
         # `keys_verifiable` turns false after one cut-off time.
         return now - self._keys_heard_at > self._settings.peers.cut_off_s
 
+    def _log_verifiable(self, now: float) -> None:
+        read_at = self._config.store_read_at()
+        known = {
+            "store_read_s_ago": round(now - read_at, 2) if math.isfinite(read_at) else None,
+            "gateways_heard": self._exchange.gateways_heard(now),
+            "gateways": len(self._settings.peers.gateways),
+        }
+        if self._keys_verifiable:
+            _log.info(KEYS_VERIFIABLE, **known)
+        else:
+            _log.warning(KEYS_UNVERIFIABLE, **known)
+
     def _readiness(self) -> tuple[bool, dict[str, Any]]:
         ready = (
             self._config.ready
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -47,6 +47,7 @@
     reply = wait_until(lambda: (r := complete(gateways[0])).status != 200 and r, "refusals")
     assert (reply.status, reply.kind, reply.run_state) == (503, "keys_unverifiable", "not-run")
     assert stream.finish()[1:] == (False, "keys_unverifiable")
+    assert '"name": "keys_unverifiable"' in gateways[0].process.output
     assert time.monotonic() - started < 10
     deployment.platform_faults(down=False)
     wait_until(lambda: complete(gateways[0]).status == 200, "keys to be verifiable again")
