Show what the processes answered and logged last when a test fails

A test with the fixture `deployment` or `world` that fails now shows the last ten answers, with status, error kind and request id first, also those that a wait in vain had seen, and the last log lines of each gateway or relay. It replaces the note that two tests added by themselves.

--- a/src/laburnumreel_standins/caller.py
+++ b/src/laburnumreel_standins/caller.py
@@ -2,14 +2,21 @@
 
 import http.client
 import json
+from collections import deque
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 KEY = "lr-test-key-of-hall-a"
 MODEL = "small"
+# Answers to callers that a test that fails shows.
+ANSWERS_SHOWN = 10
+BODY_BYTES_SHOWN = 300
 
 Address = tuple[str, int]
 
+# The last answers of gateways, as text; a connection that failed has a line too.
+last_answers: deque[str] = deque(maxlen=ANSWERS_SHOWN)
+
 
 class Reply(NamedTuple):
     """An answer as a test sees it."""
@@ -30,6 +37,13 @@
     def run_state(self) -> str | None:
         return self.headers.get("x-run-state")
 
+    def __repr__(self) -> str:
+        """Name first what tells why a request failed: assertions cut long texts."""
+        return (
+            f"<{self.status} kind {self.kind} state {self.run_state} request "
+            f"{self.headers.get('x-request-id')} body {self.body[:BODY_BYTES_SHOWN]!r}>"
+        )
+
 
 def call(
     address: Address,
@@ -45,11 +59,14 @@
     try:
         connection.request(method, path, raw, headers or {})
         answer = connection.getresponse()
-        return Reply(
-            answer.status,
-            {name.lower(): value for name, value in answer.getheaders()},
-            answer.read(),
-        )
+        named = {name.lower(): value for name, value in answer.getheaders()}
+        reply = Reply(answer.status, named, answer.read())
+        if "x-request-id" in named:
+            last_answers.append(f"{method} {path} at {address[0]}:{address[1]}: {reply}")
+        return reply
+    except (OSError, http.client.HTTPException) as error:
+        last_answers.append(f"{method} {path} at {address[0]}:{address[1]}: {error!r}")
+        raise
     finally:
         connection.close()
 
@@ -72,6 +89,16 @@
         self._connection.request("POST", path, raw, headers or bearer())
         self.answer = self._connection.getresponse()
         self.raw = b""
+        last_answers.append(f"POST {path} at {address[0]}:{address[1]}: stream, {self.head}")
+
+    @property
+    def head(self) -> str:
+        """The answer's status, error kind and request id, for a test that fails."""
+        found = {name.lower(): value for name, value in self.answer.getheaders()}
+        return (
+            f"status {self.answer.status}, kind {found.get('x-error-kind')}, request "
+            f"{found.get('x-request-id')}"
+        )
 
     def payloads(self) -> Iterator[bytes]:
         """Yield each event's data as it comes, until the connection ends."""
@@ -87,11 +114,7 @@
         """Return the text of the next event; an AssertionError says what came instead."""
         payload = next(self.payloads(), None)
         if payload is None:
-            head = {name.lower(): value for name, value in self.answer.getheaders()}
-            raise AssertionError(
-                f"no event; status {self.answer.status}, kind {head.get('x-error-kind')}, request "
-                f"{head.get('x-request-id')}, answered {self.raw[-2000:]!r}"
-            )
+            raise AssertionError(f"no event; {self.head}, answered {self.raw[-2000:]!r}")
         chunk = json.loads(payload)
         assert chunk.get("choices"), f"request {self.answer.getheader('X-Request-Id')}: {chunk}"
         return chunk["choices"][0]["text"]
@@ -106,6 +129,7 @@
             chunk = json.loads(payload)
             if "error" in chunk:
                 error = chunk["error"]["code"]
+                last_answers.append(f"stream ended by an error; {self.head}: {chunk['error']}")
             for choice in chunk.get("choices", ()):
                 text += choice.get("text") or choice.get("delta", {}).get("content") or ""
         self.close()
--- a/src/laburnumreel_standins/deployment.py
+++ b/src/laburnumreel_standins/deployment.py
@@ -1,9 +1,7 @@
 """A small deployment of real processes: platform, engines, plain servers, gateways."""
 
-import contextlib
 import signal
 import tempfile
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -19,7 +17,7 @@
     key_digest,
     merge_sections,
 )
-from laburnumreel_standins.caller import KEY, MODEL, call
+from laburnumreel_standins.caller import KEY, MODEL, call, last_answers
 from laburnumreel_standins.processes import Process, free_port, fresh_host, wait_until
 from laburnumreel_standins.recording import PlainServer
 
@@ -30,7 +28,7 @@
 Address = tuple[str, int]
 
 
-# Lines of a gateway's log that a failed assertion shows.
+# Lines of a gateway's log that a test that fails shows.
 LOG_LINES_SHOWN = 20
 
 
@@ -44,15 +42,9 @@
     path: Path
     addresses: dict[str, Address]
 
-    @contextlib.contextmanager
-    def log_shown(self) -> Iterator[None]:
-        """Add the gateway's last log lines to an assertion that fails."""
-        try:
-            yield
-        except AssertionError as error:
-            last = "\n".join(self.process.output.splitlines()[-LOG_LINES_SHOWN:])
-            error.add_note(f"last log lines of {self.name}:\n{last}")
-            raise
+    @property
+    def last_log_lines(self) -> str:
+        return "\n".join(self.process.output.splitlines()[-LOG_LINES_SHOWN:])
 
     def metric(self, name: str, **labels: str) -> float:
         """Return the sum of the series of a metric that have these labels."""
@@ -71,6 +63,8 @@
     def __init__(self) -> None:
         self._processes: list[Process] = []
         self._plain: list[PlainServer] = []
+        self._gateways: list[GatewayProcess] = []
+        last_answers.clear()
         self._folder = tempfile.TemporaryDirectory(prefix="laburnumreel-test-")
         self._configuration = Configuration()
         self.hosts: list[dict[str, Any]] = []
@@ -229,10 +223,11 @@
     ) -> GatewayProcess:
         env = {"TEST_PEPPER": PEPPER, "TEST_CREDENTIAL": CREDENTIAL}
         process = self.start("laburnumreel.daemon", "--config", str(path), "gateway", env=env)
-        process.listening(*addresses["callers"]).listening(*addresses["admin"])
         gateway = GatewayProcess(
             process, addresses["callers"], addresses["admin"], name, path, addresses
         )
+        self._gateways.append(gateway)
+        process.listening(*gateway.callers).listening(*gateway.admin)
         if ready:
             wait_until(
                 lambda: call(gateway.admin, "GET", "/readyz").status == 200, f"{name} to be ready"
@@ -260,6 +255,11 @@
         """Return the values of all usage deltas in the store."""
         return [row.value for row in self.platform.scan("usage_delta").ok.rows]
 
+    def evidence(self) -> dict[str, str]:
+        """Return what a test that fails should show, by title."""
+        found = {f"log of {each.name}": each.last_log_lines for each in self._gateways}
+        return {"last answers": "\n".join(last_answers), **found}
+
     def end(self) -> None:
         for process in self._processes:
             if process.code is None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -33,6 +33,18 @@
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True))
 
 
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(item, call):
+    """Add to a test that failed what its processes answered and logged last."""
+    outcome = yield
+    report = outcome.get_result()
+    if not report.failed or call.when == "teardown":
+        return
+    for fixture in getattr(item, "funcargs", {}).values():
+        if hasattr(fixture, "evidence"):
+            report.sections.extend(fixture.evidence().items())
+
+
 def pytest_terminal_summary(terminalreporter):
     for name in KNOWN_RED:
         terminalreporter.write_line(f"passed over, see KNOWN-RED.txt: {name}")
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -17,11 +17,14 @@
 from platform_answers import echo, engine, whole
 from platform_config import config
 
+from laburnumreel_standins.caller import last_answers
 from laburnumreel_standins.processes import fresh_host
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 WAIT_S = 10.0
+# Lines of a relay's log that a test that fails shows.
+LOG_LINES_SHOWN = 40
 RELAY_PORTS = (8001, 8002, 8003, 8004)
 
 
@@ -329,6 +332,11 @@
         found = [json.loads(line) for line in lines if line.startswith("{")]
         return [line for line in found if line.get("name") == name]
 
+    @property
+    def last_log_lines(self):
+        lines = self.log_path.read_text(errors="replace").splitlines()
+        return "\n".join(lines[-LOG_LINES_SHOWN:])
+
     def end(self, number=signal.SIGTERM, timeout_s=15.0):
         if self.process.poll() is None:
             self.process.send_signal(number)
@@ -340,6 +348,7 @@
 
     def __init__(self, folder):
         self.folder = Path(folder)
+        last_answers.clear()
         self.store, self.duties = Store(), Duties()
         self.workers, self.relays = {}, []
         # Sections of every relay's settings that a test adds.
@@ -367,6 +376,11 @@
             raise AssertionError(f"{error}; exit {relay.process.poll()}; log: {log}") from None
         return relay
 
+    def evidence(self):
+        """Return what a test that fails should show, by title."""
+        found = {f"log of {relay.name}": relay.last_log_lines for relay in self.relays}
+        return {"last answers": "\n".join(last_answers), **found}
+
     def end(self):
         for relay in self.relays:
             if relay.process.poll() is None:
--- a/tests/relay_caller.py
+++ b/tests/relay_caller.py
@@ -3,6 +3,8 @@
 import http.client
 import itertools
 
+from laburnumreel_standins.caller import BODY_BYTES_SHOWN, last_answers
+
 _ids = itertools.count(1)
 
 
@@ -17,7 +19,14 @@
         self.send(path, method, body, key, **headers)
         answer = self.connection.getresponse()
         found = {name.lower(): value for name, value in answer.getheaders()}
-        return answer.status, found, answer.read()
+        text = f"{method} {path}: {answer.status}, {found}"
+        try:
+            whole = answer.read()
+        except http.client.HTTPException as error:
+            last_answers.append(f"{text}, {error!r}")
+            raise
+        last_answers.append(f"{text}, {whole[:BODY_BYTES_SHOWN]!r}")
+        return answer.status, found, whole
 
     def send(self, path, method="POST", body=b"{}", key="key-a", **headers):
         sent = {"Host": "shop.example", "Request-Id": f"req{next(_ids)}", "Deadline-Ms": "3000"}
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -32,8 +32,7 @@
 def begin(deployment, gateway, prompt, tokens, **fields):
     """Return a stream that has delivered its first tokens, what was read, and its engine."""
     stream = Stream(gateway.callers, {"prompt": prompt, "max_tokens": tokens, **fields})
-    with gateway.log_shown():
-        read = "".join(stream.next_text() for _ in range(3))
+    read = "".join(stream.next_text() for _ in range(3))
     return stream, read, engine_of(deployment, stream.answer.getheader("X-Request-Id"))
 
 
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -23,8 +23,7 @@
 
 def begin(gateway, prompt="long", tokens=300):
     stream = Stream(gateway.callers, {"prompt": prompt, "max_tokens": tokens})
-    with gateway.log_shown():
-        return stream, stream.next_text()
+    return stream, stream.next_text()
 
 
 def test_gateway_that_cannot_hear_of_withdrawals_stops(deployment):
