Bound tests that only compute by processor time

Beside eight busy processes (load 20 to 27) test_no_order_of_disturbances_leads_beyond_a_limit failed with "Timeout (>120.0s)": it only computes, and took 207 s of a clock; its neighbours took 60 to 110 s.

The bound is there to end a test that hangs. One that computes for ever is still ended after 120 s, now of processor time, which doesn't depend on what else runs; one that waits for ever, after 900 s of a clock. The tests of it run pytest on a file with a loop and with a longer wait.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import os
 import re
+import signal
 from pathlib import Path
 
 import pytest
@@ -26,13 +27,49 @@
 )
 
 
+# Bounds of a test that starts no processes: on the processor time that it takes, which is the same
+# on a busy machine, and on the time of a clock for one that waits for ever. Others have `timeout`.
+MOST_PROCESSOR_S = 120
+MOST_CLOCK_S = 900
+
+
+def only_computes(item):
+    """Return whether a test's bound is on processor time. `--timeout` replaces it, as in `make fuzz`."""
+    asked = item.config.getoption("timeout", None) is not None
+    return not asked and item.get_closest_marker("processes") is None
+
+
 def pytest_collection_modifyitems(items):
-    """Expect the tests that KNOWN-RED.txt passes over to fail; one that passes fails the run."""
+    """Bound the tests that only compute, and expect those that KNOWN-RED.txt passes over to fail.
+
+    One of these that passes fails the run.
+    """
     for item in items:
+        if only_computes(item):
+            item.add_marker(pytest.mark.timeout(MOST_CLOCK_S))
         if item.nodeid.partition("[")[0] in KNOWN_RED:
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True))
 
 
+def out_of_time(number, frame):
+    pytest.fail(f"more than {MOST_PROCESSOR_S} s of processor time")
+
+
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_call(item):
+    """End a test that only computes after its processor time."""
+    if not only_computes(item):
+        yield
+        return
+    before = signal.signal(signal.SIGPROF, out_of_time)
+    signal.setitimer(signal.ITIMER_PROF, MOST_PROCESSOR_S)
+    try:
+        yield
+    finally:
+        signal.setitimer(signal.ITIMER_PROF, 0)
+        signal.signal(signal.SIGPROF, before)
+
+
 @pytest.hookimpl(hookwrapper=True)
 def pytest_runtest_makereport(item, call):
     """Add to a test that failed what its processes answered and logged last."""
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -34,17 +34,58 @@
 """
 
 
-def test_failed_test_shows_the_evidence_of_its_processes(tmp_path):
-    """A stream that ended without an event failed a test once, with nothing to trace it by."""
-    (tmp_path / "test_failing.py").write_text(FAILING)
-    told = subprocess.run(
-        [sys.executable, "-m", "pytest", "-p", "conftest", "--rootdir", tmp_path, tmp_path],
-        cwd=tmp_path,
+COMPUTING = """
+import time
+
+import conftest
+
+conftest.MOST_PROCESSOR_S = 0.5
+
+
+def test_that_computes_for_ever():
+    while True:
+        pass
+
+
+def test_that_waits_longer():
+    time.sleep(1.0)
+
+
+def test_next():
+    time.sleep(0)
+"""
+
+
+def run_pytest(folder, text, *options):
+    """Run a test file with this project's conftest; return what pytest says."""
+    (folder / "test_it.py").write_text(text)
+    return subprocess.run(
+        [sys.executable, "-m", "pytest", "-p", "conftest", *options, "--rootdir", folder, folder],
+        cwd=folder,
         env={**os.environ, "PYTHONPATH": str(TESTS)},
         capture_output=True,
         text=True,
         check=False,
     ).stdout
+
+
+def test_test_that_only_computes_is_bounded_by_processor_time(tmp_path):
+    """Beside load a sound test failed as it took more than 120 s of a clock."""
+    told = run_pytest(tmp_path, COMPUTING)
+    assert "1 failed, 2 passed" in told
+    assert "FAILED test_it.py::test_that_computes_for_ever" in told
+    assert "more than 0.5 s of processor time" in told
+
+
+def test_bound_of_the_command_line_replaces_the_one_on_processor_time(tmp_path):
+    told = run_pytest(tmp_path, COMPUTING, "--timeout", "2", "--timeout-method", "signal")
+    assert "1 failed, 2 passed" in told and "Timeout (>2.0s)" in told
+    assert "of processor time" not in told
+
+
+def test_failed_test_shows_the_evidence_of_its_processes(tmp_path):
+    """A stream that ended without an event failed a test once, with nothing to trace it by."""
+    told = run_pytest(tmp_path, FAILING)
     assert "1 failed, 1 passed" in told
     assert told.count("log of node-1") == told.count("its last line") == 1
 
