--- a/src/laburnumreel/relay/_self_reports.py
+++ b/src/laburnumreel/relay/_self_reports.py
@@ -81,6 +81,9 @@
 
     def told_leaving(self, back_end: str, started_at_ms: int, now: float) -> None:
         """Take a peer's word that a backend server leaves."""
+        known = self._told.get(back_end)
+        if known is None or known.started_at_ms != started_at_ms:
+            _log.debug(BACK_END_LEAVING, back_end=back_end, started_at_ms=started_at_ms, told=True)
         self._told[back_end] = _Said(started_at_ms, now + TOLD_S)
 
     def takes_work(self, back_end: ListedBackEnd, now: float) -> bool:
