Show the evidence of a failed test also where it has ended a gateway itself

The log of a process that a test has ended is gone; reading it while pytest made its report would have ended the whole run with an internal error. The test ends a gateway and asks again; the read failed before with FileNotFoundError by reading of the code, not by a run.

--- a/src/laburnumreel_standins/deployment.py
+++ b/src/laburnumreel_standins/deployment.py
@@ -44,7 +44,10 @@
 
     @property
     def last_log_lines(self) -> str:
-        return "\n".join(self.process.output.splitlines()[-LOG_LINES_SHOWN:])
+        try:
+            return "\n".join(self.process.output.splitlines()[-LOG_LINES_SHOWN:])
+        except FileNotFoundError:
+            return "gone, as the test has ended the process"
 
     def metric(self, name: str, **labels: str) -> float:
         """Return the sum of the series of a metric that have these labels."""
