Leave a silent back end only for what is held elsewhere

Cause: the exchange was closed for its silence first; then a retry was asked for, then a place, then a connection. Where one of them was denied, nothing was left.

Change: the socket asks, when a wait reaches its end, whether to wait on, and keeps what it has read. Meanwhile the request asks the dispatcher each 250 ms for a retry (reserved) and a place at a back end that is not silent, and opens a connection there. It leaves once it holds all three; if the first one sends a byte before, it stays and gives them back. Otherwise it waits until its deadline. The dispatcher knows silent back ends by their requests: they take nothing over, and new requests go there last. A refused connection still counts as a crash at once.

Why it works: silence alone ends nothing any more; what does is the deadline, a refused connection, or something better that is held.

--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -5,10 +5,12 @@
 
 from laburnumreel.coordination import BackEnd, Work
 from laburnumreel.core import Log
-from laburnumreel.serving._events import REQUEST_RETRIED
+from laburnumreel.serving._dispatcher import Wanted
+from laburnumreel.serving._events import REQUEST_RETRIED, SILENT_SPOKE, SILENT_WAITED_FOR
 from laburnumreel.serving._metrics import CANCELS, RETRIES
 from laburnumreel.serving._parts import Parts
 from laburnumreel.serving._registry import Running
+from laburnumreel.serving._silences import NoTakeover
 from laburnumreel.state import ErrorKind, Profile, Refusal, RunState, Service
 from laburnumreel.transport import BackEndFailureError, Exchange
 
@@ -17,6 +19,8 @@
 # How long a request that already ran elsewhere waits for a back end that can take it over.
 TAKEOVER_WAIT_S = 2.0
 TAKEOVER_CHECK_S = 0.05
+# How often a request at a silent back end asks for a retry and a place elsewhere.
+SILENCE_CHECK_S = 0.25
 CRASH_CHECK_S = 0.5
 ENDING_S = 0.05
 CANCEL_TIMEOUT_S = 1.0
@@ -49,8 +53,20 @@
     arrived_at: float
 
 
+class _Takeover(NamedTuple):
+    """What a request holds before it leaves a silent back end, besides a reserved retry."""
+
+    back_end: BackEnd
+    exchange: Exchange
+
+
 class Attempts:
-    """Opens exchanges with one back end after another, as far as the request's rights go."""
+    """Opens exchanges with one back end after another, as far as the request's rights go.
+
+    A back end that is silent is not given up for that: it may go on in a second. A request leaves it
+    only for a retry, a place and a connection elsewhere that it holds by then, and otherwise waits
+    until its deadline.
+    """
 
     def __init__(self, parts: Parts, job: Job, first: BackEnd | None = None) -> None:
         self._parts = parts
@@ -61,6 +77,18 @@
         self._may_have_run = False
         self._back_end: BackEnd | None = None
         self._exchange: Exchange | None = None
+        self._takeover: _Takeover | None = None
+        self._may_leave = job.repeatable
+        self._patient = True
+        # What is known of a silent back end: since when, whether it takes connections, and why the
+        # request is still there.
+        self._silent_since: float | None = None
+        self._reachable = True
+        self._missing = ""
+
+    @property
+    def _cheap(self) -> bool:
+        return self._job.profile.cheap_back_ends == "interruptible"
 
     @property
     def may_have_run(self) -> bool:
@@ -70,6 +98,10 @@
     def open(self) -> Exchange:
         """Return an exchange with the next back end, to which nothing was sent yet."""
         while True:
+            if self._takeover is not None:
+                self._back_end, exchange = self._takeover
+                self._takeover = None
+                return self._attached(exchange)
             self._back_end = back_end = self._choose()
             try:
                 exchange = self._parts.pool.open(back_end.address, not self._job.repeatable)
@@ -77,11 +109,14 @@
                 self._close(failed=True)
                 self._retry("connect_failed", Refusal(ErrorKind.NO_BACK_END))
                 continue
-            self._exchange = exchange
-            if not self._job.running.attach(exchange):
-                self._close()
-                raise self.failure(Refusal(ErrorKind.INTERNAL))
-            return exchange
+            return self._attached(exchange)
+
+    def _attached(self, exchange: Exchange) -> Exchange:
+        self._exchange = exchange
+        if not self._job.running.attach(exchange):
+            self._close()
+            raise self.failure(Refusal(ErrorKind.INTERNAL))
+        return exchange
 
     def send(self, method: str, target: str, headers: dict[str, str], body: bytes | None) -> None:
         """Send the request on the open exchange and read the answer's head."""
@@ -91,11 +126,30 @@
         if self._job.credential:
             headers["Authorization"] = f"Bearer {self._job.credential}"
         self._may_have_run = True
-        self._exchange.send(method, target, headers, body, self._job.profile.silence_s)
+        self._patient = True
+        silence_s = self._job.profile.silence_s
+        self._exchange.patience = self._on_silence
+        self._exchange.send(method, target, headers, body, silence_s)
+        self._heard()
         echoed = self._exchange.header("X-Request-Id")
         if echoed is not None and echoed != self._job.running.request_id:
             raise BackEndFailureError("lost", "the answer belongs to another request", True)
 
+    def read(self) -> bytes:
+        """Return the next bytes of the answer; none at its end."""
+        data = self._exchange.read()
+        self._parts.dispatcher.heard(self._back_end.name)
+        self._heard()
+        return data
+
+    def stay(self) -> None:
+        """Leave the back end no more for its silence: a part of its answer is with the caller."""
+        self._may_leave = False
+
+    def end_patience(self) -> None:
+        """Wait no longer than the exchange's timeout for what is left of this exchange."""
+        self._patient = False
+
     def first_token(self) -> None:
         """The first token of this exchange came."""
         request_id = self._job.running.request_id
@@ -120,16 +174,19 @@
         """
         back_end = self._back_end
         aborted = self._job.running.aborted is not None
+        if self._takeover is not None and not aborted:
+            self._leave(self._retry_reason(delivered))
+            return
         crashed = (
-            not aborted and error.reason in ("lost", "short") and _has_crashed(back_end.address)
+            not aborted
+            and (error.reason in ("lost", "short") or not self._reachable)
+            and _has_crashed(back_end.address)
         )
-        if error.reason == "silent" and not aborted:
-            # A back end that does not even take a connection is as good as crashed.
-            crashed = not self._parts.pool.went_silent(back_end.address)
         quarantined = crashed and self._parts.dispatcher.crashed(
             back_end.name, self._job.running.request_id, progressed
         )
-        self._close(failed=crashed, cancel=error.sent and not crashed, lost=not aborted)
+        failed = crashed or not self._reachable
+        self._close(failed=failed, cancel=error.sent and not crashed, lost=not aborted)
         if aborted:
             raise self.failure(Refusal(ErrorKind.INTERNAL))
         if quarantined:
@@ -138,14 +195,11 @@
             "silent": ErrorKind.BACK_END_TIMEOUT,
             "short": ErrorKind.INCOMPLETE_ANSWER,
         }.get(error.reason, ErrorKind.BACK_END_LOST)
-        if crashed and error.reason == "short":
+        if crashed:
             kind = ErrorKind.BACK_END_LOST
         if not self._job.repeatable:
             raise self.failure(Refusal(kind))
-        reason = "resumed" if delivered else "idempotent_lost"
-        if self._parts.dispatcher.leaving(back_end.name):
-            reason = "zone_reclaimed"
-        self._retry(reason, Refusal(kind))
+        self._retry(self._retry_reason(delivered), Refusal(kind))
 
     def done(self) -> None:
         """End the exchange, whose answer is complete."""
@@ -173,8 +227,7 @@
         while True:
             if job.running.aborted is not None:
                 raise self.failure(Refusal(ErrorKind.INTERNAL))
-            cheap = job.profile.cheap_back_ends == "interruptible"
-            back_end = dispatcher.choose(job.work, cheap, self._tried, job.digest)
+            back_end = dispatcher.choose(job.work, self._cheap, self._tried, job.digest)
             if back_end is not None:
                 self._tried.append(back_end.name)
                 return back_end
@@ -195,12 +248,22 @@
             self._job.service.name
         ):
             raise self.failure(refusal)
+        self._count_retry(reason)
+        running.sleep(wait)
+
+    def _retry_reason(self, delivered: int) -> str:
+        if self._parts.dispatcher.leaving(self._back_end.name):
+            return "zone_reclaimed"
+        return "resumed" if delivered else "idempotent_lost"
+
+    def _count_retry(self, reason: str) -> None:
         self._retries += 1
         RETRIES.inc(reason=reason)
-        _log.info(REQUEST_RETRIED, request=running.request_id, reason=reason)
-        running.sleep(wait)
+        _log.info(REQUEST_RETRIED, request=self._job.running.request_id, reason=reason)
 
     def _close(self, failed: bool = False, cancel: bool = False, lost: bool = False) -> None:
+        self._drop_takeover()
+        self._end_silence()
         back_end, exchange = self._back_end, self._exchange
         self._exchange = None
         self._job.running.detach()
@@ -212,6 +275,89 @@
         request_id = self._job.running.request_id
         self._parts.dispatcher.attempt_ended(back_end.name, request_id, failed, lost)
 
+    def _on_silence(self, bytes_came: bool) -> float | None:
+        """Return for how long to wait on for a silent back end, or None to leave it.
+
+        Runs on the request's thread, in the middle of a read.
+        """
+        running, now = self._job.running, self._parts.clock.now()
+        if not self._patient or running.aborted is not None or now >= running.deadline:
+            return None
+        if self._silent_since is None:
+            self._silent_since = now
+            self._parts.dispatcher.silent(self._back_end.name, running.request_id)
+            self._reachable = self._parts.pool.went_silent(self._back_end.address)
+            if not self._reachable and _has_crashed(self._back_end.address):
+                return None
+        if not self._may_leave:
+            self._log_waiting("the answer can only come from this one")
+        elif self._takeover is not None or self._hold_takeover():
+            return None
+        return min(SILENCE_CHECK_S, running.deadline - now)
+
+    def _hold_takeover(self) -> bool:
+        """Get hold of what it takes to leave a silent back end; False where that is not had."""
+        job, dispatcher = self._job, self._parts.dispatcher
+        wanted = Wanted(job.work, self._cheap, job.digest)
+        back_end = dispatcher.reserve_takeover(wanted, self._tried, job.profile.silence_s)
+        if isinstance(back_end, NoTakeover):
+            self._log_waiting(str(back_end))
+            return False
+        try:
+            exchange = self._parts.pool.open(back_end.address)
+        except BackEndFailureError:
+            self._tried.append(back_end.name)
+            self._release(back_end, failed=True)
+            return False
+        self._takeover = _Takeover(back_end, exchange)
+        if self._exchange.has_unread:
+            self._drop_takeover()
+            return False
+        self._tried.append(back_end.name)
+        return True
+
+    def _leave(self, reason: str) -> None:
+        """Leave the silent back end for the one that is held."""
+        takeover, self._takeover = self._takeover, None
+        self._parts.dispatcher.use_takeover(self._job.service.name)
+        self._count_retry(reason)
+        self._close(failed=not self._reachable, cancel=True, lost=True)
+        self._takeover = takeover
+
+    def _drop_takeover(self) -> None:
+        if self._takeover is not None:
+            (back_end, exchange), self._takeover = self._takeover, None
+            exchange.discard()
+            self._release(back_end)
+
+    def _release(self, back_end: BackEnd, failed: bool = False) -> None:
+        service, request_id = self._job.service.name, self._job.running.request_id
+        self._parts.dispatcher.release_takeover(service, back_end.name, request_id, failed)
+
+    def _heard(self) -> None:
+        if self._silent_since is None:
+            return
+        request_id, back_end = self._job.running.request_id, self._back_end.name
+        silent_ms = round(1000 * (self._parts.clock.now() - self._silent_since))
+        _log.info(SILENT_SPOKE, request=request_id, back_end=back_end, silent_ms=silent_ms)
+        self._parts.dispatcher.spoke(back_end, request_id)
+        self._end_silence()
+
+    def _end_silence(self) -> None:
+        self._silent_since, self._reachable, self._missing = None, True, ""
+
+    def _log_waiting(self, missing: str) -> None:
+        if missing != self._missing:
+            self._missing = missing
+            _log.info(
+                SILENT_WAITED_FOR,
+                request=self._job.running.request_id,
+                back_end=self._back_end.name,
+                missing=missing,
+                reachable=self._reachable,
+                left_ms=round(1000 * (self._job.running.deadline - self._parts.clock.now())),
+            )
+
     def _cancel(self, back_end: BackEnd) -> None:
         CANCELS.inc()
         self._parts.background.submit(
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -18,13 +18,14 @@
     Quarantine,
     QuarantineEntry,
     Queued,
-    RetryBudget,
     Router,
     Work,
 )
-from laburnumreel.core import Clock, Log, Task
-from laburnumreel.serving._events import BACK_END_CRASHED
+from laburnumreel.core import Clock, Task
+from laburnumreel.serving._budgets import RetryBudgets
+from laburnumreel.serving._crashes import Crashes
 from laburnumreel.serving._metrics import DRAIN_MARKS, QUARANTINED
+from laburnumreel.serving._silences import NoTakeover, Silences
 from laburnumreel.state import Configuration, Host, Refusal
 
 EXPIRE_S = 0.05
@@ -32,14 +33,9 @@
 REFUSED_MARK_S = 1.0
 LEAVING_MARK_S = 60.0
 CAPACITY_S = 0.2
-LOST_S = 1.0
-# For a service that the configuration in force does not name.
-DEFAULT_RETRY_RATIO, DEFAULT_RETRY_MINIMUM = 0.1, 3
 # How the peer exchange names the peers that run requests.
 GATEWAY_PEER = "gateway/"
 
-_log = Log("serving.dispatcher")
-
 
 class _Call(NamedTuple):
     function: Callable[..., Any]
@@ -69,17 +65,17 @@
         self._fleet = Fleet(gateways)
         self._router = Router(zone, region, rng)
         self._admission = Admission(rng)
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets = RetryBudgets()
+        self._silences = Silences()
         self._configuration = Configuration()
         self._waiting: dict[str, tuple[Wanted, Future]] = {}
         self._quarantine = Quarantine()
-        # Only a gateway without peers knows all requests that ran on a back end.
         self._gateways = gateways
         self._capacity_at = 0.0
-        # The body digests by request id of what runs on each back end, and what ran at its crash.
+        # Only a gateway without peers knows all requests that ran on a back end.
+        self._crashes = Crashes(self._quarantine, knows_all=gateways <= 1)
+        # The body digests by request id of what runs on each back end.
         self._running: dict[str, dict[str, str]] = {}
-        self._crashed: dict[str, dict[str, str]] = {}
-        self._lost: dict[str, dict[str, tuple[float, str]]] = {}
         self._marks: dict[str, tuple[str, float]] = {}
         self._leaving: frozenset[str] = frozenset()
         self._on_news: Callable[[], None] = lambda: None
@@ -145,11 +141,41 @@
 
     def take_retry(self, service: str) -> bool:
         """Take one retry from the service's budget, if it has one."""
-        return self._ask(self._on_take_retry, service)
+        return self._ask(lambda: self._budgets.of(service).take(self._clock.now()))
+
+    def reserve_takeover(
+        self, wanted: Wanted, exclude: Collection[str], silence_s: float
+    ) -> BackEnd | NoTakeover:
+        """Return a back end that is not silent, for work that is still at a silent one.
+
+        The work counts as sent to it, and one retry of the service is reserved. Use or release it.
+        """
+        return self._ask(self._on_reserve_takeover, wanted, tuple(exclude), silence_s)
+
+    def use_takeover(self, service: str) -> None:
+        """Count the reserved retry: the work leaves the silent back end."""
+        self._send(lambda: self._budgets.of(service).use(self._clock.now()))
+
+    def release_takeover(self, service: str, back_end: str, request_id: str, failed: bool) -> None:
+        """Give back a reserved retry and the place, at a back end that may have failed."""
+        self._send(lambda: self._budgets.of(service).release())
+        self.attempt_ended(back_end, request_id, failed)
+
+    def heard(self, back_end: str) -> None:
+        """Tell that a byte came from a back end."""
+        self._silences.heard(back_end, self._clock.now())
+
+    def silent(self, back_end: str, request_id: str) -> None:
+        """Tell that a request gets no byte from a back end."""
+        self._send(self._silences.began, back_end, request_id)
+
+    def spoke(self, back_end: str, request_id: str) -> None:
+        """Tell that a request got a byte again."""
+        self._send(self._silences.ended, back_end, request_id)
 
     def succeeded(self, service: str) -> None:
         """Count a success, which adds to the service's retry budget."""
-        self._send(self._on_succeeded, service)
+        self._send(lambda: self._budgets.of(service).earn(self._clock.now()))
 
     def configure(self, configuration: Configuration) -> None:
         """Take up a newer configuration. Requests that run keep what they started with."""
@@ -167,7 +193,7 @@
         self, name: str, stored: Sequence[str], evicted: Sequence[str], gap: bool
     ) -> None:
         """Take up an engine's cache events."""
-        self._send(self._on_cache_events, name, stored, evicted, gap)
+        self._send(self._fleet.on_cache_events, name, stored, evicted, gap)
 
     def news(self) -> "Future[PeerNews]":
         """Ask for what peers should know: marks, quarantines, work in flight, service received."""
@@ -178,7 +204,7 @@
         self._send(self._on_peer_news, peer, news)
 
     def settle(self) -> None:
-        """Return when what was told before is taken up, the usable capacity included."""
+        """Return when what was told before, and the usable capacity, is taken up."""
         self._ask(self._update_capacity)
 
     def engines(self) -> "Future[dict[str, tuple[str, int]]]":
@@ -191,11 +217,7 @@
     def tick(self) -> None:
         now = self._clock.now()
         self._marks = {name: mark for name, mark in self._marks.items() if mark[1] > now}
-        self._lost = {
-            name: lost
-            for name, lost in self._lost.items()
-            if any(now - at < LOST_S for at, _ in lost.values())
-        }
+        self._crashes.forget(now)
         if now - self._capacity_at >= CAPACITY_S:
             self._update_capacity()
         admitted, refused = self._admission.expire(now)
@@ -227,6 +249,14 @@
 
     def _on_choose(
         self, work: Work, cheap: bool, exclude: tuple[str, ...], digest: str
+    ) -> BackEnd | None:
+        # Silent back ends are the last resort of new work.
+        silent = self._silences.back_ends(self._running)
+        chosen = self._place(work, cheap, silent.union(exclude), digest) if silent else None
+        return chosen or self._place(work, cheap, exclude, digest)
+
+    def _place(
+        self, work: Work, cheap: bool, exclude: Collection[str], digest: str
     ) -> BackEnd | None:
         now = self._clock.now()
         candidates = self._fleet.candidates(work.service, work.model, now, cheap, exclude)
@@ -238,17 +268,32 @@
         self._running.setdefault(name, {})[work.request_id] = digest
         return choice.back_end
 
+    def _on_reserve_takeover(
+        self, wanted: Wanted, exclude: tuple[str, ...], silence_s: float
+    ) -> BackEnd | NoTakeover:
+        (work, cheap, digest), now = wanted, self._clock.now()
+        budget = self._budgets.of(work.service)
+        if not budget.reserve(now):
+            return NoTakeover.NO_RETRY
+        silent = self._silences.back_ends(self._running) | self._silences.doubtful(now, silence_s)
+        back_end = self._place(work, cheap, silent.union(exclude), digest)
+        if back_end is None:
+            budget.release()
+            return NoTakeover.NO_BACK_END
+        return back_end
+
     def _on_first_token(self, back_end: str, request_id: str) -> None:
         self._fleet.on_first_token(back_end, request_id, self._clock.now())
+        self._silences.streams(back_end, request_id)
 
     def _on_attempt_ended(self, back_end: str, request_id: str, failed: bool, lost: bool) -> None:
         now = self._clock.now()
         self._fleet.on_finished(back_end, request_id, now)
+        self._silences.left(back_end, request_id)
         running = self._running.get(back_end, {})
         digest = running.pop(request_id, None)
         if lost and digest is not None:
-            recent = self._lost.setdefault(back_end, {})
-            recent[request_id] = (now, digest)
+            self._crashes.lost(back_end, request_id, digest, now)
         if not running:
             self._running.pop(back_end, None)
         if failed:
@@ -259,33 +304,16 @@
 
     def _on_crashed(self, back_end: str, request_id: str, progressed: bool) -> bool:
         now = self._clock.now()
-        victims = self._crashed.get(back_end, {})
-        if request_id not in victims:
-            # The first to lose its answer may have ended before the crash was certain.
-            lost = self._lost.pop(back_end, {})
-            victims = {name: digest for name, (at, digest) in lost.items() if now - at < LOST_S}
-            victims |= self._running.get(back_end, {})
-            self._crashed[back_end] = victims
-            alone = self._gateways <= 1 and not progressed
-            held = self._quarantine.crashed(victims.values(), alone, now)
-            _log.warning(
-                BACK_END_CRASHED, back_end=back_end, requests=len(victims), quarantined=len(held)
-            )
-            if held:
-                QUARANTINED.inc(len(held))
-                self._on_news()
-        return self._quarantine.held_for(victims.get(request_id, ""), now) is not None
-
-    def _on_take_retry(self, service: str) -> bool:
-        return self._budget(service).take(self._clock.now())
-
-    def _on_succeeded(self, service: str) -> None:
-        self._budget(service).earn(self._clock.now())
+        running = self._running.get(back_end, {})
+        held = self._crashes.crashed(back_end, request_id, progressed, running, now)
+        if held:
+            QUARANTINED.inc(len(held))
+            self._on_news()
+        return self._crashes.is_held(back_end, request_id, now)
 
     def _on_configure(self, configuration: Configuration) -> None:
         self._configuration = configuration
-        for name, budget in self._budgets.items():
-            budget.ratio, budget.minimum = self._retry_limits(name)
+        self._budgets.configure(configuration)
         self._update_capacity()
 
     def _on_hosts(self, hosts: Sequence[Host]) -> None:
@@ -300,11 +328,6 @@
     def _on_load(self, name: str, report: LoadReport) -> None:
         self._fleet.on_load(name, report, self._clock.now())
 
-    def _on_cache_events(
-        self, name: str, stored: Sequence[str], evicted: Sequence[str], gap: bool
-    ) -> None:
-        self._fleet.on_cache_events(name, stored, evicted, gap)
-
     def _news(self) -> PeerNews:
         now = self._clock.now()
         # Only own marks: marks that nodes pass on for each other would never end.
@@ -356,20 +379,6 @@
             DRAIN_MARKS.inc(reason=reason)
             self._on_news()
 
-    def _budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = RetryBudget(*self._retry_limits(service))
-        return budget
-
-    def _retry_limits(self, service: str) -> tuple[float, float]:
-        """Return the share of successes and the minimum that a service's retries may have."""
-        entry = self._configuration.services.get(service)
-        profile = entry and self._configuration.profiles.get(entry.profile)
-        if not profile:
-            return DEFAULT_RETRY_RATIO, DEFAULT_RETRY_MINIMUM
-        return profile.retry_ratio, profile.retry_minimum
-
     def _admit(self, request_ids: Collection[str]) -> None:
         for request_id in request_ids:
             self._decide(request_id, None)
--- a/src/laburnumreel/serving/_events.py
+++ b/src/laburnumreel/serving/_events.py
@@ -15,3 +15,11 @@
     115, "answer_not_stored", "the answer to a request with an Idempotency-Key was not stored"
 )
 BACK_END_CRASHED = define_event(116, "back_end_crashed", "a back end crashed while requests ran")
+SILENT_WAITED_FOR = define_event(
+    117,
+    "silent_waited_for",
+    "a request's back end is silent and nothing better is held: it waits on",
+)
+SILENT_SPOKE = define_event(
+    118, "silent_spoke", "a request's back end went on after a silence, and the request stays there"
+)
--- a/src/laburnumreel/serving/_model.py
+++ b/src/laburnumreel/serving/_model.py
@@ -89,6 +89,7 @@
         self._attempts.send("POST", self._target, headers, self._body)
         if exchange.status == 200:
             return True
+        self._attempts.end_patience()
         detail = _read_error(exchange)
         if exchange.status in _REFUSING:
             self._attempts.refused(ran_before, exchange.header("Retry-After"), detail)
@@ -104,7 +105,7 @@
         resumed, before = self._begun, self._tokens
         held: list[Event] = []
         while True:
-            data = exchange.read()
+            data = self._attempts.read()
             if not data:
                 raise BackEndFailureError("short", "the stream has no final event", True)
             ready: list[Event] = []
@@ -137,6 +138,7 @@
 
     def _finish(self, exchange: Exchange) -> None:
         """End an exchange whose final event has come."""
+        self._attempts.end_patience()
         try:
             exchange.set_timeout(DRAIN_S)
             exchange.read()
--- a/src/laburnumreel/serving/_plain.py
+++ b/src/laburnumreel/serving/_plain.py
@@ -44,7 +44,6 @@
         self._job = job
         self._request = request
         self._attempts = Attempts(parts, job, first)
-        self._exchange: Exchange | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -72,8 +71,9 @@
 
     def rest(self) -> Iterator[bytes]:
         """Yield the rest of an answer that `start` did not read whole."""
+        self._attempts.stay()
         try:
-            while data := self._exchange.read():
+            while data := self._attempts.read():
                 yield data
             self._finish()
         except BackEndFailureError as error:
@@ -91,12 +91,11 @@
         as_it_comes = (exchange.header("Content-Type") or "").startswith("text/event-stream")
         first, complete = b"", False
         while len(first) < (1 if as_it_comes else WHOLE_ANSWER_BYTES):
-            data = exchange.read()
+            data = self._attempts.read()
             if not data:
                 complete = True
                 break
             first += data
-        self._exchange = exchange
         answer = PlainAnswer(
             exchange.status,
             headers,
--- a/src/laburnumreel/state/_profiles.py
+++ b/src/laburnumreel/state/_profiles.py
@@ -97,7 +97,7 @@
         Field("profile", "deadline_s", kinds.number(0.1, 86400), 30.0, "longest time to answer"),
         Field("profile", "first_token_s", kinds.number(0.01, 600), 0.31, "goal: first token"),
         Field("profile", "token_gap_s", kinds.number(0.001, 60), 0.032, "goal: between tokens"),
-        Field("profile", "silence_s", kinds.number(0.1, 600), 5.0, "no bytes: connection is dead"),
+        Field("profile", "silence_s", kinds.number(0.1, 600), 5.0, "no bytes: look elsewhere"),
         Field("profile", "priority", kinds.whole(-100, 100), 0, "higher runs first on engines"),
         Field(
             "profile",
--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -22,8 +22,6 @@
 SWITCHING_PROTOCOLS = 101
 # A connection is used for this share of the time for which the back end says it keeps it.
 IDLE_LIMIT_SHARE = 0.7
-# The kernel may end a wait a moment before its time by another clock.
-TIMED_OUT_SHARE = 0.98
 
 # The line of a chunk, with its extensions.
 MOST_CHUNK_LINE_BYTES = 64 * 1024
@@ -192,14 +190,14 @@
     ) -> None:
         """Send the request."""
         self.set_timeout(timeout_s)
-        started = time.monotonic()
+        self._socket.timed_out = False
         try:
             self.connection.request_at_once(method, target, body, headers)
         except (OSError, http.client.HTTPException, ValueError) as error:
-            # The socket's timeout shows as EAGAIN.
-            waited_s = time.monotonic() - started
-            self._socket.timed_out = waited_s >= timeout_s * TIMED_OUT_SHARE
             raise self._failure("lost", error) from error
+        finally:
+            if self._socket.end_wait():
+                set_timeout(self._socket, timeout_s)
 
     def read_head(
         self,
--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -149,6 +149,17 @@
         self._shortened = True
         return True
 
+    def sendall(self, data: bytes, flags: int = 0) -> None:
+        """Send all of the data. A peer that takes none of it in time is silent."""
+        left = memoryview(data)
+        while left:
+            try:
+                left = left[self.send(left, flags) :]
+            except BlockingIOError:
+                if not self.wait_on(bytes_came=False):
+                    self.timed_out = True
+                    raise
+
     def count(self, received: int | None) -> None:
         """Count received bytes against the bound of the wait; None for a wait without a byte."""
         self._bytes_left -= received or 0
--- a/src/laburnumreel/ui/_tables.py
+++ b/src/laburnumreel/ui/_tables.py
@@ -64,7 +64,7 @@
     "profile.profile.deadline_s": "What cannot be answered in time is refused at once.",
     "profile.profile.first_token_s": "The goal that role changes and routing work towards.",
     "profile.profile.token_gap_s": "The goal for decode load.",
-    "profile.profile.silence_s": "Open connections can go silent for good while new ones work.",
+    "profile.profile.silence_s": "Open connections can go silent for good; sound servers pause for a second.",
     "profile.profile.priority": "Engines run higher priorities first.",
     "profile.profile.cheap_back_ends": "They are reclaimed with a few seconds' notice.",
     "profile.profile.max_body_bytes": "Bounds the memory of a running request.",
--- /dev/null
+++ b/tests/scripted_engine.py
@@ -0,0 +1,119 @@
+"""A back end whose answers a test writes byte by byte."""
+
+import contextlib
+import json
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from laburnumreel_standins.caller import MODEL
+from laburnumreel_standins.processes import free_port, fresh_host
+
+REPORT = {
+    "at": 1.0,
+    "role": "both",
+    "models": [MODEL],
+    "queued_prefill_tokens": 0,
+    "decode_streams": 0,
+    "max_streams": 64,
+    "prefill_tokens_per_s": 20_000.0,
+    "decode_tokens_per_s": 3_200.0,
+    "kv_free_tokens": 100_000,
+    "draining": False,
+}
+NO_EVENTS = {"events": [], "next": 0, "gap": False}
+
+
+class ScriptedServer:
+    """Answers each request by `script(exchange)`; an engine's reports are `report` and `events`.
+
+    A script writes raw bytes with `exchange.wfile.write`; `exchange.request_id`, `resume_from` and
+    `number` (from 0) say what is asked. `seen` has the request ids.
+    """
+
+    def __init__(self, script):
+        self.report = json.dumps(REPORT).encode()
+        self.events = json.dumps(NO_EVENTS).encode()
+        self.seen = []
+        server = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+            wbufsize = 0
+
+            def do_GET(self):  # noqa: N802
+                if self.path == "/load":
+                    self.whole(server.report)
+                elif self.path.startswith("/cache/events"):
+                    self.whole(server.events)
+                else:
+                    self.run()
+
+            def do_POST(self):  # noqa: N802
+                self.rfile.read(int(self.headers.get("Content-Length") or 0))
+                if self.path.endswith("/cancel"):
+                    self.whole(b"{}")
+                else:
+                    self.run()
+
+            def run(self):
+                self.request_id = self.headers.get("X-Request-Id")
+                self.resume_from = int(self.headers.get("X-Resume-From") or 0)
+                self.number = len(server.seen)
+                server.seen.append(self.request_id)
+                # A caller that left takes no answer.
+                with contextlib.suppress(OSError):
+                    script(self)
+
+            def whole(self, body, status="200 OK", headers=""):
+                """Write an answer with a length."""
+                head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{headers}\r\n"
+                self.wfile.write(head.encode() + body)
+
+            def begin_stream(self):
+                """Write the head of a stream, which ends with its connection."""
+                self.close_connection = True
+                self.wfile.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
+                    + f"X-Request-Id: {self.request_id}\r\n\r\n".encode()
+                )
+
+            def event(self, value):
+                if isinstance(value, dict):
+                    value = json.dumps({"id": self.request_id, **value}).encode()
+                self.wfile.write(b"data: " + value + b"\n\n")
+
+            def token(self, text):
+                self.event({"choices": [{"index": 0, "text": text, "finish_reason": None}]})
+
+            def end_stream(self):
+                self.event({"choices": [{"index": 0, "text": "", "finish_reason": "stop"}]})
+                self.event(b"[DONE]")
+
+            def log_message(self, *_):
+                return
+
+        host = fresh_host()
+        self._server = ThreadingHTTPServer((host, free_port(host)), Handler)
+        self._server.daemon_threads = True
+        self.address = self._server.server_address
+        threading.Thread(target=self._server.serve_forever, args=(0.05,), daemon=True).start()
+
+    def list_in(self, deployment, service="models", kind="engine"):
+        """List the server as a back end, and return its name."""
+        name = f"scripted-{len(deployment.hosts)}"
+        deployment.hosts.append(
+            {
+                "name": name,
+                "address": "{}:{}".format(*self.address),
+                "zone": "zone-a",
+                "region": "region-a",
+                "service": service,
+                "kind": kind,
+            }
+        )
+        deployment.set_hosts()
+        return name
+
+    def end(self):
+        self._server.shutdown()
+        self._server.server_close()
--- /dev/null
+++ b/tests/test_gateway_silence.py
@@ -0,0 +1,215 @@
+"""A gateway whose back ends fall silent: silence is no failure, and is left for something better only."""
+
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from scripted_engine import ScriptedServer
+
+from laburnumreel_standins._text import output_text
+from laburnumreel_standins.caller import MODEL, Stream, bearer, call
+from laburnumreel_standins.processes import wait_until
+
+pytestmark = pytest.mark.processes
+
+SILENCE_S = 0.6
+# Longer than the time after which a back end counts as silent, and far from the deadline.
+PAUSE_S = 1.6
+NO_RETRIES = {"retry_ratio": 0.0, "retry_minimum": 0}
+TEXT = output_text("steady", 60)
+
+
+@pytest.fixture
+def scripted():
+    """Return a function that starts servers with scripts, which end with the test."""
+    servers = []
+
+    def start(script):
+        servers.append(ScriptedServer(script))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.end()
+
+
+def pause(deployment, engine, seconds=PAUSE_S):
+    """Stop an engine's process for some time."""
+    process = deployment.engines[engine][0]
+    process.send(signal.SIGSTOP)
+    timer = threading.Timer(seconds, process.send, [signal.SIGCONT])
+    timer.start()
+    return timer
+
+
+def begin(gateway):
+    """Return a stream and the text of its first events."""
+    stream = Stream(gateway.callers, {"prompt": "steady", "max_tokens": 60})
+    with gateway.log_shown():
+        return stream, "".join(stream.next_text() for _ in range(3))
+
+
+def running_engine(deployment):
+    return wait_until(
+        lambda: next(
+            (n for n in deployment.engines if deployment.engine_state(n)["running"]), None
+        ),
+        "an engine to run it",
+    )
+
+
+@pytest.mark.parametrize("engines, limits", [(1, {}), (2, NO_RETRIES)], ids=["place", "permit"])
+def test_stream_is_not_cut_while_nothing_better_than_a_silent_engine_is_held(
+    deployment, engines, limits
+):
+    """A stream was cut where place or permit was denied; its engine went on a second later."""
+    deployment.configure(profile__chat={"silence_s": SILENCE_S, **limits})
+    for _ in range(engines):
+        deployment.add_engine("--stream-tokens-per-s", "40")
+    gateway = deployment.start_gateway()
+    stream, read = begin(gateway)
+    pause(deployment, running_engine(deployment))
+    text, done, error = stream.finish()
+    assert (read + text, done, error) == (TEXT, True, None)
+    assert gateway.metric("laburnumreel_retries_total") == 0
+
+
+def test_request_waits_for_a_silent_engine_that_has_not_begun_its_answer(deployment):
+    """A request before its first token failed though its deadline was far away."""
+    deployment.configure(profile__chat={"silence_s": SILENCE_S})
+    engine = deployment.add_engine()
+    gateway = deployment.start_gateway()
+    pause(deployment, engine)
+    body = {"model": MODEL, "prompt": "steady", "max_tokens": 60}
+    reply = call(gateway.callers, "POST", "/v1/completions", body, bearer())
+    assert reply.status == 200 and reply.json["choices"][0]["text"] == TEXT
+
+
+def test_streams_of_engines_that_are_all_silent_stay_where_they_are(deployment):
+    """Streams changed places between silent engines, and each spent a retry and its prompt."""
+    deployment.configure(profile__chat={"silence_s": SILENCE_S})
+    engines = [deployment.add_engine("--stream-tokens-per-s", "40") for _ in range(2)]
+    gateway = deployment.start_gateway()
+    streams = [begin(gateway) for _ in range(6)]
+    assert all(deployment.engine_state(name)["running"] for name in engines)
+    for engine in engines:
+        pause(deployment, engine)
+    for stream, read in streams:
+        text, done, error = stream.finish()
+        assert (read + text, done, error) == (TEXT, True, None)
+    # The first to look may find the other engine not known as silent yet.
+    assert gateway.metric("laburnumreel_retries_total") <= 1
+
+
+@pytest.mark.parametrize("method, status", [("POST", 201), ("GET", 200)])
+def test_plain_request_waits_for_a_silent_server(deployment, method, status):
+    """A request that must not run twice was given up as unknown; its answer came a second later."""
+    deployment.configure(profile__orders={"silence_s": SILENCE_S})
+    plain = deployment.add_plain()
+    gateway = deployment.start_gateway()
+    plain.gate.clear()
+    threading.Timer(PAUSE_S, plain.gate.set).start()
+    reply = call(gateway.callers, method, "/orders/1", None, bearer())
+    assert (reply.status, reply.kind) == (status, None)
+    assert len(plain.requests) == 1
+
+
+def test_large_answer_is_not_cut_by_a_pause_in_its_middle(deployment, scripted):
+    """An answer that had begun was cut after the silence, with nothing else that could end it."""
+    half = b"x" * 400_000
+
+    def script(exchange):
+        exchange.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 800000\r\n\r\n" + half)
+        time.sleep(PAUSE_S)
+        exchange.wfile.write(half)
+
+    deployment.configure(profile__orders={"silence_s": SILENCE_S})
+    scripted(script).list_in(deployment, "orders", "plain")
+    gateway = deployment.start_gateway()
+    reply = call(gateway.callers, "GET", "/orders/1", None, bearer())
+    assert (reply.status, len(reply.body)) == (200, 800_000)
+
+
+def test_event_that_stops_in_its_middle_is_read_to_its_end(deployment, scripted):
+    """Bytes that were read before the pause must not be lost by waiting on."""
+
+    def script(exchange):
+        exchange.wfile.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        event = f'data: {{"id":"{exchange.request_id}","choices":[{{"index":0,"text":"one"'.encode()
+        rest = b',"finish_reason":"stop"}]}\n\ndata: [DONE]\n\n'
+        size = b"%x\r\n" % len(event + rest)
+        for piece in (size[:1], size[1:] + event, rest + b"\r\n0\r", b"\n\r\n"):
+            exchange.wfile.write(piece)
+            time.sleep(SILENCE_S + 0.3)
+
+    deployment.configure(profile__chat={"silence_s": SILENCE_S})
+    scripted(script).list_in(deployment)
+    gateway = deployment.start_gateway()
+    stream = Stream(gateway.callers, {"prompt": "steady", "max_tokens": 5})
+    assert stream.finish() == ("one", True, None)
+
+
+@pytest.mark.parametrize("fault", ["killed", "silent"])
+def test_dead_engine_costs_callers_no_more(deployment, fault):
+    """Waiting for silent engines must not hold up the streams of those that are gone for good."""
+    deployment.configure(profile__chat={"silence_s": SILENCE_S})
+    for _ in range(2):
+        deployment.add_engine("--stream-tokens-per-s", "40")
+    gateway = deployment.start_gateway()
+    stream, _ = begin(gateway)
+    process = deployment.engines[running_engine(deployment)][0]
+    process.send(signal.SIGKILL if fault == "killed" else signal.SIGSTOP)
+    began = last = time.monotonic()
+    gaps, done = [], False
+    for payload in stream.payloads():
+        gaps.append(time.monotonic() - last)
+        last = time.monotonic()
+        done = payload == b"[DONE]"
+    print(f"{fault}: longest gap {max(gaps):.3f} s, whole {last - began:.3f} s")
+    assert done
+    # The time until it counts as silent, and that of a first token elsewhere.
+    assert max(gaps) < (SILENCE_S if fault == "silent" else 0.0) + 0.5
+
+
+def test_dead_engine_that_runs_alone_fails_at_once(deployment):
+    """Patience is for silence: a process that is gone is none."""
+    deployment.configure(profile__chat={"silence_s": SILENCE_S})
+    engine = deployment.add_engine("--stream-tokens-per-s", "40")
+    gateway = deployment.start_gateway()
+    stream, _ = begin(gateway)
+    process = deployment.engines[engine][0]
+    process.send(signal.SIGSTOP)
+    time.sleep(PAUSE_S)
+    started = time.monotonic()
+    process.send(signal.SIGKILL)
+    assert stream.finish()[1:] == (False, "back_end_lost")
+    # A request that ran waits 2 s for a back end that can take it over.
+    assert time.monotonic() - started < 3.5
+
+
+def test_silent_engine_of_a_request_that_waits_gets_no_new_ones(deployment):
+    """Each further request was sent to the silent engine, and waited there in its turn."""
+    deployment.configure(profile__chat={"silence_s": SILENCE_S})
+    engines = [deployment.add_engine("--stream-tokens-per-s", "40") for _ in range(2)]
+    gateway = deployment.start_gateway()
+    deployment.engines[engines[0]][0].send(signal.SIGSTOP)
+    body = {"model": MODEL, "prompt": "n choices", "max_tokens": 2, "n": 2}
+    with ThreadPoolExecutor(4) as executor:
+        # Answers with several choices stay where they are; one of the two engines is silent.
+        stuck = [
+            executor.submit(call, gateway.callers, "POST", "/v1/completions", body, bearer())
+            for _ in range(4)
+        ]
+        wait_until(lambda: sum(not each.done() for each in stuck) in (1, 2, 3), "one to be stuck")
+        time.sleep(SILENCE_S + 0.5)
+        for number in range(6):
+            started = time.monotonic()
+            one = {"model": MODEL, "prompt": f"other {number}", "max_tokens": 2}
+            reply = call(gateway.callers, "POST", "/v1/completions", one, bearer())
+            assert reply.status == 200 and time.monotonic() - started < SILENCE_S
+        deployment.engines[engines[0]][0].send(signal.SIGCONT)
+        assert [each.result().status for each in stuck] == [200] * 4
