Go on with a broken stream where one back end rejects it

What callers saw: a stream that had broken off ended with `bad_request`, "not run" and the next engine's own words where that one answered with 400 (operators of similar systems saw error texts in streams), and with the engine's words where it refused until a time. Without a stream, a request that its first engine may have run was answered 400 with "not run", and its Idempotency-Key was freed, so that it could run twice.

Cause: a rejection was final wherever it came, with the run state of its kind; a refusal with a time ended the request, although a caller in the middle of a stream can't come back for the rest.

Change: a rejection counts for the attempt that met it only: once tokens are with the caller it is a failure of that engine, and before that the state stays unknown if an earlier attempt may have run. A refusal of a stream that has begun is not final, and its words go nowhere.

Why it works: the state is only ever taken back to what it was before the attempt that proves not to have run.

--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -1,10 +1,10 @@
 """The attempts of one request: choosing back ends, and what may be retried where."""
 
-import socket
 from typing import NamedTuple
 
 from laburnumreel.coordination import BackEnd, Work
 from laburnumreel.core import Log
+from laburnumreel.serving._crashes import has_crashed
 from laburnumreel.serving._dispatcher import Wanted
 from laburnumreel.serving._events import REQUEST_RETRIED, SILENT_SPOKE, SILENT_WAITED_FOR
 from laburnumreel.serving._metrics import CANCELS, RETRIES
@@ -21,8 +21,6 @@
 TAKEOVER_CHECK_S = 0.05
 # How often a request at a silent back end asks for a retry and a place elsewhere.
 SILENCE_CHECK_S = 0.25
-CRASH_CHECK_S = 0.5
-ENDING_S = 0.05
 CANCEL_TIMEOUT_S = 1.0
 
 _log = Log("serving.attempts")
@@ -155,16 +153,29 @@
         request_id = self._job.running.request_id
         self._parts.dispatcher.first_token(self._back_end.name, request_id)
 
-    def refused(self, ran_before: bool, retry_after: str | None, detail: str) -> None:
-        """The back end refused: go on with another one, or fail with its time to come back."""
+    def refused(
+        self, ran_before: bool, retry_after: str | None, detail: str, delivered: int = 0
+    ) -> None:
+        """The back end refused: go on with another one, or fail with its time to come back.
+
+        A caller that has `delivered` tokens of a stream can't come back for the others.
+        """
         self._may_have_run = ran_before
         self._parts.dispatcher.refused(self._back_end.name)
         self._close()
-        if retry_after is not None and retry_after.isdigit():
+        if delivered:
+            detail = ""
+        elif retry_after is not None and retry_after.isdigit():
             wait = float(retry_after)
             raise self.failure(Refusal(ErrorKind.BACK_END_REFUSED, detail, wait))
         self._retry("back_end_refused", Refusal(ErrorKind.BACK_END_REFUSED, detail))
 
+    def rejected(self, ran_before: bool, detail: str) -> RequestFailedError:
+        """The back end holds the request to be malformed, which says nothing of earlier attempts."""
+        self._may_have_run = ran_before
+        self._close()
+        return self.failure(Refusal(ErrorKind.BAD_REQUEST, detail))
+
     def lost(
         self, error: BackEndFailureError, delivered: int = 0, progressed: bool = False
     ) -> None:
@@ -180,7 +191,7 @@
         crashed = (
             not aborted
             and (error.reason in ("lost", "short") or not self._reachable)
-            and _has_crashed(back_end.address)
+            and has_crashed(back_end.address)
         )
         quarantined = crashed and self._parts.dispatcher.crashed(
             back_end.name, self._job.running.request_id, progressed
@@ -287,7 +298,7 @@
             self._silent_since = now
             self._parts.dispatcher.silent(self._back_end.name, running.request_id)
             self._reachable = self._parts.pool.went_silent(self._back_end.address)
-            if not self._reachable and _has_crashed(self._back_end.address):
+            if not self._reachable and has_crashed(self._back_end.address):
                 return None
         if not self._may_leave:
             self._log_waiting("the answer can only come from this one")
@@ -377,19 +388,3 @@
         return
     finally:
         exchange.close()
-
-
-def _has_crashed(address: tuple[str, int]) -> bool:
-    """Return whether no process serves the address: a back end that crashed, not a lost path.
-
-    A process that is just ending may still take the connection, but closes it at once.
-    """
-    try:
-        with socket.create_connection(address, CRASH_CHECK_S) as probe:
-            probe.settimeout(ENDING_S)
-            probe.recv(1)
-            return True
-    except (ConnectionRefusedError, ConnectionResetError):
-        return True
-    except OSError:
-        return False
--- a/src/laburnumreel/serving/_crashes.py
+++ b/src/laburnumreel/serving/_crashes.py
@@ -1,5 +1,6 @@
 """Crashes of back ends, and the requests that ran there at the time."""
 
+import socket
 from collections.abc import Mapping
 
 from laburnumreel.coordination import Quarantine
@@ -8,6 +9,8 @@
 
 # The first to lose its answer may have ended this long before the crash is certain.
 LOST_S = 1.0
+CRASH_CHECK_S = 0.5
+ENDING_S = 0.05
 
 _log = Log("serving.crashes")
 
@@ -63,3 +66,19 @@
             for name, lost in self._lost.items()
             if any(now - at < LOST_S for at, _ in lost.values())
         }
+
+
+def has_crashed(address: tuple[str, int]) -> bool:
+    """Return whether no process serves the address: a back end that crashed, not a lost path.
+
+    A process that is just ending may still take the connection, but closes it at once.
+    """
+    try:
+        with socket.create_connection(address, CRASH_CHECK_S) as probe:
+            probe.settimeout(ENDING_S)
+            probe.recv(1)
+            return True
+    except (ConnectionRefusedError, ConnectionResetError):
+        return True
+    except OSError:
+        return False
--- a/src/laburnumreel/serving/_model.py
+++ b/src/laburnumreel/serving/_model.py
@@ -8,9 +8,9 @@
 
 from laburnumreel.coordination import BackEnd
 from laburnumreel.protocol import DONE, EventTooLargeError, ModelRequest, SseParser, engine_body
-from laburnumreel.serving._attempts import Attempts, Job, RequestFailedError
+from laburnumreel.serving._attempts import Attempts, Job
 from laburnumreel.serving._parts import Parts
-from laburnumreel.state import ErrorKind, Refusal, UsageCount
+from laburnumreel.state import UsageCount
 from laburnumreel.transport import BackEndFailureError, Exchange
 
 # How long to wait for the end of an answer whose final event has come, to use the connection again.
@@ -92,11 +92,12 @@
         self._attempts.end_patience()
         detail = _read_error(exchange)
         if exchange.status in _REFUSING:
-            self._attempts.refused(ran_before, exchange.header("Retry-After"), detail)
+            retry_after = exchange.header("Retry-After")
+            self._attempts.refused(ran_before, retry_after, detail, self._tokens)
             return False
-        if 400 <= exchange.status < 500:
-            self._attempts.done()
-            raise RequestFailedError(Refusal(ErrorKind.BAD_REQUEST, detail))
+        # An engine that takes a request to be malformed which another one has run is at fault itself.
+        if 400 <= exchange.status < 500 and not self._begun:
+            raise self._attempts.rejected(ran_before, detail)
         raise BackEndFailureError("lost", f"status {exchange.status}", True)
 
     def _read(self, exchange: Exchange) -> Iterator[list[Event]]:
--- /dev/null
+++ b/tests/test_gateway_broken_streams.py
@@ -0,0 +1,127 @@
+"""Streams that broke off, and back ends that answer oddly when they should go on with them."""
+
+import pytest
+from scripted_engine import ScriptedServer
+
+from laburnumreel_standins.caller import MODEL, Stream, bearer, call
+from laburnumreel_standins.processes import wait_until
+
+pytestmark = pytest.mark.processes
+
+START = ["one ", "two ", "three ", "four "]
+REST = ["five ", "six "]
+ENGINE_WORDS = "words of an engine"
+ERROR = b'{"error": {"message": "words of an engine", "code": "odd"}}'
+
+
+@pytest.fixture
+def scripted():
+    """Return a function that starts servers with scripts, which end with the test."""
+    servers = []
+
+    def start(script):
+        servers.append(ScriptedServer(script))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.end()
+
+
+def break_off(exchange):
+    exchange.begin_stream()
+    for text in START:
+        exchange.token(text)
+
+
+def go_on(exchange):
+    exchange.begin_stream()
+    for text in (START + REST)[exchange.resume_from :]:
+        exchange.token(text)
+    exchange.end_stream()
+
+
+def error_answer(status):
+    return lambda exchange: exchange.whole(ERROR, status)
+
+
+def busy_until(exchange):
+    exchange.whole(ERROR, "503 Service Unavailable", "Retry-After: 7\r\n")
+
+
+def whole_json(exchange):
+    body = b'{"choices": [{"index": 0, "text": "five six", "finish_reason": "stop"}]}'
+    exchange.whole(body, headers="Content-Type: application/json\r\n")
+
+
+def empty(exchange):
+    exchange.begin_stream()
+
+
+ODD = {
+    "400": error_answer("400 Bad Request"),
+    "429": error_answer("429 Too Many Requests"),
+    "500": error_answer("500 Internal Server Error"),
+    "503": error_answer("503 Service Unavailable"),
+    "503 with a time": busy_until,
+    "JSON": whole_json,
+    "empty": empty,
+}
+
+
+def play(deployment, scripted, *scripts):
+    """Let the requests that come to the service one after another meet these scripts."""
+    met = []
+
+    def script(exchange):
+        met.append(exchange.resume_from)
+        scripts[min(len(met), len(scripts)) - 1](exchange)
+
+    deployment.configure()
+    for _ in range(3):
+        scripted(script).list_in(deployment)
+    return deployment.start_gateway(), met
+
+
+@pytest.mark.parametrize("odd", ODD)
+def test_stream_that_broke_does_not_look_complete(deployment, scripted, odd):
+    """Words of an engine, a repeated start or an end came into the middle of a caller's stream."""
+    gateway, met = play(deployment, scripted, break_off, ODD[odd])
+    stream = Stream(gateway.callers, {"prompt": "x", "max_tokens": 9})
+    text, done, error = stream.finish()
+    assert text == "".join(START) and not done
+    assert error in ("back_end_lost", "incomplete_answer", "back_end_refused"), stream.raw
+    assert b'"run_state":"unknown"' in stream.raw
+    assert ENGINE_WORDS.encode() not in stream.raw and b'"stop"' not in stream.raw
+    assert met[1] == len(START)
+
+
+@pytest.mark.parametrize("odd", ODD)
+def test_stream_goes_on_at_the_next_engine_after_an_odd_answer(deployment, scripted, odd):
+    """One engine that can't go on with a stream must not end it while others can."""
+    gateway, met = play(deployment, scripted, break_off, ODD[odd], go_on)
+    stream = Stream(gateway.callers, {"prompt": "x", "max_tokens": 9})
+    assert stream.finish() == ("".join(START + REST), True, None), stream.raw
+    assert met == [0, len(START), len(START)]
+
+
+def test_rejection_after_a_run_is_no_proof_that_nothing_ran(deployment, scripted):
+    """A caller was told "not run" for a request that its first engine had run, and its key was freed."""
+
+    def run_and_drop(exchange):
+        exchange.close_connection = True
+
+    gateway, met = play(deployment, scripted, run_and_drop, ODD["400"])
+    body = {"model": MODEL, "prompt": "x", "max_tokens": 9}
+    reply = call(gateway.callers, "POST", "/v1/completions", body, bearer(Idempotency_Key="k1"))
+    assert (reply.status, reply.run_state) == (400, "unknown")
+    wait_until(
+        lambda: (
+            call(
+                gateway.callers, "POST", "/v1/completions", body, bearer(Idempotency_Key="k1")
+            ).kind
+            == "idempotency_unknown"
+        ),
+        "the key to be kept",
+    )
+    assert len(met) == 2
