Take an error in a stream, or an end without a reason, for a failure of the engine

What callers saw: a stream that had broken off looked complete where the next engine sent an error event, or nothing but `[DONE]`: the gateway passed `[DONE]` on behind half of the answer.

Cause: any `[DONE]` ended an answer. A chunk with an error and the request's id counted as an event without a token, which a resumed stream drops.

Change: a chunk with an error is a failure of the engine, and the end of a resumed stream counts only after a finish reason.

Why it works: what ends an answer is the pair that every engine's answer ends with, and the gateway holds it back until both came.

--- a/src/laburnumreel/serving/_model.py
+++ b/src/laburnumreel/serving/_model.py
@@ -112,6 +112,8 @@
             ready: list[Event] = []
             for payload in parser.feed(data):
                 if payload == DONE:
+                    if resumed and not any(_ends_choice(chunk) for _, chunk in held):
+                        raise BackEndFailureError("short", "nothing says how it finished", True)
                     self.count_usage()
                     self._parts.dispatcher.succeeded(self._job.service.name)
                     try:
@@ -122,6 +124,8 @@
                 chunk = _parse(payload)
                 if chunk.get("id") != request_id:
                     raise BackEndFailureError("lost", "a chunk belongs to another request", True)
+                if chunk.get("error"):
+                    raise BackEndFailureError("lost", "the stream has an error", True)
                 if held or chunk.get("usage") or _ends_choice(chunk):
                     held.append((payload, chunk))
                     if chunk.get("usage"):
--- a/tests/test_gateway_broken_streams.py
+++ b/tests/test_gateway_broken_streams.py
@@ -58,6 +58,17 @@
     exchange.begin_stream()
 
 
+def end_alone(exchange):
+    exchange.begin_stream()
+    exchange.event(b"[DONE]")
+
+
+def error_event(exchange):
+    exchange.begin_stream()
+    exchange.event({"error": {"message": ENGINE_WORDS}})
+    exchange.end_stream()
+
+
 ODD = {
     "400": error_answer("400 Bad Request"),
     "429": error_answer("429 Too Many Requests"),
@@ -66,6 +77,8 @@
     "503 with a time": busy_until,
     "JSON": whole_json,
     "empty": empty,
+    "[DONE] alone": end_alone,
+    "error event": error_event,
 }
 
 
