Pass on the tokens that came before an odd event in the same read

What callers saw: nothing but a text with a gap. A stream whose engine wrote tokens and then something that is no chunk of it in one piece went on at another engine behind those tokens, which never reached the caller.

Cause: tokens were counted as they were parsed, and given out only once all events of the read were.

Change: where an event of a read fails, those before it are given out first.

Evidence: test_tokens_that_come_with_an_odd_event_reach_the_caller failed before ("three four five six" of six words).

Why it works: the count that the next engine skips is that of the tokens that were given out.

--- a/src/laburnumreel/serving/_model.py
+++ b/src/laburnumreel/serving/_model.py
@@ -110,33 +110,42 @@
             if not data:
                 raise BackEndFailureError("short", "the stream has no final event", True)
             ready: list[Event] = []
-            for payload in parser.feed(data):
-                if payload == DONE:
-                    if resumed and not any(_ends_choice(chunk) for _, chunk in held):
-                        raise BackEndFailureError("short", "nothing says how it finished", True)
-                    self.count_usage()
-                    self._parts.dispatcher.succeeded(self._job.service.name)
-                    try:
-                        yield [*ready, *held, (DONE, {})]
-                    finally:
-                        self._finish(exchange)
-                    return
-                chunk = _parse(payload)
-                if chunk.get("id") != request_id:
-                    raise BackEndFailureError("lost", "a chunk belongs to another request", True)
-                if chunk.get("error"):
-                    raise BackEndFailureError("lost", "the stream has an error", True)
-                if held or chunk.get("usage") or _ends_choice(chunk):
-                    held.append((payload, chunk))
-                    if chunk.get("usage"):
-                        self._usage = chunk["usage"]
-                elif _has_token(chunk):
-                    if self._tokens == before:
-                        self._attempts.first_token()
-                    self._tokens += 1
-                    ready.append((payload, chunk))
-                elif not resumed:
-                    ready.append((payload, chunk))
+            try:
+                for payload in parser.feed(data):
+                    if payload == DONE:
+                        if resumed and not any(_ends_choice(chunk) for _, chunk in held):
+                            raise BackEndFailureError("short", "nothing says how it finished", True)
+                        self.count_usage()
+                        self._parts.dispatcher.succeeded(self._job.service.name)
+                        try:
+                            yield [*ready, *held, (DONE, {})]
+                        finally:
+                            self._finish(exchange)
+                        return
+                    chunk = _parse(payload)
+                    if chunk.get("id") != request_id:
+                        raise BackEndFailureError(
+                            "lost", "a chunk belongs to another request", True
+                        )
+                    if chunk.get("error"):
+                        raise BackEndFailureError("lost", "the stream has an error", True)
+                    if held or chunk.get("usage") or _ends_choice(chunk):
+                        held.append((payload, chunk))
+                        if chunk.get("usage"):
+                            self._usage = chunk["usage"]
+                    elif _has_token(chunk):
+                        if self._tokens == before:
+                            self._attempts.first_token()
+                        self._tokens += 1
+                        ready.append((payload, chunk))
+                    elif not resumed:
+                        ready.append((payload, chunk))
+            except BackEndFailureError:
+                # What came before in the same read is counted, and goes to the caller.
+                if ready:
+                    self._begun = True
+                    yield ready
+                raise
             if ready:
                 self._begun = True
                 yield ready
--- a/tests/test_gateway_broken_streams.py
+++ b/tests/test_gateway_broken_streams.py
@@ -138,3 +138,18 @@
         "the key to be kept",
     )
     assert len(met) == 2
+
+
+def test_tokens_that_come_with_an_odd_event_reach_the_caller(deployment, scripted):
+    """Tokens were counted as delivered and dropped, and the stream went on behind them."""
+
+    def break_off_at_once(exchange):
+        exchange.begin_stream()
+        exchange.token(START[0])
+        chunk = f'{{"id":"{exchange.request_id}","choices":[{{"index":0,"text":"{START[1]}"}}]}}'
+        exchange.wfile.write(f"data: {chunk}\n\ndata: no chunk\n\n".encode())
+
+    gateway, met = play(deployment, scripted, break_off_at_once, go_on)
+    stream = Stream(gateway.callers, {"prompt": "x", "max_tokens": 9})
+    assert stream.finish() == ("".join(START + REST), True, None), stream.raw
+    assert met == [0, 2]
