Recognise an engine that begins an answer anew

What callers saw: a stream whose engine broke off went on with its own beginning once more and ended with `[DONE]`, where the next engine ignored how much was delivered (seen by operators of similar systems).

Cause: nothing in a resumed stream says where it begins, and the gateway took each token as a new one.

Change: the first eight tokens of an answer are kept. Those of a resumed stream are held back while they are the same; all of them once more mean that the engine began anew, and the request goes on elsewhere. A beginning of fewer than three different tokens, or one that the text has repeated before, isn't judged: there the engine's count of the whole answer decides, so that no such stream gets an end, but the repeated tokens are with the caller by then. One engine's events are sorted in a module of their own.

Why it works: a text that goes on differs from its beginning within a few tokens, so that sound streams are not held up.

--- /dev/null
+++ b/src/laburnumreel/serving/_answer_part.py
@@ -0,0 +1,116 @@
+"""One engine's part of an answer: its events, checked and put in order."""
+
+from typing import Any
+
+import orjson
+
+from laburnumreel.protocol import DONE, SseParser
+from laburnumreel.serving._beginning import Beginning
+from laburnumreel.transport import BackEndFailureError
+
+# The data of an event and its parsed chunk.
+Event = tuple[bytes, dict[str, Any]]
+
+
+class AnswerPart:
+    """Sorts the events that an engine sends for a request.
+
+    Those that end the answer are held back until `[DONE]` has come. A resumed part has no events
+    without a token; its first tokens are held back while they may be those of the answer's beginning.
+    """
+
+    def __init__(self, request_id: str, beginning: Beginning, resumed: bool) -> None:
+        self._request_id = request_id
+        self._beginning = beginning
+        self._resumed = resumed
+        self._parser = SseParser()
+        self._ready: list[Event] = []
+        self._doubtful: list[Event] = []
+        self._new_tokens = 0
+        self.held: list[Event] = []
+        self.usage: dict[str, Any] = {}
+        # Whether only the engine's own count can show that it has begun the answer anew.
+        self.only_count_tells = resumed and not beginning.tells
+        if resumed:
+            beginning.resume()
+
+    def feed(self, data: bytes) -> bool:
+        """Take the next bytes and return whether the final event came.
+
+        Raises BackEndFailureError at an event that is none of the answer; those before it are ready.
+        """
+        for payload in self._parser.feed(data):
+            if payload == DONE:
+                if self._resumed and not any(_ends_choice(chunk) for _, chunk in self.held):
+                    raise BackEndFailureError("short", "nothing says how it finished", True)
+                return True
+            self._sort(payload, self._checked(payload))
+        return False
+
+    def take(self) -> tuple[list[Event], int]:
+        """Return the events that may go to the caller now, and the number of tokens among them."""
+        taken = self._ready, self._new_tokens
+        self._ready, self._new_tokens = [], 0
+        return taken
+
+    def _checked(self, payload: bytes) -> dict[str, Any]:
+        chunk = _parse(payload)
+        if chunk.get("id") != self._request_id:
+            raise BackEndFailureError("lost", "a chunk belongs to another request", True)
+        if chunk.get("error"):
+            raise BackEndFailureError("lost", "the stream has an error", True)
+        return chunk
+
+    def _sort(self, payload: bytes, chunk: dict[str, Any]) -> None:
+        event = payload, chunk
+        if self.held or chunk.get("usage") or _ends_choice(chunk):
+            self._release_doubtful()
+            self.held.append(event)
+            if chunk.get("usage"):
+                self.usage = chunk["usage"]
+        elif _has_token(chunk):
+            self._doubtful.append(event)
+            if not (self._resumed and self._beginning.may_repeat(_token(chunk))):
+                self._release_doubtful()
+            elif self._beginning.is_repeated:
+                raise BackEndFailureError("lost", "the answer is begun anew", True)
+        elif not self._resumed:
+            self._ready.append(event)
+
+    def _release_doubtful(self) -> None:
+        for event in self._doubtful:
+            self._beginning.add(_token(event[1]))
+        self._ready += self._doubtful
+        self._new_tokens += len(self._doubtful)
+        self._doubtful = []
+
+
+def _parse(payload: bytes) -> dict[str, Any]:
+    try:
+        # Several times as fast as json, which matters for each token.
+        chunk = orjson.loads(payload)
+    except ValueError as error:
+        raise BackEndFailureError("lost", "a chunk is not JSON", True) from error
+    if not isinstance(chunk, dict):
+        raise BackEndFailureError("lost", "a chunk is not an object", True)
+    return chunk
+
+
+def _has_token(chunk: dict[str, Any]) -> bool:
+    for choice in chunk.get("choices") or ():
+        if choice.get("text"):
+            return True
+        delta = choice.get("delta")
+        if delta and (delta.get("content") or len(delta.keys() - {"role", "content"}) > 0):
+            return True
+    return False
+
+
+def _token(chunk: dict[str, Any]) -> str:
+    """Return what a token says, to compare it with others."""
+    choice = chunk["choices"][0]
+    return str(choice.get("text") or choice.get("delta"))
+
+
+def _ends_choice(chunk: dict[str, Any]) -> bool:
+    return any(choice.get("finish_reason") for choice in chunk.get("choices") or ())
--- a/src/laburnumreel/serving/_model.py
+++ b/src/laburnumreel/serving/_model.py
@@ -4,13 +4,13 @@
 from collections.abc import Iterator
 from typing import Any
 
-import orjson
-
 from laburnumreel.coordination import BackEnd
-from laburnumreel.protocol import DONE, EventTooLargeError, ModelRequest, SseParser, engine_body
+from laburnumreel.protocol import DONE, EventTooLargeError, ModelRequest, engine_body
+from laburnumreel.serving._answer_part import AnswerPart, Event
 from laburnumreel.serving._attempts import Attempts, Job
+from laburnumreel.serving._beginning import Beginning
 from laburnumreel.serving._parts import Parts
-from laburnumreel.state import UsageCount
+from laburnumreel.state import ErrorKind, Refusal, UsageCount
 from laburnumreel.transport import BackEndFailureError, Exchange
 
 # How long to wait for the end of an answer whose final event has come, to use the connection again.
@@ -18,9 +18,6 @@
 MAX_ERROR_BYTES = 4096
 _REFUSING = (404, 409, 425, 429, 503)
 
-# The data of an event and its parsed chunk.
-Event = tuple[bytes, dict[str, Any]]
-
 
 class ModelRun:
     """One request to a model service.
@@ -39,7 +36,10 @@
         self._body = engine_body(request)
         self._attempts = Attempts(parts, job, first)
         self._tokens = 0
+        # The tokens of these that the present engine has sent.
+        self._part_tokens = 0
         self._begun = False
+        self._beginning = Beginning()
         self._usage: dict[str, Any] = {}
         self._counted = False
 
@@ -57,15 +57,16 @@
         """Yield the answer's events. Raises RequestFailedError where it cannot be completed."""
         try:
             while True:
-                exchange, before = self._attempts.open(), self._tokens
+                exchange = self._attempts.open()
+                self._part_tokens = 0
                 try:
                     if self._send(exchange):
                         yield from self._read(exchange)
                         return
                 except BackEndFailureError as error:
-                    self._lost(error, before)
+                    self._lost(error)
                 except EventTooLargeError:
-                    self._lost(BackEndFailureError("lost", "an event is too large", True), before)
+                    self._lost(BackEndFailureError("lost", "an event is too large", True))
         finally:
             self._attempts.abandon()
             if self._tokens:
@@ -77,8 +78,8 @@
             self._counted = True
             self._parts.usage.count(self._job.running.request_id, self._count())
 
-    def _lost(self, error: BackEndFailureError, before: int) -> None:
-        self._attempts.lost(error, self._tokens, self._tokens > before)
+    def _lost(self, error: BackEndFailureError) -> None:
+        self._attempts.lost(error, self._tokens, self._part_tokens > 0)
 
     def _send(self, exchange: Exchange) -> bool:
         ran_before = self._attempts.may_have_run
@@ -101,55 +102,49 @@
         raise BackEndFailureError("lost", f"status {exchange.status}", True)
 
     def _read(self, exchange: Exchange) -> Iterator[list[Event]]:
-        parser = SseParser()
-        request_id = self._job.running.request_id
-        resumed, before = self._begun, self._tokens
-        held: list[Event] = []
+        part = AnswerPart(self._job.running.request_id, self._beginning, resumed=self._begun)
         while True:
             data = self._attempts.read()
             if not data:
                 raise BackEndFailureError("short", "the stream has no final event", True)
-            ready: list[Event] = []
             try:
-                for payload in parser.feed(data):
-                    if payload == DONE:
-                        if resumed and not any(_ends_choice(chunk) for _, chunk in held):
-                            raise BackEndFailureError("short", "nothing says how it finished", True)
-                        self.count_usage()
-                        self._parts.dispatcher.succeeded(self._job.service.name)
-                        try:
-                            yield [*ready, *held, (DONE, {})]
-                        finally:
-                            self._finish(exchange)
-                        return
-                    chunk = _parse(payload)
-                    if chunk.get("id") != request_id:
-                        raise BackEndFailureError(
-                            "lost", "a chunk belongs to another request", True
-                        )
-                    if chunk.get("error"):
-                        raise BackEndFailureError("lost", "the stream has an error", True)
-                    if held or chunk.get("usage") or _ends_choice(chunk):
-                        held.append((payload, chunk))
-                        if chunk.get("usage"):
-                            self._usage = chunk["usage"]
-                    elif _has_token(chunk):
-                        if self._tokens == before:
-                            self._attempts.first_token()
-                        self._tokens += 1
-                        ready.append((payload, chunk))
-                    elif not resumed:
-                        ready.append((payload, chunk))
+                done = part.feed(data)
             except BackEndFailureError:
                 # What came before in the same read is counted, and goes to the caller.
-                if ready:
-                    self._begun = True
+                if ready := self._take(part):
                     yield ready
                 raise
+            ready = self._take(part)
+            if done:
+                if part.only_count_tells:
+                    self._check_count()
+                self.count_usage()
+                self._parts.dispatcher.succeeded(self._job.service.name)
+                try:
+                    yield [*ready, *part.held, (DONE, {})]
+                finally:
+                    self._finish(exchange)
+                return
             if ready:
-                self._begun = True
                 yield ready
 
+    def _take(self, part: AnswerPart) -> list[Event]:
+        """Count what a part of the answer has for the caller, and return it."""
+        ready, tokens = part.take()
+        if tokens and self._part_tokens == 0:
+            self._attempts.first_token()
+        self._part_tokens += tokens
+        self._tokens += tokens
+        self._begun = self._begun or bool(ready)
+        self._usage = part.usage or self._usage
+        return ready
+
+    def _check_count(self) -> None:
+        """Fail where the engine's own count shows that it has begun the answer anew."""
+        counted = _whole(self._usage.get("completion_tokens"), 0)
+        if 0 < counted < self._tokens:
+            raise self._attempts.failure(Refusal(ErrorKind.BACK_END_LOST))
+
     def _finish(self, exchange: Exchange) -> None:
         """End an exchange whose final event has come."""
         self._attempts.end_patience()
@@ -172,31 +167,6 @@
         )
 
 
-def _parse(payload: bytes) -> dict[str, Any]:
-    try:
-        # Several times as fast as json, which matters for each token.
-        chunk = orjson.loads(payload)
-    except ValueError as error:
-        raise BackEndFailureError("lost", "a chunk is not JSON", True) from error
-    if not isinstance(chunk, dict):
-        raise BackEndFailureError("lost", "a chunk is not an object", True)
-    return chunk
-
-
-def _has_token(chunk: dict[str, Any]) -> bool:
-    for choice in chunk.get("choices") or ():
-        if choice.get("text"):
-            return True
-        delta = choice.get("delta")
-        if delta and (delta.get("content") or len(delta.keys() - {"role", "content"}) > 0):
-            return True
-    return False
-
-
-def _ends_choice(chunk: dict[str, Any]) -> bool:
-    return any(choice.get("finish_reason") for choice in chunk.get("choices") or ())
-
-
 def _read_error(exchange: Exchange) -> str:
     data = b""
     while len(data) < MAX_ERROR_BYTES:
--- a/tests/test_gateway_broken_streams.py
+++ b/tests/test_gateway_broken_streams.py
@@ -69,6 +69,13 @@
     exchange.end_stream()
 
 
+def from_the_start(exchange):
+    exchange.begin_stream()
+    for text in START + REST:
+        exchange.token(text)
+    exchange.end_stream()
+
+
 ODD = {
     "400": error_answer("400 Bad Request"),
     "429": error_answer("429 Too Many Requests"),
@@ -79,6 +86,7 @@
     "empty": empty,
     "[DONE] alone": end_alone,
     "error event": error_event,
+    "from the start": from_the_start,
 }
 
 
@@ -118,6 +126,40 @@
     assert met == [0, len(START), len(START)]
 
 
+def test_stream_that_resumes_with_words_of_its_start_is_sound(deployment, scripted):
+    """A text may say again what it began with."""
+
+    def again(exchange):
+        exchange.begin_stream()
+        for text in [*START[:3], "eight "]:
+            exchange.token(text)
+        exchange.end_stream()
+
+    gateway, _ = play(deployment, scripted, break_off, again)
+    stream = Stream(gateway.callers, {"prompt": "x", "max_tokens": 9})
+    assert stream.finish() == ("".join([*START, *START[:3], "eight "]), True, None)
+
+
+def test_repeated_start_that_only_the_count_shows_has_no_end(deployment, scripted):
+    """A start of one token says nothing; the engine's own count of the whole answer does."""
+
+    def begun(exchange):
+        exchange.begin_stream()
+        exchange.token(START[0])
+
+    def anew(exchange):
+        exchange.begin_stream()
+        for text in START:
+            exchange.token(text)
+        usage = {"prompt_tokens": 1, "completion_tokens": len(START)}
+        exchange.event({"choices": [], "usage": usage})
+        exchange.end_stream()
+
+    gateway, _ = play(deployment, scripted, begun, anew)
+    text, done, error = Stream(gateway.callers, {"prompt": "x", "max_tokens": 9}).finish()
+    assert (done, error) == (False, "back_end_lost"), text
+
+
 def test_rejection_after_a_run_is_no_proof_that_nothing_ran(deployment, scripted):
     """A caller was told "not run" for a request that its first engine had run, and its key was freed."""
 
