Take no refusal on a used connection for the request's own without its id

What callers saw: "not run" for a request that its engine was running, where a server in trouble wrote an earlier refusal once more on a kept connection, without an id (seen by operators of similar systems). With an Idempotency-Key the key was freed as well.

Cause: a refusal or rejection counted as the answer to the request unless it named another one.

Change: on a connection that was used before, one that names no request leaves the state unknown, and the connection is closed, as the request's own answer may follow. What names another request was a failure of the server before already. Requests that must not repeat go out on new connections only.

Evidence: eight of the twelve tests of test_gateway_repeated_refusals.py failed before, all without the earlier request's id; the others hold that one with that id was told apart before, and that a refusal on a new connection still says "not run". Not covered: an earlier success without an id, at plain servers that name none, which nothing tells from the request's own.

Why it works: on a new connection there is no earlier request, and on all others the id decides.

--- a/src/laburnumreel/serving/_application.py
+++ b/src/laburnumreel/serving/_application.py
@@ -23,7 +23,6 @@
     status_line,
     strip_query,
 )
-from laburnumreel.serving._attempts import Job, RequestFailedError
 from laburnumreel.serving._checks import (
     MODEL_PATHS,
     MODELS_PATH,
@@ -37,6 +36,7 @@
 )
 from laburnumreel.serving._dispatcher import Wanted
 from laburnumreel.serving._events import REQUEST_FAILED
+from laburnumreel.serving._job import Job, RequestFailedError
 from laburnumreel.serving._keyed import KeyedRun, claim, find
 from laburnumreel.serving._lifecycle import Body, Place
 from laburnumreel.serving._metrics import FIRST_BYTE_S, REQUESTS
--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -1,17 +1,18 @@
 """The attempts of one request: choosing back ends, and what may be retried where."""
 
+import time
 from typing import NamedTuple
 
-from laburnumreel.coordination import BackEnd, Work
+from laburnumreel.coordination import BackEnd
 from laburnumreel.core import Log
 from laburnumreel.serving._crashes import has_crashed
 from laburnumreel.serving._dispatcher import Wanted
 from laburnumreel.serving._events import REQUEST_RETRIED, SILENT_SPOKE, SILENT_WAITED_FOR
+from laburnumreel.serving._job import Job, RequestFailedError
 from laburnumreel.serving._metrics import CANCELS, RETRIES
 from laburnumreel.serving._parts import Parts
-from laburnumreel.serving._registry import Running
 from laburnumreel.serving._silences import NoTakeover
-from laburnumreel.state import ErrorKind, Profile, Refusal, RunState, Service
+from laburnumreel.state import ErrorKind, Refusal, RunState
 from laburnumreel.transport import BackEndFailureError, Exchange
 
 BACKOFF_BASE_S = 0.02
@@ -26,36 +27,12 @@
 _log = Log("serving.attempts")
 
 
-class RequestFailedError(Exception):
-    """The request has its final answer, which is this refusal."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(str(refusal.kind))
-        self.refusal = refusal
-
-
-class Job(NamedTuple):
-    """A checked and admitted request.
-
-    `repeatable` says that running it twice does no harm. `digest` names the body for the
-    quarantine.
-    """
-
-    running: Running
-    work: Work
-    service: Service
-    profile: Profile
-    credential: str
-    repeatable: bool
-    digest: str
-    arrived_at: float
-
-
 class _Takeover(NamedTuple):
     """What a request holds before it leaves a silent back end, besides a reserved retry."""
 
     back_end: BackEnd
     exchange: Exchange
+    opened_after: float
 
 
 class Attempts:
@@ -75,6 +52,8 @@
         self._may_have_run = False
         self._back_end: BackEnd | None = None
         self._exchange: Exchange | None = None
+        # A connection that is older than this was used before.
+        self._opened_after = 0.0
         self._takeover: _Takeover | None = None
         self._may_leave = job.repeatable
         self._patient = True
@@ -97,10 +76,11 @@
         """Return an exchange with the next back end, to which nothing was sent yet."""
         while True:
             if self._takeover is not None:
-                self._back_end, exchange = self._takeover
+                self._back_end, exchange, self._opened_after = self._takeover
                 self._takeover = None
                 return self._attached(exchange)
             self._back_end = back_end = self._choose()
+            self._opened_after = time.monotonic()
             try:
                 exchange = self._parts.pool.open(back_end.address, not self._job.repeatable)
             except BackEndFailureError:
@@ -160,7 +140,7 @@
 
         A caller that has `delivered` tokens of a stream can't come back for the others.
         """
-        self._may_have_run = ran_before
+        self._take_word(ran_before)
         self._parts.dispatcher.refused(self._back_end.name)
         self._close()
         if delivered:
@@ -172,7 +152,7 @@
 
     def rejected(self, ran_before: bool, detail: str) -> RequestFailedError:
         """The back end holds the request to be malformed, which says nothing of earlier attempts."""
-        self._may_have_run = ran_before
+        self._take_word(ran_before)
         self._close()
         return self.failure(Refusal(ErrorKind.BAD_REQUEST, detail))
 
@@ -227,6 +207,19 @@
         state = RunState.UNKNOWN if self._may_have_run else RunState.NOT_RUN
         return RequestFailedError(refusal._replace(run_state=state))
 
+    def _take_word(self, ran_before: bool) -> None:
+        """Take a back end's word that it has not run the request, where that is proven to be meant.
+
+        An answer that names no request may be an earlier one, written once more, on a connection
+        that was used before. The request's own answer may follow it there.
+        """
+        exchange = self._exchange
+        is_new = exchange.opened_at >= self._opened_after
+        if is_new or exchange.header("X-Request-Id") is not None:
+            self._may_have_run = ran_before
+        else:
+            exchange.abort()
+
     def _choose(self) -> BackEnd:
         job, dispatcher = self._job, self._parts.dispatcher
         if self._first is not None:
@@ -314,13 +307,14 @@
         if isinstance(back_end, NoTakeover):
             self._log_waiting(str(back_end))
             return False
+        opened_after = time.monotonic()
         try:
             exchange = self._parts.pool.open(back_end.address)
         except BackEndFailureError:
             self._tried.append(back_end.name)
             self._release(back_end, failed=True)
             return False
-        self._takeover = _Takeover(back_end, exchange)
+        self._takeover = _Takeover(back_end, exchange, opened_after)
         if self._exchange.has_unread:
             self._drop_takeover()
             return False
@@ -337,7 +331,7 @@
 
     def _drop_takeover(self) -> None:
         if self._takeover is not None:
-            (back_end, exchange), self._takeover = self._takeover, None
+            (back_end, exchange, _), self._takeover = self._takeover, None
             exchange.discard()
             self._release(back_end)
 
--- a/src/laburnumreel/serving/_checks.py
+++ b/src/laburnumreel/serving/_checks.py
@@ -12,7 +12,7 @@
     safe_target,
     token_limit,
 )
-from laburnumreel.serving._attempts import RequestFailedError
+from laburnumreel.serving._job import RequestFailedError
 from laburnumreel.serving._parts import Parts
 from laburnumreel.state import (
     Configuration,
--- a/src/laburnumreel/serving/_keyed.py
+++ b/src/laburnumreel/serving/_keyed.py
@@ -5,8 +5,8 @@
 
 from laburnumreel.core import Log
 from laburnumreel.protocol import MAX_STORED_BYTES, Answer, replay
-from laburnumreel.serving._attempts import RequestFailedError
 from laburnumreel.serving._events import ANSWER_NOT_STORED
+from laburnumreel.serving._job import RequestFailedError
 from laburnumreel.serving._metrics import REPLAYS
 from laburnumreel.serving._parts import Parts
 from laburnumreel.state import Claimed, Refusal, Refused, Replay, RunState, StoredAnswer
--- a/src/laburnumreel/serving/_lifecycle.py
+++ b/src/laburnumreel/serving/_lifecycle.py
@@ -7,9 +7,9 @@
 from types import TracebackType
 
 from laburnumreel.coordination import BackEnd, Offer
-from laburnumreel.serving._attempts import RequestFailedError
 from laburnumreel.serving._checks import Caller, check_key
 from laburnumreel.serving._dispatcher import Wanted
+from laburnumreel.serving._job import RequestFailedError
 from laburnumreel.serving._parts import Parts
 from laburnumreel.serving._registry import Running
 from laburnumreel.state import ErrorKind, Refusal, RunState
--- a/src/laburnumreel/serving/_model.py
+++ b/src/laburnumreel/serving/_model.py
@@ -7,8 +7,9 @@
 from laburnumreel.coordination import BackEnd
 from laburnumreel.protocol import DONE, EventTooLargeError, ModelRequest, engine_body
 from laburnumreel.serving._answer_part import AnswerPart, Event
-from laburnumreel.serving._attempts import Attempts, Job
+from laburnumreel.serving._attempts import Attempts
 from laburnumreel.serving._beginning import Beginning
+from laburnumreel.serving._job import Job
 from laburnumreel.serving._parts import Parts
 from laburnumreel.state import ErrorKind, Refusal, UsageCount
 from laburnumreel.transport import BackEndFailureError, Exchange
--- a/src/laburnumreel/serving/_plain.py
+++ b/src/laburnumreel/serving/_plain.py
@@ -5,7 +5,8 @@
 
 from laburnumreel.coordination import BackEnd
 from laburnumreel.protocol import answer_headers
-from laburnumreel.serving._attempts import Attempts, Job
+from laburnumreel.serving._attempts import Attempts
+from laburnumreel.serving._job import Job
 from laburnumreel.serving._parts import Parts
 from laburnumreel.state import ErrorKind, Refusal, UsageCount
 from laburnumreel.transport import BackEndFailureError, Exchange
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -9,9 +9,9 @@
 from laburnumreel.coordination import LoadReport, Offer, PeerNews, Work, prompt_prefixes
 from laburnumreel.core import ManualClock
 from laburnumreel.protocol import ModelRequest
-from laburnumreel.serving._attempts import Job
 from laburnumreel.serving._budgets import DEFAULT_RETRY_MINIMUM
 from laburnumreel.serving._dispatcher import Dispatcher, Wanted
+from laburnumreel.serving._job import Job
 from laburnumreel.serving._model import ModelRun
 from laburnumreel.state import Configuration, Host
 
--- /dev/null
+++ b/tests/test_gateway_repeated_refusals.py
@@ -0,0 +1,88 @@
+"""Refusals that a server in trouble writes once more on a kept connection of a gateway."""
+
+import json
+import time
+
+import pytest
+from scripted_engine import ScriptedServer
+
+from laburnumreel_standins.caller import MODEL, bearer, call
+
+pytestmark = pytest.mark.processes
+
+BODY = {"model": MODEL, "prompt": "x", "max_tokens": 2}
+
+
+def stream_of(exchange):
+    """Return the whole body of an engine's answer."""
+    choice = {"index": 0, "text": "one", "finish_reason": "stop"}
+    chunk = {"id": exchange.request_id, "choices": [choice]}
+    return f"data: {json.dumps(chunk)}\n\ndata: [DONE]\n\n".encode()
+
+
+def repeating(status, headers):
+    """Return a script that writes a refusal before the answer of each request but the first."""
+
+    def script(exchange):
+        earlier = getattr(exchange, "earlier", None)
+        exchange.earlier = exchange.request_id
+        if earlier is not None:
+            exchange.whole(b"{}", status, headers.format(earlier=earlier))
+            time.sleep(0.3)
+        exchange.whole(stream_of(exchange))
+
+    return script
+
+
+@pytest.fixture
+def scripted():
+    servers = []
+
+    def start(script):
+        servers.append(ScriptedServer(script))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.end()
+
+
+@pytest.mark.parametrize("headers", ["", "X-Request-Id: {earlier}\r\n", "Retry-After: 3\r\n"])
+@pytest.mark.parametrize("status", ["503 Service Unavailable", "429 Too Many", "400 Bad Request"])
+def test_refusal_of_an_earlier_request_does_not_say_not_run(deployment, scripted, status, headers):
+    """A caller was told "not run" for a request that its engine was running."""
+    server = scripted(repeating(status, headers))
+    deployment.configure()
+    server.list_in(deployment)
+    gateway = deployment.start_gateway()
+    replies = [
+        call(gateway.callers, "POST", "/v1/completions", BODY, bearer(Idempotency_Key=f"k{n}"))
+        for n in range(2)
+    ]
+    assert replies[0].status == 200 and len(server.seen) == 2
+    assert (replies[1].run_state, replies[1].status != 200) == ("unknown", True)
+
+
+@pytest.mark.parametrize("headers", ["", "Retry-After: 3\r\n"])
+def test_refusal_on_a_plain_servers_kept_connection_does_not_say_not_run(
+    deployment, scripted, headers
+):
+    """A plain server names no ids, so that nothing tells which request it refused."""
+    server = scripted(repeating("503 Service Unavailable", headers))
+    deployment.configure()
+    server.list_in(deployment, "orders", "plain")
+    gateway = deployment.start_gateway()
+    replies = [call(gateway.callers, "GET", "/orders/1", None, bearer()) for _ in range(2)]
+    assert replies[0].status == 200 and len(server.seen) == 2
+    assert (replies[1].run_state, replies[1].status != 200) == ("unknown", True)
+
+
+def test_refusal_on_a_new_connection_still_says_not_run(deployment, scripted):
+    """There is no earlier request that it could answer."""
+    script = repeating("503 Service Unavailable", "")
+    server = scripted(lambda exchange: setattr(exchange, "earlier", "none") or script(exchange))
+    deployment.configure()
+    server.list_in(deployment)
+    gateway = deployment.start_gateway()
+    reply = call(gateway.callers, "POST", "/v1/completions", BODY, bearer())
+    assert (reply.status, reply.run_state) == (503, "not-run")
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -47,8 +47,7 @@
 def begin(gateway):
     """Return a stream and the text of its first events."""
     stream = Stream(gateway.callers, {"prompt": "steady", "max_tokens": 60})
-    with gateway.log_shown():
-        return stream, "".join(stream.next_text() for _ in range(3))
+    return stream, "".join(stream.next_text() for _ in range(3))
 
 
 def running_engine(deployment):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -8,9 +8,10 @@
 from test_dispatcher import report, work
 
 from laburnumreel.core import ManualClock
-from laburnumreel.serving._attempts import Attempts, Job
+from laburnumreel.serving._attempts import Attempts
 from laburnumreel.serving._budgets import DEFAULT_RETRY_MINIMUM
 from laburnumreel.serving._dispatcher import Dispatcher, Wanted
+from laburnumreel.serving._job import Job
 from laburnumreel.serving._silences import NoTakeover
 from laburnumreel.state import Host
 from laburnumreel.transport import BackEndFailureError
