Take only sound reports of engines

What callers saw: a gateway that started while one engine's report was odd (a text or an infinite figure for a number, a prefix that is no text) didn't become ready within 30 s.

Cause: reports were taken as they came. A figure that is none raised in the dispatcher at each look at the engine's capacity, for all services. Deep JSON ended a reader's thread without a line, and a report without end was read whole.

Change: figures, texts and events are checked where they are read, within a bound on bytes; an odd report is logged once until a sound one comes (119), and the last sound one stays in use.

Why it works: what the dispatcher adds up and compares are finite numbers of bounded size.

--- a/src/laburnumreel/serving/_events.py
+++ b/src/laburnumreel/serving/_events.py
@@ -23,3 +23,8 @@
 SILENT_SPOKE = define_event(
     118, "silent_spoke", "a request's back end went on after a silence, and the request stays there"
 )
+REPORT_UNREADABLE = define_event(
+    119,
+    "report_unreadable",
+    "an engine's load or cache report is odd; its last sound one stays in use",
+)
--- a/src/laburnumreel/serving/_watch.py
+++ b/src/laburnumreel/serving/_watch.py
@@ -3,13 +3,14 @@
 import http.client
 import json
 import time
+from collections.abc import Mapping
 from concurrent.futures import Future, ThreadPoolExecutor
-from typing import Any
+from typing import Any, NamedTuple
 
 from laburnumreel.coordination import LoadReport
 from laburnumreel.core import Log, Task
 from laburnumreel.serving._dispatcher import Dispatcher
-from laburnumreel.serving._events import HOSTS_UNREADABLE
+from laburnumreel.serving._events import HOSTS_UNREADABLE, REPORT_UNREADABLE
 from laburnumreel.state import Platform
 from laburnumreel.transport import Address
 
@@ -17,6 +18,10 @@
 REPORT_TIMEOUT_S = 1.0
 # Reports are read this many at a time. What a slow engine holds up comes a round later.
 REPORT_THREADS = 4
+# The cache events since the last look are some hundred bytes each, for a few thousand prefixes.
+MOST_REPORT_BYTES = 4 * 1024 * 1024
+# The largest number of an event that is taken for one.
+MOST_EVENT_NUMBER = 2**53
 
 _log = Log("serving.watch")
 
@@ -31,6 +36,8 @@
         self._executor = ThreadPoolExecutor(REPORT_THREADS, "report")
         self._reading: dict[str, Future] = {}
         self._next_events: dict[str, int] = {}
+        # Engines whose odd report was logged; the next sound one ends that.
+        self._odd: set[str] = set()
         self._ready = False
 
     @property
@@ -65,32 +72,50 @@
 
     def _read(self, name: str, address: Address) -> None:
         try:
-            report = LoadReport.from_value(_get(address, "/load"))
-            self._dispatcher.load(name, report)
+            self._dispatcher.load(name, LoadReport.from_value(_get(address, "/load")))
             after = self._next_events.get(name, 0)
-            body = _get(address, f"/cache/events?after={after}")
-            by_kind: dict[str, list[str]] = {"stored": [], "evicted": []}
-            for event in body["events"]:
-                # A prefix that was evicted and stored again in one answer counts as its last event.
-                for prefixes in by_kind.values():
-                    if event["prefix"] in prefixes:
-                        prefixes.remove(event["prefix"])
-                by_kind[event["kind"]].append(event["prefix"])
-            # A lower number is that of an engine that was started again, with an empty cache.
-            gap = body["gap"] or body["next"] < after
-            self._next_events[name] = body["next"] if body["next"] >= after else 0
-            if gap or body["events"]:
-                self._dispatcher.cache_events(name, by_kind["stored"], by_kind["evicted"], gap)
-        except (
-            OSError,
-            http.client.HTTPException,
-            ValueError,
-            KeyError,
-            TypeError,
-            RecursionError,
-        ):
+            events = _CacheEvents.from_value(_get(address, f"/cache/events?after={after}"))
+        except (OSError, http.client.HTTPException):
             # An engine that does not report is judged by its requests.
             return
+        except (ValueError, KeyError, TypeError) as error:
+            if name not in self._odd:
+                self._odd.add(name)
+                _log.warning(REPORT_UNREADABLE, engine=name, error=repr(error)[:200])
+            return
+        self._odd.discard(name)
+        # A lower number is that of an engine that was started again, with an empty cache.
+        gap = events.gap or events.next < after
+        self._next_events[name] = events.next if events.next >= after else 0
+        if gap or events.stored or events.evicted:
+            self._dispatcher.cache_events(name, events.stored, events.evicted, gap)
+
+
+class _CacheEvents(NamedTuple):
+    """An engine's answer to `GET /cache/events`."""
+
+    stored: list[str]
+    evicted: list[str]
+    next: int
+    gap: bool
+
+    @classmethod
+    def from_value(cls, value: Mapping[str, Any]) -> "_CacheEvents":
+        """Return the events, or raise KeyError, TypeError or ValueError where they are none."""
+        last, gap = value["next"], value["gap"]
+        if not isinstance(last, int) or not isinstance(gap, bool) or last > MOST_EVENT_NUMBER:
+            raise TypeError("next must be a whole number, and gap true or false")
+        by_kind: dict[str, list[str]] = {"stored": [], "evicted": []}
+        for event in value["events"]:
+            kind, prefix = event["kind"], event["prefix"]
+            if not isinstance(prefix, str):
+                raise TypeError("a prefix must be a text")
+            # A prefix that was evicted and stored again in one answer counts as its last event.
+            for prefixes in by_kind.values():
+                if prefix in prefixes:
+                    prefixes.remove(prefix)
+            by_kind[kind].append(prefix)
+        return cls(by_kind["stored"], by_kind["evicted"], last, gap)
 
 
 def _get(address: Address, path: str) -> Any:
@@ -98,9 +123,13 @@
     try:
         connection.request("GET", path)
         answer = connection.getresponse()
-        body = answer.read()
+        body = answer.read(MOST_REPORT_BYTES + 1)
         if answer.status != 200:
-            raise ValueError(f"status {answer.status}")
+            raise http.client.HTTPException(f"status {answer.status}")
+        if len(body) > MOST_REPORT_BYTES:
+            raise ValueError("the report does not end")
         return json.loads(body)
+    except RecursionError as error:
+        raise ValueError("the report is nested too deep") from error
     finally:
         connection.close()
--- /dev/null
+++ b/tests/test_gateway_odd_reports.py
@@ -0,0 +1,84 @@
+"""Engines whose reports and answers are odd: one costs itself and a log line, and nothing else."""
+
+import json
+
+import pytest
+from scripted_engine import REPORT, ScriptedServer
+from test_gateway_broken_streams import go_on
+
+from laburnumreel.coordination import LoadReport
+from laburnumreel_standins.caller import MODEL, bearer, call
+from laburnumreel_standins.processes import wait_until
+
+DEEP = b'{"at": ' + b"[" * 200_000
+ODD_FIELDS = [
+    ("at", "soon"),
+    ("at", float("nan")),
+    ("at", 10**400),
+    ("max_streams", "many"),
+    ("max_streams", float("inf")),
+    ("max_streams", 10**400),
+    ("max_streams", None),
+    ("queued_prefill_tokens", float("nan")),
+    ("decode_tokens_per_s", [1]),
+    ("kv_free_tokens", {}),
+    ("models", 5),
+    ("models", [[MODEL]]),
+    ("role", []),
+    ("draining", "no"),
+]
+ODD_EVENTS = [
+    {"events": [{"kind": "stored", "prefix": ["a"]}], "next": 1, "gap": False},
+    {"events": [{"kind": "moved", "prefix": "a"}], "next": 1, "gap": False},
+    {"events": 5, "next": 1, "gap": False},
+    {"events": [], "next": "x", "gap": False},
+    {"events": [], "next": 1.5e308, "gap": "yes"},
+]
+
+
+@pytest.fixture
+def scripted():
+    servers = []
+
+    def start(script):
+        servers.append(ScriptedServer(script))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.end()
+
+
+@pytest.mark.parametrize("name, value", ODD_FIELDS)
+def test_odd_field_makes_no_report(name, value):
+    """The dispatcher raised at each look at the engine, for all services and requests."""
+    with pytest.raises((ValueError, TypeError)):
+        LoadReport.from_value({**REPORT, name: value})
+
+
+def test_sound_report_is_read():
+    assert LoadReport.from_value(REPORT).models == (MODEL,)
+    assert LoadReport.from_value({**REPORT, "max_streams": 64.0}).max_streams == 64
+
+
+@pytest.mark.processes
+def test_odd_reports_cost_only_their_engines(deployment, scripted):
+    """One engine's report stopped the admission of all requests."""
+    deployment.configure()
+    reports = [json.dumps({**REPORT, name: value}).encode() for name, value in ODD_FIELDS]
+    events = [json.dumps(value).encode() for value in ODD_EVENTS]
+    sound = json.dumps(REPORT).encode()
+    for report, event in [(each, None) for each in (*reports, DEEP)] + [
+        (sound, each) for each in (*events, DEEP)
+    ]:
+        server = scripted(go_on)
+        server.report, server.events = report, event or server.events
+        server.list_in(deployment)
+    deployment.add_engine()
+    gateway = deployment.start_gateway()
+    body = {"model": MODEL, "prompt": "x", "max_tokens": 2}
+    for _ in range(10):
+        reply = call(gateway.callers, "POST", "/v1/completions", body, bearer())
+        assert reply.status == 200, reply
+    wait_until(lambda: "report_unreadable" in gateway.process.output, "a log line")
+    assert "task_failed" not in gateway.process.output
