Take a chunk of an odd form, or a count beyond the request, for the engine's fault

What callers saw: an internal error, or a stream that ended without any, where an engine sent a chunk whose fields have other types, though other engines could serve the request; a customer that was over its rate after one engine counted 2^63 - 1 tokens; an internal error where an engine's `Retry-After` has 400 digits or is "²".

Cause: chunks, counts and times were used as they came.

Change: the fields that are read have their types checked, and a chunk without them is a failure of its engine. More prompt tokens than the prompt has bytes (and a template), or more output tokens than the request may have, are not counted.

Evidence: in test_gateway_odd_reports.py all sixteen cases of test_odd_chunk_is_a_failure_of_its_engine failed before, as did test_figures_that_no_request_has_are_not_charged and both cases of test_odd_time_to_come_back_is_none. Not covered: contents of `delta` and `logprobs`, which whole answers are put together from.

Why it works: what is added up is bounded by the request itself.

--- a/src/laburnumreel/serving/_answer_part.py
+++ b/src/laburnumreel/serving/_answer_part.py
@@ -55,6 +55,8 @@
 
     def _checked(self, payload: bytes) -> dict[str, Any]:
         chunk = _parse(payload)
+        if not _is_chunk(chunk):
+            raise BackEndFailureError("lost", "an event has not the form of a chunk", True)
         if chunk.get("id") != self._request_id:
             raise BackEndFailureError("lost", "a chunk belongs to another request", True)
         if chunk.get("error"):
@@ -96,6 +98,21 @@
     return chunk
 
 
+def _is_chunk(chunk: dict[str, Any]) -> bool:
+    """Return whether the fields that the gateway reads have their types."""
+    choices, usage = chunk.get("choices"), chunk.get("usage")
+    if not isinstance(choices, list | None) or not isinstance(usage, dict | None):
+        return False
+    return all(
+        isinstance(choice, dict)
+        and isinstance(choice.get("index", 0), int)
+        and isinstance(choice.get("text"), str | None)
+        and isinstance(choice.get("delta"), dict | None)
+        and isinstance(choice.get("finish_reason"), str | None)
+        for choice in choices or ()
+    )
+
+
 def _has_token(chunk: dict[str, Any]) -> bool:
     for choice in chunk.get("choices") or ():
         if choice.get("text"):
--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -23,6 +23,8 @@
 # How often a request at a silent back end asks for a retry and a place elsewhere.
 SILENCE_CHECK_S = 0.25
 CANCEL_TIMEOUT_S = 1.0
+# The longest time to come back that is taken from a back end: a day.
+LONGEST_RETRY_S = 86_400.0
 
 _log = Log("serving.attempts")
 
@@ -145,8 +147,7 @@
         self._close()
         if delivered:
             detail = ""
-        elif retry_after is not None and retry_after.isdigit():
-            wait = float(retry_after)
+        elif (wait := _seconds(retry_after)) is not None:
             raise self.failure(Refusal(ErrorKind.BACK_END_REFUSED, detail, wait))
         self._retry("back_end_refused", Refusal(ErrorKind.BACK_END_REFUSED, detail))
 
@@ -370,6 +371,14 @@
         )
 
 
+def _seconds(retry_after: str | None) -> float | None:
+    """Return the seconds that a `Retry-After` header names, or None."""
+    if retry_after is None or not (retry_after.isascii() and retry_after.isdigit()):
+        return None
+    seconds = float(retry_after)
+    return seconds if seconds <= LONGEST_RETRY_S else None
+
+
 def _cancel(parts: Parts, back_end: BackEnd, request_id: str, credential: str) -> None:
     headers = {"Authorization": f"Bearer {credential}"} if credential else {}
     try:
--- a/src/laburnumreel/serving/_model.py
+++ b/src/laburnumreel/serving/_model.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from laburnumreel.coordination import BackEnd
-from laburnumreel.protocol import DONE, EventTooLargeError, ModelRequest, engine_body
+from laburnumreel.protocol import DONE, EventTooLargeError, ModelRequest, engine_body, token_limit
 from laburnumreel.serving._answer_part import AnswerPart, Event
 from laburnumreel.serving._attempts import Attempts
 from laburnumreel.serving._beginning import Beginning
@@ -17,6 +17,8 @@
 # How long to wait for the end of an answer whose final event has come, to use the connection again.
 DRAIN_S = 0.05
 MAX_ERROR_BYTES = 4096
+# What an engine may count beyond one token for each byte of a prompt.
+TEMPLATE_TOKENS = 4096
 _REFUSING = (404, 409, 425, 429, 503)
 
 
@@ -34,6 +36,7 @@
         self._parts = parts
         self._job = job
         self._target = "/v1/chat/completions" if request.chat else "/v1/completions"
+        self._request = request
         self._body = engine_body(request)
         self._attempts = Attempts(parts, job, first)
         self._tokens = 0
@@ -140,10 +143,18 @@
         self._usage = part.usage or self._usage
         return ready
 
+    @property
+    def _counted_tokens(self) -> int:
+        """The output tokens of the whole answer by the engine's count, 0 where there is none."""
+        counted = self._usage.get("completion_tokens")
+        if counted is None:
+            return 0
+        limit = token_limit(self._request) or self._job.profile.max_tokens
+        return _whole(counted, 0, limit * self._request.choices)
+
     def _check_count(self) -> None:
         """Fail where the engine's own count shows that it has begun the answer anew."""
-        counted = _whole(self._usage.get("completion_tokens"), 0)
-        if 0 < counted < self._tokens:
+        if 0 < self._counted_tokens < self._tokens:
             raise self._attempts.failure(Refusal(ErrorKind.BACK_END_LOST))
 
     def _finish(self, exchange: Exchange) -> None:
@@ -163,8 +174,12 @@
             customer=work.customer,
             service=work.service,
             requests=1,
-            prompt_tokens=_whole(self._usage.get("prompt_tokens"), work.prompt_tokens),
-            output_tokens=max(self._tokens, _whole(self._usage.get("completion_tokens"), 0)),
+            prompt_tokens=_whole(
+                self._usage.get("prompt_tokens"),
+                work.prompt_tokens,
+                work.prompt_bytes + TEMPLATE_TOKENS,
+            ),
+            output_tokens=max(self._tokens, self._counted_tokens),
         )
 
 
@@ -182,5 +197,5 @@
     return str(message)[:500]
 
 
-def _whole(value: Any, default: int) -> int:
-    return value if isinstance(value, int) and value >= 0 else default
+def _whole(value: Any, default: int, most: int) -> int:
+    return value if isinstance(value, int) and 0 <= value <= most else default
--- a/tests/test_gateway_odd_reports.py
+++ b/tests/test_gateway_odd_reports.py
@@ -4,7 +4,7 @@
 
 import pytest
 from scripted_engine import REPORT, ScriptedServer
-from test_gateway_broken_streams import go_on
+from test_gateway_broken_streams import REST, START, go_on, play
 
 from laburnumreel.coordination import LoadReport
 from laburnumreel_standins.caller import MODEL, bearer, call
@@ -82,3 +82,71 @@
         assert reply.status == 200, reply
     wait_until(lambda: "report_unreadable" in gateway.process.output, "a log line")
     assert "task_failed" not in gateway.process.output
+
+
+ODD_CHUNKS = [
+    {"choices": 5},
+    {"choices": [5]},
+    {"choices": [{"index": 0, "text": 5}]},
+    {"choices": [{"index": 0, "delta": "x"}]},
+    {"choices": [{"index": [0], "text": "x"}]},
+    {"choices": [{"index": "first", "text": "x"}]},
+    {"choices": [], "usage": [1]},
+    {"choices": [{"index": 0, "text": "", "finish_reason": ["stop"]}]},
+]
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("chunk", ODD_CHUNKS, ids=str)
+@pytest.mark.parametrize("stream", [True, False])
+def test_odd_chunk_is_a_failure_of_its_engine(deployment, scripted, chunk, stream):
+    """The request ended with an internal error, or the stream without any, though others could serve it."""
+
+    def odd(exchange):
+        exchange.begin_stream()
+        exchange.event(chunk)
+        exchange.end_stream()
+
+    gateway, _ = play(deployment, scripted, odd, go_on)
+    body = {"model": MODEL, "prompt": "x", "max_tokens": 9, "stream": stream}
+    reply = call(gateway.callers, "POST", "/v1/completions", body, bearer())
+    assert reply.status == 200 and START[0].encode() in reply.body, reply
+    assert (b"[DONE]" in reply.body) == stream and REST[-1].encode() in reply.body
+
+
+@pytest.mark.processes
+def test_figures_that_no_request_has_are_not_charged(deployment, scripted):
+    """A customer was over its rate for ages, at all gateways, by one engine's figure."""
+
+    def huge(exchange):
+        exchange.begin_stream()
+        exchange.token("one")
+        usage = {"prompt_tokens": 10**15, "completion_tokens": 2**63 - 1}
+        exchange.event({"choices": [], "usage": usage})
+        exchange.end_stream()
+
+    deployment.configure(**{"customer/hall-a": {"tokens_per_s": 1000.0}})
+    scripted(huge).list_in(deployment)
+    gateway = deployment.start_gateway()
+    body = {"model": MODEL, "prompt": "x", "max_tokens": 9}
+    replies = [
+        call(gateway.callers, "POST", "/v1/completions", body, bearer()).status for _ in range(3)
+    ]
+    assert replies == [200] * 3
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("retry_after", ["9" * 400, "²"])
+def test_odd_time_to_come_back_is_none(deployment, scripted, retry_after):
+    """The request ended with an internal error."""
+
+    def refusal(exchange):
+        head = f"HTTP/1.1 503 Busy\r\nContent-Length: 2\r\nRetry-After: {retry_after}\r\n\r\n{{}}"
+        exchange.wfile.write(head.encode("latin-1"))
+
+    deployment.configure()
+    scripted(refusal).list_in(deployment)
+    gateway = deployment.start_gateway()
+    body = {"model": MODEL, "prompt": "x", "max_tokens": 9}
+    reply = call(gateway.callers, "POST", "/v1/completions", body, bearer())
+    assert (reply.status, reply.run_state) == (503, "not-run")
