Let a refusal count by its head

What callers saw: a request that a back end had refused, but whose text didn't come, failed after `silence_s` with `unknown`; one that must not repeat went nowhere else, though it had not run.

Cause: the text of an error was read like an answer, and its silence was the back end's failure.

Evidence: test_refusal_whose_text_does_not_come_is_one failed before with 504 and `unknown`.

Why it works: the status has come whole by then, and is all that the decision needs.

--- a/src/laburnumreel/serving/_model.py
+++ b/src/laburnumreel/serving/_model.py
@@ -17,6 +17,8 @@
 # How long to wait for the end of an answer whose final event has come, to use the connection again.
 DRAIN_S = 0.05
 MAX_ERROR_BYTES = 4096
+# How long to wait for the text of an error whose head has come.
+ERROR_READ_S = 0.5
 # What an engine may count beyond one token for each byte of a prompt.
 TEMPLATE_TOKENS = 4096
 _REFUSING = (404, 409, 425, 429, 503)
@@ -184,15 +186,20 @@
 
 
 def _read_error(exchange: Exchange) -> str:
+    """Return the reason in an error's body, as far as it comes soon: the status has said enough."""
     data = b""
-    while len(data) < MAX_ERROR_BYTES:
-        part = exchange.read()
-        if not part:
-            break
-        data += part
+    exchange.set_timeout(ERROR_READ_S)
+    try:
+        while len(data) < MAX_ERROR_BYTES:
+            part = exchange.read()
+            if not part:
+                break
+            data += part
+    except BackEndFailureError:
+        return ""
     try:
         message = json.loads(data)["error"]["message"]
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return ""
     return str(message)[:500]
 
--- a/tests/test_gateway_repeated_refusals.py
+++ b/tests/test_gateway_repeated_refusals.py
@@ -86,3 +86,22 @@
     gateway = deployment.start_gateway()
     reply = call(gateway.callers, "POST", "/v1/completions", BODY, bearer())
     assert (reply.status, reply.run_state) == (503, "not-run")
+
+
+def test_refusal_whose_text_does_not_come_is_one(deployment, scripted):
+    """A request that had been refused was held for its silence, and called unknown."""
+
+    def refusal(exchange):
+        exchange.close_connection = True
+        exchange.wfile.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 100\r\n\r\n")
+        time.sleep(2.0)
+
+    deployment.configure(profile__chat={"silence_s": 1.5})
+    scripted(refusal).list_in(deployment)
+    gateway = deployment.start_gateway()
+    # A request that must not repeat: an answer of several choices can't be resumed.
+    started = time.monotonic()
+    reply = call(gateway.callers, "POST", "/v1/completions", {**BODY, "n": 2}, bearer())
+    assert (reply.status, reply.run_state) == (503, "not-run")
+    # A refused request looks for another back end for 2 s.
+    assert time.monotonic() - started < 3.2
