--- a/src/laburnumreel/coordination/_back_ends.py
+++ b/src/laburnumreel/coordination/_back_ends.py
@@ -31,12 +31,12 @@
             at=fields.number("at", -MOST_CLOCK_S, MOST_CLOCK_S),
             role=fields.text("role"),
             models=tuple(fields.texts("models")),
-            queued_prefill_tokens=fields.whole("queued_prefill_tokens"),
-            decode_streams=fields.whole("decode_streams"),
-            max_streams=fields.whole("max_streams"),
+            queued_prefill_tokens=_whole(fields, "queued_prefill_tokens"),
+            decode_streams=_whole(fields, "decode_streams"),
+            max_streams=_whole(fields, "max_streams"),
             prefill_tokens_per_s=fields.number("prefill_tokens_per_s", 0, MOST_WHOLE),
             decode_tokens_per_s=fields.number("decode_tokens_per_s", 0, MOST_WHOLE),
-            kv_free_tokens=fields.whole("kv_free_tokens", -MOST_WHOLE),
+            kv_free_tokens=_whole(fields, "kv_free_tokens", -MOST_WHOLE),
             draining=fields.flag("draining"),
         )
 
@@ -76,3 +76,8 @@
     target: str
     reason: str
     until: float
+
+
+def _whole(fields: Fields, name: str, least: int = 0) -> int:
+    """Read a count, which an engine may also write as a number with a point."""
+    return int(fields.number(name, least, MOST_WHOLE))
--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -1,6 +1,5 @@
 """The attempts of one request: choosing back ends, and what may be retried where."""
 
-import time
 from typing import NamedTuple
 
 from laburnumreel.coordination import BackEnd
@@ -34,7 +33,6 @@
 
     back_end: BackEnd
     exchange: Exchange
-    opened_after: float
 
 
 class Attempts:
@@ -54,8 +52,6 @@
         self._may_have_run = False
         self._back_end: BackEnd | None = None
         self._exchange: Exchange | None = None
-        # A connection that is older than this was used before.
-        self._opened_after = 0.0
         self._takeover: _Takeover | None = None
         self._may_leave = job.repeatable
         self._patient = True
@@ -78,11 +74,10 @@
         """Return an exchange with the next back end, to which nothing was sent yet."""
         while True:
             if self._takeover is not None:
-                self._back_end, exchange, self._opened_after = self._takeover
+                self._back_end, exchange = self._takeover
                 self._takeover = None
                 return self._attached(exchange)
             self._back_end = back_end = self._choose()
-            self._opened_after = time.monotonic()
             try:
                 exchange = self._parts.pool.open(back_end.address, not self._job.repeatable)
             except BackEndFailureError:
@@ -107,9 +102,8 @@
             headers["Authorization"] = f"Bearer {self._job.credential}"
         self._may_have_run = True
         self._patient = True
-        silence_s = self._job.profile.silence_s
         self._exchange.patience = self._on_silence
-        self._exchange.send(method, target, headers, body, silence_s)
+        self._exchange.send(method, target, headers, body, self._job.profile.silence_s)
         self._heard()
         echoed = self._exchange.header("X-Request-Id")
         if echoed is not None and echoed != self._job.running.request_id:
@@ -215,8 +209,7 @@
         that was used before. The request's own answer may follow it there.
         """
         exchange = self._exchange
-        is_new = exchange.opened_at >= self._opened_after
-        if is_new or exchange.header("X-Request-Id") is not None:
+        if exchange.is_alone or exchange.header("X-Request-Id") is not None:
             self._may_have_run = ran_before
         else:
             exchange.abort()
@@ -281,7 +274,7 @@
         self._parts.dispatcher.attempt_ended(back_end.name, request_id, failed, lost)
 
     def _on_silence(self, bytes_came: bool) -> float | None:
-        """Return for how long to wait on for a silent back end, or None to leave it.
+        """Return for how long to wait on for a silent back end, None to leave it.
 
         Runs on the request's thread, in the middle of a read.
         """
@@ -308,14 +301,13 @@
         if isinstance(back_end, NoTakeover):
             self._log_waiting(str(back_end))
             return False
-        opened_after = time.monotonic()
         try:
             exchange = self._parts.pool.open(back_end.address)
         except BackEndFailureError:
             self._tried.append(back_end.name)
             self._release(back_end, failed=True)
             return False
-        self._takeover = _Takeover(back_end, exchange, opened_after)
+        self._takeover = _Takeover(back_end, exchange)
         if self._exchange.has_unread:
             self._drop_takeover()
             return False
@@ -332,7 +324,7 @@
 
     def _drop_takeover(self) -> None:
         if self._takeover is not None:
-            (back_end, exchange, _), self._takeover = self._takeover, None
+            (back_end, exchange), self._takeover = self._takeover, None
             exchange.discard()
             self._release(back_end)
 
