--- a/src/laburnumreel/coordination/_leases.py
+++ b/src/laburnumreel/coordination/_leases.py
@@ -173,7 +173,7 @@
 
     def _watch(self) -> None:
         self._next_watch = self._clock.now() + self._watch_s * (1 + 0.2 * self._rng.random())
-        sent_at = self._clock.now()
+        sent_at, era = self._clock.now(), self._era()
         page = self._platform.scan(LEASE_TABLE)
         now = self._clock.now()
         if page.is_error():
@@ -186,7 +186,8 @@
         for lease in self._leases:
             row = rows.get(lease.name)
             lease.observe(row, now, store_time)
-            if row is not None and lease.problem is not None:
+            # A row of an era that the answer itself told of is read again in the next step.
+            if row is not None and lease.problem is not None and era == self._era():
                 own_rows.tell(LEASE_TABLE, row.key, row.version, lease.problem)
         self._publish()
 
--- a/src/laburnumreel/state/_fields.py
+++ b/src/laburnumreel/state/_fields.py
@@ -6,6 +6,7 @@
 
 import ipaddress
 import math
+import threading
 import time
 from collections.abc import Callable, Collection
 from typing import Any, TypeVar
@@ -155,13 +156,22 @@
     def __init__(self, log: Log, clock: Callable[[], float] = time.monotonic) -> None:
         self._log = log
         self._clock = clock
+        # Tasks share one instance.
+        self._lock = threading.Lock()
         # The version, the problem and the time of each row's last line, the oldest first.
         self._told: dict[tuple[str, str], tuple[int, str, float]] = {}
 
     def tell(self, table: str, key: str, version: int, problem: str) -> bool:
         """Log a row, unless that was done, and return whether it was."""
         problem = problem[:MOST_PROBLEM_CHARACTERS]
-        now, row = self._clock(), (table, key)
+        with self._lock:
+            if not self._is_new((table, key), version, problem):
+                return False
+        self._log.warning(RECORD_UNREADABLE, table=table, key=key, problem=problem)
+        return True
+
+    def _is_new(self, row: tuple[str, str], version: int, problem: str) -> bool:
+        now = self._clock()
         known_version, known_problem, at = self._told.get(row, (None, "", float("-inf")))
         if version == known_version:
             return False
@@ -170,9 +180,7 @@
         self._told.pop(row, None)
         self._told[row] = (version, problem, now)
         if len(self._told) > MOST_REMEMBERED:
-            # Request threads and tasks share tables.
-            self._told.pop(next(iter(self._told)), None)
-        self._log.warning(RECORD_UNREADABLE, table=table, key=key, problem=problem)
+            del self._told[next(iter(self._told))]
         return True
 
 
