--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -1,22 +1,22 @@
 """Requests to engines: a prompt is read, perhaps at an engine of its own, then a stream runs."""
 
-import http.client
 from collections.abc import Callable, Iterator
 
 from laburnumreel.core import Log
 from laburnumreel.relay._assignments import Assignment, Order
-from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._elsewhere import Elsewhere, Held, give_back
 from laburnumreel.relay._event_stream import CommentPace, EventSplitter, StreamEvent
-from laburnumreel.relay._events import (
-    COPY_RELEASED,
-    PROMPT_READ,
-    REQUEST_PLACED,
-    REQUEST_RESUMED,
-)
+from laburnumreel.relay._events import REQUEST_PLACED, REQUEST_RESUMED
 from laburnumreel.relay._job import Job, RelayFailedError
-from laburnumreel.relay._requests import Dispatch, PromptCopy, Verdict, Word
+from laburnumreel.relay._prompt_copies import read_apart, release_copy
+from laburnumreel.relay._requests import Dispatch, PromptCopy, Verdict
 from laburnumreel.relay._sending import Attempt, SendFailedError, may_go_on, refusal_after
+from laburnumreel.relay._silences import (
+    SOUND_SILENCE_S,
+    first_event_silent_s,
+    gap_silent_s,
+    reading_silent_s,
+)
 from laburnumreel.relay._stream_position import (
     NotContinuedError,
     StreamPosition,
@@ -24,24 +24,9 @@
 )
 from laburnumreel.relay._work import Work
 from laburnumreel.state import ErrorKind, RunState
-from laburnumreel.transport import BackEndFailureError, Exchange
+from laburnumreel.transport import Exchange
 
-# A stream that can go on elsewhere is taken from an engine that is silent for this many of the
-# route's longest pauses, and before its first event for this many of its objectives. Both are below
-# the time after which callers give a silent stream up.
-SILENT_GAPS = 5.0
-SILENT_OBJECTIVES = 1.6
-LEAST_SILENT_S = 0.8
-# What an engine may take longer than was expected before it counts as silent.
-EXPECTED_TIMES = 2.5
-# A reading apart has run nothing: its caller is told so where it is silent for longer and nothing
-# better is to be had. Sound engines fall silent for about a second.
-# A stream that is silent for longer waits for another place before new requests do.
-SOUND_SILENCE_S = 1.6
-RELEASE_TIMEOUT_S = 1.0
-# What the answers of engines that are no streams may have: the handle of a prompt that was read, a
-# failure with its reason, and the answer to a release.
-MOST_HANDLE_BYTES = 64 * 1024
+# What a failure of an engine may have, with its reason.
 MOST_FAILURE_BYTES = 256 * 1024
 
 _log = Log("relay.engine")
@@ -196,52 +181,20 @@
         return assignment
 
     def _read_apart(self, assignment: Assignment) -> PromptCopy:
-        job, parts, reader = self._job, self._job.parts, assignment.reader
-        dispatch = Dispatch(
-            job.request,
-            reader,
-            job.customer,
-            job.left_s,
-            priority=job.engine_priority,
-            only_read=True,
-            limited=assignment.limited,
-        )
-        started = parts.clock.now()
-        expected_s = EXPECTED_TIMES * assignment.plan.first_token_ms / 1000
-        silent_s = min(max(LEAST_SILENT_S, expected_s), max(0.01, job.left_s))
+        reader = assignment.reader
+        silent_s = reading_silent_s(self._job, assignment.plan)
         elsewhere = Elsewhere(
-            job,
+            self._job,
             reader,
             lambda silent_s: self._order_without(reader.name),
             self._may_go_to,
             most_silent_s=max(silent_s, SOUND_SILENCE_S),
         )
         try:
-            with Attempt(job, dispatch, elsewhere, self._take_connection()) as attempt:
-                verdict = attempt.send(silent_s)
-                body = attempt.read_all(MOST_HANDLE_BYTES)
-                status = attempt.exchange.status
-                if verdict.outcome != "success":
-                    raise SendFailedError("lost", f"reading was answered {status}", False)
-        except BaseException as error:
+            return read_apart(self._job, assignment, silent_s, elsewhere, self._take_connection())
+        except BaseException:
             self._held = elsewhere.take()
-            parts.dispatcher.ended(reader.name, assignment.read_work, job.service.name)
-            if isinstance(error, SendFailedError) and error.trouble != "unreachable":
-                job.count_reading(dispatch, taken=False)
             raise
-        job.count_reading(dispatch, taken=True)
-        took_ms = 1000 * (parts.clock.now() - started)
-        parts.dispatcher.read(assignment, job.request.prompt, took_ms)
-        _log.debug(
-            PROMPT_READ,
-            request=job.request.request_id,
-            back_end=reader.name,
-            took_ms=round(took_ms, 1),
-        )
-        copy = parts.wire.prompt_copy(reader.address, body)
-        if copy.is_error():
-            raise SendFailedError("not_genuine", copy.error, False)
-        return copy.ok
 
     def _first(self, assignment: Assignment, copy: PromptCopy | None) -> bytes:
         """Send the request to the engine that generates and return the beginning of its answer."""
@@ -253,7 +206,7 @@
                 verdict = self._send_copy(assignment.reader.zone, copy)
         except BaseException as error:
             if copy is not None:
-                self._release(copy, assignment.reader, error)
+                release_copy(job, copy, assignment.reader, error)
             raise
         exchange = self._attempt.exchange
         self.status, self.headers = exchange.status, exchange.headers
@@ -307,7 +260,7 @@
         )
         self._attempt = Attempt(job, dispatch, self._elsewhere, self._take_connection())
         try:
-            verdict = self._attempt.send(self._first_silent_s(assignment))
+            verdict = self._attempt.send(first_event_silent_s(job, assignment.plan))
         except SendFailedError as error:
             if error.trouble != "unreachable":
                 job.sends += 1
@@ -402,7 +355,7 @@
             self._has_begun = True
             self._elsewhere.spoke()
             self._has_read()
-            self._silent_limit_s, self._silent_for_s = self._gap_silent_s(), 0.0
+            self._silent_limit_s, self._silent_for_s = gap_silent_s(self._job), 0.0
             self._attempt.await_event(self._silent_limit_s)
             return
         left_s = self._silent_limit_s - self._silent_for_s
@@ -446,22 +399,6 @@
                 error = failure
             self._give_up_attempt()
 
-    def _first_silent_s(self, assignment: Assignment) -> float:
-        job = self._job
-        left_s = max(0.01, job.left_s)
-        if not job.route.repeatable or job.sends_left <= 1:
-            return left_s
-        expected_s = EXPECTED_TIMES * assignment.plan.first_token_ms / 1000
-        silent_s = max(LEAST_SILENT_S, SILENT_OBJECTIVES * job.route.objective_s, expected_s)
-        return min(silent_s, left_s / 2)
-
-    def _gap_silent_s(self) -> float:
-        job = self._job
-        left_s = max(0.01, job.left_s)
-        if not job.route.resumable or job.sends_left <= 0:
-            return left_s
-        return min(left_s, max(LEAST_SILENT_S, SILENT_GAPS * job.route.gap_s))
-
     def _has_read(self) -> None:
         """Take in that the engine has read the prompt, which its first event shows."""
         if any(self._unread):
@@ -478,30 +415,3 @@
             work = assignment.run_work.plus(self._unread)
             self._unread = Work()
             self._job.parts.dispatcher.ended(self._runner, work, self._job.service.name)
-
-    def _release(self, copy: PromptCopy, reader: ListedBackEnd, error: BaseException) -> None:
-        """Free a copy that will not be taken, so that its engine gets the memory back."""
-        parts = self._job.parts
-        method, path = parts.wire.release(copy)
-        _log.info(
-            COPY_RELEASED,
-            request=self._job.request.request_id,
-            cause=str(error)[:200],
-        )
-        # The engine frees the copy by itself after its keep time, where it is not told.
-        if not parts.dispatcher.may_call(reader):
-            return
-        try:
-            exchange = parts.pool.open(copy.address)
-            try:
-                exchange.send(method, path, {}, None, RELEASE_TIMEOUT_S)
-                word = parts.wire.word(exchange.status, exchange.message, reader.name)
-                if not exchange.is_alone:
-                    # A release has no id; what comes may be old, and only leaving stays true.
-                    word = Word(leaving=word.leaving)
-                parts.dispatcher.heed(reader, word)
-                exchange.read_whole(MOST_HANDLE_BYTES, RELEASE_TIMEOUT_S)
-            finally:
-                exchange.close()
-        except (BackEndFailureError, http.client.HTTPException) as failure:
-            _log.debug(COPY_RELEASED, cause=str(failure))
