Take no odd time of a Keep-Alive header

A server that wrote digits of another kind, or thousands of them, ended its request's thread in close() with a ValueError after the answer was read. Found by reading; the four cases of the test: the first two raised before.

--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -26,6 +26,7 @@
 # The line of a chunk, with its extensions.
 MOST_CHUNK_LINE_BYTES = 64 * 1024
 
+_SECONDS = re.compile(r"[0-9]{1,9}")
 _CHUNK_LENGTH = re.compile(rb"[0-9A-Fa-f]{1,16}")
 
 Address = tuple[str, int]
@@ -361,6 +362,6 @@
     """
     for part in (keep_alive or "").split(","):
         name, _, value = part.partition("=")
-        if name.strip().lower() == "timeout" and value.strip().isdigit():
+        if name.strip().lower() == "timeout" and _SECONDS.fullmatch(value.strip()):
             return int(value) * IDLE_LIMIT_SHARE
     return float("inf")
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -10,6 +10,7 @@
 import pytest
 
 from laburnumreel.transport import BackEndFailureError, BackEndPool, HttpServer, admin_server
+from laburnumreel.transport._exchange import _idle_limit_s
 from laburnumreel_standins.processes import free_port, fresh_host, wait_until
 
 
@@ -318,3 +319,10 @@
     pieces = (OK[:9], OK[9:20], OK[20:-2], OK[-2:-1], OK[-1:])
     server = Dripping(*pieces, pause_s=0.25)
     assert exchange_once(BackEndPool(), server.address, 1.5) == b"ok"
+
+
+@pytest.mark.parametrize(
+    "value", ["timeout=\xb2", "timeout=" + "9" * 5000, "timeout=", "timeout=-1"]
+)
+def test_odd_word_on_idle_connections_bounds_nothing(value):
+    assert _idle_limit_s(value) == float("inf")
