--- a/src/laburnumreel/relay/_elsewhere.py
+++ b/src/laburnumreel/relay/_elsewhere.py
@@ -42,9 +42,9 @@
 
     `order` gives what to ask the dispatcher for after so many seconds of silence, or None where the
     route or its attempts allow no other backend server; `permit` asks the retry budget for a place
-    that was found. `begun` tells whether the caller has a part of the answer:
-    until then a request is also taken from a server that takes no connection, as its caller can be
-    told at once that it failed. `most_silent_s` bounds the wait where nothing was run yet.
+    that was found. `begun` tells whether the caller has a part of the answer: until then a request
+    is also taken from a server that refuses a connection, as its caller can be told at once that it
+    failed. `most_silent_s` bounds the wait where nothing was run yet.
 
     Load pattern that this answers: most backend servers of a service stand still at once, so that
     all of their requests want to be sent again at the same moment.
@@ -79,8 +79,8 @@
         """Return for how many more seconds to await the silent server, or None to leave it.
 
         It has been silent for `silent_s` already at the first call. `has_spoken` tells whether
-        bytes of it came while this looked elsewhere. Without `held`, None means that the request's
-        time is over.
+        bytes of it came while this looked elsewhere. None without `held` means that the request's
+        time is over, or that the server is given up.
         """
         job, now = self._job, self._job.parts.clock.now()
         if self.held is not None:
