Count no connection as idle while its caller has bytes to take, or has sent some

What callers saw: an answer that its caller had not taken whole within the idle time was cut in its middle; the shorter the idle time of a configuration, the sooner. A request that had come but was not read yet met a close.

Cause: only requests in work kept a connection from being idle; an answer that is made, and waits for its caller, was none.

Found by a reviewer's reading. A caller that takes no byte at all is still disconnected after 30 s.

--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -22,7 +22,7 @@
 from laburnumreel.state import ErrorKind, Refusal
 from laburnumreel.transport._events import CALLER_CUT, HTTP_SERVER_PROBLEM, READER_STALLED
 from laburnumreel.transport._metrics import STALLED_READERS
-from laburnumreel.transport._sockets import LINGER_DEFAULT, LINGER_NONE
+from laburnumreel.transport._sockets import LINGER_DEFAULT, LINGER_NONE, readable
 
 STALL_LIMIT_S = 30.0
 MAX_HEADER_BYTES = 32 * 1024
@@ -235,7 +235,8 @@
         A shorter limit does not hold for the time in which its caller counted on a longer one: the
         caller may be about to use the connection. The time of day, which may jump, does not count.
         """
-        if self.requests or self.last_activity != self._seen_activity:
+        busy = self.requests or self.total_outbufs_len or readable(self.socket)
+        if busy or self.last_activity != self._seen_activity:
             self._seen_activity, self._idle_since = self.last_activity, now
             self._idle_limit_s = limit_s
         return now - self._idle_since > max(limit_s, self._idle_limit_s)
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -16,11 +16,16 @@
 HEADER_BYTES, BODY_BYTES = 16384, 65536
 
 
+# More than the buffers of a connection hold while its caller does not read.
+LARGE = 16 * 1024 * 1024
+
+
 @pytest.fixture
 def server():
     def application(environ, start_response):
-        start_response("200 OK", [("Content-Length", "2")])
-        return [b"ok"]
+        body = b"x" * LARGE if environ["PATH_INFO"] == "/large" else b"ok"
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
 
     executor = ThreadPoolExecutor(1)
     host = fresh_host()
@@ -62,6 +67,13 @@
         connection.sock.settimeout(5)
         assert connection.sock.recv(1) == b""
 
+    def test_answer_that_its_caller_has_not_taken_yet_is_no_idle_time(self, server):
+        server.set_limits(HEADER_BYTES, BODY_BYTES, 1.0)
+        connection = http.client.HTTPConnection(*server.address, timeout=10)
+        connection.request("GET", "/large")
+        time.sleep(3.5)
+        assert len(connection.getresponse().read()) == LARGE
+
     def test_jump_of_the_time_of_day_ends_no_connection(self, server, monkeypatch):
         connection = connect(server)
         jumped = time.time() + 3600
