Say that a host is ready only once its start's garbage is collected

Cause: readiness was answered, and callers served, before the full collection at the start, which stops all threads; on a busy machine for half a second. Callers of a host that has just started met the same.

Change: the collection comes before the servers, and readiness last. Evidence: the new test makes the collection last a second; it failed before (ready without relay_started) and passes now.

--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -275,13 +275,15 @@
         with ThreadPoolExecutor(TASK_THREADS, "task") as executor:
             for task in tasks:
                 task.start(executor)
-            for server in (self._readiness, self._callers, self._admin):
-                server.start(executor)
+            # A full collection stops all threads, so it comes before the first request.
             gc.collect()
             gc.freeze()
             gc.set_threshold(GC_THRESHOLD)
+            for server in (self._callers, self._admin):
+                server.start(executor)
             host = self._settings.host
             _log.info(RELAY_STARTED, host=host.name, zone=host.zone, boot=self._boot)
+            self._readiness.start(executor)
             while not self._stop.wait(SETTINGS_CHECK_S):
                 self._look_at_settings(reread)
                 self._pool.prune()
--- a/tests/test_relay_life.py
+++ b/tests/test_relay_life.py
@@ -31,6 +31,16 @@
         assert relay.process.wait(7) == 0
         assert relay.logged("relay_stopped")
 
+    def test_says_that_it_is_ready_only_once_it_has_started(self, world, tmp_path, monkeypatch):
+        """The collection of a start's garbage stopped all threads after the first requests had come."""
+        slow = "import gc, time\ncollect = gc.collect\n"
+        slow += "gc.collect = lambda *arguments: (time.sleep(1), collect(*arguments))[1]\n"
+        (tmp_path / "sitecustomize.py").write_text(slow)
+        monkeypatch.setenv("PYTHONPATH", str(tmp_path))
+        relay = world.relay()
+        started, ready = relay.logged("relay_started"), relay.logged("relay_ready")
+        assert started[0]["timestamp"] < ready[0]["timestamp"]
+
     def test_bad_settings_are_all_named(self, world, tmp_path):
         bad = tmp_path / "bad.ini"
         bad.write_text("[host]\nname = a\nzone =\n[store]\naddress = nowhere\n[other]\nx = 1\n")
