--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 import pytest
 from hypothesis import HealthCheck, settings
 from platform_world import World
+from scripted_engine import ScriptedServer
 
 from laburnumreel_standins.deployment import Deployment
 
@@ -101,3 +102,17 @@
     running = World(tmp_path)
     yield running
     running.end()
+
+
+@pytest.fixture
+def scripted():
+    """Return a function that starts servers with scripts, which end with the test."""
+    servers = []
+
+    def start(script):
+        servers.append(ScriptedServer(script))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.end()
--- a/tests/test_gateway_broken_streams.py
+++ b/tests/test_gateway_broken_streams.py
@@ -1,7 +1,6 @@
 """Streams that broke off, and back ends that answer oddly when they should go on with them."""
 
 import pytest
-from scripted_engine import ScriptedServer
 
 from laburnumreel_standins.caller import MODEL, Stream, bearer, call
 from laburnumreel_standins.processes import wait_until
@@ -14,20 +13,6 @@
 ERROR = b'{"error": {"message": "words of an engine", "code": "odd"}}'
 
 
-@pytest.fixture
-def scripted():
-    """Return a function that starts servers with scripts, which end with the test."""
-    servers = []
-
-    def start(script):
-        servers.append(ScriptedServer(script))
-        return servers[-1]
-
-    yield start
-    for server in servers:
-        server.end()
-
-
 def break_off(exchange):
     exchange.begin_stream()
     for text in START:
--- a/tests/test_gateway_odd_reports.py
+++ b/tests/test_gateway_odd_reports.py
@@ -3,7 +3,7 @@
 import json
 
 import pytest
-from scripted_engine import REPORT, ScriptedServer
+from scripted_engine import REPORT
 from test_gateway_broken_streams import REST, START, go_on, play
 
 from laburnumreel.coordination import LoadReport
@@ -36,19 +36,6 @@
 ]
 
 
-@pytest.fixture
-def scripted():
-    servers = []
-
-    def start(script):
-        servers.append(ScriptedServer(script))
-        return servers[-1]
-
-    yield start
-    for server in servers:
-        server.end()
-
-
 @pytest.mark.parametrize("name, value", ODD_FIELDS)
 def test_odd_field_makes_no_report(name, value):
     """The dispatcher raised at each look at the engine, for all services and requests."""
--- a/tests/test_gateway_repeated_refusals.py
+++ b/tests/test_gateway_repeated_refusals.py
@@ -4,7 +4,6 @@
 import time
 
 import pytest
-from scripted_engine import ScriptedServer
 
 from laburnumreel_standins.caller import MODEL, bearer, call
 
@@ -34,19 +33,6 @@
     return script
 
 
-@pytest.fixture
-def scripted():
-    servers = []
-
-    def start(script):
-        servers.append(ScriptedServer(script))
-        return servers[-1]
-
-    yield start
-    for server in servers:
-        server.end()
-
-
 @pytest.mark.parametrize("headers", ["", "X-Request-Id: {earlier}\r\n", "Retry-After: 3\r\n"])
 @pytest.mark.parametrize("status", ["503 Service Unavailable", "429 Too Many", "400 Bad Request"])
 def test_refusal_of_an_earlier_request_does_not_say_not_run(deployment, scripted, status, headers):
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -6,7 +6,6 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from scripted_engine import ScriptedServer
 
 from laburnumreel_standins._text import output_text
 from laburnumreel_standins.caller import MODEL, Stream, bearer, call
@@ -21,20 +20,6 @@
 TEXT = output_text("steady", 60)
 
 
-@pytest.fixture
-def scripted():
-    """Return a function that starts servers with scripts, which end with the test."""
-    servers = []
-
-    def start(script):
-        servers.append(ScriptedServer(script))
-        return servers[-1]
-
-    yield start
-    for server in servers:
-        server.end()
-
-
 def pause(deployment, engine, seconds=PAUSE_S):
     """Stop an engine's process for some time."""
     process = deployment.engines[engine][0]
