--- a/src/laburnumreel/relay/_elsewhere.py
+++ b/src/laburnumreel/relay/_elsewhere.py
@@ -1,18 +1,25 @@
 """Another backend server for a request whose server is silent, held before that one is left."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from laburnumreel.core import Event, Log
 from laburnumreel.relay._assignments import Assignment, Order
 from laburnumreel.relay._back_ends import ListedBackEnd
-from laburnumreel.relay._events import SILENT_SERVER_LEFT, SILENT_SERVER_SPOKE, SILENT_SERVER_STAYS
+from laburnumreel.relay._events import (
+    SECOND_SEND_ENDED,
+    SENT_BESIDE,
+    SILENT_SERVER_LEFT,
+    SILENT_SERVER_SPOKE,
+    SILENT_SERVER_STAYS,
+)
 from laburnumreel.relay._job import LEAST_TIME_S, Job
 from laburnumreel.relay._metrics import RELAY_SILENCES
+from laburnumreel.relay._silences import SOUND_SILENCE_S
 from laburnumreel.state import Refusal
-from laburnumreel.transport import BackEndFailureError, Exchange
+from laburnumreel.transport import BackEndFailureError, Exchange, await_bytes
 
 # The dispatcher answers within about a millisecond where there is a place.
 PLACE_WAIT_S = 0.005
@@ -25,29 +32,52 @@
 _log = Log("relay.elsewhere")
 
 
+class Beside(Protocol):
+    """A send beside the one that is awaited; `SecondSend` is the one in use."""
+
+    assignment: Assignment
+
+    @property
+    def exchange(self) -> Exchange: ...
+
+    def begin(self) -> bool: ...
+
+    def look(self) -> str: ...
+
+    def end(self) -> None: ...
+
+
 class Held(NamedTuple):
-    """A place, and the connection to the backend server that gets the request first."""
+    """A place, and a connection to the backend server that gets the request first.
+
+    `second` is the send on that connection, where the request was sent already.
+    """
 
     assignment: Assignment
     exchange: Exchange
+    second: Beside | None = None
 
 
 class Elsewhere:
     """Looks for another backend server while one that has a request is silent.
 
     Silence does not show that a backend server has failed: a sound one may go on a moment later,
-    and a request that has left it and finds no other place is lost. So the exchange goes on until a
-    permit of the retry budget, a place and a connection are held; `held` is then what the request
-    goes on with. Where they can't be had, the silent server has until the end of the request's time.
+    and a request that has left it and finds nothing better is lost. So the exchange goes on until a
+    permit of the retry budget, a place and a connection are held, and then beside the second send
+    until that one has an answer: the second server may refuse, fail or be silent as well. The first
+    answer is taken. `take` returns what the request goes on with. Where nothing can be had, the
+    silent server has until the end of the request's time.
 
     `order` gives what to ask the dispatcher for after so many seconds of silence, or None where the
     route or its attempts allow no other backend server; `permit` asks the retry budget for a place
-    that was found. `begun` tells whether the caller has a part of the answer: until then a request
-    is also taken from a server that refuses a connection, as its caller can be told at once that it
-    failed. `most_silent_s` bounds the wait where nothing was run yet.
+    that was found; `beside` makes a second send of what is held. Without it, the silent server is
+    left for what is held. `begun` tells whether the caller has a part of the answer: until then a
+    request is also taken from a server that refuses a connection, as its caller can be told at once
+    that it failed, and from one that is silent for long while a second one has answered with a
+    failure. `most_silent_s` bounds the wait where nothing was run yet.
 
     Load pattern that this answers: most backend servers of a service stand still at once, so that
-    all of their requests want to be sent again at the same moment.
+    all of their requests want to be sent again at the same moment, many to others that stand still.
     """
 
     def __init__(
@@ -58,6 +88,8 @@
         permit: Callable[[Assignment], bool],
         begun: Callable[[], bool] = lambda: False,
         most_silent_s: float = float("inf"),
+        beside: Callable[[Held], Beside] | None = None,
+        await_bytes: Callable[[Iterable[Exchange], float], None] = await_bytes,
     ) -> None:
         self._job = job
         self._back_end = back_end
@@ -65,6 +97,8 @@
         self._permit = permit
         self._begun = begun
         self._most_silent_s = most_silent_s
+        self._beside = beside
+        self._await_bytes = await_bytes
         self._silent_since: float | None = None
         self._future: Future | None = None
         self._ask_at = 0.0
@@ -73,14 +107,19 @@
         # Permits that the request had before the silence, for sends of its own.
         self._own_permits = 0
         self._probe: Future | None = None
+        # Sends that are awaited beside the silent server's, the oldest first, and one that has
+        # brought the server's own failure.
+        self._seconds: list[Beside] = []
+        self._failed: Beside | None = None
         self.held: Held | None = None
 
-    def wait(self, silent_s: float, has_spoken: Callable[[], bool]) -> float | None:
+    def wait(self, silent_s: float, exchange: Exchange, bytes_came: bool) -> float | None:
         """Return for how many more seconds to await the silent server, or None to leave it.
 
-        It has been silent for `silent_s` already at the first call. `has_spoken` tells whether
-        bytes of it came while this looked elsewhere. None without `held` means that the request's
-        time is over, or that the server is given up.
+        It has been silent for `silent_s` already at the first call; `exchange` is the one with it.
+        `bytes_came` tells that it sends, but nothing whole: what comes is then not taken for its
+        going on. None without anything to `take` means that the request's time is over, or that the
+        server is given up.
         """
         job, now = self._job, self._job.parts.clock.now()
         if self.held is not None:
@@ -89,23 +128,34 @@
         if self._silent_since is None:
             self._silent_since, self._ask_at = now - silent_s, now
             self._own_permits = job.permits
-        if job.running.aborted is not None or job.left_s <= LEAST_TIME_S:
-            self.stop()
-            return None
-        if self._future is None and now >= self._ask_at:
-            self._ask(now)
-        assignment = self._placed(now)
-        if assignment is not None and self._hold(assignment, now):
-            if has_spoken():
-                self._give_back()
+        while True:
+            if job.running.aborted is not None or job.left_s <= LEAST_TIME_S:
+                self.stop()
+                return None
+            has_spoken = not bytes_came and exchange.has_unread
+            if self._seconds and (has_spoken or self._second_answers(now)):
+                return LOOK_S if has_spoken else None
+            held = self._find(now)
+            if held is not None:
+                if not bytes_came and exchange.has_unread:
+                    self._give_back(held)
+                    return LOOK_S
+                if self._beside is None:
+                    self._leave_for(held)
+                    return None
+                self._send_beside(held, now + silent_s)
+            gone = self._future is None and not self._may_stay(now)
+            if gone and (bytes_came or not exchange.has_unread):
+                return None
+            self._tell_stays()
+            if not self._seconds:
+                next_s = LOOK_S if self._future is not None else max(LOOK_S, self._ask_at - now)
+                return max(LEAST_WAIT_S, min(next_s, job.left_s))
+            if exchange.has_unread:
                 return LOOK_S
-            self._tell_left()
-            return None
-        if self._future is None and not self._may_stay(now) and not has_spoken():
-            return None
-        self._tell_stays()
-        next_s = LOOK_S if self._future is not None else max(LOOK_S, self._ask_at - now)
-        return max(LEAST_WAIT_S, min(next_s, job.left_s))
+            connections = [exchange, *(second.exchange for second in self._seconds)]
+            self._await_bytes(connections, min(LOOK_S, max(LEAST_WAIT_S, job.left_s)))
+            now = job.parts.clock.now()
 
     def spoke(self) -> None:
         """Take in that the server has gone on, and give back what is held."""
@@ -115,7 +165,7 @@
         silent_ms = round(1000 * (self._job.parts.clock.now() - self._silent_since))
         self._silent_since, self._told, self._probe = None, False, None
         self._ask_again_s = FIRST_ASK_AGAIN_S
-        self._give_back()
+        self._give_back(self.take())
         RELAY_SILENCES.inc(outcome="spoke")
         _log.info(
             SILENT_SERVER_SPOKE,
@@ -125,8 +175,19 @@
         )
 
     def take(self) -> Held | None:
-        """Return what is held, which is the caller's from now on."""
+        """Return what the request can go on with, which is the caller's from now on.
+
+        That is a second send before its answer where the first exchange has ended by itself.
+        """
         held, self.held = self.held, None
+        if held is None and self._seconds:
+            held = _held(self._seconds.pop(0))
+        if held is None and self._failed is not None:
+            held, self._failed = _held(self._failed), None
+        rest, self._seconds = [*self._seconds, *filter(None, [self._failed])], []
+        self._failed = None
+        for second in rest:
+            self._end(second, "not_needed")
         return held
 
     def stop(self) -> None:
@@ -139,11 +200,47 @@
         # withdrawal comes with this future.
         future.add_done_callback(lambda done: self._job.give_back(done.result()))
 
+    def _find(self, now: float) -> Held | None:
+        """Return a place with its permit and connection, if there is one by now."""
+        if self._future is None and now >= self._ask_at:
+            self._ask(now)
+        assignment = self._placed(now)
+        return self._hold(assignment, now) if assignment is not None else None
+
+    def _send_beside(self, held: Held, ask_at: float) -> None:
+        """Send the request to a second server; a third one is looked for at `ask_at`."""
+        second = self._beside(held)
+        self._tell(SENT_BESIDE, to=held.assignment.runner.name)
+        RELAY_SILENCES.inc(outcome="sent_beside")
+        if second.begin():
+            self._seconds.append(second)
+            self._ask_at = ask_at
+        else:
+            self._put_off(ask_at)
+
+    def _second_answers(self, now: float) -> bool:
+        """Look what the second sends have brought, and return whether one has an answer."""
+        for second in list(self._seconds):
+            outcome = second.look()
+            if outcome == "awaited":
+                continue
+            self._seconds.remove(second)
+            if outcome == "answers":
+                self._leave_for(_held(second))
+                return True
+            if outcome == "failed" and self._failed is None and not self._begun():
+                self._failed = second
+            else:
+                self._end(second, outcome)
+            self._put_off(now)
+        return False
+
     def _may_stay(self, now: float) -> bool:
         """Return whether a request for which nothing better is to be had stays with its server."""
         if self._begun():
             return True
-        if now - self._silent_since >= self._most_silent_s:
+        most_silent_s = SOUND_SILENCE_S if self._failed is not None else self._most_silent_s
+        if now - self._silent_since >= most_silent_s:
             return False
         if self._probe is None:
             self._probe = self._job.parts.pool.probe(self._back_end.address)
@@ -171,13 +268,13 @@
             return None
         return outcome
 
-    def _hold(self, assignment: Assignment, now: float) -> bool:
+    def _hold(self, assignment: Assignment, now: float) -> Held | None:
         """Get a permit and a connection for a place, and hold all three."""
         job, first = self._job, assignment.reader or assignment.runner
         if not self._permit(assignment):
             job.give_back(assignment)
             self._put_off(now)
-            return False
+            return None
         try:
             exchange = job.parts.pool.open(first.address, fresh=first.address in job.asked)
         except BackEndFailureError:
@@ -185,37 +282,41 @@
             job.give_back(assignment)
             job.drop_permits(self._own_permits)
             self._put_off(now)
-            return False
-        self.held = Held(assignment, exchange)
-        return True
+            return None
+        return Held(assignment, exchange)
 
     def _put_off(self, now: float) -> None:
         self._ask_at = now + self._ask_again_s
         self._ask_again_s = min(LONGEST_ASK_AGAIN_S, 2 * self._ask_again_s)
 
-    def _give_back(self) -> None:
-        held = self.take()
+    def _leave_for(self, held: Held) -> None:
+        self.held = held
+        RELAY_SILENCES.inc(outcome="left")
+        self._tell(SILENT_SERVER_LEFT, to=held.assignment.runner.name)
+
+    def _give_back(self, held: Held | None) -> None:
         if held is not None:
             give_back(self._job, held)
             self._job.drop_permits(self._own_permits)
 
+    def _end(self, second: Beside, outcome: str) -> None:
+        second.end()
+        self._tell(SECOND_SEND_ENDED, to=second.assignment.runner.name, outcome=outcome)
+
     def _tell_stays(self) -> None:
         if self._told:
             return
         self._told = True
         self._tell(SILENT_SERVER_STAYS, place_asked=self._future is not None)
 
-    def _tell_left(self) -> None:
-        RELAY_SILENCES.inc(outcome="left")
-        self._tell(SILENT_SERVER_LEFT, to=self.held.assignment.runner.name)
-
     def _tell(self, event: Event, **fields: str | bool) -> None:
         job = self._job
+        since = self._silent_since
         _log.info(
             event,
             request=job.request.request_id,
             back_end=self._back_end.name,
-            silent_ms=round(1000 * (job.parts.clock.now() - self._silent_since)),
+            silent_ms=round(1000 * (job.parts.clock.now() - since)) if since is not None else None,
             left_ms=round(1000 * job.left_s),
             **fields,
         )
@@ -223,6 +324,14 @@
 
 def give_back(job: Job, held: Held | None) -> None:
     """Give a place and its connection back, which a request does not need any more."""
-    if held is not None:
-        job.give_back(held.assignment)
-        held.exchange.put_back()
+    if held is None:
+        return
+    if held.second is not None:
+        held.second.end()
+        return
+    job.give_back(held.assignment)
+    held.exchange.put_back()
+
+
+def _held(second: Beside) -> Held:
+    return Held(second.assignment, second.exchange, second)
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -6,11 +6,14 @@
 from laburnumreel.relay._assignments import Assignment, Order
 from laburnumreel.relay._elsewhere import Elsewhere, Held, give_back
 from laburnumreel.relay._event_stream import CommentPace, EventSplitter, StreamEvent
-from laburnumreel.relay._events import REQUEST_PLACED, REQUEST_RESUMED
+from laburnumreel.relay._events import REQUEST_RESUMED
 from laburnumreel.relay._job import Job, RelayFailedError
+from laburnumreel.relay._placed import log_placed
 from laburnumreel.relay._prompt_copies import read_apart, release_copy
 from laburnumreel.relay._requests import Dispatch, PromptCopy, Verdict
-from laburnumreel.relay._sending import Attempt, SendFailedError, may_go_on, refusal_after
+from laburnumreel.relay._second_send import SecondSend
+from laburnumreel.relay._send_failures import SendFailedError, may_go_on, refusal_after
+from laburnumreel.relay._sending import Attempt
 from laburnumreel.relay._silences import (
     SOUND_SILENCE_S,
     first_event_silent_s,
@@ -23,7 +26,7 @@
     continues_head,
 )
 from laburnumreel.relay._work import Work
-from laburnumreel.state import ErrorKind, RunState
+from laburnumreel.state import ErrorKind
 from laburnumreel.transport import Exchange
 
 # What a failure of an engine may have, with its reason.
@@ -52,8 +55,6 @@
         self._position = StreamPosition(job.request.resume_after)
         self._ready: list[bytes] = []
         self._reading_failed = False
-        # Whether the budget has denied a second reading besides a run.
-        self._apart_denied = False
         # The search for another engine while this one is silent.
         self._elsewhere: Elsewhere | None = None
         self._has_begun = False
@@ -107,7 +108,7 @@
                 return self._first(assignment, copy)
             except SendFailedError as error:
                 self._give_up_attempt()
-                if may_go_on(self._job, error):
+                if self._is_sent_beside or may_go_on(self._job, error):
                     continue
                 if error.trouble == "failed":
                     return self._failure
@@ -151,33 +152,13 @@
         begun: bool = False,
     ) -> Assignment:
         """Return the place that is held already, or wait for one."""
-        job, request = self._job, self._job.request
+        job = self._job
         if self._held is not None:
             assignment = self._held.assignment
         else:
-            order = job.order(request.prompt, read_apart(), copied_in, begun=begun)
+            order = job.order(job.request.prompt, read_apart(), copied_in, begun=begun)
             assignment = job.wait_for(job.parts.dispatcher.place(order))
-        plan = assignment.plan
-        _log.info(
-            REQUEST_PLACED,
-            request=request.request_id,
-            service=job.service.name,
-            route=job.route.name,
-            back_end=assignment.runner.name,
-            reader=assignment.reader.name if assignment.reader else None,
-            read_tokens=plan.read_tokens if plan else None,
-            input_tokens=request.prompt.input_tokens,
-            start=request.prompt.shared[-1].name if request.prompt.shared else None,
-            expected_ms=round(plan.first_token_ms) if plan else None,
-            cost_ms=round(plan.cost_ms) if plan else None,
-            ahead_tokens=assignment.ahead_tokens,
-            streams=plan.generator.work.streams if plan else None,
-            candidates=assignment.candidates,
-            news_age_ms=round(1000 * assignment.news_age_s),
-            config_version=job.config_version,
-            waited_ms=round(1000 * job.waited_s),
-            sends=job.sends,
-        )
+        log_placed(job, assignment)
         return assignment
 
     def _read_apart(self, assignment: Assignment) -> PromptCopy:
@@ -187,7 +168,7 @@
             self._job,
             reader,
             lambda silent_s: self._order_without(reader.name),
-            self._may_go_to,
+            lambda assignment: self._job.may_send_again("silent"),
             most_silent_s=max(silent_s, SOUND_SILENCE_S),
         )
         try:
@@ -213,7 +194,7 @@
         if verdict.outcome == "failure":
             self._failure = self._attempt.read_all(MOST_FAILURE_BYTES)
             job.parts.dispatcher.judged(self.back_end, failed=True)
-            job.ran = RunState.RAN
+            self._attempt.has_run()
             raise SendFailedError("failed", f"status {self.status}", True)
         piece = self._next()
         if piece is None:
@@ -240,36 +221,72 @@
         self._splitter = EventSplitter()
         self._ready = []
         self._ended = False
-        dispatch = Dispatch(
-            job.request,
-            assignment.runner,
-            job.customer,
-            job.left_s,
-            priority=job.engine_priority,
-            prompt_copy=copy,
-            resume_after=self._position.last_id,
-            limited=assignment.limited,
-        )
         job.excluded |= {assignment.runner.name}
         self._elsewhere = Elsewhere(
             job,
             assignment.runner,
             self._order_elsewhere,
-            self._may_go_to,
+            lambda assignment: job.may_send_again("silent"),
             lambda: self._has_begun,
+            beside=self._beside,
         )
-        self._attempt = Attempt(job, dispatch, self._elsewhere, self._take_connection())
+        silent_s = first_event_silent_s(job, assignment.plan)
+        held, self._held = self._held, None
+        if held is not None and held.second is not None:
+            self._attempt = held.second.attempt
+            verdict = self._attempt.take_over(self._elsewhere, silent_s)
+        else:
+            verdict = self._send_first(assignment, copy, held, silent_s)
+        self._silent_limit_s, self._silent_for_s = self._attempt.exchange.timeout_s, 0.0
+        return verdict
+
+    def _send_first(
+        self, assignment: Assignment, copy: PromptCopy | None, held: Held | None, silent_s: float
+    ) -> Verdict:
+        job, exchange = self._job, held.exchange if held is not None else None
+        dispatch = self._dispatch(assignment, copy)
+        self._attempt = Attempt(job, dispatch, self._elsewhere, exchange)
         try:
-            verdict = self._attempt.send(first_event_silent_s(job, assignment.plan))
+            verdict = self._attempt.send(silent_s)
         except SendFailedError as error:
             if error.trouble != "unreachable":
                 job.sends += 1
             self._give_up_attempt()
             raise
         job.sends += 1
-        self._silent_limit_s, self._silent_for_s = self._attempt.exchange.timeout_s, 0.0
         return verdict
 
+    def _dispatch(self, assignment: Assignment, copy: PromptCopy | None = None) -> Dispatch:
+        job = self._job
+        return Dispatch(
+            job.request,
+            assignment.runner,
+            job.customer,
+            job.left_s,
+            priority=job.engine_priority,
+            prompt_copy=copy,
+            resume_after=self._position.last_id,
+            limited=assignment.limited,
+        )
+
+    def _beside(self, held: Held) -> SecondSend:
+        """Make a send beside the one to an engine that is silent."""
+        attempt = Attempt(self._job, self._dispatch(held.assignment), None, held.exchange)
+        return SecondSend(self._job, held.assignment, attempt, False, self._goes_on)
+
+    def _goes_on(self, attempt: Attempt) -> bool:
+        """Return whether an answer is the rest of a stream of which the caller has a part."""
+        if not self._has_begun:
+            return True
+        return continues_head(
+            (self.status, self.headers), (attempt.exchange.status, attempt.exchange.headers)
+        )
+
+    @property
+    def _is_sent_beside(self) -> bool:
+        """Whether the request goes on with a send that was made already."""
+        return self._held is not None and self._held.second is not None
+
     def _take_connection(self) -> Exchange | None:
         """Return the connection that is held for the next send, if there is one."""
         held, self._held = self._held, None
@@ -283,16 +300,12 @@
             return None
         return job.order(job.request.prompt, read_apart=False, excluded=frozenset({reader}))
 
-    def _may_go_to(self, assignment: Assignment) -> bool:
-        """Ask the budget for the sends that a place elsewhere needs."""
-        again_apart = assignment.reader is not None and self._job.has_read
-        if self._job.may_send_again("silent", sends=2 if again_apart else 1):
-            return True
-        self._apart_denied = self._apart_denied or again_apart
-        return False
-
     def _order_elsewhere(self, silent_s: float) -> Order | None:
-        """Return what to ask for while the engine that runs the request is silent."""
+        """Return what to ask for while the engine that runs the request is silent.
+
+        The engine that gets it reads the prompt itself, so that one answer shows whether it can have
+        the request.
+        """
         job = self._job
         sends_left = job.sends_left - job.unfinished
         if self._has_begun:
@@ -301,10 +314,8 @@
             may_leave = job.route.repeatable
         if not may_leave or sends_left < 1:
             return None
-        again_apart = sends_left >= 2 and not self._apart_denied
-        apart = not (self._has_begun or self._reading_failed) and (again_apart or not job.has_read)
         begun = self._has_begun and silent_s >= SOUND_SILENCE_S
-        return job.order(job.request.prompt, apart, begun=begun)
+        return job.order(job.request.prompt, read_apart=False, begun=begun)
 
     def _next(self) -> bytes | None:
         """Return the next whole events, those of one read together, or None at the end.
@@ -368,7 +379,7 @@
         """Let the stream go on at another engine, or raise `RelayFailedError`."""
         job = self._job
         while True:
-            allowed = (
+            allowed = self._is_sent_beside or (
                 job.route.resumable
                 and self._position.can_resume
                 and job.may_send_again(error.trouble)
@@ -387,14 +398,11 @@
             )
             try:
                 verdict = self._send(assignment, None)
-                exchange = self._attempt.exchange
-                resumed = (exchange.status, exchange.headers)
-                if verdict.outcome == "success" and continues_head(
-                    (self.status, self.headers), resumed
-                ):
+                if verdict.outcome == "success" and self._goes_on(self._attempt):
                     self._position.resume()
                     return
-                error = self._attempt.not_continued(f"resuming was answered {exchange.status}")
+                status = self._attempt.exchange.status
+                error = self._attempt.not_continued(f"resuming was answered {status}")
             except SendFailedError as failure:
                 error = failure
             self._give_up_attempt()
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -97,6 +97,15 @@
     647, "silent_server_spoke", "a backend server that was silent has gone on"
 )
 
+SENT_BESIDE = define_event(
+    649,
+    "sent_beside",
+    "a request was sent to a second backend server while the first one is silent",
+)
+SECOND_SEND_ENDED = define_event(
+    663, "second_send_ended", "a second send of a request ended while the first one was awaited"
+)
+
 WINDOW_SEALED = define_event(650, "window_sealed", "the usage of a window was fixed")
 WINDOW_REPORTED = define_event(651, "window_reported", "the usage of a window was reported")
 REPORT_FAILED = define_event(652, "report_failed", "the usage of a window could not be reported")
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -60,8 +60,7 @@
 class Job:
     """A request that passed its checks: its route, customer, times, and sends so far.
 
-    `ran` tells what is known of its execution: not-run until a byte was sent to a backend server
-    that may have run it.
+    Two of its sends may be awaited at the same time.
     """
 
     def __init__(
@@ -85,7 +84,8 @@
         self.config_version = config_version
         self.digest = request_digest(request, customer)
         self.excluded: frozenset[str] = frozenset()
-        self.ran = RunState.NOT_RUN
+        # What is known of each send that a backend server may have run.
+        self._runs: dict[object, RunState] = {}
         self.sends = 0
         # Sends whose head is awaited, which `sends` does not count yet.
         self.unfinished = 0
@@ -117,6 +117,19 @@
     def waited_s(self) -> float:
         return self.parts.clock.now() - self.request.arrived_at
 
+    @property
+    def ran(self) -> RunState:
+        """What is known of its execution over all sends: not run while no server may have run it."""
+        known = set(self._runs.values())
+        for state in (RunState.RAN, RunState.UNKNOWN):
+            if state in known:
+                return state
+        return RunState.NOT_RUN
+
+    def note_run(self, send: object, state: RunState) -> None:
+        """Take in what is known of the execution at the backend server of one send."""
+        self._runs[send] = state
+
     @property
     def sends_left(self) -> int:
         return self.route.attempts - self.sends
--- a/src/laburnumreel/relay/_metrics.py
+++ b/src/laburnumreel/relay/_metrics.py
@@ -21,7 +21,8 @@
 )
 RELAY_SILENCES = define_counter(
     "laburnumreel_relay_silences_total",
-    "silent backend servers: left for another one, or waited for until they spoke",
+    "silent backend servers: requests sent beside them, left for another one, or waited for until"
+    " they spoke",
     ("outcome",),
 )
 RELAY_REPEATS = define_counter(
--- /dev/null
+++ b/src/laburnumreel/relay/_placed.py
@@ -0,0 +1,44 @@
+"""The log line of a request that got a place."""
+
+from typing import Any
+
+from laburnumreel.core import Log
+from laburnumreel.relay._assignments import Assignment
+from laburnumreel.relay._events import REQUEST_PLACED
+from laburnumreel.relay._job import Job
+
+_log = Log("relay.placed")
+
+
+def log_placed(job: Job, assignment: Assignment) -> None:
+    """Log which backend servers a request got, and by what they were chosen."""
+    _log.info(
+        REQUEST_PLACED,
+        request=job.request.request_id,
+        service=job.service.name,
+        route=job.route.name,
+        back_end=assignment.runner.name,
+        candidates=assignment.candidates,
+        news_age_ms=round(1000 * assignment.news_age_s),
+        config_version=job.config_version,
+        waited_ms=round(1000 * job.waited_s),
+        sends=job.sends,
+        **_plan(job, assignment),
+    )
+
+
+def _plan(job: Job, assignment: Assignment) -> dict[str, Any]:
+    """Return what is logged for engines only."""
+    plan, prompt = assignment.plan, job.request.prompt
+    if job.service.engine is None:
+        return {}
+    return {
+        "reader": assignment.reader.name if assignment.reader else None,
+        "read_tokens": plan.read_tokens if plan else None,
+        "input_tokens": prompt.input_tokens,
+        "start": prompt.shared[-1].name if prompt.shared else None,
+        "expected_ms": round(plan.first_token_ms) if plan else None,
+        "cost_ms": round(plan.cost_ms) if plan else None,
+        "ahead_tokens": assignment.ahead_tokens,
+        "streams": plan.generator.work.streams if plan else None,
+    }
--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -2,14 +2,15 @@
 
 from typing import NamedTuple
 
-from laburnumreel.core import Log
 from laburnumreel.relay._assignments import Assignment, Order
 from laburnumreel.relay._elsewhere import Elsewhere, Held, give_back
-from laburnumreel.relay._events import REQUEST_PLACED
 from laburnumreel.relay._job import Job, RelayFailedError
+from laburnumreel.relay._placed import log_placed
 from laburnumreel.relay._requests import Dispatch
-from laburnumreel.relay._sending import Attempt, SendFailedError, may_go_on, refusal_after
-from laburnumreel.state import ErrorKind, RunState
+from laburnumreel.relay._second_send import SecondSend
+from laburnumreel.relay._send_failures import SendFailedError, may_go_on, refusal_after
+from laburnumreel.relay._sending import Attempt
+from laburnumreel.state import ErrorKind
 from laburnumreel.transport import Exchange
 
 # A request that may be repeated is taken from a silent backend server after its objective, but not
@@ -19,8 +20,6 @@
 # Answers of plain services are held whole, so that a failure can still be tried elsewhere.
 MOST_ANSWER_BYTES = 8 * 1024 * 1024
 
-_log = Log("relay.plain")
-
 
 class Reply(NamedTuple):
     """A backend server's whole answer."""
@@ -46,7 +45,7 @@
             if failure is not None:
                 return failure
             raise
-        _log_place(job, assignment)
+        log_placed(job, assignment)
         back_end = assignment.runner
         job.excluded |= {back_end.name}
         elsewhere = Elsewhere(
@@ -54,24 +53,29 @@
             back_end,
             lambda silent_s: _order_elsewhere(job),
             lambda assignment: job.may_send_again("silent"),
+            beside=lambda held: _beside(job, held),
         )
-        exchange = held.exchange if held is not None else None
-        held = None
         try:
-            reply, failed = _send(job, assignment, elsewhere, exchange)
+            reply, failed = _send(job, assignment, elsewhere, held)
         except SendFailedError as error:
             held = elsewhere.take()
-            if may_go_on(job, error):
+            if (held is not None and held.second is not None) or may_go_on(job, error):
                 continue
             give_back(job, held)
             if failure is not None:
                 return failure
             raise RelayFailedError(refusal_after(job, error, ErrorKind.BACK_END_LOST)) from error
+        except BaseException:
+            give_back(job, elsewhere.take())
+            raise
         finally:
             job.parts.dispatcher.ended(back_end.name, assignment.run_work, job.service.name)
+        held = elsewhere.take()
         if not failed:
             return reply
         failure = reply
+        if held is not None:
+            continue
         if not (job.route.repeatable and job.may_send_again("failed")):
             return failure
 
@@ -86,40 +90,45 @@
     return job.order() if may_leave else None
 
 
-def _log_place(job: Job, assignment: Assignment) -> None:
-    request = job.request
-    _log.info(
-        REQUEST_PLACED,
-        request=request.request_id,
-        service=job.service.name,
-        route=job.route.name,
-        back_end=assignment.runner.name,
-        candidates=assignment.candidates,
-        news_age_ms=round(1000 * assignment.news_age_s),
-        config_version=job.config_version,
-        waited_ms=round(1000 * job.waited_s),
-        sends=job.sends,
+def _attempt(
+    job: Job, assignment: Assignment, elsewhere: Elsewhere | None, exchange: Exchange | None
+) -> Attempt:
+    dispatch = Dispatch(
+        job.request, assignment.runner, job.customer, job.left_s, limited=assignment.limited
     )
+    return Attempt(job, dispatch, elsewhere, exchange)
+
+
+def _beside(job: Job, held: Held) -> SecondSend:
+    """Make a send beside the one to a backend server that is silent."""
+    attempt = _attempt(job, held.assignment, None, held.exchange)
+    return SecondSend(job, held.assignment, attempt, whole=True)
 
 
 def _send(
-    job: Job, assignment: Assignment, elsewhere: Elsewhere, exchange: Exchange | None
+    job: Job, assignment: Assignment, elsewhere: Elsewhere, held: Held | None
 ) -> tuple[Reply, bool]:
-    """Return the answer of one backend server, and whether it is a failure."""
+    """Return the answer of one backend server, and whether it is a failure.
+
+    `held` is the connection to it, and perhaps a send that was made already.
+    """
     parts = job.parts
-    dispatch = Dispatch(
-        job.request, assignment.runner, job.customer, job.left_s, limited=assignment.limited
-    )
     started = parts.clock.now()
-    with Attempt(job, dispatch, elsewhere, exchange) as attempt:
-        verdict = _counted(job, attempt)
+    second = held.second if held is not None else None
+    exchange = held.exchange if held is not None else None
+    made = second.attempt if second is not None else None
+    with made or _attempt(job, assignment, elsewhere, exchange) as attempt:
+        if made is not None:
+            verdict = made.take_over(elsewhere, _silent_s(job))
+        else:
+            verdict = _counted(job, attempt)
         body = attempt.read_all(MOST_ANSWER_BYTES)
         exchange = attempt.exchange
         reply = Reply(exchange.status, exchange.headers, body, assignment.runner.name)
     failed = verdict.outcome == "failure"
     took_ms = 1000 * (parts.clock.now() - started)
     parts.dispatcher.judged(assignment.runner.name, failed, took_ms)
-    job.ran = RunState.RAN
+    attempt.has_run()
     job.count_begun()
     return reply, failed
 
--- a/src/laburnumreel/relay/_prompt_copies.py
+++ b/src/laburnumreel/relay/_prompt_copies.py
@@ -9,7 +9,8 @@
 from laburnumreel.relay._events import COPY_RELEASED, PROMPT_READ
 from laburnumreel.relay._job import Job
 from laburnumreel.relay._requests import Dispatch, PromptCopy, Word
-from laburnumreel.relay._sending import Attempt, SendFailedError
+from laburnumreel.relay._send_failures import SendFailedError
+from laburnumreel.relay._sending import Attempt
 from laburnumreel.transport import BackEndFailureError, Exchange
 
 RELEASE_TIMEOUT_S = 1.0
--- /dev/null
+++ b/src/laburnumreel/relay/_second_send.py
@@ -0,0 +1,74 @@
+"""A send beside another one whose backend server is silent: which of the two answers is open."""
+
+from collections.abc import Callable
+from typing import Literal
+
+from laburnumreel.relay._assignments import Assignment
+from laburnumreel.relay._job import Job
+from laburnumreel.relay._send_failures import SendFailedError
+from laburnumreel.relay._sending import Attempt
+from laburnumreel.transport import Exchange
+
+# What a second send has brought so far: nothing yet, an answer to go on with, the backend server's
+# own failure, or no answer.
+Outcome = Literal["awaited", "answers", "failed", "useless"]
+
+
+class SecondSend:
+    """A request that was sent to a second backend server.
+
+    It holds the place and the permit that it was sent with, until it is taken over or ended.
+    `goes_on` judges the head of an answer that is no failure.
+    """
+
+    def __init__(
+        self,
+        job: Job,
+        assignment: Assignment,
+        attempt: Attempt,
+        whole: bool,
+        goes_on: Callable[[Attempt], bool] = lambda attempt: True,
+    ) -> None:
+        self._job = job
+        self._whole = whole
+        self._goes_on = goes_on
+        self.assignment = assignment
+        self.attempt = attempt
+
+    @property
+    def exchange(self) -> Exchange:
+        return self.attempt.exchange
+
+    def begin(self) -> bool:
+        """Send the request; return False, with all given back, where that fails."""
+        self._job.sends += 1
+        self._job.excluded |= {self.assignment.runner.name}
+        try:
+            self.attempt.begin()
+        except SendFailedError:
+            self.end()
+            return False
+        return True
+
+    def look(self) -> Outcome:
+        """Take in what has come of the answer, without waiting for more."""
+        attempt = self.attempt
+        try:
+            while attempt.exchange.has_bytes:
+                had_head = attempt.verdict is not None
+                can_go_on = attempt.read_early(self._whole)
+                if attempt.verdict.outcome == "failure":
+                    return "failed"
+                if not had_head and not self._goes_on(attempt):
+                    attempt.not_continued(f"it was answered {attempt.exchange.status}")
+                    return "useless"
+                if can_go_on:
+                    return "answers"
+        except SendFailedError:
+            return "useless"
+        return "awaited"
+
+    def end(self) -> None:
+        """End the send, and give its place back."""
+        self.attempt.close()
+        self._job.give_back(self.assignment)
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -3,9 +3,9 @@
 import http.client
 import socket
 import time
+from collections import deque
 from collections.abc import Mapping
 from concurrent.futures import Future
-from typing import Literal
 
 from laburnumreel.core import Log
 from laburnumreel.relay._elsewhere import Elsewhere
@@ -13,7 +13,8 @@
 from laburnumreel.relay._job import LEAST_TIME_S, Job, RelayFailedError
 from laburnumreel.relay._metrics import RELAY_ATTEMPTS
 from laburnumreel.relay._requests import Dispatch, Verdict, Word
-from laburnumreel.state import ErrorKind, Refusal, RunState
+from laburnumreel.relay._send_failures import SendFailedError, Trouble
+from laburnumreel.state import RunState
 from laburnumreel.transport import BackEndFailureError, Exchange
 
 # A request that must not be repeated only goes out on a connection that was used this lately.
@@ -26,51 +27,28 @@
 # A refusal is a short text. One that is longer, or comes more slowly, costs its connection.
 MOST_REFUSAL_BYTES = 64 * 1024
 REFUSAL_READ_S = 0.1
-# Where a backend server that refuses names no time to come back.
-REFUSED_RETRY_S = 0.25
+# How long a second send may hold up the reading of the first one's answer: the longest pause between
+# two pieces of a head or a chunk that came in part.
+BESIDE_READ_S = 0.1
+# A whole answer is read beside the wait for another one up to this size.
+MOST_EARLY_BYTES = 256 * 1024
 
 _log = Log("relay.sending")
 
-Trouble = Literal[
-    "unreachable",
-    "refused",
-    "moved",
-    "lost",
-    "silent",
-    "out_of_time",
-    "too_long",
-    "not_genuine",
-    "failed",
-]
-
-
-class SendFailedError(Exception):
-    """A send that brought no answer for the caller.
-
-    `may_have_run` is whether the backend server may have run the request.
-    """
-
-    def __init__(
-        self, trouble: Trouble, detail: str, may_have_run: bool, retry_after_s: float | None = None
-    ) -> None:
-        super().__init__(f"{trouble}: {detail}")
-        self.trouble = trouble
-        self.may_have_run = may_have_run
-        self.retry_after_s = retry_after_s
-
 
 class Attempt:
     """One send of a request to one backend server.
 
-    `elsewhere` looks for another one while this one is silent. `exchange` is on a connection that
-    was held for the request. Use it as a context manager, which ends the exchange.
+    `elsewhere` looks for another one while this one is silent; a send beside another one has none
+    until `take_over`. `exchange` is on a connection that was held for the request. Use it as a
+    context manager, which ends the exchange.
     """
 
     def __init__(
         self,
         job: Job,
         dispatch: Dispatch,
-        elsewhere: Elsewhere,
+        elsewhere: Elsewhere | None,
         exchange: Exchange | None = None,
     ) -> None:
         self._job = job
@@ -78,12 +56,14 @@
         self._elsewhere = elsewhere
         self._connected = exchange
         self._exchange: Exchange | None = None
-        self._ran_before = job.ran
+        self._attached = False
         self._sent_at = 0.0
         # Whether the wait for the head lasts until the request is given up.
         self._until_end = False
         self._leaving = False
         self._names_limit = False
+        # What was read of the answer while another backend server was awaited as well.
+        self._early: deque[bytes] = deque()
         self.verdict: Verdict | None = None
 
     def __enter__(self) -> "Attempt":
@@ -101,9 +81,11 @@
 
         One to a backend server that leaves is closed.
         """
-        self._elsewhere.stop()
+        if self._elsewhere is not None:
+            self._elsewhere.stop()
         if self._exchange is not None:
-            self._job.running.detach()
+            if self._attached:
+                self._job.running.detach()
             if self._leaving:
                 self._exchange.discard()
             else:
@@ -115,21 +97,90 @@
 
         `silent_s` is the longest wait for the head before another backend server is looked for.
         """
-        job, dispatch, parts = self._job, self._dispatch, self._job.parts
-        back_end, request = dispatch.back_end, dispatch.request
-        repeatable = job.route.repeatable or dispatch.only_read
-        exchange = self._connected or self._connect(repeatable)
-        self._exchange = exchange
-        job.asked.add(back_end.address)
-        if not job.running.attach(exchange):
-            raise RelayFailedError(job.abort_refusal())
+        job = self._job
+        self._exchange = self._connected or self._connect()
+        self._attach()
+        job.unfinished = 1
+        try:
+            self._await(silent_s)
+            self._write(silent_s)
+            verdict = self._read_head(silent_s)
+        finally:
+            job.unfinished = 0
+        self._spoke()
+        return verdict
+
+    def begin(self) -> None:
+        """Send the request beside another send, to which this one must not be lost.
+
+        Raises `SendFailedError`.
+        """
+        self._exchange = self._connected
+        self._write(BESIDE_READ_S)
+
+    def read_early(self, whole: bool) -> bool:
+        """Read what has come of the answer while another backend server is awaited as well.
+
+        Returns whether the request can go on with it: all of a `whole` answer has come, or the first
+        piece of a stream, or the head of a failure. Raises `SendFailedError`.
+        """
+        if self.verdict is None:
+            self._read_head(BESIDE_READ_S)
+            return self.verdict.outcome == "failure"
+        self._exchange.set_timeout(BESIDE_READ_S)
+        piece = self.read_new()
+        if piece:
+            self._early.append(piece)
+        held = sum(map(len, self._early))
+        if not piece and not held and not whole:
+            raise self._failed("lost", "the stream has no event", True)
+        return not whole or not piece or held >= MOST_EARLY_BYTES
+
+    def take_over(self, elsewhere: Elsewhere, silent_s: float) -> Verdict:
+        """Go on with this send alone, and return what the answer's head says.
+
+        `elsewhere` looks for another backend server from now on; the arguments and errors are those
+        of `send`.
+        """
+        self._elsewhere = elsewhere
+        self._attach()
+        self._await(silent_s)
+        if self.verdict is None:
+            self._until_end = silent_s >= self._job.left_s - LEAST_TIME_S
+            self._read_head(silent_s)
+            self._spoke()
+        else:
+            self._exchange.set_timeout(silent_s)
+        return self.verdict
+
+    def has_run(self) -> None:
+        """Take in that the backend server has run the request."""
+        self._job.note_run(self, RunState.RAN)
+
+    def _attach(self) -> None:
+        """Let the end of the request's time, or its caller's leaving, end the exchange."""
+        self._attached = True
+        if not self._job.running.attach(self._exchange):
+            raise RelayFailedError(self._job.abort_refusal())
+
+    def _write(self, timeout_s: float) -> None:
+        job, dispatch, request = self._job, self._dispatch, self._dispatch.request
+        job.asked.add(dispatch.back_end.address)
         job.count_arrival(dispatch)
-        self._ran_before = job.ran
-        self._sent_at = parts.clock.now()
-        self._until_end = silent_s >= job.left_s - LEAST_TIME_S
+        self._sent_at = job.parts.clock.now()
+        self._until_end = timeout_s >= job.left_s - LEAST_TIME_S
         if not dispatch.only_read:
-            job.ran = RunState.UNKNOWN
-        verdicts: list[Verdict] = []
+            job.note_run(self, RunState.UNKNOWN)
+        headers = job.parts.wire.headers(dispatch)
+        try:
+            self._exchange.write(request.method, request.target, headers, request.body, timeout_s)
+        except BackEndFailureError as error:
+            raise self._broken(error) from error
+
+    def _read_head(self, timeout_s: float) -> Verdict:
+        """Read the answer's head and return what it says, or raise `SendFailedError`."""
+        parts, dispatch, exchange = self._job.parts, self._dispatch, self._exchange
+        back_end, verdicts = dispatch.back_end, []
 
         def is_ours(status: int, headers: Mapping[str, str]) -> bool:
             parts.unknown_headers.note(parts.wire.unknown_headers(headers), back_end.name)
@@ -143,21 +194,21 @@
             self._names_limit = word.limit_per_s is not None
             return True
 
-        self._await(silent_s)
-        job.unfinished = 1
         try:
-            headers = parts.wire.headers(dispatch)
-            exchange.send(request.method, request.target, headers, request.body, silent_s, is_ours)
+            exchange.read_head(dispatch.request.method, timeout_s, is_ours)
         except BackEndFailureError as error:
             raise self._broken(error) from error
-        finally:
-            job.unfinished = 0
-        self._elsewhere.spoke()
-        self.verdict = verdicts[-1]
-        return self._checked(self.verdict)
+        self.verdict = self._checked(verdicts[-1])
+        return self.verdict
 
-    def _connect(self, repeatable: bool) -> Exchange:
+    def _spoke(self) -> None:
+        """Give up the search for another backend server; a failure does not end it."""
+        if self.verdict.outcome != "failure":
+            self._elsewhere.spoke()
+
+    def _connect(self) -> Exchange:
         parts, back_end = self._job.parts, self._dispatch.back_end
+        repeatable = self._job.route.repeatable or self._dispatch.only_read
         try:
             return parts.pool.open(
                 back_end.address,
@@ -172,12 +223,7 @@
     def _await(self, silent_s: float) -> None:
         """Let a silent server be left only for another one that is held."""
         exchange, elsewhere = self._exchange, self._elsewhere
-
-        def patience(bytes_came: bool) -> float | None:
-            has_spoken = (lambda: False) if bytes_came else (lambda: exchange.has_unread)
-            return elsewhere.wait(silent_s, has_spoken)
-
-        exchange.patience = patience
+        exchange.patience = lambda bytes_came: elsewhere.wait(silent_s, exchange, bytes_came)
 
     def await_event(self, silent_s: float) -> None:
         """Wait that long for the next whole event, and then look for another backend server."""
@@ -186,7 +232,7 @@
 
     def prolong(self, silent_s: float) -> None:
         """Wait on for an event of which only pieces come, or raise `SendFailedError`."""
-        more_s = self._elsewhere.wait(silent_s, lambda: False)
+        more_s = self._elsewhere.wait(silent_s, self._exchange, True)
         if more_s is None:
             detail = "pieces of an event or comments came, and no whole event"
             raise self._broken(BackEndFailureError("silent", detail, sent=True))
@@ -194,6 +240,10 @@
 
     def read(self) -> bytes:
         """Return the next bytes of the answer; none at its end."""
+        return self._early.popleft() if self._early else self.read_new()
+
+    def read_new(self) -> bytes:
+        """Return the next bytes after those that were read early; none at the answer's end."""
         try:
             return self._exchange.read()
         except BackEndFailureError as error:
@@ -205,7 +255,7 @@
         whole = bytearray()
         may_have_run = not self._dispatch.only_read
         while piece := self.read():
-            self._elsewhere.spoke()
+            self._spoke()
             whole += piece
             if len(whole) > most_bytes:
                 detail = f"the answer has more than {most_bytes} bytes"
@@ -256,7 +306,7 @@
 
     def _refused(self) -> None:
         """Take the backend server's word that the request did not run."""
-        self._job.ran = self._ran_before
+        self._job.note_run(self, RunState.NOT_RUN)
         self._exchange.patience = None
         # The rest of a short refusal is read, so that the connection can be used again.
         try:
@@ -318,29 +368,6 @@
         return SendFailedError(trouble, detail, may_have_run, retry_after_s)
 
 
-def may_go_on(job: Job, error: SendFailedError) -> bool:
-    """Return whether a request may be sent elsewhere after a failed send, and count that."""
-    if job.running.aborted is not None or job.left_s <= LEAST_TIME_S:
-        return False
-    if error.trouble == "unreachable":
-        return True
-    if error.may_have_run and not job.route.repeatable:
-        return False
-    return job.may_send_again(error.trouble)
-
-
-def refusal_after(job: Job, error: SendFailedError, cut: ErrorKind) -> Refusal:
-    """Return the refusal of a request whose last send failed; `cut` names an answer that broke off."""
-    if job.running.aborted is not None:
-        return job.abort_refusal()
-    if job.ran is RunState.NOT_RUN:
-        retry_after_s = error.retry_after_s if error.retry_after_s is not None else REFUSED_RETRY_S
-        return Refusal(ErrorKind.NO_BACK_END, str(error), retry_after_s)
-    late = error.trouble in ("silent", "out_of_time")
-    kind = ErrorKind.BACK_END_TIMEOUT if late else cut
-    return Refusal(kind, str(error), run_state=RunState.UNKNOWN)
-
-
 def _takes_connections(address: tuple[str, int]) -> bool:
     try:
         with socket.create_connection(address, CRASH_CONNECT_S):
--- a/src/laburnumreel/transport/__init__.py
+++ b/src/laburnumreel/transport/__init__.py
@@ -3,7 +3,12 @@
 from laburnumreel.transport._admin import admin_server
 from laburnumreel.transport._backend import BackEndPool
 from laburnumreel.transport._call_pace import CallPace
-from laburnumreel.transport._exchange import Address, BackEndFailureError, Exchange
+from laburnumreel.transport._exchange import (
+    Address,
+    BackEndFailureError,
+    Exchange,
+    await_bytes,
+)
 from laburnumreel.transport._json_calls import CallAnswer, CallFailure, JsonCalls
 from laburnumreel.transport._loads import HttpLoadReader
 from laburnumreel.transport._orders import HttpOrderConnection, HttpOrderLink
@@ -29,4 +34,5 @@
     "PeerClient",
     "PeerServer",
     "admin_server",
+    "await_bytes",
 ]
--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -8,7 +8,13 @@
 from typing import Literal
 
 from laburnumreel.transport._metrics import SILENT_CONNECTIONS
-from laburnumreel.transport._sockets import BackEndSocket, Patience, readable, set_timeout
+from laburnumreel.transport._sockets import (
+    BackEndSocket,
+    Patience,
+    await_readable,
+    readable,
+    set_timeout,
+)
 
 READ_BYTES = 64 * 1024
 # What may come before the body of an answer: its head, interim answers, and an answer to an earlier
@@ -159,6 +165,13 @@
         """Whether bytes have come, or the end of the connection, that are not read yet."""
         return readable(self._socket)
 
+    @property
+    def has_bytes(self) -> bool:
+        """Whether a read would return at once: with bytes, also such as were read ahead, or an end."""
+        response = self._response
+        at_end = response is not None and not response.chunked and response.length == 0
+        return at_end or self._socket.has_read_ahead() or self.has_unread
+
     @property
     def complete(self) -> bool:
         """Whether the whole answer was read."""
@@ -328,6 +341,11 @@
         return BackEndFailureError(reason, repr(error), sent=True)
 
 
+def await_bytes(exchanges: Iterable[Exchange], timeout_s: float) -> None:
+    """Wait until bytes, or the end, have come on the connection of some exchange, at most so long."""
+    await_readable((exchange.connection.sock for exchange in exchanges), timeout_s)
+
+
 def dial(
     address: Address,
     timeout_s: float,
--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -9,7 +9,7 @@
 import socket
 import struct
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 # Decides, when what is awaited has not come in time, for how many more seconds to wait, or that the
@@ -197,8 +197,14 @@
 
 def readable(sock: socket.socket | None) -> bool:
     """Return whether a connection has bytes or an end to read; an idle one is then of no use."""
-    if sock is None:
-        return True
+    return await_readable([sock], 0.0)
+
+
+def await_readable(socks: Iterable[socket.socket | None], timeout_s: float) -> bool:
+    """Return whether one of some connections has bytes or an end to read within a time."""
     poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
+    for sock in socks:
+        if sock is None:
+            return True
+        poll.register(sock, select.POLLIN)
+    return bool(poll.poll(1000 * timeout_s))
--- a/tests/repeats_world.py
+++ b/tests/repeats_world.py
@@ -52,10 +52,19 @@
         self._world = world
         self._pieces = []
         self._breaks = False
+        self._headers = {}
         self.complete = False
         self.status = 0
 
     def send(self, method, target, headers, body, timeout_s, is_ours=None):
+        self.write(method, target, headers, body, timeout_s)
+        self.read_head(method, timeout_s, is_ours)
+
+    def write(self, method, target, headers, body, timeout_s):
+        self._headers = headers
+
+    def read_head(self, method, timeout_s, is_ours=None):
+        headers = self._headers
         if method == "DELETE":
             self.status = 200
             return
--- a/tests/test_elsewhere.py
+++ b/tests/test_elsewhere.py
@@ -1,5 +1,6 @@
 """Tests of the search for another backend server while one is silent, without sockets or threads."""
 
+import itertools
 from concurrent.futures import Future
 from types import SimpleNamespace
 
@@ -31,6 +32,9 @@
         self.pending = []
         self.places = self.connections = self.orders = self.silent_probes = 0
         self.permits = 0
+        # What second sends do when they begin, and what they have brought when they are looked at.
+        self.begins, self.outcome_beside = True, "awaited"
+        self.sent = []
         # Addresses of the servers that it was sent to.
         self.asked = set()
         self.running = SimpleNamespace(aborted=None)
@@ -76,6 +80,13 @@
     def drop_permits(self, keep=0):
         self.permits = min(self.permits, keep)
 
+    def beside(self, held):
+        return Second(self, held)
+
+    def await_bytes(self, exchanges, timeout_s):
+        assert len(list(exchanges)) >= 2
+        self.clock.advance(timeout_s)
+
     def open(self, address, fresh=False):
         if not self.connects:
             raise BackEndFailureError("connect_failed", "no", sent=False)
@@ -95,15 +106,51 @@
         """Take in that a backend server is gone."""
 
 
+class Second:
+    """A second send, whose place and connection are given back when it ends."""
+
+    def __init__(self, request, held):
+        self._request, (self.assignment, self.exchange, _) = request, held
+        self.outcome = None
+        self.ended = False
+        request.sent.append(self)
+
+    def begin(self):
+        self._request.permits -= 1
+        if not self._request.begins:
+            self.end()
+        return self._request.begins
+
+    def look(self):
+        assert not self.ended
+        return self.outcome or self._request.outcome_beside
+
+    def end(self):
+        assert not self.ended, "ended twice"
+        self.ended = True
+        self._request.places -= 1
+        self._request.connections -= 1
+
+
 def search(request, begun=False, **options):
-    return Elsewhere(request, LISTED, request.order, request.may_go_to, lambda: begun, **options)
+    return Elsewhere(
+        request,
+        LISTED,
+        request.order,
+        request.may_go_to,
+        lambda: begun,
+        await_bytes=request.await_bytes,
+        **options,
+    )
 
 
-def silent(elsewhere):
-    return elsewhere.wait(1.0, lambda: False)
+def silent(elsewhere, speaks=False, bytes_came=False):
+    return elsewhere.wait(1.0, SimpleNamespace(has_unread=speaks), bytes_came)
 
 
 class TestElsewhere:
+    """The search for a place, a permit and a connection, for which a silent server is left."""
+
     def test_left_at_once_where_all_is_held(self):
         request = Request()
         elsewhere = search(request)
@@ -131,7 +178,7 @@
     def test_server_that_speaks_meanwhile_is_not_left(self):
         request = Request()
         elsewhere = search(request)
-        assert elsewhere.wait(1.0, lambda: True) is not None
+        assert silent(elsewhere, speaks=True) is not None
         assert elsewhere.take() is None
         assert (request.places, request.connections) == (0, 0)
 
@@ -161,43 +208,154 @@
         request.clock.advance(0.7)
         assert silent(elsewhere) is None
 
-    @settings(max_examples=300)
-    @given(
-        st.booleans(),
-        st.lists(
-            st.sampled_from(
-                ["silent", "dripped", "spoke", "answer", "permit", "refuse", "wait", "place"]
-                + ["connects", "reachable", "abort"]
-            ),
-            max_size=30,
-        ),
-    )
-    def test_all_that_was_held_is_used_once_or_given_back(self, begun, events):
+
+class TestBeside:
+    """The silent server is awaited beside the second one, and the first answer is taken."""
+
+    def test_silent_server_is_awaited_while_the_second_one_says_nothing(self):
+        request = Request()
+        elsewhere = search(request, begun=True, beside=request.beside)
+        assert silent(elsewhere) is None
+        assert request.left_s < 0.1
+        assert len(request.sent) > 1
+        assert request.sent[1:] and elsewhere.take().second is request.sent[0]
+        assert all(second.ended for second in request.sent[1:])
+        assert (request.places, request.connections, request.permits) == (1, 1, 0)
+
+    def test_silent_server_that_goes_on_ends_the_second_send(self):
         request = Request()
-        elsewhere = search(request, begun)
-        for event in events:
-            match event:
-                case "silent" | "dripped":
-                    more_s = elsewhere.wait(1.0, lambda: False)
-                    request.clock.advance(more_s or 0.0)
-                case "spoke":
-                    elsewhere.spoke()
-                case "answer":
-                    request.answer()
-                case "permit":
-                    request.permit = not request.permit
-                case "connects":
-                    request.connects = not request.connects
-                case "reachable":
-                    request.reachable = not request.reachable
-                case "abort":
-                    request.running.aborted = Refusal(ErrorKind.CALLER_GONE)
-                case _:
-                    request.outcome = {"refuse": "refusal"}.get(event, event)
-        elsewhere.stop()
+        elsewhere = search(request, beside=request.beside)
+        spoken = SimpleNamespace(has_unread=False)
+        request.await_bytes = lambda exchanges, timeout_s: setattr(spoken, "has_unread", True)
+        elsewhere._await_bytes = request.await_bytes
+        assert elsewhere.wait(1.0, spoken, False) is not None
+        elsewhere.spoke()
+        assert elsewhere.take() is None
+        assert [second.ended for second in request.sent] == [True]
+        assert (request.places, request.connections, request.permits) == (0, 0, 0)
+
+    @pytest.mark.parametrize("outcome", ["useless", "failed"])
+    @pytest.mark.parametrize("begun", [False, True])
+    def test_second_server_that_is_of_no_use_costs_nothing(self, outcome, begun):
+        request = Request()
+        elsewhere = search(request, begun, beside=request.beside)
+        request.outcome_beside = outcome
+
+        def await_bytes(exchanges, timeout_s):
+            request.outcome = "refusal"
+            request.clock.advance(timeout_s)
+
+        elsewhere._await_bytes = await_bytes
+        more_s = silent(elsewhere)
+        # A request of which the caller has nothing is told of the failure, if nothing better comes.
+        assert more_s is not None and len(request.sent) == 1
+        assert request.sent[0].ended == (begun or outcome == "useless")
+        while silent(elsewhere) is not None:
+            request.clock.advance(0.05)
         held = elsewhere.take()
-        request.outcome = "place"
-        request.answer()
-        # A permit is for a place: none is kept while a place is only waited for.
-        expected = (1, 1, 1) if held is not None else (0, 0, 0)
-        assert (request.places, request.connections, request.permits) == expected
+        if begun or outcome == "useless":
+            assert held is None and request.left_s < 0.1
+        else:
+            assert held.second is request.sent[0] and request.left_s > 3.0
+
+    def test_third_server_is_asked_after_the_second_one_was_as_silent(self):
+        request = Request()
+        elsewhere = search(request, begun=True, beside=request.beside)
+        sent_at = []
+        beside = request.beside
+
+        def sends(held):
+            sent_at.append(request.clock.now())
+            return beside(held)
+
+        elsewhere._beside = sends
+        silent(elsewhere)
+        gaps = [later - earlier for earlier, later in itertools.pairwise(sent_at)]
+        assert gaps and all(1.0 <= gap < 1.2 for gap in gaps)
+
+    def test_answer_of_the_second_server_is_taken(self):
+        request = Request()
+        request.outcome_beside = "answers"
+        elsewhere = search(request, beside=request.beside)
+        assert silent(elsewhere) is None
+        assert elsewhere.take().second is request.sent[0]
+        assert not request.sent[0].ended
+
+    def test_server_that_drips_does_not_keep_the_answer_of_the_second_one_back(self):
+        request = Request()
+        elsewhere = search(request, beside=request.beside)
+        assert silent(elsewhere, speaks=True, bytes_came=True) is not None
+        request.outcome_beside = "answers"
+        assert silent(elsewhere, speaks=True, bytes_came=True) is None
+        assert elsewhere.take().second is request.sent[0]
+
+
+@settings(max_examples=300)
+@given(
+    st.booleans(),
+    st.booleans(),
+    st.lists(
+        st.sampled_from(
+            [
+                "silent",
+                "dripped",
+                "speaking",
+                "spoke",
+                "answer",
+                "permit",
+                "refuse",
+                "wait",
+                "place",
+            ]
+            + [
+                "connects",
+                "reachable",
+                "abort",
+                "begins",
+                "awaited",
+                "answers",
+                "failed",
+                "useless",
+            ]
+        ),
+        max_size=30,
+    ),
+)
+def test_all_that_was_held_is_used_once_or_given_back(begun, beside, events):
+    request = Request()
+    options = {"beside": request.beside} if beside else {}
+    elsewhere = search(request, begun, **options)
+    for event in events:
+        match event:
+            case "silent" | "dripped" | "speaking":
+                more_s = silent(elsewhere, event != "silent", event == "dripped")
+                request.clock.advance(more_s or 0.0)
+            case "spoke":
+                elsewhere.spoke()
+            case "answer":
+                request.answer()
+            case "permit":
+                request.permit = not request.permit
+            case "connects":
+                request.connects = not request.connects
+            case "reachable":
+                request.reachable = not request.reachable
+            case "begins":
+                request.begins = not request.begins
+            case "abort":
+                request.running.aborted = Refusal(ErrorKind.CALLER_GONE)
+            case "awaited" | "answers" | "failed" | "useless":
+                request.outcome_beside = event
+            case _:
+                request.outcome = {"refuse": "refusal"}.get(event, event)
+    elsewhere.stop()
+    held = elsewhere.take()
+    request.outcome = "place"
+    request.answer()
+    # A permit is for a place: none is kept while a place is only waited for, and a send uses it.
+    unsent = held is not None and held.second is None
+    expected = (1, 1) if held is not None else (0, 0)
+    assert (request.places, request.connections) == expected
+    assert request.permits == (1 if unsent else 0)
+    ended = [second for second in request.sent if not second.ended]
+    assert ended == ([held.second] if held is not None and held.second is not None else [])
