Tell a new holder of older windows from the first time on that it is told, not from when it was heard

Caller's view: a usage window reported with requests missing. The host that begins to report usage is told of all windows that may still be reported for 3 s, since it has missed what its predecessor was told. The 3 s counted from when a host heard of the new holder. A host that is held up for longer between hearing that and telling its usage (a paused process, a starved machine) then told the last windows only, and the holder took these for all: it reported the older ones without that host.

Now they count from the first usage that is told under the fencing number.

Both were brought about without load, in trial copies of the test: - the host's thread held up for 3.2 s as it heard the holder: usage is {7: ..} instead of {4: .., 7: ..}; - the test held up for 0.06 s between its fifteen sends: the host knows fewer than twelve peers at its next send, 0.05 s later, and tells its usage to all, as it should: "assert 7 == 0". The second is the test's fault: it looked at the first news that each socket got, whenever it was sent. The host now runs on a clock of the test's and its steps are taken by the test: all are heard before the first send, and each thing is asked of what the one send after it told. It asks for more than before: that only the holder is told of usage, that it is so after a pause of 3.1 s too (this failed before the change), and that older windows are told again for 3 s in case a datagram is lost.

--- a/src/laburnumreel/relay/_peers.py
+++ b/src/laburnumreel/relay/_peers.py
@@ -42,7 +42,8 @@
 # Usage goes along this often.
 USAGE_INTERVAL_S = 0.6
 # One that reports it anew, as a successor or after it was cut off, has missed what the hosts told the
-# one before it. For this long it is told of all windows that may still be reported.
+# one before it. From the first time on it is told of all windows that may still be reported for this
+# long, in case datagrams are lost.
 NEW_HOLDER_S = 3.0
 
 _log = Log("relay.peers")
@@ -60,7 +61,8 @@
     far: bool = False
     sequence: int = 0
     duty_fence: int = 0
-    fence_at: float = float("-inf")
+    # When it was first told usage under that fencing number.
+    fence_told_at: float | None = None
     listing_away: bool = False
 
 
@@ -233,7 +235,7 @@
             sequence=news.sequence,
             duty_fence=news.duty_fence,
             listing_away=news.listing_away,
-            fence_at=known.fence_at if news.duty_fence == known.duty_fence else now,
+            fence_told_at=known.fence_told_at if news.duty_fence == known.duty_fence else None,
         )
         return True
 
@@ -259,9 +261,11 @@
                 news[peer.far] = self._own_news(peer.far)
             if (peer.far, usage) not in datagrams:
                 datagrams[peer.far, usage] = self._datagram(news[peer.far], usage)
-            self._peers[address] = peer._replace(
-                sent_at=now, usage_at=peer.usage_at if usage is None else now
-            )
+            sent = peer._replace(sent_at=now)
+            if usage is not None:
+                first_at = self._fence_told_at(peer, now)
+                sent = sent._replace(usage_at=now, fence_told_at=first_at)
+            self._peers[address] = sent
             try:
                 self._socket.sendto(datagrams[peer.far, usage], address)
             except OSError as error:
@@ -280,7 +284,12 @@
         wanted = peer.duty_fence > 0 or len(self._peers) < USAGE_TO_ALL_HOSTS
         if not wanted or now - peer.usage_at < USAGE_INTERVAL_S:
             return None
-        return peer.duty_fence > 0 and now - peer.fence_at < NEW_HOLDER_S
+        return peer.duty_fence > 0 and now - self._fence_told_at(peer, now) < NEW_HOLDER_S
+
+    @staticmethod
+    def _fence_told_at(peer: _Peer, now: float) -> float:
+        """Return when a peer was first told usage under its fencing number, if it is told some now."""
+        return now if peer.fence_told_at is None else peer.fence_told_at
 
     def _drop_silent(self, now: float) -> None:
         for address, peer in list(self._peers.items()):
--- a/tests/test_relay_peers.py
+++ b/tests/test_relay_peers.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from laburnumreel.core import SystemClock
+from laburnumreel.core import ManualClock, SystemClock
 from laburnumreel.relay._news import News, decode_news, encode_news
-from laburnumreel.relay._peers import GATHER_S, HEIRS, PeerNews
+from laburnumreel.relay._peers import GATHER_S, HEIRS, NEW_HOLDER_S, PeerNews
 from laburnumreel.relay._usage import EndedCounts, Process, UsageNews
 from laburnumreel_standins.processes import fresh_host, wait_until
 
@@ -39,15 +39,15 @@
 ENDED = EndedCounts(Process("h99", "boot"), 6, {"b": 5})
 
 
-class Listener:
-    """A `PeerNews` that runs, with the batches that it handed on."""
+class Stepped:
+    """A `PeerNews` whose steps the test takes, with the batches that it handed on."""
 
-    def __init__(self, interval_s=10.0):
+    def __init__(self, clock, interval_s=0.05):
         self.batches, self.silent = [], []
         self.address = (fresh_host(), 8004)
         self.peers = PeerNews(
             self.address,
-            SystemClock(),
+            clock,
             interval_s,
             lambda far: news("me", 0),
             lambda: 0,
@@ -60,6 +60,19 @@
             lambda batch: self.batches.append(list(batch)),
             self.silent.append,
         )
+
+    def heard(self):
+        return [each for batch in list(self.batches) for each in batch]
+
+    def end(self):
+        self.peers.close()
+
+
+class Listener(Stepped):
+    """A `PeerNews` that runs."""
+
+    def __init__(self, interval_s=10.0):
+        super().__init__(SystemClock(), interval_s)
         self._end = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -68,15 +81,12 @@
         while not self._end.is_set():
             self.peers.tick()
 
-    def heard(self):
-        return [each for batch in list(self.batches) for each in batch]
-
     def end(self):
         self._end.set()
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as last:
             last.sendto(b"end", self.address)
         self._thread.join(5)
-        self.peers.close()
+        super().end()
 
 
 def receive(holder):
@@ -84,6 +94,15 @@
     return decode_news(holder.recvfrom(65536)[0]).ok
 
 
+def receive_all(holder):
+    """Return the news that a host has got; its socket doesn't block."""
+    got = []
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            got.append(receive(holder))
+    return got
+
+
 @pytest.fixture
 def listener():
     running = Listener()
@@ -124,28 +143,66 @@
         wait_until(lambda: len(listener.heard()) == 3, "news of a new start")
 
 
-def test_new_holder_hears_of_the_windows_that_its_predecessor_left():
+class Many:
+    """A host, on a clock of the test's, and more peers than each tells its usage to, as sockets."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.telling = Stepped(self.clock)
+        self.peers = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(15)]
+        for number, peer in enumerate(self.peers):
+            peer.bind(("127.0.0.1", 0))
+            peer.setblocking(False)
+            peer.sendto(encode_news(news(f"h{number}", 1)), self.telling.address)
+
+    def told_after(self, seconds):
+        """Return the news that each peer has got once the host goes on after some seconds."""
+        self.clock.advance(seconds)
+        self.telling.peers.tick()
+        return [receive_all(peer) for peer in self.peers]
+
+    def end(self):
+        self.telling.end()
+        for peer in self.peers:
+            peer.close()
+
+
+@pytest.fixture
+def many():
+    running = Many()
+    yield running
+    running.end()
+
+
+@pytest.mark.parametrize("held_up_s", [0.3, NEW_HOLDER_S + 0.1])
+def test_new_holder_hears_of_the_windows_that_its_predecessor_left(many, held_up_s):
     """Above a dozen hosts only the one that reports usage is told of it. After a holder was cut off
-    for some seconds, its successor reported a window with 231 of 1,534 requests missing."""
-    telling = Listener(interval_s=0.05)
-    others = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(15)]
-    try:
-        for number, other in enumerate(others):
-            other.bind(("127.0.0.1", 0))
-            other.settimeout(5.0)
-            other.sendto(encode_news(news(f"h{number}", 1)), telling.address)
-        wait_until(lambda: len(telling.heard()) == 15, "all to be heard")
-        holder = others[3]
-        for other in others:
-            assert receive(other).usage_window == 0
-        holder.sendto(encode_news(news("h3", 2, duty_fence=4)), telling.address)
-        told = wait_until(lambda: [each] if (each := receive(holder)).usage_window else [], "usage")
-        assert told[0].usage_window == 7 and told[0].usage == {4: {"a": 1}, 7: {"a": 2}}
-        assert told[0].ended == (ENDED,)
-    finally:
-        for other in others:
-            other.close()
-        telling.end()
+    for some seconds, its successor reported a window with 231 of 1,534 requests missing. A host may
+    be held up between hearing of the successor and telling it."""
+    for (told,) in many.told_after(0.0):
+        assert told.usage_window == 0
+    many.peers[3].sendto(encode_news(news("h3", 2, duty_fence=4)), many.telling.address)
+    many.telling.peers.tick()
+    assert [each.duty_fence for each in many.telling.heard()][15:] == [4]
+    others = many.told_after(held_up_s)
+    (told,) = others.pop(3)
+    assert told.usage_window == 7 and told.usage == {4: {"a": 1}, 7: {"a": 2}}
+    assert told.ended == (ENDED,)
+    assert all(not each.usage_window for news in others for each in news)
+
+
+def test_new_holder_hears_of_older_windows_again_in_case_a_datagram_was_lost(many):
+    many.told_after(0.0)
+    holder = many.peers[3]
+    older = []
+    for sequence in range(2, 22):
+        holder.sendto(encode_news(news("h3", sequence, duty_fence=4)), many.telling.address)
+        many.telling.peers.tick()
+        at = many.clock.now()
+        older += [(at, 4 in told.usage) for told in many.told_after(0.3)[3] if told.usage_window]
+    first = older[0][0]
+    assert [each for _, each in older] == [at - first < NEW_HOLDER_S for at, _ in older]
+    assert sum(each for _, each in older) >= 4 and not older[-1][1]
 
 
 def test_host_that_stops_leaves_its_counts_with_peers():
@@ -165,9 +222,7 @@
         # The first news may have gone out before the stop.
         told = [receive(other)]
         other.setblocking(False)
-        with contextlib.suppress(BlockingIOError):
-            while True:
-                told.append(receive(other))
+        told += receive_all(other)
         heirs += any(each.usage == {4: {"a": 1}, 7: {"a": 2}} for each in told)
         other.close()
     assert heirs == HEIRS
