Show with each finding of the soak with silent servers which processes were held up meanwhile

Each finding now names the times within it in which the soak's process woke late, or a relay used no processor time for a second though its tasks wake several times a second. The check itself is as it was: no late answer is excused.

--- a/tests/silence_report.py
+++ b/tests/silence_report.py
@@ -33,6 +33,11 @@
     for name, times in (("told to stop", soak.history.stops), ("killed", soak.history.kills)):
         if asked.relay in times:
             lines.append(f"{asked.relay} {name} {times[asked.relay] - soak.began:.3f}")
+    held_up = [
+        f"{stall.who} {stall.begin - soak.began:.3f}-{stall.end - soak.began:.3f}"
+        for stall in soak.stalls.within(asked.sent_at, asked.ended_at)
+    ]
+    lines.append(f"held up meanwhile: {', '.join(held_up) or 'nobody'}")
     return lines + [f"log: {line}" for line in _log_lines(soak, finding.request_id)]
 
 
@@ -51,7 +56,7 @@
         f"{soak.traits}",
         f"{outcomes(soak.history)} given up early {len(given_up_early(soak.history))}",
         f"silences of servers, and those in which they were left: {silences(soak.history)}",
-        f"faults {dict(soak.faults)} lag {1000 * soak.lag_s:.0f} ms",
+        f"faults {dict(soak.faults)} lag {1000 * soak.stalls.lag_s:.0f} ms",
         describe(met_gone(soak.history)),
     ]
 
--- a/tests/silence_soak.py
+++ b/tests/silence_soak.py
@@ -17,6 +17,7 @@
 from silence_history import GRACE_S, Finding, History, Met, Version, check, met_gone
 from silence_report import describe, evidence, print_seed
 from silence_servers import Server
+from silence_stalls import Stalls
 
 from laburnumreel.relay._settings import RetrySettings
 
@@ -69,8 +70,7 @@
         self.taking, self.servers, self._gone = [], [], []
         self.idle_s, self.longest_s = IDLE_MS[-1] / 1000, TIMEOUTS_MS[-1] / 1000
         self.began = time.monotonic()
-        # The longest that a thread of this process was held up, beside which times are to be read.
-        self.lag_s = 0.0
+        self.stalls = Stalls()
         self.ids, self._names, self._version = itertools.count(1), itertools.count(1), 1
         self._stop, self._lock = threading.Event(), threading.Lock()
         self._later, self._problems = [], []
@@ -100,7 +100,7 @@
                 Caller(self, self.history, self.seed, number, self._stop)
                 for number in range(self.traits.callers)
             ]
-            threading.Thread(target=self._watch_lag, daemon=True).start()
+            self.stalls.start()
             for caller in callers:
                 caller.start()
             self._disturb()
@@ -118,6 +118,7 @@
             return found
         finally:
             self._stop.set()
+            self.stalls.end()
             self.world.end()
 
     def _ended_by_themselves(self):
@@ -127,12 +128,6 @@
                 text = f"{relay.name} ended by itself with {relay.process.returncode}"
                 yield Finding("ended", "", text)
 
-    def _watch_lag(self):
-        while not self._stop.is_set():
-            before = time.monotonic()
-            time.sleep(0.02)
-            self.lag_s = max(self.lag_s, time.monotonic() - before - 0.02)
-
     def _disturb(self):
         for at, action in sorted(self._plan(), key=lambda planned: planned[0]):
             time.sleep(max(0.0, self._faults_began + at - time.monotonic()))
@@ -240,6 +235,7 @@
     def _start_relay(self):
         relay = Relay(self.world, f"relay-{next(self._names)}")
         self.world.relays.append(relay)
+        self.stalls.watch(relay.name, relay.process.pid)
         return relay
 
     def _in_background(self, action, *arguments):
--- a/tests/test_silence_soak.py
+++ b/tests/test_silence_soak.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import signal
 import threading
 import time
 
@@ -10,6 +11,7 @@
 from silence_history import GRACE_S, Asked, History, Version, check, wanted_body, wanted_stream
 from silence_servers import Server
 from silence_soak import Traits, run_seed
+from silence_stalls import IDLE_S, Stalls
 
 from laburnumreel.relay._settings import RetrySettings
 
@@ -194,6 +196,60 @@
         ask(server, "q9", "/safe/60")
 
 
+class Hand:
+    """Processes and a clock that a test moves: `late_s` is how late the next sleep ends."""
+
+    def __init__(self):
+        self.now, self.late_s, self.used = 100.0, 0.0, {7: 0}
+        self.stalls = Stalls(lambda: self.now, self._sleep, self.used.get)
+        self.stalls.watch("relay-1", 7)
+
+    def _sleep(self, seconds):
+        self.now += seconds + self.late_s
+        self.late_s = 0.0
+
+    def run(self, seconds, relay_runs=True):
+        end = self.now + seconds
+        while self.now < end:
+            self.used[7] += relay_runs
+            self.stalls.look()
+
+    def found(self):
+        return [(stall.who, round(stall.end - stall.begin, 1)) for stall in self.stalls.found]
+
+
+def test_soak_notes_that_it_was_held_up_itself():
+    hand = Hand()
+    hand.run(2.0)
+    hand.late_s = 2.5
+    hand.run(2.0)
+    assert hand.found() == [("this process", 2.5)] and round(hand.stalls.lag_s, 2) == 2.5
+    assert hand.stalls.within(104.4, 110.0) and not hand.stalls.within(104.6, 110.0)
+
+
+def test_soak_notes_that_a_relay_was_held_up():
+    hand = Hand()
+    hand.run(2.0)
+    hand.run(2.5, relay_runs=False)
+    hand.run(1.0)
+    assert hand.found() == [("relay-1", 2.5)]
+    del hand.used[7]
+    hand.stalls.look()
+    assert len(hand.found()) == 1
+
+
+@pytest.mark.processes
+def test_paused_relay_is_seen_by_its_processor_time(world):
+    relay, stalls = world.relay(), Stalls()
+    stalls.watch(relay.name, relay.process.pid)
+    stalls.start()
+    relay.process.send_signal(signal.SIGSTOP)
+    time.sleep(2 * IDLE_S)
+    relay.process.send_signal(signal.SIGCONT)
+    wait_until(lambda: [each for each in stalls.found if each.who == relay.name], "it is seen")
+    stalls.end()
+
+
 def traits(**changed):
     drawn = Traits(3, 2, RetrySettings(0.0, 0.0, 10.0), 18, split=False, attempts=3)
     return drawn._replace(**changed)
