Let callers go on until what a test of limits waits for, instead of for 9 s

The shares of a limit that real callers use were measured within 9 s from the start of the callers, at least 20 and 10 of them served meanwhile: with callers that are held up, too few ask, whatever the relays do. The callers now go on until the server names its limit, all relays know it, or it has ended, and the share is that of the first five seconds from the contact time on in which callers were served ten times a second (alone they are some twenty times): on an idle machine the same five seconds as before, with the same bound of 0.6. After the limit's end no request is refused, where more than 10 served in 2 s was asked.

--- /dev/null
+++ b/tests/test_relay_server_limits.py
@@ -0,0 +1,138 @@
+"""Relay processes together send a backend server no more than the limit that it names, and use it."""
+
+import threading
+import time
+from functools import partial
+
+import pytest
+from limit_count import CONTACT_S, LimitCount
+from platform_answers import echo
+from platform_world import wait_until
+from relay_caller import PROMPT, Caller
+
+
+def signed(handler):
+    signature = ("Response-Signature", f"s.{handler.headers.get('Request-Id')}")
+    handler.respond(200, b"done", [*echo(handler), signature])
+
+
+def slow(handler):
+    time.sleep(0.1)
+    signed(handler)
+
+
+# How long callers may go on until what a test waits for has come.
+CALLS_S = 40.0
+GAP_S = 0.05
+# For how long a server's limit must be used.
+USED_S = 5.0
+# Callers that are served this often leave a server's limit no room unasked: three ask about twenty times a second.
+SERVED_PER_S = 10.0
+
+
+class Callers:
+    """A caller at each relay, which asks one request after the other until the block ends."""
+
+    def __init__(self, relays, path, **headers):
+        self._path, self._headers = path, headers
+        self._end = threading.Event()
+        self.served_at, self._begun = [], time.monotonic()
+        self._callers = [threading.Thread(target=self._call, args=(relay,)) for relay in relays]
+
+    def __enter__(self):
+        for caller in self._callers:
+            caller.start()
+        return self
+
+    def __exit__(self, *error):
+        self._end.set()
+        for caller in self._callers:
+            caller.join()
+
+    def _call(self, relay):
+        caller = Caller(relay)
+        while not self._end.is_set():
+            if caller.ask(self._path, **self._headers)[0] == 200:
+                self.served_at.append(time.monotonic())
+            time.sleep(GAP_S)
+
+    def until(self, condition, what):
+        return wait_until(condition, what, CALLS_S)
+
+    def busy_from(self, begin, seconds):
+        """Return when the first period began, from a time on, in which callers were not held up themselves."""
+        while True:
+            ended = partial(lambda end: time.monotonic() >= end, begin + seconds)
+            self.until(ended, "the period has passed")
+            served = sum(1 for at in list(self.served_at) if begin <= at < begin + seconds)
+            if served >= seconds * SERVED_PER_S:
+                return begin
+            assert begin < self._begun + CALLS_S, "the callers are held up all the time"
+            begin += seconds
+
+
+def all_logged(relays, name):
+    return all(relay.logged(name) for relay in relays)
+
+
+@pytest.mark.processes
+class TestRelays:
+    def relays(self, world, number=3):
+        relays = [world.relay(f"relay-{each}") for each in range(number)]
+        for relay in relays:
+            wait_until(lambda r=relay: len(r.logged("relay_peer_heard")) >= number - 1, "peers")
+        return relays
+
+    def test_relays_together_keep_to_the_limit_that_a_server_names(self, world):
+        """Three hosts each sent a server in need what they would have sent without its word."""
+        count = LimitCount(1.0)
+        world.worker("w1", usual=signed, Slots=40).limit = count
+        # The other one is slower, so that every request would go to the server in need.
+        world.worker("w2", usual=slow, Slots=40)
+        relays = self.relays(world)
+        with Callers(relays, "/safe/x") as callers:
+            named_at = callers.until(lambda: count.named_at, "the server names its limit")
+            begin = callers.busy_from(named_at + CONTACT_S, USED_S)
+        assert count.worst_excess() <= 0
+        assert count.share_used(begin, begin + USED_S) >= 0.6
+        assert all_logged(relays, "back_end_limited")
+
+    def test_engines_that_name_limits_get_no_more_whatever_is_sent(self, world):
+        """Readings, runs and releases of copies all reach the server."""
+        reads, runs = LimitCount(1.5), LimitCount(1.5)
+        world.worker("p1", "quotes", Stage="prefill", Slots=40).limit = reads
+        world.worker("d1", "quotes", Stage="decode", Slots=40).limit = runs
+        world.worker("d2", "quotes", Stage="decode", Slots=40)
+        relays = self.relays(world)
+        with Callers(relays, "/talk/x", **PROMPT) as callers:
+            for count in (reads, runs):
+                callers.until(lambda count=count: count.named_at, "both name their limits")
+            end = max(reads.named_at, runs.named_at) + 8.0
+            callers.until(lambda: time.monotonic() >= end, "the window has passed twice")
+        for count in (reads, runs):
+            assert count.worst_excess() <= 0
+
+    def test_limit_that_the_server_does_not_name_any_more_ends_on_all_hosts(self, world):
+        count = LimitCount(2.0)
+        worker = world.worker("w1", usual=signed, Slots=40)
+        worker.limit = count
+        relays = self.relays(world)
+        with Callers(relays, "/safe/x") as callers:
+            callers.until(lambda: all_logged(relays, "back_end_limited"), "all know the limit")
+            worker.limit = None
+            callers.until(lambda: all_logged(relays, "back_end_limit_ended"), "it has ended")
+        # While it was in force, most of these were refused.
+        for relay in relays:
+            caller = Caller(relay)
+            assert [caller.ask("/safe/x")[0] for _ in range(12)] == [200] * 12
+
+    def test_header_that_is_not_known_is_logged_once(self, world):
+        def strange(handler):
+            signature = ("Response-Signature", f"s.{handler.headers.get('Request-Id')}")
+            handler.respond(200, b"done", [*echo(handler), signature, ("Server-Mood", "low")])
+
+        world.worker("w1", usual=strange)
+        relay = world.relay()
+        assert all(Caller(relay).ask("/safe/x")[0] == 200 for _ in range(3))
+        noted = wait_until(lambda: relay.logged("header_unknown"), "the header is logged")
+        assert [line["header"] for line in noted] == ["server-mood"]
