Let no timeout end the interrupted call of a test, and ask for half a second in one of several tries

The call had to end within 0.5 s of a clock, which a held-up process can't promise. All its timeouts are now 600 s, so that only the interruption can end it, each time; and of twenty calls one must end within 0.5 s. A wait of fixed length, however it is begun, fails all twenty.

--- a/tests/test_json_calls.py
+++ b/tests/test_json_calls.py
@@ -17,28 +17,41 @@
     running.end()
 
 
-def calls_to(store):
+# Longer than any test may last: what ends sooner has ended by an event.
+NEVER_S = 600.0
+# An interrupted call ends at once; on a busy machine, some of these do.
+SOON_S, TRIES = 0.5, 20
+
+
+def calls_to(store, timeout_s=1.0):
     host, _, port = store.address.rpartition(":")
-    return JsonCalls((host, int(port)), 1.0)
+    return JsonCalls((host, int(port)), timeout_s)
 
 
-def test_interrupted_call_ends_and_is_not_sent_again(store):
-    """Guards against a host that waits for seconds when it stops, or when it learns it is behind."""
-    calls, outcomes = calls_to(store), []
+def interrupted(store):
+    """Return how long a call lasts that is interrupted once it waits at the store; no timeout ends it."""
+    calls, outcomes = calls_to(store, NEVER_S), []
+    path = f"/v1/rows-feed?Table=op&after=0&WaitMs={int(1000 * NEVER_S)}"
     waiting = threading.Thread(
-        target=lambda: outcomes.append(
-            calls.read("/v1/rows-feed?Table=op&after=0&WaitMs=5000", wait_s=5.0)
-        )
+        target=lambda: outcomes.append(calls.read(path, wait_s=NEVER_S)), daemon=True
     )
     assert calls.read("/v1/rows-get?Table=op&part=").is_ok()
+    store.calls.clear()
     waiting.start()
     wait_until(lambda: "/v1/rows-feed" in store.calls, "the call to wait at the store")
     started = time.monotonic()
     calls.interrupt()
-    waiting.join(3)
-    assert time.monotonic() - started < 0.5 and outcomes[0].is_error()
+    wait_until(lambda: outcomes, "the call to end")
+    took_s = time.monotonic() - started
+    assert outcomes[0].is_error()
     assert store.calls.count("/v1/rows-feed") == 1
     assert calls.read("/v1/rows-get?Table=op&part=").is_ok()
+    return took_s
+
+
+def test_interrupted_call_ends_and_is_not_sent_again(store):
+    """Guards against a host that waits for seconds when it stops, or when it learns it is behind."""
+    assert any(interrupted(store) < SOON_S for _ in range(TRIES))
 
 
 def test_kept_connection_that_was_closed_is_replaced(store):
