Let a new holder wait for windows from before what its peers told it while it was none

Caller's view: a usage window reported with requests missing, in a deployment of up to a dozen hosts. There all hosts tell all others the last two windows, all the time. A process that began, or was cut off for some windows, just before it took the lease had heard from all its peers, so that it waited for nobody; but they had not told it the windows before. It then reported an older one that its predecessor had left from what a few had told it, or took it for one in which nothing ran. That they tell all windows within 0.6 s of hearing of the new holder came too late.

A host now knows from which window on each peer has told it all without a gap, as it takes the lease. Windows before that wait for the 2.5 s in which new holders are told of older windows, as they did where no peer had told anything. Nothing else waits longer.

Both tests failed before: one window reported with 10 of 20 requests (a host begins between two peers' news), and one with 2 of 20 (after a cut of two windows).

--- a/src/laburnumreel/relay/_duties.py
+++ b/src/laburnumreel/relay/_duties.py
@@ -1,6 +1,6 @@
 """The task that does what only one host may do: it reports usage and gives orders."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Protocol
 
 from laburnumreel.coordination import Answer, AuthorityBoard, GuardedSender
@@ -40,7 +40,8 @@
 # time in which a report must come.
 WAIT_SHARE = 0.6
 # A holder that is new is told of older windows within this time. It waits for that even if a report
-# is late by then: a late report can still be right, and a wrong one can't be mended.
+# is late by then: a late report can still be right, and a wrong one can't be mended. Windows before those
+# that peers told it while it was none wait all of this time.
 SETTLE_S = 2.5
 # A window that is late by more than this many times the limit is given up.
 GIVE_UP_TIMES = 2.0
@@ -112,6 +113,7 @@
         self._retry_at = 0.0
         self._held_fence = 0
         self._held_at = 0.0
+        self._told_since: Mapping[str, int] = {}
 
     @property
     def fence(self) -> int:
@@ -126,6 +128,7 @@
             return
         if authority.fence != self._held_fence:
             self._held_fence, self._held_at = authority.fence, now
+            self._told_since = self._book.told_since()
         if now >= self._retry_at:
             self._report(authority)
         for planner in self._planners:
@@ -156,11 +159,14 @@
 
     def _awaited(self, window: int, true_now: float) -> bool:
         """Return whether counts of hosts that are heard are still missing in a window."""
-        missing = self._book.missing(window, self._peers())
+        peers = list(self._peers())
+        missing = self._book.missing(window, peers)
+        settled = self._clock.now() - self._held_at >= SETTLE_S
+        if not settled:
+            missing += [peer for peer in peers if window < self._told_since.get(peer, window)]
         if not missing:
             return False
         waited_s = true_now - self._book.ends_at(window)
-        settled = self._clock.now() - self._held_at >= SETTLE_S
         if not settled or waited_s < WAIT_SHARE * self._usage.late_s:
             return True
         if window not in self._incomplete:
--- a/src/laburnumreel/relay/_exchange.py
+++ b/src/laburnumreel/relay/_exchange.py
@@ -123,7 +123,8 @@
             else:
                 self._book.runs(news.sender, news.boot)
             if news.usage_window:
-                self._book.told(news.sender, news.usage_window)
+                since = news.usage_window - USAGE_WINDOWS + 1
+                self._book.told(news.sender, since, news.usage_window)
         table = self._table()
         self._nudge(self._config_feed, table is None or table.version >= self._peer_version)
         self._nudge(self._back_end_feed, self._back_end_feed.looks.seen >= self._peer_listing)
--- a/src/laburnumreel/relay/_usage.py
+++ b/src/laburnumreel/relay/_usage.py
@@ -72,6 +72,8 @@
         self._running: dict[str, str] = {}
         # The window at which each peer told its counts last; those of earlier windows are whole.
         self._told: dict[str, int] = {}
+        # The first window of what each peer has told without a gap.
+        self._told_since: dict[str, int] = {}
         # Windows whose counts some holder of the duties has fixed.
         self._fixed: set[int] = set()
 
@@ -135,11 +137,19 @@
             told.append(each)
         return tuple(told)
 
-    def told(self, sender: str, window: int) -> None:
-        """Take in that a peer told all its counts when it was this window."""
+    def told(self, sender: str, since: int, window: int) -> None:
+        """Take in that a peer told all its counts since a window, when it was another one."""
         with self._lock:
+            if since > self._told.get(sender, -1):
+                # The first time, or after a gap.
+                self._told_since[sender] = since
             self._told[sender] = window
 
+    def told_since(self) -> Mapping[str, int]:
+        """Return the first window of what each peer has told without a gap."""
+        with self._lock:
+            return dict(self._told_since)
+
     def missing(self, window: int, hosts: Iterable[str]) -> list[str]:
         """Return which of some hosts have not told their counts since a window ended."""
         with self._lock:
@@ -176,3 +186,4 @@
                     del book[number]
             self._fixed = {number for number in self._fixed if number >= window}
             self._told = {host: told for host, told in self._told.items() if told >= window}
+            self._told_since = {host: self._told_since[host] for host in self._told}
--- a/tests/test_relay_duties.py
+++ b/tests/test_relay_duties.py
@@ -6,6 +6,7 @@
 
 from laburnumreel.coordination import Answer
 from laburnumreel.relay._duties import SEAL_DELAY_S, WAIT_SHARE, Duties
+from laburnumreel.relay._exchange import USAGE_WINDOWS
 from laburnumreel.relay._ports import DutyCall
 from laburnumreel.relay._settings import UsageSettings, load_relay_settings
 from laburnumreel.relay._usage import MOST_ENDED_COUNTS, UsageBook
@@ -56,7 +57,8 @@
         """Take a peer's counts as its news brings them."""
         for window, each in counts.items():
             self.book.peer(peer, "boot", window, each)
-        self.book.told(peer, self.book.window(self.at))
+        window = self.book.window(self.at)
+        self.book.told(peer, window - USAGE_WINDOWS + 1, window)
 
     def until(self, end):
         while self.at < end:
@@ -128,6 +130,44 @@
     assert holder.reports == {20: {"a": 21}}
 
 
+def test_holder_that_has_just_begun_waits_for_windows_from_before():
+    """Up to a dozen hosts tell all others their last two windows, so that a process which begins at a
+    window's start hears of the one before the last from some hosts and not from others."""
+    holder = Holder()
+    holder.held = False
+    holder.at = 109.9
+    holder.tell("h1", {20: {"a": 10}, 21: {"a": 1}})
+    holder.at = 110.1
+    holder.tell("h2", {21: {"a": 1}, 22: {"a": 1}})
+    holder.tell("h1", {21: {"a": 1}, 22: {"a": 1}})
+    holder.held = True
+    holder.until(110.6)
+    assert holder.reports == {}
+    for peer in PEERS:
+        holder.tell(peer, {20: {"a": 10}, 21: {"a": 1}, 22: {"a": 1}})
+    holder.until(113.5)
+    assert holder.reports == {20: {"a": 20}, 21: {"a": 2}}
+
+
+def test_holder_waits_for_windows_that_it_did_not_hear_of_while_it_was_none():
+    holder = Holder()
+    holder.held = False
+    holder.at = 101.0
+    for peer in PEERS:
+        holder.tell(peer, {20: {"a": 1}})
+    # A cut for two windows and more.
+    holder.at = 110.1
+    for peer in PEERS:
+        holder.tell(peer, {21: {"a": 5}, 22: {"a": 1}})
+    holder.at, holder.held = 111.0, True
+    holder.until(111.5)
+    assert 20 not in holder.reports
+    for peer in PEERS:
+        holder.tell(peer, {20: {"a": 10}, 21: {"a": 5}, 22: {"a": 1}})
+    holder.until(114.0)
+    assert holder.reports == {20: {"a": 20}, 21: {"a": 10}}
+
+
 def test_counts_of_ended_processes_are_bounded_and_the_newest_come_first():
     book = UsageBook(5.0)
     for window in (20, 21):
