--- /dev/null
+++ b/src/laburnumreel/transport/_channel.py
@@ -0,0 +1,144 @@
+"""A caller's connection: its requests, their answers, and how it ends."""
+
+import contextlib
+import socket
+import time
+from typing import Any
+
+from waitress.channel import HTTPChannel
+from waitress.task import WSGITask
+
+from laburnumreel.core import Log
+from laburnumreel.transport._events import CALLER_CUT
+from laburnumreel.transport._parsing import Parser, RefusalTask
+from laburnumreel.transport._sockets import LINGER_DEFAULT, LINGER_NONE, readable
+
+# The key of a request's environment under which stands when it was read whole, by `SystemClock`.
+READ_AT = "laburnumreel.read_at"
+
+_log = Log("transport.wsgi")
+
+
+class _Pieces:
+    """Stands for a channel while a task writes, and keeps what it wrote."""
+
+    def __init__(self, channel: HTTPChannel) -> None:
+        self.server = channel.server
+        self.written: list[bytes] = []
+
+    def write_soon(self, data: bytes) -> int:
+        self.written.append(data)
+        return len(data)
+
+
+class _RequestTask(WSGITask):
+    """Sends an answer's head with its first piece, and closes connections while stopping."""
+
+    @property
+    def _ends_with_connection(self) -> bool:
+        return self.has_body and not self.chunked_response and self.content_length is None
+
+    def write(self, data: bytes) -> None:
+        if self.wrote_header or not data:
+            super().write(data)
+            return
+        channel, self.channel = self.channel, _Pieces(self.channel)
+        try:
+            super().write(data)
+            written = self.channel.written
+        finally:
+            self.channel = channel
+        if self._ends_with_connection:
+            # Until it is whole, the end of the connection must not look like the answer's.
+            channel.set_linger(LINGER_NONE)
+        channel.write_soon(b"".join(written))
+
+    def get_environment(self) -> dict[str, Any]:
+        environ = super().get_environment()
+        environ[READ_AT] = self.request.read_at
+        return environ
+
+    def finish(self) -> None:
+        super().finish()
+        if self._ends_with_connection:
+            self.channel.set_linger(LINGER_DEFAULT)
+
+    def build_response_header(self) -> bytes:
+        if self.channel.server.stopping:
+            self.set_close_on_finish()
+        return super().build_response_header()
+
+
+class Channel(HTTPChannel):
+    """A caller's connection that knows how many bytes its reader has taken."""
+
+    task_class = _RequestTask
+    error_task_class = RefusalTask
+    parser_class = Parser
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        self.sent_bytes = 0
+        # The last activity that was seen, when that was, and how long it might be idle then.
+        self._seen_activity = 0.0
+        self._idle_since = time.monotonic()
+        self._idle_limit_s = 0.0
+        self._checked_bytes = -1
+        self._progress_at = time.monotonic()
+        super().__init__(*arguments, **options)
+
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        sent = super().send(data, do_close)
+        if sent:
+            self.sent_bytes += sent
+        return sent
+
+    def write_soon(self, data: bytes) -> int:
+        """Send at once what the socket takes; waitress' buffers get only the rest."""
+        sent = 0
+        if isinstance(data, bytes) and data and not self.total_outbufs_len:
+            with self.outbuf_lock:
+                if self.connected and not self.total_outbufs_len:
+                    # A failure is found again, and handled, by the write of the rest.
+                    with contextlib.suppress(OSError):
+                        sent = self.send(data, do_close=False)
+            if sent == len(data):
+                self.last_activity = time.time()
+                return sent
+        return sent + super().write_soon(data[sent:] if sent else data)
+
+    def end(self, reason: str) -> None:
+        """Close the connection for a reason of the host's own, and say so if a request is on it."""
+        if self.requests or self.request is not None:
+            _log.warning(
+                CALLER_CUT,
+                caller=str(self.addr),
+                reason=reason,
+                requests=len(self.requests),
+                reading=self.request is not None,
+            )
+        self.handle_close()
+
+    def idle_too_long(self, now: float, limit_s: float) -> bool:
+        """Return whether the connection has been idle beyond its limit.
+
+        A shorter limit does not hold for the time in which its caller counted on a longer one: the
+        caller may be about to use the connection. The time of day, which may jump, does not count.
+        """
+        busy = self.requests or self.total_outbufs_len or readable(self.socket)
+        if busy or self.last_activity != self._seen_activity:
+            self._seen_activity, self._idle_since = self.last_activity, now
+            self._idle_limit_s = limit_s
+        return now - self._idle_since > max(limit_s, self._idle_limit_s)
+
+    def set_linger(self, linger: bytes) -> None:
+        """Set how the connection ends, for the end of this process as well."""
+        # The caller may have closed it already.
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    def stalled(self, now: float) -> bool:
+        """Return whether output has waited for the whole limit without one byte taken."""
+        if not self.total_outbufs_len or self.sent_bytes != self._checked_bytes:
+            self._checked_bytes = self.sent_bytes
+            self._progress_at = now
+        return now - self._progress_at > self.server.stall_limit_s
