Answer a request that expects to be asked for a body it doesn't have, and read each by its own limits

Callers saw: a whole request with Expect: 100-continue and no body (GET, or a length of 0), with a length that is none, or with a body over the limit got '100 Continue' and then nothing: neither an answer nor a refusal, in the relay and in the gateway, until the connection was idle too long. A body or head that was being sent while a configuration made the limits smaller was refused (413, 431) though the limits under which it began allow it.

Cause: waitress asks for the body of each request that expects it and takes the request for unfinished then, also where it is complete or refused. The limits were looked up with each piece.

Change: a request that is complete expects nothing; one that is refused for its length alone is refused before its body is sent. A request has the limits under which it began, or larger ones that came since. What follows a request whose end isn't known is not parsed any more; what follows a body that is too large is left to the next request.

--- a/src/laburnumreel/transport/_parsing.py
+++ b/src/laburnumreel/transport/_parsing.py
@@ -1,5 +1,7 @@
 """Reading callers' requests, and the answers to those that can't be read."""
 
+from typing import Any
+
 from waitress.adjustments import Adjustments
 from waitress.parser import HTTPRequestParser
 from waitress.task import ErrorTask
@@ -16,27 +18,55 @@
 _clock = SystemClock()
 
 
+class _Limits:
+    """The limits of one request: those under which it began, or larger ones that came since."""
+
+    def __init__(self, adj: Adjustments) -> None:
+        self._adj = adj
+        self._header_bytes = adj.max_request_header_size
+        self._body_bytes = adj.max_request_body_size
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._adj, name)
+
+    @property
+    def max_request_header_size(self) -> int:
+        return max(self._header_bytes, self._adj.max_request_header_size)
+
+    @property
+    def max_request_body_size(self) -> int:
+        return max(self._body_bytes, self._adj.max_request_body_size)
+
+
 class Parser(HTTPRequestParser):
     """Reads on, within a limit, after a size error has decided the answer.
 
-    `read_at` is when the request was read whole, in seconds of `SystemClock`.
+    `read_at` is when the request was read whole, in seconds of `SystemClock`. `is_last` is whether
+    what follows on the connection is no request: the caller said so, or it is not known where this
+    request ends.
     """
 
     def __init__(self, adj: Adjustments) -> None:
-        super().__init__(adj)
+        super().__init__(_Limits(adj))
         self.read_at: float | None = None
         self._discard_bytes = 0
         self._discard_to_blank_line = False
         self._tail = b""
+        self._end_known = False
+
+    @property
+    def is_last(self) -> bool:
+        return self.connection_close or (self.error is not None and not self._end_known)
 
     def received(self, data: bytes) -> int:
         if self._discard_bytes or self._discard_to_blank_line:
             return self._discard(data)
         consumed = super().received(data)
-        if self.completed:
-            self.read_at = _clock.now()
-        if not self.completed or self.error is None:
+        if not self.completed:
             return consumed
+        self.read_at = _clock.now()
+        # Nothing is left that the caller would have to be asked for.
+        expected, self.expect_continue = self.expect_continue, False
         if isinstance(self.error, RequestHeaderFieldsTooLarge):
             if b"\r\n\r\n" not in self.header_plus + data:
                 self._discard_to_blank_line = True
@@ -44,22 +74,28 @@
                 self._tail = data[-3:]
                 self.completed = False
         elif isinstance(self.error, RequestEntityTooLarge) and self.content_length:
-            rest = self.content_length - self.body_bytes_received - (len(data) - consumed)
-            if 0 < rest <= DISCARD_LIMIT_BYTES:
+            came = len(data) - consumed
+            rest = self.content_length - came
+            if rest <= 0:
+                self._end_known = True
+                consumed += self.content_length
+            elif rest <= DISCARD_LIMIT_BYTES and (came or not expected):
                 self._discard_bytes = rest
                 self.completed = False
-            return len(data)
-        return consumed
+                return len(data)
+        return len(data) if self.is_last else consumed
 
     def _discard(self, data: bytes) -> int:
-        self._discard_bytes = max(0, self._discard_bytes - len(data))
         if self._discard_to_blank_line:
+            self._discard_bytes = max(0, self._discard_bytes - len(data))
             ended = b"\r\n\r\n" in self._tail + data
             self._tail = (self._tail + data)[-3:]
             self.completed = ended or not self._discard_bytes
-        else:
-            self.completed = not self._discard_bytes
-        return len(data)
+            return len(data)
+        taken = min(len(data), self._discard_bytes)
+        self._discard_bytes -= taken
+        self.completed = self._end_known = not self._discard_bytes
+        return len(data) if self.completed and self.is_last else taken
 
 
 class RefusalTask(ErrorTask):
--- /dev/null
+++ b/tests/test_caller_pieces.py
@@ -0,0 +1,185 @@
+"""Tests of whole requests on callers' connections: each ends with an answer or a refusal."""
+
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from laburnumreel.transport import HttpServer
+from laburnumreel_standins.processes import free_port, fresh_host
+
+HEADER_BYTES, BODY_BYTES = 16384, 65536
+SLOW_S = 0.4
+# Longer than every wait of these tests, so that a connection that stays silent fails them.
+SILENT_S = 3.0
+
+
+class Application:
+    """Answers with the path and the length of the body; some paths do more.
+
+    `/slow` takes a while, `/cut` breaks off in its middle, `/until-left` lasts until its caller is
+    seen to have left.
+    """
+
+    def __init__(self):
+        self.began = []
+        self.left_after_s = None
+
+    def __call__(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        self.began.append(path)
+        size = len(environ["wsgi.input"].read())
+        if path == "/cut":
+            start_response("200 OK", [])
+            return self.broken()
+        if path == "/stream":
+            start_response("200 OK", [])
+            return self.pieces()
+        if path == "/slow":
+            time.sleep(SLOW_S)
+        status = "200 OK"
+        if path == "/until-left":
+            status = self.wait(environ["waitress.client_disconnected"])
+        body = f"{path}:{size}\n".encode()
+        start_response(status, [("Content-Length", str(len(body)))])
+        return [body]
+
+    def wait(self, gone):
+        began = time.monotonic()
+        while not gone():
+            if time.monotonic() - began > SILENT_S:
+                return "200 OK"
+            time.sleep(0.01)
+        self.left_after_s = time.monotonic() - began
+        return "499 Left"
+
+    def broken(self):
+        yield b"a part"
+        time.sleep(SLOW_S)
+        raise OSError("the answer breaks off")
+
+    def pieces(self):
+        yield b"one "
+        time.sleep(SLOW_S)
+        yield b"two\n"
+
+
+@pytest.fixture
+def application():
+    return Application()
+
+
+@pytest.fixture
+def server(application):
+    executor = ThreadPoolExecutor(1)
+    host = fresh_host()
+    running = HttpServer(application, (host, free_port(host)), 4)
+    running.set_limits(HEADER_BYTES, BODY_BYTES, 30.0)
+    running.start(executor)
+    yield running
+    running.stop()
+    executor.shutdown()
+
+
+def get(path, *headers):
+    lines = "".join(f"{header}\r\n" for header in headers)
+    return f"GET {path} HTTP/1.1\r\nHost: x\r\n{lines}\r\n".encode()
+
+
+def post(path, body, *headers):
+    lines = "".join(f"{header}\r\n" for header in headers)
+    length = f"Content-Length: {len(body)}\r\n"
+    return f"POST {path} HTTP/1.1\r\nHost: x\r\n{length}{lines}\r\n".encode() + body
+
+
+def connect(server):
+    connection = socket.create_connection(server.address)
+    connection.settimeout(SILENT_S)
+    return connection
+
+
+def answers(connection, count):
+    """Return the statuses of so many answers and whether the connection ended after them."""
+    received = b""
+    while received.count(b"HTTP/1.1 ") < count or not received.endswith((b"\n", b"}")):
+        data = connection.recv(65536)
+        if not data:
+            break
+        received += data
+    found = [part[:3].decode() for part in received.split(b"HTTP/1.1 ")[1:]]
+    return found, received
+
+
+def ended(connection):
+    """Return whether the connection ends, within the time of a wait."""
+    try:
+        return connection.recv(65536) == b""
+    except ConnectionError:
+        return True
+    except TimeoutError:
+        return False
+
+
+class TestExpectation:
+    """`Expect: 100-continue` where nothing is left to be sent."""
+
+    @pytest.mark.parametrize(
+        ("request_bytes", "status"),
+        [
+            (get("/a", "Expect: 100-continue"), "200"),
+            (post("/a", b"", "Expect: 100-continue"), "200"),
+            (b"POST /a HTTP/1.1\r\nContent-Length: x\r\nExpect: 100-continue\r\n\r\n", "400"),
+            (b"POST /a HTTP/1.1\r\nContent-Length: 70000\r\nExpect: 100-continue\r\n\r\n", "413"),
+            (
+                b"POST /a HTTP/1.1\r\nContent-Length: 99999999\r\nExpect: 100-continue\r\n\r\n",
+                "413",
+            ),
+        ],
+    )
+    def test_request_gets_its_answer(self, server, request_bytes, status):
+        connection = connect(server)
+        connection.sendall(request_bytes)
+        assert answers(connection, 1)[0] == [status]
+
+    def test_body_is_asked_for(self, server):
+        connection = connect(server)
+        connection.sendall(post("/a", b"", "Expect: 100-continue").replace(b": 0", b": 3"))
+        assert connection.recv(100).startswith(b"HTTP/1.1 100 ")
+        connection.sendall(b"abc")
+        found, received = answers(connection, 1)
+        assert found == ["200"] and b"/a:3" in received
+
+
+class TestLimits:
+    """Limits that become smaller hold for the requests that begin later."""
+
+    def test_body_that_is_being_sent_is_read_to_its_end(self, server):
+        connection = connect(server)
+        whole = post("/a", b"x" * 60_000)
+        connection.sendall(whole[:30_000])
+        time.sleep(0.2)
+        server.set_limits(HEADER_BYTES, 1000, 30.0)
+        connection.sendall(whole[30_000:])
+        assert answers(connection, 1)[0] == ["200"]
+        connection.sendall(whole)
+        assert answers(connection, 1)[0] == ["413"]
+
+    def test_head_that_is_being_sent_is_read_to_its_end(self, server):
+        connection = connect(server)
+        whole = get("/a", "A: " + "x" * 8000)
+        connection.sendall(whole[:6000])
+        time.sleep(0.2)
+        server.set_limits(4096, BODY_BYTES, 30.0)
+        connection.sendall(whole[6000:])
+        assert answers(connection, 1)[0] == ["200"]
+
+    def test_larger_limit_holds_for_a_body_that_is_being_sent(self, server):
+        server.set_limits(HEADER_BYTES, 1000, 30.0)
+        connection = connect(server)
+        whole = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n" + b"x" * 4096
+        connection.sendall(whole[:900])
+        time.sleep(0.2)
+        server.set_limits(HEADER_BYTES, BODY_BYTES, 30.0)
+        connection.sendall(whole[900:] + b"\r\n0\r\n\r\n")
+        assert answers(connection, 1)[0] == ["200"]
