Answer the requests of a stop's last moment before connections are closed

Callers saw: a request that was read, or lay in the kernel's buffer, between the last look for running requests and the end of the connections got its connection closed or reset.

Change: once a server is told to stop, it goes on for up to 0.2 s while a request runs or bytes of one have come, with connections that close after their answers.

--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -17,6 +17,7 @@
 from laburnumreel.transport._channel import Channel
 from laburnumreel.transport._events import HTTP_SERVER_PROBLEM, READER_STALLED
 from laburnumreel.transport._metrics import STALLED_READERS
+from laburnumreel.transport._sockets import readable
 
 STALL_LIMIT_S = 30.0
 MAX_HEADER_BYTES = 32 * 1024
@@ -27,6 +28,11 @@
 NO_OVERFLOW_BYTES = 1 << 40
 SEND_BUFFER_BYTES = 128 * 1024
 IDLE_LIMIT_S = 120
+# How long a stop waits for requests of the last moment, and how often it looks.
+LAST_REQUESTS_S = 0.2
+LAST_CHECK_S = 0.02
+# Within this time the thread of the sockets ends.
+STOP_S = 10
 CONNECTIONS_PER_THREAD = 4
 
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
@@ -123,6 +129,7 @@
         self._server.stall_limit_s = stall_limit_s
         dispatcher.set_thread_count(threads)
         self._stopped = threading.Event()
+        self._last_requests_s = LAST_REQUESTS_S
         self._loop: Future | None = None
 
     @property
@@ -163,18 +170,35 @@
         """The number of open connections."""
         return len(self._server.active_channels)
 
-    def stop(self) -> None:
-        """Stop listening and close all connections."""
+    def stop(self, last_requests_s: float = LAST_REQUESTS_S) -> None:
+        """Stop listening and close all connections.
+
+        What was read or received until now is answered before, within `last_requests_s`.
+        """
+        self._last_requests_s = last_requests_s
+        self.close_after_answers()
         self._stopped.set()
         if self._loop is not None:
             self._server.pull_trigger()
-            self._loop.result(timeout=10)
+            self._loop.result(timeout=last_requests_s + STOP_S)
         self._server.task_dispatcher.shutdown(timeout=1)
 
     def _run(self) -> None:
         while not self._stopped.is_set():
             wasyncore.loop(timeout=1, use_poll=True, map=self._map, count=1)
+        self._answer_the_last()
         self._server.closed = True
         for channel in list(self._server.active_channels.values()):
             channel.end("stop")
         wasyncore.close_all(self._map, ignore_all=True)
+
+    def _answer_the_last(self) -> None:
+        """Answer the requests that have reached this host, before its connections are closed."""
+        ends_at = time.monotonic() + self._last_requests_s
+        while time.monotonic() < ends_at and not self._quiet():
+            wasyncore.loop(timeout=LAST_CHECK_S, use_poll=True, map=self._map, count=1)
+
+    def _quiet(self) -> bool:
+        return self.flushed() and not any(
+            readable(channel.socket) for channel in list(self._server.active_channels.values())
+        )
--- a/tests/test_caller_pieces.py
+++ b/tests/test_caller_pieces.py
@@ -274,3 +274,29 @@
         server.set_limits(HEADER_BYTES, BODY_BYTES, 30.0)
         connection.sendall(whole[900:] + b"\r\n0\r\n\r\n")
         assert answers(connection, 1)[0] == ["200"]
+
+
+class TestStop:
+    def test_requests_of_the_last_moment_are_answered(self, server):
+        """A request that was read when the connections are closed gets its answer."""
+        connections = [connect(server) for _ in range(4)]
+        for connection in connections:
+            connection.sendall(get("/slow"))
+        time.sleep(SLOW_S / 2)
+        server.stop(last_requests_s=SILENT_S)
+        for connection in connections:
+            assert answers(connection, 1)[0] == ["200"]
+
+    def test_request_that_is_being_received_is_answered(self, server):
+        """A request in the kernel's buffer when the connections are closed is not reset."""
+        connections = [connect(server) for _ in range(8)]
+        for connection in connections:
+            connection.sendall(get("/first"))
+            answers(connection, 1)
+        stopping = threading.Thread(target=server.stop, args=(SILENT_S,))
+        for connection in connections:
+            connection.sendall(get("/slow"))
+        stopping.start()
+        for connection in connections:
+            assert answers(connection, 1)[0] == ["200"]
+        stopping.join()
