Answer the requests that are still at a server when the time to stop is over

Callers saw: at the end of GraceS (relay) or grace_s (gateway) the requests whose server was still at work were cut without an answer, as tasks and connections were closed under them.

Change: they are ended as those whose deadline has come (504, or 503 where nothing was sent), and their answers have 0.25 s (relay, of its last 0.8 s) or 1 s (gateway) to leave. Streams whose beginning their callers have end as before.

Requests that waited in the relay's queue were refused before too.

--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -65,6 +65,8 @@
 BACKGROUND_THREADS = 4
 TASK_THREADS = 16
 STOP_CHECK_S = 0.05
+# For the answers to requests that end when the time to stop is over.
+LAST_ANSWERS_S = 1.0
 # How often idle connections are looked through for those that nobody will use again.
 PRUNE_EVERY_S = 5.0
 # New objects between collections of the youngest generation.
@@ -223,6 +225,8 @@
         while not self._idle():
             if self._clock.now() >= give_up_at:
                 _log.error(STOP_INCOMPLETE, running=self._slots.taken, claims=self._claims.running)
+                self._registry.end_all()
+                self._callers.flush(LAST_ANSWERS_S)
                 break
             time.sleep(STOP_CHECK_S)
         self._usage.flush_all(stop.grace_s)
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -64,6 +64,8 @@
 NOTICE_S = 3.0
 # What is left of the time to stop when the last requests are cut.
 LAST_MOMENT_S = 0.8
+# For the answers to requests that end then, of this last time.
+LAST_ANSWERS_S = 0.25
 STOP_CHECK_S = 0.05
 # How often the settings file is looked at, for changes that no signal tells.
 SETTINGS_CHECK_S = 1.0
@@ -323,6 +325,8 @@
         while not self._callers.flushed():
             if self._clock.now() >= end:
                 _log.error(RELAY_STOP_INCOMPLETE)
+                self._registry.end_all()
+                self._callers.flush(LAST_ANSWERS_S)
                 break
             time.sleep(STOP_CHECK_S)
         for task in reversed(list(tasks)):
--- a/src/laburnumreel/serving/_registry.py
+++ b/src/laburnumreel/serving/_registry.py
@@ -89,6 +89,10 @@
     keys: WithdrawnKeys
 
 
+class _TimeOver(NamedTuple):
+    pass
+
+
 class RequestRegistry(Task):
     """Aborts requests whose key was withdrawn, whose deadline passed or whose caller has gone.
 
@@ -116,6 +120,13 @@
         """Abort the requests of these keys, now and whenever one starts later."""
         self.tell(_Withdrawn(keys))
 
+    def end_all(self) -> None:
+        """Abort all requests, because this node's time to stop is over.
+
+        To a caller that is the end of its request's time: it is told whether the request ran.
+        """
+        self.tell(_TimeOver())
+
     def handle(self, message: object) -> None:
         match message:
             case _Started(running):
@@ -127,6 +138,9 @@
                 self._withdrawn = keys
                 for running in self._running.values():
                     self._check_key(running)
+            case _TimeOver():
+                for running in self._running.values():
+                    self._abort(running, ErrorKind.BACK_END_TIMEOUT, "The node stops.")
 
     def tick(self) -> None:
         now = self._clock.now()
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -165,6 +165,12 @@
             for channel in list(self._server.active_channels.values())
         )
 
+    def flush(self, most_s: float) -> None:
+        """Wait until no request runs and no output waits, but not for longer than this."""
+        ends_at = time.monotonic() + most_s
+        while not self.flushed() and time.monotonic() < ends_at:
+            time.sleep(LAST_CHECK_S)
+
     @property
     def connections(self) -> int:
         """The number of open connections."""
--- /dev/null
+++ b/tests/test_caller_stops.py
@@ -0,0 +1,104 @@
+"""Tests of requests beside planned work: a stop, a signal, a configuration, alone and at once."""
+
+import http.client
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from platform_config import config
+from platform_world import wait_until
+from relay_caller import Caller
+
+from laburnumreel_standins.caller import MODEL, bearer, call
+
+pytestmark = pytest.mark.processes
+
+LONG = {
+    "Name": "long",
+    "Prefix": "/long/",
+    "RouteType": "idempotent",
+    "Service": "orders",
+    "TimeoutMs": 20_000,
+}
+LONG_ASK = {
+    "Name": "long-ask",
+    "Prefix": "/long-ask/",
+    "RouteType": "streaming",
+    "Service": "quotes",
+    "TimeoutMs": 20_000,
+}
+
+
+def held(handler):
+    """An answer that does not come in the time of a test."""
+    time.sleep(12)
+
+
+class Asked:
+    """A request on a thread of its own, and how it ended: a status, or the error."""
+
+    def __init__(self, relay, path, method="POST", **headers):
+        self.outcome = None
+        self.kind = None
+        self._caller = Caller(relay, timeout_s=15)
+        self._arguments = (path, method)
+        self._headers = headers
+        self._thread = threading.Thread(target=self._ask)
+        self._thread.start()
+
+    def _ask(self):
+        try:
+            self.outcome, headers, _ = self._caller.ask(*self._arguments, **self._headers)
+            self.kind = headers.get("x-error-kind")
+        except (OSError, http.client.HTTPException) as error:
+            self.outcome = repr(error)
+
+    def result(self):
+        self._thread.join()
+        return self.outcome
+
+
+class TestEndOfTheTimeToStop:
+    def test_requests_that_still_wait_then_are_refused(self, world):
+        """A request that no server has is told so; one that a server has is told that it is late."""
+        world.more_settings = "[stop]\ngrace_s = 4\n"
+        world.store.put("op", "config", config(2, [LONG]))
+        worker = world.worker("w1", usual=held, Slots=1)
+        relay = world.relay()
+        asked = [Asked(relay, "/long/x", Deadline_Ms="20000") for _ in range(6)]
+        wait_until(lambda: worker.seen, "the worker has the first")
+        relay.process.send_signal(signal.SIGTERM)
+        outcomes = sorted((request.result() for request in asked), key=str)
+        assert outcomes == [*[503] * (6 - len(worker.seen)), *[504] * len(worker.seen)]
+        assert len(worker.seen) < 6
+        assert relay.process.wait(10) == 0
+        assert not [line for line in relay.logged("caller_cut") if line["requests"]]
+
+    def test_request_that_its_server_has_at_the_end_is_told_so(self, deployment):
+        deployment.configure(profile__chat={"deadline_s": 30.0, "silence_s": 60.0})
+        engine = deployment.add_engine()
+        gateway = deployment.start_gateway(stop="grace_s = 1\n")
+        deployment.engines[engine][0].send(signal.SIGSTOP)
+        body = {"model": MODEL, "prompt": "x", "max_tokens": 3}
+        with ThreadPoolExecutor(1) as executor:
+            answer = executor.submit(
+                call, gateway.callers, "POST", "/v1/completions", body, bearer()
+            )
+            wait_until(lambda: gateway.metric("laburnumreel_running_requests") == 1, "it to run")
+            gateway.process.send(signal.SIGTERM)
+            reply = answer.result()
+        assert (reply.status, reply.kind, reply.run_state) == (504, "back_end_timeout", "unknown")
+        assert gateway.process.wait(20) == 0
+
+    def test_streams_that_still_wait_then_are_refused(self, world):
+        world.more_settings = "[stop]\ngrace_s = 4\n"
+        world.store.put("op", "config", config(2, [LONG_ASK]))
+        worker = world.worker("e1", "quotes", usual=held, Slots=1, Stage="decode")
+        relay = world.relay()
+        asked = [Asked(relay, "/long-ask/x", Deadline_Ms="20000") for _ in range(6)]
+        wait_until(lambda: worker.requests("POST"), "the engine has the first")
+        relay.process.send_signal(signal.SIGTERM)
+        assert all(request.result() in (503, 504) for request in asked)
+        assert relay.process.wait(10) == 0
