--- a/src/laburnumreel/daemon.py
+++ b/src/laburnumreel/daemon.py
@@ -1,5 +1,6 @@
 """The daemon: `laburnumreeld --config FILE gateway|coordinator`."""
 
+import signal
 import sys
 from pathlib import Path
 
@@ -19,7 +20,8 @@
 )
 @click.pass_context
 def main(context: click.Context, config: Path) -> None:
-    """Run one of a node's two processes until SIGTERM."""
+    """Run one of a node's two processes until SIGTERM. SIGHUP changes nothing."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     settings = load_settings(config)
     if settings.is_error():
         for error in settings.error:
--- a/tests/test_caller_stops.py
+++ b/tests/test_caller_stops.py
@@ -5,13 +5,15 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 import pytest
 from platform_config import config
 from platform_world import wait_until
 from relay_caller import Caller
 
-from laburnumreel_standins.caller import MODEL, bearer, call
+from laburnumreel_standins._text import output_text
+from laburnumreel_standins.caller import MODEL, Stream, bearer, call
 
 pytestmark = pytest.mark.processes
 
@@ -102,3 +104,26 @@
         relay.process.send_signal(signal.SIGTERM)
         assert all(request.result() in (503, 504) for request in asked)
         assert relay.process.wait(10) == 0
+
+
+class TestHangUp:
+    """SIGHUP, which tells of changed settings, ends no process and no request."""
+
+    def test_relay_that_is_starting_goes_on(self, world):
+        relay = world.start("relay-1")
+        maps = Path(f"/proc/{relay.process.pid}/maps")
+        # The first of the libraries that a start brings in.
+        wait_until(lambda: "_socket.cpython" in maps.read_text(), "the imports have begun")
+        relay.process.send_signal(signal.SIGHUP)
+        wait_until(relay.ready, "the relay is ready")
+
+    def test_gateway_serves_on(self, deployment):
+        deployment.configure()
+        deployment.add_engine("--stream-tokens-per-s", "30")
+        gateway = deployment.start_gateway()
+        stream = Stream(gateway.callers, {"prompt": "long", "max_tokens": 30})
+        read = stream.next_text()
+        gateway.process.send(signal.SIGHUP)
+        text, done, error = stream.finish()
+        assert (read + text, done, error) == (output_text("long", 30), True, None)
+        assert call(gateway.admin, "GET", "/readyz").status == 200
