Take no new connection in a stop's last moment, and test requests across configurations and signals

Change: a server that ends takes what waits at its door, then closes the door, and answers what it has.

The other tests of the file passed before: routes, services and customers that go while requests wait.

--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -70,6 +70,12 @@
             if not self.closed:
                 raise
 
+    def stop_listening(self) -> None:
+        """Take no more connections, and keep those that are open."""
+        self.accepting = False
+        self.del_channel(self._map)
+        self.socket.close()
+
     def maintenance(self, now: float) -> None:
         # Instead of waitress' own, which goes by the time of day.
         steady = time.monotonic()
@@ -199,7 +205,13 @@
         wasyncore.close_all(self._map, ignore_all=True)
 
     def _answer_the_last(self) -> None:
-        """Answer the requests that have reached this host, before its connections are closed."""
+        """Answer the requests that have reached this host, before its connections are closed.
+
+        No new connection is taken meanwhile, and each answer closes its own, so that this ends also
+        where callers go on coming.
+        """
+        wasyncore.loop(timeout=0, use_poll=True, map=self._map, count=1)
+        self._server.stop_listening()
         ends_at = time.monotonic() + self._last_requests_s
         while time.monotonic() < ends_at and not self._quiet():
             wasyncore.loop(timeout=LAST_CHECK_S, use_poll=True, map=self._map, count=1)
--- /dev/null
+++ b/tests/test_caller_config.py
@@ -0,0 +1,184 @@
+"""Tests of requests that are read, queued or in work while a configuration comes."""
+
+import signal
+import socket
+import threading
+import time
+
+import pytest
+from platform_answers import whole
+from platform_config import config
+from platform_world import wait_until
+from relay_caller import Caller
+from test_caller_stops import Asked
+
+pytestmark = pytest.mark.processes
+
+# The page's time for a configuration to be in force.
+CONFIG_S = 2.5
+
+
+def slow(handler):
+    time.sleep(1.0)
+    whole(handler)
+
+
+def without(changed, **names):
+    """Return a configuration without the routes, services or customers of these names."""
+    for part, gone in names.items():
+        changed[part] = [entry for entry in changed[part] if entry["Name"] not in gone]
+    return changed
+
+
+def versions(relay):
+    return [line["version"] for line in relay.logged("relay_configured")]
+
+
+def put(world, relay, changed):
+    """Write a configuration and wait until it is in force."""
+    world.store.put("op", "config", changed)
+    wait_until(lambda: changed["Version"] in versions(relay), "it is in force", CONFIG_S * 4)
+
+
+def pieces(relay, path, number, between):
+    """Send a request in pieces, calling `between` with the number of each gap; return the answer."""
+    body = b'{"a": 1}' * 100
+    whole_request = (
+        f"POST {path} HTTP/1.1\r\nHost: shop.example\r\nKey: key-a\r\nRequest-Id: piece{number}\r\n"
+        f"Deadline-Ms: 3000\r\nContent-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+    with socket.create_connection((relay.host, relay.port), 8) as connection:
+        size = len(whole_request) // 5 + 1
+        for gap, start in enumerate(range(0, len(whole_request), size)):
+            between(gap)
+            connection.sendall(whole_request[start : start + size])
+        return connection.recv(65536)
+
+
+def known(relay, worker):
+    """Return how many requests the relay has passed on, keeps waiting or has refused."""
+    waiting = 0
+    for line in relay.get(relay.admin_port, "/metrics")[1].decode().splitlines():
+        if line.startswith("laburnumreel_relay_waiting "):
+            waiting = int(float(line.split()[1]))
+    return waiting + len(worker.requests("POST")) + len(relay.logged("request_refused"))
+
+
+class TestRelay:
+    @pytest.mark.parametrize(
+        "gone",
+        [
+            {"Routes": ["safe"]},
+            {"Routes": ["safe", "once", "open"], "Services": ["orders"]},
+            {"Tenants": ["hall-a"]},
+        ],
+    )
+    def test_requests_that_wait_are_answered(self, world, gone):
+        """A route, a service or a customer goes while its requests are in work and queued."""
+        worker = world.worker("w1", usual=slow, Slots=1)
+        relay = world.relay()
+        asked = [Asked(relay, "/safe/x", Deadline_Ms="2500") for _ in range(4)]
+        wait_until(lambda: known(relay, worker) == len(asked), "all are read")
+        put(world, relay, without(config(2), **gone))
+        outcomes = [request.result() for request in asked]
+        assert set(outcomes) <= {200, 503} and 200 in outcomes
+        assert not relay.logged("caller_cut")
+
+    def test_streams_that_wait_are_answered(self, world):
+        engine = world.worker("e1", "quotes", Slots=1, Stage="decode")
+        usual = engine.usual
+
+        def late(handler):
+            time.sleep(0.5)
+            usual(handler)
+
+        engine.usual = late
+        relay = world.relay()
+        asked = [Asked(relay, "/talk/x", Deadline_Ms="2500") for _ in range(4)]
+        wait_until(lambda: known(relay, engine) == len(asked), "all are read")
+        gone = without(config(2), Routes=["ask", "talk"], Services=["quotes"])
+        put(world, relay, gone)
+        outcomes = [request.result() for request in asked]
+        assert set(outcomes) <= {200, 503} and 200 in outcomes
+
+    def test_request_that_is_read_meanwhile_is_answered(self, world):
+        """Smaller limits, a shorter idle time and a route that goes, each between two pieces."""
+        world.worker("w1")
+        relay = world.relay()
+
+        def change(gap):
+            changed = config(2 + gap)
+            if gap >= 1:
+                changed["Limits"]["MaxBodyBytes"] = 100
+            if gap >= 2:
+                changed["Limits"]["IdleTimeoutMs"] = 500
+            if gap >= 3:
+                changed["Limits"]["MaxHeaderBytes"] = 50
+            put(world, relay, changed)
+            time.sleep(0.4)
+
+        assert pieces(relay, "/safe/x", 1, change).startswith(b"HTTP/1.1 200 ")
+
+    def test_request_that_crosses_signals_and_a_configuration_is_answered(self, world):
+        world.more_settings = "[stop]\ngrace_s = 6\n"
+        world.worker("w1")
+        relay = world.relay()
+
+        def change(gap):
+            if gap == 1:
+                relay.process.send_signal(signal.SIGHUP)
+                put(world, relay, config(2))
+            if gap == 2:
+                relay.process.send_signal(signal.SIGTERM)
+                relay.process.send_signal(signal.SIGHUP)
+                world.store.put("op", "config", config(3))
+            time.sleep(0.3)
+
+        answer = pieces(relay, "/safe/x", 1, change)
+        assert answer.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in answer
+
+    def test_kept_and_new_connections_across_all_of_it(self, world):
+        """Whatever comes at once, no request that was read is left without an answer."""
+        world.more_settings = "[stop]\ngrace_s = 5\n"
+        worker = world.worker("w1", usual=lambda handler: (time.sleep(0.05), whole(handler)))
+        relay = world.relay()
+        unanswered, statuses, ended = [], set(), threading.Event()
+
+        def keep_asking(number):
+            kept = None
+            while not ended.is_set():
+                # Every second caller keeps its connection.
+                caller = kept if kept is not None else Caller(relay, timeout_s=8)
+                name = f"ask{number}-{time.monotonic_ns()}"
+                sent_at = time.monotonic()
+                try:
+                    status, headers, _ = caller.ask("/safe/x", Request_Id=name)
+                    statuses.add(status)
+                    again = number % 2 and headers.get("connection") != "close"
+                    kept = caller if again else None
+                except OSError:
+                    unanswered.append((name, time.monotonic() - sent_at))
+                    kept = None
+                    time.sleep(0.05)
+
+        threads = [threading.Thread(target=keep_asking, args=(number,)) for number in range(12)]
+        for thread in threads:
+            thread.start()
+        for version in range(2, 8):
+            changed = config(version)
+            changed["Limits"]["IdleTimeoutMs"] = 500 if version % 2 else 15000
+            world.store.put("op", "config", changed)
+            relay.process.send_signal(signal.SIGHUP)
+            time.sleep(0.3)
+        relay.process.send_signal(signal.SIGTERM)
+        relay.process.send_signal(signal.SIGHUP)
+        world.store.put("op", "config", config(9))
+        assert relay.process.wait(15) == 0
+        ended.set()
+        for thread in threads:
+            thread.join()
+        passed_on = {headers.get("Request-Id") for _, _, headers, _ in worker.seen}
+        lost = [name for name, _ in unanswered if name in passed_on]
+        cut = [line for line in relay.logged("caller_cut") if line["requests"]]
+        assert not lost and not cut
+        assert statuses <= {200, 503}
