Refuse what waits in a gateway for a service that a configuration removes

Callers saw: their requests waited until their deadlines, as nothing admits them any more.

Cause: a removed service has no capacity from then on, and only a deadline ended a wait.

Evidence: test_dispatcher.py::test_requests_that_wait_for_a_service_that_goes_are_refused_at_once failed before (no outcome within 5 s).

--- a/src/laburnumreel/coordination/_admission.py
+++ b/src/laburnumreel/coordination/_admission.py
@@ -124,6 +124,8 @@
         self._profiles: Mapping[str, Profile] = {}
         self._customers: Mapping[str, Customer] = {}
         self._services: Mapping[str, Service] = {}
+        # Services that were configured once and are not any more: nothing admits what waits.
+        self._gone: frozenset[str] = frozenset()
         self._states: dict[str, _ServiceState] = {}
         self._waiting: dict[str, tuple[str, Waiting]] = {}
         self._running: dict[str, _Running] = {}
@@ -155,8 +157,10 @@
     ) -> None:
         """Take the configuration and how many requests of each service may run at once here.
 
-        Running and queued requests stay. What more capacity admits is named by `expire`.
+        Running requests stay. What more capacity admits, and what waits for a service that is not
+        configured any more, is named by `expire`.
         """
+        self._gone = (self._gone | self._services.keys()) - services.keys()
         self._profiles, self._customers, self._services = profiles, customers, services
         for service in {*capacity, *self._states}:
             state = self._states.setdefault(service, _ServiceState())
@@ -204,7 +208,10 @@
         given_up = []
         for request_id, (service, item) in list(self._waiting.items()):
             state = self._states[service]
-            if now + state.run_estimate(item.tokens) > item.deadline or now >= item.deadline:
+            if service in self._gone:
+                self._drop(request_id, now)
+                given_up.append((request_id, self._no_capacity(service)))
+            elif now + state.run_estimate(item.tokens) > item.deadline or now >= item.deadline:
                 self._drop(request_id, now)
                 wait = self._wait(state, Offer(request_id, service, *item[1:4]))
                 refusal = Refusal(
@@ -261,11 +268,7 @@
                 self._retry_after(limited),
             )
         if state.capacity <= 0:
-            return Refusal(
-                ErrorKind.NO_BACK_END,
-                f"service {offer.service} has no usable back end",
-                self._retry_after(NO_CAPACITY_RETRY_S),
-            )
+            return self._no_capacity(offer.service)
         if now >= offer.deadline:
             return Refusal(ErrorKind.DEADLINE_UNMEETABLE, "the deadline has passed", 1.0)
         if state.running < state.capacity and not len(state.queue):
@@ -286,6 +289,13 @@
             )
         return None
 
+    def _no_capacity(self, service: str) -> Refusal:
+        return Refusal(
+            ErrorKind.NO_BACK_END,
+            f"service {service} has no usable back end",
+            self._retry_after(NO_CAPACITY_RETRY_S),
+        )
+
     def _wait(self, state: _ServiceState, offer: Offer) -> float:
         """Return the expected seconds until this customer's next request starts.
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -13,7 +13,7 @@
 from laburnumreel.serving._dispatcher import Dispatcher, Wanted
 from laburnumreel.serving._job import Job
 from laburnumreel.serving._model import ModelRun
-from laburnumreel.state import Configuration, Host
+from laburnumreel.state import Configuration, ErrorKind, Host, RunState
 
 SLOTS = 8
 
@@ -86,8 +86,8 @@
     assert len(names) == 1
 
 
-def test_capacity_keeps_the_token_gap_of_the_profile(start):
-    """Guards against more streams at once than the engines can serve within the profile's goal."""
+def configured():
+    """Return a configuration with the service `chat`, of which an engine runs two at once."""
     profile = SimpleNamespace(
         cheap_back_ends="never",
         token_gap_s=0.002,
@@ -98,22 +98,47 @@
         priority=0,
     )
     service = SimpleNamespace(name="chat", profile="chat")
-    dispatcher = start(streams=(0,))
-    dispatcher.configure(
-        SimpleNamespace(profiles={"chat": profile}, customers={}, services={"chat": service})
-    )
-    dispatcher.settle()
+    return SimpleNamespace(profiles={"chat": profile}, customers={}, services={"chat": service})
+
+
+def offered(dispatcher, count):
+    """Offer so many requests; return their answers."""
     answers = [
         dispatcher.offer(
             Offer(f"r{number}", "chat", "hall-a", 10, 1000.0),
             Wanted(work(f"r{number}"), False, ""),
         )
-        for number in range(4)
+        for number in range(count)
     ]
     dispatcher.settle()
+    return answers
+
+
+def test_capacity_keeps_the_token_gap_of_the_profile(start):
+    """Guards against more streams at once than the engines can serve within the profile's goal."""
+    dispatcher = start(streams=(0,))
+    dispatcher.configure(configured())
+    dispatcher.settle()
+    answers = offered(dispatcher, 4)
     assert [answer.done() for answer in answers] == [True, True, False, False]
 
 
+def test_requests_that_wait_for_a_service_that_goes_are_refused_at_once(start):
+    """They waited for their deadlines, though nothing would admit them any more."""
+    dispatcher = start(streams=(0,))
+    dispatcher.configure(configured())
+    dispatcher.settle()
+    waiting = offered(dispatcher, 4)[2:]
+    assert not any(answer.done() for answer in waiting)
+    dispatcher.configure(Configuration(2))
+    for answer in waiting:
+        refusal = answer.result(timeout=5)
+        assert (refusal.kind, refusal.state) == (ErrorKind.NO_BACK_END, RunState.NOT_RUN)
+        assert refusal.retry_after_s
+    dispatcher.finish("r0", 10)
+    dispatcher.settle()
+
+
 def test_changed_configuration_does_not_renew_the_retry_budget(start):
     """Each configuration that came forgot the retries of the window."""
     dispatcher = start()
