Close no new connection in place of one that has ended

Callers saw: a new connection was closed at once, with its request unread and without a line, where it came in the moment in which a host closed idle or stalled ones. A configuration that shortens the idle time closes many in one moment.

Cause: the server looked its connections through while it gathered what to wait for. One that was closed then was still in the list by its number; a new connection that was taken in the same pass was given that number by the system, and was taken for the closed one.

Change: connections are looked through between two passes. What else closes one within a pass does so for the connection whose turn it is.

--- a/src/laburnumreel/transport/_channel.py
+++ b/src/laburnumreel/transport/_channel.py
@@ -107,10 +107,10 @@
             return len(self.requests) > 1
 
     @property
-    def idle_since(self) -> float | None:
-        """Since when nothing has come and nothing is due, by the steady clock; None if it isn't so."""
+    def idle(self) -> bool:
+        """Whether no part of a request has come, and none of an answer is due."""
         busy = self.requests or self.request is not None or self.total_outbufs_len
-        return None if busy or readable(self.socket) else self._idle_since
+        return not busy and not readable(self.socket)
 
     def check_client_disconnected(self) -> bool:
         """Return whether the caller has left, also behind requests that aren't received yet."""
@@ -146,14 +146,14 @@
         return super().received(data)
 
     def service(self) -> None:
-        held, request = self.requests, self.requests[0]
+        held, request, connected = self.requests, self.requests[0], self.connected
         super().service()
         with self.requests_lock:
             # What was held has not moved on where the connection ends with this answer.
             dropped = len(held) - 1 if held and held[0] is request else 0
             if self._left and not self.requests:
                 self.close_when_flushed = True
-        if dropped and self.connected:
+        if dropped and connected:
             _log.warning(
                 CALLER_CUT,
                 caller=str(self.addr),
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -61,6 +61,7 @@
     stopping = False
     closed = False
     stall_limit_s = STALL_LIMIT_S
+    _tidy_at = 0.0
 
     def pull_trigger(self) -> None:
         # A request's thread may end after the sockets were closed, and then has nobody to wake.
@@ -70,6 +71,20 @@
             if not self.closed:
                 raise
 
+    def readable(self) -> bool:
+        return self.accepting and len(self._map) < self.adj.connection_limit
+
+    def tidy(self) -> None:
+        """Close what is to be closed, between two passes over the connections.
+
+        Within a pass, a new connection may be given the descriptor of one that was closed in it, and
+        would be taken for that.
+        """
+        now = time.monotonic()
+        if now >= self._tidy_at:
+            self._tidy_at = now + self.adj.cleanup_interval
+            self.maintenance(now)
+
     def stop_listening(self) -> None:
         """Take no more connections, and keep those that are open."""
         self.accepting = False
@@ -77,16 +92,15 @@
         self.socket.close()
 
     def maintenance(self, now: float) -> None:
-        # Instead of waitress' own, which goes by the time of day.
-        steady = time.monotonic()
+        # By the steady clock; waitress' own goes by the time of day.
         # A copy, because closing a channel removes it from the mapping.
         for channel in list(self.active_channels.values()):
-            if channel.stalled(steady):
+            if channel.stalled(now):
                 STALLED_READERS.inc()
                 _log.warning(READER_STALLED, caller=str(channel.addr))
                 # `will_close` alone would wait until the socket is writable, which it never is.
                 channel.end("stalled")
-            elif channel.idle_too_long(steady, self.adj.channel_timeout):
+            elif channel.idle_too_long(now, self.adj.channel_timeout):
                 channel.end("idle")
 
 
@@ -197,6 +211,7 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
+            self._server.tidy()
             wasyncore.loop(timeout=1, use_poll=True, map=self._map, count=1)
         self._answer_the_last()
         self._server.closed = True
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -1,6 +1,7 @@
 """Tests of callers' connections: how long they are kept, and requests that find no thread."""
 
 import http.client
+import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -81,6 +82,23 @@
         time.sleep(2.5)
         assert ask(connection) == (200, b"ok")
 
+    def test_end_of_idle_connections_ends_no_new_one(self, server, monkeypatch):
+        """A new connection may get the descriptor of one that is closed at the same time."""
+        server.set_limits(HEADER_BYTES, BODY_BYTES, 1.0)
+        idle = [connect(server) for _ in range(20)]
+        look_through, new = server._server.maintenance, []
+
+        def with_a_caller_at_the_door(now):
+            new.append(socket.create_connection(server.address, 5))
+            look_through(now)
+
+        monkeypatch.setattr(server._server, "maintenance", with_a_caller_at_the_door)
+        while server.connections > len(new):
+            time.sleep(0.05)
+        assert all(connection.sock.recv(1) == b"" for connection in idle)
+        new[-1].sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert new[-1].recv(100).startswith(b"HTTP/1.1 200 ")
+
 
 @pytest.mark.processes
 class TestRequestThreads:
