Make room for a new connection by closing the one that was idle longest

Change: while a caller waits at the door, the connection that has been idle longest is closed (204, once a second). One with a request on it, or with a part of one, is not; without an idle one it is as before.

Evidence: test_caller_crowds.py failed before (both: timed out after 5 s).

--- a/src/laburnumreel/transport/_events.py
+++ b/src/laburnumreel/transport/_events.py
@@ -12,5 +12,8 @@
 CALLER_CUT = define_event(
     203, "caller_cut", "the host closed a caller's connection with a request on it"
 )
+CONNECTIONS_FULL = define_event(
+    204, "connections_full", "closed idle callers' connections, as a new one came and all are taken"
+)
 PEER_CALL_FAILED = define_event(220, "peer_call_failed", "a call from a peer failed")
 PEER_REFUSED = define_event(221, "peer_refused", "a peer's connection was closed")
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -15,7 +15,7 @@
 
 from laburnumreel.core import Log
 from laburnumreel.transport._channel import Channel
-from laburnumreel.transport._events import HTTP_SERVER_PROBLEM, READER_STALLED
+from laburnumreel.transport._events import CONNECTIONS_FULL, HTTP_SERVER_PROBLEM, READER_STALLED
 from laburnumreel.transport._metrics import STALLED_READERS
 from laburnumreel.transport._sockets import readable
 
@@ -34,6 +34,8 @@
 # Within this time the thread of the sockets ends.
 STOP_S = 10
 CONNECTIONS_PER_THREAD = 4
+# Between two lines on connections that were closed for new ones.
+ROOM_TOLD_S = 1.0
 
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -62,6 +64,8 @@
     closed = False
     stall_limit_s = STALL_LIMIT_S
     _tidy_at = 0.0
+    _closed_for_room = 0
+    _room_told_at = -ROOM_TOLD_S
 
     def pull_trigger(self) -> None:
         # A request's thread may end after the sockets were closed, and then has nobody to wake.
@@ -80,11 +84,27 @@
         Within a pass, a new connection may be given the descriptor of one that was closed in it, and
         would be taken for that.
         """
+        if self.accepting and len(self._map) >= self.adj.connection_limit:
+            self._make_room()
         now = time.monotonic()
         if now >= self._tidy_at:
             self._tidy_at = now + self.adj.cleanup_interval
             self.maintenance(now)
 
+    def _make_room(self) -> None:
+        """Close the connection that has been idle longest, if a caller waits at the door."""
+        if not readable(self.socket):
+            return
+        idle = [channel for channel in self.active_channels.values() if channel.idle]
+        if not idle:
+            return
+        min(idle, key=lambda channel: channel.last_activity).handle_close()
+        self._closed_for_room += 1
+        now = time.monotonic()
+        if now - self._room_told_at >= ROOM_TOLD_S:
+            _log.warning(CONNECTIONS_FULL, closed=self._closed_for_room)
+            self._closed_for_room, self._room_told_at = 0, now
+
     def stop_listening(self) -> None:
         """Take no more connections, and keep those that are open."""
         self.accepting = False
--- /dev/null
+++ b/tests/test_caller_crowds.py
@@ -0,0 +1,61 @@
+"""Tests of more connections than a host takes at once."""
+
+import socket
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from structlog.testing import capture_logs
+
+from laburnumreel.transport import HttpServer
+from laburnumreel.transport._wsgi import CONNECTIONS_PER_THREAD
+from laburnumreel_standins.processes import free_port, fresh_host
+
+THREADS = 1
+# As many as `HttpServer` takes with so many threads, its own two descriptors included.
+MOST = THREADS * CONNECTIONS_PER_THREAD + 100
+ASK = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+@pytest.fixture
+def server():
+    def application(environ, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    executor = ThreadPoolExecutor(1)
+    host = fresh_host()
+    running = HttpServer(application, (host, free_port(host)), THREADS)
+    running.start(executor)
+    yield running
+    running.stop()
+    executor.shutdown()
+
+
+def connect(server):
+    return socket.create_connection(server.address, 5)
+
+
+def ask(connection):
+    connection.sendall(ASK)
+    return connection.recv(65536)
+
+
+def test_new_connection_is_taken_while_others_are_idle(server):
+    """Kept connections that nobody uses held up all new ones until they had been idle too long."""
+    kept = [connect(server) for _ in range(MOST + 5)]
+    with capture_logs() as lines:
+        late = connect(server)
+        assert ask(late).startswith(b"HTTP/1.1 200 ")
+    assert [line for line in lines if line["number"] == 204]
+    # Those that were used last are kept.
+    assert ask(kept[-1]).startswith(b"HTTP/1.1 200 ")
+
+
+def test_connection_with_a_request_is_not_given_up(server):
+    begun = connect(server)
+    begun.sendall(ASK[:20])
+    kept = [connect(server) for _ in range(MOST + 5)]
+    assert ask(connect(server)).startswith(b"HTTP/1.1 200 ")
+    begun.sendall(ASK[20:])
+    assert begun.recv(65536).startswith(b"HTTP/1.1 200 ")
+    assert kept
