Answer a request behind one that failed before its answer began

Callers saw: the second of two requests was dropped where the application failed on the first (500). An internal error says nothing against where that request ends.

--- a/src/laburnumreel/transport/_parsing.py
+++ b/src/laburnumreel/transport/_parsing.py
@@ -5,7 +5,11 @@
 from waitress.adjustments import Adjustments
 from waitress.parser import HTTPRequestParser
 from waitress.task import ErrorTask
-from waitress.utilities import RequestEntityTooLarge, RequestHeaderFieldsTooLarge
+from waitress.utilities import (
+    InternalServerError,
+    RequestEntityTooLarge,
+    RequestHeaderFieldsTooLarge,
+)
 
 from laburnumreel.core import SystemClock
 from laburnumreel.protocol import new_request_id, refusal_answer
@@ -56,7 +60,9 @@
 
     @property
     def is_last(self) -> bool:
-        return self.connection_close or (self.error is not None and not self._end_known)
+        # An internal error is that of a request that was read whole.
+        known = self.error is None or isinstance(self.error, InternalServerError)
+        return self.connection_close or not (known or self._end_known)
 
     def received(self, data: bytes) -> int:
         if self._discard_bytes or self._discard_to_blank_line:
--- a/tests/test_caller_pieces.py
+++ b/tests/test_caller_pieces.py
@@ -20,8 +20,8 @@
 class Application:
     """Answers with the path and the length of the body; some paths do more.
 
-    `/slow` takes a while, `/cut` breaks off in its middle, `/until-left` lasts until its caller is
-    seen to have left.
+    `/slow` takes a while, `/cut` breaks off in its middle, `/failing` before its beginning, and
+    `/until-left` lasts until its caller is seen to have left.
     """
 
     def __init__(self):
@@ -38,6 +38,8 @@
         if path == "/stream":
             start_response("200 OK", [])
             return self.pieces()
+        if path == "/failing":
+            raise ValueError("before the answer begins")
         if path == "/slow":
             time.sleep(SLOW_S)
         status = "200 OK"
@@ -160,6 +162,12 @@
         assert found == ["413", "200"]
         assert b"/second:0" in received
 
+    def test_behind_an_answer_that_failed_before_its_beginning(self, server):
+        connection = connect(server)
+        connection.sendall(get("/failing") + get("/second"))
+        found, received = answers(connection, 2)
+        assert found == ["500", "200"] and b"/second:0" in received
+
     def test_behind_a_cut_answer_has_a_line(self, server):
         """Its connection has to end, as the answer must not look complete."""
         with capture_logs() as lines:
