--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -208,3 +208,12 @@
             return True
         poll.register(sock, select.POLLIN)
     return bool(poll.poll(1000 * timeout_s))
+
+
+def peer_ended(sock: socket.socket | None) -> bool:
+    """Return whether the peer has ended its sending, also where bytes before that are unread."""
+    if sock is None:
+        return True
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
