Let one odd entry of the host list cost itself, not the reading of the whole list

What callers saw: a gateway that started while the platform's host list held one entry nested a thousand deep, or with a whole number of more than 4300 digits, or with bytes that are no text, was never ready; one that ran followed the list no more (task_failed at each look). Coordinators read the same list in the same way (from the code, not from a run).

Cause: the list is one JSON text, and its reader raised RecursionError or ValueError for all of it, past the code that reads entry by entry. The same holds for pages of tables and the rows of a failed transaction.

Change: state/_odd_json.py reads such a text without what no entry needs (null for what is nested too deep, infinite for numbers that are too long, halves of surrogate pairs for bytes that are no text); Fields then refuses the entry. A row whose value is no object is an empty one, as at the relay. An answer that is no JSON at all is an error of the kind 'lost' instead of an exception.

--- /dev/null
+++ b/src/laburnumreel/state/_odd_json.py
@@ -0,0 +1,52 @@
+"""JSON of many entries of which some may be odd: what is odd costs its entry, not the others."""
+
+import json
+import re
+from typing import Any
+
+# How deep what the platform tells is nested at most, with room; a reader takes less than a thousand.
+MOST_DEPTH = 64
+# More digits than any whole number here has; a reader takes less than five thousand.
+MOST_DIGITS = 1000
+
+_TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+
+
+def loads_entries(encoded: bytes) -> Any:
+    """Return a JSON value without what no entry needs, or raise a ValueError where it is none.
+
+    What is nested too deep is null, a whole number that is too long infinite, and bytes that are no
+    text are halves of surrogate pairs, which `Fields` refuses.
+
+    >>> loads_entries(b'[' + b'[' * 100_000 + b']' * 100_000 + b', "a\\xff", ' + b'9' * 9000 + b']')[1:]
+    ['a\\udcff', inf]
+    """
+    text = encoded.decode("utf-8", "surrogateescape")
+    try:
+        return _loads(text)
+    except RecursionError:
+        return _loads(_without_depths(text))
+
+
+def _loads(text: str) -> Any:
+    # Control characters in a text are odd too, and cost no more than that.
+    return json.loads(text, parse_int=_whole, strict=False)
+
+
+def _whole(digits: str) -> int | float:
+    return int(digits) if len(digits) <= MOST_DIGITS else float(digits)
+
+
+def _without_depths(text: str) -> str:
+    """Return JSON with null for each value that is nested too deep."""
+    kept, depth, start = [], 0, 0
+    for token in _TOKEN.finditer(text):
+        if token[0] in "[{":
+            depth += 1
+            if depth == MOST_DEPTH:
+                kept += [text[start : token.start()], "null"]
+        elif token[0] in "]}":
+            if depth == MOST_DEPTH:
+                start = token.end()
+            depth -= 1
+    return "".join([*kept, text[start:] if depth < MOST_DEPTH else ""])
--- a/src/laburnumreel/state/_platform.py
+++ b/src/laburnumreel/state/_platform.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from laburnumreel.state._fields import FieldError, Fields, own_rows
+from laburnumreel.state._odd_json import loads_entries
 
 # Stands for a table in log lines.
 HOST_LIST = "hosts"
@@ -135,7 +136,7 @@
 
     def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
         answer = self._call("GET", f"/table/{quote(table, '')}/{quote(key, '')}", missing=True)
-        return answer.map(lambda body: None if body is None else _row(key, body))
+        return answer.map(lambda body: None if body is None else _row(table, key, body))
 
     def scan(
         self, table: str, prefix: str = "", after: str = "", limit: int = 500
@@ -143,7 +144,7 @@
         query = urlencode({"prefix": prefix, "after": after, "limit": limit})
         answer = self._call("GET", f"/table/{quote(table, '')}?{query}")
         return answer.map(
-            lambda body: Page([_row(row["key"], row) for row in body["rows"]], body["more"])
+            lambda body: Page([_row(table, row["key"], row) for row in body["rows"]], body["more"])
         )
 
     def transact(
@@ -224,22 +225,32 @@
 
 def _decode(status: int, payload: bytes, missing: bool, parse: bool) -> Result[Any, PlatformError]:
     if status == 200:
-        return Ok(json.loads(payload) if parse else payload)
+        return _loads(payload) if parse else Ok(payload)
     if status == 404 and missing:
         return Ok(None)
     detail = payload[:200].decode(errors="replace")
     if status == 409:
-        failed = json.loads(payload).get("failed", [])
-        rows = {
-            (row["table"], row["key"]): _row(row["key"], row) if row["version"] else None
-            for row in failed
-        }
-        return Error(PlatformError("conflict", detail, rows))
+        return _loads(payload).bind(lambda body: Error(_conflict(detail, body)))
     if status == 503:
         return Error(PlatformError("unreachable", detail))
     return Error(PlatformError("lost" if status >= 500 else "refused", detail))
 
 
+def _loads(payload: bytes) -> Result[Any, PlatformError]:
+    try:
+        return Ok(loads_entries(payload))
+    except ValueError as error:
+        return Error(PlatformError("lost", f"the answer can't be read: {error}"))
+
+
+def _conflict(detail: str, body: Any) -> PlatformError:
+    rows = {
+        (row["table"], row["key"]): _row(row["table"], row["key"], row) if row["version"] else None
+        for row in body.get("failed", [])
+    }
+    return PlatformError("conflict", detail, rows)
+
+
 def read_hosts(hosts: Any) -> list[Host]:
     """Return the hosts of a list; each that is odd is logged and left out.
 
@@ -284,8 +295,13 @@
         return Error(PlatformError("lost", str(error)))
 
 
-def _row(key: str, body: dict[str, Any]) -> Row:
-    return Row(key, body["value"], body["version"])
+def _row(table: str, key: str, body: dict[str, Any]) -> Row:
+    """Return a row; what another writer left there and is no JSON object counts as an empty one."""
+    value, version = body["value"], body["version"]
+    if not isinstance(value, dict):
+        own_rows.tell(table, key, version, "the value is no object")
+        value = {}
+    return Row(key, value, version)
 
 
 def _named(kind: Any, body: dict[str, Any]) -> Any:
--- a/tests/test_odd_hosts.py
+++ b/tests/test_odd_hosts.py
@@ -1,17 +1,22 @@
 """Tests of a gateway's and a coordinator's view of a host list and load reports that hold odd ones."""
 
+import http.client
 import json
 
 import pytest
 from expression import Ok
 from hypothesis import given
 from hypothesis import strategies as st
-from odd_rows import odd_addresses
+from odd_rows import GARBAGE, MANY_DIGITS, NESTED, odd_addresses
+from test_gateway_broken_streams import go_on
 from test_odd_values import VALUES, mutations
 
 from laburnumreel.coordination import Answer, Fleet, LoadReport
-from laburnumreel.state import read_hosts
+from laburnumreel.state import Check, HttpPlatform, read_hosts
+from laburnumreel.state._odd_json import loads_entries
 from laburnumreel.transport import HttpLoadReader
+from laburnumreel_standins.caller import MODEL, bearer, call
+from laburnumreel_standins.processes import wait_until
 
 HOST = {
     "name": "w1",
@@ -105,3 +110,108 @@
 
     def test_usual_report_is_taken(self):
         assert LoadReport.from_value(REPORT).models == ("m",)
+
+
+DEEPER = b"[" * 100_000 + b"1" + b"]" * 100_000
+# Entries that a reader of JSON fails at, with all that stands beside them.
+UNREADABLE = {
+    "deep": DEEPER,
+    "deep-field": b'{"name":"odd","state":' + DEEPER + b"}",
+    "deep-object": b'{"name":' * 50_000 + b"1" + b"}" * 50_000,
+    "nested-twice": b'{"a":' + NESTED + b',"b":' + DEEPER + b',"name":"]}\\""}',
+    "digits": b'{"name":"odd","slots":' + MANY_DIGITS + b"}",
+    "digits-negative": b"-" + MANY_DIGITS,
+    "bytes": b'{"name":"\xff\xfe"}',
+    "half-pair": b'{"name":"\xed\xa0\x80"}',
+    "control": b'{"name":"a\nb\0"}',
+    "nan": b"NaN",
+}
+
+
+@pytest.fixture
+def platform(scripted):
+    """Return a client of a platform that answers all calls alike, and a list with that answer."""
+    answers = []
+    server = scripted(lambda exchange: exchange.whole(*answers))
+    return HttpPlatform(server.address), answers
+
+
+class TestAnswersOfThePlatform:
+    """Entries stand in one JSON text: what ends its reader would cost all of them."""
+
+    @pytest.mark.parametrize("label", UNREADABLE)
+    def test_entry_that_ends_a_reader_of_json_costs_only_itself(self, platform, label):
+        """Guards against machines that fail again and again, or stop following the list."""
+        calls, answers = platform
+        odd = UNREADABLE[label]
+        answers[:] = [b'{"hosts":[' + odd + b"," + json.dumps(HOST).encode() + b"]}"]
+        assert [host.name for host in calls.hosts().ok] == ["w1"]
+        rows = (
+            b'{"key":"a","version":3,"value":' + odd + b'},{"key":"b","version":4,"value":{"c":1}}'
+        )
+        answers[:] = [b'{"more":false,"rows":[' + rows + b"]}"]
+        first, second = calls.scan("t").ok.rows
+        assert (second.value, first.version) == ({"c": 1}, 3) and isinstance(first.value, dict)
+        failed = b'{"failed":[{"table":"t","key":"a","version":3,"value":' + odd + b"}]}"
+        answers[:] = [failed, "409 Conflict"]
+        error = calls.transact([Check("t", "a", 1)], []).error
+        assert error.kind == "conflict" and error.rows["t", "a"].version == 3
+
+    @pytest.mark.parametrize("label", ["deep", "deep-object", "no-json", "no-text", "empty"])
+    @pytest.mark.parametrize("status", ["200 OK", "409 Conflict"])
+    def test_answer_that_is_none_is_an_error(self, platform, label, status):
+        """Guards against tasks that fail where they have a way to go on."""
+        calls, answers = platform
+        answers[:] = [GARBAGE[label], status]
+        for result in (
+            calls.hosts(),
+            calls.scan("t"),
+            calls.read("t", "k"),
+            calls.transact([], []),
+        ):
+            assert result.error.kind == "lost"
+
+    @given(VALUES)
+    def test_entries_are_read_as_they_are(self, value):
+        encoded = json.dumps(value)
+        assert json.dumps(loads_entries(encoded.encode())) == encoded
+
+    @pytest.mark.processes
+    def test_gateway_that_starts_among_such_entries_serves_and_follows_the_list(
+        self, deployment, scripted
+    ):
+        servers = [scripted(go_on), scripted(go_on)]
+        listed = servers[0].list_in(deployment)
+
+        def platform(exchange):
+            if exchange.path == "/hosts":
+                sound = [json.dumps({**HOST, **host}).encode() for host in deployment.hosts]
+                exchange.whole(b'{"hosts":[' + b",".join([*UNREADABLE.values(), *sound]) + b"]}")
+            else:
+                exchange.whole(*read_of(deployment.platform_address, exchange))
+
+        deployment.configure()
+        address = "{}:{}".format(*scripted(platform).address)
+        gateway = deployment.start_gateway(platform=f"address = {address}\n")
+        body = {"model": MODEL, "prompt": "x", "max_tokens": 2}
+
+        def served_by(server):
+            before = len(server.seen)
+            reply = call(gateway.callers, "POST", "/v1/completions", body, bearer())
+            return reply.status == 200 and len(server.seen) > before
+
+        assert served_by(servers[0])
+        deployment.hosts[:] = [host for host in deployment.hosts if host["name"] != listed]
+        servers[1].list_in(deployment)
+        wait_until(lambda: served_by(servers[1]), "the list is followed")
+        assert "task_failed" not in gateway.process.output
+
+
+def read_of(address, exchange):
+    """Return the body and the status of a platform's answer to a read, and refuse other calls."""
+    if exchange.command != "GET":
+        return b"{}", "503 Unavailable"
+    connection = http.client.HTTPConnection(*address, timeout=5)
+    connection.request("GET", exchange.path)
+    answer = connection.getresponse()
+    return answer.read(), f"{answer.status} {answer.reason}"
