Continue a stream only with an answer whose end shows, as that of its first part did

What callers saw: a stream broke off; the next engine's answer had neither a length nor chunks (HTTP/1.0, or 'Connection: close'), and broke off as well. The stream ended as if it were complete. With 'Transfer-Encoding: gzip, chunked' the lines of the chunks came into the middle of the stream; with two types, text that is no stream.

Cause: continues_head compared the status, the last type and the last encoding. An answer that ends with its connection has no end that could be missing.

Change: the rest has to show its end by a length or chunks where the first part does, and all types and encodings are compared. A stream that begins without either goes on as before: of such a one no cut shows.

Evidence: test_resumed_streams.py, NO_STREAMS: of its new forms those of two types, up to the connection's end, of HTTP/1.0 and of more than chunks failed before; 302, 101 and 102 before a 503 passed, as did the rest in single bytes and with trailers.

--- a/src/laburnumreel/relay/_stream_position.py
+++ b/src/laburnumreel/relay/_stream_position.py
@@ -1,7 +1,9 @@
 """Where a stream stands, and whether what another engine sends goes on from there."""
 
 import re
+from collections import defaultdict
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from laburnumreel.relay._event_stream import StreamEvent
 
@@ -91,19 +93,35 @@
 ) -> bool:
     """Return whether the head of a resumed stream is of the kind that the caller was given.
 
+    Where the end of the first part would have shown, that of the rest has to show as well.
+
     >>> begun = (200, [("Content-Type", "text/event-stream")])
     >>> continues_head(begun, (200, [("content-type", "text/event-stream; charset=utf-8")]))
     True
     >>> continues_head(begun, (200, [("Content-Type", "application/json")]))
     False
     """
-    return _kind(*head) == _kind(*resumed)
+    first, rest = _kind(*head), _kind(*resumed)
+    return first == rest._replace(end_shows=first.end_shows and rest.end_shows)
+
+
+class _Kind(NamedTuple):
+    """What the parts of a stream have in common."""
+
+    status: int
+    media_types: tuple[str, ...]
+    encodings: tuple[str, ...]
+    # An answer that ends with its connection looks complete wherever it is cut.
+    end_shows: bool
 
 
-def _kind(status: int, headers: Iterable[tuple[str, str]]) -> tuple[int, str, str]:
-    found = {name.lower(): value.strip().lower() for name, value in headers}
-    media_type = found.get("content-type", "").partition(";")[0].strip()
-    return status, media_type, found.get("content-encoding", "")
+def _kind(status: int, headers: Iterable[tuple[str, str]]) -> _Kind:
+    found: dict[str, list[str]] = defaultdict(list)
+    for name, value in headers:
+        found[name.lower()].append(value.strip().lower())
+    types = tuple(value.partition(";")[0].strip() for value in found["content-type"])
+    end_shows = bool(found["content-length"]) or found["transfer-encoding"] == ["chunked"]
+    return _Kind(status, types, tuple(found["content-encoding"]), end_shows)
 
 
 def _follows(event_id: str | None, last_id: str | None) -> bool:
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -27,6 +27,14 @@
     return respond
 
 
+def chunks(*pieces):
+    return b"".join(f"{len(piece):x}\r\n".encode() + piece + b"\r\n" for piece in pieces)
+
+
+WHOLE_CHUNKS = chunks(REST) + b"0\r\n\r\n"
+OK, AS_EVENTS, CHUNKED = "HTTP/1.1 200 OK", f"Content-Type: {EVENTS}", "Transfer-Encoding: chunked"
+
+
 def events(*pieces):
     """Return a stream of pieces with its proper end."""
 
@@ -39,6 +47,21 @@
     return respond
 
 
+def raw(*lines, pieces=(WHOLE_CHUNKS,)):
+    """Return an answer written as it is, whose last piece ends with its connection."""
+
+    def respond(handler):
+        request_id = handler.headers["Request-Id"]
+        mark = (f"Request-Id: {request_id}", f"Response-Signature: s.{request_id}")
+        head = "\r\n".join([lines[0], *mark, *lines[1:], "", ""]).encode()
+        for piece in (head, *pieces):
+            handler.wfile.write(piece)
+            handler.wfile.flush()
+        lost(handler)
+
+    return respond
+
+
 STATUSES = (400, 401, 404, 408, 409, 413, 421, 429, 500, 502, 503, 504)
 FAILURES = {
     **{f"{status} in JSON": answer(status, b'{"Error":"x"}\n\n', JSON) for status in STATUSES},
@@ -57,6 +80,14 @@
     "201 as events": answer(201, REST, EVENTS),
     "204": answer(204, b"", EVENTS),
     "206 as events": answer(206, REST, EVENTS),
+    "302 as events": answer(302, REST, EVENTS, ("Location", "/talk/x")),
+    "101": raw("HTTP/1.1 101 Switching Protocols", AS_EVENTS, pieces=[REST]),
+    "102, then 503": raw("HTTP/1.1 102 Processing", "", "HTTP/1.1 503 Busy", "Content-Length: 0"),
+    "of two types": raw(OK, "Content-Type: text/plain", AS_EVENTS, CHUNKED),
+    # Whoever cuts it in the middle does not show.
+    "up to the connection's end": raw(OK, AS_EVENTS, "Connection: close", pieces=[event(3)]),
+    "of HTTP/1.0": raw("HTTP/1.0 200 OK", AS_EVENTS, pieces=[event(3) + event(4)]),
+    "of more than chunks": raw(OK, AS_EVENTS, "Transfer-Encoding: gzip, chunked"),
 }
 NO_CONTINUATIONS = {
     "nothing": events(),
@@ -71,6 +102,10 @@
     "an event without id": events(b"data: token3\n\n", event(4), event(5)),
     "an id that is no number": events(b"id: x\ndata: token3\n\n", event(4), event(5)),
     "text between events": events(b"out of memory\n\n"),
+    "trailers cut": raw(OK, AS_EVENTS, CHUNKED, pieces=[WHOLE_CHUNKS[:-2], b"X-Error: out of mem"]),
+    "without the last piece": raw(OK, AS_EVENTS, CHUNKED, pieces=[chunks(REST)]),
+    "shorter than its length": raw(OK, AS_EVENTS, f"Content-Length: {len(WHOLE)}", pieces=[REST]),
+    "longer than its length": raw(OK, AS_EVENTS, f"Content-Length: {len(REST) - 9}", pieces=[REST]),
 }
 # These are right, whatever came first.
 CONTINUATIONS = {
@@ -79,6 +114,10 @@
     "a comment first": events(b": hello\n\n", REST),
     "the end of an event that has no data": events(b"ken2\n\n", REST),
     "with a charset": answer(200, REST, "text/event-stream; charset=utf-8"),
+    "with trailers": raw(OK, AS_EVENTS, CHUNKED, pieces=[WHOLE_CHUNKS[:-2], b"X-A: b\r\n\r\n"]),
+    "in single bytes, the head too": raw(
+        OK, AS_EVENTS, CHUNKED, pieces=[bytes([byte]) for byte in WHOLE_CHUNKS]
+    ),
 }
 
 
