Take no text and no event without an id for the rest of a stream

What callers saw: a stream broke off, the next engine went on with an event or more and then wrote an error into its chunks: its whole head, words of it, or an event with the error and no id. All of it came into the middle of the caller's stream, and where the engine ended its answer properly, the stream looked complete.

Cause: StreamPosition checked only events with an id after the first that went on, and let all that is no event pass as if it were a comment. Of two ids in one event the first counted, while callers take the last.

Change: after a break, text that is neither an event nor a comment ends the part like a wrong number does, and so does an event without an id where each before had one; the last id counts. What comes between the break and the next event is dropped as before, and an engine's events before any break are its own matter as before. An error that bears the right number can't be told from an event.

Evidence: test_resumed_streams.py, NO_CONTINUATIONS: text after an event, an error's head after an event and with its body, both error events and the event with two ids failed before; the others of the new forms passed. Also test_stream_position.py: 4 of 5 new cases failed before.

--- a/src/laburnumreel/relay/_event_stream.py
+++ b/src/laburnumreel/relay/_event_stream.py
@@ -4,7 +4,8 @@
 
 # An event larger than this is not passed on; engines send a few tokens at a time.
 MOST_EVENT_BYTES = 1 << 20
-
+# Fields that say nothing to the caller without data.
+_MEANS_NOTHING = (b"event", b"retry")
 
 # Comments that are passed on in a row, and a second after that: a keep-alive comes seldom.
 MOST_COMMENTS = 16
@@ -21,6 +22,18 @@
     id: str | None
     is_progress: bool = True
 
+    @property
+    def is_text(self) -> bool:
+        """Whether it is neither an event nor a comment, such as words of an engine in trouble.
+
+        >>> StreamEvent(b"out of memory\\n\\n", None, False).is_text
+        True
+        >>> StreamEvent(b": still here\\nretry: 500\\n\\n", None, False).is_text
+        False
+        """
+        lines = (line.partition(b":")[0].strip() for line in self.raw.splitlines())
+        return not self.is_progress and any(name and name not in _MEANS_NOTHING for name in lines)
+
 
 class CommentPace:
     """Lets as many comments pass as keep a connection alive."""
@@ -84,6 +97,7 @@
         name, colon, value = line.partition(b":")
         if name.strip() in (b"id", b"data"):
             is_progress = True
-        if colon and name == b"id" and event_id is None:
+        if colon and name == b"id":
+            # Callers take the last one.
             event_id = value.strip().decode("latin-1")
     return StreamEvent(raw, event_id, is_progress)
--- a/src/laburnumreel/relay/_stream_position.py
+++ b/src/laburnumreel/relay/_stream_position.py
@@ -18,7 +18,8 @@
     """The last event of a stream that was passed on, over all engines that send it.
 
     Until the stream is resumed, an engine's events are its own matter. From then on they must go on
-    after the last one: by ids that increase, and without a gap where the ids before had none.
+    after the last one: by ids that increase, without a gap where the ids before had none, and each
+    with an id where all before had one.
 
     >>> position = StreamPosition()
     >>> passed = position.take([StreamEvent(b"id: 1\\n\\n", "1"), StreamEvent(b"id: 2\\n\\n", "2")])
@@ -35,6 +36,8 @@
         self._beyond_id = False
         # Whether each id was one more than the one before it, from 0 or 1.
         self._by_one = True
+        # Whether each event had an id.
+        self._all_ids = True
         self._resumed = False
         self._awaits_event = False
 
@@ -63,23 +66,28 @@
         What comes between a break and the next event says nothing to the caller, and is dropped.
         """
         last_id, beyond_id, by_one = self._last_id, self._beyond_id, self._by_one
-        awaits_event, taken = self._awaits_event, []
+        all_ids, awaits_event, taken = self._all_ids, self._awaits_event, []
         for event in events:
             if not event.is_progress:
                 if not awaits_event:
+                    self._check_aside(event)
                     taken.append(event)
                 continue
             follows = _follows(event.id, last_id)
-            if self._resumed and (event.id or awaits_event):
+            if self._resumed and (event.id or awaits_event or all_ids):
                 self._check(event.id, last_id)
-            by_one = by_one and follows
+            by_one, all_ids = by_one and follows, all_ids and bool(event.id)
             last_id, beyond_id = (event.id, False) if event.id else (last_id, True)
             awaits_event = False
             taken.append(event)
         self._last_id, self._beyond_id, self._by_one = last_id, beyond_id, by_one
-        self._awaits_event = awaits_event
+        self._all_ids, self._awaits_event = all_ids, awaits_event
         return taken
 
+    def _check_aside(self, event: StreamEvent) -> None:
+        if self._resumed and event.is_text:
+            raise NotContinuedError("text that is no event came")
+
     def _check(self, event_id: str | None, last_id: str | None) -> None:
         number, last = _number(event_id), _number(last_id)
         if number is None or last is None:
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -33,6 +33,7 @@
 
 WHOLE_CHUNKS = chunks(REST) + b"0\r\n\r\n"
 OK, AS_EVENTS, CHUNKED = "HTTP/1.1 200 OK", f"Content-Type: {EVENTS}", "Transfer-Encoding: chunked"
+FAILED_HEAD = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3\r\n\r\n"
 
 
 def events(*pieces):
@@ -102,6 +103,16 @@
     "an event without id": events(b"data: token3\n\n", event(4), event(5)),
     "an id that is no number": events(b"id: x\ndata: token3\n\n", event(4), event(5)),
     "text between events": events(b"out of memory\n\n"),
+    "text after an event": events(event(3), b"out of memory\n\n", event(4), event(5)),
+    "an error's head after an event": events(event(3), FAILED_HEAD),
+    "an error's head and body": events(event(3), FAILED_HEAD + b"bad\n\n"),
+    "an error's head that is no chunk": raw(
+        OK, AS_EVENTS, CHUNKED, pieces=[chunks(event(3)), FAILED_HEAD, b"bad\n\n"]
+    ),
+    "an error event at the end": events(event(3), b"event: error\ndata: out of memory\n\n"),
+    "an error event later": events(event(3), b'data: {"error": 1}\n\n', event(4), event(5)),
+    "an event with two ids": events(b"id: 3\nid: 9\ndata: token3\n\n", event(4), event(5)),
+    "backwards": events(event(5), event(4), event(3)),
     "trailers cut": raw(OK, AS_EVENTS, CHUNKED, pieces=[WHOLE_CHUNKS[:-2], b"X-Error: out of mem"]),
     "without the last piece": raw(OK, AS_EVENTS, CHUNKED, pieces=[chunks(REST)]),
     "shorter than its length": raw(OK, AS_EVENTS, f"Content-Length: {len(WHOLE)}", pieces=[REST]),
--- a/tests/test_stream_position.py
+++ b/tests/test_stream_position.py
@@ -62,6 +62,7 @@
             ((1, 2), (3, 5)),
             ((1, 2), ("x",)),
             ((1, 2), (None, 3)),
+            ((1, 2), (3, None)),
             ((1, 2), ("٣",)),
             ((1, 2), ("9" * 5000,)),
             (("a", "b"), ("c",)),
@@ -82,6 +83,17 @@
         assert position.take(events(*then)) == events(*then)
         assert position.last_id == str(then[-1]) and not position.awaits_event
 
+    def test_event_without_id_is_taken_where_there_were_such_before(self):
+        position = resumed(1, None, 2)
+        assert len(position.take(events(3, None, 4))) == 3
+
+    @pytest.mark.parametrize("text", [b"out of memory", b"HTTP/1.1 500 Oops\r\nDate: x", b"\xff"])
+    def test_text_after_an_event_is_not_taken(self, text):
+        odd = StreamEvent(text + b"\n\n", None, is_progress=False)
+        assert StreamPosition().take([event(1), odd]) == [event(1), odd]
+        with pytest.raises(NotContinuedError):
+            resumed(1, 2).take([odd, event(3), odd])
+
     def test_stream_that_the_caller_resumed_has_no_gap_either(self):
         position = resumed(13, after="12")
         with pytest.raises(NotContinuedError):
