Read nothing from the store on a kept connection on which an answer came once more

What callers saw: nothing yet. A store, or a proxy before it, that wrote a refusal once more while its connection was idle had it taken for the answer to the host's next read, whose own answer then answered the read after it, and so on: rows of one table for another, for good.

Cause: the store's answers bear no id, and a kept connection was used without a look at what had come on it.

Change: JsonCalls drops a kept connection that has something to read, as the pool of back ends does.

Evidence: test_json_calls.py, test_answer_that_is_written_once_more_answers_no_later_call, failed before. A copy that comes after the next read was sent still answers that one read; no test has it.

--- a/src/laburnumreel/transport/_json_calls.py
+++ b/src/laburnumreel/transport/_json_calls.py
@@ -66,7 +66,7 @@
             return Error(_BEYOND_SHARE)
         with self._lock:
             self._interrupted = False
-            kept, self._kept = self._kept, None
+            kept = self._take_kept()
             try:
                 if kept is None:
                     return Ok(self._read_once(self._dial(), path, wait_s))
@@ -112,6 +112,14 @@
             if kept is not None:
                 kept.discard()
 
+    def _take_kept(self) -> Exchange | None:
+        """Return the kept exchange, unless something came on its connection that answers no call."""
+        kept, self._kept = self._kept, None
+        if kept is not None and kept.has_unread:
+            kept.discard()
+            return None
+        return kept
+
     def _may_call(self, kind: CallKind) -> bool:
         if self._pace is None:
             return True
--- a/tests/test_json_calls.py
+++ b/tests/test_json_calls.py
@@ -1,5 +1,6 @@
 """Tests of calls with JSON bodies on a kept connection."""
 
+import json
 import socket
 import threading
 import time
@@ -51,3 +52,26 @@
 def test_nobody_there_is_known_to_have_had_no_effect():
     failed = JsonCalls((HOST, 1), 0.5).change("/v1/rows-tx", {})
     assert failed.error.kind == "not_sent"
+
+
+def test_answer_that_is_written_once_more_answers_no_later_call(scripted):
+    """Guards against a refusal, or the rows of another table, for whatever is read from then on."""
+    idle, written = threading.Event(), threading.Event()
+
+    def again(exchange):
+        if exchange.number == 0:
+            exchange.whole(b"{}", "503 Unavailable")
+            # The second copy comes while the connection is idle.
+            idle.wait(5)
+            exchange.whole(b"{}", "503 Unavailable")
+            written.set()
+        else:
+            exchange.whole(json.dumps({"read": exchange.path}).encode())
+
+    calls = JsonCalls(scripted(again).address, 1.0)
+    assert calls.read("/0").ok.status == 503
+    idle.set()
+    assert written.wait(5)
+    for path in ("/1", "/2", "/3"):
+        answer = calls.read(path).ok
+        assert (answer.status, answer.body) == (200, {"read": path})
