--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from platform_answers import engine, refused, whole
+from platform_answers import engine, refused, stream, whole
 from platform_config import config
 from platform_world import wait_until
 from relay_caller import PROMPT, Caller
@@ -116,6 +116,98 @@
         assert (status, headers["x-run-state"]) == (503, "not-run")
 
 
+def written(status=503, more=("Not-Executed: 1", "Content-Length: 7"), body=b"refused"):
+    return "\r\n".join([f"HTTP/1.1 {status} Refused", *more, "", ""]).encode() + body
+
+
+NOT_RUN = "Not-Executed: 1"
+# What comes before the answer besides refusals that are whole and end with their length.
+FRAMINGS = {
+    "in chunks": written(
+        more=[NOT_RUN, "Transfer-Encoding: chunked"], body=b"2\r\nno\r\n0\r\n\r\n"
+    ),
+    "to the end": written(more=[NOT_RUN]),
+    "that closes": written(more=[NOT_RUN, "Connection: close", "Content-Length: 7"]),
+    "shorter than told": written(more=[NOT_RUN, "Content-Length: 60"]),
+    "longer than told": written(more=[NOT_RUN, "Content-Length: 3"]),
+    "three at once": written() + written(429) + written(421, ["Content-Length: 7"]),
+    "after interim answers": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n" + written(),
+    "as a success": written(200) + written(204, [NOT_RUN], b""),
+}
+
+
+class TestPlaces:
+    """Refusals before, after and in the middle of answers, by plain servers and engines."""
+
+    def ask_each(self, world, path, acts):
+        """Ask for each form by a kept connection; no answer may promise what isn't so."""
+        engines = path == "/ask/x"
+        service, stage = ("quotes", {"Stage": "decode"}) if engines else ("orders", {})
+        worker, ran = world.worker("w1", service, **stage), []
+        relay = world.relay()
+        for form, act in acts.items():
+
+            used = []
+
+            def usual(handler, act=act, used=used):
+                ran.append(handler.headers["Request-Id"])
+                kept, handler.kept = getattr(handler, "kept", False), True
+                right = stream() if engines else whole
+                used.append(kept)
+                act(handler, right) if kept else right(handler)
+
+            worker.usual = usual
+            for index in range(4):
+                request_id = f"{form}-{index}".replace(" ", "-")
+                caller = Caller(relay)
+                caller.send(path, Request_Id=request_id, **PROMPT)
+                found = caller.connection.getresponse()
+                assert found.status in (200, 502), f"{request_id}: {found.status}"
+                assert found.headers.get("x-run-state") in (None, "unknown"), request_id
+                caller.connection.close()
+                assert ran.count(request_id) == 1, request_id
+            assert any(used), form
+
+    @pytest.mark.parametrize("path", ["/once/x", "/ask/x"])
+    def test_refusal_of_any_framing_before_the_answer_promises_nothing(self, world, path):
+        def before(refused):
+            def act(handler, right):
+                handler.wfile.write(refused)
+                right(handler)
+
+            return act
+
+        self.ask_each(world, path, {form: before(raw) for form, raw in FRAMINGS.items()})
+
+    @pytest.mark.parametrize("path", ["/once/x", "/ask/x"])
+    def test_refusal_after_or_in_the_answer_promises_nothing(self, world, path):
+        def after(delay_s, named=False):
+            def act(handler, right):
+                right(handler)
+                handler.wfile.flush()
+                time.sleep(delay_s)
+                own = [f"Request-Id: {handler.headers['Request-Id']}"] if named else []
+                handler.wfile.write(written(more=[NOT_RUN, "Content-Length: 7", *own]))
+
+            return act
+
+        def inside(handler, right):
+            handler.close_connection = True
+            request_id = handler.headers["Request-Id"]
+            own = f"Request-Id: {request_id}\r\nResponse-Signature: s.{request_id}\r\n"
+            head = f"HTTP/1.1 200 OK\r\n{own}Content-Length: 900\r\n\r\nid: 1\ndata: a\n\n"
+            handler.wfile.write(head.encode() + written())
+
+        acts = {
+            "at once": after(0.0),
+            "at once, named": after(0.0, named=True),
+            "while idle": after(0.05),
+            "while idle, named": after(0.05, named=True),
+            "inside": inside,
+        }
+        self.ask_each(world, path, acts)
+
+
 class TestStatuses:
     @pytest.mark.parametrize("path", ["/once/x", "/ask/x"])
     def test_status_that_promises_without_the_servers_word_is_not_passed_on(self, world, path):
