Send a request to an address of the gateway's again only on a new connection

What callers saw: nothing yet. A back end that is listed under two names (a host that came back under a new one, in a list that lags) refused a request and got it again by its other name, on the same connection. Where it wrote its refusal once more and ran the request, the caller was told 'not-run', and its idempotency key was free again.

Cause: the answer's id is that of both sends, and the gateway kept the names that it had tried, not the addresses.

Change: Attempts opens a new connection to an address that had the request before.

Evidence: test_gateway_repeated_refusals.py, test_refusal_of_the_same_request_by_a_server_of_two_names_does_not_say_not_run, failed before.

--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -12,7 +12,7 @@
 from laburnumreel.serving._parts import Parts
 from laburnumreel.serving._silences import NoTakeover
 from laburnumreel.state import ErrorKind, Refusal, RunState
-from laburnumreel.transport import BackEndFailureError, Exchange
+from laburnumreel.transport import Address, BackEndFailureError, Exchange
 
 BACKOFF_BASE_S = 0.02
 BACKOFF_LIMIT_S = 1.0
@@ -48,6 +48,8 @@
         self._first = first
         self._job = job
         self._tried: list[str] = []
+        # A back end may be listed under two names. An id does not tell answers to two sends apart.
+        self._asked: set[Address] = set()
         self._retries = 0
         self._may_have_run = False
         self._back_end: BackEnd | None = None
@@ -79,13 +81,16 @@
                 return self._attached(exchange)
             self._back_end = back_end = self._choose()
             try:
-                exchange = self._parts.pool.open(back_end.address, not self._job.repeatable)
+                exchange = self._connect(back_end, not self._job.repeatable)
             except BackEndFailureError:
                 self._close(failed=True)
                 self._retry("connect_failed", Refusal(ErrorKind.NO_BACK_END))
                 continue
             return self._attached(exchange)
 
+    def _connect(self, back_end: BackEnd, fresh: bool = False) -> Exchange:
+        return self._parts.pool.open(back_end.address, fresh or back_end.address in self._asked)
+
     def _attached(self, exchange: Exchange) -> Exchange:
         self._exchange = exchange
         if not self._job.running.attach(exchange):
@@ -101,6 +106,7 @@
         if self._job.credential:
             headers["Authorization"] = f"Bearer {self._job.credential}"
         self._may_have_run = True
+        self._asked.add(self._back_end.address)
         self._patient = True
         self._exchange.patience = self._on_silence
         self._exchange.send(method, target, headers, body, self._job.profile.silence_s)
@@ -302,7 +308,7 @@
             self._log_waiting(str(back_end))
             return False
         try:
-            exchange = self._parts.pool.open(back_end.address)
+            exchange = self._connect(back_end)
         except BackEndFailureError:
             self._tried.append(back_end.name)
             self._release(back_end, failed=True)
--- a/tests/test_gateway_repeated_refusals.py
+++ b/tests/test_gateway_repeated_refusals.py
@@ -63,6 +63,31 @@
     assert (replies[1].run_state, replies[1].status != 200) == ("unknown", True)
 
 
+def test_refusal_of_the_same_request_by_a_server_of_two_names_does_not_say_not_run(
+    deployment, scripted
+):
+    """A request that was refused went to the same server again, which ran it, and its key was freed."""
+    ran = []
+
+    def script(exchange):
+        again, exchange.again = getattr(exchange, "again", False), True
+        exchange.whole(b"{}", "503 Busy", f"X-Request-Id: {exchange.request_id}\r\n")
+        if again:
+            ran.append(exchange.request_id)
+            time.sleep(0.3)
+            exchange.whole(stream_of(exchange))
+
+    server = scripted(script)
+    deployment.configure()
+    server.list_in(deployment)
+    server.list_in(deployment)
+    gateway = deployment.start_gateway()
+    headers = bearer(Idempotency_Key="k1")
+    reply = call(gateway.callers, "POST", "/v1/completions", BODY, headers)
+    assert len(server.seen) == 2
+    assert (reply.status, reply.run_state, ran) == (503, "not-run", [])
+
+
 def test_refusal_on_a_new_connection_still_says_not_run(deployment, scripted):
     """There is no earlier request that it could answer."""
     script = repeating("503 Service Unavailable", "")
