--- a/src/laburnumreel/state/_journal.py
+++ b/src/laburnumreel/state/_journal.py
@@ -4,9 +4,12 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
+from laburnumreel.state._fields import FieldError, Fields, own_rows
 from laburnumreel.state._platform import CapacityOrder, Check, Row, Write
 
 ORDER_TABLE = "order"
+# The zone, the service and the kind of a target.
+ZONE_PARTS = 3
 
 
 class OrderState(StrEnum):
@@ -42,6 +45,13 @@
         _, zone, service, kind = self.key.split(":")
         return zone, service, kind
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the key is one that `engine` or `zone` gives."""
+        return self.engine_name is not None or (
+            self.key.startswith("zone:") and self.key.count(":") == ZONE_PARTS
+        )
+
 
 class WantedOrder(NamedTuple):
     """An order that should be given, before it has an id and a fencing number."""
@@ -64,16 +74,25 @@
 
     @classmethod
     def from_row(cls, row: Row) -> "Order":
-        value = row.value
-        return cls(
-            Target(row.key),
-            value["order_id"],
-            value["fence"],
-            value["action"],
-            value["arguments"],
-            OrderState(value["state"]),
-            row.version,
-        )
+        """Return a row's order. One that another writer left is settled, and is written anew."""
+        target = Target(row.key)
+        try:
+            fields = Fields(row.value)
+            fields.fields("arguments")
+            if not target.is_known:
+                raise FieldError("the key names nobody")
+            return cls(
+                target,
+                fields.text("order_id"),
+                fields.whole("fence"),
+                fields.text("action"),
+                row.value["arguments"],
+                OrderState(fields.choice("state", list(OrderState))),
+                row.version,
+            )
+        except FieldError as error:
+            own_rows.tell(ORDER_TABLE, row.key, row.version, str(error))
+            return cls(target, "", 0, "", {}, OrderState.FAILED, row.version)
 
     @property
     def open(self) -> bool:
@@ -131,23 +150,34 @@
 def receipt_of_answer(status: int, body: Mapping[str, Any]) -> Receipt:
     """Read the answer to an order. 503 and 4xx say that it had no effect."""
     if status == 200:
-        return _ACCEPTED.get(body.get("state", "done"), Receipt.UNKNOWN)
+        return _accepted(body.get("state", "done"), Receipt.UNKNOWN)
     return Receipt.REFUSED if status == 503 or 400 <= status < 500 else Receipt.UNKNOWN
 
 
 def receipt_of_list(order: Order, body: Mapping[str, Any]) -> Receipt:
-    """Find an order in an engine's or a zone's list of orders."""
-    if order.target.engine_name is None:
-        seen = any(item["order_id"] == order.order_id for item in body["orders"])
-        return Receipt.DONE if seen else Receipt.ABSENT
-    last = body.get("last")
-    if last and last["order_id"] == order.order_id:
-        return _ACCEPTED.get(last["state"], Receipt.REFUSED)
-    states = [item["state"] for item in body["history"] if item["order_id"] == order.order_id]
-    if not states:
+    """Find an order in an engine's or a zone's list of orders; an entry that is none counts as absent."""
+    is_zone = order.target.engine_name is None
+    last, listed = body.get("last"), body.get("orders" if is_zone else "history")
+    if not is_zone and _is_entry(last, order):
+        return _accepted(last.get("state"), Receipt.REFUSED)
+    if not isinstance(listed, list):
+        return Receipt.UNKNOWN
+    found = [item for item in listed if _is_entry(item, order)]
+    if not found:
         return Receipt.ABSENT
+    if is_zone:
+        return Receipt.DONE
     # A later order has been accepted since, and an engine runs one at a time.
-    return Receipt.DONE if any(state in _ACCEPTED for state in states) else Receipt.REFUSED
+    accepted = any(_accepted(item.get("state"), None) for item in found)
+    return Receipt.DONE if accepted else Receipt.REFUSED
+
+
+def _is_entry(item: Any, order: Order) -> bool:
+    return isinstance(item, dict) and item.get("order_id") == order.order_id
+
+
+def _accepted(state: Any, otherwise: Receipt | None) -> Receipt | None:
+    return _ACCEPTED.get(state, otherwise) if isinstance(state, str) else otherwise
 
 
 def settle(receipt: Receipt, provably_dead: bool) -> OrderState:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -2,13 +2,15 @@
 
 import pytest
 from authority_world import SimulatedCoordinator, World
-from hypothesis import settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from planted import assert_oracle_fails
+from test_odd_values import VALUES, mutations
 
 from laburnumreel.coordination import OrderSender, Plan
-from laburnumreel.state import OrderState, Target, WantedOrder
+from laburnumreel.state import Order, OrderState, Target, WantedOrder, Write
+from laburnumreel.state._journal import Receipt, receipt_of_answer, receipt_of_list
 
 NUMBERS = st.integers(0, 2)
 PLACES = st.sampled_from(["call", "connect", "write", "answer"])
@@ -176,3 +178,43 @@
     holder.sender.handle(Plan((wanted_order("e1", 1),), {"e1": "e1"}, fence))
     world.run(3.0)
     assert bool(world.received) == (age == 0)
+
+
+SENT = {"order_id": "b-1-1", "fence": 1, "action": "load", "arguments": {}, "state": "sent"}
+ODD_ROWS = {
+    "engine:e1": {},
+    "zone:xela-a:quoting:dedicated": {**SENT, "state": ["sent"]},
+    "zone:xela-a": SENT,
+    "nobody": SENT,
+    "engine:e3": {**SENT, "arguments": [1], "fence": 10**30},
+    "engine:e4": {**SENT, "order_id": None},
+}
+
+
+def test_odd_rows_of_the_journal_hold_up_no_order():
+    """Guards against one row that ends the orders for all engines and zones."""
+    world = World(SimulatedCoordinator)
+    writes = [Write("order", key, value) for key, value in ODD_ROWS.items()]
+    assert world.state.transact([], writes).is_ok()
+    for number in range(3):
+        world.plan(number, [wanted_order("e1", 1), wanted_order("zone", 2), wanted_order("e2", 1)])
+    world.run(8.0)
+    received = sorted(key for key, _, _ in world.received)
+    assert received == ["engine:e1", "engine:e2", "zone:xela-a:quoting:dedicated"]
+
+
+LISTED = {"order_id": "b-1-1", "state": "done"}
+
+
+@given(
+    st.sampled_from([Target.engine("e1"), Target.zone("a", "b", "dedicated")]),
+    st.sampled_from(["orders", "history", "last"]),
+    st.one_of(VALUES, st.lists(st.one_of(VALUES, mutations(LISTED)), max_size=3)),
+)
+def test_any_list_of_orders_says_what_became_of_one(target, name, value):
+    """Guards against an engine whose odd list ends the orders for all others."""
+    order = Order(target, "b-1-1", 1, "load", {}, OrderState.SENT)
+    receipt_of_list(order, {name: value})
+    if isinstance(value, list) and name == ("history" if target.engine_name else "orders"):
+        assert receipt_of_list(order, {name: [*value, LISTED]}) is Receipt.DONE
+    receipt_of_answer(200, {"state": value})
