--- a/tests/test_relay_store_era.py
+++ b/tests/test_relay_store_era.py
@@ -3,15 +3,20 @@
 import time
 
 import pytest
+from expression import Ok
+from hypothesis import given
+from hypothesis import strategies as st
 from laburnumreel_platform._records import decode_back_end
 from laburnumreel_platform._store import StoreTables, TableFeed
+from odd_rows import row
 from platform_config import config
 from platform_world import HOST, Store, wait_until
 from relay_caller import Caller
+from test_odd_values import KEYS, NUMBERS, ROW_VALUES, VALUES, Answers
 
 from laburnumreel.relay._back_ends import BackEndList, ListedBackEnd
 from laburnumreel.state import Check, StoreEra, Write, era_of
-from laburnumreel.transport import JsonCalls
+from laburnumreel.transport import CallAnswer, JsonCalls
 
 KEY = "k"
 
@@ -168,3 +173,24 @@
         world.store.put("op", "config", newer)
         wait_until(second.ready, "the newer configuration is back", 10)
         assert Caller(second).ask("/safe/x")[0] == 401
+
+
+class Conflict(Answers):
+    """Stands for calls that change rows which have other versions."""
+
+    def change(self, path, body):
+        return Ok(CallAnswer(412, self.body, {"Store-Era": "0"}))
+
+
+class TestConflicts:
+    @given(
+        st.one_of(VALUES, st.lists(st.one_of(VALUES, st.builds(row, KEYS, ROW_VALUES, NUMBERS))))
+    )
+    def test_conflict_with_any_rows_is_one(self, odd):
+        """Guards against a lease or a duty that ends where the store tells of other versions."""
+        rows = [*odd, row("good", b'{"a":1}', 2)] if isinstance(odd, list) else odd
+        checks = [Check("servers", "good", 1), Check("t", "k", 1)]
+        error = StoreTables(Conflict(rows), StoreEra()).transact(checks, []).error
+        assert error.kind == "conflict" and error.rows["t", "k"] is None
+        if isinstance(odd, list):
+            assert error.rows["servers", "good"].value == {"a": 1}
