Take no address with a port out of range from a peer or a claim

What callers saw: nothing yet. parse_address took any port of digits, up to one that int refuses; a connection to port 65536 raises OverflowError, which the callers of PeerClient don't expect: the request that asks about a claim, or the task that follows the configuration, failed.

Change: parse_address takes what Fields takes for a host and a port.

--- a/src/laburnumreel/coordination/_messages.py
+++ b/src/laburnumreel/coordination/_messages.py
@@ -5,7 +5,7 @@
 
 from expression import Result
 
-from laburnumreel.state import Change, Configuration
+from laburnumreel.state import Change, Configuration, FieldError, Fields
 
 Address = tuple[str, int]
 
@@ -130,5 +130,7 @@
 
 def parse_address(text: str) -> Address | None:
     """Return the address that `address_text` wrote, or None for anything else."""
-    host, _, port = text.rpartition(":")
-    return (host, int(port)) if host and port.isdecimal() else None
+    try:
+        return Fields({"address": text}).host_and_port("address")
+    except FieldError:
+        return None
--- a/tests/test_odd_hosts.py
+++ b/tests/test_odd_hosts.py
@@ -11,7 +11,7 @@
 from test_gateway_broken_streams import go_on
 from test_odd_values import VALUES, mutations
 
-from laburnumreel.coordination import Answer, Fleet, LoadReport
+from laburnumreel.coordination import Answer, Fleet, LoadReport, address_text, parse_address
 from laburnumreel.state import Check, HttpPlatform, read_hosts
 from laburnumreel.state._odd_json import loads_entries
 from laburnumreel.transport import HttpLoadReader
@@ -81,6 +81,17 @@
             assert str(error)
 
 
+class TestPeers:
+    @pytest.mark.parametrize("text", [*NO_ADDRESSES.values(), "", ":", "80"])
+    def test_address_that_is_none_is_no_peers(self, text):
+        """Guards against calls that raise what nobody expects: a port that no socket takes."""
+        assert parse_address(text) is None
+
+    def test_address_that_a_peer_writes_is_read(self):
+        for address in (("10.0.0.1", 80), ("node-1.example", 65535), ("[::1]", 1)):
+            assert parse_address(address_text(address)) == address
+
+
 class TestLoadReports:
     @given(st.one_of(VALUES, mutations(REPORT)))
     def test_any_report_is_one_that_routing_can_use_or_a_value_error(self, value):
