Read the configuration and the withdrawn keys past rows of other writers

What callers saw: nothing yet. One row of another writer in the log of withdrawals, or as the head of the configuration, ended each poll of each gateway with an exception: no change and no withdrawal was heard of any more, and keyed requests would be refused once the last whole poll is too old (from the code, not from a run).

Change: a row of the log that can't be read has all withdrawals read from their own rows, so that no withdrawn key is taken; one whose key is no sequence number is left; an odd head tells of no change. One log line each.

Evidence: tests/test_odd_config_rows.py, all 8 cases failed before.

--- a/src/laburnumreel/coordination/_store_sync.py
+++ b/src/laburnumreel/coordination/_store_sync.py
@@ -1,13 +1,25 @@
 """Reading the configuration and the withdrawn keys from the store, and storing withdrawals."""
 
 import random
+import re
 from collections.abc import Sequence
 from typing import Any
 
 from expression import Error, Ok, Result
 
 from laburnumreel.coordination._replica import Replica
-from laburnumreel.state import Change, Check, Configuration, Platform, PlatformError, Write
+from laburnumreel.state import (
+    Change,
+    Check,
+    Configuration,
+    FieldError,
+    Fields,
+    Platform,
+    PlatformError,
+    Row,
+    Write,
+    own_rows,
+)
 
 HEAD = ("config_head", "head")
 CHANGES = "config_change"
@@ -17,6 +29,8 @@
 # writer of withdrawals also adds a row to this log, which readers follow by its sequence.
 WITHDRAWN_LOG = "withdrawn_log"
 
+_SEQUENCE_KEY = re.compile(r"[0-9]{12}")
+
 PAGE = 500
 # The bound on pages in one poll keeps a task responsive; the next poll continues.
 PAGES = 40
@@ -79,19 +93,54 @@
             if page.is_error():
                 return Error(page.error)
             for row in page.ok.rows:
-                self._replica.withdraw(row.value["digests"], stored=True)
-                self._log_end = int(row.key)
+                taken = self._take_withdrawals(row)
+                if taken.is_error():
+                    return taken
             if not page.ok.more:
                 return Ok(None)
         return Error(PlatformError("unreachable", "more withdrawals than one poll reads"))
 
+    def _take_withdrawals(self, row: Row) -> Result[None, PlatformError]:
+        """Take the withdrawals of a row of the log.
+
+        Where another writer left it, all withdrawals are read, as they have rows of their own.
+        """
+        if not _SEQUENCE_KEY.fullmatch(row.key):
+            own_rows.tell(WITHDRAWN_LOG, row.key, row.version, "the key is no sequence number")
+            return Ok(None)
+        try:
+            self._replica.withdraw(Fields(row.value).texts("digests"), stored=True)
+        except FieldError as error:
+            own_rows.tell(WITHDRAWN_LOG, row.key, row.version, str(error))
+            read = self._read_all_withdrawn()
+            if read.is_error():
+                return read
+        self._log_end = int(row.key)
+        return Ok(None)
+
+    def _read_all_withdrawn(self) -> Result[None, PlatformError]:
+        after = ""
+        while True:
+            page = self._platform.scan(WITHDRAWN, after=after, limit=PAGE)
+            if page.is_error():
+                return Error(page.error)
+            self._replica.withdraw([row.key for row in page.ok.rows], stored=True)
+            if not (page.ok.more and page.ok.rows):
+                return Ok(None)
+            after = page.ok.rows[-1].key
+
     def _read_configuration(self) -> Result[None, PlatformError]:
         head = self._platform.read(*HEAD)
         if head.is_error():
             return Error(head.error)
         if head.ok is None:
             return Ok(None)
-        version, digest = head.ok.value["version"], head.ok.value["digest"]
+        try:
+            fields = Fields(head.ok.value)
+            version, digest = fields.whole("version"), fields.text("digest")
+        except FieldError as error:
+            own_rows.tell(HEAD[0], HEAD[1], head.ok.version, str(error))
+            return Ok(None)
         ours = self._replica.configuration
         if version > ours.version:
             return self._read_changes(version)
--- /dev/null
+++ b/tests/test_odd_config_rows.py
@@ -0,0 +1,47 @@
+"""Tests of the configuration's and the withdrawn keys' tables that hold rows of other writers."""
+
+import random
+
+import pytest
+
+from laburnumreel.coordination._replica import Replica
+from laburnumreel.coordination._store_sync import StoreSync, withdrawal_rows
+from laburnumreel.core import ManualClock
+from laburnumreel.state import Write
+from laburnumreel_standins._memory_platform import MemoryPlatform
+from laburnumreel_standins._platform_state import PlatformState
+
+EARLIER, LATER = "a" * 64, "b" * 64
+ODD = [{}, {"digests": 5}, {"digests": [5]}, {"digests": [[EARLIER]]}, {"digests": ["\ud800"]}]
+
+
+@pytest.fixture
+def platform():
+    return MemoryPlatform(PlatformState(), ManualClock(), lambda seconds: None, timeout_s=0.5)
+
+
+def withdraw(platform, digest, sequence):
+    assert platform.transact(*withdrawal_rows([digest], sequence, {})).is_ok()
+
+
+@pytest.mark.parametrize("odd", ODD, ids=str)
+def test_odd_row_of_the_log_hides_no_withdrawn_key(platform, odd):
+    """Guards against gateways that hear of no key any more, or that take a withdrawn one."""
+    withdraw(platform, EARLIER, 1)
+    platform.transact([], [Write("withdrawn_log", "000000000001", odd)])
+    platform.transact([], [Write("withdrawn_log", "odd", odd)])
+    replica = Replica()
+    sync = StoreSync(platform, replica, random.Random(1))
+    assert sync.poll(1.0).is_ok() and EARLIER in replica.withdrawn
+    withdraw(platform, LATER, 2)
+    assert sync.poll(2.0).is_ok() and LATER in replica.withdrawn and sync.read_at == 2.0
+
+
+@pytest.mark.parametrize("odd", [{}, {"version": "1", "digest": "x"}, {"version": 10**30}])
+def test_odd_head_of_the_configuration_changes_nothing(platform, odd):
+    platform.transact([], [Write("config_head", "head", odd)])
+    withdraw(platform, EARLIER, 1)
+    replica = Replica()
+    sync = StoreSync(platform, replica, random.Random(1))
+    assert sync.poll(1.0).is_ok() and sync.read_at == 1.0
+    assert EARLIER in replica.withdrawn and replica.configuration.version == 0
