--- a/tests/test_gateway_broken_streams.py
+++ b/tests/test_gateway_broken_streams.py
@@ -61,7 +61,40 @@
     exchange.end_stream()
 
 
+def raw_answer(head, *pieces):
+    """Return a script that writes an answer as it is, in pieces, and closes."""
+
+    def script(exchange):
+        exchange.close_connection = True
+        names = f"X-Request-Id: {exchange.request_id}\r\nContent-Type: text/event-stream\r\n"
+        for piece in (f"HTTP/1.1 {head}\r\n{names}\r\n".encode(), *pieces):
+            exchange.wfile.write(piece)
+
+    return script
+
+
+def error_without_id(exchange):
+    exchange.begin_stream()
+    exchange.wfile.write(b'event: error\ndata: {"message": "words of an engine"}\n\n')
+    exchange.event(b"[DONE]")
+
+
+def end_cut(exchange):
+    exchange.begin_stream()
+    exchange.event({"choices": [{"index": 0, "text": "", "finish_reason": "stop"}]})
+    exchange.wfile.write(b"data: [DONE]\n")
+
+
 ODD = {
+    "206": error_answer("206 Partial Content"),
+    "302": error_answer("302 Found"),
+    "101": raw_answer("101 Switching Protocols", ERROR),
+    "500 after interim answers": raw_answer(
+        "100 Continue", b"HTTP/1.1 103 Early\r\n\r\n", b"HTTP/1.1 500 Oops\r\n\r\n", ERROR
+    ),
+    "a head in the stream": raw_answer("200 OK", b"HTTP/1.1 500 Oops\r\n\r\n", ERROR, b"\n\n"),
+    "an error event without id": error_without_id,
+    "an end that is cut": end_cut,
     "400": error_answer("400 Bad Request"),
     "429": error_answer("429 Too Many Requests"),
     "500": error_answer("500 Internal Server Error"),
