--- a/src/laburnumreel/relay/_event_stream.py
+++ b/src/laburnumreel/relay/_event_stream.py
@@ -57,7 +57,7 @@
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
-    [StreamEvent(raw=b'id: 1\\ndata: a\\n\\n', id='1')]
+    [StreamEvent(raw=b'id: 1\\ndata: a\\n\\n', id='1', is_progress=True)]
     >>> splitter.rest
     b'id: 2\\nda'
     """
