Add `python -m bench cost`: a host's processor time against the number of hosts

The benchmark plays one host's tasks among small stand-ins for peers, engines and callers at 7, 63, 195 and 380 hosts, and prints the time for each request, datagram, report and try, and the functions that take it.

--- /dev/null
+++ b/bench/_small_host.py
@@ -0,0 +1,381 @@
+"""One relay host between stand-ins: peers that send news, engines that read and generate, callers.
+
+All runs on one thread and by a clock that is moved, so that the processor time of each call can be
+taken. The datagrams are real ones, over loopback.
+"""
+
+import cProfile
+import heapq
+import itertools
+import random
+import socket
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator, Sequence
+from concurrent.futures import Future
+from contextlib import contextmanager
+from types import SimpleNamespace
+from typing import Any, NamedTuple
+
+from expression import Ok
+
+from laburnumreel.core import ManualClock
+from laburnumreel.relay import _peers
+from laburnumreel.relay._assignments import Assignment, Order
+from laburnumreel.relay._back_ends import ListedBackEnd, Role
+from laburnumreel.relay._config import EngineTraits
+from laburnumreel.relay._dispatcher import TICK_S, Dispatcher
+from laburnumreel.relay._exchange import TOLD_FIXED, Exchange
+from laburnumreel.relay._feeds import FeedFollower
+from laburnumreel.relay._members import Member, StoreZero
+from laburnumreel.relay._membership import TICK_S as MEMBERSHIP_TICK_S
+from laburnumreel.relay._membership import Membership
+from laburnumreel.relay._news import News, encode_news
+from laburnumreel.relay._ports import Listing
+from laburnumreel.relay._requests import Part, Prompt
+from laburnumreel.relay._settings import RetrySettings
+from laburnumreel.relay._true_time import TrueTime
+from laburnumreel.relay._usage import UsageBook
+from laburnumreel.relay._waiting import Waiting
+from laburnumreel.relay._weighing import Place
+from laburnumreel.relay._work import Work
+from laburnumreel.state import Refusal, StoreEra
+from laburnumreel_standins.processes import fresh_host
+
+REGIONS = 3
+NEWS_S, LOOK_S, STEP_S = 0.15, 1.0, 0.02
+REQUESTS_PER_S = 9.0
+STARTS, START_TOKENS, OWN_TOKENS, BODY_BYTES = 150, 6000, 2000, 17_000
+# Engines that get the prompts with one start.
+KEEPERS = 4
+READ_S, GENERATE_S, OBJECTIVE_S, PATIENCE_S = 0.1, 1.5, 1.0, 4.0
+# A peer's requests in work, and one's work at an engine.
+IN_WORK, ONE = 14, Work(1, 0, 1, 9000)
+TRAITS = EngineTraits(64, 1_200_000, 18_432, 3.6e11, 5.0, 3.0)
+SERVICE, ZONES = "quotes", {f"zone-{n}": f"region-{n}" for n in range(REGIONS)}
+
+
+class Load(NamedTuple):
+    """What callers and engines do: requests a second, whether an engine leaves and another can't be
+    reached, and the work at each engine by a peer that does not change."""
+
+    name: str
+    requests_per_s: float = REQUESTS_PER_S
+    trouble: bool = False
+    everywhere: Work = Work()
+
+
+class Meter:
+    """Processor time by kind of call, without that of the calls inside, and how often each came."""
+
+    def __init__(self, profile: cProfile.Profile | None = None) -> None:
+        self.ns: Counter[str] = Counter()
+        self.calls: Counter[str] = Counter()
+        self._profile = profile
+        self._stack: list[str] = []
+        self._at = 0
+
+    @contextmanager
+    def __call__(self, kind: str) -> Iterator[None]:
+        self._stop()
+        self._stack.append(kind)
+        self.calls[kind] += 1
+        self._start()
+        try:
+            yield
+        finally:
+            self._stop()
+            self._stack.pop()
+            self._start()
+
+    def _stop(self) -> None:
+        if self._stack:
+            if self._profile is not None:
+                self._profile.disable()
+            self.ns[self._stack[-1]] += time.thread_time_ns() - self._at
+
+    def clear(self, profile: cProfile.Profile | None = None) -> None:
+        """Begin anew."""
+        self.ns.clear()
+        self.calls.clear()
+        self._profile = profile
+
+    def _start(self) -> None:
+        if self._stack:
+            self._at = time.thread_time_ns()
+            if self._profile is not None:
+                self._profile.enable()
+
+
+class MeteredDispatcher(Dispatcher):
+    """A dispatcher whose messages are handled at once."""
+
+    meter = Meter()
+
+    def _try(self, *arguments: Any) -> int:
+        with self.meter("placement try"):
+            return super()._try(*arguments)
+
+    def tell(self, message: Any) -> None:
+        kind = message if isinstance(message, str) else type(message).__name__
+        with self.meter(f"dispatcher {kind}"):
+            self.handle(message)
+
+    def ask(self, message: Any) -> Future:
+        answer: Future = Future()
+        kind = message if isinstance(message, str) else type(message).__name__
+        with self.meter(f"dispatcher {kind}"):
+            answer.set_result(self.handle(message))
+        return answer
+
+
+class _Peer:
+    """A peer's address and news."""
+
+    def __init__(self, number: int, rng: random.Random) -> None:
+        self.name, self.zone = f"host-{number}", f"zone-{number % REGIONS}"
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind(("127.0.0.1", 0))
+        self.address = self.socket.getsockname()
+        self.work: list[str] = []
+        self.sequence = 0
+        self.due_at = rng.random()
+        self._rng = rng
+
+    def news(self, engines: Sequence[str], load: Load, between_s: float, window: int) -> News:
+        rng, kept = self._rng, {}
+        if load.requests_per_s:
+            while len(self.work) < IN_WORK:
+                self.work.append(rng.choice(engines))
+            for _ in range(max(1, round(load.requests_per_s * between_s))):
+                start = rng.randrange(STARTS)
+                self.work.pop(0)
+                self.work.append(engines[(start + rng.randrange(KEEPERS)) % len(engines)])
+                kept[self.work[-1]] = (f"start-{start}",)
+        self.sequence += 1
+        work = {name: ONE.times_added(ONE, each - 1) for name, each in Counter(self.work).items()}
+        if self.name == "host-1" and load.everywhere != Work():
+            work = dict.fromkeys(engines, load.everywhere)
+        return News(
+            sender=self.name,
+            boot="boot",
+            zone=self.zone,
+            sequence=self.sequence,
+            config_version=1,
+            stopping=False,
+            work=work,
+            avoided={engines[1]: 1.0} if load.trouble and rng.random() < 0.2 else {},
+            held_back={},
+            crashes={},
+            leaving={engines[0]: 1} if load.trouble else {},
+            usage={},
+            kept=kept,
+            duty_fence=0,
+            listing_version=0,
+            usage_window=window,
+            listing_seen=self.sequence,
+            fixed=tuple(range(window - TOLD_FIXED, window)),
+        )
+
+
+class _Members:
+    """A table of hosts that answers at once."""
+
+    def __init__(self, members: Sequence[Member]) -> None:
+        self._members = list(members)
+
+    def list(self) -> Any:
+        return Ok(self._members)
+
+    def join(self, member: Member) -> Any:
+        return Ok(1)
+
+    def store_zero(self) -> Any:
+        return Ok(StoreZero(0.0, 1))
+
+
+class SmallHost:
+    """A host among `hosts`, with `engines`, under a load."""
+
+    def __init__(
+        self,
+        hosts: int,
+        engines: int,
+        load: Load,
+        seed: int,
+        meter: Meter,
+        dispatcher_type: type[MeteredDispatcher] = MeteredDispatcher,
+    ) -> None:
+        self.meter, self.load = meter, load
+        self.rng = random.Random(f"{hosts} {engines} {load.name} {seed}")
+        self.clock = ManualClock()
+        self.counts: Counter[str] = Counter()
+        self._hosts = hosts
+        here = Place("zone-0", "region-0")
+        self.engines = [
+            ListedBackEnd(
+                f"engine-{n}",
+                SERVICE,
+                ("10.0.0.1", 80),
+                f"zone-{n % REGIONS}",
+                64,
+                role=Role.PREFILL if n // REGIONS % 2 else Role.DECODE,
+                started_at_ms=1,
+            )
+            for n in range(engines)
+        ]
+        self._names = [each.name for each in self.engines]
+        retry = RetrySettings(0.2, 50.0, 10.0)
+        self.dispatcher = dispatcher_type(
+            self.clock, here, ZONES, retry, 2.2, random.Random(seed), host="me"
+        )
+        self.dispatcher.meter = meter
+        feeds = [
+            FeedFollower(name, None, self.clock, random.Random(seed), lambda *_: None)
+            for name in ("configuration", "back_ends")
+        ]
+        era, true_time, book = StoreEra(), TrueTime(self.clock), UsageBook(5.0)
+        self.exchange = Exchange(
+            SimpleNamespace(name="me", zone=here.zone),
+            "boot",
+            self.clock,
+            true_time,
+            book,
+            self.dispatcher,
+            *feeds,
+            lambda: SimpleNamespace(version=1),
+            lambda: 0,
+            lambda: False,
+            era,
+        )
+        self._window = lambda: book.window(true_time.now())
+        self._address = (fresh_host(), 8004)
+        self.peers = _peers.PeerNews(
+            self._address,
+            self.clock,
+            NEWS_S,
+            self._metered("own news", self.exchange.news),
+            lambda: 0,
+            self.exchange.usage,
+            lambda zone: ZONES[zone] != here.region,
+            self._metered("taken by exchange", self.exchange.heard),
+            self.exchange.silent,
+        )
+        self.stand_ins = [_Peer(n, self.rng) for n in range(1, hosts)]
+        members = [Member("me", self._address, "boot")]
+        members += [Member(each.name, each.address, "boot") for each in self.stand_ins]
+        self.membership = Membership(
+            members[0],
+            _Members(members),
+            self.peers,
+            true_time,
+            self.clock,
+            lambda count, readers: self.dispatcher.hosts(count),
+        )
+        self._events: list[Any] = []
+        self._numbers = itertools.count()
+        self._look()
+        for every_s, call in (
+            (STEP_S, self._exchange_news),
+            (TICK_S, self._metered("dispatcher tick", self.dispatcher.tick)),
+            (MEMBERSHIP_TICK_S, self._metered("membership tick", self.membership.tick)),
+            (LOOK_S, self._look),
+        ):
+            self._repeat(every_s, call)
+        if load.requests_per_s:
+            self._at(0.0, self._arrive)
+
+    def run(self, seconds: float) -> None:
+        """Play some seconds."""
+        until = self.clock.now() + seconds
+        while self._events and self._events[0][0] <= until:
+            when, _, call = heapq.heappop(self._events)
+            self.clock.advance(max(0.0, when - self.clock.now()))
+            call()
+
+    def end(self) -> None:
+        """Close the sockets."""
+        for each in self.stand_ins:
+            each.socket.close()
+        self.peers.close()
+
+    def _at(self, when: float, call: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._numbers), call))
+
+    def _repeat(self, every_s: float, call: Callable[[], None]) -> None:
+        def again() -> None:
+            call()
+            self._at(self.clock.now() + every_s, again)
+
+        self._at(self.clock.now() + every_s, again)
+
+    def _metered(self, kind: str, call: Callable) -> Callable:
+        def metered(*arguments: Any) -> Any:
+            with self.meter(kind):
+                return call(*arguments)
+
+        return metered
+
+    def _exchange_news(self) -> None:
+        now = self.clock.now()
+        if now >= self.peers._next_send:
+            with self.meter("news sent"):
+                self.peers.tick()
+        due = [each for each in self.stand_ins if each.due_at <= now]
+        for each in due:
+            near = ZONES[each.zone] == "region-0"
+            most = _peers.MOST_NEAR_PER_S if near else _peers.MOST_FAR_PER_S
+            peers = self._hosts // REGIONS if near else self._hosts - self._hosts // REGIONS
+            between_s = _peers.news_between_s(NEWS_S, peers, most)
+            each.due_at = now + between_s
+            news = each.news(self._names, self.load, between_s, self._window())
+            each.socket.sendto(encode_news(news), self._address)
+            self.counts["datagrams"] += 1
+        if due:
+            with self.meter("news taken"):
+                self.peers.tick()
+
+    def _look(self) -> None:
+        """Take the entries as they were renewed."""
+        self.engines = [each._replace(beat=each.beat + 1) for each in self.engines]
+        entries = {each.name: each for each in self.engines}
+        self.dispatcher.listed(Listing(entries, 1, 0.0, self.clock.now() == 0.0))
+
+    def _arrive(self) -> None:
+        now = self.clock.now()
+        self._at(now + self.rng.expovariate(self.load.requests_per_s), self._arrive)
+        number = self.rng.randrange(STARTS)
+        parts = (Part(f"start-{number}", START_TOKENS), Part(f"own {now}", OWN_TOKENS))
+        prompt = Prompt("m", parts, START_TOKENS + OWN_TOKENS, 100)
+        waiting = Waiting(f"r{next(self._numbers)}", 1, now, now + OBJECTIVE_S, now + PATIENCE_S)
+        self.counts["requests"] += 1
+        self.dispatcher.held_for(waiting.request_id)
+        self._place(Order(waiting, SERVICE, prompt, BODY_BYTES, engine=TRAITS))
+
+    def _place(self, order: Order) -> None:
+        future = self.dispatcher.place(order)
+        future.add_done_callback(
+            lambda done: self._at(self.clock.now(), lambda: self._placed(order, done.result()))
+        )
+
+    def _placed(self, order: Order, outcome: Assignment | Refusal) -> None:
+        now = self.clock.now()
+        if isinstance(outcome, Refusal):
+            self.counts["refused"] += 1
+        elif outcome.reader is not None:
+            self._at(now + READ_S, lambda: self._has_read(order, outcome))
+        else:
+            self.counts["run"] += 1
+            self._at(now + GENERATE_S, lambda: self._answered(outcome))
+
+    def _has_read(self, order: Order, assignment: Assignment) -> None:
+        self.dispatcher.read(assignment, order.prompt, 1000 * READ_S)
+        begun, zone = order.waiting._replace(begun=True), assignment.reader.zone
+        self._place(order._replace(waiting=begun, copied_in=zone, again=True))
+
+    def _answered(self, assignment: Assignment) -> None:
+        name = assignment.runner.name
+        if any(assignment.read_work):
+            self.dispatcher.begun(name, assignment.read_work)
+        self.dispatcher.judged(name, False)
+        self.dispatcher.ended(name, assignment.run_work, SERVICE)
--- /dev/null
+++ b/bench/cost.py
@@ -0,0 +1,117 @@
+"""Processor time of one relay host by task and function, against the number of hosts."""
+
+import cProfile
+import logging
+import pstats
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+
+from bench._report import Report, Table, average_rows
+from bench._small_host import Load, Meter, SmallHost
+from laburnumreel.relay import _peers
+from laburnumreel.relay._work import Work
+
+# Hosts of a deployment, and the engines of its largest service.
+SIZES = ((7, 8), (63, 42), (195, 90), (380, 170))
+WARM_S, RUN_S = 3.0, 10.0
+LOADS = (
+    Load("idle", requests_per_s=0.0),
+    Load("calm"),
+    Load("trouble", trouble=True),
+    # Requests wait, as engines have no place to generate, or a long queue of prompts to read.
+    Load("full", everywhere=Work(64, 0, 64, 64 * 9000)),
+    Load("queued", everywhere=Work(9, 80_000, 0, 0)),
+)
+PROFILED = ("calm", "queued")
+FUNCTIONS = 16
+
+TEXT = (
+    "One host's tasks on one thread, by a clock that is moved, between small stand-ins: peers that"
+    f" send real datagrams as often as hosts do, engines, and callers of 9 requests a second. Thread"
+    f" processor time of {RUN_S:.0f} s after {WARM_S:.0f} s, the kernel's for the datagrams included;"
+    " not included are changes of threads, the callers' connections and the engines'. A datagram taken"
+    " counts from the socket to the dispatcher's beliefs, without the tries to place that follow."
+    " Reports are what engines' answers tell the dispatcher; looks are renewed entries of all engines."
+)
+COSTS: Mapping[str, tuple[str, ...]] = {
+    "datagram taken": ("news taken", "taken by exchange", "dispatcher Heard"),
+    "news made and sent": ("news sent", "own news", "dispatcher OwnNews"),
+    "report": tuple(f"dispatcher {name}" for name in ("Read", "Begun", "Judged", "Ended")),
+    "look": ("dispatcher Listed",),
+    "try": ("placement try",),
+}
+
+
+def run(seeds: Sequence[int]) -> Report:
+    """Measure each load at each size."""
+    logging.disable(logging.CRITICAL)
+    gather_s, _peers.GATHER_S = _peers.GATHER_S, 0.0
+    try:
+        rows = [
+            (load.name, hosts, engines, *_costs(load, hosts, engines, seed))
+            for load in LOADS
+            for hosts, engines in SIZES
+            for seed in seeds
+        ]
+        functions = [row for load in LOADS if load.name in PROFILED for row in _functions(load)]
+    finally:
+        _peers.GATHER_S = gather_s
+        logging.disable(logging.NOTSET)
+    headers = ("load", "hosts", "engines", "core", "ms/request", "tries/request")
+    headers += tuple(f"us/{name}" for name in COSTS)
+    at = tuple(f"{hosts} hosts" for hosts, _ in SIZES)
+    return Report(
+        TEXT,
+        [
+            Table("means", headers, average_rows(rows, 3)),
+            Table("functions", ("load", "own ms a second by cProfile", *at), functions),
+        ],
+    )
+
+
+def _played(load: Load, hosts: int, engines: int, seed: int, profile: cProfile.Profile | None):
+    meter = Meter()
+    host = SmallHost(hosts, engines, load, seed, meter)
+    host.run(WARM_S)
+    meter.clear(profile)
+    host.counts.clear()
+    host.run(RUN_S)
+    host.end()
+    return host, meter
+
+
+def _costs(load: Load, hosts: int, engines: int, seed: int) -> tuple[float, ...]:
+    """Return the share of a core, and microseconds for each event."""
+    host, meter = _played(load, hosts, engines, seed, None)
+    events = {
+        "datagram taken": host.counts["datagrams"],
+        "news made and sent": meter.calls["own news"],
+        "report": sum(meter.calls[kind] for kind in COSTS["report"]),
+        "look": meter.calls["dispatcher Listed"],
+        "try": meter.calls["placement try"],
+    }
+    total_ms = sum(meter.ns.values()) / 1e6
+    requests = host.counts["requests"]
+    return (
+        total_ms / 1000 / RUN_S,
+        total_ms / requests if requests else 0.0,
+        meter.calls["placement try"] / requests if requests else 0.0,
+        *(
+            sum(meter.ns[kind] for kind in kinds) / 1000 / max(1, events[name])
+            for name, kinds in COSTS.items()
+        ),
+    )
+
+
+def _functions(load: Load) -> list[tuple[str | float, ...]]:
+    own: list[dict[str, float]] = []
+    for hosts, engines in SIZES:
+        profile = cProfile.Profile()
+        _played(load, hosts, engines, 1, profile)
+        own.append({})
+        for (file, _, name), (_, _, seconds, _, _) in pstats.Stats(profile).stats.items():
+            function = name.split(" at 0x")[0] if file == "~" else f"{Path(file).stem}.{name}"
+            own[-1][function] = own[-1].get(function, 0.0) + 1000 * seconds / RUN_S
+    # Those that cost most at the second size, which is that of the further-grown site.
+    costly = sorted(own[1], key=own[1].__getitem__, reverse=True)[:FUNCTIONS]
+    return [(load.name, name, *(each.get(name, 0.0) for each in own)) for name in costly]
