Weigh engines only for a request that some engine has room for

Cause: a request that waits is tried each pass, and each try weighed all engines, to read and to generate, and looked up what each keeps, though none had a place to generate or a queue short enough. Now a try first looks whether any engine can generate, and whether any has room in its queue; a request whose prompt was read already does not look up what engines keep. An engine's place is looked up once for each try.

--- a/src/laburnumreel/relay/_beliefs.py
+++ b/src/laburnumreel/relay/_beliefs.py
@@ -107,9 +107,14 @@
         """Return the backend servers that a request may be sent to, as placement sees them."""
         standing = self._standings.of(order.service, now)
         excluded = order.excluded | self.limits.closed(order.service, now)
-        if order.prompt is None:
-            return [each for name, each in standing.items() if name not in excluded]
-        usable = {name: each for name, each in standing.items() if name not in excluded}
+        usable = dict(standing)
+        for name in excluded:
+            usable.pop(name, None)
+        if order.prompt is None or order.copied_in:
+            return list(usable.values())
+        if not any(each.can_generate for each in usable.values()):
+            # The request waits, whatever any of them keeps.
+            return list(usable.values())
         for name, tokens in self._prompts.kept(usable, order.prompt, now):
             usable[name] = usable[name]._replace(kept_tokens=tokens)
         if order.prompt.shared:
--- a/src/laburnumreel/relay/_placement.py
+++ b/src/laburnumreel/relay/_placement.py
@@ -84,16 +84,21 @@
         self._kept = max((each.kept_tokens for each in candidates), default=0)
         self._others_read = any(each.back_end.role is Role.PREFILL for each in candidates)
 
+    def any_has_room(self, engines: Iterable[Candidate]) -> bool:
+        """Return whether any of some engines has room."""
+        return any(self.has_room(each) for each in engines)
+
     def has_room(self, engine: Candidate) -> bool:
         """Return whether an engine's queue of prompts is short enough for this one."""
         reads_only = engine.back_end.role is Role.PREFILL
         token_ms = engine.read_ms * (1.0 if reads_only else self._costs.mixed_read_factor)
         queue_ms = engine.work.reading_tokens * token_ms
+        if not self._contended:
+            free_to_read = self._others_read and not reads_only
+            return free_to_read or queue_ms <= QUEUE_SHARE * self._objective_ms
         own_ms = max(0, self._prompt.input_tokens - engine.kept_tokens) * token_ms
         if self._others_read and not reads_only:
-            return not self._contended or queue_ms <= GENERATOR_QUEUE_SHARE * own_ms
-        if not self._contended:
-            return queue_ms <= QUEUE_SHARE * self._objective_ms
+            return queue_ms <= GENERATOR_QUEUE_SHARE * own_ms
         if engine.kept_tokens >= self._kept and (self._kept > 0 or engine.home):
             return queue_ms <= QUEUE_SHARE * self._objective_ms
         return queue_ms <= max(REREAD_QUEUE_SHARE * self._objective_ms, own_ms)
@@ -125,13 +130,16 @@
         region can keep all starts of prompts. `queues`, where given, tells which engines have room
         for the prompt.
         """
+        generators = [each for each in candidates if each.can_generate]
+        readers = [each for each in candidates if each.back_end.role is Role.PREFILL]
+        if not generators:
+            return None
+        if copied_in is None and queues is not None:
+            # One of these would read the prompt, whatever each costs.
+            if not queues.any_has_room(generators + readers if read_apart else generators):
+                return None
         weighing = Weighing(self._here, self._costs, prompt, body_bytes, traits, settled)
-        running = [
-            weighing.running(each)
-            for each in candidates
-            if each.back_end.role is not Role.PREFILL
-            and each.work.streams < max(1, each.back_end.slots)
-        ]
+        running = [weighing.running(each) for each in generators]
         if copied_in is not None:
             plans = [weighing.taking(copied_in, each) for each in best_of_places(running)]
             return min(plans, key=lambda plan: plan.cost_ms, default=None)
@@ -139,9 +147,7 @@
         if read_apart:
             # What joins two engines depends on their places only, so the best one of each place
             # stands for the others.
-            reading = [
-                weighing.reading(each) for each in candidates if each.back_end.role is Role.PREFILL
-            ]
+            reading = [weighing.reading(each) for each in readers]
             joined = weighing.joined(best_of_places(reading), best_of_places(running))
             plans += [joined] if joined is not None else []
         plan = min(plans, key=lambda plan: plan.cost_ms, default=None)
--- a/src/laburnumreel/relay/_prompts.py
+++ b/src/laburnumreel/relay/_prompts.py
@@ -12,6 +12,7 @@
 WORKING_SET_EVERY_S = 1.0
 # Bounds the memory of what was used where, for each engine.
 MOST_PARTS = 4096
+NEVER = float("-inf")
 
 
 class PromptMemory:
@@ -68,7 +69,7 @@
         used = self._used.get(engine, {})
         kept = 0
         for part in prompt.shared:
-            if now - used.get(part.name, float("-inf")) > REMEMBER_S:
+            if now - used.get(part.name, NEVER) > REMEMBER_S:
                 break
             kept += part.tokens
         return kept
@@ -82,7 +83,7 @@
             (engine, self.kept_tokens(engine, prompt, now))
             for engine in engines
             if (used := self._used.get(engine)) is not None
-            and now - used.get(first, float("-inf")) <= REMEMBER_S
+            and now - used.get(first, NEVER) <= REMEMBER_S
         ]
 
     def working_set(self, now: float) -> int:
--- a/src/laburnumreel/relay/_weighing.py
+++ b/src/laburnumreel/relay/_weighing.py
@@ -4,7 +4,7 @@
 from functools import lru_cache
 from typing import NamedTuple
 
-from laburnumreel.relay._back_ends import ListedBackEnd
+from laburnumreel.relay._back_ends import ListedBackEnd, Role
 from laburnumreel.relay._config import EngineTraits
 from laburnumreel.relay._requests import Prompt
 from laburnumreel.relay._work import Work
@@ -88,6 +88,16 @@
     def place(self) -> Place:
         return place_of(self.back_end.zone, self.region)
 
+    def with_work(self, work: Work) -> "Candidate":
+        """Return this one with other work; it costs a third of `_replace`."""
+        return Candidate(*self[:2], work, *self[3:])
+
+    @property
+    def can_generate(self) -> bool:
+        """Whether it is an engine with a place for one more request that generates."""
+        back_end = self.back_end
+        return back_end.role is not Role.PREFILL and self.work.streams < max(1, back_end.slots)
+
 
 class EnginePlan(NamedTuple):
     """The engines of a request: one that reads the prompt, if any, and one that generates.
@@ -107,6 +117,7 @@
     """One of the two engines of a plan, with what it adds to time and cost."""
 
     candidate: Candidate
+    place: Place
     read_tokens: int
     first_ms: float
     cost_ms: float
@@ -116,9 +127,9 @@
     """Return the half with the least cost of each place."""
     best: dict[Place, Half] = {}
     for half in halves:
-        known = best.get(half.candidate.place)
+        known = best.get(half.place)
         if known is None or half.cost_ms < known.cost_ms:
-            best[half.candidate.place] = half
+            best[half.place] = half
     return list(best.values())
 
 
@@ -206,6 +217,7 @@
     def alone(self, generator: Candidate, running: Half) -> EnginePlan:
         """Return the plan of an engine that reads the prompt and generates."""
         costs, work = self._costs, generator.work
+        away_ms = self._way(running.place).away_ms
         unread = max(0, self._tokens - generator.kept_tokens)
         token_ms = generator.read_ms * costs.mixed_read_factor
         reading_ms = unread * token_ms
@@ -213,53 +225,54 @@
         # Reading again has its own cost of being away.
         cost = (
             running.cost_ms
-            - self._way(generator.place).away_ms
+            - away_ms
             + queue_ms
             + reading_ms * (1 + work.streams * costs.stall_share)
-            + self._rereading(unread, generator)
+            + self._rereading(unread, away_ms)
         )
         return EnginePlan(None, generator, unread, running.first_ms + queue_ms + reading_ms, cost)
 
     def reading(self, reader: Candidate) -> Half:
         """Return the cost of reading the prompt at an engine, without the way on from there."""
-        costs, way = self._costs, self._way(reader.place)
+        costs, place = self._costs, reader.place
+        way = self._way(place)
         unread = max(0, self._tokens - reader.kept_tokens)
         read_ms = (reader.work.reading_tokens + unread) * reader.read_ms
         cost = (
             way.cost_ms
             + read_ms
             + reader.failure_share * costs.failure_ms
-            + self._rereading(unread, reader)
+            + self._rereading(unread, way.away_ms)
             + (0.0 if reader.home or unread < self._tokens else costs.home_ms)
         )
-        return Half(reader, unread, way.ms + read_ms, cost)
+        return Half(reader, place, unread, way.ms + read_ms, cost)
 
     def running(self, generator: Candidate) -> Half:
         """Return the cost of generating at an engine that need not read the prompt."""
-        way = self._way(generator.place)
+        place = generator.place
+        way = self._way(place)
         cost = way.cost_ms + way.away_ms + self._generating(generator)
-        return Half(generator, 0, way.ms, cost)
+        return Half(generator, place, 0, way.ms, cost)
 
     def joined(self, readers: Iterable[Half], generators: Sequence[Half]) -> EnginePlan | None:
         """Return the best plan of two engines, with the copy from one to the other, or None."""
         best: tuple[float, Half, Half] | None = None
         for reader in readers:
-            place = reader.candidate.place
             for generator in generators:
-                copy = self._copies[_distance(place, generator.candidate.place)]
+                copy = self._copies[_distance(reader.place, generator.place)]
                 cost = reader.cost_ms + generator.cost_ms + copy.ms + copy.price_ms
                 if best is None or cost < best[0]:
                     best = (cost, reader, generator)
         if best is None:
             return None
         cost, reader, generator = best
-        taking = self.taking(reader.candidate.place, generator)
+        taking = self.taking(reader.place, generator)
         first_ms = reader.first_ms + taking.first_token_ms
         return EnginePlan(reader.candidate, taking.generator, reader.read_tokens, first_ms, cost)
 
     def taking(self, source: Place, generator: Half) -> EnginePlan:
         """Return the plan of an engine that takes a copy of the prompt from another place."""
-        copy = self._copies[_distance(source, generator.candidate.place)]
+        copy = self._copies[_distance(source, generator.place)]
         first_ms = generator.first_ms + copy.ms
         cost_ms = generator.cost_ms + copy.ms + copy.price_ms
         return EnginePlan(None, generator.candidate, 0, first_ms, cost_ms)
@@ -273,12 +286,11 @@
             way = self._ways[place] = _Way(ms, cost_ms, self._costs.away_ms if is_away else 0.0)
         return way
 
-    def _rereading(self, unread: int, reader: Candidate) -> float:
+    def _rereading(self, unread: int, away_ms: float) -> float:
         """Return the cost of reading shared parts that another engine keeps, and of going away."""
         again = max(0, unread - self._own_tokens) / 1000 * self._costs.reread_ms_per_k
         if not self._settled:
             return again
-        away_ms = self._way(reader.place).away_ms
         return again + away_ms if away_ms else again * self._costs.settled_reread_share
 
     def _generating(self, generator: Candidate) -> float:
