Put only what a peer's news changes into the sums of work

Each news made a map of all that a peer said before and says now, and two steps of sums for each entry that differs; each placement passed over all peers for the age of the oldest news. The sums are now corrected in one step, and peers stand in the order in which they were heard.

--- a/src/laburnumreel/relay/_work.py
+++ b/src/laburnumreel/relay/_work.py
@@ -98,14 +98,18 @@
         told = self._peers.get(sender)
         before = told.work if told is not None else {}
         self._heard_at[sender] = now
+        # Whoever was heard longest ago stays first.
+        self._peers.pop(sender, None)
         self._peers[sender] = _Told(now, now + lasts_s, work)
         self._next_end = min(self._next_end, now + lasts_s)
         # Most of what a peer tells is what it told before.
-        for back_end in {**before, **work}:
-            was, is_now = before.get(back_end, NO_WORK), work.get(back_end, NO_WORK)
+        for back_end, is_now in work.items():
+            was = before.get(back_end, NO_WORK)
             if was != is_now:
-                _change(self._of_peers, back_end, is_now.times_added(was, -1), 1)
-                self._changed.add(back_end)
+                self._correct(back_end, was, is_now)
+        for back_end, was in before.items():
+            if back_end not in work and was != NO_WORK:
+                self._correct(back_end, was, NO_WORK)
 
     def forget_peer(self, sender: str) -> None:
         """Drop what a peer said, because it has stopped."""
@@ -120,6 +124,21 @@
             _change(self._of_peers, back_end, each, -1)
         self._changed.update(told.work)
 
+    def _correct(self, back_end: str, was: Work, is_now: Work) -> None:
+        """Put what a peer says now in the place of what it said of a backend server."""
+        total = self._of_peers.get(back_end, NO_WORK)
+        total = Work(
+            total.requests + is_now.requests - was.requests,
+            total.reading_tokens + is_now.reading_tokens - was.reading_tokens,
+            total.streams + is_now.streams - was.streams,
+            total.kv_tokens + is_now.kv_tokens - was.kv_tokens,
+        )
+        if total == NO_WORK:
+            self._of_peers.pop(back_end, None)
+        else:
+            self._of_peers[back_end] = total
+        self._changed.add(back_end)
+
     def total(self, back_end: str, now: float) -> Work:
         """Return the work of this host and of the peers heard from lately."""
         self._forget_old(now)
@@ -129,7 +148,8 @@
     def oldest_news_s(self, now: float) -> float:
         """Return the age of the oldest peer news that still counts, in seconds."""
         self._forget_old(now)
-        return now - min((told.heard_at for told in self._peers.values()), default=now)
+        oldest = next(iter(self._peers.values()), None)
+        return now - oldest.heard_at if oldest is not None else 0.0
 
     def _forget_old(self, now: float) -> None:
         if now < self._next_end:
