Make the candidates of a service anew without work that is thrown away

Candidates that are kept for 50 ms had the work of each engine put in at the next request though they were over and were made anew at once: with the news of 62 peers nearly all of them. Making them worked out three times how far an engine's figures have faded.

--- a/src/laburnumreel/relay/_beliefs.py
+++ b/src/laburnumreel/relay/_beliefs.py
@@ -329,20 +329,26 @@
 
     def _standing(self, service: str, now: float) -> dict[str, Candidate]:
         """Return the backend servers of a service that take work, by name."""
-        return {
-            back_end.name: Candidate(
+        standing = {}
+        for back_end in self._back_ends.usable(service, now):
+            name = back_end.name
+            if (
+                name in self._gone_heard
+                or not self._self_reports.takes_work(back_end, now)
+                or self._conduct.resting(name, now)
+            ):
+                continue
+            failure_share, read_ms, plain_ms = self._conduct.figures(name, now)
+            standing[name] = Candidate(
                 back_end,
-                self.place(back_end.zone).region,
-                self.ledger.total(back_end.name, now),
-                self._conduct.failure_share(back_end.name, now),
-                read_ms=self._conduct.read_ms(back_end.name, now),
-                plain_ms=self._conduct.plain_ms(back_end.name, now),
+                self._regions.get(back_end.zone, back_end.zone),
+                self.ledger.total(name, now),
+                failure_share,
+                0,
+                read_ms,
+                plain_ms,
             )
-            for back_end in self._back_ends.usable(service, now)
-            if self._self_reports.takes_work(back_end, now)
-            and back_end.name not in self._gone_heard
-            and not self._conduct.resting(back_end.name, now)
-        }
+        return standing
 
 
 def _lasting(beliefs: dict, now: float) -> dict:
--- a/src/laburnumreel/relay/_conduct.py
+++ b/src/laburnumreel/relay/_conduct.py
@@ -98,6 +98,19 @@
         record = self._records.get(back_end)
         return record.failures * _fade(record, now) if record is not None else 0.0
 
+    def figures(self, back_end: str, now: float) -> tuple[float, float, float]:
+        """Return the share of recent requests that failed, and the milliseconds that an engine needs
+        for a prompt token and that a plain request takes."""
+        record = self._records.get(back_end)
+        if record is None:
+            return 0.0, self._read_ms, self._plain_ms
+        fade = _fade(record, now)
+        return (
+            record.failures * fade,
+            self._read_ms + fade * (record.read_ms - self._read_ms),
+            self._plain_ms + fade * (record.plain_ms - self._plain_ms),
+        )
+
     def read(self, back_end: str, tokens: int, took_ms: float, now: float) -> None:
         """Count that an engine read `tokens`, those queued before included, in a time."""
         record = self._record(back_end, now)
--- a/src/laburnumreel/relay/_self_reports.py
+++ b/src/laburnumreel/relay/_self_reports.py
@@ -88,6 +88,8 @@
 
     def takes_work(self, back_end: ListedBackEnd, now: float) -> bool:
         """Return whether a backend server has not said that it wants no work."""
+        if not (self._leaving or self._told or self._full):
+            return True
         return not any(
             said.counts_for(back_end, now)
             for reports in (self._leaving, self._told, self._full)
--- a/src/laburnumreel/relay/_standings.py
+++ b/src/laburnumreel/relay/_standings.py
@@ -38,13 +38,14 @@
 
     def of(self, service: str, now: float) -> dict[str, Candidate]:
         """Return the candidates of a service by name. The caller must not change them."""
+        for each in [each for each, (at, _) in self._kept.items() if now >= at + KEPT_S]:
+            del self._kept[each]
         worked = self._ledger.take_changed(now)
         for _, candidates in self._kept.values():
             for name in worked & candidates.keys():
-                work = self._ledger.total(name, now)
-                candidates[name] = candidates[name]._replace(work=work)
+                candidates[name] = candidates[name].with_work(self._ledger.total(name, now))
         kept = self._kept.get(service)
-        if kept is None or not kept[0] <= now < kept[0] + KEPT_S:
+        if kept is None or now < kept[0]:
             kept = self._kept[service] = (now, self._build(service, now))
             self._name(service, kept[1])
         return kept[1]
