--- a/src/laburnumreel/relay/_placement.py
+++ b/src/laburnumreel/relay/_placement.py
@@ -134,10 +134,10 @@
         readers = [each for each in candidates if each.back_end.role is Role.PREFILL]
         if not generators:
             return None
-        if copied_in is None and queues is not None:
-            # One of these would read the prompt, whatever each costs.
-            if not queues.any_has_room(generators + readers if read_apart else generators):
-                return None
+        # One of these would read the prompt, whatever each costs.
+        reading = generators + readers if read_apart else generators
+        if copied_in is None and queues is not None and not queues.any_has_room(reading):
+            return None
         weighing = Weighing(self._here, self._costs, prompt, body_bytes, traits, settled)
         running = [weighing.running(each) for each in generators]
         if copied_in is not None:
@@ -147,8 +147,8 @@
         if read_apart:
             # What joins two engines depends on their places only, so the best one of each place
             # stands for the others.
-            reading = [weighing.reading(each) for each in readers]
-            joined = weighing.joined(best_of_places(reading), best_of_places(running))
+            halves = [weighing.reading(each) for each in readers]
+            joined = weighing.joined(best_of_places(halves), best_of_places(running))
             plans += [joined] if joined is not None else []
         plan = min(plans, key=lambda plan: plan.cost_ms, default=None)
         if plan is None or queues is None or queues.has_room(plan.reader or plan.generator):
