--- a/src/laburnumreel/relay/_fleet_limits.py
+++ b/src/laburnumreel/relay/_fleet_limits.py
@@ -87,8 +87,11 @@
 
     def news(self, far: bool, now: float) -> LimitsTold:
         """Return what peers are to be told now, nearby or in other regions."""
-        limited = self._limits.limited
-        services = {each.service for each in self._back_ends if each.name in limited}
+        services = {
+            back_end.service
+            for name in self._limits.limited
+            if (back_end := self._back_ends.get(name)) is not None
+        }
         rates = {service: self._asked_per_s(service, now) for service in services}
         asked = {service: per_s for service, per_s in rates.items() if per_s > 0}
         self._sends.told(asked)
