--- a/src/laburnumreel/relay/_beliefs.py
+++ b/src/laburnumreel/relay/_beliefs.py
@@ -107,9 +107,14 @@
         """Return the backend servers that a request may be sent to, as placement sees them."""
         standing = self._standings.of(order.service, now)
         excluded = order.excluded | self.limits.closed(order.service, now)
-        if order.prompt is None:
-            return [each for name, each in standing.items() if name not in excluded]
-        usable = {name: each for name, each in standing.items() if name not in excluded}
+        usable = dict(standing)
+        for name in excluded:
+            usable.pop(name, None)
+        if order.prompt is None or order.copied_in:
+            return list(usable.values())
+        if not any(each.can_generate for each in usable.values()):
+            # The request waits, whatever any of them keeps.
+            return list(usable.values())
         for name, tokens in self._prompts.kept(usable, order.prompt, now):
             usable[name] = usable[name]._replace(kept_tokens=tokens)
         if order.prompt.shared:
@@ -324,20 +329,26 @@
 
     def _standing(self, service: str, now: float) -> dict[str, Candidate]:
         """Return the backend servers of a service that take work, by name."""
-        return {
-            back_end.name: Candidate(
+        standing = {}
+        for back_end in self._back_ends.usable(service, now):
+            name = back_end.name
+            if (
+                name in self._gone_heard
+                or not self._self_reports.takes_work(back_end, now)
+                or self._conduct.resting(name, now)
+            ):
+                continue
+            failure_share, read_ms, plain_ms = self._conduct.figures(name, now)
+            standing[name] = Candidate(
                 back_end,
-                self.place(back_end.zone).region,
-                self.ledger.total(back_end.name, now),
-                self._conduct.failure_share(back_end.name, now),
-                read_ms=self._conduct.read_ms(back_end.name, now),
-                plain_ms=self._conduct.plain_ms(back_end.name, now),
+                self._regions.get(back_end.zone, back_end.zone),
+                self.ledger.total(name, now),
+                failure_share,
+                0,
+                read_ms,
+                plain_ms,
             )
-            for back_end in self._back_ends.usable(service, now)
-            if self._self_reports.takes_work(back_end, now)
-            and back_end.name not in self._gone_heard
-            and not self._conduct.resting(back_end.name, now)
-        }
+        return standing
 
 
 def _lasting(beliefs: dict, now: float) -> dict:
