Send the gateway's request beside a silent back end, and take the first answer

What callers saw: a stream ended with an error, or a whole answer became 502, 504 or a second back end's 500, although its back end was sound and went on a moment later. The request had left it for a back end that refused, failed, broke off or was silent in its turn, and no retry was left.

Cause: a retry, a place and a connection were held before the silent back end was left (_hold_takeover, _leave), but they are only a chance of an answer.

Change: with all three the request is sent to the other back end as well (SecondSends), and the silent one is left only for an answer: a stream's first token, what a plain service's answer has before a part of it is passed on. What can't be the answer ends the second send. After as long a silence a third back end is asked, as the retries allow. An exchange that ends while a second send is awaited is followed by that one, without a further retry. Requests that must not run twice are sent once, as before. What is known of the execution is counted for each send, in place of `ran_before`, so that a refusal of the first does not hide what the second may have run. A second back end that crashes counts against the request as before. Each send costs a retry; a send that is not needed is cancelled at its engine.

--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -1,18 +1,16 @@
 """The attempts of one request: choosing back ends, and what may be retried where."""
 
-from typing import NamedTuple
-
 from laburnumreel.coordination import BackEnd
 from laburnumreel.core import Log
 from laburnumreel.serving._crashes import has_crashed
-from laburnumreel.serving._dispatcher import Wanted
 from laburnumreel.serving._events import REQUEST_RETRIED, SILENT_SPOKE, SILENT_WAITED_FOR
 from laburnumreel.serving._job import Job, RequestFailedError
 from laburnumreel.serving._metrics import CANCELS, RETRIES
 from laburnumreel.serving._parts import Parts
-from laburnumreel.serving._silences import NoTakeover
+from laburnumreel.serving._refusals import is_of_another, means_this, seconds_to_come_back
+from laburnumreel.serving._second_sends import Asker, SecondSend, SecondSends, prepared
 from laburnumreel.state import ErrorKind, Refusal, RunState
-from laburnumreel.transport import BackEndFailureError, Exchange
+from laburnumreel.transport import BackEndFailureError, Exchange, await_bytes
 
 BACKOFF_BASE_S = 0.02
 BACKOFF_LIMIT_S = 1.0
@@ -22,37 +20,33 @@
 # How often a request at a silent back end asks for a retry and a place elsewhere.
 SILENCE_CHECK_S = 0.25
 CANCEL_TIMEOUT_S = 1.0
-# The longest time to come back that is taken from a back end: a day.
-LONGEST_RETRY_S = 86_400.0
 
 _log = Log("serving.attempts")
 
 
-class _Takeover(NamedTuple):
-    """What a request holds before it leaves a silent back end, besides a reserved retry."""
-
-    back_end: BackEnd
-    exchange: Exchange
-
-
 class Attempts:
     """Opens exchanges with one back end after another, as far as the request's rights go.
 
-    A back end that is silent is not given up for that: it may go on in a second. A request leaves it
-    only for a retry, a place and a connection elsewhere that it holds by then, and otherwise waits
-    until its deadline.
+    A back end that is silent is not given up for that: it may go on in a second. The request is sent
+    beside it to another one, as its retries allow, and leaves it only for an answer of that one,
+    which may refuse, fail or be silent as well. Otherwise it waits until its deadline.
     """
 
-    def __init__(self, parts: Parts, job: Job, first: BackEnd | None = None) -> None:
+    def __init__(self, parts: Parts, job: Job, asker: Asker, first: BackEnd | None = None) -> None:
         self._parts = parts
         self._first = first
         self._job = job
         self._tried: list[str] = []
         self._retries = 0
-        self._may_have_run = False
+        # How many sends may have run, besides those that are awaited beside.
+        self._unsettled = 0
+        self._asker = asker
         self._back_end: BackEnd | None = None
         self._exchange: Exchange | None = None
-        self._takeover: _Takeover | None = None
+        self._beside = SecondSends(parts, job, asker, self._tried, self._cancel)
+        # The second send that the request goes on with, where there is one.
+        self._taken: SecondSend | None = None
+        self._send_beside_at = 0.0
         self._may_leave = job.repeatable
         self._patient = True
         # What is known of a silent back end: since when, whether it takes connections, and why the
@@ -68,15 +62,14 @@
     @property
     def may_have_run(self) -> bool:
         """Whether a byte of the request may have reached a back end that did not refuse it."""
-        return self._may_have_run
+        return self._unsettled > 0 or self._beside.may_have_run
 
     def open(self) -> Exchange:
-        """Return an exchange with the next back end, to which nothing was sent yet."""
+        """Return an exchange with the next back end, for `send`."""
         while True:
-            if self._takeover is not None:
-                self._back_end, exchange = self._takeover
-                self._takeover = None
-                return self._attached(exchange)
+            if self._taken is not None:
+                self._back_end = self._taken.back_end
+                return self._attached(self._taken.exchange)
             self._back_end = back_end = self._choose()
             try:
                 exchange = self._parts.pool.open(back_end.address, not self._job.repeatable)
@@ -93,32 +86,36 @@
             raise self.failure(Refusal(ErrorKind.INTERNAL))
         return exchange
 
-    def send(self, method: str, target: str, headers: dict[str, str], body: bytes | None) -> None:
+    def send(self) -> None:
         """Send the request on the open exchange and read the answer's head."""
-        remaining = self._job.running.deadline - self._parts.clock.now()
-        headers["X-Request-Id"] = self._job.running.request_id
-        headers["X-Deadline-Ms"] = str(max(1, int(remaining * 1000)))
-        if self._job.credential:
-            headers["Authorization"] = f"Bearer {self._job.credential}"
-        self._may_have_run = True
+        exchange, silence_s = self._exchange, self._job.profile.silence_s
         self._patient = True
-        self._exchange.patience = self._on_silence
-        self._exchange.send(method, target, headers, body, self._job.profile.silence_s)
+        exchange.patience = self._on_silence
+        if self._taken is not None:
+            self._taken.read_head(silence_s)
+        else:
+            self._unsettled += 1
+            exchange.send(*prepared(self._asker.request(), self._parts, self._job), silence_s)
         self._heard()
-        echoed = self._exchange.header("X-Request-Id")
-        if echoed is not None and echoed != self._job.running.request_id:
+        if is_of_another(exchange, self._job.running.request_id):
             raise BackEndFailureError("lost", "the answer belongs to another request", True)
 
     def read(self) -> bytes:
         """Return the next bytes of the answer; none at its end."""
-        data = self._exchange.read()
+        data = self._taken.take_early() if self._taken is not None else b""
+        data = data or self._exchange.read()
         self._parts.dispatcher.heard(self._back_end.name)
         self._heard()
         return data
 
+    def settle(self) -> None:
+        """End the sends beside: the back end has sent a part of the answer that is taken."""
+        self._beside.end()
+
     def stay(self) -> None:
         """Leave the back end no more for its silence: a part of its answer is with the caller."""
         self._may_leave = False
+        self._beside.end()
 
     def end_patience(self) -> None:
         """Wait no longer than the exchange's timeout for what is left of this exchange."""
@@ -129,42 +126,40 @@
         request_id = self._job.running.request_id
         self._parts.dispatcher.first_token(self._back_end.name, request_id)
 
-    def refused(
-        self, ran_before: bool, retry_after: str | None, detail: str, delivered: int = 0
-    ) -> None:
+    def refused(self, retry_after: str | None, detail: str) -> None:
         """The back end refused: go on with another one, or fail with its time to come back.
 
-        A caller that has `delivered` tokens of a stream can't come back for the others.
+        A caller that has tokens of a stream can't come back for the others.
         """
-        self._take_word(ran_before)
+        self._take_word()
         self._parts.dispatcher.refused(self._back_end.name)
+        if self._beside.has_more:
+            self._go_on_beside()
+            return
         self._close()
-        if delivered:
+        if self._asker.delivered:
             detail = ""
-        elif (wait := _seconds(retry_after)) is not None:
+        elif (wait := seconds_to_come_back(retry_after)) is not None:
             raise self.failure(Refusal(ErrorKind.BACK_END_REFUSED, detail, wait))
         self._retry("back_end_refused", Refusal(ErrorKind.BACK_END_REFUSED, detail))
 
-    def rejected(self, ran_before: bool, detail: str) -> RequestFailedError:
+    def rejected(self, detail: str) -> RequestFailedError:
         """The back end holds the request to be malformed, which says nothing of earlier attempts."""
-        self._take_word(ran_before)
+        self._take_word()
         self._close()
         return self.failure(Refusal(ErrorKind.BAD_REQUEST, detail))
 
-    def lost(
-        self, error: BackEndFailureError, delivered: int = 0, progressed: bool = False
-    ) -> None:
-        """The exchange broke: go on with another back end, or fail with what is known.
+    def lost(self, error: BackEndFailureError, progressed: bool = False) -> None:
+        """The exchange broke, or is left: go on with another back end, or fail with what is known.
 
-        `delivered` counts the tokens of all attempts; `progressed` says whether this one had any.
+        `progressed` says whether this exchange had any tokens of the answer.
         """
         back_end = self._back_end
         aborted = self._job.running.aborted is not None
-        if self._takeover is not None and not aborted:
-            self._leave(self._retry_reason(delivered))
-            return
+        # One that is left for an answer is not asked whether it has crashed: that may take a while.
         crashed = (
             not aborted
+            and not self._beside.has_answer
             and (error.reason in ("lost", "short") or not self._reachable)
             and has_crashed(back_end.address)
         )
@@ -172,7 +167,12 @@
             back_end.name, self._job.running.request_id, progressed
         )
         failed = crashed or not self._reachable
-        self._close(failed=failed, cancel=error.sent and not crashed, lost=not aborted)
+        cancel = error.sent and not crashed
+        goes_on = self._beside.has_answer or (self._beside.has_more and self._has_time)
+        if goes_on and not aborted and not quarantined:
+            self._go_on_beside(failed=failed, cancel=cancel, lost=True)
+            return
+        self._close(failed=failed, cancel=cancel, lost=not aborted)
         if aborted:
             raise self.failure(Refusal(ErrorKind.INTERNAL))
         if quarantined:
@@ -185,7 +185,7 @@
             kind = ErrorKind.BACK_END_LOST
         if not self._job.repeatable:
             raise self.failure(Refusal(kind))
-        self._retry(self._retry_reason(delivered), Refusal(kind))
+        self._retry(self._retry_reason(), Refusal(kind))
 
     def done(self) -> None:
         """End the exchange, whose answer is complete."""
@@ -199,20 +199,15 @@
     def failure(self, refusal: Refusal) -> RequestFailedError:
         """Return the final error, with what is known about the request's execution."""
         refusal = self._job.running.aborted or refusal
-        state = RunState.UNKNOWN if self._may_have_run else RunState.NOT_RUN
+        state = RunState.UNKNOWN if self.may_have_run else RunState.NOT_RUN
         return RequestFailedError(refusal._replace(run_state=state))
 
-    def _take_word(self, ran_before: bool) -> None:
-        """Take a back end's word that it has not run the request, where that is proven to be meant.
-
-        An answer that names no request may be an earlier one, written once more, on a connection
-        that was used before. The request's own answer may follow it there.
-        """
-        exchange = self._exchange
-        if exchange.is_alone or exchange.header("X-Request-Id") is not None:
-            self._may_have_run = ran_before
+    def _take_word(self) -> None:
+        """Take a back end's word that it has not run the request, where it is proven to be meant."""
+        if means_this(self._exchange):
+            self._unsettled -= 1
         else:
-            exchange.abort()
+            self._exchange.abort()
 
     def _choose(self) -> BackEnd:
         job, dispatcher = self._job, self._parts.dispatcher
@@ -234,11 +229,13 @@
             job.running.sleep(TAKEOVER_CHECK_S)
 
     def _nothing_left(self) -> Refusal:
-        if self._may_have_run:
+        if self.may_have_run:
             return Refusal(ErrorKind.BACK_END_LOST, "No other back end can take over.")
         return Refusal(ErrorKind.NO_BACK_END)
 
     def _retry(self, reason: str, refusal: Refusal) -> None:
+        if self._beside.quarantined:
+            raise self.failure(Refusal(ErrorKind.QUARANTINED))
         running, now = self._job.running, self._parts.clock.now()
         limit = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2**self._retries)
         wait = self._parts.rng.uniform(0, limit)
@@ -249,21 +246,32 @@
         self._count_retry(reason)
         running.sleep(wait)
 
-    def _retry_reason(self, delivered: int) -> str:
+    def _retry_reason(self) -> str:
         if self._parts.dispatcher.leaving(self._back_end.name):
             return "zone_reclaimed"
-        return "resumed" if delivered else "idempotent_lost"
+        return "resumed" if self._asker.delivered else "idempotent_lost"
 
     def _count_retry(self, reason: str) -> None:
         self._retries += 1
         RETRIES.inc(reason=reason)
         _log.info(REQUEST_RETRIED, request=self._job.running.request_id, reason=reason)
 
+    @property
+    def _has_time(self) -> bool:
+        return self._parts.clock.now() < self._job.running.deadline
+
+    def _go_on_beside(self, failed: bool = False, cancel: bool = False, lost: bool = False) -> None:
+        """Go on with a second send in the place of the present one."""
+        second = self._beside.take()
+        self._unsettled += 1
+        self._close(failed, cancel, lost)
+        self._taken = second
+
     def _close(self, failed: bool = False, cancel: bool = False, lost: bool = False) -> None:
-        self._drop_takeover()
+        self._beside.end()
         self._end_silence()
         back_end, exchange = self._back_end, self._exchange
-        self._exchange = None
+        self._exchange = self._taken = None
         self._job.running.detach()
         if exchange is not None:
             incomplete = not exchange.complete
@@ -282,55 +290,39 @@
         if not self._patient or running.aborted is not None or now >= running.deadline:
             return None
         if self._silent_since is None:
-            self._silent_since = now
+            self._silent_since = self._send_beside_at = now
             self._parts.dispatcher.silent(self._back_end.name, running.request_id)
             self._reachable = self._parts.pool.went_silent(self._back_end.address)
             if not self._reachable and has_crashed(self._back_end.address):
                 return None
         if not self._may_leave:
             self._log_waiting("the answer can only come from this one")
-        elif self._takeover is not None or self._hold_takeover():
-            return None
-        return min(SILENCE_CHECK_S, running.deadline - now)
-
-    def _hold_takeover(self) -> bool:
-        """Get hold of what it takes to leave a silent back end; False where that is not had."""
-        job, dispatcher = self._job, self._parts.dispatcher
-        wanted = Wanted(job.work, self._cheap, job.digest)
-        back_end = dispatcher.reserve_takeover(wanted, self._tried, job.profile.silence_s)
-        if isinstance(back_end, NoTakeover):
-            self._log_waiting(str(back_end))
-            return False
-        try:
-            exchange = self._parts.pool.open(back_end.address)
-        except BackEndFailureError:
-            self._tried.append(back_end.name)
-            self._release(back_end, failed=True)
-            return False
-        self._takeover = _Takeover(back_end, exchange)
-        if self._exchange.has_unread:
-            self._drop_takeover()
-            return False
-        self._tried.append(back_end.name)
-        return True
-
-    def _leave(self, reason: str) -> None:
-        """Leave the silent back end for the one that is held."""
-        takeover, self._takeover = self._takeover, None
-        self._parts.dispatcher.use_takeover(self._job.service.name)
-        self._count_retry(reason)
-        self._close(failed=not self._reachable, cancel=True, lost=True)
-        self._takeover = takeover
-
-    def _drop_takeover(self) -> None:
-        if self._takeover is not None:
-            (back_end, exchange), self._takeover = self._takeover, None
-            exchange.discard()
-            self._release(back_end)
-
-    def _release(self, back_end: BackEnd, failed: bool = False) -> None:
-        service, request_id = self._job.service.name, self._job.running.request_id
-        self._parts.dispatcher.release_takeover(service, back_end.name, request_id, failed)
+            return min(SILENCE_CHECK_S, running.deadline - now)
+        return self._await_beside(bytes_came)
+
+    def _await_beside(self, bytes_came: bool) -> float | None:
+        """Await the silent back end beside second sends; None where one of these answers."""
+        running, has_spoken = self._job.running, not bytes_came and self._exchange.has_unread
+        while not has_spoken:
+            now = self._parts.clock.now()
+            if running.aborted is not None or now >= running.deadline or self._beside.answers():
+                return None
+            if now >= self._send_beside_at:
+                self._send_beside(now)
+            left_s = running.deadline - now
+            if not self._beside.has_more:
+                return min(SILENCE_CHECK_S, left_s)
+            await_bytes([self._exchange, *self._beside.exchanges], min(SILENCE_CHECK_S, left_s))
+            has_spoken = self._exchange.has_unread
+        return SILENCE_CHECK_S
+
+    def _send_beside(self, now: float) -> None:
+        """Send the request beside the silent back end, and look for a third one after a silence."""
+        missing = self._beside.send(self._exchange, lambda: self._count_retry(self._retry_reason()))
+        sent = bool(self._beside.exchanges)
+        self._send_beside_at = now + (self._job.profile.silence_s if sent else SILENCE_CHECK_S)
+        if missing is not None and not sent:
+            self._log_waiting(str(missing))
 
     def _heard(self) -> None:
         if self._silent_since is None:
@@ -363,14 +355,6 @@
         )
 
 
-def _seconds(retry_after: str | None) -> float | None:
-    """Return the seconds that a `Retry-After` header names, or None."""
-    if retry_after is None or not (retry_after.isascii() and retry_after.isdigit()):
-        return None
-    seconds = float(retry_after)
-    return seconds if seconds <= LONGEST_RETRY_S else None
-
-
 def _cancel(parts: Parts, back_end: BackEnd, request_id: str, credential: str) -> None:
     headers = {"Authorization": f"Bearer {credential}"} if credential else {}
     try:
--- a/src/laburnumreel/serving/_events.py
+++ b/src/laburnumreel/serving/_events.py
@@ -28,3 +28,9 @@
     "report_unreadable",
     "an engine's load or cache report is odd; its last sound one stays in use",
 )
+SENT_BESIDE = define_event(
+    120, "silent_sent_beside", "a request was sent to a second back end, as its own one is silent"
+)
+SECOND_SEND_ENDED = define_event(
+    121, "silent_second_ended", "a send beside a silent back end ended, and another one is awaited"
+)
--- a/src/laburnumreel/serving/_plain.py
+++ b/src/laburnumreel/serving/_plain.py
@@ -8,12 +8,14 @@
 from laburnumreel.serving._attempts import Attempts
 from laburnumreel.serving._job import Job
 from laburnumreel.serving._parts import Parts
+from laburnumreel.serving._second_sends import Outcome, Request
 from laburnumreel.state import ErrorKind, Refusal, UsageCount
 from laburnumreel.transport import BackEndFailureError, Exchange
 
 # An answer up to this size is passed on only when it is complete, so that a broken one can be
 # retried or answered with an error. What is larger is passed on as it comes.
 WHOLE_ANSWER_BYTES = 256 * 1024
+REFUSING = 503
 
 
 class PlainRequest(NamedTuple):
@@ -44,24 +46,32 @@
         self._parts = parts
         self._job = job
         self._request = request
-        self._attempts = Attempts(parts, job, first)
+        self._attempts = Attempts(parts, job, self, first)
 
     @property
     def may_have_run(self) -> bool:
         return self._attempts.may_have_run
 
+    @property
+    def delivered(self) -> int:
+        return 0
+
+    def request(self) -> Request:
+        method, target, headers, body = self._request
+        return Request(method, target, headers, body or None)
+
+    def judge(self) -> "_Judge":
+        return _Judge()
+
     def start(self) -> PlainAnswer:
         """Return the answer's head and beginning. Raises RequestFailedError without an answer."""
-        request = self._request
         while True:
-            ran_before = self._attempts.may_have_run
             exchange = self._attempts.open()
             try:
-                body = request.body or None
-                self._attempts.send(request.method, request.target, dict(request.headers), body)
-                if exchange.status == 503 and self._job.repeatable:
+                self._attempts.send()
+                if exchange.status == REFUSING and self._job.repeatable:
                     detail = "The back end answered 503."
-                    self._attempts.refused(ran_before, exchange.header("Retry-After"), detail)
+                    self._attempts.refused(exchange.header("Retry-After"), detail)
                     continue
                 return self._begin(exchange)
             except BackEndFailureError as error:
@@ -89,9 +99,8 @@
     def _begin(self, exchange: Exchange) -> PlainAnswer:
         headers = answer_headers(exchange.headers)
         length = exchange.header("Content-Length")
-        as_it_comes = (exchange.header("Content-Type") or "").startswith("text/event-stream")
         first, complete = b"", False
-        while len(first) < (1 if as_it_comes else WHOLE_ANSWER_BYTES):
+        while len(first) < _bytes_before_passing_on(exchange):
             data = self._attempts.read()
             if not data:
                 complete = True
@@ -117,6 +126,33 @@
         self._attempts.done()
 
 
+class _Judge:
+    """Judges an answer of a second back end, which is taken when it can be passed on."""
+
+    def __init__(self) -> None:
+        self._left = 0
+        self._fails = False
+
+    def head(self, exchange: Exchange) -> Outcome:
+        if exchange.status == REFUSING:
+            return "refused"
+        self._left = _bytes_before_passing_on(exchange)
+        self._fails = exchange.status >= 500
+        return "awaited"
+
+    def body(self, data: bytes) -> Outcome:
+        self._left -= len(data)
+        if data and self._left > 0:
+            return "awaited"
+        return "failed" if self._fails else "answers"
+
+
+def _bytes_before_passing_on(exchange: Exchange) -> int:
+    """Return how many bytes of an answer are read before a part of it is passed on."""
+    as_it_comes = (exchange.header("Content-Type") or "").startswith("text/event-stream")
+    return 1 if as_it_comes else WHOLE_ANSWER_BYTES
+
+
 def _refusal_of(error: BackEndFailureError) -> Refusal:
     silent = error.reason == "silent"
     return Refusal(ErrorKind.BACK_END_TIMEOUT if silent else ErrorKind.INCOMPLETE_ANSWER)
--- /dev/null
+++ b/src/laburnumreel/serving/_refusals.py
@@ -0,0 +1,32 @@
+"""What the answer of a back end says about the request that it refuses or belongs to."""
+
+from laburnumreel.transport import Exchange
+
+# The longest time to come back that is taken from a back end: a day.
+LONGEST_RETRY_S = 86_400.0
+
+
+def is_of_another(exchange: Exchange, request_id: str) -> bool:
+    """Return whether the answer on an exchange belongs to another request, by its own word."""
+    return exchange.header("X-Request-Id") not in (None, request_id)
+
+
+def means_this(exchange: Exchange) -> bool:
+    """Return whether a refusal is proven to be meant for the request on this exchange.
+
+    One that names no request may be an earlier one, written once more, on a connection that was
+    used before. The request's own answer may follow it there.
+    """
+    return exchange.is_alone or exchange.header("X-Request-Id") is not None
+
+
+def seconds_to_come_back(retry_after: str | None) -> float | None:
+    """Return the seconds that a `Retry-After` header names, or None.
+
+    >>> seconds_to_come_back("3"), seconds_to_come_back("soon"), seconds_to_come_back(None)
+    (3.0, None, None)
+    """
+    if retry_after is None or not (retry_after.isascii() and retry_after.isdigit()):
+        return None
+    seconds = float(retry_after)
+    return seconds if seconds <= LONGEST_RETRY_S else None
