Test that a refusal does not hide what an ended second send may have run

Without the count of SecondSends the caller is told "not run" after a second back end broke off: the new test fails with that count left out, where the one beside it passed, as its second send is taken over.

--- a/tests/test_gateway_second_sends.py
+++ b/tests/test_gateway_second_sends.py
@@ -252,6 +252,22 @@
     assert servers.sends == 2
 
 
+def test_refusal_of_the_first_back_end_does_not_hide_what_an_ended_second_send_has_run(
+    deployment, scripted
+):
+    """The second one broke off, and may have run it, before the first one says not run."""
+
+    def refuses_late(servers, exchange):
+        assert servers.asked[1].wait(LONGEST_WAIT_S)
+        time.sleep(2 * LINGER_S)
+        exchange.whole(b"{}", "503 Service Unavailable")
+
+    servers = Scripted(deployment, scripted, "orders", [refuses_late, breaks_off])
+    reply = servers.get()
+    assert (reply.status != 200, reply.run_state) == (True, "unknown")
+    assert servers.sends == 2
+
+
 def test_second_back_ends_own_failure_is_taken_where_the_first_is_dead(deployment, scripted):
     """The answer of a plain service goes to its caller, also where it is a failure."""
     servers = Scripted(deployment, scripted, "orders", [dead, fails])
