End a second send where the first answer lacked only its end

What callers saw: nothing at once; a place at the second server was held for ever, and the server worked on for nobody. The last chunk of a whole answer says nothing to the search, so that a second send was still held when the answer was whole, and was dropped.

Evidence: test_second_send_ends_where_the_first_answer_lacked_only_its_end failed before.

--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -72,6 +72,7 @@
             job.parts.dispatcher.ended(back_end.name, assignment.run_work, job.service.name)
         held = elsewhere.take()
         if not failed:
+            give_back(job, held)
             return reply
         failure = reply
         if held is not None:
