Wait for bytes also where an answer ends with its connection

What was seen: a request that waited for two servers kept a processor busy where one of them had sent a head that closes its connection: http.client forgets such a socket, and a wait for none returns at once. The exchange's own socket is awaited now.

Evidence: test_wait_lasts_where_the_answer_ends_with_its_connection failed before.

--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -343,7 +343,8 @@
 
 def await_bytes(exchanges: Iterable[Exchange], timeout_s: float) -> None:
     """Wait until bytes, or the end, have come on the connection of some exchange, at most so long."""
-    await_readable((exchange.connection.sock for exchange in exchanges), timeout_s)
+    # http.client forgets the socket of a connection that ends with its answer.
+    await_readable((exchange._socket for exchange in exchanges), timeout_s)
 
 
 def dial(
--- /dev/null
+++ b/tests/test_awaited_connections.py
@@ -0,0 +1,42 @@
+"""Tests of the wait for bytes on the connections of several exchanges."""
+
+import socket
+import threading
+import time
+
+import pytest
+
+from laburnumreel.transport import BackEndPool, await_bytes
+
+
+@pytest.fixture
+def silent_after_head():
+    """The address of a server that sends a head which closes the connection, and then nothing."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    done = threading.Event()
+
+    def serve():
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(65536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+            done.wait(10.0)
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    yield listener.getsockname()
+    done.set()
+    thread.join()
+    listener.close()
+
+
+def test_wait_lasts_where_the_answer_ends_with_its_connection(silent_after_head):
+    """http.client gives the socket of such a connection up; the wait must not become a busy loop."""
+    pool = BackEndPool()
+    exchange = pool.open(silent_after_head)
+    exchange.send("GET", "/", {}, None, 5.0)
+    began = time.monotonic()
+    await_bytes([exchange], 0.2)
+    assert time.monotonic() - began >= 0.19
+    exchange.discard()
+    pool.close()
