Look for a third server after the first one has broken off

What callers saw: 504 at the deadline, although the route allowed a third send. A second send that was taken over counted as one that was still to be made, so that its silence counted for the last one's and lasted until the end.

--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -230,7 +230,9 @@
             lambda: self._has_begun,
             beside=self._beside,
         )
-        silent_s = first_event_silent_s(job, assignment.plan)
+        # A send that was made beside another one is counted already.
+        further_sends = job.sends_left - (0 if self._is_sent_beside else 1)
+        silent_s = first_event_silent_s(job, assignment.plan, further_sends)
         held, self._held = self._held, None
         if held is not None and held.second is not None:
             self._attempt = held.second.attempt
--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -120,7 +120,7 @@
     made = second.attempt if second is not None else None
     with made or _attempt(job, assignment, elsewhere, exchange) as attempt:
         if made is not None:
-            verdict = made.take_over(elsewhere, _silent_s(job))
+            verdict = made.take_over(elsewhere, _silent_s(job, job.sends_left))
         else:
             verdict = _counted(job, attempt)
         body = attempt.read_all(MOST_ANSWER_BYTES)
@@ -136,7 +136,7 @@
 
 def _counted(job: Job, attempt: Attempt):
     try:
-        verdict = attempt.send(_silent_s(job))
+        verdict = attempt.send(_silent_s(job, job.sends_left - 1))
     except SendFailedError as error:
         if error.trouble != "unreachable":
             job.sends += 1
@@ -147,8 +147,8 @@
     return verdict
 
 
-def _silent_s(job: Job) -> float:
+def _silent_s(job: Job, further_sends: int) -> float:
     left_s = max(0.01, job.left_s)
-    if not job.route.repeatable or job.sends_left <= 1:
+    if not job.route.repeatable or further_sends <= 0:
         return left_s
     return min(left_s / 2, max(job.route.objective_s, LEAST_PATIENCE_S))
--- a/src/laburnumreel/relay/_silences.py
+++ b/src/laburnumreel/relay/_silences.py
@@ -23,10 +23,10 @@
     return min(max(LEAST_SILENT_S, expected_s), _left_s(job))
 
 
-def first_event_silent_s(job: Job, plan: EnginePlan) -> float:
+def first_event_silent_s(job: Job, plan: EnginePlan, further_sends: int) -> float:
     """Return the seconds for the first event of a stream: all where no other engine may run it."""
     left_s = _left_s(job)
-    if not job.route.repeatable or job.sends_left <= 1:
+    if not job.route.repeatable or further_sends <= 0:
         return left_s
     expected_s = EXPECTED_TIMES * plan.first_token_ms / 1000
     silent_s = max(LEAST_SILENT_S, SILENT_OBJECTIVES * job.route.objective_s, expected_s)
