Keep a second send until the first server has sent more than a head

What callers saw: 504 at the deadline. A silent server that sent its head, or a part of a whole answer, and fell silent again ended the second send, which had used the last attempt.

--- a/src/laburnumreel/relay/_elsewhere.py
+++ b/src/laburnumreel/relay/_elsewhere.py
@@ -157,6 +157,16 @@
             self._await_bytes(connections, min(LOOK_S, max(LEAST_WAIT_S, job.left_s)))
             now = job.parts.clock.now()
 
+    def began(self) -> None:
+        """Take in that the server has sent a part of an answer, which may still break off.
+
+        What was not sent yet is given back; second sends are awaited on.
+        """
+        if self._seconds or self._failed is not None:
+            self.stop()
+        else:
+            self.spoke()
+
     def spoke(self) -> None:
         """Take in that the server has gone on, and give back what is held."""
         if self._silent_since is None:
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -107,7 +107,7 @@
             verdict = self._read_head(silent_s)
         finally:
             job.unfinished = 0
-        self._spoke()
+        self._note_began()
         return verdict
 
     def begin(self) -> None:
@@ -148,7 +148,7 @@
         if self.verdict is None:
             self._until_end = silent_s >= self._job.left_s - LEAST_TIME_S
             self._read_head(silent_s)
-            self._spoke()
+            self._note_began()
         else:
             self._exchange.set_timeout(silent_s)
         return self.verdict
@@ -201,10 +201,10 @@
         self.verdict = self._checked(verdicts[-1])
         return self.verdict
 
-    def _spoke(self) -> None:
+    def _note_began(self) -> None:
         """Give up the search for another backend server; a failure does not end it."""
         if self.verdict.outcome != "failure":
-            self._elsewhere.spoke()
+            self._elsewhere.began()
 
     def _connect(self) -> Exchange:
         parts, back_end = self._job.parts, self._dispatch.back_end
@@ -255,7 +255,7 @@
         whole = bytearray()
         may_have_run = not self._dispatch.only_read
         while piece := self.read():
-            self._spoke()
+            self._note_began()
             whole += piece
             if len(whole) > most_bytes:
                 detail = f"the answer has more than {most_bytes} bytes"
