Leave a silent server for an event of its stream only

What callers saw: a stream was cut, although its first server went on: it had been left for a comment, a piece of an event, or a stream that began again instead of going on. Such an answer of a second server is read beside the first one until it has an event that can be taken.

--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -1,6 +1,7 @@
 """Requests to engines: a prompt is read, perhaps at an engine of its own, then a stream runs."""
 
 from collections.abc import Callable, Iterator
+from functools import partial
 
 from laburnumreel.core import Log
 from laburnumreel.relay._assignments import Assignment, Order
@@ -274,7 +275,8 @@
     def _beside(self, held: Held) -> SecondSend:
         """Make a send beside the one to an engine that is silent."""
         attempt = Attempt(self._job, self._dispatch(held.assignment), None, held.exchange)
-        return SecondSend(self._job, held.assignment, attempt, False, self._goes_on)
+        has_event = partial(self._position.has_event, resumed=self._has_begun)
+        return SecondSend(self._job, held.assignment, attempt, self._goes_on, has_event)
 
     def _goes_on(self, attempt: Attempt) -> bool:
         """Return whether an answer is the rest of a stream of which the caller has a part."""
--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -103,7 +103,7 @@
 def _beside(job: Job, held: Held) -> SecondSend:
     """Make a send beside the one to a backend server that is silent."""
     attempt = _attempt(job, held.assignment, None, held.exchange)
-    return SecondSend(job, held.assignment, attempt, whole=True)
+    return SecondSend(job, held.assignment, attempt)
 
 
 def _send(
--- a/src/laburnumreel/relay/_second_send.py
+++ b/src/laburnumreel/relay/_second_send.py
@@ -9,6 +9,9 @@
 from laburnumreel.relay._sending import Attempt
 from laburnumreel.transport import Exchange
 
+# What is read of an answer beside the wait for another one.
+MOST_EARLY_BYTES = 256 * 1024
+
 # What a second send has brought so far: nothing yet, an answer to go on with, the backend server's
 # own failure, or no answer.
 Outcome = Literal["awaited", "answers", "failed", "useless"]
@@ -18,7 +21,9 @@
     """A request that was sent to a second backend server.
 
     It holds the place and the permit that it was sent with, until it is taken over or ended.
-    `goes_on` judges the head of an answer that is no failure.
+    `goes_on` judges the head of an answer that is no failure; `has_event` whether what has come of a
+    stream has an event that the caller can get, and raises ValueError where it never will. Without
+    `has_event`, the request goes on with whole answers only.
     """
 
     def __init__(
@@ -26,12 +31,12 @@
         job: Job,
         assignment: Assignment,
         attempt: Attempt,
-        whole: bool,
         goes_on: Callable[[Attempt], bool] = lambda attempt: True,
+        has_event: Callable[[bytes], bool] | None = None,
     ) -> None:
         self._job = job
-        self._whole = whole
         self._goes_on = goes_on
+        self._has_event = has_event
         self.assignment = assignment
         self.attempt = attempt
 
@@ -56,18 +61,32 @@
         try:
             while attempt.exchange.has_bytes:
                 had_head = attempt.verdict is not None
-                can_go_on = attempt.read_early(self._whole)
+                at_end = not attempt.read_early()
                 if attempt.verdict.outcome == "failure":
                     return "failed"
-                if not had_head and not self._goes_on(attempt):
-                    attempt.not_continued(f"it was answered {attempt.exchange.status}")
-                    return "useless"
-                if can_go_on:
+                if not had_head:
+                    if not self._goes_on(attempt):
+                        attempt.not_continued(f"it was answered {attempt.exchange.status}")
+                        return "useless"
+                elif self._can_go_on(at_end):
                     return "answers"
         except SendFailedError:
             return "useless"
         return "awaited"
 
+    def _can_go_on(self, at_end: bool) -> bool:
+        attempt, early = self.attempt, self.attempt.early
+        if self._has_event is None:
+            return at_end or len(early) >= MOST_EARLY_BYTES
+        try:
+            if self._has_event(early):
+                return True
+        except ValueError as error:
+            raise attempt.not_continued(str(error)) from error
+        if at_end or len(early) >= MOST_EARLY_BYTES:
+            raise attempt.not_continued("the stream has no event")
+        return False
+
     def end(self) -> None:
         """End the send, and give its place back."""
         self.attempt.close()
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -30,8 +30,6 @@
 # How long a second send may hold up the reading of the first one's answer: the longest pause between
 # two pieces of a head or a chunk that came in part.
 BESIDE_READ_S = 0.1
-# A whole answer is read beside the wait for another one up to this size.
-MOST_EARLY_BYTES = 256 * 1024
 
 _log = Log("relay.sending")
 
@@ -118,23 +116,24 @@
         self._exchange = self._connected
         self._write(BESIDE_READ_S)
 
-    def read_early(self, whole: bool) -> bool:
-        """Read what has come of the answer while another backend server is awaited as well.
+    @property
+    def early(self) -> bytes:
+        """What was read of the answer's body while another backend server was awaited as well."""
+        return b"".join(self._early)
+
+    def read_early(self) -> bool:
+        """Read the head, or what has come of the body, while another backend server is awaited.
 
-        Returns whether the request can go on with it: all of a `whole` answer has come, or the first
-        piece of a stream, or the head of a failure. Raises `SendFailedError`.
+        Returns False at the end of the body. Raises `SendFailedError`.
         """
         if self.verdict is None:
             self._read_head(BESIDE_READ_S)
-            return self.verdict.outcome == "failure"
+            return True
         self._exchange.set_timeout(BESIDE_READ_S)
         piece = self.read_new()
         if piece:
             self._early.append(piece)
-        held = sum(map(len, self._early))
-        if not piece and not held and not whole:
-            raise self._failed("lost", "the stream has no event", True)
-        return not whole or not piece or held >= MOST_EARLY_BYTES
+        return bool(piece)
 
     def take_over(self, elsewhere: Elsewhere, silent_s: float) -> Verdict:
         """Go on with this send alone, and return what the answer's head says.
--- a/src/laburnumreel/relay/_stream_position.py
+++ b/src/laburnumreel/relay/_stream_position.py
@@ -1,14 +1,15 @@
 """Where a stream stands, and whether what another engine sends goes on from there."""
 
+import copy
 import re
 from collections.abc import Iterable
 
-from laburnumreel.relay._event_stream import StreamEvent
+from laburnumreel.relay._event_stream import EventSplitter, StreamEvent
 
 _NUMBER = re.compile(r"[0-9]{1,18}")
 
 
-class NotContinuedError(Exception):
+class NotContinuedError(ValueError):
     """What an engine sends is not the rest of the stream that it was asked to resume."""
 
 
@@ -78,6 +79,18 @@
         self._awaits_event = awaits_event
         return taken
 
+    def has_event(self, data: bytes, resumed: bool) -> bool:
+        """Return whether the beginning of an answer has an event that could be taken.
+
+        `resumed` is whether it is the answer of an engine that was asked to go on with the stream.
+        Raises ValueError, or `NotContinuedError`, where it does not.
+        """
+        events, position = EventSplitter().feed(data), copy.copy(self)
+        if resumed:
+            position.resume()
+        position.take(events)
+        return any(event.is_progress for event in events)
+
     def _check(self, event_id: str | None, last_id: str | None) -> None:
         number, last = _number(event_id), _number(last_id)
         if number is None or last is None:
