Read a second answer as it comes, without a wait for its next piece

What callers saw: 504 or 502, although the second server was sound: its answer came in chunks with pauses, or after an interim one, and counted as broken off a tenth of a second after the first piece. The line end of a chunk and an interim head are read by themselves now; only a torn line is waited for.

--- a/src/laburnumreel/relay/_second_send.py
+++ b/src/laburnumreel/relay/_second_send.py
@@ -62,6 +62,8 @@
             while attempt.exchange.has_bytes:
                 had_head = attempt.verdict is not None
                 at_end = not attempt.read_early()
+                if attempt.verdict is None:
+                    continue
                 if attempt.verdict.outcome == "failure":
                     return "failed"
                 if not had_head:
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -127,7 +127,7 @@
         Returns False at the end of the body. Raises `SendFailedError`.
         """
         if self.verdict is None:
-            self._read_head(BESIDE_READ_S)
+            self._read_head(BESIDE_READ_S, at_once=True)
             return True
         self._exchange.set_timeout(BESIDE_READ_S)
         piece = self.read_new()
@@ -176,8 +176,11 @@
         except BackEndFailureError as error:
             raise self._broken(error) from error
 
-    def _read_head(self, timeout_s: float) -> Verdict:
-        """Read the answer's head and return what it says, or raise `SendFailedError`."""
+    def _read_head(self, timeout_s: float, at_once: bool = False) -> Verdict | None:
+        """Read the answer's head and return what it says, or raise `SendFailedError`.
+
+        None with `at_once`, where the answer's own head is still to come.
+        """
         parts, dispatch, exchange = self._job.parts, self._dispatch, self._exchange
         back_end, verdicts = dispatch.back_end, []
 
@@ -194,7 +197,8 @@
             return True
 
         try:
-            exchange.read_head(dispatch.request.method, timeout_s, is_ours)
+            if not exchange.read_head(dispatch.request.method, timeout_s, is_ours, at_once):
+                return None
         except BackEndFailureError as error:
             raise self._broken(error) from error
         self.verdict = self._checked(verdicts[-1])
--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -62,6 +62,19 @@
             raise ValueError(f"no length of a chunk: {line[:40]!r}")
         return int(length, 16)
 
+    def has_chunk(self, read_ahead: Callable[[], bytes], unread: Callable[[], bool]) -> bool:
+        """Return whether a read would find bytes of a chunk, or the last chunk, without a wait."""
+        if self.chunk_left == 0 and (read_ahead() or unread()):
+            # The line end of the last chunk comes with it; the next chunk may come much later.
+            try:
+                self._safe_read(2)
+            except (OSError, http.client.HTTPException):
+                return True
+            self.chunk_left = None
+        if self.chunk_left is None and not self.isclosed():
+            return b"\n" in read_ahead() or unread()
+        return self.isclosed() or bool(read_ahead()) or unread()
+
 
 class _Connection(http.client.HTTPConnection):
     """Sends the head and the body of a request in one piece.
@@ -113,6 +126,7 @@
         self._give_back = give_back
         self._socket = connection.sock
         self._response: http.client.HTTPResponse | None = None
+        self._has_head = False
         self._complete = False
         self._aborted = False
         self._foreign = False
@@ -169,8 +183,11 @@
     def has_bytes(self) -> bool:
         """Whether a read would return at once: with bytes, also such as were read ahead, or an end."""
         response = self._response
-        at_end = response is not None and not response.chunked and response.length == 0
-        return at_end or self._socket.has_read_ahead() or self.has_unread
+        if not self._has_head:
+            return self._socket.has_read_ahead() or self.has_unread
+        if response.chunked:
+            return response.has_chunk(self._socket.read_ahead, lambda: self.has_unread)
+        return response.length == 0 or self._socket.has_read_ahead() or self.has_unread
 
     @property
     def complete(self) -> bool:
@@ -218,34 +235,46 @@
         method: str,
         timeout_s: float,
         is_ours: Callable[[int, Mapping[str, str]], bool] | None = None,
-    ) -> None:
-        """Read the head of the answer to a request with a method."""
+        at_once: bool = False,
+    ) -> bool:
+        """Read the head of the answer to a request with a method.
+
+        With `at_once`, return False after a head that the answer's own has to follow; the next call
+        reads on.
+        """
         self.set_timeout(timeout_s)
         self._socket.begin_wait(timeout_s, MOST_HEAD_BYTES)
         try:
-            self._response = self.connection.getresponse()
-            self._pass_interim(method)
-            while is_ours is not None and not is_ours(self.status, self._response.headers):
-                self._foreign = True
-                self._skip(method)
-                self._pass_interim(method)
+            if self._response is None:
+                self._response = self.connection.getresponse()
+            else:
+                self._begin_next(method)
+            while not self._is_final(is_ours):
+                if at_once:
+                    return False
+                self._begin_next(method)
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise self._failure("lost", error) from error
         finally:
             if self._socket.end_wait():
                 set_timeout(self._socket, timeout_s)
+        self._has_head = True
+        return True
 
-    def _skip(self, method: str) -> None:
-        """Drop an answer to another request and read the head of the next one."""
+    def _is_final(self, is_ours: Callable[[int, Mapping[str, str]], bool] | None) -> bool:
+        """Return whether the head is the answer's own; an answer to another request is dropped.
+
+        http.client passes over interim answers with status 100 only.
+        """
+        if self.status in INTERIM and self.status != SWITCHING_PROTOCOLS:
+            return False
+        if is_ours is None or is_ours(self.status, self._response.headers):
+            return True
+        self._foreign = True
         if self._response.will_close:
             raise http.client.RemoteDisconnected("the last answer belongs to another request")
         self._response.read()
-        self._begin_next(method)
-
-    def _pass_interim(self, method: str) -> None:
-        """Pass over interim answers. http.client passes over those with status 100 only."""
-        while self.status in INTERIM and self.status != SWITCHING_PROTOCOLS:
-            self._begin_next(method)
+        return False
 
     def _begin_next(self, method: str) -> None:
         """Read the head of the next answer on the connection."""
--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -167,11 +167,15 @@
 
     def has_read_ahead(self) -> bool:
         """Return whether the reader holds bytes that came after the last answer."""
+        return bool(self.read_ahead())
+
+    def read_ahead(self) -> bytes:
+        """Return the bytes that the reader holds."""
         if self._kept is None:
-            return False
+            return b""
         self.only_buffered = True
         try:
-            return bool(self._kept.peek(1))
+            return self._kept.peek(1)
         finally:
             self.only_buffered = False
 
