Await a silent server beside a third one after the second one has failed

What callers saw: 504, although the first server went on. It was given up after the longest silence of sound servers for a failure that was held, also while a third server was asked, which was silent, and the failure was dropped.

--- a/src/laburnumreel/relay/_elsewhere.py
+++ b/src/laburnumreel/relay/_elsewhere.py
@@ -249,7 +249,8 @@
         """Return whether a request for which nothing better is to be had stays with its server."""
         if self._begun():
             return True
-        most_silent_s = SOUND_SILENCE_S if self._failed is not None else self._most_silent_s
+        failed_only = self._failed is not None and not self._seconds
+        most_silent_s = SOUND_SILENCE_S if failed_only else self._most_silent_s
         if now - self._silent_since >= most_silent_s:
             return False
         if self._probe is None:
--- a/tests/test_elsewhere.py
+++ b/tests/test_elsewhere.py
@@ -12,6 +12,7 @@
 from laburnumreel.relay._assignments import Assignment
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._elsewhere import Elsewhere
+from laburnumreel.relay._job import LEAST_TIME_S
 from laburnumreel.relay._work import Work
 from laburnumreel.state import ErrorKind, Refusal
 from laburnumreel.transport import BackEndFailureError
@@ -273,6 +274,38 @@
         gaps = [later - earlier for earlier, later in itertools.pairwise(sent_at)]
         assert gaps and all(1.0 <= gap < 1.2 for gap in gaps)
 
+    def test_silent_server_is_awaited_beside_a_third_one_after_a_failure(self):
+        request = Request()
+        elsewhere = search(request, beside=request.beside)
+
+        def await_bytes(exchanges, timeout_s):
+            request.sent[0].outcome = "failed"
+            request.clock.advance(timeout_s)
+
+        elsewhere._await_bytes = await_bytes
+        more_s = silent(elsewhere)
+        assert more_s is not None and not request.sent[0].ended
+        request.clock.advance(more_s)
+        assert silent(elsewhere) is None
+        assert len(request.sent) > 1 and request.left_s < 0.1
+
+    def test_failed_write_does_not_put_the_next_server_off_for_long(self):
+        request = Request()
+        request.begins = False
+        elsewhere = search(request, begun=True, beside=request.beside)
+        assert silent(elsewhere) <= 0.1
+        request.clock.advance(0.1)
+        silent(elsewhere)
+        assert len(request.sent) == 2
+
+    def test_time_to_answer_is_left_after_the_last_look(self):
+        """A failure that is held can be passed on before the request's time is over."""
+        request = Request()
+        elsewhere = search(request, begun=True, beside=request.beside)
+        request.clock.advance(TIME_S - LEAST_TIME_S - 0.01)
+        assert silent(elsewhere) is None
+        assert request.left_s >= LEAST_TIME_S - 0.002
+
     def test_answer_of_the_second_server_is_taken(self):
         request = Request()
         request.outcome_beside = "answers"
