Ask for the next server at once where a second send can't be written

A send that failed as it was written put the next one off by a whole silence; one that failed later only by a tenth of a second.

Evidence: test_failed_write_does_not_put_the_next_server_off_for_long failed before.

--- a/src/laburnumreel/relay/_elsewhere.py
+++ b/src/laburnumreel/relay/_elsewhere.py
@@ -226,7 +226,7 @@
             self._seconds.append(second)
             self._ask_at = ask_at
         else:
-            self._put_off(ask_at)
+            self._put_off(self._job.parts.clock.now())
 
     def _second_answers(self, now: float) -> bool:
         """Look what the second sends have brought, and return whether one has an answer."""
