Leave time to answer after the last look at two servers

The wait for two servers lasted until the deadline, at which a failure that was held is replaced by 504. It ends LEAST_TIME_S before it now, as the search does.

Evidence: test_time_to_answer_is_left_after_the_last_look failed before.

--- a/src/laburnumreel/relay/_elsewhere.py
+++ b/src/laburnumreel/relay/_elsewhere.py
@@ -154,7 +154,8 @@
             if exchange.has_unread:
                 return LOOK_S
             connections = [exchange, *(second.exchange for second in self._seconds)]
-            self._await_bytes(connections, min(LOOK_S, max(LEAST_WAIT_S, job.left_s)))
+            left_s = job.left_s - LEAST_TIME_S
+            self._await_bytes(connections, min(LOOK_S, max(LEAST_WAIT_S, left_s)))
             now = job.parts.clock.now()
 
     def began(self) -> None:
