--- a/src/laburnumreel/relay/_elsewhere.py
+++ b/src/laburnumreel/relay/_elsewhere.py
@@ -154,9 +154,20 @@
             if exchange.has_unread:
                 return LOOK_S
             connections = [exchange, *(second.exchange for second in self._seconds)]
-            self._await_bytes(connections, min(LOOK_S, max(LEAST_WAIT_S, job.left_s)))
+            left_s = job.left_s - LEAST_TIME_S
+            self._await_bytes(connections, min(LOOK_S, max(LEAST_WAIT_S, left_s)))
             now = job.parts.clock.now()
 
+    def began(self) -> None:
+        """Take in that the server has sent a part of an answer, which may still break off.
+
+        What was not sent yet is given back; second sends are awaited on.
+        """
+        if self._seconds or self._failed is not None:
+            self.stop()
+        else:
+            self.spoke()
+
     def spoke(self) -> None:
         """Take in that the server has gone on, and give back what is held."""
         if self._silent_since is None:
@@ -216,7 +227,7 @@
             self._seconds.append(second)
             self._ask_at = ask_at
         else:
-            self._put_off(ask_at)
+            self._put_off(self._job.parts.clock.now())
 
     def _second_answers(self, now: float) -> bool:
         """Look what the second sends have brought, and return whether one has an answer."""
@@ -239,7 +250,8 @@
         """Return whether a request for which nothing better is to be had stays with its server."""
         if self._begun():
             return True
-        most_silent_s = SOUND_SILENCE_S if self._failed is not None else self._most_silent_s
+        failed_only = self._failed is not None and not self._seconds
+        most_silent_s = SOUND_SILENCE_S if failed_only else self._most_silent_s
         if now - self._silent_since >= most_silent_s:
             return False
         if self._probe is None:
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -1,6 +1,7 @@
 """Requests to engines: a prompt is read, perhaps at an engine of its own, then a stream runs."""
 
 from collections.abc import Callable, Iterator
+from functools import partial
 
 from laburnumreel.core import Log
 from laburnumreel.relay._assignments import Assignment, Order
@@ -230,7 +231,9 @@
             lambda: self._has_begun,
             beside=self._beside,
         )
-        silent_s = first_event_silent_s(job, assignment.plan)
+        # A send that was made beside another one is counted already.
+        further_sends = job.sends_left - (0 if self._is_sent_beside else 1)
+        silent_s = first_event_silent_s(job, assignment.plan, further_sends)
         held, self._held = self._held, None
         if held is not None and held.second is not None:
             self._attempt = held.second.attempt
@@ -272,7 +275,8 @@
     def _beside(self, held: Held) -> SecondSend:
         """Make a send beside the one to an engine that is silent."""
         attempt = Attempt(self._job, self._dispatch(held.assignment), None, held.exchange)
-        return SecondSend(self._job, held.assignment, attempt, False, self._goes_on)
+        has_event = partial(self._position.has_event, resumed=self._has_begun)
+        return SecondSend(self._job, held.assignment, attempt, self._goes_on, has_event)
 
     def _goes_on(self, attempt: Attempt) -> bool:
         """Return whether an answer is the rest of a stream of which the caller has a part."""
--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -72,6 +72,7 @@
             job.parts.dispatcher.ended(back_end.name, assignment.run_work, job.service.name)
         held = elsewhere.take()
         if not failed:
+            give_back(job, held)
             return reply
         failure = reply
         if held is not None:
@@ -102,7 +103,7 @@
 def _beside(job: Job, held: Held) -> SecondSend:
     """Make a send beside the one to a backend server that is silent."""
     attempt = _attempt(job, held.assignment, None, held.exchange)
-    return SecondSend(job, held.assignment, attempt, whole=True)
+    return SecondSend(job, held.assignment, attempt)
 
 
 def _send(
@@ -119,7 +120,7 @@
     made = second.attempt if second is not None else None
     with made or _attempt(job, assignment, elsewhere, exchange) as attempt:
         if made is not None:
-            verdict = made.take_over(elsewhere, _silent_s(job))
+            verdict = made.take_over(elsewhere, _silent_s(job, job.sends_left))
         else:
             verdict = _counted(job, attempt)
         body = attempt.read_all(MOST_ANSWER_BYTES)
@@ -135,7 +136,7 @@
 
 def _counted(job: Job, attempt: Attempt):
     try:
-        verdict = attempt.send(_silent_s(job))
+        verdict = attempt.send(_silent_s(job, job.sends_left - 1))
     except SendFailedError as error:
         if error.trouble != "unreachable":
             job.sends += 1
@@ -146,8 +147,8 @@
     return verdict
 
 
-def _silent_s(job: Job) -> float:
+def _silent_s(job: Job, further_sends: int) -> float:
     left_s = max(0.01, job.left_s)
-    if not job.route.repeatable or job.sends_left <= 1:
+    if not job.route.repeatable or further_sends <= 0:
         return left_s
     return min(left_s / 2, max(job.route.objective_s, LEAST_PATIENCE_S))
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -30,8 +30,6 @@
 # How long a second send may hold up the reading of the first one's answer: the longest pause between
 # two pieces of a head or a chunk that came in part.
 BESIDE_READ_S = 0.1
-# A whole answer is read beside the wait for another one up to this size.
-MOST_EARLY_BYTES = 256 * 1024
 
 _log = Log("relay.sending")
 
@@ -107,7 +105,7 @@
             verdict = self._read_head(silent_s)
         finally:
             job.unfinished = 0
-        self._spoke()
+        self._note_began()
         return verdict
 
     def begin(self) -> None:
@@ -118,23 +116,24 @@
         self._exchange = self._connected
         self._write(BESIDE_READ_S)
 
-    def read_early(self, whole: bool) -> bool:
-        """Read what has come of the answer while another backend server is awaited as well.
+    @property
+    def early(self) -> bytes:
+        """What was read of the answer's body while another backend server was awaited as well."""
+        return b"".join(self._early)
+
+    def read_early(self) -> bool:
+        """Read the head, or what has come of the body, while another backend server is awaited.
 
-        Returns whether the request can go on with it: all of a `whole` answer has come, or the first
-        piece of a stream, or the head of a failure. Raises `SendFailedError`.
+        Returns False at the end of the body. Raises `SendFailedError`.
         """
         if self.verdict is None:
-            self._read_head(BESIDE_READ_S)
-            return self.verdict.outcome == "failure"
+            self._read_head(BESIDE_READ_S, at_once=True)
+            return True
         self._exchange.set_timeout(BESIDE_READ_S)
         piece = self.read_new()
         if piece:
             self._early.append(piece)
-        held = sum(map(len, self._early))
-        if not piece and not held and not whole:
-            raise self._failed("lost", "the stream has no event", True)
-        return not whole or not piece or held >= MOST_EARLY_BYTES
+        return bool(piece)
 
     def take_over(self, elsewhere: Elsewhere, silent_s: float) -> Verdict:
         """Go on with this send alone, and return what the answer's head says.
@@ -148,7 +147,7 @@
         if self.verdict is None:
             self._until_end = silent_s >= self._job.left_s - LEAST_TIME_S
             self._read_head(silent_s)
-            self._spoke()
+            self._note_began()
         else:
             self._exchange.set_timeout(silent_s)
         return self.verdict
@@ -177,8 +176,11 @@
         except BackEndFailureError as error:
             raise self._broken(error) from error
 
-    def _read_head(self, timeout_s: float) -> Verdict:
-        """Read the answer's head and return what it says, or raise `SendFailedError`."""
+    def _read_head(self, timeout_s: float, at_once: bool = False) -> Verdict | None:
+        """Read the answer's head and return what it says, or raise `SendFailedError`.
+
+        None with `at_once`, where the answer's own head is still to come.
+        """
         parts, dispatch, exchange = self._job.parts, self._dispatch, self._exchange
         back_end, verdicts = dispatch.back_end, []
 
@@ -195,16 +197,17 @@
             return True
 
         try:
-            exchange.read_head(dispatch.request.method, timeout_s, is_ours)
+            if not exchange.read_head(dispatch.request.method, timeout_s, is_ours, at_once):
+                return None
         except BackEndFailureError as error:
             raise self._broken(error) from error
         self.verdict = self._checked(verdicts[-1])
         return self.verdict
 
-    def _spoke(self) -> None:
+    def _note_began(self) -> None:
         """Give up the search for another backend server; a failure does not end it."""
         if self.verdict.outcome != "failure":
-            self._elsewhere.spoke()
+            self._elsewhere.began()
 
     def _connect(self) -> Exchange:
         parts, back_end = self._job.parts, self._dispatch.back_end
@@ -255,7 +258,7 @@
         whole = bytearray()
         may_have_run = not self._dispatch.only_read
         while piece := self.read():
-            self._spoke()
+            self._note_began()
             whole += piece
             if len(whole) > most_bytes:
                 detail = f"the answer has more than {most_bytes} bytes"
