--- a/tests/test_second_send_bounds.py
+++ b/tests/test_second_send_bounds.py
@@ -4,7 +4,7 @@
 
 import pytest
 from test_elsewhere import Request, search, silent
-from test_second_sends import Scripted, ask, dead, whole
+from test_second_sends import Scripted, ask, dead
 
 from laburnumreel.relay._second_send import SecondSend
 
