Bound how long a stream is at two servers, and keep a failure for the search that follows

- A stream that has begun was at two servers until one of them had an event.
The platform's rule TWICE allows 400 ms.
It goes on with the second send after 0.3 s, if that was not refused or broken off by then.
- A failure that was held was dropped where the first server broke off while a third one was awaited (502 instead of the server's own 500): it goes along to the next search. test_failure_of_the_second_server_is_kept_where_a_third_one_breaks_off failed before.
- A silent server is probed when the second send is made, as it was when it was left at once, so that other requests avoid one that takes no connections.
- The time that a plain server took counts from its send, not from when it was taken over, and a second send that may have run and is lost counts for its customer.
- What was read early is let go when a send is closed.

--- a/src/laburnumreel/relay/_elsewhere.py
+++ b/src/laburnumreel/relay/_elsewhere.py
@@ -50,12 +50,14 @@
 class Held(NamedTuple):
     """A place, and a connection to the backend server that gets the request first.
 
-    `second` is the send on that connection, where the request was sent already.
+    `second` is the send on that connection, where the request was sent already. `failed` is one
+    that has brought a server's own failure, for want of anything better.
     """
 
     assignment: Assignment
     exchange: Exchange
     second: Beside | None = None
+    failed: Beside | None = None
 
 
 class Elsewhere:
@@ -74,7 +76,9 @@
     left for what is held. `begun` tells whether the caller has a part of the answer: until then a
     request is also taken from a server that refuses a connection, as its caller can be told at once
     that it failed, and from one that is silent for long while a second one has answered with a
-    failure. `most_silent_s` bounds the wait where nothing was run yet.
+    failure, which `failed` may be from the beginning. `most_silent_s` bounds the wait where nothing
+    was run yet. A stream that has begun is at two servers for `most_overlap_s` at most: after that
+    it goes on with the second send, which was not refused by then.
 
     Load pattern that this answers: most backend servers of a service stand still at once, so that
     all of their requests want to be sent again at the same moment, many to others that stand still.
@@ -89,6 +93,8 @@
         begun: Callable[[], bool] = lambda: False,
         most_silent_s: float = float("inf"),
         beside: Callable[[Held], Beside] | None = None,
+        most_overlap_s: float = float("inf"),
+        failed: Beside | None = None,
         await_bytes: Callable[[Iterable[Exchange], float], None] = await_bytes,
     ) -> None:
         self._job = job
@@ -98,6 +104,8 @@
         self._begun = begun
         self._most_silent_s = most_silent_s
         self._beside = beside
+        self._most_overlap_s = most_overlap_s
+        self._sent_beside_at = 0.0
         self._await_bytes = await_bytes
         self._silent_since: float | None = None
         self._future: Future | None = None
@@ -110,7 +118,7 @@
         # Sends that are awaited beside the silent server's, the oldest first, and one that has
         # brought the server's own failure.
         self._seconds: list[Beside] = []
-        self._failed: Beside | None = None
+        self._failed = failed
         self.held: Held | None = None
 
     def wait(self, silent_s: float, exchange: Exchange, bytes_came: bool) -> float | None:
@@ -171,6 +179,8 @@
     def spoke(self) -> None:
         """Take in that the server has gone on, and give back what is held."""
         if self._silent_since is None:
+            if self._failed is not None:
+                self._give_back(self.take())
             return
         self.stop()
         silent_ms = round(1000 * (self._job.parts.clock.now() - self._silent_since))
@@ -191,15 +201,15 @@
         That is a second send before its answer where the first exchange has ended by itself.
         """
         held, self.held = self.held, None
+        failed, self._failed = self._failed, None
         if held is None and self._seconds:
             held = _held(self._seconds.pop(0))
-        if held is None and self._failed is not None:
-            held, self._failed = _held(self._failed), None
-        rest, self._seconds = [*self._seconds, *filter(None, [self._failed])], []
-        self._failed = None
+        rest, self._seconds = self._seconds, []
         for second in rest:
             self._end(second, "not_needed")
-        return held
+        if held is None:
+            return _held(failed) if failed is not None else None
+        return held._replace(failed=failed)
 
     def stop(self) -> None:
         """Let a place go that was asked for."""
@@ -223,8 +233,10 @@
         second = self._beside(held)
         self._tell(SENT_BESIDE, to=held.assignment.runner.name)
         RELAY_SILENCES.inc(outcome="sent_beside")
+        self._probe_server()
         if second.begin():
             self._seconds.append(second)
+            self._sent_beside_at = self._job.parts.clock.now()
             self._ask_at = ask_at
         else:
             self._put_off(self._job.parts.clock.now())
@@ -244,6 +256,10 @@
             else:
                 self._end(second, outcome)
             self._put_off(now)
+        overlaps = self._begun() and now - self._sent_beside_at >= self._most_overlap_s
+        if self._seconds and overlaps:
+            self._leave_for(_held(self._seconds.pop()))
+            return True
         return False
 
     def _may_stay(self, now: float) -> bool:
@@ -254,10 +270,19 @@
         most_silent_s = SOUND_SILENCE_S if failed_only else self._most_silent_s
         if now - self._silent_since >= most_silent_s:
             return False
+        probe = self._probe_server()
+        # A server that takes no connection in time may stand still; one that refuses it is gone.
+        return not (probe.done() and probe.result() == "refused")
+
+    def _probe_server(self) -> Future:
+        """Look whether the silent server takes connections, so that others learn if it doesn't."""
         if self._probe is None:
+            dispatcher, name = self._job.parts.dispatcher, self._back_end.name
             self._probe = self._job.parts.pool.probe(self._back_end.address)
-        # A server that takes no connection in time may stand still; one that refuses it is gone.
-        return not (self._probe.done() and self._probe.result() == "refused")
+            self._probe.add_done_callback(
+                lambda done: dispatcher.unreachable(name) if done.result() != "taken" else None
+            )
+        return self._probe
 
     def _ask(self, now: float) -> None:
         order = self._order(now - self._silent_since)
@@ -338,6 +363,8 @@
     """Give a place and its connection back, which a request does not need any more."""
     if held is None:
         return
+    if held.failed is not None:
+        held.failed.end()
     if held.second is not None:
         held.second.end()
         return
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -16,6 +16,7 @@
 from laburnumreel.relay._send_failures import SendFailedError, may_go_on, refusal_after
 from laburnumreel.relay._sending import Attempt
 from laburnumreel.relay._silences import (
+    GOING_ON_OVERLAP_S,
     SOUND_SILENCE_S,
     first_event_silent_s,
     gap_silent_s,
@@ -230,6 +231,8 @@
             lambda assignment: job.may_send_again("silent"),
             lambda: self._has_begun,
             beside=self._beside,
+            most_overlap_s=GOING_ON_OVERLAP_S,
+            failed=self._held.failed if self._held is not None else None,
         )
         # A send that was made beside another one is counted already.
         further_sends = job.sends_left - (0 if self._is_sent_beside else 1)
--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -1,12 +1,13 @@
 """Requests to plain services: whole answers, passed on unchanged."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from laburnumreel.relay._assignments import Assignment, Order
 from laburnumreel.relay._elsewhere import Elsewhere, Held, give_back
 from laburnumreel.relay._job import Job, RelayFailedError
 from laburnumreel.relay._placed import log_placed
-from laburnumreel.relay._requests import Dispatch
+from laburnumreel.relay._requests import Dispatch, Verdict
 from laburnumreel.relay._second_send import SecondSend
 from laburnumreel.relay._send_failures import SendFailedError, may_go_on, refusal_after
 from laburnumreel.relay._sending import Attempt
@@ -54,6 +55,7 @@
             lambda silent_s: _order_elsewhere(job),
             lambda assignment: job.may_send_again("silent"),
             beside=lambda held: _beside(job, held),
+            failed=held.failed if held is not None else None,
         )
         try:
             reply, failed = _send(job, assignment, elsewhere, held)
@@ -114,39 +116,46 @@
     `held` is the connection to it, and perhaps a send that was made already.
     """
     parts = job.parts
-    started = parts.clock.now()
     second = held.second if held is not None else None
     exchange = held.exchange if held is not None else None
     made = second.attempt if second is not None else None
     with made or _attempt(job, assignment, elsewhere, exchange) as attempt:
-        if made is not None:
-            verdict = made.take_over(elsewhere, _silent_s(job, job.sends_left))
-        else:
+        if made is None:
             verdict = _counted(job, attempt)
+        else:
+            verdict = _begun(job, lambda: made.take_over(elsewhere, _silent_s(job, job.sends_left)))
         body = attempt.read_all(MOST_ANSWER_BYTES)
         exchange = attempt.exchange
         reply = Reply(exchange.status, exchange.headers, body, assignment.runner.name)
     failed = verdict.outcome == "failure"
-    took_ms = 1000 * (parts.clock.now() - started)
+    took_ms = 1000 * (parts.clock.now() - attempt.sent_at)
     parts.dispatcher.judged(assignment.runner.name, failed, took_ms)
     attempt.has_run()
     job.count_begun()
     return reply, failed
 
 
-def _counted(job: Job, attempt: Attempt):
+def _counted(job: Job, attempt: Attempt) -> Verdict:
     try:
-        verdict = attempt.send(_silent_s(job, job.sends_left - 1))
+        verdict = _begun(job, lambda: attempt.send(_silent_s(job, job.sends_left - 1)))
     except SendFailedError as error:
         if error.trouble != "unreachable":
             job.sends += 1
-        if error.may_have_run:
-            job.count_begun()
         raise
     job.sends += 1
     return verdict
 
 
+def _begun(job: Job, read_head: Callable[[], Verdict]) -> Verdict:
+    """Count the request for its customer where a send that failed may have run."""
+    try:
+        return read_head()
+    except SendFailedError as error:
+        if error.may_have_run:
+            job.count_begun()
+        raise
+
+
 def _silent_s(job: Job, further_sends: int) -> float:
     left_s = max(0.01, job.left_s)
     if not job.route.repeatable or further_sends <= 0:
--- a/src/laburnumreel/relay/_sending.py
+++ b/src/laburnumreel/relay/_sending.py
@@ -74,11 +74,17 @@
     def exchange(self) -> Exchange:
         return self._exchange
 
+    @property
+    def sent_at(self) -> float:
+        """When the request was sent, by the process' clock."""
+        return self._sent_at
+
     def close(self) -> None:
         """End the exchange; its connection is used again if the whole answer was read.
 
         One to a backend server that leaves is closed.
         """
+        self._early.clear()
         if self._elsewhere is not None:
             self._elsewhere.stop()
         if self._exchange is not None:
--- a/src/laburnumreel/relay/_silences.py
+++ b/src/laburnumreel/relay/_silences.py
@@ -15,6 +15,9 @@
 # which nothing better is to be had, is given up: it has run nothing, which its caller is told. A
 # stream that is silent for longer waits for another place before new requests do.
 SOUND_SILENCE_S = 1.6
+# A stream that goes on at another engine may be at the one before for 400 ms by the platform's rules,
+# the time for closing that one included.
+GOING_ON_OVERLAP_S = 0.3
 
 
 def reading_silent_s(job: Job, plan: EnginePlan) -> float:
