Let the servers of a test stand still together, and once

The trace: req7 ended at 11.9227, which freed a place at d1; req10, whose server d2 still stood still, was sent beside it at 11.9250 and had d1's events 3 and 4 at 11.9272, so it left d2, which went on at 11.9318. d1 then stood still for this stream alone, for 1.7 s again, beyond the route's 3 s.

The second server had answered, and was the better one by all that can be known. What the stand-in played was no standstill of servers, which the test is about: it stopped each stream after its second event, a resumed one anew, so that a stream which had gone on elsewhere could not end in its time at any server. The servers now stand still at one time, as the test's name says; the streams, places and what is asked for are the same.

--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -34,6 +34,24 @@
     return answer
 
 
+def standing_still_once(after, pause_s=SILENCE_S):
+    """Return an answer of servers that all stand still at one time, once some stream is so far."""
+    lock, until = threading.Lock(), []
+
+    def answer(handler):
+        first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        begin_stream(handler)
+        for number in range(first, 6):
+            if number - first == after:
+                with lock:
+                    until[:] = until or [time.monotonic() + pause_s]
+                time.sleep(max(0.0, until[0] - time.monotonic()))
+            chunk(handler, event(number))
+        handler.wfile.write(b"0\r\n\r\n")
+
+    return answer
+
+
 def slow_whole(handler):
     time.sleep(1.2)
     whole(handler)
@@ -73,8 +91,9 @@
 
     def test_streams_at_full_servers_are_not_cut(self, world):
         """All engines stand still with all their places taken."""
+        usual = standing_still_once(2)
         for name in ("d1", "d2"):
-            world.worker(name, "quotes", usual=pausing(2), Stage="decode", Slots=2)
+            world.worker(name, "quotes", usual=usual, Stage="decode", Slots=2)
         relay = world.relay()
         answers = []
         threads = [
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -24,7 +24,7 @@
 
 class FakeExchange:
     status, complete, is_alone = 200, False, True
-    connection = SimpleNamespace(sock=None)
+    _socket = None
 
     def __init__(self, answers=False):
         self.has_unread = False
