Let a test's caller read its answer whole, and wait until its connection is free

The log: the caller closed after the head of its answer, which ends a stream of whose rest nobody wants anything (request_lost, caller_gone), and the connection to the server with it; without load the stream was whole by then. The caller now reads the answer whole and waits for the line that it has ended, so that the next request finds its connection. What is asked for is the same.

--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -1,7 +1,10 @@
 """Tests of refusals that a server in trouble writes once more on a kept connection."""
 
+import contextlib
+import http.client
 import json
 import time
+from functools import partial
 
 import pytest
 from platform_answers import engine, refused, stream, whole
@@ -164,10 +167,18 @@
                 found = caller.connection.getresponse()
                 assert found.status in (200, 502), f"{request_id}: {found.status}"
                 assert found.headers.get("x-run-state") in (None, "unknown"), request_id
+                with contextlib.suppress(http.client.HTTPException):
+                    found.read()
+                wait_until(partial(self.has_ended, relay, request_id), "its connection is free")
                 caller.connection.close()
                 assert ran.count(request_id) == 1, request_id
             assert any(used), form
 
+    @staticmethod
+    def has_ended(relay, request_id):
+        lines = relay.logged("request_served") + relay.logged("request_lost")
+        return any(line["request"] == request_id for line in lines)
+
     @pytest.mark.parametrize("path", ["/once/x", "/ask/x"])
     def test_refusal_of_any_framing_before_the_answer_promises_nothing(self, world, path):
         def before(refused):
