Answer each of several requests that callers send with one request id

What callers saw: of requests with the same Request-Id, or without one, that waited at a host at the same time, only the last one was answered; the others got neither an answer nor a refusal, also not at their deadline, and each held a request thread for good. Once one of them had ended, the others' deadlines and callers were no longer watched.

Cause: the dispatcher's queue and the registry of running requests knew a request by the id that its caller gave it. The later request took the earlier one's entry; the future of the earlier one was never completed, and its deadline no longer ended it. The class: a name that others choose is used as an identity inside the process.

Change: the queue knows a request by the future of its placement, the registry by the running request itself. The gateway makes its own ids and had the registry's form only.

--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -268,7 +268,7 @@
 
     def _finish(self, job: Job) -> None:
         job.release_permits()
-        self._registry.unwatch(job.request.request_id)
+        self._registry.unwatch(job.running)
         self._places.release()
 
     def _observe_first_byte(self, job: Job) -> None:
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -89,7 +89,8 @@
             own_location, self._fleet_state, self._refusals, costs or PlacementCosts()
         )
         self._release_rates: dict[str, SlotReleaseRate] = {}
-        self._waiting: dict[str, PlaceRequest] = {}
+        # By the future of each request: callers may use the same request id more than once.
+        self._waiting: dict[Future, PlaceRequest] = {}
         # The time at which a request last had to wait for a slot, by service.
         self._last_short_at: dict[str, float] = {}
         self._next_pass_at = float("-inf")
@@ -102,9 +103,9 @@
         self.tell(PlaceRequest(request, future))
         return future
 
-    def withdraw(self, request_id: str) -> None:
-        """Remove a waiting request."""
-        self.tell(WithdrawRequest(request_id))
+    def withdraw(self, future: Future) -> None:
+        """Remove the waiting request for which `place` returned this future."""
+        self.tell(WithdrawRequest(future))
 
     def on_work_ended(self, back_end: str, work: Work, service: str) -> None:
         """Record that work at a backend server has ended."""
@@ -212,8 +213,8 @@
         match message:
             case PlaceRequest():
                 self._place_or_queue(message, now)
-            case WithdrawRequest(request_id):
-                self._waiting.pop(request_id, None)
+            case WithdrawRequest(future):
+                self._waiting.pop(future, None)
             case WorkEnded(back_end, work, service):
                 self._fleet_state.ledger.remove(back_end, work)
                 self._release_rates.setdefault(service, SlotReleaseRate()).record_release(now)
@@ -290,7 +291,7 @@
         if refusal is not None:
             pending.future.set_result(refusal)
             return
-        self._waiting[request.waiting.request_id] = pending
+        self._waiting[pending.future] = pending
         if len(self._waiting) == 1 or now >= self._next_pass_at:
             self._next_pass_at = now
             self._place_waiting(now)
@@ -319,15 +320,19 @@
             return
         failed_tries: Counter[str] = Counter()
         weighed_count = 0
+        # By identity: requests with the same id may be equal.
+        pending_by_waiting = {
+            id(pending.order.waiting): pending for pending in self._waiting.values()
+        }
         for waiting_request in order_waiting(
             [pending.order.waiting for pending in self._waiting.values()], now
         ):
-            pending = self._waiting[waiting_request.request_id]
+            pending = pending_by_waiting[id(waiting_request)]
             service = pending.order.service
             if failed_tries[service] >= MAX_FAILED_TRIES:
                 continue
             weighed_count = max(weighed_count, self._place_or_fail(pending, now))
-            if waiting_request.request_id in self._waiting:
+            if pending.future in self._waiting:
                 failed_tries[service] += 1
         if failed_tries:
             self._next_pass_at = now + max(
@@ -346,7 +351,7 @@
         except Exception as error:
             request_id = pending.order.waiting.request_id
             _log.error(RELAY_REQUEST_FAILED, request=request_id, error=repr(error), exc_info=True)
-            self._waiting.pop(request_id, None)
+            self._waiting.pop(pending.future, None)
             if not pending.future.done():
                 pending.future.set_result(Refusal(ErrorKind.INTERNAL))
             return 0
@@ -359,14 +364,14 @@
         if assignment is None:
             self._last_short_at[request.service] = now
         else:
-            del self._waiting[request.waiting.request_id]
+            del self._waiting[pending.future]
             pending.future.set_result(assignment)
         return len(candidates)
 
     def _refuse_expired(self, now: float) -> None:
-        for request_id, pending in list(self._waiting.items()):
+        for pending in list(self._waiting.values()):
             if now >= pending.order.waiting.expires_at:
-                del self._waiting[request_id]
+                del self._waiting[pending.future]
                 per_s = self._release_rates.setdefault(
                     pending.order.service, SlotReleaseRate()
                 ).per_s(now)
@@ -377,6 +382,6 @@
         """Return whether other requests wait for the same engines."""
         return any(
             pending.order.service == request.service and pending.order.copy_zone is None
-            for request_id, pending in self._waiting.items()
-            if request_id != request.waiting.request_id
+            for pending in self._waiting.values()
+            if pending.order is not request
         )
--- a/src/laburnumreel/relay/_dispatcher_messages.py
+++ b/src/laburnumreel/relay/_dispatcher_messages.py
@@ -19,7 +19,7 @@
 
 
 class WithdrawRequest(NamedTuple):
-    request_id: str
+    future: Future
 
 
 class WorkEnded(NamedTuple):
--- a/src/laburnumreel/relay/_failover.py
+++ b/src/laburnumreel/relay/_failover.py
@@ -227,7 +227,7 @@
         future, self._future = self._future, None
         if future is None:
             return
-        self._job.deps.dispatcher.withdraw(self._job.request.request_id)
+        self._job.deps.dispatcher.withdraw(future)
         # The dispatcher processes its messages in order: a slot that it assigns before it reads
         # the withdrawal arrives with this future.
         future.add_done_callback(lambda done: self._job.release_slots(done.result()))
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -185,7 +185,6 @@
 
     def wait_for(self, future: Future) -> Assignment:
         """Wait for the dispatcher's assignment and return it, or raise `RelayFailedError`."""
-        request_id = self.request.request_id
         asked_at = self.deps.clock.now()
         while True:
             try:
@@ -194,7 +193,7 @@
             except FutureTimeoutError:
                 if self.running.abort_reason is None:
                     continue
-                self.deps.dispatcher.withdraw(request_id)
+                self.deps.dispatcher.withdraw(future)
                 # The dispatcher may still assign a slot before it reads the withdrawal.
                 future.add_done_callback(lambda done: self.release_slots(done.result()))
                 raise RelayFailedError(self.abort_refusal()) from None
--- a/src/laburnumreel/serving/_lifecycle.py
+++ b/src/laburnumreel/serving/_lifecycle.py
@@ -61,7 +61,7 @@
                     self.initial_back_end.name, request_id, False
                 )
             self._deps.dispatcher.finish(request_id, self.tokens)
-        self._deps.registry.unwatch(request_id)
+        self._deps.registry.unwatch(self._running)
         self._deps.slots.release()
 
     def __enter__(self) -> "AdmissionSlot":
--- a/src/laburnumreel/serving/_registry.py
+++ b/src/laburnumreel/serving/_registry.py
@@ -86,7 +86,7 @@
 
 
 class _UnwatchRequest(NamedTuple):
-    request_id: str
+    running: RunningRequest
 
 
 class _WithdrawKeys(NamedTuple):
@@ -113,16 +113,17 @@
         super().__init__("request-registry", tick_s=check_interval_s)
         self._clock = clock
         self._should_cut_streams = should_cut_streams
-        self._running: dict[str, RunningRequest] = {}
+        # Callers may use the same request id more than once.
+        self._running: set[RunningRequest] = set()
         self._withdrawn = WithdrawnKeys()
 
     def watch(self, running: RunningRequest) -> None:
         """Start to watch a request."""
         self.tell(_WatchRequest(running))
 
-    def unwatch(self, request_id: str) -> None:
+    def unwatch(self, running: RunningRequest) -> None:
         """Stop watching a request."""
-        self.tell(_UnwatchRequest(request_id))
+        self.tell(_UnwatchRequest(running))
 
     def on_keys_withdrawn(self, keys: WithdrawnKeys) -> None:
         """Abort the requests with these keys, including those that start later."""
@@ -138,22 +139,22 @@
     def handle(self, message: object) -> None:
         match message:
             case _WatchRequest(running):
-                self._running[running.request_id] = running
+                self._running.add(running)
                 self._check_key(running)
-            case _UnwatchRequest(request_id):
-                self._running.pop(request_id, None)
+            case _UnwatchRequest(running):
+                self._running.discard(running)
             case _WithdrawKeys(keys):
                 self._withdrawn = keys
-                for running in self._running.values():
+                for running in self._running:
                     self._check_key(running)
             case _AbortAll():
-                for running in self._running.values():
+                for running in self._running:
                     self._abort(running, ErrorKind.BACK_END_TIMEOUT, "The node stops.")
 
     def tick(self) -> None:
         now = self._clock.now()
         should_cut_streams = self._should_cut_streams(now)
-        for running in self._running.values():
+        for running in self._running:
             if now >= running.deadline:
                 self._abort(running, ErrorKind.BACK_END_TIMEOUT, "The deadline passed.")
             elif not running.finish_without_caller and running.is_caller_gone:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -71,7 +71,7 @@
                 future.set_result(Assignment(OTHER, Work(requests=1)))
         self.pending = []
 
-    def withdraw(self, request_id):
+    def withdraw(self, future):
         self.pending = []
 
     def release_slots(self, assignment):
