Keep the usage counts of hosts that stop together

Cause: counts of a process that ends lived only in the memory of other hosts. A new holder of the lease waited for the own counts of the hosts that run. Had it started within or after the window, each of them had told it these already, but none had told it those of ended processes: hosts with few peers tell all of them their own counts, and a holder alone the others. So it sealed the window 0.2 s after it got the lease. Had all hosts been stopped within the 2.2 s after a window's end, nobody would have known its counts. The class: state of the whole fleet that only processes hold which are stopped together.

Change: a process that stops writes its counts of windows that are not fixed yet to the store, with those of ended processes that it knows (relay_usage, _usage_store.py): once it admits nothing more, and again at its end if they have changed. The holder reads a window's rows before it seals it, one call a window. A holder waits 2.5 s for windows that are not younger than its own process, in which its peers tell it the counts of processes that were killed. Rows are removed after ten minutes like those of windows.

Logs: 650 names the processes, the stored rows and how long the lease was held; 664 to 666 are new.

--- a/src/laburnumreel/relay/_cleaning.py
+++ b/src/laburnumreel/relay/_cleaning.py
@@ -1,4 +1,4 @@
-"""Removes obsolete rows from the store: old usage windows, and hosts that are gone."""
+"""Removes obsolete rows from the store: old usage windows and counts, and hosts that are gone."""
 
 from collections.abc import Callable, Collection
 
@@ -6,6 +6,7 @@
 from laburnumreel.relay._events import ROWS_REMOVED, ROWS_UNREADABLE
 from laburnumreel.relay._members import MEMBER_TABLE, Member, Members
 from laburnumreel.relay._usage_counters import SEAL_TABLE, UsageCounters, seal_key
+from laburnumreel.relay._usage_store import USAGE_TABLE, window_prefix
 from laburnumreel.state import Authority, Check, Platform, PlatformError, Write
 
 # How often the tables are scanned. Rows accumulate slowly, and each scan is a call that costs
@@ -53,26 +54,32 @@
         if now < self._next_at:
             return
         self._next_at = now + CLEAN_INTERVAL_S
-        self._clean_windows(authority)
+        oldest = self._usage_counters.window(self._true_time() - WINDOW_RETENTION_S)
+        if self._clean_windows(SEAL_TABLE, seal_key(oldest), authority):
+            self._clean_windows(USAGE_TABLE, window_prefix(oldest), authority)
         self._clean_members(now)
 
-    def _clean_windows(self, authority: Authority) -> None:
-        page = self._platform.scan(SEAL_TABLE, limit=MAX_REMOVED)
+    def _clean_windows(self, table: str, oldest_key: str, authority: Authority) -> bool:
+        """Remove the first rows of a table whose keys sort before `oldest_key`.
+
+        Return whether the table could be scanned and changed.
+        """
+        page = self._platform.scan(table, limit=MAX_REMOVED)
         if page.is_error():
-            _log_unreadable(SEAL_TABLE, page.error)
-            return
-        oldest = seal_key(self._usage_counters.window(self._true_time() - WINDOW_RETENTION_S))
-        old = [row for row in page.ok.rows if row.key < oldest]
+            _log_unreadable(table, page.error)
+            return False
+        old = [row for row in page.ok.rows if row.key < oldest_key]
         if not old:
-            return
+            return True
         removed = self._platform.transact(
-            [Check(SEAL_TABLE, row.key, row.version) for row in old],
-            [Write(SEAL_TABLE, row.key, None) for row in old],
+            [Check(table, row.key, row.version) for row in old],
+            [Write(table, row.key, None) for row in old],
         )
         if removed.is_error():
-            _log_unreadable(SEAL_TABLE, removed.error)
-            return
-        _log.info(ROWS_REMOVED, table=SEAL_TABLE, rows=len(old), fence=authority.fence)
+            _log_unreadable(table, removed.error)
+            return False
+        _log.info(ROWS_REMOVED, table=table, rows=len(old), fence=authority.fence)
+        return True
 
     def _clean_members(self, now: float) -> None:
         listed = self._members.list()
--- a/src/laburnumreel/relay/_duties.py
+++ b/src/laburnumreel/relay/_duties.py
@@ -9,6 +9,7 @@
 from laburnumreel.relay._events import (
     REPORT_FAILED,
     SEAL_FAILED,
+    USAGE_UNREADABLE,
     WINDOW_FORGOTTEN,
     WINDOW_INCOMPLETE,
     WINDOW_REPORTED,
@@ -19,6 +20,7 @@
 from laburnumreel.relay._settings import UsageSettings
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._usage_counters import SEAL_TABLE, UsageCounters, seal_key
+from laburnumreel.relay._usage_store import UsageStore
 from laburnumreel.state import (
     LEASE_TABLE,
     Authority,
@@ -42,7 +44,8 @@
 WAIT_SHARE = 0.6
 # A new holder gets the counts of older windows within this time. It waits for them even if the
 # report is late by then: a late report can still be right, and a wrong one cannot be corrected. For
-# windows before those that peers sent while it was not the holder, it waits for the whole time.
+# windows before those that peers sent while it was not the holder, and for those that began before
+# this process, it waits for the whole time: peers send the counts of ended processes only then.
 SETTLE_S = 2.5
 # A window is given up when it is later than this many times the limit.
 GIVE_UP_FACTOR = 2.0
@@ -89,6 +92,7 @@
         clock: Clock,
         true_time: TrueTime,
         usage_counters: UsageCounters,
+        usage_store: UsageStore,
         usage: UsageSettings,
         peers: Callable[[], Iterable[str]],
         planners: Sequence[Planner] = (),
@@ -103,7 +107,9 @@
         self._clock = clock
         self._true_time = true_time
         self._usage_counters = usage_counters
+        self._usage_store = usage_store
         self._usage = usage
+        self._started_at = clock.now()
         self._peers = peers
         self._planners = planners
         self._era = era
@@ -166,6 +172,8 @@
         peers = list(self._peers())
         missing = self._usage_counters.hosts_missing(window, peers)
         settled = self._clock.now() - self._held_since >= SETTLE_S
+        if not settled and peers and window <= self._first_window(true_now):
+            return True
         if not settled:
             missing += [peer for peer in peers if window < self._complete_since.get(peer, window)]
         if not missing:
@@ -180,8 +188,19 @@
             )
         return False
 
+    def _first_window(self, true_now: float) -> int:
+        """Return the window in which this process started."""
+        return self._usage_counters.window(true_now - (self._clock.now() - self._started_at))
+
     def _seal(self, authority: Authority, window: int) -> dict[str, int] | None:
         """Fix a window's counts and return them, or those fixed before; None to try later."""
+        stored_rows = 0
+        if window not in self._fixed_counts and not self._usage_counters.is_fixed(window):
+            stored = self._usage_store.read(window)
+            if stored.is_error():
+                _log.warning(USAGE_UNREADABLE, window=window, kind=stored.error.kind)
+                return None
+            stored_rows = stored.ok
         counts = self._fixed_counts.get(window) or self._usage_counters.total_counts(window)
         key = seal_key(window)
         if not counts:
@@ -209,7 +228,15 @@
         ]
         sealed = self._platform.transact(checks, [Write(SEAL_TABLE, key, {"counts": counts})])
         if sealed.is_ok():
-            _log.info(WINDOW_SEALED, window=window, counts=counts, fence=authority.fence)
+            _log.info(
+                WINDOW_SEALED,
+                window=window,
+                counts=counts,
+                fence=authority.fence,
+                processes=self._usage_counters.process_count(window),
+                stored_rows=stored_rows,
+                held_s=round(self._clock.now() - self._held_since, 2),
+            )
             self._fixed_counts[window] = counts
             self._usage_counters.mark_fixed(window)
             return counts
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -123,5 +123,16 @@
     "the store has lost the row of a window that another host sealed; it is not reported again",
 )
 USAGE_NOT_TOLD = define_event(
-    661, "usage_not_told", "the counts of ended processes did not fit into the peer update"
+    661,
+    "usage_not_told",
+    "counts of ended processes exceed the limit of a peer update, or of what is stored",
+)
+USAGE_STORED = define_event(
+    664, "usage_stored", "a process that stops wrote its counts of open windows to the store"
+)
+USAGE_NOT_STORED = define_event(
+    665, "usage_not_stored", "the counts of open windows could not be written to the store"
+)
+USAGE_UNREADABLE = define_event(
+    666, "usage_unreadable", "the stored counts of a window can't be read; it is sealed later"
 )
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -30,7 +30,7 @@
 from laburnumreel.relay._config import RelayConfig, RelayService
 from laburnumreel.relay._cost_model import Location
 from laburnumreel.relay._dispatcher import Dispatcher
-from laburnumreel.relay._duties import DUTY_LEASE, Duties, NoProcessTimer
+from laburnumreel.relay._duties import DUTY_LEASE, GIVE_UP_FACTOR, Duties, NoProcessTimer
 from laburnumreel.relay._events import (
     LISTEN_FAILED,
     RELAY_CONFIGURED,
@@ -53,7 +53,8 @@
 from laburnumreel.relay._settings import RelaySettings
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._unknown_headers import UnknownHeaders
-from laburnumreel.relay._usage_counters import UsageCounters
+from laburnumreel.relay._usage_counters import Process, UsageCounters
+from laburnumreel.relay._usage_store import UsageStore
 from laburnumreel.relay._work import Work
 from laburnumreel.serving import RequestRegistry
 from laburnumreel.state import Lease, LeaseSettings
@@ -115,6 +116,9 @@
         host = settings.host
         self._true_time = TrueTime(self._clock)
         self._usage_counters = UsageCounters(settings.usage.window_s)
+        self._usage_store = UsageStore(
+            adapter.store, Process(host.name, self._boot), self._usage_counters
+        )
         self._dispatcher = Dispatcher(
             self._clock,
             Location(host.zone, host.region),
@@ -252,6 +256,7 @@
             self._clock,
             self._true_time,
             self._usage_counters,
+            self._usage_store,
             settings.usage,
             lambda: self._peers.live_peers,
             (capacity, roles, cleaner),
@@ -327,6 +332,8 @@
         self._callers.close_after_answers()
         time.sleep(min(NOT_READY_NOTICE_S, self._settings.stop.grace_s / 2))
         self._application.stop_admitting()
+        # Early in the stop, in case the store answers slowly later, or the process is killed.
+        self._store_usage()
         deadline = began + self._settings.stop.grace_s - FORCED_STOP_S
         while not self._callers.is_idle():
             if self._clock.now() >= deadline:
@@ -335,6 +342,7 @@
                 self._callers.wait_until_idle(FINAL_FLUSH_S)
                 break
             time.sleep(STOP_POLL_S)
+        self._store_usage()
         for task in reversed(list(tasks)):
             with contextlib.suppress(TimeoutError):
                 task.stop(timeout_s=max(0.05, deadline + FORCED_STOP_S / 2 - self._clock.now()))
@@ -343,6 +351,11 @@
         self._pool.close()
         _log.info(RELAY_STOPPED, took_s=round(self._clock.now() - began, 2))
 
+    def _store_usage(self) -> None:
+        """Write the usage counts that may still be reported to the store."""
+        reported_until = self._true_time.now() - GIVE_UP_FACTOR * self._settings.usage.late_s
+        self._usage_store.write(self._usage_counters.window(reported_until))
+
     def _services(self) -> Mapping[str, RelayService]:
         table = self._application.table
         return table.config.services if table is not None else {}
--- a/src/laburnumreel/relay/_usage_counters.py
+++ b/src/laburnumreel/relay/_usage_counters.py
@@ -120,9 +120,13 @@
         with self._lock:
             self._running.pop(sender, None)
 
-    def ended_counts_since(self, window: int) -> tuple[EndedCounts, ...]:
+    def ended_counts_since(
+        self, window: int, max_counts: int = MAX_ENDED_COUNTS
+    ) -> tuple[EndedCounts, ...]:
         """Return the counts of ended processes in a window and later ones, the newest first.
 
+        At most `max_counts` counts of customers are returned.
+
         The process that reports usage may have started after they ended, and gets these counts only
         from peers.
         """
@@ -134,7 +138,7 @@
                 for process, counts in self._peers[number].items()
                 if self._running.get(process.sender) != process.boot
             ]
-        room, included = MAX_ENDED_COUNTS, []
+        room, included = max_counts, []
         for each in ended:
             room -= len(each.counts)
             if room < 0:
@@ -186,6 +190,11 @@
                     total[customer] = total.get(customer, 0) + count
         return total
 
+    def process_count(self, window: int) -> int:
+        """Return the number of processes whose counts of a window are known."""
+        with self._lock:
+            return len(self._peers.get(window, {})) + (window in self._own)
+
     def forget_before(self, window: int) -> None:
         """Drop all windows before `window`."""
         with self._lock:
--- a/tests/test_malformed_own_rows.py
+++ b/tests/test_malformed_own_rows.py
@@ -154,6 +154,7 @@
         malformed = range(now, now + 10)
         for window in malformed:
             world.store.put("relay_windows", f"{window:016d}", value)
+            world.store.put("relay_usage", f"{window:016d}/odd", value)
         relay = world.start_relay()
         caller, end = Caller(relay), time.monotonic() + 20
         while time.monotonic() < end and not world.duties.calls:
--- a/tests/test_relay_duties.py
+++ b/tests/test_relay_duties.py
@@ -5,7 +5,7 @@
 from expression import Ok
 
 from laburnumreel.coordination import JsonResponse
-from laburnumreel.relay._duties import SEAL_DELAY_S, WAIT_SHARE, Duties
+from laburnumreel.relay._duties import SEAL_DELAY_S, SETTLE_S, WAIT_SHARE, Duties
 from laburnumreel.relay._peer_update_handler import RECENT_USAGE_WINDOWS
 from laburnumreel.relay._ports import DutyCall
 from laburnumreel.relay._settings import UsageSettings, load_relay_settings
@@ -19,8 +19,8 @@
 class Holder:
     """A host that holds the lease, with a time of day that the test sets."""
 
-    def __init__(self):
-        self.time_of_day = 0.0
+    def __init__(self, started_at=0.0):
+        self.time_of_day = started_at
         self.counters = UsageCounters(window_s=5.0)
         self.reports = {}
         self.held = True
@@ -49,6 +49,7 @@
             clock,
             clock,
             self.counters,
+            SimpleNamespace(read=lambda window: Ok(0)),
             UsageSettings(5.0, LATE_S),
             lambda: PEERS,
         )
@@ -213,3 +214,22 @@
     )
     loaded = load_relay_settings(settings)
     assert loaded.is_ok() and loaded.ok.retry.slack == 39.523809523809526
+
+
+def test_holder_that_started_after_a_window_waits_for_counts_of_ended_processes():
+    """Running hosts tell their own counts to all others, but those of ended ones only on demand.
+
+    A holder that had started three seconds after a window's end had heard from each running host.
+    It reported 51 of 282 requests, 0.2 s after it got the lease.
+    """
+    holder = Holder(started_at=108.0)
+    holder.held, holder.time_of_day = False, 108.0
+    for peer in PEERS:
+        holder.receive_counts(peer, {20: {"a": 10}, 21: {"a": 1}})
+    holder.run_until(111.0)
+    holder.held = True
+    holder.run_until(112.0)
+    assert holder.reports == {}
+    holder.counters.record_peer_counts("h3", "old", 20, {"a": 40})
+    holder.run_until(111.0 + SETTLE_S + 0.5)
+    assert holder.reports == {20: {"a": 60}}
