--- a/src/laburnumreel/relay/_placement.py
+++ b/src/laburnumreel/relay/_placement.py
@@ -46,6 +46,8 @@
 ) -> Candidate | None:
     """Return the backend server of a plain request, or None if all slots are taken.
 
+    >>> from laburnumreel.relay._back_ends import ListedBackEnd
+    >>> from laburnumreel.relay._work import Work
     >>> listed = ListedBackEnd("b1", "orders", ("10.0.0.1", 80), "z", slots=1)
     >>> free = Candidate(listed, "r", Work(), plain_ms=50.0)
     >>> choose_plain([free], Location("z", "r"), 100, PlacementCosts()).name
--- a/src/laburnumreel/relay/_request_slots.py
+++ b/src/laburnumreel/relay/_request_slots.py
@@ -13,6 +13,8 @@
     When backend servers hang while requests keep arriving, all request threads wait. Without this
     limit, a request that was read but has no thread would wait without being counted.
 
+    >>> import random
+    >>> from laburnumreel.core import ManualClock
     >>> places = RequestSlots(1, ManualClock(), random.Random(1))
     >>> places.acquire(), places.acquire() > 0
     (None, True)
--- a/src/laburnumreel/state/_configuration.py
+++ b/src/laburnumreel/state/_configuration.py
@@ -55,7 +55,7 @@
 
     >>> empty = Configuration()
     >>> change = empty.next_change("ana", puts={"customer/hall-a": {"weight": 1.0}})
-    >>> empty.apply(change).value.version
+    >>> empty.apply(change).ok.version
     1
     """
 
