Keep a begun stream at its silent server until the second one has an event

What callers saw: a stream that had begun at a sound server which paused for longer than 1.55 s was cut, if the second server that was asked meanwhile refused, failed or broke off later than 0.3 s, or was silent until the stream's time was over.

Cause: for a begun stream, the second server was preferred 0.3 s after it had been asked, because TWICE allows a stream to be at two servers for 400 ms only. It was open whether that counts from the second request's arrival or from its first token.

Change: the bound is gone; the first answer is used as for all other requests, and the first server is left at once when the second one has an event.

--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -17,7 +17,6 @@
 from laburnumreel.relay._send_failures import SendFailedError, may_resend, refusal_for_failure
 from laburnumreel.relay._silence_limits import (
     HEALTHY_SILENCE_S,
-    RESUME_OVERLAP_S,
     event_gap_silence_limit_s,
     first_event_silence_limit_s,
     prompt_read_silence_limit_s,
@@ -233,7 +232,6 @@
             lambda assignment: job.may_resend_within_budget("silent"),
             lambda: self._has_begun,
             make_hedge=self._make_hedge,
-            max_overlap_s=RESUME_OVERLAP_S,
             failed_hedge=self._reservation.failed_hedge if self._reservation is not None else None,
         )
         # A hedged send is already counted.
--- a/src/laburnumreel/relay/_failover.py
+++ b/src/laburnumreel/relay/_failover.py
@@ -82,8 +82,6 @@
     once, and a server whose silence lasts long after a second server answered with a failure.
     `failed_hedge` is such a failure from an earlier search.
     `max_silent_s` bounds the wait if the server has not run anything yet.
-    `max_overlap_s` bounds the time that a stream which has begun is at two servers. After it, the
-    stream continues with the hedged send, which has not been refused by then.
 
     This protects against a load peak: most backend servers of a service hang at once, all of
     their requests are due for another send at the same time, and many would go to servers that
@@ -99,7 +97,6 @@
         has_begun: Callable[[], bool] = lambda: False,
         max_silent_s: float = float("inf"),
         make_hedge: Callable[[Reservation], Hedge] | None = None,
-        max_overlap_s: float = float("inf"),
         failed_hedge: Hedge | None = None,
         await_bytes: Callable[[Iterable[Exchange], float], None] = await_bytes,
     ) -> None:
@@ -110,8 +107,6 @@
         self._has_begun = has_begun
         self._max_silent_s = max_silent_s
         self._make_hedge = make_hedge
-        self._max_overlap_s = max_overlap_s
-        self._hedged_at = 0.0
         self._await_bytes = await_bytes
         self._silent_since: float | None = None
         self._future: Future | None = None
@@ -247,7 +242,6 @@
         self._probe_silent_server()
         if hedge.start():
             self._hedges.append(hedge)
-            self._hedged_at = self._job.deps.clock.now()
             self._next_request_at = next_request_at
         else:
             self._back_off(self._job.deps.clock.now())
@@ -267,10 +261,6 @@
             else:
                 self._cancel_hedge(hedge, outcome)
             self._back_off(now)
-        is_overlap_over = self._has_begun() and now - self._hedged_at >= self._max_overlap_s
-        if self._hedges and is_overlap_over:
-            self._switch_to(_as_reservation(self._hedges.pop()))
-            return True
         return False
 
     def _may_keep_waiting(self, now: float) -> bool:
--- a/src/laburnumreel/relay/_silence_limits.py
+++ b/src/laburnumreel/relay/_silence_limits.py
@@ -15,9 +15,6 @@
 # longer and no other is available, the reading is given up: the request has not run, and its caller
 # is told so. A stream that is silent for longer is assigned a slot before new requests.
 HEALTHY_SILENCE_S = 1.6
-# The platform allows a stream that moves to another engine to overlap with the previous one for
-# 400 ms, including the time to close that one.
-RESUME_OVERLAP_S = 0.3
 
 
 def prompt_read_silence_limit_s(job: Job, plan: EnginePlan) -> float:
