Write the usage counts of a host that stops on the duties' thread

The stop's own thread would have waited up to two seconds for a store that does not answer, twice, and could have been killed at the end of the grace period before its servers were closed. The task that reads and seals the counts writes them now: when the host admits nothing more, and when the task is closed, within the time that the stop gives to each task.

--- a/src/laburnumreel/relay/_duties.py
+++ b/src/laburnumreel/relay/_duties.py
@@ -74,12 +74,16 @@
         """Leave the process alone."""
 
 
+class _StoreUsage:
+    """The message that has a host's usage counts written to the store."""
+
+
 class Duties(Task):
     """Reports usage and runs the planners while this host holds the lease.
 
     A holder that stops lets the lease expire instead of releasing it: the platform must not get
-    calls from two holders within one lease time. `peers` returns the names of the live peers, `era`
-    the store's era.
+    calls from two holders within one lease time. Every host that stops writes its usage counts to
+    the store. `peers` returns the names of the live peers, `era` the store's era.
     """
 
     def __init__(
@@ -129,6 +133,20 @@
         authority = self._authority()
         return authority.fence if authority is not None else 0
 
+    def store_usage(self) -> None:
+        """Write the usage counts that may still be reported to the store; `close` does so again."""
+        self.tell(_StoreUsage())
+
+    def handle(self, message: object) -> None:
+        match message:
+            case _StoreUsage():
+                self._store_usage()
+            case _:
+                super().handle(message)
+
+    def close(self) -> None:
+        self._store_usage()
+
     def tick(self) -> None:
         now = self._clock.now()
         authority = self._authority()
@@ -142,6 +160,13 @@
         for planner in self._planners:
             planner.step(authority, now)
 
+    def _store_usage(self) -> None:
+        self._usage_store.write(self._oldest_window(self._true_time.now()))
+
+    def _oldest_window(self, true_now: float) -> int:
+        """Return the oldest window that may still be reported."""
+        return self._usage_counters.window(true_now - GIVE_UP_FACTOR * self._usage.late_s)
+
     def _authority(self) -> Authority | None:
         """Return the authority in force, or None; one of an earlier era of the store is invalid."""
         authority = self._authorities.current(DUTY_LEASE)
@@ -152,7 +177,7 @@
     def _report(self, authority: Authority) -> None:
         true_now = self._true_time.now()
         newest = self._usage_counters.window(true_now - SEAL_DELAY_S) - 1
-        oldest = self._usage_counters.window(true_now - GIVE_UP_FACTOR * self._usage.late_s)
+        oldest = self._oldest_window(true_now)
         for window in range(oldest, newest + 1):
             if window in self._reported or self._is_awaiting_counts(window, true_now):
                 continue
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -30,7 +30,7 @@
 from laburnumreel.relay._config import RelayConfig, RelayService
 from laburnumreel.relay._cost_model import Location
 from laburnumreel.relay._dispatcher import Dispatcher
-from laburnumreel.relay._duties import DUTY_LEASE, GIVE_UP_FACTOR, Duties, NoProcessTimer
+from laburnumreel.relay._duties import DUTY_LEASE, Duties, NoProcessTimer
 from laburnumreel.relay._events import (
     LISTEN_FAILED,
     RELAY_CONFIGURED,
@@ -333,7 +333,7 @@
         time.sleep(min(NOT_READY_NOTICE_S, self._settings.stop.grace_s / 2))
         self._application.stop_admitting()
         # Early in the stop, in case the store answers slowly later, or the process is killed.
-        self._store_usage()
+        self._duties.store_usage()
         deadline = began + self._settings.stop.grace_s - FORCED_STOP_S
         while not self._callers.is_idle():
             if self._clock.now() >= deadline:
@@ -342,7 +342,6 @@
                 self._callers.wait_until_idle(FINAL_FLUSH_S)
                 break
             time.sleep(STOP_POLL_S)
-        self._store_usage()
         for task in reversed(list(tasks)):
             with contextlib.suppress(TimeoutError):
                 task.stop(timeout_s=max(0.05, deadline + FORCED_STOP_S / 2 - self._clock.now()))
@@ -351,11 +350,6 @@
         self._pool.close()
         _log.info(RELAY_STOPPED, took_s=round(self._clock.now() - began, 2))
 
-    def _store_usage(self) -> None:
-        """Write the usage counts that may still be reported to the store."""
-        reported_until = self._true_time.now() - GIVE_UP_FACTOR * self._settings.usage.late_s
-        self._usage_store.write(self._usage_counters.window(reported_until))
-
     def _services(self) -> Mapping[str, RelayService]:
         table = self._application.table
         return table.config.services if table is not None else {}
