Receive signals through a queue, so that a series of them can't stop the main thread

Callers saw: nothing at first. A relay that had got two SIGHUP within a fraction of a millisecond went on to serve, but took no changed settings and no SIGTERM any more: it stayed ready, went on to take requests, and was killed at the end of its time to stop with all that ran there. With a few hundred further signals its main thread ended with RecursionError and the process ended by itself.

Cause: the handlers called threading.Event.set. It takes the event's lock, which is not reentrant, so that a signal that comes while the main thread is within set, clear or wait of the same event (holding the lock) makes it wait for itself for ever. Each further signal nests one more handler, until the limit of recursion.

SIGHUP is now taken at once instead of at the next poll of the settings file.

By reading only: a single signal meets the same lock for some microseconds of each second.

Ruled out: the settings file (unchanged and valid), the handlers' default actions during the start (ignored until run).

--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import signal
-import threading
 import time
 from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
@@ -21,7 +20,7 @@
     LeaseManager,
     format_address,
 )
-from laburnumreel.core import Log, SettingsError, SystemClock, Task
+from laburnumreel.core import Log, SettingsError, SignalQueue, SystemClock, Task
 from laburnumreel.relay._answer_memory import AnswerMemoryBudget
 from laburnumreel.relay._application import RelayApplication
 from laburnumreel.relay._back_ends import ListedBackEnd
@@ -67,6 +66,7 @@
 # Part of that time for sending the answers to the aborted requests.
 FINAL_FLUSH_S = 0.25
 STOP_POLL_S = 0.05
+STOP_SIGNALS = {signal.SIGTERM, signal.SIGINT}
 # How often the settings file is checked for changes without a signal.
 SETTINGS_POLL_S = 1.0
 # How often running requests are checked for callers that have disconnected, whose work is stopped.
@@ -107,8 +107,6 @@
         self._boot = secrets.token_hex(4)
         self._clock = SystemClock()
         self._rng = random.Random()
-        self._stop = threading.Event()
-        self._reload = threading.Event()
         self._stopping = False
         self._ready = False
         self._host_count = 1
@@ -267,9 +265,7 @@
 
     def run(self, load_settings: Callable[[], Result[RelaySettings, list[SettingsError]]]) -> int:
         """Serve until SIGTERM and return the exit code. `load_settings` reloads the settings."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self._stop.set())
-        signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
+        signals = SignalQueue.install(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         tasks: list[Task] = [
             self._dispatcher,
             self._registry,
@@ -292,18 +288,18 @@
             host = self._settings.host
             _log.info(RELAY_STARTED, host=host.name, zone=host.zone, boot=self._boot)
             self._readiness.start(executor)
-            while not self._stop.wait(SETTINGS_POLL_S):
-                self._reload_settings(load_settings)
+            while not STOP_SIGNALS & (received := signals.wait(SETTINGS_POLL_S)):
+                self._reload_settings(load_settings, signal.SIGHUP in received)
                 self._pool.prune()
             self._shut_down(tasks)
         return 0
 
     def _reload_settings(
-        self, load_settings: Callable[[], Result[RelaySettings, list[SettingsError]]]
+        self,
+        load_settings: Callable[[], Result[RelaySettings, list[SettingsError]]],
+        signaled: bool,
     ) -> None:
-        """Apply settings that have changed, whether or not a signal announced the change."""
-        signaled = self._reload.is_set()
-        self._reload.clear()
+        """Apply settings that have changed; `signaled` is whether a signal announced the change."""
         loaded = load_settings()
         if loaded.is_error():
             for error in loaded.error:
--- a/tests/test_relay_life.py
+++ b/tests/test_relay_life.py
@@ -16,6 +16,9 @@
 
 pytestmark = pytest.mark.processes
 
+# Duration of a series of signals without pauses between them.
+SIGNAL_SERIES_S = 3.0
+
 
 class TestLife:
     def test_planned_stop_completes_running_requests(self, world):
@@ -33,6 +36,25 @@
         assert relay.process.wait(7) == 0
         assert relay.find_log_lines("relay_stopped")
 
+    def test_series_of_signals_keeps_the_planned_stop(self, world):
+        """A signal may come while the one before is handled, at any place in the code."""
+        world.worker("w1")
+        relay = world.start_relay()
+        ends_at = time.monotonic() + SIGNAL_SERIES_S
+        while time.monotonic() < ends_at:
+            relay.process.send_signal(signal.SIGHUP)
+        reload_count = len(relay.find_log_lines("relay_settings_reloaded"))
+        assert Caller(relay).ask("/once/x")[0] == 200
+        relay.process.send_signal(signal.SIGHUP)
+        wait_until(
+            lambda: len(relay.find_log_lines("relay_settings_reloaded")) > reload_count,
+            "the settings are reloaded after the series",
+        )
+        for _ in range(3):
+            relay.process.terminate()
+        assert relay.process.wait(7) == 0
+        assert relay.find_log_lines("relay_stopped")
+
     def test_ready_only_after_start(self, world, tmp_path, monkeypatch):
         """Guards against a full garbage collection, which stops all threads, once requests come."""
         slow = "import gc, time\ncollect = gc.collect\n"
