Keep the idle limit under which a connection became idle, also just before a change

Callers saw: beside a configuration with a shorter idle time, a whole request on a kept connection got neither an answer nor a refusal, though its caller kept within the idle time that was in force when it got its last answer.

Cause: a connection kept its longer idle limit only if the check for idle connections, once a second, had seen it idle before the change. One that had become idle within that second, or was answering then, got the shorter limit.

Change: the limit is taken when bytes are received or sent (before the send, as its caller may be next).

Not changed: a request that is sent while its connection is being closed after the whole limit still crosses the close.

--- a/src/laburnumreel/transport/_channel.py
+++ b/src/laburnumreel/transport/_channel.py
@@ -101,13 +101,15 @@
         # Whether the end of the caller's data was read, and whether it is known to come later.
         self._has_caller_left = False
         self._is_end_seen = False
-        # The last activity that was seen, the time of that check, and the idle limit at that time.
+        # The last activity that was seen, the time of that check, and the idle limit when the
+        # connection was accepted or when bytes were last received or sent.
         self._last_seen_activity = 0.0
         self._idle_since = time.monotonic()
         self._idle_limit_s = 0.0
         self._last_sent_bytes = -1
         self._progress_at = time.monotonic()
         super().__init__(*arguments, **options)
+        self._idle_limit_s = self.adj.channel_timeout
 
     @property
     def has_next_request(self) -> bool:
@@ -141,6 +143,7 @@
             return
         if data:
             self.last_activity = time.time()
+            self._idle_limit_s = self.adj.channel_timeout
             self.received(data)
             return
         with self.requests_lock:
@@ -175,9 +178,11 @@
             self.server.pull_trigger()
 
     def send(self, data: bytes, do_close: bool = True) -> int:
+        idle_limit_s = self.adj.channel_timeout
         sent = super().send(data, do_close)
         if sent:
             self.sent_bytes += sent
+            self._idle_limit_s = idle_limit_s
         return sent
 
     def write_soon(self, data: bytes) -> int:
@@ -209,14 +214,13 @@
     def is_idle_too_long(self, now: float, limit_s: float) -> bool:
         """Return whether the connection has been idle for longer than its limit.
 
-        A limit that became shorter does not apply to a connection that is already idle: its caller
-        may be about to use it and relies on the longer limit. `now` is a monotonic time, because
+        A limit that became shorter since the last bytes does not apply: the caller may be about
+        to use the connection and relies on the longer limit. `now` is a monotonic time, because
         the wall clock may jump.
         """
         is_busy = self.requests or self.total_outbufs_len or is_readable(self.socket)
         if is_busy or self.last_activity != self._last_seen_activity:
             self._last_seen_activity, self._idle_since = self.last_activity, now
-            self._idle_limit_s = limit_s
         return now - self._idle_since > max(limit_s, self._idle_limit_s)
 
     def set_linger(self, linger: bytes) -> None:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -63,6 +63,16 @@
         time.sleep(2.5)
         assert ask(connection) == (200, b"ok")
 
+    def test_shorter_idle_limit_spares_connection_that_just_became_idle(self, server):
+        """The limit changes between an answer and the next check for idle connections."""
+        server.set_limits(HEADER_BYTES, BODY_BYTES, 30.0)
+        for _ in range(3):
+            connection = connect(server)
+            server.set_limits(HEADER_BYTES, BODY_BYTES, 1.0)
+            time.sleep(2.6)
+            assert ask(connection) == (200, b"ok")
+            server.set_limits(HEADER_BYTES, BODY_BYTES, 30.0)
+
     def test_shorter_idle_limit_applies_from_the_next_request(self, server):
         server.set_limits(HEADER_BYTES, BODY_BYTES, 30.0)
         connection = connect(server)
