--- a/tests/test_truncated_answers.py
+++ b/tests/test_truncated_answers.py
@@ -27,6 +27,26 @@
     "a refusal": b"HTTP/1.1 503 Full\r\nRetry-After: 1.5\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
 }
 INVALID_LENGTHS = [b"-1", b"0x4", b"+4", b" 4_0", b"0x0", b"-0", b"", b"x"]
+# Answers in which the length of the body is lost, or in which it is ambiguous.
+NEXT_ANSWER = b"HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nContent-Length: 5\r\n\r\nother"
+AMBIGUOUS_ANSWERS = {
+    "cut in a name": HEAD + b"Content-Le" + NEXT_ANSWER,
+    "cut after a line": HEAD + NEXT_ANSWER,
+    "cut in a length": HEAD + b"Content-Length: 1" + NEXT_ANSWER,
+    "cut in an encoding": HEAD + b"Transfer-Encoding: chun" + NEXT_ANSWER,
+    "line without a name": HEAD + b"text\r\nContent-Length: 4\r\n\r\nbo",
+    "space after a name": HEAD + b"Content-Length : 4\r\n\r\nbo",
+    "bare CR": HEAD + b"X-More: 1\r\r\nContent-Length: 4\r\n\r\nbo",
+    "folded status line": b"HTTP/1.1 200 OK\r\n Content-Length: 4\r\n\r\nbo",
+    "two lengths": HEAD + b"Content-Length: 2\r\nContent-Length: 4\r\n\r\nbody",
+    "other encoding": HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbo",
+    "two encodings": HEAD + b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbo",
+    "wrong size of a chunk": HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nbody0\r\n\r\n",
+    **{
+        f"length {length}": HEAD + b"Content-Length: " + length + b"\r\n\r\nbody"
+        for length in (b"", b"x", b"-4", b"+2", b"0_2", b"4, 4")
+    },
+}
 
 
 @pytest.fixture
@@ -76,6 +96,11 @@
     def test_complete_answer_is_accepted(self, serve, form):
         assert ask(serve(ANSWERS[form]))[1] in (b"body", b"")
 
+    @pytest.mark.parametrize("form", AMBIGUOUS_ANSWERS)
+    def test_ambiguous_answer_is_never_complete(self, serve, form):
+        with pytest.raises(BackEndFailureError):
+            ask(serve(AMBIGUOUS_ANSWERS[form]))
+
     @pytest.mark.parametrize("length", INVALID_LENGTHS)
     def test_invalid_chunk_length_ends_the_answer(self, serve, length):
         chunk = length + b"\r\nbody\r\n0\r\n\r\n"
