Treat a head that names two requests as another request's answer

What callers saw: at a relay, a 200 with the id and signature of their own request and the whole body of another one (MIXED).

Cause: a server stops within a header's value and writes another answer behind it. The two heads then are one, each line of it well formed, with two Request-Id headers. The verdict was given the first of them, which is the caller's, and the length was the second answer's.

Change: the values of a repeated header are joined by commas in Exchange.header_map, as in Exchange.header before. A head with two ids names neither request.

Evidence: test_non_idempotent_request_is_sent_once with send_cut_head_before_other_answer failed before, with a real relay (200 instead of 502), and passes now.

--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -4,7 +4,7 @@
 import re
 import socket
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import IO, Any, Literal
 
 from laburnumreel.transport._metrics import SILENT_CONNECTIONS
@@ -149,6 +149,28 @@
         return self.isclosed() or bool(read_ahead()) or has_unread_bytes()
 
 
+class _HeaderMap(Mapping[str, str]):
+    """Headers by case-insensitive name, with the values of a repeated header joined by commas.
+
+    A head that is joined from those of two answers thus names neither of their requests.
+    """
+
+    def __init__(self, headers: Iterable[tuple[str, str]]) -> None:
+        self._values: dict[str, str] = {}
+        for name, value in headers:
+            key = name.lower()
+            self._values[key] = f"{self._values[key]}, {value}" if key in self._values else value
+
+    def __getitem__(self, name: str) -> str:
+        return self._values[name.lower()]
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._values)
+
+    def __len__(self) -> int:
+        return len(self._values)
+
+
 class _Connection(http.client.HTTPConnection):
     """A connection that sends the head and the body of a request with one system call.
 
@@ -229,7 +251,7 @@
     @property
     def header_map(self) -> Mapping[str, str]:
         """The headers of the answer, by case-insensitive name."""
-        return self._response.headers
+        return _HeaderMap(self.headers)
 
     def header(self, name: str) -> str | None:
         return self._response.getheader(name)
@@ -347,7 +369,7 @@
         """
         if self.status in INTERIM_STATUSES and self.status != SWITCHING_PROTOCOLS:
             return False
-        if answers_request is None or answers_request(self.status, self._response.headers):
+        if answers_request is None or answers_request(self.status, self.header_map):
             return True
         self._has_foreign_answer = True
         if self._response.will_close:
--- a/tests/platform_answers.py
+++ b/tests/platform_answers.py
@@ -4,6 +4,12 @@
 import socket
 import time
 
+# A response that belongs to no request of a test.
+OTHER_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s.other\r\n"
+    b"Content-Length: 5\r\n\r\nother"
+)
+
 
 def echo(handler):
     request_id = handler.headers.get("Request-Id")
@@ -46,13 +52,22 @@
     close_unanswered(handler)
 
 
+def send_cut_head_before_other_answer(handler):
+    """Send a response head that is cut in a value, and a response that belongs to another request."""
+    handler.wfile.write(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: "
+        + handler.headers["Request-Id"].encode()
+        + b"\r\nResponse-Signature: s\r\nContent-Type: te"
+        + OTHER_ANSWER
+    )
+    handler.wfile.flush()
+    close_unanswered(handler)
+
+
 def send_with_extra_answer(handler):
     """Send a complete response, followed by a response that belongs to no request."""
     send_whole(handler)
-    handler.wfile.write(
-        b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s.other\r\n"
-        b"Content-Length: 5\r\n\r\nother"
-    )
+    handler.wfile.write(OTHER_ANSWER)
 
 
 def begin_stream(handler):
--- a/tests/test_relay_platform.py
+++ b/tests/test_relay_platform.py
@@ -7,6 +7,7 @@
 from platform_answers import (
     close_unanswered,
     send_cut_head,
+    send_cut_head_before_other_answer,
     send_refusal,
     send_truncated,
     send_with_extra_answer,
@@ -83,7 +84,10 @@
             for worker in workers:
                 worker.script = []
 
-    @pytest.mark.parametrize("behaviour", [close_unanswered, send_truncated, send_cut_head])
+    @pytest.mark.parametrize(
+        "behaviour",
+        [close_unanswered, send_truncated, send_cut_head, send_cut_head_before_other_answer],
+    )
     def test_non_idempotent_request_is_sent_once(self, world, behaviour):
         workers = [world.worker("w1"), world.worker("w2")]
         relay = world.start_relay()
