Don't take an aborted answer without a length for a complete one

What callers saw: at the product's own gateway, a 200 with a part of a plain service's body, with a Content-Length or the last chunk of its own, when the gateway ended the request: at its deadline, at the end of the time to stop, or after its key was withdrawn. With an Idempotency-Key, the part could also be stored as the answer (by reading).

Cause: `abort` shuts the connection down, which a read sees as its end, and that is how an answer without a length ends. Exchange.read returned b"" for it and left it to the caller to look at `complete`. The relay did; the gateway's plain requests, their hedged sends, Exchange.read_whole and so the interrupted reads of the store (status 200, empty body) did not.

Change: Exchange.read raises for an aborted exchange, so that b"" only means the end of the answer.

Evidence: test_unfinished_plain_answer_does_not_look_complete (deadline and stop, real gateway: 200 instead of 504) and test_abort_from_another_thread_ends_a_read[close] failed before; a trial with a body of 300,000 bytes was ended with the last chunk. All pass now.

Ruled out: the relay checks `complete` for whole answers and for streams; a stream of the gateway needs its final event.

--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -393,7 +393,7 @@
         """Return the next bytes of the answer as soon as some are received, or b"" at its end.
 
         The timeout covers the whole call, even if trailers or a chunk size line arrive in small
-        pieces.
+        pieces. Raises BackEndFailureError, also if the exchange was aborted.
         """
         response, timeout_s = self._response, self._timeout_s
         self._socket.begin_wait(timeout_s, MAX_READ_BYTES)
@@ -411,7 +411,10 @@
             if not response.chunked and response.length:
                 missing = f"{response.length} bytes are missing"
                 raise self._make_failure("short", missing)
-            self._is_complete = not self._is_aborted
+            if self._is_aborted:
+                # `abort` ends the connection, as does the end of an answer without a length.
+                raise self._make_failure("short", "the exchange was aborted")
+            self._is_complete = True
         return data
 
     def read_whole(self, max_bytes: int, limit_s: float) -> bytes:
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -53,6 +53,29 @@
     assert gateway.process.wait(10) == 0
 
 
+@pytest.mark.parametrize("end", ["deadline", "stop"])
+def test_unfinished_plain_answer_does_not_look_complete(deployment, start_scripted_server, end):
+    """An answer without a length was passed on as a complete one when the gateway aborted it."""
+
+    def script(exchange):
+        exchange.wfile.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+        exchange.connection.settimeout(10.0)
+        exchange.rfile.read(1)
+
+    deployment.configure(profile__orders={"deadline_s": 2.0})
+    start_scripted_server(script).register_with(deployment, "orders", "plain")
+    gateway = deployment.start_gateway()
+    with ThreadPoolExecutor(1) as executor:
+        answer = executor.submit(
+            call, gateway.caller_address, "GET", "/orders/1", None, bearer_headers()
+        )
+        wait_until(lambda: gateway.metric("laburnumreel_running_requests") == 1, "it to run")
+        if end == "stop":
+            gateway.process.send_signal(signal.SIGTERM)
+        reply = answer.result()
+    assert (reply.status, reply.kind, reply.run_state) == (504, "back_end_timeout", "unknown")
+
+
 def test_rolling_replacement_cuts_no_stream(deployment):
     """Guards against failed requests while all gateways are replaced one after another."""
     deployment.configure()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -275,9 +275,13 @@
     server.end()
 
 
-def test_abort_from_another_thread_ends_a_read():
-    """Guards against an exchange of a withdrawn key that runs until the back end answers."""
-    server = ScriptedServer(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", keep_open=True)
+@pytest.mark.parametrize("framing", [b"Content-Length: 9\r\n", b""], ids=["length", "close"])
+def test_abort_from_another_thread_ends_a_read(framing):
+    """Guards against an exchange of a withdrawn key that runs until the back end answers.
+
+    An aborted answer that ends with its connection was treated as complete.
+    """
+    server = ScriptedServer(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n", keep_open=True)
     exchange = BackEndPool().open(server.address)
     exchange.send("GET", "/", {}, None, 30)
     threading.Timer(0.2, exchange.abort).start()
