Don't take a cut answer of the product's platform for a success

What callers saw: nothing yet.

Cause: HttpPlatform used http.client as it is, which takes the end of the connection for the end of a head and of trailers. The checks against this were in transport, which state can't import.

Change: the checks move to core/_http.py (StrictResponse), which transport's response extends and HttpPlatform uses. An object whose answer ends with its connection is an error, as a cut of it can't be told; JSON needs no length.

Evidence: the five cases of TestTruncatedAnswersOfThePlatform failed before (for example `HTTP/1.1 200` and no more: Ok(b"")) and pass now.

Looked at for the same cause (by reading): the reports of engines (serving/_fleet_poller.py) and the status page of the command line (ui/_relay.py) use http.client too, but a cut answer there is no JSON and so an error. Orders, usage reports and the platform's store use Exchange. Calls between peers have a length before each frame.

--- a/src/laburnumreel/core/__init__.py
+++ b/src/laburnumreel/core/__init__.py
@@ -1,6 +1,7 @@
-"""Generic building blocks, independent of serving: clocks, tasks, settings, logs, metrics."""
+"""Generic building blocks, independent of serving: clocks, tasks, settings, logs, metrics, HTTP."""
 
 from laburnumreel.core._clock import Clock, ManualClock, SystemClock
+from laburnumreel.core._http import StrictResponse
 from laburnumreel.core._ini import Field, Schema, SettingsError, Values, kinds
 from laburnumreel.core._log_settings import LOG_FIELDS, LogSettings
 from laburnumreel.core._logs import Event, Log, define_event, events, setup_logs
@@ -25,6 +26,7 @@
     "Metric",
     "Schema",
     "SettingsError",
+    "StrictResponse",
     "SystemClock",
     "Task",
     "TaskStoppedError",
--- a/src/laburnumreel/state/_platform.py
+++ b/src/laburnumreel/state/_platform.py
@@ -9,6 +9,7 @@
 
 from expression import Error, Ok, Result
 
+from laburnumreel.core import StrictResponse
 from laburnumreel.state._fields import FieldError, Fields, own_row_log
 from laburnumreel.state._lenient_json import loads_lenient
 
@@ -203,6 +204,7 @@
         parse_json: bool = True,
     ) -> Result[Any, PlatformError]:
         connection = http.client.HTTPConnection(*self._address, timeout=self._timeout_s)
+        connection.response_class = StrictResponse
         try:
             try:
                 connection.connect()
@@ -216,6 +218,9 @@
                 return Error(PlatformError("lost", repr(error)))
         finally:
             connection.close()
+        if answer.status == 200 and not parse_json and not answer.has_visible_end:
+            # Unlike truncated JSON, a truncated object can't be told from a whole one.
+            return Error(PlatformError("lost", "the answer has no length"))
         return _decode(answer.status, payload, allow_missing, parse_json)
 
     def _headers(self) -> dict[str, str]:
--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -5,8 +5,9 @@
 import socket
 import time
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from typing import IO, Any, Literal
+from typing import Literal
 
+from laburnumreel.core import StrictResponse
 from laburnumreel.transport._metrics import SILENT_CONNECTIONS
 from laburnumreel.transport._sockets import (
     BackEndSocket,
@@ -29,15 +30,7 @@
 # Idle connections are reused within this share of the timeout in the `Keep-Alive` header.
 IDLE_LIMIT_SHARE = 0.7
 
-# Limit of a chunk size line, with its extensions.
-MAX_CHUNK_LINE_BYTES = 64 * 1024
-
 _SECONDS_PATTERN = re.compile(r"[0-9]{1,9}")
-_CHUNK_LENGTH_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,16}")
-_CONTENT_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
-# A header line: a name and a value, or the continuation of a folded value.
-_HEADER_LINE_PATTERN = re.compile(rb"[!-9;-~]+:[^\r\n]*\r?\n")
-_FOLDED_LINE_PATTERN = re.compile(rb"[ \t][^\r\n]*\r?\n")
 
 Address = tuple[str, int]
 FailureReason = Literal["connect_failed", "silent", "lost", "short", "too_long"]
@@ -57,75 +50,8 @@
         self.sent = sent
 
 
-class _HeadReader:
-    """A reader for heads that raises HTTPException for a line that is not part of a head.
-
-    http.client ignores such a line and all lines after it. An answer that is cut in its head and
-    followed by another one would be taken for a single answer, with the body of the second one.
-    """
-
-    def __init__(self, reader: IO[bytes]) -> None:
-        self._reader = reader
-        self._allowed_patterns: tuple[re.Pattern[bytes], ...] = ()
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._reader, name)
-
-    def readline(self, limit: int = -1) -> bytes:
-        line = self._reader.readline(limit)
-        if line in (b"\r\n", b"\n"):
-            # The status line of the next head follows, which http.client checks.
-            self._allowed_patterns = ()
-            return line
-        if not self._allowed_patterns:
-            self._allowed_patterns = (_HEADER_LINE_PATTERN,)
-            return line
-        if not any(pattern.fullmatch(line) for pattern in self._allowed_patterns):
-            raise http.client.HTTPException(f"no line of a head: {line[:40]!r}")
-        self._allowed_patterns = (_HEADER_LINE_PATTERN, _FOLDED_LINE_PATTERN)
-        return line
-
-
-class _Response(http.client.HTTPResponse):
-    """A response that is rejected if it does not say for certain where its body ends.
-
-    http.client reads an answer with an invalid length or an unknown transfer encoding until its
-    connection ends, so that a truncated one would look complete. It accepts whatever `int` parses
-    as a length, such as a sign or underscores, and skips two bytes after each chunk unread.
-    """
-
-    _has_bad_chunk_end = False
-
-    def begin(self) -> None:
-        reader = self.fp
-        self.fp = _HeadReader(reader)
-        super().begin()
-        self.fp = reader
-        encodings = self.headers.get_all("Transfer-Encoding", [])
-        if encodings and [encoding.strip().lower() for encoding in encodings] != ["chunked"]:
-            raise http.client.HTTPException(f"unknown transfer encoding: {encodings!r:.80}")
-        lengths = {length.strip() for length in self.headers.get_all("Content-Length", [])}
-        if len(lengths) > 1 or not all(map(_CONTENT_LENGTH_PATTERN.fullmatch, lengths)):
-            raise http.client.HTTPException(f"no single length: {sorted(lengths)!r:.80}")
-
-    def _get_chunk_left(self) -> int | None:
-        if self.chunk_left == 0:
-            self._read_chunk_end()
-        return super()._get_chunk_left()
-
-    def _read_chunk_end(self) -> None:
-        """Read the line end after the data of a chunk."""
-        if self._has_bad_chunk_end or self._safe_read(2) != b"\r\n":
-            self._has_bad_chunk_end = True
-            raise http.client.HTTPException("no line end after a chunk")
-        self.chunk_left = None
-
-    def _read_next_chunk_size(self) -> int:
-        line = self.fp.readline(MAX_CHUNK_LINE_BYTES)
-        length = line.partition(b";")[0].strip(b" \t\r\n")
-        if not line.endswith(b"\n") or not _CHUNK_LENGTH_PATTERN.fullmatch(length):
-            raise ValueError(f"no length of a chunk: {line[:40]!r}")
-        return int(length, 16)
+class _Response(StrictResponse):
+    """A response that tells whether a part of its chunked body can be read without blocking."""
 
     def can_read_chunk(
         self, read_ahead: Callable[[], bytes], has_unread_bytes: Callable[[], bool]
@@ -140,7 +66,7 @@
             # The line end after a chunk's data arrives with it; the next chunk may arrive much
             # later.
             try:
-                self._read_chunk_end()
+                self.read_chunk_end()
             except (OSError, http.client.HTTPException):
                 return True
         if self.chunk_left is None and not self.isclosed():
--- a/tests/test_truncated_answers.py
+++ b/tests/test_truncated_answers.py
@@ -5,6 +5,7 @@
 import pytest
 from endless_server import EndlessServer
 
+from laburnumreel.state import HttpPlatform
 from laburnumreel.transport import BackEndFailureError, BackEndPool
 
 TIMEOUT_S = 2.0
@@ -106,3 +107,29 @@
         chunk = length + b"\r\nbody\r\n0\r\n\r\n"
         with pytest.raises(BackEndFailureError):
             ask(serve(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunk))
+
+
+PLATFORM_ANSWERS = {
+    "an object": b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nbody",
+    "an object in chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
+    "an object after an interim answer": b"HTTP/1.1 100 Continue\r\n\r\n"
+    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+    "an object that is missing": b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+}
+
+
+class TestTruncatedAnswersOfThePlatform:
+    @pytest.mark.parametrize("form", PLATFORM_ANSWERS)
+    def test_truncated_object_is_an_error(self, serve, form):
+        """A part of a snapshot, or of a stored answer, was taken for the whole object."""
+        raw = PLATFORM_ANSWERS[form]
+        platform = HttpPlatform(serve(*(raw[:end] for end in range(len(raw))), raw).address)
+        found = {raw[:end]: platform.get_object("o") for end in range(len(raw))}
+        accepted = {cut[-40:]: result for cut, result in found.items() if result.is_ok()}
+        assert not accepted and {result.error.kind for result in found.values()} == {"lost"}
+        assert platform.get_object("o").ok in (b"body", None)
+
+    def test_object_without_a_length_is_an_error(self, serve):
+        platform = HttpPlatform(serve(b"HTTP/1.1 200 OK\r\n\r\nbo").address)
+        assert platform.get_object("o").error.kind == "lost"
