Check each line of a head with one pattern

The two patterns that a line may match become one, chosen by the line before it. No change of behaviour.

--- a/src/laburnumreel/core/_http.py
+++ b/src/laburnumreel/core/_http.py
@@ -9,9 +9,11 @@
 
 _CHUNK_LENGTH_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,16}")
 _CONTENT_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
-# A header line: a name and a value, or the continuation of a folded value.
-_HEADER_LINE_PATTERN = re.compile(rb"[!-9;-~]+:[^\r\n]*\r?\n")
-_FOLDED_LINE_PATTERN = re.compile(rb"[ \t][^\r\n]*\r?\n")
+# http.client checks the rest of the status line.
+_STATUS_LINE_PATTERN = re.compile(rb"[^\n]*\n")
+_FIRST_HEADER_PATTERN = re.compile(rb"[!-9;-~]+:[^\r\n]*\r?\n")
+# A name and a value, or the continuation of a folded value.
+_HEADER_PATTERN = re.compile(rb"(?:[!-9;-~]+:|[ \t])[^\r\n]*\r?\n")
 _BLANK_LINES = (b"\r\n", b"\n")
 
 
@@ -25,7 +27,7 @@
 
     def __init__(self, reader: IO[bytes]) -> None:
         self._reader = reader
-        self._allowed_patterns: tuple[re.Pattern[bytes], ...] = ()
+        self._expected = _STATUS_LINE_PATTERN
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._reader, name)
@@ -33,18 +35,13 @@
     def readline(self, limit: int = -1) -> bytes:
         line = self._reader.readline(limit)
         if line in _BLANK_LINES:
-            # The status line of the next head follows.
-            self._allowed_patterns = ()
+            # Another head may follow that of an interim answer.
+            self._expected = _STATUS_LINE_PATTERN
             return line
-        if not self._allowed_patterns:
-            # http.client checks the rest of the status line.
-            is_valid = line.endswith(b"\n")
-            self._allowed_patterns = (_HEADER_LINE_PATTERN,)
-        else:
-            is_valid = any(pattern.fullmatch(line) for pattern in self._allowed_patterns)
-            self._allowed_patterns = (_HEADER_LINE_PATTERN, _FOLDED_LINE_PATTERN)
-        if not is_valid:
+        if not self._expected.fullmatch(line):
             raise http.client.HTTPException(f"no line of a head: {line[:40]!r}")
+        is_status_line = self._expected is _STATUS_LINE_PATTERN
+        self._expected = _FIRST_HEADER_PATTERN if is_status_line else _HEADER_PATTERN
         return line
 
 
