--- a/src/laburnumreel/core/__init__.py
+++ b/src/laburnumreel/core/__init__.py
@@ -1,6 +1,7 @@
-"""Generic building blocks, independent of serving: clocks, tasks, settings, logs, metrics."""
+"""Generic building blocks, independent of serving: clocks, tasks, settings, logs, metrics, HTTP."""
 
 from laburnumreel.core._clock import Clock, ManualClock, SystemClock
+from laburnumreel.core._http import StrictResponse
 from laburnumreel.core._ini import Field, Schema, SettingsError, Values, kinds
 from laburnumreel.core._log_settings import LOG_FIELDS, LogSettings
 from laburnumreel.core._logs import Event, Log, define_event, events, setup_logs
@@ -27,6 +28,7 @@
     "Schema",
     "SettingsError",
     "SignalQueue",
+    "StrictResponse",
     "SystemClock",
     "Task",
     "TaskStoppedError",
