Count the times of a relay's stop from its signal, and admit by when a request was read

What callers saw: a request that reached a stopping host more than 3 s after the SIGTERM was taken and passed on, and ended with 504 at the end of the grace period.

Cause: all times of the stop were counted from when the main thread left its loop. It reads the settings in that loop, so a slow settings file delays readiness, the end of admission and the forced end, by any time; the last one can then come after the SIGKILL. Besides, admission ended at one wake-up of that thread, whenever it came, whether or not the requests could end in time.

Change: the signal's handler records the time and marks the host as stopping; `StopSchedule` has all times of the stop. A request is admitted by when it was read. A further signal changes nothing.

Evidence: test_slow_settings_file_does_not_delay_the_stop failed before with (504, 'unknown') in place of (503, 'not-run'): the settings are a FIFO that is held open for 1.5 s.

Ruled out: a second SIGTERM during the stop; it only sets the event again.

--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -20,6 +20,7 @@
 from laburnumreel.relay._ports import CallerWire
 from laburnumreel.relay._request_slots import RequestSlots
 from laburnumreel.relay._requests import Prompt, RelayRequest
+from laburnumreel.relay._stop_schedule import StopSchedule
 from laburnumreel.serving import RequestRegistry, ResponseBody, RunningRequest
 from laburnumreel.state import ErrorKind, Refusal, RunState
 from laburnumreel.transport import READ_AT_KEY
@@ -66,7 +67,8 @@
         self._rng = rng
         self._era = era
         self._table: RouteTable | None = None
-        self._stopping = False
+        self._stop: StopSchedule | None = None
+        self._is_closed = False
         self._places = RequestSlots(max_requests, deps.clock, rng)
         self._configured_at, self._configured_era = 0.0, 0
         self._has_caught_up = False
@@ -106,9 +108,13 @@
         self._has_caught_up = settled and (newest or 0) <= self._table.version
         return (newest or 0) <= self._table.version
 
+    def begin_stop(self, stop: StopSchedule) -> None:
+        """Admit only the requests that a planned stop allows; running ones continue."""
+        self._stop = stop
+
     def stop_admitting(self) -> None:
         """Refuse new requests from now on; running ones continue."""
-        self._stopping = True
+        self._is_closed = True
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         now = self._clock.now()
@@ -153,8 +159,8 @@
         """
         if request.is_caller_gone():
             raise RelayFailedError(Refusal(ErrorKind.CALLER_GONE, run_state=RunState.NOT_RUN))
-        if self._stopping:
-            raise RelayFailedError(Refusal(ErrorKind.STOPPING, retry_after_s=STOPPING_RETRY_S))
+        # A request that may end in time is checked again once its deadline is known.
+        self._refuse_if_stopping(request, request.arrived_at)
         table = self._table
         if table is None or not self.is_current:
             detail = "no configuration is known yet that is as new as the peers'"
@@ -185,6 +191,7 @@
         running = RunningRequest(
             request.request_id, None, request.arrived_at + patience_s, request.is_caller_gone
         )
+        self._refuse_if_stopping(request, running.deadline)
         job = Job(self._deps, request, route, service, customer, priority, running, table.version)
         held_s = self._deps.dispatcher.remaining_quarantine_s(job.digest)
         if held_s is not None:
@@ -192,6 +199,12 @@
             raise RelayFailedError(Refusal(ErrorKind.CRASHES_BACK_ENDS, detail, held_s))
         return job
 
+    def _refuse_if_stopping(self, request: RelayRequest, deadline: float) -> None:
+        """Raise `RelayFailedError` if the stop of this host does not admit the request."""
+        stop = self._stop
+        if self._is_closed or not (stop is None or stop.admits(request.arrived_at, deadline)):
+            raise RelayFailedError(Refusal(ErrorKind.STOPPING, retry_after_s=STOPPING_RETRY_S))
+
     def _refuse_if_stale(self, table: RouteTable) -> None:
         """Raise `RelayFailedError` if the configuration is known to be outdated.
 
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -51,6 +51,7 @@
 from laburnumreel.relay._ports import Adapter, Listing
 from laburnumreel.relay._roles import RolePlanner
 from laburnumreel.relay._settings import RelaySettings
+from laburnumreel.relay._stop_schedule import FORCED_STOP_S, StopSchedule
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._unknown_headers import UnknownHeaders
 from laburnumreel.relay._usage_counters import UsageCounters
@@ -59,12 +60,7 @@
 from laburnumreel.state import Lease, LeaseSettings
 from laburnumreel.transport import BackEndPool, HttpOrderLink, HttpServer, create_admin_server
 
-# The load balancer checks readiness once a second and removes a host after two failed checks, so
-# new connections still arrive for about this long after a stop has begun.
-NOT_READY_NOTICE_S = 3.0
-# Time before the end of the grace period at which the remaining requests are aborted.
-FORCED_STOP_S = 0.8
-# Part of that time for sending the answers to the aborted requests.
+# Time for sending the answers to the requests that are aborted at the end of a stop.
 FINAL_FLUSH_S = 0.25
 STOP_POLL_S = 0.05
 # How often the settings file is checked for changes without a signal.
@@ -109,7 +105,7 @@
         self._rng = random.Random()
         self._stop = threading.Event()
         self._reload = threading.Event()
-        self._stopping = False
+        self._stop_schedule: StopSchedule | None = None
         self._ready = False
         self._host_count = 1
         host = settings.host
@@ -268,7 +264,7 @@
     def run(self, load_settings: Callable[[], Result[RelaySettings, list[SettingsError]]]) -> int:
         """Serve until SIGTERM and return the exit code. `load_settings` reloads the settings."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self._stop.set())
+            signal.signal(number, lambda *_: self._begin_stop())
         signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
         tasks: list[Task] = [
             self._dispatcher,
@@ -295,9 +291,25 @@
             while not self._stop.wait(SETTINGS_POLL_S):
                 self._reload_settings(load_settings)
                 self._pool.prune()
-            self._shut_down(tasks)
+            self._shut_down(tasks, self._stop_schedule)
         return 0
 
+    @property
+    def _stopping(self) -> bool:
+        return self._stop_schedule is not None
+
+    def _begin_stop(self) -> None:
+        """Begin the stop in the signal's handler, which runs even if the settings are being read.
+
+        Further signals have no effect.
+        """
+        if self._stop_schedule is not None:
+            return
+        self._stop_schedule = StopSchedule(self._clock.now(), self._settings.stop.grace_s)
+        self._application.begin_stop(self._stop_schedule)
+        self._callers.close_after_answers()
+        self._stop.set()
+
     def _reload_settings(
         self, load_settings: Callable[[], Result[RelaySettings, list[SettingsError]]]
     ) -> None:
@@ -320,16 +332,13 @@
             self._dispatcher.retry(loaded.ok.retry)
         self._settings = loaded.ok
 
-    def _shut_down(self, tasks: Iterable[Task]) -> None:
-        began = self._clock.now()
-        _log.info(RELAY_STOPPING, host=self._settings.host.name)
-        self._stopping = True
-        self._callers.close_after_answers()
-        time.sleep(min(NOT_READY_NOTICE_S, self._settings.stop.grace_s / 2))
+    def _shut_down(self, tasks: Iterable[Task], stop: StopSchedule) -> None:
+        noticed_s = round(self._clock.now() - stop.signaled_at, 2)
+        _log.info(RELAY_STOPPING, host=self._settings.host.name, noticed_s=noticed_s)
+        time.sleep(max(0.0, stop.admits_until - self._clock.now()))
         self._application.stop_admitting()
-        deadline = began + self._settings.stop.grace_s - FORCED_STOP_S
         while not self._callers.is_idle():
-            if self._clock.now() >= deadline:
+            if self._clock.now() >= stop.aborts_at:
                 _log.error(RELAY_STOP_INCOMPLETE)
                 self._registry.abort_all()
                 self._callers.wait_until_idle(FINAL_FLUSH_S)
@@ -337,11 +346,13 @@
             time.sleep(STOP_POLL_S)
         for task in reversed(list(tasks)):
             with contextlib.suppress(TimeoutError):
-                task.stop(timeout_s=max(0.05, deadline + FORCED_STOP_S / 2 - self._clock.now()))
+                task.stop(
+                    timeout_s=max(0.05, stop.aborts_at + FORCED_STOP_S / 2 - self._clock.now())
+                )
         for server in (self._callers, self._readiness, self._admin):
             server.stop()
         self._pool.close()
-        _log.info(RELAY_STOPPED, took_s=round(self._clock.now() - began, 2))
+        _log.info(RELAY_STOPPED, took_s=round(self._clock.now() - stop.signaled_at, 2))
 
     def _services(self) -> Mapping[str, RelayService]:
         table = self._application.table
--- a/tests/relay_caller.py
+++ b/tests/relay_caller.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import threading
 
 from laburnumreel_standins.caller import MAX_SHOWN_BODY_BYTES, last_answers
 
@@ -43,4 +44,28 @@
         self.connection.request(method, path, body, all_headers)
 
 
+class BackgroundRequest:
+    """A request on a thread of its own. `outcome` is its status, or the error."""
+
+    def __init__(self, relay, path, method="POST", **headers):
+        self.outcome = None
+        self.error_kind = None
+        self._caller = Caller(relay, timeout_s=15)
+        self._arguments = (path, method)
+        self._headers = headers
+        self._thread = threading.Thread(target=self._send)
+        self._thread.start()
+
+    def _send(self):
+        try:
+            self.outcome, headers, _ = self._caller.ask(*self._arguments, **self._headers)
+            self.error_kind = headers.get("x-error-kind")
+        except (OSError, http.client.HTTPException) as error:
+            self.outcome = repr(error)
+
+    def result(self):
+        self._thread.join()
+        return self.outcome
+
+
 PROMPT_HEADERS = {"Model_Id": "m", "Token_Usage": "3000,50", "Prefix_Hash": "aa:2500,bb:500"}
--- a/tests/test_caller_shutdown.py
+++ b/tests/test_caller_shutdown.py
@@ -1,8 +1,6 @@
 """Tests of requests while a process is stopped or receives SIGHUP."""
 
-import http.client
 import signal
-import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -10,7 +8,7 @@
 import pytest
 from platform_config import config
 from platform_world import wait_until
-from relay_caller import Caller
+from relay_caller import BackgroundRequest
 
 from laburnumreel_standins._text import output_text
 from laburnumreel_standins.caller import MODEL, Stream, bearer_headers, call
@@ -38,30 +36,6 @@
     time.sleep(12)
 
 
-class BackgroundRequest:
-    """A request on a thread of its own. `outcome` is its status, or the error."""
-
-    def __init__(self, relay, path, method="POST", **headers):
-        self.outcome = None
-        self.error_kind = None
-        self._caller = Caller(relay, timeout_s=15)
-        self._arguments = (path, method)
-        self._headers = headers
-        self._thread = threading.Thread(target=self._send)
-        self._thread.start()
-
-    def _send(self):
-        try:
-            self.outcome, headers, _ = self._caller.ask(*self._arguments, **self._headers)
-            self.error_kind = headers.get("x-error-kind")
-        except (OSError, http.client.HTTPException) as error:
-            self.outcome = repr(error)
-
-    def result(self):
-        self._thread.join()
-        return self.outcome
-
-
 class TestEndOfGracePeriod:
     def test_queued_requests_are_refused(self, world):
         """Queued requests get status 503, and requests that a server has get status 504."""
--- /dev/null
+++ b/tests/test_relay_stop.py
@@ -0,0 +1,78 @@
+"""Tests of a relay's planned stop: which requests are still taken, and how those that are end."""
+
+import os
+import signal
+import threading
+import time
+
+import pytest
+from platform_config import config
+from platform_world import wait_until
+from relay_caller import BackgroundRequest, Caller
+
+pytestmark = pytest.mark.processes
+
+# Requests sent later than this after SIGTERM must not be cut by the end of the stop.
+NOTICE_S = 3.0
+LONG_ROUTES = [
+    {
+        "Name": name,
+        "Prefix": f"/{name}/",
+        "RouteType": route_type,
+        "Service": "orders",
+        "TimeoutMs": 60_000,
+    }
+    for name, route_type in (("long", "idempotent"), ("long-once", "non_idempotent"))
+]
+
+
+def wait_past(moment):
+    time.sleep(max(0.0, moment - time.monotonic()))
+
+
+def open_for_reader(path):
+    """Open a FIFO for writing once a process has opened it for reading."""
+
+    def attempt():
+        try:
+            return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+        except OSError:
+            return None
+
+    return wait_until(attempt, "the relay to read its settings")
+
+
+@pytest.fixture
+def released():
+    """Workers of a test answer once this event is set."""
+    event = threading.Event()
+    yield event
+    event.set()
+
+
+class TestAdmission:
+    def test_slow_settings_file_does_not_delay_the_stop(self, world, released):
+        """Guards against a notice that starts when the settings have been read."""
+        world.extra_settings = "[stop]\ngrace_s = 6\n"
+        world.store.put("op", "config", config(2, LONG_ROUTES))
+        worker = world.worker("w1", default_answer=lambda handler: released.wait(20))
+        relay = world.start_relay()
+        kept = BackgroundRequest(relay, "/long/x", Deadline_Ms="60000")
+        wait_until(lambda: worker.seen, "the worker to have the request")
+        text = relay.settings.read_text()
+        relay.settings.unlink()
+        os.mkfifo(relay.settings)
+        settings = open_for_reader(relay.settings)
+        stopped_at = time.monotonic()
+        relay.process.send_signal(signal.SIGTERM)
+        wait_past(stopped_at + NOTICE_S / 2)
+        was_ready = relay.is_ready()
+        os.write(settings, text.encode())
+        os.close(settings)
+        wait_past(stopped_at + NOTICE_S)
+        status, headers, _ = Caller(relay).ask("/long-once/x", Deadline_Ms="60000")
+        assert (status, headers["x-run-state"]) == (503, "not-run")
+        assert float(headers["retry-after"]) <= 1.0
+        assert len(worker.seen) == 1 and not was_ready
+        assert kept.result() == 504
+        assert relay.process.wait(10) == 0
