Refuse waiting requests that may run only once when a stopping host no longer admits any

What callers saw: a request that may not be repeated waited for a place at a stopping host, was sent to a server shortly before the end of the grace period and ended with 504 there, so that its caller could not send it again.

Cause: only new requests were refused during a stop. Those that waited kept their place until they were placed, and a request that a server had refused was placed again, however little was left of the stop.

Change: when admission ends, the registry refuses requests that are not repeatable, that no server has, and whose deadline is later than the forced end: 503, not run, with a short Retry-After. Those that a server has are not sent again if it refuses them. Whether a server has a request is decided under the lock of its exchange, so that a send and the refusal exclude each other. Requests that may be repeated or resumed wait on, as a cut loses them nothing that they can't ask for again.

Ruled out: hedged sends and resumed streams late in a stop; only routes that may be repeated have them.

--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -28,7 +28,7 @@
 # Retry delay if peers have a newer configuration: a host lags behind for about this time.
 STALE_CONFIG_RETRY_S = 0.2
 NOT_READY_RETRY_S = 0.5
-STOPPING_RETRY_S = 0.1
+STOPPING = Refusal(ErrorKind.STOPPING, retry_after_s=0.1)
 # The time after a host's first configuration within which updates from its peers are expected: they
 # are sent several times a second.
 PEER_DISCOVERY_S = 1.0
@@ -189,7 +189,11 @@
         if request.caller_timeout_s is not None:
             patience_s = min(patience_s, request.caller_timeout_s)
         running = RunningRequest(
-            request.request_id, None, request.arrived_at + patience_s, request.is_caller_gone
+            request.request_id,
+            None,
+            request.arrived_at + patience_s,
+            request.is_caller_gone,
+            is_repeatable=route.repeatable,
         )
         self._refuse_if_stopping(request, running.deadline)
         job = Job(self._deps, request, route, service, customer, priority, running, table.version)
@@ -203,7 +207,7 @@
         """Raise `RelayFailedError` if the stop of this host does not admit the request."""
         stop = self._stop
         if self._is_closed or not (stop is None or stop.admits(request.arrived_at, deadline)):
-            raise RelayFailedError(Refusal(ErrorKind.STOPPING, retry_after_s=STOPPING_RETRY_S))
+            raise RelayFailedError(STOPPING)
 
     def _refuse_if_stale(self, table: RouteTable) -> None:
         """Raise `RelayFailedError` if the configuration is known to be outdated.
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -228,6 +228,8 @@
     def abort_refusal(self) -> Refusal:
         """Return the refusal of an aborted request, with its run state."""
         abort_reason = self.running.abort_reason
+        if abort_reason is not None and abort_reason.kind is ErrorKind.STOPPING:
+            return self.refusal_with_run_state(abort_reason)
         kind = abort_reason.kind if abort_reason is not None else ErrorKind.BACK_END_TIMEOUT
         if kind is ErrorKind.BACK_END_TIMEOUT and self.run_state is RunState.NOT_RUN:
             kind = ErrorKind.DEADLINE_UNMEETABLE
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -23,7 +23,7 @@
 )
 from laburnumreel.core import Log, SettingsError, SystemClock, Task
 from laburnumreel.relay._answer_memory import AnswerMemoryBudget
-from laburnumreel.relay._application import RelayApplication
+from laburnumreel.relay._application import STOPPING, RelayApplication
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._capacity import CapacityPlanner
 from laburnumreel.relay._cleaning import RowCleaner
@@ -337,6 +337,7 @@
         _log.info(RELAY_STOPPING, host=self._settings.host.name, noticed_s=noticed_s)
         time.sleep(max(0.0, stop.admits_until - self._clock.now()))
         self._application.stop_admitting()
+        self._registry.abort_unsent(stop.aborts_at, STOPPING)
         while not self._callers.is_idle():
             if self._clock.now() >= stop.aborts_at:
                 _log.error(RELAY_STOP_INCOMPLETE)
--- a/src/laburnumreel/serving/_registry.py
+++ b/src/laburnumreel/serving/_registry.py
@@ -27,6 +27,7 @@
         deadline: float,
         has_disconnected: Callable[[], bool],
         finish_without_caller: bool = False,
+        is_repeatable: bool = True,
     ) -> None:
         self.request_id = request_id
         self.key_digest = key_digest
@@ -34,10 +35,14 @@
         # A request with an Idempotency-Key continues after its caller disconnects, as the caller's
         # next attempt gets its answer.
         self.finish_without_caller = finish_without_caller
+        # Whether the request may run more than once.
+        self.is_repeatable = is_repeatable
         self._has_disconnected = has_disconnected
         self._lock = threading.Lock()
         self._exchange: Exchange | None = None
         self._abort_reason: Refusal | None = None
+        # Why the request is not sent again once its current exchange has ended, if it may not be.
+        self._no_resend_reason: Refusal | None = None
         self._wake = threading.Event()
 
     @property
@@ -61,6 +66,8 @@
         """Detach the exchange before its connection returns to the pool."""
         with self._lock:
             self._exchange = None
+            if self._abort_reason is None:
+                self._abort_reason = self._no_resend_reason
 
     def abort(self, refusal: Refusal) -> bool:
         """Abort the request and shut down its back-end connection.
@@ -76,6 +83,19 @@
         self._wake.set()
         return True
 
+    def abort_unsent(self, refusal: Refusal) -> bool:
+        """Abort the request unless a back end has it, and never send it again.
+
+        Return False if a back end has it, or if it was aborted before.
+        """
+        with self._lock:
+            self._no_resend_reason = refusal
+            if self._abort_reason is not None or self._exchange is not None:
+                return False
+            self._abort_reason = refusal
+        self._wake.set()
+        return True
+
     def sleep(self, seconds: float) -> None:
         """Wait for some seconds, or until the request is aborted."""
         self._wake.wait(seconds)
@@ -93,6 +113,11 @@
     keys: WithdrawnKeys
 
 
+class _AbortUnsent(NamedTuple):
+    aborts_at: float
+    refusal: Refusal
+
+
 class _AbortAll(NamedTuple):
     pass
 
@@ -115,6 +140,7 @@
         self._should_cut_streams = should_cut_streams
         self._running: dict[str, RunningRequest] = {}
         self._withdrawn = WithdrawnKeys()
+        self._stop: _AbortUnsent | None = None
 
     def watch(self, running: RunningRequest) -> None:
         """Start to watch a request."""
@@ -128,6 +154,13 @@
         """Abort the requests with these keys, including those that start later."""
         self.tell(_WithdrawKeys(keys))
 
+    def abort_unsent(self, aborts_at: float, refusal: Refusal) -> None:
+        """Refuse the requests that wait for a back end, may run only once and may outlast the stop.
+
+        They would be cut at `aborts_at`, and their callers could not send them again.
+        """
+        self.tell(_AbortUnsent(aborts_at, refusal))
+
     def abort_all(self) -> None:
         """Abort all requests because the grace time of this node's stop is over.
 
@@ -140,12 +173,17 @@
             case _WatchRequest(running):
                 self._running[running.request_id] = running
                 self._check_key(running)
+                self._check_stop(running)
             case _UnwatchRequest(request_id):
                 self._running.pop(request_id, None)
             case _WithdrawKeys(keys):
                 self._withdrawn = keys
                 for running in self._running.values():
                     self._check_key(running)
+            case _AbortUnsent():
+                self._stop = message
+                for running in self._running.values():
+                    self._check_stop(running)
             case _AbortAll():
                 for running in self._running.values():
                     self._abort(running, ErrorKind.BACK_END_TIMEOUT, "The node stops.")
@@ -165,6 +203,13 @@
         if running.key_digest is not None and running.key_digest in self._withdrawn:
             self._abort(running, ErrorKind.WITHDRAWN_KEY)
 
+    def _check_stop(self, running: RunningRequest) -> None:
+        stop = self._stop
+        if stop is None or running.is_repeatable or running.deadline <= stop.aborts_at:
+            return
+        if running.abort_unsent(stop.refusal):
+            _log.info(REQUEST_ABORTED, request=running.request_id, kind=str(stop.refusal.kind))
+
     def _abort(self, running: RunningRequest, kind: ErrorKind, detail: str = "") -> None:
         if running.abort(Refusal(kind, detail, run_state=RunState.UNKNOWN)):
             _log.info(REQUEST_ABORTED, request=running.request_id, kind=str(kind))
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -6,6 +6,7 @@
 import time
 
 import pytest
+from platform_answers import send_refusal, send_whole
 from platform_config import config
 from platform_world import wait_until
 from relay_caller import BackgroundRequest, Caller
@@ -76,3 +77,50 @@
         assert len(worker.seen) == 1 and not was_ready
         assert kept.result() == 504
         assert relay.process.wait(10) == 0
+
+
+class TestRequestsThatRunOnce:
+    """Requests that may run only once are not sent to a server that the stop would cut off."""
+
+    def start(self, world, answer):
+        world.store.put("op", "config", config(2, LONG_ROUTES))
+        worker = world.worker("w1", default_answer=answer, Slots=1)
+        relay = world.start_relay()
+        requests = [BackgroundRequest(relay, "/long-once/x", Deadline_Ms="60000") for _ in range(4)]
+        wait_until(lambda: worker.seen, "the worker to have a request")
+        return worker, relay, requests
+
+    def stop(self, relay, requests, queued):
+        """Begin a stop and wait until the queued requests have ended, or much of the grace."""
+        relay.process.send_signal(signal.SIGTERM)
+        late = time.monotonic() + 6.0
+        wait_until(
+            lambda: sum(request.outcome is not None for request in requests) == queued
+            or time.monotonic() > late,
+            "the queued requests to end",
+        )
+
+    def test_queued_request_is_not_sent_late(self, world, released):
+        worker, relay, requests = self.start(
+            world, lambda handler: (released.wait(20), send_whole(handler))
+        )
+        sent = len(worker.seen)
+        self.stop(relay, requests, len(requests) - sent)
+        worker.script = [lambda handler: time.sleep(20)] * len(requests)
+        released.set()
+        outcomes = sorted(request.result() for request in requests)
+        assert outcomes == [200] * sent + [503] * (len(requests) - sent)
+        assert len(worker.seen) == sent
+        assert relay.process.wait(10) == 0
+
+    def test_refused_request_is_not_sent_to_another_server_late(self, world, released):
+        worker, relay, requests = self.start(
+            world, lambda handler: (released.wait(20), send_refusal(handler))
+        )
+        self.stop(relay, requests, len(requests) - len(worker.seen))
+        other = world.worker("w2", default_answer=lambda handler: time.sleep(20))
+        time.sleep(1.0)
+        released.set()
+        assert [request.result() for request in requests] == [503] * len(requests)
+        assert not other.seen
+        assert relay.process.wait(10) == 0
