Let a stopping relay answer the requests that it has read as long as the stop allows

What callers saw: a whole request that a stopping host had read got neither an answer nor a refusal; its connection was closed.

Cause: at the end of a stop, requests that had been read were given 0.2 s, and those that were aborted 0.25 s, whatever was left of the time to stop. A request whose thread got the processor later was closed unanswered. Tasks were stopped between the two, for up to 0.4 s and 0.05 s each with a slow store, so that an end that was forced could also come after the SIGKILL.

Change: the callers' server ends as soon as all requests that were read are answered, and at the latest 0.2 s before the end of the grace period. If the end is forced, this comes before the tasks are stopped. Event 203 says how long ago the oldest request was read and what was left of the time, event 603 how many requests were unanswered.

Evidence: test_request_that_was_read_is_answered_by_a_busy_process failed before with RemoteDisconnected and event 203 with reason `stop`. The relay's request threads start 1.5 s late in it, and calls to the store hang while the request is read.

Ruled out: requests in the kernel's buffer at the end of a stop (test_request_that_is_being_received_is_answered).

--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -51,7 +51,7 @@
 from laburnumreel.relay._ports import Adapter, Listing
 from laburnumreel.relay._roles import RolePlanner
 from laburnumreel.relay._settings import RelaySettings
-from laburnumreel.relay._stop_schedule import FORCED_STOP_S, StopSchedule
+from laburnumreel.relay._stop_schedule import StopSchedule
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._unknown_headers import UnknownHeaders
 from laburnumreel.relay._usage_counters import UsageCounters
@@ -60,8 +60,9 @@
 from laburnumreel.state import Lease, LeaseSettings
 from laburnumreel.transport import BackEndPool, HttpOrderLink, HttpServer, create_admin_server
 
-# Time for sending the answers to the requests that are aborted at the end of a stop.
-FINAL_FLUSH_S = 0.25
+# Minimum time to stop each task, and to answer the last requests.
+MIN_TASK_STOP_S = 0.05
+MIN_FINAL_ANSWERS_S = 0.2
 STOP_POLL_S = 0.05
 # How often the settings file is checked for changes without a signal.
 SETTINGS_POLL_S = 1.0
@@ -340,21 +341,24 @@
         self._registry.abort_unsent(stop.aborts_at, STOPPING)
         while not self._callers.is_idle():
             if self._clock.now() >= stop.aborts_at:
-                _log.error(RELAY_STOP_INCOMPLETE)
+                _log.error(RELAY_STOP_INCOMPLETE, requests=self._callers.request_count)
                 self._registry.abort_all()
-                self._callers.wait_until_idle(FINAL_FLUSH_S)
+                self._stop_callers(stop)
                 break
             time.sleep(STOP_POLL_S)
         for task in reversed(list(tasks)):
             with contextlib.suppress(TimeoutError):
-                task.stop(
-                    timeout_s=max(0.05, stop.aborts_at + FORCED_STOP_S / 2 - self._clock.now())
-                )
-        for server in (self._callers, self._readiness, self._admin):
+                task.stop(timeout_s=max(MIN_TASK_STOP_S, stop.aborts_at - self._clock.now()))
+        self._stop_callers(stop)
+        for server in (self._readiness, self._admin):
             server.stop()
         self._pool.close()
         _log.info(RELAY_STOPPED, took_s=round(self._clock.now() - stop.signaled_at, 2))
 
+    def _stop_callers(self, stop: StopSchedule) -> None:
+        """Close the callers' connections as soon as all requests that were read are answered."""
+        self._callers.stop(max(MIN_FINAL_ANSWERS_S, stop.closes_at - self._clock.now()))
+
     def _services(self) -> Mapping[str, RelayService]:
         table = self._application.table
         return table.config.services if table is not None else {}
--- a/src/laburnumreel/transport/_channel.py
+++ b/src/laburnumreel/transport/_channel.py
@@ -8,7 +8,7 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
-from laburnumreel.core import Log
+from laburnumreel.core import Log, SystemClock
 from laburnumreel.transport._events import CALLER_CUT
 from laburnumreel.transport._parsing import RefusalTask, RequestParser
 from laburnumreel.transport._sockets import (
@@ -194,15 +194,20 @@
                 return sent
         return sent + super().write_soon(data[sent:] if sent else data)
 
-    def log_and_close(self, reason: str) -> None:
+    def log_and_close(self, reason: str, **details: float) -> None:
         """Close the connection, and log the reason if it still has a request."""
         if self.requests or self.request is not None:
+            with self.requests_lock:
+                read_at = [request.read_at for request in self.requests]
+            if read_at and read_at[0] is not None:
+                details["read_s_ago"] = round(SystemClock().now() - read_at[0], 2)
             _log.warning(
                 CALLER_CUT,
                 caller=str(self.addr),
                 reason=reason,
                 requests=len(self.requests),
                 reading=self.request is not None,
+                **details,
             )
         self.handle_close()
 
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -29,7 +29,8 @@
 NO_OVERFLOW_BYTES = 1 << 40
 SEND_BUFFER_BYTES = 128 * 1024
 IDLE_LIMIT_S = 120
-# How long a stop waits for requests that were just received, and how often it checks for them.
+# How long a stop waits for requests that were just received if its caller sets no time, and how
+# often it checks for them.
 FINAL_REQUESTS_TIMEOUT_S = 0.2
 POLL_INTERVAL_S = 0.02
 # Time limit for the thread of the sockets to end.
@@ -213,6 +214,11 @@
         while not self.is_idle() and time.monotonic() < deadline:
             time.sleep(POLL_INTERVAL_S)
 
+    @property
+    def request_count(self) -> int:
+        """The number of requests that have been read and not answered."""
+        return sum(len(channel.requests) for channel in list(self._server.active_channels.values()))
+
     @property
     def connection_count(self) -> int:
         """The number of open connections."""
@@ -221,7 +227,8 @@
     def stop(self, final_requests_timeout_s: float = FINAL_REQUESTS_TIMEOUT_S) -> None:
         """Stop listening and close all connections.
 
-        Requests that were received until now are answered first, within `final_requests_timeout_s` seconds.
+        Requests that were received until now are answered first, within `final_requests_timeout_s`
+        seconds. It returns as soon as they are.
         """
         self._final_requests_timeout_s = final_requests_timeout_s
         self.close_after_answers()
@@ -235,15 +242,17 @@
         while not self._stop_event.is_set():
             self._server.clean_up()
             wasyncore.loop(timeout=1, use_poll=True, map=self._map, count=1)
-        self._answer_final_requests()
+        left_s = round(self._answer_final_requests(), 2)
         self._server.is_closed = True
         for channel in list(self._server.active_channels.values()):
-            channel.log_and_close("stop")
+            channel.log_and_close("stop", left_s=left_s)
         wasyncore.close_all(self._map, ignore_all=True)
 
-    def _answer_final_requests(self) -> None:
+    def _answer_final_requests(self) -> float:
         """Answer the requests that have been received, before the connections are closed.
 
+        Returns how much of the time for it is left, in seconds.
+
         No new connection is accepted and each answer closes its connection, so that this ends even
         if callers keep sending requests.
         """
@@ -252,6 +261,7 @@
         deadline = time.monotonic() + self._final_requests_timeout_s
         while time.monotonic() < deadline and not self._has_no_requests():
             wasyncore.loop(timeout=POLL_INTERVAL_S, use_poll=True, map=self._map, count=1)
+        return deadline - time.monotonic()
 
     def _has_no_requests(self) -> bool:
         return self.is_idle() and not any(
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -27,6 +27,24 @@
 ]
 
 
+# Runs as the relay starts: once a file exists, the threads of requests get the processor late.
+SLOW_THREADS = """
+import os, pathlib, time
+from waitress.channel import HTTPChannel
+
+slow = pathlib.Path(os.environ["SLOW_FILE"])
+service = HTTPChannel.service
+
+def service_late(channel):
+    if slow.exists():
+        slow.with_suffix(".read").touch()
+        time.sleep(1.5)
+    service(channel)
+
+HTTPChannel.service = service_late
+"""
+
+
 def wait_past(moment):
     time.sleep(max(0.0, moment - time.monotonic()))
 
@@ -124,3 +142,29 @@
         assert [request.result() for request in requests] == [503] * len(requests)
         assert not other.seen
         assert relay.process.wait(10) == 0
+
+
+class TestEnd:
+    def test_request_that_was_read_is_answered_by_a_busy_process(
+        self, world, tmp_path, monkeypatch
+    ):
+        """Guards against a fixed time for the last answers."""
+        (tmp_path / "sitecustomize.py").write_text(SLOW_THREADS)
+        monkeypatch.setenv("PYTHONPATH", str(tmp_path))
+        monkeypatch.setenv("SLOW_FILE", str(tmp_path / "slow"))
+        world.extra_settings = "[stop]\ngrace_s = 30\n"
+        world.worker("w1")
+        relay = world.start_relay()
+        caller = Caller(relay, timeout_s=30)
+        assert caller.ask("/safe/x")[0] == 200
+        stopped_at = time.monotonic()
+        # No call to the store ends, so that the tasks have not stopped when the request is read.
+        with world.store.changed:
+            relay.process.send_signal(signal.SIGTERM)
+            wait_past(stopped_at + NOTICE_S + 1.0)
+            (tmp_path / "slow").touch()
+            caller.send("/once/x")
+            wait_until((tmp_path / "slow.read").exists, "the request to be read")
+        answer = caller.connection.getresponse()
+        assert (answer.status, answer.getheader("X-Run-State")) == (503, "not-run")
+        assert relay.process.wait(30) == 0
