Let a stopping gateway answer the requests that it has read within its grace time

What callers saw: a whole request that a stopping gateway had read got no answer; its connection was closed. It is the cause of the relay's fault in the gateway: the last requests had 0.2 s, whatever was left of the grace time.

Change: the callers' server ends as soon as all requests that were read are answered, and at the latest at the end of the grace time, or a second later if that is over.

Evidence: tests/test_gateway_stop.py::test_request_that_was_read_is_answered_by_a_busy_process failed before with RemoteDisconnected and event 203. The platform hangs in it, so that usage is still being flushed when the request is read, and the gateway's request threads start 1.5 s late.

Ruled out: admission and queued requests at the gateway: its times are counted from a loop that reads nothing, and its grace time is longer than each deadline by its contract (docs/design.md).

--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -65,8 +65,9 @@
 BACKGROUND_THREADS = 4
 TASK_THREADS = 16
 STOP_POLL_INTERVAL_S = 0.05
-# Time to send the answers to requests that are aborted at the end of the grace time.
-FINAL_FLUSH_S = 1.0
+# Minimum time to send the last answers, also to requests that are aborted at the end of the grace
+# time.
+FINAL_ANSWERS_S = 1.0
 # How often expired idle connections are closed.
 PRUNE_INTERVAL_S = 5.0
 # Number of allocations between garbage collections of the youngest generation.
@@ -230,11 +231,12 @@
                     STOP_INCOMPLETE, running=self._slots.in_use, claims=self._claims.running_count
                 )
                 self._registry.abort_all()
-                self._caller_server.wait_until_idle(FINAL_FLUSH_S)
+                self._caller_server.wait_until_idle(FINAL_ANSWERS_S)
                 break
             time.sleep(STOP_POLL_INTERVAL_S)
         self._usage.flush_all(stop.grace_s)
-        self._caller_server.stop()
+        # Requests that were refused meanwhile may still be unanswered.
+        self._caller_server.stop(max(FINAL_ANSWERS_S, give_up_at - self._clock.now()))
         self._peer_server.stop()
         for task in reversed(tasks):
             with contextlib.suppress(TimeoutError):
--- a/src/laburnumreel_standins/deployment.py
+++ b/src/laburnumreel_standins/deployment.py
@@ -1,7 +1,9 @@
 """Test deployment of real processes: platform, engines, plain servers and gateways."""
 
+import contextlib
 import signal
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -81,12 +83,13 @@
         self.engines: dict[str, tuple[Process, Address]] = {}
         host = fresh_host()
         self.platform_address: Address = (host, free_port(host))
-        self.start(
+        self._platform_process = self.start(
             "laburnumreel_standins.main",
             "platform",
             "--listen",
             "{}:{}".format(*self.platform_address),
-        ).wait_until_listening(*self.platform_address)
+        )
+        self._platform_process.wait_until_listening(*self.platform_address)
         self.platform = HttpPlatform(self.platform_address)
 
     def start(self, module: str, *arguments: str, env: dict[str, str] | None = None) -> Process:
@@ -94,6 +97,15 @@
         self._processes.append(process)
         return process
 
+    @contextlib.contextmanager
+    def suspended_platform(self) -> Iterator[None]:
+        """Suspend the platform, so that calls to it hang."""
+        self._platform_process.send_signal(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            self._platform_process.send_signal(signal.SIGCONT)
+
     def add_engine(self, *options: str, zone: str = "zone-a", **fields: Any) -> str:
         """Start an engine, add it to the host list and return its name.
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -5,6 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from slow_threads import SlowThreads
 
 from laburnumreel_standins._text import output_text
 from laburnumreel_standins.caller import MODEL, Stream, bearer_headers, call
@@ -53,6 +54,27 @@
     assert gateway.process.wait(10) == 0
 
 
+def test_request_that_was_read_is_answered_by_a_busy_process(deployment, tmp_path, monkeypatch):
+    """Guards against a fixed time for the last answers."""
+    deployment.configure()
+    deployment.add_engine()
+    threads = SlowThreads(tmp_path, monkeypatch)
+    gateway = deployment.start_gateway()
+    assert send_completion(gateway).status == 200
+    with ThreadPoolExecutor(1) as executor:
+        # The usage of the first request can't be flushed, so that the gateway does not end.
+        with deployment.suspended_platform():
+            assert send_completion(gateway, "y").status == 200
+            gateway.process.send_signal(signal.SIGTERM)
+            wait_until(lambda: send_completion(gateway).kind == "stopping", "refusals")
+            time.sleep(1.0)
+            threads.slow_down()
+            answer = executor.submit(send_completion, gateway)
+            wait_until(threads.have_request, "the request to be read")
+        assert answer.result().kind == "stopping"
+    assert gateway.process.wait(20) == 0
+
+
 def test_rolling_replacement_cuts_no_stream(deployment):
     """Guards against failed requests while all gateways are replaced one after another."""
     deployment.configure()
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -10,6 +10,7 @@
 from platform_config import config
 from platform_world import wait_until
 from relay_caller import BackgroundRequest, Caller
+from slow_threads import SlowThreads
 
 pytestmark = pytest.mark.processes
 
@@ -27,24 +28,6 @@
 ]
 
 
-# Runs as the relay starts: once a file exists, the threads of requests get the processor late.
-SLOW_THREADS = """
-import os, pathlib, time
-from waitress.channel import HTTPChannel
-
-slow = pathlib.Path(os.environ["SLOW_FILE"])
-service = HTTPChannel.service
-
-def service_late(channel):
-    if slow.exists():
-        slow.with_suffix(".read").touch()
-        time.sleep(1.5)
-    service(channel)
-
-HTTPChannel.service = service_late
-"""
-
-
 def wait_past(moment):
     time.sleep(max(0.0, moment - time.monotonic()))
 
@@ -149,9 +132,7 @@
         self, world, tmp_path, monkeypatch
     ):
         """Guards against a fixed time for the last answers."""
-        (tmp_path / "sitecustomize.py").write_text(SLOW_THREADS)
-        monkeypatch.setenv("PYTHONPATH", str(tmp_path))
-        monkeypatch.setenv("SLOW_FILE", str(tmp_path / "slow"))
+        threads = SlowThreads(tmp_path, monkeypatch)
         world.extra_settings = "[stop]\ngrace_s = 30\n"
         world.worker("w1")
         relay = world.start_relay()
@@ -162,9 +143,9 @@
         with world.store.changed:
             relay.process.send_signal(signal.SIGTERM)
             wait_past(stopped_at + NOTICE_S + 1.0)
-            (tmp_path / "slow").touch()
+            threads.slow_down()
             caller.send("/once/x")
-            wait_until((tmp_path / "slow.read").exists, "the request to be read")
+            wait_until(threads.have_request, "the request to be read")
         answer = caller.connection.getresponse()
         assert (answer.status, answer.getheader("X-Run-State")) == (503, "not-run")
         assert relay.process.wait(30) == 0
