Set the flag of a stop without a lock that the interrupted thread may hold

What callers would see: a host that got SIGTERM never ends by itself, so that the SIGKILL at the end of the grace period cuts all that run.

Cause: the signal handlers called `threading.Event.set`, which needs the lock of the event. They run on the main thread, which has that lock for a moment each time it begins or ends a wait, or clears the event of a reload. A signal that is handled in that moment waits for its own thread. The moment is short, but long on a process that loses the processor in it.

Change: `SignalFlag` wakes the main thread by a `queue.SimpleQueue`, whose `put` may be called from signal handlers. The relay, the gateway and the coordinator use it. The request for a reload is a plain attribute, as nothing waits for it.

--- a/src/laburnumreel/coordinator.py
+++ b/src/laburnumreel/coordinator.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 import signal
-import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -30,7 +29,7 @@
     SnapshotWriter,
     UsageSealer,
 )
-from laburnumreel.core import Log, SystemClock, Task, define_event
+from laburnumreel.core import Log, SignalFlag, SystemClock, Task, define_event
 from laburnumreel.state import Configuration, HttpPlatform, Lease, Settings
 from laburnumreel.transport import (
     HttpLoadReader,
@@ -70,7 +69,7 @@
         self._settings = settings
         self._boot = secrets.token_hex(8)
         self._clock = SystemClock()
-        self._stop_requested = threading.Event()
+        self._stop_requested = SignalFlag()
         self._stopping = False
         platform_settings, margin_s = settings.platform, settings.lease.margin_s
         self._platform = HttpPlatform(
--- a/src/laburnumreel/core/__init__.py
+++ b/src/laburnumreel/core/__init__.py
@@ -12,6 +12,7 @@
     metrics,
     render_metrics,
 )
+from laburnumreel.core._signal_flag import SignalFlag
 from laburnumreel.core._task import Task, TaskStoppedError
 
 __all__ = [
@@ -25,6 +26,7 @@
     "Metric",
     "Schema",
     "SettingsError",
+    "SignalFlag",
     "SystemClock",
     "Task",
     "TaskStoppedError",
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -6,7 +6,6 @@
 import random
 import secrets
 import signal
-import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -21,7 +20,7 @@
     format_address,
     parse_address,
 )
-from laburnumreel.core import Log, SystemClock, Task, define_event
+from laburnumreel.core import Log, SignalFlag, SystemClock, Task, define_event
 from laburnumreel.serving import (
     AdmissionSlots,
     Application,
@@ -99,7 +98,7 @@
         self._boot = secrets.token_hex(8)
         self._clock = SystemClock()
         self._rng = random.Random()
-        self._stop_requested = threading.Event()
+        self._stop_requested = SignalFlag()
         self._stopping = False
         node = settings.node
         platform = HttpPlatform(
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import signal
-import threading
 import time
 from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
@@ -21,7 +20,7 @@
     LeaseManager,
     format_address,
 )
-from laburnumreel.core import Log, SettingsError, SystemClock, Task
+from laburnumreel.core import Log, SettingsError, SignalFlag, SystemClock, Task
 from laburnumreel.relay._answer_memory import AnswerMemoryBudget
 from laburnumreel.relay._application import STOPPING, RelayApplication
 from laburnumreel.relay._back_ends import ListedBackEnd
@@ -104,8 +103,8 @@
         self._boot = secrets.token_hex(4)
         self._clock = SystemClock()
         self._rng = random.Random()
-        self._stop = threading.Event()
-        self._reload = threading.Event()
+        self._stop = SignalFlag()
+        self._is_reload_requested = False
         self._stop_schedule: StopSchedule | None = None
         self._ready = False
         self._host_count = 1
@@ -266,7 +265,7 @@
         """Serve until SIGTERM and return the exit code. `load_settings` reloads the settings."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._begin_stop())
-        signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
+        signal.signal(signal.SIGHUP, lambda *_: self._request_reload())
         tasks: list[Task] = [
             self._dispatcher,
             self._registry,
@@ -311,12 +310,14 @@
         self._callers.close_after_answers()
         self._stop.set()
 
+    def _request_reload(self) -> None:
+        self._is_reload_requested = True
+
     def _reload_settings(
         self, load_settings: Callable[[], Result[RelaySettings, list[SettingsError]]]
     ) -> None:
         """Apply settings that have changed, whether or not a signal announced the change."""
-        signaled = self._reload.is_set()
-        self._reload.clear()
+        signaled, self._is_reload_requested = self._is_reload_requested, False
         loaded = load_settings()
         if loaded.is_error():
             for error in loaded.error:
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -28,6 +28,22 @@
 ]
 
 
+# Runs as the relay starts: its main thread loses the processor while it has the lock of an event.
+SLOW_EVENTS = """
+import threading, time
+
+wait = threading.Event.wait
+
+def wait_late(event, timeout=None):
+    if timeout and threading.current_thread() is threading.main_thread():
+        with event._cond:
+            time.sleep(0.5)
+    return wait(event, timeout)
+
+threading.Event.wait = wait_late
+"""
+
+
 def wait_past(moment):
     time.sleep(max(0.0, moment - time.monotonic()))
 
@@ -149,3 +165,18 @@
         answer = caller.connection.getresponse()
         assert (answer.status, answer.getheader("X-Run-State")) == (503, "not-run")
         assert relay.process.wait(30) == 0
+
+
+class TestSignals:
+    def test_signal_is_noticed_while_the_main_thread_holds_the_lock_of_an_event(
+        self, world, tmp_path, monkeypatch
+    ):
+        """Guards against a signal handler that waits for the thread that it has interrupted."""
+        (tmp_path / "sitecustomize.py").write_text(SLOW_EVENTS)
+        monkeypatch.setenv("PYTHONPATH", str(tmp_path))
+        relay = world.start_relay()
+        for _ in range(8):
+            relay.process.send_signal(signal.SIGTERM)
+            time.sleep(0.1)
+        wait_until(lambda: relay.find_log_lines("relay_stopped"), "the relay to stop")
+        assert relay.process.wait(10) == 0
