Wait for the rest of requests that have been received in part at the end of a stop

What callers saw: a connection that was closed without an answer, on a request whose head a stopping process had read and whose body came in the next segment.

Cause: the end of a stop waited for whole requests and for bytes that had arrived, so that a request between two of its segments was taken for none.

Change: the end of a stop waits up to 0.2 s for the rest of such requests, which then get their answer or refusal. Slower ones are closed as before.

Evidence: test_request_whose_body_has_not_arrived_yet_is_answered failed before with no answer.

--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -32,6 +32,8 @@
 # How long a stop waits for requests that were just received if its caller sets no time, and how
 # often it checks for them.
 FINAL_REQUESTS_TIMEOUT_S = 0.2
+# How long a stop waits for the rest of requests that have been received in part.
+PARTIAL_REQUESTS_TIMEOUT_S = 0.2
 POLL_INTERVAL_S = 0.02
 # Time limit for the thread of the sockets to end.
 LOOP_STOP_TIMEOUT_S = 10
@@ -258,11 +260,20 @@
         """
         wasyncore.loop(timeout=0, use_poll=True, map=self._map, count=1)
         self._server.stop_listening()
-        deadline = time.monotonic() + self._final_requests_timeout_s
-        while time.monotonic() < deadline and not self._has_no_requests():
+        began = time.monotonic()
+        deadline = began + self._final_requests_timeout_s
+        partial_deadline = min(deadline, began + PARTIAL_REQUESTS_TIMEOUT_S)
+        while (now := time.monotonic()) < deadline:
+            is_receiving = now < partial_deadline and self._has_partial_requests()
+            if not is_receiving and self._has_no_requests():
+                break
             wasyncore.loop(timeout=POLL_INTERVAL_S, use_poll=True, map=self._map, count=1)
         return deadline - time.monotonic()
 
+    def _has_partial_requests(self) -> bool:
+        channels = list(self._server.active_channels.values())
+        return any(channel.request is not None for channel in channels)
+
     def _has_no_requests(self) -> bool:
         return self.is_idle() and not any(
             is_readable(channel.socket) for channel in list(self._server.active_channels.values())
--- a/tests/test_caller_requests.py
+++ b/tests/test_caller_requests.py
@@ -8,7 +8,7 @@
 import pytest
 from structlog.testing import capture_logs
 
-from laburnumreel.transport import HttpServer
+from laburnumreel.transport import HttpServer, _wsgi
 from laburnumreel_standins.processes import free_port, fresh_host, wait_until
 
 HEADER_BYTES, BODY_BYTES = 16384, 65536
@@ -304,6 +304,19 @@
         for connection in connections:
             assert read_answers(connection, 1)[0] == ["200"]
 
+    def test_request_whose_body_has_not_arrived_yet_is_answered(self, server, monkeypatch):
+        """A request whose head was read is answered if its body follows at once."""
+        monkeypatch.setattr(_wsgi, "PARTIAL_REQUESTS_TIMEOUT_S", SILENT_S, raising=False)
+        connection = connect(server)
+        connection.sendall(b"POST /a HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+        assert connection.recv(100).startswith(b"HTTP/1.1 100 ")
+        stopping = threading.Thread(target=server.stop, args=(SILENT_S,))
+        stopping.start()
+        time.sleep(0.1)
+        connection.sendall(b"ab")
+        assert read_answers(connection, 1)[0] == ["200"]
+        stopping.join()
+
     def test_request_that_is_being_received_is_answered(self, server):
         """A request that is still in the kernel's buffer when the server stops is answered."""
         connections = [connect(server) for _ in range(8)]
