--- a/src/laburnumreel/core/_task.py
+++ b/src/laburnumreel/core/_task.py
@@ -1,6 +1,7 @@
 """Tasks: threads that own their state and sockets and receive messages."""
 
 import queue
+import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import Executor, Future
@@ -50,6 +51,17 @@
         """Run the task on `executor`, which needs a free worker for each task until it stops."""
         self._done = executor.submit(self._run)
 
+    def start_daemon(self) -> None:
+        """Run the task on a thread of its own, for which the end of the process does not wait."""
+        done: Future = Future()
+
+        def run() -> None:
+            self._run()
+            done.set_result(None)
+
+        self._done = done
+        threading.Thread(target=run, name=self._name, daemon=True).start()
+
     def ask(self, message: Any) -> Future:
         """Send a message and return a future of its result.
 
