--- a/src/laburnumreel/core/_logs.py
+++ b/src/laburnumreel/core/_logs.py
@@ -14,8 +14,8 @@
 # Maximum number of lines that wait to be written. Further lines are dropped and counted: a log
 # reader that stops reading must not block requests.
 MAX_WAITING_LINES = 5000
-# Lines are written in batches of about this size.
-MAX_WRITE_BYTES = 32 * 1024
+# Lines are written in batches of about this size: collectors may cut off larger writes.
+MAX_WRITE_BYTES = 4 * 1024
 FLUSH_TIMEOUT_S = 0.2
 
 
