Show requests without exactly one end, and count those that were read and not handled

Nothing showed a request that had been read and never got a line. The transport counts requests that were read and those whose task has ended (laburnumreel_http_requests_total, by port), and relay_stopped says how many of the callers' were left (unhandled). The command relay ends lists requests with no end or several, losses with time left, and connections, stops and tasks that a host ended with work on them, with the planned work before them.

--- a/src/laburnumreel/relay/__init__.py
+++ b/src/laburnumreel/relay/__init__.py
@@ -18,6 +18,7 @@
     Scaling,
     Share,
 )
+from laburnumreel.relay._end_report import EndFinding, find_ends
 from laburnumreel.relay._event_stream import EventSplitter, StreamEvent
 from laburnumreel.relay._latency_report import STAGES, SecondReport, report_seconds
 from laburnumreel.relay._node import RelayNode, run_relay
@@ -62,6 +63,7 @@
     "Dispatch",
     "DutyCall",
     "DutyWire",
+    "EndFinding",
     "EngineTraits",
     "EventSplitter",
     "Feed",
@@ -88,6 +90,7 @@
     "SelfReport",
     "STAGES",
     "SecondReport",
+    "find_ends",
     "load_relay_settings",
     "report_retries",
     "report_seconds",
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -341,7 +341,11 @@
         for server in (self._callers, self._readiness, self._admin):
             server.stop()
         self._pool.close()
-        _log.info(RELAY_STOPPED, took_s=round(self._clock.now() - began, 2))
+        _log.info(
+            RELAY_STOPPED,
+            took_s=round(self._clock.now() - began, 2),
+            unhandled=self._callers.unhandled_requests,
+        )
 
     def _services(self) -> Mapping[str, RelayService]:
         table = self._application.table
--- a/src/laburnumreel/transport/_channel.py
+++ b/src/laburnumreel/transport/_channel.py
@@ -5,6 +5,7 @@
 import time
 from typing import Any
 
+from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
@@ -94,7 +95,6 @@
 
     task_class = _RequestTask
     error_task_class = RefusalTask
-    parser_class = RequestParser
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         self.sent_bytes = 0
@@ -128,6 +128,10 @@
             self._is_end_seen = has_peer_shut_down(self.socket)
         return self._has_caller_left or self._is_end_seen or not self.connected
 
+    def parser_class(self, adj: Adjustments) -> RequestParser:
+        """Return the parser of the next request, in place of waitress' class attribute."""
+        return RequestParser(adj, self.server.record_read)
+
     def readable(self) -> bool:
         return not self._has_caller_left and super().readable()
 
@@ -157,6 +161,8 @@
     def service(self) -> None:
         queued, request, was_connected = self.requests, self.requests[0], self.connected
         super().service()
+        if was_connected:
+            self.server.record_handled()
         with self.requests_lock:
             # waitress removes the answered request from the list unless the connection ends with
             # its answer; the requests after it are then dropped.
--- a/src/laburnumreel/transport/_metrics.py
+++ b/src/laburnumreel/transport/_metrics.py
@@ -18,3 +18,9 @@
     "Calls to the store that were beyond this host's share of its rates.",
     ("kind", "outcome"),
 )
+HTTP_REQUESTS = define_counter(
+    "laburnumreel_http_requests_total",
+    "Requests by local port: read completely, and handled. The difference is requests that wait,"
+    " are running, or were dropped with their connection.",
+    ("port", "event"),
+)
--- a/src/laburnumreel/transport/_parsing.py
+++ b/src/laburnumreel/transport/_parsing.py
@@ -1,5 +1,6 @@
 """Parsing of callers' requests, and the answers to malformed ones."""
 
+from collections.abc import Callable
 from typing import Any
 
 from waitress.adjustments import Adjustments
@@ -47,11 +48,13 @@
 
     `read_at` is the time when the request was fully read, in seconds of `SystemClock`. `is_last`
     is whether no further request can follow on the connection: because the caller asked to close
-    it, or because the end of this request is not known.
+    it, or because the end of this request is not known. `on_read` is called when the request was
+    fully read.
     """
 
-    def __init__(self, adj: Adjustments) -> None:
+    def __init__(self, adj: Adjustments, on_read: Callable[[], None] = lambda: None) -> None:
         super().__init__(_RequestLimits(adj))
+        self._on_read = on_read
         self.read_at: float | None = None
         self._discard_bytes = 0
         self._discard_to_blank_line = False
@@ -65,6 +68,12 @@
         return self.connection_close or not (was_parsed or self._is_end_known)
 
     def received(self, data: bytes) -> int:
+        consumed = self._receive(data)
+        if self.completed and not self.empty:
+            self._on_read()
+        return consumed
+
+    def _receive(self, data: bytes) -> int:
         if self._discard_bytes or self._discard_to_blank_line:
             return self._discard(data)
         consumed = super().received(data)
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -17,7 +17,7 @@
 from laburnumreel.core import Log
 from laburnumreel.transport._channel import Channel
 from laburnumreel.transport._events import CONNECTIONS_FULL, HTTP_SERVER_PROBLEM, READER_STALLED
-from laburnumreel.transport._metrics import STALLED_READERS
+from laburnumreel.transport._metrics import HTTP_REQUESTS, STALLED_READERS
 from laburnumreel.transport._sockets import is_readable
 
 STALL_LIMIT_S = 30.0
@@ -67,6 +67,30 @@
     _next_cleanup_at = 0.0
     _closed_when_full = 0
     _full_logged_at = -FULL_LOG_INTERVAL_S
+    _requests_read = 0
+    _requests_handled = 0
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        self._count_lock = threading.Lock()
+        super().__init__(*arguments, **options)
+
+    @property
+    def unhandled_requests(self) -> int:
+        """The number of requests that were fully read and not handled."""
+        with self._count_lock:
+            return self._requests_read - self._requests_handled
+
+    def record_read(self) -> None:
+        """Count a request that was fully read."""
+        with self._count_lock:
+            self._requests_read += 1
+        HTTP_REQUESTS.inc(port=str(self.effective_port), event="read")
+
+    def record_handled(self) -> None:
+        """Count a request whose task has ended, whether or not its answer was sent."""
+        with self._count_lock:
+            self._requests_handled += 1
+        HTTP_REQUESTS.inc(port=str(self.effective_port), event="handled")
 
     def pull_trigger(self) -> None:
         # A request's thread may end after the sockets were closed; no thread must be woken then.
@@ -213,6 +237,14 @@
         while not self.is_idle() and time.monotonic() < deadline:
             time.sleep(POLL_INTERVAL_S)
 
+    @property
+    def unhandled_requests(self) -> int:
+        """The number of requests that were fully read and not handled.
+
+        They wait, are running, or were dropped with their connection.
+        """
+        return self._server.unhandled_requests
+
     @property
     def connection_count(self) -> int:
         """The number of open connections."""
--- a/src/laburnumreel/ui/_relay.py
+++ b/src/laburnumreel/ui/_relay.py
@@ -13,8 +13,10 @@
 from laburnumreel.relay import (
     RELAY_SCHEMA,
     STAGES,
+    EndFinding,
     RetryWindow,
     SecondReport,
+    find_ends,
     load_relay_settings,
     report_retries,
     report_seconds,
@@ -89,6 +91,23 @@
     context.print_result({"lines": matching_lines}, texts)
 
 
+@relay.command("ends")
+@click.argument("logs", nargs=-1, required=True, type=click.File(errors="replace"))
+@common_options
+@pass_context
+def ends(context: Context, logs: tuple[Any, ...]) -> None:
+    """Show requests without exactly one end, and what hosts ended early, from the LOGS of all hosts.
+
+    Each log belongs to one host, or its lines begin with the names of their hosts.
+    """
+    lines = [pair for log in logs for pair in _parse_host_lines(log)]
+    if not any(line.get("request") for _, line in lines):
+        raise UserError(ExitCode.CHECK_FAILED, "the logs contain no request")
+    rows = [_format_end_finding(finding) for finding in find_ends(lines)]
+    texts = format_table(rows, tuple(rows[0])) if rows else ["each request has exactly one end"]
+    context.print_result({"findings": rows}, texts)
+
+
 @relay.command("report")
 @click.argument("logs", nargs=-1, required=True, type=click.File(errors="replace"))
 @click.option(
@@ -149,6 +168,14 @@
     return row | {"denied": summary.denied, "least_hosts": summary.min_hosts or "-"}
 
 
+def _format_end_finding(finding: EndFinding) -> dict[str, Any]:
+    row = {"time": finding.timestamp[11:23], "host": finding.host, "finding": finding.finding}
+    row |= {"request": finding.request or "-", "process": finding.process}
+    row |= {"left_ms": "-" if finding.left_ms is None else finding.left_ms}
+    row |= {"planned_work": " ".join(finding.planned_work) or "-"}
+    return row | {"detail": finding.detail[:100] or "-"}
+
+
 def _format_second_report(summary: SecondReport) -> dict[str, Any]:
     time_of_day = datetime.fromtimestamp(summary.second, UTC).strftime("%H:%M:%S")
     row = {"second": time_of_day, "requests": summary.requests, "late": summary.late}
@@ -181,6 +208,12 @@
 
 def _parse_log_lines(log: Any) -> Iterator[dict[str, Any]]:
     """Yield the JSON objects of a log; log collectors may have prefixed each line."""
+    for _, line in _parse_host_lines(log):
+        yield line
+
+
+def _parse_host_lines(log: Any) -> Iterator[tuple[str, dict[str, Any]]]:
+    """Yield the JSON objects of a log with their hosts: the last word before each, or the file."""
     for text in log:
         start = text.find("{")
         if start < 0:
@@ -191,7 +224,8 @@
             # Not one of our log lines, such as a traceback of another program.
             continue
         if isinstance(line, dict):
-            yield line
+            prefix = text[:start].split()
+            yield (prefix[-1] if prefix else Path(log.name).stem), line
 
 
 def _fetch_status(address: str) -> dict[str, Any]:
--- a/tests/test_caller_requests.py
+++ b/tests/test_caller_requests.py
@@ -188,6 +188,32 @@
         assert statuses == ["200"] and has_ended(connection)
 
 
+class TestUnhandledRequests:
+    """The count of requests that were read and not handled."""
+
+    def test_handled_requests_are_not_counted(self, server):
+        connection = connect(server)
+        connection.sendall(get("/first") + post("/second", b"x" * (BODY_BYTES + 1)))
+        statuses, _ = read_answers(connection, 2)
+        assert statuses == ["200", "413"]
+        wait_until(lambda: server.unhandled_requests == 0, "both requests to be handled")
+
+    def test_running_and_waiting_requests_are_counted(self, server):
+        connection = connect(server)
+        connection.sendall(get("/slow") + get("/second"))
+        wait_until(lambda: server.unhandled_requests == 2, "both requests to be counted")
+        read_answers(connection, 2)
+        wait_until(lambda: server.unhandled_requests == 0, "both requests to be handled")
+
+    def test_requests_that_were_dropped_with_their_connection_stay_counted(self, server):
+        connection = connect(server)
+        connection.sendall(get("/cut") + get("/second"))
+        while not has_ended(connection):
+            pass
+        wait_until(server.is_idle, "the first request to be handled")
+        assert server.unhandled_requests == 1
+
+
 class TestDisconnects:
     """A disconnect looks like the end of the caller's data, which cancels its work at once."""
 
--- a/tests/test_ui_relay.py
+++ b/tests/test_ui_relay.py
@@ -87,7 +87,7 @@
 
 def test_help_lists_the_commands():
     help_text = CliRunner().invoke(cli, ["relay", "--help"], obj=Context()).output
-    assert all(word in help_text for word in ("check", "status", "trace"))
+    assert all(word in help_text for word in ("check", "status", "trace", "ends"))
 
 
 def log_lines(request, waited_ms, first_ms, took_ms, on_time, second=0):
@@ -125,6 +125,75 @@
     assert (tmp_path / "late.png").stat().st_size > 0
 
 
+class TestEnds:
+    """`relay ends`, which shows requests without exactly one end."""
+
+    @staticmethod
+    def line(second, name, request=None, **fields):
+        timestamp = f"2026-01-01T00:00:{second:06.3f}000Z"
+        return {"timestamp": timestamp, "name": name, "request": request, **fields}
+
+    @staticmethod
+    def find(capsys, *logs):
+        code, out, _ = run(capsys, "--json", "relay", "ends", *logs)
+        assert code == 0
+        return json.loads(out)["findings"]
+
+    @staticmethod
+    def write(file, lines, prefix=""):
+        file.write_text("".join(f"{prefix}{json.dumps(line)}\n" for line in lines))
+        return file
+
+    def test_requests_without_exactly_one_end(self, tmp_path, capsys):
+        line = self.line
+        lines = [line(0, "relay_started")]
+        lines += [line(1, "request_placed", "whole"), line(2, "request_served", "whole")]
+        lines += [line(1, "request_placed", "none")]
+        lines += [line(2, "request_refused", "twice"), line(3, "request_served", "twice")]
+        found = self.find(capsys, self.write(tmp_path / "a.log", lines))
+        assert [(row["request"], row["finding"], row["host"]) for row in found] == [
+            ("none", "no_end", "a"),
+            ("twice", "several_ends", "a"),
+        ]
+        assert found[1]["detail"] == "request_refused request_served"
+
+    def test_processes_of_a_host_are_told_apart(self, tmp_path, capsys):
+        line = self.line
+        lines = []
+        for second, stop in ((0, "relay_stopped"), (10, "relay_ready"), (20, "relay_ready")):
+            lines += [line(second, "relay_started")]
+            lines += [line(second + 5, "request_placed", f"r{second}"), line(second + 6, stop)]
+        found = self.find(capsys, self.write(tmp_path / "all.log", lines, "  1.5 front-1 "))
+        assert [(row["host"], row["process"]) for row in found] == [
+            ("front-1", "stopped"),
+            ("front-1", "ended"),
+            ("front-1", "running"),
+        ]
+
+    def test_losses_with_time_left_are_shown_with_the_planned_work_before(self, tmp_path, capsys):
+        line = self.line
+        lines = [line(1, "relay_stopping"), line(3, "relay_configured")]
+        lines += [line(5, "request_lost", "early", kind="back_end_failed", left_ms=900)]
+        lines += [line(5, "request_lost", "late", kind="back_end_timeout", left_ms=0)]
+        lines += [line(5, "request_lost", "left", kind="caller_gone", left_ms=900)]
+        lines += [line(7, "caller_cut", reason="stop"), line(8, "relay_stopped", unhandled=1)]
+        first = self.write(tmp_path / "a.log", lines)
+        second = self.write(tmp_path / "b.log", [line(4, "relay_configured")])
+        found = self.find(capsys, first, second)
+        assert [(row["finding"], row["planned_work"], row["detail"]) for row in found] == [
+            ("request_lost", "relay_configured", "kind=back_end_failed"),
+            ("caller_cut", "-", "reason=stop"),
+            ("relay_stopped", "-", "unhandled=1"),
+        ]
+
+    def test_logs_without_findings_or_requests(self, tmp_path, capsys):
+        served = self.write(tmp_path / "a.log", [self.line(1, "request_served", "r")])
+        code, out, _ = run(capsys, "relay", "ends", served)
+        assert (code, out) == (0, "each request has exactly one end\n")
+        (tmp_path / "b.log").write_text("nothing\n")
+        assert run(capsys, "relay", "ends", tmp_path / "b.log")[0] == 2
+
+
 def test_report_without_requests_is_an_error(tmp_path, capsys):
     log = tmp_path / "host.log"
     log.write_text("nothing\n")
