--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -334,7 +334,11 @@
         for server in (self._readiness, self._admin):
             server.stop()
         self._pool.close()
-        _log.info(RELAY_STOPPED, took_s=round(self._clock.now() - stop.signaled_at, 2))
+        _log.info(
+            RELAY_STOPPED,
+            took_s=round(self._clock.now() - stop.signaled_at, 2),
+            unhandled=self._callers.unhandled_requests,
+        )
 
     def _stop_callers(self, stop: StopSchedule) -> None:
         """Close the callers' connections as soon as all requests that were read are answered."""
