--- a/tests/silence_callers.py
+++ b/tests/silence_callers.py
@@ -88,25 +88,36 @@
             expected_body,
         )
 
-    def _exchange(self, connection, record):
-        """Send a request and read its response; return its end time and if its connection lasts."""
+    def _send_request(self, connection, record, headers):
+        connection.request("POST", record.path, b"{}", headers)
+
+    @staticmethod
+    def _make_headers(record):
         headers = {"Host": "shop.example", "Request-Id": record.request_id, "Key": "key-a"}
         headers["Deadline-Ms"] = str(int(1000 * record.deadline_s))
         if record.kind in STREAM_KINDS:
             headers |= {"Model-Id": "m", "Token-Usage": "900,50", "Prefix-Hash": "aa:800,bb:100"}
+        return headers
+
+    def _exchange(self, connection, record):
+        """Send a request and read its response; return its end time and if its connection lasts."""
+        headers = self._make_headers(record)
         should_abandon = self._rng.random() < ABANDON_SHARE
         record.sent_at = time.monotonic()
         try:
-            connection.request("POST", record.path, b"{}", headers)
+            self._send_request(connection, record, headers)
         except OSError:
             return time.monotonic(), False
         record.sent_at = time.monotonic()
         # `max_timeout_s` is the longest deadline or route timeout in use.
         connection.sock.settimeout(self._setup.max_timeout_s + RESPONSE_MARGIN_S)
-        answer = None
+        return self._read_response(connection.getresponse, record, should_abandon)
+
+    @staticmethod
+    def _read_response(get_response, record, should_abandon=False):
         record.end = "closed"
         try:
-            answer = connection.getresponse()
+            answer = get_response()
             record.status, record.end = answer.status, "cut"
             record.signature = answer.getheader("Response-Signature")
             record.is_from_relay = record.signature is None
--- a/tests/silence_soak.py
+++ b/tests/silence_soak.py
@@ -72,10 +72,12 @@
     `max_timeout_s` and `request_numbers`.
     """
 
+    caller_class = Caller
+
     def __init__(self, seed, seconds, folder, parameters=None):
         self.rng = random.Random(seed)
         self.seed, self.seconds = seed, seconds
-        self.parameters = parameters or SeedParameters.from_seed(self.rng)
+        self.parameters = parameters or self.draw_parameters(self.rng)
         self.history = History(self.parameters.retry)
         self.world = World(folder)
         self.faults = Counter()
@@ -100,6 +102,10 @@
         base = [("safe", "safe"), ("once", "once"), ("ask", "ask"), ("talk", "talk")]
         return [*base, ("talk", "talk"), *((name, "talk") for name in self._extra_routes)]
 
+    @staticmethod
+    def draw_parameters(rng):
+        return SeedParameters.from_seed(rng)
+
     def run(self):
         """Run the seed and return its findings."""
         try:
@@ -113,7 +119,7 @@
                 wait_until(relay.is_ready, "a relay is ready", 20)
                 self.accepting_relays.append(relay)
             callers = [
-                Caller(self, self.history, self.seed, number, self._stop)
+                self.caller_class(self, self.history, self.seed, number, self._stop)
                 for number in range(self.parameters.callers)
             ]
             self.stall_detector.start()
@@ -128,11 +134,7 @@
             for thread in self._background_threads:
                 thread.join(GRACE_S + 15)
             self._record_unreachable()
-            findings = [
-                *check(self.history),
-                *self._harness_findings,
-                *self._find_unexpected_exits(),
-            ]
+            findings = self._check()
             # Collect the evidence now: the logs are deleted with the directory of the seed.
             self.evidence = {finding: collect_evidence(self, finding) for finding in findings}
             return findings
@@ -141,6 +143,9 @@
             self.stall_detector.end()
             self.world.end()
 
+    def _check(self):
+        return [*check(self.history), *self._harness_findings, *self._find_unexpected_exits()]
+
     def _find_unexpected_exits(self):
         for relay in self.world.relays:
             was_stopped = (
@@ -370,10 +375,10 @@
                     self.history.dead_server_request_ids.add(line["request"])
 
 
-def run_seed(seed, seconds, parameters=None, keep_dir=None):
+def run_seed(seed, seconds, parameters=None, keep_dir=None, soak_class=Soak):
     """Run one seed; with findings, copy the host logs to `keep_dir`; return soak and findings."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, seconds, folder, parameters)
+        soak = soak_class(seed, seconds, folder, parameters)
         findings = soak.run()
         keep_logs(folder, seed, findings, keep_dir)
         return soak, findings
