Don't leave a healthy stream sooner because its route names a small gap

Callers saw: a resumable stream whose engine paused for 1.2 to 1.4 s was cut after 1.4 s, with 1.6 s left, on routes with a maximum gap of 200 ms or less. A configuration that makes the gap smaller sets it off.

Cause: a stream that has begun is at two engines for 0.3 s at most; then it is left for the second one, which has not refused by then. The second send begins after five times the gap, 0.8 s at least, so that a stream was left after 1.1 s of silence, while healthy engines pause for up to 1.6 s. A second engine that paused too and then refused or closed ended the stream.

Change: between two events, the second send begins no sooner than 1.3 s, so that the overlap ends when the pause is longer than those of healthy engines. At a gap of 250 ms it began after 1.25 s before. Callers give a silent stream up after two seconds.

Open: a pause of more than 1.6 s with a second engine that refuses or fails more than 0.3 s after it was asked.

--- a/src/laburnumreel/relay/_silence_limits.py
+++ b/src/laburnumreel/relay/_silence_limits.py
@@ -18,6 +18,9 @@
 # The platform allows a stream that moves to another engine to overlap with the previous one for
 # 400 ms, including the time to close that one.
 RESUME_OVERLAP_S = 0.3
+# A stream that has begun is left at the end of that overlap, whether or not the other engine has
+# answered, so that the overlap must not end while the first engine may still be healthy.
+MIN_EVENT_GAP_SILENT_S = HEALTHY_SILENCE_S - RESUME_OVERLAP_S
 
 
 def prompt_read_silence_limit_s(job: Job, plan: EnginePlan) -> float:
@@ -47,7 +50,7 @@
     remaining_s = _remaining_s(job)
     if not job.route.resumable or job.remaining_sends <= 0:
         return remaining_s
-    return min(remaining_s, max(MIN_SILENT_S, SILENCE_GAP_FACTOR * job.route.gap_s))
+    return min(remaining_s, max(MIN_EVENT_GAP_SILENT_S, SILENCE_GAP_FACTOR * job.route.gap_s))
 
 
 def _remaining_s(job: Job) -> float:
--- a/tests/test_hedged_send_races.py
+++ b/tests/test_hedged_send_races.py
@@ -9,9 +9,11 @@
     close_unanswered,
     echo,
     event,
+    send_refusal,
     send_whole,
     stream,
 )
+from platform_config import config
 from platform_world import wait_until
 from relay_caller import PROMPT_HEADERS, Caller
 from test_hedged_sends import (
@@ -28,6 +30,9 @@
 LAST_CHUNK = b"0\r\n\r\n"
 # A pause of a healthy server in the middle of its answer.
 ANSWER_PAUSE_S = 0.4
+# The longest usual pause of a healthy server in a stream, and the time after which a second server
+# that also pauses refuses or closes: later than a stream may be at two servers.
+HEALTHY_PAUSE_S, LATE_ANSWER_S = 1.4, 0.6
 
 
 def ask(relay, path, **headers):
@@ -218,3 +223,30 @@
 
         servers._answers = (answer_after_pause, answer_failure, never_answer)
         assert ask(world.start_relay(), "/safe/x") == (200, b"done")
+
+
+class TestSmallGap:
+    """The maximum gap of a route does not make a pause of a healthy server a reason to leave it."""
+
+    @pytest.mark.parametrize("gap_ms", [50, 100, 200])
+    @pytest.mark.parametrize("useless", [send_refusal, close_unanswered], ids=["refused", "lost"])
+    def test_stream_is_not_left_during_a_healthy_pause(self, world, useless, gap_ms):
+        """The second server also pauses, and is then of no use."""
+
+        def pause_in_stream(handler):
+            begin_chunked(handler)
+            for number in range(1, 6):
+                chunk(handler, event(number))
+                time.sleep(HEALTHY_PAUSE_S if number == 2 else 0.0)
+            handler.wfile.write(LAST_CHUNK)
+
+        def be_useless_late(handler):
+            time.sleep(LATE_ANSWER_S)
+            useless(handler)
+
+        ScriptedServers(world, "quotes", pause_in_stream, be_useless_late)
+        settings = config(2)
+        for route in settings["Routes"]:
+            route["GapAimMs"] = gap_ms
+        world.store.put("op", "config", settings)
+        assert ask(world.start_relay(), "/talk/x") == (200, EVENTS)
