Let the soak of planned work send bursts of signals and find relays that ignore their stop

A relay that got a SIGTERM and doesn't log that it stops is a finding; a fifth of the changes of settings files come with a burst of SIGHUP. Fields that a configuration changes are two tables.

--- a/tests/planned_soak.py
+++ b/tests/planned_soak.py
@@ -27,7 +27,20 @@
 PULSE_S, PULSES = (0.02, 0.06), 20
 # Time after a pause within which its effects on a request count as those of the pause.
 PAUSE_EFFECT_S = 1.0
-MANY_ROUTES = 60
+SIGNAL_BURST = 20
+MANY_ROUTES, KV_TOKENS = 60, (9000, 100_000)
+# Fields of all routes, and of the limits, that a configuration changes, with their values.
+ROUTE_CHANGES = {
+    "timeouts": ("TimeoutMs", TIMEOUTS_MS),
+    "attempts": ("MaxAttempts", (1, 2, 3)),
+    "gap": ("GapAimMs", (100, 250, 400)),
+    "objective": ("TargetLatencyMs", (200, 600)),
+}
+LIMIT_CHANGES = {
+    "idle": ("IdleTimeoutMs", IDLE_MS),
+    "body": ("MaxBodyBytes", (1000, 65536, 1 << 20)),
+    "header": ("MaxHeaderBytes", (4096, 16384)),
+}
 # Log events that no planned work may cause.
 UNEXPECTED_EVENTS = ("relay_request_failed", "http_server_problem", "task_failed", "caller_cut")
 
@@ -96,29 +109,20 @@
     def _change_config(self):
         if self.world.store.down:
             return
-        rng, routes = self.rng, ["safe", "once", "ask", "talk"]
+        rng = self.rng
+        route = rng.choice(["safe", "once", "ask", "talk"])
         how = rng.choice(
-            [
-                "timeouts",
-                "idle",
-                "move",
-                "add",
-                "remove",
-                "service",
-                "split",
-                "keys",
-                "limits",
-                "attempts",
-                "health",
-                "engine",
-                "kind",
-                "many",
-                "objective",
-            ]
+            [*ROUTE_CHANGES, *LIMIT_CHANGES, "move", "add", "remove", "service", "split", "keys"]
+            + ["health", "engine", "kind", "many"]
         )
         self.faults[f"config {how}"] += 1
-        route = rng.choice(routes)
-        if how == "move":
+        if how in ROUTE_CHANGES:
+            field, values = ROUTE_CHANGES[how]
+            self._route_changes[field] = rng.choice(values)
+        elif how in LIMIT_CHANGES:
+            field, values = LIMIT_CHANGES[how]
+            self._limits[field] = rng.choice(values)
+        elif how == "move":
             self._moved_routes ^= {route}
             self._has_second_services = True
         elif how == "add":
@@ -133,27 +137,10 @@
             self._has_second_services = True
         elif how == "keys":
             self._keys = rng.choice([("key-a",), ("key-b", "key-a"), ("key-a", "key-c")])
-        elif how == "limits":
-            self._limits["MaxBodyBytes"] = rng.choice([1000, 65536, 1 << 20])
-            self._limits["MaxHeaderBytes"] = rng.choice([4096, 16384])
-        elif how == "idle":
-            self._limits["IdleTimeoutMs"] = rng.choice(IDLE_MS)
-        elif how == "timeouts":
-            self._route_changes |= {"TimeoutMs": rng.choice(TIMEOUTS_MS)}
-        elif how == "objective":
-            self._route_changes |= {
-                "GapAimMs": rng.choice((100, 250, 400)),
-                "TargetLatencyMs": rng.choice((200, 600)),
-            }
-        elif how == "attempts":
-            self._route_changes |= {"MaxAttempts": rng.choice([1, 2, 3])}
         elif how == "health":
             self._health_path = rng.choice(["/health", "/up"])
         elif how == "engine":
-            self._engine_changes = {
-                "Slots": rng.choice([2, 8]),
-                "KvTokens": rng.choice([9000, 100_000]),
-            }
+            self._engine_changes = {"Slots": rng.choice([2, 8]), "KvTokens": rng.choice(KV_TOKENS)}
         elif how == "kind":
             self._has_engine_b = not self._has_engine_b
         elif how == "many":
@@ -211,12 +198,12 @@
             rng.choice([8, 9]),
         )
         relays = rng.choice([[rng.choice(self.accepting_relays)], self.accepting_relays])
-        has_signal = rng.random() < 0.5
+        signals = rng.choice([0, 0, 1, 1, SIGNAL_BURST])
         for relay in relays:
             text = relay._settings_text(self.world).replace("level = debug", f"level = {level}")
             text = text.replace("window_s = 1\n", f"window_s = {window_s}\n")
             relay.settings.write_text(text.replace("grace_s = 8.0", f"grace_s = {grace_s}"))
-            if has_signal and relay.process.poll() is None:
+            for _ in range(signals):
                 relay.process.send_signal(signal.SIGHUP)
 
     def _server_drains_and_returns(self):
@@ -304,6 +291,7 @@
 
     def _check(self):
         findings = [*super()._check(), *self._find_late(), *self._find_unexpected_events()]
+        findings += self._find_ignored_stops()
         records = {record.request_id: record for record in self.history.requests}
         return [
             self._mark_paused(each, records.get(each.request_id))
@@ -323,6 +311,12 @@
                 )
                 yield Finding("late", record.request_id, text)
 
+    def _find_ignored_stops(self):
+        for relay in self.world.relays:
+            was_stopped = relay.name in self.history.stop_times
+            if was_stopped and not relay.find_log_lines("relay_stopping"):
+                yield Finding("ignored", "", f"{relay.name} ignored SIGTERM")
+
     def _find_unexpected_events(self):
         lines = itertools.chain.from_iterable(
             ((relay.name, line) for line in relay.find_log_lines(name))
--- a/tests/test_planned_soak.py
+++ b/tests/test_planned_soak.py
@@ -76,6 +76,16 @@
         soak.world.relays.clear()
 
 
+def test_relay_that_ignores_its_stop_is_found(soak):
+    add_request(soak)
+    soak.world.relays.append(FakeRelay(name="other"))
+    soak.history.stop_times["relay-1"] = 100.0
+    try:
+        assert [finding.kind for finding in soak._find_ignored_stops()] == ["ignored"]
+    finally:
+        soak.world.relays.clear()
+
+
 def test_planned_work_in_series_loses_no_request():
     parameters = PlannedSoak.draw_parameters(random.Random(7))
     parameters = parameters._replace(relays=3, servers=2, callers=12, attempts=2)
