--- a/tests/planned_soak.py
+++ b/tests/planned_soak.py
@@ -14,10 +14,10 @@
 from collections import Counter
 
 from planned_callers import PlannedCaller
+from planned_servers import RoleServer
 from platform_config import config
 from silence_history import RESPONSE_MARGIN_S, ConfigVersion, Finding
 from silence_report import print_seed
-from silence_servers import Server
 from silence_soak import DRAIN_S, IDLE_MS, TIMEOUTS_MS, SeedParameters, Soak, run_seed
 
 from laburnumreel.relay._settings import RetrySettings
@@ -52,6 +52,7 @@
     """
 
     caller_class = PlannedCaller
+    server_class = RoleServer
     has_twins = False
 
     def __init__(self, seed, seconds, folder, parameters=None):
@@ -67,10 +68,10 @@
         ratio, slack = rng.choice([(0.0, 0.0), (0.02, 2.0), (0.1, 10.0), (0.3, 40.0)])
         return SeedParameters(
             relays=rng.choice([3, 4, 5]),
-            servers=rng.choice([1, 2, 3]),
+            servers=rng.choice([1, 2, 3, 5]),
             retry=RetrySettings(ratio, slack, 10.0),
             callers=rng.choice([10, 16, 24]),
-            has_prefill=rng.random() < 0.3,
+            has_prefill=rng.random() < 0.5,
             attempts=rng.choice([1, 2, 2, 3, 3]),
         )
 
@@ -236,7 +237,7 @@
     def _start_again(self, old, after_s):
         time.sleep(after_s)
         stage = old.entry.get("Stage")
-        new = Server(self.world, self.history, old.name, old.service, self.seed, stage)
+        new = RoleServer(self.world, self.history, old.name, old.service, self.seed, stage)
         new.entry = {**new.entry, "born": old.entry["born"] + 1}
         self.world.store.put("servers", new.name, new.entry)
         self.servers.append(new)
@@ -292,6 +293,7 @@
     def _check(self):
         findings = [*super()._check(), *self._find_late(), *self._find_unexpected_events()]
         findings += self._find_ignored_stops()
+        self.faults["orders of a stage"] += sum(server.orders for server in self.servers)
         records = {record.request_id: record for record in self.history.requests}
         return [
             self._mark_paused(each, records.get(each.request_id))
--- a/tests/silence_soak.py
+++ b/tests/silence_soak.py
@@ -73,6 +73,7 @@
     """
 
     caller_class = Caller
+    server_class = Server
 
     def __init__(self, seed, seconds, folder, parameters=None):
         self.rng = random.Random(seed)
@@ -332,7 +333,7 @@
         if stage is None and self.parameters.has_prefill and service.startswith("quotes"):
             stage = "decode"
         name = f"{service}-{next(self._name_numbers)}"
-        server = Server(self.world, self.history, name, service, self.seed, stage)
+        server = self.server_class(self.world, self.history, name, service, self.seed, stage)
         self.servers.append(server)
         return server
 
