Let the test of configured limits use its connection once more before it is closed

test_configured_limits_apply_from_their_version_on held that a connection which became idle under 15 s is closed by an idle time of 1 s that came right after. It passed before only because the check for idle connections, once a second, had not seen the connection idle before the change; a caller may rely on the 15 s (test_shorter_idle_limit_spares_connection_that_ just_became_idle, and docs/platform.md: "the idle time under which it became idle is over"). The connection now gets one more answer under the new limit and must be closed within the same six seconds.

--- a/tests/test_relay_life.py
+++ b/tests/test_relay_life.py
@@ -157,6 +157,8 @@
         assert Caller(relay).ask("/safe/x", body=body)[0] == 413
         assert len(worker.seen) == served
         assert Caller(relay).ask("/safe/x")[0] == 200
+        # A connection that became idle before the change keeps its longer limit.
+        assert idle.ask("/safe/x")[0] == 200
         idle.connection.sock.settimeout(6.0)
         assert idle.connection.sock.recv(1) == b""
 
