Check each running request's deadline though the check of another one fails

What callers would see: requests held past their deadline, and work that goes on after callers have left, on a host where checking one running request raises an exception.

Cause (found by reading): the registry's tick checks all running requests in one loop; an error in one check ended the loop, at every tick.

Change: each check is contained, and logged (123).

--- a/src/laburnumreel/serving/_events.py
+++ b/src/laburnumreel/serving/_events.py
@@ -36,3 +36,6 @@
     "a hedged request was sent to another back end because the first one is silent",
 )
 HEDGE_ENDED = define_event(121, "silent_second_ended", "a hedged request ended without being used")
+REQUEST_CHECK_FAILED = define_event(
+    123, "request_check_failed", "checking a running request's deadline and caller failed"
+)
--- a/src/laburnumreel/serving/_registry.py
+++ b/src/laburnumreel/serving/_registry.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from laburnumreel.core import Clock, Log, Task
-from laburnumreel.serving._events import REQUEST_ABORTED
+from laburnumreel.serving._events import REQUEST_ABORTED, REQUEST_CHECK_FAILED
 from laburnumreel.state import ErrorKind, Refusal, RunState, WithdrawnKeys
 from laburnumreel.transport import Exchange
 
@@ -193,12 +193,24 @@
         now = self._clock.now()
         should_cut_streams = self._should_cut_streams(now)
         for running in self._running:
-            if now >= running.deadline:
-                self._abort(running, ErrorKind.BACK_END_TIMEOUT, "The deadline passed.")
-            elif not running.finish_without_caller and running.is_caller_gone:
-                self._abort(running, ErrorKind.CALLER_GONE)
-            elif should_cut_streams and running.key_digest is not None:
-                self._abort(running, ErrorKind.KEYS_UNVERIFIABLE)
+            try:
+                self._check_running(running, should_cut_streams, now)
+            except Exception as error:
+                # One request must not keep the others from their deadlines.
+                _log.error(
+                    REQUEST_CHECK_FAILED,
+                    request=running.request_id,
+                    error=repr(error),
+                    exc_info=True,
+                )
+
+    def _check_running(self, running: RunningRequest, should_cut_streams: bool, now: float) -> None:
+        if now >= running.deadline:
+            self._abort(running, ErrorKind.BACK_END_TIMEOUT, "The deadline passed.")
+        elif not running.finish_without_caller and running.is_caller_gone:
+            self._abort(running, ErrorKind.CALLER_GONE)
+        elif should_cut_streams and running.key_digest is not None:
+            self._abort(running, ErrorKind.KEYS_UNVERIFIABLE)
 
     def _check_key(self, running: RunningRequest) -> None:
         if running.key_digest is not None and running.key_digest in self._withdrawn:
