Store confirmed withdrawals of keys before a gateway stops

Callers could use a withdrawn key again. `key withdraw` succeeds without the store once a majority of the gateways has confirmed it; until the store is back, only processes hold the withdrawal. A planned stop ended each gateway as soon as its requests and usage were done, so gateways that were stopped together lost it, and nothing was logged.

A stopping gateway now waits until its withdrawals are in the store, within the same `[stop] grace_s` that bounds the flush of usage, after it has closed the server through which peers and operators get confirmations. All gateways may write at once then, whatever their share of the writes: those that lose read the log and find what was stored. If the store stays away, event 467 names the digests, so that they can be withdrawn again. `Task.ask_until_true` is the loop that `UsageFlusher.flush_all` had.

Evidence: both new tests failed before. `test_withdrawal_outlives_a_stop_of_all_gateways` got 200 with the withdrawn key after two gateways, stopped while the store was down for 1.5 s, had started again; the other found no log line. Both pass now, as do tests/test_config_cluster.py and tests/test_gateway_keys.py.

Ruled out: gateways replaced one after another (a restarted one asks its peers for all withdrawals and vouches for nobody before) and killed ones, for which the hole in docs/design.md, "Keys", remains.

--- a/src/laburnumreel/coordination/_config_sync.py
+++ b/src/laburnumreel/coordination/_config_sync.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from expression import Result
+
 from laburnumreel.coordination._events import (
     CONFIG_CHANGED,
     CONFIG_READY,
@@ -11,6 +13,7 @@
     KEYS_WITHDRAWN,
     STORE_READ_AGAIN,
     STORE_READ_FAILED,
+    WITHDRAWALS_NOT_STORED,
 )
 from laburnumreel.coordination._messages import Address, PeerLink, format_address
 from laburnumreel.coordination._metrics import (
@@ -22,7 +25,14 @@
 from laburnumreel.coordination._replica import Listener, Replica
 from laburnumreel.coordination._store_sync import StoreSync
 from laburnumreel.core import Clock, Log, SystemClock, Task
-from laburnumreel.state import Change, Configuration, Platform, Settings, WithdrawnKeys
+from laburnumreel.state import (
+    Change,
+    Configuration,
+    Platform,
+    PlatformError,
+    Settings,
+    WithdrawnKeys,
+)
 
 POLL_INTERVAL_S = 1.0
 # Keys count as verified for `cut_off_s` after a read of the store. Three reads in that time allow
@@ -46,6 +56,10 @@
     """Message that asks the task to read the store now rather than at the next tick."""
 
 
+class StoreWithdrawals(NamedTuple):
+    """Message that asks the task to write all withdrawals to the store now."""
+
+
 def fetch_from_peer(replica: Replica, link: PeerLink, newer: NewerPeerConfig) -> str | None:
     """Fetch a peer's newer configuration and return an error text, or None on success.
 
@@ -143,22 +157,37 @@
         if self._replica.withdraw(digests):
             self._record_withdrawals()
 
+    def store_withdrawals(self, timeout_s: float) -> None:
+        """Wait until all withdrawals are in the store, at most `timeout_s` seconds.
+
+        Before that, other processes may have them only until they stop as well.
+        """
+        if self._replica.unstored and not self.ask_until_true(StoreWithdrawals(), timeout_s):
+            _log.error(WITHDRAWALS_NOT_STORED, digests=self._replica.unstored)
+
     def changes_after(self, version: int, limit: int) -> list[Change]:
         return self._replica.changes_after(version, limit)
 
-    def handle(self, message: NewerPeerConfig | PollStore) -> None:
+    def handle(self, message: NewerPeerConfig | PollStore | StoreWithdrawals) -> bool | None:
         if isinstance(message, PollStore):
             self.tick()
-            return
+            return None
+        if isinstance(message, StoreWithdrawals):
+            self._poll(self._store.poll_and_store)
+            return not self._replica.unstored
         before = self._replica.configuration
         problem = fetch_from_peer(self._replica, self._link, message)
         if problem is not None:
             _log.warning(CONFIG_REFUSED, peer=format_address(message.address), detail=problem)
         self._record_config_change(before, "peer")
+        return None
 
     def tick(self) -> None:
+        self._poll(self._store.poll)
+
+    def _poll(self, poll: Callable[[float], Result[None, PlatformError]]) -> None:
         before, known_count = self._replica.configuration, len(self._replica.withdrawn)
-        polled = self._store.poll(self._clock.now())
+        polled = poll(self._clock.now())
         if polled.is_error():
             STORE_READ_FAILURES.inc()
             if self._is_store_reachable is not False:
--- a/src/laburnumreel/coordination/_events.py
+++ b/src/laburnumreel/coordination/_events.py
@@ -35,6 +35,12 @@
 STORE_READ_AGAIN = define_event(464, "store_read_again", "store can be read again")
 KEYS_WITHDRAWN = define_event(465, "keys_withdrawn", "set of withdrawn keys has grown")
 CONFIG_READY = define_event(466, "config_ready", "first configuration was read")
+WITHDRAWALS_NOT_STORED = define_event(
+    467,
+    "withdrawals_not_stored",
+    "a gateway stops with withdrawn keys that are not in the store; they must be withdrawn again if"
+    " all gateways stop",
+)
 PEER_LOST = define_event(470, "peer_lost", "exchange with a peer failed")
 PEER_HEARD = define_event(471, "peer_heard", "peer can be reached again")
 USAGE_FLUSH_FAILED = define_event(
--- a/src/laburnumreel/coordination/_store_sync.py
+++ b/src/laburnumreel/coordination/_store_sync.py
@@ -77,11 +77,19 @@
 
     def poll(self, now: float) -> Result[None, PlatformError]:
         """Read new rows, withdrawals first, then store the withdrawals that are not stored yet."""
+        read = self._read(now)
+        is_writer = self._replica.unstored and self._rng.random() < self._write_share
+        return self._store_withdrawals() if read.is_ok() and is_writer else read
+
+    def poll_and_store(self, now: float) -> Result[None, PlatformError]:
+        """Poll, and store withdrawals whatever the share of this process in the writes."""
+        return self._read(now).bind(lambda _: self._store_withdrawals())
+
+    def _read(self, now: float) -> Result[None, PlatformError]:
         read = self._read_withdrawn().bind(lambda _: self._read_configuration())
         if read.is_ok():
             self._read_at = max(self._read_at, now)
             self._has_read_all = True
-            return self._store_withdrawals()
         return read
 
     def _read_withdrawn(self) -> Result[None, PlatformError]:
@@ -183,8 +191,6 @@
         unstored = self._replica.unstored[:MAX_DIGESTS_PER_WRITE]
         if not unstored:
             return Ok(None)
-        if self._rng.random() >= self._write_share:
-            return Ok(None)
         checks, writes = withdrawal_rows(unstored, self._log_end + 1, {})
         stored = self._platform.transact(checks, writes)
         if stored.is_ok():
--- a/src/laburnumreel/coordination/_usage_flush.py
+++ b/src/laburnumreel/coordination/_usage_flush.py
@@ -1,6 +1,5 @@
 """Task that writes a gateway's usage deltas to the store."""
 
-import time
 from collections import OrderedDict
 
 from laburnumreel.coordination._events import (
@@ -32,7 +31,6 @@
 # A request is counted at its end. If it is counted again, that happens soon after, so remembering
 # the most recent request ids suffices.
 MAX_REMEMBERED_REQUESTS = 100_000
-FLUSH_RETRY_DELAY_S = 0.05
 
 _log = Log("coordination.usage_flush")
 
@@ -81,17 +79,7 @@
 
     def flush_all(self, timeout_s: float) -> bool:
         """Flush until no deltas are left and return whether that succeeded within `timeout_s`."""
-        deadline = time.monotonic() + timeout_s
-        while True:
-            remaining_s = deadline - time.monotonic()
-            try:
-                if self.ask("flush").result(max(0.0, remaining_s)):
-                    return True
-            except TimeoutError:
-                return False
-            if time.monotonic() + FLUSH_RETRY_DELAY_S >= deadline:
-                return False
-            time.sleep(FLUSH_RETRY_DELAY_S)
+        return self.ask_until_true("flush", timeout_s)
 
     def handle(self, message: object) -> bool | None:
         match message:
--- a/src/laburnumreel/core/_task.py
+++ b/src/laburnumreel/core/_task.py
@@ -12,6 +12,8 @@
     100, "task_failed", "a message handler, a tick or the cleanup of a task raised an exception"
 )
 
+ASK_RETRY_DELAY_S = 0.05
+
 _log = Log("core.task")
 
 
@@ -62,6 +64,19 @@
             self._mailbox.put((message, answer))
         return answer
 
+    def ask_until_true(self, message: Any, timeout_s: float) -> bool:
+        """Send a message until its result is true, and return whether that happened in time."""
+        deadline = time.monotonic() + timeout_s
+        while True:
+            try:
+                if self.ask(message).result(max(0.0, deadline - time.monotonic())):
+                    return True
+            except TimeoutError:
+                return False
+            if time.monotonic() + ASK_RETRY_DELAY_S >= deadline:
+                return False
+            time.sleep(ASK_RETRY_DELAY_S)
+
     def tell(self, message: Any) -> None:
         """Send a message without a result. It is ignored if the task has stopped."""
         if not self._is_stopped:
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -233,9 +233,12 @@
                 self._caller_server.wait_until_idle(FINAL_FLUSH_S)
                 break
             time.sleep(STOP_POLL_INTERVAL_S)
+        store_until = self._clock.now() + stop.grace_s
         self._usage.flush_all(stop.grace_s)
         self._caller_server.stop()
         self._peer_server.stop()
+        # Peers can confirm no further withdrawals here.
+        self._config.store_withdrawals(max(0.0, store_until - self._clock.now()))
         for task in reversed(tasks):
             with contextlib.suppress(TimeoutError):
                 task.stop()
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -92,6 +92,41 @@
     assert send_completion(gateways[0]).kind == "withdrawn_key"
 
 
+def test_withdrawal_outlives_a_stop_of_all_gateways(deployment):
+    """Guards against a confirmed withdrawal that only processes hold which are stopped together."""
+    deployment.configure()
+    deployment.add_engine()
+    gateways = deployment.start_gateways(2)
+    deployment.platform_faults(down=True)
+    digest = key_digest(KEY, PEPPER.encode())
+    for gateway in gateways:
+        assert PeerClient().withdraw_key(gateway.addresses["peers"], digest).is_ok()
+    for gateway in gateways:
+        gateway.process.send_signal(signal.SIGTERM)
+    # Longer than the notice, so that the gateways have nothing else to wait for.
+    time.sleep(1.5)
+    deployment.platform_faults(down=False)
+    assert [gateway.process.wait() for gateway in gateways] == [0, 0]
+    restarted = deployment.restart_gateway(gateways[0])
+    deployment.restart_gateway(gateways[1])
+    assert send_completion(restarted).kind == "withdrawn_key"
+
+
+def test_stop_without_the_store_names_the_withdrawals_that_may_be_lost(deployment):
+    """Guards against a stop that waits for the store without a limit, or loses keys silently."""
+    deployment.configure()
+    gateway = deployment.start_gateway(stop="grace_s = 1\n")
+    deployment.platform_faults(down=True)
+    digest = key_digest(KEY, PEPPER.encode())
+    assert PeerClient().withdraw_key(gateway.addresses["peers"], digest).is_ok()
+    gateway.process.send_signal(signal.SIGTERM)
+    assert gateway.process.wait() == 0
+    line = next(
+        line for line in gateway.process.output.splitlines() if "withdrawals_not_stored" in line
+    )
+    assert digest in line
+
+
 def count_answered_exchanges(gateway):
     return gateway.metric("laburnumreel_exchanges_answered_total")
 
