Test usage beside stops of all gateways and coordinators together

`stop_together` stops any set of gateways and coordinators as their shutdown does, beside all faults that the machine has; the oracle reports usage that a stop with a sound store leaves behind. `test_oracle_catches_a_stop_without_a_flush` shows that it sees such a stop. `test_usage_survives_a_stop_of_all_processes_together` does the same with two gateways and two coordinators, whose only flush is that of the stop, with the store sound and down for 1 s.

--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -7,12 +7,12 @@
 from pathlib import Path
 
 import pytest
-from coordinators import CoordinatorProcess, configure_service, is_stopped
+from coordinators import USAGE, CoordinatorProcess, configure_service, is_stopped
 
 from laburnumreel.coordination import UsageFlusher
 from laburnumreel.core import SystemClock
 from laburnumreel.state import UsageCount, UsageSettings
-from laburnumreel_standins.caller import call
+from laburnumreel_standins.caller import Stream, call
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
@@ -119,6 +119,49 @@
     assert len(different) == len({(customer, window) for customer, window, _ in different})
 
 
+def read_reports(deployment):
+    """Return the figures that the platform has by customer and window, which must not change."""
+    reports = {}
+    for report in call(deployment.platform_address, "GET", "/standin/state").json["usage_history"]:
+        key = report["customer"], report["window"]
+        assert reports.setdefault(key, report["figures"]) == report["figures"], key
+    return reports
+
+
+@pytest.mark.parametrize("outage_s", [0.0, 1.0])
+def test_usage_survives_a_stop_of_all_processes_together(deployment, outage_s):
+    """Guards against usage of requests that end while all gateways and coordinators stop."""
+    deployment.configure()
+    deployment.add_engine("--stream-tokens-per-s", "20")
+    coordinators = [CoordinatorProcess(deployment, f"coordinator-{n}") for n in range(2)]
+    gateways = deployment.start_gateways(2, usage=f"{USAGE}flush_s = 60\n")
+    for coordinator in coordinators:
+        coordinator.wait_for_ready()
+    # Some end before the signal, and some while the gateways stop.
+    streams = [
+        Stream(gateways[number % 2].caller_address, {"prompt": f"p{number}", "max_tokens": tokens})
+        for number, tokens in enumerate([1, 1, 1, 30, 30, 40])
+    ]
+    assert [stream.finish()[1] for stream in streams[:3]] == [True] * 3
+    processes = [each.process for each in (*gateways, *coordinators)]
+    if outage_s:
+        deployment.platform_faults(down=True)
+    for process in processes:
+        process.send_signal(signal.SIGTERM)
+    time.sleep(outage_s)
+    deployment.platform_faults(down=False)
+    assert [stream.finish()[1] for stream in streams[3:]] == [True] * 3
+    assert [process.wait() for process in processes] == [0] * 4
+    CoordinatorProcess(deployment, "coordinator-2")
+    wait_until(
+        lambda: sum(item["requests"] for item in read_reports(deployment).values()) == 6,
+        "all requests to be reported",
+    )
+    # A window later the figures are still the same.
+    time.sleep(3)
+    assert sum(item["requests"] for item in read_reports(deployment).values()) == 6
+
+
 @pytest.mark.parametrize("target", ["engine", "zone"])
 @pytest.mark.parametrize("timer", ["timer", "no-timer"])
 def test_no_order_from_coordinator_paused_past_its_lease(deployment, timer, target):
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -68,6 +68,10 @@
     def restart(self, gateway, number):
         (self.cluster.restart_gateway if gateway else self.cluster.restart)(number)
 
+    @rule(gateways=st.sets(NUMBERS), coordinators=st.sets(NUMBERS))
+    def stop_together(self, gateways, coordinators):
+        self.cluster.stop_all(sorted(gateways), sorted(coordinators))
+
     @rule(gateway=st.booleans(), number=NUMBERS, faults=FAULTS)
     def fault_store(self, gateway, number, faults):
         process = (self.cluster.other_processes if gateway else self.cluster.coordinators)[number]
@@ -177,6 +181,23 @@
         run_with_slow_flushes(EarlySummingSealer).check_totals()
 
 
+class ForgetfulGateway(SimulatedGateway):
+    """Injected fault: a gateway that stops without a flush."""
+
+    def stop(self):
+        self.flush.handle = self.flush.flush = lambda *_: True
+        super().stop()
+
+
+class ForgetfulMachine(UsageMachine):
+    gateway_type = ForgetfulGateway
+
+
+def test_oracle_catches_a_stop_without_a_flush():
+    """Guards against an oracle that misses usage lost by a planned stop."""
+    assert_oracle_fails(ForgetfulMachine)
+
+
 def test_oracle_catches_a_flush_sent_twice():
     """Guards against an oracle that misses usage counted twice."""
     assert_oracle_fails(RepeatingMachine)
--- a/tests/usage_world.py
+++ b/tests/usage_world.py
@@ -1,6 +1,9 @@
 """Simulated gateways that count usage and coordinators that seal it, on a simulated clock."""
 
+from contextlib import suppress
+
 from simulated_cluster import (
+    TICK_S,
     ProcessEndedError,
     SimulatedCluster,
     SimulatedCoordinator,
@@ -14,6 +17,8 @@
 
 USAGE_SETTINGS = UsageSettings(window_s=5, flush_s=0.5, shards=2, grace_s=1.0)
 RETENTION_S = 10.0
+# With a sound store, more than a planned stop ever needs.
+MAX_STOP_FLUSHES = 20
 CUSTOMERS = ("hall-a", "hall-b", "hall-c")
 
 
@@ -39,6 +44,10 @@
         self.lease_manager.step()
         self.sealer.tick()
 
+    def stop(self):
+        """Release the leases, as a planned stop does."""
+        self.lease_manager.close()
+
 
 class ObservedFlush(UsageFlusher):
     """A flush that records for the oracle which counts it drops that may not be stored."""
@@ -92,6 +101,16 @@
             self._next_flush = self.cluster.clock.now() + USAGE_SETTINGS.flush_s
             self.flush.flush()
 
+    def stop(self):
+        """Flush until nothing is left, for a limited time, as a planned stop does."""
+        for _ in range(MAX_STOP_FLUSHES):
+            if self.flush.handle("flush"):
+                break
+            self.sleep(TICK_S)
+        self.flush.close()
+        if not self.flush._deltas.is_empty and not any(self.platform.faults.values.values()):
+            self.cluster.violations.append("usage was lost by a planned stop with a sound store")
+
     def on_process_ended(self):
         """Record the counts that the process lost when it died.
 
@@ -137,6 +156,21 @@
         self.usage_fence = max(fence, self.usage_fence)
         return super().make_response(body)
 
+    def stop_all(self, gateways, coordinators):
+        """Stop processes together and start them again."""
+        for number in gateways:
+            if self.other_processes[number] is not None:
+                with suppress(ProcessEndedError):
+                    self.other_processes[number].stop()
+        for number in coordinators:
+            if self.coordinators[number] is not None:
+                with suppress(ProcessEndedError):
+                    self.coordinators[number].stop()
+        for number in gateways:
+            self.restart_gateway(number)
+        for number in coordinators:
+            self.restart(number)
+
     def heal(self):
         """End all faults and wait until all remaining usage is reported."""
         for number, process in enumerate(self.coordinators):
