Tell a back end from a successor that has its name

Callers got `no_back_end` although a sound server was listed. Drain marks were kept by the name of a back end, so a server that took the name of a leaving one, at another address, got no work for up to 60 s (`LEAVING_DRAIN_S`) at all gateways. If the host list named both, the entry that came last was used, also if that was the leaving one, and requests of a running server moved with the order of the list.

Drain marks of back ends now name the identity, name and address together, also in the updates to peers. Of several hosts with one name a live one is used, and of these the one in use before; event 122 names them.

Evidence: three of the four cases of `test_name_listed_twice_is_one_usable_back_end` and `test_successor_with_the_name_of_a_leaving_server_gets_work` failed before: no back end, or the other one of two live ones.

Ruled out: state that is lost with each read of a list with a repeated name. It stays with the entry that is used.

--- a/src/laburnumreel/coordination/_fleet.py
+++ b/src/laburnumreel/coordination/_fleet.py
@@ -117,10 +117,25 @@
             if entry.host.kind == kind
         }
 
+    @property
+    def leaving(self) -> frozenset[str]:
+        """The names of the listed back ends that are not live."""
+        return frozenset(
+            name for name, entry in self._entries.items() if entry.host.state != "live"
+        )
+
+    def identity(self, name: str) -> str:
+        """Return the identity of a listed back end, or its name if it is not listed."""
+        entry = self._entries.get(name)
+        return name if entry is None else entry.host.identity
+
     def on_hosts(self, hosts: Sequence[Host], now: float) -> None:
-        """Apply the platform's host list. Back ends that are no longer listed are removed."""
+        """Apply the platform's host list. Back ends that are no longer listed are removed.
+
+        Of several hosts with the same name, such as a server and its successor, one is used.
+        """
         entries: dict[str, _BackEndState] = {}
-        for host in hosts:
+        for host in self._choose_by_name(hosts):
             previous = self._entries.get(host.name)
             if previous is None or previous.host.address != host.address:
                 previous = _BackEndState(host)
@@ -194,7 +209,7 @@
     def on_drain(self, target: str, reason: str, until: float) -> None:
         """Send no new requests to a back end or a whole zone before `until`.
 
-        Of several marks for a target, the one that ends last applies.
+        `target` is a back end's name or identity, or the name of a zone. Of several marks for a target, the one that ends last applies.
         """
         previous = self._drains.get(target)
         if previous is None or previous.until < until:
@@ -294,13 +309,26 @@
             for entry in suitable
         ]
 
+    def _choose_by_name(self, hosts: Sequence[Host]) -> Collection[Host]:
+        """Return one host of each name: a live one if possible, and the one in use if it is live."""
+        chosen: dict[str, Host] = {}
+        for host in hosts:
+            other = chosen.get(host.name)
+            if other is None or self._preference(host) > self._preference(other):
+                chosen[host.name] = host
+        return chosen.values()
+
+    def _preference(self, host: Host) -> tuple[bool, bool]:
+        entry = self._entries.get(host.name)
+        return host.state == "live", entry is not None and entry.host.address == host.address
+
     def _is_usable(self, entry: _BackEndState, now: float, cheap: bool) -> bool:
         host = entry.host
         if host.state != "live" or now < entry.backoff_until or (host.cheap and not cheap):
             return False
         if entry.report is not None and entry.report.draining:
             return False
-        marks = (self._drains.get(host.name), self._drains.get(host.zone))
+        marks = (self._drains.get(target) for target in (host.name, host.identity, host.zone))
         return not any(mark is not None and mark.until > now for mark in marks)
 
     def _peer_work(self, now: float) -> dict[str, tuple[int, int]]:
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import Future
 from typing import Any, NamedTuple
@@ -21,9 +22,10 @@
     Router,
     RoutingRequest,
 )
-from laburnumreel.core import Clock, Task
+from laburnumreel.core import Clock, Log, Task
 from laburnumreel.serving._budgets import ServiceRetryBudgets
 from laburnumreel.serving._crashes import CrashTracker
+from laburnumreel.serving._events import HOST_NAME_REPEATED
 from laburnumreel.serving._metrics import DRAIN_MARKS, QUARANTINED
 from laburnumreel.serving._silence_tracker import HedgeDenial, SilenceTracker
 from laburnumreel.state import Configuration, Host, Refusal
@@ -33,9 +35,12 @@
 REFUSED_DRAIN_S = 1.0
 LEAVING_DRAIN_S = 60.0
 CAPACITY_INTERVAL_S = 0.2
+MAX_LOGGED_NAMES = 10
 # Prefix of the peer names of gateways, which are the peers that run requests.
 GATEWAY_PEER_PREFIX = "gateway/"
 
+_log = Log("serving.dispatcher")
+
 
 class _Call(NamedTuple):
     function: Callable[..., Any]
@@ -77,7 +82,10 @@
         # The digests of the requests that run on each back end, by request id.
         self._digests_by_back_end: dict[str, dict[str, str]] = {}
         self._drain_marks: dict[str, tuple[str, float]] = {}
+        # The names of the back ends that are leaving, and the identities of all hosts that are.
         self._leaving: frozenset[str] = frozenset()
+        self._marked_leaving: frozenset[str] = frozenset()
+        self._repeated_names: frozenset[str] = frozenset()
         self._notify_update: Callable[[], None] = lambda: None
 
     def set_update_listener(self, listener: Callable[[], None]) -> None:
@@ -322,7 +330,8 @@
             self._fleet.on_failed(back_end, now)
 
     def _on_refused(self, back_end: str) -> None:
-        self._add_drain_mark(back_end, "refused", self._clock.now() + REFUSED_DRAIN_S)
+        target = self._fleet.identity(back_end)
+        self._add_drain_mark(target, "refused", self._clock.now() + REFUSED_DRAIN_S)
 
     def _on_crash(self, back_end: str, request_id: str, has_progressed: bool) -> bool:
         now = self._clock.now()
@@ -344,10 +353,18 @@
         now = self._clock.now()
         self._fleet.on_hosts(hosts, now)
         self._update_capacity()
-        leaving = frozenset(host.name for host in hosts if host.state != "live")
-        for name in leaving - self._leaving:
-            self._add_drain_mark(name, "leaving", now + LEAVING_DRAIN_S)
-        self._leaving = leaving
+        leaving = frozenset(host.identity for host in hosts if host.state != "live")
+        for identity in leaving - self._marked_leaving:
+            self._add_drain_mark(identity, "leaving", now + LEAVING_DRAIN_S)
+        self._marked_leaving, self._leaving = leaving, self._fleet.leaving
+        self._log_repeated_names(hosts)
+
+    def _log_repeated_names(self, hosts: Sequence[Host]) -> None:
+        counts = Counter(host.name for host in hosts)
+        repeated = frozenset(name for name, count in counts.items() if count > 1)
+        if repeated - self._repeated_names:
+            _log.warning(HOST_NAME_REPEATED, names=sorted(repeated)[:MAX_LOGGED_NAMES])
+        self._repeated_names = repeated
 
     def _on_load(self, name: str, report: LoadReport) -> None:
         self._fleet.on_load(name, report, self._clock.now())
--- a/src/laburnumreel/serving/_events.py
+++ b/src/laburnumreel/serving/_events.py
@@ -30,6 +30,11 @@
     "report_unreadable",
     "an engine's load or cache report is invalid; its last valid one stays in use",
 )
+HOST_NAME_REPEATED = define_event(
+    122,
+    "host_name_repeated",
+    "the host list has several back ends with the same name, of which one is used",
+)
 HEDGE_SENT = define_event(
     120,
     "silent_sent_beside",
--- a/src/laburnumreel/state/_platform.py
+++ b/src/laburnumreel/state/_platform.py
@@ -76,6 +76,11 @@
     cheap: bool
     state: str
 
+    @property
+    def identity(self) -> str:
+        """The name with the address, because a successor may have either of them."""
+        return f"{self.name}@{self.address}"
+
 
 class PlatformError(NamedTuple):
     """A failed call to the platform.
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -91,6 +91,44 @@
     assert len(names) == 1
 
 
+@pytest.mark.parametrize("old_state", ["live", "leaving"])
+@pytest.mark.parametrize("is_old_first", [True, False])
+def test_name_listed_twice_is_one_usable_back_end(start_dispatcher, old_state, is_old_first):
+    """Guards against a service without capacity while a server's successor has its name."""
+    dispatcher = start_dispatcher(streams=(0,))
+    dispatcher.configure(make_configuration())
+    old = Host("w0", "127.0.0.1:9000", "xela-a", "xela", "chat", "engine", False, old_state)
+    hosts = [old, old._replace(address="127.0.0.2:9000", state="live")]
+    for _ in range(3):
+        dispatcher.hosts(hosts if is_old_first else hosts[::-1])
+        chosen = dispatcher.choose(make_work("r0"), False, (), "")
+        assert chosen is not None
+        dispatcher.on_load("w0", make_report())
+        dispatcher.wait_until_processed()
+        dispatcher.hosts(hosts if is_old_first else hosts[::-1])
+        offer = Offer("r1", "chat", "hall-a", 100, 60.0)
+        outcome = dispatcher.offer(offer, BackEndSelection(make_work("r1"), False, "")).result()
+        expected = "127.0.0.1" if old_state == "live" else "127.0.0.2"
+        assert outcome.address[0] == expected
+        dispatcher.finish("r1", 100)
+        dispatcher.on_attempt_ended("w0", "r1", False)
+        dispatcher.on_attempt_ended("w0", "r0", False)
+
+
+def test_successor_with_the_name_of_a_leaving_server_gets_work(start_dispatcher):
+    """Guards against a new server that gets no work because its name was that of another one."""
+    dispatcher, peer = start_dispatcher(streams=(0,)), start_dispatcher(streams=(0,))
+    old = Host("w0", "127.0.0.1:9000", "xela-a", "xela", "chat", "engine", False, "leaving")
+    dispatcher.hosts([old])
+    assert dispatcher.choose(make_work("r0"), False, (), "") is None
+    # The peer's list is behind, so it relies on the mark.
+    peer.on_peer_update("gateway/node-2", dispatcher.local_update().result())
+    assert peer.choose(make_work("r0"), False, (), "") is None
+    for each in (dispatcher, peer):
+        each.hosts([old._replace(address="127.0.0.2:9000", state="live")])
+        assert each.choose(make_work("r0"), False, (), "").address == ("127.0.0.2", 9000)
+
+
 def make_configuration():
     """Return a configuration in which an engine runs two streams of the service `chat`."""
     profile = SimpleNamespace(
