End the work of a request that is cancelled while it is admitted

A back end looked busier than it was, until it left the host list. A request that waits for admission looks for an abort (withdrawn key, deadline, end of a stop) each 100 ms and then withdraws its offer. If the dispatcher had admitted it in between, the chosen back end was known to nobody: the request is gone, and its work stayed in the gateway's count of work in flight, in the updates to its peers and among the requests that a crash or a silence of that back end is put down to.

The withdrawal of an offer that is no longer queued now ends the work at the back end as well.

Evidence: `test_request_that_is_admitted_and_cancelled_at_once_leaves_nothing` failed before with `{'w0': (1, 100)}`. Not seen in a running gateway: the race takes an abort and an admission within one wake-up of the request's thread.

--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -261,7 +261,11 @@
             future.set_result(decision.refusal)
 
     def _on_cancel_offer(self, request_id: str) -> None:
-        self._queued.pop(request_id, None)
+        if self._queued.pop(request_id, None) is None:
+            # It was admitted before this message, and its request does not know the back end.
+            for back_end, running in list(self._digests_by_back_end.items()):
+                if request_id in running:
+                    self._on_attempt_ended(back_end, request_id, False, False)
         self._resolve_admitted(self._admission.cancel(request_id, self._clock.now()))
 
     def _on_finish(self, request_id: str, tokens: int) -> None:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -115,6 +115,18 @@
         dispatcher.on_attempt_ended("w0", "r0", False)
 
 
+def test_request_that_is_admitted_and_cancelled_at_once_leaves_nothing(start_dispatcher):
+    """Guards against work that counts at a back end forever, though its request has ended."""
+    dispatcher = start_dispatcher(streams=(0, 0))
+    dispatcher.configure(make_configuration())
+    offer = Offer("r1", "chat", "hall-a", 100, 60.0)
+    selection = BackEndSelection(make_work("r1"), False, "")
+    assert dispatcher.offer(offer, selection).result().name in ("w0", "w1")
+    assert dispatcher.local_update().result().in_flight
+    dispatcher.cancel_offer("r1")
+    assert not dispatcher.local_update().result().in_flight
+
+
 def test_successor_with_the_name_of_a_leaving_server_gets_work(start_dispatcher):
     """Guards against a new server that gets no work because its name was that of another one."""
     dispatcher, peer = start_dispatcher(streams=(0,)), start_dispatcher(streams=(0,))
