Refuse an Idempotency-Key of a caller without a customer

A caller of a path that is open to all got another caller's answer, with its cookies, if both had chosen the same Idempotency-Key and sent the same body; with another body it was refused for good (`idempotency_mismatch`). Claims are kept under the customer, and all callers of open paths have none, so that a text which callers choose was their identity.

Nothing that the gateway knows tells these callers apart, so it can't promise that such a request runs once and its answer goes to its caller only. The request is refused with `bad_idempotency_key`, `not-run`. To ignore the key was ruled out: a repeat would run again without a word. Safe methods need no claim and are served as before.

Evidence: `test_key_without_a_customer_is_refused` failed before; a trial showed the second caller get 201 with `Idempotency-Replayed: true`, the first one's request id and `Set-Cookie`.

--- a/src/laburnumreel/serving/_application.py
+++ b/src/laburnumreel/serving/_application.py
@@ -24,6 +24,7 @@
     strip_key_from_query,
 )
 from laburnumreel.serving._checks import (
+    ANONYMOUS_CUSTOMER,
     MODEL_PATHS,
     MODELS_PATH,
     PLAIN_METHODS,
@@ -128,7 +129,7 @@
         # An engine's resume position counts the tokens of a single choice.
         is_repeatable = profile.resumable and request.choices == 1
         digest = body_digest(service.name, "POST", incoming.path, request.prompt)
-        key = _read_idempotency_key(incoming)
+        key = _read_idempotency_key(incoming, caller)
         claim_digest = request_digest("POST", incoming.path, raw_body) if key else ""
         slot, job = self._create_slot_and_job(
             incoming, caller, work, service, profile, is_repeatable, digest, key
@@ -203,7 +204,7 @@
         )
         is_repeatable = incoming.method in profile.idempotent_methods
         digest = body_digest(service.name, incoming.method, target, body)
-        key = _read_idempotency_key(incoming)
+        key = _read_idempotency_key(incoming, caller)
         claim_digest = request_digest(incoming.method, target, body) if key else ""
         slot, job = self._create_slot_and_job(
             incoming, caller, work, service, profile, is_repeatable, digest, key
@@ -391,10 +392,14 @@
             idempotent_run.finish(status, headers)
 
 
-def _read_idempotency_key(incoming: IncomingRequest) -> str | None:
+def _read_idempotency_key(incoming: IncomingRequest, caller: Caller) -> str | None:
     key = idempotency_key(incoming.method, incoming.headers)
     if key.is_error():
         raise RequestFailedError(key.error)
+    if key.ok is not None and caller.customer == ANONYMOUS_CUSTOMER:
+        # Other callers may choose the same key, and nothing tells them apart.
+        detail = "On a path that is open to all, no Idempotency-Key is accepted."
+        raise RequestFailedError(Refusal(ErrorKind.BAD_IDEMPOTENCY_KEY, detail))
     return key.ok
 
 
--- a/tests/test_gateway_idempotency.py
+++ b/tests/test_gateway_idempotency.py
@@ -38,6 +38,24 @@
     return call(gateway.caller_address, "POST", "/orders/new", body, headers, timeout_s)
 
 
+def test_key_without_a_customer_is_refused(deployment, gateways):
+    """Guards against an answer, with its cookies, for another caller that chose the same key."""
+    plain = add_plain(deployment, gateways)
+    requests_before = len(plain.requests)
+    for caller in ("ana", "ben"):
+        headers = {"Idempotency-Key": "1", "Cookie": f"session={caller}"}
+        reply = call(gateways[0].caller_address, "POST", "/orders/ping", b"12 crates", headers)
+        assert (reply.status, reply.kind, reply.run_state) == (
+            400,
+            "bad_idempotency_key",
+            "not-run",
+        )
+    assert len(plain.requests) == requests_before
+    # A safe method needs no claim, so its key identifies nothing.
+    headers = {"Idempotency-Key": "1"}
+    assert call(gateways[0].caller_address, "GET", "/orders/ping", None, headers).status == 200
+
+
 def test_replay_equals_the_first_answer(deployment, gateways):
     """Guards against a repeated request that runs again or gets a different answer."""
     plain = add_plain(deployment, gateways)
