Take stop signals from the kernel, so that a gateway or coordinator never misses one

A coordinator went on after SIGTERM, for good: it kept its leases, and a replacement waited for it until it was killed. Signals were handled in Python, and a handler runs only once the main thread executes bytecode again. A signal that came just before the main thread blocked in `Event.wait` without a time limit was never handled; a gateway, which wakes up each 5 s, noticed it that much later and admitted requests meanwhile. A second signal in the handler of the first could also wait for the lock of the event that its own thread held. A signal between the start of the listeners and the installation of the handlers killed the process (-15), with what callers had sent.

Both processes now block SIGTERM and SIGINT before their first thread starts and wait for them with `sigwait` and `sigtimedwait`. A signal at any time, also during the start, stays pending until it is taken; further ones stay pending and change nothing.

--- a/src/laburnumreel/coordinator.py
+++ b/src/laburnumreel/coordinator.py
@@ -3,8 +3,6 @@
 import contextlib
 import random
 import secrets
-import signal
-import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -30,7 +28,7 @@
     SnapshotWriter,
     UsageSealer,
 )
-from laburnumreel.core import Log, SystemClock, Task, define_event
+from laburnumreel.core import Log, StopSignals, SystemClock, Task, define_event
 from laburnumreel.state import Configuration, HttpPlatform, Lease, Settings
 from laburnumreel.transport import (
     HttpLoadReader,
@@ -65,12 +63,12 @@
         timer: ProcessTimer | None = None,
         wrap_link: Callable[[OrderLink], OrderLink] = lambda link: link,
     ) -> None:
-        # Threads inherit the blocked signal, so it must be blocked before the first one starts.
+        # Threads inherit the blocked signals, so they must be blocked before the first one starts.
         AlarmTimer.prepare()
+        self._stop_signals = StopSignals()
         self._settings = settings
         self._boot = secrets.token_hex(8)
         self._clock = SystemClock()
-        self._stop_requested = threading.Event()
         self._stopping = False
         platform_settings, margin_s = settings.platform, settings.lease.margin_s
         self._platform = HttpPlatform(
@@ -134,8 +132,6 @@
 
     def run(self) -> int:
         """Run until SIGTERM and return the exit code."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self._stop_requested.set())
         leaseholder_executor = ThreadPoolExecutor(
             1, "acting", initializer=AlarmTimer.unblock_in_this_thread
         )
@@ -157,7 +153,7 @@
             self._admin_server.start(executor)
             self._peer_server.start(executor)
             _log.info(COORDINATOR_STARTED, node=self._settings.node.name, boot=self._boot)
-            self._stop_requested.wait()
+            self._stop_signals.wait()
             self._shut_down(tasks)
         return 0
 
--- a/src/laburnumreel/core/__init__.py
+++ b/src/laburnumreel/core/__init__.py
@@ -12,6 +12,7 @@
     metrics,
     render_metrics,
 )
+from laburnumreel.core._signals import StopSignals
 from laburnumreel.core._task import Task, TaskStoppedError
 
 __all__ = [
@@ -25,6 +26,7 @@
     "Metric",
     "Schema",
     "SettingsError",
+    "StopSignals",
     "SystemClock",
     "Task",
     "TaskStoppedError",
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -5,8 +5,6 @@
 import math
 import random
 import secrets
-import signal
-import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -21,7 +19,7 @@
     format_address,
     parse_address,
 )
-from laburnumreel.core import Log, SystemClock, Task, define_event
+from laburnumreel.core import Log, StopSignals, SystemClock, Task, define_event
 from laburnumreel.serving import (
     AdmissionSlots,
     Application,
@@ -94,11 +92,11 @@
     """Creates the tasks of a gateway and runs them until a stop signal."""
 
     def __init__(self, settings: Settings) -> None:
+        self._stop_signals = StopSignals()
         self._settings = settings
         self._boot = secrets.token_hex(8)
         self._clock = SystemClock()
         self._rng = random.Random()
-        self._stop_requested = threading.Event()
         self._stopping = False
         node = settings.node
         platform = HttpPlatform(
@@ -193,8 +191,6 @@
 
     def run(self) -> int:
         """Serve until SIGTERM and return the exit code."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self._stop_requested.set())
         with ThreadPoolExecutor(TASK_THREADS, "task") as executor:
             tasks: list[Task] = [
                 self._dispatcher,
@@ -211,7 +207,7 @@
             self._caller_server.start(executor)
             _configure_garbage_collector()
             _log.info(GATEWAY_STARTED, node=self._settings.node.name, boot=self._boot)
-            while not self._stop_requested.wait(PRUNE_INTERVAL_S):
+            while not self._stop_signals.wait(PRUNE_INTERVAL_S):
                 self._pool.prune()
             self._shut_down(tasks)
         return 0
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -8,6 +8,7 @@
 
 from laburnumreel_standins._text import output_text
 from laburnumreel_standins.caller import MODEL, Stream, bearer_headers, call
+from laburnumreel_standins.deployment import PEPPER
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
@@ -101,3 +102,21 @@
         gateway.process.send_signal(signal.SIGTERM)
         assert gateway.process.wait() == 0
     assert deployment.count_stored_requests() == len(results)
+
+
+@pytest.mark.parametrize("role", ["gateway", "coordinator"])
+def test_stop_signals_during_the_start_are_not_missed(deployment, role):
+    """Guards against a process that is killed by a stop signal or never notices it."""
+    deployment.configure()
+    path, addresses = deployment.write_settings("node-1")
+    env = {"TEST_PEPPER": PEPPER, "TEST_CREDENTIAL": "x"}
+    arguments = ("laburnumreel.daemon", "--config", str(path), role)
+    for delay_s in (0.0, 0.0, 0.0, 0.005, 0.01, 0.02, 0.04):
+        process = deployment.start(*arguments, env=env)
+        process.wait_until_listening(
+            *addresses["admin" if role == "gateway" else "coordinator_admin"]
+        )
+        time.sleep(delay_s)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGTERM):
+            process.send_signal(number)
+        assert process.wait() == 0, f"signals {delay_s:g} s after the process listened"
