Go on with a shutdown if a task fails to answer

A gateway whose flush or poll of the store raised in its shutdown did not end: the exception left `_shut_down` before the tasks were stopped, and the executor waits for them.

--- a/src/laburnumreel/core/_task.py
+++ b/src/laburnumreel/core/_task.py
@@ -65,7 +65,10 @@
         return answer
 
     def ask_until_true(self, message: Any, timeout_s: float) -> bool:
-        """Send a message until its result is true, and return whether that happened in time."""
+        """Send a message until its result is true, and return whether that happened in time.
+
+        Returns False at once if the handler raises, which is logged.
+        """
         deadline = time.monotonic() + timeout_s
         while True:
             try:
@@ -73,6 +76,9 @@
                     return True
             except TimeoutError:
                 return False
+            except Exception as error:
+                _log.error(TASK_FAILED, task=self._name, error=repr(error), exc_info=True)
+                return False
             if time.monotonic() + ASK_RETRY_DELAY_S >= deadline:
                 return False
             time.sleep(ASK_RETRY_DELAY_S)
