--- a/src/laburnumreel/coordinator.py
+++ b/src/laburnumreel/coordinator.py
@@ -66,6 +66,7 @@
     ) -> None:
         # Threads inherit the blocked signal, so it must be blocked before the first one starts.
         AlarmTimer.prepare()
+        self._stop_signals = SignalQueue.install(signal.SIGTERM, signal.SIGINT)
         self._settings = settings
         self._boot = secrets.token_hex(8)
         self._clock = SystemClock()
@@ -132,7 +133,6 @@
 
     def run(self) -> int:
         """Run until SIGTERM and return the exit code."""
-        stop_signals = SignalQueue.install(signal.SIGTERM, signal.SIGINT)
         leaseholder_executor = ThreadPoolExecutor(
             1, "acting", initializer=AlarmTimer.unblock_in_this_thread
         )
@@ -154,7 +154,7 @@
             self._admin_server.start(executor)
             self._peer_server.start(executor)
             _log.info(COORDINATOR_STARTED, node=self._settings.node.name, boot=self._boot)
-            stop_signals.wait()
+            self._stop_signals.wait()
             self._shut_down(tasks)
         return 0
 
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -97,6 +97,7 @@
     """Creates a relay's tasks and runs them until the process is told to stop."""
 
     def __init__(self, settings: RelaySettings, adapter: Adapter) -> None:
+        self._signals = SignalQueue.install(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         self._settings = settings
         self._adapter = adapter
         self._boot = secrets.token_hex(4)
@@ -264,7 +265,6 @@
 
     def run(self, load_settings: LoadSettings) -> int:
         """Serve until SIGTERM and return the exit code. `load_settings` reloads the settings."""
-        signals = SignalQueue.install(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         settings_watch = SettingsWatch(self._settings, load_settings, self._on_settings)
         tasks: list[Task] = [
             self._dispatcher,
@@ -289,7 +289,7 @@
             host = self._settings.host
             _log.info(RELAY_STARTED, host=host.name, zone=host.zone, boot=self._boot)
             self._readiness.start(executor)
-            while not STOP_SIGNALS & (received := signals.wait(PRUNE_INTERVAL_S)):
+            while not STOP_SIGNALS & (received := self._signals.wait(PRUNE_INTERVAL_S)):
                 if signal.SIGHUP in received:
                     settings_watch.reload()
                 self._pool.prune()
