Leave the usage counts of a host that announced its stop to that host

What operators would see: when many hosts stop together, each one writes rows for itself and for each of the others, as a peer counts as ended from the moment at which it announces its stop. The new holder reads all rows of a window from the first page again after a read that its rate limit refuses.

Cause: the store's rows were meant for the counts of processes that can't write any more, but `ended_counts_since` includes those that still run and write their own counts at the end of their stop.

Evidence: test_hosts_that_stop_together_write_their_own_counts_only (400 rows before, 20 now).

--- a/src/laburnumreel/relay/_peer_update_handler.py
+++ b/src/laburnumreel/relay/_peer_update_handler.py
@@ -130,7 +130,7 @@
                         *ended.process, ended.window, ended.counts
                     )
             if update.stopping:
-                self._usage_counters.mark_stopped(update.sender)
+                self._usage_counters.mark_stopping(update.sender, update.boot)
             else:
                 self._usage_counters.mark_running(update.sender, update.boot)
             if update.usage_window:
@@ -148,7 +148,7 @@
 
     def on_peer_silent(self, peer: str) -> None:
         """Handle that a peer has timed out."""
-        self._usage_counters.mark_stopped(peer)
+        self._usage_counters.mark_silent(peer)
         self._dispatcher.on_peer_silent(peer)
 
     def _reread_if_behind(self, feed: FeedFollower, is_current: bool) -> None:
--- a/src/laburnumreel/relay/_usage_counters.py
+++ b/src/laburnumreel/relay/_usage_counters.py
@@ -73,6 +73,8 @@
         self._peers: dict[int, dict[Process, Counts]] = {}
         # The boot identifier of each peer's running process.
         self._running: dict[str, str] = {}
+        # Processes that announced their stop. They write their counts to the store themselves.
+        self._stopping: set[Process] = set()
         # The window in which each peer last sent its counts; those of earlier windows are complete.
         self._last_reported: dict[str, int] = {}
         # The first window since which each peer's counts have come without a gap.
@@ -115,17 +117,24 @@
         with self._lock:
             self._running[sender] = boot
 
-    def mark_stopped(self, sender: str) -> None:
-        """Record that a peer's process is stopping or has timed out."""
+    def mark_stopping(self, sender: str, boot: str) -> None:
+        """Record that a peer's process has announced its stop."""
+        with self._lock:
+            self._running.pop(sender, None)
+            self._stopping.add(Process(sender, boot))
+
+    def mark_silent(self, sender: str) -> None:
+        """Record that a peer's process has timed out."""
         with self._lock:
             self._running.pop(sender, None)
 
     def ended_counts_since(
-        self, window: int, max_counts: int = MAX_ENDED_COUNTS
+        self, window: int, max_counts: int = MAX_ENDED_COUNTS, unannounced_only: bool = False
     ) -> tuple[EndedCounts, ...]:
         """Return the counts of ended processes in a window and later ones, the newest first.
 
-        At most `max_counts` counts of customers are returned.
+        At most `max_counts` counts of customers are returned, with `unannounced_only` only those of
+        processes that did not announce their stop.
 
         The process that reports usage may have started after they ended, and gets these counts only
         from peers.
@@ -137,6 +146,7 @@
                 if number >= window
                 for process, counts in self._peers[number].items()
                 if self._running.get(process.sender) != process.boot
+                and not (unannounced_only and process in self._stopping)
             ]
         room, included = max_counts, []
         for each in ended:
@@ -201,6 +211,7 @@
             for by_window in (self._own, self._peers):
                 for number in [number for number in by_window if number < window]:
                     del by_window[number]
+                    self._stopping &= {process for each in self._peers.values() for process in each}
             self._fixed = {number for number in self._fixed if number >= window}
             self._last_reported = {
                 host: reported
--- a/src/laburnumreel/relay/_usage_store.py
+++ b/src/laburnumreel/relay/_usage_store.py
@@ -40,7 +40,9 @@
 
     Hosts keep their counts in memory and send them to one another. If they stop together, the
     store is the only place that outlasts them. Each process writes rows of its own, so that
-    processes that know different parts of the counts of a third one don't overwrite each other.
+    processes that know different parts of the counts of a third one don't overwrite each other. The
+    counts of a process that announced its stop are left to it: with the rows of each host for each
+    other one, hosts that stop together would exceed the store's rate.
 
     `process` is this process.
     """
@@ -63,7 +65,10 @@
         ]
         changed = [
             each
-            for each in [*own, *counters.ended_counts_since(oldest_window, MAX_STORED_COUNTS)]
+            for each in [
+                *own,
+                *counters.ended_counts_since(oldest_window, MAX_STORED_COUNTS, True),
+            ]
             if not counters.is_fixed(each.window)
             and self._written.get((each.process, each.window)) != each.counts
         ]
--- a/tests/test_usage_store.py
+++ b/tests/test_usage_store.py
@@ -116,3 +116,22 @@
     for number, value in enumerate(odd_values):
         rows.put(USAGE_TABLE, f"{window_prefix(WINDOW)}odd/{number}", value)
     assert total_after_reading(rows) == {"a": 2}
+
+
+def test_hosts_that_stop_together_write_their_own_counts_only():
+    """With rows for each other, 195 hosts would write 38,025 rows for each window."""
+    rows, hosts = PrefixStore(), 20
+    rows.page_rows = 500
+    stores = []
+    for number in range(hosts):
+        store, counters = make_store(rows, f"h{number}", a=2)
+        for peer in range(hosts):
+            if peer != number:
+                counters.record_peer_counts(f"h{peer}", f"boot-h{peer}", WINDOW, {"a": 1})
+                counters.mark_running(f"h{peer}", f"boot-h{peer}")
+                counters.mark_stopping(f"h{peer}", f"boot-h{peer}")
+                counters.mark_silent(f"h{peer}")
+        stores.append(store)
+    assert all(store.write(0) for store in stores)
+    assert len(rows.keys(USAGE_TABLE)) == rows.calls == hosts
+    assert total_after_reading(rows) == {"a": 2 * hosts}
