Don't acquire the duties' lease while the relay stops

What operators would see: usage is reported late or not at all when hosts stop in series. A host that is already stopping acquires the lease that the last holder left, ends some seconds later without releasing it, and the next host waits for another term (and its settling time of 2.5 s), although the report is due ten seconds after the window's end.

Cause: the task of the leases goes on until the end of a stop and does not know of the stop. Renewing is right, as the holder seals what it still can; acquiring is not.

Evidence: test_stopping_relay_does_not_acquire_the_lease, with real processes (failed before: relay-2 logged lease_acquired in its stop).

--- a/src/laburnumreel/coordination/_leases.py
+++ b/src/laburnumreel/coordination/_leases.py
@@ -44,10 +44,11 @@
     Each step makes at most one call to the platform, so that the ends of leases are checked often
     enough while the store is slow. The platform client passed in should time out after
     `call_timeout_s`. While `is_held_elsewhere` returns that another process holds the leases,
-    they are not scanned; a wrong result only delays a successor. Without `release_on_close`, a
-    planned stop lets the leases expire instead of releasing them. `era` returns the era of the
-    store, which may be restored from an older copy, and `known_fence` the highest fencing number
-    that other processes have reported.
+    they are not scanned; a wrong result only delays a successor. Leases are acquired only while
+    `may_acquire` returns True, and renewed always. Without `release_on_close`, a planned stop lets
+    the leases expire instead of releasing them. `era` returns the era of the store, which may be
+    restored from an older copy, and `known_fence` the highest fencing number that other processes
+    have reported.
     """
 
     def __init__(
@@ -60,12 +61,14 @@
         settings: LeaseSettings,
         rng: random.Random,
         is_held_elsewhere: Callable[[], bool] = lambda: False,
+        may_acquire: Callable[[], bool] = lambda: True,
         release_on_close: bool = True,
         era: Callable[[], int] = lambda: 0,
         known_fence: Callable[[], int] = lambda: 0,
     ) -> None:
         super().__init__("leases", LEASE_TICK_S)
         self._is_held_elsewhere = is_held_elsewhere
+        self._may_acquire = may_acquire
         self._release_on_close = release_on_close
         self._era = era
         self._known_fence = known_fence
@@ -125,7 +128,7 @@
             self._scan_leases()
             return
         acquirable = [lease for lease in self._leases if lease.can_acquire(now)]
-        if acquirable:
+        if acquirable and self._may_acquire():
             self._send([self._rng.choice(acquirable)])
 
     def release_all(self) -> None:
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -214,6 +214,8 @@
             lease_settings,
             self._rng,
             is_held_elsewhere=lambda: self._peers.is_duty_claimed(DUTY_CLAIM_MAX_AGE_S),
+            # The lease is not released at the end of a stop, so the next holder would wait a term.
+            may_acquire=lambda: not self._stopping,
             release_on_close=False,
             era=lambda: adapter.store_era.current,
             known_fence=lambda: self._peers.highest_fence,
--- a/tests/test_usage_handover.py
+++ b/tests/test_usage_handover.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+from platform_answers import send_whole
 from platform_world import wait_until
 from relay_caller import Caller
 
@@ -41,3 +42,20 @@
         REPORT_WAIT_S,
     )
     assert reported_requests(world) == served
+
+
+def test_stopping_relay_does_not_acquire_the_lease(world):
+    """Its successor would have to wait for another term, and report usage too late."""
+    world.worker("w1", default_answer=lambda handler: (time.sleep(4.0), send_whole(handler)))
+    holder = world.start_relay()
+    wait_until(lambda: holder.find_log_lines("lease_acquired"), "the lease is acquired", 10)
+    stopping = world.start_relay("relay-2")
+    wait_until(lambda: stopping.find_log_lines("relay_peer_heard"), "the holder is heard")
+    holder.process.kill()
+    # The lease ends while the last request keeps the process.
+    time.sleep(LATE_IN_STOP_S)
+    stopping.process.terminate()
+    time.sleep(LATE_IN_STOP_S)
+    Caller(stopping).ask("/once/x")
+    assert stopping.process.wait(8) == 0
+    assert not stopping.find_log_lines("lease_acquired")
