--- a/src/laburnumreel/core/__init__.py
+++ b/src/laburnumreel/core/__init__.py
@@ -1,6 +1,7 @@
-"""Generic building blocks, independent of serving: clocks, tasks, settings, logs, metrics."""
+"""Generic building blocks, independent of serving: clocks, tasks, settings, logs, metrics, HTTP."""
 
 from laburnumreel.core._clock import Clock, ManualClock, SystemClock
+from laburnumreel.core._http import StrictResponse
 from laburnumreel.core._ini import Field, Schema, SettingsError, Values, kinds
 from laburnumreel.core._log_settings import LOG_FIELDS, LogSettings
 from laburnumreel.core._logs import Event, Log, define_event, events, setup_logs
@@ -12,6 +13,7 @@
     metrics,
     render_metrics,
 )
+from laburnumreel.core._signals import SignalQueue
 from laburnumreel.core._task import Task, TaskStoppedError
 
 __all__ = [
@@ -25,6 +27,8 @@
     "Metric",
     "Schema",
     "SettingsError",
+    "SignalQueue",
+    "StrictResponse",
     "SystemClock",
     "Task",
     "TaskStoppedError",
--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -4,9 +4,10 @@
 import re
 import socket
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Literal
 
+from laburnumreel.core import StrictResponse
 from laburnumreel.transport._metrics import SILENT_CONNECTIONS
 from laburnumreel.transport._sockets import (
     BackEndSocket,
@@ -29,11 +30,7 @@
 # Idle connections are reused within this share of the timeout in the `Keep-Alive` header.
 IDLE_LIMIT_SHARE = 0.7
 
-# Limit of a chunk size line, with its extensions.
-MAX_CHUNK_LINE_BYTES = 64 * 1024
-
 _SECONDS_PATTERN = re.compile(r"[0-9]{1,9}")
-_CHUNK_LENGTH_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,16}")
 
 Address = tuple[str, int]
 FailureReason = Literal["connect_failed", "silent", "lost", "short", "too_long"]
@@ -53,18 +50,8 @@
         self.sent = sent
 
 
-class _Response(http.client.HTTPResponse):
-    """A response that accepts only hex digits as a chunk size.
-
-    http.client accepts whatever `int(text, 16)` parses, such as a sign or underscores.
-    """
-
-    def _read_next_chunk_size(self) -> int:
-        line = self.fp.readline(MAX_CHUNK_LINE_BYTES)
-        length = line.partition(b";")[0].strip(b" \t\r\n")
-        if not line.endswith(b"\n") or not _CHUNK_LENGTH_PATTERN.fullmatch(length):
-            raise ValueError(f"no length of a chunk: {line[:40]!r}")
-        return int(length, 16)
+class _Response(StrictResponse):
+    """A response that tells whether a part of its chunked body can be read without blocking."""
 
     def can_read_chunk(
         self, read_ahead: Callable[[], bytes], has_unread_bytes: Callable[[], bool]
@@ -79,16 +66,37 @@
             # The line end after a chunk's data arrives with it; the next chunk may arrive much
             # later.
             try:
-                self._safe_read(2)
+                self.read_chunk_end()
             except (OSError, http.client.HTTPException):
                 return True
-            self.chunk_left = None
         if self.chunk_left is None and not self.isclosed():
             # Unread bytes may be only a part of the size line; the read then waits for the rest.
             return b"\n" in read_ahead() or has_unread_bytes()
         return self.isclosed() or bool(read_ahead()) or has_unread_bytes()
 
 
+class _HeaderMap(Mapping[str, str]):
+    """Headers by case-insensitive name, with the values of a repeated header joined by commas.
+
+    A head that is joined from those of two answers thus names neither of their requests.
+    """
+
+    def __init__(self, headers: Iterable[tuple[str, str]]) -> None:
+        self._values: dict[str, str] = {}
+        for name, value in headers:
+            key = name.lower()
+            self._values[key] = f"{self._values[key]}, {value}" if key in self._values else value
+
+    def __getitem__(self, name: str) -> str:
+        return self._values[name.lower()]
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._values)
+
+    def __len__(self) -> int:
+        return len(self._values)
+
+
 class _Connection(http.client.HTTPConnection):
     """A connection that sends the head and the body of a request with one system call.
 
@@ -169,7 +177,7 @@
     @property
     def header_map(self) -> Mapping[str, str]:
         """The headers of the answer, by case-insensitive name."""
-        return self._response.headers
+        return _HeaderMap(self.headers)
 
     def header(self, name: str) -> str | None:
         return self._response.getheader(name)
@@ -287,7 +295,7 @@
         """
         if self.status in INTERIM_STATUSES and self.status != SWITCHING_PROTOCOLS:
             return False
-        if answers_request is None or answers_request(self.status, self._response.headers):
+        if answers_request is None or answers_request(self.status, self.header_map):
             return True
         self._has_foreign_answer = True
         if self._response.will_close:
@@ -311,7 +319,7 @@
         """Return the next bytes of the answer as soon as some are received, or b"" at its end.
 
         The timeout covers the whole call, even if trailers or a chunk size line arrive in small
-        pieces.
+        pieces. Raises BackEndFailureError, also if the exchange was aborted.
         """
         response, timeout_s = self._response, self._timeout_s
         self._socket.begin_wait(timeout_s, MAX_READ_BYTES)
@@ -329,7 +337,10 @@
             if not response.chunked and response.length:
                 missing = f"{response.length} bytes are missing"
                 raise self._make_failure("short", missing)
-            self._is_complete = not self._is_aborted
+            if self._is_aborted:
+                # `abort` ends the connection, as does the end of an answer without a length.
+                raise self._make_failure("short", "the exchange was aborted")
+            self._is_complete = True
         return data
 
     def read_whole(self, max_bytes: int, limit_s: float) -> bytes:
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -17,7 +17,7 @@
 from laburnumreel.core import Log
 from laburnumreel.transport._channel import Channel
 from laburnumreel.transport._events import CONNECTIONS_FULL, HTTP_SERVER_PROBLEM, READER_STALLED
-from laburnumreel.transport._metrics import STALLED_READERS
+from laburnumreel.transport._metrics import HTTP_REQUESTS, STALLED_READERS
 from laburnumreel.transport._sockets import is_readable
 
 STALL_LIMIT_S = 30.0
@@ -29,8 +29,11 @@
 NO_OVERFLOW_BYTES = 1 << 40
 SEND_BUFFER_BYTES = 128 * 1024
 IDLE_LIMIT_S = 120
-# How long a stop waits for requests that were just received, and how often it checks for them.
+# How long a stop waits for requests that were just received if its caller sets no time, and how
+# often it checks for them.
 FINAL_REQUESTS_TIMEOUT_S = 0.2
+# How long a stop waits for the rest of requests that have been received in part.
+PARTIAL_REQUESTS_TIMEOUT_S = 0.2
 POLL_INTERVAL_S = 0.02
 # Time limit for the thread of the sockets to end.
 LOOP_STOP_TIMEOUT_S = 10
@@ -67,6 +70,30 @@
     _next_cleanup_at = 0.0
     _closed_when_full = 0
     _full_logged_at = -FULL_LOG_INTERVAL_S
+    _requests_read = 0
+    _requests_handled = 0
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        self._count_lock = threading.Lock()
+        super().__init__(*arguments, **options)
+
+    @property
+    def unhandled_requests(self) -> int:
+        """The number of requests that were fully read and not handled."""
+        with self._count_lock:
+            return self._requests_read - self._requests_handled
+
+    def record_read(self) -> None:
+        """Count a request that was fully read."""
+        with self._count_lock:
+            self._requests_read += 1
+        HTTP_REQUESTS.inc(port=str(self.effective_port), event="read")
+
+    def record_handled(self) -> None:
+        """Count a request whose task has ended, whether or not its answer was sent."""
+        with self._count_lock:
+            self._requests_handled += 1
+        HTTP_REQUESTS.inc(port=str(self.effective_port), event="handled")
 
     def pull_trigger(self) -> None:
         # A request's thread may end after the sockets were closed; no thread must be woken then.
@@ -213,6 +240,19 @@
         while not self.is_idle() and time.monotonic() < deadline:
             time.sleep(POLL_INTERVAL_S)
 
+    @property
+    def request_count(self) -> int:
+        """The number of requests that have been read and not answered."""
+        return sum(len(channel.requests) for channel in list(self._server.active_channels.values()))
+
+    @property
+    def unhandled_requests(self) -> int:
+        """The number of requests that were fully read and not handled.
+
+        They wait, are running, or were dropped with their connection.
+        """
+        return self._server.unhandled_requests
+
     @property
     def connection_count(self) -> int:
         """The number of open connections."""
@@ -221,7 +261,8 @@
     def stop(self, final_requests_timeout_s: float = FINAL_REQUESTS_TIMEOUT_S) -> None:
         """Stop listening and close all connections.
 
-        Requests that were received until now are answered first, within `final_requests_timeout_s` seconds.
+        Requests that were received until now are answered first, within `final_requests_timeout_s`
+        seconds. It returns as soon as they are.
         """
         self._final_requests_timeout_s = final_requests_timeout_s
         self.close_after_answers()
@@ -235,23 +276,35 @@
         while not self._stop_event.is_set():
             self._server.clean_up()
             wasyncore.loop(timeout=1, use_poll=True, map=self._map, count=1)
-        self._answer_final_requests()
+        left_s = round(self._answer_final_requests(), 2)
         self._server.is_closed = True
         for channel in list(self._server.active_channels.values()):
-            channel.log_and_close("stop")
+            channel.log_and_close("stop", left_s=left_s)
         wasyncore.close_all(self._map, ignore_all=True)
 
-    def _answer_final_requests(self) -> None:
+    def _answer_final_requests(self) -> float:
         """Answer the requests that have been received, before the connections are closed.
 
+        Returns how much of the time for it is left, in seconds.
+
         No new connection is accepted and each answer closes its connection, so that this ends even
         if callers keep sending requests.
         """
         wasyncore.loop(timeout=0, use_poll=True, map=self._map, count=1)
         self._server.stop_listening()
-        deadline = time.monotonic() + self._final_requests_timeout_s
-        while time.monotonic() < deadline and not self._has_no_requests():
+        began = time.monotonic()
+        deadline = began + self._final_requests_timeout_s
+        partial_deadline = min(deadline, began + PARTIAL_REQUESTS_TIMEOUT_S)
+        while (now := time.monotonic()) < deadline:
+            is_receiving = now < partial_deadline and self._has_partial_requests()
+            if not is_receiving and self._has_no_requests():
+                break
             wasyncore.loop(timeout=POLL_INTERVAL_S, use_poll=True, map=self._map, count=1)
+        return deadline - time.monotonic()
+
+    def _has_partial_requests(self) -> bool:
+        channels = list(self._server.active_channels.values())
+        return any(channel.request is not None for channel in channels)
 
     def _has_no_requests(self) -> bool:
         return self.is_idle() and not any(
