--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -94,6 +94,7 @@
     """Creates the tasks of a gateway and runs them until a stop signal."""
 
     def __init__(self, settings: Settings) -> None:
+        self._stop_signals = SignalQueue.install(signal.SIGTERM, signal.SIGINT)
         self._settings = settings
         self._boot = secrets.token_hex(8)
         self._clock = SystemClock()
@@ -192,7 +193,6 @@
 
     def run(self) -> int:
         """Serve until SIGTERM and return the exit code."""
-        stop_signals = SignalQueue.install(signal.SIGTERM, signal.SIGINT)
         with ThreadPoolExecutor(TASK_THREADS, "task") as executor:
             tasks: list[Task] = [
                 self._dispatcher,
@@ -209,7 +209,7 @@
             self._caller_server.start(executor)
             _configure_garbage_collector()
             _log.info(GATEWAY_STARTED, node=self._settings.node.name, boot=self._boot)
-            while not stop_signals.wait(PRUNE_INTERVAL_S):
+            while not self._stop_signals.wait(PRUNE_INTERVAL_S):
                 self._pool.prune()
             self._shut_down(tasks)
         return 0
@@ -231,10 +231,13 @@
                 self._caller_server.wait_until_idle(FINAL_ANSWERS_S)
                 break
             time.sleep(STOP_POLL_INTERVAL_S)
+        store_until = self._clock.now() + stop.grace_s
         self._usage.flush_all(stop.grace_s)
         # Requests that were refused meanwhile may still be unanswered.
         self._caller_server.stop(max(FINAL_ANSWERS_S, give_up_at - self._clock.now()))
         self._peer_server.stop()
+        # Peers can confirm no further withdrawals here.
+        self._config.store_withdrawals(max(0.0, store_until - self._clock.now()))
         for task in reversed(tasks):
             with contextlib.suppress(TimeoutError):
                 task.stop()
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -97,6 +97,7 @@
     """Creates a relay's tasks and runs them until the process is told to stop."""
 
     def __init__(self, settings: RelaySettings, adapter: Adapter) -> None:
+        self._signals = SignalQueue.install(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         self._settings = settings
         self._adapter = adapter
         self._boot = secrets.token_hex(4)
@@ -109,7 +110,10 @@
         self._true_time = TrueTime(self._clock)
         self._usage_counters = UsageCounters(settings.usage.window_s)
         self._usage_store = UsageStore(
-            adapter.store, Process(host.name, self._boot), self._usage_counters
+            adapter.store,
+            Process(host.name, self._boot),
+            self._usage_counters,
+            lambda: adapter.store_era.current,
         )
         self._dispatcher = Dispatcher(
             self._clock,
@@ -205,6 +209,8 @@
             lease_settings,
             self._rng,
             is_held_elsewhere=lambda: self._peers.is_duty_claimed(DUTY_CLAIM_MAX_AGE_S),
+            # The lease is not released at the end of a stop, so the next holder would wait a term.
+            may_acquire=lambda: not self._stopping,
             release_on_close=False,
             era=lambda: adapter.store_era.current,
             known_fence=lambda: self._peers.highest_fence,
@@ -264,7 +270,6 @@
 
     def run(self, load_settings: LoadSettings) -> int:
         """Serve until SIGTERM and return the exit code. `load_settings` reloads the settings."""
-        signals = SignalQueue.install(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         settings_watch = SettingsWatch(self._settings, load_settings, self._on_settings)
         tasks: list[Task] = [
             self._dispatcher,
@@ -289,7 +294,7 @@
             host = self._settings.host
             _log.info(RELAY_STARTED, host=host.name, zone=host.zone, boot=self._boot)
             self._readiness.start(executor)
-            while not STOP_SIGNALS & (received := signals.wait(PRUNE_INTERVAL_S)):
+            while not STOP_SIGNALS & (received := self._signals.wait(PRUNE_INTERVAL_S)):
                 if signal.SIGHUP in received:
                     settings_watch.reload()
                 self._pool.prune()
