--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -6,7 +6,6 @@
 import random
 import secrets
 import signal
-import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -21,7 +20,7 @@
     format_address,
     parse_address,
 )
-from laburnumreel.core import Log, SystemClock, Task, define_event
+from laburnumreel.core import Log, SignalQueue, SystemClock, Task, define_event
 from laburnumreel.serving import (
     AdmissionSlots,
     Application,
@@ -65,8 +64,9 @@
 BACKGROUND_THREADS = 4
 TASK_THREADS = 16
 STOP_POLL_INTERVAL_S = 0.05
-# Time to send the answers to requests that are aborted at the end of the grace time.
-FINAL_FLUSH_S = 1.0
+# Minimum time to send the last answers, also to requests that are aborted at the end of the grace
+# time.
+FINAL_ANSWERS_S = 1.0
 # How often expired idle connections are closed.
 PRUNE_INTERVAL_S = 5.0
 # Number of allocations between garbage collections of the youngest generation.
@@ -94,11 +94,11 @@
     """Creates the tasks of a gateway and runs them until a stop signal."""
 
     def __init__(self, settings: Settings) -> None:
+        self._stop_signals = SignalQueue.install(signal.SIGTERM, signal.SIGINT)
         self._settings = settings
         self._boot = secrets.token_hex(8)
         self._clock = SystemClock()
         self._rng = random.Random()
-        self._stop_requested = threading.Event()
         self._stopping = False
         node = settings.node
         platform = HttpPlatform(
@@ -193,8 +193,6 @@
 
     def run(self) -> int:
         """Serve until SIGTERM and return the exit code."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self._stop_requested.set())
         with ThreadPoolExecutor(TASK_THREADS, "task") as executor:
             tasks: list[Task] = [
                 self._dispatcher,
@@ -211,7 +209,7 @@
             self._caller_server.start(executor)
             _configure_garbage_collector()
             _log.info(GATEWAY_STARTED, node=self._settings.node.name, boot=self._boot)
-            while not self._stop_requested.wait(PRUNE_INTERVAL_S):
+            while not self._stop_signals.wait(PRUNE_INTERVAL_S):
                 self._pool.prune()
             self._shut_down(tasks)
         return 0
@@ -230,12 +228,16 @@
                     STOP_INCOMPLETE, running=self._slots.in_use, claims=self._claims.running_count
                 )
                 self._registry.abort_all()
-                self._caller_server.wait_until_idle(FINAL_FLUSH_S)
+                self._caller_server.wait_until_idle(FINAL_ANSWERS_S)
                 break
             time.sleep(STOP_POLL_INTERVAL_S)
+        store_until = self._clock.now() + stop.grace_s
         self._usage.flush_all(stop.grace_s)
-        self._caller_server.stop()
+        # Requests that were refused meanwhile may still be unanswered.
+        self._caller_server.stop(max(FINAL_ANSWERS_S, give_up_at - self._clock.now()))
         self._peer_server.stop()
+        # Peers can confirm no further withdrawals here.
+        self._config.store_withdrawals(max(0.0, store_until - self._clock.now()))
         for task in reversed(tasks):
             with contextlib.suppress(TimeoutError):
                 task.stop()
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -5,15 +5,12 @@
 import random
 import secrets
 import signal
-import threading
 import time
 from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
-from expression import Result
-
 from laburnumreel.coordination import (
     AuthorityRegistry,
     AuthorizedSender,
@@ -21,16 +18,16 @@
     LeaseManager,
     format_address,
 )
-from laburnumreel.core import Log, SettingsError, SystemClock, Task
+from laburnumreel.core import Log, SignalQueue, SystemClock, Task
 from laburnumreel.relay._answer_memory import AnswerMemoryBudget
-from laburnumreel.relay._application import RelayApplication
+from laburnumreel.relay._application import STOPPING, RelayApplication
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._capacity import CapacityPlanner
 from laburnumreel.relay._cleaning import RowCleaner
 from laburnumreel.relay._config import RelayConfig, RelayService
 from laburnumreel.relay._cost_model import Location
 from laburnumreel.relay._dispatcher import Dispatcher
-from laburnumreel.relay._duties import DUTY_LEASE, GIVE_UP_FACTOR, Duties, NoProcessTimer
+from laburnumreel.relay._duties import DUTY_LEASE, Duties, NoProcessTimer
 from laburnumreel.relay._events import (
     LISTEN_FAILED,
     RELAY_CONFIGURED,
@@ -39,8 +36,6 @@
     RELAY_STOP_INCOMPLETE,
     RELAY_STOPPED,
     RELAY_STOPPING,
-    SETTINGS_REJECTED,
-    SETTINGS_RELOADED,
 )
 from laburnumreel.relay._feed_follower import FeedFollower
 from laburnumreel.relay._job import MAX_HELD_ANSWER_BYTES, Dependencies
@@ -51,6 +46,8 @@
 from laburnumreel.relay._ports import Adapter, Listing
 from laburnumreel.relay._roles import RolePlanner
 from laburnumreel.relay._settings import RelaySettings
+from laburnumreel.relay._settings_watch import LoadSettings, SettingsWatch
+from laburnumreel.relay._stop_schedule import StopSchedule
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._unknown_headers import UnknownHeaders
 from laburnumreel.relay._usage_counters import Process, UsageCounters
@@ -60,16 +57,13 @@
 from laburnumreel.state import Lease, LeaseSettings
 from laburnumreel.transport import BackEndPool, HttpOrderLink, HttpServer, create_admin_server
 
-# The load balancer checks readiness once a second and removes a host after two failed checks, so
-# new connections still arrive for about this long after a stop has begun.
-NOT_READY_NOTICE_S = 3.0
-# Time before the end of the grace period at which the remaining requests are aborted.
-FORCED_STOP_S = 0.8
-# Part of that time for sending the answers to the aborted requests.
-FINAL_FLUSH_S = 0.25
+# Minimum time to stop each task, and to answer the last requests.
+MIN_TASK_STOP_S = 0.05
+MIN_FINAL_ANSWERS_S = 0.2
 STOP_POLL_S = 0.05
-# How often the settings file is checked for changes without a signal.
-SETTINGS_POLL_S = 1.0
+STOP_SIGNALS = {signal.SIGTERM, signal.SIGINT}
+# How often connections to backend servers that have been idle for too long are closed.
+PRUNE_INTERVAL_S = 1.0
 # How often running requests are checked for callers that have disconnected, whose work is stopped.
 CALLER_GONE_CHECK_S = 0.1
 # An entry of a backend server that expired during a store outage comes back within about two
@@ -103,14 +97,13 @@
     """Creates a relay's tasks and runs them until the process is told to stop."""
 
     def __init__(self, settings: RelaySettings, adapter: Adapter) -> None:
+        self._signals = SignalQueue.install(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         self._settings = settings
         self._adapter = adapter
         self._boot = secrets.token_hex(4)
         self._clock = SystemClock()
         self._rng = random.Random()
-        self._stop = threading.Event()
-        self._reload = threading.Event()
-        self._stopping = False
+        self._stop_schedule: StopSchedule | None = None
         self._ready = False
         self._host_count = 1
         host = settings.host
@@ -270,11 +263,9 @@
         )
         self._admin = create_admin_server(settings.listen.admin, self._admin_readiness)
 
-    def run(self, load_settings: Callable[[], Result[RelaySettings, list[SettingsError]]]) -> int:
+    def run(self, load_settings: LoadSettings) -> int:
         """Serve until SIGTERM and return the exit code. `load_settings` reloads the settings."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self._stop.set())
-        signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
+        settings_watch = SettingsWatch(self._settings, load_settings, self._on_settings)
         tasks: list[Task] = [
             self._dispatcher,
             self._registry,
@@ -288,6 +279,7 @@
         with ThreadPoolExecutor(TASK_THREADS, "task") as executor:
             for task in tasks:
                 task.start(executor)
+            settings_watch.start_daemon()
             # A full garbage collection stops all threads, so it runs before the first request.
             gc.collect()
             gc.freeze()
@@ -297,64 +289,60 @@
             host = self._settings.host
             _log.info(RELAY_STARTED, host=host.name, zone=host.zone, boot=self._boot)
             self._readiness.start(executor)
-            while not self._stop.wait(SETTINGS_POLL_S):
-                self._reload_settings(load_settings)
+            while not STOP_SIGNALS & (received := self._signals.wait(PRUNE_INTERVAL_S)):
+                if signal.SIGHUP in received:
+                    settings_watch.reload()
                 self._pool.prune()
-            self._shut_down(tasks)
+            self._shut_down(tasks, self._begin_stop())
         return 0
 
-    def _reload_settings(
-        self, load_settings: Callable[[], Result[RelaySettings, list[SettingsError]]]
-    ) -> None:
-        """Apply settings that have changed, whether or not a signal announced the change."""
-        signaled = self._reload.is_set()
-        self._reload.clear()
-        loaded = load_settings()
-        if loaded.is_error():
-            for error in loaded.error:
-                _log.error(SETTINGS_REJECTED, problem=str(error))
-            return
-        changed = [
-            name
-            for name, old, new in zip(RelaySettings._fields, self._settings, loaded.ok, strict=True)
-            if old != new
-        ]
-        if changed or signaled:
-            _log.info(SETTINGS_RELOADED, told=signaled, changed=changed)
-        if loaded.ok.retry != self._settings.retry:
-            self._dispatcher.retry(loaded.ok.retry)
-        self._settings = loaded.ok
+    @property
+    def _stopping(self) -> bool:
+        return self._stop_schedule is not None
 
-    def _shut_down(self, tasks: Iterable[Task]) -> None:
-        began = self._clock.now()
-        _log.info(RELAY_STOPPING, host=self._settings.host.name)
-        self._stopping = True
+    def _begin_stop(self) -> StopSchedule:
+        """Admit only what the stop allows from now on, and report that the host is not ready."""
+        stop = StopSchedule(self._clock.now(), self._settings.stop.grace_s)
+        self._stop_schedule = stop
+        self._application.begin_stop(stop)
         self._callers.close_after_answers()
-        time.sleep(min(NOT_READY_NOTICE_S, self._settings.stop.grace_s / 2))
+        return stop
+
+    def _on_settings(self, before: RelaySettings, settings: RelaySettings) -> None:
+        if settings.retry != before.retry:
+            self._dispatcher.retry(settings.retry)
+        self._settings = settings
+
+    def _shut_down(self, tasks: Iterable[Task], stop: StopSchedule) -> None:
+        _log.info(RELAY_STOPPING, host=self._settings.host.name, grace_s=stop.grace_s)
+        time.sleep(max(0.0, stop.admits_until - self._clock.now()))
         self._application.stop_admitting()
+        self._registry.abort_unsent(stop.aborts_at, STOPPING)
         # Early in the stop, in case the store answers slowly later, or the process is killed.
-        self._store_usage()
-        deadline = began + self._settings.stop.grace_s - FORCED_STOP_S
+        self._duties.store_usage()
         while not self._callers.is_idle():
-            if self._clock.now() >= deadline:
-                _log.error(RELAY_STOP_INCOMPLETE)
+            if self._clock.now() >= stop.aborts_at:
+                _log.error(RELAY_STOP_INCOMPLETE, requests=self._callers.request_count)
                 self._registry.abort_all()
-                self._callers.wait_until_idle(FINAL_FLUSH_S)
+                self._stop_callers(stop)
                 break
             time.sleep(STOP_POLL_S)
-        self._store_usage()
         for task in reversed(list(tasks)):
             with contextlib.suppress(TimeoutError):
-                task.stop(timeout_s=max(0.05, deadline + FORCED_STOP_S / 2 - self._clock.now()))
-        for server in (self._callers, self._readiness, self._admin):
+                task.stop(timeout_s=max(MIN_TASK_STOP_S, stop.aborts_at - self._clock.now()))
+        self._stop_callers(stop)
+        for server in (self._readiness, self._admin):
             server.stop()
         self._pool.close()
-        _log.info(RELAY_STOPPED, took_s=round(self._clock.now() - began, 2))
+        _log.info(
+            RELAY_STOPPED,
+            took_s=round(self._clock.now() - stop.signaled_at, 2),
+            unhandled=self._callers.unhandled_requests,
+        )
 
-    def _store_usage(self) -> None:
-        """Write the usage counts that may still be reported to the store."""
-        reported_until = self._true_time.now() - GIVE_UP_FACTOR * self._settings.usage.late_s
-        self._usage_store.write(self._usage_counters.window(reported_until))
+    def _stop_callers(self, stop: StopSchedule) -> None:
+        """Close the callers' connections as soon as all requests that were read are answered."""
+        self._callers.stop(max(MIN_FINAL_ANSWERS_S, stop.closes_at - self._clock.now()))
 
     def _services(self) -> Mapping[str, RelayService]:
         table = self._application.table
--- a/src/laburnumreel/serving/_events.py
+++ b/src/laburnumreel/serving/_events.py
@@ -30,9 +30,17 @@
     "report_unreadable",
     "an engine's load or cache report is invalid; its last valid one stays in use",
 )
+HOST_NAME_REPEATED = define_event(
+    122,
+    "host_name_repeated",
+    "the host list has several back ends with the same name, of which one is used",
+)
 HEDGE_SENT = define_event(
     120,
     "silent_sent_beside",
     "a hedged request was sent to another back end because the first one is silent",
 )
 HEDGE_ENDED = define_event(121, "silent_second_ended", "a hedged request ended without being used")
+REQUEST_CHECK_FAILED = define_event(
+    123, "request_check_failed", "checking a running request's deadline and caller failed"
+)
--- a/src/laburnumreel/transport/_channel.py
+++ b/src/laburnumreel/transport/_channel.py
@@ -5,10 +5,11 @@
 import time
 from typing import Any
 
+from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
-from laburnumreel.core import Log
+from laburnumreel.core import Log, SystemClock
 from laburnumreel.transport._events import CALLER_CUT
 from laburnumreel.transport._parsing import RefusalTask, RequestParser
 from laburnumreel.transport._sockets import (
@@ -94,20 +95,21 @@
 
     task_class = _RequestTask
     error_task_class = RefusalTask
-    parser_class = RequestParser
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         self.sent_bytes = 0
         # Whether the end of the caller's data was read, and whether it is known to come later.
         self._has_caller_left = False
         self._is_end_seen = False
-        # The last activity that was seen, the time of that check, and the idle limit at that time.
+        # The last activity that was seen, the time of that check, and the idle limit when the
+        # connection was accepted or when bytes were last received or sent.
         self._last_seen_activity = 0.0
         self._idle_since = time.monotonic()
         self._idle_limit_s = 0.0
         self._last_sent_bytes = -1
         self._progress_at = time.monotonic()
         super().__init__(*arguments, **options)
+        self._idle_limit_s = self.adj.channel_timeout
 
     @property
     def has_next_request(self) -> bool:
@@ -128,6 +130,10 @@
             self._is_end_seen = has_peer_shut_down(self.socket)
         return self._has_caller_left or self._is_end_seen or not self.connected
 
+    def parser_class(self, adj: Adjustments) -> RequestParser:
+        """Return the parser of the next request, in place of waitress' class attribute."""
+        return RequestParser(adj, self.server.record_read)
+
     def readable(self) -> bool:
         return not self._has_caller_left and super().readable()
 
@@ -141,6 +147,7 @@
             return
         if data:
             self.last_activity = time.time()
+            self._idle_limit_s = self.adj.channel_timeout
             self.received(data)
             return
         with self.requests_lock:
@@ -157,6 +164,8 @@
     def service(self) -> None:
         queued, request, was_connected = self.requests, self.requests[0], self.connected
         super().service()
+        if was_connected:
+            self.server.record_handled()
         with self.requests_lock:
             # waitress removes the answered request from the list unless the connection ends with
             # its answer; the requests after it are then dropped.
@@ -175,9 +184,11 @@
             self.server.pull_trigger()
 
     def send(self, data: bytes, do_close: bool = True) -> int:
+        idle_limit_s = self.adj.channel_timeout
         sent = super().send(data, do_close)
         if sent:
             self.sent_bytes += sent
+            self._idle_limit_s = idle_limit_s
         return sent
 
     def write_soon(self, data: bytes) -> int:
@@ -194,29 +205,33 @@
                 return sent
         return sent + super().write_soon(data[sent:] if sent else data)
 
-    def log_and_close(self, reason: str) -> None:
+    def log_and_close(self, reason: str, **details: float) -> None:
         """Close the connection, and log the reason if it still has a request."""
         if self.requests or self.request is not None:
+            with self.requests_lock:
+                read_at = [request.read_at for request in self.requests]
+            if read_at and read_at[0] is not None:
+                details["read_s_ago"] = round(SystemClock().now() - read_at[0], 2)
             _log.warning(
                 CALLER_CUT,
                 caller=str(self.addr),
                 reason=reason,
                 requests=len(self.requests),
                 reading=self.request is not None,
+                **details,
             )
         self.handle_close()
 
     def is_idle_too_long(self, now: float, limit_s: float) -> bool:
         """Return whether the connection has been idle for longer than its limit.
 
-        A limit that became shorter does not apply to a connection that is already idle: its caller
-        may be about to use it and relies on the longer limit. `now` is a monotonic time, because
+        A limit that became shorter since the last bytes does not apply: the caller may be about
+        to use the connection and relies on the longer limit. `now` is a monotonic time, because
         the wall clock may jump.
         """
         is_busy = self.requests or self.total_outbufs_len or is_readable(self.socket)
         if is_busy or self.last_activity != self._last_seen_activity:
             self._last_seen_activity, self._idle_since = self.last_activity, now
-            self._idle_limit_s = limit_s
         return now - self._idle_since > max(limit_s, self._idle_limit_s)
 
     def set_linger(self, linger: bytes) -> None:
--- a/tests/test_caller_requests.py
+++ b/tests/test_caller_requests.py
@@ -8,7 +8,7 @@
 import pytest
 from structlog.testing import capture_logs
 
-from laburnumreel.transport import HttpServer
+from laburnumreel.transport import HttpServer, _wsgi
 from laburnumreel_standins.processes import free_port, fresh_host, wait_until
 
 HEADER_BYTES, BODY_BYTES = 16384, 65536
@@ -188,6 +188,32 @@
         assert statuses == ["200"] and has_ended(connection)
 
 
+class TestUnhandledRequests:
+    """The count of requests that were read and not handled."""
+
+    def test_handled_requests_are_not_counted(self, server):
+        connection = connect(server)
+        connection.sendall(get("/first") + post("/second", b"x" * (BODY_BYTES + 1)))
+        statuses, _ = read_answers(connection, 2)
+        assert statuses == ["200", "413"]
+        wait_until(lambda: server.unhandled_requests == 0, "both requests to be handled")
+
+    def test_running_and_waiting_requests_are_counted(self, server):
+        connection = connect(server)
+        connection.sendall(get("/slow") + get("/second"))
+        wait_until(lambda: server.unhandled_requests == 2, "both requests to be counted")
+        read_answers(connection, 2)
+        wait_until(lambda: server.unhandled_requests == 0, "both requests to be handled")
+
+    def test_requests_that_were_dropped_with_their_connection_stay_counted(self, server):
+        connection = connect(server)
+        connection.sendall(get("/cut") + get("/second"))
+        while not has_ended(connection):
+            pass
+        wait_until(server.is_idle, "the first request to be handled")
+        assert server.unhandled_requests == 1
+
+
 class TestDisconnects:
     """A disconnect looks like the end of the caller's data, which cancels its work at once."""
 
@@ -304,6 +330,19 @@
         for connection in connections:
             assert read_answers(connection, 1)[0] == ["200"]
 
+    def test_request_whose_body_has_not_arrived_yet_is_answered(self, server, monkeypatch):
+        """A request whose head was read is answered if its body follows at once."""
+        monkeypatch.setattr(_wsgi, "PARTIAL_REQUESTS_TIMEOUT_S", SILENT_S, raising=False)
+        connection = connect(server)
+        connection.sendall(b"POST /a HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+        assert connection.recv(100).startswith(b"HTTP/1.1 100 ")
+        stopping = threading.Thread(target=server.stop, args=(SILENT_S,))
+        stopping.start()
+        time.sleep(0.1)
+        connection.sendall(b"ab")
+        assert read_answers(connection, 1)[0] == ["200"]
+        stopping.join()
+
     def test_request_that_is_being_received_is_answered(self, server):
         """A request that is still in the kernel's buffer when the server stops is answered."""
         connections = [connect(server) for _ in range(8)]
