--- a/src/laburnumreel/coordination/_fleet.py
+++ b/src/laburnumreel/coordination/_fleet.py
@@ -209,7 +209,8 @@
     def on_drain(self, target: str, reason: str, until: float) -> None:
         """Send no new requests to a back end or a whole zone before `until`.
 
-        `target` is a back end's name or identity, or the name of a zone. Of several marks for a target, the one that ends last applies.
+        `target` is a back end's name or identity, or the name of a zone. Of several marks for a
+        target, the one that ends last applies.
         """
         previous = self._drains.get(target)
         if previous is None or previous.until < until:
