--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -113,8 +113,8 @@
     ...     broken = BrokenRequest(f"request-{now}", ("common", "deadly"))
     ...     suspects.record_crash(f"server-{now}", broken, now)
     ...     _ = suspects.record_answer(("common",), now + 0.1)
-    >>> suspects.hold_guilty(4.5)
-    [HeldPart(part='deadly', back_ends=('server-1.0', ..., 'server-4.0'), requests=4)]
+    >>> [(held.part, held.requests) for held in suspects.hold_guilty(4.5)]
+    [('deadly', 4)]
     >>> suspects.held_part(("common", "deadly", "other"), 5.0)
     ('deadly', 599.5)
     """
@@ -140,7 +140,9 @@
 
     def on_peer_report(self, report: CrashReport, now: float) -> None:
         """Record a crash that a peer reports."""
-        self._record(report.back_end, now - report.age_s, report.requests, now, is_own=False)
+        at = now - max(0.0, report.age_s)
+        if now - at < STRIKE_WINDOW_S:
+            self._record(report.back_end, at, report.requests, now, is_own=False)
 
     def hold_guilty(self, now: float) -> list[HeldPart]:
         """Hold the parts that settled crashes speak against enough, and return them."""
--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -197,10 +197,11 @@
         )
         self._refuse_if_stopping(request, running.deadline)
         job = Job(self._deps, request, route, service, customer, priority, running, table.version)
-        held_s = self._deps.dispatcher.remaining_quarantine_s(job.digest)
-        if held_s is not None:
-            detail = "the request crashed backend servers and is held back"
-            raise RelayFailedError(Refusal(ErrorKind.CRASHES_BACK_ENDS, detail, held_s))
+        held = self._deps.dispatcher.held(job.digest, job.parts)
+        if held is not None:
+            raise RelayFailedError(
+                Refusal(ErrorKind.CRASHES_BACK_ENDS, held.detail, held.remaining_s)
+            )
         return job
 
     def _refuse_if_stopping(self, request: RelayRequest, deadline: float) -> None:
--- a/src/laburnumreel/relay/_assignments.py
+++ b/src/laburnumreel/relay/_assignments.py
@@ -17,7 +17,8 @@
     prompt may not be read by a separate engine. `copy_zone` is the availability zone of the engine
     that has already read the prompt and keeps a copy for the generating engine. `was_placed` tells
     whether the request was placed before. `engine` describes the engines of the service under the
-    configuration with which the request arrived; None for a plain service.
+    configuration with which the request arrived; None for a plain service. `parts` names the shared
+    parts of its prompt.
     """
 
     waiting: WaitingRequest
@@ -29,6 +30,7 @@
     copy_zone: str | None = None
     was_placed: bool = False
     engine: EngineTraits | None = None
+    parts: tuple[str, ...] = ()
 
 
 class Assignment(NamedTuple):
--- a/src/laburnumreel/relay/_attempt.py
+++ b/src/laburnumreel/relay/_attempt.py
@@ -1,13 +1,14 @@
 """One send of a request to a backend server, and the classification of its failure."""
 
-import http.client
 import socket
 import time
 from collections import deque
 from collections.abc import Mapping
 from concurrent.futures import Future
+from typing import Literal
 
 from laburnumreel.core import Log
+from laburnumreel.relay._crash_evidence import LostRequest
 from laburnumreel.relay._events import ANSWER_SKIPPED, ATTEMPT_FAILED
 from laburnumreel.relay._failover import Failover
 from laburnumreel.relay._job import MIN_TIME_S, Job, RelayFailedError
@@ -343,12 +344,26 @@
         if job.running.abort_reason is None:
             if silent:
                 self._probe_silent_server()
-            elif not _accepts_connections(back_end.address):
-                job.deps.dispatcher.record_unreachable(back_end.name)
-                job.deps.dispatcher.record_crash(back_end.name, job.digest)
+            else:
+                self._record_loss(_probe(back_end.address))
         cause = "silent" if silent else "lost"
         return self._send_error(cause, str(error), not self._dispatch.only_read)
 
+    def _record_loss(self, probe: Literal["accepts", "refuses", "unreachable"]) -> None:
+        """Record a broken exchange with a server that no longer accepts connections.
+
+        Only a refused connection shows that its process has ended: a host that does not answer may
+        have lost its network.
+        """
+        job, name = self._job, self._dispatch.back_end.name
+        if probe == "accepts":
+            return
+        job.deps.dispatcher.record_unreachable(name)
+        if probe == "refuses":
+            parts = () if job.has_begun else job.parts
+            lost = LostRequest(job.request.request_id, job.digest, parts)
+            job.deps.dispatcher.record_crash(name, lost)
+
     def _probe_silent_server(self) -> None:
         """Probe whether a silent backend server accepts connections, without waiting."""
         dispatcher, back_end = self._job.deps.dispatcher, self._dispatch.back_end
@@ -385,9 +400,11 @@
         return SendFailedError(cause, detail, may_have_run, retry_after_s)
 
 
-def _accepts_connections(address: tuple[str, int]) -> bool:
+def _probe(address: tuple[str, int]) -> Literal["accepts", "refuses", "unreachable"]:
     try:
         with socket.create_connection(address, CRASH_PROBE_TIMEOUT_S):
-            return True
-    except (OSError, http.client.HTTPException):
-        return False
+            return "accepts"
+    except ConnectionRefusedError:
+        return "refuses"
+    except OSError:
+        return "unreachable"
--- /dev/null
+++ b/src/laburnumreel/relay/_crash_evidence.py
@@ -0,0 +1,168 @@
+"""What this host and its peers know of crashes of backend servers, and what is held for them."""
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from laburnumreel.coordination import (
+    BrokenRequest,
+    CrashReport,
+    CrashSuspects,
+    HeldPart,
+    Quarantine,
+)
+from laburnumreel.core import Log
+from laburnumreel.relay._events import (
+    PART_HELD,
+    PART_HELD_BY_PEER,
+    PART_RELEASED,
+    REQUEST_HELD_BACK,
+    SERVER_CRASHED,
+)
+from laburnumreel.relay._metrics import RELAY_CRASHES, RELAY_HELD_PARTS
+from laburnumreel.relay._peer_update import PeerUpdate
+
+# A crash counts against a request, and is reported to peers, for this long.
+CRASH_S = 30.0
+MAX_LOGGED_NAMES = 8
+
+# Log lines use the name of the dispatcher, because this code runs on its thread.
+_log = Log("relay.dispatcher")
+
+
+class LostRequest(NamedTuple):
+    """A request that was broken off by a crash.
+
+    `digest` identifies it when it is sent again. `parts` are the shared parts of its prompt, none
+    if its answer had already begun.
+    """
+
+    request_id: str
+    digest: str
+    parts: tuple[str, ...]
+
+
+class HeldReason(NamedTuple):
+    """Why a request is refused, and for how many more seconds."""
+
+    detail: str
+    remaining_s: float
+
+
+class CrashUpdate(NamedTuple):
+    """The part of a host's peer update about crashes; the fields are those of `PeerUpdate`."""
+
+    held_back: Mapping[str, float]
+    crashes: Mapping[str, float]
+    crash_reports: tuple[CrashReport, ...]
+    answered: Mapping[str, float]
+    held_parts: Mapping[str, float]
+
+
+class CrashEvidence:
+    """Decides which requests are held because they crash backend servers.
+
+    Whole requests are held by digest, parts of prompts by the evidence of all hosts. Not
+    thread-safe; owned by the dispatcher.
+    """
+
+    def __init__(self) -> None:
+        self._quarantine = Quarantine()
+        self._suspects = CrashSuspects()
+        self._crashes: dict[str, float] = {}
+        # When each crash reported by a peer is forgotten, by sender, boot and digest: until then it
+        # counts only once.
+        self._peer_crashes: dict[tuple[str, str, str], float] = {}
+
+    def record_crash(self, back_end: str, lost: LostRequest, now: float) -> None:
+        """Record a request that the crash of a backend server broke off here."""
+        RELAY_CRASHES.inc(begun=str(not lost.parts).lower())
+        _log.info(
+            SERVER_CRASHED,
+            back_end=back_end,
+            request=lost.request_id,
+            digest=lost.digest[:16],
+            suspects=list(lost.parts[:MAX_LOGGED_NAMES]),
+        )
+        self._crashes[lost.digest] = now + CRASH_S
+        self._count_crash(lost.digest, now)
+        if lost.parts:
+            self._suspects.record_crash(back_end, BrokenRequest(lost.request_id, lost.parts), now)
+
+    def record_answer(self, parts: Sequence[str], now: float) -> None:
+        """Record that the answer to a prompt with these shared parts has begun here."""
+        self._log_released(self._suspects.record_answer(parts, now), "an answer began here")
+
+    def held(self, digest: str, parts: Sequence[str], now: float) -> HeldReason | None:
+        """Return why a request is held, or None if it is not."""
+        remaining_s = self._quarantine.remaining_quarantine_s(digest, now) if digest else None
+        if remaining_s is not None:
+            return HeldReason("the request crashed backend servers and is held back", remaining_s)
+        held = self._suspects.held_part(parts, now)
+        if held is None:
+            return None
+        part, remaining_s = held
+        detail = f"part {part} of the prompt crashed backend servers and is held back"
+        return HeldReason(detail, remaining_s)
+
+    def hold_guilty(self, now: float) -> bool:
+        """Hold the parts that enough crashes speak against, and return whether there are new ones."""
+        held = self._suspects.hold_guilty(now)
+        for each in held:
+            self._log_held(each)
+        return bool(held)
+
+    def on_peer_update(self, update: PeerUpdate, now: float) -> bool:
+        """Apply a peer's update, and return whether there are new holds."""
+        self._quarantine.on_peer_entries(update.held_back, now)
+        for digest in update.crashes:
+            crash_key = (update.sender, update.boot, digest)
+            if crash_key not in self._peer_crashes:
+                self._count_crash(digest, now)
+            self._peer_crashes[crash_key] = now + CRASH_S
+        # Before the crashes, so that no part is judged by them that was answered since.
+        answered_at = {part: now - max(0.0, age_s) for part, age_s in update.answered.items()}
+        released = self._suspects.record_answers(answered_at)
+        self._log_released(released, f"an answer began at {update.sender}")
+        for report in update.crash_reports:
+            self._suspects.on_peer_report(report, now)
+        adopted = self._suspects.on_peer_holds(update.held_parts, now)
+        for part in adopted:
+            _log.warning(PART_HELD_BY_PEER, part=part, peer=update.sender)
+        RELAY_HELD_PARTS.set(len(self._suspects.holds(now)))
+        return bool(adopted)
+
+    def update(self, now: float) -> CrashUpdate:
+        """Return what peers need to know."""
+        return CrashUpdate(
+            held_back=self._quarantine.entries(now),
+            crashes={digest: until - now for digest, until in self._crashes.items()},
+            crash_reports=self._suspects.reports(now),
+            answered=self._suspects.answered_suspects(now),
+            held_parts=self._suspects.holds(now),
+        )
+
+    def forget_old(self, now: float) -> None:
+        """Drop all that has expired."""
+        self._crashes = {key: until for key, until in self._crashes.items() if until > now}
+        self._peer_crashes = {
+            key: until for key, until in self._peer_crashes.items() if until > now
+        }
+        self._log_released(self._suspects.forget_old(now), "its time is over")
+
+    def _count_crash(self, digest: str, now: float) -> None:
+        # With `alone=False`, only repeated crashes quarantine the request.
+        if self._quarantine.record_crash({digest}, alone=False, now=now):
+            _log.warning(REQUEST_HELD_BACK, digest=digest[:16])
+
+    def _log_held(self, held: HeldPart) -> None:
+        _log.warning(
+            PART_HELD,
+            part=held.part,
+            back_ends=list(held.back_ends[:MAX_LOGGED_NAMES]),
+            crashes=len(held.back_ends),
+            requests=held.requests,
+        )
+
+    def _log_released(self, parts: Sequence[str], reason: str) -> None:
+        for part in parts:
+            _log.warning(PART_RELEASED, part=part, reason=reason)
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -10,6 +10,7 @@
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._cost_model import Location, PlacementCosts
+from laburnumreel.relay._crash_evidence import HeldReason, LostRequest
 from laburnumreel.relay._dispatcher_messages import (
     AcquirePermit,
     AddressTaken,
@@ -23,6 +24,7 @@
     LimitEnded,
     ListingRead,
     PlaceRequest,
+    PromptAnswered,
     PromptRead,
     ReturnPermit,
     ServerCrashed,
@@ -151,9 +153,14 @@
         """Record that the address of a backend server is now used by another one."""
         self.tell(AddressTaken(back_end))
 
-    def record_crash(self, back_end: str, digest: str) -> None:
+    def record_crash(self, back_end: str, lost: LostRequest) -> None:
         """Record that a backend server crashed while running a request."""
-        self.tell(ServerCrashed(back_end, digest))
+        self.tell(ServerCrashed(back_end, lost))
+
+    def on_prompt_answered(self, parts: tuple[str, ...]) -> None:
+        """Record that the answer to a prompt with these shared parts has begun."""
+        if parts:
+            self.tell(PromptAnswered(parts))
 
     def on_listing(self, listing: Listing[ListedBackEnd]) -> None:
         """Apply a listing of the directory."""
@@ -194,9 +201,9 @@
         """Release a permit that `may_repeat` reserved, as the send will not be made."""
         self.tell(ReturnPermit(service))
 
-    def remaining_quarantine_s(self, digest: str) -> float | None:
-        """Return for how many more seconds a request is quarantined, or None."""
-        return self.ask(GetHoldBack(digest)).result()
+    def held(self, digest: str, parts: tuple[str, ...]) -> HeldReason | None:
+        """Return why a request is held back because it crashes backend servers, or None."""
+        return self.ask(GetHoldBack(digest, parts)).result()
 
     def local_state(self, cross_region: bool) -> Future:
         """Return a future of the `LocalFleetState` for peers nearby, or far away if `cross_region`."""
@@ -239,8 +246,10 @@
                 return self._fleet_state.limits.may_call(back_end, now)
             case AddressTaken(back_end):
                 self._fleet_state.on_address_reused(back_end)
-            case ServerCrashed(back_end, digest):
-                self._fleet_state.record_crash(back_end, digest, now)
+            case ServerCrashed(back_end, lost):
+                self._fleet_state.record_crash(back_end, lost, now)
+            case PromptAnswered(parts):
+                self._fleet_state.crash_evidence.record_answer(parts, now)
             case ListingRead(listing):
                 self._fleet_state.on_listing(listing, now)
                 self._place_waiting(now)
@@ -249,8 +258,9 @@
             case RetrySettings():
                 self._retry_budget.set_retry(message)
             case UpdatesReceived(batch):
-                for update in batch:
-                    self._fleet_state.on_peer_update(update, now)
+                holds_more = [self._fleet_state.on_peer_update(update, now) for update in batch]
+                if any(holds_more):
+                    self._refuse_held(now)
                 self._place_waiting(now)
             case ("silent", name):
                 self._fleet_state.forget_peer(name)
@@ -263,8 +273,8 @@
                 self._retry_budget.record_retry(service, now)
             case ReturnPermit(service):
                 self._retry_budget.release_unused(service, now)
-            case GetHoldBack(digest):
-                return self._fleet_state.remaining_quarantine_s(digest, now)
+            case GetHoldBack(digest, parts):
+                return self._fleet_state.crash_evidence.held(digest, parts, now)
             case GetOwnBeliefs(cross_region):
                 return self._fleet_state.local_state(cross_region, now)
             case "view":
@@ -275,6 +285,8 @@
 
     def tick(self) -> None:
         now = self._clock.now()
+        if self._fleet_state.crash_evidence.hold_guilty(now):
+            self._refuse_held(now)
         self._place_waiting(now)
         self._refuse_expired(now)
         self._fleet_state.forget_old(now)
@@ -299,7 +311,18 @@
             # The other waiting requests were tried in the last pass.
             self._place_or_fail(pending, now)
 
+    def _refuse_held(self, now: float) -> None:
+        """Refuse the waiting requests with a part that is now held."""
+        for pending in list(self._waiting.values()):
+            refusal = self._refusals.held(pending.order, now)
+            if refusal is not None:
+                del self._waiting[pending.future]
+                pending.future.set_result(refusal)
+
     def _immediate_refusal(self, request: PlacementRequest, now: float) -> Refusal | None:
+        held = self._refusals.held(request, now)
+        if held is not None:
+            return held
         if request.waiting.is_started:
             # A request that has already started goes before those that wait.
             return self._refusals.over_limits(request, 0, now)
--- a/src/laburnumreel/relay/_dispatcher_messages.py
+++ b/src/laburnumreel/relay/_dispatcher_messages.py
@@ -6,6 +6,7 @@
 
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
 from laburnumreel.relay._back_ends import ListedBackEnd
+from laburnumreel.relay._crash_evidence import LostRequest
 from laburnumreel.relay._feed_follower import LinkState
 from laburnumreel.relay._peer_update import PeerUpdate
 from laburnumreel.relay._ports import Listing
@@ -73,7 +74,11 @@
 
 class ServerCrashed(NamedTuple):
     back_end: str
-    digest: str
+    lost: LostRequest
+
+
+class PromptAnswered(NamedTuple):
+    parts: tuple[str, ...]
 
 
 class ListingRead(NamedTuple):
@@ -106,3 +111,4 @@
 
 class GetHoldBack(NamedTuple):
     digest: str
+    parts: tuple[str, ...]
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -66,6 +66,16 @@
 REQUEST_HELD_BACK = define_event(
     636, "request_held_back", "a request crashed backend servers and is refused for some time"
 )
+SERVER_CRASHED = define_event(
+    680, "server_crashed", "a backend server's process ended while it had a request of this host"
+)
+PART_HELD = define_event(
+    681, "part_held", "a part of prompts crashed backend servers; requests with it are refused"
+)
+PART_HELD_BY_PEER = define_event(
+    682, "part_held_by_peer", "a peer found a part of prompts that crashes backend servers"
+)
+PART_RELEASED = define_event(683, "part_released", "requests with a held part are admitted again")
 COPY_RELEASED = define_event(637, "copy_released", "releasing an unused copy of a prompt")
 RELAY_REQUEST_FAILED = define_event(638, "relay_request_failed", "a request hit an internal error")
 PROMPT_READ = define_event(639, "prompt_read", "an engine has read a prompt for another one")
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -7,19 +7,15 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
-from laburnumreel.coordination import Quarantine
+from laburnumreel.coordination import CrashReport
 from laburnumreel.core import Log
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
 from laburnumreel.relay._back_ends import BackEndList, ListedBackEnd, Role
 from laburnumreel.relay._candidate_cache import CandidateCache
 from laburnumreel.relay._config import EngineTraits
 from laburnumreel.relay._cost_model import Candidate, Location, location_of
-from laburnumreel.relay._events import (
-    BACK_END_AVOIDED,
-    BACK_END_GONE,
-    BACK_END_LISTED,
-    REQUEST_HELD_BACK,
-)
+from laburnumreel.relay._crash_evidence import CrashEvidence, LostRequest
+from laburnumreel.relay._events import BACK_END_AVOIDED, BACK_END_GONE, BACK_END_LISTED
 from laburnumreel.relay._feed_follower import LinkState
 from laburnumreel.relay._fleet_limits import FleetLimits, LimitHeadroom
 from laburnumreel.relay._health import HealthTracker
@@ -34,8 +30,6 @@
 # The share of a prefill engine's memory that caches prompt prefixes. The rest holds the prompts
 # that are being read.
 PREFIX_MEMORY_SHARE = 0.6
-# A crash counts against a request, and is reported to peers, for this long.
-CRASH_S = 30.0
 # A removed entry is reported to peers for this long, as they may not have read the list yet. Peers
 # send its backend server nothing for this long, and no longer, because the entry may come back.
 REMOVED_ENTRY_S = 3.0
@@ -48,21 +42,24 @@
     """The part of a host's peer update that the dispatcher provides.
 
     Of backend servers, `avoided` holds the remaining backoff in seconds, `kept` the newly cached
-    parts of prompts, and `gone` those whose entries were removed. `held_back` and `crashes` map the
-    digest of a request to the remaining seconds of its quarantine, or until its crash is forgotten.
-    `asked` is the requests per second by service.
+    parts of prompts, and `gone` those whose entries were removed. `asked` is the requests per second
+    by service. `held_back` and `crashes` map the digest of a request to the remaining seconds of its
+    quarantine, or until its crash is forgotten. The last three are those of `PeerUpdate`.
     """
 
     work: Mapping[str, Work]
     avoided: Mapping[str, float]
-    held_back: Mapping[str, float]
-    crashes: Mapping[str, float]
     leaving: Mapping[str, int]
     kept: Mapping[str, tuple[str, ...]]
     gone: tuple[str, ...]
     limits: Mapping[str, LimitReport]
     asked: Mapping[str, float]
     limited_sends: Mapping[str, int]
+    held_back: Mapping[str, float]
+    crashes: Mapping[str, float]
+    crash_reports: tuple[CrashReport, ...]
+    answered: Mapping[str, float]
+    held_parts: Mapping[str, float]
 
 
 class FleetView(NamedTuple):
@@ -100,16 +97,12 @@
         self._back_ends = BackEndList(return_grace_s)
         self._health = HealthTracker()
         self._prefix_cache = PrefixCacheIndex()
-        self._quarantine = Quarantine()
-        self._crashes: dict[str, float] = {}
-        # When each crash reported by a peer is forgotten, by sender, boot and digest: until then it
-        # counts only once.
-        self._peer_crashes: dict[tuple[str, str, str], float] = {}
         self._self_reports = SelfReports()
         # Backend servers whose entries were removed from this host's list, and from a peer's.
         self._removed_until: dict[str, float] = {}
         self._peer_removed_until: dict[str, float] = {}
         self.ledger = WorkLedger()
+        self.crash_evidence = CrashEvidence()
         self.limits = FleetLimits(
             host,
             own_location.region,
@@ -233,15 +226,10 @@
             case "back":
                 self._back_ends.on_directory_back(now)
 
-    def remaining_quarantine_s(self, digest: str, now: float) -> float | None:
-        """Return for how many more seconds a request is quarantined, or None."""
-        return self._quarantine.remaining_quarantine_s(digest, now)
-
     def forget_old(self, now: float) -> None:
         """Drop all state that has expired."""
         self._self_reports.renew_listed(self._back_ends, now)
-        self._crashes = _unexpired(self._crashes, now)
-        self._peer_crashes = _unexpired(self._peer_crashes, now)
+        self.crash_evidence.forget_old(now)
         self._self_reports.forget_old(now)
         self._removed_until = _unexpired(self._removed_until, now)
         self._peer_removed_until = _unexpired(self._peer_removed_until, now)
@@ -270,16 +258,16 @@
         backoff_s = self._health.backoffs(now).get(back_end, 0.0)
         _log.warning(BACK_END_AVOIDED, back_end=back_end, rest_s=round(backoff_s, 2))
 
-    def record_crash(self, back_end: str, digest: str, now: float) -> None:
-        """Record that a backend server crashed while running a request."""
-        self._prefix_cache.on_restart(back_end)
-        self._crashes[digest] = now + CRASH_S
-        self._count_crash(digest, now)
+    def record_crash(self, back_end: str, lost: LostRequest, now: float) -> None:
+        """Record a request that was lost because a backend server stopped serving.
 
-    def _count_crash(self, digest: str, now: float) -> None:
-        # With `alone=False`, only repeated crashes quarantine the request.
-        if self._quarantine.record_crash({digest}, alone=False, now=now):
-            _log.warning(REQUEST_HELD_BACK, digest=digest[:16])
+        It counts as a crash unless the backend server had announced that it leaves.
+        """
+        self._prefix_cache.on_restart(back_end)
+        entry = self._back_ends.get(back_end)
+        is_leaving = back_end in self._self_reports.leaving(self._back_ends)
+        if entry is not None and not entry.draining and not is_leaving:
+            self.crash_evidence.record_crash(back_end, lost, now)
 
     def on_listing(self, listing: Listing[ListedBackEnd], now: float) -> None:
         """Apply a directory listing, and forget the state of backend servers that were removed."""
@@ -317,8 +305,8 @@
         self._health.keep_only(lambda name: self._back_ends.get(name) is not None)
         self._prefix_cache.keep_only(lambda name: self._back_ends.get(name) is not None)
 
-    def on_peer_update(self, update: PeerUpdate, now: float) -> None:
-        """Apply an update from a peer."""
+    def on_peer_update(self, update: PeerUpdate, now: float) -> bool:
+        """Apply an update from a peer, and return whether it holds further parts of prompts."""
         if update.avoided or update.leaving or update.gone:
             self._candidate_cache.invalidate()
         if update.stopping:
@@ -332,12 +320,7 @@
             self._self_reports.record_peer_leaving(back_end, started_at_ms, now)
         self._peer_removed_until.update(dict.fromkeys(update.gone, now + REMOVED_ENTRY_S))
         self._prefix_cache.add_peer_prefixes(update.kept, now)
-        self._quarantine.on_peer_entries(update.held_back, now)
-        for digest in update.crashes:
-            crash_key = (update.sender, update.boot, digest)
-            if crash_key not in self._peer_crashes:
-                self._count_crash(digest, now)
-            self._peer_crashes[crash_key] = now + CRASH_S
+        return self.crash_evidence.on_peer_update(update, now)
 
     def local_state(self, cross_region: bool, now: float) -> LocalFleetState:
         """Return the state to send to peers.
@@ -348,12 +331,11 @@
         return LocalFleetState(
             work=dict(self.ledger.own),
             avoided=self._health.backoffs(now),
-            held_back=self._quarantine.entries(now),
-            crashes={digest: until - now for digest, until in self._crashes.items()},
             leaving=self._self_reports.leaving(self._back_ends),
             kept=self._prefix_cache.take_unsent(cross_region),
             gone=tuple(self._removed_until),
             **self.limits.build_update(cross_region, now)._asdict(),
+            **self.crash_evidence.update(now)._asdict(),
         )
 
     def view(self, last_short_at: Mapping[str, float], now: float) -> FleetView:
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -84,6 +84,9 @@
         self.running = running
         self.config_version = config_version
         self.digest = request_digest(request, customer)
+        self.parts = shared_part_names(request.prompt)
+        # Whether a part of the answer has come from a backend server.
+        self.has_begun = False
         self.excluded: frozenset[str] = frozenset()
         # The run state of each send that a backend server may have run.
         self._run_states: dict[object, RunState] = {}
@@ -181,6 +184,7 @@
             copied_in,
             is_repeat,
             self.service.engine,
+            self.parts,
         )
 
     def wait_for(self, future: Future) -> Assignment:
@@ -320,6 +324,12 @@
         self.deps.answer_room.release(self._held_bytes)
         self._held_bytes = 0
 
+    def on_answer_begun(self) -> None:
+        """Record that a backend server has begun to answer, which clears the parts of the prompt."""
+        if not self.has_begun:
+            self.has_begun = True
+            self.deps.dispatcher.on_prompt_answered(self.parts)
+
     def count_for_customer(self) -> None:
         """Count the request for its customer, once."""
         if not self._is_counted:
@@ -327,6 +337,13 @@
             self.deps.count_customer_request(self.customer)
 
 
+def shared_part_names(prompt: Prompt | None) -> tuple[str, ...]:
+    """Return the names of a prompt's shared parts, which differ between models."""
+    if prompt is None:
+        return ()
+    return tuple(f"{prompt.model}/{part.name}" for part in prompt.shared)
+
+
 def request_digest(request: RelayRequest, customer: str) -> str:
     """Return a digest that identifies a request when the same one is sent again."""
     digest = hashlib.blake2b(digest_size=16)
--- a/src/laburnumreel/relay/_metrics.py
+++ b/src/laburnumreel/relay/_metrics.py
@@ -25,6 +25,15 @@
     " they spoke",
     ("outcome",),
 )
+RELAY_CRASHES = define_counter(
+    "laburnumreel_relay_crashes_total",
+    "requests that were lost because a backend server's process ended, by whether their answer had"
+    " begun",
+    ("begun",),
+)
+RELAY_HELD_PARTS = define_gauge(
+    "laburnumreel_relay_held_parts", "parts of prompts whose requests are refused"
+)
 RELAY_REPEATS = define_counter(
     "laburnumreel_relay_repeats_total",
     "sends beyond the first of a request: allowed or denied by the retry budget, and sent",
--- a/src/laburnumreel/relay/_peer_update.py
+++ b/src/laburnumreel/relay/_peer_update.py
@@ -8,6 +8,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
+from laburnumreel.coordination import BrokenRequest, CrashReport
 from laburnumreel.protocol.gen.relay import ttypes
 from laburnumreel.relay._server_limits import LimitReport
 from laburnumreel.relay._usage_counters import EndedCounts, Process
@@ -41,6 +42,9 @@
     - `limits`: what backend servers last reported about their limits; `asked`: requests per second
       from the sender's callers for services with limited servers; `limited_sends`: the sender's
       sends to these servers since they have a limit.
+    - `crash_reports`: recent crashes of backend servers and the requests that the sender lost by
+      them; `answered`: parts of prompts in such requests, with the seconds since an answer with
+      each last began; `held_parts`: parts that are held, with the remaining seconds of each.
     """
 
     sender: str
@@ -68,6 +72,9 @@
     limits: Mapping[str, LimitReport] = {}
     asked: Mapping[str, float] = {}
     limited_sends: Mapping[str, int] = {}
+    crash_reports: tuple[CrashReport, ...] = ()
+    answered: Mapping[str, float] = {}
+    held_parts: Mapping[str, float] = {}
 
 
 def encode_update(update: PeerUpdate) -> bytes:
@@ -103,6 +110,16 @@
         ],
         asked=dict(update.asked),
         limited_sends=dict(update.limited_sends),
+        crash_reports=[
+            ttypes.Crash(
+                each.back_end,
+                round(1000 * each.age_s),
+                [ttypes.Broken(broken.request, list(broken.parts)) for broken in each.requests],
+            )
+            for each in update.crash_reports
+        ],
+        answered=_encode_durations(update.answered),
+        held_parts=_encode_durations(update.held_parts),
         ended=[
             ttypes.EndedCounts(*each.process, each.window, dict(each.counts))
             for each in update.ended
@@ -161,6 +178,19 @@
             },
             asked=struct.asked or {},
             limited_sends=struct.limited_sends or {},
+            crash_reports=tuple(
+                CrashReport(
+                    each.back_end,
+                    each.age_ms / 1000,
+                    tuple(
+                        BrokenRequest(broken.request, tuple(broken.parts))
+                        for broken in each.requests
+                    ),
+                )
+                for each in struct.crash_reports or ()
+            ),
+            answered=_decode_durations(struct.answered or []),
+            held_parts=_decode_durations(struct.held_parts or []),
         )
     except Exception as error:
         # Malformed bytes make Thrift raise many kinds of exceptions; none may end the task.
@@ -187,6 +217,13 @@
         or None in update.usage.values()
         or any(None in (*each.process, each.window, each.counts) for each in update.ended)
         or any(each.started_at_ms is None for each in update.limits.values())
+        or any(None in (each.back_end, *each.requests) for each in update.crash_reports)
+        or any(None in each for each in (update.answered, update.held_parts))
+        or any(
+            None in (broken.request, *broken.parts)
+            for each in update.crash_reports
+            for broken in each.requests
+        )
     )
 
 
--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -145,6 +145,8 @@
     deps.dispatcher.record_outcome(assignment.runner.name, failed, took_ms)
     attempt.mark_run()
     job.count_for_customer()
+    if not failed:
+        job.on_answer_begun()
     return reply, failed
 
 
--- a/src/laburnumreel/relay/_refusals.py
+++ b/src/laburnumreel/relay/_refusals.py
@@ -48,6 +48,13 @@
         delay_s = NO_BACK_END_RETRY_S * (1 + self._rng.random())
         return Refusal(ErrorKind.NO_BACK_END, detail, retry_after_s=delay_s)
 
+    def held(self, order: PlacementRequest, now: float) -> Refusal | None:
+        """Return the refusal of a request with a part that crashes backend servers, or None."""
+        reason = self._beliefs.crash_evidence.held("", order.parts, now)
+        if reason is None:
+            return None
+        return Refusal(ErrorKind.CRASHES_BACK_ENDS, reason.detail, reason.remaining_s)
+
     def over_limits(self, order: PlacementRequest, ahead: int, now: float) -> Refusal | None:
         """Return the refusal of a request that the backend servers' limits do not admit in time.
 
