--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -6,22 +6,24 @@
 
 from bisect import insort
 from collections import deque
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 # Reports of a crash of the same backend server within this time are about the same crash.
 SAME_CRASH_S = 2.0
-# A part is held after this many crashes since an answer last cleared it if its requests were at
-# this share of all servers that crashed meanwhile. Several such parts may come at the same time.
-STRIKES_AND_SHARES = ((4, 0.75), (8, 0.3))
-# Servers that are lost within this time count once, because they are likely to have a common cause.
+# Servers that are lost within this time are one strike, because they are likely to have a common
+# cause.
 MIN_STRIKE_GAP_S = 0.2
 MIN_SERVERS = 2
 MIN_REQUESTS = 2
 STRIKE_WINDOW_S = 600.0
 # How long reports of other requests and hosts about the same crash are awaited before it counts.
 SETTLE_S = 0.3
+# How long a part is held after the last request with it.
 HOLD_S = 600.0
+# A held part is tried with single requests, by one host, in case it is held wrongly. The first trial
+# comes at once if the evidence is thin, the others after this time.
+TRIAL_DELAY_S = 30.0
 # After a hold has ended, one crash is enough for as long as this.
 RELAPSE_S = 600.0
 MIN_PEER_REMAINING_S = 2.0
@@ -34,6 +36,33 @@
 MAX_ANSWERED_PARTS = 10_000
 
 
+class Rule(NamedTuple):
+    """How much must speak against a part that no answer has cleared since.
+
+    It must have been at `share` of all servers that crashed meanwhile. The part may be tried
+    `trials` times, the first time `trial_delay_s` after it was held.
+    """
+
+    strikes: int
+    crashes: int
+    share: float
+    requests: int
+    trial_delay_s: float
+    trials: int
+
+
+RULES = (
+    Rule(4, 4, 0.75, MIN_REQUESTS, TRIAL_DELAY_S, 1),
+    # Several such parts may come at the same time.
+    Rule(8, 8, 0.3, MIN_REQUESTS, TRIAL_DELAY_S, 1),
+    # Crashes may come so fast that they are few strikes.
+    Rule(3, 5, 0.9, 4, 0.0, 2),
+)
+# For parts that were answered shortly before the crashes began.
+RULES_FOR_SOUND = (Rule(8, 8, 0.75, 8, 0.0, 2),)
+SOUND_S = 60.0
+
+
 class BrokenRequest(NamedTuple):
     """A request that a backend server had not begun to answer when it crashed.
 
@@ -60,11 +89,15 @@
     requests: int
 
 
-class Hold(NamedTuple):
-    """A part whose requests are refused between two times of the process clock."""
+class _Hold:
+    """A part whose requests are refused."""
 
-    since: float
-    until: float
+    def __init__(self, since: float, until: float, trial_at: float, trials: int) -> None:
+        self.since = since
+        self.until = until
+        self.trial_at = trial_at
+        self.trials = trials
+        self.trial_request = ""
 
 
 class _Evidence:
@@ -83,8 +116,6 @@
         self.at = at
         self.known_requests: set[str] = set()
         self.by_part: dict[str, _Evidence] = {}
-        # A part that is held has caused it.
-        self.is_explained = False
         # The requests that this host has lost, which it reports to its peers.
         self.own_requests: dict[str, BrokenRequest] = {}
 
@@ -108,6 +139,9 @@
     two explain as many. Crashes that a held part explains speak against no other part. Not
     thread-safe.
 
+    A wrong hold would never end by itself, because nothing with the part is answered. One host
+    therefore tries a held part, with one request at a time and only once or twice.
+
     >>> suspects = CrashSuspects()
     >>> for now in (1.0, 2.0, 3.0, 4.0):
     ...     broken = BrokenRequest(f"request-{now}", ("common", "deadly"))
@@ -116,7 +150,7 @@
     >>> [(held.part, held.requests) for held in suspects.hold_guilty(4.5)]
     [('deadly', 4)]
     >>> suspects.held_part(("common", "deadly", "other"), 5.0)
-    ('deadly', 599.5)
+    ('deadly', 600.0)
     """
 
     def __init__(self) -> None:
@@ -124,7 +158,7 @@
         self._crashes: list[_Crash] = []
         # When an answer with each part last began, the oldest first.
         self._answered_at: dict[str, float] = {}
-        self._holds: dict[str, Hold] = {}
+        self._holds: dict[str, _Hold] = {}
         # Until when a single crash is enough to hold a part again.
         self._relapses: dict[str, float] = {}
         # Parts of recently broken requests, and when they can be judged.
@@ -150,17 +184,28 @@
         while self._unsettled and self._unsettled[0][0] <= now:
             due |= self._unsettled.popleft()[1]
         held = []
-        while True:
-            cases = {part: self._case_against(part, now) for part in due if part not in self._holds}
-            guilty = {part: crashes for part, crashes in cases.items() if crashes}
+        while due:
+            unexplained = [
+                crash
+                for crash in self._crashes
+                if crash.at + SETTLE_S <= now and not crash.by_part.keys() & self._holds.keys()
+            ]
+            guilty = {}
+            for part in due:
+                crashes = self._crashes_against(part, unexplained)
+                rule = self._broken_rule(part, crashes, unexplained)
+                if rule is not None:
+                    guilty[part] = crashes, rule
             if not guilty:
-                return held
-            part = max(guilty, key=lambda each: _weight(each, guilty[each]))
-            crashes = guilty[part]
+                break
+            part = max(guilty, key=lambda each: _weight(each, guilty[each][0]))
+            crashes, rule = guilty[part]
             requests = set().union(*(crash.by_part[part].requests for crash in crashes))
             back_ends = tuple(crash.back_end for crash in crashes)
             held.append(HeldPart(part, back_ends, len(requests)))
-            self._hold(part, HOLD_S, now)
+            self._holds[part] = _Hold(now, now + HOLD_S, now + rule.trial_delay_s, rule.trials)
+            due.discard(part)
+        return held
 
     def record_answer(self, parts: Iterable[str], at: float) -> list[str]:
         """Record that an answer to a prompt with these parts has begun; return those let go."""
@@ -177,22 +222,59 @@
             self._relapses.pop(part, None)
             hold = self._holds.get(part)
             if hold is not None and at > hold.since:
-                del self._holds[part]
+                self._release(part)
                 released.append(part)
         while len(self._answered_at) > MAX_ANSWERED_PARTS:
             del self._answered_at[next(iter(self._answered_at))]
         return released
 
     def held_part(self, parts: Iterable[str], now: float) -> tuple[str, float] | None:
-        """Return a held part of a prompt and its remaining seconds, or None."""
+        """Return a held part of a prompt and its remaining seconds, or None.
+
+        As long as requests with the part come, it stays held.
+        """
         if not self._holds:
             return None
         for part in parts:
             hold = self._holds.get(part)
-            if hold is not None and hold.until > now:
-                return part, hold.until - now
+            if hold is not None:
+                hold.until = now + HOLD_S
+                return part, HOLD_S
         return None
 
+    def may_try(
+        self,
+        parts: Iterable[str],
+        request: str,
+        now: float,
+        is_trial_host: Callable[[str], bool],
+    ) -> bool:
+        """Return whether a request may be sent although parts of its prompt are held.
+
+        `is_trial_host` returns whether this is the host that tries a part.
+        """
+        if not request:
+            return False
+        holds = [(part, self._holds[part]) for part in parts if part in self._holds]
+        return all(
+            hold.trial_request == request
+            or (hold.trials > 0 and now >= hold.trial_at and is_trial_host(part))
+            for part, hold in holds
+        )
+
+    def start_trial(self, parts: Iterable[str], request: str, now: float) -> list[str]:
+        """Record that a request with held parts is sent as a trial, and return these parts."""
+        tried = [
+            part
+            for part in parts
+            if part in self._holds and self._holds[part].trial_request != request
+        ]
+        for part in tried:
+            hold = self._holds[part]
+            hold.trial_request, hold.trials = request, hold.trials - 1
+            hold.trial_at = now + TRIAL_DELAY_S
+        return tried
+
     def holds(self, now: float) -> dict[str, float]:
         """Return the held parts with the remaining seconds of each."""
         return {part: hold.until - now for part, hold in self._holds.items() if hold.until > now}
@@ -207,7 +289,8 @@
             recently_answered = now - self._answered_at.get(part, float("-inf")) < REPORT_S
             if remaining_s < MIN_PEER_REMAINING_S or recently_answered or part in self._holds:
                 continue
-            self._hold(part, min(remaining_s, HOLD_S), now)
+            until = now + min(remaining_s, HOLD_S)
+            self._holds[part] = _Hold(now, until, now + TRIAL_DELAY_S, trials=1)
             adopted.append(part)
         return adopted
 
@@ -227,7 +310,7 @@
                 continue
             for part in crash.by_part:
                 age_s = now - self._answered_at.get(part, float("-inf"))
-                if age_s < REPORT_S:
+                if age_s < SOUND_S:
                     ages[part] = age_s
         return ages
 
@@ -236,7 +319,7 @@
         self._crashes = [each for each in self._crashes if now - each.at < STRIKE_WINDOW_S]
         ended = [part for part, hold in self._holds.items() if hold.until <= now]
         for part in ended:
-            del self._holds[part]
+            self._release(part)
             self._relapses[part] = now + RELAPSE_S
         self._relapses = {part: until for part, until in self._relapses.items() if until > now}
         return ended
@@ -258,8 +341,6 @@
             touched.update(request.parts)
             if is_own:
                 crash.own_requests[request.request] = request
-        if any(part in self._holds for part in touched):
-            crash.is_explained = True
         if touched:
             self._unsettled.append((max(now, crash.at + SETTLE_S), touched))
 
@@ -272,38 +353,44 @@
         del self._crashes[:-MAX_CRASHES]
         return crash
 
-    def _case_against(self, part: str, now: float) -> list[_Crash]:
-        """Return the crashes that speak against a part, or none if they are too few."""
+    def _crashes_against(self, part: str, unexplained: Sequence[_Crash]) -> list[_Crash]:
         answered_at = self._answered_at.get(part, float("-inf"))
-        unexplained = [
-            each
-            for each in self._crashes
-            if answered_at < each.at and each.at + SETTLE_S <= now and not each.is_explained
-        ]
-        crashes = [each for each in unexplained if part in each.by_part]
-        if not crashes or part in self._relapses:
-            return crashes
+        return [each for each in unexplained if each.at > answered_at and part in each.by_part]
+
+    def _broken_rule(
+        self, part: str, crashes: Sequence[_Crash], unexplained: Sequence[_Crash]
+    ) -> Rule | None:
+        """Return the rule by which a part is held, or None if too little speaks against it."""
+        if not crashes:
+            return None
+        if part in self._relapses:
+            return RULES[0]
         strikes, last_at = 0, float("-inf")
         for crash in crashes:
             if crash.at >= last_at + MIN_STRIKE_GAP_S:
                 strikes, last_at = strikes + 1, crash.at
-        share = len(crashes) / sum(1 for each in unexplained if each.at >= crashes[0].at)
+        since_first = sum(1 for each in unexplained if each.at >= crashes[0].at)
         requests = set().union(*(crash.by_part[part].requests for crash in crashes))
-        is_enough = (
-            any(
-                strikes >= least and share >= least_share
-                for least, least_share in STRIKES_AND_SHARES
-            )
-            and len({crash.back_end for crash in crashes}) >= MIN_SERVERS
-            and len(requests) >= MIN_REQUESTS
-        )
-        return crashes if is_enough else []
+        if len({crash.back_end for crash in crashes}) < MIN_SERVERS:
+            return None
+        was_sound = crashes[0].at - self._answered_at.get(part, float("-inf")) < SOUND_S
+        for rule in RULES_FOR_SOUND if was_sound else RULES:
+            if (
+                strikes >= rule.strikes
+                and len(crashes) >= max(rule.crashes, rule.share * since_first)
+                and len(requests) >= rule.requests
+            ):
+                return rule
+        return None
 
-    def _hold(self, part: str, seconds: float, now: float) -> None:
-        self._holds[part] = Hold(now, now + seconds)
-        for crash in self._crashes:
-            if part in crash.by_part:
-                crash.is_explained = True
+    def _release(self, part: str) -> None:
+        """Let a part go, and judge the others again by the crashes that it no longer explains."""
+        released_at = self._holds.pop(part).since
+        touched = {
+            name for crash in self._crashes if part in crash.by_part for name in crash.by_part
+        }
+        if touched:
+            self._unsettled.appendleft((released_at, touched - {part}))
 
 
 def _weight(part: str, crashes: Sequence[_Crash]) -> tuple[int, int]:
--- a/src/laburnumreel/relay/_assignments.py
+++ b/src/laburnumreel/relay/_assignments.py
@@ -32,6 +32,11 @@
     engine: EngineTraits | None = None
     parts: tuple[str, ...] = ()
 
+    @property
+    def is_first_run(self) -> bool:
+        """Whether no backend server has been given the request yet, except to read its prompt."""
+        return not self.was_placed or self.copy_zone is not None
+
 
 class Assignment(NamedTuple):
     """The backend servers assigned to a request, and the work accounted for it.
--- a/src/laburnumreel/relay/_crash_evidence.py
+++ b/src/laburnumreel/relay/_crash_evidence.py
@@ -1,5 +1,6 @@
 """What this host and its peers know of crashes of backend servers, and what is held for them."""
 
+import hashlib
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
@@ -15,6 +16,7 @@
     PART_HELD,
     PART_HELD_BY_PEER,
     PART_RELEASED,
+    PART_TRIED,
     REQUEST_HELD_BACK,
     SERVER_CRASHED,
 )
@@ -65,7 +67,9 @@
     thread-safe; owned by the dispatcher.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, host: str) -> None:
+        self._host = host
+        self._peers: set[str] = set()
         self._quarantine = Quarantine()
         self._suspects = CrashSuspects()
         self._crashes: dict[str, float] = {}
@@ -92,18 +96,29 @@
         """Record that the answer to a prompt with these shared parts has begun here."""
         self._log_released(self._suspects.record_answer(parts, now), "an answer began here")
 
-    def held(self, digest: str, parts: Sequence[str], now: float) -> HeldReason | None:
-        """Return why a request is held, or None if it is not."""
+    def held(
+        self, digest: str, parts: Sequence[str], request_id: str, now: float
+    ) -> HeldReason | None:
+        """Return why a request is held, or None if it may be sent.
+
+        `digest` is empty for a request that was already admitted.
+        """
         remaining_s = self._quarantine.remaining_quarantine_s(digest, now) if digest else None
         if remaining_s is not None:
             return HeldReason("the request crashed backend servers and is held back", remaining_s)
         held = self._suspects.held_part(parts, now)
-        if held is None:
+        if held is None or self._suspects.may_try(parts, request_id, now, self._is_trial_host):
             return None
         part, remaining_s = held
         detail = f"part {part} of the prompt crashed backend servers and is held back"
         return HeldReason(detail, remaining_s)
 
+    def start_trial(self, parts: Sequence[str], request_id: str, now: float) -> None:
+        """Record that a request is sent; it is a trial of those of its parts that are held."""
+        if self._suspects.has_holds:
+            for part in self._suspects.start_trial(parts, request_id, now):
+                _log.warning(PART_TRIED, part=part, request=request_id)
+
     def hold_guilty(self, now: float) -> bool:
         """Hold the parts that enough crashes speak against, and return whether there are new ones."""
         held = self._suspects.hold_guilty(now)
@@ -113,6 +128,10 @@
 
     def on_peer_update(self, update: PeerUpdate, now: float) -> bool:
         """Apply a peer's update, and return whether there are new holds."""
+        if update.stopping:
+            self._peers.discard(update.sender)
+        else:
+            self._peers.add(update.sender)
         self._quarantine.on_peer_entries(update.held_back, now)
         for digest in update.crashes:
             crash_key = (update.sender, update.boot, digest)
@@ -149,6 +168,15 @@
         }
         self._log_released(self._suspects.forget_old(now), "its time is over")
 
+    def forget_peer(self, name: str) -> None:
+        """Forget a peer that is no longer heard from."""
+        self._peers.discard(name)
+
+    def _is_trial_host(self, part: str) -> bool:
+        """Return whether this host tries a part, of all hosts that were heard lately."""
+        hosts = (self._host, *self._peers)
+        return self._host == min(hosts, key=lambda host: _rank(host, part))
+
     def _count_crash(self, digest: str, now: float) -> None:
         # With `alone=False`, only repeated crashes quarantine the request.
         if self._quarantine.record_crash({digest}, alone=False, now=now):
@@ -166,3 +194,7 @@
     def _log_released(self, parts: Sequence[str], reason: str) -> None:
         for part in parts:
             _log.warning(PART_RELEASED, part=part, reason=reason)
+
+
+def _rank(host: str, part: str) -> bytes:
+    return hashlib.blake2b(f"{part}\0{host}".encode("utf-8", "replace"), digest_size=8).digest()
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -201,9 +201,9 @@
         """Release a permit that `may_repeat` reserved, as the send will not be made."""
         self.tell(ReturnPermit(service))
 
-    def held(self, digest: str, parts: tuple[str, ...]) -> HeldReason | None:
+    def held(self, digest: str, parts: tuple[str, ...], request_id: str) -> HeldReason | None:
         """Return why a request is held back because it crashes backend servers, or None."""
-        return self.ask(GetHoldBack(digest, parts)).result()
+        return self.ask(GetHoldBack(digest, parts, request_id)).result()
 
     def local_state(self, cross_region: bool) -> Future:
         """Return a future of the `LocalFleetState` for peers nearby, or far away if `cross_region`."""
@@ -273,8 +273,8 @@
                 self._retry_budget.record_retry(service, now)
             case ReturnPermit(service):
                 self._retry_budget.release_unused(service, now)
-            case GetHoldBack(digest, parts):
-                return self._fleet_state.crash_evidence.held(digest, parts, now)
+            case GetHoldBack(digest, parts, request_id):
+                return self._fleet_state.crash_evidence.held(digest, parts, request_id, now)
             case GetOwnBeliefs(cross_region):
                 return self._fleet_state.local_state(cross_region, now)
             case "view":
@@ -382,12 +382,20 @@
     def _try_place(self, pending: PlaceRequest, now: float) -> int:
         """Place a request if possible, and return the number of evaluated servers."""
         request = pending.order
+        held = self._refusals.held(request, now)
+        if held is not None:
+            del self._waiting[pending.future]
+            pending.future.set_result(held)
+            return 0
         candidates = self._fleet_state.candidates(request, now)
         assignment = self._assigner.assign(request, candidates, self._is_contended(request), now)
         if assignment is None:
             self._last_short_at[request.service] = now
         else:
             del self._waiting[pending.future]
+            self._fleet_state.crash_evidence.start_trial(
+                request.parts, request.waiting.request_id, now
+            )
             pending.future.set_result(assignment)
         return len(candidates)
 
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -75,6 +75,9 @@
 PART_HELD_BY_PEER = define_event(
     682, "part_held_by_peer", "a peer found a part of prompts that crashes backend servers"
 )
+PART_TRIED = define_event(
+    684, "part_tried", "a single request is sent with a held part, which ends the hold if answered"
+)
 PART_RELEASED = define_event(683, "part_released", "requests with a held part are admitted again")
 COPY_RELEASED = define_event(637, "copy_released", "releasing an unused copy of a prompt")
 RELAY_REQUEST_FAILED = define_event(638, "relay_request_failed", "a request hit an internal error")
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -102,7 +102,7 @@
         self._removed_until: dict[str, float] = {}
         self._peer_removed_until: dict[str, float] = {}
         self.ledger = WorkLedger()
-        self.crash_evidence = CrashEvidence()
+        self.crash_evidence = CrashEvidence(host)
         self.limits = FleetLimits(
             host,
             own_location.region,
@@ -239,6 +239,7 @@
         """Forget a peer that is no longer heard from."""
         self.ledger.forget_peer(name)
         self.limits.forget_peer(name)
+        self.crash_evidence.forget_peer(name)
 
     def on_prompt_read(
         self, assignment: Assignment, prompt: Prompt, took_ms: float, now: float
