--- a/src/laburnumreel/relay/_membership.py
+++ b/src/laburnumreel/relay/_membership.py
@@ -19,6 +19,8 @@
 LIST_INTERVAL_S = 20.0
 SMALL_FLEET_HOSTS = 24
 LIST_INTERVAL_ALONE_S = 2.0
+# A host that starts waits at most this long for what a peer knows of crashes and held prompts.
+FIRST_UPDATE_WAIT_S = 1.0
 
 _log = Log("relay.membership")
 
@@ -58,6 +60,7 @@
         self._replaces_killed = False
         self._reported: tuple[int, bool, frozenset[str]] | None = None
         self._has_tried_listing = False
+        self._first_listed_at = float("inf")
 
     @property
     def has_tried_listing(self) -> bool:
@@ -73,6 +76,13 @@
         """
         return self._has_listed
 
+    @property
+    def has_heard_peers(self) -> bool:
+        """Whether a peer was heard since the start, or none is listed or answers in time."""
+        waited_s = self._clock.now() - self._first_listed_at
+        has_peers = self._listed_hosts > 1
+        return not has_peers or waited_s >= FIRST_UPDATE_WAIT_S or bool(self._peers.live_peers)
+
     @property
     def replaces_killed(self) -> bool:
         """Whether the previous process left its row, which a planned stop removes."""
@@ -128,6 +138,7 @@
             return
         others = [member for member in listed.ok if member.name != self._own_member.name]
         if not self._listed_hosts:
+            self._first_listed_at = now
             self._replaces_killed = len(others) < len(listed.ok)
         self._listed_hosts = 1 + len(others)
         self._has_listed = self._has_listed or self._joined
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -411,7 +411,8 @@
 
     def _is_ready(self) -> bool:
         has_data = self._application.is_current and self._back_end_feed.has_listing
-        ready = not self._stopping and has_data and self._membership.has_tried_listing
+        knows_hosts = self._membership.has_tried_listing and self._membership.has_heard_peers
+        ready = not self._stopping and has_data and knows_hosts
         if ready != self._ready:
             self._ready = ready
             _log.info(RELAY_READY, ready=ready, stopping=self._stopping)
