Take back the strikes of requests that died beside a part that crashes servers

What callers saw: a sound request that was lost in two crashes was refused for ten minutes, also when another request's part had crashed both servers.

Cause: a crash counts against the digests of all requests that it broke off, and nothing took this back when its cause was found.

Change: crash reports carry the digest of each request. When a part is held, requests without it that were lost in its crashes lose their strikes and are released; peers' older entries are not adopted for ten seconds, as two hosts would otherwise hand one back and forth.

Evidence: test_request_that_died_beside_a_deadly_part_is_not_held_back and test_request_beside_a_deadly_part_is_released_on_all_nodes; the first failed before (the request stayed held), the second needs what is new.

--- a/idl/relay.thrift
+++ b/idl/relay.thrift
@@ -50,6 +50,7 @@
 struct Broken {
   1: string request
   2: list<string> parts
+  3: string digest
 }
 
 // What the sender saw of the crash of a backend server.
--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -66,11 +66,13 @@
 class BrokenRequest(NamedTuple):
     """A request that a backend server had not begun to answer when it crashed.
 
-    `parts` are the parts of its prompt that other prompts may share, in order.
+    `parts` are the parts of its prompt that other prompts may share, in order. `digest` identifies
+    the request when it is sent again.
     """
 
     request: str
     parts: tuple[str, ...]
+    digest: str = ""
 
 
 class CrashReport(NamedTuple):
@@ -114,17 +116,17 @@
     def __init__(self, back_end: str, at: float) -> None:
         self.back_end = back_end
         self.at = at
-        self.known_requests: set[str] = set()
+        self.requests: dict[str, BrokenRequest] = {}
         self.by_part: dict[str, _Evidence] = {}
         # The requests that this host has lost, which it reports to its peers.
         self.own_requests: dict[str, BrokenRequest] = {}
 
     def add(self, request: BrokenRequest) -> bool:
         """Add a request, and return whether it was unknown."""
-        is_full = len(self.known_requests) >= MAX_REQUESTS_PER_CRASH
-        if is_full or request.request in self.known_requests:
+        is_full = len(self.requests) >= MAX_REQUESTS_PER_CRASH
+        if is_full or request.request in self.requests:
             return False
-        self.known_requests.add(request.request)
+        self.requests[request.request] = request
         for depth, part in enumerate(request.parts):
             evidence = self.by_part.setdefault(part, _Evidence())
             evidence.depth = max(evidence.depth, depth)
@@ -207,6 +209,16 @@
             due.discard(part)
         return held
 
+    def neighbours(self, part: str) -> set[str]:
+        """Return the digests of requests without a part that were lost in crashes it was in."""
+        return {
+            request.digest
+            for crash in self._crashes
+            if part in crash.by_part
+            for request in crash.requests.values()
+            if part not in request.parts
+        }
+
     def record_answer(self, parts: Iterable[str], at: float) -> list[str]:
         """Record that an answer to a prompt with these parts has begun; return those let go."""
         return self.record_answers(dict.fromkeys(parts, at))
--- a/src/laburnumreel/coordination/_quarantine.py
+++ b/src/laburnumreel/coordination/_quarantine.py
@@ -9,6 +9,8 @@
 QUARANTINE_S = 600.0
 STRIKES_TO_QUARANTINE = 2
 MIN_PEER_REMAINING_S = 2.0
+# A request that was taken out is not adopted from peers for this long, as they may not know yet.
+FORGIVEN_S = 10.0
 # Bound of the digests with strikes and of those in quarantine; the oldest are dropped beyond it.
 MAX_DIGESTS = 10_000
 
@@ -30,6 +32,7 @@
     def __init__(self) -> None:
         self._strikes: dict[str, list[float]] = {}
         self._quarantined_until: dict[str, float] = {}
+        self._forgiven_until: dict[str, float] = {}
 
     def record_crash(self, digests: Iterable[str], alone: bool, now: float) -> set[str]:
         """Record a crash for the requests that ran there; return those that it quarantines."""
@@ -46,6 +49,19 @@
             del self._strikes[next(iter(self._strikes))]
         return quarantined
 
+    def forgive(self, digests: Iterable[str], now: float) -> list[str]:
+        """Take back all strikes of requests that another cause explains; return those released."""
+        self._forgiven_until = {
+            digest: until for digest, until in self._forgiven_until.items() if until > now
+        }
+        released = []
+        for digest in digests:
+            self._strikes.pop(digest, None)
+            self._forgiven_until[digest] = now + FORGIVEN_S
+            if self._quarantined_until.pop(digest, None) is not None:
+                released.append(digest)
+        return released
+
     def remaining_quarantine_s(self, digest: str, now: float) -> float | None:
         """Return for how many more seconds a request is quarantined, or None if it is not."""
         until = self._quarantined_until.get(digest)
@@ -71,6 +87,7 @@
         for digest, remaining in entries.items():
             if (
                 remaining >= MIN_PEER_REMAINING_S
+                and self._forgiven_until.get(digest, now) <= now
                 and self.remaining_quarantine_s(digest, now) is None
             ):
                 self._quarantine(digest, now + min(remaining, QUARANTINE_S))
--- a/src/laburnumreel/protocol/gen/relay/ttypes.py
+++ b/src/laburnumreel/protocol/gen/relay/ttypes.py
@@ -534,13 +534,15 @@
     Attributes:
      - request
      - parts
+     - digest
 
     """
 
 
-    def __init__(self, request=None, parts=None,):
+    def __init__(self, request=None, parts=None, digest=None,):
         self.request = request
         self.parts = parts
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -566,6 +568,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -587,6 +594,10 @@
                 oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 3)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1255,6 +1266,7 @@
     None,  # 0
     (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.STRING, 'digest', 'UTF8', None, ),  # 3
 )
 all_structs.append(Crash)
 Crash.thrift_spec = (
--- a/src/laburnumreel/relay/_crash_evidence.py
+++ b/src/laburnumreel/relay/_crash_evidence.py
@@ -18,6 +18,7 @@
     PART_RELEASED,
     PART_TRIED,
     REQUEST_HELD_BACK,
+    REQUEST_RELEASED,
     SERVER_CRASHED,
 )
 from laburnumreel.relay._metrics import RELAY_CRASHES, RELAY_HELD_PARTS
@@ -90,7 +91,8 @@
         self._crashes[lost.digest] = now + CRASH_S
         self._count_crash(lost.digest, now)
         if lost.parts:
-            self._suspects.record_crash(back_end, BrokenRequest(lost.request_id, lost.parts), now)
+            broken = BrokenRequest(lost.request_id, lost.parts, lost.digest)
+            self._suspects.record_crash(back_end, broken, now)
 
     def record_answer(self, parts: Sequence[str], now: float) -> None:
         """Record that the answer to a prompt with these shared parts has begun here."""
@@ -124,6 +126,7 @@
         held = self._suspects.hold_guilty(now)
         for each in held:
             self._log_held(each)
+            self._forgive_neighbours(each.part, now)
         return bool(held)
 
     def on_peer_update(self, update: PeerUpdate, now: float) -> bool:
@@ -147,6 +150,7 @@
         adopted = self._suspects.on_peer_holds(update.held_parts, now)
         for part in adopted:
             _log.warning(PART_HELD_BY_PEER, part=part, peer=update.sender)
+            self._forgive_neighbours(part, now)
         RELAY_HELD_PARTS.set(len(self._suspects.holds(now)))
         return bool(adopted)
 
@@ -177,6 +181,14 @@
         hosts = (self._host, *self._peers)
         return self._host == min(hosts, key=lambda host: _rank(host, part))
 
+    def _forgive_neighbours(self, part: str, now: float) -> None:
+        """Take back the crashes that a held part explains from the requests that died beside it."""
+        neighbours = self._suspects.neighbours(part)
+        for digest in neighbours:
+            self._crashes.pop(digest, None)
+        for digest in self._quarantine.forgive(neighbours, now):
+            _log.info(REQUEST_RELEASED, digest=digest[:16], part=part)
+
     def _count_crash(self, digest: str, now: float) -> None:
         # With `alone=False`, only repeated crashes quarantine the request.
         if self._quarantine.record_crash({digest}, alone=False, now=now):
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -75,6 +75,11 @@
 PART_HELD_BY_PEER = define_event(
     682, "part_held_by_peer", "a peer found a part of prompts that crashes backend servers"
 )
+REQUEST_RELEASED = define_event(
+    685,
+    "request_released",
+    "a request that was held back had only been beside a part that crashes servers",
+)
 PART_TRIED = define_event(
     684, "part_tried", "a single request is sent with a held part, which ends the hold if answered"
 )
--- a/src/laburnumreel/relay/_peer_update.py
+++ b/src/laburnumreel/relay/_peer_update.py
@@ -114,7 +114,10 @@
             ttypes.Crash(
                 each.back_end,
                 round(1000 * each.age_s),
-                [ttypes.Broken(broken.request, list(broken.parts)) for broken in each.requests],
+                [
+                    ttypes.Broken(broken.request, list(broken.parts), broken.digest)
+                    for broken in each.requests
+                ],
             )
             for each in update.crash_reports
         ],
@@ -183,7 +186,7 @@
                     each.back_end,
                     each.age_ms / 1000,
                     tuple(
-                        BrokenRequest(broken.request, tuple(broken.parts))
+                        BrokenRequest(broken.request, tuple(broken.parts), broken.digest or "")
                         for broken in each.requests
                     ),
                 )
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -10,7 +10,7 @@
 from platform_world import wait_until
 from relay_caller import BackgroundRequest, Caller
 
-pytestmark = pytest.mark.processes
+from laburnumreel.relay._crash_evidence import CrashEvidence, LostRequest
 
 DEADLY = "dd:400"
 # A route allows two sends for each request, and four crashes are enough to hold a part.
@@ -75,6 +75,7 @@
     return status == 503 and headers.get("x-error-kind") == "crashes_back_ends"
 
 
+@pytest.mark.processes
 def test_unlike_requests_with_a_deadly_part_stop_reaching_servers_on_all_hosts(world):
     """Requests that were no two alike crashed servers without end (BUDGET)."""
     engines = Engines(world, 6)
@@ -97,6 +98,7 @@
     assert engines.late_runs == 0
 
 
+@pytest.mark.processes
 def test_host_that_starts_learns_which_part_is_held_before_it_sends(world):
     engines = Engines(world, 6)
     first = world.start_relay("relay-1")
@@ -111,6 +113,7 @@
     assert engines.late_runs == 0
 
 
+@pytest.mark.processes
 def test_servers_that_crash_for_another_reason_hold_no_part_of_the_prompts_there(world):
     engines = Engines(world, 3)
     relay = world.start_relay("relay-1")
@@ -124,3 +127,19 @@
     assert engines.deadly_runs == 0
     assert not relay.find_log_lines("part_held")
     assert ask(relay, next(numbers))[0] == 200
+
+
+def test_request_that_died_beside_a_deadly_part_is_not_held_back():
+    """Sound requests were held back for ten minutes after they had died beside a bad one twice."""
+    evidence = CrashEvidence("host-a")
+    for now in (1.0, 2.0, 3.0, 4.0):
+        beside = LostRequest("r0", "sound", ("m/first", "m/own"))
+        bad = LostRequest(f"r{now}", f"bad-{now}", ("m/first", "m/deadly"))
+        for lost in (beside, bad):
+            evidence.record_crash(f"s{now}", lost, now)
+        evidence.record_answer(("m/first",), now + 0.1)
+    assert evidence.held("sound", ("m/first", "m/own"), "r0", 4.2) is not None
+    assert evidence.hold_guilty(4.5)
+    assert evidence.held("sound", ("m/first", "m/own"), "r0", 4.6) is None
+    assert "sound" not in evidence.update(4.6).crashes
+    assert evidence.held("other", ("m/first", "m/deadly"), "r9", 4.6) is not None
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -40,3 +40,19 @@
             break
     now = max(now, 700.0)
     assert not nodes[0].entries(now) and not nodes[1].entries(now)
+
+
+def test_request_beside_a_deadly_part_is_released_on_all_nodes():
+    """Requests that died twice beside a bad one were held back for ten minutes."""
+    nodes = (Quarantine(), Quarantine())
+    for node in nodes:
+        node.record_crash({"poison", "neighbour"}, False, 0.0)
+        node.record_crash({"poison", "neighbour"}, False, 1.0)
+    assert nodes[0].forgive({"neighbour"}, 2.0) == ["neighbour"]
+    nodes[0].on_peer_entries(nodes[1].entries(2.1), 2.1)
+    nodes[1].forgive({"neighbour"}, 2.2)
+    nodes[1].on_peer_entries(nodes[0].entries(2.3), 2.3)
+    for node in nodes:
+        assert node.remaining_quarantine_s("neighbour", 2.4) is None
+        assert node.remaining_quarantine_s("poison", 2.4) is not None
+        assert node.record_crash({"neighbour"}, False, 3.0) == set()
