Tell peers of crashes at once where regular updates are seldom

Cause: crashes and holds travelled with the regular updates only, whose interval grows with the number of hosts.

Change: a crash or a hold sends an update with only what concerns crashes, at most five a second, to peers whose regular interval is 0.3 s or more.

--- a/src/laburnumreel/protocol/gen/relay/ttypes.py
+++ b/src/laburnumreel/protocol/gen/relay/ttypes.py
@@ -736,11 +736,12 @@
      - crash_reports
      - answered
      - held_parts
+     - only_crashes
 
     """
 
 
-    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None, usage_window=None, ended=None, listing_seen=None, listing_away=None, gone=None, leaving_started_ms=None, store_era=None, fixed=None, limits=None, asked=None, limited_sends=None, crash_reports=None, answered=None, held_parts=None,):
+    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None, usage_window=None, ended=None, listing_seen=None, listing_away=None, gone=None, leaving_started_ms=None, store_era=None, fixed=None, limits=None, asked=None, limited_sends=None, crash_reports=None, answered=None, held_parts=None, only_crashes=None,):
         self.sender = sender
         self.boot = boot
         self.zone = zone
@@ -770,6 +771,7 @@
         self.crash_reports = crash_reports
         self.answered = answered
         self.held_parts = held_parts
+        self.only_crashes = only_crashes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1023,6 +1025,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.BOOL:
+                    self.only_crashes = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1202,6 +1209,10 @@
                 iter161.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.only_crashes is not None:
+            oprot.writeFieldBegin('only_crashes', TType.BOOL, 30)
+            oprot.writeBool(self.only_crashes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1307,6 +1318,7 @@
     (27, TType.LIST, 'crash_reports', (TType.STRUCT, [Crash, None], False), None, ),  # 27
     (28, TType.LIST, 'answered', (TType.STRUCT, [Timed, None], False), None, ),  # 28
     (29, TType.LIST, 'held_parts', (TType.STRUCT, [Timed, None], False), None, ),  # 29
+    (30, TType.BOOL, 'only_crashes', None, None, ),  # 30
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import Future
 
 from laburnumreel.core import Clock, Log, Task
@@ -10,7 +10,7 @@
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._cost_model import Location, PlacementCosts
-from laburnumreel.relay._crash_evidence import HeldReason, LostRequest
+from laburnumreel.relay._crash_evidence import CrashUpdate, HeldReason, LostRequest
 from laburnumreel.relay._dispatcher_messages import (
     AcquirePermit,
     AddressTaken,
@@ -19,6 +19,7 @@
     CheckCallLimit,
     DirectoryLinkChanged,
     GenerationStarted,
+    GetCrashUpdate,
     GetHoldBack,
     GetOwnBeliefs,
     LimitEnded,
@@ -96,6 +97,7 @@
         # The time at which a request last had to wait for a slot, by service.
         self._last_short_at: dict[str, float] = {}
         self._next_pass_at = float("-inf")
+        self._on_crash_news: Callable[[], None] = lambda: None
 
     # Calls from other threads.
 
@@ -157,6 +159,14 @@
         """Record that a backend server crashed while running a request."""
         self.tell(ServerCrashed(back_end, lost))
 
+    def set_crash_listener(self, on_crash_news: Callable[[], None]) -> None:
+        """Set the function to call when the peers should learn of a crash or a hold at once."""
+        self._on_crash_news = on_crash_news
+
+    def crash_update(self) -> CrashUpdate:
+        """Return what peers need to know of crashes."""
+        return self.ask(GetCrashUpdate()).result()
+
     def on_prompt_answered(self, parts: tuple[str, ...]) -> None:
         """Record that the answer to a prompt with these shared parts has begun."""
         if parts:
@@ -248,6 +258,7 @@
                 self._fleet_state.on_address_reused(back_end)
             case ServerCrashed(back_end, lost):
                 self._fleet_state.record_crash(back_end, lost, now)
+                self._on_crash_news()
             case PromptAnswered(parts):
                 self._fleet_state.crash_evidence.record_answer(parts, now)
             case ListingRead(listing):
@@ -275,6 +286,8 @@
                 self._retry_budget.release_unused(service, now)
             case GetHoldBack(digest, parts, request_id):
                 return self._fleet_state.crash_evidence.held(digest, parts, request_id, now)
+            case GetCrashUpdate():
+                return self._fleet_state.crash_evidence.update(now)
             case GetOwnBeliefs(cross_region):
                 return self._fleet_state.local_state(cross_region, now)
             case "view":
@@ -287,6 +300,7 @@
         now = self._clock.now()
         if self._fleet_state.crash_evidence.hold_guilty(now):
             self._refuse_held(now)
+            self._on_crash_news()
         self._place_waiting(now)
         self._refuse_expired(now)
         self._fleet_state.forget_old(now)
--- a/src/laburnumreel/relay/_dispatcher_messages.py
+++ b/src/laburnumreel/relay/_dispatcher_messages.py
@@ -77,6 +77,10 @@
     lost: LostRequest
 
 
+class GetCrashUpdate(NamedTuple):
+    """A request for the part of the peer update that concerns crashes."""
+
+
 class PromptAnswered(NamedTuple):
     parts: tuple[str, ...]
 
--- a/src/laburnumreel/relay/_peer_gossip.py
+++ b/src/laburnumreel/relay/_peer_gossip.py
@@ -1,5 +1,6 @@
 """The task that exchanges updates with the peers over UDP."""
 
+import contextlib
 import hashlib
 import selectors
 import socket
@@ -39,6 +40,10 @@
 # How long to wait for further datagrams after the first one of a batch. The send interval of the
 # peers already makes updates older than this delay.
 BATCH_WAIT_S = 0.02
+# Minimum time between two updates about crashes only, and the interval of regular updates from which
+# peers get them: more frequent ones are soon enough.
+CRASH_INTERVAL_S = 0.2
+MIN_INTERVAL_FOR_CRASHES_S = 0.3
 # Minimum time between two updates with usage counts to the same peer.
 USAGE_INTERVAL_S = 0.6
 # A host that has just become the reporter of usage, as a successor or after a network partition,
@@ -74,7 +79,8 @@
     or 0. `build_usage` returns the usage counts, with older windows and ended processes if called
     with True. `is_other_region` returns whether an availability zone is in another region.
     `on_updates` is called with each batch of received updates, `on_peer_silent` with the name of
-    a peer that timed out. All callbacks run on this task's thread.
+    a peer that timed out. `build_crash_update` builds an update about crashes only. All callbacks
+    run on this task's thread.
     """
 
     def __init__(
@@ -88,6 +94,7 @@
         is_other_region: Callable[[str], bool],
         on_updates: Callable[[Sequence[PeerUpdate]], None],
         on_peer_silent: Callable[[str], None],
+        build_crash_update: Callable[[], PeerUpdate] | None = None,
     ) -> None:
         super().__init__("peer-news", tick_s=0.0)
         self._clock = clock
@@ -99,12 +106,21 @@
         self._is_other_region = is_other_region
         self._on_updates = on_updates
         self._on_peer_silent = on_peer_silent
+        self._build_crash_update = build_crash_update
+        # When to send an update about crashes, if one is wanted, and when the next one may be sent.
+        self._crashes_due_at = float("inf")
+        self._next_crash_send = 0.0
         self._address = listen
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(listen)
         self._socket.setblocking(False)
         self._selector = selectors.DefaultSelector()
         self._selector.register(self._socket, selectors.EVENT_READ)
+        # Ends the wait for datagrams when another thread has something to send.
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        for end in (self._wake_reader, self._wake_writer):
+            end.setblocking(False)
+        self._selector.register(self._wake_reader, selectors.EVENT_READ)
         self._peers: dict[Address, _Peer] = {}
         # Sequence numbers start at the time of day, so that they do not decrease on a restart.
         self._sequence = time.time_ns() // 1_000_000
@@ -164,8 +180,18 @@
         """Add addresses that updates are sent to."""
         self.tell(("meet", tuple(addresses)))
 
+    def send_crashes(self) -> None:
+        """Tell the peers of crashes and held parts soon, without waiting for the next update."""
+        self.tell("crashes")
+        with contextlib.suppress(BlockingIOError):
+            # A full buffer means that the task is about to wake up anyway.
+            self._wake_writer.send(b"\0")
+
     def handle(self, message: object) -> None:
         match message:
+            case "crashes":
+                due_at = max(self._clock.now(), self._next_crash_send)
+                self._crashes_due_at = min(self._crashes_due_at, due_at)
             case ("meet", addresses):
                 for address in addresses:
                     self._add_peer(address)
@@ -173,13 +199,19 @@
                 super().handle(message)
 
     def tick(self) -> None:
-        wait_s = max(0.0, self._next_send - self._clock.now())
-        if self._selector.select(wait_s):
+        wait_s = max(0.0, min(self._next_send, self._crashes_due_at) - self._clock.now())
+        ready = [key.fileobj for key, _ in self._selector.select(wait_s)]
+        if self._wake_reader in ready:
+            self._wake_reader.recv(MAX_BYTES)
+        if self._socket in ready:
             # Processes datagrams in batches: with many peers, waking up for each datagram costs
             # more than processing it.
             time.sleep(min(BATCH_WAIT_S, max(0.0, self._next_send - self._clock.now())))
             self._receive()
         now = self._clock.now()
+        if now >= self._crashes_due_at:
+            self._crashes_due_at, self._next_crash_send = float("inf"), now + CRASH_INTERVAL_S
+            self._send_crash_update(now)
         if now >= self._next_send:
             self._adapt_send_intervals()
             self._next_send = now + self._send_intervals_s[False]
@@ -191,7 +223,8 @@
         self._handoff_peers = frozenset(address for _, address in sorted(known)[:HANDOFF_PEERS])
         self._send(self._clock.now())
         self._selector.close()
-        self._socket.close()
+        for each in (self._socket, self._wake_reader, self._wake_writer):
+            each.close()
 
     def _add_peer(self, address: Address) -> None:
         if address != self._address and address not in self._peers:
@@ -280,10 +313,31 @@
                 first_at = self._fence_usage_at(peer, now)
                 sent = sent._replace(usage_sent_at=now, fence_usage_at=first_at)
             self._peers[address] = sent
-            try:
-                self._socket.sendto(datagrams[peer.cross_region, usage], address)
-            except OSError as error:
-                self._log_unreadable(f"sending to {address[0]}: {error}")
+            self._send_datagram(datagrams[peer.cross_region, usage], address)
+
+    def _send_crash_update(self, now: float) -> None:
+        """Tell the peers of crashes that get regular updates too seldom for them."""
+        slow = {
+            cross_region
+            for cross_region, interval_s in self._send_intervals_s.items()
+            if interval_s >= MIN_INTERVAL_FOR_CRASHES_S
+        }
+        addresses = [
+            address
+            for address, peer in self._peers.items()
+            if peer.cross_region in slow and not self._is_silent(peer, now)
+        ]
+        if not addresses or self._build_crash_update is None:
+            return
+        datagram = self._encode_datagram(self._build_crash_update(), None)
+        for address in addresses:
+            self._send_datagram(datagram, address)
+
+    def _send_datagram(self, datagram: bytes, address: Address) -> None:
+        try:
+            self._socket.sendto(datagram, address)
+        except OSError as error:
+            self._log_unreadable(f"sending to {address[0]}: {error}")
 
     def _encode_datagram(self, update: PeerUpdate, usage: bool | None) -> bytes:
         self._sequence += 1
--- a/src/laburnumreel/relay/_peer_update.py
+++ b/src/laburnumreel/relay/_peer_update.py
@@ -45,6 +45,8 @@
     - `crash_reports`: recent crashes of backend servers and the requests that the sender lost by
       them; `answered`: parts of prompts in such requests, with the seconds since an answer with
       each last began; `held_parts`: parts that are held, with the remaining seconds of each.
+    - `only_crashes`: whether the update was sent between two others and has only these three fields
+      and `held_back` and `crashes`; everything else is as the last update said.
     """
 
     sender: str
@@ -75,6 +77,7 @@
     crash_reports: tuple[CrashReport, ...] = ()
     answered: Mapping[str, float] = {}
     held_parts: Mapping[str, float] = {}
+    only_crashes: bool = False
 
 
 def encode_update(update: PeerUpdate) -> bytes:
@@ -123,6 +126,7 @@
         ],
         answered=_encode_durations(update.answered),
         held_parts=_encode_durations(update.held_parts),
+        only_crashes=update.only_crashes,
         ended=[
             ttypes.EndedCounts(*each.process, each.window, dict(each.counts))
             for each in update.ended
@@ -194,6 +198,7 @@
             ),
             answered=_decode_durations(struct.answered or []),
             held_parts=_decode_durations(struct.held_parts or []),
+            only_crashes=bool(struct.only_crashes),
         )
     except Exception as error:
         # Malformed bytes make Thrift raise many kinds of exceptions; none may end the task.
--- a/src/laburnumreel/relay/_peer_update_handler.py
+++ b/src/laburnumreel/relay/_peer_update_handler.py
@@ -91,6 +91,30 @@
             fixed=self._usage_counters.fixed()[-MAX_SENT_FIXED_WINDOWS:],
         )
 
+    def build_crash_update(self) -> PeerUpdate:
+        """Return what peers should learn of crashes before the next regular update."""
+        table = self._table()
+        return PeerUpdate(
+            sender=self._host.name,
+            boot=self._boot,
+            zone=self._host.zone,
+            sequence=0,
+            config_version=table.version if table is not None else 0,
+            stopping=self._stopping(),
+            work={},
+            avoided={},
+            leaving={},
+            usage={},
+            kept={},
+            duty_fence=self._fence(),
+            listing_version=self._back_end_feed.schedule.changed_version,
+            listing_seen=self._back_end_feed.schedule.seen_version,
+            listing_away=self._back_end_feed.schedule.is_unavailable,
+            store_era=self._era.current,
+            only_crashes=True,
+            **self._dispatcher.crash_update()._asdict(),
+        )
+
     def build_usage(self, with_history: bool) -> UsageUpdate:
         """Return this host's counts of the last windows.
 
