Capture the connection limit's log line from before the server starts

Cause: the test is wrong, the product logs the line. The 109 idle connections exceed the limit, so that the server's thread closes the first idle one and logs 204 while they are still being opened. Further lines follow at most once a second. `capture_logs` began after the connections, so that the test passed only if the server's thread reached its first close after that, or took more than a second.

Change: the fixture `log_lines` captures what all threads log, from before the server starts until after it has stopped. It replaces the list of processors and doesn't change it in place as `capture_logs` does. The assertion is the same; the line must still be there once the new connection has its answer.

Without the log call in _wsgi.py the new test fails.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,9 +9,11 @@
 from pathlib import Path
 
 import pytest
+import structlog
 from hypothesis import HealthCheck, settings
 from platform_world import World
 from scripted_server import ScriptedServer
+from structlog.testing import LogCapture
 
 from laburnumreel_standins.deployment import Deployment
 
@@ -91,6 +93,20 @@
         terminalreporter.write_line(f"passed over, see KNOWN-RED.txt: {name}")
 
 
+@pytest.fixture
+def log_lines():
+    """The lines that all threads of this process log during the test.
+
+    A fixture whose threads log must depend on this one. `capture_logs` would miss the lines before
+    its block, and changes the list of processors in place, which fails a call on another thread.
+    """
+    capture = LogCapture()
+    processors = structlog.get_config()["processors"]
+    structlog.configure(processors=[capture])
+    yield capture.entries
+    structlog.configure(processors=processors)
+
+
 @pytest.fixture
 def deployment():
     """A deployment of real processes, which are stopped after the test."""
--- a/tests/test_caller_connection_limit.py
+++ b/tests/test_caller_connection_limit.py
@@ -4,7 +4,6 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from structlog.testing import capture_logs
 
 from laburnumreel.transport import HttpServer
 from laburnumreel.transport._wsgi import CONNECTIONS_PER_THREAD
@@ -17,7 +16,7 @@
 
 
 @pytest.fixture
-def server():
+def server(log_lines):
     def application(environ, start_response):
         start_response("200 OK", [("Content-Length", "2")])
         return [b"ok"]
@@ -40,13 +39,12 @@
     return connection.recv(65536)
 
 
-def test_new_connection_is_accepted_while_others_are_idle(server):
+def test_new_connection_is_accepted_while_others_are_idle(server, log_lines):
     """Idle connections blocked all new ones until they reached the idle limit."""
     kept = [connect(server) for _ in range(MAX_CONNECTIONS + 5)]
-    with capture_logs() as lines:
-        new_connection = connect(server)
-        assert ask(new_connection).startswith(b"HTTP/1.1 200 ")
-    assert [line for line in lines if line["number"] == 204]
+    new_connection = connect(server)
+    assert ask(new_connection).startswith(b"HTTP/1.1 200 ")
+    assert [line for line in log_lines if line["number"] == 204]
     # The most recently used connections are kept.
     assert ask(kept[-1]).startswith(b"HTTP/1.1 200 ")
 
