Capture the log lines of other threads without changing processors in use

Neither test was seen to fail. The assertions are the same and see more: all lines from before the threads start until the test ends.

The two other uses, in test_usage.py and test_malformed_values.py, run no thread and stay.

--- a/tests/test_caller_requests.py
+++ b/tests/test_caller_requests.py
@@ -6,7 +6,6 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from structlog.testing import capture_logs
 
 from laburnumreel.transport import HttpServer, _wsgi
 from laburnumreel_standins.processes import free_port, fresh_host, wait_until
@@ -76,7 +75,7 @@
 
 
 @pytest.fixture
-def server(application):
+def server(application, log_lines):
     executor = ThreadPoolExecutor(1)
     host = fresh_host()
     running = HttpServer(application, (host, free_port(host)), 4)
@@ -169,16 +168,15 @@
         statuses, received = read_answers(connection, 2)
         assert statuses == ["500", "200"] and b"/second:0" in received
 
-    def test_request_after_a_truncated_answer_is_logged(self, server):
+    def test_request_after_a_truncated_answer_is_logged(self, server, log_lines):
         """The connection must be closed so that the truncated answer does not look complete."""
-        with capture_logs() as lines:
-            connection = connect(server)
-            connection.sendall(get("/cut") + get("/second"))
-            while not has_ended(connection):
-                pass
-            cut = wait_until(
-                lambda: [line for line in lines if line["number"] == 203], "the log line"
-            )
+        connection = connect(server)
+        connection.sendall(get("/cut") + get("/second"))
+        while not has_ended(connection):
+            pass
+        cut = wait_until(
+            lambda: [line for line in log_lines if line["number"] == 203], "the log line"
+        )
         assert [(line["reason"], line["requests"]) for line in cut] == [("answer_closes", 1)]
 
     def test_request_after_connection_close_is_not_answered(self, server):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,7 +5,6 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from structlog.testing import capture_logs
 
 from laburnumreel.core import Field, Schema, Task, TaskStoppedError, define_event, kinds
 
@@ -46,16 +45,16 @@
         task.stop()
 
 
-def test_question_whose_handler_fails_is_not_repeated():
+def test_question_whose_handler_fails_is_not_repeated(log_lines):
     """Guards against a shutdown that ends in the middle because a task could not answer."""
-    with ThreadPoolExecutor(1) as executor, capture_logs() as lines:
+    with ThreadPoolExecutor(1) as executor:
         task = Doubler("doubler")
         task.start(executor)
         assert task.ask_until_true(1, 5.0)
         assert not task.ask_until_true(None, 5.0)
         task.stop()
         assert not task.ask_until_true(1, 5.0)
-    assert [line["name"] for line in lines] == ["task_failed", "task_failed"]
+    assert [line["name"] for line in log_lines] == ["task_failed", "task_failed"]
 
 
 def test_schema_reports_every_error_at_once():
