Accept a new connection at the limit without waiting for the event loop

Cause: at the limit the listener isn't polled. An idle connection is closed for the new one between two iterations of the event loop, and nothing ended the iteration but its time limit of 1 s or a byte of another caller.

Change: the listener is polled at the limit if a connection is idle, and accepts nothing until one was closed. If none is idle it isn't polled, as before, because a waiting connection would then make the loop run without a pause; the end of a request wakes the loop. The loop's time limit is a named constant.

--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -37,6 +37,8 @@
 POLL_INTERVAL_S = 0.02
 # Time limit for the thread of the sockets to end.
 LOOP_STOP_TIMEOUT_S = 10
+# How long the thread of the sockets waits if nothing happens, before it looks for stalled callers.
+LOOP_TIMEOUT_S = 1
 CONNECTIONS_PER_THREAD = 4
 # Minimum time between two log lines on idle connections that were closed for new ones.
 FULL_LOG_INTERVAL_S = 1.0
@@ -103,8 +105,21 @@
             if not self.is_closed:
                 raise
 
+    @property
+    def _is_full(self) -> bool:
+        return len(self._map) >= self.adj.connection_limit
+
     def readable(self) -> bool:
-        return self.accepting and len(self._map) < self.adj.connection_limit
+        # At the limit, a new connection must end the wait of the event loop, after which `clean_up`
+        # closes an idle one. Without one, the new connection would end each wait at once.
+        return self.accepting and (not self._is_full or self._has_idle_connection())
+
+    def handle_accept(self) -> None:
+        if not self._is_full:
+            super().handle_accept()
+
+    def _has_idle_connection(self) -> bool:
+        return any(channel.is_idle for channel in list(self.active_channels.values()))
 
     def clean_up(self) -> None:
         """Close idle and stalled connections, between two iterations of the event loop.
@@ -112,7 +127,7 @@
         Within an iteration, a new connection could get the descriptor of one that was just closed
         and would be mistaken for it.
         """
-        if self.accepting and len(self._map) >= self.adj.connection_limit:
+        if self.accepting and self._is_full:
             self._close_longest_idle()
         now = time.monotonic()
         if now >= self._next_cleanup_at:
@@ -275,7 +290,7 @@
     def _run(self) -> None:
         while not self._stop_event.is_set():
             self._server.clean_up()
-            wasyncore.loop(timeout=1, use_poll=True, map=self._map, count=1)
+            wasyncore.loop(timeout=LOOP_TIMEOUT_S, use_poll=True, map=self._map, count=1)
         left_s = round(self._answer_final_requests(), 2)
         self._server.is_closed = True
         for channel in list(self._server.active_channels.values()):
--- a/tests/test_caller_connection_limit.py
+++ b/tests/test_caller_connection_limit.py
@@ -5,13 +5,14 @@
 
 import pytest
 
-from laburnumreel.transport import HttpServer
+from laburnumreel.transport import HttpServer, _wsgi
 from laburnumreel.transport._wsgi import CONNECTIONS_PER_THREAD
-from laburnumreel_standins.processes import free_port, fresh_host
+from laburnumreel_standins.processes import free_port, fresh_host, wait_until
 
 THREADS = 1
 # The connection limit of `HttpServer` for `THREADS`, including its own two descriptors.
 MAX_CONNECTIONS = THREADS * CONNECTIONS_PER_THREAD + 100
+SILENT_S = 60
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -57,3 +58,15 @@
     partial.sendall(REQUEST[20:])
     assert partial.recv(65536).startswith(b"HTTP/1.1 200 ")
     assert kept
+
+
+def test_new_connection_at_the_limit_does_not_wait_for_the_event_loop(server, monkeypatch):
+    """A new connection waited until the event loop woke up by itself, up to a second."""
+    monkeypatch.setattr(_wsgi, "LOOP_TIMEOUT_S", 600)
+    kept = [connect(server) for _ in range(MAX_CONNECTIONS - 2)]
+    wait_until(lambda: server.connection_count == len(kept), "all connections to be accepted")
+    for _ in range(3):
+        new_connection = connect(server)
+        new_connection.settimeout(SILENT_S)
+        assert ask(new_connection).startswith(b"HTTP/1.1 200 ")
+        kept.append(new_connection)
