Limit a connect that goes on after a stop of the process

Seen: a process that was stopped for 1 s, 0.5 s into connecting to an address that doesn't answer, with a limit of 2 s, had not ended 15 s later (trial). The same without the stop: 2.01 s.

Cause: the limit was the kernel's (SO_SNDTIMEO). After SIGCONT the kernel returns EINTR, and Python then waits for a blocking socket without any limit of its own; only the kernel's retries end it.

Change: connecting uses the timeout of Python's socket. Sends and receives keep the kernel's.

--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -431,7 +431,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         for option in options:
             sock.setsockopt(*option)
-        sock.connect(address)
+        sock.connect_within(address, timeout_s)
     except OSError as error:
         sock.close()
         raise BackEndFailureError("connect_failed", repr(error), sent=False) from error
--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -98,6 +98,16 @@
     _is_timeout_changed = False
     _has_given_up = False
 
+    def connect_within(self, address: tuple[str, int], timeout_s: float) -> None:
+        """Connect, or raise TimeoutError after `timeout_s` seconds.
+
+        The kernel's timeout (`set_timeout`) does not suffice: if the process is stopped and
+        continued, Python goes on to wait for a blocking socket without a limit.
+        """
+        self.settimeout(max(MIN_TIMEOUT_S, timeout_s))
+        self.connect(address)
+        self.settimeout(None)
+
     def makefile(self, *arguments: Any, **options: Any) -> Any:
         if self._shared_reader is None:
             self._io_refs += 1
