Keep the silence limit of a receive across a stop of the process

Cause: the limit was the kernel's (SO_RCVTIMEO). After SIGCONT the kernel returns EINTR, and Python receives again, with the whole limit.

Change: one receive lasts at most MAX_RECEIVE_S (0.5 s), and is repeated until the limit by the monotonic clock. A stop can thus make a wait too long by at most that. The timeout is not checked with poll() because of its cost per token, and because ppoll, which arm64 uses, doesn't count the time of a stop.

Evidence: test_silence_limit_includes_the_time_of_a_stop lets an injected clock advance in place of the stop; it failed before in both variants (waited until it was ended after 30 s), now it takes 0.5 s.

--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -17,6 +17,9 @@
 TimeoutHandler = Callable[[bool], float | None]
 
 MIN_TIMEOUT_S = 0.001
+# Limit of one receive in the kernel; a longer wait consists of several. A stop of the process starts
+# a receive again.
+MAX_RECEIVE_S = 0.5
 # Linger for 0 seconds: closing resets the connection and discards unsent data.
 LINGER_RESET = struct.pack("ii", 1, 0)
 # No linger: unsent data is still sent after closing.
@@ -70,7 +73,7 @@
             return None
         self._sock.limit_next_receive()
         received = super().readinto(buffer)
-        while received is None and self._sock.extend_wait(received_any=False):
+        while received is None and self._sock.continue_wait():
             received = super().readinto(buffer)
         self._sock.count_received(received)
         if received is None:
@@ -91,7 +94,10 @@
     timed_out = False
     # While set, the reader returns only bytes that it has read ahead and receives nothing.
     buffered_only = False
+    # Limit of a receive outside a wait.
+    receive_limit_s = 0.0
     _shared_reader: _PersistentReader | None = None
+    _receive_deadline = 0.0
     _wait_deadline: float | None = None
     _remaining_bytes = 0
     _has_received = False
@@ -128,6 +134,7 @@
     def limit_next_receive(self) -> None:
         """Limit the next receive to the time and bytes that remain of the wait."""
         if self._wait_deadline is None:
+            self._receive_deadline = time.monotonic() + self.receive_limit_s
             return
         if self._remaining_bytes <= 0:
             raise TooManyBytesError("more bytes came than an answer may have here")
@@ -140,6 +147,16 @@
                 self.timed_out = True
                 raise TimeoutError("bytes come, but too slowly")
         self._has_received = True
+        self._receive_deadline = self._wait_deadline
+
+    def continue_wait(self) -> bool:
+        """Return whether to receive again, after a receive has ended without a byte."""
+        remaining_s = self._receive_deadline - time.monotonic()
+        if remaining_s <= 0:
+            return self.extend_wait(received_any=False)
+        _set_receive_timeout(self, remaining_s)
+        self._is_timeout_changed = True
+        return True
 
     def extend_wait(self, received_any: bool) -> bool:
         """Extend a wait that has timed out if `on_timeout` allows it, and return whether it does.
@@ -153,8 +170,9 @@
         if extra_s is None:
             self._has_given_up = True
             return False
+        self._receive_deadline = time.monotonic() + extra_s
         if self._wait_deadline is not None:
-            self._wait_deadline = max(self._wait_deadline, time.monotonic() + extra_s)
+            self._wait_deadline = max(self._wait_deadline, self._receive_deadline)
         set_timeout(self, extra_s)
         self._is_timeout_changed = True
         return True
@@ -196,17 +214,28 @@
         self.close()
 
 
-def set_timeout(sock: socket.socket, seconds: float) -> None:
+def set_timeout(sock: BackEndSocket, seconds: float) -> None:
     """Set the timeout of each send and receive on a blocking socket, in the kernel.
 
+    A receive that may take longer than `MAX_RECEIVE_S` is repeated until its time is over.
+
     The timeouts of Python's sockets need a `poll` before each call. With many streams, the
     additional thread switch for each token costs more than everything else.
     """
+    sock.receive_limit_s = seconds
+    _set_receive_timeout(sock, seconds)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, _kernel_timeout(seconds))
+
+
+def _set_receive_timeout(sock: BackEndSocket, seconds: float) -> None:
+    limit = _kernel_timeout(min(seconds, MAX_RECEIVE_S))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, limit)
+
+
+def _kernel_timeout(seconds: float) -> bytes:
     # Zero would mean no timeout.
     seconds = max(MIN_TIMEOUT_S, seconds)
-    limit = struct.pack("ll", int(seconds), int(seconds % 1 * 1_000_000))
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, limit)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
+    return struct.pack("ll", int(seconds), int(seconds % 1 * 1_000_000))
 
 
 def is_readable(sock: socket.socket | None) -> bool:
