--- a/tests/test_caller_connection_limit.py
+++ b/tests/test_caller_connection_limit.py
@@ -4,20 +4,20 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from structlog.testing import capture_logs
 
-from laburnumreel.transport import HttpServer
+from laburnumreel.transport import HttpServer, _wsgi
 from laburnumreel.transport._wsgi import CONNECTIONS_PER_THREAD
-from laburnumreel_standins.processes import free_port, fresh_host
+from laburnumreel_standins.processes import free_port, fresh_host, wait_until
 
 THREADS = 1
 # The connection limit of `HttpServer` for `THREADS`, including its own two descriptors.
 MAX_CONNECTIONS = THREADS * CONNECTIONS_PER_THREAD + 100
+SILENT_S = 60
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
 @pytest.fixture
-def server():
+def server(log_lines):
     def application(environ, start_response):
         start_response("200 OK", [("Content-Length", "2")])
         return [b"ok"]
@@ -40,13 +40,12 @@
     return connection.recv(65536)
 
 
-def test_new_connection_is_accepted_while_others_are_idle(server):
+def test_new_connection_is_accepted_while_others_are_idle(server, log_lines):
     """Idle connections blocked all new ones until they reached the idle limit."""
     kept = [connect(server) for _ in range(MAX_CONNECTIONS + 5)]
-    with capture_logs() as lines:
-        new_connection = connect(server)
-        assert ask(new_connection).startswith(b"HTTP/1.1 200 ")
-    assert [line for line in lines if line["number"] == 204]
+    new_connection = connect(server)
+    assert ask(new_connection).startswith(b"HTTP/1.1 200 ")
+    assert [line for line in log_lines if line["number"] == 204]
     # The most recently used connections are kept.
     assert ask(kept[-1]).startswith(b"HTTP/1.1 200 ")
 
@@ -59,3 +58,15 @@
     partial.sendall(REQUEST[20:])
     assert partial.recv(65536).startswith(b"HTTP/1.1 200 ")
     assert kept
+
+
+def test_new_connection_at_the_limit_does_not_wait_for_the_event_loop(server, monkeypatch):
+    """A new connection waited until the event loop woke up by itself, up to a second."""
+    monkeypatch.setattr(_wsgi, "LOOP_TIMEOUT_S", 600)
+    kept = [connect(server) for _ in range(MAX_CONNECTIONS - 2)]
+    wait_until(lambda: server.connection_count == len(kept), "all connections to be accepted")
+    for _ in range(3):
+        new_connection = connect(server)
+        new_connection.settimeout(SILENT_S)
+        assert ask(new_connection).startswith(b"HTTP/1.1 200 ")
+        kept.append(new_connection)
