Show operators what is held for crashing servers, and let it go

Operators could not see which part of a prompt is held, since when and why, and had no way to end a hold. The commands are `laburnumreel relay held ADDRESS...` and `relay release PART ADDRESS...`.

Evidence: test_unlike_requests_with_a_deadly_part_stop_reaching_servers_on_all_hosts uses both on two real relays; the part is let go on the one that was not asked, too.

--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -161,6 +161,8 @@
         # When an answer with each part last began, the oldest first.
         self._answered_at: dict[str, float] = {}
         self._holds: dict[str, _Hold] = {}
+        # Parts that were let go, which peers are told.
+        self._released_at: dict[str, float] = {}
         # Until when a single crash is enough to hold a part again.
         self._relapses: dict[str, float] = {}
         # Parts of recently broken requests, and when they can be judged.
@@ -235,6 +237,7 @@
             hold = self._holds.get(part)
             if hold is not None and at > hold.since:
                 self._release(part)
+                self._released_at[part] = at
                 released.append(part)
         while len(self._answered_at) > MAX_ANSWERED_PARTS:
             del self._answered_at[next(iter(self._answered_at))]
@@ -315,8 +318,11 @@
         )
 
     def answered_suspects(self, now: float) -> dict[str, float]:
-        """Return how long ago parts that a recent crash speaks against were last answered."""
-        ages = {}
+        """Return how long ago parts that a recent crash speaks against were last answered.
+
+        Parts that were let go lately are among them, however old the crashes are.
+        """
+        ages = {part: now - at for part, at in self._released_at.items()}
         for crash in self._crashes:
             if now - crash.at >= 2 * REPORT_S:
                 continue
@@ -333,6 +339,9 @@
         for part in ended:
             self._release(part)
             self._relapses[part] = now + RELAPSE_S
+        self._released_at = {
+            part: at for part, at in self._released_at.items() if now - at < REPORT_S
+        }
         self._relapses = {part: until for part, until in self._relapses.items() if until > now}
         return ended
 
--- a/src/laburnumreel/relay/_crash_evidence.py
+++ b/src/laburnumreel/relay/_crash_evidence.py
@@ -51,6 +51,21 @@
     remaining_s: float
 
 
+class HeldPartView(NamedTuple):
+    """A held part as operators see it.
+
+    `found_by` is the host that judged it. `back_ends` crashed because of it, as far as this host
+    knows; `refused` requests were refused here. `held_s` and `remaining_s` are seconds.
+    """
+
+    part: str
+    found_by: str
+    back_ends: tuple[str, ...]
+    held_s: float
+    remaining_s: float
+    refused: int
+
+
 class CrashUpdate(NamedTuple):
     """The part of a host's peer update about crashes; the fields are those of `PeerUpdate`."""
 
@@ -71,6 +86,8 @@
     def __init__(self, host: str) -> None:
         self._host = host
         self._peers: set[str] = set()
+        self._held_views: dict[str, HeldPartView] = {}
+        self._held_since: dict[str, float] = {}
         self._quarantine = Quarantine()
         self._suspects = CrashSuspects()
         self._crashes: dict[str, float] = {}
@@ -112,6 +129,8 @@
         if held is None or self._suspects.may_try(parts, request_id, now, self._is_trial_host):
             return None
         part, remaining_s = held
+        view = self._held_views[part]
+        self._held_views[part] = view._replace(refused=view.refused + 1)
         detail = f"part {part} of the prompt crashed backend servers and is held back"
         return HeldReason(detail, remaining_s)
 
@@ -126,6 +145,7 @@
         held = self._suspects.hold_guilty(now)
         for each in held:
             self._log_held(each)
+            self._add_view(each.part, self._host, each.back_ends, now)
             self._forgive_neighbours(each.part, now)
         return bool(held)
 
@@ -150,10 +170,26 @@
         adopted = self._suspects.on_peer_holds(update.held_parts, now)
         for part in adopted:
             _log.warning(PART_HELD_BY_PEER, part=part, peer=update.sender)
+            self._add_view(part, update.sender, (), now)
             self._forgive_neighbours(part, now)
         RELAY_HELD_PARTS.set(len(self._suspects.holds(now)))
         return bool(adopted)
 
+    def held_parts(self, now: float) -> list[HeldPartView]:
+        """Return what is held, for operators."""
+        remaining = self._suspects.holds(now)
+        return [
+            view._replace(held_s=now - self._held_since[part], remaining_s=remaining[part])
+            for part, view in self._held_views.items()
+            if part in remaining
+        ]
+
+    def release(self, part: str, now: float) -> bool:
+        """Let a held part go on all hosts, as an operator asked; return whether it was held."""
+        released = self._suspects.record_answers({part: now})
+        self._log_released(released, "an operator let it go")
+        return bool(released)
+
     def update(self, now: float) -> CrashUpdate:
         """Return what peers need to know."""
         return CrashUpdate(
@@ -203,8 +239,14 @@
             requests=held.requests,
         )
 
+    def _add_view(self, part: str, found_by: str, back_ends: tuple[str, ...], now: float) -> None:
+        self._held_since[part] = now
+        self._held_views[part] = HeldPartView(part, found_by, back_ends, 0.0, 0.0, 0)
+
     def _log_released(self, parts: Sequence[str], reason: str) -> None:
         for part in parts:
+            self._held_views.pop(part, None)
+            self._held_since.pop(part, None)
             _log.warning(PART_RELEASED, part=part, reason=reason)
 
 
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -10,7 +10,7 @@
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._cost_model import Location, PlacementCosts
-from laburnumreel.relay._crash_evidence import CrashUpdate, HeldReason, LostRequest
+from laburnumreel.relay._crash_evidence import CrashUpdate, HeldPartView, HeldReason, LostRequest
 from laburnumreel.relay._dispatcher_messages import (
     AcquirePermit,
     AddressTaken,
@@ -20,6 +20,7 @@
     DirectoryLinkChanged,
     GenerationStarted,
     GetCrashUpdate,
+    GetHeldParts,
     GetHoldBack,
     GetOwnBeliefs,
     LimitEnded,
@@ -27,6 +28,7 @@
     PlaceRequest,
     PromptAnswered,
     PromptRead,
+    ReleasePart,
     ReturnPermit,
     ServerCrashed,
     ServerReported,
@@ -167,6 +169,14 @@
         """Return what peers need to know of crashes."""
         return self.ask(GetCrashUpdate()).result()
 
+    def held_parts(self) -> list[HeldPartView]:
+        """Return the parts of prompts that are held, for operators."""
+        return self.ask(GetHeldParts()).result()
+
+    def release_part(self, part: str) -> bool:
+        """Let a held part go on all hosts, and return whether it was held here."""
+        return self.ask(ReleasePart(part)).result()
+
     def on_prompt_answered(self, parts: tuple[str, ...]) -> None:
         """Record that the answer to a prompt with these shared parts has begun."""
         if parts:
@@ -288,6 +298,12 @@
                 return self._fleet_state.crash_evidence.held(digest, parts, request_id, now)
             case GetCrashUpdate():
                 return self._fleet_state.crash_evidence.update(now)
+            case GetHeldParts():
+                return self._fleet_state.crash_evidence.held_parts(now)
+            case ReleasePart(part):
+                is_released = self._fleet_state.crash_evidence.release(part, now)
+                self._on_crash_news()
+                return is_released
             case GetOwnBeliefs(cross_region):
                 return self._fleet_state.local_state(cross_region, now)
             case "view":
--- a/src/laburnumreel/relay/_dispatcher_messages.py
+++ b/src/laburnumreel/relay/_dispatcher_messages.py
@@ -81,6 +81,14 @@
     """A request for the part of the peer update that concerns crashes."""
 
 
+class GetHeldParts(NamedTuple):
+    """A request for the held parts, for operators."""
+
+
+class ReleasePart(NamedTuple):
+    part: str
+
+
 class PromptAnswered(NamedTuple):
     parts: tuple[str, ...]
 
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -268,7 +268,12 @@
         self._readiness = HttpServer(
             self._answer_readiness, settings.listen.readiness, READINESS_THREADS
         )
-        self._admin = create_admin_server(settings.listen.admin, self._admin_readiness)
+        self._admin = create_admin_server(
+            settings.listen.admin,
+            self._admin_readiness,
+            {"/held": self._held_parts},
+            {"/release": self._release_part},
+        )
 
     def run(self, load_settings: LoadSettings) -> int:
         """Serve until SIGTERM and return the exit code. `load_settings` reloads the settings."""
@@ -429,6 +434,12 @@
             start_response("503 Service Unavailable", [("Content-Length", "0")])
         return [b""]
 
+    def _held_parts(self) -> dict[str, Any]:
+        return {"held": [each._asdict() for each in self._dispatcher.held_parts()]}
+
+    def _release_part(self, part: str) -> dict[str, Any]:
+        return {"released": self._dispatcher.release_part(part)}
+
     def _admin_readiness(self) -> tuple[bool, dict[str, Any]]:
         table = self._application.table
         return self._is_ready(), {
--- a/src/laburnumreel/transport/_admin.py
+++ b/src/laburnumreel/transport/_admin.py
@@ -1,7 +1,7 @@
 """The HTTP server of a process for health checks and metrics."""
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from laburnumreel.core import render_metrics
@@ -13,14 +13,34 @@
 ReadinessCheck = Callable[[], tuple[bool, dict[str, Any]]]
 
 
-def create_admin_server(address: tuple[str, int], check_readiness: ReadinessCheck) -> HttpServer:
+# Returns what a page shows, or the result of an action on the argument that its path ends with.
+Page = Callable[[], dict[str, Any]]
+Action = Callable[[str], dict[str, Any]]
+
+
+def create_admin_server(
+    address: tuple[str, int],
+    check_readiness: ReadinessCheck,
+    pages: Mapping[str, Page] | None = None,
+    actions: Mapping[str, Action] | None = None,
+) -> HttpServer:
     """Return an HTTP server that answers `/healthz`, `/readyz` and `/metrics`.
 
-    `/readyz` has status 503 while `check_readiness` returns False.
+    `/readyz` has status 503 while `check_readiness` returns False. `pages` are further paths that
+    GET returns as JSON. `actions` are paths that POST runs, with the path's last segment, which is
+    percent-encoded, as the argument.
     """
 
     def application(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
-        status, content_type, body = _respond(environ["PATH_INFO"], check_readiness)
+        path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
+        head, _, argument = path[1:].partition("/")
+        if path in (pages or {}):
+            answer = _json(pages[path]())
+        elif method == "POST" and argument and f"/{head}" in (actions or {}):
+            answer = _json(actions[f"/{head}"](argument))
+        else:
+            answer = _respond(path, check_readiness)
+        status, content_type, body = answer
         headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
         start_response(status, headers)
         return [b"" if environ["REQUEST_METHOD"] == "HEAD" else body]
@@ -28,6 +48,10 @@
     return HttpServer(application, address, ADMIN_THREADS)
 
 
+def _json(value: dict[str, Any]) -> tuple[str, str, bytes]:
+    return "200 OK", "application/json", json.dumps(value).encode()
+
+
 def _respond(path: str, check_readiness: ReadinessCheck) -> tuple[str, str, bytes]:
     if path == "/healthz":
         return "200 OK", "text/plain", b"ok\n"
--- a/src/laburnumreel/ui/_relay.py
+++ b/src/laburnumreel/ui/_relay.py
@@ -6,6 +6,7 @@
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 import click
 
@@ -70,6 +71,40 @@
         )
 
 
+@relay.command("held")
+@click.argument("addresses", nargs=-1, required=True)
+@common_options
+@pass_context
+def held(context: Context, addresses: tuple[str, ...]) -> None:
+    """Show the parts of prompts that the hosts at admin ADDRESSES hold, why, and since when."""
+    rows = [
+        {"address": address, **row}
+        for address in addresses
+        for row in _call_admin(address, "GET", "/held")["held"]
+    ]
+    for row in rows:
+        row["back_ends"] = ",".join(row["back_ends"])
+        row |= {name: round(row[name]) for name in ("held_s", "remaining_s")}
+    texts = format_table(rows, tuple(rows[0])) if rows else ["no part of a prompt is held"]
+    context.print_result({"held": rows}, texts)
+
+
+@relay.command("release")
+@click.argument("part")
+@click.argument("addresses", nargs=-1, required=True)
+@common_options
+@pass_context
+def release(context: Context, part: str, addresses: tuple[str, ...]) -> None:
+    """Let a held PART go; the hosts at admin ADDRESSES tell all others."""
+    path = f"/release/{quote(part, safe='')}"
+    released = [each for each in addresses if _call_admin(each, "POST", path)["released"]]
+    if not released:
+        raise UserError(ExitCode.CHECK_FAILED, f"part {part} is not held there")
+    context.print_result(
+        {"released": released}, [f"{part} was let go at {each}" for each in released]
+    )
+
+
 @relay.command("trace")
 @click.argument("request_id")
 @click.argument("logs", nargs=-1, required=True, type=click.File(errors="replace"))
@@ -228,20 +263,25 @@
             yield (prefix[-1] if prefix else Path(log.name).stem), line
 
 
-def _fetch_status(address: str) -> dict[str, Any]:
-    row = {"address": address, "ready": False, "configuration": 0, "peers": 0}
-    row |= {"duties": False, "stopping": False}
+def _call_admin(address: str, method: str, path: str) -> dict[str, Any]:
+    """Return what a host answers at its admin address; raise `UserError` if it does not."""
     parsed_address = parse_address(address)
     if parsed_address is None:
         raise UserError(ExitCode.USAGE, f"invalid address {address}: HOST:PORT is expected")
     connection = http.client.HTTPConnection(*parsed_address, timeout=STATUS_TIMEOUT_S)
     try:
-        connection.request("GET", "/readyz")
-        status_body = json.loads(connection.getresponse().read())
+        connection.request(method, path)
+        return json.loads(connection.getresponse().read())
     except (OSError, http.client.HTTPException, ValueError) as error:
         raise UserError(ExitCode.UNREACHABLE, f"{address} did not answer: {error}") from error
     finally:
         connection.close()
+
+
+def _fetch_status(address: str) -> dict[str, Any]:
+    row = {"address": address, "ready": False, "configuration": 0, "peers": 0}
+    row |= {"duties": False, "stopping": False}
+    status_body = _call_admin(address, "GET", "/readyz")
     row |= {name: status_body[name] for name in ("ready", "configuration", "duties", "stopping")}
     row["peers"] = len(status_body["peers"])
     return row
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -1,16 +1,20 @@
 """A part of a prompt that crashes every backend server which begins to answer it."""
 
 import itertools
+import json
 import socket
 import threading
 import time
 
 import pytest
+from click.testing import CliRunner
 from platform_answers import close_unanswered, engine
 from platform_world import wait_until
 from relay_caller import BackgroundRequest, Caller
 
 from laburnumreel.relay._crash_evidence import CrashEvidence, LostRequest
+from laburnumreel.ui import cli
+from laburnumreel.ui._context import Context
 
 DEADLY = "dd:400"
 # A route allows two sends for each request, and four crashes are enough to hold a part.
@@ -69,6 +73,10 @@
     return Caller(relay).ask("/ask/q", body=f"{number}".encode(), **prompt(number, *parts))[:2]
 
 
+def held_parts(relay):
+    return json.loads(relay.get(relay.admin_port, "/held")[1])["held"]
+
+
 def is_refused(relay, number):
     time.sleep(PAUSE_S)
     status, headers = ask(relay, number, DEADLY)
@@ -96,6 +104,15 @@
         assert is_refused(relay, next(numbers))
         assert ask(relay, next(numbers))[0] == 200
     assert engines.late_runs == 0
+    admin = [f"{relay.host}:{relay.admin_port}" for relay in relays]
+    shown = CliRunner().invoke(cli, ["relay", "held", *admin, "--json"], obj=Context())
+    assert {row["part"] for row in json.loads(shown.output)["held"]} == {"m/dd"}
+    assert (
+        CliRunner().invoke(cli, ["relay", "release", "m/dd", admin[0]], obj=Context()).exit_code
+        == 0
+    )
+    for relay in relays:
+        wait_until(lambda relay=relay: not held_parts(relay), "all hosts let the part go")
 
 
 @pytest.mark.processes
