Hold parts of prompts that crash engines in unlike requests at the gateway

The dispatcher now records each crash against the shared parts of the requests that had not begun to be answered, the first token clears the parts of its prompt, and a part that CrashSuspects holds is refused with `quarantined` on arrival, while waiting, before each further send, a hedged send and a resumed stream. Parts are messages of chats and elements of their content, without the last one, or beginnings of text prompts. Crashes, answered suspects and held parts travel with the peer exchange; held parts are in each answer too.

--- a/idl/node.thrift
+++ b/idl/node.thrift
@@ -26,6 +26,25 @@
   2: i32 remaining_ms
 }
 
+// A part of prompts that is held, or was answered. Parts and requests are digests of eight bytes.
+struct PartTime {
+  1: binary part
+  2: i32 ms
+}
+
+struct BrokenRequest {
+  1: binary request
+  // The digests of its parts in a row.
+  2: binary parts
+}
+
+// What the sender saw of the crash of a back end.
+struct CrashReport {
+  1: string back_end
+  2: i32 age_ms
+  3: list<BrokenRequest> requests
+}
+
 struct Exchange {
   1: string sender
   2: string role
@@ -45,6 +64,10 @@
   // Ages of two bytes each, and the digest of the list of gateways that they are for.
   16: binary ages
   17: binary gateways_digest
+  // The time that remains of each held part, and the time since suspected ones were answered.
+  18: list<PartTime> held_parts
+  19: list<PartTime> answered_parts
+  20: list<CrashReport> crash_reports
 }
 
 struct Change {
--- a/src/laburnumreel/coordination/_gossip.py
+++ b/src/laburnumreel/coordination/_gossip.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
+from laburnumreel.coordination._crash_suspects import CrashReport
 from laburnumreel.coordination._messages import (
     Address,
     ExchangeMessage,
@@ -25,6 +26,8 @@
 LIST_ELEMENT_BYTES = 32
 MAX_FULL_ROUND_PEERS = 16
 SAMPLED_PEERS = 8
+# Bytes of a message that the news of crashes may take.
+MAX_CRASH_NEWS_BYTES = 24 * 1024
 # Limits the number of customers whose figures are kept for an unreachable peer.
 MAX_UNSENT_CUSTOMERS = 512
 
@@ -145,11 +148,13 @@
         withdrawn = budget.take(reversed(peer.unconfirmed) if peer else (), len)
         update = self._local_update if with_update else NodeUpdate()
         unsent_received = peer.unsent_received if peer and with_update else {}
-        included = NodeUpdate(
-            tuple(budget.take(update.drains, lambda mark: len(mark.target) + len(mark.reason))),
-            tuple(budget.take(update.quarantines, lambda entry: len(entry.digest))),
-            dict(budget.take(update.in_flight.items(), lambda item: len(item[0]))),
-            dict(budget.take(unsent_received.items(), lambda item: len(item[0]))),
+        included = self._crash_news(budget.split(MAX_CRASH_NEWS_BYTES), with_update)._replace(
+            drains=tuple(
+                budget.take(update.drains, lambda mark: len(mark.target) + len(mark.reason))
+            ),
+            quarantines=tuple(budget.take(update.quarantines, lambda entry: len(entry.digest))),
+            in_flight=dict(budget.take(update.in_flight.items(), lambda item: len(item[0]))),
+            received=dict(budget.take(unsent_received.items(), lambda item: len(item[0]))),
         )
         if peer:
             # Figures are sent at most once: a repeated one would be charged to the customer twice.
@@ -168,6 +173,22 @@
             stopping=self._stopping,
         )
 
+    def _crash_news(self, budget: "_ByteBudget", with_update: bool) -> NodeUpdate:
+        """Return the news of crashes that fit into a message.
+
+        Held parts are part of every message, so that a process knows them after its first call.
+        """
+        update = self._local_update
+        held_parts = dict(budget.take(update.held_parts.items(), lambda item: len(item[0])))
+        if not with_update:
+            return NodeUpdate(held_parts=held_parts)
+        answered = dict(budget.take(update.answered_parts.items(), lambda item: len(item[0])))
+        return NodeUpdate(
+            held_parts=held_parts,
+            crash_reports=tuple(budget.take(update.crash_reports, _report_size)),
+            answered_parts=answered,
+        )
+
     def build_call(self, address: Address) -> ExchangeMessage:
         """Return the message of a call to a peer.
 
@@ -279,12 +300,26 @@
             peer.unconfirmed = list(self._known_withdrawn)
 
 
+def _report_size(report: CrashReport) -> int:
+    requests = sum(
+        LIST_ELEMENT_BYTES + len(each.request) + sum(map(len, each.parts))
+        for each in report.requests
+    )
+    return len(report.back_end) + requests
+
+
 class _ByteBudget:
     """The bytes left in a message. Items that do not fit wait for the next round."""
 
     def __init__(self, remaining: int) -> None:
         self._remaining = remaining
 
+    def split(self, maximum: int) -> "_ByteBudget":
+        """Return a part of this budget, which is no longer available here."""
+        split = _ByteBudget(min(self._remaining, maximum))
+        self._remaining -= split._remaining
+        return split
+
     def take(self, items: Iterable, size_of) -> list:
         taken = []
         for item in items:
--- a/src/laburnumreel/coordination/_messages.py
+++ b/src/laburnumreel/coordination/_messages.py
@@ -5,6 +5,7 @@
 
 from expression import Result
 
+from laburnumreel.coordination._crash_suspects import CrashReport
 from laburnumreel.state import Change, Configuration, FieldError, Fields
 
 Address = tuple[str, int]
@@ -30,13 +31,17 @@
 
     `in_flight` maps a back end to its requests and prefill tokens running now. `received` maps
     `customer/service` to the tokens and requests charged since the last exchange; corrections may
-    be negative.
+    be negative. `held_parts` maps the held parts of prompts to the remaining seconds of each,
+    `answered_parts` suspected ones to the seconds since an answer with each last began.
     """
 
     drains: tuple[DrainMark, ...] = ()
     quarantines: tuple[QuarantineEntry, ...] = ()
     in_flight: Mapping[str, tuple[int, int]] = {}
     received: Mapping[str, tuple[int, int]] = {}
+    held_parts: Mapping[str, float] = {}
+    crash_reports: tuple[CrashReport, ...] = ()
+    answered_parts: Mapping[str, float] = {}
 
 
 class ExchangeMessage(NamedTuple):
@@ -111,6 +116,10 @@
 
     def on_peer_update(self, peer: str, update: NodeUpdate, now: float) -> None: ...
 
+    def on_peer_holds(self, held_parts: Mapping[str, float]) -> None:
+        """Handle the held parts of prompts in an answer that carries no other update."""
+        ...
+
 
 class NullGossipDelegate:
     """The delegate of a process that has no updates to send and ignores those of peers."""
@@ -123,6 +132,9 @@
     def on_peer_update(self, peer: str, update: NodeUpdate, now: float) -> None:
         """Ignore the update."""
 
+    def on_peer_holds(self, held_parts: Mapping[str, float]) -> None:
+        """Ignore the held parts."""
+
 
 def format_address(address: Address) -> str:
     """Return the address as HOST:PORT."""
--- a/src/laburnumreel/coordination/_peers.py
+++ b/src/laburnumreel/coordination/_peers.py
@@ -113,7 +113,7 @@
         return self.ask(_IncomingCall(ours)).result(CALL_TIMEOUT_S)
 
     def exchange_now(self) -> None:
-        """Start an exchange now, for urgent changes: withdrawals, drain marks and quarantines.
+        """Start an exchange now, for urgent changes: withdrawals, drain marks, quarantines, crashes.
 
         A peer with a call in flight is called again once that call has ended.
         """
@@ -190,6 +190,8 @@
             # call. The processes of a node share its name, so the role is part of the key.
             peer = f"{theirs.role}/{theirs.sender}"
             self._delegate.on_peer_update(peer, theirs.update, self._clock.now())
+        elif theirs.update.held_parts:
+            self._delegate.on_peer_holds(theirs.update.held_parts)
         self._fetch_newer_config(address, theirs, comparison)
         if address in self._repeat_after_call:
             self._repeat_after_call.discard(address)
--- a/src/laburnumreel/coordination/_routing.py
+++ b/src/laburnumreel/coordination/_routing.py
@@ -30,7 +30,10 @@
 
 
 class RoutingRequest(NamedTuple):
-    """A request as routing sees it. `prefixes` are the digests of its prompt, shortest first."""
+    """A request as routing sees it. `prefixes` are the digests of its prompt, shortest first.
+
+    `parts` are the digests of the parts of its prompt that other prompts may share.
+    """
 
     request_id: str
     service: str
@@ -41,6 +44,7 @@
     output_tokens: int
     prefixes: tuple[str, ...]
     priority: int
+    parts: tuple[str, ...] = ()
 
 
 class RoutingChoice(NamedTuple):
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -7,6 +7,7 @@
 import secrets
 import signal
 import time
+from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -171,6 +172,10 @@
         """Apply the update of a peer."""
         self._dispatcher.on_peer_update(peer, update)
 
+    def on_peer_holds(self, held_parts: Mapping[str, float]) -> None:
+        """Apply the held parts of prompts in a peer's answer."""
+        self._dispatcher.on_peer_holds(held_parts)
+
     def status(self) -> NodeStatus:
         """Return the state of this gateway for operators."""
         configuration, node = self._config.configuration, self._settings.node
--- a/src/laburnumreel/protocol/__init__.py
+++ b/src/laburnumreel/protocol/__init__.py
@@ -37,10 +37,12 @@
     sse_event,
     token_limit,
 )
+from laburnumreel.protocol._prompt_parts import PART_DIGEST_BYTES, prompt_parts
 
 __all__ = [
     "HOP_BY_HOP",
     "MAX_STORED_BYTES",
+    "PART_DIGEST_BYTES",
     "idempotency_key",
     "replay_answer",
     "request_digest",
@@ -60,6 +62,7 @@
     "models_body",
     "new_request_id",
     "parse_model_request",
+    "prompt_parts",
     "find_key",
     "refusal_answer",
     "refusal_event",
--- a/src/laburnumreel/protocol/_wire.py
+++ b/src/laburnumreel/protocol/_wire.py
@@ -2,16 +2,20 @@
 
 import json
 import re
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from laburnumreel.coordination import (
+    BrokenRequest,
     ClaimState,
+    CrashReport,
     DrainMark,
     ExchangeMessage,
     NodeStatus,
     NodeUpdate,
     QuarantineEntry,
 )
+from laburnumreel.protocol._prompt_parts import PART_DIGEST_BYTES
 from laburnumreel.protocol.gen.node import ttypes
 from laburnumreel.state import Change, Configuration
 
@@ -57,6 +61,19 @@
         stopping=message.stopping,
         ages=message.ages or None,
         gateways_digest=message.gateways_digest or None,
+        held_parts=_part_times_to_wire(update.held_parts),
+        answered_parts=_part_times_to_wire(update.answered_parts),
+        crash_reports=[
+            ttypes.CrashReport(
+                report.back_end,
+                _to_ms(report.age_s),
+                [
+                    ttypes.BrokenRequest(bytes.fromhex(each.request), _parts_to_wire(each.parts))
+                    for each in report.requests
+                ],
+            )
+            for report in update.crash_reports
+        ],
     )
 
 
@@ -143,8 +160,16 @@
 
 
 def _update_from_wire(wire: ttypes.Exchange) -> NodeUpdate:
-    for part in (wire.drains, wire.quarantines, wire.in_flight, wire.received):
-        for item in part or ():
+    for items in (
+        wire.drains,
+        wire.quarantines,
+        wire.in_flight,
+        wire.received,
+        wire.held_parts,
+        wire.answered_parts,
+        wire.crash_reports,
+    ):
+        for item in items or ():
             _require_fields(item, *(spec[2] for spec in item.thrift_spec if spec))
     return NodeUpdate(
         tuple(
@@ -157,9 +182,48 @@
         ),
         {work.back_end: (work.requests, work.prefill_tokens) for work in wire.in_flight or ()},
         {item.customer: (item.tokens, item.requests) for item in wire.received or ()},
+        _part_times_from_wire(wire.held_parts),
+        tuple(_crash_report_from_wire(report) for report in wire.crash_reports or ()),
+        _part_times_from_wire(wire.answered_parts),
+    )
+
+
+def _part_times_to_wire(seconds: Mapping[str, float]) -> list[ttypes.PartTime]:
+    return [ttypes.PartTime(bytes.fromhex(part), _to_ms(each)) for part, each in seconds.items()]
+
+
+def _part_times_from_wire(wire: list[ttypes.PartTime] | None) -> dict[str, float]:
+    return {_part_from_wire(each.part): max(0, each.ms) / _MS_PER_S for each in wire or ()}
+
+
+def _parts_to_wire(parts: Sequence[str]) -> bytes:
+    return b"".join(map(bytes.fromhex, parts))
+
+
+def _part_from_wire(part: bytes) -> str:
+    if len(part) != PART_DIGEST_BYTES:
+        raise WireError(f"not the digest of a part: {part!r:.80}")
+    return part.hex()
+
+
+def _crash_report_from_wire(wire: ttypes.CrashReport) -> CrashReport:
+    for each in wire.requests:
+        _require_fields(each, "request", "parts")
+    return CrashReport(
+        wire.back_end,
+        max(0, wire.age_ms) / _MS_PER_S,
+        tuple(
+            BrokenRequest(_part_from_wire(each.request), _parts_from_wire(each.parts))
+            for each in wire.requests
+        ),
     )
 
 
+def _parts_from_wire(parts: bytes) -> tuple[str, ...]:
+    starts = range(0, len(parts), PART_DIGEST_BYTES)
+    return tuple(_part_from_wire(parts[at : at + PART_DIGEST_BYTES]) for at in starts)
+
+
 def _require_fields(wire: Any, *names: str) -> None:
     for name in names:
         if getattr(wire, name) is None:
--- a/src/laburnumreel/protocol/gen/node/Node.py
+++ b/src/laburnumreel/protocol/gen/node/Node.py
@@ -644,11 +644,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Change()
-                        _elem47.read(iprot)
-                        self.success.append(_elem47)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Change()
+                        _elem75.read(iprot)
+                        self.success.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -665,8 +665,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter48 in self.success:
-                iter48.write(oprot)
+            for iter76 in self.success:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/laburnumreel/protocol/gen/node/ttypes.py
+++ b/src/laburnumreel/protocol/gen/node/ttypes.py
@@ -321,6 +321,230 @@
         return not (self == other)
 
 
+class PartTime(object):
+    """
+    Attributes:
+     - part
+     - ms
+
+    """
+
+
+    def __init__(self, part=None, ms=None,):
+        self.part = part
+        self.ms = ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartTime')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeBinary(self.part)
+            oprot.writeFieldEnd()
+        if self.ms is not None:
+            oprot.writeFieldBegin('ms', TType.I32, 2)
+            oprot.writeI32(self.ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BrokenRequest(object):
+    """
+    Attributes:
+     - request
+     - parts
+
+    """
+
+
+    def __init__(self, request=None, parts=None,):
+        self.request = request
+        self.parts = parts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.parts = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BrokenRequest')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeBinary(self.request)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.STRING, 2)
+            oprot.writeBinary(self.parts)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashReport(object):
+    """
+    Attributes:
+     - back_end
+     - age_ms
+     - requests
+
+    """
+
+
+    def __init__(self, back_end=None, age_ms=None, requests=None,):
+        self.back_end = back_end
+        self.age_ms = age_ms
+        self.requests = requests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.back_end = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = BrokenRequest()
+                        _elem5.read(iprot)
+                        self.requests.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashReport')
+        if self.back_end is not None:
+            oprot.writeFieldBegin('back_end', TType.STRING, 1)
+            oprot.writeString(self.back_end.encode('utf-8') if sys.version_info[0] == 2 else self.back_end)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.requests))
+            for iter6 in self.requests:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Exchange(object):
     """
     Attributes:
@@ -341,11 +565,14 @@
      - stopping
      - ages
      - gateways_digest
+     - held_parts
+     - answered_parts
+     - crash_reports
 
     """
 
 
-    def __init__(self, sender=None, role=None, boot=None, address=None, config_version=None, config_digest=None, withdrawn=None, withdrawn_count=None, withdrawn_digest=None, drains=None, quarantines=None, in_flight=None, received=None, wants_all_withdrawn=None, stopping=None, ages=None, gateways_digest=None,):
+    def __init__(self, sender=None, role=None, boot=None, address=None, config_version=None, config_digest=None, withdrawn=None, withdrawn_count=None, withdrawn_digest=None, drains=None, quarantines=None, in_flight=None, received=None, wants_all_withdrawn=None, stopping=None, ages=None, gateways_digest=None, held_parts=None, answered_parts=None, crash_reports=None,):
         self.sender = sender
         self.role = role
         self.boot = boot
@@ -363,6 +590,9 @@
         self.stopping = stopping
         self.ages = ages
         self.gateways_digest = gateways_digest
+        self.held_parts = held_parts
+        self.answered_parts = answered_parts
+        self.crash_reports = crash_reports
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -406,10 +636,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.withdrawn = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -426,44 +656,44 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.drains = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = DrainMark()
-                        _elem11.read(iprot)
-                        self.drains.append(_elem11)
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = DrainMark()
+                        _elem18.read(iprot)
+                        self.drains.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.quarantines = []
-                    (_etype15, _size12) = iprot.readListBegin()
-                    for _i16 in range(_size12):
-                        _elem17 = QuarantineEntry()
-                        _elem17.read(iprot)
-                        self.quarantines.append(_elem17)
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = QuarantineEntry()
+                        _elem24.read(iprot)
+                        self.quarantines.append(_elem24)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.in_flight = []
-                    (_etype21, _size18) = iprot.readListBegin()
-                    for _i22 in range(_size18):
-                        _elem23 = BackEndWork()
-                        _elem23.read(iprot)
-                        self.in_flight.append(_elem23)
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = BackEndWork()
+                        _elem30.read(iprot)
+                        self.in_flight.append(_elem30)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.received = []
-                    (_etype27, _size24) = iprot.readListBegin()
-                    for _i28 in range(_size24):
-                        _elem29 = ServiceReceived()
-                        _elem29.read(iprot)
-                        self.received.append(_elem29)
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = ServiceReceived()
+                        _elem36.read(iprot)
+                        self.received.append(_elem36)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -487,6 +717,39 @@
                     self.gateways_digest = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.held_parts = []
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = PartTime()
+                        _elem42.read(iprot)
+                        self.held_parts.append(_elem42)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.answered_parts = []
+                    (_etype46, _size43) = iprot.readListBegin()
+                    for _i47 in range(_size43):
+                        _elem48 = PartTime()
+                        _elem48.read(iprot)
+                        self.answered_parts.append(_elem48)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.crash_reports = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = CrashReport()
+                        _elem54.read(iprot)
+                        self.crash_reports.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -524,8 +787,8 @@
         if self.withdrawn is not None:
             oprot.writeFieldBegin('withdrawn', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn))
-            for iter30 in self.withdrawn:
-                oprot.writeString(iter30.encode('utf-8') if sys.version_info[0] == 2 else iter30)
+            for iter55 in self.withdrawn:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.withdrawn_count is not None:
@@ -539,29 +802,29 @@
         if self.drains is not None:
             oprot.writeFieldBegin('drains', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.drains))
-            for iter31 in self.drains:
-                iter31.write(oprot)
+            for iter56 in self.drains:
+                iter56.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantines is not None:
             oprot.writeFieldBegin('quarantines', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantines))
-            for iter32 in self.quarantines:
-                iter32.write(oprot)
+            for iter57 in self.quarantines:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_flight is not None:
             oprot.writeFieldBegin('in_flight', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.in_flight))
-            for iter33 in self.in_flight:
-                iter33.write(oprot)
+            for iter58 in self.in_flight:
+                iter58.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.received is not None:
             oprot.writeFieldBegin('received', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.received))
-            for iter34 in self.received:
-                iter34.write(oprot)
+            for iter59 in self.received:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wants_all_withdrawn is not None:
@@ -580,6 +843,27 @@
             oprot.writeFieldBegin('gateways_digest', TType.STRING, 17)
             oprot.writeBinary(self.gateways_digest)
             oprot.writeFieldEnd()
+        if self.held_parts is not None:
+            oprot.writeFieldBegin('held_parts', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.held_parts))
+            for iter60 in self.held_parts:
+                iter60.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.answered_parts is not None:
+            oprot.writeFieldBegin('answered_parts', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.answered_parts))
+            for iter61 in self.answered_parts:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crash_reports is not None:
+            oprot.writeFieldBegin('crash_reports', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.crash_reports))
+            for iter62 in self.crash_reports:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -827,10 +1111,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.leases = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leases.append(_elem40)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leases.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -887,8 +1171,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.leases))
-            for iter41 in self.leases:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter69 in self.leases:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1002,6 +1286,25 @@
     (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
     (2, TType.I32, 'remaining_ms', None, None, ),  # 2
 )
+all_structs.append(PartTime)
+PartTime.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'BINARY', None, ),  # 1
+    (2, TType.I32, 'ms', None, None, ),  # 2
+)
+all_structs.append(BrokenRequest)
+BrokenRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'parts', 'BINARY', None, ),  # 2
+)
+all_structs.append(CrashReport)
+CrashReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'back_end', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.LIST, 'requests', (TType.STRUCT, [BrokenRequest, None], False), None, ),  # 3
+)
 all_structs.append(Exchange)
 Exchange.thrift_spec = (
     None,  # 0
@@ -1022,6 +1325,9 @@
     (15, TType.BOOL, 'stopping', None, None, ),  # 15
     (16, TType.STRING, 'ages', 'BINARY', None, ),  # 16
     (17, TType.STRING, 'gateways_digest', 'BINARY', None, ),  # 17
+    (18, TType.LIST, 'held_parts', (TType.STRUCT, [PartTime, None], False), None, ),  # 18
+    (19, TType.LIST, 'answered_parts', (TType.STRUCT, [PartTime, None], False), None, ),  # 19
+    (20, TType.LIST, 'crash_reports', (TType.STRUCT, [CrashReport, None], False), None, ),  # 20
 )
 all_structs.append(Change)
 Change.thrift_spec = (
--- a/src/laburnumreel/serving/_application.py
+++ b/src/laburnumreel/serving/_application.py
@@ -17,6 +17,7 @@
     json_answer,
     models_body,
     new_request_id,
+    prompt_parts,
     refusal_answer,
     refusal_event,
     request_digest,
@@ -125,6 +126,7 @@
             output_tokens=request.output_tokens,
             prefixes=prompt_prefixes(request.prompt.decode("utf-8", "replace")),
             priority=profile.priority,
+            parts=prompt_parts(request, service.name),
         )
         # An engine's resume position counts the tokens of a single choice.
         is_repeatable = profile.resumable and request.choices == 1
--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -259,6 +259,12 @@
         if self._initial_back_end is not None:
             # Chosen together with the admission, which saves a message to the dispatcher.
             initial_back_end, self._initial_back_end = self._initial_back_end, None
+            # The claim of an idempotent request may have taken seconds since then.
+            held = dispatcher.find_held_part(job.work.parts)
+            if held is not None:
+                request_id = job.running.request_id
+                dispatcher.on_attempt_ended(initial_back_end.name, request_id, False)
+                raise self.make_error(held)
             self._tried_names.append(initial_back_end.name)
             return initial_back_end
         give_up_at = self._deps.clock.now() + FAILOVER_WAIT_S
@@ -268,6 +274,8 @@
             back_end = dispatcher.choose(
                 job.work, self._allow_interruptible, self._tried_names, job.digest
             )
+            if isinstance(back_end, Refusal):
+                raise self.make_error(back_end)
             if back_end is not None:
                 self._tried_names.append(back_end.name)
                 return back_end
--- a/src/laburnumreel/serving/_crashes.py
+++ b/src/laburnumreel/serving/_crashes.py
@@ -2,10 +2,13 @@
 
 import socket
 from collections.abc import Mapping
+from typing import NamedTuple
 
-from laburnumreel.coordination import Quarantine
+from laburnumreel.coordination import BrokenRequest, Quarantine, RoutingRequest
 from laburnumreel.core import Log
+from laburnumreel.protocol import PART_DIGEST_BYTES
 from laburnumreel.serving._events import BACK_END_CRASHED
+from laburnumreel.serving._held_parts import HeldParts
 
 # The first request may lose its answer this long before the crash is confirmed.
 LOSS_WINDOW_S = 1.0
@@ -15,29 +18,47 @@
 _log = Log("serving.crashes")
 
 
+class RunningWork(NamedTuple):
+    """A request at a back end, its quarantine digest and whether its answer has begun there."""
+
+    digest: str
+    work: RoutingRequest
+    has_begun: bool = False
+
+    def as_broken(self) -> BrokenRequest:
+        return BrokenRequest(self.digest[: 2 * PART_DIGEST_BYTES], self.work.parts)
+
+
 class CrashTracker:
     """Counts each crash once against the requests that were running on the back end.
 
+    It speaks against the parts of the prompts that the back end had not begun to answer.
+
     `sees_all_requests` is true if no other gateway sends requests to the same back ends.
     """
 
-    def __init__(self, quarantine: Quarantine, sees_all_requests: bool) -> None:
+    def __init__(
+        self, quarantine: Quarantine, held_parts: HeldParts, sees_all_requests: bool
+    ) -> None:
         self._quarantine = quarantine
+        self._held_parts = held_parts
         self._sees_all_requests = sees_all_requests
         # By back end and request id: recently lost answers, and the requests running at the crash.
-        self._lost_answers: dict[str, dict[str, tuple[float, str]]] = {}
-        self._affected_requests: dict[str, dict[str, str]] = {}
+        self._lost_answers: dict[str, dict[str, tuple[float, RunningWork]]] = {}
+        self._affected_requests: dict[str, dict[str, RunningWork]] = {}
 
-    def record_lost_answer(self, back_end: str, request_id: str, digest: str, now: float) -> None:
+    def record_lost_answer(
+        self, back_end: str, request_id: str, running: RunningWork, now: float
+    ) -> None:
         """Record a request that lost its answer, before it is known whether the back end crashed."""
-        self._lost_answers.setdefault(back_end, {})[request_id] = (now, digest)
+        self._lost_answers.setdefault(back_end, {})[request_id] = (now, running)
 
     def record_crash(
         self,
         back_end: str,
         request_id: str,
         has_progressed: bool,
-        running: Mapping[str, str],
+        running: Mapping[str, RunningWork],
         now: float,
     ) -> set[str]:
         """Record a crash that a request observed and return the newly quarantined digests."""
@@ -45,24 +66,32 @@
             return set()
         lost_answers = self._lost_answers.pop(back_end, {})
         affected = {
-            name: digest for name, (at, digest) in lost_answers.items() if now - at < LOSS_WINDOW_S
+            name: lost for name, (at, lost) in lost_answers.items() if now - at < LOSS_WINDOW_S
         }
         affected |= running
         self._affected_requests[back_end] = affected
         alone = self._sees_all_requests and not has_progressed
-        quarantined = self._quarantine.record_crash(affected.values(), alone, now)
+        broken = [
+            each.as_broken() for each in affected.values() if each.work.model and not each.has_begun
+        ]
+        self._held_parts.record_crash(back_end, broken, now)
+        digests = {each.digest for each in affected.values()}
+        quarantined = self._quarantine.record_crash(digests, alone, now)
         _log.warning(
             BACK_END_CRASHED,
             back_end=back_end,
             requests=len(affected),
+            unanswered=len(broken),
             quarantined=len(quarantined),
         )
         return quarantined
 
     def is_quarantined(self, back_end: str, request_id: str, now: float) -> bool:
         """Return whether a request that was running at a crash is quarantined."""
-        digest = self._affected_requests.get(back_end, {}).get(request_id, "")
-        return self._quarantine.remaining_quarantine_s(digest, now) is not None
+        affected = self._affected_requests.get(back_end, {}).get(request_id)
+        if affected is None:
+            return False
+        return self._quarantine.remaining_quarantine_s(affected.digest, now) is not None
 
     def forget_old_losses(self, now: float) -> None:
         """Remove lost answers that are too old to be part of a later crash."""
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from concurrent.futures import Future
 from typing import Any, NamedTuple
 
@@ -24,8 +24,9 @@
 )
 from laburnumreel.core import Clock, Log, Task
 from laburnumreel.serving._budgets import ServiceRetryBudgets
-from laburnumreel.serving._crashes import CrashTracker
+from laburnumreel.serving._crashes import CrashTracker, RunningWork
 from laburnumreel.serving._events import HOST_NAME_REPEATED
+from laburnumreel.serving._held_parts import HeldParts
 from laburnumreel.serving._metrics import DRAIN_MARKS, QUARANTINED
 from laburnumreel.serving._silence_tracker import HedgeDenial, SilenceTracker
 from laburnumreel.state import Configuration, Host, Refusal
@@ -78,9 +79,12 @@
         self._gateways = gateways
         self._capacity_updated_at = 0.0
         # Only a gateway without peers knows all requests that were running on a back end.
-        self._crash_tracker = CrashTracker(self._quarantine, sees_all_requests=gateways <= 1)
-        # The digests of the requests that run on each back end, by request id.
-        self._digests_by_back_end: dict[str, dict[str, str]] = {}
+        self._held_parts = HeldParts()
+        self._crash_tracker = CrashTracker(
+            self._quarantine, self._held_parts, sees_all_requests=gateways <= 1
+        )
+        # The requests that run on each back end, by request id.
+        self._running: dict[str, dict[str, RunningWork]] = {}
         self._drain_marks: dict[str, tuple[str, float]] = {}
         # The names of the back ends that are leaving, and the identities of all hosts that are.
         self._leaving: frozenset[str] = frozenset()
@@ -114,14 +118,21 @@
 
     def choose(
         self, work: RoutingRequest, allow_interruptible: bool, exclude: Collection[str], digest: str
-    ) -> BackEnd | None:
-        """Return a back end for this work, which then counts as sent to it, or None."""
+    ) -> BackEnd | Refusal | None:
+        """Return a back end for this work, which then counts as sent to it, or None.
+
+        Work with a held part in its prompt gets a refusal.
+        """
         return self._call(self._on_choose, work, allow_interruptible, tuple(exclude), digest)
 
     def remaining_quarantine_s(self, digest: str) -> float | None:
         """Return the remaining seconds of a request's quarantine, or None."""
         return self._quarantine.remaining_quarantine_s(digest, self._clock.now())
 
+    def find_held_part(self, parts: Sequence[str]) -> Refusal | None:
+        """Return the refusal of a prompt that has one of these parts if it is held, or None."""
+        return self._held_parts.refusal(parts, self._clock.now())
+
     def on_first_token(self, back_end: str, request_id: str) -> None:
         """Record the first token of an answer, after which its prompt is no longer queued."""
         self._post(self._on_first_token, back_end, request_id)
@@ -217,6 +228,10 @@
         """Apply the update of a peer."""
         self._post(self._on_peer_update, peer, update)
 
+    def on_peer_holds(self, held_parts: Mapping[str, float]) -> None:
+        """Apply the held parts of prompts of a peer."""
+        self._post(self._on_peer_update, "", NodeUpdate(held_parts=held_parts))
+
     def wait_until_processed(self) -> None:
         """Wait until all earlier messages are handled and the usable capacity is updated."""
         self._call(self._update_capacity)
@@ -236,6 +251,9 @@
             if drain_mark[1] > now
         }
         self._crash_tracker.forget_old_losses(now)
+        if self._held_parts.hold_guilty(now):
+            self._refuse_held()
+            self._notify_update()
         if now - self._capacity_updated_at >= CAPACITY_INTERVAL_S:
             self._update_capacity()
         admitted, refused = self._admission.expire(now)
@@ -250,6 +268,10 @@
         return self.ask(_Call(function, arguments)).result()
 
     def _on_offer(self, offer: Offer, selection: BackEndSelection, future: Future) -> None:
+        held = self._held_parts.refusal(selection.work.parts, self._clock.now())
+        if held is not None:
+            future.set_result(held)
+            return
         decision = self._admission.offer(offer, self._clock.now())
         if isinstance(decision, Admitted):
             future.set_result(
@@ -263,7 +285,7 @@
     def _on_cancel_offer(self, request_id: str) -> None:
         if self._queued.pop(request_id, None) is None:
             # It was admitted before this message, and its request does not know the back end.
-            for back_end, running in list(self._digests_by_back_end.items()):
+            for back_end, running in list(self._running.items()):
                 if request_id in running:
                     self._on_attempt_ended(back_end, request_id, False, False)
         self._resolve_admitted(self._admission.cancel(request_id, self._clock.now()))
@@ -273,9 +295,12 @@
 
     def _on_choose(
         self, work: RoutingRequest, allow_interruptible: bool, exclude: tuple[str, ...], digest: str
-    ) -> BackEnd | None:
+    ) -> BackEnd | Refusal | None:
+        held = self._held_parts.refusal(work.parts, self._clock.now())
+        if held is not None:
+            return held
         # New work goes to a silent back end only if there is no other one.
-        silent = self._silence_tracker.silent_back_ends(self._digests_by_back_end)
+        silent = self._silence_tracker.silent_back_ends(self._running)
         chosen = (
             self._choose_and_record(work, allow_interruptible, silent.union(exclude), digest)
             if silent
@@ -295,18 +320,20 @@
             return None
         name = choice.back_end.name
         self._fleet.on_sent(name, work.request_id, choice.prefill_tokens, now, work.prefixes)
-        self._digests_by_back_end.setdefault(name, {})[work.request_id] = digest
+        self._running.setdefault(name, {})[work.request_id] = RunningWork(digest, work)
         return choice.back_end
 
     def _on_reserve_hedge(
         self, selection: BackEndSelection, exclude: tuple[str, ...], silence_s: float
     ) -> BackEnd | HedgeDenial:
         (work, allow_interruptible, digest), now = selection, self._clock.now()
+        if self._held_parts.refusal(work.parts, now) is not None:
+            return HedgeDenial.HELD
         budget = self._budgets.for_service(work.service)
         if not budget.reserve(now):
             return HedgeDenial.NO_RETRY
         silent = self._silence_tracker.silent_back_ends(
-            self._digests_by_back_end
+            self._running
         ) | self._silence_tracker.paused_back_ends(now, silence_s)
         back_end = self._choose_and_record(work, allow_interruptible, silent.union(exclude), digest)
         if back_end is None:
@@ -315,8 +342,14 @@
         return back_end
 
     def _on_first_token(self, back_end: str, request_id: str) -> None:
-        self._fleet.on_first_token(back_end, request_id, self._clock.now())
+        now = self._clock.now()
+        self._fleet.on_first_token(back_end, request_id, now)
         self._silence_tracker.on_stream_started(back_end, request_id)
+        running = self._running.get(back_end, {})
+        if request_id in running:
+            running[request_id] = running[request_id]._replace(has_begun=True)
+            if self._held_parts.record_answer(running[request_id].work.parts, now):
+                self._notify_update()
 
     def _on_attempt_ended(
         self, back_end: str, request_id: str, has_failed: bool, is_answer_lost: bool
@@ -324,12 +357,12 @@
         now = self._clock.now()
         self._fleet.on_finished(back_end, request_id, now)
         self._silence_tracker.on_request_left(back_end, request_id)
-        running = self._digests_by_back_end.get(back_end, {})
-        digest = running.pop(request_id, None)
-        if is_answer_lost and digest is not None:
-            self._crash_tracker.record_lost_answer(back_end, request_id, digest, now)
+        running = self._running.get(back_end, {})
+        work = running.pop(request_id, None)
+        if is_answer_lost and work is not None:
+            self._crash_tracker.record_lost_answer(back_end, request_id, work, now)
         if not running:
-            self._digests_by_back_end.pop(back_end, None)
+            self._running.pop(back_end, None)
         if has_failed:
             self._fleet.on_failed(back_end, now)
 
@@ -339,13 +372,13 @@
 
     def _on_crash(self, back_end: str, request_id: str, has_progressed: bool) -> bool:
         now = self._clock.now()
-        running = self._digests_by_back_end.get(back_end, {})
+        running = self._running.get(back_end, {})
         quarantined = self._crash_tracker.record_crash(
             back_end, request_id, has_progressed, running, now
         )
         if quarantined:
             QUARANTINED.inc(len(quarantined))
-            self._notify_update()
+        self._notify_update()
         return self._crash_tracker.is_quarantined(back_end, request_id, now)
 
     def _on_configure(self, configuration: Configuration) -> None:
@@ -376,7 +409,7 @@
     def _local_update(self) -> NodeUpdate:
         now = self._clock.now()
         # Only own marks: marks that nodes forward for each other would never expire.
-        return NodeUpdate(
+        return self._held_parts.make_update(now)._replace(
             drains=tuple(
                 DrainMark(target, reason, until - now)
                 for target, (reason, until) in self._drain_marks.items()
@@ -400,6 +433,10 @@
         if peer.startswith(GATEWAY_PEER_PREFIX):
             self._fleet.on_peer_work(peer, update.in_flight, now)
         self._admission.on_peer_received(peer, update.received, now)
+        if self._held_parts.on_peer_update(update, now):
+            self._refuse_held()
+            # Where each round calls a sample of the peers, it reaches all sooner so.
+            self._notify_update()
 
     def _update_capacity(self) -> None:
         """Update the admission with the capacity of the usable back ends."""
@@ -424,6 +461,15 @@
             DRAIN_MARKS.inc(reason=reason)
             self._notify_update()
 
+    def _refuse_held(self) -> None:
+        """Refuse the requests that wait for admission and have a held part."""
+        now = self._clock.now()
+        for request_id, (selection, future) in list(self._queued.items()):
+            refusal = self._held_parts.refusal(selection.work.parts, now)
+            if refusal is not None and self._queued.pop(request_id, None) is not None:
+                future.set_result(refusal)
+                self._resolve_admitted(self._admission.cancel(request_id, now))
+
     def _resolve_admitted(self, request_ids: Collection[str]) -> None:
         for request_id in request_ids:
             self._resolve_offer(request_id, None)
--- a/src/laburnumreel/serving/_events.py
+++ b/src/laburnumreel/serving/_events.py
@@ -41,6 +41,14 @@
     "a hedged request was sent to another back end because the first one is silent",
 )
 HEDGE_ENDED = define_event(121, "silent_second_ended", "a hedged request ended without being used")
+PART_HELD = define_event(
+    124,
+    "part_held",
+    "a part of prompts crashed back ends in several requests; requests with it are refused",
+)
+PART_RELEASED = define_event(
+    125, "part_released", "requests with a part of prompts that was held are sent again"
+)
 REQUEST_CHECK_FAILED = define_event(
     123, "request_check_failed", "checking a running request's deadline and caller failed"
 )
--- a/src/laburnumreel/serving/_metrics.py
+++ b/src/laburnumreel/serving/_metrics.py
@@ -21,6 +21,14 @@
 QUARANTINED = define_counter(
     "laburnumreel_quarantined_total", "Requests quarantined because back ends crashed on them."
 )
+HELD_PARTS = define_gauge(
+    "laburnumreel_held_parts", "Parts of prompts that are held because they crash back ends."
+)
+PARTS_HELD = define_counter(
+    "laburnumreel_parts_held_total",
+    "Parts of prompts that were held, by source: crashes or a peer.",
+    ["source"],
+)
 DRAIN_MARKS = define_counter(
     "laburnumreel_drain_marks_total", "Back ends that get no new work, by reason.", ["reason"]
 )
--- a/src/laburnumreel/serving/_silence_tracker.py
+++ b/src/laburnumreel/serving/_silence_tracker.py
@@ -16,6 +16,7 @@
 
     NO_RETRY = "no retry is left"
     NO_BACK_END = "no other back end is free"
+    HELD = "a part of its prompt crashes back ends"
 
 
 class SilenceTracker:
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -11,8 +11,10 @@
 from hypothesis import strategies as st
 
 from laburnumreel.coordination import (
+    BrokenRequest,
     ClaimState,
     ConfigSync,
+    CrashReport,
     DrainMark,
     ExchangeMessage,
     NodeStatus,
@@ -36,12 +38,26 @@
 COUNTS = st.integers(0, (1 << 31) - 1)
 SECONDS = st.integers(0, 10**6).map(lambda ms: ms / 1000)
 TEXTS = st.text(max_size=20)
+PARTS = st.integers(0, (1 << 64) - 1).map(lambda number: f"{number:016x}")
 UPDATES = st.builds(
     NodeUpdate,
     st.lists(st.builds(DrainMark, TEXTS, TEXTS, SECONDS), max_size=3).map(tuple),
     st.lists(st.builds(QuarantineEntry, TEXTS, SECONDS), max_size=3).map(tuple),
     st.dictionaries(TEXTS, st.tuples(COUNTS, COUNTS), max_size=3),
     st.dictionaries(TEXTS, st.tuples(COUNTS, COUNTS), max_size=3),
+    st.dictionaries(PARTS, SECONDS, max_size=3),
+    st.lists(
+        st.builds(
+            CrashReport,
+            TEXTS,
+            SECONDS,
+            st.lists(
+                st.builds(BrokenRequest, PARTS, st.lists(PARTS, max_size=3).map(tuple)), max_size=3
+            ).map(tuple),
+        ),
+        max_size=3,
+    ).map(tuple),
+    st.dictionaries(PARTS, SECONDS, max_size=3),
 )
 MESSAGES = st.builds(
     ExchangeMessage,
@@ -115,7 +131,7 @@
 
 @given(
     st.integers(0, 3000),
-    st.lists(st.sampled_from(["drain", "quarantine", "work", "received"]), max_size=4),
+    st.lists(st.sampled_from(["drain", "quarantine", "work", "received", "crash"]), max_size=5),
     st.integers(1, 250),
 )
 def test_an_exchange_is_bounded_and_withdrawals_come_first(withdrawn, parts, length):
@@ -127,12 +143,16 @@
         "n" * 63, "gateway", "b" * 16, addresses[0], addresses, (), 3.0, replica, Random(1), bool
     )
     names = [f"{number:03}" + "x" * length for number in range(500)]
+    broken = BrokenRequest("a" * 16, tuple(f"{number:016x}" for number in range(32)))
     gossip.on_local_update(
         NodeUpdate(
             tuple(DrainMark(name, name, 1.0) for name in names if "drain" in parts),
             tuple(QuarantineEntry(name, 1.0) for name in names if "quarantine" in parts),
             {name: (1, 1) for name in names if "work" in parts},
             {name: (1, 1) for name in names if "received" in parts},
+            {f"{number:016x}": 9.0 for number in range(900) if "crash" in parts},
+            tuple(CrashReport(name, 1.0, (broken,) * 16) for name in names if "crash" in parts),
+            {f"{number:016x}": 9.0 for number in range(900) if "crash" in parts},
         ),
         False,
     )
