Take back the strikes of requests that died beside one with a held part

Once a held part explains a crash, by own evidence or that of peers, the strikes of its other requests are taken back, also quarantines that came of them.

--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -63,7 +63,7 @@
 )
 from laburnumreel.coordination._peers import PeerExchange
 from laburnumreel.coordination._prefixes import prompt_prefixes
-from laburnumreel.coordination._quarantine import Quarantine
+from laburnumreel.coordination._quarantine import STRIKE_WINDOW_S, Quarantine
 from laburnumreel.coordination._role_planner import EngineView, RoleChange, RolePlan, RolePlanner
 from laburnumreel.coordination._routing import Costs, Router, RoutingChoice, RoutingRequest
 from laburnumreel.coordination._sealer import USAGE_LEASE, UsageSealer
@@ -90,6 +90,7 @@
     "ClaimState",
     "ConfigSync",
     "BrokenRequest",
+    "STRIKE_WINDOW_S",
     "Costs",
     "CrashReport",
     "CrashSuspects",
--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -217,6 +217,14 @@
             for crash in recent[-MAX_REPORTED_CRASHES:]
         )
 
+    def explained_crashes(self) -> dict[str, list[float]]:
+        """Return when backend servers crashed because of a part that is or was held."""
+        times: dict[str, list[float]] = {}
+        for crash in self._crashes:
+            if crash.is_explained:
+                times.setdefault(crash.back_end, []).append(crash.at)
+        return times
+
     def answered_suspects(self, now: float) -> dict[str, float]:
         """Return how long ago parts that a recent crash speaks against were last answered."""
         ages = {}
--- a/src/laburnumreel/serving/_crashes.py
+++ b/src/laburnumreel/serving/_crashes.py
@@ -1,15 +1,19 @@
 """Crashes of back ends and the requests that were running there at the time."""
 
 import socket
+from collections import deque
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from laburnumreel.coordination import BrokenRequest, Quarantine, RoutingRequest
+from laburnumreel.coordination import STRIKE_WINDOW_S, BrokenRequest, Quarantine, RoutingRequest
 from laburnumreel.core import Log
 from laburnumreel.protocol import PART_DIGEST_BYTES
-from laburnumreel.serving._events import BACK_END_CRASHED
+from laburnumreel.serving._events import BACK_END_CRASHED, STRIKES_TAKEN_BACK
 from laburnumreel.serving._held_parts import HeldParts
 
+# Back ends that crash again are known by the time of the crash, which peers see this much apart.
+SAME_CRASH_S = 2.0
+MAX_CRASHES = 256
 # The first request may lose its answer this long before the crash is confirmed.
 LOSS_WINDOW_S = 1.0
 CRASH_PROBE_TIMEOUT_S = 0.5
@@ -29,10 +33,19 @@
         return BrokenRequest(self.digest[: 2 * PART_DIGEST_BYTES], self.work.parts)
 
 
+class _Crash(NamedTuple):
+    """A crash whose affected requests have strikes."""
+
+    back_end: str
+    at: float
+    affected: tuple[RunningWork, ...]
+
+
 class CrashTracker:
     """Counts each crash once against the requests that were running on the back end.
 
-    It speaks against the parts of the prompts that the back end had not begun to answer.
+    It speaks against the parts of the prompts that the back end had not begun to answer. If a held
+    part explains it, only requests with that part are blamed.
 
     `sees_all_requests` is true if no other gateway sends requests to the same back ends.
     """
@@ -46,6 +59,8 @@
         # By back end and request id: recently lost answers, and the requests running at the crash.
         self._lost_answers: dict[str, dict[str, tuple[float, RunningWork]]] = {}
         self._affected_requests: dict[str, dict[str, RunningWork]] = {}
+        # Recent crashes that no held part explains so far, the oldest first.
+        self._unexplained: deque[_Crash] = deque(maxlen=MAX_CRASHES)
 
     def record_lost_answer(
         self, back_end: str, request_id: str, running: RunningWork, now: float
@@ -77,6 +92,8 @@
         self._held_parts.record_crash(back_end, broken, now)
         digests = {each.digest for each in affected.values()}
         quarantined = self._quarantine.record_crash(digests, alone, now)
+        self._unexplained.append(_Crash(back_end, now, tuple(affected.values())))
+        quarantined -= self.take_back_strikes(now)
         _log.warning(
             BACK_END_CRASHED,
             back_end=back_end,
@@ -86,6 +103,34 @@
         )
         return quarantined
 
+    def take_back_strikes(self, now: float) -> set[str]:
+        """Take back the strikes of requests that were lost beside one with a held part.
+
+        Return the digests that are no longer quarantined.
+        """
+        explained_at = self._held_parts.explained_crashes()
+        released = set()
+        for crash in list(self._unexplained):
+            times = explained_at.get(crash.back_end, ())
+            if not any(abs(at - crash.at) < SAME_CRASH_S for at in times):
+                continue
+            self._unexplained.remove(crash)
+            neighbours = {
+                each.digest
+                for each in crash.affected
+                if self._held_parts.refusal(each.work.parts, now) is None
+            }
+            let_go = self._quarantine.take_back(neighbours, crash.at, now)
+            if neighbours:
+                _log.info(
+                    STRIKES_TAKEN_BACK,
+                    back_end=crash.back_end,
+                    requests=len(neighbours),
+                    released=len(let_go),
+                )
+            released |= let_go
+        return released
+
     def is_quarantined(self, back_end: str, request_id: str, now: float) -> bool:
         """Return whether a request that was running at a crash is quarantined."""
         affected = self._affected_requests.get(back_end, {}).get(request_id)
@@ -94,7 +139,9 @@
         return self._quarantine.remaining_quarantine_s(affected.digest, now) is not None
 
     def forget_old_losses(self, now: float) -> None:
-        """Remove lost answers that are too old to be part of a later crash."""
+        """Remove lost answers that are too old to be part of a later crash, and old crashes."""
+        while self._unexplained and now - self._unexplained[0].at >= STRIKE_WINDOW_S:
+            self._unexplained.popleft()
         self._lost_answers = {
             name: lost_answers
             for name, lost_answers in self._lost_answers.items()
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -251,8 +251,10 @@
             if drain_mark[1] > now
         }
         self._crash_tracker.forget_old_losses(now)
-        if self._held_parts.hold_guilty(now):
+        held = self._held_parts.hold_guilty(now)
+        if held:
             self._refuse_held()
+        if self._crash_tracker.take_back_strikes(now) or held:
             self._notify_update()
         if now - self._capacity_updated_at >= CAPACITY_INTERVAL_S:
             self._update_capacity()
--- a/src/laburnumreel/serving/_events.py
+++ b/src/laburnumreel/serving/_events.py
@@ -49,6 +49,11 @@
 PART_RELEASED = define_event(
     125, "part_released", "requests with a part of prompts that was held are sent again"
 )
+STRIKES_TAKEN_BACK = define_event(
+    126,
+    "strikes_taken_back",
+    "a held part explains a crash; requests that were lost beside it are no longer blamed",
+)
 REQUEST_CHECK_FAILED = define_event(
     123, "request_check_failed", "checking a running request's deadline and caller failed"
 )
--- a/src/laburnumreel/serving/_held_parts.py
+++ b/src/laburnumreel/serving/_held_parts.py
@@ -35,6 +35,10 @@
         for request in requests:
             self._suspects.record_crash(back_end, request, now)
 
+    def explained_crashes(self) -> dict[str, list[float]]:
+        """Return when back ends crashed because of a part that is or was held."""
+        return self._suspects.explained_crashes()
+
     def record_answer(self, parts: Iterable[str], now: float) -> bool:
         """Record that an answer has begun, and return whether that let a held part go."""
         released = self._suspects.record_answer(parts, now)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -40,3 +40,23 @@
             break
     now = max(now, 700.0)
     assert not nodes[0].entries(now) and not nodes[1].entries(now)
+
+
+def test_quarantine_that_was_taken_back_ends_at_every_node():
+    """A sound request that died beside a bad one was refused at all nodes for ten minutes."""
+    nodes = [Quarantine() for _ in range(3)]
+    for now in (1.0, 2.0):
+        nodes[0].record_crash({"neighbour", f"bad {now}"}, False, now)
+    for node in nodes[1:]:
+        node.on_peer_entries(nodes[0].entries(3.0), 3.0)
+    assert nodes[0].take_back({"neighbour"}, 1.0, 4.0) == {"neighbour"}
+    # The last node has not heard of it yet.
+    nodes[1].on_peer_entries(nodes[0].entries(4.1), 4.1)
+    for node in nodes[:2]:
+        node.on_peer_entries(nodes[2].entries(4.2), 4.2)
+    nodes[2].on_peer_entries(nodes[0].entries(4.3), 4.3)
+    assert [node.remaining_quarantine_s("neighbour", 4.4) for node in nodes] == [None] * 3
+    # The other strike counts.
+    assert nodes[0].record_crash({"neighbour"}, False, 5.0) == {"neighbour"}
+    nodes[1].on_peer_entries(nodes[0].entries(60.0), 60.0)
+    assert nodes[1].remaining_quarantine_s("neighbour", 61.0) > 500
