Tell peers of held parts that an answer lets go long after the crashes

A part that one gateway let go because back ends answer it again stayed held at its peers, which gave it back after 4 s: peers were told of answers only to parts of crashes less than 8 s old. Answers that let a part go are now told for 4 s, whatever the crashes' age.

--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -125,6 +125,8 @@
         # When an answer with each part last began, the oldest first.
         self._answered_at: dict[str, float] = {}
         self._holds: dict[str, Hold] = {}
+        # Parts that an answer has let go, which peers are told.
+        self._released_at: dict[str, float] = {}
         # Until when a single crash is enough to hold a part again.
         self._relapses: dict[str, float] = {}
         # Parts of recently broken requests, and when they can be judged.
@@ -176,6 +178,7 @@
             hold = self._holds.get(part)
             if hold is not None and at > hold.since:
                 del self._holds[part]
+                self._released_at[part] = at
                 released.append(part)
         while len(self._answered_at) > MAX_ANSWERED_PARTS:
             del self._answered_at[next(iter(self._answered_at))]
@@ -226,8 +229,11 @@
         return times
 
     def answered_suspects(self, now: float) -> dict[str, float]:
-        """Return how long ago parts that a recent crash speaks against were last answered."""
-        ages = {}
+        """Return how long ago parts that a recent crash speaks against were last answered.
+
+        Parts that an answer has let go are among them, however old the crashes are.
+        """
+        ages = {part: now - at for part, at in self._released_at.items() if now - at < REPORT_S}
         for crash in self._crashes:
             if now - crash.at >= 2 * REPORT_S:
                 continue
@@ -244,6 +250,9 @@
         for part in ended:
             del self._holds[part]
             self._relapses[part] = now + RELAPSE_S
+        self._released_at = {
+            part: at for part, at in self._released_at.items() if now - at < REPORT_S
+        }
         self._relapses = {part: until for part, until in self._relapses.items() if until > now}
         return ended
 
--- a/tests/test_held_parts.py
+++ b/tests/test_held_parts.py
@@ -121,13 +121,14 @@
         assert gateway.dispatcher.remaining_quarantine_s("e" * 16) is None
 
 
-def test_answer_lets_a_held_part_go_at_every_gateway(gateways):
+@pytest.mark.parametrize("wait_s", [1.0, 20.0])
+def test_answer_lets_a_held_part_go_at_every_gateway(gateways, wait_s):
     """A part that back ends can answer again was refused until its time was over."""
     first = gateways[0]
     running = first.send_to("w9", "7" * 16, FIRST, DEADLY)
     crash_four(gateways)
     assert first.dispatcher.find_held_part((DEADLY,)) is not None
-    first.clock.advance(1.0)
+    first.clock.advance(wait_s)
     first.dispatcher.on_first_token("w9", running.request_id)
     exchange(gateways)
     for gateway in gateways:
