Let operators list held parts of prompts and let one go

Operators had no way to see why requests are refused for a part of their prompts, nor to end it once engines are mended. `laburnumreel part list` asks every gateway what it holds, since when, and which back ends crashed; `part release DIGEST` lets a part go at all, and each tells its peers as it does of an answer.

--- a/idl/node.thrift
+++ b/idl/node.thrift
@@ -99,6 +99,15 @@
   2: bool running
 }
 
+// A part of prompts that a gateway holds; without back ends if a peer has told it.
+struct HeldPart {
+  1: binary part
+  2: i32 held_ms
+  3: i32 remaining_ms
+  4: list<string> back_ends
+  5: i32 requests
+}
+
 service Node {
   Exchange exchange(1: Exchange ours)
   list<Change> fetch_changes(1: i64 after_version, 2: i32 limit)
@@ -106,4 +115,6 @@
   i64 withdraw_key(1: string key_digest)
   NodeStatus status()
   ClaimState claim_state(1: string claim_key)
+  list<HeldPart> held_parts()
+  bool release_part(1: binary part)
 }
--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -32,6 +32,7 @@
     write_withdrawal,
 )
 from laburnumreel.coordination._crash_suspects import (
+    HOLD_S,
     BrokenRequest,
     CrashReport,
     CrashSuspects,
@@ -46,6 +47,7 @@
     DrainMark,
     ExchangeMessage,
     GossipDelegate,
+    HeldPartStatus,
     NodeStatus,
     NodeUpdate,
     NullGossipDelegate,
@@ -91,6 +93,7 @@
     "ConfigSync",
     "BrokenRequest",
     "STRIKE_WINDOW_S",
+    "HOLD_S",
     "Costs",
     "CrashReport",
     "CrashSuspects",
@@ -107,6 +110,7 @@
     "LoadReport",
     "GossipDelegate",
     "HeldPart",
+    "HeldPartStatus",
     "NullGossipDelegate",
     "NodeStatus",
     "Offer",
--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -198,6 +198,10 @@
         """Return the held parts with the remaining seconds of each."""
         return {part: hold.until - now for part, hold in self._holds.items() if hold.until > now}
 
+    def release(self, part: str, now: float) -> bool:
+        """Let a part go as if it had been answered, and return whether it was held."""
+        return bool(self.record_answer((part,), now))
+
     def on_peer_holds(self, holds: Mapping[str, float], now: float) -> list[str]:
         """Adopt the holds of a peer that are unknown here, and return their parts.
 
--- a/src/laburnumreel/coordination/_messages.py
+++ b/src/laburnumreel/coordination/_messages.py
@@ -83,6 +83,19 @@
     leases: tuple[str, ...] = ()
 
 
+class HeldPartStatus(NamedTuple):
+    """A part of prompts that a gateway holds, as shown to operators.
+
+    `back_ends` crashed in `requests` requests with it; both are empty if a peer has told of it.
+    """
+
+    part: str
+    held_s: float
+    remaining_s: float
+    back_ends: tuple[str, ...] = ()
+    requests: int = 0
+
+
 class ClaimState(NamedTuple):
     """Whether the process with this boot is running the claimed request."""
 
--- a/src/laburnumreel/coordinator.py
+++ b/src/laburnumreel/coordinator.py
@@ -16,6 +16,7 @@
     AuthorityRegistry,
     ClaimState,
     ConfigSync,
+    HeldPartStatus,
     LeaseholderTask,
     LeaseManager,
     NodeStatus,
@@ -206,6 +207,14 @@
         """Return that the request does not run here, as coordinators run no requests."""
         return ClaimState(self._boot, False)
 
+    def held_parts(self) -> list[HeldPartStatus]:
+        """Return no parts, as coordinators run no requests."""
+        return []
+
+    def release_part(self, part: str) -> bool:
+        """Return that the part was not held here."""
+        return False
+
     @property
     def _is_ready(self) -> bool:
         return (
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -14,6 +14,7 @@
 from laburnumreel.coordination import (
     ClaimState,
     ConfigSync,
+    HeldPartStatus,
     NodeStatus,
     NodeUpdate,
     PeerExchange,
@@ -196,6 +197,14 @@
         """Return whether the request of a claim runs here, for a peer."""
         return ClaimState(self._boot, self._claims.is_running(claim_key))
 
+    def held_parts(self) -> list[HeldPartStatus]:
+        """Return the held parts of prompts, for operators."""
+        return self._dispatcher.list_held_parts()
+
+    def release_part(self, part: str) -> bool:
+        """Let a held part of prompts go, and return whether it was held."""
+        return self._dispatcher.release_part(part)
+
     def run(self) -> int:
         """Serve until SIGTERM and return the exit code."""
         with ThreadPoolExecutor(TASK_THREADS, "task") as executor:
--- a/src/laburnumreel/protocol/_wire.py
+++ b/src/laburnumreel/protocol/_wire.py
@@ -11,6 +11,7 @@
     CrashReport,
     DrainMark,
     ExchangeMessage,
+    HeldPartStatus,
     NodeStatus,
     NodeUpdate,
     QuarantineEntry,
@@ -159,6 +160,27 @@
     return ClaimState(wire.boot, wire.running)
 
 
+def held_part_to_wire(held: HeldPartStatus) -> ttypes.HeldPart:
+    return ttypes.HeldPart(
+        bytes.fromhex(held.part),
+        _to_ms(held.held_s),
+        _to_ms(held.remaining_s),
+        list(held.back_ends),
+        _clamp_i32(held.requests),
+    )
+
+
+def held_part_from_wire(wire: ttypes.HeldPart) -> HeldPartStatus:
+    _require_fields(wire, "part", "held_ms", "remaining_ms", "back_ends", "requests")
+    return HeldPartStatus(
+        part_from_wire(wire.part),
+        wire.held_ms / _MS_PER_S,
+        wire.remaining_ms / _MS_PER_S,
+        tuple(wire.back_ends),
+        wire.requests,
+    )
+
+
 def _update_from_wire(wire: ttypes.Exchange) -> NodeUpdate:
     for items in (
         wire.drains,
@@ -193,14 +215,15 @@
 
 
 def _part_times_from_wire(wire: list[ttypes.PartTime] | None) -> dict[str, float]:
-    return {_part_from_wire(each.part): max(0, each.ms) / _MS_PER_S for each in wire or ()}
+    return {part_from_wire(each.part): max(0, each.ms) / _MS_PER_S for each in wire or ()}
 
 
 def _parts_to_wire(parts: Sequence[str]) -> bytes:
     return b"".join(map(bytes.fromhex, parts))
 
 
-def _part_from_wire(part: bytes) -> str:
+def part_from_wire(part: bytes) -> str:
+    """Return the digest of a part of prompts. Raises WireError if it is none."""
     if len(part) != PART_DIGEST_BYTES:
         raise WireError(f"not the digest of a part: {part!r:.80}")
     return part.hex()
@@ -213,7 +236,7 @@
         wire.back_end,
         max(0, wire.age_ms) / _MS_PER_S,
         tuple(
-            BrokenRequest(_part_from_wire(each.request), _parts_from_wire(each.parts))
+            BrokenRequest(part_from_wire(each.request), _parts_from_wire(each.parts))
             for each in wire.requests
         ),
     )
@@ -221,7 +244,7 @@
 
 def _parts_from_wire(parts: bytes) -> tuple[str, ...]:
     starts = range(0, len(parts), PART_DIGEST_BYTES)
-    return tuple(_part_from_wire(parts[at : at + PART_DIGEST_BYTES]) for at in starts)
+    return tuple(part_from_wire(parts[at : at + PART_DIGEST_BYTES]) for at in starts)
 
 
 def _require_fields(wire: Any, *names: str) -> None:
--- a/src/laburnumreel/protocol/gen/node/Node.py
+++ b/src/laburnumreel/protocol/gen/node/Node.py
@@ -58,6 +58,17 @@
         """
         pass
 
+    def held_parts(self):
+        pass
+
+    def release_part(self, part):
+        """
+        Parameters:
+         - part
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -248,6 +259,64 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "claim_state failed: unknown result")
 
+    def held_parts(self):
+        self.send_held_parts()
+        return self.recv_held_parts()
+
+    def send_held_parts(self):
+        self._oprot.writeMessageBegin('held_parts', TMessageType.CALL, self._seqid)
+        args = held_parts_args()
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_held_parts(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = held_parts_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "held_parts failed: unknown result")
+
+    def release_part(self, part):
+        """
+        Parameters:
+         - part
+
+        """
+        self.send_release_part(part)
+        return self.recv_release_part()
+
+    def send_release_part(self, part):
+        self._oprot.writeMessageBegin('release_part', TMessageType.CALL, self._seqid)
+        args = release_part_args()
+        args.part = part
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_release_part(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = release_part_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "release_part failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -259,6 +328,8 @@
         self._processMap["withdraw_key"] = Processor.process_withdraw_key
         self._processMap["status"] = Processor.process_status
         self._processMap["claim_state"] = Processor.process_claim_state
+        self._processMap["held_parts"] = Processor.process_held_parts
+        self._processMap["release_part"] = Processor.process_release_part
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -419,6 +490,52 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_held_parts(self, seqid, iprot, oprot):
+        args = held_parts_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = held_parts_result()
+        try:
+            result.success = self._handler.held_parts()
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("held_parts", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_release_part(self, seqid, iprot, oprot):
+        args = release_part_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = release_part_result()
+        try:
+            result.success = self._handler.release_part(args.part)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("release_part", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -644,11 +761,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = Change()
-                        _elem75.read(iprot)
-                        self.success.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = Change()
+                        _elem82.read(iprot)
+                        self.success.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -665,8 +782,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter76 in self.success:
-                iter76.write(oprot)
+            for iter83 in self.success:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1146,5 +1263,241 @@
 claim_state_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [ClaimState, None], None, ),  # 0
 )
+
+
+class held_parts_args(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('held_parts_args')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(held_parts_args)
+held_parts_args.thrift_spec = (
+)
+
+
+class held_parts_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = HeldPart()
+                        _elem89.read(iprot)
+                        self.success.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('held_parts_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.STRUCT, len(self.success))
+            for iter90 in self.success:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(held_parts_result)
+held_parts_result.thrift_spec = (
+    (0, TType.LIST, 'success', (TType.STRUCT, [HeldPart, None], False), None, ),  # 0
+)
+
+
+class release_part_args(object):
+    """
+    Attributes:
+     - part
+
+    """
+
+
+    def __init__(self, part=None,):
+        self.part = part
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('release_part_args')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeBinary(self.part)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(release_part_args)
+release_part_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'BINARY', None, ),  # 1
+)
+
+
+class release_part_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.BOOL:
+                    self.success = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('release_part_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.BOOL, 0)
+            oprot.writeBool(self.success)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(release_part_result)
+release_part_result.thrift_spec = (
+    (0, TType.BOOL, 'success', None, None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/laburnumreel/protocol/gen/node/ttypes.py
+++ b/src/laburnumreel/protocol/gen/node/ttypes.py
@@ -1259,6 +1259,115 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class HeldPart(object):
+    """
+    Attributes:
+     - part
+     - held_ms
+     - remaining_ms
+     - back_ends
+     - requests
+
+    """
+
+
+    def __init__(self, part=None, held_ms=None, remaining_ms=None, back_ends=None, requests=None,):
+        self.part = part
+        self.held_ms = held_ms
+        self.remaining_ms = remaining_ms
+        self.back_ends = back_ends
+        self.requests = requests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.held_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.remaining_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.back_ends = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.back_ends.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HeldPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeBinary(self.part)
+            oprot.writeFieldEnd()
+        if self.held_ms is not None:
+            oprot.writeFieldBegin('held_ms', TType.I32, 2)
+            oprot.writeI32(self.held_ms)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I32, 3)
+            oprot.writeI32(self.remaining_ms)
+            oprot.writeFieldEnd()
+        if self.back_ends is not None:
+            oprot.writeFieldBegin('back_ends', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.back_ends))
+            for iter76 in self.back_ends:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 5)
+            oprot.writeI32(self.requests)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(BackEndWork)
 BackEndWork.thrift_spec = (
     None,  # 0
@@ -1362,5 +1471,14 @@
     (1, TType.STRING, 'boot', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'running', None, None, ),  # 2
 )
+all_structs.append(HeldPart)
+HeldPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'BINARY', None, ),  # 1
+    (2, TType.I32, 'held_ms', None, None, ),  # 2
+    (3, TType.I32, 'remaining_ms', None, None, ),  # 3
+    (4, TType.LIST, 'back_ends', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.I32, 'requests', None, None, ),  # 5
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -13,6 +13,7 @@
     BackEnd,
     DrainMark,
     Fleet,
+    HeldPartStatus,
     LoadReport,
     NodeUpdate,
     Offer,
@@ -232,6 +233,14 @@
         """Apply the held parts of prompts of a peer."""
         self._post(self._on_peer_update, "", NodeUpdate(held_parts=held_parts))
 
+    def list_held_parts(self) -> list[HeldPartStatus]:
+        """Return the held parts of prompts, for operators."""
+        return self._call(lambda: self._held_parts.list_held(self._clock.now()))
+
+    def release_part(self, part: str) -> bool:
+        """Let a part of prompts go here and at the peers, and return whether it was held."""
+        return self._call(self._on_release_part, part)
+
     def wait_until_processed(self) -> None:
         """Wait until all earlier messages are handled and the usable capacity is updated."""
         self._call(self._update_capacity)
@@ -463,6 +472,12 @@
             DRAIN_MARKS.inc(reason=reason)
             self._notify_update()
 
+    def _on_release_part(self, part: str) -> bool:
+        is_released = self._held_parts.release(part, self._clock.now())
+        if is_released:
+            self._notify_update()
+        return is_released
+
     def _refuse_held(self) -> None:
         """Refuse the requests that wait for admission and have a held part."""
         now = self._clock.now()
--- a/src/laburnumreel/serving/_held_parts.py
+++ b/src/laburnumreel/serving/_held_parts.py
@@ -3,10 +3,12 @@
 from collections.abc import Iterable, Mapping
 
 from laburnumreel.coordination import (
+    HOLD_S,
     BrokenRequest,
     CrashReport,
     CrashSuspects,
     HeldPart,
+    HeldPartStatus,
     NodeUpdate,
 )
 from laburnumreel.core import Log
@@ -29,6 +31,8 @@
 
     def __init__(self) -> None:
         self._suspects = CrashSuspects()
+        # What was found by this gateway itself, of the parts that are held.
+        self._found: dict[str, HeldPart] = {}
 
     def record_crash(self, back_end: str, requests: Iterable[BrokenRequest], now: float) -> None:
         """Record a crash and the requests that the back end had not begun to answer."""
@@ -49,10 +53,13 @@
         """Let go what has expired, and return the parts that are held from now on."""
         self._log_released(self._suspects.forget_old(now), "expired")
         held = self._suspects.hold_guilty(now)
+        holds = self._suspects.holds(now)
+        self._found = {part: found for part, found in self._found.items() if part in holds}
+        self._found |= {each.part: each for each in held}
         for part, back_ends, requests in held:
             PARTS_HELD.inc(source="crashes")
             _log.warning(PART_HELD, part=part, back_ends=back_ends, requests=requests)
-        HELD_PARTS.set(len(self._suspects.holds(now)))
+        HELD_PARTS.set(len(holds))
         return held
 
     def refusal(self, parts: Iterable[str], now: float) -> Refusal | None:
@@ -62,6 +69,24 @@
             return None
         return Refusal(ErrorKind.QUARANTINED, HELD_PART_DETAIL, retry_after_s=held[1])
 
+    def list_held(self, now: float) -> list[HeldPartStatus]:
+        """Return the held parts, for operators."""
+        return [
+            (
+                HeldPartStatus(part, HOLD_S - remaining_s, remaining_s, *self._found[part][1:])
+                if part in self._found
+                else HeldPartStatus(part, HOLD_S - remaining_s, remaining_s)
+            )
+            for part, remaining_s in self._suspects.holds(now).items()
+        ]
+
+    def release(self, part: str, now: float) -> bool:
+        """Let a part go for an operator, and return whether it was held."""
+        is_released = self._suspects.release(part, now)
+        if is_released:
+            self._log_released((part,), "operator")
+        return is_released
+
     def make_update(self, now: float) -> NodeUpdate:
         """Return what peers must know: held parts, crashes seen here, and suspects answered here."""
         return NodeUpdate(
--- a/src/laburnumreel/transport/_peer_client.py
+++ b/src/laburnumreel/transport/_peer_client.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok, Result
 from thrift.Thrift import TApplicationException, TException
 
-from laburnumreel.coordination import ClaimState, ExchangeMessage, NodeStatus
+from laburnumreel.coordination import ClaimState, ExchangeMessage, HeldPartStatus, NodeStatus
 from laburnumreel.protocol import _wire
 from laburnumreel.protocol.gen.node import Node
 from laburnumreel.state import Change, Configuration
@@ -84,6 +84,16 @@
     def claim_state(self, address: Address, claim_key: str) -> Result[ClaimState, str]:
         return self._call(address, "claim_state", (claim_key,), _wire.claim_state_from_wire)
 
+    def held_parts(self, address: Address) -> Result[list[HeldPartStatus], str]:
+        """Return the parts of prompts that a gateway holds."""
+        return self._call(
+            address, "held_parts", (), lambda wire: [_wire.held_part_from_wire(w) for w in wire]
+        )
+
+    def release_part(self, address: Address, part: str) -> Result[bool, str]:
+        """Let a part of prompts go at a gateway, which tells its peers."""
+        return self._call(address, "release_part", (bytes.fromhex(part),), bool)
+
     def close(self) -> None:
         with self._lock:
             self._is_closed = True
--- a/src/laburnumreel/transport/_peer_server.py
+++ b/src/laburnumreel/transport/_peer_server.py
@@ -9,7 +9,13 @@
 
 from thrift.Thrift import TException
 
-from laburnumreel.coordination import ClaimState, ConfigSync, NodeStatus, PeerExchange
+from laburnumreel.coordination import (
+    ClaimState,
+    ConfigSync,
+    HeldPartStatus,
+    NodeStatus,
+    PeerExchange,
+)
 from laburnumreel.core import Log
 from laburnumreel.protocol import _wire
 from laburnumreel.protocol.gen.node import Node
@@ -44,6 +50,10 @@
 
     def claim_state(self, claim_key: str) -> ClaimState: ...
 
+    def held_parts(self) -> list[HeldPartStatus]: ...
+
+    def release_part(self, part: str) -> bool: ...
+
 
 class _NodeService:
     """The thrift service. Each method converts its arguments, calls the owning task and converts
@@ -84,6 +94,12 @@
     def claim_state(self, claim_key: str) -> Any:
         return _wire.claim_state_to_wire(self._node.claim_state(claim_key))
 
+    def held_parts(self) -> list[Any]:
+        return [_wire.held_part_to_wire(each) for each in self._node.held_parts()]
+
+    def release_part(self, part: bytes) -> bool:
+        return self._node.release_part(_wire.part_from_wire(part))
+
 
 class _Connection:
     """A peer's connection: its unprocessed bytes, and whether a call of it is running."""
--- a/src/laburnumreel/ui/__init__.py
+++ b/src/laburnumreel/ui/__init__.py
@@ -10,6 +10,7 @@
 from laburnumreel.ui._key import key
 from laburnumreel.ui._lease import lease
 from laburnumreel.ui._order import order
+from laburnumreel.ui._part import part
 from laburnumreel.ui._relay import relay
 from laburnumreel.ui._status import status
 
@@ -26,7 +27,7 @@
     """
 
 
-for _command in (config, key, status, lease, fleet, order, relay):
+for _command in (config, key, status, lease, fleet, order, part, relay):
     cli.add_command(_command)
 
 
--- a/tests/test_gateway_deadly_parts.py
+++ b/tests/test_gateway_deadly_parts.py
@@ -1,11 +1,15 @@
 """Tests of the gateway with a part of prompts that crashes every engine that answers it."""
 
 import functools
+import json
 import time
 
 import pytest
 
+from laburnumreel.ui import cli
+from laburnumreel.ui._context import run_command_group
 from laburnumreel_standins.caller import MODEL, bearer_headers, call
+from laburnumreel_standins.deployment import PEPPER
 from laburnumreel_standins.processes import wait_until
 
 pytestmark = pytest.mark.processes
@@ -61,6 +65,33 @@
     assert gateway.metric("laburnumreel_held_parts") == 1
 
 
+def test_operator_lets_a_held_part_go_at_every_gateway(deployment, capsys, monkeypatch):
+    """A part stayed held although the engines were mended."""
+    monkeypatch.setenv("TEST_PEPPER", PEPPER)
+    gateways = start_deployment(deployment, 2)
+    send_until_held(deployment, gateways)
+
+    def run_command(*arguments):
+        options = ["--settings", str(gateways[0].settings_path), "--json"]
+        capsys.readouterr()
+        assert run_command_group(cli, ["part", *arguments, *options]) == 0
+        return json.loads(capsys.readouterr().out)
+
+    wait_until(lambda: len(run_command("list")["parts"]) == 2, "both gateways to hold the part")
+    rows = run_command("list")["parts"]
+    assert len({row["part"] for row in rows}) == 1
+    assert max(row["requests"] for row in rows if row["requests"] != "-") >= 4
+    for name, (process, _) in deployment.engines.items():
+        if process.exit_code is None:
+            deployment.engine_faults(name, crash_on="")
+    assert run_command("release", rows[0]["part"])["released"] >= 1
+    assert run_command("list")["parts"] == []
+    for gateway in gateways:
+        send = functools.partial(send_chat, gateway, "deadly", "x")
+        wait_until(lambda: send().status == 200, "an answer")  # noqa: B023
+    assert run_command("list")["parts"] == []
+
+
 def test_deadly_part_is_held_at_every_gateway(deployment):
     """A part that crashed engines through one gateway crashed more through its peers."""
     gateways = start_deployment(deployment, 2)
@@ -73,6 +104,8 @@
     replies = [send_chat(each, "deadly", "once more") for each in gateways]
     assert [reply.kind for reply in replies] == ["quarantined"] * 2
     assert find_crashed(deployment) == crashed and len(crashed) <= 5
+    gateways[0].process.end()
     restarted = deployment.restart_gateway(gateways[0])
-    assert send_chat(restarted, "deadly", "after a start").run_state == "not-run"
+    reply = send_chat(restarted, "deadly", "after a start")
+    assert (reply.kind, reply.run_state) == ("quarantined", "not-run")
     assert find_crashed(deployment) == crashed
