--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -32,6 +32,7 @@
     write_withdrawal,
 )
 from laburnumreel.coordination._crash_suspects import (
+    HOLD_S,
     BrokenRequest,
     CrashReport,
     CrashSuspects,
@@ -46,6 +47,7 @@
     DrainMark,
     ExchangeMessage,
     GossipDelegate,
+    HeldPartStatus,
     NodeStatus,
     NodeUpdate,
     NullGossipDelegate,
@@ -63,7 +65,7 @@
 )
 from laburnumreel.coordination._peers import PeerExchange
 from laburnumreel.coordination._prefixes import prompt_prefixes
-from laburnumreel.coordination._quarantine import Quarantine
+from laburnumreel.coordination._quarantine import STRIKE_WINDOW_S, Quarantine
 from laburnumreel.coordination._role_planner import EngineView, RoleChange, RolePlan, RolePlanner
 from laburnumreel.coordination._routing import Costs, Router, RoutingChoice, RoutingRequest
 from laburnumreel.coordination._sealer import USAGE_LEASE, UsageSealer
@@ -90,6 +92,8 @@
     "ClaimState",
     "ConfigSync",
     "BrokenRequest",
+    "STRIKE_WINDOW_S",
+    "HOLD_S",
     "Costs",
     "CrashReport",
     "CrashSuspects",
@@ -106,6 +110,7 @@
     "LoadReport",
     "GossipDelegate",
     "HeldPart",
+    "HeldPartStatus",
     "NullGossipDelegate",
     "NodeStatus",
     "Offer",
--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -152,7 +152,7 @@
     >>> [(held.part, held.requests) for held in suspects.hold_guilty(4.5)]
     [('deadly', 4)]
     >>> suspects.held_part(("common", "deadly", "other"), 5.0)
-    ('deadly', 600.0)
+    ('deadly', 599.5)
     """
 
     def __init__(self) -> None:
@@ -244,19 +244,25 @@
         return released
 
     def held_part(self, parts: Iterable[str], now: float) -> tuple[str, float] | None:
-        """Return a held part of a prompt and its remaining seconds, or None.
-
-        As long as requests with the part come, it stays held.
-        """
+        """Return a held part of a prompt and its remaining seconds, or None."""
         if not self._holds:
             return None
         for part in parts:
             hold = self._holds.get(part)
-            if hold is not None:
-                hold.until = now + HOLD_S
-                return part, HOLD_S
+            if hold is not None and hold.until > now:
+                return part, hold.until - now
         return None
 
+    def renew(self, part: str, now: float) -> None:
+        """Hold a part for as long as requests with it come."""
+        hold = self._holds.get(part)
+        if hold is not None:
+            hold.until = now + HOLD_S
+
+    def held_for_s(self, now: float) -> dict[str, float]:
+        """Return for how many seconds each held part has been held here."""
+        return {part: now - hold.since for part, hold in self._holds.items()}
+
     def may_try(
         self,
         parts: Iterable[str],
@@ -290,6 +296,10 @@
             hold.trial_at = now + TRIAL_DELAY_S
         return tried
 
+    def release(self, part: str, now: float) -> bool:
+        """Let a part go as if it had been answered, and return whether it was held."""
+        return bool(self.record_answers({part: now}))
+
     def holds(self, now: float) -> dict[str, float]:
         """Return the held parts with the remaining seconds of each."""
         return {part: hold.until - now for part, hold in self._holds.items() if hold.until > now}
@@ -317,6 +327,14 @@
             for crash in recent[-MAX_REPORTED_CRASHES:]
         )
 
+    def explained_crashes(self) -> dict[str, list[float]]:
+        """Return when backend servers crashed because of a part that is held."""
+        times: dict[str, list[float]] = {}
+        for crash in self._crashes:
+            if crash.by_part.keys() & self._holds.keys():
+                times.setdefault(crash.back_end, []).append(crash.at)
+        return times
+
     def answered_suspects(self, now: float) -> dict[str, float]:
         """Return how long ago parts that a recent crash speaks against were last answered.
 
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -7,12 +7,14 @@
 import secrets
 import signal
 import time
+from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 from laburnumreel.coordination import (
     ClaimState,
     ConfigSync,
+    HeldPartStatus,
     NodeStatus,
     NodeUpdate,
     PeerExchange,
@@ -171,6 +173,10 @@
         """Apply the update of a peer."""
         self._dispatcher.on_peer_update(peer, update)
 
+    def on_peer_holds(self, held_parts: Mapping[str, float]) -> None:
+        """Apply the held parts of prompts in a peer's answer."""
+        self._dispatcher.on_peer_holds(held_parts)
+
     def status(self) -> NodeStatus:
         """Return the state of this gateway for operators."""
         configuration, node = self._config.configuration, self._settings.node
@@ -191,6 +197,14 @@
         """Return whether the request of a claim runs here, for a peer."""
         return ClaimState(self._boot, self._claims.is_running(claim_key))
 
+    def held_parts(self) -> list[HeldPartStatus]:
+        """Return the held parts of prompts, for operators."""
+        return self._dispatcher.list_held_parts()
+
+    def release_part(self, part: str) -> bool:
+        """Let a held part of prompts go, and return whether it was held."""
+        return self._dispatcher.release_part(part)
+
     def run(self) -> int:
         """Serve until SIGTERM and return the exit code."""
         with ThreadPoolExecutor(TASK_THREADS, "task") as executor:
--- a/src/laburnumreel/relay/_crash_evidence.py
+++ b/src/laburnumreel/relay/_crash_evidence.py
@@ -87,7 +87,6 @@
         self._host = host
         self._peers: set[str] = set()
         self._held_views: dict[str, HeldPartView] = {}
-        self._held_since: dict[str, float] = {}
         self._quarantine = Quarantine()
         self._suspects = CrashSuspects()
         self._crashes: dict[str, float] = {}
@@ -129,6 +128,7 @@
         if held is None or self._suspects.may_try(parts, request_id, now, self._is_trial_host):
             return None
         part, remaining_s = held
+        self._suspects.renew(part, now)
         view = self._held_views[part]
         self._held_views[part] = view._replace(refused=view.refused + 1)
         detail = f"part {part} of the prompt crashed backend servers and is held back"
@@ -177,18 +177,19 @@
 
     def held_parts(self, now: float) -> list[HeldPartView]:
         """Return what is held, for operators."""
-        remaining = self._suspects.holds(now)
+        remaining, held_for_s = self._suspects.holds(now), self._suspects.held_for_s(now)
         return [
-            view._replace(held_s=now - self._held_since[part], remaining_s=remaining[part])
+            view._replace(held_s=held_for_s[part], remaining_s=remaining[part])
             for part, view in self._held_views.items()
             if part in remaining
         ]
 
     def release(self, part: str, now: float) -> bool:
         """Let a held part go on all hosts, as an operator asked; return whether it was held."""
-        released = self._suspects.record_answers({part: now})
-        self._log_released(released, "an operator let it go")
-        return bool(released)
+        is_released = self._suspects.release(part, now)
+        if is_released:
+            self._log_released((part,), "an operator let it go")
+        return is_released
 
     def update(self, now: float) -> CrashUpdate:
         """Return what peers need to know."""
@@ -222,7 +223,7 @@
         neighbours = self._suspects.neighbours(part)
         for digest in neighbours:
             self._crashes.pop(digest, None)
-        for digest in self._quarantine.forgive(neighbours, now):
+        for digest in self._quarantine.take_back_all(neighbours, now):
             _log.info(REQUEST_RELEASED, digest=digest[:16], part=part)
 
     def _count_crash(self, digest: str, now: float) -> None:
@@ -240,13 +241,11 @@
         )
 
     def _add_view(self, part: str, found_by: str, back_ends: tuple[str, ...], now: float) -> None:
-        self._held_since[part] = now
         self._held_views[part] = HeldPartView(part, found_by, back_ends, 0.0, 0.0, 0)
 
     def _log_released(self, parts: Sequence[str], reason: str) -> None:
         for part in parts:
             self._held_views.pop(part, None)
-            self._held_since.pop(part, None)
             _log.warning(PART_RELEASED, part=part, reason=reason)
 
 
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -70,10 +70,12 @@
     680, "server_crashed", "a backend server's process ended while it had a request of this host"
 )
 PART_HELD = define_event(
-    681, "part_held", "a part of prompts crashed backend servers; requests with it are refused"
+    681,
+    "relay_part_held",
+    "a part of prompts crashed backend servers; requests with it are refused",
 )
 PART_HELD_BY_PEER = define_event(
-    682, "part_held_by_peer", "a peer found a part of prompts that crashes backend servers"
+    682, "relay_part_held_by_peer", "a peer found a part of prompts that crashes backend servers"
 )
 REQUEST_RELEASED = define_event(
     685,
@@ -81,9 +83,13 @@
     "a request that was held back had only been beside a part that crashes servers",
 )
 PART_TRIED = define_event(
-    684, "part_tried", "a single request is sent with a held part, which ends the hold if answered"
+    684,
+    "relay_part_tried",
+    "a single request is sent with a held part, which ends the hold if answered",
+)
+PART_RELEASED = define_event(
+    683, "relay_part_released", "requests with a held part are admitted again"
 )
-PART_RELEASED = define_event(683, "part_released", "requests with a held part are admitted again")
 COPY_RELEASED = define_event(637, "copy_released", "releasing an unused copy of a prompt")
 RELAY_REQUEST_FAILED = define_event(638, "relay_request_failed", "a request hit an internal error")
 PROMPT_READ = define_event(639, "prompt_read", "an engine has read a prompt for another one")
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -142,7 +142,7 @@
     for request in requests:
         request.result()
     assert engines.deadly_runs == 0
-    assert not relay.find_log_lines("part_held")
+    assert not relay.find_log_lines("relay_part_held")
     assert ask(relay, next(numbers))[0] == 200
 
 
