Keep the answers to parts that crashes speak against

A part that had been answered after each of its crashes could still be held: only the last 10,000 answered parts were remembered, so that with many other answers in between all its old crashes spoke against it again. Answers to parts that a recent crash names are dropped last now, in batches.

Before: test_part_that_was_answered_is_not_blamed_after_many_other_answers fails ("rare" is held after four crashes); after: it is not.

--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -31,6 +31,7 @@
 MAX_REQUESTS_PER_CRASH = 64
 MAX_REPORTED_CRASHES = 24
 MAX_PARTS_PER_REQUEST = 32
+# How many of the last answers are kept; up to twice as many are until the oldest are dropped.
 MAX_ANSWERED_PARTS = 10_000
 
 
@@ -180,8 +181,8 @@
                 del self._holds[part]
                 self._released_at[part] = at
                 released.append(part)
-        while len(self._answered_at) > MAX_ANSWERED_PARTS:
-            del self._answered_at[next(iter(self._answered_at))]
+        if len(self._answered_at) > 2 * MAX_ANSWERED_PARTS:
+            self._drop_oldest_answers()
         return released
 
     def held_part(self, parts: Iterable[str], now: float) -> tuple[str, float] | None:
@@ -260,6 +261,13 @@
         self._relapses = {part: until for part, until in self._relapses.items() if until > now}
         return ended
 
+    def _drop_oldest_answers(self) -> None:
+        """Forget the oldest answers; those to parts that crashes would speak against again last."""
+        suspected = set().union(*(crash.by_part for crash in self._crashes))
+        oldest = sorted(self._answered_at, key=suspected.__contains__)
+        for part in oldest[: len(oldest) - MAX_ANSWERED_PARTS]:
+            del self._answered_at[part]
+
     def _record(
         self,
         back_end: str,
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -6,7 +6,7 @@
 import pytest
 
 from laburnumreel.coordination import BrokenRequest, CrashSuspects
-from laburnumreel.coordination._crash_suspects import HOLD_S, SETTLE_S
+from laburnumreel.coordination._crash_suspects import HOLD_S, MAX_ANSWERED_PARTS, SETTLE_S
 
 
 def crash(suspects, back_end, now, *prompts):
@@ -206,3 +206,12 @@
         for part in deadly:
             fifth = sends[part, "crashed"][:5][-1]
             assert sum(1 for at in sends[part] if at > fifth + 3.0) <= 3, (seed, part)
+
+
+def test_part_that_was_answered_is_not_blamed_after_many_other_answers():
+    """Many answers to other prompts made old crashes speak again against a part they had cleared."""
+    suspects = CrashSuspects()
+    for now in range(1, 5):
+        assert crash(suspects, f"s{now}", float(now), ("rare", f"own-{now}")) == []
+        suspects.record_answer(("rare",), now + 0.5)
+        suspects.record_answers({f"{now}-{n}": now + 0.6 for n in range(2 * MAX_ANSWERED_PARTS)})
