--- a/src/laburnumreel/protocol/_prompt_parts.py
+++ b/src/laburnumreel/protocol/_prompt_parts.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator, Sequence
 from typing import Any
 
+import orjson
+
 from laburnumreel.protocol._openai import ModelRequest
 
 PART_DIGEST_BYTES = 8
@@ -42,7 +44,15 @@
         content = message.get("content")
         elements = content if isinstance(content, list) and content else [content]
         for element in elements:
-            yield json.dumps({**message, "content": element}, sort_keys=True).encode()
+            yield _encode({**message, "content": element})
+
+
+def _encode(part: dict[str, Any]) -> bytes:
+    try:
+        # Several times faster than json, but without large numbers and lone surrogates.
+        return orjson.dumps(part, option=orjson.OPT_SORT_KEYS)
+    except TypeError:
+        return json.dumps(part, sort_keys=True).encode()
 
 
 def _prefix_digests(scope: bytes, prompt: bytes) -> tuple[str, ...]:
