--- a/bench/_crash_cases.py
+++ b/bench/_crash_cases.py
@@ -1,14 +1,17 @@
 """Cases and figures of runs of `bench._crash_fleet`, and the bytes of evidence."""
 
 import hashlib
-from typing import NamedTuple
+from collections import defaultdict
+from typing import Any, NamedTuple
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from laburnumreel.coordination import CrashReport
+from laburnumreel.coordination import CrashReport, CrashSuspects
 from laburnumreel.protocol.gen.relay import ttypes
 
+ATTEMPTS = 2
+
 
 class Case(NamedTuple):
     """What crashes servers: parts, another reason for a number or share of them, or everything."""
@@ -39,6 +42,38 @@
     datagrams_per_crash: float
 
 
+class Request:
+    """A request at one host, with the attempts that are left."""
+
+    def __init__(self, name: str, parts: tuple[str, ...], host: "Host", at: float) -> None:
+        self.name, self.parts, self.host, self.at = name, parts, host, at
+        self.attempts, self.has_begun = ATTEMPTS, False
+
+
+class Server:
+    """A backend server with its requests and the attempt of each."""
+
+    def __init__(self, name: str) -> None:
+        self.name, self.is_up = name, True
+        self.requests: dict[Request, int] = {}
+
+
+class Host:
+    """A host and what it knows of crashes."""
+
+    def __init__(self, number: int, region: int, suspects: CrashSuspects) -> None:
+        self.number, self.region, self.suspects = number, region, suspects
+        # What its updates say in order, and how much of that of each peer it has heard.
+        self.news: list[tuple[Any, ...]] = []
+        self.heard: defaultdict[int, int] = defaultdict(int)
+        # When a crash last spoke against each part, until an answer is known.
+        self.suspected_at: dict[str, float] = {}
+        self.answered_at: dict[str, float] = {}
+        self.next_far, self.last_urgent, self.urgent_pending = 0.0, float("-inf"), False
+        self.unjudged_until, self.judge_pending = 0.0, False
+        self.strikes: defaultdict[str, int] = defaultdict(int)
+
+
 def encoded_size(
     reports: tuple[CrashReport, ...], answered: dict[str, float], holds: dict[str, float]
 ) -> int:
