--- a/bench/_crash_fleet.py
+++ b/bench/_crash_fleet.py
@@ -10,7 +10,7 @@
 
 from bench._crash_cases import Case, Host, Request, Result, Server, encoded_size
 from bench._crash_rules import Rule
-from laburnumreel.coordination import BrokenRequest, CrashReport, CrashSuspects, _crash_suspects
+from laburnumreel.coordination import BrokenRequest, CrashReport, _crash_suspects
 from laburnumreel.relay._peer_gossip import MAX_FAR_PER_S, MAX_NEAR_PER_S, send_interval_s
 
 INTERVAL_S = 0.15
