Bound the heads of one answer by number

What callers saw: a backend server that sends `102 Processing` in series kept one core of a relay busy; callers of a sound service on the same host got nothing for many seconds. Only the bytes of a head's wait were bounded (256 KiB, some 9,700 heads at 27 bytes, each parsed by http.client), and a hedged send, which reads one head at a time, began that bound anew with each head: it had none.

Now an answer has at most 16 heads and one more for each second since its request was sent: interim ones, those of answers to earlier requests and its own. Each is counted before it is parsed, also those with status 100, which http.client skips in a loop of its own. An answer beyond that fails with the reason too_costly: it is closed, counted (laburnumreel_costly_answers_total by unit, laburnumreel_relay_attempts_total{outcome=too_costly}), logged (205) and recorded as a failure of its server, at the gateway too. The caller gets 502 as for other faulty answers.

--- a/src/laburnumreel/relay/_attempt.py
+++ b/src/laburnumreel/relay/_attempt.py
@@ -335,6 +335,8 @@
     def _exchange_error(self, error: BackEndFailureError) -> SendFailedError:
         """Return the error for an exchange that broke off, and check whether the server is gone."""
         job, back_end = self._job, self._dispatch.back_end
+        if error.reason == "too_costly":
+            return self._send_error("too_costly", str(error), not self._dispatch.only_read)
         silent = error.reason == "silent"
         elapsed_s = job.deps.clock.now() - self._sent_at
         if silent and self._waits_until_deadline and elapsed_s < MIN_SILENCE_EVIDENCE_S:
--- a/src/laburnumreel/relay/_send_failures.py
+++ b/src/laburnumreel/relay/_send_failures.py
@@ -16,6 +16,7 @@
     "silent",
     "out_of_time",
     "too_long",
+    "too_costly",
     "not_genuine",
     "failed",
 ]
--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -206,7 +206,7 @@
         quarantined = crashed and self._deps.dispatcher.on_crash(
             back_end.name, self._job.running.request_id, has_progressed
         )
-        has_failed = crashed or not self._is_reachable
+        has_failed = crashed or not self._is_reachable or error.reason == "too_costly"
         cancel = error.sent and not crashed
         can_continue = self._hedges.has_answer or (
             self._hedges.has_candidates and self._is_before_deadline
--- /dev/null
+++ b/src/laburnumreel/transport/_answer_work.py
@@ -0,0 +1,64 @@
+"""Bounds on the work of one answer: a faulty server may send more parts than bytes would tell."""
+
+import time
+from collections.abc import Callable
+
+# Heads of one answer: interim ones, those of answers to earlier requests, and its own. HTTP does
+# not limit interim heads; servers send one or two, or one in some seconds while a request runs.
+MAX_HEADS = 16
+HEADS_PER_S = 1.0
+
+
+class CostlyAnswerError(OSError):
+    """An answer has more parts of a kind, such as heads or chunks, than a sound one has."""
+
+    def __init__(self, unit: str, count: int) -> None:
+        super().__init__(f"an answer has {count} {unit}")
+        self.unit = unit
+
+
+class WorkAllowance:
+    """The parts of one kind that an answer may have: a number, and more with time.
+
+    The number alone is enough for most answers, so that only long ones need the time. With time,
+    a server that sends all day at a low rate is never cut.
+
+    >>> allowance = WorkAllowance("heads", 2, 1.0, clock=iter([0.0, 1.0, 1.5]).__next__)
+    >>> for _ in range(4): allowance.spend()
+    Traceback (most recent call last):
+    ...
+    laburnumreel.transport._answer_work.CostlyAnswerError: an answer has 4 heads
+    """
+
+    def __init__(
+        self,
+        unit: str,
+        max_count: float,
+        per_s: float,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._unit = unit
+        self._max_count = max_count
+        self._per_s = per_s
+        self._clock = clock
+        self._started_at = clock()
+        self._count = 0
+
+    def spend(self, count: int = 1) -> None:
+        """Count parts that were received. Raises `CostlyAnswerError` if they are too many."""
+        self._count += count
+        if self._count > self._max_count:
+            elapsed_s = self._clock() - self._started_at
+            if self._count > self._max_count + self._per_s * elapsed_s:
+                raise CostlyAnswerError(self._unit, self._count)
+
+
+class AnswerWork:
+    """The work of the answer to one request, as far as it is HTTP's framing."""
+
+    def __init__(self) -> None:
+        self._heads = WorkAllowance("heads", MAX_HEADS, HEADS_PER_S)
+
+    def count_head(self) -> None:
+        """Count a head, before it is parsed. Raises `CostlyAnswerError`."""
+        self._heads.spend()
--- a/src/laburnumreel/transport/_events.py
+++ b/src/laburnumreel/transport/_events.py
@@ -19,5 +19,10 @@
     "connections_full",
     "connection limit reached; closed idle callers' connections for new ones",
 )
+ANSWER_TOO_COSTLY = define_event(
+    205,
+    "answer_too_costly",
+    "cut an answer that has more heads, chunks or events than a sound server sends",
+)
 PEER_CALL_FAILED = define_event(220, "peer_call_failed", "failed to answer a call from a peer")
 PEER_REFUSED = define_event(221, "peer_refused", "closed a peer's connection")
--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -5,10 +5,12 @@
 import socket
 import time
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from typing import Literal
+from typing import Any, Literal
 
-from laburnumreel.core import StrictResponse
-from laburnumreel.transport._metrics import SILENT_CONNECTIONS
+from laburnumreel.core import Log, StrictResponse
+from laburnumreel.transport._answer_work import AnswerWork, CostlyAnswerError
+from laburnumreel.transport._events import ANSWER_TOO_COSTLY
+from laburnumreel.transport._metrics import COSTLY_ANSWERS, SILENT_CONNECTIONS
 from laburnumreel.transport._sockets import (
     BackEndSocket,
     TimeoutHandler,
@@ -33,15 +35,17 @@
 _SECONDS_PATTERN = re.compile(r"[0-9]{1,9}")
 
 Address = tuple[str, int]
-FailureReason = Literal["connect_failed", "silent", "lost", "short", "too_long"]
+FailureReason = Literal["connect_failed", "silent", "lost", "short", "too_long", "too_costly"]
+
+_log = Log("transport.exchange")
 
 
 class BackEndFailureError(Exception):
     """A failed exchange.
 
     `sent` is whether a byte of the request may have been sent. The reason `silent` means that no
-    byte was received in time, `short` that the answer was truncated, and `too_long` that it
-    exceeded its limit in bytes or time.
+    byte was received in time, `short` that the answer was truncated, `too_long` that it exceeded its
+    limit in bytes or time, and `too_costly` that it had too many parts, such as heads or chunks.
     """
 
     def __init__(self, reason: FailureReason, detail: str, sent: bool) -> None:
@@ -51,7 +55,19 @@
 
 
 class _Response(StrictResponse):
-    """A response that tells whether a part of its chunked body can be read without blocking."""
+    """A response whose work is counted.
+
+    It tells whether a part of its chunked body can be read without blocking.
+    """
+
+    def __init__(self, sock: BackEndSocket, *arguments: Any, **options: Any) -> None:
+        super().__init__(sock, *arguments, **options)
+        self._work = sock.answer_work
+
+    def _read_status(self) -> tuple[str, int, str]:
+        # http.client reads the heads of answers with status 100 in a loop of its own.
+        self._work.count_head()
+        return super()._read_status()
 
     def can_read_chunk(
         self, read_ahead: Callable[[], bytes], has_unread_bytes: Callable[[], bool]
@@ -247,6 +263,7 @@
         """Send the request. Raises BackEndFailureError."""
         self.set_timeout(timeout_s)
         self._socket.timed_out = False
+        self._socket.answer_work = AnswerWork()
         try:
             self.connection.request_in_one_send(method, target, body, headers)
         except (OSError, http.client.HTTPException, ValueError) as error:
@@ -397,7 +414,15 @@
         self.connection.close()
         self._socket.close_with_reader()
 
+    def make_costly_failure(self, error: CostlyAnswerError) -> BackEndFailureError:
+        """Return the failure of an exchange whose answer is too much work, and record it."""
+        COSTLY_ANSWERS.inc(unit=error.unit)
+        _log.warning(ANSWER_TOO_COSTLY, address="{}:{}".format(*self.address), trouble=str(error))
+        return BackEndFailureError("too_costly", str(error), sent=True)
+
     def _make_failure(self, reason: FailureReason, error: object) -> BackEndFailureError:
+        if isinstance(error, CostlyAnswerError):
+            return self.make_costly_failure(error)
         # http.client reports a timeout in several ways.
         if self._socket.timed_out and not self._is_aborted:
             SILENT_CONNECTIONS.inc()
--- a/src/laburnumreel/transport/_metrics.py
+++ b/src/laburnumreel/transport/_metrics.py
@@ -13,6 +13,12 @@
     "laburnumreel_silent_connections_total",
     "Back-end connections that went silent.",
 )
+COSTLY_ANSWERS = define_counter(
+    "laburnumreel_costly_answers_total",
+    "Answers that were cut because they had more parts than a sound server sends, by the kind of"
+    " part.",
+    ("unit",),
+)
 RATE_LIMITED_CALLS = define_counter(
     "laburnumreel_store_calls_held_total",
     "Calls to the store that were beyond this host's share of its rates.",
--- a/src/laburnumreel/transport/_sockets.py
+++ b/src/laburnumreel/transport/_sockets.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from laburnumreel.transport._answer_work import AnswerWork
+
 # Called when a wait has timed out. Returns for how many more seconds to wait, or None to give up.
 # The argument is whether any bytes were received during the wait.
 TimeoutHandler = Callable[[bool], float | None]
@@ -84,9 +86,10 @@
 
     `on_timeout`, if set, is called whenever a wait has timed out. While it extends the wait, the part
     of an answer that was already read stays valid. `timed_out` is whether the last wait ended
-    without an expected byte.
+    without an expected byte. `answer_work` counts the work of the answer to the last request.
     """
 
+    answer_work: AnswerWork
     on_timeout: TimeoutHandler | None = None
     timed_out = False
     # While set, the reader returns only bytes that it has read ahead and receives nothing.
