Bound the events and comments of one answer

What callers saw: a server that sends comments (`: a`) or small whole events (`data: a`) without end kept one core of a relay busy; a sound service on the host got nothing for many seconds. Nothing bounded the parts of a stream, only the time without a whole event, which the busy relay itself stretched. A hedged send split and parsed all that had come of a second answer with every piece.

They are counted as they are split, not after the read. Beyond that the server is closed, counted (too_costly, by unit), logged and recorded as failed; the stream resumes elsewhere, or the caller gets 502 or a broken stream as for any faulty answer. Pieces of a hedged answer are split once.

--- a/src/laburnumreel/relay/_attempt.py
+++ b/src/laburnumreel/relay/_attempt.py
@@ -15,7 +15,7 @@
 from laburnumreel.relay._requests import Dispatch, SelfReport, Verdict
 from laburnumreel.relay._send_failures import FailureCause, SendFailedError
 from laburnumreel.state import RunState
-from laburnumreel.transport import BackEndFailureError, Exchange
+from laburnumreel.transport import BackEndFailureError, CostlyAnswerError, Exchange
 
 # A request that must not be repeated uses a pooled connection only if it was used this recently.
 MAX_UNREPEATABLE_IDLE_S = 3.0
@@ -62,6 +62,7 @@
         self._has_named_limit = False
         # Parts of the body that were read while another backend server was still awaited.
         self._early_pieces: deque[bytes] = deque()
+        self._early_bytes = 0
         self.verdict: Verdict | None = None
 
     def __enter__(self) -> "Attempt":
@@ -124,23 +125,25 @@
         self._write(HEDGE_READ_TIMEOUT_S)
 
     @property
-    def early_body(self) -> bytes:
-        """The part of the body that was read while another backend server was still awaited."""
-        return b"".join(self._early_pieces)
+    def early_bytes(self) -> int:
+        """The size of the part of the body that was read while another server was still awaited."""
+        return self._early_bytes
 
-    def read_early(self) -> bool:
+    def read_early(self) -> bytes | None:
         """Read the head, or what has arrived of the body, while another server is still awaited.
 
-        Returns False at the end of the body. Raises `SendFailedError`.
+        Returns None after a head, and the next bytes of the body, empty at its end. Raises
+        `SendFailedError`.
         """
         if self.verdict is None:
             self._read_head(HEDGE_READ_TIMEOUT_S, at_once=True)
-            return True
+            return None
         self._exchange.set_timeout(HEDGE_READ_TIMEOUT_S)
         piece = self.read_unbuffered()
         if piece:
             self._early_pieces.append(piece)
-        return bool(piece)
+            self._early_bytes += len(piece)
+        return piece
 
     def take_over(self, failover: Failover, silence_limit_s: float) -> Verdict:
         """Continue with this hedged send alone, and return the verdict on the answer's head.
@@ -286,6 +289,10 @@
         """Return the error for an answer that does not continue the request's stream."""
         return self._send_error("not_genuine", detail, True)
 
+    def costly_error(self, error: CostlyAnswerError) -> SendFailedError:
+        """Return the error for an answer whose events are too much work."""
+        return self._exchange_error(self._exchange.make_costly_failure(error))
+
     def _record_self_report(self, self_report: SelfReport) -> None:
         """Record what the backend server reports of itself in any answer to the request."""
         if self_report.leaving:
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -1,12 +1,16 @@
 """Requests to engines: the prompt is read, possibly by a separate engine, then a stream runs."""
 
 from collections.abc import Callable, Iterator
-from functools import partial
 
 from laburnumreel.core import Log
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
 from laburnumreel.relay._attempt import Attempt
-from laburnumreel.relay._event_stream import CommentRateLimiter, EventSplitter, StreamEvent
+from laburnumreel.relay._event_stream import (
+    CommentRateLimiter,
+    EventAllowance,
+    EventSplitter,
+    StreamEvent,
+)
 from laburnumreel.relay._events import REQUEST_RESUMED
 from laburnumreel.relay._failover import Failover, Reservation, release_reservation
 from laburnumreel.relay._hedged_send import HedgedSend
@@ -28,7 +32,7 @@
 )
 from laburnumreel.relay._work import Work
 from laburnumreel.state import ErrorKind
-from laburnumreel.transport import Exchange
+from laburnumreel.transport import CostlyAnswerError, Exchange
 
 # Maximum size of an engine's failure answer.
 MAX_FAILURE_BYTES = 256 * 1024
@@ -221,7 +225,7 @@
         self._assignment = assignment
         self._unread_work = assignment.read_work
         self._runner_name = assignment.runner.name
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(self._event_allowance())
         self._ready_pieces = []
         self._has_ended = False
         job.excluded |= {assignment.runner.name}
@@ -284,7 +288,7 @@
         attempt = Attempt(
             self._job, self._dispatch(reservation.assignment), None, reservation.exchange
         )
-        has_event = partial(self._position.has_event, resumed=self._has_begun)
+        has_event = self._position.make_event_finder(self._has_begun, self._event_allowance())
         return HedgedSend(
             self._job, reservation.assignment, attempt, self._is_continuation, has_event
         )
@@ -358,9 +362,14 @@
                 events = self._splitter.feed(data)
             except ValueError as error:
                 raise SendFailedError("not_genuine", str(error), True) from error
+            except CostlyAnswerError as error:
+                raise self._attempt.costly_error(error) from error
             self._process_events(events)
         return self._ready_pieces.pop(0)
 
+    def _event_allowance(self) -> EventAllowance:
+        return EventAllowance(self._job.request.prompt.max_output_tokens)
+
     def _process_events(self, events: list[StreamEvent]) -> None:
         """Queue the events to pass on, and adjust the silence limit to the engine's progress."""
         now = self._job.deps.clock.now()
--- a/src/laburnumreel/relay/_hedged_send.py
+++ b/src/laburnumreel/relay/_hedged_send.py
@@ -7,7 +7,7 @@
 from laburnumreel.relay._attempt import Attempt
 from laburnumreel.relay._job import Job
 from laburnumreel.relay._send_failures import SendFailedError
-from laburnumreel.transport import Exchange
+from laburnumreel.transport import CostlyAnswerError, Exchange
 
 # How much of a hedged send's answer is buffered while the first server is still awaited.
 MAX_EARLY_BYTES = 256 * 1024
@@ -22,8 +22,8 @@
 
     It owns its slot and permit until it is taken over or canceled.
     `is_continuation` returns whether the head of an answer that is no failure suits the request.
-    `has_event` returns whether the received part of a stream contains an event for the caller, and
-    raises ValueError if it never will. Without it, the request continues with whole answers only.
+    `has_event` is called with each piece of a stream, returns whether it completes an event for the
+    caller, and raises ValueError or `CostlyAnswerError` if no piece ever will. Without it, the request continues with whole answers only.
     """
 
     def __init__(
@@ -61,7 +61,7 @@
         try:
             while attempt.exchange.can_read_now:
                 had_head = attempt.verdict is not None
-                is_at_end = not attempt.read_early()
+                piece = attempt.read_early()
                 if attempt.verdict is None:
                     continue
                 if attempt.verdict.outcome == "failure":
@@ -70,22 +70,26 @@
                     if not self._is_continuation(attempt):
                         attempt.continuation_error(f"it was answered {attempt.exchange.status}")
                         return "useless"
-                elif self._is_answer_usable(is_at_end):
+                elif self._is_answer_usable(piece):
                     return "answers"
         except SendFailedError:
             return "useless"
         return "awaited"
 
-    def _is_answer_usable(self, is_at_end: bool) -> bool:
-        attempt, early_body = self.attempt, self.attempt.early_body
+    def _is_answer_usable(self, piece: bytes) -> bool:
+        """Return whether the request can continue with the answer, whose next bytes are `piece`."""
+        attempt = self.attempt
+        is_enough = not piece or attempt.early_bytes >= MAX_EARLY_BYTES
         if self._has_event is None:
-            return is_at_end or len(early_body) >= MAX_EARLY_BYTES
+            return is_enough
         try:
-            if self._has_event(early_body):
+            if self._has_event(piece):
                 return True
         except ValueError as error:
             raise attempt.continuation_error(str(error)) from error
-        if is_at_end or len(early_body) >= MAX_EARLY_BYTES:
+        except CostlyAnswerError as error:
+            raise attempt.costly_error(error) from error
+        if is_enough:
             raise attempt.continuation_error("the stream has no event")
         return False
 
--- a/src/laburnumreel/relay/_stream_position.py
+++ b/src/laburnumreel/relay/_stream_position.py
@@ -3,10 +3,10 @@
 import copy
 import re
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from laburnumreel.relay._event_stream import EventSplitter, StreamEvent
+from laburnumreel.relay._event_stream import EventAllowance, EventSplitter, StreamEvent
 
 _ID_PATTERN = re.compile(r"[0-9]{1,18}")
 
@@ -101,18 +101,30 @@
         self._every_event_has_id, self._awaits_event = every_event_has_id, awaits_event
         return accepted
 
-    def has_event(self, data: bytes, resumed: bool) -> bool:
-        """Return whether the beginning of an answer contains an event that could be accepted.
+    def make_event_finder(
+        self, resumed: bool, allowance: EventAllowance | None = None
+    ) -> Callable[[bytes], bool]:
+        """Return a function that is called with each piece of the beginning of an answer.
 
-        `resumed` is whether the answering engine was asked to resume the stream. Raises
-        `NotContinuedError` if the answer does not continue the stream, and ValueError if an event
-        is too large.
+        It returns whether the pieces so far contain an event that could be accepted. `resumed` is
+        whether the answering engine was asked to resume the stream. Raises `NotContinuedError` if
+        the answer does not continue the stream, ValueError if an event is too large, and
+        `CostlyAnswerError` if there are too many.
         """
-        events, position = EventSplitter().feed(data), copy.copy(self)
-        if resumed:
-            position.resume()
-        position.accept(events)
-        return any(event.is_progress for event in events)
+        splitter, events = EventSplitter(allowance), []
+
+        def has_event(piece: bytes) -> bool:
+            new_events = splitter.feed(piece)
+            if not new_events:
+                return False
+            events.extend(new_events)
+            position = copy.copy(self)
+            if resumed:
+                position.resume()
+            position.accept(events)
+            return any(event.is_progress for event in new_events)
+
+        return has_event
 
     def _check_non_event(self, event: StreamEvent) -> None:
         if self._resumed and event.is_stray_text:
--- a/src/laburnumreel/transport/_answer_work.py
+++ b/src/laburnumreel/transport/_answer_work.py
@@ -44,6 +44,10 @@
         self._started_at = clock()
         self._count = 0
 
+    def add(self, count: float) -> None:
+        """Allow more parts, because of something else that was received."""
+        self._max_count += count
+
     def spend(self, count: int = 1) -> None:
         """Count parts that were received. Raises `CostlyAnswerError` if they are too many."""
         self._count += count
