Read small chunks together, and bound the chunks of one answer

What callers saw: a server that sends one event in chunks of 100 or 10 bytes, events in a chunk each, or a plain answer in chunks of one byte kept a core of a relay busy; a sound service on the host got nothing. Each chunk was a read of its own: limits set, a peek, three reads from the buffer, two socket options and the whole way of a piece through the relay. Nothing bounded their number.

Chunks that the reader has buffered whole are now taken with one match each and read as one piece; other forms of size lines are left to the strict reader as before. One answer has at most 4,096 chunks, one more for each 12 bytes that they carried and 100 a second; a size line of 256 bytes or more counts as several. Chunks with events that have ids pay for themselves at any rate.

Chunks of 10 bytes remain the dearest: 24,600 of them are allowed at once.

--- a/src/laburnumreel/core/_http.py
+++ b/src/laburnumreel/core/_http.py
@@ -55,6 +55,8 @@
     """
 
     _has_bad_chunk_end = False
+    # Size of the last size line of a chunk.
+    chunk_line_bytes = 0
 
     @property
     def has_visible_end(self) -> bool:
@@ -87,6 +89,7 @@
 
     def _read_next_chunk_size(self) -> int:
         line = self.fp.readline(MAX_CHUNK_LINE_BYTES)
+        self.chunk_line_bytes = len(line)
         length = line.partition(b";")[0].strip(b" \t\r\n")
         if not line.endswith(b"\n") or not _CHUNK_LENGTH_PATTERN.fullmatch(length):
             raise ValueError(f"no length of a chunk: {line[:40]!r}")
--- a/src/laburnumreel/transport/_answer_work.py
+++ b/src/laburnumreel/transport/_answer_work.py
@@ -8,6 +8,14 @@
 MAX_HEADS = 16
 HEADS_PER_S = 1.0
 
+# Chunks of one answer: a number, and more for the bytes that they carry and per second. A chunk
+# with the shortest event that has an id carries more; single bytes come from typewriters.
+MAX_CHUNKS = 4096
+BYTES_PER_CHUNK = 12
+CHUNKS_PER_S = 100.0
+# A chunk with a longer size line counts as several.
+LINE_BYTES_PER_CHUNK = 256
+
 
 class CostlyAnswerError(OSError):
     """An answer has more parts of a kind, such as heads or chunks, than a sound one has."""
@@ -60,9 +68,19 @@
 class AnswerWork:
     """The work of the answer to one request, as far as it is HTTP's framing."""
 
-    def __init__(self) -> None:
-        self._heads = WorkAllowance("heads", MAX_HEADS, HEADS_PER_S)
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._heads = WorkAllowance("heads", MAX_HEADS, HEADS_PER_S, clock)
+        self._chunks = WorkAllowance("chunks", MAX_CHUNKS, CHUNKS_PER_S, clock)
 
     def count_head(self) -> None:
         """Count a head, before it is parsed. Raises `CostlyAnswerError`."""
         self._heads.spend()
+
+    def count_chunks(self, count: int, size: int, line_bytes: int = 0) -> None:
+        """Count chunks with `size` bytes of data. Raises `CostlyAnswerError`.
+
+        The size line, of `line_bytes`, may have been read alone: what its data allows is of use only
+        for the next chunk, so after all of it was received.
+        """
+        self._chunks.spend(count + line_bytes // LINE_BYTES_PER_CHUNK)
+        self._chunks.add(size / BYTES_PER_CHUNK)
--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -32,6 +32,8 @@
 # Idle connections are reused within this share of the timeout in the `Keep-Alive` header.
 IDLE_LIMIT_SHARE = 0.7
 
+# The line end after the data of a chunk, and the size line of the next one.
+_NEXT_CHUNK_PATTERN = re.compile(rb"\r\n([0-9A-Fa-f]{1,16})\r\n")
 _SECONDS_PATTERN = re.compile(r"[0-9]{1,9}")
 
 Address = tuple[str, int]
@@ -69,6 +71,30 @@
         self._work.count_head()
         return super()._read_status()
 
+    def _read_next_chunk_size(self) -> int:
+        size = super()._read_next_chunk_size()
+        self._work.count_chunks(1, size, self.chunk_line_bytes)
+        return size
+
+    def take_buffered_chunks(self, buffered: bytes) -> bytes:
+        """Return the data of all chunks that are whole in the reader's buffered bytes.
+
+        Small chunks that were received together then cost little more than one of their size.
+        Other forms of size lines, and the last chunk, are left to the next read.
+        """
+        parts, at = [], 0
+        while found := _NEXT_CHUNK_PATTERN.match(buffered, at):
+            begin, size = found.end(), int(found[1], 16)
+            if not size or begin + size > len(buffered):
+                break
+            at = begin + size
+            parts.append(buffered[begin:at])
+        data = b"".join(parts)
+        if at:
+            self._work.count_chunks(len(parts), len(data))
+            self.fp.read(at)
+        return data
+
     def can_read_chunk(
         self, read_ahead: Callable[[], bytes], has_unread_bytes: Callable[[], bool]
     ) -> bool:
@@ -162,7 +188,7 @@
         self.idle_limit_s = float("inf")
         self._release = release
         self._socket = connection.sock
-        self._response: http.client.HTTPResponse | None = None
+        self._response: _Response | None = None
         self._has_head = False
         self._is_complete = False
         self._is_aborted = False
@@ -342,6 +368,8 @@
         self._socket.begin_wait(timeout_s, MAX_READ_BYTES)
         try:
             data = response.read1(READ_BYTES)
+            if data and response.chunked and response.chunk_left == 0:
+                data += response.take_buffered_chunks(self._socket.read_ahead())
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise self._make_failure("short", error) from error
         finally:
