Bound the events and comments of one answer at the gateway

EventAllowance moves to the transport and holds for both; the gateway's tokens are the request's limit, or its profile's, for all choices. An engine that exceeds it counts as failed, in hedged requests too.

No gateway process was put before such servers.

--- a/src/laburnumreel/protocol/_openai.py
+++ b/src/laburnumreel/protocol/_openai.py
@@ -1,6 +1,7 @@
 """The OpenAI-compatible API: request bodies, error bodies and server-sent events."""
 
 import json
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
@@ -135,6 +136,7 @@
     """A parser that returns the data of each event in a byte stream.
 
     The stream may be split at any byte. Comments and fields other than `data` are ignored.
+    `on_block` is called with the number of lines of each event or comment, and whether it has data.
 
     >>> parser = SseParser()
     >>> parser.feed(b"data: a")
@@ -143,9 +145,14 @@
     [b'ab']
     """
 
-    def __init__(self) -> None:
-        self._buffer = b""
+    def __init__(
+        self, on_block: Callable[[int, bool], None] = lambda lines, has_data: None
+    ) -> None:
+        self._buffer = bytearray()
+        # Bytes at the beginning of the buffer that have no blank line.
+        self._searched = 0
         self._skip_line_feed = False
+        self._on_block = on_block
 
     def feed(self, data: bytes) -> list[bytes]:
         """Parse the next bytes and return the data of each event that they complete.
@@ -159,17 +166,24 @@
         if b"\r" in data:
             self._skip_line_feed = data.endswith(b"\r")
             data = data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
-        buffer = self._buffer + data
-        if b"\n\n" not in buffer:
-            self._keep_rest(buffer)
+        buffer = self._buffer
+        buffer += data
+        if buffer.find(b"\n\n", self._searched) < 0:
+            self._check_rest()
             return []
-        *blocks, rest = buffer.split(b"\n\n")
-        self._keep_rest(rest)
+        # The rest is no longer than `data`, so that each byte is copied a few times at most.
+        *blocks, rest = bytes(buffer).split(b"\n\n")
+        del buffer[: len(buffer) - len(rest)]
+        self._check_rest()
         payloads = []
         for block in blocks:
-            if block.startswith(b"data: ") and b"\n" not in block:
+            line_count = block.count(b"\n") + 1
+            if line_count == 1 and block.startswith(b"data: "):
+                self._on_block(1, True)
                 payloads.append(block[6:])
                 continue
+            has_data = block.startswith(b"data:") or b"\ndata:" in block
+            self._on_block(line_count, has_data)
             lines = [line for line in block.split(b"\n") if line.startswith(b"data:")]
             if lines:
                 payloads.append(
@@ -179,10 +193,11 @@
                 )
         return payloads
 
-    def _keep_rest(self, rest: bytes) -> None:
-        if len(rest) > MAX_EVENT_BYTES:
+    def _check_rest(self) -> None:
+        # The last byte may be the beginning of a blank line.
+        self._searched = max(0, len(self._buffer) - 1)
+        if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLargeError
-        self._buffer = rest
 
 
 class AnswerBuilder:
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -7,7 +7,6 @@
 from laburnumreel.relay._attempt import Attempt
 from laburnumreel.relay._event_stream import (
     CommentRateLimiter,
-    EventAllowance,
     EventSplitter,
     StreamEvent,
 )
@@ -32,7 +31,7 @@
 )
 from laburnumreel.relay._work import Work
 from laburnumreel.state import ErrorKind
-from laburnumreel.transport import CostlyAnswerError, Exchange
+from laburnumreel.transport import CostlyAnswerError, EventAllowance, Exchange
 
 # Maximum size of an engine's failure answer.
 MAX_FAILURE_BYTES = 256 * 1024
--- a/src/laburnumreel/relay/_event_stream.py
+++ b/src/laburnumreel/relay/_event_stream.py
@@ -1,10 +1,8 @@
 """Splitting of a byte stream into whole server-sent events."""
 
-import time
-from collections.abc import Callable
 from typing import NamedTuple
 
-from laburnumreel.transport import WorkAllowance
+from laburnumreel.transport import EventAllowance
 
 # Larger events are rejected; engines send a few tokens at a time.
 MAX_EVENT_BYTES = 1 << 20
@@ -15,19 +13,6 @@
 _LF_END = b"\n\n"
 _CRLF_END = b"\r\n\r\n"
 
-# Whole events of one answer: a number, more for each token that it may have, and per second.
-MAX_EVENTS = 512
-EVENTS_PER_TOKEN = 4
-EVENTS_PER_S = 50.0
-# Assumed for a request that states no maximum of output tokens.
-UNSTATED_OUTPUT_TOKENS = 32 * 1024
-# An event with more lines counts as several.
-LINES_PER_EVENT = 16
-# Comments and empty events of one answer: a number, more for each event with content, and per second.
-MAX_COMMENTS = 256
-COMMENTS_PER_EVENT = 2
-RECEIVED_COMMENTS_PER_S = 32.0
-
 # Comments that are passed on at once, and per second after that: keep-alive comments are rare.
 MAX_COMMENT_BURST = 16
 COMMENTS_PER_S = 2.0
@@ -77,31 +62,6 @@
         return True
 
 
-class EventAllowance:
-    """The events and comments that the answer to one request may have.
-
-    An engine sends at least a token with each event, at any rate, so that the request's maximum of
-    output tokens bounds the events, whatever their rate.
-    """
-
-    def __init__(
-        self, max_output_tokens: int = 0, clock: Callable[[], float] = time.monotonic
-    ) -> None:
-        tokens = max_output_tokens or UNSTATED_OUTPUT_TOKENS
-        max_events = MAX_EVENTS + EVENTS_PER_TOKEN * tokens
-        self._events = WorkAllowance("events", max_events, EVENTS_PER_S, clock)
-        self._comments = WorkAllowance("comments", MAX_COMMENTS, RECEIVED_COMMENTS_PER_S, clock)
-
-    def count(self, event: StreamEvent) -> None:
-        """Count an event or a comment. Raises `CostlyAnswerError` if there are too many."""
-        count = 1 + event.raw.count(b"\n") // LINES_PER_EVENT
-        if event.is_progress:
-            self._events.spend(count)
-            self._comments.add(COMMENTS_PER_EVENT)
-        else:
-            self._comments.spend(count)
-
-
 class EventSplitter:
     """Splits the bytes of a stream into whole events, within the `allowance` of the answer.
 
@@ -140,7 +100,7 @@
             else:
                 end = crlf_at + len(_CRLF_END)
             event = _parse_event(bytes(buffer[begin:end]))
-            self._allowance.count(event)
+            self._allowance.count(event.raw.count(b"\n"), event.is_progress)
             events.append(event)
             begin = end
             if 0 <= lf_at < end:
--- a/src/laburnumreel/relay/_stream_position.py
+++ b/src/laburnumreel/relay/_stream_position.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from laburnumreel.relay._event_stream import EventAllowance, EventSplitter, StreamEvent
+from laburnumreel.relay._event_stream import EventSplitter, StreamEvent
+from laburnumreel.transport import EventAllowance
 
 _ID_PATTERN = re.compile(r"[0-9]{1,18}")
 
--- a/src/laburnumreel/serving/_hedging.py
+++ b/src/laburnumreel/serving/_hedging.py
@@ -16,7 +16,7 @@
     parse_retry_after,
 )
 from laburnumreel.serving._silence_tracker import HedgeDenial
-from laburnumreel.transport import Address, BackEndFailureError, Exchange
+from laburnumreel.transport import Address, BackEndFailureError, CostlyAnswerError, Exchange
 
 # Healthy back ends may be silent for about a second. A failure or a `Retry-After` from a second back
 # end is passed to the caller only if the first one stays silent for this time after that.
@@ -121,6 +121,9 @@
                     if belongs_to_other_request(self.exchange, request_id):
                         return "useless"
                     outcome = self._judge.judge_head(self.exchange)
+        except CostlyAnswerError as error:
+            self.exchange.make_costly_failure(error)
+            return "useless"
         except BackEndFailureError as error:
             return "silent" if error.reason == "silent" else "useless"
         return outcome
--- a/src/laburnumreel/serving/_model.py
+++ b/src/laburnumreel/serving/_model.py
@@ -14,7 +14,12 @@
 from laburnumreel.serving._repeat_detector import RepeatDetector
 from laburnumreel.serving._stream_segment import StreamEvent, StreamSegment
 from laburnumreel.state import ErrorKind, Refusal, UsageCount
-from laburnumreel.transport import BackEndFailureError, Exchange
+from laburnumreel.transport import (
+    BackEndFailureError,
+    CostlyAnswerError,
+    EventAllowance,
+    Exchange,
+)
 
 # Wait for the end of the answer after its final event, so that the connection can be reused.
 DRAIN_TIMEOUT_S = 0.05
@@ -73,7 +78,7 @@
     def make_judge(self) -> "_StreamJudge":
         repeat_detector = copy.deepcopy(self._repeat_detector)
         segment = StreamSegment(
-            self._job.running.request_id, repeat_detector, is_resumed=self._has_begun
+            self._job.running.request_id, repeat_detector, self._has_begun, self._event_allowance()
         )
         return _StreamJudge(segment, self._has_begun)
 
@@ -97,6 +102,8 @@
                     self._on_lost(error)
                 except EventTooLargeError:
                     self._on_lost(BackEndFailureError("lost", "an event is too large", True))
+                except CostlyAnswerError as error:
+                    self._on_lost(exchange.make_costly_failure(error))
         finally:
             self._attempts.abandon()
             if self._tokens:
@@ -128,7 +135,10 @@
 
     def _read_events(self, exchange: Exchange) -> Iterator[list[StreamEvent]]:
         segment = StreamSegment(
-            self._job.running.request_id, self._repeat_detector, is_resumed=self._has_begun
+            self._job.running.request_id,
+            self._repeat_detector,
+            self._has_begun,
+            self._event_allowance(),
         )
         while True:
             data = self._attempts.read()
@@ -174,8 +184,15 @@
         counted = self._usage.get("completion_tokens")
         if counted is None:
             return 0
+        return _bounded_int(counted, 0, self._max_output_tokens)
+
+    @property
+    def _max_output_tokens(self) -> int:
         limit = token_limit(self._request) or self._job.profile.max_tokens
-        return _bounded_int(counted, 0, limit * self._request.choices)
+        return limit * self._request.choices
+
+    def _event_allowance(self) -> EventAllowance:
+        return EventAllowance(self._max_output_tokens)
 
     def _check_token_count(self) -> None:
         """Raise RequestFailedError if the engine's token count shows that it restarted the answer."""
--- a/src/laburnumreel/serving/_stream_segment.py
+++ b/src/laburnumreel/serving/_stream_segment.py
@@ -6,7 +6,7 @@
 
 from laburnumreel.protocol import DONE, SseParser
 from laburnumreel.serving._repeat_detector import RepeatDetector
-from laburnumreel.transport import BackEndFailureError
+from laburnumreel.transport import BackEndFailureError, EventAllowance
 
 # The raw data of an event and the chunk parsed from it.
 StreamEvent = tuple[bytes, dict[str, Any]]
@@ -20,11 +20,17 @@
     beginning of the answer.
     """
 
-    def __init__(self, request_id: str, repeat_detector: RepeatDetector, is_resumed: bool) -> None:
+    def __init__(
+        self,
+        request_id: str,
+        repeat_detector: RepeatDetector,
+        is_resumed: bool,
+        allowance: EventAllowance,
+    ) -> None:
         self._request_id = request_id
         self._repeat_detector = repeat_detector
         self._is_resumed = is_resumed
-        self._parser = SseParser()
+        self._parser = SseParser(allowance.count)
         self._ready: list[StreamEvent] = []
         self._unconfirmed: list[StreamEvent] = []
         self._new_tokens = 0
@@ -39,7 +45,7 @@
         """Process the next bytes and return whether the final event was received.
 
         Raises BackEndFailureError at an event that does not belong to the answer. The events
-        before it are returned by `take_ready`.
+        before it are returned by `take_ready`. Raises CostlyAnswerError if there are too many.
         """
         for payload in self._parser.feed(data):
             if payload == DONE:
--- a/src/laburnumreel/transport/__init__.py
+++ b/src/laburnumreel/transport/__init__.py
@@ -1,7 +1,7 @@
 """HTTP and thrift servers, and the connections to callers, back ends, peers and the store."""
 
 from laburnumreel.transport._admin import create_admin_server
-from laburnumreel.transport._answer_work import CostlyAnswerError, WorkAllowance
+from laburnumreel.transport._answer_work import CostlyAnswerError, EventAllowance
 from laburnumreel.transport._back_end_pool import BackEndPool
 from laburnumreel.transport._call_rate import CallRateLimiter
 from laburnumreel.transport._channel import READ_AT_KEY
@@ -27,6 +27,7 @@
     "CallFailure",
     "CallRateLimiter",
     "CostlyAnswerError",
+    "EventAllowance",
     "Exchange",
     "HttpLoadReader",
     "HttpOrderConnection",
@@ -36,7 +37,6 @@
     "NodeInfoProvider",
     "PeerClient",
     "PeerServer",
-    "WorkAllowance",
     "create_admin_server",
     "await_bytes",
 ]
--- a/src/laburnumreel/transport/_answer_work.py
+++ b/src/laburnumreel/transport/_answer_work.py
@@ -16,6 +16,19 @@
 # A chunk with a longer size line counts as several.
 LINE_BYTES_PER_CHUNK = 256
 
+# Whole events of one answer: a number, more for each token that it may have, and per second.
+MAX_EVENTS = 512
+EVENTS_PER_TOKEN = 4
+EVENTS_PER_S = 50.0
+# Assumed for a request that states no maximum of output tokens.
+UNSTATED_OUTPUT_TOKENS = 32 * 1024
+# An event with more lines counts as several.
+LINES_PER_EVENT = 16
+# Comments and empty events of one answer: a number, more for each event with content, and per second.
+MAX_COMMENTS = 256
+COMMENTS_PER_EVENT = 2
+RECEIVED_COMMENTS_PER_S = 32.0
+
 
 class CostlyAnswerError(OSError):
     """An answer has more parts of a kind, such as heads or chunks, than a sound one has."""
@@ -84,3 +97,28 @@
         """
         self._chunks.spend(count + line_bytes // LINE_BYTES_PER_CHUNK)
         self._chunks.add(size / BYTES_PER_CHUNK)
+
+
+class EventAllowance:
+    """The events and comments that the answer to one request may have.
+
+    An engine sends at least a token with each event, at any rate, so that the request's maximum of
+    output tokens bounds the events, whatever their rate.
+    """
+
+    def __init__(
+        self, max_output_tokens: int = 0, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        tokens = max_output_tokens or UNSTATED_OUTPUT_TOKENS
+        max_events = MAX_EVENTS + EVENTS_PER_TOKEN * tokens
+        self._events = WorkAllowance("events", max_events, EVENTS_PER_S, clock)
+        self._comments = WorkAllowance("comments", MAX_COMMENTS, RECEIVED_COMMENTS_PER_S, clock)
+
+    def count(self, lines: int, has_content: bool) -> None:
+        """Count an event or, without content, a comment. Raises `CostlyAnswerError`."""
+        count = 1 + lines // LINES_PER_EVENT
+        if has_content:
+            self._events.spend(count)
+            self._comments.add(COMMENTS_PER_EVENT)
+        else:
+            self._comments.spend(count)
--- a/tests/test_event_work.py
+++ b/tests/test_event_work.py
@@ -4,41 +4,25 @@
 import http.client
 
 import pytest
+from counting_buffer import CountingBuffer
 from platform_answers import begin_stream, chunk, event, stream
 from relay_caller import PROMPT_HEADERS, Caller
 
 from laburnumreel.core import ManualClock
 from laburnumreel.relay import _event_stream
-from laburnumreel.relay._event_stream import (
+from laburnumreel.relay._event_stream import EventSplitter
+from laburnumreel.relay._stream_position import StreamPosition
+from laburnumreel.transport import CostlyAnswerError, EventAllowance
+from laburnumreel.transport._answer_work import (
     EVENTS_PER_TOKEN,
     LINES_PER_EVENT,
     MAX_COMMENTS,
     MAX_EVENTS,
-    EventAllowance,
-    EventSplitter,
 )
-from laburnumreel.relay._stream_position import StreamPosition
-from laburnumreel.transport import CostlyAnswerError
 
 EVENT = b"id: 1\ndata: a\n\n"
 
 
-class CountingBuffer(bytearray):
-    """A buffer that counts the bytes that are searched and copied in it."""
-
-    count = 0
-
-    def find(self, mark, start=0):
-        found = super().find(mark, start)
-        CountingBuffer.count += (len(self) if found < 0 else found + len(mark)) - start
-        return found
-
-    def __getitem__(self, index):
-        part = super().__getitem__(index)
-        CountingBuffer.count += len(part)
-        return CountingBuffer(part)
-
-
 @pytest.fixture
 def splitter():
     CountingBuffer.count = 0
