Count a server whose event never ends as failed

Callers got 502 or a broken stream, but the server was neither counted nor logged nor avoided: the relay raised the failure of an event over 1 MiB without recording it (in the probe of one long line on only hedged sends show as not_genuine: 17 of 145 requests), so that the server got the next request too. The failure is now recorded like that of an answer that does not continue. test_server_with_an_event_that_never_ends_is_counted failed before (no outcome not_genuine). Not mended: a stream that ends early, or has no event, is raised the same way (_next_events).

--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -360,7 +360,7 @@
             try:
                 events = self._splitter.feed(data)
             except ValueError as error:
-                raise SendFailedError("not_genuine", str(error), True) from error
+                raise self._attempt.continuation_error(str(error)) from error
             except CostlyAnswerError as error:
                 raise self._attempt.costly_error(error) from error
             self._process_events(events)
--- a/tests/test_event_work.py
+++ b/tests/test_event_work.py
@@ -132,6 +132,22 @@
         assert f'laburnumreel_costly_answers_total{{unit="{unit}"}} 1'.encode() in metrics
         assert relay.find_log_lines("answer_too_costly")
 
+    @pytest.mark.processes
+    def test_server_with_an_event_that_never_ends_is_counted(self, world):
+        """Guards against a server that is used again and again although no event of it ends."""
+
+        def send_line(handler):
+            begin_stream(handler)
+            while True:
+                chunk(handler, 1000 * b"data: a")
+
+        world.worker("d1", "quotes", default_answer=send_line, Stage="decode")
+        relay = world.start_relay()
+        assert Caller(relay).ask("/ask/x", **PROMPT_HEADERS)[0] == 502
+        metrics = relay.get(relay.admin_port, "/metrics")[1]
+        assert b'laburnumreel_relay_attempts_total{outcome="not_genuine"} 1' in metrics
+        assert relay.find_log_lines("attempt_failed")
+
 
 class TestSoundServers:
     def test_any_rate_of_the_tokens_that_the_request_allows_is_accepted(self):
