--- a/src/laburnumreel/transport/__init__.py
+++ b/src/laburnumreel/transport/__init__.py
@@ -1,6 +1,7 @@
 """HTTP and thrift servers, and the connections to callers, back ends, peers and the store."""
 
 from laburnumreel.transport._admin import create_admin_server
+from laburnumreel.transport._answer_work import CostlyAnswerError, EventAllowance
 from laburnumreel.transport._back_end_pool import BackEndPool
 from laburnumreel.transport._call_rate import CallRateLimiter
 from laburnumreel.transport._channel import READ_AT_KEY
@@ -25,6 +26,8 @@
     "CallAnswer",
     "CallFailure",
     "CallRateLimiter",
+    "CostlyAnswerError",
+    "EventAllowance",
     "Exchange",
     "HttpLoadReader",
     "HttpOrderConnection",
