Count an event over its bound as a failure of its server

Callers saw: an engine that sends one event without end got all of the requests although another one was sound (40 of 40, all answered 502; arm64, one relay process, the stand-in of the platform).

Cause: `EngineRun._next_events` raised the error of an event over its bound itself, past `Attempt._send_error`, which counts the failed send, records it for the server's health and logs it. The server had no failure, and no line or metric named it.

Change: the error is made by the attempt, as for a body over its bound (`too_long`).

Evidence: `test_server_of_an_endless_event_is_counted_and_avoided` failed before ("assert 0 == 40": no line for 40 requests) and passes.

--- a/src/laburnumreel/relay/_attempt.py
+++ b/src/laburnumreel/relay/_attempt.py
@@ -274,14 +274,17 @@
             self._on_answer_started()
             body += piece
             if len(body) > max_bytes:
-                detail = f"the answer has more than {max_bytes} bytes"
-                raise self._send_error("too_long", detail, may_have_run)
+                raise self.too_long_error(f"the answer has more than {max_bytes} bytes")
             if not self._job.reserve_answer(len(piece)):
                 raise self._send_error("too_long", "answers fill the memory for them", may_have_run)
         if not self._exchange.complete:
             raise self._send_error("lost", "the exchange was aborted", may_have_run)
         return bytes(body)
 
+    def too_long_error(self, detail: str) -> SendFailedError:
+        """Return the error for an answer that is larger than its limit."""
+        return self._send_error("too_long", detail, not self._dispatch.only_read)
+
     def continuation_error(self, detail: str) -> SendFailedError:
         """Return the error for an answer that does not continue the request's stream."""
         return self._send_error("not_genuine", detail, True)
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -357,7 +357,7 @@
             try:
                 events = self._splitter.feed(data)
             except ValueError as error:
-                raise SendFailedError("not_genuine", str(error), True) from error
+                raise self._attempt.too_long_error(str(error)) from error
             self._process_events(events)
         return self._ready_pieces.pop(0)
 
--- a/tests/test_relay_self_reports.py
+++ b/tests/test_relay_self_reports.py
@@ -5,6 +5,7 @@
 
 import pytest
 from laburnumreel_platform._workers import WorkerProtocol
+from memory_load import endless_event
 from platform_answers import begin_stream, chunk, echo, event, send_whole
 from platform_world import wait_until
 from relay_caller import PROMPT_HEADERS, Caller
@@ -158,6 +159,18 @@
         status, _, _ = Caller(relay).ask("/talk/x", **PROMPT_HEADERS)
         assert status in (502, 504) and time.monotonic() - started < 4.0
 
+    def test_server_of_an_endless_event_is_counted_and_avoided(self, world):
+        """Guards against events over their bound that don't count as a failure of their server."""
+        faulty = world.worker("d1", "quotes", endless_event, Stage="decode")
+        sound = world.worker("d2", "quotes", Stage="decode")
+        relay = world.start_relay()
+        for _ in range(40):
+            Caller(relay).ask("/ask/x", **PROMPT_HEADERS)
+        lines = relay.find_log_lines("attempt_failed")
+        assert len(lines) == len(faulty.requests("POST"))
+        assert {line["trouble"] for line in lines} == {"too_long"}
+        assert 3 * len(faulty.requests("POST")) < len(sound.requests("POST"))
+
     def test_endless_refusal_does_not_delay_the_request(self, world):
         """The request is sent to another backend server, which answers within its objective."""
         world.worker("w1", default_answer=endless(503, ("Not-Executed", "1")))
