Count all that the answers of a relay hold, and end the largest first

Callers saw: with three servers that send without end and 160 clients a relay grew from 37 to 300 MB, and hosts have 160 to 300 MB. When the 32 MiB for answers were full, whichever answer asked next was refused, a small sound one as well as an endless one.

Cause: only whole answers were counted, and only until their request's thread returned. Not counted: answers that wait for a caller that doesn't read (up to 8 MiB each, and copied three times on the way to the socket), the second copy made when a body is joined, what second sends read early, and the beginnings of events. Failed sends stayed counted until the request ended. The limit had no relation to the host's memory.

Change: `AnswerMemory` holds one account for each send. It counts the body as it is read (in one buffer, whose memory the whole answer shares), failures, parts of events and the copies that a further piece makes, early pieces three times, and whole answers over 64 KiB until the connection has sent them or is closed (`wsgi.file_wrapper`: no copy, and no thread waits). Releasing is idempotent: `Attempt.close`, the request's end, or the closing of the body. The limit is an eighth of `[memory] host_mb` (new; `Limits.MemoryMb` on the platform, 160 MB by default). When it is full, the largest answer that is still being read is ended, and the one that asked waits for it, 0.25 s at most; a part is reserved for answers of at most 32 KiB. An answer that was read is not ended. Trouble `no_room` names these ends; a server whose answer was over 32 KiB then counts as failing. Events over 64 KiB are passed on in parts, so that the connection's buffers stay short.

Evidence, before the change (arm64): `test_unread_answers_count_as_held`, `test_memory_is_released_when_callers_leave` and `test_memory_of_a_canceled_hedge_is_released` failed, as nothing was counted; the tests of `TestMemory` had nothing to call.

--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -6,6 +6,7 @@
 
 from laburnumreel.core import Clock, Log
 from laburnumreel.protocol import Answer, status_line
+from laburnumreel.relay._answer_memory import HeldBody, split_pieces
 from laburnumreel.relay._config import RelayConfig, RouteTable, pick_share
 from laburnumreel.relay._engine import EngineRun
 from laburnumreel.relay._events import (
@@ -28,6 +29,11 @@
 # Retry delay if peers have a newer configuration: a host lags behind for about this time.
 STALE_CONFIG_RETRY_S = 0.2
 NOT_READY_RETRY_S = 0.5
+# Larger answers count as held until the caller has received them; the socket and its buffers take
+# smaller ones at once.
+MAX_UNHELD_BYTES = 64 * 1024
+# Parts in which events are passed on, so that few bytes wait in the buffers of the connection.
+MAX_EVENT_PIECE_BYTES = 64 * 1024
 STOPPING = Refusal(ErrorKind.STOPPING, retry_after_s=0.1)
 # The time after a host's first configuration within which updates from its peers are expected: they
 # are sent several times a second.
@@ -124,7 +130,7 @@
             return self._refuse(decoded.error, None, "", start_response)
         request = decoded.ok._replace(queued_s=now - decoded.ok.arrived_at)
         try:
-            return self._serve(request, start_response)
+            return self._serve(request, start_response, environ.get("wsgi.file_wrapper"))
         except RelayFailedError as error:
             return self._refuse(error.refusal, request, "", start_response)
         except Exception as error:
@@ -133,7 +139,12 @@
             )
             return self._refuse(Refusal(ErrorKind.INTERNAL), request, "", start_response)
 
-    def _serve(self, request: RelayRequest, start_response: StartResponse) -> Iterable[bytes]:
+    def _serve(
+        self,
+        request: RelayRequest,
+        start_response: StartResponse,
+        wrap_file: Callable[[HeldBody], Iterable[bytes]] | None,
+    ) -> Iterable[bytes]:
         job = self._check(request)
         retry_after_s = self._places.acquire()
         if retry_after_s is not None:
@@ -141,14 +152,21 @@
                 Refusal(ErrorKind.THREADS_EXHAUSTED, retry_after_s=retry_after_s)
             )
         self._registry.watch(job.running)
+        is_held = False
         try:
             if job.service.engine is not None:
-                return self._serve_stream(job, start_response)
-            return self._serve_whole(job, start_response)
+                body = self._serve_stream(job, start_response)
+            else:
+                body = self._serve_whole(job, start_response)
+            if wrap_file is None or job.streaming or len(body[0]) <= MAX_UNHELD_BYTES:
+                return body
+            is_held = True
+            return wrap_file(HeldBody(body[0], job.release_answers))
         except RelayFailedError as error:
             return self._refuse(error.refusal, request, job.route.kind, start_response, job)
         finally:
-            job.release_answer()
+            if not is_held:
+                job.release_answers()
             if not job.streaming:
                 self._finish(job)
 
@@ -218,7 +236,7 @@
             detail = f"configuration {table.version} is not the newest"
             raise RelayFailedError(Refusal(ErrorKind.NOT_READY, detail, STALE_CONFIG_RETRY_S))
 
-    def _serve_whole(self, job: Job, start_response: StartResponse) -> Iterable[bytes]:
+    def _serve_whole(self, job: Job, start_response: StartResponse) -> list[bytes]:
         reply = serve_plain(job)
         self._observe_first_byte(job)
         self._log_served(job, reply.status, reply.back_end, len(reply.body))
@@ -254,12 +272,12 @@
         sent, pause_s, last_at = len(first), 0.0, self._clock.now()
         first_ms = round(1000 * job.elapsed_s)
         try:
-            yield first
+            yield from split_pieces(first, MAX_EVENT_PIECE_BYTES)
             for piece in run.remaining_events():
                 sent += len(piece)
                 now = self._clock.now()
                 pause_s, last_at = max(pause_s, now - last_at), now
-                yield piece
+                yield from split_pieces(piece, MAX_EVENT_PIECE_BYTES)
         except RelayFailedError as error:
             self._log_lost(job, error.refusal, sent)
             # The exception makes waitress close the connection in the middle of the answer, so that
@@ -352,7 +370,7 @@
         return _whole_answer(answer, method, start_response)
 
 
-def _whole_answer(answer: Answer, method: str, start_response: StartResponse) -> Iterable[bytes]:
+def _whole_answer(answer: Answer, method: str, start_response: StartResponse) -> list[bytes]:
     headers = [pair for pair in answer.headers if pair[0].lower() != "content-length"]
     if method != "HEAD":
         headers.append(("Content-Length", str(len(answer.body))))
--- a/src/laburnumreel/relay/_attempt.py
+++ b/src/laburnumreel/relay/_attempt.py
@@ -1,6 +1,7 @@
 """One send of a request to a backend server, and the classification of its failure."""
 
 import http.client
+import io
 import socket
 import time
 from collections import deque
@@ -8,6 +9,7 @@
 from concurrent.futures import Future
 
 from laburnumreel.core import Log
+from laburnumreel.relay._answer_memory import ROOM_WAIT_S, SMALL_ANSWER_BYTES, HeldAnswer
 from laburnumreel.relay._events import ANSWER_SKIPPED, ATTEMPT_FAILED
 from laburnumreel.relay._failover import Failover
 from laburnumreel.relay._job import MIN_TIME_S, Job, RelayFailedError
@@ -30,6 +32,9 @@
 # How long a hedged send may delay the reading of the first answer: the maximum pause between two
 # pieces of a head or a chunk that has arrived in part.
 HEDGE_READ_TIMEOUT_S = 0.1
+# Copies of an early piece that exist at once: the piece itself, all of them joined, and the joined
+# bytes as they are split into events.
+EARLY_COPIES = 3
 
 _log = Log("relay.sending")
 
@@ -62,6 +67,7 @@
         self._has_named_limit = False
         # Parts of the body that were read while another backend server was still awaited.
         self._early_pieces: deque[bytes] = deque()
+        self._held: HeldAnswer = job.deps.answer_memory.open(self._end_answer)
         self.verdict: Verdict | None = None
 
     def __enter__(self) -> "Attempt":
@@ -85,6 +91,7 @@
         A connection to a backend server that is leaving is closed.
         """
         self._early_pieces.clear()
+        self._held.release()
         if self._failover is not None:
             self._failover.cancel_search()
         if self._exchange is not None:
@@ -128,6 +135,11 @@
         """The part of the body that was read while another backend server was still awaited."""
         return b"".join(self._early_pieces)
 
+    @property
+    def early_held_bytes(self) -> int:
+        """The bytes that early pieces hold, including the copies made of them."""
+        return EARLY_COPIES * sum(map(len, self._early_pieces))
+
     def read_early(self) -> bool:
         """Read the head, or what has arrived of the body, while another server is still awaited.
 
@@ -140,6 +152,7 @@
         piece = self.read_unbuffered()
         if piece:
             self._early_pieces.append(piece)
+            self.hold(self.early_held_bytes, wait_s=0.0)
         return bool(piece)
 
     def take_over(self, failover: Failover, silence_limit_s: float) -> Verdict:
@@ -256,7 +269,9 @@
 
     def read(self) -> bytes:
         """Return the next bytes of the answer, or `b""` at its end."""
-        return self._early_pieces.popleft() if self._early_pieces else self.read_unbuffered()
+        if not self._early_pieces:
+            return self.read_unbuffered()
+        return self._early_pieces.popleft()
 
     def read_unbuffered(self) -> bytes:
         """Read the next bytes from the exchange, or `b""` at the answer's end."""
@@ -268,23 +283,55 @@
     def read_all(self, max_bytes: int) -> bytes:
         """Return the whole answer; raise `SendFailedError` if it exceeds `max_bytes`."""
         # Pieces may be as short as one byte, so that a list of them would be many times as large.
-        body = bytearray()
-        may_have_run = not self._dispatch.only_read
+        # `getvalue` shares the buffer's memory; joined pieces would be a second copy.
+        body = io.BytesIO()
+        size = 0
         while piece := self.read():
             self._on_answer_started()
-            body += piece
-            if len(body) > max_bytes:
+            size += len(piece)
+            if size > max_bytes:
                 raise self.too_long_error(f"the answer has more than {max_bytes} bytes")
-            if not self._job.reserve_answer(len(piece)):
-                raise self._send_error("too_long", "answers fill the memory for them", may_have_run)
+            self.hold(size + self.early_held_bytes)
+            body.write(piece)
         if not self._exchange.complete:
-            raise self._send_error("lost", "the exchange was aborted", may_have_run)
-        return bytes(body)
+            detail = "the exchange was aborted"
+            raise self._send_error("lost", detail, not self._dispatch.only_read)
+        self._held.finish()
+        return body.getvalue()
+
+    @property
+    def is_holding(self) -> bool:
+        """Whether bytes of the answer count as held."""
+        return self._held.size > 0
+
+    def hold(self, size: int, wait_s: float = ROOM_WAIT_S) -> None:
+        """Count `size` bytes of the answer as held, or raise `SendFailedError` if memory is full."""
+        if not self._held.hold(size, wait_s):
+            raise self._no_room_error()
+
+    def take_held(self) -> HeldAnswer:
+        """Return the account of a whole answer, which the caller of this method must release."""
+        held, self._held = self._held, self._job.deps.answer_memory.open()
+        return held
 
     def too_long_error(self, detail: str) -> SendFailedError:
         """Return the error for an answer that is larger than its limit."""
         return self._send_error("too_long", detail, not self._dispatch.only_read)
 
+    def _no_room_error(self) -> SendFailedError:
+        job, size = self._job, self._held.size
+        if size > SMALL_ANSWER_BYTES and job.running.abort_reason is None:
+            # A small answer only met the others' memory.
+            job.deps.dispatcher.record_outcome(self._dispatch.back_end.name, failed=True)
+        detail = f"answers fill the memory for them; this one held {size} bytes"
+        return self._send_error("no_room", detail, not self._dispatch.only_read)
+
+    def _end_answer(self) -> None:
+        """End the answer, from any thread, because it is the largest and the memory is full."""
+        exchange = self._exchange
+        if exchange is not None:
+            exchange.abort()
+
     def continuation_error(self, detail: str) -> SendFailedError:
         """Return the error for an answer that does not continue the request's stream."""
         return self._send_error("not_genuine", detail, True)
@@ -337,6 +384,8 @@
 
     def _exchange_error(self, error: BackEndFailureError) -> SendFailedError:
         """Return the error for an exchange that broke off, and check whether the server is gone."""
+        if self._held.is_ended:
+            return self._no_room_error()
         job, back_end = self._job, self._dispatch.back_end
         silent = error.reason == "silent"
         elapsed_s = job.deps.clock.now() - self._sent_at
@@ -372,7 +421,7 @@
         job, dispatch = self._job, self._dispatch
         RELAY_ATTEMPTS.inc(outcome=cause)
         if job.running.abort_reason is None:
-            if cause not in ("unreachable", "moved", "out_of_time"):
+            if cause not in ("unreachable", "moved", "out_of_time", "no_room"):
                 job.deps.dispatcher.record_outcome(dispatch.back_end.name, failed=True)
             _log.info(
                 ATTEMPT_FAILED,
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -32,6 +32,9 @@
 
 # Maximum size of an engine's failure answer.
 MAX_FAILURE_BYTES = 256 * 1024
+# Copies of the beginning of an event that exist at once, while the next bytes are added to it.
+INCOMPLETE_COPIES = 2
+MAX_UNHELD_EVENT_BYTES = 8 * 1024
 
 _log = Log("relay.engine")
 
@@ -196,6 +199,7 @@
         self.status, self.headers = exchange.status, exchange.headers
         if verdict.outcome == "failure":
             self._failure_body = self._attempt.read_all(MAX_FAILURE_BYTES)
+            job.keep_answer(self._attempt.take_held())
             job.deps.dispatcher.record_outcome(self.back_end, failed=True)
             self._attempt.mark_run()
             raise SendFailedError("failed", f"status {self.status}", True)
@@ -358,9 +362,19 @@
                 events = self._splitter.feed(data)
             except ValueError as error:
                 raise self._attempt.too_long_error(str(error)) from error
+            self._hold_events(events)
             self._process_events(events)
         return self._ready_pieces.pop(0)
 
+    def _hold_events(self, events: list[StreamEvent]) -> None:
+        """Count the bytes that were received and not passed on yet as held."""
+        early_bytes = self._attempt.early_held_bytes
+        incomplete_bytes = INCOMPLETE_COPIES * len(self._splitter.incomplete_event)
+        size = early_bytes + incomplete_bytes + sum(len(event.raw) for event in events)
+        # Most streams hold less all the time and need no account.
+        if size > MAX_UNHELD_EVENT_BYTES or self._attempt.is_holding:
+            self._attempt.hold(size)
+
     def _process_events(self, events: list[StreamEvent]) -> None:
         """Queue the events to pass on, and adjust the silence limit to the engine's progress."""
         now = self._job.deps.clock.now()
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from laburnumreel.core import Clock, Log
-from laburnumreel.relay._answer_memory import AnswerMemoryBudget
+from laburnumreel.relay._answer_memory import AnswerMemory, HeldAnswer
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
 from laburnumreel.relay._back_ends import Address
 from laburnumreel.relay._config import RelayService, Route
@@ -27,9 +27,6 @@
 CALLER_POLL_INTERVAL_S = 0.1
 # Minimum time to answer a request; it is not sent any more with less time left.
 MIN_TIME_S = 0.03
-# Limit on all whole answers that a host buffers at once: a sixth of the memory of the smallest
-# hosts (200 MB).
-MAX_HELD_ANSWER_BYTES = 32 * 1024 * 1024
 # Priorities as sent to engines: requests that can still be on time are ordered by their priority,
 # and late ones come after them.
 HIGHEST_PRIORITY, LOWEST_ON_TIME_PRIORITY, LATE_PRIORITY = 1, 4, 6
@@ -54,7 +51,7 @@
     wire: BackEndWire
     rng: random.Random
     count_customer_request: Callable[[str], None]
-    answer_room: AnswerMemoryBudget
+    answer_memory: AnswerMemory
     unknown_headers: UnknownHeaders
 
 
@@ -102,7 +99,8 @@
         # Whether the answer is still being streamed after the WSGI application has returned.
         self.streaming = False
         self._is_counted = False
-        self._held_bytes = 0
+        # Whole answers that were read and not passed on yet.
+        self._held_answers: list[HeldAnswer] = []
 
     @property
     def due(self) -> float:
@@ -308,17 +306,15 @@
             self.deps.dispatcher.release_retry_permit(self.service.name)
             self._unused_permits -= 1
 
-    def reserve_answer(self, size: int) -> bool:
-        """Reserve memory for `size` bytes of an answer; return False if there is not enough."""
-        if not self.deps.answer_room.reserve(size):
-            return False
-        self._held_bytes += size
-        return True
+    def keep_answer(self, held: HeldAnswer) -> None:
+        """Count a whole answer as held until `release_answers`, instead of those kept before."""
+        self.release_answers()
+        self._held_answers.append(held)
 
-    def release_answer(self) -> None:
+    def release_answers(self) -> None:
         """Release the memory of answers that were passed on or are not needed."""
-        self.deps.answer_room.release(self._held_bytes)
-        self._held_bytes = 0
+        while self._held_answers:
+            self._held_answers.pop().release()
 
     def count_for_customer(self) -> None:
         """Count the request for its customer, once."""
--- a/src/laburnumreel/relay/_metrics.py
+++ b/src/laburnumreel/relay/_metrics.py
@@ -38,6 +38,9 @@
     "sends to backend servers with a limit: sent, requests refused, and other calls denied",
     ("outcome",),
 )
+RELAY_ANSWER_BYTES = define_gauge(
+    "laburnumreel_relay_answer_bytes", "bytes that answers of backend servers hold"
+)
 RELAY_WAITING = define_gauge("laburnumreel_relay_waiting", "requests that wait for a place")
 RELAY_PEERS = define_gauge("laburnumreel_relay_peers", "peers heard from lately")
 RELAY_WINDOWS = define_counter(
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -19,7 +19,7 @@
     format_address,
 )
 from laburnumreel.core import Log, SignalQueue, SystemClock, Task
-from laburnumreel.relay._answer_memory import AnswerMemoryBudget
+from laburnumreel.relay._answer_memory import AnswerMemory
 from laburnumreel.relay._application import STOPPING, RelayApplication
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._capacity import CapacityPlanner
@@ -38,7 +38,7 @@
     RELAY_STOPPING,
 )
 from laburnumreel.relay._feed_follower import FeedFollower
-from laburnumreel.relay._job import MAX_HELD_ANSWER_BYTES, Dependencies
+from laburnumreel.relay._job import Dependencies
 from laburnumreel.relay._members import Member, Members
 from laburnumreel.relay._membership import Membership
 from laburnumreel.relay._peer_gossip import PeerGossip, host_rank
@@ -134,7 +134,7 @@
                 adapter.back_ends,
                 self._rng,
                 self._on_request_began,
-                AnswerMemoryBudget(MAX_HELD_ANSWER_BYTES),
+                AnswerMemory.from_host(settings.memory.host_bytes, settings.threads),
                 UnknownHeaders(),
             ),
             adapter.callers,
--- a/src/laburnumreel/relay/_plain.py
+++ b/src/laburnumreel/relay/_plain.py
@@ -138,6 +138,7 @@
                 ),
             )
         body = attempt.read_all(MAX_ANSWER_BYTES)
+        job.keep_answer(attempt.take_held())
         exchange = attempt.exchange
         reply = Reply(exchange.status, exchange.headers, body, assignment.runner.name)
     failed = verdict.outcome == "failure"
--- a/src/laburnumreel/relay/_send_failures.py
+++ b/src/laburnumreel/relay/_send_failures.py
@@ -16,6 +16,7 @@
     "silent",
     "out_of_time",
     "too_long",
+    "no_room",
     "not_genuine",
     "failed",
 ]
--- a/src/laburnumreel/relay/_settings.py
+++ b/src/laburnumreel/relay/_settings.py
@@ -18,6 +18,10 @@
 from laburnumreel.relay._back_ends import Address
 from laburnumreel.state import LeaseSettings
 
+BYTES_PER_MB = 1024 * 1024
+# The memory of the smallest hosts.
+DEFAULT_HOST_MB = 160.0
+
 
 class HostSettings(NamedTuple):
     """This host's name and location. `regions` maps each availability zone to its region."""
@@ -66,6 +70,12 @@
     grace_s: float
 
 
+class MemorySettings(NamedTuple):
+    """The memory that the platform gives the host's process."""
+
+    host_bytes: int
+
+
 class RelaySettings(NamedTuple):
     """All settings of a relay host."""
 
@@ -78,6 +88,7 @@
     usage: UsageSettings
     stop: StopSettings
     threads: int
+    memory: MemorySettings
     news_interval_s: float
     log: LogSettings
 
@@ -121,6 +132,13 @@
         ),
         Field("stop", "grace_s", kinds.number(1, 86400), 8.0, "time from SIGTERM to SIGKILL"),
         Field("threads", "callers", kinds.integer(1, 4096), 48, "concurrent requests"),
+        Field(
+            "memory",
+            "host_mb",
+            kinds.number(64, 1e6),
+            DEFAULT_HOST_MB,
+            "memory of the host in MB, of which answers may hold an eighth",
+        ),
         Field("peers", "interval_s", kinds.number(0.02, 60), 0.15, "interval of peer updates"),
         *LOG_FIELDS,
     ]
@@ -150,6 +168,7 @@
             usage=UsageSettings(**values["usage"]),
             stop=StopSettings(**values["stop"]),
             threads=values["threads"]["callers"],
+            memory=MemorySettings(int(values["memory"]["host_mb"] * BYTES_PER_MB)),
             news_interval_s=values["peers"]["interval_s"],
             log=LogSettings(**values["log"]),
         )
--- a/src/laburnumreel/ui/_tables.py
+++ b/src/laburnumreel/ui/_tables.py
@@ -112,6 +112,7 @@
     "relay.usage.late_s": "The counts of a window are final well before this time; after twice this time it is abandoned.",
     "relay.stop.grace_s": "Requests that still run shortly before the end are aborted, so that the process exits by itself.",
     "relay.threads.callers": "waitress uses one thread for each running request; a host serves several tens at a time.",
+    "relay.memory.host_mb": "All answers together hold at most an eighth; see Memory for answers.",
     "relay.peers.interval_s": "Updates must be more recent than the duration of most requests.",
     "relay.log.format": "JSON for log collectors, console for people.",
     "relay.log.level": "Use debug for troubleshooting.",
--- a/tests/repeats_world.py
+++ b/tests/repeats_world.py
@@ -15,7 +15,7 @@
 from repeat_count import RetryCounter
 
 from laburnumreel.core import ManualClock
-from laburnumreel.relay._answer_memory import AnswerMemoryBudget
+from laburnumreel.relay._answer_memory import AnswerMemory
 from laburnumreel.relay._back_ends import ListedBackEnd, Role
 from laburnumreel.relay._config import RouteKind
 from laburnumreel.relay._cost_model import Location
@@ -169,7 +169,7 @@
             WorkerProtocol(),
             self.rng,
             lambda customer: None,
-            AnswerMemoryBudget(10**6),
+            AnswerMemory(10**6),
             UnknownHeaders(),
         )
         running = RunningRequest(name, None, now + 3.0, lambda: False)
