Free what a broken answer held at once

Callers saw: of one event without end a relay's memory stayed at 219 to 231 MB, although no more than 20 MB counted as held at any time.

Cause: an answer that exceeds its bound ends in an error whose traceback refers to the objects that were used: the buffer of the body, and the request's run with its splitter, which holds up to 1 MB of an event. Runs are in reference cycles, and the process collects garbage seldom by design, so 160 broken streams kept 160 MB.

Change: the buffer of a body is closed when reading ends, and the splitter is cleared when its send ends.

Evidence: `TestBrokenAnswers` failed on the parent (8,927,497 bytes still allocated after an 8 MiB body was refused; 900,000 bytes of an event after its run was closed) and passes.

--- a/src/laburnumreel/relay/_attempt.py
+++ b/src/laburnumreel/relay/_attempt.py
@@ -284,20 +284,21 @@
         """Return the whole answer; raise `SendFailedError` if it exceeds `max_bytes`."""
         # Pieces may be as short as one byte, so that a list of them would be many times as large.
         # `getvalue` shares the buffer's memory; joined pieces would be a second copy.
-        body = io.BytesIO()
-        size = 0
-        while piece := self.read():
-            self._on_answer_started()
-            size += len(piece)
-            if size > max_bytes:
-                raise self.too_long_error(f"the answer has more than {max_bytes} bytes")
-            self.hold(size + self.early_held_bytes)
-            body.write(piece)
-        if not self._exchange.complete:
-            detail = "the exchange was aborted"
-            raise self._send_error("lost", detail, not self._dispatch.only_read)
-        self._held.finish()
-        return body.getvalue()
+        # Closing frees the buffer at once, also where an error's traceback refers to it.
+        with io.BytesIO() as body:
+            size = 0
+            while piece := self.read():
+                self._on_answer_started()
+                size += len(piece)
+                if size > max_bytes:
+                    raise self.too_long_error(f"the answer has more than {max_bytes} bytes")
+                self.hold(size + self.early_held_bytes)
+                body.write(piece)
+            if not self._exchange.complete:
+                detail = "the exchange was aborted"
+                raise self._send_error("lost", detail, not self._dispatch.only_read)
+            self._held.finish()
+            return body.getvalue()
 
     @property
     def is_holding(self) -> bool:
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -446,6 +446,7 @@
     def _close_attempt(self) -> None:
         attempt, self._attempt = self._attempt, None
         assignment, self._assignment = self._assignment, None
+        self._splitter.clear()
         if attempt is not None:
             self._reservation = self._failover.take_reservation()
             attempt.close()
--- a/src/laburnumreel/relay/_event_stream.py
+++ b/src/laburnumreel/relay/_event_stream.py
@@ -91,6 +91,10 @@
             raise ValueError(f"an event is larger than {MAX_EVENT_BYTES} bytes")
         return events
 
+    def clear(self) -> None:
+        """Drop the beginning of an event, also where an error's traceback refers to the splitter."""
+        self._buffer = b""
+
     def _event_end(self) -> int | None:
         ends = [
             at + len(mark)
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -4,6 +4,8 @@
 import re
 import socket
 import threading
+import tracemalloc
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
@@ -17,6 +19,9 @@
     SMALL_ANSWER_BYTES,
     AnswerMemory,
 )
+from laburnumreel.relay._attempt import Attempt
+from laburnumreel.relay._engine import EngineRun
+from laburnumreel.relay._send_failures import SendFailedError
 from laburnumreel.relay._settings import DEFAULT_HOST_MB
 
 MB = 1024 * 1024
@@ -95,6 +100,53 @@
         assert memory.held_bytes == 0
 
 
+class TestBrokenAnswers:
+    """An error's traceback refers to the objects that were used, until the next collection."""
+
+    def test_body_that_is_too_long_is_freed_at_once(self):
+        pieces = [64 * 1024 * b"x"] * 200
+        attempt = make_attempt(pieces)
+        tracemalloc.start()
+        try:
+            with pytest.raises(SendFailedError) as failed:
+                attempt.read_all(8 * MB)
+            assert failed.value.cause == "too_long" and failed.tb is not None
+            assert tracemalloc.get_traced_memory()[0] < MB
+        finally:
+            tracemalloc.stop()
+        attempt.close()
+        assert attempt.memory.held_bytes == 0
+
+    def test_beginning_of_an_event_is_freed_with_its_run(self):
+        run = EngineRun(SimpleNamespace(request=SimpleNamespace(resume_after=None)))
+        run._splitter.feed(900_000 * b"x")
+        splitter = run._splitter
+        run.close()
+        assert splitter.incomplete_event == b""
+
+
+def make_attempt(pieces):
+    """Return an attempt whose answer consists of `pieces`."""
+    memory = AnswerMemory(100 * MB)
+    request = SimpleNamespace(request_id="r1")
+    job = SimpleNamespace(
+        deps=SimpleNamespace(
+            answer_memory=memory, dispatcher=SimpleNamespace(record_outcome=lambda *a, **k: None)
+        ),
+        running=SimpleNamespace(abort_reason=None),
+        elapsed_s=0.0,
+        remaining_s=1.0,
+    )
+    dispatch = SimpleNamespace(
+        request=request, back_end=SimpleNamespace(name="b1"), only_read=False
+    )
+    attempt = Attempt(job, dispatch, None)
+    attempt.memory, waiting = memory, iter(pieces)
+    attempt._on_answer_started = lambda: None
+    attempt.read = lambda: next(waiting, b"")
+    return attempt
+
+
 @pytest.mark.processes
 class TestRelay:
     def test_small_answers_get_through_beside_endless_ones(self, world):
