Bound the body of an answer of the platform

Operators would see: a gateway or coordinator whose platform sends a body without end holds all of it. A body that announces 100 GB is a MemoryError, which the client doesn't turn into an error of the call.

Cause: `HttpPlatform._call` read answers with `read()`, which has no bound. docs/promises.md named only its bound on each wait.

Change: at most 16 MiB, read in one buffer (the largest object is a stored answer of 8 MiB in base64); more is `lost`. A body that is cut is still an error (`tests/test_truncated_answers.py` passes).

Evidence: `test_answer_of_the_platform_without_end_is_an_error` failed before in its three forms (a MemoryError for an announced length, 420 and 422 MB held, which is all that the server sent) and passes; less than 32 MiB are held at any time. The time is bounded for each wait only, as before.

--- a/src/laburnumreel/state/_platform.py
+++ b/src/laburnumreel/state/_platform.py
@@ -1,6 +1,7 @@
 """Client of the platform: tables, objects, capacity orders, usage reports and the host list."""
 
 import http.client
+import io
 import json
 import zlib
 from collections.abc import Sequence
@@ -17,6 +18,9 @@
 HOST_LIST_LOG_NAME = "hosts"
 MAX_ADDRESS_BYTES = 300
 MAX_KEY_CHARACTERS = 200
+# Limit of one answer's body. The largest object is a stored answer of 8 MiB, in base64.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+READ_BYTES = 64 * 1024
 
 
 class Row(NamedTuple):
@@ -218,7 +222,7 @@
             try:
                 connection.request(method, path, _encode(body), self._headers())
                 answer = connection.getresponse()
-                payload = answer.read()
+                payload = _read_body(answer)
             except (OSError, http.client.HTTPException) as error:
                 return Error(PlatformError("lost", repr(error)))
         finally:
@@ -235,6 +239,18 @@
         return headers
 
 
+def _read_body(answer: http.client.HTTPResponse) -> bytes:
+    """Return the whole body of an answer, or raise an HTTPException if it is truncated or too long."""
+    with io.BytesIO() as body:
+        while piece := answer.read(READ_BYTES):
+            if body.tell() + len(piece) > MAX_BODY_BYTES:
+                raise http.client.HTTPException(f"more than {MAX_BODY_BYTES} bytes")
+            body.write(piece)
+        if not answer.chunked and answer.length:
+            raise http.client.IncompleteRead(b"", answer.length)
+        return body.getvalue()
+
+
 def _encode(body: dict[str, Any] | bytes | None) -> bytes | None:
     if body is None or isinstance(body, bytes):
         return body
