Keep the pieces of a stored answer in one buffer

Operators would see: the gateway keeps an answer to a request with an Idempotency-Key until it is stored, up to 8 MiB. A server that sends it in pieces of two bytes made it hold 43 MB for 2 MB, and what was kept of an answer over the bound stayed until the caller had its end.

Cause: `IdempotentRun` kept a list of pieces, and stopped adding to it at the bound without dropping it.

Change: one buffer, which is closed once the answer exceeds `MAX_STORED_BYTES`.

Evidence: `test_stored_answer_in_short_pieces_holds_little_more_than_its_bytes` (45 MB held for 2 MB) and `test_answer_that_is_too_long_to_store_is_freed` (8.5 MB held) failed before and pass.

--- a/src/laburnumreel/serving/_idempotent_run.py
+++ b/src/laburnumreel/serving/_idempotent_run.py
@@ -1,5 +1,6 @@
 """Requests with an Idempotency-Key: the claim before a run and the stored answer after it."""
 
+import io
 import time
 from collections.abc import Callable
 
@@ -25,7 +26,8 @@
     def __init__(self, deps: GatewayDependencies, claim: Claimed) -> None:
         self._deps = deps
         self._claim = claim
-        self._pieces: list[bytes] = []
+        # Pieces may be as short as one byte; a list of them would take many times the memory.
+        self._body = io.BytesIO()
         self._size = 0
         self._has_ended = False
 
@@ -35,8 +37,10 @@
         Nothing more is buffered once the answer exceeds `MAX_STORED_BYTES`.
         """
         self._size += len(piece)
-        if self._size <= MAX_STORED_BYTES:
-            self._pieces.append(piece)
+        if self._size > MAX_STORED_BYTES:
+            self._body.close()
+        else:
+            self._body.write(piece)
 
     def finish(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Store the buffered answer, before its last piece is sent to the caller.
@@ -46,7 +50,7 @@
         if self._size > MAX_STORED_BYTES:
             self._mark_unknown()
             return
-        answer = StoredAnswer(status, headers, b"".join(self._pieces))
+        answer = StoredAnswer(status, headers, self._body.getvalue())
         self._write_once(lambda: self._deps.claims.finish(self._claim, answer))
 
     def fail(self, refusal: Refusal) -> None:
--- a/tests/test_gateway_answer_memory.py
+++ b/tests/test_gateway_answer_memory.py
@@ -1,10 +1,12 @@
-"""Tests of what answers of the platform hold in a gateway."""
+"""Tests of what answers of the platform and stored answers hold in a gateway."""
 
 import tracemalloc
 
 import pytest
 from endless_server import CHUNKED, LONG_BODY, EndlessServer, make_endless_answer
 
+from laburnumreel.protocol import MAX_STORED_BYTES
+from laburnumreel.serving._idempotent_run import IdempotentRun
 from laburnumreel.state import HttpPlatform
 
 # The bound of one answer, and twice it where it is converted.
@@ -32,3 +34,18 @@
         assert traced()[1] < MAX_PLATFORM_BYTES
     finally:
         server.end()
+
+
+def test_stored_answer_in_short_pieces_holds_little_more_than_its_bytes(traced):
+    """Guards against a list of short pieces, which takes many times their memory."""
+    run = IdempotentRun(None, None)
+    for _ in range(1024 * 1024):
+        run.append(bytes(bytearray(b"xy")))
+    assert traced()[0] < 4 * 1024 * 1024
+
+
+def test_answer_that_is_too_long_to_store_is_freed(traced):
+    run, piece = IdempotentRun(None, None), 64 * 1024 * b"x"
+    for _ in range(MAX_STORED_BYTES // len(piece) + 1):
+        run.append(bytes(bytearray(piece)))
+    assert traced()[0] < 1024 * 1024
