--- a/src/laburnumreel/relay/_settings.py
+++ b/src/laburnumreel/relay/_settings.py
@@ -135,7 +135,7 @@
         Field(
             "memory",
             "host_mb",
-            kinds.number(64, 1e6),
+            kinds.number(16, 1e6),
             DEFAULT_HOST_MB,
             "memory of the host in MB, of which answers may hold an eighth",
         ),
