Bound what a gateway keeps to store of all answers together

Operators would see: a gateway keeps each answer to a request with an Idempotency-Key until it is stored, up to 8 MiB, for 128 requests and for each whose write is tried again for up to a minute. Nothing bounded the sum: 128 answers of 6.6 MB held 897 MB.

Change: the gateway counts them in one `AnswerMemory` (moved from the relay to `core`, unchanged but for its gauge, which is now an argument): an eighth of its `[memory] host_mb` (new, 512 MB by default), with the reserve for small answers. An answer that finds no room is passed on, but not stored: its outcome is recorded as unknown, as for one that is too large. Event 124 `answer_dropped` names it. What is held is released once the write, or the last try of it, has ended.

--- a/src/laburnumreel/core/__init__.py
+++ b/src/laburnumreel/core/__init__.py
@@ -1,5 +1,14 @@
 """Generic building blocks, independent of serving: clocks, tasks, settings, logs, metrics, HTTP."""
 
+from laburnumreel.core._answer_memory import (
+    ANSWER_SHARE,
+    ROOM_WAIT_S,
+    SMALL_ANSWER_BYTES,
+    AnswerMemory,
+    HeldAnswer,
+    HeldBody,
+    split_pieces,
+)
 from laburnumreel.core._clock import Clock, ManualClock, SystemClock
 from laburnumreel.core._heap import limit_heap
 from laburnumreel.core._http import StrictResponse
@@ -18,7 +27,13 @@
 from laburnumreel.core._task import Task, TaskStoppedError
 
 __all__ = [
+    "ANSWER_SHARE",
     "LOG_FIELDS",
+    "ROOM_WAIT_S",
+    "SMALL_ANSWER_BYTES",
+    "AnswerMemory",
+    "HeldAnswer",
+    "HeldBody",
     "LogSettings",
     "Clock",
     "Event",
@@ -44,4 +59,5 @@
     "metrics",
     "render_metrics",
     "setup_logs",
+    "split_pieces",
 ]
--- a/src/laburnumreel/relay/_answer_memory.py
+++ b/src/laburnumreel/core/_answer_memory.py
@@ -5,7 +5,7 @@
 import threading
 from collections.abc import Callable, Iterator
 
-from laburnumreel.relay._metrics import RELAY_ANSWER_BYTES
+from laburnumreel.core._metrics import Metric
 
 # An answer up to this size may use the reserved part of the memory.
 SMALL_ANSWER_BYTES = 32 * 1024
@@ -36,8 +36,11 @@
     (True, 20000)
     """
 
-    def __init__(self, max_bytes: int, reserved_bytes: int = 0) -> None:
+    def __init__(
+        self, max_bytes: int, reserved_bytes: int = 0, gauge: Metric | None = None
+    ) -> None:
         self._max_bytes = max_bytes
+        self._gauge = gauge
         self._reserved_bytes = min(reserved_bytes, int(MAX_RESERVED_SHARE * max_bytes))
         self._held_bytes = 0
         self._peak_bytes = 0
@@ -45,10 +48,15 @@
         self._unfinished: set[HeldAnswer] = set()
 
     @classmethod
-    def from_host(cls, host_bytes: int, requests: int) -> "AnswerMemory":
-        """Return the memory for answers of a host that serves `requests` requests at once."""
+    def from_host(
+        cls, host_bytes: int, requests: int, gauge: Metric | None = None
+    ) -> "AnswerMemory":
+        """Return the memory for answers of a host that serves `requests` requests at once.
+
+        `gauge` shows the bytes that are held.
+        """
         reserved_bytes = ANSWERS_PER_REQUEST * requests * SMALL_ANSWER_BYTES
-        return cls(int(ANSWER_SHARE * host_bytes), reserved_bytes)
+        return cls(int(ANSWER_SHARE * host_bytes), reserved_bytes, gauge)
 
     @property
     def max_bytes(self) -> int:
@@ -114,7 +122,8 @@
         answer.size = size
         self._held_bytes += grown
         self._peak_bytes = max(self._peak_bytes, self._held_bytes)
-        RELAY_ANSWER_BYTES.set(self._held_bytes)
+        if self._gauge is not None:
+            self._gauge.set(self._held_bytes)
         if answer.is_unfinished and size:
             self._unfinished.add(answer)
         else:
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -20,8 +20,17 @@
     format_address,
     parse_address,
 )
-from laburnumreel.core import Log, SignalQueue, SystemClock, Task, define_event, limit_heap
+from laburnumreel.core import (
+    AnswerMemory,
+    Log,
+    SignalQueue,
+    SystemClock,
+    Task,
+    define_event,
+    limit_heap,
+)
 from laburnumreel.serving import (
+    STORED_ANSWER_BYTES,
     AdmissionSlots,
     Application,
     Credentials,
@@ -70,6 +79,7 @@
 # How often expired idle connections are closed.
 PRUNE_INTERVAL_S = 5.0
 # Number of allocations between garbage collections of the youngest generation.
+BYTES_PER_MB = 1024 * 1024
 GC_THRESHOLD = 20_000
 LOCAL_UPDATE_TIMEOUT_S = 1.0
 
@@ -148,6 +158,11 @@
                 are_keys_verifiable=self._peer_exchange.keys_verifiable,
                 background=self._background,
                 rng=self._rng,
+                stored_answers=AnswerMemory.from_host(
+                    int(settings.memory.host_mb * BYTES_PER_MB),
+                    settings.threads.callers,
+                    STORED_ANSWER_BYTES,
+                ),
             )
         )
         threads = settings.threads.callers + settings.threads.reserve
--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -4,9 +4,8 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
-from laburnumreel.core import Clock, Log
+from laburnumreel.core import Clock, HeldBody, Log, split_pieces
 from laburnumreel.protocol import Answer, status_line
-from laburnumreel.relay._answer_memory import HeldBody, split_pieces
 from laburnumreel.relay._config import RelayConfig, RouteTable, pick_share
 from laburnumreel.relay._engine import EngineRun
 from laburnumreel.relay._events import (
--- a/src/laburnumreel/relay/_attempt.py
+++ b/src/laburnumreel/relay/_attempt.py
@@ -8,8 +8,7 @@
 from collections.abc import Mapping
 from concurrent.futures import Future
 
-from laburnumreel.core import Log
-from laburnumreel.relay._answer_memory import ROOM_WAIT_S, SMALL_ANSWER_BYTES, HeldAnswer
+from laburnumreel.core import ROOM_WAIT_S, SMALL_ANSWER_BYTES, HeldAnswer, Log
 from laburnumreel.relay._events import ANSWER_SKIPPED, ATTEMPT_FAILED
 from laburnumreel.relay._failover import Failover
 from laburnumreel.relay._job import MIN_TIME_S, Job, RelayFailedError
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -7,8 +7,7 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import NamedTuple
 
-from laburnumreel.core import Clock, Log
-from laburnumreel.relay._answer_memory import AnswerMemory, HeldAnswer
+from laburnumreel.core import AnswerMemory, Clock, HeldAnswer, Log
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
 from laburnumreel.relay._back_ends import Address
 from laburnumreel.relay._config import RelayService, Route
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -18,8 +18,7 @@
     LeaseManager,
     format_address,
 )
-from laburnumreel.core import Log, SignalQueue, SystemClock, Task, limit_heap
-from laburnumreel.relay._answer_memory import AnswerMemory
+from laburnumreel.core import AnswerMemory, Log, SignalQueue, SystemClock, Task, limit_heap
 from laburnumreel.relay._application import STOPPING, RelayApplication
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._capacity import CapacityPlanner
@@ -41,6 +40,7 @@
 from laburnumreel.relay._job import Dependencies
 from laburnumreel.relay._members import Member, Members
 from laburnumreel.relay._membership import Membership
+from laburnumreel.relay._metrics import RELAY_ANSWER_BYTES
 from laburnumreel.relay._peer_gossip import PeerGossip, host_rank
 from laburnumreel.relay._peer_update_handler import PeerUpdateHandler
 from laburnumreel.relay._ports import Adapter, Listing
@@ -134,7 +134,9 @@
                 adapter.back_ends,
                 self._rng,
                 self._on_request_began,
-                AnswerMemory.from_host(settings.memory.host_bytes, settings.threads),
+                AnswerMemory.from_host(
+                    settings.memory.host_bytes, settings.threads, RELAY_ANSWER_BYTES
+                ),
                 UnknownHeaders(),
             ),
             adapter.callers,
--- a/src/laburnumreel/serving/_dependencies.py
+++ b/src/laburnumreel/serving/_dependencies.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from laburnumreel.coordination import ConfigSync, UsageFlusher
-from laburnumreel.core import Clock
+from laburnumreel.core import AnswerMemory, Clock
 from laburnumreel.serving._dispatcher import Dispatcher
 from laburnumreel.serving._registry import RequestRegistry
 from laburnumreel.serving._slots import AdmissionSlots, Credentials
@@ -18,7 +18,7 @@
     """The tasks and shared objects of a gateway, created once at startup.
 
     `are_keys_verifiable` tells whether keys can be verified at a given time. `background` runs
-    calls that no caller waits for.
+    calls that no caller waits for. `stored_answers` is the memory for answers that are to be stored.
     """
 
     clock: Clock
@@ -34,3 +34,4 @@
     are_keys_verifiable: Callable[[float], bool]
     background: Executor
     rng: random.Random
+    stored_answers: AnswerMemory
--- a/src/laburnumreel/serving/_events.py
+++ b/src/laburnumreel/serving/_events.py
@@ -44,3 +44,8 @@
 REQUEST_CHECK_FAILED = define_event(
     123, "request_check_failed", "checking a running request's deadline and caller failed"
 )
+ANSWER_DROPPED = define_event(
+    124,
+    "answer_dropped",
+    "an answer is not stored because it is too large or the memory for such answers is full",
+)
--- a/src/laburnumreel/serving/_idempotent_run.py
+++ b/src/laburnumreel/serving/_idempotent_run.py
@@ -7,7 +7,7 @@
 from laburnumreel.core import Log
 from laburnumreel.protocol import MAX_STORED_BYTES, Answer, replay_answer
 from laburnumreel.serving._dependencies import GatewayDependencies
-from laburnumreel.serving._events import ANSWER_NOT_STORED
+from laburnumreel.serving._events import ANSWER_DROPPED, ANSWER_NOT_STORED
 from laburnumreel.serving._job import RequestFailedError
 from laburnumreel.serving._metrics import REPLAYS
 from laburnumreel.state import Claimed, ClaimRefused, Refusal, Replay, RunState, StoredAnswer
@@ -29,25 +29,30 @@
         # Pieces may be as short as one byte; a list of them would take many times the memory.
         self._body = io.BytesIO()
         self._size = 0
+        self._held = deps.stored_answers.open()
         self._has_ended = False
 
     def append(self, piece: bytes) -> None:
         """Buffer a piece of the answer that is sent to the caller.
 
-        Nothing more is buffered once the answer exceeds `MAX_STORED_BYTES`.
+        Nothing is buffered any more once the answer exceeds `MAX_STORED_BYTES`, or the memory for
+        answers that are to be stored is full.
         """
+        if self._body.closed:
+            return
         self._size += len(piece)
-        if self._size > MAX_STORED_BYTES:
-            self._body.close()
-        else:
+        if self._size <= MAX_STORED_BYTES and self._held.hold(self._size, wait_s=0.0):
             self._body.write(piece)
+            return
+        _log.warning(ANSWER_DROPPED, claim=self._claim.claim_key, bytes=self._size)
+        self._drop()
 
     def finish(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Store the buffered answer, before its last piece is sent to the caller.
 
         The outcome of an answer that is too large to store is recorded as unknown.
         """
-        if self._size > MAX_STORED_BYTES:
+        if self._body.closed:
             self._mark_unknown()
             return
         answer = StoredAnswer(status, headers, self._body.getvalue())
@@ -66,16 +71,31 @@
             self._mark_unknown()
 
     def _mark_unknown(self) -> None:
+        if not self._has_ended:
+            self._drop()
         self._write_once(lambda: self._deps.claims.record_unknown(self._claim))
 
     def _write_once(self, write: Callable[[], bool]) -> None:
         if self._has_ended:
             return
         self._has_ended = True
-        if not write():
+        if write():
+            self._drop()
+        else:
             self._deps.background.submit(self._retry_write, write)
 
+    def _drop(self) -> None:
+        """Drop the buffered answer."""
+        self._body.close()
+        self._held.release()
+
     def _retry_write(self, write: Callable[[], bool]) -> None:
+        try:
+            self._retry_until_written(write)
+        finally:
+            self._drop()
+
+    def _retry_until_written(self, write: Callable[[], bool]) -> None:
         give_up_at = time.monotonic() + MAX_STORE_RETRY_S
         while time.monotonic() < give_up_at:
             time.sleep(STORE_RETRY_INTERVAL_S)
--- a/src/laburnumreel/serving/_metrics.py
+++ b/src/laburnumreel/serving/_metrics.py
@@ -24,6 +24,9 @@
 DRAIN_MARKS = define_counter(
     "laburnumreel_drain_marks_total", "Back ends that get no new work, by reason.", ["reason"]
 )
+STORED_ANSWER_BYTES = define_gauge(
+    "laburnumreel_stored_answer_bytes", "Bytes of answers that are to be stored."
+)
 REPLAYS = define_counter(
     "laburnumreel_replays_total", "Requests answered with the stored answer of an earlier one."
 )
--- a/src/laburnumreel/state/_settings.py
+++ b/src/laburnumreel/state/_settings.py
@@ -61,6 +61,12 @@
     reserve: int
 
 
+class MemorySettings(NamedTuple):
+    """The memory that a gateway may use, in MB."""
+
+    host_mb: float
+
+
 class UsageSettings(NamedTuple):
     """How usage is collected. Times are in seconds."""
 
@@ -92,6 +98,7 @@
     platform: PlatformSettings
     peers: PeerSettings
     threads: ThreadSettings
+    memory: MemorySettings
     log: LogSettings
     pepper: bytes
     usage: UsageSettings
@@ -146,6 +153,13 @@
             32,
             "additional threads for sending refusals",
         ),
+        Field(
+            "memory",
+            "host_mb",
+            kinds.number(64, 1e6),
+            512.0,
+            "memory of a gateway in MB, of which answers that are to be stored may hold an eighth",
+        ),
         *LOG_FIELDS,
         Field("keys", "pepper_file", kinds.text, None, "file with the secret for API key digests"),
         Field("keys", "pepper_env", kinds.text, None, "environment variable with that secret"),
@@ -202,6 +216,7 @@
             platform=PlatformSettings(platform["address"], platform["timeout_s"], token),
             peers=PeerSettings(**values["peers"]),
             threads=ThreadSettings(**values["threads"]),
+            memory=MemorySettings(**values["memory"]),
             log=LogSettings(**values["log"]),
             pepper=pepper.encode(),
             usage=UsageSettings(**values["usage"]),
--- a/src/laburnumreel/ui/_tables.py
+++ b/src/laburnumreel/ui/_tables.py
@@ -44,6 +44,7 @@
     "interval between reads of the store is a third of it, at most 1 s.",
     "settings.threads.callers": "waitress uses one thread for each running request.",
     "settings.threads.reserve": "Allows a full node to refuse requests immediately.",
+    "settings.memory.host_mb": "The outcome of an answer that finds no memory is recorded as unknown.",
     "settings.log.format": "JSON for log collectors, console for people.",
     "settings.log.level": "Use debug for troubleshooting.",
     "settings.keys.pepper_file": "Without the pepper, keys cannot be guessed offline from stored digests.",
--- a/tests/repeats_world.py
+++ b/tests/repeats_world.py
@@ -15,7 +15,7 @@
 from repeat_count import RetryCounter
 
 from laburnumreel.core import ManualClock
-from laburnumreel.relay._answer_memory import AnswerMemory
+from laburnumreel.core._answer_memory import AnswerMemory
 from laburnumreel.relay._back_ends import ListedBackEnd, Role
 from laburnumreel.relay._config import RouteKind
 from laburnumreel.relay._cost_model import Location
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -14,11 +14,7 @@
 from platform_world import wait_until
 from relay_caller import Caller
 
-from laburnumreel.relay._answer_memory import (
-    ANSWER_SHARE,
-    SMALL_ANSWER_BYTES,
-    AnswerMemory,
-)
+from laburnumreel.core import ANSWER_SHARE, SMALL_ANSWER_BYTES, AnswerMemory
 from laburnumreel.relay._attempt import Attempt
 from laburnumreel.relay._engine import EngineRun
 from laburnumreel.relay._send_failures import SendFailedError
--- a/tests/test_gateway_answer_memory.py
+++ b/tests/test_gateway_answer_memory.py
@@ -1,16 +1,19 @@
 """Tests of what answers of the platform and stored answers hold in a gateway."""
 
 import tracemalloc
+from types import SimpleNamespace
 
 import pytest
 from endless_server import CHUNKED, LONG_BODY, EndlessServer, make_endless_answer
 
+from laburnumreel.core import AnswerMemory
 from laburnumreel.protocol import MAX_STORED_BYTES
 from laburnumreel.serving._idempotent_run import IdempotentRun
-from laburnumreel.state import HttpPlatform
+from laburnumreel.state import ErrorKind, HttpPlatform, Refusal, RunState
 
 # The bound of one answer, and twice it where it is converted.
-MAX_PLATFORM_BYTES = 2 * 16 * 1024 * 1024
+MB = 1024 * 1024
+MAX_PLATFORM_BYTES = 2 * 16 * MB
 ENDLESS_BODIES = {
     "a body": make_endless_answer(LONG_BODY, b"x"),
     "a body without length": make_endless_answer(b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
@@ -36,16 +39,83 @@
         server.end()
 
 
+class Claims:
+    """Claims whose writes fail until `is_reachable`; `outcomes` has what was recorded."""
+
+    def __init__(self):
+        self.is_reachable = True
+        self.outcomes = []
+
+    def finish(self, claim, answer):
+        return self._record(len(answer.body))
+
+    def record_unknown(self, claim):
+        return self._record("unknown")
+
+    def _record(self, outcome):
+        if self.is_reachable:
+            self.outcomes.append(outcome)
+        return self.is_reachable
+
+
+class Background:
+    """An executor that runs its calls when the test says so."""
+
+    def __init__(self):
+        self.calls = []
+
+    def submit(self, function, *arguments):
+        self.calls.append(lambda: function(*arguments))
+
+
+def make_run(max_bytes=64 * MB, deps=None):
+    """Return a run, and what it shares with others."""
+    deps = deps or SimpleNamespace(
+        stored_answers=AnswerMemory(max_bytes), claims=Claims(), background=Background()
+    )
+    return IdempotentRun(deps, SimpleNamespace(claim_key="c1")), deps
+
+
 def test_stored_answer_in_short_pieces_holds_little_more_than_its_bytes(traced):
     """Guards against a list of short pieces, which takes many times their memory."""
-    run = IdempotentRun(None, None)
+    run, _ = make_run()
     for _ in range(1024 * 1024):
         run.append(bytes(bytearray(b"xy")))
     assert traced()[0] < 4 * 1024 * 1024
 
 
 def test_answer_that_is_too_long_to_store_is_freed(traced):
-    run, piece = IdempotentRun(None, None), 64 * 1024 * b"x"
+    (run, deps), piece = make_run(), 64 * 1024 * b"x"
     for _ in range(MAX_STORED_BYTES // len(piece) + 1):
         run.append(bytes(bytearray(piece)))
     assert traced()[0] < 1024 * 1024
+    run.finish(200, [])
+    assert deps.claims.outcomes == ["unknown"] and deps.stored_answers.held_bytes == 0
+
+
+def test_answers_to_store_share_one_bound():
+    """Guards against as many answers of 8 MiB as requests run, which are 1 GB."""
+    first, deps = make_run(max_bytes=10 * MB)
+    runs = [first, *(make_run(deps=deps)[0] for _ in range(127))]
+    for _ in range(100):
+        for run in runs:
+            run.append(64 * 1024 * b"x")
+    assert deps.stored_answers.peak_bytes <= 10 * MB
+    for run in runs:
+        run.finish(200, [])
+        run.close()
+    assert deps.stored_answers.held_bytes == 0
+    assert len(deps.claims.outcomes) == 128 and 100 * 64 * 1024 in deps.claims.outcomes
+
+
+def test_answer_is_held_until_its_retried_write_ends():
+    run, deps = make_run()
+    run.append(b"answer")
+    deps.claims.is_reachable = False
+    run.finish(200, [])
+    run.fail(Refusal(ErrorKind.CALLER_GONE, run_state=RunState.RAN))
+    assert deps.stored_answers.held_bytes == 6
+    deps.claims.is_reachable = True
+    deps.background.calls.pop()()
+    run.close()
+    assert deps.claims.outcomes == [6] and deps.stored_answers.held_bytes == 0
