--- a/src/laburnumreel/relay/_event_stream.py
+++ b/src/laburnumreel/relay/_event_stream.py
@@ -83,6 +83,11 @@
         """The beginning of an event whose end has not arrived yet."""
         return bytes(self._buffer)
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """The size of the beginning of an event whose end has not arrived yet."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete.
 
@@ -114,6 +119,10 @@
             raise ValueError(f"an event is larger than {MAX_EVENT_BYTES} bytes")
         return events
 
+    def clear(self) -> None:
+        """Drop the beginning of an event, also where an error's traceback refers to the splitter."""
+        self._buffer, self._searched = bytearray(), 0
+
 
 def _parse_event(raw: bytes) -> StreamEvent:
     event_id, is_progress = None, False
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -18,8 +18,7 @@
     LeaseManager,
     format_address,
 )
-from laburnumreel.core import Log, SignalQueue, SystemClock, Task
-from laburnumreel.relay._answer_memory import AnswerMemoryBudget
+from laburnumreel.core import AnswerMemory, Log, SignalQueue, SystemClock, Task, limit_heap
 from laburnumreel.relay._application import STOPPING, RelayApplication
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._capacity import CapacityPlanner
@@ -38,9 +37,10 @@
     RELAY_STOPPING,
 )
 from laburnumreel.relay._feed_follower import FeedFollower
-from laburnumreel.relay._job import MAX_HELD_ANSWER_BYTES, Dependencies
+from laburnumreel.relay._job import Dependencies
 from laburnumreel.relay._members import Member, Members
 from laburnumreel.relay._membership import Membership
+from laburnumreel.relay._metrics import RELAY_ANSWER_BYTES
 from laburnumreel.relay._peer_gossip import PeerGossip, host_rank
 from laburnumreel.relay._peer_update_handler import PeerUpdateHandler
 from laburnumreel.relay._ports import Adapter, Listing
@@ -134,7 +134,9 @@
                 adapter.back_ends,
                 self._rng,
                 self._on_request_began,
-                AnswerMemoryBudget(MAX_HELD_ANSWER_BYTES),
+                AnswerMemory.from_host(
+                    settings.memory.host_bytes, settings.threads, RELAY_ANSWER_BYTES
+                ),
                 UnknownHeaders(),
             ),
             adapter.callers,
@@ -452,6 +454,7 @@
 
 def run_relay(path: Path, settings: RelaySettings, adapter: Adapter, load: Callable) -> int:
     """Run a relay until it is told to stop, and return the exit code."""
+    limit_heap()
     try:
         node = RelayNode(settings, adapter)
     except OSError as error:
--- a/src/laburnumreel/relay/_send_failures.py
+++ b/src/laburnumreel/relay/_send_failures.py
@@ -17,6 +17,7 @@
     "out_of_time",
     "too_long",
     "too_costly",
+    "no_room",
     "not_genuine",
     "failed",
 ]
--- a/src/laburnumreel/serving/_events.py
+++ b/src/laburnumreel/serving/_events.py
@@ -57,3 +57,8 @@
 REQUEST_CHECK_FAILED = define_event(
     123, "request_check_failed", "checking a running request's deadline and caller failed"
 )
+ANSWER_DROPPED = define_event(
+    127,
+    "answer_dropped",
+    "an answer is not stored because it is too large or the memory for such answers is full",
+)
