--- a/tests/planned_soak.py
+++ b/tests/planned_soak.py
@@ -342,18 +342,19 @@
         return finding
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
+def run_soak(soak_class, description):
+    """Run the seeds that the command line names, and exit with 1 if one has findings."""
+    parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--keep", help="directory for the host logs of seeds with findings")
     parser.add_argument("--twins", action="store_true", help="send some requests twice at once")
     options = parser.parse_args()
-    PlannedSoak.has_twins = options.twins
+    soak_class.has_twins = options.twins
     kinds, failed = Counter(), 0
     for seed in range(options.first, options.first + options.seeds):
-        soak, findings = run_seed(seed, options.seconds, None, options.keep, PlannedSoak)
+        soak, findings = run_seed(seed, options.seconds, None, options.keep, soak_class)
         print_seed(soak, findings)
         kinds.update(finding.kind for finding in findings)
         failed += any(finding.kind != "paused" for finding in findings)
@@ -362,4 +363,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    run_soak(PlannedSoak, __doc__)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -87,7 +87,7 @@
     """A store with versioned rows, transactions and the feed of changes.
 
     While `down` is set, all calls are answered with 503. `history_gone` makes the next feed call fail
-    with 410.
+    with 410. `feed_delay_s` returns for how long a feed call that has changes of a table is delayed.
     """
 
     def __init__(self):
@@ -97,6 +97,7 @@
         self.changed = threading.Condition()
         self.down = False
         self.history_gone = False
+        self.feed_delay_s = lambda table: 0.0
         self.calls = []
         # Sent in all answers; each restore of a copy increments it.
         self.era = 0
@@ -185,15 +186,20 @@
         after, deadline = int(query["after"]), time.monotonic() + int(query["WaitMs"]) / 1000
         with self.changed:
             while True:
-                rows = [
-                    row for row in self.log if row["Ver"] > after and row["Table"] == query["Table"]
-                ]
+                rows = self._changes(query["Table"], after)
                 remaining_s = deadline - time.monotonic()
                 if rows or remaining_s <= 0 or self.down:
                     break
                 self.changed.wait(remaining_s)
+        if rows and (delay_s := self.feed_delay_s(query["Table"])):
+            time.sleep(delay_s)
+            with self.changed:
+                rows = self._changes(query["Table"], after)
         self._respond(handler, 200, {"Rows": rows})
 
+    def _changes(self, table, after):
+        return [row for row in self.log if row["Ver"] > after and row["Table"] == table]
+
     def _transact(self, handler):
         call = json.loads(handler.body())
         self.calls.append(handler.path)
