Let a begun stream wait for servers of its service that start again

Cause: a stream that has begun waits while any other server is listed, but a server that refused one connection while it was starting was excluded from the request for good; after the last one there was none to wait for.

Change: a server that could not be reached while a stream is resumed is not excluded. The backoff of unreachable servers (0.7 s, doubled) spaces the tries; a connection that is refused is no send.

The rule LOST does not count it, since a server broke off.

--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -421,6 +421,9 @@
                 error = self._attempt.continuation_error(f"resuming was answered {status}")
             except SendFailedError as failure:
                 error = failure
+                if failure.cause == "unreachable":
+                    # It has not got the request, and may be starting again.
+                    job.excluded -= {assignment.runner.name}
             self._close_attempt()
 
     def _record_prompt_read(self) -> None:
