End the backoff of an unreachable server when a new process has taken its place

Callers saw: after all servers of a service had crashed and were listed again with new processes, a stream that waited for one was cut at its end ("no place became free in time"), in one trace 0.65 s after three new processes had been listed; new requests were refused meanwhile.

Cause: a host's backoff of a server that refuses connections (0.7 s, doubled up to 6 s), and those that peers tell, are kept by the server's name and outlive the process that refused.

Change: a listing with another start of the server's process ends both. A new process that can't be reached begins at 0.7 s again.

Test: 2 failed before, pass now.

--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -299,6 +299,7 @@
             old = before.get(name)
             if old is not None and old.started_at_ms != entry.started_at_ms:
                 self._prefix_cache.on_restart(name)
+                self._health.on_restart(name)
             if old is None or old._replace(beat=0) != entry._replace(beat=0):
                 _log.info(
                     BACK_END_LISTED,
--- a/src/laburnumreel/relay/_health.py
+++ b/src/laburnumreel/relay/_health.py
@@ -142,6 +142,14 @@
             return self._plain_ms
         return self._plain_ms + _decay(record, now) * (record.plain_ms - self._plain_ms)
 
+    def on_restart(self, back_end: str) -> None:
+        """Forget the backoffs of a backend server whose process was replaced by a new one."""
+        self._peer_backoffs.pop(back_end, None)
+        record = self._records.get(back_end)
+        if record is not None:
+            record.backoffs = 0
+            record.backoff_until = float("-inf")
+
     def keep_only(self, is_known: Callable[[str], bool]) -> None:
         """Forget the backend servers that are no longer known."""
         for name in [name for name in self._records if not is_known(name)]:
--- a/tests/test_relay_candidate_cache.py
+++ b/tests/test_relay_candidate_cache.py
@@ -49,6 +49,9 @@
     "back": lambda fleet_state, name, now: fleet_state.on_listing(
         Listing({name: ENGINES[name]._replace(beat=9)}, 3, 0.0, False), now
     ),
+    "restarted": lambda fleet_state, name, now: fleet_state.on_listing(
+        Listing({name: ENGINES[name]._replace(started_at_ms=round(now))}, 4, 0.0, False), now
+    ),
     "moved": lambda fleet_state, name, now: fleet_state.on_address_reused(name),
     "used": lambda fleet_state, name, now: fleet_state.record_prompt(name, ORDER.prompt, now),
 }
--- a/tests/test_restarted_service.py
+++ b/tests/test_restarted_service.py
@@ -1,4 +1,4 @@
-"""Tests that a begun stream waits for servers of its service that are starting again."""
+"""Tests that servers which have crashed and started again get requests at once."""
 
 import threading
 
@@ -7,13 +7,17 @@
 from platform_config import config
 from platform_world import WAIT_S, wait_until
 from relay_caller import PROMPT_HEADERS, Caller
+from relay_samples import HERE, listed
 
-pytestmark = pytest.mark.processes
+from laburnumreel.relay._fleet_state import FleetState
+from laburnumreel.relay._health import INITIAL_BACKOFF_S
+from laburnumreel.relay._ports import Listing
 
 ROUTE_TIMEOUT_MS = 30_000
 COUNT = 5
 
 
+@pytest.mark.processes
 def test_begun_stream_waits_for_a_server_that_starts_again(world):
     """All servers of the service crash at once; the one that is left refuses connections first."""
     chosen, has_begun, may_fail = [], threading.Event(), threading.Event()
@@ -65,3 +69,23 @@
     world.worker(other, "quotes", stream(COUNT), born=1_800_000_000_001)
     thread.join()
     assert answers == [b"".join(event(number) for number in range(1, COUNT + 1))]
+
+
+@pytest.mark.parametrize("peer", [False, True], ids=["own", "peers"])
+def test_backoff_ends_with_the_process_that_could_not_be_reached(peer):
+    fleet_state, now = FleetState(HERE, {}, 2.2), 10.0
+    old = listed("b1")._replace(started_at_ms=1)
+
+    def list_entry(entry):
+        fleet_state.on_listing(Listing({"b1": entry}, 1, 0.0, True), now)
+        return fleet_state._health.is_in_backoff("b1", now)
+
+    assert not list_entry(old)
+    if peer:
+        fleet_state._health.on_peer_backoff("b1", now + 5.0)
+    else:
+        fleet_state.record_unreachable("b1", now)
+    assert list_entry(old._replace(beat=2))
+    assert not list_entry(old._replace(started_at_ms=2))
+    fleet_state.record_unreachable("b1", now)
+    assert fleet_state._health.backoffs(now)["b1"] == pytest.approx(INITIAL_BACKOFF_S)
