--- a/tests/test_planned_soak.py
+++ b/tests/test_planned_soak.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+from planned_failures import FailuresSoak
 from planned_soak import PlannedSoak
 from silence_soak import run_seed
 from test_silence_soak import add_send, make_request
@@ -92,3 +93,11 @@
     soak, findings = run_seed(7, 12.0, parameters, soak_class=PlannedSoak)
     assert not [finding for finding in findings if finding.kind != "paused"], soak.evidence
     assert soak.faults["change_config"] and soak.faults["stop_relay"]
+
+
+def test_changes_beside_failures_of_whole_services_lose_no_request():
+    parameters = PlannedSoak.draw_parameters(random.Random(30))
+    parameters = parameters._replace(relays=3, servers=2, callers=12, attempts=3)
+    soak, findings = run_seed(30, 12.0, parameters, soak_class=FailuresSoak)
+    assert not [finding for finding in findings if finding.kind != "paused"], soak.evidence
+    assert soak.faults["service_crashes"] and soak.faults["service_is_dropped"]
