--- a/src/laburnumreel/coordination/__init__.py
+++ b/src/laburnumreel/coordination/__init__.py
@@ -31,13 +31,13 @@
     write_commuting_edits,
     write_withdrawal,
 )
-from laburnumreel.coordination._crash_suspects import (
+from laburnumreel.coordination._crash_records import (
     HOLD_S,
     BrokenRequest,
     CrashReport,
-    CrashSuspects,
     HeldPart,
 )
+from laburnumreel.coordination._crash_suspects import CrashSuspects
 from laburnumreel.coordination._fleet import Fleet
 from laburnumreel.coordination._leaseholder import LeaseholderTask
 from laburnumreel.coordination._leases import LeaseManager
--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -8,7 +8,16 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from itertools import islice
-from typing import NamedTuple
+
+from laburnumreel.coordination._crash_records import (
+    HOLD_S,
+    BrokenRequest,
+    Crash,
+    CrashReport,
+    HeldPart,
+    Hold,
+    Rule,
+)
 
 # Reports of a crash of the same backend server within this time are about the same crash.
 SAME_CRASH_S = 2.0
@@ -20,8 +29,6 @@
 STRIKE_WINDOW_S = 600.0
 # How long reports of other requests and hosts about the same crash are awaited before it counts.
 SETTLE_S = 0.3
-# How long a part is held after the last request with it.
-HOLD_S = 600.0
 # A held part is tried with single requests, by one host, in case it is held wrongly. These are the
 # times between two trials that crash a server; the last one is repeated. The first trial comes after
 # the time of the rule. A host that heard of the hold from a peer waits for `ADOPTED_TRIAL_DELAY_S`.
@@ -40,26 +47,11 @@
 MAX_REPORT_BYTES = 12_000
 MAX_ANSWERED_SUSPECTS = 200
 MAX_CRASHES = 256
-MAX_REQUESTS_PER_CRASH = 256
 MAX_PARTS_PER_REQUEST = 32
 # How many of the last answers are kept; up to twice as many are until the oldest are dropped.
 MAX_ANSWERED_PARTS = 10_000
 
 
-class Rule(NamedTuple):
-    """How much must speak against a part that no answer has cleared since.
-
-    It must have been at `share` of all servers that crashed meanwhile. The part is tried
-    `trial_delay_s` after it was held.
-    """
-
-    strikes: int
-    crashes: int
-    share: float
-    requests: int
-    trial_delay_s: float
-
-
 RULES = (
     Rule(4, 4, 0.75, MIN_REQUESTS, TRIAL_DELAYS_S[0]),
     # Several such parts may come at the same time.
@@ -72,95 +64,12 @@
 SOUND_S = 60.0
 
 
-class BrokenRequest(NamedTuple):
-    """A request that a backend server had not begun to answer when it crashed.
-
-    `parts` are the parts of its prompt that other prompts may share, in order. `digest` identifies
-    the request when it is sent again.
-    """
-
-    request: str
-    parts: tuple[str, ...]
-    digest: str = ""
-
-
-class CrashReport(NamedTuple):
-    """What one host saw of the crash of a backend server `age_s` seconds ago."""
-
-    back_end: str
-    age_s: float
-    requests: tuple[BrokenRequest, ...]
-
-
-class HeldPart(NamedTuple):
-    """A part that was found to crash backend servers, and the crashes that showed it."""
-
-    part: str
-    back_ends: tuple[str, ...]
-    requests: int
-
-
-class _Hold:
-    """A part whose requests are refused.
-
-    `evidence_at` is the time of the last crash against it. `delays_s` are the times to wait after
-    the trials that crash a server.
-    """
-
-    def __init__(
-        self, since: float, evidence_at: float, trial_at: float, delays_s: Sequence[float]
-    ) -> None:
-        self.since = since
-        self.until = since + HOLD_S
-        self.evidence_at = evidence_at
-        self.trial_at = trial_at
-        self.trial_request = ""
-        self._delays_s = deque(delays_s)
-
-    def on_trial_crashed(self, now: float) -> None:
-        """Delay the next trial, as one has crashed a server."""
-        delay_s = self._delays_s.popleft() if len(self._delays_s) > 1 else self._delays_s[0]
-        self.trial_at = now + delay_s
-
-
-class _Evidence:
-    """What one crash says against one part."""
-
-    def __init__(self) -> None:
-        self.depth = 0
-        self.requests: set[str] = set()
-
-
-class _Crash:
-    """A crash, with the requests of all hosts that it broke off."""
-
-    def __init__(self, back_end: str, at: float) -> None:
-        self.back_end = back_end
-        self.at = at
-        self.requests: dict[str, BrokenRequest] = {}
-        self.by_part: dict[str, _Evidence] = {}
-        # The requests that this host has lost, which it reports to its peers.
-        self.own_requests: dict[str, BrokenRequest] = {}
-
-    def add(self, request: BrokenRequest) -> bool:
-        """Add a request, and return whether it was unknown."""
-        is_full = len(self.requests) >= MAX_REQUESTS_PER_CRASH
-        if is_full or request.request in self.requests:
-            return False
-        self.requests[request.request] = request
-        for depth, part in enumerate(request.parts):
-            evidence = self.by_part.setdefault(part, _Evidence())
-            evidence.depth = max(evidence.depth, depth)
-            evidence.requests.add(request.request)
-        return True
-
-
 class CrashSuspects:
     """Decides which parts of prompts may not be sent because they crash backend servers.
 
-    A part is held once enough crashes in a row speak against it that no answer has cleared. The part that explains most crashes is held first, and the later one in the prompt if
-    two explain as many. Crashes that a held part explains speak against no other part. Not
-    thread-safe.
+    A part is held once enough crashes in a row speak against it that no answer has cleared. The
+    part that explains most crashes is held first, and the later one in the prompt if two explain as
+    many. Crashes that a held part explains speak against no other part. Not thread-safe.
 
     A wrong hold would never end by itself, because nothing with the part is answered. One host
     therefore tries a held part from time to time, with one request.
@@ -178,11 +87,11 @@
 
     def __init__(self) -> None:
         # In the order of their times.
-        self._crashes: list[_Crash] = []
+        self._crashes: list[Crash] = []
         # When an answer with each part last began, the oldest first.
         self._answered_at: dict[str, float] = {}
         self._last_answer_at = float("-inf")
-        self._holds: dict[str, _Hold] = {}
+        self._holds: dict[str, Hold] = {}
         # Parts that were let go, which peers are told.
         self._released_at: dict[str, float] = {}
         # Until when a single crash is enough to hold a part again.
@@ -214,7 +123,7 @@
         while self._unsettled and self._unsettled[0][0] <= now:
             due |= self._unsettled.popleft()[1]
         held = []
-        due = self._often_crashed(due)
+        due = self._often_crashed(due) if due else due
         while due:
             unexplained = [
                 crash
@@ -235,7 +144,7 @@
             back_ends = tuple(crash.back_end for crash in crashes)
             held.append(HeldPart(part, back_ends, len(requests)))
             delays_s = [each for each in TRIAL_DELAYS_S if each > rule.trial_delay_s]
-            self._holds[part] = _Hold(now, crashes[-1].at, now + rule.trial_delay_s, delays_s)
+            self._holds[part] = Hold(now, crashes[-1].at, now + rule.trial_delay_s, delays_s)
             due.discard(part)
         return held
 
@@ -341,7 +250,7 @@
             recently_answered = now - self._answered_at.get(part, float("-inf")) < RELEASE_S
             if remaining_s < MIN_PEER_REMAINING_S or recently_answered or part in self._holds:
                 continue
-            hold = _Hold(now, now, now + ADOPTED_TRIAL_DELAY_S, TRIAL_DELAYS_S[-1:])
+            hold = Hold(now, now, now + ADOPTED_TRIAL_DELAY_S, TRIAL_DELAYS_S[-1:])
             hold.until = now + min(remaining_s, HOLD_S)
             self._holds[part] = hold
             adopted.append(part)
@@ -429,11 +338,11 @@
         if touched:
             self._unsettled.append((max(now, crash.at + SETTLE_S), touched))
 
-    def _find_or_add(self, back_end: str, at: float) -> _Crash:
+    def _find_or_add(self, back_end: str, at: float) -> Crash:
         for crash in reversed(self._crashes):
             if crash.back_end == back_end and abs(crash.at - at) < SAME_CRASH_S:
                 return crash
-        crash = _Crash(back_end, at)
+        crash = Crash(back_end, at)
         insort(self._crashes, crash, key=lambda each: each.at)
         del self._crashes[:-MAX_CRASHES]
         return crash
@@ -446,12 +355,12 @@
         least = min(rule.crashes for rule in RULES)
         return {part for part in parts if counts[part] >= least or part in self._relapses}
 
-    def _crashes_against(self, part: str, unexplained: Sequence[_Crash]) -> list[_Crash]:
+    def _crashes_against(self, part: str, unexplained: Sequence[Crash]) -> list[Crash]:
         answered_at = self._answered_at.get(part, float("-inf"))
         return [each for each in unexplained if each.at > answered_at and part in each.by_part]
 
     def _broken_rule(
-        self, part: str, crashes: Sequence[_Crash], unexplained: Sequence[_Crash]
+        self, part: str, crashes: Sequence[Crash], unexplained: Sequence[Crash]
     ) -> Rule | None:
         """Return the rule by which a part is held, or None if too little speaks against it."""
         if not crashes:
@@ -489,6 +398,6 @@
             self._unsettled.appendleft((released_at, touched - {part}))
 
 
-def _weight(part: str, crashes: Sequence[_Crash]) -> tuple[int, int]:
+def _weight(part: str, crashes: Sequence[Crash]) -> tuple[int, int]:
     """Return how much speaks against a part: its crashes, and how far back it stands in prompts."""
     return len(crashes), max(crash.by_part[part].depth for crash in crashes)
