Hold a deadly prompt part after five crashes at any distance

Timeline (--log all, until second 17): five servers, all that write answers, ended at 7.84, 7.92, 7.97, 8.04 and 8.18 s, each with an unbegun request with the part; nothing was held. No server was left until 11.17 s. Four of them ended again between 11.41 and 11.82 s, before the part was held at 11.76 s; the first trial ended one more at 15.36 s.

Cause: crashes within 0.2 s of each other are one strike, because servers that are lost together are likely to have a common cause. The five were two strikes, and the rule for fast crashes asked for three. The part was to be found by the pace at which its own requests spread.

Change: five crashes in a row with five requests and the part at nine of ten servers are enough, at any distance. As with the other rule for fast crashes, one host tries the part at once, so that an answer ends a hold that is wrong. A loss of many servers at once still holds nothing that was answered within the minute before.

Evidence: the test failed before.

--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -58,6 +58,7 @@
     Rule(8, 8, 0.3, MIN_REQUESTS, TRIAL_DELAYS_S[0]),
     # Crashes may come so fast that they are few strikes.
     Rule(3, 5, 0.9, 4, 0.0),
+    Rule(1, 5, 0.9, 5, 0.0),
 )
 # For parts that were answered shortly before the crashes began.
 RULES_FOR_SOUND = (Rule(8, 8, 0.75, 8, 0.0),)
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -56,6 +56,15 @@
         assert crash(suspects, f"s{number}", 5.0 + number / 1000, ("first", "rare")) == []
 
 
+def test_part_whose_crashes_follow_one_another_fast_is_held():
+    """Five crashes within 0.4 s were two strikes, and crashes went on when the servers returned."""
+    suspects, held = CrashSuspects(), []
+    for number, at in enumerate((7.84, 7.92, 7.96, 8.04, 8.17)):
+        held += crash(suspects, f"s{number}", at, ("first", f"own-{number}", "deadly"))
+        suspects.record_answer(("first",), at + 0.03)
+    assert held == ["deadly"]
+
+
 def test_part_that_is_answered_between_crashes_is_never_held():
     suspects = CrashSuspects()
     for now in range(1, 40):
