Let requests wait for the first load report of a newly listed engine

Callers saw: 503 no_back_end, "service models has no usable back end", from a gateway that had just become ready, though its engine ran.

Cause: a gateway reads the host list and waits up to 1 s for the engines' load reports, then is ready. An engine without a report adds no capacity, and a service without capacity refuses at once, until the next read succeeds (each 0.5 s). The same holds for an engine that is listed later. After a first report the capacity was updated up to 0.2 s later.

Change: while all usable engines of a service have no report and one was listed less than 3 s ago (FIRST_REPORT_WAIT_S), its requests wait in the dispatcher, before rate limits and queue. A first report updates the capacity at once. Readiness stays as it is: engines that don't answer must not keep a gateway from serving plain services.

--- a/src/laburnumreel/coordination/_fleet.py
+++ b/src/laburnumreel/coordination/_fleet.py
@@ -16,6 +16,8 @@
 REPORT_LAG_S = 2.0
 # A peer's in-flight requests are no longer counted after this time; two exchange rounds may fail.
 PEER_WORK_TTL_S = 3.0
+# How long the first report of a newly listed engine is awaited.
+FIRST_REPORT_WAIT_S = 3.0
 MIN_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 15.0
 # A back end that has not failed for this long after its backoff starts at the first backoff again.
@@ -33,8 +35,9 @@
 class _BackEndState:
     """State of one back end."""
 
-    def __init__(self, host: Host) -> None:
+    def __init__(self, host: Host, listed_at: float) -> None:
         self.host = host
+        self.listed_at = listed_at
         self.report: LoadReport | None = None
         self.covers_until = float("-inf")
         self.clock_offset = float("inf")
@@ -138,7 +141,7 @@
         for host in self._choose_by_name(hosts):
             previous = self._entries.get(host.name)
             if previous is None or previous.host.address != host.address:
-                previous = _BackEndState(host)
+                previous = _BackEndState(host, now)
             previous.host = host
             entries[host.name] = previous
         self._entries = entries
@@ -147,11 +150,23 @@
             self._services.setdefault(entry.host.service, []).append(entry)
         self._drains = {name: drain for name, drain in self._drains.items() if drain.until > now}
 
-    def on_load(self, name: str, report: LoadReport, now: float) -> None:
-        """Record a load report that arrived at `now`."""
+    def on_load(self, name: str, report: LoadReport, now: float) -> bool:
+        """Record a load report that arrived at `now`, and return whether it is the engine's first."""
         entry = self._entries.get(name)
-        if entry is not None:
-            entry.on_report(report, now)
+        if entry is None:
+            return False
+        is_first = entry.report is None
+        entry.on_report(report, now)
+        return is_first
+
+    def awaits_first_report(self, service: str, now: float, cheap: bool) -> bool:
+        """Return whether a service has only engines without a report, one of them newly listed."""
+        usable = [
+            entry for entry in self._services.get(service, ()) if self._is_usable(entry, now, cheap)
+        ]
+        return all(
+            entry.host.kind == "engine" and entry.report is None for entry in usable
+        ) and any(now - entry.listed_at < FIRST_REPORT_WAIT_S for entry in usable)
 
     def on_cache_events(
         self, name: str, stored: Sequence[str], evicted: Sequence[str], gap: bool
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -76,6 +76,8 @@
         self._silence_tracker = SilenceTracker()
         self._configuration = Configuration()
         self._queued: dict[str, tuple[BackEndSelection, Future]] = {}
+        # Offers to services whose engines have not sent their first load report.
+        self._unassessed: dict[str, tuple[Offer, BackEndSelection, Future]] = {}
         self._quarantine = Quarantine()
         self._gateways = gateways
         self._capacity_updated_at = 0.0
@@ -267,6 +269,7 @@
             self._notify_update()
         if now - self._capacity_updated_at >= CAPACITY_INTERVAL_S:
             self._update_capacity()
+        self._assess_offers()
         admitted, refused = self._admission.expire(now)
         self._resolve_admitted(admitted)
         for request_id, refusal in refused:
@@ -283,6 +286,9 @@
         if held is not None:
             future.set_result(held)
             return
+        if self._awaits_first_report(offer, selection):
+            self._unassessed[offer.request_id] = (offer, selection, future)
+            return
         decision = self._admission.offer(offer, self._clock.now())
         if isinstance(decision, Admitted):
             future.set_result(
@@ -293,7 +299,21 @@
         else:
             future.set_result(decision.refusal)
 
+    def _awaits_first_report(self, offer: Offer, selection: BackEndSelection) -> bool:
+        return self._fleet.awaits_first_report(
+            offer.service, self._clock.now(), selection.allow_interruptible
+        )
+
+    def _assess_offers(self) -> None:
+        """Decide on the offers that need not wait for a first load report any more."""
+        for request_id, (offer, selection, future) in list(self._unassessed.items()):
+            if not self._awaits_first_report(offer, selection):
+                del self._unassessed[request_id]
+                self._on_offer(offer, selection, future)
+
     def _on_cancel_offer(self, request_id: str) -> None:
+        if self._unassessed.pop(request_id, None) is not None:
+            return
         if self._queued.pop(request_id, None) is None:
             # It was admitted before this message, and its request does not know the back end.
             for back_end, running in list(self._running.items()):
@@ -415,7 +435,9 @@
         self._repeated_names = repeated
 
     def _on_load(self, name: str, report: LoadReport) -> None:
-        self._fleet.on_load(name, report, self._clock.now())
+        if self._fleet.on_load(name, report, self._clock.now()):
+            self._update_capacity()
+            self._assess_offers()
 
     def _local_update(self) -> NodeUpdate:
         now = self._clock.now()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -7,6 +7,7 @@
 import pytest
 
 from laburnumreel.coordination import LoadReport, NodeUpdate, Offer, RoutingRequest, prompt_prefixes
+from laburnumreel.coordination._fleet import FIRST_REPORT_WAIT_S
 from laburnumreel.core import ManualClock
 from laburnumreel.protocol import ModelRequest
 from laburnumreel.serving._budgets import DEFAULT_RETRY_MINIMUM
@@ -195,6 +196,25 @@
     dispatcher.wait_until_processed()
 
 
+def test_request_waits_for_the_first_report_of_a_new_engine(start_dispatcher):
+    """Requests were refused for up to half a second if an engine's first report took over 1 s."""
+    dispatcher = start_dispatcher(streams=())
+    dispatcher.configure(make_configuration())
+    engine = Host("w0", "127.0.0.1:9000", "xela-a", "xela", "chat", "engine", False, "live")
+    dispatcher.hosts([engine])
+    served, cancelled = offer_requests(dispatcher, 2)
+    assert not served.done() and not cancelled.done()
+    dispatcher.cancel_offer("r1")
+    dispatcher.on_load("w0", make_report())
+    assert served.result(timeout=5).name == "w0"
+    assert dispatcher.local_update().result().in_flight["w0"][0] == 1 and not cancelled.done()
+    dispatcher.hosts([engine._replace(address="127.0.0.2:9000")])
+    unserved = offer_requests(dispatcher, 1)[0]
+    assert not unserved.done()
+    dispatcher._clock.advance(FIRST_REPORT_WAIT_S)
+    assert unserved.result(timeout=5).kind == ErrorKind.NO_BACK_END
+
+
 def test_changed_configuration_does_not_reset_the_retry_budget(start_dispatcher):
     """Guards against a new configuration that resets the retry budget.
 
