Let silent streams wait briefly when others at their back end resume

Two engines had paused for 1.6 s and both went on; two streams whose own bytes came 0.07 and 0.12 s after those of others at their engine were sent to the other engine. Callers got whole streams; each needless move cost a retry of the service and a prompt.

Cause: a silent request looks every 250 ms for another back end, whatever other requests at its own one receive. As soon as the other engine resumes it may be chosen.

Change: if a silent request at the same back end has received bytes within 0.5 s (RESUME_GRACE_S), a second send is delayed by 0.5 s, once in each silence, because the request's own connection may be lost for good. Where no request resumes, as at a dead server, nothing is delayed.

--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -18,6 +18,7 @@
     is_for_this_request,
     parse_retry_after,
 )
+from laburnumreel.serving._silence_tracker import RESUME_GRACE_S
 from laburnumreel.state import ErrorKind, Refusal, RunState
 from laburnumreel.transport import Address, BackEndFailureError, Exchange, await_bytes
 
@@ -75,6 +76,8 @@
         self._silent_since: float | None = None
         self._is_reachable = True
         self._logged_reason = ""
+        # Whether the request has waited because others at its silent back end resumed.
+        self._has_used_grace = False
 
     @property
     def _allow_interruptible(self) -> bool:
@@ -392,7 +395,15 @@
         return SILENCE_POLL_INTERVAL_S
 
     def _start_hedge(self, now: float) -> None:
-        """Send a hedged request, and schedule the next one after a further silence."""
+        """Send a hedged request, and schedule the next one after a further silence.
+
+        Once in each silence, it is delayed if other requests at the back end have just resumed.
+        """
+        if not self._has_used_grace and self._deps.dispatcher.has_just_resumed(self._back_end.name):
+            self._has_used_grace = True
+            self._next_hedge_at = now + RESUME_GRACE_S
+            self._log_waiting("other requests at its back end have just resumed")
+            return
         reason = self._hedges.send(self._exchange, lambda: self._record_retry(self._retry_reason()))
         sent = bool(self._hedges.pending_exchanges)
         self._next_hedge_at = now + (
@@ -412,6 +423,7 @@
 
     def _reset_silence(self) -> None:
         self._silent_since, self._is_reachable, self._logged_reason = None, True, ""
+        self._has_used_grace = False
 
     def _log_waiting(self, reason: str) -> None:
         if reason != self._logged_reason:
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -197,10 +197,18 @@
         """Record that a request receives no bytes from a back end."""
         self._post(self._silence_tracker.on_silence, back_end, request_id)
 
-    def on_silence_ended(self, back_end: str, request_id: str) -> None:
-        """Record that a request receives bytes again."""
+    def on_silence_ended(
+        self, back_end: str, request_id: str, has_received_bytes: bool = True
+    ) -> None:
+        """Record that a request is no longer silent, as a rule because it receives bytes again."""
+        if has_received_bytes:
+            self._silence_tracker.on_resumed(back_end, self._clock.now())
         self._post(self._silence_tracker.on_silence_ended, back_end, request_id)
 
+    def has_just_resumed(self, back_end: str) -> bool:
+        """Return whether a silent request received bytes from a back end a moment ago."""
+        return self._silence_tracker.has_just_resumed(back_end, self._clock.now())
+
     def on_success(self, service: str) -> None:
         """Record a success, which adds to the retry budget of the service."""
         self._post(lambda: self._budgets.for_service(service).deposit(self._clock.now()))
--- a/src/laburnumreel/serving/_hedging.py
+++ b/src/laburnumreel/serving/_hedging.py
@@ -291,7 +291,9 @@
             self._unresolved_sends -= 1
             if adopted.is_silent:
                 request_id = self._job.running.request_id
-                self._deps.dispatcher.on_silence_ended(adopted.back_end.name, request_id)
+                self._deps.dispatcher.on_silence_ended(
+                    adopted.back_end.name, request_id, has_received_bytes=adopted.has_head
+                )
             adopted.exchange.on_timeout = None
         self.cancel_all(except_for=adopted)
         return adopted
--- a/src/laburnumreel/serving/_silence_tracker.py
+++ b/src/laburnumreel/serving/_silence_tracker.py
@@ -1,5 +1,6 @@
 """Detection of silent back ends from the progress of their running requests."""
 
+import math
 from collections.abc import Collection, Mapping
 from enum import StrEnum
 
@@ -9,6 +10,8 @@
 # A back end that has sent no byte of its streams for this share of the silence limit is treated like
 # a silent one when a hedged request is placed.
 PAUSED_TIME_SHARE = 0.5
+# How long the other requests at a back end that resumes wait for their own bytes.
+RESUME_GRACE_S = 0.5
 
 
 class HedgeDenial(StrEnum):
@@ -22,7 +25,7 @@
 class SilenceTracker:
     """Tracks which running requests get no bytes from their back ends.
 
-    All methods except `on_bytes` must be called on one thread.
+    All methods except `on_bytes`, `on_resumed` and `has_just_resumed` must be called on one thread.
 
     >>> tracker = SilenceTracker()
     >>> tracker.on_silence("w1", "r1")
@@ -37,11 +40,23 @@
         self._silent_requests: dict[str, set[str]] = {}
         self._streaming_requests: dict[str, set[str]] = {}
         self._last_byte_at: dict[str, float] = {}
+        self._resumed_at: dict[str, float] = {}
 
     def on_bytes(self, back_end: str, now: float) -> None:
         """Record that bytes arrived from a back end. May be called on any thread."""
         self._last_byte_at[back_end] = now
 
+    def on_resumed(self, back_end: str, now: float) -> None:
+        """Record that a silent request received a byte again. May be called on any thread."""
+        self._resumed_at[back_end] = now
+
+    def has_just_resumed(self, back_end: str, now: float) -> bool:
+        """Return whether a silent request received a byte from a back end a moment ago.
+
+        May be called on any thread.
+        """
+        return now - self._resumed_at.get(back_end, -math.inf) < RESUME_GRACE_S
+
     def on_stream_started(self, back_end: str, request_id: str) -> None:
         """Record that a request receives its answer as a stream from now on."""
         self._streaming_requests.setdefault(back_end, set()).add(request_id)
@@ -51,7 +66,7 @@
         self._silent_requests.setdefault(back_end, set()).add(request_id)
 
     def on_silence_ended(self, back_end: str, request_id: str) -> None:
-        """Record that a silent request received a byte again."""
+        """Record that a request is no longer silent."""
         _discard(self._silent_requests, back_end, request_id)
 
     def on_request_left(self, back_end: str, request_id: str) -> None:
@@ -60,6 +75,7 @@
         _discard(self._streaming_requests, back_end, request_id)
         if back_end not in self._streaming_requests:
             self._last_byte_at.pop(back_end, None)
+            self._resumed_at.pop(back_end, None)
 
     def silent_back_ends(self, running: Mapping[str, Collection[str]]) -> set[str]:
         """Return the silent back ends, given the requests that run on each back end."""
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -13,7 +13,7 @@
 from laburnumreel.serving._dispatcher import BackEndSelection, Dispatcher
 from laburnumreel.serving._hedging import BackEndRequest
 from laburnumreel.serving._job import Job
-from laburnumreel.serving._silence_tracker import HedgeDenial
+from laburnumreel.serving._silence_tracker import RESUME_GRACE_S, HedgeDenial
 from laburnumreel.state import Host
 from laburnumreel.transport import BackEndFailureError
 
@@ -210,6 +210,21 @@
     assert dispatcher.reserve_hedge(selection, ["w0"], SILENCE_S).name == "w1"
 
 
+def test_request_waits_briefly_for_a_back_end_that_resumes(dispatcher, clock):
+    """Two streams moved 0.07 s after others of their engine went on, and used up two retries."""
+    dispatcher.choose(make_work("other"), False, ["w1"], "")
+    first_exchange, second_exchange = FakeExchange(), FakeExchange(has_answer=True)
+    attempts = start_silent_request(dispatcher, FakePool(first_exchange, second_exchange))
+    dispatcher.on_silence("w0", "other")
+    dispatcher.on_silence_ended("w0", "other")
+    assert first_exchange.on_timeout(False) > 0 and not second_exchange.writes
+    # The connection of this request may be lost: a further resumption delays it no longer.
+    for each in (clock, attempts._deps.clock):
+        each.advance(RESUME_GRACE_S)
+    dispatcher.on_silence_ended("w0", "other")
+    assert first_exchange.on_timeout(False) is None and second_exchange.writes == 1
+
+
 def test_silent_back_end_is_the_last_resort_for_new_work(dispatcher):
     """New requests went to a back end where earlier ones still waited for their first byte."""
     take_all_retries(dispatcher)
