Move no silent stream to a back end that has just resumed

From the log of one: both engines had been silent for 1 s; engine-1 sent bytes at 16.975 s, two streams of engine-0 were sent to it at 16.993 and 16.995 s, engine-0 resumed at 17.007 s. Callers got whole streams; each move cost a retry and a prompt.

Cause: a back end was fit to take a stream over as soon as it sent bytes again. What stops several back ends, such as a pause of the machine or of the network, ends for all within a short time, but not at the same instant.

The request waits and asks again, as it does while all others are silent.

--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -371,10 +371,14 @@
         budget = self._budgets.for_service(work.service)
         if not budget.reserve(now):
             return HedgeDenial.NO_RETRY
-        silent = self._silence_tracker.silent_back_ends(
-            self._running
-        ) | self._silence_tracker.paused_back_ends(now, silence_s)
-        back_end = self._choose_and_record(work, allow_interruptible, silent.union(exclude), digest)
+        tracker = self._silence_tracker
+        unfit = {
+            *exclude,
+            *tracker.silent_back_ends(self._running),
+            *tracker.paused_back_ends(now, silence_s),
+            *tracker.resuming_back_ends(now),
+        }
+        back_end = self._choose_and_record(work, allow_interruptible, unfit, digest)
         if back_end is None:
             budget.release()
             return HedgeDenial.NO_BACK_END
--- a/src/laburnumreel/serving/_silence_tracker.py
+++ b/src/laburnumreel/serving/_silence_tracker.py
@@ -85,6 +85,10 @@
             if len(silent_requests) >= SILENT_REQUEST_SHARE * len(running.get(name, ()))
         }
 
+    def resuming_back_ends(self, now: float) -> set[str]:
+        """Return the back ends that were silent and sent bytes again a moment ago."""
+        return {name for name in list(self._resumed_at) if self.has_just_resumed(name, now)}
+
     def paused_back_ends(self, now: float, silence_s: float) -> set[str]:
         """Return the back ends whose streams have all paused for a share of `silence_s` seconds."""
         return {
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -210,6 +210,17 @@
     assert dispatcher.reserve_hedge(selection, ["w0"], SILENCE_S).name == "w1"
 
 
+def test_back_end_that_has_just_resumed_gets_no_hedge(dispatcher, clock):
+    """Two streams moved to an engine that resumed 0.03 s before their own."""
+    selection = BackEndSelection(make_work("r"), False, "")
+    dispatcher.choose(make_work("other"), False, ["w0"], "")
+    dispatcher.on_silence("w1", "other")
+    dispatcher.on_silence_ended("w1", "other")
+    assert dispatcher.reserve_hedge(selection, ["w0"], SILENCE_S) is HedgeDenial.NO_BACK_END
+    clock.advance(RESUME_GRACE_S)
+    assert dispatcher.reserve_hedge(selection, ["w0"], SILENCE_S).name == "w1"
+
+
 def test_request_waits_briefly_for_a_back_end_that_resumes(dispatcher, clock):
     """Two streams moved 0.07 s after others of their engine went on, and used up two retries."""
     dispatcher.choose(make_work("other"), False, ["w1"], "")
