Ask peers for holds at a start and after a pause, before prompts are sent

Cause: a host that woke sent what had queued at once; updates from before the pause were read in any order with the requests, and fresh ones came with the peers' next interval. A host that heard nobody for 3 s was sent an update each 1.5 s only.

Change: the dispatcher notices by its own clock that it stood still for 1 s or more, asks up to five peers (others each 0.25 s), and leaves requests with prompt parts in the queue until one has answered with the number that was asked with, 1 s at most and never until they would be refused for their wait. Queued ones do not count as ahead of others meanwhile. The same at a start with listed peers. A host that has heard no peer for 1 s asks each 0.25 s. Log events 686 and 687. Peer updates have two optional fields more; hosts of earlier releases ignore them, and the wait ends after 1 s.

Evidence: the process test with a stopped relay failed before (servers crashed by the requests queued in the pause) and holds now. With 194 peers on a manual clock 5 are asked at once, 5 others after 0.25 s, none after an answer.

--- a/idl/relay.thrift
+++ b/idl/relay.thrift
@@ -104,4 +104,7 @@
   29: list<Timed> held_parts
   // Sent between two others because of what concerns crashes; everything else is as in the last one.
   30: bool only_crashes
+  // Asks for an update about crashes at once, which has this number in `answers_holds`; 0 if it does not.
+  31: i64 asks_holds
+  32: i64 answers_holds
 }
--- a/src/laburnumreel/protocol/gen/relay/ttypes.py
+++ b/src/laburnumreel/protocol/gen/relay/ttypes.py
@@ -737,11 +737,13 @@
      - answered
      - held_parts
      - only_crashes
+     - asks_holds
+     - answers_holds
 
     """
 
 
-    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None, usage_window=None, ended=None, listing_seen=None, listing_away=None, gone=None, leaving_started_ms=None, store_era=None, fixed=None, limits=None, asked=None, limited_sends=None, crash_reports=None, answered=None, held_parts=None, only_crashes=None,):
+    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None, usage_window=None, ended=None, listing_seen=None, listing_away=None, gone=None, leaving_started_ms=None, store_era=None, fixed=None, limits=None, asked=None, limited_sends=None, crash_reports=None, answered=None, held_parts=None, only_crashes=None, asks_holds=None, answers_holds=None,):
         self.sender = sender
         self.boot = boot
         self.zone = zone
@@ -772,6 +774,8 @@
         self.answered = answered
         self.held_parts = held_parts
         self.only_crashes = only_crashes
+        self.asks_holds = asks_holds
+        self.answers_holds = answers_holds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1030,6 +1034,16 @@
                     self.only_crashes = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.I64:
+                    self.asks_holds = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 32:
+                if ftype == TType.I64:
+                    self.answers_holds = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1213,6 +1227,14 @@
             oprot.writeFieldBegin('only_crashes', TType.BOOL, 30)
             oprot.writeBool(self.only_crashes)
             oprot.writeFieldEnd()
+        if self.asks_holds is not None:
+            oprot.writeFieldBegin('asks_holds', TType.I64, 31)
+            oprot.writeI64(self.asks_holds)
+            oprot.writeFieldEnd()
+        if self.answers_holds is not None:
+            oprot.writeFieldBegin('answers_holds', TType.I64, 32)
+            oprot.writeI64(self.answers_holds)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1319,6 +1341,8 @@
     (28, TType.LIST, 'answered', (TType.STRUCT, [Timed, None], False), None, ),  # 28
     (29, TType.LIST, 'held_parts', (TType.STRUCT, [Timed, None], False), None, ),  # 29
     (30, TType.BOOL, 'only_crashes', None, None, ),  # 30
+    (31, TType.I64, 'asks_holds', None, None, ),  # 31
+    (32, TType.I64, 'answers_holds', None, None, ),  # 32
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/laburnumreel/relay/_crash_evidence.py
+++ b/src/laburnumreel/relay/_crash_evidence.py
@@ -96,6 +96,11 @@
         # counts only once.
         self._peer_crashes: dict[tuple[str, str, str], float] = {}
 
+    @property
+    def has_peers(self) -> bool:
+        """Whether any peer was heard lately."""
+        return bool(self._peers)
+
     def record_crash(self, back_end: str, lost: LostRequest, now: float) -> None:
         """Record a request that the crash of a backend server broke off here."""
         RELAY_CRASHES.inc(begun=str(not lost.parts).lower())
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -41,6 +41,7 @@
 from laburnumreel.relay._events import RELAY_REQUEST_FAILED
 from laburnumreel.relay._feed_follower import LinkState
 from laburnumreel.relay._fleet_state import FleetState
+from laburnumreel.relay._holds_wait import HoldsWait
 from laburnumreel.relay._metrics import RELAY_WAITING
 from laburnumreel.relay._peer_update import PeerUpdate
 from laburnumreel.relay._ports import Listing
@@ -100,6 +101,7 @@
         self._last_short_at: dict[str, float] = {}
         self._next_pass_at = float("-inf")
         self._on_crash_news: Callable[[], None] = lambda: None
+        self._holds_wait = HoldsWait(rng)
 
     # Calls from other threads.
 
@@ -165,6 +167,10 @@
         """Set the function to call when the peers should learn of a crash or a hold at once."""
         self._on_crash_news = on_crash_news
 
+    def set_holds_query(self, ask_holds: Callable[[int], None]) -> None:
+        """Set the function to call when peers should tell at once which parts are held."""
+        self._holds_wait.set_ask(ask_holds)
+
     def crash_update(self) -> CrashUpdate:
         """Return what peers need to know of crashes."""
         return self.ask(GetCrashUpdate()).result()
@@ -237,6 +243,7 @@
 
     def handle(self, message: object) -> object:
         now = self._clock.now()
+        self._holds_wait.on_run(self._fleet_state.crash_evidence.has_peers, now)
         match message:
             case PlaceRequest():
                 self._place_or_queue(message, now)
@@ -282,12 +289,15 @@
                 holds_more = [self._fleet_state.on_peer_update(update, now) for update in batch]
                 if any(holds_more):
                     self._refuse_held(now)
+                if self._holds_wait.on_updates(batch, now):
+                    self._next_pass_at = now
                 self._place_waiting(now)
             case ("silent", name):
                 self._fleet_state.forget_peer(name)
             case ("hosts", count, replaces_killed):
                 self._fleet_state.limits.set_hosts(count)
                 self._retry_budget.set_host_count(count, replaces_killed, now)
+                self._holds_wait.on_hosts(count, now)
             case AcquirePermit(service):
                 return self._retry_budget.reserve(service, now)
             case UsePermit(service):
@@ -314,6 +324,7 @@
 
     def tick(self) -> None:
         now = self._clock.now()
+        self._holds_wait.on_run(self._fleet_state.crash_evidence.has_peers, now)
         if self._fleet_state.crash_evidence.hold_guilty(now):
             self._refuse_held(now)
             self._on_crash_news()
@@ -337,7 +348,7 @@
         if len(self._waiting) == 1 or now >= self._next_pass_at:
             self._next_pass_at = now
             self._place_waiting(now)
-        else:
+        elif not self._holds_wait.delays(request, now):
             # The other waiting requests were tried in the last pass.
             self._place_or_fail(pending, now)
 
@@ -356,7 +367,12 @@
         if request.waiting.is_started:
             # A request that has already started goes before those that wait.
             return self._refusals.over_limits(request, 0, now)
-        ahead = sum(1 for each in self._waiting.values() if each.order.service == request.service)
+        ahead = sum(
+            1
+            for each in self._waiting.values()
+            if each.order.service == request.service
+            and not self._holds_wait.delays(each.order, now)
+        )
         refusal = self._refusals.over_limits(request, ahead, now)
         if refusal is not None:
             return refusal
@@ -375,10 +391,12 @@
         weighed_count = 0
         # By identity: requests with the same id may be equal.
         pending_by_waiting = {
-            id(pending.order.waiting): pending for pending in self._waiting.values()
+            id(pending.order.waiting): pending
+            for pending in self._waiting.values()
+            if not self._holds_wait.delays(pending.order, now)
         }
         for waiting_request in order_waiting(
-            [pending.order.waiting for pending in self._waiting.values()], now
+            [pending.order.waiting for pending in pending_by_waiting.values()], now
         ):
             pending = pending_by_waiting[id(waiting_request)]
             service = pending.order.service
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -90,6 +90,14 @@
 PART_RELEASED = define_event(
     683, "relay_part_released", "requests with a held part are admitted again"
 )
+HOLDS_AWAITED = define_event(
+    686,
+    "relay_holds_awaited",
+    "requests with prompt parts wait until a peer has told which parts are held",
+)
+HOLDS_HEARD = define_event(
+    687, "relay_holds_heard", "a peer told which parts are held, or none did in time"
+)
 COPY_RELEASED = define_event(637, "copy_released", "releasing an unused copy of a prompt")
 RELAY_REQUEST_FAILED = define_event(638, "relay_request_failed", "a request hit an internal error")
 PROMPT_READ = define_event(639, "prompt_read", "an engine has read a prompt for another one")
--- a/src/laburnumreel/relay/_membership.py
+++ b/src/laburnumreel/relay/_membership.py
@@ -9,6 +9,7 @@
     STORE_ERA_ENTERED,
     TRUE_TIME_AGREED,
 )
+from laburnumreel.relay._holds_wait import FIRST_UPDATE_WAIT_S
 from laburnumreel.relay._members import Member, Members
 from laburnumreel.relay._peer_gossip import PeerGossip
 from laburnumreel.relay._true_time import TrueTime
@@ -19,8 +20,6 @@
 LIST_INTERVAL_S = 20.0
 SMALL_FLEET_HOSTS = 24
 LIST_INTERVAL_ALONE_S = 2.0
-# A host that starts waits at most this long for what a peer knows of crashes and held prompts.
-FIRST_UPDATE_WAIT_S = 1.0
 
 _log = Log("relay.membership")
 
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -191,6 +191,7 @@
             self._update_handler.build_crash_fields,
         )
         self._dispatcher.set_crash_listener(self._peers.send_crashes)
+        self._dispatcher.set_holds_query(self._peers.ask_holds)
         members = Members(adapter.store)
         self._membership = Membership(
             Member(host.name, settings.listen.peers, self._boot),
--- a/src/laburnumreel/relay/_peer_gossip.py
+++ b/src/laburnumreel/relay/_peer_gossip.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import hashlib
+import random
 import selectors
 import socket
 import time
@@ -12,6 +13,7 @@
 from laburnumreel.core import Clock, Log, Task
 from laburnumreel.relay._back_ends import Address
 from laburnumreel.relay._events import NEWS_UNREADABLE, PEER_HEARD, PEER_SILENT
+from laburnumreel.relay._holds_query import MAX_ASKED_PEERS, HoldsQuery
 from laburnumreel.relay._metrics import RELAY_PEERS
 from laburnumreel.relay._peer_update import MAX_BYTES, PeerUpdate, decode_update, encode_update
 from laburnumreel.relay._usage_counters import UsageUpdate
@@ -112,6 +114,7 @@
         # When to send an update about crashes, if one is wanted, and when the next one may be sent.
         self._crashes_due_at = float("inf")
         self._next_crash_send = 0.0
+        self._holds_query = HoldsQuery(interval_s, clock.now())
         self._address = listen
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(listen)
@@ -184,7 +187,14 @@
 
     def send_crashes(self) -> None:
         """Tell the peers of crashes and held parts soon, without waiting for the next update."""
-        self.tell("crashes")
+        self._wake("crashes")
+
+    def ask_holds(self, number: int) -> None:
+        """Ask some peers at once for what is held; `number` comes back in their answers."""
+        self._wake(("ask", number))
+
+    def _wake(self, message: object) -> None:
+        self.tell(message)
         # A full buffer means that the task is about to wake up anyway, a closed one that it has ended.
         with contextlib.suppress(OSError):
             self._wake_writer.send(b"\0")
@@ -194,6 +204,8 @@
             case "crashes":
                 due_at = max(self._clock.now(), self._next_crash_send)
                 self._crashes_due_at = min(self._crashes_due_at, due_at)
+            case ("ask", number):
+                self._holds_query.start(number, self._clock.now())
             case ("meet", addresses):
                 for address in addresses:
                     self._add_peer(address)
@@ -201,7 +213,9 @@
                 super().handle(message)
 
     def tick(self) -> None:
-        wait_s = max(0.0, min(self._next_send, self._crashes_due_at) - self._clock.now())
+        now = self._clock.now()
+        due_at = min(self._next_send, self._crashes_due_at, self._holds_query.due_at(now))
+        wait_s = max(0.0, due_at - now)
         ready = [key.fileobj for key, _ in self._selector.select(wait_s)]
         if self._wake_reader in ready:
             self._wake_reader.recv(MAX_BYTES)
@@ -218,6 +232,8 @@
             self._adapt_send_intervals()
             self._next_send = now + self._send_intervals_s[False]
             self._send(now)
+        elif now >= self._holds_query.due_at(now):
+            self._ask(now)
 
     def close(self) -> None:
         self._next_cross_region_send = 0.0
@@ -233,13 +249,35 @@
             self._peers[address] = _Peer(added_at=self._clock.now())
 
     def _receive(self) -> None:
-        updates = [
-            update
+        received = [
+            (address, update)
             for address, update in self._receive_updates()
             if self._record_update(address, update)
         ]
-        if updates:
-            self._on_updates(updates)
+        if not received:
+            return
+        updates = [update for _, update in received]
+        self._holds_query.on_updates(updates, self._clock.now())
+        self._on_updates(updates)
+        self._answer_asking([each for each in received if each[1].asks_holds])
+
+    def _ask(self, now: float) -> None:
+        """Ask some peers for what is held, those of this region first."""
+        number = self._holds_query.on_asked(self._sequence, now)
+        asked = sorted(
+            self._peers.items(), key=lambda each: (each[1].cross_region, random.random())
+        )
+        fields = self._build_crash_fields() if asked else {}
+        for address, peer in asked[:MAX_ASKED_PEERS]:
+            update = self._crash_update(peer.cross_region, fields)._replace(asks_holds=number)
+            self._send_datagram(self._encode_datagram(update, None), address)
+
+    def _answer_asking(self, asking: Sequence[tuple[Address, PeerUpdate]]) -> None:
+        fields = self._build_crash_fields() if asking else {}
+        for address, asked in asking:
+            update = self._crash_update(self._is_other_region(asked.zone), fields)
+            answer = update._replace(answers_holds=asked.asks_holds)
+            self._send_datagram(self._encode_datagram(answer, None), address)
 
     def _receive_updates(self) -> Iterator[tuple[Address, PeerUpdate]]:
         while True:
@@ -325,17 +363,22 @@
         this one for another of these.
         """
         fields = self._build_crash_fields()
-        for cross_region, last_update in self._last_updates.items():
+        for cross_region in self._last_updates:
             if self._send_intervals_s[cross_region] < MIN_INTERVAL_FOR_CRASHES_S:
                 continue
-            update = last_update._replace(
-                only_crashes=True, duty_fence=self._current_fence(), **fields
-            )
+            update = self._crash_update(cross_region, fields)
             datagram = self._encode_datagram(update, None)
             for address, peer in self._peers.items():
                 if peer.cross_region == cross_region and not self._is_silent(peer, now):
                     self._send_datagram(datagram, address)
 
+    def _crash_update(self, cross_region: bool, fields: Mapping[str, Any]) -> PeerUpdate:
+        if cross_region not in self._last_updates:
+            self._last_updates[cross_region] = self._build_update(cross_region)
+        return self._last_updates[cross_region]._replace(
+            only_crashes=True, duty_fence=self._current_fence(), **fields
+        )
+
     def _send_datagram(self, datagram: bytes, address: Address) -> None:
         try:
             self._socket.sendto(datagram, address)
--- a/src/laburnumreel/relay/_peer_update.py
+++ b/src/laburnumreel/relay/_peer_update.py
@@ -47,6 +47,8 @@
       each last began; `held_parts`: parts that are held, with the remaining seconds of each.
     - `only_crashes`: whether the update was sent between two others, because of these three fields,
       `held_back` and `crashes`; everything else is as in the last one.
+    - `asks_holds`: a number if the sender wants such an update at once, which has the number in
+      `answers_holds`; otherwise 0.
     """
 
     sender: str
@@ -78,6 +80,8 @@
     answered: Mapping[str, float] = {}
     held_parts: Mapping[str, float] = {}
     only_crashes: bool = False
+    asks_holds: int = 0
+    answers_holds: int = 0
 
 
 def encode_update(update: PeerUpdate) -> bytes:
@@ -127,6 +131,8 @@
         answered=_encode_durations(update.answered),
         held_parts=_encode_durations(update.held_parts),
         only_crashes=update.only_crashes,
+        asks_holds=update.asks_holds,
+        answers_holds=update.answers_holds,
         ended=[
             ttypes.EndedCounts(*each.process, each.window, dict(each.counts))
             for each in update.ended
@@ -199,6 +205,8 @@
             answered=_decode_durations(struct.answered or []),
             held_parts=_decode_durations(struct.held_parts or []),
             only_crashes=bool(struct.only_crashes),
+            asks_holds=struct.asks_holds or 0,
+            answers_holds=struct.answers_holds or 0,
         )
     except Exception as error:
         # Malformed bytes make Thrift raise many kinds of exceptions; none may end the task.
--- a/tests/test_crash_updates.py
+++ b/tests/test_crash_updates.py
@@ -1,17 +1,22 @@
 """News of crashes in deployments whose hosts send regular updates seldom."""
 
+import random
 import socket
 
 import pytest
-from test_relay_peers import make_update, receive
+from test_relay_peers import SteppedGossip, make_update, receive, receive_all
 
 from laburnumreel.coordination import BrokenRequest, CrashReport
-from laburnumreel.core import SystemClock
+from laburnumreel.core import ManualClock, SystemClock
+from laburnumreel.relay._assignments import PlacementRequest
 from laburnumreel.relay._cost_model import Location
 from laburnumreel.relay._fleet_state import FleetState
+from laburnumreel.relay._holds_query import ASK_INTERVAL_S, MAX_ASKED_PEERS, UNHEARD_S
+from laburnumreel.relay._holds_wait import FIRST_UPDATE_WAIT_S, PAUSED_S, HoldsWait
 from laburnumreel.relay._peer_gossip import MIN_INTERVAL_FOR_CRASHES_S, PeerGossip
 from laburnumreel.relay._peer_update import decode_update, encode_update
 from laburnumreel.relay._usage_counters import UsageUpdate
+from laburnumreel.relay._waiting import WaitingRequest
 from laburnumreel.relay._work import Work
 from laburnumreel_standins.processes import fresh_host, wait_until
 
@@ -99,3 +104,86 @@
         "peer", 3, crash_reports=(REPORT,), answered={"a": 0.5}, held_parts={"b": 2.0}
     )
     assert decode_update(encode_update(update)).ok == update
+
+
+class AskingGossip(SteppedGossip):
+    """A gossip on a manual clock whose peers send nothing of their own accord."""
+
+    def __init__(self, peers):
+        self.clock = ManualClock()
+        super().__init__(self.clock)
+        self.sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(peers)]
+        for number, sock in enumerate(self.sockets):
+            sock.bind(("127.0.0.1", 0))
+            sock.setblocking(False)
+            sock.sendto(encode_update(make_update(f"h{number}", 1)), self.address)
+        self.asks_after(0.0)
+
+    def asks_after(self, seconds):
+        """Return the numbers in requests for holds, after the regular updates were sent as well."""
+        self.clock.advance(seconds)
+        for _ in range(2):
+            self.peers.tick()
+        return [
+            update.asks_holds
+            for sock in self.sockets
+            for update in receive_all(sock)
+            if update.asks_holds
+        ]
+
+    def stop(self):
+        super().stop()
+        for sock in self.sockets:
+            sock.close()
+
+
+@pytest.mark.parametrize("peers", [2, 194])
+def test_few_peers_are_asked_for_holds_at_once(peers):
+    gossip, asked = AskingGossip(peers), min(MAX_ASKED_PEERS, peers)
+    try:
+        gossip.peers.handle(("ask", 7))
+        assert gossip.asks_after(0.0) == [7] * asked
+        assert gossip.asks_after(ASK_INTERVAL_S) == [7] * asked
+        gossip.sockets[0].sendto(
+            encode_update(make_update("h0", 2, answers_holds=7)), gossip.address
+        )
+        gossip.peers.tick()
+        assert gossip.asks_after(ASK_INTERVAL_S) == []
+        # A host that hears nobody asks until it does.
+        assert len(gossip.asks_after(UNHEARD_S)) == asked
+    finally:
+        gossip.stop()
+
+
+def test_peer_answers_a_request_for_holds_without_waiting_for_its_next_update(running, peer):
+    _, address = start_gossip(SELDOM_S, running)
+    peer.sendto(encode_update(make_update("peer", 1, asks_holds=5)), address)
+    update = receive(peer)
+    assert (update.answers_holds, update.held_parts) == (5, {"p": 9.0})
+
+
+def make_order(*parts, left_s=9.0):
+    waiting = WaitingRequest("r", 0, 0.0, 0.0, left_s, is_started=True)
+    return PlacementRequest(waiting, "quotes", None, 0, parts=parts)
+
+
+def test_host_that_was_paused_delays_prompts_until_a_peer_has_answered():
+    """A host that woke sent requests with a part that its peers held, which crashed servers."""
+    asked = []
+    wait = HoldsWait(random.Random(1))
+    wait.set_ask(asked.append)
+    wait.on_run(True, 0.0)
+    wait.on_run(False, PAUSED_S)
+    assert not asked, "a host without peers does not wait"
+    now = 2 * PAUSED_S
+    wait.on_run(True, now)
+    assert wait.delays(make_order("m/a"), now)
+    assert not wait.delays(make_order(), now)
+    assert not wait.delays(make_order("m/a", left_s=now + 0.1), now)
+    assert not wait.delays(make_order("m/a"), now + FIRST_UPDATE_WAIT_S)
+    # The peer sent this before or during the pause.
+    wait.on_updates([make_update("peer", 1)], now)
+    assert wait.on_updates([make_update("peer", 2)], now) is False
+    assert wait.delays(make_order("m/a"), now)
+    assert wait.on_updates([make_update("peer", 3, answers_holds=asked[0])], now)
+    assert not wait.delays(make_order("m/a"), now)
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -2,9 +2,11 @@
 
 import itertools
 import json
+import signal
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from click.testing import CliRunner
@@ -131,6 +133,36 @@
     assert engines.late_runs == 0
 
 
+@pytest.mark.processes
+def test_host_that_wakes_learns_which_part_is_held_before_it_sends(world):
+    """Requests that had come during a pause crashed servers under a part that was held by then."""
+    engines = Engines(world, 6)
+    first, second = (world.start_relay(f"relay-{number}") for number in (1, 2))
+    numbers = itertools.count()
+    assert ask(second, next(numbers))[0] == 200
+    second.process.send_signal(signal.SIGSTOP)
+    try:
+        for _ in range(MAX_DEADLY_REQUESTS):
+            if is_refused(first, next(numbers)):
+                break
+            assert ask(first, next(numbers))[0] == 200
+        assert is_refused(first, next(numbers))
+        engines.is_held = True
+        with ThreadPoolExecutor() as executor:
+            deadly = [executor.submit(ask, second, next(numbers), DEADLY) for _ in range(6)]
+            sound = [executor.submit(ask, second, next(numbers)) for _ in range(2)]
+            time.sleep(PAUSE_S)
+            second.process.send_signal(signal.SIGCONT)
+            kinds = [each.result()[1].get("x-error-kind") for each in deadly]
+            assert kinds == ["crashes_back_ends"] * len(deadly)
+            assert [each.result()[0] for each in sound] == [200, 200]
+    finally:
+        second.process.send_signal(signal.SIGCONT)
+    assert engines.late_runs == 0
+    wait_until(lambda: second.find_log_lines("relay_holds_heard"), "the wait is logged")
+    assert second.find_log_lines("relay_holds_heard")[-1]["peer"] == "relay-1"
+
+
 @pytest.mark.processes
 def test_servers_that_crash_on_everything_hold_no_part(world):
     for number in range(6):
