End requests that a server has when a part of their prompts gets held

Callers and operators saw servers crash after a part was held, by requests that had been sent before the hold.

Cause: a hold refused requests at their arrival, in the queue and before another send; one that a server had already was left there until it crashed the server or its time was over.

Change: the dispatcher knows the admitted requests with prompt parts and ends those with a held part, by its own evidence or a peer's, on the path of a deadline: the connection is closed, nothing is sent again, slots and permits go back, the customer is counted as after a disconnect. An answer that has begun (an engine's first event, another server's head), the trial and requests with mere suspects are left alone. The kind is crashes_back_ends: not-run with a time where no server was sent the request to run, otherwise unknown; also for repeats and second sends that a hold refuses (back_end_lost before). To platform callers the latter is 502, because 503 promises that nothing ran. Log event 688.

Evidence: the process test failed before (the request stayed until its time was over) and holds now: ended within 1 s of the hold, a sound one beside it is not.

--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -151,6 +151,8 @@
                 Refusal(ErrorKind.THREADS_EXHAUSTED, retry_after_s=retry_after_s)
             )
         self._registry.watch(job.running)
+        if job.parts:
+            self._deps.dispatcher.watch_parts(job)
         is_held = False
         try:
             if job.service.engine is not None:
@@ -304,6 +306,8 @@
     def _finish(self, job: Job) -> None:
         job.release_permits()
         self._registry.unwatch(job.running)
+        if job.parts:
+            self._deps.dispatcher.unwatch_parts(job)
         self._places.release()
 
     def _observe_first_byte(self, job: Job) -> None:
--- a/src/laburnumreel/relay/_attempt.py
+++ b/src/laburnumreel/relay/_attempt.py
@@ -233,6 +233,7 @@
     def _on_answer_started(self) -> None:
         """Tell the search for another server that an answer began; a failure does not end it."""
         if self.verdict.outcome != "failure":
+            self._job.has_head = True
             self._failover.on_answer_started()
 
     def _connect(self) -> Exchange:
--- a/src/laburnumreel/relay/_crash_evidence.py
+++ b/src/laburnumreel/relay/_crash_evidence.py
@@ -136,8 +136,14 @@
         self._suspects.renew(part, now)
         view = self._held_views[part]
         self._held_views[part] = view._replace(refused=view.refused + 1)
-        detail = f"part {part} of the prompt crashed backend servers and is held back"
-        return HeldReason(detail, remaining_s)
+        return _part_reason(part, remaining_s)
+
+    def held_in_flight(self, parts: Sequence[str], token: str, now: float) -> HeldReason | None:
+        """Return why a request that was admitted is held; None as well if it runs as a trial."""
+        held = self._suspects.held_part(parts, now)
+        if held is None or self._suspects.may_try(parts, token, now, lambda part: False):
+            return None
+        return _part_reason(*held)
 
     def has_held(self, parts: Sequence[str], now: float) -> bool:
         """Return whether a request with these parts would be a trial."""
@@ -258,5 +264,10 @@
             _log.warning(PART_RELEASED, part=part, reason=reason)
 
 
+def _part_reason(part: str, remaining_s: float) -> HeldReason:
+    detail = f"part {part} of the prompt crashed backend servers and is held back"
+    return HeldReason(detail, remaining_s)
+
+
 def _rank(host: str, part: str) -> bytes:
     return hashlib.blake2b(f"{part}\0{host}".encode("utf-8", "replace"), digest_size=8).digest()
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -33,8 +33,10 @@
     ServerCrashed,
     ServerReported,
     ServerUnreachable,
+    UnwatchParts,
     UpdatesReceived,
     UsePermit,
+    WatchParts,
     WithdrawRequest,
     WorkEnded,
 )
@@ -43,6 +45,7 @@
 from laburnumreel.relay._fleet_state import FleetState
 from laburnumreel.relay._holds_wait import HoldsWait
 from laburnumreel.relay._metrics import RELAY_WAITING
+from laburnumreel.relay._parts_in_flight import PartsInFlight, RequestWithParts
 from laburnumreel.relay._peer_update import PeerUpdate
 from laburnumreel.relay._ports import Listing
 from laburnumreel.relay._refusals import RefusalFactory
@@ -102,6 +105,7 @@
         self._next_pass_at = float("-inf")
         self._on_crash_news: Callable[[], None] = lambda: None
         self._holds_wait = HoldsWait(rng)
+        self._parts_in_flight = PartsInFlight()
 
     # Calls from other threads.
 
@@ -183,6 +187,14 @@
         """Let a held part go on all hosts, and return whether it was held here."""
         return self.ask(ReleasePart(part)).result()
 
+    def watch_parts(self, request: RequestWithParts) -> None:
+        """End an admitted request when a part of its prompt gets held, until `unwatch_parts`."""
+        self.tell(WatchParts(request))
+
+    def unwatch_parts(self, request: RequestWithParts) -> None:
+        """Leave a request alone, because it has ended."""
+        self.tell(UnwatchParts(request))
+
     def on_prompt_answered(self, parts: tuple[str, ...]) -> None:
         """Record that the answer to a prompt with these shared parts has begun."""
         if parts:
@@ -276,6 +288,10 @@
             case ServerCrashed(back_end, lost):
                 self._fleet_state.record_crash(back_end, lost, now)
                 self._on_crash_news()
+            case WatchParts(request):
+                self._parts_in_flight.add(request)
+            case UnwatchParts(request):
+                self._parts_in_flight.remove(request)
             case PromptAnswered(parts):
                 self._fleet_state.crash_evidence.record_answer(parts, now)
             case ListingRead(listing):
@@ -353,12 +369,16 @@
             self._place_or_fail(pending, now)
 
     def _refuse_held(self, now: float) -> None:
-        """Refuse the waiting requests with a part that is now held."""
+        """Refuse the waiting requests with a part that is now held, and end those that were sent."""
         for pending in list(self._waiting.values()):
             refusal = self._refusals.held(pending.order, now)
             if refusal is not None:
                 del self._waiting[pending.future]
                 pending.future.set_result(refusal)
+        evidence = self._fleet_state.crash_evidence
+        self._parts_in_flight.end_held(
+            lambda parts, token: evidence.held_in_flight(parts, token, now)
+        )
 
     def _immediate_refusal(self, request: PlacementRequest, now: float) -> Refusal | None:
         held = self._refusals.held(request, now)
--- a/src/laburnumreel/relay/_dispatcher_messages.py
+++ b/src/laburnumreel/relay/_dispatcher_messages.py
@@ -8,6 +8,7 @@
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._crash_evidence import LostRequest
 from laburnumreel.relay._feed_follower import LinkState
+from laburnumreel.relay._parts_in_flight import RequestWithParts
 from laburnumreel.relay._peer_update import PeerUpdate
 from laburnumreel.relay._ports import Listing
 from laburnumreel.relay._requests import Prompt, SelfReport
@@ -89,6 +90,14 @@
     part: str
 
 
+class WatchParts(NamedTuple):
+    request: RequestWithParts
+
+
+class UnwatchParts(NamedTuple):
+    request: RequestWithParts
+
+
 class PromptAnswered(NamedTuple):
     parts: tuple[str, ...]
 
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -90,6 +90,9 @@
 PART_RELEASED = define_event(
     683, "relay_part_released", "requests with a held part are admitted again"
 )
+HELD_REQUEST_ENDED = define_event(
+    688, "relay_held_request_ended", "a request was ended because a part of its prompt got held"
+)
 HOLDS_AWAITED = define_event(
     686,
     "relay_holds_awaited",
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -88,6 +88,8 @@
         self.token = secrets.token_hex(8)
         # Whether a part of the answer has come from a backend server.
         self.has_begun = False
+        # Whether the head of an answer that is no failure has come.
+        self.has_head = False
         self.excluded: frozenset[str] = frozenset()
         # The run state of each send that a backend server may have run.
         self._run_states: dict[object, RunState] = {}
@@ -136,6 +138,11 @@
         """Record whether the backend server of one send has run the request."""
         self._run_states[send] = state
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the answer has begun: an engine's with its first event, others' with the head."""
+        return self.has_begun or (self.has_head and self.service.engine is None)
+
     @property
     def remaining_sends(self) -> int:
         return self.route.attempts - self.sends
@@ -230,12 +237,17 @@
         """Return a refusal that does not claim NOT_RUN if a server may have run the request."""
         if self.run_state is RunState.NOT_RUN:
             return refusal
+        if refusal.kind is ErrorKind.CRASHES_BACK_ENDS:
+            return refusal._replace(retry_after_s=None, run_state=self.run_state)
         return Refusal(ErrorKind.BACK_END_LOST, refusal.detail, run_state=self.run_state)
 
     def abort_refusal(self) -> Refusal:
         """Return the refusal of an aborted request, with its run state."""
         abort_reason = self.running.abort_reason
-        if abort_reason is not None and abort_reason.kind is ErrorKind.STOPPING:
+        if abort_reason is not None and abort_reason.kind in (
+            ErrorKind.STOPPING,
+            ErrorKind.CRASHES_BACK_ENDS,
+        ):
             return self.refusal_with_run_state(abort_reason)
         kind = abort_reason.kind if abort_reason is not None else ErrorKind.BACK_END_TIMEOUT
         if kind is ErrorKind.BACK_END_TIMEOUT and self.run_state is RunState.NOT_RUN:
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -15,14 +15,20 @@
 from relay_caller import Caller
 
 from laburnumreel.relay._crash_evidence import CrashEvidence, LostRequest
+from laburnumreel.relay._parts_in_flight import PartsInFlight
+from laburnumreel.serving import RunningRequest
+from laburnumreel.state import ErrorKind
 from laburnumreel.ui import cli
 from laburnumreel.ui._context import Context
 
 DEADLY = "dd:400"
+# A server reads a prompt with this part for as long as the connection is open.
+LONG = "ll:10"
 # A route allows two sends for each request, and four crashes are enough to hold a part.
 MAX_DEADLY_REQUESTS = 8
 # Requests are further apart than servers that are lost for a common cause.
 PAUSE_S = 0.3
+MAX_READING_S = 15.0
 
 
 def crash(worker, handler):
@@ -39,6 +45,7 @@
         self._world = world
         self._names = (f"e{number}" for number in itertools.count())
         self._lock = threading.Lock()
+        self.closed_by_relay = []
         self.deadly_runs = 0
         self.late_runs = 0
         self.is_held = False
@@ -51,6 +58,11 @@
 
     def _answer(self, name, handler):
         is_reading = handler.headers.get("Serving-Stage") == "prefill"
+        if LONG in handler.headers.get("Prefix-Hash", ""):
+            handler.connection.settimeout(MAX_READING_S)
+            self.closed_by_relay.append(handler.connection.recv(1) == b"")
+            close_unanswered(handler)
+            return
         if DEADLY not in handler.headers.get("Prefix-Hash", ""):
             engine(handler)
             return
@@ -72,7 +84,8 @@
 
 def ask(relay, number, *parts):
     """Send a request like no other, and return its status and headers."""
-    return Caller(relay).ask("/ask/q", body=f"{number}".encode(), **prompt(number, *parts))[:2]
+    headers = prompt(number, *parts) | ({"Deadline_Ms": "12000"} if LONG in parts else {})
+    return Caller(relay).ask("/ask/q", body=f"{number}".encode(), **headers)[:2]
 
 
 def held_parts(relay):
@@ -163,6 +176,29 @@
     assert second.find_log_lines("relay_holds_heard")[-1]["peer"] == "relay-1"
 
 
+@pytest.mark.processes
+def test_request_that_a_server_has_is_ended_when_its_part_is_held(world):
+    """Requests that were sent before the hold crashed their servers after it."""
+    engines = Engines(world, 6)
+    relay = world.start_relay("relay-1")
+    numbers = itertools.count()
+    with ThreadPoolExecutor() as executor:
+        deadly, sound = (
+            executor.submit(ask, relay, next(numbers), *parts, LONG) for parts in ([DEADLY], [])
+        )
+        for _ in range(MAX_DEADLY_REQUESTS):
+            if is_refused(relay, next(numbers)):
+                break
+            assert ask(relay, next(numbers))[0] == 200
+        held_at = time.monotonic()
+        status, headers = deadly.result()
+        assert time.monotonic() - held_at < 1.0
+        assert (status, headers["x-error-kind"]) == (502, "crashes_back_ends")
+        assert headers["x-run-state"] == "unknown"
+        assert not sound.done()
+    assert all(engines.closed_by_relay)
+
+
 @pytest.mark.processes
 def test_servers_that_crash_on_everything_hold_no_part(world):
     for number in range(6):
@@ -178,17 +214,54 @@
     wait_until(lambda: ask(relay, 99)[0] == 200, "the new engine serves")
 
 
-def test_request_that_died_beside_a_deadly_part_is_not_held_back():
-    """Sound requests were held back for ten minutes after they had died beside a bad one twice."""
-    evidence = CrashEvidence("host-a")
+def record_crashes(evidence):
     for now in (1.0, 2.0, 3.0, 4.0):
         beside = LostRequest("r0", "t0", "sound", ("m/first", "m/own"))
         bad = LostRequest(f"r{now}", f"t{now}", f"bad-{now}", ("m/first", "m/deadly"))
         for lost in (beside, bad):
             evidence.record_crash(f"s{now}", lost, now)
         evidence.record_answer(("m/first",), now + 0.1)
+
+
+def test_request_that_died_beside_a_deadly_part_is_not_held_back():
+    """Sound requests were held back for ten minutes after they had died beside a bad one twice."""
+    evidence = CrashEvidence("host-a")
+    record_crashes(evidence)
     assert evidence.held("sound", ("m/first", "m/own"), "t0", 4.2) is not None
     assert evidence.hold_guilty(4.5)
     assert evidence.held("sound", ("m/first", "m/own"), "t0", 4.6) is None
     assert "sound" not in evidence.update(4.6).crashes
     assert evidence.held("other", ("m/first", "m/deadly"), "t9", 4.6) is not None
+
+
+class FakeRequest:
+    def __init__(self, name, part):
+        self.parts, self.token = ("m/first", part), name
+        self.running = RunningRequest(name, None, 99.0, lambda: False)
+        self.is_answered = name == "answered"
+
+
+def test_hold_ends_neither_trials_nor_answers_nor_requests_with_suspects():
+    evidence, in_flight = CrashEvidence("host-a"), PartsInFlight()
+    requests = {
+        name: FakeRequest(name, part)
+        for name, part in [
+            ("sent", "m/deadly"),
+            ("answered", "m/deadly"),
+            ("trial", "m/deadly"),
+            ("suspect", "m/own"),
+        ]
+    }
+    for request in requests.values():
+        in_flight.add(request)
+    record_crashes(evidence)
+
+    def find_ended(now):
+        in_flight.end_held(lambda parts, token: evidence.held_in_flight(parts, token, now))
+        reasons = {name: each.running.abort_reason for name, each in requests.items()}
+        return {name: reason.kind for name, reason in reasons.items() if reason is not None}
+
+    assert not find_ended(4.2)
+    assert evidence.hold_guilty(4.5)
+    evidence.start_trial(("m/deadly",), "trial", "trial", 40.0)
+    assert find_ended(40.0) == {"sent": ErrorKind.CRASHES_BACK_ENDS}
