Hold prompt parts only beside enough answers without them, and try thin holds at once

Any one answer after the second crash was enough contrast. Now the answers since the first crash must make it unlikely (1/e) that a part as frequent as in the broken requests was in none by chance, and a part without clear contrast (e^-4) is tried at once instead of after 30 s.

Both new tests failed before. The bench plays trials now and has the case.

--- a/bench/_crash_cases.py
+++ b/bench/_crash_cases.py
@@ -11,20 +11,29 @@
 from laburnumreel.protocol.gen.relay import ttypes
 
 ATTEMPTS = 2
+EVENT_AT_S = 4.0
 
 
 class Case(NamedTuple):
-    """What crashes servers: parts, another reason for a number or share of them, or everything."""
+    """What crashes servers: parts, another reason for a number or share of them, or everything.
+
+    `second_share` of the requests have the second of the first parts. A crashed server returns
+    after `return_s`; an answer begins within `first_byte_s`.
+    """
 
     deadly: tuple[str, ...] = ()
     deadly_from_s: float = 0.0
     first_parts: tuple[str, str] = ("first", "first")
     lost_servers: int = 0
     lost_share: float = 0.0
+    lost_from_s: float = EVENT_AT_S
     lost_within_s: float = 0.0
     has_crash_loop: bool = False
     crashes_on_all_from_s: float = float("inf")
     sound_run_s: float = 14.0
+    return_s: float = 5.0
+    second_share: float = 0.5
+    first_byte_s: tuple[float, float] = (0.1, 0.9)
 
 
 class Result(NamedTuple):
@@ -35,6 +44,7 @@
     last_held_crashes: float
     late_sends: float
     wrong_parts: tuple[str, ...]
+    wrong_at_end: int
     lost_share: float
     cpu_share: float
     update_bytes: int
--- a/bench/_crash_fleet.py
+++ b/bench/_crash_fleet.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from bench._crash_cases import Case, Host, Request, Result, Server, encoded_size
+from bench._crash_cases import ATTEMPTS, Case, Host, Request, Result, Server, encoded_size
 from bench._crash_rules import Rule
 from laburnumreel.coordination import BrokenRequest, CrashReport, _crash_suspects
 from laburnumreel.relay._peer_gossip import MAX_FAR_PER_S, MAX_NEAR_PER_S, send_interval_s
@@ -17,7 +17,7 @@
 NEAR_DELAY_S, FAR_DELAY_S = 0.002, 0.04
 # A host sends at most one urgent update within this time.
 URGENT_GAP_S = 0.1
-FIRST_BYTE_S, WRITING_S, RETURN_S = (0.1, 0.9), 1.5, 5.0
+WRITING_S = 1.5
 # How long hosts take to find that a broken connection was a crash.
 DETECTION_S = (0.02, 0.25)
 # Hosts judge this often, and for this long after news of a crash.
@@ -27,7 +27,6 @@
 CUSTOMERS, SESSIONS_PER_SERVER, DEADLY_SHARE = 12, 10, 0.05
 LATE_AFTER_S, BUDGET_CRASHES = 3.0, 5
 RUN_AFTER_FIFTH_S, MAX_RUN_S = 8.0, 90.0
-EVENT_AT_S = 4.0
 BYTES_SAMPLED_HOSTS = 8
 
 
@@ -55,7 +54,7 @@
             [peer for peer in self._hosts if peer.region != each.region] for each in self._hosts
         ]
         self._servers = [Server(f"server-{each}") for each in range(servers)]
-        answer_s = sum(FIRST_BYTE_S) / 2 + WRITING_S
+        answer_s = sum(case.first_byte_s) / 2 + WRITING_S
         self._arrivals_per_s = servers * running / answer_s
         # Hears whole updates as a real host does, to measure its processor time.
         self._probe = rule.suspects()
@@ -92,9 +91,10 @@
         case = self._case
         lost = case.lost_servers or round(case.lost_share * len(self._servers))
         for server in self._rng.sample(self._servers, min(lost, len(self._servers))):
-            self._in(EVENT_AT_S + self._rng.uniform(0.0, case.lost_within_s), self._crash, server)
+            lost_at = case.lost_from_s + self._rng.uniform(0.0, case.lost_within_s)
+            self._in(lost_at, self._crash, server)
         if case.has_crash_loop:
-            self._in(EVENT_AT_S, self._crash_again)
+            self._in(case.lost_from_s, self._crash_again)
 
     def _in(self, delay_s: float, action: Callable[..., None], *arguments: Any) -> None:
         self._sequence += 1
@@ -110,7 +110,7 @@
     def _arrive(self) -> None:
         self._in(self._rng.expovariate(self._arrivals_per_s), self._arrive)
         rng, self._number = self._rng, self._number + 1
-        kind = rng.randrange(2)
+        kind = int(rng.random() < self._case.second_share)
         session = int(SESSIONS_PER_SERVER * len(self._servers) * rng.random() ** 2)
         parts = [
             self._case.first_parts[kind],
@@ -130,6 +130,9 @@
 
     def _send(self, request: Request) -> None:
         held = request.host.suspects.held_part(request.parts, self._now)
+        if held and self._is_trial(request):
+            request.host.suspects.start_trial(request.parts, request.name, self._now)
+            held = None
         up = [each for each in self._servers if each.is_up]
         if held or not request.attempts or self._now - request.at > PATIENCE_S:
             self._lost += not self._deadly_parts(request)
@@ -143,7 +146,19 @@
         server.requests[request] = request.attempts
         for part in self._deadly_parts(request):
             self._sends[part].append(self._now)
-        self._in(self._rng.uniform(*FIRST_BYTE_S), self._begin, request, server, request.attempts)
+        self._in(
+            self._rng.uniform(*self._case.first_byte_s),
+            self._begin,
+            request,
+            server,
+            request.attempts,
+        )
+
+    def _is_trial(self, request: Request) -> bool:
+        """Return whether a request may be tried: a first send at the first host."""
+        name = request.name if request.attempts == ATTEMPTS else ""
+        host = request.host
+        return host.suspects.may_try(request.parts, name, self._now, lambda part: host.number == 0)
 
     def _choose(self, request: Request, up: list[Server]) -> Server:
         least = self._rule.kept_to_one_from
@@ -182,7 +197,7 @@
 
     def _crash_again(self) -> None:
         self._crash(self._servers[0])
-        self._in(RETURN_S + 0.5, self._crash_again)
+        self._in(self._case.return_s + 0.5, self._crash_again)
 
     def _crash(self, server: Server) -> None:
         if not server.is_up:
@@ -195,7 +210,7 @@
         server.requests.clear()
         for host, requests in by_host.items():
             self._in(self._rng.uniform(*DETECTION_S), self._detect, host, server.name, requests)
-        self._in(RETURN_S, lambda: setattr(server, "is_up", True))
+        self._in(self._case.return_s, lambda: setattr(server, "is_up", True))
 
     def _detect(self, host: Host, server: str, requests: list[Request]) -> None:
         for request in requests:
@@ -362,6 +377,7 @@
         count = max(1, len(deadly))
         sampled = min(len(self._hosts), BYTES_SAMPLED_HOSTS) / len(self._hosts)
         crashes = max(1, self._crashes)
+        held_at_end = {part for host in self._hosts for part in host.suspects.holds(self._now)}
         return Result(
             self._crashes,
             firsts / count,
@@ -370,6 +386,7 @@
             tuple(
                 sorted(part for part in self._holders if part not in deadly and self._holders[part])
             ),
+            len(held_at_end.difference(deadly)),
             self._lost / max(1, self._sound),
             max(self._cpu_s.values(), default=0.0),
             self._update_bytes,
--- a/bench/crash_suspects.py
+++ b/bench/crash_suspects.py
@@ -38,6 +38,13 @@
     "20 servers in 2 s": Case(lost_servers=20, lost_within_s=2.0),
     "20 servers in 20 s": Case(lost_servers=20, lost_within_s=20.0, sound_run_s=28.0),
     "a zone in 0.1 s": Case(lost_share=1 / 3, lost_within_s=0.1),
+    "10 of 12 early, slow answers": Case(
+        lost_share=10 / 12,
+        lost_from_s=2.0,
+        lost_within_s=4.0,
+        sound_run_s=20.0,
+        first_byte_s=(0.3, 6.0),
+    ),
     "one server in a loop": Case(has_crash_loop=True, sound_run_s=34.0),
     "all crash on everything": Case(crashes_on_all_from_s=4.0),
 }
@@ -49,7 +56,7 @@
     "after 0.1 to 0.9 s and is written for 1.5 s; a request has two attempts; a server returns 5 s after its crash. `first held`, "
     "`last held`: crashes until the first and the last host hold it. `late`: requests with a deadly part that reach servers later "
     "than 3 s after its fifth crash, over all hosts (allowed: 3). `wrong`: sound parts held in a run, the first part named apart "
-    "(allowed: 0). `lost`: sound requests lost, of all. `cpu`: the most processor time of one host for the evidence in a second, in "
+    "(allowed: 0), `wrong at end` those that still are. `lost`: sound requests lost, of all. `cpu`: the most processor time of one host for the evidence in a second, in "
     "cores of this machine (a host has 0.5 of one). `update`: bytes of evidence in the largest update. `urgent`: an update at "
     "once after a new crash, hold or first answer of a suspect. `whole requests only` is the baseline."
 )
@@ -91,11 +98,21 @@
         result.late_sends,
         len(result.wrong_parts),
         sum(part.startswith("first") for part in result.wrong_parts),
+        result.wrong_at_end,
         result.lost_share,
     )
 
 
-_HEADERS = ("crashes", "first held", "last held", "late", "wrong", "wrong first", "lost")
+_HEADERS = (
+    "crashes",
+    "first held",
+    "last held",
+    "late",
+    "wrong",
+    "wrong first",
+    "wrong at end",
+    "lost",
+)
 _COSTS = ("cpu", "update", "bytes a crash", "datagrams a crash")
 
 
--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -8,6 +8,7 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from itertools import islice
+from math import log
 
 from laburnumreel.coordination._crash_records import (
     HOLD_S,
@@ -24,6 +25,14 @@
 # Servers that are lost within this time are one strike, because they are likely to have a common
 # cause.
 MIN_STRIKE_GAP_S = 0.2
+# Answers within this time of one another count once, because peers may tell of the same one with
+# slightly different ages, and how many of these times are kept.
+ANSWER_STEP_S = 0.05
+MAX_ANSWER_STEPS = 1000
+# A part is held if no answer meanwhile had a part as frequent as it, by chance, with a probability
+# of at most e to the minus the first; it is tried at once unless also e to the minus the second.
+MIN_EVIDENCE = 1.0
+CLEAR_EVIDENCE = 4.0
 MIN_SERVERS = 2
 MIN_REQUESTS = 2
 STRIKE_WINDOW_S = 600.0
@@ -92,6 +101,8 @@
         # When an answer with each part last began, the oldest first.
         self._answered_at: dict[str, float] = {}
         self._last_answer_at = float("-inf")
+        # When answers began anywhere, in steps of `ANSWER_STEP_S`, the first known first.
+        self._answer_steps: dict[int, None] = {}
         self._holds: dict[str, Hold] = {}
         # Parts that were let go, which peers are told.
         self._released_at: dict[str, float] = {}
@@ -170,6 +181,7 @@
             if at <= self._answered_at.get(part, float("-inf")):
                 continue
             self._last_answer_at = max(self._last_answer_at, at)
+            self._answer_steps[int(at / ANSWER_STEP_S)] = None
             self._answered_at.pop(part, None)
             self._answered_at[part] = at
             self._relapses.pop(part, None)
@@ -178,6 +190,8 @@
                 self._release(part)
                 self._released_at[part] = at
                 released.append(part)
+        while len(self._answer_steps) > MAX_ANSWER_STEPS:
+            del self._answer_steps[next(iter(self._answer_steps))]
         if len(self._answered_at) > 2 * MAX_ANSWERED_PARTS:
             self._drop_oldest_answers()
         return released
@@ -386,9 +400,24 @@
                 and len(crashes) >= max(rule.crashes, rule.share * since_first)
                 and len(requests) >= rule.requests
             ):
-                return rule
+                evidence = self._evidence(part, crashes, unexplained)
+                if evidence < MIN_EVIDENCE:
+                    return None
+                return rule if evidence >= CLEAR_EVIDENCE else rule._replace(trial_delay_s=0.0)
         return None
 
+    def _evidence(self, part: str, crashes: Sequence[Crash], unexplained: Sequence[Crash]) -> float:
+        """Return how unlikely it is that no answer since the first of these crashes had a part.
+
+        The result is the negative natural logarithm of the probability, for a sound part that is as
+        frequent in answers as in the requests that were broken off.
+        """
+        since = crashes[0].at
+        answers = sum(1 for step in self._answer_steps if step * ANSWER_STEP_S > since)
+        broken = set().union(*(crash.requests for crash in unexplained if crash.at >= since))
+        requests = set().union(*(crash.by_part[part].requests for crash in crashes))
+        return -answers * log(1 - len(requests) / (len(broken) + 1))
+
     def _release(self, part: str) -> None:
         """Let a part go, and judge the others again by the crashes that it no longer explains."""
         released_at = self._holds.pop(part).since
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -291,6 +291,27 @@
     assert not suspects.may_try(("deadly",), "another", now, lambda part: True)
 
 
+def crash_beside_others(suspects, answers):
+    """Let a part be in four crashes, each with six other requests, beside answers to others."""
+    for now in range(1, 5):
+        neighbours = [(f"neighbour-{now}-{number}",) for number in range(6)]
+        held = crash(suspects, f"s{now}", float(now), ("common",), *neighbours)
+        for number in range(answers):
+            suspects.record_answer((f"answered-{now}-{number}",), now + 0.3 + number / 10)
+    return held
+
+
+def test_few_answers_beside_crashes_hold_no_part():
+    """Sound parts were held where relays had just started and answers began slowly."""
+    assert crash_beside_others(CrashSuspects(), answers=1) == []
+
+
+def test_part_held_by_few_answers_is_tried_at_once():
+    suspects = CrashSuspects()
+    assert crash_beside_others(suspects, answers=5) == ["common"]
+    assert suspects.may_try(("common",), "offered", 4.0 + SETTLE_S, lambda part: True)
+
+
 def test_answer_after_the_last_crash_ends_a_hold_that_began_before_it_was_heard():
     suspects = CrashSuspects()
     now = hold_part(suspects, "sound")
