Judge a suspected part again as answers come, and ask for two strikes

Where a part had crashed all servers, nothing was answered after the crashes, so that it was not held; it was judged again only after one more crash, when servers had returned and got it again. Six and eight crashes within 0.4 s by three and four requests, each sent twice, held nothing either. On the other hand, five servers that were lost within 20 ms were enough to hold a new sound part.

Cause: parts are judged when a crash has settled, whereas what is lacking may be answers.

Change: parts that only lack answers are kept and judged again with each new answer; then the answers must be clear evidence, as servers that crash on everything may have returned. The rule asks for two strikes, as the trace has them, and a second one takes six crashes by three requests.

Evidence: test_part_that_crashed_all_servers_is_held_once_others_are_answered failed before.

--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -67,7 +67,8 @@
     Rule(8, 8, 0.3, MIN_REQUESTS, TRIAL_DELAYS_S[0]),
     # Crashes may come so fast that they are few strikes.
     Rule(3, 5, 0.9, 4, 0.0),
-    Rule(1, 5, 0.9, 5, 0.0),
+    Rule(2, 5, 0.9, 5, 0.0),
+    Rule(2, 6, 0.9, 3, 0.0),
 )
 # For parts that were answered shortly before the crashes began.
 RULES_FOR_SOUND = (Rule(8, 8, 0.75, 8, 0.0),)
@@ -110,6 +111,9 @@
         self._relapses: dict[str, float] = {}
         # Parts of recently broken requests, and when they can be judged.
         self._unsettled: deque[tuple[float, set[str]]] = deque()
+        # Parts that broke a rule, but beside too few answers, and whether an answer has come since.
+        self._undecided: set[str] = set()
+        self._has_new_answers = False
 
     @property
     def has_holds(self) -> bool:
@@ -136,16 +140,20 @@
             due |= self._unsettled.popleft()[1]
         held = []
         due = self._often_crashed(due) if due else due
-        while due:
+        undecided = set()
+        if due or self._has_new_answers:
+            undecided, self._undecided, self._has_new_answers = self._undecided, set(), False
+        while due or undecided:
             unexplained = [
                 crash
                 for crash in self._crashes
                 if crash.at + SETTLE_S <= now and not crash.by_part.keys() & self._holds.keys()
             ]
             guilty = {}
-            for part in due:
+            for part in due | undecided:
                 crashes = self._crashes_against(part, unexplained)
-                rule = self._broken_rule(part, crashes, unexplained)
+                least = MIN_EVIDENCE if part in due else CLEAR_EVIDENCE
+                rule = self._broken_rule(part, crashes, unexplained, least)
                 if rule is not None:
                     guilty[part] = crashes, rule
             if not guilty:
@@ -158,6 +166,7 @@
             delays_s = [each for each in TRIAL_DELAYS_S if each > rule.trial_delay_s]
             self._holds[part] = Hold(now, crashes[-1].at, now + rule.trial_delay_s, delays_s)
             due.discard(part)
+            undecided.discard(part)
         return held
 
     def neighbours(self, part: str) -> set[str]:
@@ -182,6 +191,7 @@
                 continue
             self._last_answer_at = max(self._last_answer_at, at)
             self._answer_steps[int(at / ANSWER_STEP_S)] = None
+            self._has_new_answers = True
             self._answered_at.pop(part, None)
             self._answered_at[part] = at
             self._relapses.pop(part, None)
@@ -375,15 +385,30 @@
         return [each for each in unexplained if each.at > answered_at and part in each.by_part]
 
     def _broken_rule(
-        self, part: str, crashes: Sequence[Crash], unexplained: Sequence[Crash]
+        self,
+        part: str,
+        crashes: Sequence[Crash],
+        unexplained: Sequence[Crash],
+        least_evidence: float,
     ) -> Rule | None:
         """Return the rule by which a part is held, or None if too little speaks against it."""
-        if not crashes:
-            return None
-        if part in self._relapses:
+        if part in self._relapses and crashes:
             return RULES[0]
+        rule = self._matching_rule(part, crashes, unexplained)
+        if rule is None:
+            return None
+        evidence = self._evidence(part, crashes, unexplained)
         # Without an answer to any prompt, the servers may be what is broken.
-        if len(crashes) < 2 or self._last_answer_at <= crashes[1].at:
+        if evidence < least_evidence or self._last_answer_at <= crashes[1].at:
+            self._undecided.add(part)
+            return None
+        return rule if evidence >= CLEAR_EVIDENCE else rule._replace(trial_delay_s=0.0)
+
+    def _matching_rule(
+        self, part: str, crashes: Sequence[Crash], unexplained: Sequence[Crash]
+    ) -> Rule | None:
+        """Return the rule by which the crashes alone would be enough to hold a part, or None."""
+        if len({crash.back_end for crash in crashes}) < MIN_SERVERS:
             return None
         strikes, last_at = 0, float("-inf")
         for crash in crashes:
@@ -391,8 +416,6 @@
                 strikes, last_at = strikes + 1, crash.at
         since_first = sum(1 for each in unexplained if each.at >= crashes[0].at)
         requests = set().union(*(crash.by_part[part].requests for crash in crashes))
-        if len({crash.back_end for crash in crashes}) < MIN_SERVERS:
-            return None
         was_sound = crashes[0].at - self._answered_at.get(part, float("-inf")) < SOUND_S
         for rule in RULES_FOR_SOUND if was_sound else RULES:
             if (
@@ -400,10 +423,7 @@
                 and len(crashes) >= max(rule.crashes, rule.share * since_first)
                 and len(requests) >= rule.requests
             ):
-                evidence = self._evidence(part, crashes, unexplained)
-                if evidence < MIN_EVIDENCE:
-                    return None
-                return rule if evidence >= CLEAR_EVIDENCE else rule._replace(trial_delay_s=0.0)
+                return rule
         return None
 
     def _evidence(self, part: str, crashes: Sequence[Crash], unexplained: Sequence[Crash]) -> float:
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -65,6 +65,19 @@
     assert held == ["deadly"]
 
 
+def test_part_that_crashed_all_servers_is_held_once_others_are_answered():
+    """It was judged again only after one more crash."""
+    suspects = CrashSuspects()
+    for number in range(5):
+        assert crash(suspects, f"s{number}", 1.0 + number / 10, ("first", "deadly")) == []
+    held = []
+    for number in range(10):
+        at = 5.0 + number / 10
+        suspects.record_answer(("first", f"own-{number}"), at)
+        held += [each.part for each in suspects.hold_guilty(at + 0.05)]
+    assert held == ["deadly"]
+
+
 def test_part_that_is_answered_between_crashes_is_never_held():
     suspects = CrashSuspects()
     for now in range(1, 40):
