--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -20,8 +20,9 @@
     Rule,
 )
 
-# Reports of a crash of the same backend server within this time are about the same crash.
-SAME_CRASH_S = 2.0
+# Reports of a crash of the same backend server within this time are about the same crash: it takes
+# longer to start again.
+SAME_CRASH_S = 3.5
 # Servers that are lost within this time are one strike, because they are likely to have a common
 # cause.
 MIN_STRIKE_GAP_S = 0.2
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from laburnumreel.coordination import BrokenRequest, CrashSuspects
+from laburnumreel.coordination import BrokenRequest, CrashReport, CrashSuspects
 from laburnumreel.coordination._crash_suspects import (
     HOLD_S,
     MAX_ANSWERED_PARTS,
@@ -91,6 +91,16 @@
         assert crash(suspects, "broken server", float(now), ("rare",)) == []
 
 
+def test_crash_that_a_peer_notices_three_seconds_later_counts_once():
+    """Two crashes held a sound part, because a paused host reported each once more."""
+    suspects = CrashSuspects()
+    for now, back_end in ((1.0, "a"), (2.0, "b"), (4.0, "a"), (5.0, "b")):
+        report = CrashReport(back_end, 0.0, (BrokenRequest(f"r{now}", ("sound",)),))
+        suspects.on_peer_report(report, now)
+        suspects.record_answers({f"other-{now}-{n}": now + n / 10 for n in range(1, 6)})
+        assert suspects.hold_guilty(now + SETTLE_S) == []
+
+
 def test_one_request_and_its_repeats_hold_no_part():
     """The digest of the whole request holds these; their parts may be sound."""
     suspects = CrashSuspects()
