Take a peer's crash by a held part for a trial, and delay the own one

The report of the crash is: from 10 s after a hold on, a request with the part that crashed a peer's server is a trial, and delays the next one here as if it had been made here. The wire format is unchanged. The new test failed before.

--- a/src/laburnumreel/coordination/_crash_records.py
+++ b/src/laburnumreel/coordination/_crash_records.py
@@ -66,12 +66,15 @@
         self.evidence_at = evidence_at
         self.trial_at = trial_at
         self.trial_request = ""
+        # When a trial last crashed a server, here or at a peer.
+        self.tried_at = float("-inf")
         self._delays_s = deque(delays_s)
 
     def on_trial_crashed(self, now: float) -> None:
         """Delay the next trial, as one has crashed a server."""
         delay_s = self._delays_s.popleft() if len(self._delays_s) > 1 else self._delays_s[0]
         self.trial_at = now + delay_s
+        self.tried_at = now
 
 
 class Evidence:
--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -49,6 +49,9 @@
 # After a hold has ended, one crash is enough for as long as this.
 RELAPSE_S = 600.0
 MIN_PEER_REMAINING_S = 2.0
+# A request with a held part that crashes a peer's server is a trial if the part has been held for this
+# long: those that were sent before the hold have begun or ended by then.
+PEER_TRIAL_AFTER_S = 10.0
 # Peers are told of a crash for this long.
 REPORT_S = 4.0
 # Peers are told that a part was let go, and their older holds of it are ignored, for this long.
@@ -132,7 +135,11 @@
         """Record a crash that a peer reports."""
         at = now - max(0.0, report.age_s)
         if now - at < STRIKE_WINDOW_S:
-            self._record(report.back_end, at, report.requests, now, is_own=False)
+            touched = self._record(report.back_end, at, report.requests, now, is_own=False)
+            for part in touched & self._holds.keys():
+                hold = self._holds[part]
+                if at >= hold.since + PEER_TRIAL_AFTER_S and at > hold.tried_at + SAME_CRASH_S:
+                    hold.on_trial_crashed(at)
 
     def hold_guilty(self, now: float) -> list[HeldPart]:
         """Hold the parts that settled crashes speak against enough, and return them."""
@@ -351,7 +358,8 @@
         requests: Sequence[BrokenRequest],
         now: float,
         is_own: bool,
-    ) -> None:
+    ) -> set[str]:
+        """Record requests that a crash broke off; return the parts of those that were unknown."""
         crash = self._find_or_add(back_end, at)
         touched: set[str] = set()
         for request in requests:
@@ -363,6 +371,7 @@
                 crash.own_requests[request.request] = request
         if touched:
             self._unsettled.append((max(now, crash.at + SETTLE_S), touched))
+        return touched
 
     def _find_or_add(self, back_end: str, at: float) -> Crash:
         for crash in reversed(self._crashes):
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -305,6 +305,16 @@
     assert trial_times(suspects, 0.0, 599, lambda name, at: None) == []
 
 
+def test_host_does_not_repeat_the_trial_of_a_peer():
+    """Hosts that became the one that tries a part, one after the other, each crashed a server."""
+    suspects = CrashSuspects()
+    now = hold_part(suspects, "deadly") + 31.0
+    tried = CrashReport("tried", 0.1, (BrokenRequest("trial", ("first", "deadly")),))
+    suspects.on_peer_report(tried, now)
+    suspects.on_peer_report(tried, now + 0.2)
+    assert trial_times(suspects, now, 601, lambda name, at: None) == [600]
+
+
 def test_second_send_of_a_trial_is_refused():
     suspects = CrashSuspects()
     now = hold_part(suspects, "deadly") + 30.0
