Leave an eighth of a relay's threads to services that use few

What callers saw: beside clients of a service whose servers send without end, requests of a sound service were refused with threads_exhausted.

Cause: the slots for concurrent requests had one bound for all services, so that requests of the faulty one took all 48.

Change: where several services are configured, one that uses more than an equal share of the slots leaves an eighth of them free. The number of threads stays as configured.

--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -145,7 +145,7 @@
         wrap_file: Callable[[HeldBody], Iterable[bytes]] | None,
     ) -> Iterable[bytes]:
         job = self._check(request)
-        retry_after_s = self._places.acquire()
+        retry_after_s = self._places.acquire(job.service.name, len(self._table.config.services))
         if retry_after_s is not None:
             raise RelayFailedError(
                 Refusal(ErrorKind.THREADS_EXHAUSTED, retry_after_s=retry_after_s)
@@ -308,7 +308,7 @@
         self._registry.unwatch(job.running)
         if job.parts:
             self._deps.dispatcher.unwatch_parts(job)
-        self._places.release()
+        self._places.release(job.service.name)
 
     def _observe_first_byte(self, job: Job) -> None:
         RELAY_FIRST_BYTE_S.observe(job.elapsed_s, kind=str(job.route.kind))
--- a/src/laburnumreel/ui/_tables.py
+++ b/src/laburnumreel/ui/_tables.py
@@ -112,7 +112,7 @@
     "relay.usage.window_s": "The platform accepts one report for each window.",
     "relay.usage.late_s": "The counts of a window are final well before this time; after twice this time it is abandoned.",
     "relay.stop.grace_s": "Requests that still run shortly before the end are aborted, so that the process exits by itself.",
-    "relay.threads.callers": "waitress uses one thread for each running request; a host serves several tens at a time.",
+    "relay.threads.callers": "waitress uses one thread for each running request; a host serves several tens at a time. A service with more than an equal share leaves an eighth for other services.",
     "relay.memory.host_mb": "All answers together hold at most an eighth; see Memory for answers.",
     "relay.peers.interval_s": "Updates must be more recent than the duration of most requests.",
     "relay.log.format": "JSON for log collectors, console for people.",
