Count what a gateway reads before it passes it on in its answer memory

What operators saw: beginnings of plain answers, and of those to second sends, up to 256 KiB each, were held without a common bound.

Cause: the gateway's memory account covered answers to store only.

Change: both count in the same account (answer_memory, an eighth of host_mb). A plain answer that finds no memory is passed on as it arrives; a second send without memory is given up. Early bytes are appended to a buffer, not copied with each piece.

--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -160,7 +160,7 @@
                 are_keys_verifiable=self._peer_exchange.keys_verifiable,
                 background=self._background,
                 rng=self._rng,
-                stored_answers=AnswerMemory.from_host(
+                answer_memory=AnswerMemory.from_host(
                     int(settings.memory.host_mb * BYTES_PER_MB),
                     settings.threads.callers,
                     STORED_ANSWER_BYTES,
--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -333,6 +333,8 @@
         self._hedges.cancel_all()
         self._reset_silence()
         back_end, exchange = self._back_end, self._exchange
+        if self._adopted_hedge is not None:
+            self._adopted_hedge.take_early_body()
         self._exchange = self._adopted_hedge = None
         self._job.running.detach()
         if exchange is not None:
--- a/src/laburnumreel/serving/_dependencies.py
+++ b/src/laburnumreel/serving/_dependencies.py
@@ -18,7 +18,8 @@
     """The tasks and shared objects of a gateway, created once at startup.
 
     `are_keys_verifiable` tells whether keys can be verified at a given time. `background` runs
-    calls that no caller waits for. `stored_answers` is the memory for answers that are to be stored.
+    calls that no caller waits for. `answer_memory` is the memory for what is read and not passed on
+    yet, and for answers that are to be stored.
     """
 
     clock: Clock
@@ -34,4 +35,4 @@
     are_keys_verifiable: Callable[[float], bool]
     background: Executor
     rng: random.Random
-    stored_answers: AnswerMemory
+    answer_memory: AnswerMemory
--- a/src/laburnumreel/serving/_hedging.py
+++ b/src/laburnumreel/serving/_hedging.py
@@ -4,7 +4,7 @@
 from typing import Literal, NamedTuple, Protocol
 
 from laburnumreel.coordination import BackEnd
-from laburnumreel.core import Clock, Event, Log
+from laburnumreel.core import Clock, Event, HeldAnswer, Log
 from laburnumreel.serving._crashes import has_crashed
 from laburnumreel.serving._dependencies import GatewayDependencies
 from laburnumreel.serving._dispatcher import BackEndSelection
@@ -86,6 +86,7 @@
         judge: AnswerJudge,
         clock: Clock,
         should_give_up: Callable[[], bool],
+        held: HeldAnswer,
     ) -> None:
         self.back_end = back_end
         self.exchange = exchange
@@ -94,7 +95,8 @@
         # When the current read of the answer, or the write of the request, started.
         self.active_since = self.sent_at
         self.has_head = False
-        self.early_body = b""
+        self._early_body = bytearray()
+        self._held = held
         self._judge = judge
         self._clock = clock
         self._method = ""
@@ -113,7 +115,9 @@
                 self.active_since = self._clock.now()
                 if self.has_head:
                     data = self.exchange.read()
-                    self.early_body += data
+                    self._early_body += data
+                    if not self._held.hold(len(self._early_body), wait_s=0.0):
+                        return "useless"
                     outcome = self._judge.judge_body(data)
                 else:
                     self.exchange.read_head(self._method, HEDGE_POLL_INTERVAL_S)
@@ -142,9 +146,15 @@
 
     def take_early_body(self) -> bytes:
         """Return and clear the part of the body that was read while this was a hedge."""
-        early_body, self.early_body = self.early_body, b""
+        early_body, self._early_body = bytes(self._early_body), bytearray()
+        self._held.release()
         return early_body
 
+    def close(self) -> None:
+        """Close the exchange and drop what was read."""
+        self.exchange.close()
+        self.take_early_body()
+
 
 class HedgedAttempts:
     """The hedged requests of one request whose back end is silent.
@@ -241,6 +251,7 @@
             self._source.make_judge(),
             self._deps.clock,
             lambda: self._should_give_up(hedge, silent_exchange),
+            self._deps.answer_memory.open(),
         )
         self._deps.dispatcher.commit_hedge(self._job.service.name)
         self._contacted_addresses.add(back_end.address)
@@ -349,7 +360,7 @@
 
     def _close_hedge(self, hedge: HedgedAttempt, outcome: str, crashed: bool = False) -> None:
         incomplete = not hedge.exchange.complete
-        hedge.exchange.close()
+        hedge.close()
         # An engine may still be running the request.
         if incomplete and not crashed and outcome != "refused" and hedge.back_end.kind == "engine":
             self._submit_cancel(hedge.back_end)
--- a/src/laburnumreel/serving/_idempotent_run.py
+++ b/src/laburnumreel/serving/_idempotent_run.py
@@ -29,7 +29,7 @@
         # Pieces may be as short as one byte; a list of them would take many times the memory.
         self._body = io.BytesIO()
         self._size = 0
-        self._held = deps.stored_answers.open()
+        self._held = deps.answer_memory.open()
         self._has_ended = False
 
     def append(self, piece: bytes) -> None:
--- a/src/laburnumreel/serving/_plain.py
+++ b/src/laburnumreel/serving/_plain.py
@@ -51,6 +51,7 @@
         self._job = job
         self._request = request
         self._attempts = AttemptRunner(deps, job, self, initial_back_end)
+        self._held = deps.answer_memory.open()
 
     @property
     def may_have_run(self) -> bool:
@@ -82,9 +83,10 @@
                     continue
                 return self._read_beginning(exchange)
             except BackEndFailureError as error:
+                self._held.release()
                 self._attempts.on_lost(error)
             except BaseException:
-                self._attempts.abandon()
+                self.close()
                 raise
 
     def read_remaining(self) -> Iterator[bytes]:
@@ -100,26 +102,30 @@
         except BackEndFailureError as error:
             raise self._attempts.make_error(_refusal_for(error)) from error
         finally:
-            self._attempts.abandon()
+            self.close()
 
     def close(self) -> None:
         """Close the exchange if it is still open."""
+        self._held.release()
         self._attempts.abandon()
 
     def _read_beginning(self, exchange: Exchange) -> PlainAnswer:
         headers = answer_headers(exchange.headers)
         content_length = exchange.header("Content-Length")
-        first_bytes, is_complete = b"", False
+        first_bytes, is_complete = bytearray(), False
         while len(first_bytes) < _forward_threshold_bytes(exchange):
             data = self._attempts.read()
             if not data:
                 is_complete = True
                 break
             first_bytes += data
+            if not self._held.hold(len(first_bytes)):
+                # Without memory for more, it is forwarded as it arrives.
+                break
         answer = PlainAnswer(
             exchange.status,
             headers,
-            first_bytes,
+            bytes(first_bytes),
             is_complete,
             (
                 int(content_length)
@@ -127,6 +133,8 @@
                 else None
             ),
         )
+        # It goes to the connection at once.
+        self._held.release()
         if is_complete:
             self._finish()
         return answer
--- a/tests/test_gateway_answer_memory.py
+++ b/tests/test_gateway_answer_memory.py
@@ -1,5 +1,7 @@
 """Tests of what answers of the platform and stored answers hold in a gateway."""
 
+import http.client
+import threading
 import tracemalloc
 from types import SimpleNamespace
 
@@ -10,10 +12,14 @@
 from laburnumreel.protocol import MAX_STORED_BYTES
 from laburnumreel.serving._idempotent_run import IdempotentRun
 from laburnumreel.state import ErrorKind, HttpPlatform, Refusal, RunState
+from laburnumreel_standins.caller import bearer_headers
+from laburnumreel_standins.processes import wait_until
 
 # The bound of one answer, and twice it where it is converted.
 MB = 1024 * 1024
 MAX_PLATFORM_BYTES = 2 * 16 * MB
+# Less than is read of a plain answer before it is passed on.
+BEGINNING = 250_000 * b"x"
 ENDLESS_BODIES = {
     "a body": make_endless_answer(LONG_BODY, b"x"),
     "a body without length": make_endless_answer(b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
@@ -71,7 +77,7 @@
 def make_run(max_bytes=64 * MB, deps=None):
     """Return a run, and what it shares with others."""
     deps = deps or SimpleNamespace(
-        stored_answers=AnswerMemory(max_bytes), claims=Claims(), background=Background()
+        answer_memory=AnswerMemory(max_bytes), claims=Claims(), background=Background()
     )
     return IdempotentRun(deps, SimpleNamespace(claim_key="c1")), deps
 
@@ -90,7 +96,7 @@
         run.append(bytes(bytearray(piece)))
     assert traced()[0] < 1024 * 1024
     run.finish(200, [])
-    assert deps.claims.outcomes == ["unknown"] and deps.stored_answers.held_bytes == 0
+    assert deps.claims.outcomes == ["unknown"] and deps.answer_memory.held_bytes == 0
 
 
 def test_answers_to_store_share_one_bound():
@@ -100,11 +106,11 @@
     for _ in range(100):
         for run in runs:
             run.append(64 * 1024 * b"x")
-    assert deps.stored_answers.peak_bytes <= 10 * MB
+    assert deps.answer_memory.peak_bytes <= 10 * MB
     for run in runs:
         run.finish(200, [])
         run.close()
-    assert deps.stored_answers.held_bytes == 0
+    assert deps.answer_memory.held_bytes == 0
     assert len(deps.claims.outcomes) == 128 and 100 * 64 * 1024 in deps.claims.outcomes
 
 
@@ -114,8 +120,41 @@
     deps.claims.is_reachable = False
     run.finish(200, [])
     run.fail(Refusal(ErrorKind.CALLER_GONE, run_state=RunState.RAN))
-    assert deps.stored_answers.held_bytes == 6
+    assert deps.answer_memory.held_bytes == 6
     deps.claims.is_reachable = True
     deps.background.calls.pop()()
     run.close()
-    assert deps.claims.outcomes == [6] and deps.stored_answers.held_bytes == 0
+    assert deps.claims.outcomes == [6] and deps.answer_memory.held_bytes == 0
+
+
+@pytest.mark.processes
+def test_beginnings_of_plain_answers_share_one_bound(deployment, start_scripted_server):
+    """Guards against 256 KiB for each thread, whatever the memory: what finds none is passed on."""
+    may_end, begun = threading.Event(), []
+
+    def answer(exchange):
+        exchange.wfile.write(LONG_BODY + BEGINNING)
+        may_end.wait(20)
+        exchange.close_connection = True
+
+    def call_gateway():
+        connection = http.client.HTTPConnection(*gateway.caller_address, timeout=30)
+        connection.request("GET", "/orders/1", headers=bearer_headers())
+        if connection.getresponse().status == 200:
+            begun.append(True)
+        connection.close()
+
+    deployment.configure(profile__orders={"silence_s": 20.0})
+    for _ in range(3):
+        start_scripted_server(answer).register_with(deployment, "orders", "plain")
+    gateway = deployment.start_gateway(memory="host_mb = 64\n")
+    callers = [threading.Thread(target=call_gateway) for _ in range(60)]
+    for caller in callers:
+        caller.start()
+    try:
+        # At most 33 beginnings fit into an eighth of the memory.
+        wait_until(lambda: len(begun) >= 20, "answers to be passed on")
+    finally:
+        may_end.set()
+        for caller in callers:
+            caller.join()
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -7,7 +7,7 @@
 import pytest
 from test_dispatcher import make_report, make_work
 
-from laburnumreel.core import ManualClock
+from laburnumreel.core import AnswerMemory, ManualClock
 from laburnumreel.serving._attempts import AttemptRunner
 from laburnumreel.serving._budgets import DEFAULT_RETRY_MINIMUM
 from laburnumreel.serving._dispatcher import BackEndSelection, Dispatcher
@@ -121,6 +121,7 @@
         clock=ManualClock(),
         pool=pool,
         background=SimpleNamespace(submit=lambda *_: None),
+        answer_memory=AnswerMemory(1 << 20),
     )
     service = SimpleNamespace(name="chat")
     initial_back_end = dispatcher.choose(make_work("r"), False, ["w1"], "")
