Count answers that a gateway builds and events that it holds back

What operators saw: engines that send long events made a gateway hold hundreds of MB for a handful of callers that don't stream.

Cause: an answer built from an engine's events, and events behind a finish reason, which wait for [DONE], had no bound in bytes: only their number was bounded, and each may have 1 MiB.

Change: both count in the gateway's memory for answers. If it is full, the largest is ended, which counts as a failure of its engine; the request goes on elsewhere where it may.

--- a/src/laburnumreel/protocol/_openai.py
+++ b/src/laburnumreel/protocol/_openai.py
@@ -209,9 +209,16 @@
         self._common_fields: dict[str, Any] = {}
         self._choices: dict[int, dict[str, Any]] = {}
         self._usage: dict[str, Any] | None = None
+        self._kept_bytes = 0
 
-    def add(self, chunk: dict[str, Any]) -> None:
-        """Add one chunk of the stream."""
+    @property
+    def kept_bytes(self) -> int:
+        """The approximate size of what was added and is a part of the answer."""
+        return self._kept_bytes
+
+    def add(self, chunk: dict[str, Any], size: int = 0) -> None:
+        """Add one chunk of the stream, which came in an event of `size` bytes."""
+        self._kept_bytes += self._kept_size(chunk, size)
         if not self._common_fields:
             self._common_fields = {
                 key: chunk[key] for key in ("id", "created", "model") if key in chunk
@@ -223,6 +230,17 @@
         for choice in chunk.get("choices") or ():
             self._add_choice(choice)
 
+    def _kept_size(self, chunk: dict[str, Any], size: int) -> int:
+        """Return how much of a chunk is kept: all of it, unless it only has a text."""
+        choices = chunk.get("choices") or ()
+        if not self._common_fields or chunk.get("usage") or len(choices) != 1:
+            return size
+        choice = choices[0]
+        delta = choice.get("delta") or {}
+        if choice.get("logprobs") or delta.keys() - {"role", "content"}:
+            return size
+        return min(size, len(str(choice.get("text") or delta.get("content") or "")))
+
     def answer(self) -> dict[str, Any]:
         """Return the complete answer."""
         kind = "chat.completion" if self._chat else "text_completion"
--- a/src/laburnumreel/serving/_application.py
+++ b/src/laburnumreel/serving/_application.py
@@ -48,6 +48,9 @@
 from laburnumreel.serving._registry import RunningRequest
 from laburnumreel.state import ErrorKind, Profile, Refusal, RunState, Service
 
+# Copies of a whole answer that exist at once: its parts, and its JSON.
+ANSWER_COPIES = 2
+
 _log = Log("serving.application")
 
 Headers = list[tuple[str, str]]
@@ -171,7 +174,8 @@
         for events in run.events():
             for payload, chunk in events:
                 if payload != DONE:
-                    builder.add(chunk)
+                    builder.add(chunk, len(payload))
+            run.kept_bytes = ANSWER_COPIES * builder.kept_bytes
         slot.tokens = run.tokens
         slot.release()
         return json_answer(builder.answer(), incoming.request_id)
--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -209,7 +209,7 @@
         quarantined = crashed and self._deps.dispatcher.on_crash(
             back_end.name, self._job.running.request_id, has_progressed
         )
-        has_failed = crashed or not self._is_reachable or error.reason == "too_costly"
+        has_failed = crashed or not self._is_reachable or error.reason in ("too_costly", "too_long")
         cancel = error.sent and not crashed
         can_continue = self._hedges.has_answer or (
             self._hedges.has_candidates and self._is_before_deadline
@@ -241,6 +241,12 @@
         if self._exchange is not None:
             self._close(cancel=True)
 
+    def abort(self) -> None:
+        """Abort the exchange, from any thread."""
+        exchange = self._exchange
+        if exchange is not None:
+            exchange.abort()
+
     def make_error(self, refusal: Refusal) -> RequestFailedError:
         """Return the final error, with the run state of the request."""
         refusal = self._job.running.abort_reason or refusal
--- a/src/laburnumreel/serving/_model.py
+++ b/src/laburnumreel/serving/_model.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from laburnumreel.coordination import BackEnd
+from laburnumreel.core import HeldAnswer
 from laburnumreel.protocol import DONE, EventTooLargeError, ModelRequest, engine_body, token_limit
 from laburnumreel.serving._attempts import AttemptRunner
 from laburnumreel.serving._dependencies import GatewayDependencies
@@ -59,6 +60,9 @@
         self._repeat_detector = RepeatDetector()
         self._usage: dict[str, Any] = {}
         self._is_counted = False
+        self._held = self._open_account()
+        # What the caller of `events` keeps of the answer, in bytes; counted as held.
+        self.kept_bytes = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -105,6 +109,7 @@
                 except CostlyAnswerError as error:
                     self._on_lost(exchange.make_costly_failure(error))
         finally:
+            self._held.release()
             self._attempts.abandon()
             if self._tokens:
                 self.count_usage()
@@ -116,6 +121,11 @@
             self._deps.usage.count(self._job.running.request_id, self._make_usage_count())
 
     def _on_lost(self, error: BackEndFailureError) -> None:
+        if self._held.is_ended:
+            # Its exchange was aborted, which looks like a loss.
+            error = self._no_memory_error()
+        self._held.release()
+        self._held = self._open_account()
         self._attempts.on_lost(error, self._segment_tokens > 0)
 
     def _send_request(self, exchange: Exchange) -> bool:
@@ -164,6 +174,19 @@
                 return
             if ready:
                 yield ready
+            self._hold(segment.held_bytes + self.kept_bytes)
+
+    def _open_account(self) -> HeldAnswer:
+        return self._deps.answer_memory.open(self._attempts.abort)
+
+    def _hold(self, size: int) -> None:
+        """Count `size` bytes as held, or raise BackEndFailureError if the memory is full."""
+        if size != self._held.size and not self._held.hold(size):
+            raise self._no_memory_error()
+
+    def _no_memory_error(self) -> BackEndFailureError:
+        detail = f"answers fill the memory for them; this one held {self._held.size} bytes"
+        return BackEndFailureError("too_long", detail, True)
 
     def _take_events(self, segment: StreamSegment) -> list[StreamEvent]:
         """Return the events of a part that are ready for the caller, and count their tokens."""
--- a/src/laburnumreel/serving/_stream_segment.py
+++ b/src/laburnumreel/serving/_stream_segment.py
@@ -8,6 +8,10 @@
 from laburnumreel.serving._repeat_detector import RepeatDetector
 from laburnumreel.transport import BackEndFailureError, EventAllowance
 
+# An event that is held back takes its data, the chunk parsed from it, and the chunk's objects.
+EVENT_COPIES = 2
+EVENT_OBJECT_BYTES = 1024
+
 # The raw data of an event and the chunk parsed from it.
 StreamEvent = tuple[bytes, dict[str, Any]]
 
@@ -34,6 +38,7 @@
         self._ready: list[StreamEvent] = []
         self._unconfirmed: list[StreamEvent] = []
         self._new_tokens = 0
+        self._final_bytes = 0
         self.final_events: list[StreamEvent] = []
         self.usage: dict[str, Any] = {}
         # Whether only the engine's own token count can reveal that it restarted the answer.
@@ -57,6 +62,11 @@
             self._classify(payload, self._parse_checked(payload))
         return False
 
+    @property
+    def held_bytes(self) -> int:
+        """The approximate memory of the events that are held back."""
+        return self._final_bytes + sum(_event_memory(event) for event in self._unconfirmed)
+
     def take_ready(self) -> tuple[list[StreamEvent], int]:
         """Return the events that may be sent to the caller now, and the number of tokens in them."""
         ready_events = self._ready, self._new_tokens
@@ -78,6 +88,7 @@
         if self.final_events or chunk.get("usage") or _ends_choice(chunk):
             self._accept_unconfirmed()
             self.final_events.append(event)
+            self._final_bytes += _event_memory(event)
             if chunk.get("usage"):
                 self.usage = chunk["usage"]
         elif _has_token(chunk):
@@ -97,6 +108,10 @@
         self._unconfirmed = []
 
 
+def _event_memory(event: StreamEvent) -> int:
+    return EVENT_COPIES * len(event[0]) + EVENT_OBJECT_BYTES
+
+
 def _parse(payload: bytes) -> dict[str, Any]:
     try:
         # orjson is several times faster than json, and this runs for every token.
--- a/tests/test_gateway_answer_memory.py
+++ b/tests/test_gateway_answer_memory.py
@@ -3,16 +3,18 @@
 import http.client
 import threading
 import tracemalloc
+from concurrent.futures import ThreadPoolExecutor
 from types import SimpleNamespace
 
 import pytest
 from endless_server import CHUNKED, LONG_BODY, EndlessServer, make_endless_answer
+from memory_load import peak_bytes
 
 from laburnumreel.core import AnswerMemory
 from laburnumreel.protocol import MAX_STORED_BYTES
 from laburnumreel.serving._idempotent_run import IdempotentRun
 from laburnumreel.state import ErrorKind, HttpPlatform, Refusal, RunState
-from laburnumreel_standins.caller import bearer_headers
+from laburnumreel_standins.caller import MODEL, bearer_headers, call
 from laburnumreel_standins.processes import wait_until
 
 # The bound of one answer, and twice it where it is converted.
@@ -20,6 +22,8 @@
 MAX_PLATFORM_BYTES = 2 * 16 * MB
 # Less than is read of a plain answer before it is passed on.
 BEGINNING = 250_000 * b"x"
+# An eighth of 64 MB, and ten events of 1 MiB at once in each of 8 requests' threads.
+MAX_KEPT_GROWTH_BYTES = (8 + 10 * 8) * MB
 ENDLESS_BODIES = {
     "a body": make_endless_answer(LONG_BODY, b"x"),
     "a body without length": make_endless_answer(b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
@@ -158,3 +162,31 @@
         may_end.set()
         for caller in callers:
             caller.join()
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("begins_with_end", [False, True])
+def test_events_that_a_gateway_keeps_share_one_bound(
+    deployment, start_scripted_server, begins_with_end
+):
+    """Guards against 300 MB and more for whole answers, and for events behind a finish reason."""
+
+    def answer(exchange):
+        exchange.begin_stream()
+        if begins_with_end:
+            exchange.write_event({"choices": [{"index": 0, "text": "", "finish_reason": "stop"}]})
+        for _ in range(400):
+            exchange.write_token(MB // 2 * "x")
+
+    def call_gateway():
+        body = {"model": MODEL, "prompt": "x", "max_tokens": 100}
+        return call(gateway.caller_address, "POST", "/v1/completions", body, bearer_headers())
+
+    deployment.configure(profile__chat={"deadline_s": 8.0})
+    start_scripted_server(answer).register_with(deployment)
+    gateway = deployment.start_gateway(memory="host_mb = 64\n")
+    before = peak_bytes(gateway)
+    with ThreadPoolExecutor(8) as executor:
+        kinds = {reply.kind for reply in executor.map(lambda _: call_gateway(), range(8))}
+    assert kinds <= {"back_end_lost", "no_back_end"}
+    assert peak_bytes(gateway) - before < MAX_KEPT_GROWTH_BYTES
