Bound what is kept of a stream in order to resume it

What operators saw: nothing yet; an event's id of up to 1 MiB was kept by the relay, and sixteen tokens of up to 1 MiB each by the gateway, for the whole stream and outside the account for answers.

Change: a stream is not resumed after an id of more than 1 KiB, and the gateway keeps and compares the first 256 characters of a token. The bytes of a whole stream stay unbounded, by decision: its time, events, rate and memory are bounded (docs/incidents/endless-answers.md).

--- a/src/laburnumreel/relay/_event_stream.py
+++ b/src/laburnumreel/relay/_event_stream.py
@@ -6,6 +6,9 @@
 
 # Larger events are rejected; engines send a few tokens at a time.
 MAX_EVENT_BYTES = 1 << 20
+# A stream is not resumed after an event with a longer id, which would be kept until the next one and
+# be sent in a header. Ids are numbers or short keys.
+MAX_ID_BYTES = 1024
 # Fields that mean nothing to the caller without data.
 _FIELDS_WITHOUT_CONTENT = (b"event", b"retry")
 
@@ -132,5 +135,5 @@
             is_progress = True
         if colon and name == b"id":
             # Callers use the last id of an event.
-            event_id = value.strip().decode("latin-1")
+            event_id = value.strip().decode("latin-1") if len(value) <= MAX_ID_BYTES else None
     return StreamEvent(raw, event_id, is_progress)
--- a/src/laburnumreel/serving/_stream_segment.py
+++ b/src/laburnumreel/serving/_stream_segment.py
@@ -8,6 +8,8 @@
 from laburnumreel.serving._repeat_detector import RepeatDetector
 from laburnumreel.transport import BackEndFailureError, EventAllowance
 
+# How much of a token is kept and compared; the first and the last eight are kept for the whole stream.
+MAX_COMPARED_CHARS = 256
 # An event that is held back takes its data, the chunk parsed from it, and the chunk's objects.
 EVENT_COPIES = 2
 EVENT_OBJECT_BYTES = 1024
@@ -149,9 +151,9 @@
 
 
 def _token_text(chunk: dict[str, Any]) -> str:
-    """Return the content of a token, for comparison with others."""
+    """Return the beginning of a token's content, for comparison with others."""
     choice = chunk["choices"][0]
-    return str(choice.get("text") or choice.get("delta"))
+    return str(choice.get("text") or choice.get("delta"))[:MAX_COMPARED_CHARS]
 
 
 def _ends_choice(chunk: dict[str, Any]) -> bool:
--- a/tests/test_gateway_answer_memory.py
+++ b/tests/test_gateway_answer_memory.py
@@ -1,6 +1,7 @@
 """Tests of what answers of the platform and stored answers hold in a gateway."""
 
 import http.client
+import json
 import threading
 import tracemalloc
 from concurrent.futures import ThreadPoolExecutor
@@ -13,7 +14,10 @@
 from laburnumreel.core import AnswerMemory
 from laburnumreel.protocol import MAX_STORED_BYTES
 from laburnumreel.serving._idempotent_run import IdempotentRun
+from laburnumreel.serving._repeat_detector import RepeatDetector
+from laburnumreel.serving._stream_segment import StreamSegment
 from laburnumreel.state import ErrorKind, HttpPlatform, Refusal, RunState
+from laburnumreel.transport import EventAllowance
 from laburnumreel_standins.caller import MODEL, bearer_headers, call
 from laburnumreel_standins.processes import wait_until
 
@@ -190,3 +194,14 @@
         kinds = {reply.kind for reply in executor.map(lambda _: call_gateway(), range(8))}
     assert kinds <= {"back_end_lost", "no_back_end"}
     assert peak_bytes(gateway) - before < MAX_KEPT_GROWTH_BYTES
+
+
+def test_long_tokens_are_not_kept_for_comparison(traced):
+    """Guards against 16 MiB for each stream, for the whole of it."""
+    detector = RepeatDetector()
+    segment = StreamSegment("r", detector, False, EventAllowance(100))
+    for number in range(16):
+        token = {"id": "r", "choices": [{"index": 0, "text": f"{number}" + 100_000 * "x"}]}
+        segment.feed(b"data: " + json.dumps(token).encode() + b"\n\n")
+        segment.take_ready()
+    assert detector.is_distinctive and traced()[0] < 256 * 1024
--- a/tests/test_stream_position.py
+++ b/tests/test_stream_position.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from laburnumreel.relay._event_stream import StreamEvent
+from laburnumreel.relay._event_stream import EventSplitter, StreamEvent
 from laburnumreel.relay._stream_position import NotContinuedError, StreamPosition, heads_match
 
 
@@ -135,3 +135,12 @@
     def test_compatible_head_matches(self):
         assert heads_match(HEAD, (200, [("content-type", "Text/Event-Stream; charset=utf-8")]))
         assert heads_match((200, []), (200, []))
+
+
+def test_long_event_id_is_not_kept_for_resuming():
+    """Guards against an id of up to 1 MiB that is kept, and sent in a header."""
+    position = StreamPosition()
+    position.accept(
+        EventSplitter().feed(b"id: 1\ndata: a\n\nid: " + 5000 * b"9" + b"\ndata: b\n\n")
+    )
+    assert position.last_id == "1" and not position.can_resume
