Give the stand-in dependencies of a dispatcher test their answer memory

test_first_token_ends_the_queue_time_of_the_prompt failed since: a model run counts what it keeps in the answer memory, which the stand-in dependencies lacked. Its assertions are unchanged.

--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -8,7 +8,7 @@
 
 from laburnumreel.coordination import LoadReport, NodeUpdate, Offer, RoutingRequest, prompt_prefixes
 from laburnumreel.coordination._fleet import FIRST_REPORT_WAIT_S
-from laburnumreel.core import ManualClock
+from laburnumreel.core import AnswerMemory, ManualClock
 from laburnumreel.protocol import ModelRequest
 from laburnumreel.serving._budgets import DEFAULT_RETRY_MINIMUM
 from laburnumreel.serving._dispatcher import BackEndSelection, Dispatcher
@@ -268,6 +268,7 @@
         clock=ManualClock(),
         pool=SimpleNamespace(open=lambda *_: FakeExchange("r")),
         usage=SimpleNamespace(count=lambda *_: None),
+        answer_memory=AnswerMemory(1 << 20),
     )
     job = Job(running, make_work("r"), service, profile, "", True, "", 0.0)
     request = ModelRequest(False, "m", True, b"x", 100, 50, 1, {"model": "m", "prompt": "x"})
