Try an adopted hold after 30 s where the crashes are known

A host that heard of a hold from a peer waited ten minutes for its first trial, also where it is the host that tries. Since answers that a host has seen decide whether it judges itself, this became common, and a sound part that was held wrongly could be refused for that long.

Cause: the wait is there for hosts that start again and again, which would try the part each time, and was taken by every host that adopts a hold.

One that has just started knows none and waits as before.

Evidence: test_host_that_saw_the_crashes_tries_an_adopted_hold_soon failed before; test_host_that_adopted_a_hold_does_not_try_it_soon passes as before.

--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -41,7 +41,8 @@
 SETTLE_S = 0.3
 # A held part is tried with single requests, by one host, in case it is held wrongly. These are the
 # times between two trials that crash a server; the last one is repeated. The first trial comes after
-# the time of the rule. A host that heard of the hold from a peer waits for `ADOPTED_TRIAL_DELAY_S`.
+# the time of the rule. A host that heard of the hold from a peer waits for the first of the times if it
+# knows of the crashes, otherwise for `ADOPTED_TRIAL_DELAY_S`.
 TRIAL_DELAYS_S = (30.0, 600.0, 3600.0)
 ADOPTED_TRIAL_DELAY_S = 600.0
 # A trial that neither began an answer nor crashed a server is repeated after this time.
@@ -283,12 +284,22 @@
             recently_answered = now - self._answered_at.get(part, float("-inf")) < RELEASE_S
             if remaining_s < MIN_PEER_REMAINING_S or recently_answered or part in self._holds:
                 continue
-            hold = Hold(now, now, now + ADOPTED_TRIAL_DELAY_S, TRIAL_DELAYS_S[-1:])
+            hold = self._adopted_hold(part, now)
             hold.until = now + min(remaining_s, HOLD_S)
             self._holds[part] = hold
             adopted.append(part)
         return adopted
 
+    def _adopted_hold(self, part: str, now: float) -> Hold:
+        """Return the hold of a part that a peer judged, with trials as if judged here if it knows why.
+
+        A host that has just started knows no crashes, and must not try the part each time.
+        """
+        crashes = {crash.back_end for crash in self._crashes if part in crash.by_part}
+        if len(crashes) < MIN_SERVERS:
+            return Hold(now, now, now + ADOPTED_TRIAL_DELAY_S, TRIAL_DELAYS_S[-1:])
+        return Hold(now, now, now + TRIAL_DELAYS_S[0], TRIAL_DELAYS_S[1:])
+
     def reports(self, now: float) -> tuple[CrashReport, ...]:
         """Return what this host saw of recent crashes, for its peers, the newest first."""
         reports, room = [], MAX_REPORT_BYTES
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -315,6 +315,15 @@
     assert trial_times(suspects, now, 601, lambda name, at: None) == [600]
 
 
+def test_host_that_saw_the_crashes_tries_an_adopted_hold_soon():
+    """A part that was held wrongly was refused for ten minutes where another host had judged it."""
+    suspects = CrashSuspects()
+    for number in range(4):
+        crash(suspects, f"s{number}", float(number), ("first", "deadly"))
+    suspects.on_peer_holds({"deadly": 500.0}, 5.0)
+    assert trial_times(suspects, 5.0, 60, lambda name, at: None) == [30]
+
+
 def test_second_send_of_a_trial_is_refused():
     suspects = CrashSuspects()
     now = hold_part(suspects, "deadly") + 30.0
