Leave one request as the trial that is due when a part gets held

What callers saw: where a part was held wrongly and a trial was due at once, all requests with the part got `crashes_back_ends`, and the hold lasted 30 s instead of one answer.

Cause: requests that waited for a slot passed the check of the queue, because they may try the part, and were then aborted with those that were sent. An aborted one was placed as the trial, and its thread only released the slot.

Change: the queue judges what waits in it; `PartsInFlight` ends the others. An aborted request is refused before a trial is started for it. If none waits, the oldest request that was sent runs as the trial. With two held parts of which one is on trial, the other one is named as the reason.

--- a/src/laburnumreel/relay/_crash_evidence.py
+++ b/src/laburnumreel/relay/_crash_evidence.py
@@ -1,7 +1,7 @@
 """What this host and its peers know of crashes of backend servers, and what is held for them."""
 
 import hashlib
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from laburnumreel.coordination import (
@@ -129,8 +129,8 @@
         remaining_s = self._quarantine.remaining_quarantine_s(digest, now) if digest else None
         if remaining_s is not None:
             return HeldReason("the request crashed backend servers and is held back", remaining_s)
-        held = self._suspects.held_part(parts, now)
-        if held is None or self._suspects.may_try(parts, token, now, self._is_trial_host):
+        held = self._untried_part(parts, token, now, self._is_trial_host)
+        if held is None:
             return None
         part, remaining_s = held
         self._suspects.renew(part, now)
@@ -140,10 +140,17 @@
 
     def held_in_flight(self, parts: Sequence[str], token: str, now: float) -> HeldReason | None:
         """Return why a request that was admitted is held; None as well if it runs as a trial."""
-        held = self._suspects.held_part(parts, now)
-        if held is None or self._suspects.may_try(parts, token, now, lambda part: False):
-            return None
-        return _part_reason(*held)
+        held = self._untried_part(parts, token, now, lambda part: False)
+        return _part_reason(*held) if held is not None else None
+
+    def start_due_trial(
+        self, parts: Sequence[str], token: str, request_id: str, now: float
+    ) -> bool:
+        """Let a request that was sent run as the trial of its held parts, if one is due here."""
+        is_due = self._untried_part(parts, token, now, self._is_trial_host) is None
+        if is_due:
+            self.start_trial(parts, token, request_id, now)
+        return is_due
 
     def has_held(self, parts: Sequence[str], now: float) -> bool:
         """Return whether a request with these parts would be a trial."""
@@ -228,6 +235,20 @@
         """Forget a peer that is no longer heard from."""
         self._peers.discard(name)
 
+    def _untried_part(
+        self,
+        parts: Sequence[str],
+        token: str,
+        now: float,
+        is_trial_host: Callable[[str], bool],
+    ) -> tuple[str, float] | None:
+        """Return a held part that a request may not try, and its remaining seconds, or None."""
+        for part in parts if self._suspects.has_holds else ():
+            held = self._suspects.held_part((part,), now)
+            if held is not None and not self._suspects.may_try((part,), token, now, is_trial_host):
+                return held
+        return None
+
     def _is_trial_host(self, part: str) -> bool:
         """Return whether this host tries a part, of all hosts that were heard lately."""
         hosts = (self._host, *self._peers)
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -369,16 +369,35 @@
             self._place_or_fail(pending, now)
 
     def _refuse_held(self, now: float) -> None:
-        """Refuse the waiting requests with a part that is now held, and end those that were sent."""
+        """Refuse the waiting requests with a part that is now held, and end those that were sent.
+
+        One of them goes on if a trial is due here: preferably one that waits.
+        """
+        evidence = self._fleet_state.crash_evidence
+        trials = set()
         for pending in list(self._waiting.values()):
-            refusal = self._refusals.held(pending.order, now)
+            refusal = self._held_refusal(pending.order, now)
             if refusal is not None:
                 del self._waiting[pending.future]
                 pending.future.set_result(refusal)
-        evidence = self._fleet_state.crash_evidence
-        self._parts_in_flight.end_held(
-            lambda parts, token: evidence.held_in_flight(parts, token, now)
-        )
+            elif evidence.has_held(pending.order.parts, now):
+                trials.add(pending.order.token)
+
+        def find_reason(request: RequestWithParts) -> HeldReason | None:
+            parts, token = request.parts, request.token
+            reason = None if token in trials else evidence.held_in_flight(parts, token, now)
+            if reason is None or trials:
+                return reason
+            request_id = request.running.request_id
+            is_trial = evidence.start_due_trial(parts, token, request_id, now)
+            return None if is_trial else reason
+
+        self._parts_in_flight.end_held(find_reason)
+
+    def _held_refusal(self, request: PlacementRequest, now: float) -> Refusal | None:
+        """Return the refusal of a request that is held or was aborted, or None."""
+        aborted = self._parts_in_flight.abort_reason(request.token)
+        return aborted or self._refusals.held(request, now)
 
     def _immediate_refusal(self, request: PlacementRequest, now: float) -> Refusal | None:
         held = self._refusals.held(request, now)
@@ -450,7 +469,7 @@
     def _try_place(self, pending: PlaceRequest, now: float) -> int:
         """Place a request if possible, and return the number of evaluated servers."""
         request = pending.order
-        held = self._refusals.held(request, now)
+        held = self._held_refusal(request, now)
         if held is not None:
             del self._waiting[pending.future]
             pending.future.set_result(held)
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -212,11 +212,11 @@
                 # The dispatcher may still assign a slot before it reads the withdrawal.
                 future.add_done_callback(lambda done: self.release_slots(done.result()))
                 raise RelayFailedError(self.abort_refusal()) from None
-        if isinstance(outcome, Refusal):
-            raise RelayFailedError(self.refusal_with_run_state(outcome))
         if self.running.abort_reason is not None:
             self.release_slots(outcome)
             raise RelayFailedError(self.abort_refusal())
+        if isinstance(outcome, Refusal):
+            raise RelayFailedError(self.refusal_with_run_state(outcome))
         RELAY_WAIT_S.observe(self.deps.clock.now() - asked_at)
         return outcome
 
--- a/src/laburnumreel/relay/_parts_in_flight.py
+++ b/src/laburnumreel/relay/_parts_in_flight.py
@@ -1,6 +1,6 @@
 """The requests with prompt parts that this host has admitted, which end when a part gets held."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Protocol
 
 from laburnumreel.core import Log
@@ -28,22 +28,29 @@
     """Ends admitted requests as at their deadline. Not thread-safe; owned by the dispatcher."""
 
     def __init__(self) -> None:
-        self._requests: set[RequestWithParts] = set()
+        self._requests: dict[str, RequestWithParts] = {}
 
     def add(self, request: RequestWithParts) -> None:
-        self._requests.add(request)
+        self._requests[request.token] = request
 
     def remove(self, request: RequestWithParts) -> None:
-        self._requests.discard(request)
+        self._requests.pop(request.token, None)
 
-    def end_held(self, find_reason: Callable[[Sequence[str], str], HeldReason | None]) -> None:
+    def abort_reason(self, token: str) -> Refusal | None:
+        """Return why the request with a token was aborted, or None."""
+        request = self._requests.get(token)
+        return request.running.abort_reason if request is not None else None
+
+    def end_held(self, find_reason: Callable[[RequestWithParts], HeldReason | None]) -> None:
         """End the requests that are held, except those whose answer has begun.
 
-        `find_reason` returns why a request with some parts and a token is held, or None.
+        `find_reason` returns why a request is held, or None.
         """
-        for request in self._requests:
-            reason = find_reason(request.parts, request.token)
-            if reason is None or request.is_answered:
+        for request in self._requests.values():
+            if request.is_answered or request.running.abort_reason is not None:
+                continue
+            reason = find_reason(request)
+            if reason is None:
                 continue
             refusal = Refusal(ErrorKind.CRASHES_BACK_ENDS, reason.detail, reason.remaining_s)
             if request.running.abort(refusal):
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import random
 import signal
 import socket
 import threading
@@ -13,9 +14,17 @@
 from platform_answers import close_unanswered, engine
 from platform_world import wait_until
 from relay_caller import Caller
+from relay_samples import HERE, listed
+from test_relay_peers import make_update
 
+from laburnumreel.core import ManualClock
+from laburnumreel.relay._assignments import Assignment, PlacementRequest
 from laburnumreel.relay._crash_evidence import CrashEvidence, LostRequest
+from laburnumreel.relay._dispatcher import Dispatcher
 from laburnumreel.relay._parts_in_flight import PartsInFlight
+from laburnumreel.relay._ports import Listing
+from laburnumreel.relay._settings import RetrySettings
+from laburnumreel.relay._waiting import WaitingRequest
 from laburnumreel.serving import RunningRequest
 from laburnumreel.state import ErrorKind
 from laburnumreel.ui import cli
@@ -257,7 +266,7 @@
     record_crashes(evidence)
 
     def find_ended(now):
-        in_flight.end_held(lambda parts, token: evidence.held_in_flight(parts, token, now))
+        in_flight.end_held(lambda each: evidence.held_in_flight(each.parts, each.token, now))
         reasons = {name: each.running.abort_reason for name, each in requests.items()}
         return {name: reason.kind for name, reason in reasons.items() if reason is not None}
 
@@ -265,3 +274,68 @@
     assert evidence.hold_guilty(4.5)
     evidence.start_trial(("m/deadly",), "trial", "trial", 40.0)
     assert find_ended(40.0) == {"sent": ErrorKind.CRASHES_BACK_ENDS}
+
+
+class SteppedDispatcher(Dispatcher):
+    """A dispatcher on a manual clock, whose service has no slot before the hold of `m/own`."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        super().__init__(
+            self.clock, HERE, {}, RetrySettings(0.1, 3, 10.0), 2.2, random.Random(1), host="me"
+        )
+        self.on_listing(Listing({"e9": listed("e9", slots=1)}, 1, 0.0, True))
+        self._first = self.place(self.order("first"))
+        evidence, parts = self._fleet_state.crash_evidence, ("m/first", "m/own")
+        for number in range(5):
+            self.clock.advance(0.08)
+            now = self.clock.now()
+            lost = LostRequest(f"r{number}", f"t{number}", f"d{number}", parts)
+            evidence.record_crash(f"e{number}", lost, now)
+            evidence.record_answer(("m/first",), now + 0.01)
+
+    def tell(self, message):
+        self.handle(message)
+
+    def order(self, token, *parts):
+        now = self.clock.now()
+        waiting = WaitingRequest(token, 1, now, now + 5, now + 30)
+        return PlacementRequest(waiting, "orders", None, 100, parts=parts, token=token)
+
+    def hold(self, frees_slot):
+        self.clock.advance(0.4)
+        if frees_slot:
+            self.on_work_ended("e9", self._first.result().run_work, "orders")
+        self.tick()
+
+
+@pytest.mark.parametrize("waits", [True, False])
+def test_hold_leaves_one_request_as_the_trial_that_is_due_at_once(waits):
+    """All requests with a held part were ended, the trial too, so that a wrong hold lasted 30 s."""
+    dispatcher = SteppedDispatcher()
+    requests = [FakeRequest(f"w{number}", "m/own") for number in range(3)]
+    futures = []
+    for request in requests:
+        dispatcher.watch_parts(request)
+        if waits:
+            futures.append(dispatcher.place(dispatcher.order(request.token, *request.parts)))
+    dispatcher.hold(frees_slot=False)
+    dispatcher.hold(frees_slot=True)
+    reasons = [request.running.abort_reason for request in requests]
+    placed = [isinstance(future.result(0), Assignment) for future in futures]
+    if waits:
+        assert (placed, reasons) == ([True, False, False], [None] * 3)
+    else:
+        assert [reason is None for reason in reasons] == [True, False, False]
+        late = dispatcher.place(dispatcher.order("w1", "m/first", "m/sound"))
+        assert late.result(0).kind is ErrorKind.CRASHES_BACK_ENDS
+
+
+def test_part_that_is_not_on_trial_is_the_reason():
+    evidence, parts = CrashEvidence("host-a"), ("m/deadly", "m/other")
+    record_crashes(evidence)
+    evidence.hold_guilty(4.5)
+    evidence.start_trial(parts, "trial", "trial", 40.0)
+    peer = make_update("peer", 1, held_parts={"m/other": 100.0})
+    assert evidence.on_peer_update(peer, 40.0)
+    assert "m/other" in evidence.held_in_flight(parts, "trial", 40.1).detail
