Count crashes that follow an ended request against its held part

What callers saw: where servers did not notice that a request with a held part had been ended and crashed on it, sound parts of the prompts beside it were held after five such crashes.

Cause: an ended request reported no crash, so that only its neighbours were named, and the held part did not explain the crash.

Change: the dispatcher notes each ended request with the servers that had it. When one of them crashes within 5 s, as seen by this host or reported by a peer, the request is recorded as broken off by that crash.

Evidence: the new test, five crashes after the hold with a neighbour each: before, the neighbour's part was held as well, for own and for peers' crashes; after, the deadly part alone. The test failed before.

--- a/src/laburnumreel/relay/_attempt.py
+++ b/src/laburnumreel/relay/_attempt.py
@@ -105,6 +105,7 @@
             else:
                 self._exchange.close()
             self._exchange = None
+            self._job.back_ends -= {self._dispatch.back_end.name}
 
     def send(self, silence_limit_s: float) -> Verdict:
         """Send the request and return the verdict on the answer's head.
@@ -191,6 +192,7 @@
     def _write(self, timeout_s: float) -> None:
         job, dispatch, request = self._job, self._dispatch, self._dispatch.request
         job.contacted_addresses.add(dispatch.back_end.address)
+        job.back_ends |= {dispatch.back_end.name}
         job.count_delivery(dispatch)
         self._sent_at = job.deps.clock.now()
         self._waits_until_deadline = timeout_s >= job.remaining_s - MIN_TIME_S
--- a/src/laburnumreel/relay/_crash_evidence.py
+++ b/src/laburnumreel/relay/_crash_evidence.py
@@ -1,7 +1,7 @@
 """What this host and its peers know of crashes of backend servers, and what is held for them."""
 
 import hashlib
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from laburnumreel.coordination import (
@@ -26,6 +26,10 @@
 
 # A crash counts against a request, and is reported to peers, for this long.
 CRASH_S = 30.0
+# A server that has not noticed that a request was ended may crash because of it for this long. Such
+# a crash may be seen up to `ENDED_MARGIN_S` before, as hosts see it at different times.
+ENDED_S = 5.0
+ENDED_MARGIN_S = 1.0
 MAX_LOGGED_NAMES = 8
 
 # Log lines use the name of the dispatcher, because this code runs on its thread.
@@ -95,6 +99,8 @@
         # When each crash reported by a peer is forgotten, by sender, boot and digest: until then it
         # counts only once.
         self._peer_crashes: dict[tuple[str, str, str], float] = {}
+        # Requests that were ended for a held part, and when, by the backend server that had them.
+        self._ended: dict[str, list[tuple[float, BrokenRequest]]] = {}
 
     @property
     def has_peers(self) -> bool:
@@ -116,6 +122,16 @@
         if lost.parts:
             broken = BrokenRequest(lost.token, lost.parts, lost.digest)
             self._suspects.record_crash(back_end, broken, now)
+        self._count_ended(back_end, now)
+
+    def record_ended(self, back_ends: Iterable[str], lost: LostRequest, now: float) -> None:
+        """Record that a request was ended for a held part while some backend servers had it.
+
+        If one of them crashes soon after, the request counts as broken off by the crash.
+        """
+        broken = BrokenRequest(lost.token, lost.parts, lost.digest)
+        for back_end in back_ends:
+            self._ended.setdefault(back_end, []).append((now, broken))
 
     def record_answer(self, parts: Sequence[str], now: float) -> None:
         """Record that the answer to a prompt with these shared parts has begun here."""
@@ -189,6 +205,7 @@
         self._log_released(released, f"an answer began at {update.sender}")
         for report in update.crash_reports:
             self._suspects.on_peer_report(report, now)
+            self._count_ended(report.back_end, now - max(0.0, report.age_s))
         adopted = self._suspects.on_peer_holds(update.held_parts, now)
         for part in adopted:
             _log.warning(PART_HELD_BY_PEER, part=part, peer=update.sender)
@@ -228,6 +245,11 @@
         self._peer_crashes = {
             key: until for key, until in self._peer_crashes.items() if until > now
         }
+        self._ended = {
+            back_end: ended
+            for back_end, ended in self._ended.items()
+            if now - ended[-1][0] < ENDED_S + ENDED_MARGIN_S
+        }
         self._log_released(self._suspects.forget_old(now), "its time is over")
         RELAY_HELD_PARTS.set(len(self._suspects.holds(now)))
 
@@ -262,6 +284,12 @@
         for digest in self._quarantine.take_back_all(neighbours, now):
             _log.info(REQUEST_RELEASED, digest=digest[:16], part=part)
 
+    def _count_ended(self, back_end: str, crashed_at: float) -> None:
+        """Count requests that were ended at a backend server shortly before it crashed."""
+        for ended_at, broken in self._ended.get(back_end, ()):
+            if -ENDED_MARGIN_S <= crashed_at - ended_at < ENDED_S:
+                self._suspects.record_crash(back_end, broken, crashed_at)
+
     def _count_crash(self, digest: str, now: float) -> None:
         # With `alone=False`, only repeated crashes quarantine the request.
         if self._quarantine.record_crash({digest}, alone=False, now=now):
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -392,7 +392,8 @@
             is_trial = evidence.start_due_trial(parts, token, request_id, now)
             return None if is_trial else reason
 
-        self._parts_in_flight.end_held(find_reason)
+        for ended in self._parts_in_flight.end_held(find_reason):
+            evidence.record_ended(ended.back_ends, ended.lost, now)
 
     def _held_refusal(self, request: PlacementRequest, now: float) -> Refusal | None:
         """Return the refusal of a request that is held or was aborted, or None."""
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -100,6 +100,8 @@
         self.deliveries = 0
         # Addresses of the backend servers that the request was sent to.
         self.contacted_addresses: set[Address] = set()
+        # Backend servers that have the request now.
+        self.back_ends: frozenset[str] = frozenset()
         # Whether an engine has read the prompt for another engine.
         self.is_prompt_read = False
         # Permits of the retry budget for sends that were not made yet.
--- a/src/laburnumreel/relay/_parts_in_flight.py
+++ b/src/laburnumreel/relay/_parts_in_flight.py
@@ -1,10 +1,10 @@
 """The requests with prompt parts that this host has admitted, which end when a part gets held."""
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from laburnumreel.core import Log
-from laburnumreel.relay._crash_evidence import HeldReason
+from laburnumreel.relay._crash_evidence import HeldReason, LostRequest
 from laburnumreel.relay._events import HELD_REQUEST_ENDED
 from laburnumreel.serving import RunningRequest
 from laburnumreel.state import ErrorKind, Refusal
@@ -18,12 +18,21 @@
 
     parts: tuple[str, ...]
     token: str
+    digest: str
+    back_ends: frozenset[str]
     running: RunningRequest
 
     @property
     def is_answered(self) -> bool: ...
 
 
+class EndedRequest(NamedTuple):
+    """A request that was ended while some backend servers had it."""
+
+    back_ends: frozenset[str]
+    lost: LostRequest
+
+
 class PartsInFlight:
     """Ends admitted requests as at their deadline. Not thread-safe; owned by the dispatcher."""
 
@@ -41,11 +50,14 @@
         request = self._requests.get(token)
         return request.running.abort_reason if request is not None else None
 
-    def end_held(self, find_reason: Callable[[RequestWithParts], HeldReason | None]) -> None:
-        """End the requests that are held, except those whose answer has begun.
+    def end_held(
+        self, find_reason: Callable[[RequestWithParts], HeldReason | None]
+    ) -> list[EndedRequest]:
+        """End the requests that are held, except those whose answer has begun, and return them.
 
         `find_reason` returns why a request is held, or None.
         """
+        ended = []
         for request in self._requests.values():
             if request.is_answered or request.running.abort_reason is not None:
                 continue
@@ -53,6 +65,11 @@
             if reason is None:
                 continue
             refusal = Refusal(ErrorKind.CRASHES_BACK_ENDS, reason.detail, reason.remaining_s)
+            # Its thread takes them out as soon as it is aborted.
+            back_ends = request.back_ends
             if request.running.abort(refusal):
                 request_id = request.running.request_id
                 _log.info(HELD_REQUEST_ENDED, request=request_id, detail=reason.detail)
+                lost = LostRequest(request_id, request.token, request.digest, request.parts)
+                ended.append(EndedRequest(back_ends, lost))
+        return ended
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -17,6 +17,7 @@
 from relay_samples import HERE, listed
 from test_relay_peers import make_update
 
+from laburnumreel.coordination import BrokenRequest, CrashReport
 from laburnumreel.core import ManualClock
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
 from laburnumreel.relay._crash_evidence import CrashEvidence, LostRequest
@@ -245,7 +246,8 @@
 
 class FakeRequest:
     def __init__(self, name, part):
-        self.parts, self.token = ("m/first", part), name
+        self.parts, self.token, self.digest = ("m/first", part), name, f"digest-{name}"
+        self.back_ends = frozenset()
         self.running = RunningRequest(name, None, 99.0, lambda: False)
         self.is_answered = name == "answered"
 
@@ -339,3 +341,30 @@
     peer = make_update("peer", 1, held_parts={"m/other": 100.0})
     assert evidence.on_peer_update(peer, 40.0)
     assert "m/other" in evidence.held_in_flight(parts, "trial", 40.1).detail
+
+
+@pytest.mark.parametrize("seen_by_peer", [False, True])
+def test_crash_after_a_request_was_ended_holds_no_neighbour(seen_by_peer):
+    """Servers that crashed on ended requests counted against the prompts beside these only."""
+    dispatcher, servers = SteppedDispatcher(), [f"q{number}" for number in range(5)]
+    dispatcher.watch_parts(FakeRequest("trial", "m/own"))
+    for server in servers:
+        request = FakeRequest(f"ended-{server}", "m/own")
+        request.back_ends = frozenset([server])
+        dispatcher.watch_parts(request)
+    dispatcher.hold(frees_slot=False)
+    evidence = dispatcher._fleet_state.crash_evidence
+    for server in servers:
+        dispatcher.clock.advance(0.08)
+        now, beside = dispatcher.clock.now(), ("m/first", "m/beside")
+        if seen_by_peer:
+            broken = BrokenRequest(f"beside-{server}", beside, server)
+            report = CrashReport(server, 0.0, (broken,))
+            evidence.on_peer_update(make_update("peer", 1, crash_reports=(report,)), now)
+        else:
+            lost = LostRequest("r", f"beside-{server}", server, beside)
+            evidence.record_crash(server, lost, now)
+        evidence.record_answer(("m/first",), now + 0.01)
+    dispatcher.clock.advance(0.4)
+    dispatcher.tick()
+    assert [view.part for view in evidence.held_parts(dispatcher.clock.now())] == ["m/own"]
