Limit the requests that wait for what peers hold

What callers saw: on a host that had started or woken, requests to services without prompt parts could be refused for want of threads for up to 1 s.

Cause: requests that wait for holds were left out of the count that the limit of 24 waiting requests is checked with, so that all threads could wait.

Change: they count, those of all services together; only the estimate of the wait leaves them out. Further ones are refused with a retry time beyond the wait.

The test failed before (0 of 30 refused; after, 6).

--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -58,7 +58,8 @@
 
 TICK_S = 0.05
 # Maximum number of requests of one host that wait for a slot. Each holds a thread, and some threads
-# must remain for running requests.
+# must remain for running requests. Those that wait for holds count as well, those of all services
+# together.
 MAX_WAITING = 24
 # After this many requests of a service found no slot in a pass, the others are left for the next
 # pass, because each attempt evaluates all engines.
@@ -407,12 +408,14 @@
         if request.waiting.is_started:
             # A request that has already started goes before those that wait.
             return self._refusals.over_limits(request, 0, now)
-        ahead = sum(
-            1
-            for each in self._waiting.values()
-            if each.order.service == request.service
-            and not self._holds_wait.delays(each.order, now)
-        )
+        is_delayed = self._holds_wait.delays(request, now)
+        ahead = delayed = 0
+        for each in self._waiting.values():
+            is_same_service = each.order.service == request.service
+            if self._holds_wait.delays(each.order, now):
+                delayed += is_same_service or is_delayed
+            else:
+                ahead += is_same_service
         refusal = self._refusals.over_limits(request, ahead, now)
         if refusal is not None:
             return refusal
@@ -420,8 +423,12 @@
             return self._refusals.no_back_end(request, now)
         per_s = self._release_rates.setdefault(request.service, SlotReleaseRate()).per_s(now)
         wait_s = ahead / per_s if ahead and per_s > 0 else 0.0
-        if ahead >= MAX_WAITING or now + wait_s > request.waiting.deadline:
-            return self._refusals.no_slot(ahead, per_s, f"{ahead} requests wait for a place")
+        if ahead + delayed >= MAX_WAITING or now + wait_s > request.waiting.deadline:
+            detail = f"{ahead + delayed} requests wait for a place"
+            refusal = self._refusals.no_slot(ahead, per_s, detail)
+            # None of the delayed requests gets a slot before.
+            delay_s = refusal.retry_after_s + self._holds_wait.remaining_s(now)
+            return refusal._replace(retry_after_s=delay_s)
         return None
 
     def _place_waiting(self, now: float) -> None:
--- a/src/laburnumreel/relay/_holds_wait.py
+++ b/src/laburnumreel/relay/_holds_wait.py
@@ -76,6 +76,10 @@
             return False
         return now < min(self._until, order.waiting.expires_at - MIN_LEFT_S)
 
+    def remaining_s(self, now: float) -> float:
+        """Return for how many more seconds requests may be delayed."""
+        return max(0.0, self._until - now) if self._until is not None else 0.0
+
     def _begin(self, cause: str, now: float, **fields: float) -> None:
         if self._ask is None:
             return
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -21,7 +21,8 @@
 from laburnumreel.core import ManualClock
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
 from laburnumreel.relay._crash_evidence import CrashEvidence, LostRequest
-from laburnumreel.relay._dispatcher import Dispatcher
+from laburnumreel.relay._dispatcher import MAX_WAITING, Dispatcher
+from laburnumreel.relay._holds_wait import FIRST_UPDATE_WAIT_S
 from laburnumreel.relay._parts_in_flight import PartsInFlight
 from laburnumreel.relay._ports import Listing
 from laburnumreel.relay._settings import RetrySettings
@@ -368,3 +369,17 @@
     dispatcher.clock.advance(0.4)
     dispatcher.tick()
     assert [view.part for view in evidence.held_parts(dispatcher.clock.now())] == ["m/own"]
+
+
+def test_requests_that_wait_for_holds_leave_threads_for_others():
+    """All request threads of a host that had woken waited with requests that have prompt parts."""
+    dispatcher = SteppedDispatcher()
+    dispatcher.set_holds_query(lambda number: None)
+    dispatcher.hosts(2)
+    futures = [
+        dispatcher.place(dispatcher.order(f"r{number}", "m/sound"))
+        for number in range(MAX_WAITING + 6)
+    ]
+    refused = [future.result() for future in futures if future.done()]
+    assert len(refused) == 6
+    assert all(refusal.retry_after_s > FIRST_UPDATE_WAIT_S for refusal in refused)
