Leave answers about holds to hosts that do not wait for them

What callers saw: hosts of a region that had been paused together sent requests with parts that the other region held. A host that had been alone delayed prompts by 1 s when a second one was listed that it did not hear.

Cause: a host that waited itself answered as well, all five peers that were asked were in the host's own region, and at a start any update ended the wait. Any later number of listed hosts above one began the wait of a start.

Change: a host that waits tells what it knows, but not as an answer, and only an answer ends a wait, at a start too. Two of the five asked peers are in another region if one is known. Only the first number of hosts begins the wait of a start.

Four cases of the new tests failed before.

--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -23,6 +23,7 @@
     GetHeldParts,
     GetHoldBack,
     GetOwnBeliefs,
+    IsWaitingForHolds,
     LimitEnded,
     ListingRead,
     PlaceRequest,
@@ -176,6 +177,10 @@
         """Set the function to call when peers should tell at once which parts are held."""
         self._holds_wait.set_ask(ask_holds)
 
+    def is_waiting_for_holds(self) -> bool:
+        """Return whether this host may not know what its peers hold."""
+        return self.ask(IsWaitingForHolds()).result()
+
     def crash_update(self) -> CrashUpdate:
         """Return what peers need to know of crashes."""
         return self.ask(GetCrashUpdate()).result()
@@ -325,6 +330,8 @@
                 return self._fleet_state.crash_evidence.held(digest, parts, token, now)
             case GetCrashUpdate():
                 return self._fleet_state.crash_evidence.update(now)
+            case IsWaitingForHolds():
+                return self._holds_wait.is_waiting(now)
             case GetHeldParts():
                 return self._fleet_state.crash_evidence.held_parts(now)
             case ReleasePart(part):
--- a/src/laburnumreel/relay/_dispatcher_messages.py
+++ b/src/laburnumreel/relay/_dispatcher_messages.py
@@ -82,6 +82,10 @@
     """A request for the part of the peer update that concerns crashes."""
 
 
+class IsWaitingForHolds(NamedTuple):
+    """A question whether this host may not know what its peers hold."""
+
+
 class GetHeldParts(NamedTuple):
     """A request for the held parts, for operators."""
 
--- a/src/laburnumreel/relay/_holds_query.py
+++ b/src/laburnumreel/relay/_holds_query.py
@@ -5,8 +5,10 @@
 from laburnumreel.relay._holds_wait import FIRST_UPDATE_WAIT_S
 from laburnumreel.relay._peer_update import PeerUpdate
 
-# How many peers are asked at once for what is held, and how often others are asked until one answers.
+# How many peers are asked at once for what is held, how many of them are in another region if there
+# is one, and how often others are asked until one answers. Hosts of a region may be paused together.
 MAX_ASKED_PEERS = 5
+MAX_ASKED_FAR_PEERS = 2
 ASK_INTERVAL_S = 0.25
 # A host that has heard no peer for this long, or for `UNHEARD_INTERVALS` of the shortest interval
 # between updates where these are longer, asks until it hears one: its contact may be back long
--- a/src/laburnumreel/relay/_holds_wait.py
+++ b/src/laburnumreel/relay/_holds_wait.py
@@ -23,18 +23,17 @@
     """Delays requests with prompt parts until a peer has told which parts are held.
 
     Begins when the host starts and others are listed, and when it wakes from a pause. `set_ask` sets
-    the function that asks peers; its argument comes back in their answers, because updates from
-    before a pause may still be unread after it. Without that function, nothing is delayed. Not
-    thread-safe; owned by the dispatcher.
+    the function that asks peers; its argument comes back in the answers of those that do not wait
+    themselves, because updates from before a pause may still be unread after it. Without that
+    function, nothing is delayed. Not thread-safe; owned by the dispatcher.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._ask: Callable[[int], None] | None = None
-        self._has_heard = False
+        self._has_listed = False
         self._ran_at: float | None = None
         self._nonce = 0
-        self._is_start = False
         # When the wait began and ends; `_until` is None if there is none.
         self._since = 0.0
         self._until: float | None = None
@@ -47,25 +46,22 @@
         paused_s = now - self._ran_at if self._ran_at is not None else 0.0
         self._ran_at = now
         if paused_s >= PAUSED_S and has_peers:
-            self._is_start = False
             self._begin("paused", now, paused_s=round(paused_s, 2))
         elif self._until is not None and now >= self._until:
             self._end("", now)
 
     def on_hosts(self, count: int, now: float) -> None:
-        """Record the number of hosts, as listed at the start."""
-        if count > 1 and not self._has_heard and self._nonce == 0:
-            self._is_start = True
+        """Record the number of listed hosts; the first one shows whether there are others to ask."""
+        is_first, self._has_listed = not self._has_listed, True
+        if is_first and count > 1:
             self._begin("started", now)
 
     def on_updates(self, updates: Sequence[PeerUpdate], now: float) -> bool:
         """Record updates that were applied, and return whether the wait has ended."""
-        self._has_heard = True
         if self._until is None:
             return False
         for update in updates:
-            # A host that starts has no unread updates from before.
-            if self._is_start or update.answers_holds == self._nonce:
+            if update.answers_holds == self._nonce:
                 self._end(update.sender, now)
                 return True
         return False
@@ -76,6 +72,10 @@
             return False
         return now < min(self._until, order.waiting.expires_at - MIN_LEFT_S)
 
+    def is_waiting(self, now: float) -> bool:
+        """Return whether this host may not know what its peers hold."""
+        return self.remaining_s(now) > 0
+
     def remaining_s(self, now: float) -> float:
         """Return for how many more seconds requests may be delayed."""
         return max(0.0, self._until - now) if self._until is not None else 0.0
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -189,6 +189,7 @@
             self._update_handler.on_updates,
             self._update_handler.on_peer_silent,
             self._update_handler.build_crash_fields,
+            self._dispatcher.is_waiting_for_holds,
         )
         self._dispatcher.set_crash_listener(self._peers.send_crashes)
         self._dispatcher.set_holds_query(self._peers.ask_holds)
--- a/src/laburnumreel/relay/_peer_gossip.py
+++ b/src/laburnumreel/relay/_peer_gossip.py
@@ -13,7 +13,7 @@
 from laburnumreel.core import Clock, Log, Task
 from laburnumreel.relay._back_ends import Address
 from laburnumreel.relay._events import NEWS_UNREADABLE, PEER_HEARD, PEER_SILENT
-from laburnumreel.relay._holds_query import MAX_ASKED_PEERS, HoldsQuery
+from laburnumreel.relay._holds_query import MAX_ASKED_FAR_PEERS, MAX_ASKED_PEERS, HoldsQuery
 from laburnumreel.relay._metrics import RELAY_PEERS
 from laburnumreel.relay._peer_update import MAX_BYTES, PeerUpdate, decode_update, encode_update
 from laburnumreel.relay._usage_counters import UsageUpdate
@@ -97,6 +97,7 @@
         on_updates: Callable[[Sequence[PeerUpdate]], None],
         on_peer_silent: Callable[[str], None],
         build_crash_fields: Callable[[], Mapping[str, Any]] = dict,
+        is_waiting_for_holds: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__("peer-news", tick_s=0.0)
         self._clock = clock
@@ -109,6 +110,7 @@
         self._on_updates = on_updates
         self._on_peer_silent = on_peer_silent
         self._build_crash_fields = build_crash_fields
+        self._is_waiting_for_holds = is_waiting_for_holds
         # The last regular updates, for peers of this region (False) and of other regions (True).
         self._last_updates: dict[bool, PeerUpdate] = {}
         # When to send an update about crashes, if one is wanted, and when the next one may be sent.
@@ -262,21 +264,26 @@
         self._answer_asking([each for each in received if each[1].asks_holds])
 
     def _ask(self, now: float) -> None:
-        """Ask some peers for what is held, those of this region first."""
+        """Ask some peers for what is held, most of them in this region."""
         number = self._holds_query.on_asked(self._sequence, now)
-        asked = sorted(
-            self._peers.items(), key=lambda each: (each[1].cross_region, random.random())
-        )
+        shuffled = random.sample(list(self._peers.items()), len(self._peers))
+        far = [each for each in shuffled if each[1].cross_region]
+        near = [each for each in shuffled if not each[1].cross_region]
+        near = near[: MAX_ASKED_PEERS - min(MAX_ASKED_FAR_PEERS, len(far))]
+        asked = near + far[: MAX_ASKED_PEERS - len(near)]
         fields = self._build_crash_fields() if asked else {}
-        for address, peer in asked[:MAX_ASKED_PEERS]:
+        for address, peer in asked:
             update = self._crash_update(peer.cross_region, fields)._replace(asks_holds=number)
             self._send_datagram(self._encode_datagram(update, None), address)
 
     def _answer_asking(self, asking: Sequence[tuple[Address, PeerUpdate]]) -> None:
-        fields = self._build_crash_fields() if asking else {}
+        """Tell peers what is held, as an answer only if this host does not wait for one itself."""
+        if not asking:
+            return
+        is_answer, fields = not self._is_waiting_for_holds(), self._build_crash_fields()
         for address, asked in asking:
             update = self._crash_update(self._is_other_region(asked.zone), fields)
-            answer = update._replace(answers_holds=asked.asks_holds)
+            answer = update._replace(answers_holds=asked.asks_holds if is_answer else 0)
             self._send_datagram(self._encode_datagram(answer, None), address)
 
     def _receive_updates(self) -> Iterator[tuple[Address, PeerUpdate]]:
--- a/tests/test_crash_updates.py
+++ b/tests/test_crash_updates.py
@@ -11,7 +11,12 @@
 from laburnumreel.relay._assignments import PlacementRequest
 from laburnumreel.relay._cost_model import Location
 from laburnumreel.relay._fleet_state import FleetState
-from laburnumreel.relay._holds_query import ASK_INTERVAL_S, MAX_ASKED_PEERS, UNHEARD_S
+from laburnumreel.relay._holds_query import (
+    ASK_INTERVAL_S,
+    MAX_ASKED_FAR_PEERS,
+    MAX_ASKED_PEERS,
+    UNHEARD_S,
+)
 from laburnumreel.relay._holds_wait import FIRST_UPDATE_WAIT_S, PAUSED_S, HoldsWait
 from laburnumreel.relay._peer_gossip import MIN_INTERVAL_FOR_CRASHES_S, PeerGossip
 from laburnumreel.relay._peer_update import decode_update, encode_update
@@ -30,7 +35,7 @@
     return {"crash_reports": (REPORT,), "held_parts": {"p": 9.0}}
 
 
-def start_gossip(interval_s, running):
+def start_gossip(interval_s, running, is_waiting=False):
     address = (fresh_host(), 8004)
     gossip = PeerGossip(
         address,
@@ -43,6 +48,7 @@
         lambda batch: None,
         lambda name: None,
         crash_fields,
+        lambda: is_waiting,
     )
     gossip.start_daemon()
     running.append(gossip)
@@ -109,14 +115,15 @@
 class AskingGossip(SteppedGossip):
     """A gossip on a manual clock whose peers send nothing of their own accord."""
 
-    def __init__(self, peers):
+    def __init__(self, peers, far_peers):
         self.clock = ManualClock()
-        super().__init__(self.clock)
+        super().__init__(self.clock, far_zone="zone-b")
         self.sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(peers)]
         for number, sock in enumerate(self.sockets):
             sock.bind(("127.0.0.1", 0))
             sock.setblocking(False)
-            sock.sendto(encode_update(make_update(f"h{number}", 1)), self.address)
+            zone = "zone-b" if number < far_peers else "zone-a"
+            sock.sendto(encode_update(make_update(f"h{number}", 1, zone=zone)), self.address)
         self.asks_after(0.0)
 
     def asks_after(self, seconds):
@@ -124,12 +131,13 @@
         self.clock.advance(seconds)
         for _ in range(2):
             self.peers.tick()
-        return [
-            update.asks_holds
-            for sock in self.sockets
+        self.asked = [
+            (number, update.asks_holds)
+            for number, sock in enumerate(self.sockets)
             for update in receive_all(sock)
             if update.asks_holds
         ]
+        return [number for _, number in self.asked]
 
     def stop(self):
         super().stop()
@@ -137,12 +145,14 @@
             sock.close()
 
 
-@pytest.mark.parametrize("peers", [2, 194])
-def test_few_peers_are_asked_for_holds_at_once(peers):
-    gossip, asked = AskingGossip(peers), min(MAX_ASKED_PEERS, peers)
+@pytest.mark.parametrize(("peers", "far_peers"), [(2, 0), (194, 97), (4, 3)])
+def test_few_peers_are_asked_for_holds_at_once_some_of_another_region(peers, far_peers):
+    gossip, asked = AskingGossip(peers, far_peers), min(MAX_ASKED_PEERS, peers)
     try:
         gossip.peers.handle(("ask", 7))
         assert gossip.asks_after(0.0) == [7] * asked
+        far_asked = sum(number < far_peers for number, _ in gossip.asked)
+        assert far_asked == max(min(MAX_ASKED_FAR_PEERS, far_peers), asked - (peers - far_peers))
         assert gossip.asks_after(ASK_INTERVAL_S) == [7] * asked
         gossip.sockets[0].sendto(
             encode_update(make_update("h0", 2, answers_holds=7)), gossip.address
@@ -155,11 +165,31 @@
         gossip.stop()
 
 
-def test_peer_answers_a_request_for_holds_without_waiting_for_its_next_update(running, peer):
-    _, address = start_gossip(SELDOM_S, running)
+@pytest.mark.parametrize("is_waiting", [False, True])
+def test_peer_answers_a_request_for_holds_at_once_unless_it_waits_itself(running, peer, is_waiting):
+    """Hosts that had been paused together ended each other's wait, and none knew the holds."""
+    _, address = start_gossip(SELDOM_S, running, is_waiting)
     peer.sendto(encode_update(make_update("peer", 1, asks_holds=5)), address)
     update = receive(peer)
-    assert (update.answers_holds, update.held_parts) == (5, {"p": 9.0})
+    assert (update.answers_holds, update.held_parts) == (0 if is_waiting else 5, {"p": 9.0})
+
+
+def test_host_alone_at_its_start_does_not_wait_for_one_that_is_listed_later():
+    wait, asked = HoldsWait(random.Random(1)), []
+    wait.set_ask(asked.append)
+    for count in (1, 2):
+        wait.on_hosts(count, 1.0)
+    assert not asked
+    assert not wait.delays(make_order("m/a"), 1.0)
+
+
+def test_host_that_starts_waits_for_an_answer_of_a_host_that_does_not_wait():
+    wait, asked = HoldsWait(random.Random(1)), []
+    wait.set_ask(asked.append)
+    wait.on_hosts(2, 1.0)
+    assert not wait.on_updates([make_update("peer", 1)], 1.1)
+    assert wait.delays(make_order("m/a"), 1.1)
+    assert wait.on_updates([make_update("peer", 2, answers_holds=asked[0])], 1.2)
 
 
 def make_order(*parts, left_s=9.0):
--- a/tests/test_relay_peers.py
+++ b/tests/test_relay_peers.py
@@ -47,7 +47,7 @@
 class SteppedGossip:
     """A `PeerGossip` that the test steps, with the batches of updates that it passed on."""
 
-    def __init__(self, clock, interval_s=0.05):
+    def __init__(self, clock, interval_s=0.05, far_zone=""):
         self.batches, self.silent = [], []
         self.address = (fresh_host(), 8004)
         self.peers = PeerGossip(
@@ -61,7 +61,7 @@
                 if with_history
                 else UsageUpdate(7, {7: {"a": 2}})
             ),
-            lambda zone: False,
+            lambda zone: zone == far_zone,
             lambda batch: self.batches.append(list(batch)),
             self.silent.append,
         )
