Begin no stream whose request was ended for a held part

What callers saw: a stream could break off after its first event, with 200, where a part of its prompt was held in the moment in which that event was read.

Cause: the dispatcher checked that no answer had begun and then aborted, while the request's thread recorded the begin in between.

Change: `Job` makes check and abort one step, and recording the begin the other, under a lock. A stream whose request was ended before raises the refusal, so that the caller gets 502 and no event.

--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -401,8 +401,8 @@
         if forwarded:
             self._ready_pieces.append(b"".join(forwarded))
         if has_progress:
-            self._has_begun = True
             self._job.on_answer_begun()
+            self._has_begun = True
             self._failover.on_progress()
             self._record_prompt_read()
             self._silent_limit_s, self._silent_for_s = event_gap_silence_limit_s(self._job), 0.0
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -3,6 +3,7 @@
 import hashlib
 import random
 import secrets
+import threading
 from collections.abc import Callable
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
@@ -88,6 +89,8 @@
         self.token = secrets.token_hex(8)
         # Whether a part of the answer has come from a backend server.
         self.has_begun = False
+        # Makes the check that no answer has begun and the end of the request one step.
+        self._begin_lock = threading.Lock()
         # Whether the head of an answer that is no failure has come.
         self.has_head = False
         self.excluded: frozenset[str] = frozenset()
@@ -341,10 +344,27 @@
             self._held_answers.pop().release()
 
     def on_answer_begun(self) -> None:
-        """Record that a backend server has begun to answer, which clears the parts of the prompt."""
-        if not self.has_begun:
+        """Record that a backend server has begun to answer, which clears the parts of the prompt.
+
+        Raises `RelayFailedError` if the request was ended for a held part before.
+        """
+        with self._begin_lock:
+            if self.has_begun:
+                return
+            ended = self.running.abort_reason
+            if (
+                not self.is_answered
+                and ended is not None
+                and ended.kind is ErrorKind.CRASHES_BACK_ENDS
+            ):
+                raise RelayFailedError(self.abort_refusal())
             self.has_begun = True
-            self.deps.dispatcher.on_prompt_answered(self.parts)
+        self.deps.dispatcher.on_prompt_answered(self.parts)
+
+    def end_unanswered(self, refusal: Refusal) -> bool:
+        """Abort the request unless its answer has begun, and return whether this aborted it."""
+        with self._begin_lock:
+            return not self.is_answered and self.running.abort(refusal)
 
     def count_for_customer(self) -> None:
         """Count the request for its customer, once."""
--- a/src/laburnumreel/relay/_parts_in_flight.py
+++ b/src/laburnumreel/relay/_parts_in_flight.py
@@ -25,6 +25,8 @@
     @property
     def is_answered(self) -> bool: ...
 
+    def end_unanswered(self, refusal: Refusal) -> bool: ...
+
 
 class EndedRequest(NamedTuple):
     """A request that was ended while some backend servers had it."""
@@ -67,7 +69,7 @@
             refusal = Refusal(ErrorKind.CRASHES_BACK_ENDS, reason.detail, reason.remaining_s)
             # Its thread takes them out as soon as it is aborted.
             back_ends = request.back_ends
-            if request.running.abort(refusal):
+            if request.end_unanswered(refusal):
                 request_id = request.running.request_id
                 _log.info(HELD_REQUEST_ENDED, request=request_id, detail=reason.detail)
                 lost = LostRequest(request_id, request.token, request.digest, request.parts)
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from unittest.mock import MagicMock
 
 import pytest
 from click.testing import CliRunner
@@ -20,15 +21,17 @@
 from laburnumreel.coordination import BrokenRequest, CrashReport
 from laburnumreel.core import ManualClock
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
-from laburnumreel.relay._crash_evidence import CrashEvidence, LostRequest
+from laburnumreel.relay._crash_evidence import CrashEvidence, HeldReason, LostRequest
 from laburnumreel.relay._dispatcher import MAX_WAITING, Dispatcher
 from laburnumreel.relay._holds_wait import FIRST_UPDATE_WAIT_S
+from laburnumreel.relay._job import Job, RelayFailedError
 from laburnumreel.relay._parts_in_flight import PartsInFlight
 from laburnumreel.relay._ports import Listing
+from laburnumreel.relay._requests import Prompt, PromptPart
 from laburnumreel.relay._settings import RetrySettings
 from laburnumreel.relay._waiting import WaitingRequest
 from laburnumreel.serving import RunningRequest
-from laburnumreel.state import ErrorKind
+from laburnumreel.state import ErrorKind, Refusal
 from laburnumreel.ui import cli
 from laburnumreel.ui._context import Context
 
@@ -251,6 +254,7 @@
         self.back_ends = frozenset()
         self.running = RunningRequest(name, None, 99.0, lambda: False)
         self.is_answered = name == "answered"
+        self.end_unanswered = self.running.abort
 
 
 def test_hold_ends_neither_trials_nor_answers_nor_requests_with_suspects():
@@ -383,3 +387,24 @@
     refused = [future.result() for future in futures if future.done()]
     assert len(refused) == 6
     assert all(refusal.retry_after_s > FIRST_UPDATE_WAIT_S for refusal in refused)
+
+
+def make_job():
+    parts = Prompt("m", (PromptPart("dd", 400),), 500, 50)
+    request = MagicMock(method="POST", host="h", target="/", body=b"", prompt=parts)
+    running = RunningRequest("r", None, 99.0, lambda: False)
+    return Job(MagicMock(), request, MagicMock(), MagicMock(), "", 0, running, 1)
+
+
+def test_stream_is_not_begun_after_its_request_was_ended():
+    """The first event of a stream was passed on after its request had been ended, then no more."""
+    in_flight, ended, begun = PartsInFlight(), make_job(), make_job()
+    begun.on_answer_begun()
+    for job in (ended, begun):
+        in_flight.add(job)
+    in_flight.end_held(lambda job: HeldReason("held", 5.0))
+    with pytest.raises(RelayFailedError):
+        ended.on_answer_begun()
+    assert begun.running.abort_reason is None
+    refusal = Refusal(ErrorKind.CRASHES_BACK_ENDS)
+    assert not begun.end_unanswered(refusal), "it began after the check"
