Reset the head of an answer with each send of a request

What callers saw: a plain request whose first answer had begun and broken off was not ended when a part of its prompt got held during the repeat.

Cause: `Job.has_head` stayed set, so that the request counted as answered.

Change: each send that the request waits for sets it anew: unset, or set where a hedged send that is taken over has its head already.

Evidence: the test failed before. Found by reading; not seen in a run.

--- a/src/laburnumreel/relay/_attempt.py
+++ b/src/laburnumreel/relay/_attempt.py
@@ -185,6 +185,8 @@
 
     def _attach(self) -> None:
         """Let the request's deadline, or its caller's disconnect, abort the exchange."""
+        # The head of an earlier send does not count for this one.
+        self._job.has_head = self.verdict is not None and self.verdict.outcome != "failure"
         self._attached = True
         if not self._job.running.attach(self._exchange):
             raise RelayFailedError(self._job.abort_refusal())
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -91,7 +91,7 @@
         self.has_begun = False
         # Makes the check that no answer has begun and the end of the request one step.
         self._begin_lock = threading.Lock()
-        # Whether the head of an answer that is no failure has come.
+        # Whether the head of an answer that is no failure has come for the current send.
         self.has_head = False
         self.excluded: frozenset[str] = frozenset()
         # The run state of each send that a backend server may have run.
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -21,6 +21,7 @@
 from laburnumreel.coordination import BrokenRequest, CrashReport
 from laburnumreel.core import ManualClock
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
+from laburnumreel.relay._attempt import Attempt
 from laburnumreel.relay._crash_evidence import CrashEvidence, HeldReason, LostRequest
 from laburnumreel.relay._dispatcher import MAX_WAITING, Dispatcher
 from laburnumreel.relay._holds_wait import FIRST_UPDATE_WAIT_S
@@ -389,11 +390,22 @@
     assert all(refusal.retry_after_s > FIRST_UPDATE_WAIT_S for refusal in refused)
 
 
+def test_head_of_a_failed_answer_does_not_count_for_the_next_send():
+    """A repeat of a plain request ran on under a held part because its first answer had a head."""
+    job, exchange = make_job(), MagicMock()
+    job.has_head = True
+    exchange.write.side_effect = ConnectionResetError
+    with pytest.raises(ConnectionResetError):
+        Attempt(job, MagicMock(), MagicMock(), exchange).send(1.0)
+    assert not job.has_head
+
+
 def make_job():
     parts = Prompt("m", (PromptPart("dd", 400),), 500, 50)
     request = MagicMock(method="POST", host="h", target="/", body=b"", prompt=parts)
-    running = RunningRequest("r", None, 99.0, lambda: False)
-    return Job(MagicMock(), request, MagicMock(), MagicMock(), "", 0, running, 1)
+    running, deps = RunningRequest("r", None, 99.0, lambda: False), MagicMock()
+    deps.clock.now.return_value = 1.0
+    return Job(deps, request, MagicMock(), MagicMock(), "", 0, running, 1)
 
 
 def test_stream_is_not_begun_after_its_request_was_ended():
