Bound the wait for the first load report of a newly listed engine

Cause: they waited in a table of the dispatcher, before admission.

Change: admission queues them like others, charged to the rate limits and within the bound of the queue, though the service has no capacity. The time until which capacity is awaited is fixed when a request comes: 3 s after the newest listing, never later than 3 s after its arrival. Deadlines and holds apply as in the queue. A stop of the dispatcher refuses all that wait with `stopping`.

--- a/src/laburnumreel/coordination/_admission.py
+++ b/src/laburnumreel/coordination/_admission.py
@@ -181,14 +181,17 @@
             for item in state.queue.waiting():
                 state.queue.set_weight(item.customer, self._weight(service, item.customer))
 
-    def offer(self, offer: Offer, now: float) -> Decision:
-        """Admit, queue or refuse a request."""
+    def offer(self, offer: Offer, now: float, capacity_due_at: float | None = None) -> Decision:
+        """Admit, queue or refuse a request.
+
+        It may wait until `capacity_due_at` for a service that has no capacity yet.
+        """
         state = self._states.setdefault(offer.service, _ServiceState())
-        refusal = self._refusal_for(offer, state, now)
+        refusal = self._refusal_for(offer, state, now, capacity_due_at is not None)
         if refusal is not None:
             return Refused(refusal)
         self._charge(offer.service, offer.customer, 1, offer.tokens, now)
-        item = QueuedRequest(offer.request_id, offer.customer, offer.tokens, offer.deadline, now)
+        item = QueuedRequest(offer.request_id, *offer[2:], now, capacity_due_at or math.inf)
         state.queue.push(item, self._weight(offer.service, offer.customer))
         self._waiting[offer.request_id] = (offer.service, item)
         if state.running < state.capacity and len(state.queue) == 1:
@@ -224,7 +227,8 @@
         expired = []
         for request_id, (service, item) in list(self._waiting.items()):
             state = self._states[service]
-            if service in self._removed_services:
+            is_overdue = state.capacity <= 0 and now >= item.capacity_due_at
+            if service in self._removed_services or is_overdue:
                 self._drop(request_id, now)
                 expired.append((request_id, self._no_capacity_refusal(service)))
             elif now + state.estimate_run_s(item.tokens) > item.deadline or now >= item.deadline:
@@ -275,7 +279,9 @@
         self._charge(run.service, run.customer, 0, tokens - run.tokens, now)
         return self._admit(run.service, state, now)
 
-    def _refusal_for(self, offer: Offer, state: _ServiceState, now: float) -> Refusal | None:
+    def _refusal_for(
+        self, offer: Offer, state: _ServiceState, now: float, may_await_capacity: bool
+    ) -> Refusal | None:
         rate_limit_wait_s = self._rate_limit_wait_s(offer.service, offer.customer, now)
         # Requests without a customer are not charged either: see `_charge`.
         if rate_limit_wait_s > 0 and offer.customer:
@@ -284,7 +290,7 @@
                 f"customer {offer.customer} is over its rate limit",
                 self._retry_after(rate_limit_wait_s),
             )
-        if state.capacity <= 0:
+        if state.capacity <= 0 and not may_await_capacity:
             return self._no_capacity_refusal(offer.service)
         if now >= offer.deadline:
             return Refusal(ErrorKind.DEADLINE_UNMEETABLE, "the deadline has passed", 1.0)
--- a/src/laburnumreel/coordination/_fair_queue.py
+++ b/src/laburnumreel/coordination/_fair_queue.py
@@ -1,6 +1,7 @@
 """Weighted fair queue of one service: start-time fair queueing by tokens."""
 
 import heapq
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -12,13 +13,17 @@
 
 
 class QueuedRequest(NamedTuple):
-    """A request in the queue."""
+    """A request in the queue.
+
+    From `capacity_due_at` on it waits no longer for a service without capacity.
+    """
 
     request_id: str
     customer: str
     tokens: int
     deadline: float
     offered_at: float
+    capacity_due_at: float = math.inf
 
 
 class _Flow:
--- a/src/laburnumreel/coordination/_fleet.py
+++ b/src/laburnumreel/coordination/_fleet.py
@@ -159,14 +159,19 @@
         entry.on_report(report, now)
         return is_first
 
-    def awaits_first_report(self, service: str, now: float, cheap: bool) -> bool:
-        """Return whether a service has only engines without a report, one of them newly listed."""
+    def first_report_due_at(self, service: str, now: float, cheap: bool) -> float | None:
+        """Return until when the first report of a newly listed engine of a service is awaited.
+
+        None if a usable back end has reported or needs no report, or if none is newly listed.
+        """
         usable = [
             entry for entry in self._services.get(service, ()) if self._is_usable(entry, now, cheap)
         ]
-        return all(
-            entry.host.kind == "engine" and entry.report is None for entry in usable
-        ) and any(now - entry.listed_at < FIRST_REPORT_WAIT_S for entry in usable)
+        if any(entry.host.kind != "engine" or entry.report is not None for entry in usable):
+            return None
+        listed_at = max((entry.listed_at for entry in usable), default=-math.inf)
+        due_at = listed_at + FIRST_REPORT_WAIT_S
+        return due_at if now < due_at else None
 
     def on_cache_events(
         self, name: str, stored: Sequence[str], evicted: Sequence[str], gap: bool
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -30,7 +30,7 @@
 from laburnumreel.serving._held_parts import HeldParts
 from laburnumreel.serving._metrics import DRAIN_MARKS, QUARANTINED
 from laburnumreel.serving._silence_tracker import HedgeDenial, SilenceTracker
-from laburnumreel.state import Configuration, Host, Refusal
+from laburnumreel.state import Configuration, ErrorKind, Host, Refusal
 
 TICK_INTERVAL_S = 0.05
 # How long a back end gets no work after a refusal: long enough for its load report to show why.
@@ -76,8 +76,6 @@
         self._silence_tracker = SilenceTracker()
         self._configuration = Configuration()
         self._queued: dict[str, tuple[BackEndSelection, Future]] = {}
-        # Offers to services whose engines have not sent their first load report.
-        self._unassessed: dict[str, tuple[Offer, BackEndSelection, Future]] = {}
         self._quarantine = Quarantine()
         self._gateways = gateways
         self._capacity_updated_at = 0.0
@@ -277,11 +275,11 @@
             self._notify_update()
         if now - self._capacity_updated_at >= CAPACITY_INTERVAL_S:
             self._update_capacity()
-        self._assess_offers()
-        admitted, refused = self._admission.expire(now)
-        self._resolve_admitted(admitted)
-        for request_id, refusal in refused:
-            self._resolve_offer(request_id, refusal)
+        self._expire_offers()
+
+    def close(self) -> None:
+        for request_id in list(self._queued):
+            self._resolve_offer(request_id, Refusal(ErrorKind.STOPPING))
 
     def _post(self, function: Callable[..., Any], *arguments: Any) -> None:
         self.tell(_Call(function, arguments))
@@ -294,10 +292,9 @@
         if held is not None:
             future.set_result(held)
             return
-        if self._awaits_first_report(offer, selection):
-            self._unassessed[offer.request_id] = (offer, selection, future)
-            return
-        decision = self._admission.offer(offer, self._clock.now())
+        now = self._clock.now()
+        due_at = self._fleet.first_report_due_at(offer.service, now, selection.allow_interruptible)
+        decision = self._admission.offer(offer, now, due_at)
         if isinstance(decision, Admitted):
             future.set_result(
                 self._on_choose(selection.work, selection.allow_interruptible, (), selection.digest)
@@ -307,21 +304,14 @@
         else:
             future.set_result(decision.refusal)
 
-    def _awaits_first_report(self, offer: Offer, selection: BackEndSelection) -> bool:
-        return self._fleet.awaits_first_report(
-            offer.service, self._clock.now(), selection.allow_interruptible
-        )
-
-    def _assess_offers(self) -> None:
-        """Decide on the offers that need not wait for a first load report any more."""
-        for request_id, (offer, selection, future) in list(self._unassessed.items()):
-            if not self._awaits_first_report(offer, selection):
-                del self._unassessed[request_id]
-                self._on_offer(offer, selection, future)
+    def _expire_offers(self) -> None:
+        """Refuse the waiting offers whose time is over, and admit those that fit."""
+        admitted, refused = self._admission.expire(self._clock.now())
+        self._resolve_admitted(admitted)
+        for request_id, refusal in refused:
+            self._resolve_offer(request_id, refusal)
 
     def _on_cancel_offer(self, request_id: str) -> None:
-        if self._unassessed.pop(request_id, None) is not None:
-            return
         if self._queued.pop(request_id, None) is None:
             # It was admitted before this message, and its request does not know the back end.
             for back_end, running in list(self._running.items()):
@@ -449,7 +439,7 @@
     def _on_load(self, name: str, report: LoadReport) -> None:
         if self._fleet.on_load(name, report, self._clock.now()):
             self._update_capacity()
-            self._assess_offers()
+            self._expire_offers()
 
     def _local_update(self) -> NodeUpdate:
         now = self._clock.now()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -158,11 +158,11 @@
     return SimpleNamespace(profiles={"chat": profile}, customers={}, services={"chat": service})
 
 
-def offer_requests(dispatcher, count):
+def offer_requests(dispatcher, count, deadline=1000.0):
     """Offer `count` requests and return their futures."""
     answers = [
         dispatcher.offer(
-            Offer(f"r{number}", "chat", "hall-a", 10, 1000.0),
+            Offer(f"r{number}", "chat", "hall-a", 10, deadline),
             BackEndSelection(make_work(f"r{number}"), False, ""),
         )
         for number in range(count)
@@ -215,6 +215,28 @@
     assert unserved.result(timeout=5).kind == ErrorKind.NO_BACK_END
 
 
+@pytest.mark.parametrize("ended_by", ["stop", "deadline", "time"])
+def test_waits_for_a_first_report_are_bounded(start_dispatcher, ended_by):
+    """1000 of 1000 requests waited, past deadline and stop, as long as other engines were listed."""
+    dispatcher = start_dispatcher(streams=())
+    dispatcher.configure(make_configuration())
+    engine = Host("w0", "127.0.0.1:9000", "xela-a", "xela", "chat", "engine", False, "live")
+    dispatcher.hosts([engine])
+    deadline = 1.0 if ended_by == "deadline" else 1000.0
+    waiting, beyond = offer_requests(dispatcher, 100, deadline)[0::99]
+    assert not waiting.done() and beyond.result(timeout=5).kind == ErrorKind.QUEUE_FULL
+    if ended_by == "stop":
+        dispatcher.stop()
+    else:
+        dispatcher._clock.advance(deadline if ended_by == "deadline" else FIRST_REPORT_WAIT_S - 0.1)
+        dispatcher.hosts([engine, engine._replace(name="w1", address="127.0.0.2:9000")])
+        dispatcher._clock.advance(0.1)
+    refusal = waiting.result(timeout=5)
+    kinds = {"stop": ErrorKind.STOPPING, "deadline": ErrorKind.DEADLINE_UNMEETABLE}
+    assert refusal.kind == kinds.get(ended_by, ErrorKind.NO_BACK_END)
+    assert refusal.state == RunState.NOT_RUN
+
+
 def test_changed_configuration_does_not_reset_the_retry_budget(start_dispatcher):
     """Guards against a new configuration that resets the retry budget.
 
