Put a request off only at back ends that were silent as a whole

Cause: each resumption counted, without a bound, and was dropped with the last stream of a back end.

Change: a resumption makes a back end unfit only if it was silent by the share rule. A request that finds only such back ends is put off for 0.5 s in its silence, then takes one of them. Resumptions are dropped by time, on each tick.

Evidence: test_back_end_that_resumes_often_takes_requests_over (50 requests; one request) and the extended test_back_end_that_has_just_resumed_gets_no_hedge failed before. test_gateway_failover passes; test_gateway_silence -k streams_stay, ten runs, five at a time, beside other load: none failed.

--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -200,7 +200,9 @@
     ) -> None:
         """Record that a request is no longer silent, as a rule because it receives bytes again."""
         if has_received_bytes:
-            self._silence_tracker.on_resumed(back_end, self._clock.now())
+            now = self._clock.now()
+            self._silence_tracker.on_resumed(back_end, now)
+            self._post(self._silence_tracker.on_back_end_resumed, back_end, self._running, now)
         self._post(self._silence_tracker.on_silence_ended, back_end, request_id)
 
     def has_just_resumed(self, back_end: str) -> bool:
@@ -276,6 +278,7 @@
         if now - self._capacity_updated_at >= CAPACITY_INTERVAL_S:
             self._update_capacity()
         self._expire_offers()
+        self._silence_tracker.forget_old(now)
 
     def close(self) -> None:
         for request_id in list(self._queued):
@@ -362,15 +365,18 @@
         if not budget.reserve(now):
             return HedgeDenial.NO_RETRY
         tracker = self._silence_tracker
+        resuming = tracker.resuming_back_ends(now, work.request_id)
         unfit = {
             *exclude,
             *tracker.silent_back_ends(self._running),
             *tracker.paused_back_ends(now, silence_s),
-            *tracker.resuming_back_ends(now),
+            *resuming,
         }
         back_end = self._choose_and_record(work, allow_interruptible, unfit, digest)
         if back_end is None:
             budget.release()
+            if resuming:
+                tracker.on_put_off(work.request_id, now)
             return HedgeDenial.NO_BACK_END
         return back_end
 
--- a/src/laburnumreel/serving/_silence_tracker.py
+++ b/src/laburnumreel/serving/_silence_tracker.py
@@ -41,6 +41,10 @@
         self._streaming_requests: dict[str, set[str]] = {}
         self._last_byte_at: dict[str, float] = {}
         self._resumed_at: dict[str, float] = {}
+        # When back ends that were silent as a whole resumed.
+        self._back_end_resumed_at: dict[str, float] = {}
+        # When requests first found only back ends that had just resumed.
+        self._put_off_at: dict[str, float] = {}
 
     def on_bytes(self, back_end: str, now: float) -> None:
         """Record that bytes arrived from a back end. May be called on any thread."""
@@ -68,6 +72,25 @@
     def on_silence_ended(self, back_end: str, request_id: str) -> None:
         """Record that a request is no longer silent."""
         _discard(self._silent_requests, back_end, request_id)
+        self._put_off_at.pop(request_id, None)
+
+    def on_back_end_resumed(
+        self, back_end: str, running: Mapping[str, Collection[str]], now: float
+    ) -> None:
+        """Record that a silent request received a byte, before its silence has ended here."""
+        if back_end in self.silent_back_ends(running):
+            self._back_end_resumed_at[back_end] = now
+
+    def on_put_off(self, request_id: str, now: float) -> None:
+        """Record that a request finds no back end that has not just resumed."""
+        self._put_off_at.setdefault(request_id, now)
+
+    def forget_old(self, now: float) -> None:
+        """Drop the resumptions that are `RESUME_GRACE_S` old."""
+        for resumed_at in (self._resumed_at, self._back_end_resumed_at):
+            for name, at in list(resumed_at.items()):
+                if now - at >= RESUME_GRACE_S:
+                    resumed_at.pop(name, None)
 
     def on_request_left(self, back_end: str, request_id: str) -> None:
         """Remove a request that no longer runs on a back end."""
@@ -75,7 +98,9 @@
         _discard(self._streaming_requests, back_end, request_id)
         if back_end not in self._streaming_requests:
             self._last_byte_at.pop(back_end, None)
-            self._resumed_at.pop(back_end, None)
+        # A request that is put off is silent at one back end, and may have left another one.
+        if not any(request_id in silent for silent in self._silent_requests.values()):
+            self._put_off_at.pop(request_id, None)
 
     def silent_back_ends(self, running: Mapping[str, Collection[str]]) -> set[str]:
         """Return the silent back ends, given the requests that run on each back end."""
@@ -85,9 +110,14 @@
             if len(silent_requests) >= SILENT_REQUEST_SHARE * len(running.get(name, ()))
         }
 
-    def resuming_back_ends(self, now: float) -> set[str]:
-        """Return the back ends that were silent and sent bytes again a moment ago."""
-        return {name for name in list(self._resumed_at) if self.has_just_resumed(name, now)}
+    def resuming_back_ends(self, now: float, request_id: str = "") -> set[str]:
+        """Return the back ends that were silent as a whole and sent bytes again a moment ago.
+
+        None for a request that was put off for `RESUME_GRACE_S` in its silence.
+        """
+        if now - self._put_off_at.get(request_id, now) >= RESUME_GRACE_S:
+            return set()
+        return {n for n, at in self._back_end_resumed_at.items() if now - at < RESUME_GRACE_S}
 
     def paused_back_ends(self, now: float, silence_s: float) -> set[str]:
         """Return the back ends whose streams have all paused for a share of `silence_s` seconds."""
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -217,11 +217,29 @@
     dispatcher.choose(make_work("other"), False, ["w0"], "")
     dispatcher.on_silence("w1", "other")
     dispatcher.on_silence_ended("w1", "other")
+    dispatcher.on_attempt_ended("w1", "other", False)
     assert dispatcher.reserve_hedge(selection, ["w0"], SILENCE_S) is HedgeDenial.NO_BACK_END
+    assert dispatcher.has_just_resumed("w1")
     clock.advance(RESUME_GRACE_S)
     assert dispatcher.reserve_hedge(selection, ["w0"], SILENCE_S).name == "w1"
 
 
+@pytest.mark.parametrize("others", [0, 49])
+def test_back_end_that_resumes_often_takes_requests_over(dispatcher, clock, others):
+    """One of 50 requests that paused each 0.4 s kept a sound back end from taking any over."""
+    for number in range(others + 1):
+        dispatcher.choose(make_work(f"other-{number}"), False, ["w0"], "")
+    selection = BackEndSelection(make_work("r"), False, "")
+    reserved = []
+    for _ in range(3 if others == 0 else 1):
+        dispatcher.on_silence("w1", "other-0")
+        dispatcher.on_silence_ended("w1", "other-0")
+        reserved.append(dispatcher.reserve_hedge(selection, ["w0"], SILENCE_S))
+        clock.advance(0.4)
+    assert reserved[:-1] == [HedgeDenial.NO_BACK_END] * (len(reserved) - 1)
+    assert reserved[-1].name == "w1"
+
+
 def test_request_waits_briefly_for_a_back_end_that_resumes(dispatcher, clock):
     """Two streams moved 0.07 s after others of their engine went on, and used up two retries."""
     dispatcher.choose(make_work("other"), False, ["w1"], "")
