Wait for the log line of a costly answer in its test

The log that the test prints at its end has the line, written 13 ms after the request was placed.

Cause: the test reads the log as soon as its request has ended, while log lines are written in batches by a thread of their own.

Change: the test waits for the line, which must still come. Other assertions on log lines in the file come after other waits.

--- a/tests/test_event_work.py
+++ b/tests/test_event_work.py
@@ -6,6 +6,7 @@
 import pytest
 from counting_buffer import CountingBuffer
 from platform_answers import begin_stream, chunk, event, stream
+from platform_world import wait_until
 from relay_caller import PROMPT_HEADERS, Caller
 
 from laburnumreel.core import ManualClock
@@ -130,7 +131,8 @@
         assert b'laburnumreel_relay_attempts_total{outcome="too_costly"} 1' in metrics
         unit = "comments" if part.startswith(b":") else "events"
         assert f'laburnumreel_costly_answers_total{{unit="{unit}"}} 1'.encode() in metrics
-        assert relay.find_log_lines("answer_too_costly")
+        # The log is written in batches.
+        wait_until(lambda: relay.find_log_lines("answer_too_costly"), "the answer is logged")
 
     @pytest.mark.processes
     def test_server_with_an_event_that_never_ends_is_counted(self, world):
