--- a/tests/test_event_work.py
+++ b/tests/test_event_work.py
@@ -148,7 +148,7 @@
         assert Caller(relay).ask("/ask/x", **PROMPT_HEADERS)[0] == 502
         metrics = relay.get(relay.admin_port, "/metrics")[1]
         assert b'laburnumreel_relay_attempts_total{outcome="too_long"} 1' in metrics
-        assert relay.find_log_lines("attempt_failed")
+        wait_until(lambda: relay.find_log_lines("attempt_failed"), "the attempt is logged")
 
 
 class TestSoundServers:
