Ask one piece of code which crash a held part explains

Where a peer had seen a crash 2 to 3.5 s earlier, the gateway did not recognize it as the one that a held part explains, and requests that were lost beside it kept their strikes and could be quarantined for ten minutes.

Cause: CrashSuspects listed the times of explained crashes, and CrashTracker compared them with its own by a constant of its own.

Change: `CrashSuspects.is_explained` answers for a back end and a time, by the rule by which it tells crashes apart; the list and the second constant are gone. With no unexplained crash, a tick of the gateway no longer goes through all recent crashes.

Evidence: test_neighbour_of_a_crash_that_a_peer_saw_three_seconds_before_is_not_quarantined failed before.

--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -316,13 +316,12 @@
                 break
         return tuple(reports)
 
-    def explained_crashes(self) -> dict[str, list[float]]:
-        """Return when backend servers crashed because of a part that is held."""
-        times: dict[str, list[float]] = {}
-        for crash in self._crashes:
-            if crash.by_part.keys() & self._holds.keys():
-                times.setdefault(crash.back_end, []).append(crash.at)
-        return times
+    def is_explained(self, back_end: str, at: float) -> bool:
+        """Return whether a part that is held explains the crash of a backend server at a time."""
+        return any(
+            _is_same_crash(crash, back_end, at) and crash.by_part.keys() & self._holds.keys()
+            for crash in self._crashes
+        )
 
     def answered_suspects(self, now: float) -> dict[str, float]:
         """Return how long ago parts that recent crashes speak against were last answered.
@@ -386,7 +385,7 @@
 
     def _find_or_add(self, back_end: str, at: float) -> Crash:
         for crash in reversed(self._crashes):
-            if crash.back_end == back_end and abs(crash.at - at) < SAME_CRASH_S:
+            if _is_same_crash(crash, back_end, at):
                 return crash
         crash = Crash(back_end, at)
         insort(self._crashes, crash, key=lambda each: each.at)
@@ -469,6 +468,10 @@
             self._unsettled.appendleft((released_at, touched - {part}))
 
 
+def _is_same_crash(crash: Crash, back_end: str, at: float) -> bool:
+    return crash.back_end == back_end and abs(crash.at - at) < SAME_CRASH_S
+
+
 def _weight(part: str, crashes: Sequence[Crash]) -> tuple[int, int]:
     """Return how much speaks against a part: its crashes, and how far back it stands in prompts."""
     return len(crashes), max(crash.by_part[part].depth for crash in crashes)
--- a/src/laburnumreel/serving/_crashes.py
+++ b/src/laburnumreel/serving/_crashes.py
@@ -11,8 +11,6 @@
 from laburnumreel.serving._events import BACK_END_CRASHED, STRIKES_TAKEN_BACK
 from laburnumreel.serving._held_parts import HeldParts
 
-# Back ends that crash again are known by the time of the crash, which peers see this much apart.
-SAME_CRASH_S = 2.0
 MAX_CRASHES = 256
 # The first request may lose its answer this long before the crash is confirmed.
 LOSS_WINDOW_S = 1.0
@@ -108,11 +106,9 @@
 
         Return the digests that are no longer quarantined.
         """
-        explained_at = self._held_parts.explained_crashes()
         released = set()
         for crash in list(self._unexplained):
-            times = explained_at.get(crash.back_end, ())
-            if not any(abs(at - crash.at) < SAME_CRASH_S for at in times):
+            if not self._held_parts.is_explained(crash.back_end, crash.at):
                 continue
             self._unexplained.remove(crash)
             neighbours = {
--- a/src/laburnumreel/serving/_held_parts.py
+++ b/src/laburnumreel/serving/_held_parts.py
@@ -39,9 +39,9 @@
         for request in requests:
             self._suspects.record_crash(back_end, request, now)
 
-    def explained_crashes(self) -> dict[str, list[float]]:
-        """Return when back ends crashed because of a part that is or was held."""
-        return self._suspects.explained_crashes()
+    def is_explained(self, back_end: str, at: float) -> bool:
+        """Return whether a part that is held explains the crash of a back end at a time."""
+        return self._suspects.is_explained(back_end, at)
 
     def record_answer(self, parts: Iterable[str], now: float) -> bool:
         """Record that an answer has begun, and return whether that let a held part go."""
--- a/tests/test_held_parts.py
+++ b/tests/test_held_parts.py
@@ -5,9 +5,11 @@
 
 import pytest
 
-from laburnumreel.coordination import LoadReport, Offer, RoutingRequest
+from laburnumreel.coordination import BrokenRequest, LoadReport, Offer, Quarantine, RoutingRequest
 from laburnumreel.core import ManualClock
+from laburnumreel.serving._crashes import CrashTracker, RunningWork
 from laburnumreel.serving._dispatcher import BackEndSelection, Dispatcher
+from laburnumreel.serving._held_parts import HeldParts
 from laburnumreel.serving._silence_tracker import HedgeDenial
 from laburnumreel.state import ErrorKind, Host, Refusal
 
@@ -121,6 +123,20 @@
         assert gateway.dispatcher.remaining_quarantine_s("e" * 16) is None
 
 
+def test_neighbour_of_a_crash_that_a_peer_saw_three_seconds_before_is_not_quarantined():
+    """It kept its strikes, though the crash counted as the one that the held part explains."""
+    held_parts = HeldParts()
+    tracker = CrashTracker(Quarantine(), held_parts, sees_all_requests=False)
+    neighbour = RunningWork("e" * 16, make_work("e" * 16, FIRST))
+    tracker.record_crash("other", "e" * 16, False, {"e" * 16: neighbour}, 0.0)
+    for number in range(4):
+        broken = BrokenRequest(f"{number}d" * 8, (FIRST, DEADLY))
+        held_parts.record_crash(f"w{number}", [broken], 1.0 + number)
+        held_parts.record_answer((FIRST,), 1.5 + number)
+    assert [held.part for held in held_parts.hold_guilty(5.0)] == [DEADLY]
+    assert tracker.record_crash("w3", "e" * 16, False, {"e" * 16: neighbour}, 7.0) == set()
+
+
 @pytest.mark.parametrize("wait_s", [1.0, 20.0])
 def test_answer_lets_a_held_part_go_at_every_gateway(gateways, wait_s):
     """A part that back ends can answer again was refused until its time was over."""
