--- a/bench/_crash_fleet.py
+++ b/bench/_crash_fleet.py
@@ -352,9 +352,7 @@
         now = self._now
         for report in reports:
             self._timed(self._probe.on_peer_report, report, now)
-        self._timed(
-            self._probe.record_answers, {part: now - age_s for part, age_s in answered.items()}
-        )
+        self._timed(self._probe.on_peer_answers, answered, now)
         self._timed(self._probe.on_peer_holds, holds, now)
 
     def _timed(self, action: Callable[..., Any], *arguments: Any) -> None:
--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -132,6 +132,10 @@
                 hold.on_trial_crashed(now)
         self._record(back_end, now, (request,), now, is_own=True)
 
+    def on_peer_answers(self, ages_s: Mapping[str, float], now: float) -> list[str]:
+        """Record how long ago peers saw answers with each part begin; return the parts let go."""
+        return self.record_answers({part: now - max(0.0, age_s) for part, age_s in ages_s.items()})
+
     def on_peer_report(self, report: CrashReport, now: float) -> None:
         """Record a crash that a peer reports."""
         at = now - max(0.0, report.age_s)
--- a/src/laburnumreel/relay/_crash_evidence.py
+++ b/src/laburnumreel/relay/_crash_evidence.py
@@ -49,6 +49,9 @@
     digest: str
     parts: tuple[str, ...]
 
+    def as_broken(self) -> BrokenRequest:
+        return BrokenRequest(self.token, self.parts, self.digest)
+
 
 class HeldReason(NamedTuple):
     """Why a request is refused, and for how many more seconds."""
@@ -120,8 +123,7 @@
         self._crashes[lost.digest] = now + CRASH_S
         self._count_crash(lost.digest, now)
         if lost.parts:
-            broken = BrokenRequest(lost.token, lost.parts, lost.digest)
-            self._suspects.record_crash(back_end, broken, now)
+            self._suspects.record_crash(back_end, lost.as_broken(), now)
         self._count_ended(back_end, now)
 
     def record_ended(self, back_ends: Iterable[str], lost: LostRequest, now: float) -> None:
@@ -129,9 +131,8 @@
 
         If one of them crashes soon after, the request counts as broken off by the crash.
         """
-        broken = BrokenRequest(lost.token, lost.parts, lost.digest)
         for back_end in back_ends:
-            self._ended.setdefault(back_end, []).append((now, broken))
+            self._ended.setdefault(back_end, []).append((now, lost.as_broken()))
 
     def record_answer(self, parts: Sequence[str], now: float) -> None:
         """Record that the answer to a prompt with these shared parts has begun here."""
@@ -200,8 +201,7 @@
                 self._count_crash(digest, now)
             self._peer_crashes[crash_key] = now + CRASH_S
         # Before the crashes, so that no part is judged by them that was answered since.
-        answered_at = {part: now - max(0.0, age_s) for part, age_s in update.answered.items()}
-        released = self._suspects.record_answers(answered_at)
+        released = self._suspects.on_peer_answers(update.answered, now)
         self._log_released(released, f"an answer began at {update.sender}")
         for report in update.crash_reports:
             self._suspects.on_peer_report(report, now)
--- a/src/laburnumreel/serving/_held_parts.py
+++ b/src/laburnumreel/serving/_held_parts.py
@@ -105,8 +105,8 @@
         """Apply the update of a peer, and return the parts that are held because of it."""
         for report in update.crash_reports:
             self._suspects.on_peer_report(report, now)
-        answered_at = {part: now - age_s for part, age_s in update.answered_parts.items()}
-        self._log_released(self._suspects.record_answers(answered_at), "answered_elsewhere")
+        released = self._suspects.on_peer_answers(update.answered_parts, now)
+        self._log_released(released, "answered_elsewhere")
         return self.on_peer_holds(update.held_parts, now)
 
     def on_peer_holds(self, holds: Mapping[str, float], now: float) -> list[str]:
