--- a/bench/_crash_rules.py
+++ b/bench/_crash_rules.py
@@ -4,7 +4,7 @@
 from contextlib import contextmanager
 from typing import Any, NamedTuple
 
-from laburnumreel.coordination import CrashSuspects, _crash_suspects
+from laburnumreel.coordination import CrashSuspects, _crash_rules, _crash_suspects
 
 
 class NoParts(CrashSuspects):
@@ -28,20 +28,26 @@
     @contextmanager
     def applied(self) -> Iterator[None]:
         """Set the constants for the time of a run."""
-        before = {name: getattr(_crash_suspects, name) for name, _ in self.constants}
+        before = {name: getattr(_module_of(name), name) for name, _ in self.constants}
         for name, value in self.constants:
-            setattr(_crash_suspects, name, value)
+            setattr(_module_of(name), name, value)
         try:
             yield
         finally:
             for name, value in before.items():
-                setattr(_crash_suspects, name, value)
+                setattr(_module_of(name), name, value)
+
+
+def _module_of(constant: str) -> Any:
+    return _crash_rules if hasattr(_crash_rules, constant) else _crash_suspects
 
 
 def _strikes(*pairs: tuple[int, float]) -> tuple[tuple[str, Any], ...]:
     """Return the constants for rules that ask for strikes and their share of the crashes alone."""
     rules = tuple(
-        _crash_suspects.Rule(strikes, strikes, share, _crash_suspects.MIN_REQUESTS, 30.0)
+        _crash_rules.Rule(
+            strikes, strikes, share, _crash_rules.MIN_REQUESTS, _crash_rules.FIRST_TRIAL_S
+        )
         for strikes, share in pairs
     )
     return (("RULES", rules),)
--- a/src/laburnumreel/coordination/_crash_records.py
+++ b/src/laburnumreel/coordination/_crash_records.py
@@ -9,20 +9,6 @@
 MAX_REQUESTS_PER_CRASH = 256
 
 
-class Rule(NamedTuple):
-    """How much must speak against a part that no answer has cleared since.
-
-    It must have been at `share` of all servers that crashed meanwhile. The part is tried
-    `trial_delay_s` after it was held.
-    """
-
-    strikes: int
-    crashes: int
-    share: float
-    requests: int
-    trial_delay_s: float
-
-
 class BrokenRequest(NamedTuple):
     """A request that a backend server had not begun to answer when it crashed.
 
--- a/src/laburnumreel/coordination/_crash_suspects.py
+++ b/src/laburnumreel/coordination/_crash_suspects.py
@@ -8,7 +8,6 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from itertools import islice
-from math import log
 
 from laburnumreel.coordination._crash_records import (
     HOLD_S,
@@ -17,25 +16,29 @@
     CrashReport,
     HeldPart,
     Hold,
+)
+from laburnumreel.coordination._crash_rules import (
+    CLEAR_EVIDENCE,
+    FIRST_TRIAL_S,
+    MIN_EVIDENCE,
+    MIN_SERVERS,
+    RELAPSE_RULE,
+    SOUND_S,
     Rule,
+    evidence_against,
+    least_crashes,
+    matching_rule,
+    requests_with,
+    weight_against,
 )
 
 # Reports of a crash of the same backend server within this time are about the same crash: it takes
 # longer to start again.
 SAME_CRASH_S = 3.5
-# Servers that are lost within this time are one strike, because they are likely to have a common
-# cause.
-MIN_STRIKE_GAP_S = 0.2
 # Answers within this time of one another count once, because peers may tell of the same one with
 # slightly different ages, and how many of these times are kept.
 ANSWER_STEP_S = 0.05
 MAX_ANSWER_STEPS = 1000
-# A part is held if no answer meanwhile had a part as frequent as it, by chance, with a probability
-# of at most e to the minus the first; it is tried at once unless also e to the minus the second.
-MIN_EVIDENCE = 1.0
-CLEAR_EVIDENCE = 4.0
-MIN_SERVERS = 2
-MIN_REQUESTS = 2
 STRIKE_WINDOW_S = 600.0
 # How long reports of other requests and hosts about the same crash are awaited before it counts.
 SETTLE_S = 0.3
@@ -43,7 +46,7 @@
 # times between two trials that crash a server; the last one is repeated. The first trial comes after
 # the time of the rule. A host that heard of the hold from a peer waits for the first of the times if it
 # knows of the crashes, otherwise for `ADOPTED_TRIAL_DELAY_S`.
-TRIAL_DELAYS_S = (30.0, 600.0, 3600.0)
+TRIAL_DELAYS_S = (FIRST_TRIAL_S, 600.0, 3600.0)
 ADOPTED_TRIAL_DELAY_S = 600.0
 # A trial that neither began an answer nor crashed a server is repeated after this time.
 OPEN_TRIAL_S = 30.0
@@ -66,20 +69,6 @@
 MAX_ANSWERED_PARTS = 10_000
 
 
-RULES = (
-    Rule(4, 4, 0.75, MIN_REQUESTS, TRIAL_DELAYS_S[0]),
-    # Several such parts may come at the same time.
-    Rule(8, 8, 0.3, MIN_REQUESTS, TRIAL_DELAYS_S[0]),
-    # Crashes may come so fast that they are few strikes.
-    Rule(3, 5, 0.9, 4, 0.0),
-    Rule(2, 5, 0.9, 5, 0.0),
-    Rule(2, 6, 0.9, 3, 0.0),
-)
-# For parts that were answered shortly before the crashes began.
-RULES_FOR_SOUND = (Rule(8, 8, 0.75, 8, 0.0),)
-SOUND_S = 60.0
-
-
 class CrashSuspects:
     """Decides which parts of prompts may not be sent because they crash backend servers.
 
@@ -171,11 +160,10 @@
                     guilty[part] = crashes, rule
             if not guilty:
                 break
-            part = max(guilty, key=lambda each: _weight(each, guilty[each][0]))
+            part = max(guilty, key=lambda each: weight_against(each, guilty[each][0]))
             crashes, rule = guilty[part]
-            requests = set().union(*(crash.by_part[part].requests for crash in crashes))
             back_ends = tuple(crash.back_end for crash in crashes)
-            held.append(HeldPart(part, back_ends, len(requests)))
+            held.append(HeldPart(part, back_ends, len(requests_with(part, crashes))))
             delays_s = [each for each in TRIAL_DELAYS_S if each > rule.trial_delay_s]
             self._holds[part] = Hold(now, crashes[-1].at, now + rule.trial_delay_s, delays_s)
             due.discard(part)
@@ -401,7 +389,7 @@
         counts: Counter[str] = Counter()
         for crash in self._crashes:
             counts.update(crash.by_part.keys())
-        least = min(rule.crashes for rule in RULES)
+        least = least_crashes()
         return {part for part in parts if counts[part] >= least or part in self._relapses}
 
     def _crashes_against(self, part: str, unexplained: Sequence[Crash]) -> list[Crash]:
@@ -417,51 +405,20 @@
     ) -> Rule | None:
         """Return the rule by which a part is held, or None if too little speaks against it."""
         if part in self._relapses and crashes:
-            return RULES[0]
-        rule = self._matching_rule(part, crashes, unexplained)
+            return RELAPSE_RULE
+        answered_at = self._answered_at.get(part, float("-inf"))
+        rule = matching_rule(part, crashes, unexplained, answered_at)
         if rule is None:
             return None
-        evidence = self._evidence(part, crashes, unexplained)
+        since = crashes[0].at
+        answers = sum(1 for step in self._answer_steps if step * ANSWER_STEP_S > since)
+        evidence = evidence_against(part, crashes, unexplained, answers)
         # Without an answer to any prompt, the servers may be what is broken.
         if evidence < least_evidence or self._last_answer_at <= crashes[1].at:
             self._undecided.add(part)
             return None
         return rule if evidence >= CLEAR_EVIDENCE else rule._replace(trial_delay_s=0.0)
 
-    def _matching_rule(
-        self, part: str, crashes: Sequence[Crash], unexplained: Sequence[Crash]
-    ) -> Rule | None:
-        """Return the rule by which the crashes alone would be enough to hold a part, or None."""
-        if len({crash.back_end for crash in crashes}) < MIN_SERVERS:
-            return None
-        strikes, last_at = 0, float("-inf")
-        for crash in crashes:
-            if crash.at >= last_at + MIN_STRIKE_GAP_S:
-                strikes, last_at = strikes + 1, crash.at
-        since_first = sum(1 for each in unexplained if each.at >= crashes[0].at)
-        requests = set().union(*(crash.by_part[part].requests for crash in crashes))
-        was_sound = crashes[0].at - self._answered_at.get(part, float("-inf")) < SOUND_S
-        for rule in RULES_FOR_SOUND if was_sound else RULES:
-            if (
-                strikes >= rule.strikes
-                and len(crashes) >= max(rule.crashes, rule.share * since_first)
-                and len(requests) >= rule.requests
-            ):
-                return rule
-        return None
-
-    def _evidence(self, part: str, crashes: Sequence[Crash], unexplained: Sequence[Crash]) -> float:
-        """Return how unlikely it is that no answer since the first of these crashes had a part.
-
-        The result is the negative natural logarithm of the probability, for a sound part that is as
-        frequent in answers as in the requests that were broken off.
-        """
-        since = crashes[0].at
-        answers = sum(1 for step in self._answer_steps if step * ANSWER_STEP_S > since)
-        broken = set().union(*(crash.requests for crash in unexplained if crash.at >= since))
-        requests = set().union(*(crash.by_part[part].requests for crash in crashes))
-        return -answers * log(1 - len(requests) / (len(broken) + 1))
-
     def _release(self, part: str) -> None:
         """Let a part go, and judge the others again by the crashes that it no longer explains."""
         released_at = self._holds.pop(part).since
@@ -474,8 +431,3 @@
 
 def _is_same_crash(crash: Crash, back_end: str, at: float) -> bool:
     return crash.back_end == back_end and abs(crash.at - at) < SAME_CRASH_S
-
-
-def _weight(part: str, crashes: Sequence[Crash]) -> tuple[int, int]:
-    """Return how much speaks against a part: its crashes, and how far back it stands in prompts."""
-    return len(crashes), max(crash.by_part[part].depth for crash in crashes)
