Keep one count of the bytes that a second send has read early

An attempt counted both what it had ever read early and what of it was not taken yet. The first is asked for only while nothing is taken, when both are the same. No behaviour changes.

--- a/src/laburnumreel/relay/_attempt.py
+++ b/src/laburnumreel/relay/_attempt.py
@@ -68,7 +68,6 @@
         # Parts of the body that were read while another backend server was still awaited.
         self._early_pieces: deque[bytes] = deque()
         self._early_bytes = 0
-        self._early_held_bytes = 0
         self._held: HeldAnswer = job.deps.answer_memory.open(self._end_answer)
         self.verdict: Verdict | None = None
 
@@ -93,7 +92,7 @@
         A connection to a backend server that is leaving is closed.
         """
         self._early_pieces.clear()
-        self._early_held_bytes = 0
+        self._early_bytes = 0
         self._held.release()
         if self._failover is not None:
             self._failover.cancel_search()
@@ -136,13 +135,13 @@
 
     @property
     def early_bytes(self) -> int:
-        """The size of the part of the body that was read while another server was still awaited."""
+        """The size of what was read while another server was still awaited and is not taken yet."""
         return self._early_bytes
 
     @property
     def early_held_bytes(self) -> int:
         """The bytes that early pieces hold, including the copies made of them."""
-        return EARLY_COPIES * self._early_held_bytes
+        return EARLY_COPIES * self._early_bytes
 
     def read_early(self) -> bytes | None:
         """Read the head, or what has arrived of the body, while another server is still awaited.
@@ -158,7 +157,6 @@
         if piece:
             self._early_pieces.append(piece)
             self._early_bytes += len(piece)
-            self._early_held_bytes += len(piece)
             self.hold(self.early_held_bytes, wait_s=0.0)
         return piece
 
@@ -283,7 +281,7 @@
         if not self._early_pieces:
             return self.read_unbuffered()
         piece = self._early_pieces.popleft()
-        self._early_held_bytes -= len(piece)
+        self._early_bytes -= len(piece)
         return piece
 
     def read_unbuffered(self) -> bytes:
--- a/src/laburnumreel/relay/_hedged_send.py
+++ b/src/laburnumreel/relay/_hedged_send.py
@@ -23,7 +23,8 @@
     It owns its slot and permit until it is taken over or canceled.
     `is_continuation` returns whether the head of an answer that is no failure suits the request.
     `has_event` is called with each piece of a stream, returns whether it completes an event for the
-    caller, and raises ValueError or `CostlyAnswerError` if no piece ever will. Without it, the request continues with whole answers only.
+    caller, and raises ValueError or `CostlyAnswerError` if no piece ever will. Without it, the
+    request continues with whole answers only.
     """
 
     def __init__(
