--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -162,12 +162,12 @@
             if wrap_file is None or job.streaming or len(body[0]) <= MAX_UNHELD_BYTES:
                 return body
             is_held = True
-            return wrap_file(HeldBody(body[0], job.release_answers))
+            return wrap_file(HeldBody(body[0], job.release_answer))
         except RelayFailedError as error:
             return self._refuse(error.refusal, request, job.route.kind, start_response, job)
         finally:
             if not is_held:
-                job.release_answers()
+                job.release_answer()
             if not job.streaming:
                 self._finish(job)
 
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -113,8 +113,8 @@
         # Whether the answer is still being streamed after the WSGI application has returned.
         self.streaming = False
         self._is_counted = False
-        # Whole answers that were read and not passed on yet.
-        self._held_answers: list[HeldAnswer] = []
+        # The account of a whole answer that was read and not passed on yet.
+        self._held_answer: HeldAnswer | None = None
 
     @property
     def due(self) -> float:
@@ -334,14 +334,14 @@
             self._unused_permits -= 1
 
     def keep_answer(self, held: HeldAnswer) -> None:
-        """Count a whole answer as held until `release_answers`, instead of those kept before."""
-        self.release_answers()
-        self._held_answers.append(held)
-
-    def release_answers(self) -> None:
-        """Release the memory of answers that were passed on or are not needed."""
-        while self._held_answers:
-            self._held_answers.pop().release()
+        """Count a whole answer as held until `release_answer`, instead of one kept before."""
+        self.release_answer()
+        self._held_answer = held
+
+    def release_answer(self) -> None:
+        """Release the memory of an answer that was passed on or is not needed."""
+        if self._held_answer is not None:
+            self._held_answer.release()
 
     def on_answer_begun(self) -> None:
         """Record that a backend server has begun to answer, which clears the parts of the prompt.
