Convert a host's memory from MB in one place

The relay and the gateway each had a MemorySettings and a BYTES_PER_MB, and converted at different places for the same call. Both use that of the state package now, and AnswerMemory.from_host takes MB. In gateway.py the constant had come between GC_THRESHOLD and its comment. No behaviour changes.

--- a/src/laburnumreel/core/_answer_memory.py
+++ b/src/laburnumreel/core/_answer_memory.py
@@ -13,6 +13,7 @@
 ANSWERS_PER_REQUEST = 2
 # At most this share of the memory is reserved for small answers.
 MAX_RESERVED_SHARE = 0.25
+BYTES_PER_MB = 1024 * 1024
 # The share of the host's memory that answers may hold together.
 ANSWER_SHARE = 1 / 8
 # How long an answer waits for the memory of one that is being ended. The thread of that one wakes
@@ -49,12 +50,13 @@
 
     @classmethod
     def from_host(
-        cls, host_bytes: int, requests: int, gauge: Metric | None = None
+        cls, host_mb: float, requests: int, gauge: Metric | None = None
     ) -> "AnswerMemory":
         """Return the memory for answers of a host that serves `requests` requests at once.
 
-        `gauge` shows the bytes that are held.
+        `host_mb` is the host's memory in MB; `gauge` shows the bytes that are held.
         """
+        host_bytes = int(host_mb * BYTES_PER_MB)
         reserved_bytes = ANSWERS_PER_REQUEST * requests * SMALL_ANSWER_BYTES
         return cls(int(ANSWER_SHARE * host_bytes), reserved_bytes, gauge)
 
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -81,7 +81,6 @@
 # How often expired idle connections are closed.
 PRUNE_INTERVAL_S = 5.0
 # Number of allocations between garbage collections of the youngest generation.
-BYTES_PER_MB = 1024 * 1024
 GC_THRESHOLD = 20_000
 LOCAL_UPDATE_TIMEOUT_S = 1.0
 
@@ -161,9 +160,7 @@
                 background=self._background,
                 rng=self._rng,
                 answer_memory=AnswerMemory.from_host(
-                    int(settings.memory.host_mb * BYTES_PER_MB),
-                    settings.threads.callers,
-                    STORED_ANSWER_BYTES,
+                    settings.memory.host_mb, settings.threads.callers, STORED_ANSWER_BYTES
                 ),
             )
         )
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -135,7 +135,7 @@
                 self._rng,
                 self._on_request_began,
                 AnswerMemory.from_host(
-                    settings.memory.host_bytes, settings.threads, RELAY_ANSWER_BYTES
+                    settings.memory.host_mb, settings.threads, RELAY_ANSWER_BYTES
                 ),
                 UnknownHeaders(),
             ),
--- a/src/laburnumreel/relay/_settings.py
+++ b/src/laburnumreel/relay/_settings.py
@@ -16,9 +16,8 @@
     kinds,
 )
 from laburnumreel.relay._back_ends import Address
-from laburnumreel.state import LeaseSettings
+from laburnumreel.state import LeaseSettings, MemorySettings
 
-BYTES_PER_MB = 1024 * 1024
 # The memory of the smallest hosts.
 DEFAULT_HOST_MB = 160.0
 
@@ -70,12 +69,6 @@
     grace_s: float
 
 
-class MemorySettings(NamedTuple):
-    """The memory that the platform gives the host's process."""
-
-    host_bytes: int
-
-
 class RelaySettings(NamedTuple):
     """All settings of a relay host."""
 
@@ -168,7 +161,7 @@
             usage=UsageSettings(**values["usage"]),
             stop=StopSettings(**values["stop"]),
             threads=values["threads"]["callers"],
-            memory=MemorySettings(int(values["memory"]["host_mb"] * BYTES_PER_MB)),
+            memory=MemorySettings(**values["memory"]),
             news_interval_s=values["peers"]["interval_s"],
             log=LogSettings(**values["log"]),
         )
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -70,6 +70,7 @@
 from laburnumreel.state._settings import (
     SETTINGS_SCHEMA,
     LeaseSettings,
+    MemorySettings,
     Settings,
     UsageSettings,
     load_settings,
@@ -139,6 +140,7 @@
     "Lease",
     "LeaseAttempt",
     "LeaseSettings",
+    "MemorySettings",
     "Order",
     "OrderState",
     "Page",
--- a/src/laburnumreel/state/_settings.py
+++ b/src/laburnumreel/state/_settings.py
@@ -62,7 +62,7 @@
 
 
 class MemorySettings(NamedTuple):
-    """The memory that a gateway may use, in MB."""
+    """The memory that the process of a host may use, in MB."""
 
     host_mb: float
 
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -39,7 +39,7 @@
 
 class TestMemory:
     def test_small_answers_of_all_requests_fit_beside_large_ones(self):
-        memory = AnswerMemory.from_host(160 * MB, THREADS)
+        memory = AnswerMemory.from_host(160, THREADS)
         larges = [memory.open(lambda: None) for _ in range(THREADS)]
         for turn in range(1, 200):
             for large in larges:
