Stop the search for a first report at the first engine that has reported

Each request at a gateway went through all back ends of its service, to find whether a first load report is awaited; the first usable one that has reported tells that none is. A queued request without such a wait has no time for it, instead of an infinite one that was also taken for a time of 0. No other behaviour changes.

--- a/src/laburnumreel/coordination/_admission.py
+++ b/src/laburnumreel/coordination/_admission.py
@@ -184,14 +184,14 @@
     def offer(self, offer: Offer, now: float, capacity_due_at: float | None = None) -> Decision:
         """Admit, queue or refuse a request.
 
-        It may wait until `capacity_due_at` for a service that has no capacity yet.
+        If `capacity_due_at` is given, it may wait until then for a service without capacity.
         """
         state = self._states.setdefault(offer.service, _ServiceState())
         refusal = self._refusal_for(offer, state, now, capacity_due_at is not None)
         if refusal is not None:
             return Refused(refusal)
         self._charge(offer.service, offer.customer, 1, offer.tokens, now)
-        item = QueuedRequest(offer.request_id, *offer[2:], now, capacity_due_at or math.inf)
+        item = QueuedRequest(offer.request_id, *offer[2:], now, capacity_due_at)
         state.queue.push(item, self._weight(offer.service, offer.customer))
         self._waiting[offer.request_id] = (offer.service, item)
         if state.running < state.capacity and len(state.queue) == 1:
@@ -227,8 +227,8 @@
         expired = []
         for request_id, (service, item) in list(self._waiting.items()):
             state = self._states[service]
-            is_overdue = state.capacity <= 0 and now >= item.capacity_due_at
-            if service in self._removed_services or is_overdue:
+            is_overdue = item.capacity_due_at is not None and now >= item.capacity_due_at
+            if service in self._removed_services or (is_overdue and state.capacity <= 0):
                 self._drop(request_id, now)
                 expired.append((request_id, self._no_capacity_refusal(service)))
             elif now + state.estimate_run_s(item.tokens) > item.deadline or now >= item.deadline:
--- a/src/laburnumreel/coordination/_fair_queue.py
+++ b/src/laburnumreel/coordination/_fair_queue.py
@@ -1,7 +1,6 @@
 """Weighted fair queue of one service: start-time fair queueing by tokens."""
 
 import heapq
-import math
 from collections import deque
 from typing import NamedTuple
 
@@ -15,7 +14,7 @@
 class QueuedRequest(NamedTuple):
     """A request in the queue.
 
-    From `capacity_due_at` on it waits no longer for a service without capacity.
+    From `capacity_due_at` on, if it is given, it waits no longer for a service without capacity.
     """
 
     request_id: str
@@ -23,7 +22,7 @@
     tokens: int
     deadline: float
     offered_at: float
-    capacity_due_at: float = math.inf
+    capacity_due_at: float | None = None
 
 
 class _Flow:
--- a/src/laburnumreel/coordination/_fleet.py
+++ b/src/laburnumreel/coordination/_fleet.py
@@ -164,13 +164,13 @@
 
         None if a usable back end has reported or needs no report, or if none is newly listed.
         """
-        usable = [
-            entry for entry in self._services.get(service, ()) if self._is_usable(entry, now, cheap)
-        ]
-        if any(entry.host.kind != "engine" or entry.report is not None for entry in usable):
-            return None
-        listed_at = max((entry.listed_at for entry in usable), default=-math.inf)
-        due_at = listed_at + FIRST_REPORT_WAIT_S
+        due_at = -math.inf
+        for entry in self._services.get(service, ()):
+            if not self._is_usable(entry, now, cheap):
+                continue
+            if entry.host.kind != "engine" or entry.report is not None:
+                return None
+            due_at = max(due_at, entry.listed_at + FIRST_REPORT_WAIT_S)
         return due_at if now < due_at else None
 
     def on_cache_events(
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -291,11 +291,11 @@
         return self.ask(_Call(function, arguments)).result()
 
     def _on_offer(self, offer: Offer, selection: BackEndSelection, future: Future) -> None:
-        held = self._held_parts.refusal(selection.work.parts, self._clock.now())
+        now = self._clock.now()
+        held = self._held_parts.refusal(selection.work.parts, now)
         if held is not None:
             future.set_result(held)
             return
-        now = self._clock.now()
         due_at = self._fleet.first_report_due_at(offer.service, now, selection.allow_interruptible)
         decision = self._admission.offer(offer, now, due_at)
         if isinstance(decision, Admitted):
