--- a/src/laburnumreel/ui/_part.py
+++ b/src/laburnumreel/ui/_part.py
@@ -2,9 +2,13 @@
 
 import re
 
+from collections.abc import Callable
+from typing import Any
+
 import click
+from expression import Result
 
-from laburnumreel.ui._context import Context, common_options, pass_context
+from laburnumreel.ui._context import Address, Context, common_options, pass_context
 from laburnumreel.ui._errors import ExitCode, UserError
 from laburnumreel.ui._lists import format_table
 
@@ -25,11 +29,7 @@
 
     A gateway that heard of a part from a peer names no back ends.
     """
-    gateways = list(context.settings.peers.gateways)
-    answers = context.call_all(gateways, context.peers.held_parts)
-    answered = [address for address in gateways if answers[address].is_ok()]
-    if not answered:
-        raise UserError(ExitCode.UNREACHABLE, f"none of {len(gateways)} gateways answered")
+    answered, gateways = _call_gateways(context, context.peers.held_parts)
     rows = [
         {
             "part": held.part,
@@ -39,12 +39,12 @@
             "requests": held.requests or "-",
             "back_ends": ",".join(held.back_ends) or "-",
         }
-        for host, port in answered
-        for held in answers[host, port].ok
+        for (host, port), held_parts in answered.items()
+        for held in held_parts
     ]
-    value = {"parts": rows, "answered": len(answered), "gateways": len(gateways)}
+    value = {"parts": rows, "answered": len(answered), "gateways": gateways}
     lines = format_table(rows, _COLUMNS)
-    context.print_result(value, [*lines, f"{len(answered)} of {len(gateways)} gateways answered"])
+    context.print_result(value, [*lines, f"{len(answered)} of {gateways} gateways answered"])
 
 
 @part.command()
@@ -60,24 +60,32 @@
         raise UserError(
             ExitCode.USAGE, f"invalid digest {digest}: 16 hexadecimal digits are expected"
         )
-    gateways = list(context.settings.peers.gateways)
-    answers = context.call_all(
-        gateways, lambda address: context.peers.release_part(address, digest)
+    confirmed, gateways = _call_gateways(
+        context, lambda address: context.peers.release_part(address, digest)
     )
-    confirmed = [address for address in gateways if answers[address].is_ok()]
-    if not confirmed:
-        raise UserError(ExitCode.UNREACHABLE, f"none of {len(gateways)} gateways answered")
-    released = sum(answers[address].ok for address in confirmed)
+    released = sum(confirmed.values())
     value = {
         "part": digest,
         "released": released,
         "confirmed": len(confirmed),
-        "gateways": len(gateways),
+        "gateways": gateways,
     }
     context.print_result(
         value,
         [
             f"let go at {released} gateways that held it;"
-            f" {len(confirmed)} of {len(gateways)} gateways confirmed"
+            f" {len(confirmed)} of {gateways} gateways confirmed"
         ],
     )
+
+
+def _call_gateways(
+    context: Context, call: Callable[[Address], Result[Any, str]]
+) -> tuple[dict[Address, Any], int]:
+    """Return what each gateway that answered has returned, and the number of all gateways."""
+    gateways = list(context.settings.peers.gateways)
+    answers = context.call_all(gateways, call)
+    answered = {address: answers[address].ok for address in gateways if answers[address].is_ok()}
+    if not answered:
+        raise UserError(ExitCode.UNREACHABLE, f"none of {len(gateways)} gateways answered")
+    return answered, len(gateways)
