--- a/src/laburnumreel/transport/_admin.py
+++ b/src/laburnumreel/transport/_admin.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
 from typing import Any
 
 from laburnumreel.core import render_metrics
@@ -21,8 +22,8 @@
 def create_admin_server(
     address: tuple[str, int],
     check_readiness: ReadinessCheck,
-    pages: Mapping[str, Page] | None = None,
-    actions: Mapping[str, Action] | None = None,
+    pages: Mapping[str, Page] = MappingProxyType({}),
+    actions: Mapping[str, Action] = MappingProxyType({}),
 ) -> HttpServer:
     """Return an HTTP server that answers `/healthz`, `/readyz` and `/metrics`.
 
@@ -34,22 +35,21 @@
     def application(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
         path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
         head, _, argument = path[1:].partition("/")
-        if path in (pages or {}):
-            answer = _json(pages[path]())
-        elif method == "POST" and argument and f"/{head}" in (actions or {}):
-            answer = _json(actions[f"/{head}"](argument))
+        if path in pages:
+            status, content_type, body = _json(pages[path]())
+        elif method == "POST" and argument and f"/{head}" in actions:
+            status, content_type, body = _json(actions[f"/{head}"](argument))
         else:
-            answer = _respond(path, check_readiness)
-        status, content_type, body = answer
+            status, content_type, body = _respond(path, check_readiness)
         headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
         start_response(status, headers)
-        return [b"" if environ["REQUEST_METHOD"] == "HEAD" else body]
+        return [b"" if method == "HEAD" else body]
 
     return HttpServer(application, address, ADMIN_THREADS)
 
 
-def _json(value: dict[str, Any]) -> tuple[str, str, bytes]:
-    return "200 OK", "application/json", json.dumps(value).encode()
+def _json(value: dict[str, Any], status: str = "200 OK") -> tuple[str, str, bytes]:
+    return status, "application/json", json.dumps(value).encode()
 
 
 def _respond(path: str, check_readiness: ReadinessCheck) -> tuple[str, str, bytes]:
@@ -58,7 +58,7 @@
     if path == "/readyz":
         ready, details = check_readiness()
         status = "200 OK" if ready else "503 Service Unavailable"
-        return status, "application/json", json.dumps({"ready": ready, **details}).encode()
+        return _json({"ready": ready, **details}, status)
     if path == "/metrics":
         return "200 OK", "text/plain; version=0.0.4", render_metrics()
     return "404 Not Found", "text/plain", b"not found\n"
