--- a/src/laburnumreel/ui/_part.py
+++ b/src/laburnumreel/ui/_part.py
@@ -1,7 +1,6 @@
 """The `part` commands: held parts of prompts."""
 
 import re
-
 from collections.abc import Callable
 from typing import Any
 
