Share the repeated steps of the soaks and of the tests of held parts

Two soaks start a server under the id of another one, and three tests let a part be held; each has one function for it now.

--- a/tests/planned_failures.py
+++ b/tests/planned_failures.py
@@ -7,7 +7,6 @@
 import time
 
 from planned_callers import PlannedCaller
-from planned_servers import RoleServer
 from planned_soak import PlannedSoak, run_soak
 
 SILENCE_RANGE_S, CRASH_RANGE_S = (0.5, 2.5), (0.2, 1.5)
@@ -84,11 +83,7 @@
 
     def _return(self, old, after_s):
         time.sleep(after_s)
-        stage = old.entry.get("Stage")
-        new = RoleServer(self.world, self.history, old.name, old.service, self.seed, stage)
-        new.entry = {**new.entry, "born": old.entry["born"] + 1}
-        self.world.store.put("servers", new.name, new.entry)
-        self.servers.append(new)
+        self._start_under_id_of(old)
 
     def _change_soon(self):
         time.sleep(self.rng.uniform(0.0, 0.4))
--- a/tests/planned_soak.py
+++ b/tests/planned_soak.py
@@ -234,13 +234,16 @@
         self.world.store.put("servers", old.name, {**old.entry, "State": "draining", "Sequence": 9})
         self._run_in_background(self._start_again, old, self.rng.uniform(0.0, 1.5))
 
-    def _start_again(self, old, after_s):
-        time.sleep(after_s)
+    def _start_under_id_of(self, old):
         stage = old.entry.get("Stage")
         new = RoleServer(self.world, self.history, old.name, old.service, self.seed, stage)
         new.entry = {**new.entry, "born": old.entry["born"] + 1}
         self.world.store.put("servers", new.name, new.entry)
         self.servers.append(new)
+
+    def _start_again(self, old, after_s):
+        time.sleep(after_s)
+        self._start_under_id_of(old)
         time.sleep(DRAIN_S)
         old.kill("refused")
 
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -113,6 +113,14 @@
     return status == 503 and headers.get("x-error-kind") == "crashes_back_ends"
 
 
+def crash_until_held(relay, numbers):
+    """Send unlike requests that crash servers, each before a sound one, until one is refused."""
+    for _ in range(MAX_DEADLY_REQUESTS):
+        if is_refused(relay, next(numbers)):
+            return
+        assert ask(relay, next(numbers))[0] == 200
+
+
 @pytest.mark.processes
 def test_unlike_requests_with_a_deadly_part_stop_reaching_servers_on_all_hosts(world):
     """Requests that were no two alike crashed servers without end (BUDGET)."""
@@ -150,10 +158,7 @@
     engines = Engines(world, 6)
     first = world.start_relay("relay-1")
     numbers = itertools.count()
-    for _ in range(MAX_DEADLY_REQUESTS):
-        if is_refused(first, next(numbers)):
-            break
-        assert ask(first, next(numbers))[0] == 200
+    crash_until_held(first, numbers)
     assert is_refused(first, next(numbers))
     engines.is_held = True
     second = world.start_relay("relay-2")
@@ -170,10 +175,7 @@
     assert ask(second, next(numbers))[0] == 200
     second.process.send_signal(signal.SIGSTOP)
     try:
-        for _ in range(MAX_DEADLY_REQUESTS):
-            if is_refused(first, next(numbers)):
-                break
-            assert ask(first, next(numbers))[0] == 200
+        crash_until_held(first, numbers)
         assert is_refused(first, next(numbers))
         engines.is_held = True
         with ThreadPoolExecutor() as executor:
@@ -201,10 +203,7 @@
         deadly, sound = (
             executor.submit(ask, relay, next(numbers), *parts, LONG) for parts in ([DEADLY], [])
         )
-        for _ in range(MAX_DEADLY_REQUESTS):
-            if is_refused(relay, next(numbers)):
-                break
-            assert ask(relay, next(numbers))[0] == 200
+        crash_until_held(relay, numbers)
         held_at = time.monotonic()
         status, headers = deadly.result()
         assert time.monotonic() - held_at < 1.0
