review: a relay learns late of a draining worker once its readers are killed

Two of three relays are killed, those that read the workers' table. The third one sends requests to a worker later than DrainMs after it has reported draining; the worker's exit cuts some of them off.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -47,7 +47,6 @@
 
 class _QuietServer(ThreadingHTTPServer):
     daemon_threads = True
-    request_queue_size = 256
 
     def handle_error(self, request, client_address):
         """Ignore connections that the other end has reset."""
@@ -74,10 +73,21 @@
 
 
 class _Server:
-    def __init__(self, handler, port=0):
-        self._server = _QuietServer((HOST, port), handler)
-        self.port = self._server.server_address[1]
+    # Connections that may wait until they are accepted.
+    listen_backlog = 256
+
+    def __init__(self, handler):
+        self._handler, self.port = handler, 0
+        self.listen_again()
         self.address = f"{HOST}:{self.port}"
+
+    def listen_again(self):
+        """Listen on the same port, or on a free one at first."""
+        self._server = _QuietServer((HOST, self.port), self._handler, bind_and_activate=False)
+        self._server.request_queue_size = self.listen_backlog
+        self._server.server_bind()
+        self._server.server_activate()
+        self.port = self._server.server_address[1]
         threading.Thread(target=self._server.serve_forever, args=(0.05,), daemon=True).start()
 
     def stop(self):
@@ -91,16 +101,27 @@
     def __init__(self):
         self._rows, self._log, self._version = {}, [], 0
         self._changed = threading.Condition()
+        # The calls that followed a table: time, the relay whose address it was, table, wait in ms.
+        self.polls = []
+        super().__init__(self._make_handler(""))
+
+    def _make_handler(self, relay):
         store = self
 
         class Handler(_Handler):
+            relay_name = relay
+
             def do_GET(self):
                 store._get(self)
 
             def do_POST(self):
                 store._transact(self)
 
-        super().__init__(Handler)
+        return Handler
+
+    def open_address(self, relay):
+        """Return a further server of the same store, to tell the calls of one relay apart."""
+        return _Server(self._make_handler(relay))
 
     def put(self, table, key, value):
         """Write a row as the operator or a worker does; None removes it."""
@@ -145,6 +166,9 @@
             body = {"Rows": rows[:limit], "Truncated": len(rows) > limit}
             self._answer(handler, 200, body)
             return
+        self.polls.append(
+            (time.monotonic(), handler.relay_name, query["Table"], int(query["WaitMs"]))
+        )
         after, until = int(query["after"]), time.monotonic() + int(query["WaitMs"]) / 1000
         with self._changed:
             while True:
@@ -235,7 +259,8 @@
                     f" {run.method} {run.path} body={run.body_size}"
                     f" tenant={self.headers.get('Tenant-Id')}"
                 )
-                time.sleep(worker.work_s)
+                if not worker.begin(run, self):
+                    return
                 if worker._has_exited:
                     self.close_connection = True
                     return
@@ -247,6 +272,11 @@
             setattr(Handler, f"do_{method}", Handler.do)
         super().__init__(Handler)
 
+    def begin(self, run, handler):
+        """Work on a request; return whether it is to be answered."""
+        time.sleep(self.work_s)
+        return True
+
     def exit(self):
         """End as a process does: nothing is answered or accepted any more."""
         self._has_exited = True
