Log how old a host's list of backend servers is, and who reads it

The age of the list at each placement (list_age_ms), the rank of a host and the two first readers of its region when they change (689), and each poll of a host that is no reader with its reason and the age of its list before it (690).

--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -19,6 +19,12 @@
 DIRECTORY_LOST = define_event(611, "directory_lost", "a table of the store can't be read")
 DIRECTORY_BACK = define_event(612, "directory_back", "a table of the store can be read again")
 DIRECTORY_REREAD = define_event(613, "directory_reread", "a table of the store is read in full")
+DIRECTORY_RANKED = define_event(
+    689, "directory_ranked", "this host's rank among those that read a table has changed"
+)
+DIRECTORY_POLLED = define_event(
+    690, "directory_polled", "a host that reads a table seldom has polled it"
+)
 BACK_END_LISTED = define_event(614, "back_end_listed", "a backend server was listed or changed")
 BACK_END_GONE = define_event(615, "back_end_gone", "a backend server is no longer listed")
 PEER_HEARD = define_event(616, "relay_peer_heard", "a peer sent its first update")
--- a/src/laburnumreel/relay/_feed_follower.py
+++ b/src/laburnumreel/relay/_feed_follower.py
@@ -9,7 +9,12 @@
 from expression import Result
 
 from laburnumreel.core import Clock, Log, Task
-from laburnumreel.relay._events import DIRECTORY_BACK, DIRECTORY_LOST, DIRECTORY_REREAD
+from laburnumreel.relay._events import (
+    DIRECTORY_BACK,
+    DIRECTORY_LOST,
+    DIRECTORY_POLLED,
+    DIRECTORY_REREAD,
+)
 from laburnumreel.relay._poll_schedule import PollSchedule
 from laburnumreel.relay._ports import Entry, Feed, Listing
 from laburnumreel.state import PlatformError, era_of_version
@@ -87,6 +92,11 @@
         """How far this host has read the table, and when it polls next."""
         return self._schedule
 
+    @property
+    def view_age_s(self) -> float:
+        """The seconds for which changes of the table may be unknown to this host."""
+        return self._clock.now() - self._schedule.confirmed_at
+
     def set_rank(self, rank: int, hosts: int) -> None:
         """Set this host's rank among those of its region, and the number of hosts in total."""
         self._schedule.set_rank(rank, hosts)
@@ -168,6 +178,15 @@
         self._reread_requested = False
         self._last_answer_at = now
         changed = self._newest_change(listing)
+        if not (listing.complete or self._long_poll or self._schedule.is_reader):
+            _log.info(
+                DIRECTORY_POLLED,
+                table=self._table,
+                reason=self._schedule.polls_for,
+                age_s=round(sent_at - self._schedule.confirmed_at, 3),
+                took_s=round(now - sent_at, 3),
+                changed=changed > 0,
+            )
         if listing.complete:
             _log.info(
                 DIRECTORY_REREAD,
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -57,6 +57,8 @@
     count_customer_request: Callable[[str], None]
     answer_memory: AnswerMemory
     unknown_headers: UnknownHeaders
+    # The age of this host's list of backend servers, in seconds.
+    list_age_s: Callable[[], float]
 
 
 class Job:
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -28,6 +28,7 @@
 from laburnumreel.relay._dispatcher import Dispatcher
 from laburnumreel.relay._duties import DUTY_LEASE, Duties, NoProcessTimer
 from laburnumreel.relay._events import (
+    DIRECTORY_RANKED,
     LISTEN_FAILED,
     RELAY_CONFIGURED,
     RELAY_READY,
@@ -41,8 +42,9 @@
 from laburnumreel.relay._members import Member, Members
 from laburnumreel.relay._membership import Membership
 from laburnumreel.relay._metrics import RELAY_ANSWER_BYTES
-from laburnumreel.relay._peer_gossip import PeerGossip, host_rank
+from laburnumreel.relay._peer_gossip import PeerGossip, rank_hosts
 from laburnumreel.relay._peer_update_handler import PeerUpdateHandler
+from laburnumreel.relay._poll_schedule import READERS_PER_REGION
 from laburnumreel.relay._ports import Adapter, Listing
 from laburnumreel.relay._roles import RolePlanner
 from laburnumreel.relay._settings import RelaySettings
@@ -138,6 +140,7 @@
                     settings.memory.host_mb, settings.threads, RELAY_ANSWER_BYTES
                 ),
                 UnknownHeaders(),
+                lambda: self._back_end_feed.view_age_s,
             ),
             adapter.callers,
             self._registry,
@@ -402,7 +405,9 @@
         if self._membership.has_listed:
             self._dispatcher.hosts(hosts, self._membership.replaces_killed)
         self._adapter.store_pace.set_hosts(hosts)
-        rank = host_rank(self._settings.host.name, readers)
+        ranked = rank_hosts({self._settings.host.name, *readers})
+        rank = ranked.index(self._settings.host.name)
+        _log.info(DIRECTORY_RANKED, rank=rank, hosts=hosts, first=ranked[:READERS_PER_REGION])
         for feed in (self._config_feed, self._back_end_feed):
             feed.set_rank(rank, hosts)
         self._lease_keeper.set_watcher_count(hosts)
--- a/src/laburnumreel/relay/_peer_gossip.py
+++ b/src/laburnumreel/relay/_peer_gossip.py
@@ -456,13 +456,13 @@
     return max(PEER_TIMEOUT_S, PEER_TIMEOUT_INTERVALS * interval_s)
 
 
-def host_rank(name: str, peers: Iterable[str]) -> int:
-    """Return a host's position among its peers, in an order that all hosts agree on.
+def rank_hosts(names: Iterable[str]) -> list[str]:
+    """Return hosts in an order that all hosts agree on and that spreads the first places.
 
-    >>> sorted(host_rank(name, {"a", "b", "c"} - {name}) for name in "abc")
-    [0, 1, 2]
+    >>> rank_hosts(["a", "b", "c"]) == rank_hosts(["c", "a", "b"])
+    True
     """
-    return sum(1 for peer in peers if _rank_key(peer) < _rank_key(name))
+    return sorted(names, key=_rank_key)
 
 
 @lru_cache(maxsize=4096)
--- a/src/laburnumreel/relay/_placement_log.py
+++ b/src/laburnumreel/relay/_placement_log.py
@@ -19,6 +19,7 @@
         route=job.route.name,
         back_end=assignment.runner.name,
         candidates=assignment.candidates,
+        list_age_ms=round(1000 * job.deps.list_age_s()),
         news_age_ms=round(1000 * assignment.update_age_s),
         config_version=job.config_version,
         waited_ms=round(1000 * job.elapsed_s),
--- a/src/laburnumreel/relay/_poll_schedule.py
+++ b/src/laburnumreel/relay/_poll_schedule.py
@@ -7,6 +7,7 @@
 """
 
 import random
+from typing import Literal
 
 # Hosts of a region that poll often. The loss of one or two at once causes no delay.
 READERS_PER_REGION = 2
@@ -81,6 +82,16 @@
         """The version up to which this host has read all changes."""
         return self._seen_version
 
+    @property
+    def confirmed_at(self) -> float:
+        """The time up to which this host is known to have read all changes."""
+        return self._confirmed_at
+
+    @property
+    def polls_for(self) -> Literal["change", "unconfirmed"]:
+        """Why a host that is no reader polls next: it knows of a change, or hears of no polls."""
+        return "unconfirmed" if self._change_hint_at is None else "change"
+
     @property
     def is_unavailable(self) -> bool:
         """Whether this host's last poll failed."""
--- a/tests/repeats_world.py
+++ b/tests/repeats_world.py
@@ -171,6 +171,7 @@
             lambda customer: None,
             AnswerMemory(10**6),
             UnknownHeaders(),
+            lambda: 0.0,
         )
         running = RunningRequest(name, None, now + 3.0, lambda: False)
         return Job(deps, request, self.route, SERVICE, "", 1, running, 1)
--- a/tests/test_relay_looks.py
+++ b/tests/test_relay_looks.py
@@ -7,8 +7,8 @@
 from laburnumreel.relay._peer_gossip import (
     MAX_FAR_PER_S,
     MAX_NEAR_PER_S,
-    host_rank,
     peer_timeout_s,
+    rank_hosts,
     send_interval_s,
 )
 from laburnumreel.relay._poll_schedule import (
@@ -35,8 +35,9 @@
         rng = random.Random(seed)
         names = [f"h{number}" for number in range(hosts)]
         self.schedules = [PollSchedule(random.Random(rng.random())) for _ in names]
+        ranked = rank_hosts(names)
         for name, schedule in zip(names, self.schedules, strict=True):
-            schedule.set_rank(host_rank(name, set(names) - {name}), hosts * regions)
+            schedule.set_rank(ranked.index(name), hosts * regions)
         self.interval_s = send_interval_s(0.15, hosts, MAX_NEAR_PER_S)
         self.next_update_at = [rng.random() * self.interval_s for _ in names]
         self.now, self.calls, self.failed = 0.0, 0, 0
@@ -86,7 +87,8 @@
         }
         for number, schedule in enumerate(self.schedules):
             name = f"h{number}"
-            schedule.set_rank(host_rank(name, readable - {name}), 3 * len(self.schedules))
+            rank = rank_hosts(readable | {name}).index(name)
+            schedule.set_rank(rank, 3 * len(self.schedules))
 
     def count_behind(self):
         """Return the number of hosts that have not read the last change."""
