Bound the age of each host's view of the backend servers' table by itself

Cause: in each region two hosts read the table often. Once both are lost, the others polled 2.5 to 3.75 s after the last word of a peer, counted from the arrival of that word. Ruled out: a choice made long before the send.

Change: a host polls before its view is older than 0.7 of [back_ends] drain_ms (new setting, from the platform's DrainMs). The age counts from the store's answer: updates tell the store's clock at the sender's last read, so that a late word of a paused peer puts off nothing. A reader's long poll ends by then too. In large regions a host that has polled tells its region at once, so that others need not poll themselves.

--- a/idl/relay.thrift
+++ b/idl/relay.thrift
@@ -107,4 +107,8 @@
   // Asks for an update about crashes at once, which has this number in `answers_holds`; 0 if it does not.
   31: i64 asks_holds
   32: i64 answers_holds
+  // The store's clock when it answered the sender's last read of the table; milliseconds, 0 if there was none.
+  33: i64 listing_read_ms
+  // Sent between two others because the sender has read the table; everything else is as in the last one.
+  34: bool only_listing
 }
--- a/src/laburnumreel/protocol/gen/relay/ttypes.py
+++ b/src/laburnumreel/protocol/gen/relay/ttypes.py
@@ -739,11 +739,13 @@
      - only_crashes
      - asks_holds
      - answers_holds
+     - listing_read_ms
+     - only_listing
 
     """
 
 
-    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None, usage_window=None, ended=None, listing_seen=None, listing_away=None, gone=None, leaving_started_ms=None, store_era=None, fixed=None, limits=None, asked=None, limited_sends=None, crash_reports=None, answered=None, held_parts=None, only_crashes=None, asks_holds=None, answers_holds=None,):
+    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None, usage_window=None, ended=None, listing_seen=None, listing_away=None, gone=None, leaving_started_ms=None, store_era=None, fixed=None, limits=None, asked=None, limited_sends=None, crash_reports=None, answered=None, held_parts=None, only_crashes=None, asks_holds=None, answers_holds=None, listing_read_ms=None, only_listing=None,):
         self.sender = sender
         self.boot = boot
         self.zone = zone
@@ -776,6 +778,8 @@
         self.only_crashes = only_crashes
         self.asks_holds = asks_holds
         self.answers_holds = answers_holds
+        self.listing_read_ms = listing_read_ms
+        self.only_listing = only_listing
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1044,6 +1048,16 @@
                     self.answers_holds = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 33:
+                if ftype == TType.I64:
+                    self.listing_read_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 34:
+                if ftype == TType.BOOL:
+                    self.only_listing = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1235,6 +1249,14 @@
             oprot.writeFieldBegin('answers_holds', TType.I64, 32)
             oprot.writeI64(self.answers_holds)
             oprot.writeFieldEnd()
+        if self.listing_read_ms is not None:
+            oprot.writeFieldBegin('listing_read_ms', TType.I64, 33)
+            oprot.writeI64(self.listing_read_ms)
+            oprot.writeFieldEnd()
+        if self.only_listing is not None:
+            oprot.writeFieldBegin('only_listing', TType.BOOL, 34)
+            oprot.writeBool(self.only_listing)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1343,6 +1365,8 @@
     (30, TType.BOOL, 'only_crashes', None, None, ),  # 30
     (31, TType.I64, 'asks_holds', None, None, ),  # 31
     (32, TType.I64, 'answers_holds', None, None, ),  # 32
+    (33, TType.I64, 'listing_read_ms', None, None, ),  # 33
+    (34, TType.BOOL, 'only_listing', None, None, ),  # 34
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/laburnumreel/relay/_feed_follower.py
+++ b/src/laburnumreel/relay/_feed_follower.py
@@ -26,6 +26,9 @@
 # The other hosts of the region wait this many times as long; the store allows up to 30 seconds per
 # call. This applies to tables whose loss a host need not handle itself.
 NON_READER_WAIT_FACTOR = 6.0
+# A peer's read that seems to be later than now by more than this shows that the store's clock is not
+# the one that this host knows, and says nothing about the age of the table.
+MAX_CLOCK_ERROR_S = 0.1
 # Longest sleep while waiting for the next poll. A peer's report that moves the poll forward also
 # wakes the task.
 MAX_SLEEP_S = 1.0
@@ -43,9 +46,11 @@
     The table is read completely again if the store no longer has the history since the last read.
     `on_listing` is called on this task's thread with what was read and the times at which the call
     was sent and answered. `on_link_change` is called on any thread when the state of the link is
-    known to have changed. `is_same` returns whether two entries differ only by a renewal. If
+    known to have changed, and `on_polled` after each answer. `is_same` returns whether two entries differ only by a renewal. If
     `long_poll` is False, the rows are renewed all the time and only some hosts poll often;
     otherwise the table is followed by long polls.
+    `effect_s` is the time from a change of the table until it must have taken effect, in seconds.
+    `to_own_time` converts a reading of the store's clock to this process' clock, if it can.
     """
 
     def __init__(
@@ -55,9 +60,12 @@
         clock: Clock,
         rng: random.Random,
         on_listing: Callable[[Listing[Entry], float, float], None],
+        effect_s: float,
         on_link_change: Callable[[LinkState], None] | None = None,
         is_same: Callable[[Entry, Entry], bool] = operator.eq,
+        on_polled: Callable[[], None] = lambda: None,
         long_poll: bool = True,
+        to_own_time: Callable[[float], float | None] = lambda store_time_s: None,
     ) -> None:
         super().__init__(f"feed-{name}", tick_s=0.0)
         self._table = name
@@ -67,12 +75,15 @@
         self._on_listing = on_listing
         self._on_link_change = on_link_change
         self._is_same = is_same
+        self._on_polled = on_polled
         self._long_poll = long_poll
         self._version: int | None = None
         self._era = 0
         self._reread_requested = False
         self._is_stopping = False
-        self._schedule = PollSchedule(rng)
+        self._schedule = PollSchedule(rng, effect_s)
+        self._to_own_time = to_own_time
+        self._read_store_time_s = 0.0
         # The last known entries, to tell a change from a renewal.
         self._entries: dict[str, Entry | None] = {}
         self._coalesce_changes = False
@@ -95,18 +106,32 @@
     @property
     def view_age_s(self) -> float:
         """The seconds for which changes of the table may be unknown to this host."""
-        return self._clock.now() - self._schedule.confirmed_at
+        return self._clock.now() - self._schedule.complete_until
+
+    @property
+    def read_store_time_s(self) -> float:
+        """The store's clock at its last answer to this host, or 0 before the first one."""
+        return self._read_store_time_s
 
     def set_rank(self, rank: int, hosts: int) -> None:
         """Set this host's rank among those of its region, and the number of hosts in total."""
         self._schedule.set_rank(rank, hosts)
 
-    def on_peer_progress(self, seen_version: int, changed_version: int, unavailable: bool) -> None:
-        """Record how far a peer has read the table. May be called from another thread."""
+    def on_peer_progress(
+        self, seen_version: int, changed_version: int, unavailable: bool, read_store_time_s: float
+    ) -> None:
+        """Record how far a peer has read the table. May be called from another thread.
+
+        `read_store_time_s` is the store's clock when the peer read it, 0 if the peer does not tell.
+        """
+        now = self._clock.now()
+        read_at = self._to_own_time(read_store_time_s) if read_store_time_s else None
+        if read_at is None or read_at > now + MAX_CLOCK_ERROR_S:
+            read_at = float("-inf")
         due_at = self._schedule.next_poll_at(self._long_poll)
         if (
             self._schedule.on_peer_progress(
-                seen_version, changed_version, unavailable, self._clock.now()
+                seen_version, changed_version, unavailable, read_at, now
             )
             and self._is_answering
         ):
@@ -130,9 +155,10 @@
     def tick(self) -> None:
         if self._is_stopping or not self._wait_until_due():
             return
-        sent_at = self._clock.now()
+        sent_at, age_s = self._clock.now(), self.view_age_s
         result = self._fetch()
         if result.is_ok():
+            self._log_poll(result.ok, age_s, sent_at)
             self._apply(result.ok, sent_at)
         else:
             self._on_failure(result.error)
@@ -163,11 +189,27 @@
         # change. Nor may the call of a host that only polls from time to time.
         if self._schedule.is_unavailable or not (self._schedule.is_reader or self._long_poll):
             return self._feed.follow(self._version, 0.0)
+        if not self._long_poll:
+            wait_s = max(0.0, self._schedule.too_old_at() - self._clock.now())
+            return self._feed.follow(self._version, wait_s)
         wait_s = self._rng.uniform(MIN_FOLLOW_S, MAX_FOLLOW_S)
         if not self._schedule.is_reader:
             wait_s *= NON_READER_WAIT_FACTOR
         return self._feed.follow(self._version, wait_s)
 
+    def _log_poll(self, listing: Listing[Entry], age_s: float, sent_at: float) -> None:
+        """Log a poll of a host that is no reader; `age_s` is the age of its view before it."""
+        if listing.complete or self._long_poll or self._schedule.is_reader:
+            return
+        _log.info(
+            DIRECTORY_POLLED,
+            table=self._table,
+            reason=self._schedule.polls_for,
+            age_s=round(age_s, 3),
+            took_s=round(self._clock.now() - sent_at, 3),
+            rows=len(listing.entries),
+        )
+
     def _apply(self, listing: Listing[Entry], sent_at: float) -> None:
         now = self._clock.now()
         if not self._is_answering:
@@ -178,15 +220,6 @@
         self._reread_requested = False
         self._last_answer_at = now
         changed = self._newest_change(listing)
-        if not (listing.complete or self._long_poll or self._schedule.is_reader):
-            _log.info(
-                DIRECTORY_POLLED,
-                table=self._table,
-                reason=self._schedule.polls_for,
-                age_s=round(sent_at - self._schedule.confirmed_at, 3),
-                took_s=round(now - sent_at, 3),
-                changed=changed > 0,
-            )
         if listing.complete:
             _log.info(
                 DIRECTORY_REREAD,
@@ -209,7 +242,12 @@
         # Collects changes that follow one another in one call, and spreads the calls of hosts that
         # started at the same time.
         self._coalesce_changes = bool(listing.entries) and not listing.complete
-        self._schedule.record_poll(listing.version, changed, now)
+        self._read_store_time_s = listing.store_time_s
+        read_at = self._to_own_time(listing.store_time_s)
+        # Without a converted time, the call may have been answered as soon as it was sent.
+        read_at = sent_at if read_at is None else min(max(read_at, sent_at), now)
+        self._schedule.record_poll(listing.version, changed, read_at, now)
+        self._on_polled()
 
     def _newest_change(self, listing: Listing[Entry]) -> int:
         """Update the known entries; return the newest version of a real change, or 0."""
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -309,6 +309,8 @@
 
     def on_peer_update(self, update: PeerUpdate, now: float) -> bool:
         """Apply an update from a peer, and return whether it holds further parts of prompts."""
+        if update.only_listing:
+            return False
         if update.only_crashes:
             return self.crash_evidence.on_peer_update(update, now)
         if update.avoided or update.leaving or update.gone:
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -44,7 +44,7 @@
 from laburnumreel.relay._metrics import RELAY_ANSWER_BYTES
 from laburnumreel.relay._peer_gossip import PeerGossip, rank_hosts
 from laburnumreel.relay._peer_update_handler import PeerUpdateHandler
-from laburnumreel.relay._poll_schedule import READERS_PER_REGION
+from laburnumreel.relay._poll_schedule import READERS_PER_REGION, listing_interval_s
 from laburnumreel.relay._ports import Adapter, Listing
 from laburnumreel.relay._roles import RolePlanner
 from laburnumreel.relay._settings import RelaySettings
@@ -156,6 +156,7 @@
             self._clock,
             self._rng,
             self._on_configuration,
+            settings.configuration.effect_ms / 1000,
         )
         self._back_end_feed = FeedFollower(
             "back_ends",
@@ -163,9 +164,12 @@
             self._clock,
             self._rng,
             self._on_back_ends,
+            settings.back_ends.drain_ms / 1000,
             self._dispatcher.on_directory_link,
+            on_polled=lambda: self._peers.send_listing(),
             is_same=lambda known, entry: known._replace(beat=0) == entry._replace(beat=0),
             long_poll=False,
+            to_own_time=self._true_time.at_store_time,
         )
         self._update_handler = PeerUpdateHandler(
             host,
@@ -193,6 +197,8 @@
             self._update_handler.on_peer_silent,
             self._update_handler.build_crash_fields,
             self._dispatcher.is_waiting_for_holds,
+            self._update_handler.build_listing_fields,
+            listing_interval_s(settings.back_ends.drain_ms / 1000),
         )
         self._dispatcher.set_crash_listener(self._peers.send_crashes)
         self._dispatcher.set_holds_query(self._peers.ask_holds)
--- a/src/laburnumreel/relay/_peer_gossip.py
+++ b/src/laburnumreel/relay/_peer_gossip.py
@@ -81,8 +81,10 @@
     or 0. `build_usage` returns the usage counts, with older windows and ended processes if called
     with True. `is_other_region` returns whether an availability zone is in another region.
     `on_updates` is called with each batch of received updates, `on_peer_silent` with the name of
-    a peer that timed out. `build_crash_fields` returns the fields of an update that concern crashes. All
-    callbacks run on this task's thread.
+    a peer that timed out. `build_crash_fields` returns the fields of an update that concern crashes,
+    `build_listing_fields` those on how far this host has read the table of backend servers. Peers of
+    this region hear of a poll at once where regular updates are more than `listing_interval_s`
+    apart. All callbacks run on this task's thread.
     """
 
     def __init__(
@@ -98,6 +100,8 @@
         on_peer_silent: Callable[[str], None],
         build_crash_fields: Callable[[], Mapping[str, Any]] = dict,
         is_waiting_for_holds: Callable[[], bool] = lambda: False,
+        build_listing_fields: Callable[[], Mapping[str, Any]] = dict,
+        listing_interval_s: float = float("inf"),
     ) -> None:
         super().__init__("peer-news", tick_s=0.0)
         self._clock = clock
@@ -111,6 +115,9 @@
         self._on_peer_silent = on_peer_silent
         self._build_crash_fields = build_crash_fields
         self._is_waiting_for_holds = is_waiting_for_holds
+        self._build_listing_fields = build_listing_fields
+        self._listing_interval_s = listing_interval_s
+        self._is_listing_due = False
         # The last regular updates, for peers of this region (False) and of other regions (True).
         self._last_updates: dict[bool, PeerUpdate] = {}
         # When to send an update about crashes, if one is wanted, and when the next one may be sent.
@@ -191,6 +198,14 @@
         """Tell the peers of crashes and held parts soon, without waiting for the next update."""
         self._wake("crashes")
 
+    def send_listing(self) -> None:
+        """Tell the peers of this region that this host has polled the table of backend servers.
+
+        Only where the regular updates are too seldom for this.
+        """
+        if self._send_intervals_s[False] > self._listing_interval_s:
+            self._wake("listing")
+
     def ask_holds(self, number: int) -> None:
         """Ask some peers at once for what is held; `number` comes back in their answers."""
         self._wake(("ask", number))
@@ -206,6 +221,8 @@
             case "crashes":
                 due_at = max(self._clock.now(), self._next_crash_send)
                 self._crashes_due_at = min(self._crashes_due_at, due_at)
+            case "listing":
+                self._is_listing_due = True
             case ("ask", number):
                 self._holds_query.start(number, self._clock.now())
             case ("meet", addresses):
@@ -227,6 +244,9 @@
             time.sleep(min(BATCH_WAIT_S, max(0.0, self._next_send - self._clock.now())))
             self._receive()
         now = self._clock.now()
+        if self._is_listing_due:
+            self._is_listing_due = False
+            self._send_listing_update(now)
         if now >= self._crashes_due_at:
             self._crashes_due_at, self._next_crash_send = float("inf"), now + CRASH_INTERVAL_S
             self._send_crash_update(now)
@@ -379,6 +399,16 @@
                 if peer.cross_region == cross_region and not self._is_silent(peer, now):
                     self._send_datagram(datagram, address)
 
+    def _send_listing_update(self, now: float) -> None:
+        """Send the fields on the table of backend servers; the rest is as in `_send_crash_update`."""
+        near = False
+        update = self._last_updates.setdefault(near, self._build_update(near))
+        update = update._replace(only_listing=True, **self._build_listing_fields())
+        datagram = self._encode_datagram(update, None)
+        for address, peer in self._peers.items():
+            if not peer.cross_region and not self._is_silent(peer, now):
+                self._send_datagram(datagram, address)
+
     def _crash_update(self, cross_region: bool, fields: Mapping[str, Any]) -> PeerUpdate:
         if cross_region not in self._last_updates:
             self._last_updates[cross_region] = self._build_update(cross_region)
--- a/src/laburnumreel/relay/_peer_update.py
+++ b/src/laburnumreel/relay/_peer_update.py
@@ -37,6 +37,7 @@
     - `duty_fence`: the fencing number under which the sender does the duties, or 0.
     - `listing_version`: the version of the newest change of the backend servers' table that the
       sender knows; `listing_seen`: the store version up to which it has read the table;
+      `listing_read_s`: the store's clock at that read, in seconds, 0 before the first one;
       `listing_away`: whether it cannot read the table.
     - `store_era`: the store's era as the sender knows it.
     - `limits`: what backend servers last reported about their limits; `asked`: requests per second
@@ -47,6 +48,8 @@
       each last began; `held_parts`: parts that are held, with the remaining seconds of each.
     - `only_crashes`: whether the update was sent between two others, because of these three fields,
       `held_back` and `crashes`; everything else is as in the last one.
+    - `only_listing`: whether the update was sent between two others, because of the four fields on
+      the table of backend servers; everything else is as in the last one.
     - `asks_holds`: a number if the sender wants such an update at once, which has the number in
       `answers_holds`; otherwise 0.
     """
@@ -70,6 +73,7 @@
     ended: tuple[EndedCounts, ...] = ()
     listing_seen: int = 0
     listing_away: bool = False
+    listing_read_s: float = 0.0
     gone: tuple[str, ...] = ()
     store_era: int = 0
     fixed: tuple[int, ...] = ()
@@ -80,6 +84,7 @@
     answered: Mapping[str, float] = {}
     held_parts: Mapping[str, float] = {}
     only_crashes: bool = False
+    only_listing: bool = False
     asks_holds: int = 0
     answers_holds: int = 0
 
@@ -106,6 +111,7 @@
         usage_window=update.usage_window,
         listing_seen=update.listing_seen,
         listing_away=update.listing_away,
+        listing_read_ms=int(1000 * update.listing_read_s),
         gone=list(update.gone),
         kept=[ttypes.Kept(name, list(parts)) for name, parts in update.kept.items()],
         usage=[
@@ -131,6 +137,7 @@
         answered=_encode_durations(update.answered),
         held_parts=_encode_durations(update.held_parts),
         only_crashes=update.only_crashes,
+        only_listing=update.only_listing,
         asks_holds=update.asks_holds,
         answers_holds=update.answers_holds,
         ended=[
@@ -182,6 +189,7 @@
             ),
             listing_seen=struct.listing_seen or 0,
             listing_away=bool(struct.listing_away),
+            listing_read_s=(struct.listing_read_ms or 0) / 1000,
             gone=tuple(struct.gone or ()),
             store_era=struct.store_era or 0,
             fixed=tuple(struct.fixed or ()),
@@ -205,6 +213,7 @@
             answered=_decode_durations(struct.answered or []),
             held_parts=_decode_durations(struct.held_parts or []),
             only_crashes=bool(struct.only_crashes),
+            only_listing=bool(struct.only_listing),
             asks_holds=struct.asks_holds or 0,
             answers_holds=struct.answers_holds or 0,
         )
--- a/src/laburnumreel/relay/_peer_update_handler.py
+++ b/src/laburnumreel/relay/_peer_update_handler.py
@@ -85,13 +85,21 @@
             usage={},
             **beliefs._asdict(),
             duty_fence=self._fence(),
-            listing_version=self._back_end_feed.schedule.changed_version,
-            listing_seen=self._back_end_feed.schedule.seen_version,
-            listing_away=self._back_end_feed.schedule.is_unavailable,
+            **self.build_listing_fields(),
             store_era=self._era.current,
             fixed=self._usage_counters.fixed()[-MAX_SENT_FIXED_WINDOWS:],
         )
 
+    def build_listing_fields(self) -> dict[str, Any]:
+        """Return the fields of an update that tell how far the table of backend servers was read."""
+        schedule = self._back_end_feed.schedule
+        return {
+            "listing_version": schedule.changed_version,
+            "listing_seen": schedule.seen_version,
+            "listing_away": schedule.is_unavailable,
+            "listing_read_s": self._back_end_feed.read_store_time_s,
+        }
+
     def build_crash_fields(self) -> dict[str, Any]:
         """Return the fields of an update that concern crashes."""
         return self._dispatcher.crash_update()._asdict()
@@ -123,8 +131,13 @@
             if update.fixed:
                 self._usage_counters.mark_fixed(*update.fixed)
             self._peer_config_version = max(self._peer_config_version, update.config_version)
+            is_same_era = update.store_era == self._era.current
             self._back_end_feed.on_peer_progress(
-                update.listing_seen, update.listing_version, update.listing_away
+                update.listing_seen,
+                update.listing_version,
+                update.listing_away,
+                # The clock of a store that was restored need not be the one of before.
+                update.listing_read_s if is_same_era else 0.0,
             )
             self._peer_listing_version = max(self._peer_listing_version, update.listing_version)
             for window, counts in update.usage.items():
--- a/src/laburnumreel/relay/_settings.py
+++ b/src/laburnumreel/relay/_settings.py
@@ -48,6 +48,18 @@
     reads_per_s: float
 
 
+class BackEndSettings(NamedTuple):
+    """The table of backend servers: how long one that drains may still get requests, in ms."""
+
+    drain_ms: float
+
+
+class ConfigurationSettings(NamedTuple):
+    """The table with the configuration: the time until a version must be in force, in ms."""
+
+    effect_ms: float
+
+
 class RetrySettings(NamedTuple):
     """The retry budget that all hosts share, in a sliding window."""
 
@@ -76,6 +88,8 @@
     listen: ListenSettings
     store: StoreSettings
     duties: Address
+    back_ends: BackEndSettings
+    configuration: ConfigurationSettings
     retry: RetrySettings
     lease: LeaseSettings
     usage: UsageSettings
@@ -104,6 +118,20 @@
             "store", "reads_per_s", kinds.number(1, 1e6), 2000.0, "reads per second of all hosts"
         ),
         Field("duties", "address", kinds.address, None, "usage reports and orders", required=True),
+        Field(
+            "back_ends",
+            "drain_ms",
+            kinds.number(100, 1e6),
+            2500.0,
+            "time in ms for which a backend server still serves after its entry says that it drains",
+        ),
+        Field(
+            "configuration",
+            "effect_ms",
+            kinds.number(100, 1e6),
+            2500.0,
+            "time in ms within which a new version must be in force on all hosts",
+        ),
         Field("retry", "ratio", kinds.number(0, 10), 0.2, "retries per request"),
         Field("retry", "slack", kinds.number(0, 1e5), 50.0, "additional retries per window"),
         Field("retry", "window_s", kinds.number(0.1, 3600), 10.0, "window of the retry budget"),
@@ -156,6 +184,8 @@
             listen=ListenSettings(**values["listen"]),
             store=StoreSettings(**values["store"]),
             duties=values["duties"]["address"],
+            back_ends=BackEndSettings(**values["back_ends"]),
+            configuration=ConfigurationSettings(**values["configuration"]),
             retry=RetrySettings(**values["retry"]),
             lease=lease,
             usage=UsageSettings(**values["usage"]),
--- a/src/laburnumreel/relay/_true_time.py
+++ b/src/laburnumreel/relay/_true_time.py
@@ -2,6 +2,9 @@
 
 from laburnumreel.core import Clock
 
+# The most by which the clocks of this host and of the store drift apart while a process runs.
+MAX_CLOCK_DRIFT_S = 0.5
+
 
 class TrueTime:
     """The agreed time of day, derived from the process' monotonic clock.
@@ -33,11 +36,23 @@
         return self._clock.now() + self._wall_offset_s
 
     def record_store_time(self, sent_at: float, answered_at: float, store_time_s: float) -> None:
-        """Record a reading of the store's clock; the one with the shortest round trip is used."""
+        """Record a reading of the store's clock; the one with the shortest round trip is used.
+
+        A reading that cannot be of the same clock replaces it: the store was restarted.
+        """
         round_trip_s = answered_at - sent_at
-        if round_trip_s <= self._round_trip_s:
+        offset_s = store_time_s - (sent_at + answered_at) / 2
+        is_other_clock = self._store_offset_s is not None and (
+            abs(offset_s - self._store_offset_s)
+            > (round_trip_s + self._round_trip_s) / 2 + MAX_CLOCK_DRIFT_S
+        )
+        if round_trip_s <= self._round_trip_s or is_other_clock:
             self._round_trip_s = round_trip_s
-            self._store_offset_s = store_time_s - (sent_at + answered_at) / 2
+            self._store_offset_s = offset_s
+
+    def at_store_time(self, store_time_s: float) -> float | None:
+        """Return the monotonic time at a reading of the store's clock, or None if it is unknown."""
+        return None if self._store_offset_s is None else store_time_s - self._store_offset_s
 
     def proposed_store_zero(self) -> float | None:
         """Return the time of day of the store clock's zero by this host, or None if unknown."""
--- a/src/laburnumreel/ui/_tables.py
+++ b/src/laburnumreel/ui/_tables.py
@@ -103,6 +103,10 @@
     "relay.store.address": "The store holds all durable state.",
     "relay.store.writes_per_s": "The limit that the platform publishes; each host uses at most its share of four fifths of it.",
     "relay.store.reads_per_s": "The limit that the platform publishes; each host uses at most its share of four fifths of it.",
+    "relay.back_ends.drain_ms": (
+        "Each host polls the table before its view is older than seven tenths of this. A shorter time costs more calls to the store."
+    ),
+    "relay.configuration.effect_ms": "The time that the platform publishes.",
     "relay.duties.address": "Only the lease holder calls it.",
     "relay.retry.ratio": "Retries must not multiply the load during an outage.",
     "relay.retry.slack": "Allows a service with little traffic to retry.",
--- a/tests/test_relay_upkeep.py
+++ b/tests/test_relay_upkeep.py
@@ -296,6 +296,7 @@
         SystemClock(),
         random.Random(1),
         lambda *taken: None,
+        2.5,
         on_link_change,
         long_poll=long_poll,
     )
@@ -362,19 +363,20 @@
             clock,
             random.Random(1),
             take,
+            2.5,
             lambda link: getattr(back_ends, f"on_directory_{link}")(clock.now()),
             long_poll=False,
         )
         feed.tick()
         while answers:
             clock.advance(2 * OUTAGE_CONFIRM_S)
-            feed.on_peer_progress(0, 0, unavailable=True)
+            feed.on_peer_progress(0, 0, unavailable=True, read_store_time_s=0.0)
             feed.tick()
         missing_since = clock.now()
         while clock.now() < missing_since + RETURN_GRACE_S:
             assert len(back_ends.usable("orders", clock.now())) == 1
             clock.advance(1.1 * OUTAGE_CONFIRM_S)
-            feed.on_peer_progress(0, 0, unavailable=True)
+            feed.on_peer_progress(0, 0, unavailable=True, read_store_time_s=0.0)
             feed.tick()
         assert not back_ends.usable("orders", clock.now())
 
