Need keys wherever the configuration has a list of customers, also an empty one

Cause: the adapter read an absent list of customers and an empty one alike, and RouteTable.needs_keys was bool(customers). Ruled out: a version that is not applied or late, and a way past the check.

Change: RelayConfig.customers is None without the list; keys are needed unless it is None. Null counts as an empty list. relay_configured says needs_keys.

Evidence: test_keys_are_needed_after_the_last_customer_is_gone and test_host_that_starts_without_customers_needs_keys failed before (200 for 401: the empty list, null, and a host that starts) and pass.

--- a/src/laburnumreel/relay/_config.py
+++ b/src/laburnumreel/relay/_config.py
@@ -108,12 +108,16 @@
 
 
 class RelayConfig(NamedTuple):
-    """One version of the whole configuration."""
+    """One version of the whole configuration.
+
+    `customers` is None if the configuration does not speak of customers, so that no request needs a
+    key. Where it is empty, nobody has a key: only public routes are served.
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: Mapping[str, RelayService] = {}
-    customers: tuple[RelayCustomer, ...] = ()
+    customers: tuple[RelayCustomer, ...] | None = None
     limits: CallerLimits = CallerLimits()
 
 
@@ -137,7 +141,9 @@
         for route in sorted(config.routes, key=lambda route: -len(route.prefix)):
             self._by_host.setdefault(route.host.lower(), []).append(route)
         self._customers = {
-            self._digest(key): customer for customer in config.customers for key in customer.keys
+            self._digest(key): customer
+            for customer in config.customers or ()
+            for key in customer.keys
         }
 
     @property
@@ -151,7 +157,7 @@
     @property
     def needs_keys(self) -> bool:
         """Whether routes that are not public need a key."""
-        return bool(self._config.customers)
+        return self._config.customers is not None
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix of the path, or None."""
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -402,7 +402,8 @@
                 version=config.version,
                 routes=len(config.routes),
                 services=len(config.services),
-                customers=len(config.customers),
+                needs_keys=config.customers is not None,
+                customers=len(config.customers or ()),
                 store_version=listing.version,
             )
 
--- a/src/laburnumreel/state/_fields.py
+++ b/src/laburnumreel/state/_fields.py
@@ -65,6 +65,10 @@
         """Return whether a field is present and not null."""
         return self._value.get(name) is not None
 
+    def contains(self, name: str) -> bool:
+        """Return whether a field is present, even if it is null."""
+        return name in self._value
+
     def text(self, name: str, default: Any = _REQUIRED, max_bytes: int = MAX_NAME_BYTES) -> str:
         """Return a non-empty string that can be encoded as UTF-8."""
         return self._read(name, default, lambda value: _check_text(value, max_bytes))
--- a/tests/test_caller_config.py
+++ b/tests/test_caller_config.py
@@ -112,6 +112,40 @@
         outcomes = [request.result() for request in requests]
         assert set(outcomes) <= {200, 503} and 200 in outcomes
 
+    @pytest.mark.parametrize(
+        "customers",
+        [
+            [],
+            None,
+            [{"Name": "hall-a", "ApiKeys": []}],
+        ],
+    )
+    def test_keys_are_needed_after_the_last_customer_is_gone(self, world, customers):
+        """Guards against a configuration without a usable customer that opens all routes.
+
+        After the last customer was removed, requests with its key, an unknown key and no key ran
+        (issue 47, case 3).
+        """
+        worker = world.worker("w1")
+        relay = world.start_relay()
+        assert Caller(relay).ask("/once/x")[0] == 200
+        put_and_wait(world, relay, {**config(2), "Tenants": customers})
+        runs = len(worker.requests("POST"))
+        for key in ("key-a", "key-never", None):
+            assert Caller(relay).ask("/once/x", key=key)[0] == 401
+        assert len(worker.requests("POST")) == runs
+        assert Caller(relay).ask("/open/x", key=None)[0] == 200
+        put_and_wait(world, relay, config(3))
+        assert Caller(relay).ask("/once/x")[0] == 200
+
+    def test_host_that_starts_without_customers_needs_keys(self, world):
+        """A relay that never knew a customer must not take the empty list for no rule."""
+        worker = world.worker("w1")
+        world.store.put("op", "config", {**config(2), "Tenants": []})
+        relay = world.start_relay()
+        assert Caller(relay).ask("/once/x")[0] == 401
+        assert not worker.requests("POST")
+
     def test_partly_read_request_is_answered(self, world):
         """Limits and the idle timeout become smaller while a request is being received."""
         world.worker("w1")
