Apply a configuration without the customers and keys that cannot be read

What callers saw: where one customer or key of a new version was malformed (no name, an empty key, no list), the whole version was ignored, and keys that it removed stayed in force until the next sound version.

Cause: the adapter's decoder raised for the whole configuration.

Change: such customers and keys are left out, a list that is none names no customer, and keys are needed. The new log event 691 says what was left out. Routes and services that are malformed still void the version.

--- a/src/laburnumreel/relay/_config.py
+++ b/src/laburnumreel/relay/_config.py
@@ -111,7 +111,8 @@
     """One version of the whole configuration.
 
     `customers` is None if the configuration does not speak of customers, so that no request needs a
-    key. Where it is empty, nobody has a key: only public routes are served.
+    key. Where it is empty, nobody has a key: only public routes are served. `customer_problems`
+    describes customers and keys that could not be read, and are left out.
     """
 
     version: int
@@ -119,6 +120,7 @@
     services: Mapping[str, RelayService] = {}
     customers: tuple[RelayCustomer, ...] | None = None
     limits: CallerLimits = CallerLimits()
+    customer_problems: tuple[str, ...] = ()
 
 
 class RouteTable:
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -16,6 +16,11 @@
 RELAY_READY = define_event(606, "relay_ready", "the relay became ready or stopped being ready")
 
 RELAY_CONFIGURED = define_event(610, "relay_configured", "a new configuration is in force")
+CUSTOMERS_UNREADABLE = define_event(
+    691,
+    "customers_unreadable",
+    "customers or keys of the configuration are malformed; requests with these keys are refused",
+)
 DIRECTORY_LOST = define_event(611, "directory_lost", "a table of the store can't be read")
 DIRECTORY_BACK = define_event(612, "directory_back", "a table of the store can be read again")
 DIRECTORY_REREAD = define_event(613, "directory_reread", "a table of the store is read in full")
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -28,6 +28,7 @@
 from laburnumreel.relay._dispatcher import Dispatcher
 from laburnumreel.relay._duties import DUTY_LEASE, Duties, NoProcessTimer
 from laburnumreel.relay._events import (
+    CUSTOMERS_UNREADABLE,
     DIRECTORY_RANKED,
     LISTEN_FAILED,
     RELAY_CONFIGURED,
@@ -89,6 +90,8 @@
 ORDER_TIMEOUT_S = 1.5
 # Exit code if the process cannot listen on one of its addresses.
 LISTEN_FAILED_EXIT_CODE = 3
+# Malformed customers or keys of a configuration that are described in the log.
+MAX_LOGGED_PROBLEMS = 5
 # Number of new objects between garbage collections of the youngest generation.
 GC_THRESHOLD = 20_000
 
@@ -406,6 +409,13 @@
                 customers=len(config.customers or ()),
                 store_version=listing.version,
             )
+            if config.customer_problems:
+                _log.warning(
+                    CUSTOMERS_UNREADABLE,
+                    version=config.version,
+                    count=len(config.customer_problems),
+                    problems=config.customer_problems[:MAX_LOGGED_PROBLEMS],
+                )
 
     def _on_hosts(self, hosts: int, readers: frozenset[str]) -> None:
         self._host_count = hosts
--- a/src/laburnumreel/state/_fields.py
+++ b/src/laburnumreel/state/_fields.py
@@ -71,7 +71,7 @@
 
     def text(self, name: str, default: Any = _REQUIRED, max_bytes: int = MAX_NAME_BYTES) -> str:
         """Return a non-empty string that can be encoded as UTF-8."""
-        return self._read(name, default, lambda value: _check_text(value, max_bytes))
+        return self._read(name, default, lambda value: check_text(value, max_bytes))
 
     def choice(self, name: str, options: Collection[str], default: Any = _REQUIRED) -> str:
         """Return a string that is one of `options`."""
@@ -121,11 +121,33 @@
             name, default, lambda value: [Fields(item) for item in _check_list(value)]
         )
 
+    def readable(
+        self, name: str, check: Callable[[Any], Value]
+    ) -> tuple[list[Value], tuple[str, ...]]:
+        """Return the items of a list that pass a check, and a description of each problem.
+
+        An absent or null list is empty.
+
+        >>> Fields({"keys": ["a", 7]}).readable("keys", check_text)
+        (['a'], ('keys: item 1: is not a non-empty string',))
+        """
+        try:
+            items = self._read(name, [], _check_list)
+        except FieldError as error:
+            return [], (str(error),)
+        values, problems = [], []
+        for number, item in enumerate(items):
+            try:
+                values.append(check(item))
+            except FieldError as error:
+                problems.append(f"{_printable_name(name)}: item {number}: {error}")
+        return values, tuple(problems)
+
     def text_list(self, name: str, max_bytes: int = MAX_NAME_BYTES) -> list[str]:
         """Return a list of non-empty strings."""
 
         def check_value(value: Any) -> list[str]:
-            return [_check_text(item, max_bytes) for item in _check_list(value)]
+            return [check_text(item, max_bytes) for item in _check_list(value)]
 
         return self._read(name, _REQUIRED, check_value)
 
@@ -213,7 +235,8 @@
     return text.isascii() and text.isprintable() and " " not in text and bool(text)
 
 
-def _check_text(value: Any, max_bytes: int = MAX_NAME_BYTES) -> str:
+def check_text(value: Any, max_bytes: int = MAX_NAME_BYTES) -> str:
+    """Return a value that is a non-empty string, or raise `FieldError`."""
     if not isinstance(value, str) or not value:
         raise FieldError("is not a non-empty string")
     try:
@@ -269,7 +292,7 @@
 
 def _check_key(name: str) -> str:
     try:
-        return _check_text(name)
+        return check_text(name)
     except FieldError as error:
         raise FieldError(f"a field name {error}") from None
 
--- a/tests/test_caller_config.py
+++ b/tests/test_caller_config.py
@@ -138,6 +138,31 @@
         put_and_wait(world, relay, config(3))
         assert Caller(relay).ask("/once/x")[0] == 200
 
+    @pytest.mark.parametrize(
+        "customers",
+        [
+            "none",
+            [{"Name": "", "ApiKeys": ["key-a"]}, {"Name": "hall-b", "ApiKeys": ["key-b"]}],
+            [{"Name": "hall-b", "ApiKeys": ["key-b", "", 7]}, {"ApiKeys": ["key-a"]}, 7],
+        ],
+    )
+    def test_malformed_customers_keep_no_removed_key_in_force(self, world, customers):
+        """Guards against one malformed customer that keeps a whole version from being applied.
+
+        The keys that the version removed stayed in force.
+        """
+        worker = world.worker("w1")
+        relay = world.start_relay()
+        assert Caller(relay).ask("/once/x")[0] == 200
+        put_and_wait(world, relay, {**config(2), "Tenants": customers})
+        runs = len(worker.requests("POST"))
+        for key in ("key-a", "", None):
+            assert Caller(relay).ask("/once/x", key=key)[0] == 401
+        assert len(worker.requests("POST")) == runs
+        served = 401 if customers == "none" else 200
+        assert Caller(relay).ask("/once/x", key="key-b")[0] == served
+        assert relay.find_log_lines("customers_unreadable")
+
     def test_host_that_starts_without_customers_needs_keys(self, world):
         """A relay that never knew a customer must not take the empty list for no rule."""
         worker = world.worker("w1")
