Renew the call for the configuration once the store answers on a new connection

What callers saw: by the constants, after all connections to the store had gone silent while new ones worked, a host handled requests as an older configuration allows for up to 5.5 s, and up to 28 s where it reads seldom and no peer tells of a newer version (ConfigMs allows 2.5 s, after the 3 s in which such a host is not in touch). With 195 hosts a host that a peer showed to be behind read the configuration 2.8 s after it heard of it, and heard of it after 1.3 s, over the 4 s allowed there.

The call for the configuration waits on a connection of its own; the loss of the other table's connection said nothing to it. The time to notice that a host is behind held the wait that spreads polls of the other table, which grows with the hosts.

Change: when calls for the backend servers' table work again after a loss, a call for the configuration that was sent before the loss is renewed. A host that is behind on a table with long polls reads it 0.8 s plus the longest wait after a change (0.625 s) later, at any number of hosts.

One call a host for each loss that ends.

--- a/src/laburnumreel/relay/_feed_follower.py
+++ b/src/laburnumreel/relay/_feed_follower.py
@@ -15,7 +15,7 @@
     DIRECTORY_POLLED,
     DIRECTORY_REREAD,
 )
-from laburnumreel.relay._poll_schedule import PollSchedule
+from laburnumreel.relay._poll_schedule import MAX_CHANGE_WAIT_S, PollSchedule
 from laburnumreel.relay._ports import Entry, Feed, Listing
 from laburnumreel.state import PlatformError, era_of_version
 
@@ -84,6 +84,8 @@
         self._schedule = PollSchedule(rng, effect_s)
         self._to_own_time = to_own_time
         self._read_store_time_s = 0.0
+        # When the call that waits for a change was sent, infinite between calls.
+        self._waiting_since = float("inf")
         # The last known entries, to tell a change from a renewal.
         self._entries: dict[str, Entry | None] = {}
         self._coalesce_changes = False
@@ -139,6 +141,22 @@
         if self._schedule.next_poll_at(self._long_poll) < due_at:
             self._wake.set()
 
+    @property
+    def change_read_s(self) -> float:
+        """The seconds within which this host reads a change that it knows of, if its calls work."""
+        if self._long_poll:
+            # Changes that follow one another are read after a short wait.
+            return MAX_CHANGE_WAIT_S
+        return self._schedule.change_poll_s
+
+    def renew_call(self, sent_before: float) -> None:
+        """Read the table completely if a call waits that was sent before a time.
+
+        For a call on a connection that may have become silent. Called from other threads.
+        """
+        if self._waiting_since < sent_before:
+            self.request_reread()
+
     def request_reread(self) -> None:
         """Interrupt a waiting call and read the table completely. Called from other threads."""
         self._reread_requested = True
@@ -156,7 +174,9 @@
         if self._is_stopping or not self._wait_until_due():
             return
         sent_at, age_s = self._clock.now(), self.view_age_s
+        self._waiting_since = sent_at
         result = self._fetch()
+        self._waiting_since = float("inf")
         if result.is_ok():
             self._log_poll(result.ok, age_s, sent_at)
             self._apply(result.ok, sent_at)
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -38,7 +38,7 @@
     RELAY_STOPPED,
     RELAY_STOPPING,
 )
-from laburnumreel.relay._feed_follower import FeedFollower
+from laburnumreel.relay._feed_follower import FeedFollower, LinkState
 from laburnumreel.relay._job import Dependencies
 from laburnumreel.relay._members import Member, Members
 from laburnumreel.relay._membership import Membership
@@ -111,6 +111,8 @@
         self._stop_schedule: StopSchedule | None = None
         self._ready = False
         self._host_count = 1
+        # When the calls for the backend servers' table began to fail, None while they work.
+        self._link_lost_at: float | None = None
         host = settings.host
         self._true_time = TrueTime(self._clock)
         self._usage_counters = UsageCounters(settings.usage.window_s)
@@ -168,7 +170,7 @@
             self._rng,
             self._on_back_ends,
             settings.back_ends.drain_ms / 1000,
-            self._dispatcher.on_directory_link,
+            self._on_back_ends_link,
             on_polled=lambda: self._peers.send_listing(),
             is_same=lambda known, entry: known._replace(beat=0) == entry._replace(beat=0),
             long_poll=False,
@@ -436,6 +438,19 @@
         share = int(IDLE_SHARE * min(taken, default=0) / self._host_count)
         self._pool.set_max_idle(max(MIN_IDLE, min(MAX_IDLE, share)))
 
+    def _on_back_ends_link(self, link: LinkState) -> None:
+        """Pass on the state of the link to the backend servers' table.
+
+        Once it works again on a new connection, a call for the configuration that was sent before
+        the loss may wait on a connection that is as dead as the lost one.
+        """
+        self._dispatcher.on_directory_link(link)
+        if link == "lost" and self._link_lost_at is None:
+            self._link_lost_at = self._clock.now()
+        elif link == "back" and self._link_lost_at is not None:
+            self._config_feed.renew_call(self._link_lost_at)
+            self._link_lost_at = None
+
     def _on_back_ends(
         self, listing: Listing[ListedBackEnd], sent_at: float, answered_at: float
     ) -> None:
--- a/src/laburnumreel/relay/_peer_update_handler.py
+++ b/src/laburnumreel/relay/_peer_update_handler.py
@@ -21,8 +21,8 @@
 KEPT_WINDOWS = 40
 # How many fixed windows an update names. Older windows are no longer reported.
 MAX_SENT_FIXED_WINDOWS = 8
-# If a peer knows a newer version of a table for this long plus the poll interval after a change,
-# the connection to the table is considered broken and the table is read again.
+# If a peer knows a newer version of a table for this long plus the time in which a host reads a
+# change, the connection to the table is considered broken and the table is read again.
 MAX_BEHIND_S = 0.8
 
 
@@ -174,9 +174,6 @@
         now = self._clock.now()
         if is_current:
             self._behind_since.pop(feed, None)
-        elif (
-            now - self._behind_since.setdefault(feed, now)
-            >= MAX_BEHIND_S + feed.schedule.change_poll_s
-        ):
+        elif now - self._behind_since.setdefault(feed, now) >= MAX_BEHIND_S + feed.change_read_s:
             self._behind_since.pop(feed)
             feed.request_reread()
--- a/src/laburnumreel/relay/_poll_schedule.py
+++ b/src/laburnumreel/relay/_poll_schedule.py
@@ -19,6 +19,8 @@
 # times a second. The wait stays between the two bounds.
 CHANGE_POLLS_PER_S = 12.0
 MIN_CHANGE_POLL_S, MAX_CHANGE_POLL_S = 0.5, 2.0
+# Longest wait before the next long poll after one that brought changes.
+MAX_CHANGE_WAIT_S = 1.25 * MIN_CHANGE_POLL_S
 # Hosts that learn of a change at the same time spread their polls over this time.
 HINT_JITTER_S = 0.3
 # A host polls by itself before its view of the table has this age, as a share of the time within
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -100,11 +100,18 @@
         self.history_gone = False
         self.feed_delay_s = lambda table: 0.0
         self.calls = []
+        # Open connections, and those of them that get no answer any more.
+        self._connections = set()
+        self._silent = set()
         # Sent in all answers; each restore of a copy increments it.
         self.era = 0
         store = self
 
         class Handler(_Handler):
+            def setup(self):
+                super().setup()
+                store._connections.add(self.connection)
+
             def do_GET(self):
                 store._get(self)
 
@@ -138,6 +145,10 @@
             self.era += 1
             self.changed.notify_all()
 
+    def silence_connections(self):
+        """Let all open connections go silent; new ones work."""
+        self._silent = set(self._connections)
+
     def value(self, table, key):
         row = self.rows.get((table, key))
         return None if row is None else json.loads(base64.b64decode(row["Value"]))
@@ -153,6 +164,9 @@
             self.log.append(self.rows[table, key])
 
     def _respond(self, handler, status, body):
+        if handler.connection in self._silent:
+            time.sleep(MAX_START_S)
+            raise ConnectionError("the connection is silent")
         body = {**body, "Ver": self.version, "NowMs": int(time.monotonic() * 1000)}
         headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
         handler.respond(status, json.dumps(body).encode(), headers)
--- a/tests/test_caller_config.py
+++ b/tests/test_caller_config.py
@@ -16,6 +16,8 @@
 
 # Documented time limit for a configuration to take effect.
 CONFIG_LIMIT_S = 2.5
+# The platform's `ContactMs`: for this long a disruption of connections excuses a host.
+CONTACT_S = 3.0
 
 
 def answer_slowly(handler):
@@ -163,6 +165,30 @@
         assert Caller(relay).ask("/once/x", key="key-b")[0] == served
         assert relay.find_log_lines("customers_unreadable")
 
+    def test_configuration_is_read_beside_silent_connections(self, world):
+        """Guards against a call for the configuration that waits on a dead connection.
+
+        All connections to the store went silent, and new ones worked. Hosts read the other table on a
+        new connection, but the next configuration up to 5.5 s later, and 28 s where they are no readers.
+        """
+        world.worker("w1")
+        relay = world.start_relay()
+        calls = world.store.calls
+
+        def read_late_s(version):
+            """Return how late a version is read that is written as the connections go silent."""
+            # The relay's next call is sent after this change, so that it has just begun to wait.
+            put_and_wait(world, relay, config(version - 1))
+            enough = calls.count("/v1/rows-feed") + 2
+            wait_until(lambda: calls.count("/v1/rows-feed") >= enough, "the next calls")
+            world.store.silence_connections()
+            silent_at = time.monotonic()
+            world.store.put("op", "config", config(version))
+            wait_until(lambda: version in configured_versions(relay), "the configuration", 30.0)
+            return time.monotonic() - silent_at
+
+        assert max(read_late_s(version) for version in (3, 5, 7)) <= CONTACT_S
+
     def test_host_that_starts_without_customers_needs_keys(self, world):
         """A relay that never knew a customer must not take the empty list for no rule."""
         worker = world.worker("w1")
