--- a/src/laburnumreel/relay/_feed_follower.py
+++ b/src/laburnumreel/relay/_feed_follower.py
@@ -1,5 +1,6 @@
 """The task that follows a table of the directory."""
 
+import math
 import operator
 import random
 import threading
@@ -46,11 +47,13 @@
     The table is read completely again if the store no longer has the history since the last read.
     `on_listing` is called on this task's thread with what was read and the times at which the call
     was sent and answered. `on_link_change` is called on any thread when the state of the link is
-    known to have changed, and `on_polled` after each answer. `is_same` returns whether two entries differ only by a renewal. If
-    `long_poll` is False, the rows are renewed all the time and only some hosts poll often;
-    otherwise the table is followed by long polls.
-    `effect_s` is the time from a change of the table until it must have taken effect, in seconds.
-    `to_own_time` converts a reading of the store's clock to this process' clock, if it can.
+    known to have changed, and `on_polled` after each answer. `is_same` returns whether two entries
+    differ only by a renewal.
+
+    A table whose changes are rare is followed by long polls. `effect_s` is for one whose rows are
+    renewed all the time, so that only some hosts poll often: the seconds from a change until it must
+    have taken effect on all hosts. `to_own_time` converts a reading of the store's clock to this
+    process' clock, if it can.
     """
 
     def __init__(
@@ -60,11 +63,10 @@
         clock: Clock,
         rng: random.Random,
         on_listing: Callable[[Listing[Entry], float, float], None],
-        effect_s: float,
         on_link_change: Callable[[LinkState], None] | None = None,
         is_same: Callable[[Entry, Entry], bool] = operator.eq,
         on_polled: Callable[[], None] = lambda: None,
-        long_poll: bool = True,
+        effect_s: float | None = None,
         to_own_time: Callable[[float], float | None] = lambda store_time_s: None,
     ) -> None:
         super().__init__(f"feed-{name}", tick_s=0.0)
@@ -76,12 +78,12 @@
         self._on_link_change = on_link_change
         self._is_same = is_same
         self._on_polled = on_polled
-        self._long_poll = long_poll
+        self._long_poll = effect_s is None
         self._version: int | None = None
         self._era = 0
         self._reread_requested = False
         self._is_stopping = False
-        self._schedule = PollSchedule(rng, effect_s)
+        self._schedule = PollSchedule(rng, math.inf if effect_s is None else effect_s)
         self._to_own_time = to_own_time
         self._read_store_time_s = 0.0
         # When the call that waits for a change was sent, infinite between calls.
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -161,7 +161,6 @@
             self._clock,
             self._rng,
             self._on_configuration,
-            settings.configuration.effect_ms / 1000,
         )
         self._back_end_feed = FeedFollower(
             "back_ends",
@@ -169,11 +168,10 @@
             self._clock,
             self._rng,
             self._on_back_ends,
-            settings.back_ends.drain_ms / 1000,
             self._on_back_ends_link,
             on_polled=lambda: self._peers.send_listing(),
             is_same=lambda known, entry: known._replace(beat=0) == entry._replace(beat=0),
-            long_poll=False,
+            effect_s=settings.back_ends.drain_ms / 1000,
             to_own_time=self._true_time.at_store_time,
         )
         self._update_handler = PeerUpdateHandler(
--- a/src/laburnumreel/relay/_peer_gossip.py
+++ b/src/laburnumreel/relay/_peer_gossip.py
@@ -234,7 +234,7 @@
     def tick(self) -> None:
         now = self._clock.now()
         due_at = min(self._next_send, self._crashes_due_at, self._holds_query.due_at(now))
-        wait_s = max(0.0, due_at - now)
+        wait_s = 0.0 if self._is_listing_due else max(0.0, due_at - now)
         ready = [key.fileobj for key, _ in self._selector.select(wait_s)]
         if self._wake_reader in ready:
             self._wake_reader.recv(MAX_BYTES)
@@ -400,22 +400,28 @@
                     self._send_datagram(datagram, address)
 
     def _send_listing_update(self, now: float) -> None:
-        """Send the fields on the table of backend servers; the rest is as in `_send_crash_update`."""
-        near = False
-        update = self._last_updates.setdefault(near, self._build_update(near))
-        update = update._replace(only_listing=True, **self._build_listing_fields())
+        """Tell the peers of this region how far this host has read the table of backend servers.
+
+        Everything else is as in the last regular update, as in `_send_crash_update`.
+        """
+        fields = self._build_listing_fields()
+        update = self._last_update(cross_region=False)._replace(only_listing=True, **fields)
         datagram = self._encode_datagram(update, None)
         for address, peer in self._peers.items():
             if not peer.cross_region and not self._is_silent(peer, now):
                 self._send_datagram(datagram, address)
 
     def _crash_update(self, cross_region: bool, fields: Mapping[str, Any]) -> PeerUpdate:
-        if cross_region not in self._last_updates:
-            self._last_updates[cross_region] = self._build_update(cross_region)
-        return self._last_updates[cross_region]._replace(
+        return self._last_update(cross_region)._replace(
             only_crashes=True, duty_fence=self._current_fence(), **fields
         )
 
+    def _last_update(self, cross_region: bool) -> PeerUpdate:
+        """Return the last regular update, or build the first one."""
+        if cross_region not in self._last_updates:
+            self._last_updates[cross_region] = self._build_update(cross_region)
+        return self._last_updates[cross_region]
+
     def _send_datagram(self, datagram: bytes, address: Address) -> None:
         try:
             self._socket.sendto(datagram, address)
--- a/src/laburnumreel/relay/_settings.py
+++ b/src/laburnumreel/relay/_settings.py
@@ -54,12 +54,6 @@
     drain_ms: float
 
 
-class ConfigurationSettings(NamedTuple):
-    """The table with the configuration: the time until a version must be in force, in ms."""
-
-    effect_ms: float
-
-
 class RetrySettings(NamedTuple):
     """The retry budget that all hosts share, in a sliding window."""
 
@@ -89,7 +83,6 @@
     store: StoreSettings
     duties: Address
     back_ends: BackEndSettings
-    configuration: ConfigurationSettings
     retry: RetrySettings
     lease: LeaseSettings
     usage: UsageSettings
@@ -125,13 +118,6 @@
             2500.0,
             "time in ms for which a backend server still serves after its entry says that it drains",
         ),
-        Field(
-            "configuration",
-            "effect_ms",
-            kinds.number(100, 1e6),
-            2500.0,
-            "time in ms within which a new version must be in force on all hosts",
-        ),
         Field("retry", "ratio", kinds.number(0, 10), 0.2, "retries per request"),
         Field("retry", "slack", kinds.number(0, 1e5), 50.0, "additional retries per window"),
         Field("retry", "window_s", kinds.number(0.1, 3600), 10.0, "window of the retry budget"),
@@ -185,7 +171,6 @@
             store=StoreSettings(**values["store"]),
             duties=values["duties"]["address"],
             back_ends=BackEndSettings(**values["back_ends"]),
-            configuration=ConfigurationSettings(**values["configuration"]),
             retry=RetrySettings(**values["retry"]),
             lease=lease,
             usage=UsageSettings(**values["usage"]),
--- a/src/laburnumreel/ui/_tables.py
+++ b/src/laburnumreel/ui/_tables.py
@@ -106,7 +106,6 @@
     "relay.back_ends.drain_ms": (
         "Each host polls the table before its view is older than seven tenths of this. A shorter time costs more calls to the store."
     ),
-    "relay.configuration.effect_ms": "The time that the platform publishes.",
     "relay.duties.address": "Only the lease holder calls it.",
     "relay.retry.ratio": "Retries must not multiply the load during an outage.",
     "relay.retry.slack": "Allows a service with little traffic to retry.",
--- a/tests/test_relay_upkeep.py
+++ b/tests/test_relay_upkeep.py
@@ -289,16 +289,15 @@
         self.interrupted += 1
 
 
-def make_follower(table, on_link_change=None, long_poll=True):
+def make_follower(table, on_link_change=None, effect_s=None):
     return FeedFollower(
         "t",
         table,
         SystemClock(),
         random.Random(1),
         lambda *taken: None,
-        2.5,
         on_link_change,
-        long_poll=long_poll,
+        effect_s=effect_s,
     )
 
 
@@ -309,9 +308,7 @@
         table = FakeFeed(entries=False)
         feed = make_follower(table)
         table_of_servers = FakeFeed(entries=False)
-        list_feed = make_follower(
-            table_of_servers, on_link_change=lambda link: None, long_poll=False
-        )
+        list_feed = make_follower(table_of_servers, on_link_change=lambda link: None, effect_s=2.5)
         for each in (feed, list_feed):
             each.set_rank(20, 58)
             for _ in range(20):
@@ -363,9 +360,8 @@
             clock,
             random.Random(1),
             take,
-            2.5,
             lambda link: getattr(back_ends, f"on_directory_{link}")(clock.now()),
-            long_poll=False,
+            effect_s=2.5,
         )
         feed.tick()
         while answers:
