Decide the form of a request's target once, by RFC 9112

Cause: the adapter took each target with "://" before its query for a URL, and cut it up to the first slash behind that; http://host?of=/a lost its query in the same way.

--- a/src/laburnumreel/protocol/__init__.py
+++ b/src/laburnumreel/protocol/__init__.py
@@ -38,6 +38,7 @@
     token_limit,
 )
 from laburnumreel.protocol._prompt_parts import PART_DIGEST_BYTES, prompt_parts
+from laburnumreel.protocol._target import RequestTarget, choose_host, parse_target
 
 __all__ = [
     "HOP_BY_HOP",
@@ -49,6 +50,9 @@
     "DONE",
     "Answer",
     "AnswerBuilder",
+    "RequestTarget",
+    "choose_host",
+    "parse_target",
     "EventTooLargeError",
     "ModelRequest",
     "SseParser",
--- a/src/laburnumreel/serving/_checks.py
+++ b/src/laburnumreel/serving/_checks.py
@@ -10,6 +10,7 @@
     headers_from_environ,
     is_safe_target,
     parse_model_request,
+    parse_target,
     token_limit,
 )
 from laburnumreel.serving._dependencies import GatewayDependencies
@@ -55,19 +56,16 @@
         cls, environ: Mapping[str, Any], request_id: str, configuration: Configuration, now: float
     ) -> "IncomingRequest":
         path = environ["PATH_INFO"]
-        target = environ["REQUEST_URI"]
-        # The caller chooses the host of an absolute-form target, so only its path is used.
-        if "://" in target.split("?", 1)[0]:
-            target = "/" + target.split("://", 1)[1].partition("/")[2]
-        raw_path = target.split("#", 1)[0].split("?", 1)[0]
-        if not is_safe_target(path, raw_path):
+        # The gateway serves one host, so that of an absolute target does not matter.
+        parsed = parse_target(environ["REQUEST_URI"])
+        if parsed.is_error() or not is_safe_target(path, parsed.ok.path):
             raise RequestFailedError(Refusal(ErrorKind.BAD_REQUEST, "The path is malformed."))
         return cls(
             request_id,
             environ["REQUEST_METHOD"],
             path,
-            raw_path,
-            environ.get("QUERY_STRING", ""),
+            parsed.ok.path,
+            parsed.ok.query.removeprefix("?"),
             headers_from_environ(environ),
             environ,
             configuration,
