Answer a request whose target has an unclosed bracket

What callers saw: GET http://[ closed the connection without an answer, which tells nothing (by hand, once).

Cause: waitress passes on the ValueError of urlsplit, and its channel closes the connection.

Change: the parser turns such an error into a parsing error, which gets 400.

Evidence: test_malformed_target_is_answered[http://[].

--- a/src/laburnumreel/transport/_parsing.py
+++ b/src/laburnumreel/transport/_parsing.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from waitress.adjustments import Adjustments
-from waitress.parser import HTTPRequestParser
+from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.task import ErrorTask
 from waitress.utilities import (
     InternalServerError,
@@ -67,6 +67,13 @@
         was_parsed = self.error is None or isinstance(self.error, InternalServerError)
         return self.connection_close or not (was_parsed or self._is_end_known)
 
+    def parse_header(self, header_plus: bytes) -> None:
+        try:
+            super().parse_header(header_plus)
+        except ValueError as error:
+            # Such as a bracket that is not closed, on which waitress drops the connection.
+            raise ParsingError("Bad URI") from error
+
     def received(self, data: bytes) -> int:
         consumed = self._receive(data)
         if self.completed and not self.empty:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -102,7 +102,7 @@
 
 
 @pytest.mark.processes
-@pytest.mark.parametrize("target", ["http://[x]y/safe/x", "/safe/x#y"])
+@pytest.mark.parametrize("target", ["http://[", "http://[x]y/safe/x", "/safe/x#y"])
 def test_malformed_target_is_answered(world, target):
     """A bracket that is not closed made the relay close the connection without an answer."""
     world.worker("w1")
