Order the writings of an entry by the store's versions of its row

Cause: BackEndList.put dropped each entry whose start time and beat were below the known ones. They come from the clock of the server's machine. A host's state without sockets kept the first entry after the second one was listed with a higher version; with a step forward it did not. Ruled out: an entry that is not read, and a backoff.

Change: the store's versions decide. Only entries of the first listing after the store was restored, which may be copies, are ordered by start time and beat against what was known before.

Evidence: test_entry_after_a_clock_step_is_listed[-2400], test_copy_of_a_restored_store_replaces_no_newer_entry [-2400] and test_entry_whose_address_was_reused_returns_with_its_next_writing failed before, all pass.

--- a/src/laburnumreel/relay/_back_ends.py
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -1,14 +1,17 @@
 """The list of backend servers, as read from the directory."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import StrEnum
+from types import MappingProxyType
 from typing import NamedTuple
 
+from laburnumreel.state import era_of_version
+
 Address = tuple[str, int]
 
 # Removed entries whose last version is remembered.
 MAX_REMEMBERED_ENTRIES = 1000
-NEVER_WRITTEN = (-1, -1)
+EMPTY: Mapping[str, int] = MappingProxyType({})
 # Upper bound of the concurrent requests that a backend server may declare.
 MAX_SLOTS = 1_000_000
 
@@ -42,10 +45,20 @@
 
     @property
     def written(self) -> tuple[int, int]:
-        """A key that orders the versions of an entry by time."""
+        """What its writer says of when it was written, by the clock of the writer's machine."""
         return self.started_at_ms, self.beat
 
 
+class Writing(NamedTuple):
+    """When an entry was written: by its writer's clock, and the store's version of its row.
+
+    The version is 0 if it is not known.
+    """
+
+    written: tuple[int, int]
+    version: int = 0
+
+
 class BackEndList:
     """The backend servers that may get new work.
 
@@ -55,6 +68,10 @@
     that the directory is unavailable, the grace period starts when this host first finds the entry
     missing.
 
+    The store's versions order the writings of an entry, whatever the clocks of the writer's machine
+    say. Only a store that was restored from an older copy may list older writings with higher
+    versions; these are told by the writer's start time and beat.
+
     >>> listed = ListedBackEnd("b1", "orders", ("10.0.0.1", 80), "zone-a", 4)
     >>> back_ends = BackEndList(return_grace_s=2.0)
     >>> back_ends.replace([listed], now=0.0)
@@ -68,11 +85,15 @@
     def __init__(self, return_grace_s: float) -> None:
         self._return_grace_s = return_grace_s
         self._listed: dict[str, ListedBackEnd] = {}
+        # The store's versions of the listed entries, where they are known.
+        self._versions: dict[str, int] = {}
+        # Entries with a higher version of the same era were written after the store was restored.
+        self._era_began_at = 0
         # Entries that were dropped during a grace period, and when each will be removed.
         self._removal_times: dict[str, float] = {}
-        # Last versions of removed entries, the oldest first. A store that is restored from an
+        # Last writings of removed entries, the oldest first. A store that is restored from an
         # older copy lists these entries again.
-        self._removed_writings: dict[str, tuple[int, int]] = {}
+        self._removed_writings: dict[str, Writing] = {}
         self._is_directory_lost = False
         # Whether peers report the directory as unavailable while this host can still reach it.
         self._is_directory_doubted = False
@@ -88,24 +109,33 @@
         """Return the entry of a name, or None."""
         return self._listed.get(name)
 
-    def replace(self, entries: Iterable[ListedBackEnd], now: float) -> None:
-        """Replace the whole list."""
+    def begin_era(self, version: int) -> None:
+        """Record that the store was restored from an older copy, which it read up to a version."""
+        self._era_began_at = version
+
+    def replace(
+        self, entries: Iterable[ListedBackEnd], now: float, versions: Mapping[str, int] = EMPTY
+    ) -> None:
+        """Replace the whole list. `versions` are the store's versions of the entries' rows."""
         entries = {entry.name: entry for entry in entries}
         for name in list(self._listed):
             if name not in entries:
                 self.drop(name, now)
         for entry in entries.values():
-            self.put(entry)
+            self.put(entry, versions.get(entry.name, 0))
 
-    def put(self, entry: ListedBackEnd) -> None:
+    def put(self, entry: ListedBackEnd, version: int = 0) -> None:
         """Add or update an entry unless it is older than the known or the last removed one."""
+        writing = Writing(entry.written, version)
         known = self._listed.get(entry.name)
-        if known is not None and entry.written < known.written:
+        if known is not None and self._is_older(writing, self._writing_of(known)):
             return
-        if entry.written <= self._removed_writings.get(entry.name, NEVER_WRITTEN):
+        removed = self._removed_writings.get(entry.name)
+        if removed is not None and not self._is_older(removed, writing):
             return
         self._removed_writings.pop(entry.name, None)
         self._listed[entry.name] = entry
+        self._versions[entry.name] = version
         self._removal_times.pop(entry.name, None)
 
     def drop(self, name: str, now: float) -> None:
@@ -125,9 +155,10 @@
         """Remove an entry immediately, because its backend server is known to have ended."""
         entry = self._listed.pop(name, None)
         self._removal_times.pop(name, None)
-        # An entry with neither a start time nor a beat has no version to compare.
-        if entry is not None and entry.written > (0, 0):
-            self._removed_writings[name] = entry.written
+        version = self._versions.pop(name, 0)
+        # An entry with neither a version, a start time nor a beat has nothing to compare.
+        if entry is not None and (version or entry.written > (0, 0)):
+            self._removed_writings[name] = Writing(entry.written, version)
             if len(self._removed_writings) > MAX_REMEMBERED_ENTRIES:
                 del self._removed_writings[next(iter(self._removed_writings))]
 
@@ -166,3 +197,18 @@
             for entry in self._listed.values()
             if entry.service == service and not entry.draining
         ]
+
+    def _writing_of(self, entry: ListedBackEnd) -> Writing:
+        return Writing(entry.written, self._versions.get(entry.name, 0))
+
+    def _is_older(self, first: Writing, second: Writing) -> bool:
+        """Return whether one writing of an entry is older than another one."""
+        if not (first.version and second.version):
+            return first.written < second.written
+        eras = era_of_version(first.version), era_of_version(second.version)
+        if eras[0] == eras[1]:
+            return first.version < second.version
+        newer = max(first, second, key=lambda writing: writing.version)
+        if newer.version > self._era_began_at:
+            return newer is second
+        return first.written < second.written
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -26,6 +26,7 @@
 from laburnumreel.relay._self_reports import SelfReports
 from laburnumreel.relay._server_limits import LimitReport
 from laburnumreel.relay._work import Work, WorkLedger
+from laburnumreel.state import era_of_version
 
 # The share of a prefill engine's memory that caches prompt prefixes. The rest holds the prompts
 # that are being read.
@@ -95,6 +96,8 @@
         self._own_location = own_location
         self._regions = dict(regions)
         self._back_ends = BackEndList(return_grace_s)
+        # The store's era at the last listing.
+        self._era = 0
         self._health = HealthTracker()
         self._prefix_cache = PrefixCacheIndex()
         self._self_reports = SelfReports()
@@ -275,14 +278,18 @@
         self._candidate_cache.invalidate()
         before = {entry.name: entry for entry in self._back_ends}
         present = {name: entry for name, entry in listing.entries.items() if entry is not None}
+        era = era_of_version(listing.version)
+        if era > self._era:
+            self._era = era
+            self._back_ends.begin_era(listing.version)
         if listing.complete:
-            self._back_ends.replace(present.values(), now)
+            self._back_ends.replace(present.values(), now, listing.versions)
         else:
             for name, entry in listing.entries.items():
                 if entry is None:
                     self._back_ends.drop(name, now)
                 else:
-                    self._back_ends.put(entry)
+                    self._back_ends.put(entry, listing.versions.get(name, 0))
         for name, entry in present.items():
             self._removed_until.pop(name, None)
             old = before.get(name)
--- a/tests/test_relay_store_era.py
+++ b/tests/test_relay_store_era.py
@@ -15,7 +15,10 @@
 from test_malformed_values import KEYS, NUMBERS, ROW_VALUES, VALUES, StubStore
 
 from laburnumreel.relay._back_ends import BackEndList, ListedBackEnd
-from laburnumreel.state import Check, StoreEra, Write, era_of_version
+from laburnumreel.relay._cost_model import Location
+from laburnumreel.relay._fleet_state import FleetState
+from laburnumreel.relay._ports import Listing
+from laburnumreel.state import Check, StoreEra, Write, era_of_version, pack_version
 from laburnumreel.transport import CallAnswer, JsonCalls
 
 KEY = "k"
@@ -120,6 +123,64 @@
         back_ends.put(entry._replace(beat=4))
         assert back_ends.usable("orders", now=1.0)
 
+    @pytest.mark.parametrize("step_ms", [-2400, 2400])
+    def test_entry_after_a_clock_step_is_listed(self, step_ms):
+        """Guards against a server that is ignored since its clock was set back (issue 48, review/5).
+
+        It restarted under its name with a lower start time, and got requests while it drained.
+        """
+        state = FleetState(Location("zone-a", "region-a"), {}, 2.0)
+        entry = ListedBackEnd(
+            "b1", "orders", ("10.0.0.1", 80), "zone-a", 4, started_at_ms=9000, beat=30
+        )
+        again = entry._replace(started_at_ms=9000 + step_ms, beat=1)
+        list_entry(state, 10, entry, complete=True)
+        list_entry(state, 11, again)
+        assert usable(state) == [again]
+        list_entry(state, 12, again._replace(beat=2, draining=True))
+        assert not usable(state)
+        list_entry(state, 13, None)
+        list_entry(state, 14, again._replace(started_at_ms=again.started_at_ms + step_ms))
+        assert usable(state)
+
+    @pytest.mark.parametrize("step_ms", [-2400, 2400])
+    def test_copy_of_a_restored_store_replaces_no_newer_entry(self, step_ms):
+        """A copy lists older writings with higher versions; what is written since is newer."""
+        state = FleetState(Location("zone-a", "region-a"), {}, 2.0)
+        entry = ListedBackEnd(
+            "b1", "orders", ("10.0.0.1", 80), "zone-a", 4, started_at_ms=9000, beat=30
+        )
+        draining = entry._replace(draining=True, beat=31)
+        list_entry(state, pack_version(0, 40), draining, complete=True)
+        list_entry(state, pack_version(1, 20), entry, complete=True)
+        assert not usable(state)
+        # A complete read again, as after a broken connection.
+        list_entry(state, pack_version(1, 20), entry, complete=True)
+        assert not usable(state)
+        again = entry._replace(started_at_ms=9000 + step_ms, beat=1)
+        list_entry(state, pack_version(1, 21), again)
+        assert usable(state) == [again]
+
+    def test_entry_whose_address_was_reused_returns_with_its_next_writing(self):
+        state = FleetState(Location("zone-a", "region-a"), {}, 2.0)
+        entry = ListedBackEnd("b1", "orders", ("10.0.0.1", 80), "zone-a", 4)
+        list_entry(state, 10, entry, complete=True)
+        state.on_address_reused("b1")
+        list_entry(state, 10, entry, complete=True)
+        assert not usable(state)
+        list_entry(state, 11, entry)
+        assert usable(state)
+
+
+def list_entry(state, version, entry, complete=False):
+    """Have a host read one entry, or its removal, at a version of the store."""
+    listing = Listing({"b1": entry}, version, 0.0, complete, {"b1": version})
+    state.on_listing(listing, now=0.0)
+
+
+def usable(state):
+    return list(state._back_ends.usable("orders", now=0.0))
+
 
 @pytest.mark.processes
 class TestRelays:
