Bound the memory of all requests, and hold each body once

Cause: each body was held two or three times (waitress' buffer, the bytes read from it, head and body joined for one system call), and nothing bounded their sum: 303 MB of 300 with 43 bodies of 4 MB.

Change: RequestMemory counts the bodies of all requests from the end of the head until the request has ended, at most two fifths of [memory] host_mb. One without room is read, dropped and refused with memory_full (503, not run) and a time to come back; one that sends Expect is refused before its body. Bodies that have been arriving for 2 s are given up if that makes the room, requests that were read never. The application takes the body out of the buffer, and requests over 64 KiB are sent without joining.

--- a/src/laburnumreel/core/__init__.py
+++ b/src/laburnumreel/core/__init__.py
@@ -23,6 +23,7 @@
     metrics,
     render_metrics,
 )
+from laburnumreel.core._request_memory import HeldRequest, RequestMemory
 from laburnumreel.core._signals import SignalQueue
 from laburnumreel.core._task import Task, TaskStoppedError
 
@@ -34,6 +35,8 @@
     "AnswerMemory",
     "HeldAnswer",
     "HeldBody",
+    "HeldRequest",
+    "RequestMemory",
     "LogSettings",
     "Clock",
     "Event",
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -25,6 +25,7 @@
 from laburnumreel.core import (
     AnswerMemory,
     Log,
+    RequestMemory,
     SignalQueue,
     SystemClock,
     Task,
@@ -50,6 +51,7 @@
     WithdrawnKeys,
 )
 from laburnumreel.transport import (
+    REQUEST_BYTES,
     BackEndPool,
     HttpServer,
     PeerClient,
@@ -165,7 +167,14 @@
             )
         )
         threads = settings.threads.callers + settings.threads.reserve
-        self._caller_server = HttpServer(self._application, settings.listen.callers, threads)
+        self._caller_server = HttpServer(
+            self._application,
+            settings.listen.callers,
+            threads,
+            request_memory=RequestMemory.from_host(
+                settings.memory.host_mb, self._clock, REQUEST_BYTES
+            ),
+        )
         self._admin_server = create_admin_server(settings.listen.admin, self._check_readiness)
         self._keys_verified_at = self._clock.now()
         self._were_keys_verifiable = False
--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -23,7 +23,7 @@
 from laburnumreel.relay._stop_schedule import StopSchedule
 from laburnumreel.serving import RequestRegistry, ResponseBody, RunningRequest
 from laburnumreel.state import ErrorKind, Refusal, RunState
-from laburnumreel.transport import READ_AT_KEY
+from laburnumreel.transport import READ_AT_KEY, REFUSAL_KEY
 
 # Retry delay if peers have a newer configuration: a host lags behind for about this time.
 STALE_CONFIG_RETRY_S = 0.2
@@ -128,6 +128,8 @@
         if decoded.is_error():
             return self._refuse(decoded.error, None, "", start_response)
         request = decoded.ok._replace(queued_s=now - decoded.ok.arrived_at)
+        if REFUSAL_KEY in environ:
+            return self._refuse(environ[REFUSAL_KEY], request, "", start_response)
         try:
             return self._serve(request, start_response, environ.get("wsgi.file_wrapper"))
         except RelayFailedError as error:
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -18,7 +18,15 @@
     LeaseManager,
     format_address,
 )
-from laburnumreel.core import AnswerMemory, Log, SignalQueue, SystemClock, Task, limit_heap
+from laburnumreel.core import (
+    AnswerMemory,
+    Log,
+    RequestMemory,
+    SignalQueue,
+    SystemClock,
+    Task,
+    limit_heap,
+)
 from laburnumreel.relay._application import STOPPING, RelayApplication
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._capacity import CapacityPlanner
@@ -58,7 +66,13 @@
 from laburnumreel.relay._work import Work
 from laburnumreel.serving import RequestRegistry
 from laburnumreel.state import Lease, LeaseSettings
-from laburnumreel.transport import BackEndPool, HttpOrderLink, HttpServer, create_admin_server
+from laburnumreel.transport import (
+    REQUEST_BYTES,
+    BackEndPool,
+    HttpOrderLink,
+    HttpServer,
+    create_admin_server,
+)
 
 # Minimum time to stop each task, and to answer the last requests.
 MIN_TASK_STOP_S = 0.05
@@ -279,7 +293,12 @@
             lambda: adapter.store_era.current,
         )
         self._callers = HttpServer(
-            self._application, settings.listen.callers, settings.threads + REFUSAL_THREADS
+            self._application,
+            settings.listen.callers,
+            settings.threads + REFUSAL_THREADS,
+            request_memory=RequestMemory.from_host(
+                settings.memory.host_mb, self._clock, REQUEST_BYTES
+            ),
         )
         self._readiness = HttpServer(
             self._answer_readiness, settings.listen.readiness, READINESS_THREADS
--- a/src/laburnumreel/serving/_application.py
+++ b/src/laburnumreel/serving/_application.py
@@ -47,6 +47,7 @@
 from laburnumreel.serving._plain import PlainRequest, PlainRun
 from laburnumreel.serving._registry import RunningRequest
 from laburnumreel.state import ErrorKind, Profile, Refusal, RunState, Service
+from laburnumreel.transport import REFUSAL_KEY
 
 # Copies of a whole answer that exist at once: its parts, and its JSON.
 ANSWER_COPIES = 2
@@ -83,6 +84,8 @@
         self, environ: dict[str, Any], request_id: str, start_response: StartResponse
     ) -> Iterable[bytes]:
         deps = self._deps
+        if REFUSAL_KEY in environ:
+            raise RequestFailedError(environ[REFUSAL_KEY])
         if self._stopping:
             raise RequestFailedError(Refusal(ErrorKind.STOPPING))
         if not deps.config.ready:
--- a/src/laburnumreel/state/_errors.py
+++ b/src/laburnumreel/state/_errors.py
@@ -26,6 +26,7 @@
     DEADLINE_UNMEETABLE = "deadline_unmeetable"
     NO_BACK_END = "no_back_end"
     THREADS_EXHAUSTED = "threads_exhausted"
+    MEMORY_FULL = "memory_full"
     STOPPING = "stopping"
     KEYS_UNVERIFIABLE = "keys_unverifiable"
     NOT_READY = "not_ready"
@@ -155,6 +156,13 @@
             True,
             "This node is full.",
         ),
+        ErrorKind.MEMORY_FULL: (
+            503,
+            _SERVER,
+            _NOT_RUN,
+            True,
+            "The memory for requests is full.",
+        ),
         ErrorKind.STOPPING: (503, _SERVER, _NOT_RUN, True, "This node is stopping."),
         ErrorKind.KEYS_UNVERIFIABLE: (
             503,
--- a/src/laburnumreel/transport/__init__.py
+++ b/src/laburnumreel/transport/__init__.py
@@ -4,7 +4,7 @@
 from laburnumreel.transport._answer_work import CostlyAnswerError, EventAllowance
 from laburnumreel.transport._back_end_pool import BackEndPool
 from laburnumreel.transport._call_rate import CallRateLimiter
-from laburnumreel.transport._channel import READ_AT_KEY
+from laburnumreel.transport._channel import READ_AT_KEY, REFUSAL_KEY
 from laburnumreel.transport._exchange import (
     Address,
     BackEndFailureError,
@@ -13,6 +13,7 @@
 )
 from laburnumreel.transport._json_calls import CallAnswer, CallFailure, JsonCalls
 from laburnumreel.transport._load_reader import HttpLoadReader
+from laburnumreel.transport._metrics import REQUEST_BYTES
 from laburnumreel.transport._orders import HttpOrderConnection, HttpOrderLink
 from laburnumreel.transport._peer_client import PeerClient
 from laburnumreel.transport._peer_server import NodeInfoProvider, PeerServer
@@ -20,6 +21,8 @@
 
 __all__ = [
     "READ_AT_KEY",
+    "REFUSAL_KEY",
+    "REQUEST_BYTES",
     "Address",
     "BackEndFailureError",
     "BackEndPool",
--- a/src/laburnumreel/transport/_channel.py
+++ b/src/laburnumreel/transport/_channel.py
@@ -22,6 +22,9 @@
 # Key in a request's WSGI environment of the time, by `SystemClock`, when it was fully read.
 READ_AT_KEY = "laburnumreel.read_at"
 
+# Key of the refusal of a request whose body was dropped. Such a request must not be served.
+REFUSAL_KEY = "laburnumreel.refusal"
+
 _log = Log("transport.wsgi")
 
 
@@ -67,6 +70,8 @@
     def get_environment(self) -> dict[str, Any]:
         environ = super().get_environment()
         environ[READ_AT_KEY] = self.request.read_at
+        if self.request.refusal is not None:
+            environ[REFUSAL_KEY] = self.request.refusal
         return environ
 
     def finish(self) -> None:
@@ -132,7 +137,7 @@
 
     def parser_class(self, adj: Adjustments) -> RequestParser:
         """Return the parser of the next request, in place of waitress' class attribute."""
-        return RequestParser(adj, self.server.record_read)
+        return RequestParser(adj, self.server.record_read, self.server.request_memory)
 
     def readable(self) -> bool:
         return not self._has_caller_left and super().readable()
--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -20,6 +20,8 @@
 )
 
 READ_BYTES = 64 * 1024
+# Larger requests are sent with two system calls, because joining head and body copies the body.
+MAX_JOINED_BYTES = 64 * 1024
 # Limit of what may precede the body of an answer: its head, interim answers, and an answer to an
 # earlier request. http.client accepts heads of up to 100 lines of 64 KiB; servers send a few KiB.
 MAX_HEAD_BYTES = 256 * 1024
@@ -160,10 +162,13 @@
         self._buffered = []
         try:
             self.request(method, target, body, headers)
-            request_bytes = b"".join(self._buffered)
+            pieces = self._buffered
         finally:
             self._buffered = None
-        self.send(request_bytes)
+        if sum(map(len, pieces)) <= MAX_JOINED_BYTES:
+            pieces = [b"".join(pieces)]
+        for piece in pieces:
+            self.send(piece)
 
 
 class Exchange:
--- a/src/laburnumreel/transport/_metrics.py
+++ b/src/laburnumreel/transport/_metrics.py
@@ -1,6 +1,6 @@
 """The metrics of servers and connections."""
 
-from laburnumreel.core import define_counter
+from laburnumreel.core import define_counter, define_gauge
 
 STALLED_READERS = define_counter(
     "laburnumreel_stalled_readers_total",
@@ -24,6 +24,9 @@
     "Calls to the store that were beyond this host's share of its rates.",
     ("kind", "outcome"),
 )
+REQUEST_BYTES = define_gauge(
+    "laburnumreel_request_bytes", "Bytes that the bodies of callers' requests hold."
+)
 HTTP_REQUESTS = define_counter(
     "laburnumreel_http_requests_total",
     "Requests by local port: read completely, and handled. The difference is requests that wait,"
--- a/src/laburnumreel/transport/_parsing.py
+++ b/src/laburnumreel/transport/_parsing.py
@@ -12,9 +12,10 @@
     RequestHeaderFieldsTooLarge,
 )
 
-from laburnumreel.core import SystemClock
+from laburnumreel.core import RequestMemory, SystemClock
 from laburnumreel.protocol import new_request_id, refusal_answer
 from laburnumreel.state import ErrorKind, Refusal
+from laburnumreel.transport._request_body import RequestBody
 
 # How much of a request that is too large is read and discarded before the connection is closed.
 # Otherwise, a caller that is still sending would see a reset instead of the answer.
@@ -49,12 +50,21 @@
     `read_at` is the time when the request was fully read, in seconds of `SystemClock`. `is_last`
     is whether no further request can follow on the connection: because the caller asked to close
     it, or because the end of this request is not known. `on_read` is called when the request was
-    fully read.
+    fully read. `memory` is that of all requests: a body that does not fit is read and dropped, and
+    its request has a `refusal`.
     """
 
-    def __init__(self, adj: Adjustments, on_read: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self,
+        adj: Adjustments,
+        on_read: Callable[[], None] = lambda: None,
+        memory: RequestMemory | None = None,
+    ) -> None:
         super().__init__(_RequestLimits(adj))
         self._on_read = on_read
+        self._memory = memory
+        self._body: RequestBody | None = None
+        self.refusal: Refusal | None = None
         self.read_at: float | None = None
         self._discard_bytes = 0
         self._discard_to_blank_line = False
@@ -73,6 +83,19 @@
         except ValueError as error:
             # Such as a bracket that is not closed, on which waitress drops the connection.
             raise ParsingError("Bad URI") from error
+        if self.body_rcv is None:
+            return
+        self._body = self.body_rcv.buf = RequestBody(self._memory, self._declared_size)
+
+    @property
+    def _declared_size(self) -> int:
+        """The length of the body by the head, or 0 if it is unknown or over the limit."""
+        return self.content_length if self.content_length < self.adj.max_request_body_size else 0
+
+    def __del__(self) -> None:
+        # The connection may end before the request is fully read, or without an answer.
+        if self._body is not None:
+            self._body.close()
 
     def received(self, data: bytes) -> int:
         consumed = self._receive(data)
@@ -84,9 +107,18 @@
         if self._discard_bytes or self._discard_to_blank_line:
             return self._discard(data)
         consumed = super().received(data)
+        if self.expect_continue and self._body is not None and self._body.is_dropped:
+            # The caller sends no body before it is told to.
+            self.completed = self.connection_close = True
         if not self.completed:
             return consumed
         self.read_at = _clock.now()
+        if self._body is not None:
+            self._body.finish()
+            if self._body.is_dropped and self.error is None:
+                size = max(len(self._body), self._declared_size)
+                retry_after_s = self._memory.retry_after_s(size)
+                self.refusal = Refusal(ErrorKind.MEMORY_FULL, retry_after_s=retry_after_s)
         # The request is complete, so that no `100 Continue` must be sent any more.
         expects_continue, self.expect_continue = self.expect_continue, False
         if isinstance(self.error, RequestHeaderFieldsTooLarge):
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -14,7 +14,7 @@
 from waitress.server import TcpWSGIServer
 from waitress.task import ThreadedTaskDispatcher
 
-from laburnumreel.core import Log
+from laburnumreel.core import Log, RequestMemory
 from laburnumreel.transport._channel import Channel
 from laburnumreel.transport._events import CONNECTIONS_FULL, HTTP_SERVER_PROBLEM, READER_STALLED
 from laburnumreel.transport._metrics import HTTP_REQUESTS, STALLED_READERS
@@ -69,6 +69,7 @@
     is_stopping = False
     is_closed = False
     stall_limit_s = STALL_LIMIT_S
+    request_memory: RequestMemory | None = None
     _next_cleanup_at = 0.0
     _closed_when_full = 0
     _full_logged_at = -FULL_LOG_INTERVAL_S
@@ -172,7 +173,9 @@
 
     Requests run on `threads` threads of their own. One more thread, from the executor given to
     `start`, owns the sockets. `stall_limit_s` is the time in seconds after which a caller that
-    reads no byte of its pending answer is disconnected.
+    reads no byte of its pending answer is disconnected. With a `request_memory`, the application gets
+    requests whose body did not fit with a refusal under `REFUSAL_KEY` of the environment, which it
+    answers with.
     """
 
     def __init__(
@@ -182,6 +185,7 @@
         threads: int,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
         stall_limit_s: float = STALL_LIMIT_S,
+        request_memory: RequestMemory | None = None,
     ) -> None:
         _route_waitress_logs()
         self._adjustments = Adjustments(
@@ -211,6 +215,7 @@
             application, map=self._map, dispatcher=dispatcher, adj=self._adjustments
         )
         self._server.stall_limit_s = stall_limit_s
+        self._server.request_memory = request_memory
         dispatcher.set_thread_count(threads)
         self._stop_event = threading.Event()
         self._final_requests_timeout_s = FINAL_REQUESTS_TIMEOUT_S
