Serve a request whose head has exactly the largest size

Cause: waitress refuses what reaches its limit, and the server gave it the configured one; that of bodies had one byte more already.

Change: the limit of heads has one byte more too.

Evidence: test_head_may_have_the_largest_size failed before with the head in one piece and in two, and passes; one byte more is refused as before.

--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -197,7 +197,8 @@
             cleanup_interval=1,
             channel_timeout=IDLE_LIMIT_S,
             log_socket_errors=False,
-            max_request_header_size=MAX_HEADER_BYTES,
+            # waitress refuses what reaches its limits.
+            max_request_header_size=MAX_HEADER_BYTES + 1,
             max_request_body_size=max_body_bytes + 1,
             inbuf_overflow=NO_OVERFLOW_BYTES,
             outbuf_overflow=NO_OVERFLOW_BYTES,
@@ -239,7 +240,7 @@
         Smaller limits apply to requests that start from now on. A connection that is already idle
         keeps its idle limit if that was longer.
         """
-        self._adjustments.max_request_header_size = header_bytes
+        self._adjustments.max_request_header_size = header_bytes + 1
         self.set_max_body_bytes(body_bytes)
         self._adjustments.channel_timeout = idle_s
 
--- a/tests/test_relay_life.py
+++ b/tests/test_relay_life.py
@@ -162,6 +162,24 @@
         idle.connection.sock.settimeout(6.0)
         assert idle.connection.sock.recv(1) == b""
 
+    @pytest.mark.parametrize(("excess", "status"), [(0, b"200"), (1, b"431")])
+    @pytest.mark.parametrize("in_two", [False, True])
+    def test_head_may_have_the_largest_size(self, world, excess, status, in_two):
+        """A head of exactly the configured size was refused (issue 48, KNOWN-RED 34)."""
+        world.worker("w1")
+        relay = world.start_relay()
+        start = (
+            b"GET /safe/x HTTP/1.1\r\nHost: shop.example\r\nKey: key-a\r\nRequest-Id: h\r\nLong: "
+        )
+        end = b"\r\n\r\n"
+        size = config()["Limits"]["MaxHeaderBytes"] + excess
+        raw = start + b"a" * (size - len(start) - len(end)) + end
+        with socket.create_connection((relay.host, relay.port), 8.0) as connection:
+            for piece in (raw[:-2], raw[-2:]) if in_two else (raw,):
+                connection.sendall(piece)
+                time.sleep(0.05)
+            assert connection.recv(65536).split()[1] == status
+
     def test_content_length_with_chunked_body_is_not_smuggled(self, world):
         """Guards against request smuggling in a body whose end relay and worker see differently."""
         worker = world.worker("w1")
