Tell peers of a first read as of a change up to its end

What callers would see: a host that has just started reads the table without an entry that was removed a moment before.

Cause: what changed was the newest version among the entries that it found; a removal leaves none.

Change: a first read counts as a change at the version up to which it read. Peers that have not read as far poll soon, as they do for most starts already.

Evidence: test_first_read_counts_as_a_change_up_to_its_end failed before (5 for 9) and passes.

--- a/src/laburnumreel/relay/_feed_follower.py
+++ b/src/laburnumreel/relay/_feed_follower.py
@@ -272,8 +272,11 @@
         self._on_polled()
 
     def _newest_change(self, listing: Listing[Entry]) -> int:
-        """Update the known entries; return the newest version of a real change, or 0."""
-        changed = 0
+        """Update the known entries; return the newest version of a real change, or 0.
+
+        The first read does not show what was removed before it, possibly just now.
+        """
+        changed = 0 if self._has_listing else listing.version
         for name, entry in listing.entries.items():
             previous = self._entries.get(name)
             if entry is None or previous is None or not self._is_same(previous, entry):
--- a/tests/test_relay_upkeep.py
+++ b/tests/test_relay_upkeep.py
@@ -335,6 +335,21 @@
             feed.tick()
         assert max(table.waits) <= MAX_FOLLOW_S
 
+    def test_first_read_counts_as_a_change_up_to_its_end(self):
+        """Guards against a host that starts and does not know of an entry that was just removed.
+
+        Peers that had not read the removal either took its read for a proof that their list was
+        complete.
+        """
+
+        class Table(FakeFeed):
+            def read(self):
+                return Ok(Listing({"b1": listed("b1")}, 9, 0.0, True, {"b1": 5}))
+
+        feed = make_follower(Table(entries=False), effect_s=2.5)
+        feed.tick()
+        assert feed.schedule.changed_version == 9
+
     def test_repeated_outage_reports_do_not_keep_a_removed_entry(
         self,
     ):
