Soak: lose the hosts that read for others as a worker drains

The set "readers" has four, renews the workers' entries, and kills or stops both readers as a worker drains.

--- a/tests/relay_soak.py
+++ b/tests/relay_soak.py
@@ -32,13 +32,18 @@
 # Faults end within 2 s, and a host has reconnected to the store 3 s after that.
 STALE_VIEW_S = 5.0
 SETTLE_S = 3.0
+HEARTBEAT_S = 1.2
+# How long callers wait for a relay where some are stopped: not until they have all left the others.
+STOPPED_RELAY_S = 1.0
 
 
 class Soak:
     """One seeded run: relays, workers behind proxies, callers, and overlapping faults."""
 
-    def __init__(self, seed, seconds, folder, faults):
+    def __init__(self, seed, seconds, folder, faults, relays=2):
         self.possible_faults = faults
+        self.relay_count = relays
+        self.loses_readers = lose_readers in faults
         self.rng = random.Random(seed)
         self.seed, self.seconds = seed, seconds
         self.world = World(folder)
@@ -66,13 +71,15 @@
                 ("d2", "quotes", "decode"),
             ):
                 self._add_worker(name, service, stage)
-            for _ in range(2):
+            for _ in range(self.relay_count):
                 self._add_relay()
             for relay in self.relays:
                 wait_until(relay.is_ready, "a relay is ready", 15)
             callers = [threading.Thread(target=self._run_caller, args=(n,)) for n in range(6)]
             for caller in callers:
                 caller.start()
+            if self.loses_readers:
+                threading.Thread(target=self._renew_entries, daemon=True).start()
             self._inject_faults()
             self.stop.set()
             for caller in callers:
@@ -98,6 +105,14 @@
         worker.listed_entry = worker.entry(service, Address=proxy.address, **fields)
         self.world.store.put("servers", name, worker.listed_entry)
 
+    def _renew_entries(self):
+        """Renew the workers' entries as workers do; without this, hosts count on no reader."""
+        while not self.stop.wait(HEARTBEAT_S):
+            for name, worker in self.world.workers.items():
+                sequence = worker.listed_entry["Sequence"] + 1
+                worker.listed_entry = {**worker.listed_entry, "Sequence": sequence}
+                self.world.store.put("servers", name, worker.listed_entry)
+
     def _add_relay(self):
         name = f"relay-{next(self.relay_numbers)}"
         direct_address, self.world.store.address = (
@@ -117,7 +132,8 @@
         while not self.stop.is_set():
             if connection is None or rng.random() < 0.2:
                 target = rng.choice(self.relays)
-                connection = http.client.HTTPConnection(target.host, target.port, timeout=6)
+                timeout_s = STOPPED_RELAY_S if self.loses_readers else 6
+                connection = http.client.HTTPConnection(target.host, target.port, timeout=timeout_s)
             path = rng.choice(["/safe/", "/once/", "/once/", "/ask/", "/talk/"])
             request_id = f"q{self.seed}-{next(self.request_numbers)}"
             if not self._send_request(connection, path, request_id):
@@ -241,6 +257,32 @@
     relay.process.terminate()
 
 
+def lose_readers(soak):
+    """Kill or stop the hosts that read the table of workers for the others, as a worker drains.
+
+    The others must still learn of it in time, so their views do not count as stale.
+    """
+    ranked = soak.relays[0].find_log_lines("directory_ranked")
+    readers = [relay for relay in soak.relays if ranked and relay.name in ranked[-1]["first"]]
+    if len(soak.relays) < soak.relay_count or not readers:
+        return None
+    soak.relays = [relay for relay in soak.relays if relay not in readers]
+    how = soak.rng.choice([signal.SIGKILL, signal.SIGSTOP])
+    for relay in readers:
+        relay.process.send_signal(how)
+    return_worker = worker_leaves(soak)
+
+    def heal():
+        for relay in readers:
+            relay.process.kill()
+            relay.process.wait()
+            soak._add_relay()
+        if return_worker is not None:
+            return_worker()
+
+    return heal
+
+
 def _mark_views_stale(soak):
     soak.observations.views_stale_until = time.monotonic() + STALE_VIEW_S
 
@@ -335,7 +377,7 @@
 
 
 # Durations of faults that last longer; all others last up to 2 s.
-FAULT_DURATIONS_S = {worker_leaves: 4.0, worker_names_limit: 10.0}
+FAULT_DURATIONS_S = {worker_leaves: 4.0, worker_names_limit: 10.0, lose_readers: 3.6}
 
 FAULTS = (
     kill_relay,
@@ -366,17 +408,23 @@
     worker_leaves,
     change_config,
 )
+# Loss of the hosts that others count on. Each start of a host makes the others read the table, so
+# no others are killed or stopped, and a worker drains just then.
+FAULTS_WITH_LOST_READERS = (lose_readers, lose_readers, change_config)
 FAULT_SETS = {
     "plain": FAULTS,
     "drills": FAULTS_WITH_STORE_RESTORES,
     "limits": FAULTS_WITH_RATE_LIMITS,
+    "readers": FAULTS_WITH_LOST_READERS,
 }
+# Hosts of a run, 2 if not given.
+RELAYS = {FAULTS_WITH_LOST_READERS: 4}
 
 
 def run_seed(seed, seconds, faults=FAULTS, keep_dir=None):
     """Run one seed; with findings, copy the host logs to `keep_dir`; return soak and findings."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, seconds, folder, faults)
+        soak = Soak(seed, seconds, folder, faults, RELAYS.get(faults, 2))
         findings = soak.run()
         keep_logs(folder, seed, findings, keep_dir)
         return soak, findings
--- a/tests/test_relay_soak.py
+++ b/tests/test_relay_soak.py
@@ -5,6 +5,7 @@
 import pytest
 from limit_count import LimitCount
 from relay_soak import (
+    FAULTS_WITH_LOST_READERS,
     FAULTS_WITH_RATE_LIMITS,
     FAULTS_WITH_STORE_RESTORES,
     RETRY,
@@ -90,3 +91,10 @@
     soak, findings = run_seed(1, seconds=16.0, faults=FAULTS_WITH_RATE_LIMITS)
     assert not findings, soak.faults
     assert any(count.named_at is not None for _, count in soak.observations.limits)
+
+
+@pytest.mark.processes
+def test_seeded_run_with_lost_readers_has_no_finding():
+    soak, findings = run_seed(4701, seconds=16.0, faults=FAULTS_WITH_LOST_READERS)
+    assert not findings, soak.faults
+    assert "lose_readers" in soak.faults
