Release what arrived of a body of unknown length that finds no more room

A chunked body without room was dropped, but its part of the memory stayed counted until its request was answered, so that others were refused for memory that was free.

Evidence: test_body_without_room_is_dropped_and_counts_nothing failed before and passes.

--- a/src/laburnumreel/transport/_request_body.py
+++ b/src/laburnumreel/transport/_request_body.py
@@ -34,6 +34,7 @@
         is_larger = self._account is not None and self._size > self._account.size
         if is_larger and not self._is_dropped and not self._account.hold(self._size):
             self.drop()
+            self._account.release()
         if not self._is_dropped:
             self._buffer.write(data)
 
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -111,6 +111,8 @@
         for _ in range(8):
             second.append(bytes(SMALL_REQUEST_BYTES))
         assert second.is_dropped and second.getfile().read() == b""
+        # What arrived before there was no more room, in a body of unknown length.
+        assert memory.held_bytes == MB
         assert len(second) == 8 * SMALL_REQUEST_BYTES
         first.close()
         second.close()
