Log a placement that is made while the first listing is applied

What callers could see: a request placed between the moment in which the first listing is applied and the one in which its time is recorded ended with an internal error.

Cause: the list has no age yet then, and the new field list_age_ms of request_placed could not round infinity.

Change: list_age_ms is null until the list has an age.

Evidence: test_placement_before_the_end_of_the_first_read_is_logged failed before (OverflowError) and passes.

--- a/src/laburnumreel/relay/_placement_log.py
+++ b/src/laburnumreel/relay/_placement_log.py
@@ -1,5 +1,6 @@
 """Logging of the placement of a request."""
 
+import math
 from typing import Any
 
 from laburnumreel.core import Log
@@ -12,6 +13,7 @@
 
 def log_placement(job: Job, assignment: Assignment) -> None:
     """Log the backend servers assigned to a request and the figures behind the choice."""
+    list_age_s = job.deps.list_age_s()
     _log.info(
         REQUEST_PLACED,
         request=job.request.request_id,
@@ -19,7 +21,8 @@
         route=job.route.name,
         back_end=assignment.runner.name,
         candidates=assignment.candidates,
-        list_age_ms=round(1000 * job.deps.list_age_s()),
+        # The first listing is applied before its time is recorded.
+        list_age_ms=round(1000 * list_age_s) if math.isfinite(list_age_s) else None,
         news_age_ms=round(1000 * assignment.update_age_s),
         config_version=job.config_version,
         waited_ms=round(1000 * job.elapsed_s),
--- a/tests/test_relay_upkeep.py
+++ b/tests/test_relay_upkeep.py
@@ -13,6 +13,7 @@
 
 from laburnumreel.core import ManualClock, SystemClock
 from laburnumreel.relay import _feed_follower
+from laburnumreel.relay._assignments import Assignment
 from laburnumreel.relay._back_ends import BackEndList
 from laburnumreel.relay._cleaning import (
     CLEAN_INTERVAL_S,
@@ -28,9 +29,11 @@
 from laburnumreel.relay._members import MEMBER_TABLE, Member, Members
 from laburnumreel.relay._membership import LIST_INTERVAL_S, Membership
 from laburnumreel.relay._node import RETURN_GRACE_S
+from laburnumreel.relay._placement_log import log_placement
 from laburnumreel.relay._poll_schedule import OUTAGE_CONFIRM_S, READERS_PER_REGION
 from laburnumreel.relay._ports import Listing
 from laburnumreel.relay._usage_counters import SEAL_TABLE, UsageCounters, seal_key
+from laburnumreel.relay._work import Work
 from laburnumreel.state import Authority, Page, PlatformError, Row
 from laburnumreel.transport import BackEndPool, CallRateLimiter, JsonCalls
 from laburnumreel.transport._call_rate import BURST_S, MAX_WAIT_S, PLANNED_SHARE
@@ -431,3 +434,21 @@
         time.sleep(0.1)
         pool.prune()
         assert not pool._idle and exchange.connection.sock is None
+
+
+def test_placement_before_the_end_of_the_first_read_is_logged():
+    """A request may be placed while the first listing is applied, when the list has no age yet.
+
+    The log line raised an error, with which the request would have ended.
+    """
+    feed = make_follower(FakeFeed(entries=False), effect_s=2.5)
+    job = SimpleNamespace(
+        request=SimpleNamespace(request_id="r1", prompt=None),
+        service=SimpleNamespace(name="orders", engine=None),
+        route=SimpleNamespace(name="safe"),
+        deps=SimpleNamespace(list_age_s=lambda: feed.view_age_s),
+        config_version=1,
+        elapsed_s=0.0,
+        sends=0,
+    )
+    log_placement(job, Assignment(listed("b1"), Work()))
