--- a/src/laburnumreel/core/_request_memory.py
+++ b/src/laburnumreel/core/_request_memory.py
@@ -42,7 +42,6 @@
         self._clock = clock
         self._gauge = gauge
         self._held_bytes = 0
-        self._peak_bytes = 0
         self._lock = threading.RLock()
         # Requests whose body is arriving, the oldest first.
         self._arriving: dict[HeldRequest, None] = {}
@@ -61,11 +60,6 @@
         """The bytes that are held now."""
         return self._held_bytes
 
-    @property
-    def peak_bytes(self) -> int:
-        """The most bytes that were held at once."""
-        return self._peak_bytes
-
     def open(self, give_up: Callable[[], None] = lambda: None) -> "HeldRequest":
         """Return the account of one request whose body arrives from now on.
 
@@ -134,7 +128,6 @@
     def _apply(self, request: "HeldRequest", size: int) -> None:
         self._held_bytes += size - request.size
         request.size = size
-        self._peak_bytes = max(self._peak_bytes, self._held_bytes)
         if self._gauge is not None:
             self._gauge.set(self._held_bytes)
 
