--- a/src/laburnumreel/relay/_back_ends.py
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -29,7 +29,7 @@
     `name` is unique among the listed entries. A restart may keep it, and then has another
     `started_at_ms`, in milliseconds since the Unix epoch, or 0 if the entry does not have it.
     `beat` increases each time the entry is written after the start. `role` is None for a backend
-    server that is not an engine.
+    server that is not an engine. `software` is the version of its software, empty if unknown.
     """
 
     name: str
@@ -42,6 +42,7 @@
     cheap: bool = False
     started_at_ms: int = 0
     beat: int = 0
+    software: str = ""
 
     @property
     def written(self) -> tuple[int, int]:
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -432,6 +432,7 @@
                 REQUEST_RESUMED,
                 request=job.request.request_id,
                 back_end=assignment.runner.name,
+                software=assignment.runner.software,
                 after=self._position.last_id,
                 cause=error.cause,
             )
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -305,6 +305,7 @@
                     role=entry.role,
                     draining=entry.draining,
                     cheap=entry.cheap,
+                    software=entry.software,
                     version=listing.version,
                 )
         for name in before:
--- a/src/laburnumreel/relay/_placement_log.py
+++ b/src/laburnumreel/relay/_placement_log.py
@@ -37,6 +37,9 @@
     if job.service.engine is None:
         return {}
     return {
+        "software": assignment.runner.software,
+        "resumes": job.request.resumes,
+        "resume_after": job.request.resume_after,
         "reader": assignment.reader.name if assignment.reader else None,
         "read_tokens": plan.read_tokens if plan else None,
         "input_tokens": prompt.input_tokens,
--- a/src/laburnumreel/relay/_requests.py
+++ b/src/laburnumreel/relay/_requests.py
@@ -40,7 +40,8 @@
     the system sets itself. `caller_timeout_s` is how long the caller waits in total,
     counted from `arrived_at` on the process clock. `is_caller_gone` returns whether the
     caller has closed its connection. `queued_s` is how long the completely received
-    request waited for a thread.
+    request waited for a thread. `resume_after` is the id of the last event that the caller has
+    of a stream that it takes up, and `resumes` the id of its request that began the stream.
     """
 
     request_id: str
@@ -57,6 +58,7 @@
     arrived_at: float
     is_caller_gone: Callable[[], bool] = lambda: False
     queued_s: float = 0.0
+    resumes: str | None = None
 
 
 class PromptCopy(NamedTuple):
