Let a stream that has begun go on at its software version only

A request now carries the version of the server that sent its first event (Job.software), and everything that is placed after that, resumption, failover or hedge, goes to a generating server of that version; before the first event any version may win. Another version may still read the prompt: that sends no event. A version that can't be read is like no other. If no server of the version takes work, the answer ends at once, and a request that asks for such a server gets 503 stream_not_resumable. A server whose process has ended is not used for streams that have begun until its entry shows the new start, or 4 s: it may be back under its name with other software.

--- a/src/laburnumreel/relay/_assignments.py
+++ b/src/laburnumreel/relay/_assignments.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from laburnumreel.relay._back_ends import ListedBackEnd
+from laburnumreel.relay._back_ends import ListedBackEnd, Role
 from laburnumreel.relay._config import EngineTraits
 from laburnumreel.relay._cost_model import EnginePlan
 from laburnumreel.relay._requests import Prompt
@@ -18,7 +18,9 @@
     that has already read the prompt and keeps a copy for the generating engine. `was_placed` tells
     whether the request was placed before. `engine` describes the engines of the service under the
     configuration with which the request arrived; None for a plain service. `parts` names the shared
-    parts of its prompt, `token` names the request among those of all hosts.
+    parts of its prompt, `token` names the request among those of all hosts. `software` is the
+    version of the software that began its stream, or None if any may generate: what two versions
+    generate does not fit together.
     """
 
     waiting: WaitingRequest
@@ -32,6 +34,23 @@
     engine: EngineTraits | None = None
     parts: tuple[str, ...] = ()
     token: str = ""
+    software: str | None = None
+
+    def may_use(self, back_end: ListedBackEnd) -> bool:
+        """Return whether the request may be sent to a backend server that takes work.
+
+        An unknown version is like no other, not even like itself.
+        """
+        if back_end.name in self.excluded:
+            return False
+        if self.software is None or back_end.role is Role.PREFILL:
+            return True
+        return bool(self.software) and back_end.software == self.software
+
+    def may_generate_at(self, back_end: ListedBackEnd) -> bool:
+        """Return whether the request may be sent to a backend server, and not only to read."""
+        is_only_reader = self.software is not None and back_end.role is Role.PREFILL
+        return not is_only_reader and self.may_use(back_end)
 
     @property
     def is_first_run(self) -> bool:
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -401,6 +401,7 @@
         if forwarded:
             self._ready_pieces.append(b"".join(forwarded))
         if has_progress:
+            self._job.software = self._assignment.runner.software
             self._job.on_answer_begun()
             self._has_begun = True
             self._failover.on_progress()
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -34,6 +34,9 @@
 # A removed entry is reported to peers for this long, as they may not have read the list yet. Peers
 # send its backend server nothing for this long, and no longer, because the entry may come back.
 REMOVED_ENTRY_S = 3.0
+# A backend server whose process has ended may start again under its name with other software, and
+# is listed with it within this time. Until then, no stream that has begun goes on there.
+RESTART_LISTED_S = 4.0
 
 # Log lines use the name of the dispatcher, because this code runs on its thread.
 _log = Log("relay.dispatcher")
@@ -104,6 +107,8 @@
         # Backend servers whose entries were removed from this host's list, and from a peer's.
         self._removed_until: dict[str, float] = {}
         self._peer_removed_until: dict[str, float] = {}
+        # Until when the listed software of a backend server is uncertain, and the start it is of.
+        self._uncertain_software: dict[tuple[str, int], float] = {}
         self.ledger = WorkLedger()
         self.crash_evidence = CrashEvidence(host)
         self.limits = FleetLimits(
@@ -122,6 +127,9 @@
         usable = dict(available)
         for name in excluded:
             usable.pop(name, None)
+        if request.software is not None:
+            usable = self._with_software(usable, request, now)
+            excluded |= available.keys() - usable.keys()
         if request.prompt is None or request.copy_zone:
             return list(usable.values())
         if not any(each.can_generate for each in usable.values()):
@@ -144,12 +152,16 @@
     def has_usable(self, request: PlacementRequest, now: float) -> bool:
         """Return whether a request can be sent anywhere, now or once a limit has room."""
         available = self._candidate_cache.candidates(request.service, now)
-        return any(name not in request.excluded for name in available)
+        return any(
+            request.may_generate_at(each.back_end)
+            and not self._is_software_uncertain(each.back_end, request, now)
+            for each in available.values()
+        )
 
     def has_listed(self, request: PlacementRequest, now: float) -> bool:
         """Return whether an untried backend server is listed, even if it is not usable now."""
         listed = self._back_ends.usable(request.service, now)
-        return any(each.name not in request.excluded for each in listed)
+        return any(request.may_generate_at(each) for each in listed)
 
     def limit_room(self, request: PlacementRequest, now: float) -> LimitHeadroom | None:
         """Return the headroom of the limits for a request.
@@ -159,7 +171,7 @@
         if not self.limits.limited:
             return None
         available = self._candidate_cache.candidates(request.service, now)
-        usable = (each.back_end for name, each in available.items() if name not in request.excluded)
+        usable = (each.back_end for each in available.values() if request.may_use(each.back_end))
         return self.limits.headroom(request.service, usable, now)
 
     def prefixes_fit(
@@ -236,6 +248,7 @@
         self._self_reports.forget_old(now)
         self._removed_until = _unexpired(self._removed_until, now)
         self._peer_removed_until = _unexpired(self._peer_removed_until, now)
+        self._uncertain_software = _unexpired(self._uncertain_software, now)
         self.limits.forget_old(now)
 
     def forget_peer(self, name: str) -> None:
@@ -269,6 +282,8 @@
         """
         self._prefix_cache.on_restart(back_end)
         entry = self._back_ends.get(back_end)
+        if entry is not None:
+            self._uncertain_software[back_end, entry.started_at_ms] = now + RESTART_LISTED_S
         is_leaving = back_end in self._self_reports.leaving(self._back_ends)
         if entry is not None and not entry.draining and not is_leaving:
             self.crash_evidence.record_crash(back_end, lost, now)
@@ -363,6 +378,28 @@
         busy_services = frozenset(entry.service for entry in listed if any(work[entry.name]))
         return FleetView(listed, work, dict(last_short_at), busy_services, self.limits.limited)
 
+    def _with_software(
+        self, candidates: Mapping[str, Candidate], request: PlacementRequest, now: float
+    ) -> dict[str, Candidate]:
+        """Return the candidates that may go on with a stream, and those that may read for them."""
+        usable = {
+            name: each
+            for name, each in candidates.items()
+            if request.may_use(each.back_end)
+            and not self._is_software_uncertain(each.back_end, request, now)
+        }
+        if not any(request.may_generate_at(each.back_end) for each in usable.values()):
+            return {}
+        return usable
+
+    def _is_software_uncertain(
+        self, back_end: ListedBackEnd, request: PlacementRequest, now: float
+    ) -> bool:
+        if request.software is None:
+            return False
+        start = back_end.name, back_end.started_at_ms
+        return now < self._uncertain_software.get(start, now)
+
     def _build_candidates(self, service: str, now: float) -> dict[str, Candidate]:
         """Return the backend servers of a service that accept work, by name."""
         available = {}
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -107,6 +107,8 @@
         self.contacted_addresses: set[Address] = set()
         # Backend servers that have the request now.
         self.back_ends: frozenset[str] = frozenset()
+        # The version of the software that began the stream, None while any may begin it.
+        self.software: str | None = None
         # Whether an engine has read the prompt for another engine.
         self.is_prompt_read = False
         # Permits of the retry budget for sends that were not made yet.
@@ -203,6 +205,7 @@
             # An answer that has begun has cleared them.
             () if self.has_begun else self.parts,
             self.token,
+            self.software,
         )
 
     def wait_for(self, future: Future) -> Assignment:
--- a/src/laburnumreel/state/_errors.py
+++ b/src/laburnumreel/state/_errors.py
@@ -33,6 +33,7 @@
     STORE_UNAVAILABLE = "store_unavailable"
     QUARANTINED = "quarantined"
     CRASHES_BACK_ENDS = "crashes_back_ends"
+    STREAM_NOT_RESUMABLE = "stream_not_resumable"
     BACK_END_REFUSED = "back_end_refused"
     BACK_END_LOST = "back_end_lost"
     BACK_END_TIMEOUT = "back_end_timeout"
@@ -187,6 +188,13 @@
             True,
             "Requests like this one crashed back ends; it is held back for a time.",
         ),
+        ErrorKind.STREAM_NOT_RESUMABLE: (
+            503,
+            _SERVER,
+            _NOT_RUN,
+            False,
+            "The stream cannot go on: no back end has the software that began it, or it is unknown.",
+        ),
         ErrorKind.BACK_END_REFUSED: (
             502,
             _SERVER,
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -11,7 +11,7 @@
 
 def add_server(world, name, software, **options):
     answer = VersionedStream(software, **options)
-    world.worker(name, "quotes", answer, Stage="decode", Version=software)
+    world.worker(name, "quotes", answer, Version=software)
     return answer
 
 
@@ -28,7 +28,7 @@
     """Let a server drain, and wait until all relays have read that."""
     worker = world.workers[name]
     version = world.store.value("servers", name)["Version"]
-    entry = worker.entry("quotes", Stage="decode", State="draining", Sequence=2, Version=version)
+    entry = worker.entry("quotes", State="draining", Sequence=2, Version=version)
     world.store.put("servers", name, entry)
     for relay in world.relays:
         if relay.process.poll() is None:
