Take a stream up at the software version that began it, at any host

StreamDirectory, a task with a UDP socket ([listen] streams), knows which software began a stream. While one version has served for longer than a stream lives (three times the longest timeout of a route, 20 s at least) every host can tell it and nothing is sent. Otherwise the host that passes on a stream's first event tells three keepers, chosen by rendezvous hashing of the stream's key (customer, service, id), and those of its streams that began before the second version was listed. A host that doesn't know a stream asks the keepers, after 40 ms all, and gives up after 250 ms. What nobody knows is refused at once with 503 stream_not_resumable, not run: a loss that the caller learns of, and no joined text; with Retry-After only where a host did not answer. Where a host is the only one that began a stream, its answer to a question comes after the streams that it hasn't recorded yet.

Weighed: telling all hosts of each stream (195 hosts: 180 streams a second to each); a home asked only, without a copy at the one that began it; the regular updates (0.15 to 3.25 s apart, later than a client that returns at once).

--- a/src/laburnumreel/core/_task.py
+++ b/src/laburnumreel/core/_task.py
@@ -49,6 +49,11 @@
     def name(self) -> str:
         return self._name
 
+    @property
+    def has_messages(self) -> bool:
+        """Whether messages wait to be handled."""
+        return not self._mailbox.empty()
+
     def start(self, executor: Executor) -> None:
         """Run the task on `executor`, which needs a free worker for each task until it stops."""
         self._done = executor.submit(self._run)
--- /dev/null
+++ b/src/laburnumreel/protocol/gen/streams/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -13,9 +13,10 @@
     REQUEST_LOST,
     REQUEST_REFUSED,
     REQUEST_SERVED,
+    STREAM_LOOKED_UP,
 )
 from laburnumreel.relay._job import Dependencies, Job, RelayFailedError
-from laburnumreel.relay._metrics import RELAY_FIRST_BYTE_S, RELAY_REQUESTS
+from laburnumreel.relay._metrics import RELAY_FIRST_BYTE_S, RELAY_REQUESTS, RELAY_TAKE_UPS
 from laburnumreel.relay._plain import serve_plain
 from laburnumreel.relay._ports import CallerWire
 from laburnumreel.relay._request_slots import RequestSlots
@@ -28,6 +29,8 @@
 # Retry delay if peers have a newer configuration: a host lags behind for about this time.
 STALE_CONFIG_RETRY_S = 0.2
 NOT_READY_RETRY_S = 0.5
+# Retry delay if a peer that may know a stream did not answer.
+SILENT_PEERS_RETRY_S = 0.2
 # Larger answers count as held until the caller has received them; the socket and its buffers take
 # smaller ones at once.
 MAX_UNHELD_BYTES = 64 * 1024
@@ -158,6 +161,8 @@
         is_held = False
         try:
             if job.service.engine is not None:
+                if job.takes_up_stream:
+                    job.software = self._find_software(job)
                 body = self._serve_stream(job, start_response)
             else:
                 body = self._serve_whole(job, start_response)
@@ -240,6 +245,32 @@
             detail = f"configuration {table.version} is not the newest"
             raise RelayFailedError(Refusal(ErrorKind.NOT_READY, detail, STALE_CONFIG_RETRY_S))
 
+    def _find_software(self, job: Job) -> str | None:
+        """Return the version of the software that began the stream which a caller takes up.
+
+        Raises `RelayFailedError` if it can't be told: at any other version, the caller would get a
+        text that two versions have written.
+        """
+        began_at = self._clock.now()
+        finding = self._deps.streams.find(job.stream, job.service.name).result()
+        RELAY_TAKE_UPS.inc(source=finding.source)
+        _log.info(
+            STREAM_LOOKED_UP,
+            request=job.request.request_id,
+            resumes=job.request.resumes,
+            service=job.service.name,
+            software=finding.software,
+            source=finding.source,
+            asked=finding.asked,
+            took_ms=round(1000 * (self._clock.now() - began_at)),
+        )
+        if finding.software is None:
+            detail = f"the software that began the stream is {finding.source}"
+            is_silent = finding.source == "silent"
+            retry_after_s = SILENT_PEERS_RETRY_S if is_silent else None
+            raise RelayFailedError(Refusal(ErrorKind.STREAM_NOT_RESUMABLE, detail, retry_after_s))
+        return finding.software
+
     def _serve_whole(self, job: Job, start_response: StartResponse) -> list[bytes]:
         reply = serve_plain(job)
         self._observe_first_byte(job)
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -106,6 +106,8 @@
         self._last_short_at: dict[str, float] = {}
         self._next_pass_at = float("-inf")
         self._on_crash_news: Callable[[], None] = lambda: None
+        self._on_software: Callable[[Mapping[str, frozenset[str]]], None] = lambda listed: None
+        self._listed_software: Mapping[str, frozenset[str]] = {}
         self._holds_wait = HoldsWait(rng)
         self._parts_in_flight = PartsInFlight()
 
@@ -173,6 +175,12 @@
         """Set the function to call when the peers should learn of a crash or a hold at once."""
         self._on_crash_news = on_crash_news
 
+    def set_software_listener(
+        self, on_software: Callable[[Mapping[str, frozenset[str]]], None]
+    ) -> None:
+        """Set the function to call with the listed versions by service, whenever they change."""
+        self._on_software = on_software
+
     def set_holds_query(self, ask_holds: Callable[[int], None]) -> None:
         """Set the function to call when peers should tell at once which parts are held."""
         self._holds_wait.set_ask(ask_holds)
@@ -302,6 +310,7 @@
                 self._fleet_state.crash_evidence.record_answer(parts, now)
             case ListingRead(listing):
                 self._fleet_state.on_listing(listing, now)
+                self._report_software()
                 self._place_waiting(now)
             case DirectoryLinkChanged(link):
                 self._fleet_state.on_directory_link(link, now)
@@ -376,6 +385,12 @@
             # The other waiting requests were tried in the last pass.
             self._place_or_fail(pending, now)
 
+    def _report_software(self) -> None:
+        listed = self._fleet_state.listed_software()
+        if listed != self._listed_software:
+            self._listed_software = listed
+            self._on_software(listed)
+
     def _refuse_held(self, now: float) -> None:
         """Refuse the waiting requests with a part that is now held, and end those that were sent.
 
--- a/src/laburnumreel/relay/_engine.py
+++ b/src/laburnumreel/relay/_engine.py
@@ -401,7 +401,8 @@
         if forwarded:
             self._ready_pieces.append(b"".join(forwarded))
         if has_progress:
-            self._job.software = self._assignment.runner.software
+            if not self._has_begun:
+                self._job.on_stream_begun(self._assignment.runner.software)
             self._job.on_answer_begun()
             self._has_begun = True
             self._failover.on_progress()
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -150,6 +150,18 @@
     663, "second_send_ended", "a hedged request ended while the first send was awaited"
 )
 
+SOFTWARE_CHANGED = define_event(
+    692,
+    "software_changed",
+    "the versions of software that may have begun the streams of a service have changed",
+)
+STREAM_LOOKED_UP = define_event(
+    693, "stream_looked_up", "a caller takes up a stream; which software began it was looked up"
+)
+STREAM_MESSAGE_UNREADABLE = define_event(
+    694, "stream_message_unreadable", "a datagram about streams is malformed or could not be sent"
+)
+
 WINDOW_SEALED = define_event(650, "window_sealed", "the usage of a window was sealed")
 WINDOW_REPORTED = define_event(651, "window_reported", "the usage of a window was reported")
 REPORT_FAILED = define_event(652, "report_failed", "the usage of a window could not be reported")
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -25,6 +25,7 @@
 from laburnumreel.relay._requests import Prompt, SelfReport
 from laburnumreel.relay._self_reports import SelfReports
 from laburnumreel.relay._server_limits import LimitReport
+from laburnumreel.relay._software_history import listed_software
 from laburnumreel.relay._work import Work, WorkLedger
 from laburnumreel.state import era_of_version
 
@@ -145,6 +146,10 @@
                 usable[engine_name] = usable[engine_name]._replace(is_preferred=True)
         return list(usable.values())
 
+    def listed_software(self) -> dict[str, frozenset[str]]:
+        """Return the versions of the listed backend servers' software by service."""
+        return listed_software(self._back_ends)
+
     def location(self, zone: str) -> Location:
         """Return the location of an availability zone."""
         return location_of(zone, self._regions.get(zone, zone))
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -16,8 +16,9 @@
 from laburnumreel.relay._dispatcher import Dispatcher
 from laburnumreel.relay._events import REPEAT_DECIDED, REQUEST_REPEATED
 from laburnumreel.relay._metrics import RELAY_REPEATS, RELAY_WAIT_S
-from laburnumreel.relay._ports import BackEndWire
+from laburnumreel.relay._ports import BackEndWire, StreamFinder
 from laburnumreel.relay._requests import Dispatch, Prompt, RelayRequest
+from laburnumreel.relay._stream_records import stream_key
 from laburnumreel.relay._unknown_headers import UnknownHeaders
 from laburnumreel.relay._waiting import WaitingRequest
 from laburnumreel.serving import RunningRequest
@@ -59,6 +60,7 @@
     unknown_headers: UnknownHeaders
     # The age of this host's list of backend servers, in seconds.
     list_age_s: Callable[[], float]
+    streams: StreamFinder
 
 
 class Job:
@@ -143,6 +145,23 @@
                 return state
         return RunState.NOT_RUN
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller has events of the stream from an earlier request."""
+        return self.request.resume_after is not None
+
+    @property
+    def stream(self) -> bytes:
+        """The key of the stream, which the request that began it names."""
+        first_id = self.request.resumes if self.takes_up_stream else None
+        first_id = self.request.request_id if first_id is None else first_id
+        return stream_key(self.customer, self.service.name, first_id)
+
+    def on_stream_begun(self, software: str) -> None:
+        """Record that a backend server with this software has sent the first event to pass on."""
+        self.software = software
+        self.deps.streams.record(self.stream, self.service.name, software, self.remaining_s)
+
     def record_run_state(self, send: object, state: RunState) -> None:
         """Record whether the backend server of one send has run the request."""
         self._run_states[send] = state
--- a/src/laburnumreel/relay/_metrics.py
+++ b/src/laburnumreel/relay/_metrics.py
@@ -52,6 +52,15 @@
 )
 RELAY_WAITING = define_gauge("laburnumreel_relay_waiting", "requests that wait for a place")
 RELAY_PEERS = define_gauge("laburnumreel_relay_peers", "peers heard from lately")
+RELAY_STREAMS_TOLD = define_counter(
+    "laburnumreel_relay_streams_told_total",
+    "streams whose software was told to other hosts, once for each of them",
+)
+RELAY_TAKE_UPS = define_counter(
+    "laburnumreel_relay_take_ups_total",
+    "streams that callers take up, by how the software that began them was found",
+    ("source",),
+)
 RELAY_WINDOWS = define_counter(
     "laburnumreel_relay_windows_total", "usage windows by what became of them", ("outcome",)
 )
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -58,7 +58,9 @@
 from laburnumreel.relay._roles import RolePlanner
 from laburnumreel.relay._settings import RelaySettings
 from laburnumreel.relay._settings_watch import LoadSettings, SettingsWatch
+from laburnumreel.relay._software_history import MIN_STREAM_LIFE_S, stream_life_s
 from laburnumreel.relay._stop_schedule import StopSchedule
+from laburnumreel.relay._stream_directory import StreamDirectory
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._unknown_headers import UnknownHeaders
 from laburnumreel.relay._usage_counters import Process, UsageCounters
@@ -145,6 +147,14 @@
             self._rng,
             host=host.name,
         )
+        self._stream_life_s = MIN_STREAM_LIFE_S
+        self._streams = StreamDirectory(
+            host.name,
+            settings.listen.streams,
+            self._clock,
+            lambda: self._peers.live_peers,
+            lambda: self._stream_life_s,
+        )
         self._registry = RequestRegistry(self._clock, lambda now: False, CALLER_GONE_CHECK_S)
         self._pool = BackEndPool(MAX_IDLE, connect_timeout_s=CONNECT_TIMEOUT_S)
         self._application = RelayApplication(
@@ -160,6 +170,7 @@
                 ),
                 UnknownHeaders(),
                 lambda: self._back_end_feed.view_age_s,
+                self._streams,
             ),
             adapter.callers,
             self._registry,
@@ -219,6 +230,7 @@
         )
         self._dispatcher.set_crash_listener(self._peers.send_crashes)
         self._dispatcher.set_holds_query(self._peers.ask_holds)
+        self._dispatcher.set_software_listener(self._streams.on_listed)
         members = Members(adapter.store)
         self._membership = Membership(
             Member(host.name, settings.listen.peers, self._boot),
@@ -319,6 +331,7 @@
             self._config_feed,
             self._back_end_feed,
             self._peers,
+            self._streams,
             self._membership,
             self._lease_keeper,
             self._duties,
@@ -419,6 +432,7 @@
                 continue
             self._callers.set_limits(*config.limits)
             self._limit_idle_connections()
+            self._stream_life_s = stream_life_s(config)
             _log.info(
                 RELAY_CONFIGURED,
                 version=config.version,
--- a/src/laburnumreel/relay/_ports.py
+++ b/src/laburnumreel/relay/_ports.py
@@ -1,6 +1,7 @@
 """The interfaces to surrounding systems, as protocols that an adapter implements."""
 
 from collections.abc import Iterable, Mapping
+from concurrent.futures import Future
 from typing import Any, Generic, NamedTuple, Protocol, TypeVar
 
 from expression import Result
@@ -111,6 +112,15 @@
     def role(self, authority: Authority, back_end: ListedBackEnd, role: Role) -> DutyCall: ...
 
 
+class StreamFinder(Protocol):
+    """Knows which software began the streams that callers may take up."""
+
+    def record(self, stream: bytes, service: str, software: str, remaining_s: float) -> None: ...
+
+    def find(self, stream: bytes, service: str) -> Future:
+        """Return a future of a `StreamFinding`."""
+
+
 class Adapter(NamedTuple):
     """The implementations that connect a relay to the surrounding systems.
 
--- a/src/laburnumreel/relay/_settings.py
+++ b/src/laburnumreel/relay/_settings.py
@@ -32,12 +32,16 @@
 
 
 class ListenSettings(NamedTuple):
-    """The addresses to listen on: for callers, readiness checks, metrics and peers."""
+    """The addresses to listen on: for callers, readiness checks, metrics and peers.
+
+    The port of `streams` is the same on all hosts.
+    """
 
     callers: Address
     readiness: Address
     admin: Address
     peers: Address
+    streams: Address
 
 
 class StoreSettings(NamedTuple):
@@ -103,6 +107,13 @@
         Field("listen", "readiness", kinds.address, None, "readiness checks", required=True),
         Field("listen", "admin", kinds.address, None, "health checks and metrics", required=True),
         Field("listen", "peers", kinds.address, None, "peer updates, UDP", required=True),
+        Field(
+            "listen",
+            "streams",
+            kinds.address,
+            None,
+            "queries about streams, UDP; the default is the port after that of `peers`",
+        ),
         Field("store", "address", kinds.address, None, "the platform's store", required=True),
         Field(
             "store", "writes_per_s", kinds.number(1, 1e6), 400.0, "writes per second of all hosts"
@@ -162,12 +173,15 @@
     if lease.term_s <= 2 * lease.margin_s:
         allowed = f"more than twice margin_s ({2 * lease.margin_s:g})"
         return Error([SettingsError(file, "lease", "term_s", f"{lease.term_s:g}", allowed)])
+    listen = ListenSettings(**values["listen"])
+    if listen.streams is None:
+        listen = listen._replace(streams=(listen.peers[0], listen.peers[1] + 1))
     host = values["host"]
     regions = {**dict(host["regions"]), host["zone"]: host["region"]}
     return Ok(
         RelaySettings(
             host=HostSettings(host["name"], host["zone"], host["region"], regions),
-            listen=ListenSettings(**values["listen"]),
+            listen=listen,
             store=StoreSettings(**values["store"]),
             duties=values["duties"]["address"],
             back_ends=BackEndSettings(**values["back_ends"]),
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -28,7 +28,7 @@
 MAX_START_S = 60.0
 # The number of log lines of each relay in the report of a failing test.
 LOG_LINES_SHOWN = 40
-RELAY_PORTS = (8001, 8002, 8003, 8004)
+RELAY_PORTS = (8001, 8002, 8003, 8004, 8005)
 
 
 def wait_until(condition, description, seconds=WAIT_S):
@@ -317,7 +317,7 @@
         # A separate loopback address, and ports outside the range of outgoing connections, so that
         # nothing else on the machine can bind them before the relay does.
         self.host = fresh_host()
-        self.port, self.ready_port, self.admin_port, self.peer_port = RELAY_PORTS
+        self.port, self.ready_port, self.admin_port, self.peer_port, self.stream_port = RELAY_PORTS
         self.settings = world.folder / f"{name}.ini"
         self.settings.write_text(self._settings_text(world))
         self.log_path = world.folder / f"{name}.log"
@@ -338,6 +338,7 @@
             f"regions = zone-a=region-a,zone-b=region-b\n"
             f"[listen]\ncallers = {self.host}:{self.port}\nreadiness = {self.host}:{self.ready_port}\n"
             f"admin = {self.host}:{self.admin_port}\npeers = {self.host}:{self.peer_port}\n"
+            f"streams = {self.host}:{self.stream_port}\n"
             f"[store]\naddress = {world.store.address}\n"
             f"[duties]\naddress = {world.duties.address}\n"
             f"[usage]\nwindow_s = 1\nlate_s = 10\n"
--- a/tests/repeats_world.py
+++ b/tests/repeats_world.py
@@ -8,6 +8,7 @@
 import random
 from collections import Counter
 from concurrent.futures import Future
+from types import SimpleNamespace
 
 from laburnumreel_platform._workers import WorkerProtocol
 from relay_fleet import SERVICE, Host
@@ -120,6 +121,7 @@
         self.refusals = set()
         self._number = itertools.count()
         self._size = hosts
+        self.streams = SimpleNamespace(record=lambda *stream: None)
         self.hosts = [self.start_host(number) for number in range(hosts)]
 
     # The methods of the connection pool.
@@ -138,7 +140,7 @@
         address = ("10.0.0.1", 80)
         roles = {f"p{n}": Role.PREFILL for n in range(6)} | {f"d{n}": Role.DECODE for n in range(6)}
         entries = {
-            name: ListedBackEnd(name, "quotes", address, "z", 64, role=role)
+            name: ListedBackEnd(name, "quotes", address, "z", 64, role=role, software="v1")
             for name, role in roles.items()
         }
         host.on_listing(Listing(entries, 1, 0.0, True))
@@ -172,6 +174,7 @@
             AnswerMemory(10**6),
             UnknownHeaders(),
             lambda: 0.0,
+            self.streams,
         )
         running = RunningRequest(name, None, now + 3.0, lambda: False)
         return Job(deps, request, self.route, SERVICE, "", 1, running, 1)
