Keep the versions that may have begun streams in the store, for hosts that all start at once

After all hosts were killed, none knew whether the versions listed now are all that can have begun a stream; callers' take-ups were refused for the life of a stream (20 s) also where one version had served all the time. The holder of the duties writes a row for each service (relay_software) as its versions change; a host reads the rows once as it starts, and again in a new era of the store. One version costs a read for each start of a host, no write and no message.

Weighed: a row of each host with its streams (35 writes a second of the site's 400 at 7 hosts, and what comes between two writes is lost as well); the store's history of entries (it may be dropped at any time, and has no times).

--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -162,6 +162,13 @@
     694, "stream_message_unreadable", "a datagram about streams is malformed or could not be sent"
 )
 
+SOFTWARE_STORED = define_event(
+    695, "software_stored", "the versions that may have begun a service's streams were stored"
+)
+SOFTWARE_UNREADABLE = define_event(
+    696, "software_unreadable", "the stored versions of services could not be read or written"
+)
+
 WINDOW_SEALED = define_event(650, "window_sealed", "the usage of a window was sealed")
 WINDOW_REPORTED = define_event(651, "window_reported", "the usage of a window was reported")
 REPORT_FAILED = define_event(652, "report_failed", "the usage of a window could not be reported")
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -59,6 +59,7 @@
 from laburnumreel.relay._settings import RelaySettings
 from laburnumreel.relay._settings_watch import LoadSettings, SettingsWatch
 from laburnumreel.relay._software_history import MIN_STREAM_LIFE_S, stream_life_s
+from laburnumreel.relay._software_rows import SoftwareRows
 from laburnumreel.relay._stop_schedule import StopSchedule
 from laburnumreel.relay._stream_directory import StreamDirectory
 from laburnumreel.relay._true_time import TrueTime
@@ -304,6 +305,12 @@
             (capacity, roles, cleaner),
             lambda: adapter.store_era.current,
         )
+        self._software_rows = SoftwareRows(
+            adapter.store,
+            self._streams,
+            lambda: self._duties.fence,
+            lambda: adapter.store_era.current,
+        )
         self._callers = HttpServer(
             self._application,
             settings.listen.callers,
@@ -335,6 +342,7 @@
             self._membership,
             self._lease_keeper,
             self._duties,
+            self._software_rows,
         ]
         with ThreadPoolExecutor(TASK_THREADS, "task") as executor:
             for task in tasks:
