--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -38,6 +38,9 @@
 BACK_END_AVOIDED = define_event(
     619, "back_end_avoided", "a backend server is in backoff and gets no requests"
 )
+BACK_END_AVOIDED_BY_PEER = define_event(
+    697, "back_end_avoided_by_peer", "a backend server gets no requests because a peer said so"
+)
 MEMBERS_UNREADABLE = define_event(620, "members_unreadable", "the list of hosts can't be read")
 TRUE_TIME_AGREED = define_event(622, "true_time_agreed", "the hosts agreed on the time of day")
 MEMBER_ROW_MISSING = define_event(
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -15,7 +15,12 @@
 from laburnumreel.relay._config import EngineTraits
 from laburnumreel.relay._cost_model import Candidate, Location, location_of
 from laburnumreel.relay._crash_evidence import CrashEvidence, LostRequest
-from laburnumreel.relay._events import BACK_END_AVOIDED, BACK_END_GONE, BACK_END_LISTED
+from laburnumreel.relay._events import (
+    BACK_END_AVOIDED,
+    BACK_END_AVOIDED_BY_PEER,
+    BACK_END_GONE,
+    BACK_END_LISTED,
+)
 from laburnumreel.relay._feed_follower import LinkState
 from laburnumreel.relay._fleet_limits import FleetLimits, LimitHeadroom
 from laburnumreel.relay._health import HealthTracker
@@ -349,6 +354,13 @@
             self.ledger.set_peer_work(update.sender, update.work, now)
         self.limits.on_update(update, now)
         for back_end, remaining_s in update.avoided.items():
+            if not self._health.is_in_backoff(back_end, now):
+                _log.info(
+                    BACK_END_AVOIDED_BY_PEER,
+                    back_end=back_end,
+                    peer=update.sender,
+                    rest_s=round(remaining_s, 2),
+                )
             self._health.on_peer_backoff(back_end, now + remaining_s)
         for back_end, started_at_ms in update.leaving.items():
             self._self_reports.record_peer_leaving(back_end, started_at_ms, now)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -71,6 +71,10 @@
     def body(self):
         return self.rfile.read(int(self.headers.get("Content-Length") or 0))
 
+    def view_row(self, row):
+        """Return a row of the store as it is sent; a handler may show another one."""
+        return row
+
 
 class _Server:
     def __init__(self, handler):
@@ -145,6 +149,22 @@
             self.era += 1
             self.changed.notify_all()
 
+    def serve_view(self, view_row):
+        """Start another server of this store, which shows each row as `view_row` returns it."""
+        store = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                store._get(self)
+
+            def do_POST(self):
+                store._transact(self)
+
+            def view_row(self, row):
+                return view_row(row)
+
+        return _Server(Handler)
+
     def silence_connections(self):
         """Let all open connections go silent; new ones work."""
         self._silent = set(self._connections)
@@ -167,6 +187,8 @@
         if handler.connection in self._silent:
             time.sleep(MAX_START_S)
             raise ConnectionError("the connection is silent")
+        if "Rows" in body:
+            body = {**body, "Rows": [handler.view_row(row) for row in body["Rows"]]}
         body = {**body, "Ver": self.version, "NowMs": int(time.monotonic() * 1000)}
         headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
         handler.respond(status, json.dumps(body).encode(), headers)
@@ -339,7 +361,7 @@
             f"[listen]\ncallers = {self.host}:{self.port}\nreadiness = {self.host}:{self.ready_port}\n"
             f"admin = {self.host}:{self.admin_port}\npeers = {self.host}:{self.peer_port}\n"
             f"streams = {self.host}:{self.stream_port}\n"
-            f"[store]\naddress = {world.store.address}\n"
+            f"[store]\naddress = {world.store_addresses.get(self.name, world.store.address)}\n"
             f"[duties]\naddress = {world.duties.address}\n"
             f"[usage]\nwindow_s = 1\nlate_s = 10\n"
             f"[log]\nlevel = debug\n"
@@ -384,6 +406,8 @@
         last_answers.clear()
         self.store, self.duties = Store(), Duties()
         self.workers, self.relays = {}, []
+        # Addresses of the store that differ from its own, by relay.
+        self.store_addresses = {}
         # Sections that a test adds to the settings of every relay.
         self.extra_settings = ""
         self.store.put("op", "config", config())
