Tell peers of a lost server only after another one was reached

A failed connection shows that a server is gone, or that the host's own links are. Once its links are back it forgets the backoffs of that time; of the crashes it keeps those of servers that are other processes since.

Receivers bound what one wrong host can do, one of an earlier release too: a peer that avoids more than half of the listed servers is not believed, and an own answer counts for more than a peer's word.

--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -8,7 +8,7 @@
 from laburnumreel.core import Clock, Log, Task
 from laburnumreel.relay._assigner import Assigner
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
-from laburnumreel.relay._back_ends import ListedBackEnd
+from laburnumreel.relay._back_ends import Address, ListedBackEnd
 from laburnumreel.relay._cost_model import Location, PlacementCosts
 from laburnumreel.relay._crash_evidence import CrashUpdate, HeldPartView, HeldReason, LostRequest
 from laburnumreel.relay._dispatcher_messages import (
@@ -32,6 +32,7 @@
     ReleasePart,
     ReturnPermit,
     ServerCrashed,
+    ServerProbed,
     ServerReported,
     ServerUnreachable,
     UnwatchParts,
@@ -92,7 +93,7 @@
         self._clock = clock
         self._retry_budget = FleetRetryBudgets(retry, clock.now())
         self._fleet_state = FleetState(
-            own_location, regions, return_grace_s, host, self._retry_budget.requests_per_s
+            own_location, regions, return_grace_s, host, self._retry_budget.requests_per_s, rng
         )
         self._rng = rng
         self._refusals = RefusalFactory(self._fleet_state, rng)
@@ -108,6 +109,8 @@
         self._on_crash_news: Callable[[], None] = lambda: None
         self._on_software: Callable[[Mapping[str, frozenset[str]]], None] = lambda listed: None
         self._listed_software: Mapping[str, frozenset[str]] = {}
+        self._check_address: Callable[[Address], Future] | None = None
+        self._is_cut_off = False
         self._holds_wait = HoldsWait(rng)
         self._parts_in_flight = PartsInFlight()
 
@@ -181,6 +184,15 @@
         """Set the function to call with the listed versions by service, whenever they change."""
         self._on_software = on_software
 
+    def set_address_check(self, check_address: Callable[[Address], Future]) -> None:
+        """Set the function that opens a connection; its future is whether that was accepted."""
+        self._check_address = check_address
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this host reaches no backend server."""
+        return self._is_cut_off
+
     def set_holds_query(self, ask_holds: Callable[[int], None]) -> None:
         """Set the function to call when peers should tell at once which parts are held."""
         self._holds_wait.set_ask(ask_holds)
@@ -289,6 +301,13 @@
                 self._fleet_state.record_outcome(back_end, failed, took_ms, now)
             case ServerUnreachable(back_end):
                 self._fleet_state.record_unreachable(back_end, now)
+                self._probe_servers(now)
+            case ServerProbed(back_end, is_reached, began_at):
+                if self._fleet_state.on_probed(back_end, is_reached, began_at, now):
+                    self._on_crash_news()
+                self._is_cut_off = self._fleet_state.reach.is_cut_off
+                self._probe_servers(now)
+                self._place_waiting(now)
             case AvoidServer(back_end, seconds):
                 self._fleet_state.avoid(back_end, seconds, now)
             case ServerReported(back_end, self_report):
@@ -363,6 +382,7 @@
             self._on_crash_news()
         self._place_waiting(now)
         self._refuse_expired(now)
+        self._probe_servers(now)
         self._fleet_state.forget_old(now)
 
     def close(self) -> None:
@@ -385,6 +405,17 @@
             # The other waiting requests were tried in the last pass.
             self._place_or_fail(pending, now)
 
+    def _probe_servers(self, now: float) -> None:
+        """Connect to servers after failures, to tell whether these were this host's."""
+        if self._check_address is None:
+            self._fleet_state.reach.trust_failures(now)
+            return
+        for back_end in self._fleet_state.next_probes(now):
+            checked = self._check_address(back_end.address)
+            checked.add_done_callback(
+                lambda done, name=back_end.name: self.tell(ServerProbed(name, done.result(), now))
+            )
+
     def _report_software(self) -> None:
         listed = self._fleet_state.listed_software()
         if listed != self._listed_software:
--- a/src/laburnumreel/relay/_dispatcher_messages.py
+++ b/src/laburnumreel/relay/_dispatcher_messages.py
@@ -51,6 +51,12 @@
     back_end: str
 
 
+class ServerProbed(NamedTuple):
+    back_end: str
+    is_reached: bool
+    began_at: float
+
+
 class AvoidServer(NamedTuple):
     back_end: str
     seconds: float
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -41,6 +41,10 @@
 BACK_END_AVOIDED_BY_PEER = define_event(
     697, "back_end_avoided_by_peer", "a backend server gets no requests because a peer said so"
 )
+SERVERS_OUT_OF_REACH = define_event(
+    698, "servers_out_of_reach", "this host reaches no backend server; its links are lost"
+)
+SERVERS_REACHED = define_event(699, "servers_reached", "this host reaches backend servers again")
 MEMBERS_UNREADABLE = define_event(620, "members_unreadable", "the list of hosts can't be read")
 TRUE_TIME_AGREED = define_event(622, "true_time_agreed", "the hosts agreed on the time of day")
 MEMBER_ROW_MISSING = define_event(
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -20,6 +20,8 @@
     BACK_END_AVOIDED_BY_PEER,
     BACK_END_GONE,
     BACK_END_LISTED,
+    SERVERS_OUT_OF_REACH,
+    SERVERS_REACHED,
 )
 from laburnumreel.relay._feed_follower import LinkState
 from laburnumreel.relay._fleet_limits import FleetLimits, LimitHeadroom
@@ -30,6 +32,7 @@
 from laburnumreel.relay._requests import Prompt, SelfReport
 from laburnumreel.relay._self_reports import SelfReports
 from laburnumreel.relay._server_limits import LimitReport
+from laburnumreel.relay._server_reach import ServerReach
 from laburnumreel.relay._software_history import listed_software
 from laburnumreel.relay._work import Work, WorkLedger
 from laburnumreel.state import era_of_version
@@ -44,6 +47,13 @@
 # is listed with it within this time. Until then, no stream that has begun goes on there.
 RESTART_LISTED_S = 4.0
 
+# Crashes that are remembered while it is not known whether this host has lost its links.
+MAX_DOUBTFUL_CRASHES = 256
+# A peer that avoids more than this share of all listed backend servers is not believed, unless these
+# are as few as `MIN_WIDE_BACKOFFS`.
+MAX_CREDIBLE_SHARE = 0.5
+MIN_WIDE_BACKOFFS = 2
+
 # Log lines use the name of the dispatcher, because this code runs on its thread.
 _log = Log("relay.dispatcher")
 
@@ -72,6 +82,12 @@
     held_parts: Mapping[str, float]
 
 
+class _DoubtfulCrash(NamedTuple):
+    back_end: str
+    started_at_ms: int
+    lost: LostRequest
+
+
 class FleetView(NamedTuple):
     """The backend servers and the work at each, for planning.
 
@@ -101,6 +117,7 @@
         return_grace_s: float,
         host: str = "",
         asked_per_s: Callable[[str, float], float] = lambda service, now: 0.0,
+        rng: random.Random | None = None,
     ) -> None:
         self._own_location = own_location
         self._regions = dict(regions)
@@ -115,6 +132,9 @@
         self._peer_removed_until: dict[str, float] = {}
         # Until when the listed software of a backend server is uncertain, and the start it is of.
         self._uncertain_software: dict[tuple[str, int], float] = {}
+        self.reach = ServerReach(rng or random.Random())
+        # Crashes that may have been losses of this host's own links.
+        self._doubtful_crashes: list[_DoubtfulCrash] = []
         self.ledger = WorkLedger()
         self.crash_evidence = CrashEvidence(host)
         self.limits = FleetLimits(
@@ -207,6 +227,8 @@
         `took_ms` is the duration of a plain request that was answered.
         """
         self._health.record_result(back_end, failed, now)
+        if not failed:
+            self.reach.on_answer(back_end)
         if took_ms is not None:
             self._health.record_plain_time(back_end, took_ms, now)
         if failed:
@@ -280,7 +302,8 @@
 
     def record_unreachable(self, back_end: str, now: float) -> None:
         """Record that a connection to a backend server failed or became silent."""
-        self._health.record_unreachable(back_end, now)
+        if self._health.record_unreachable(back_end, now):
+            self.reach.on_failure(back_end, now)
         self._candidate_cache.invalidate()
         backoff_s = self._health.backoffs(now).get(back_end, 0.0)
         _log.warning(BACK_END_AVOIDED, back_end=back_end, rest_s=round(backoff_s, 2))
@@ -295,8 +318,54 @@
         if entry is not None:
             self._uncertain_software[back_end, entry.started_at_ms] = now + RESTART_LISTED_S
         is_leaving = back_end in self._self_reports.leaving(self._back_ends)
-        if entry is not None and not entry.draining and not is_leaving:
+        if entry is None or entry.draining or is_leaving:
+            return
+        if not self.reach.is_doubtful:
             self.crash_evidence.record_crash(back_end, lost, now)
+        elif len(self._doubtful_crashes) < MAX_DOUBTFUL_CRASHES:
+            crash = _DoubtfulCrash(back_end, entry.started_at_ms, lost)
+            self._doubtful_crashes.append(crash)
+
+    def next_probes(self, now: float) -> list[ListedBackEnd]:
+        """Return the backend servers to connect to, to tell lost servers from lost links."""
+        if not self.reach.is_doubtful:
+            return []
+        servers = [each for each in self._back_ends if not each.draining]
+        probes = self.reach.next_probes(servers, now)
+        if not self.reach.is_doubtful:
+            self._settle_crashes(was_cut_off=False, now=now)
+        return probes
+
+    def on_probed(self, back_end: str, is_reached: bool, began_at: float, now: float) -> bool:
+        """Record the outcome of such a connection, and return whether crashes were recorded."""
+        was_cut_off = self.reach.is_cut_off
+        change = self.reach.on_probed(back_end, is_reached, began_at)
+        if change is None:
+            return False
+        lasted_ms = round(1000 * (now - change.since))
+        if change.is_cut_off:
+            _log.warning(SERVERS_OUT_OF_REACH, doubtful_ms=lasted_ms)
+            return False
+        if was_cut_off:
+            _log.warning(SERVERS_REACHED, back_end=back_end, cut_off_ms=lasted_ms)
+            self._health.end_backoffs_since(change.since)
+            self._candidate_cache.invalidate()
+        return self._settle_crashes(was_cut_off, now)
+
+    def _settle_crashes(self, was_cut_off: bool, now: float) -> bool:
+        """Record the crashes that were in doubt, and return whether there are any.
+
+        After a loss of the links, only servers that have ended or started again have crashed.
+        """
+        doubtful, self._doubtful_crashes = self._doubtful_crashes, []
+        has_crashed = False
+        for crash in doubtful:
+            entry = self._back_ends.get(crash.back_end)
+            if was_cut_off and entry is not None and entry.started_at_ms == crash.started_at_ms:
+                continue
+            self.crash_evidence.record_crash(crash.back_end, crash.lost, now)
+            has_crashed = True
+        return has_crashed
 
     def on_listing(self, listing: Listing[ListedBackEnd], now: float) -> None:
         """Apply a directory listing, and forget the state of backend servers that were removed."""
@@ -321,6 +390,7 @@
             if old is not None and old.started_at_ms != entry.started_at_ms:
                 self._prefix_cache.on_restart(name)
                 self._health.on_restart(name)
+                self.reach.on_answer(name)
             if old is None or old._replace(beat=0) != entry._replace(beat=0):
                 _log.info(
                     BACK_END_LISTED,
@@ -353,7 +423,7 @@
         else:
             self.ledger.set_peer_work(update.sender, update.work, now)
         self.limits.on_update(update, now)
-        for back_end, remaining_s in update.avoided.items():
+        for back_end, remaining_s in self._credible_backoffs(update).items():
             if not self._health.is_in_backoff(back_end, now):
                 _log.info(
                     BACK_END_AVOIDED_BY_PEER,
@@ -376,7 +446,7 @@
         """
         return LocalFleetState(
             work=dict(self.ledger.own),
-            avoided=self._health.backoffs(now),
+            avoided=self._health.backoffs(now, self.reach.confirmed_at),
             leaving=self._self_reports.leaving(self._back_ends),
             kept=self._prefix_cache.take_unsent(cross_region),
             gone=tuple(self._removed_until),
@@ -395,6 +465,16 @@
         busy_services = frozenset(entry.service for entry in listed if any(work[entry.name]))
         return FleetView(listed, work, dict(last_short_at), busy_services, self.limits.limited)
 
+    def _credible_backoffs(self, update: PeerUpdate) -> Mapping[str, float]:
+        """Return the backoffs of a peer, none if it avoids most backend servers that are listed.
+
+        That says more of the peer's links than of the servers; each host sees such a loss by itself.
+        """
+        listed = len(self._back_ends)
+        avoided = sum(1 for name in update.avoided if self._back_ends.get(name) is not None)
+        is_wide = avoided > MAX_CREDIBLE_SHARE * listed and avoided > MIN_WIDE_BACKOFFS
+        return {} if is_wide else update.avoided
+
     def _with_software(
         self, candidates: Mapping[str, Candidate], request: PlacementRequest, now: float
     ) -> dict[str, Candidate]:
--- a/src/laburnumreel/relay/_health.py
+++ b/src/laburnumreel/relay/_health.py
@@ -23,7 +23,15 @@
 class _Record:
     """Measurements and backoff of one backend server."""
 
-    __slots__ = ("failure_share", "updated_at", "plain_ms", "read_ms", "backoff_until", "backoffs")
+    __slots__ = (
+        "failure_share",
+        "updated_at",
+        "plain_ms",
+        "read_ms",
+        "backoff_until",
+        "backoffs",
+        "unreachable_since",
+    )
 
     def __init__(self, read_ms: float, plain_ms: float, now: float) -> None:
         self.failure_share = 0.0
@@ -32,6 +40,8 @@
         self.plain_ms = plain_ms
         self.backoffs = 0
         self.backoff_until = float("-inf")
+        # When the connection failed that began the backoff; backoffs for other reasons have none.
+        self.unreachable_since = float("-inf")
 
 
 class HealthTracker:
@@ -58,16 +68,22 @@
         if not failed:
             record.backoffs = 0
             record.backoff_until = float("-inf")
+            self._peer_backoffs.pop(back_end, None)
 
-    def record_unreachable(self, back_end: str, now: float) -> None:
-        """Record a connection that could not be opened or became silent, and start a backoff."""
+    def record_unreachable(self, back_end: str, now: float) -> bool:
+        """Record a connection that could not be opened or became silent, and start a backoff.
+
+        Returns False if the backend server is in a backoff already.
+        """
         record = self._record(back_end, now)
         if now < record.backoff_until:
             # Other requests failed for the same reason; count it only once.
-            return
+            return False
         backoff_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2**record.backoffs)
         record.backoffs += 1
         record.backoff_until = now + backoff_s
+        record.unreachable_since = now
+        return True
 
     def back_off(self, back_end: str, until: float, now: float) -> None:
         """Avoid a backend server at least until a time."""
@@ -85,14 +101,24 @@
             return True
         return now < self._peer_backoffs.get(back_end, now)
 
-    def backoffs(self, now: float) -> Mapping[str, float]:
-        """Return the remaining backoff in seconds of each server that this host could not reach."""
+    def backoffs(self, now: float, unreachable_until: float = float("inf")) -> Mapping[str, float]:
+        """Return the remaining backoff in seconds of each server that this host avoids.
+
+        Those that could not be reached after `unreachable_until` are left out.
+        """
         return {
             name: record.backoff_until - now
             for name, record in self._records.items()
-            if record.backoff_until > now
+            if record.backoff_until > now and record.unreachable_since <= unreachable_until
         }
 
+    def end_backoffs_since(self, since: float) -> None:
+        """Forget the connections that failed from a time on, which was not the servers' fault."""
+        for record in self._records.values():
+            if record.unreachable_since >= since:
+                record.backoffs = 0
+                record.backoff_until = record.unreachable_since = float("-inf")
+
     def failure_share(self, back_end: str, now: float) -> float:
         """Return the share of recent requests that failed."""
         record = self._records.get(back_end)
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -231,6 +231,7 @@
         )
         self._dispatcher.set_crash_listener(self._peers.send_crashes)
         self._dispatcher.set_holds_query(self._peers.ask_holds)
+        self._dispatcher.set_address_check(self._pool.check)
         self._dispatcher.set_software_listener(self._streams.on_listed)
         members = Members(adapter.store)
         self._membership = Membership(
--- a/src/laburnumreel/transport/_back_end_pool.py
+++ b/src/laburnumreel/transport/_back_end_pool.py
@@ -46,6 +46,7 @@
         self._idle: dict[Address, list[tuple[float, Exchange]]] = defaultdict(list)
         self._probes: dict[Address, Future[ProbeResult]] = {}
         self._probe_executor = ThreadPoolExecutor(PROBE_THREADS, "back-end-probe")
+        self._check_executor = ThreadPoolExecutor(PROBE_THREADS, "back-end-check")
         # Connections that were opened before this time are not reused.
         self._min_opened_at: dict[Address, float] = {}
 
@@ -91,6 +92,20 @@
                 future = self._probes[address] = self._probe_executor.submit(self._probe, address)
             return future
 
+    def check(self, address: Address) -> "Future[bool]":
+        """Open a connection and return a future of whether it was accepted.
+
+        Unlike `probe`, this leaves the idle connections alone: none of them went silent.
+        """
+        return self._check_executor.submit(self._check, address)
+
+    def _check(self, address: Address) -> bool:
+        try:
+            socket.create_connection(address, self._connect_timeout_s).close()
+        except OSError:
+            return False
+        return True
+
     def _probe(self, address: Address) -> ProbeResult:
         started = time.monotonic()
         try:
@@ -126,6 +141,7 @@
         for _, exchange in idle:
             exchange.discard()
         self._probe_executor.shutdown(wait=False)
+        self._check_executor.shutdown(wait=False)
 
     def prune(self) -> None:
         """Close the connections that have been idle for too long.
--- a/tests/test_stranded_relays.py
+++ b/tests/test_stranded_relays.py
@@ -107,6 +107,17 @@
             outcomes = call_all(relay, CALLS // len(PATHS))
             assert outcomes[200] == outcomes.total(), outcomes
 
+    def test_relay_serves_by_itself_after_the_cut(self, cut_relays, form):
+        relays, (links,) = cut_relays(1)
+        links.cut(form)
+        call_for(relays[0], CONTACT_S)
+        links.heal()
+        call_for(relays[0], CONTACT_S)
+        for relay in relays[1:]:
+            relay.process.kill()
+        outcomes = call_all(relays[0], CALLS // len(PATHS))
+        assert outcomes[200] == outcomes.total(), outcomes
+
 
 def test_request_is_refused_at_once_where_all_relays_are_cut(cut_relays):
     relays, links = cut_relays(3)
