Pass requests of a host without links to servers on to another host

A host that is cut off (ServerReach) passes each request on to a peer that reaches servers: over HTTP on an internal port ([listen] forwarded), with the id, the key, what is left of the deadline, and the headers as the caller sent them; the answer comes back as it arrives. The other host handles it as its own: it alone checks limits, takes permits, knows the stream's version and counts usage. Updates tell the port at which a host takes such requests, 0 while it starts, stops or is cut off itself, so hosts of an earlier release get none. A request is passed on once; the next of up to three hosts is tried only if the request has not run. It is cancelled with its caller, and a statement on the run is the other host's. With no such host, requests are refused at once as before.

Weighed: not ready for the balancer (it uses all hosts again once fewer than half of a zone are ready, and open connections stay); telling callers to come back (their first tries stay unserved).

--- a/idl/relay.thrift
+++ b/idl/relay.thrift
@@ -111,4 +111,6 @@
   33: i64 listing_read_ms
   // Sent between two others because the sender has read the table; everything else is as in the last one.
   34: bool only_listing
+  // The port at which the sender takes requests that other hosts pass on; 0 if it takes none now.
+  35: i32 forward_port
 }
--- a/src/laburnumreel/protocol/gen/relay/ttypes.py
+++ b/src/laburnumreel/protocol/gen/relay/ttypes.py
@@ -741,11 +741,12 @@
      - answers_holds
      - listing_read_ms
      - only_listing
+     - forward_port
 
     """
 
 
-    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None, usage_window=None, ended=None, listing_seen=None, listing_away=None, gone=None, leaving_started_ms=None, store_era=None, fixed=None, limits=None, asked=None, limited_sends=None, crash_reports=None, answered=None, held_parts=None, only_crashes=None, asks_holds=None, answers_holds=None, listing_read_ms=None, only_listing=None,):
+    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None, usage_window=None, ended=None, listing_seen=None, listing_away=None, gone=None, leaving_started_ms=None, store_era=None, fixed=None, limits=None, asked=None, limited_sends=None, crash_reports=None, answered=None, held_parts=None, only_crashes=None, asks_holds=None, answers_holds=None, listing_read_ms=None, only_listing=None, forward_port=None,):
         self.sender = sender
         self.boot = boot
         self.zone = zone
@@ -780,6 +781,7 @@
         self.answers_holds = answers_holds
         self.listing_read_ms = listing_read_ms
         self.only_listing = only_listing
+        self.forward_port = forward_port
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1058,6 +1060,11 @@
                     self.only_listing = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 35:
+                if ftype == TType.I32:
+                    self.forward_port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1257,6 +1264,10 @@
             oprot.writeFieldBegin('only_listing', TType.BOOL, 34)
             oprot.writeBool(self.only_listing)
             oprot.writeFieldEnd()
+        if self.forward_port is not None:
+            oprot.writeFieldBegin('forward_port', TType.I32, 35)
+            oprot.writeI32(self.forward_port)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1367,6 +1378,7 @@
     (32, TType.I64, 'answers_holds', None, None, ),  # 32
     (33, TType.I64, 'listing_read_ms', None, None, ),  # 33
     (34, TType.BOOL, 'only_listing', None, None, ),  # 34
+    (35, TType.I32, 'forward_port', None, None, ),  # 35
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -15,6 +15,7 @@
     REQUEST_SERVED,
     STREAM_LOOKED_UP,
 )
+from laburnumreel.relay._forwarding import ForwardedAnswer, Forwarder
 from laburnumreel.relay._job import Dependencies, Job, RelayFailedError
 from laburnumreel.relay._metrics import RELAY_FIRST_BYTE_S, RELAY_REQUESTS, RELAY_TAKE_UPS
 from laburnumreel.relay._plain import serve_plain
@@ -36,6 +37,8 @@
 MAX_UNHELD_BYTES = 64 * 1024
 # Parts in which events are passed on, so that few bytes wait in the buffers of the connection.
 MAX_EVENT_PIECE_BYTES = 64 * 1024
+# Marks the requests that another host has passed on, in the environment of a request.
+FORWARDED_KEY = "laburnumreel.forwarded"
 STOPPING = Refusal(ErrorKind.STOPPING, retry_after_s=0.1)
 # The time after a host's first configuration within which updates from its peers are expected: they
 # are sent several times a second.
@@ -54,7 +57,8 @@
 
     `newest_version` returns the newest configuration version that any host is known to have, or
     None before an update from a peer has arrived. `era` returns the era of the store that this
-    host's configuration comes from. At most `max_requests` requests are served at once.
+    host's configuration comes from. At most `max_requests` requests are served at once. While this
+    host reaches no backend server, requests go to other hosts by `forwarder`.
     """
 
     def __init__(
@@ -65,6 +69,7 @@
         newest_version: Callable[[], int | None],
         rng: random.Random,
         max_requests: int,
+        forwarder: Forwarder,
         era: Callable[[], int] = lambda: 0,
     ) -> None:
         self._deps = deps
@@ -74,6 +79,7 @@
         self._newest_version = newest_version
         self._rng = rng
         self._era = era
+        self._forwarder = forwarder
         self._table: RouteTable | None = None
         self._stop: StopSchedule | None = None
         self._is_closed = False
@@ -130,7 +136,9 @@
         decoded = self._callers.request(environ, environ.get(READ_AT_KEY, now))
         if decoded.is_error():
             return self._refuse(decoded.error, None, "", start_response)
-        request = decoded.ok._replace(queued_s=now - decoded.ok.arrived_at)
+        request = decoded.ok._replace(
+            queued_s=now - decoded.ok.arrived_at, is_forwarded=FORWARDED_KEY in environ
+        )
         if REFUSAL_KEY in environ:
             return self._refuse(environ[REFUSAL_KEY], request, "", start_response)
         try:
@@ -160,12 +168,7 @@
             self._deps.dispatcher.watch_parts(job)
         is_held = False
         try:
-            if job.service.engine is not None:
-                if job.takes_up_stream:
-                    job.software = self._find_software(job)
-                body = self._serve_stream(job, start_response)
-            else:
-                body = self._serve_whole(job, start_response)
+            body = self._serve_job(job, start_response)
             if wrap_file is None or job.streaming or len(body[0]) <= MAX_UNHELD_BYTES:
                 return body
             is_held = True
@@ -185,6 +188,9 @@
         """
         if request.is_caller_gone():
             raise RelayFailedError(Refusal(ErrorKind.CALLER_GONE, run_state=RunState.NOT_RUN))
+        if request.is_forwarded and self._deps.dispatcher.is_cut_off:
+            detail = "this host reaches no backend server either"
+            raise RelayFailedError(Refusal(ErrorKind.NOT_READY, detail, NOT_READY_RETRY_S))
         # A request that may end in time is checked again once its deadline is known.
         self._refuse_if_stopping(request, request.arrived_at)
         table = self._table
@@ -245,6 +251,50 @@
             detail = f"configuration {table.version} is not the newest"
             raise RelayFailedError(Refusal(ErrorKind.NOT_READY, detail, STALE_CONFIG_RETRY_S))
 
+    def _serve_job(self, job: Job, start_response: StartResponse) -> Iterable[bytes]:
+        """Serve a request here, or at another host if this one reaches no backend server."""
+        if self._forwarder.takes(job):
+            return self._forward(job, start_response)
+        try:
+            if job.service.engine is None:
+                return self._serve_whole(job, start_response)
+            if job.takes_up_stream:
+                job.software = self._find_software(job)
+            return self._serve_stream(job, start_response)
+        except RelayFailedError:
+            # The links may have been lost while the request was tried here.
+            is_over = job.running.abort_reason is not None
+            if is_over or job.run_state is not RunState.NOT_RUN or not self._forwarder.takes(job):
+                raise
+            return self._forward(job, start_response)
+
+    def _forward(self, job: Job, start_response: StartResponse) -> Iterable[bytes]:
+        answer = self._forwarder.send(job)
+        headers = self._callers.answer_headers(answer.headers)
+        if answer.length is not None and job.request.method != "HEAD":
+            headers.append(("Content-Length", answer.length))
+        start_response(status_line(answer.status), headers)
+        job.streaming = True
+
+        def end() -> None:
+            answer.close()
+            self._finish(job)
+
+        return ResponseBody(self._forwarded_pieces(job, answer), end)
+
+    def _forwarded_pieces(self, job: Job, answer: ForwardedAnswer) -> Iterator[bytes]:
+        sent = 0
+        try:
+            while piece := answer.read():
+                sent += len(piece)
+                yield piece
+        except RelayFailedError as error:
+            self._log_lost(job, error.refusal, sent)
+            raise
+        except GeneratorExit:
+            self._log_lost(job, Refusal(ErrorKind.CALLER_GONE), sent)
+            raise
+
     def _find_software(self, job: Job) -> str | None:
         """Return the version of the software that began the stream which a caller takes up.
 
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -176,6 +176,13 @@
     696, "software_unreadable", "the stored versions of services could not be read or written"
 )
 
+REQUEST_FORWARDED = define_event(
+    667, "request_forwarded", "a host without links to servers passed a request on to another host"
+)
+FORWARD_FAILED = define_event(
+    668, "forward_failed", "a request could not be passed on to another host"
+)
+
 WINDOW_SEALED = define_event(650, "window_sealed", "the usage of a window was sealed")
 WINDOW_REPORTED = define_event(651, "window_reported", "the usage of a window was reported")
 REPORT_FAILED = define_event(652, "report_failed", "the usage of a window could not be reported")
--- a/src/laburnumreel/relay/_metrics.py
+++ b/src/laburnumreel/relay/_metrics.py
@@ -61,6 +61,11 @@
     "streams that callers take up, by how the software that began them was found",
     ("source",),
 )
+RELAY_FORWARDED = define_counter(
+    "laburnumreel_relay_forwarded_total",
+    "requests passed on to other hosts, for want of links to servers, by outcome",
+    ("outcome",),
+)
 RELAY_WINDOWS = define_counter(
     "laburnumreel_relay_windows_total", "usage windows by what became of them", ("outcome",)
 )
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -27,7 +27,7 @@
     Task,
     limit_heap,
 )
-from laburnumreel.relay._application import STOPPING, RelayApplication
+from laburnumreel.relay._application import FORWARDED_KEY, STOPPING, RelayApplication
 from laburnumreel.relay._back_ends import ListedBackEnd
 from laburnumreel.relay._capacity import CapacityPlanner
 from laburnumreel.relay._cleaning import RowCleaner
@@ -47,6 +47,7 @@
     RELAY_STOPPING,
 )
 from laburnumreel.relay._feed_follower import FeedFollower, LinkState
+from laburnumreel.relay._forwarding import Forwarder
 from laburnumreel.relay._job import Dependencies
 from laburnumreel.relay._members import Member, Members
 from laburnumreel.relay._membership import Membership
@@ -100,6 +101,8 @@
 MAX_IDLE, MIN_IDLE = 6, 1
 TASK_THREADS = 20
 READINESS_THREADS = 1
+# Threads for requests that other hosts pass on, as a share of those for callers.
+FORWARDED_SHARE = 0.75
 # Threads that refuse requests while all other threads are busy.
 REFUSAL_THREADS = 4
 # While a peer has claimed the duties within this time, the lease need not be checked.
@@ -178,6 +181,13 @@
             lambda: self._update_handler.newest_config_version,
             self._rng,
             settings.threads,
+            Forwarder(
+                self._pool,
+                adapter.callers,
+                lambda: self._peers.forward_targets,
+                lambda: self._dispatcher.is_cut_off,
+                self._rng,
+            ),
             lambda: adapter.store_era.current,
         )
         directory = adapter.directory
@@ -213,6 +223,7 @@
             lambda: self._duties.fence,
             lambda: self._stopping,
             adapter.store_era,
+            self._forward_port,
         )
         self._peers = PeerGossip(
             settings.listen.peers,
@@ -312,13 +323,20 @@
             lambda: self._duties.fence,
             lambda: adapter.store_era.current,
         )
+        request_memory = RequestMemory.from_host(
+            settings.memory.host_mb, self._clock, REQUEST_BYTES
+        )
         self._callers = HttpServer(
             self._application,
             settings.listen.callers,
             settings.threads + REFUSAL_THREADS,
-            request_memory=RequestMemory.from_host(
-                settings.memory.host_mb, self._clock, REQUEST_BYTES
-            ),
+            request_memory=request_memory,
+        )
+        self._forwarded = HttpServer(
+            self._answer_forwarded,
+            settings.listen.forwarded,
+            round(FORWARDED_SHARE * settings.threads) + REFUSAL_THREADS,
+            request_memory=request_memory,
         )
         self._readiness = HttpServer(
             self._answer_readiness, settings.listen.readiness, READINESS_THREADS
@@ -353,7 +371,7 @@
             gc.collect()
             gc.freeze()
             gc.set_threshold(GC_THRESHOLD)
-            for server in (self._callers, self._admin):
+            for server in (self._callers, self._forwarded, self._admin):
                 server.start(executor)
             host = self._settings.host
             _log.info(RELAY_STARTED, host=host.name, zone=host.zone, boot=self._boot)
@@ -374,7 +392,8 @@
         stop = StopSchedule(self._clock.now(), self._settings.stop.grace_s)
         self._stop_schedule = stop
         self._application.begin_stop(stop)
-        self._callers.close_after_answers()
+        for server in (self._callers, self._forwarded):
+            server.close_after_answers()
         return stop
 
     def _on_settings(self, before: RelaySettings, settings: RelaySettings) -> None:
@@ -389,9 +408,10 @@
         self._registry.abort_unsent(stop.aborts_at, STOPPING)
         # Early in the stop, in case the store answers slowly later, or the process is killed.
         self._duties.store_usage()
-        while not self._callers.is_idle():
+        while not (self._callers.is_idle() and self._forwarded.is_idle()):
             if self._clock.now() >= stop.aborts_at:
-                _log.error(RELAY_STOP_INCOMPLETE, requests=self._callers.request_count)
+                requests = self._callers.request_count + self._forwarded.request_count
+                _log.error(RELAY_STOP_INCOMPLETE, requests=requests)
                 self._registry.abort_all()
                 self._stop_callers(stop)
                 break
@@ -411,7 +431,8 @@
 
     def _stop_callers(self, stop: StopSchedule) -> None:
         """Close the callers' connections as soon as all requests that were read are answered."""
-        self._callers.stop(max(MIN_FINAL_ANSWERS_S, stop.closes_at - self._clock.now()))
+        for server in (self._callers, self._forwarded):
+            server.stop(max(MIN_FINAL_ANSWERS_S, stop.closes_at - self._clock.now()))
 
     def _services(self) -> Mapping[str, RelayService]:
         table = self._application.table
@@ -439,7 +460,8 @@
         for config in listing.entries.values():
             if config is None or not self._application.configure(config):
                 continue
-            self._callers.set_limits(*config.limits)
+            for server in (self._callers, self._forwarded):
+                server.set_limits(*config.limits)
             self._limit_idle_connections()
             self._stream_life_s = stream_life_s(config)
             _log.info(
@@ -506,6 +528,15 @@
             _log.info(RELAY_READY, ready=ready, stopping=self._stopping)
         return ready
 
+    def _forward_port(self) -> int:
+        """Return the port at which this host takes requests that others pass on, or 0."""
+        is_taking = self._is_ready() and not self._dispatcher.is_cut_off
+        return self._settings.listen.forwarded[1] if is_taking else 0
+
+    def _answer_forwarded(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        environ[FORWARDED_KEY] = True
+        return self._application(environ, start_response)
+
     def _answer_readiness(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
         if environ["PATH_INFO"] != self._adapter.readiness_path:
             start_response("404 Not Found", [("Content-Length", "0")])
--- a/src/laburnumreel/relay/_peer_gossip.py
+++ b/src/laburnumreel/relay/_peer_gossip.py
@@ -13,6 +13,7 @@
 from laburnumreel.core import Clock, Log, Task
 from laburnumreel.relay._back_ends import Address
 from laburnumreel.relay._events import NEWS_UNREADABLE, PEER_HEARD, PEER_SILENT
+from laburnumreel.relay._forwarding import ForwardTarget
 from laburnumreel.relay._holds_query import MAX_ASKED_FAR_PEERS, MAX_ASKED_PEERS, HoldsQuery
 from laburnumreel.relay._metrics import RELAY_PEERS
 from laburnumreel.relay._peer_update import MAX_BYTES, PeerUpdate, decode_update, encode_update
@@ -31,6 +32,7 @@
 SILENT_PEER_RETRY_S = 1.5
 # An address without any datagram for this long is removed; the list of hosts adds it again.
 FORGET_PEER_S = 30.0
+MAX_PORT = 65535
 # Minimum time between two log lines about unreadable datagrams.
 UNREADABLE_LOG_INTERVAL_S = 5.0
 # In deployments of up to this many hosts, each host sends its usage counts to all others, so that
@@ -71,6 +73,7 @@
     # When it was first sent usage counts while it held that fencing number.
     fence_usage_at: float | None = None
     listing_away: bool = False
+    forward_port: int = 0
 
 
 class PeerGossip(Task):
@@ -166,6 +169,16 @@
             if not peer.cross_region and not peer.listing_away and not self._is_silent(peer, now)
         ]
 
+    @property
+    def forward_targets(self) -> list[ForwardTarget]:
+        """The live peers that take requests which other hosts pass on."""
+        now = self._clock.now()
+        return [
+            ForwardTarget(peer.name, (address[0], peer.forward_port), peer.cross_region)
+            for address, peer in list(self._peers.items())
+            if 0 < peer.forward_port <= MAX_PORT and not self._is_silent(peer, now)
+        ]
+
     @property
     def highest_fence(self) -> int:
         """The highest fencing number under which any peer has claimed the duties."""
@@ -342,6 +355,7 @@
             sequence=update.sequence,
             duty_fence=update.duty_fence,
             listing_away=update.listing_away,
+            forward_port=update.forward_port,
             fence_usage_at=known.fence_usage_at if update.duty_fence == known.duty_fence else None,
         )
         return True
--- a/src/laburnumreel/relay/_peer_update.py
+++ b/src/laburnumreel/relay/_peer_update.py
@@ -50,6 +50,8 @@
       `held_back` and `crashes`; everything else is as in the last one.
     - `only_listing`: whether the update was sent between two others, because of the four fields on
       the table of backend servers; everything else is as in the last one.
+    - `forward_port`: the port at which the sender takes requests that other hosts pass on, 0 if it
+      takes none now.
     - `asks_holds`: a number if the sender wants such an update at once, which has the number in
       `answers_holds`; otherwise 0.
     """
@@ -87,6 +89,7 @@
     only_listing: bool = False
     asks_holds: int = 0
     answers_holds: int = 0
+    forward_port: int = 0
 
 
 def encode_update(update: PeerUpdate) -> bytes:
@@ -140,6 +143,7 @@
         only_listing=update.only_listing,
         asks_holds=update.asks_holds,
         answers_holds=update.answers_holds,
+        forward_port=update.forward_port,
         ended=[
             ttypes.EndedCounts(*each.process, each.window, dict(each.counts))
             for each in update.ended
@@ -216,6 +220,7 @@
             only_listing=bool(struct.only_listing),
             asks_holds=struct.asks_holds or 0,
             answers_holds=struct.answers_holds or 0,
+            forward_port=struct.forward_port or 0,
         )
     except Exception as error:
         # Malformed bytes make Thrift raise many kinds of exceptions; none may end the task.
--- a/src/laburnumreel/relay/_peer_update_handler.py
+++ b/src/laburnumreel/relay/_peer_update_handler.py
@@ -30,7 +30,8 @@
     """Builds this host's updates from its components, and passes peers' updates on to them.
 
     `table` returns the route table in force, `fence` the fencing number under which this host does
-    the duties, and `stopping` whether the host is shutting down. All calls come from the thread of
+    the duties, `stopping` whether the host is shutting down, and `forward_port` the port at which it
+    takes requests that other hosts pass on, 0 if it takes none now. All calls come from the thread of
     the task that exchanges updates.
     """
 
@@ -48,6 +49,7 @@
         fence: Callable[[], int],
         stopping: Callable[[], bool],
         era: StoreEra,
+        forward_port: Callable[[], int] = lambda: 0,
     ) -> None:
         self._host = host
         self._boot = boot
@@ -61,6 +63,7 @@
         self._fence = fence
         self._stopping = stopping
         self._era = era
+        self._forward_port = forward_port
         self._has_heard_peer = False
         self._peer_config_version = 0
         self._peer_listing_version = 0
@@ -88,6 +91,7 @@
             **self.build_listing_fields(),
             store_era=self._era.current,
             fixed=self._usage_counters.fixed()[-MAX_SENT_FIXED_WINDOWS:],
+            forward_port=self._forward_port(),
         )
 
     def build_listing_fields(self) -> dict[str, Any]:
--- a/src/laburnumreel/relay/_ports.py
+++ b/src/laburnumreel/relay/_ports.py
@@ -63,6 +63,15 @@
 
     def refusal(self, refusal: Refusal, request_id: str) -> Answer: ...
 
+    def forward_headers(self, request: RelayRequest, remaining_s: float) -> dict[str, str]:
+        """Return the headers with which a request is passed on to another host.
+
+        `remaining_s` is how much longer its caller waits, in seconds.
+        """
+
+    def refusal_kind(self, headers: Mapping[str, str]) -> Refusal | None:
+        """Return the kind and run state in a refusal of another host, None if it is none."""
+
     def answer_headers(self, headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
         """Return the headers of a backend server's answer that a caller may see."""
 
--- a/src/laburnumreel/relay/_requests.py
+++ b/src/laburnumreel/relay/_requests.py
@@ -42,6 +42,7 @@
     caller has closed its connection. `queued_s` is how long the completely received
     request waited for a thread. `resume_after` is the id of the last event that the caller has
     of a stream that it takes up, and `resumes` the id of its request that began the stream.
+    `is_forwarded` tells whether another host has passed the request on to this one.
     """
 
     request_id: str
@@ -59,6 +60,7 @@
     is_caller_gone: Callable[[], bool] = lambda: False
     queued_s: float = 0.0
     resumes: str | None = None
+    is_forwarded: bool = False
 
 
 class PromptCopy(NamedTuple):
--- a/src/laburnumreel/relay/_settings.py
+++ b/src/laburnumreel/relay/_settings.py
@@ -34,7 +34,8 @@
 class ListenSettings(NamedTuple):
     """The addresses to listen on: for callers, readiness checks, metrics and peers.
 
-    The port of `streams` is the same on all hosts.
+    The port of `streams` is the same on all hosts. `forwarded` takes the requests that hosts which
+    have lost their links to all backend servers pass on.
     """
 
     callers: Address
@@ -42,6 +43,7 @@
     admin: Address
     peers: Address
     streams: Address
+    forwarded: Address
 
 
 class StoreSettings(NamedTuple):
@@ -114,6 +116,13 @@
             None,
             "queries about streams, UDP; the default is the port after that of `peers`",
         ),
+        Field(
+            "listen",
+            "forwarded",
+            kinds.address,
+            None,
+            "requests that other hosts pass on, HTTP; the default is the port after that of `peers`",
+        ),
         Field("store", "address", kinds.address, None, "the platform's store", required=True),
         Field(
             "store", "writes_per_s", kinds.number(1, 1e6), 400.0, "writes per second of all hosts"
@@ -174,8 +183,10 @@
         allowed = f"more than twice margin_s ({2 * lease.margin_s:g})"
         return Error([SettingsError(file, "lease", "term_s", f"{lease.term_s:g}", allowed)])
     listen = ListenSettings(**values["listen"])
-    if listen.streams is None:
-        listen = listen._replace(streams=(listen.peers[0], listen.peers[1] + 1))
+    next_to_peers = (listen.peers[0], listen.peers[1] + 1)
+    listen = listen._replace(
+        streams=listen.streams or next_to_peers, forwarded=listen.forwarded or next_to_peers
+    )
     host = values["host"]
     regions = {**dict(host["regions"]), host["zone"]: host["region"]}
     return Ok(
--- a/src/laburnumreel/ui/_tables.py
+++ b/src/laburnumreel/ui/_tables.py
@@ -100,6 +100,7 @@
     "relay.listen.readiness": "The load balancer checks it; a separate port answers while all callers' threads are busy.",
     "relay.listen.admin": "Health checks and metrics are not exposed on the callers' port.",
     "relay.listen.streams": "Hosts ask each other which software began a stream; the port is the same on all hosts.",
+    "relay.listen.forwarded": "Hosts that lose their links to all servers pass requests on to others; callers must not reach it.",
     "relay.listen.peers": "Hosts send their load several times a second; a lost datagram is harmless.",
     "relay.store.address": "The store holds all durable state.",
     "relay.store.writes_per_s": "The limit that the platform publishes; each host uses at most its share of four fifths of it.",
