--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -264,7 +264,9 @@
         except RelayFailedError:
             # The links may have been lost while the request was tried here.
             is_over = job.running.abort_reason is not None
-            if is_over or job.run_state is not RunState.NOT_RUN or not self._forwarder.takes(job):
+            if is_over or job.run_state is not RunState.NOT_RUN:
+                raise
+            if not self._forwarder.takes_after_doubt(job):
                 raise
             return self._forward(job, start_response)
 
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -110,7 +110,7 @@
         self._on_software: Callable[[Mapping[str, frozenset[str]]], None] = lambda listed: None
         self._listed_software: Mapping[str, frozenset[str]] = {}
         self._check_address: Callable[[Address], Future] | None = None
-        self._is_cut_off = False
+        self._is_cut_off = self._is_reach_doubtful = False
         self._holds_wait = HoldsWait(rng)
         self._parts_in_flight = PartsInFlight()
 
@@ -193,6 +193,11 @@
         """Whether this host reaches no backend server."""
         return self._is_cut_off
 
+    @property
+    def is_reach_doubtful(self) -> bool:
+        """Whether connections to servers failed, and it is not known yet if this host is cut off."""
+        return self._is_reach_doubtful and not self._is_cut_off
+
     def set_holds_query(self, ask_holds: Callable[[int], None]) -> None:
         """Set the function to call when peers should tell at once which parts are held."""
         self._holds_wait.set_ask(ask_holds)
@@ -305,7 +310,6 @@
             case ServerProbed(back_end, is_reached, began_at):
                 if self._fleet_state.on_probed(back_end, is_reached, began_at, now):
                     self._on_crash_news()
-                self._is_cut_off = self._fleet_state.reach.is_cut_off
                 self._probe_servers(now)
                 self._place_waiting(now)
             case AvoidServer(back_end, seconds):
@@ -410,7 +414,9 @@
         if self._check_address is None:
             self._fleet_state.reach.trust_failures(now)
             return
-        for back_end in self._fleet_state.next_probes(now):
+        probes, reach = self._fleet_state.next_probes(now), self._fleet_state.reach
+        self._is_cut_off, self._is_reach_doubtful = reach.is_cut_off, reach.is_doubtful
+        for back_end in probes:
             checked = self._check_address(back_end.address)
             checked.add_done_callback(
                 lambda done, name=back_end.name: self.tell(ServerProbed(name, done.result(), now))
--- a/src/laburnumreel/relay/_forwarding.py
+++ b/src/laburnumreel/relay/_forwarding.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from laburnumreel.core import Log
+from laburnumreel.core import Clock, Log
 from laburnumreel.relay._attempt import MAX_UNREPEATABLE_IDLE_S
 from laburnumreel.relay._back_ends import Address
 from laburnumreel.relay._events import FORWARD_FAILED, REQUEST_FORWARDED
@@ -27,6 +27,9 @@
 # The other host answers at the deadline; its answer may take this long to come.
 ANSWER_GRACE_S = 0.2
 RETRY_S = 0.2
+# How long a request whose servers could not be reached waits for the verdict on this host's links.
+DOUBT_WAIT_S = 1.2
+DOUBT_POLL_S = 0.02
 # Refusals for reasons of the other host's own, which the next host need not have.
 _HOST_REFUSALS = frozenset({ErrorKind.STOPPING, ErrorKind.NOT_READY, ErrorKind.THREADS_EXHAUSTED})
 
@@ -85,7 +88,8 @@
 class Forwarder:
     """Passes requests on to hosts that reach backend servers. Thread-safe.
 
-    `targets` returns the hosts that take requests, `is_cut_off` whether this host reaches no server.
+    `targets` returns the hosts that take requests, `is_cut_off` whether this host reaches no server,
+    and `is_in_doubt` whether that is not known yet.
     """
 
     def __init__(
@@ -94,12 +98,16 @@
         callers: CallerWire,
         targets: Callable[[], Sequence[ForwardTarget]],
         is_cut_off: Callable[[], bool],
+        is_in_doubt: Callable[[], bool],
+        clock: Clock,
         rng: random.Random,
     ) -> None:
         self._pool = pool
         self._callers = callers
         self._targets = targets
         self._is_cut_off = is_cut_off
+        self._is_in_doubt = is_in_doubt
+        self._clock = clock
         self._rng = rng
         self._lock = threading.Lock()
         # Requests that other hosts have of this one now.
@@ -109,6 +117,15 @@
         """Return whether a request goes to another host."""
         return self._is_cut_off() and not job.request.is_forwarded and bool(self._targets())
 
+    def takes_after_doubt(self, job: Job) -> bool:
+        """Return the same for a request that failed here, once it is known what has failed."""
+        deadline = self._clock.now() + min(DOUBT_WAIT_S, job.remaining_s)
+        while self._is_in_doubt() and self._clock.now() < deadline:
+            if job.running.abort_reason is not None:
+                return False
+            job.running.sleep(DOUBT_POLL_S)
+        return self.takes(job)
+
     def send(self, job: Job) -> ForwardedAnswer:
         """Pass a request on and return the answer's head; raise `RelayFailedError`."""
         tried: set[str] = set()
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -186,6 +186,8 @@
                 adapter.callers,
                 lambda: self._peers.forward_targets,
                 lambda: self._dispatcher.is_cut_off,
+                lambda: self._dispatcher.is_reach_doubtful,
+                self._clock,
                 self._rng,
             ),
             lambda: adapter.store_era.current,
--- a/src/laburnumreel/relay/_refusals.py
+++ b/src/laburnumreel/relay/_refusals.py
@@ -39,7 +39,8 @@
 
     def no_back_end(self, order: PlacementRequest, now: float) -> Refusal:
         """Return the refusal of a request that has no backend server, or only full ones."""
-        if order.software is not None and not self._beliefs.has_listed(order, now):
+        untried = order._replace(excluded=frozenset())
+        if order.software is not None and not self._beliefs.has_listed(untried, now):
             detail = f"no back end of service {order.service} has software {order.software!r}"
             return Refusal(ErrorKind.STREAM_NOT_RESUMABLE, detail)
         full_s = self._beliefs.seconds_until_accepting(order.service, now)
--- a/tests/cut_links.py
+++ b/tests/cut_links.py
@@ -134,14 +134,17 @@
 
     def __init__(self, world, relay_name):
         self._links = {}
+        self._form = None
         self._view = world.store.serve_view(self._view_row)
         world.store_addresses[relay_name] = self._view.address
 
     def cut(self, form):
+        self._form = form
         for link in self._links.values():
             link.cut(form)
 
     def heal(self):
+        self._form = None
         for link in self._links.values():
             link.heal()
 
@@ -155,6 +158,8 @@
             return row
         entry = json.loads(base64.b64decode(row["Value"]))
         if row["Key"] not in self._links:
-            self._links[row["Key"]] = CutLink(entry["Address"])
+            link = self._links[row["Key"]] = CutLink(entry["Address"])
+            if self._form is not None:
+                link.cut(self._form)
         entry["Address"] = self._links[row["Key"]].address
         return {**row, "Value": base64.b64encode(json.dumps(entry).encode()).decode()}
--- a/tests/test_stream_software.py
+++ b/tests/test_stream_software.py
@@ -81,6 +81,11 @@
         assert isinstance(refusal, Refusal) and refusal.kind is ErrorKind.NO_BACK_END
         assert refusal.retry_after_s > 0
 
+    def test_stream_may_come_back_where_its_servers_were_only_tried(self):
+        fleet = Fleet(a1=("v1", None), b1=("v2", None))
+        refusal = fleet.place(excluded=("a1",))
+        assert refusal.kind is ErrorKind.NO_BACK_END and refusal.retry_after_s > 0
+
     def test_unknown_version_is_like_no_other(self):
         fleet = Fleet(a1=("", None), a2=("", None))
         assert fleet.place(software="").kind is ErrorKind.STREAM_NOT_RESUMABLE
