Let the gateway's streams resume at their software version only

Hosts of the platform's list may name `software` now; from the first token on, a request is placed only at back ends of the version that sent it. Hosts without the field count as one version, as the platform then names none.

Evidence: test_stream_resumes_at_its_software_version_only; with the filter taken out both cases fail (tokens of both versions).

--- a/src/laburnumreel/coordination/_back_ends.py
+++ b/src/laburnumreel/coordination/_back_ends.py
@@ -69,6 +69,7 @@
     unreported_requests: int
     unreported_prefill_tokens: int
     cached_prefixes: frozenset[str]
+    software: str = ""
 
 
 class Drain(NamedTuple):
--- a/src/laburnumreel/coordination/_fleet.py
+++ b/src/laburnumreel/coordination/_fleet.py
@@ -417,4 +417,5 @@
         unreported_requests=unreported_requests,
         unreported_prefill_tokens=unreported + peers[1],
         cached_prefixes=entry.frozen_prefixes(),
+        software=host.software,
     )
--- a/src/laburnumreel/coordination/_routing.py
+++ b/src/laburnumreel/coordination/_routing.py
@@ -32,7 +32,8 @@
 class RoutingRequest(NamedTuple):
     """A request as routing sees it. `prefixes` are the digests of its prompt, shortest first.
 
-    `parts` are the digests of the parts of its prompt that other prompts may share.
+    `parts` are the digests of the parts of its prompt that other prompts may share. `software` is
+    the version of the back end that began its stream, or None if any may generate.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     prefixes: tuple[str, ...]
     priority: int
     parts: tuple[str, ...] = ()
+    software: str | None = None
 
 
 class RoutingChoice(NamedTuple):
--- a/src/laburnumreel/serving/_attempts.py
+++ b/src/laburnumreel/serving/_attempts.py
@@ -53,6 +53,7 @@
         self._deps = deps
         self._initial_back_end = initial_back_end
         self._job = job
+        self._work = job.work
         self._tried_names: list[str] = []
         # The same back end may be listed under two names, and the request id does not distinguish
         # the answers to two sends. So an address used before gets a new connection.
@@ -161,6 +162,9 @@
 
     def on_first_token(self) -> None:
         """Report the first token of this exchange to the dispatcher."""
+        # What two versions of the software generate does not fit together.
+        self._work = self._job.work._replace(software=self._back_end.software)
+        self._hedges.work = self._work
         request_id = self._job.running.request_id
         self._deps.dispatcher.on_first_token(self._back_end.name, request_id)
 
@@ -281,7 +285,7 @@
             if job.running.abort_reason is not None:
                 raise self.make_error(Refusal(ErrorKind.INTERNAL))
             back_end = dispatcher.choose(
-                job.work, self._allow_interruptible, self._tried_names, job.digest
+                self._work, self._allow_interruptible, self._tried_names, job.digest
             )
             if isinstance(back_end, Refusal):
                 raise self.make_error(back_end)
--- a/src/laburnumreel/serving/_dispatcher.py
+++ b/src/laburnumreel/serving/_dispatcher.py
@@ -347,6 +347,8 @@
         candidates = self._fleet.candidates(
             work.service, work.model, now, allow_interruptible, exclude
         )
+        if work.software is not None:
+            candidates = [each for each in candidates if each.software == work.software]
         choice = self._router.choose(work, candidates)
         if choice is None:
             return None
--- a/src/laburnumreel/serving/_hedging.py
+++ b/src/laburnumreel/serving/_hedging.py
@@ -174,6 +174,7 @@
     ) -> None:
         self._deps = deps
         self._job = job
+        self.work = job.work
         self._source = source
         self._tried_names = tried_names
         self._contacted_addresses = contacted_addresses
@@ -218,7 +219,7 @@
         if not self._may_send:
             return HedgeDenial.NO_RETRY
         selection = BackEndSelection(
-            job.work, job.profile.cheap_back_ends == "interruptible", job.digest
+            self.work, job.profile.cheap_back_ends == "interruptible", job.digest
         )
         back_end = dispatcher.reserve_hedge(selection, self._tried_names, job.profile.silence_s)
         if isinstance(back_end, HedgeDenial):
--- a/src/laburnumreel/state/_platform.py
+++ b/src/laburnumreel/state/_platform.py
@@ -70,7 +70,10 @@
 
 
 class Host(NamedTuple):
-    """A backend server in the platform's host list, which lags behind the actual state."""
+    """A backend server in the platform's host list, which lags behind the actual state.
+
+    `software` is the version of its software, empty where the platform names none.
+    """
 
     name: str
     address: str
@@ -80,6 +83,7 @@
     kind: str
     cheap: bool
     state: str
+    software: str = ""
 
     @property
     def identity(self) -> str:
@@ -316,9 +320,17 @@
         kind=fields.text("kind"),
         cheap=fields.flag("cheap"),
         state=fields.text("state"),
+        software=_parse_software(fields),
     )
 
 
+def _parse_software(fields: Fields) -> str:
+    try:
+        return fields.text("software", "")
+    except FieldError:
+        return ""
+
+
 def _log_malformed_host(index: int, host: Any, problem: str) -> None:
     name = host.get("name") if isinstance(host, dict) else None
     key = name[:MAX_KEY_CHARACTERS] if isinstance(name, str) else str(index)
--- a/tests/test_gateway_broken_streams.py
+++ b/tests/test_gateway_broken_streams.py
@@ -155,6 +155,38 @@
     assert resume_positions == [0, len(FIRST_TOKENS), len(FIRST_TOKENS)]
 
 
+@pytest.mark.parametrize("versions, is_resumed", [("12222", False), ("12221", True)])
+def test_stream_resumes_at_its_software_version_only(
+    deployment, start_scripted_server, versions, is_resumed
+):
+    """Guards against a text of which two versions of the engines' software wrote a part each."""
+    deployment.configure()
+    begun = []
+
+    def make_script(version):
+        def script(exchange):
+            begun.append((version, exchange.resume_from))
+            if version == "2" or exchange.resume_from:
+                resume_stream(exchange)
+            else:
+                break_off(exchange)
+
+        return script
+
+    for version in versions:
+        start_scripted_server(make_script(version)).register_with(deployment)
+        deployment.hosts[-1]["software"] = version
+    deployment.set_hosts()
+    gateway = deployment.start_gateway()
+    for _ in range(6):
+        begun.clear()
+        stream = Stream(gateway.caller_address, {"prompt": "x", "max_tokens": 9})
+        text, done, _ = stream.finish()
+        assert len({version for version, _ in begun}) == 1, begun
+        if begun[0][0] == "1":
+            assert done == is_resumed, (begun, text)
+
+
 def test_resumed_stream_may_repeat_some_first_tokens(deployment, start_scripted_server):
     """A text may legitimately repeat some of its first tokens."""
 
