Remember which software began a stream for as long as its caller may return

The record lasted for what was left of the caller's first try. A caller whose route's timeout is shorter than its own deadline came back when it had just expired, and was refused. Servers that are no longer listed are forgotten as lost ones (ServerReach.keep_only).

--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -408,6 +408,7 @@
                 self._removed_until[name] = now + REMOVED_ENTRY_S
                 _log.info(BACK_END_GONE, back_end=name, version=listing.version)
         self._health.keep_only(lambda name: self._back_ends.get(name) is not None)
+        self.reach.keep_only(lambda name: self._back_ends.get(name) is not None)
         self._prefix_cache.keep_only(lambda name: self._back_ends.get(name) is not None)
 
     def on_peer_update(self, update: PeerUpdate, now: float) -> bool:
--- a/src/laburnumreel/relay/_job.py
+++ b/src/laburnumreel/relay/_job.py
@@ -160,7 +160,7 @@
     def on_stream_begun(self, software: str) -> None:
         """Record that a backend server with this software has sent the first event to pass on."""
         self.software = software
-        self.deps.streams.record(self.stream, self.service.name, software, self.remaining_s)
+        self.deps.streams.record(self.stream, self.service.name, software)
 
     def record_run_state(self, send: object, state: RunState) -> None:
         """Record whether the backend server of one send has run the request."""
--- a/src/laburnumreel/relay/_ports.py
+++ b/src/laburnumreel/relay/_ports.py
@@ -124,7 +124,7 @@
 class StreamFinder(Protocol):
     """Knows which software began the streams that callers may take up."""
 
-    def record(self, stream: bytes, service: str, software: str, remaining_s: float) -> None: ...
+    def record(self, stream: bytes, service: str, software: str) -> None: ...
 
     def find(self, stream: bytes, service: str) -> Future:
         """Return a future of a `StreamFinding`."""
--- a/src/laburnumreel/relay/_server_reach.py
+++ b/src/laburnumreel/relay/_server_reach.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from laburnumreel.relay._back_ends import ListedBackEnd
@@ -125,6 +125,10 @@
         """Record that a backend server has answered, or is another process than before."""
         self._lost.discard(back_end)
 
+    def keep_only(self, is_known: Callable[[str], bool]) -> None:
+        """Forget the backend servers that are no longer known."""
+        self._lost = {name for name in self._lost if is_known(name)}
+
     def _on_reached(self, began_at: float) -> ReachChange | None:
         if self._failed_since is None:
             return None
--- a/src/laburnumreel/relay/_stream_directory.py
+++ b/src/laburnumreel/relay/_stream_directory.py
@@ -137,9 +137,9 @@
 
     # Calls from other threads.
 
-    def record(self, stream: bytes, service: str, software: str, remaining_s: float) -> None:
+    def record(self, stream: bytes, service: str, software: str) -> None:
         """Record that a stream's caller is about to get its first event from this host."""
-        until = self._clock.now() + min(remaining_s, self._life_s())
+        until = self._clock.now() + self._life_s()
         self.tell(_StreamBegun(stream, StreamRecord(service, software, until, True)))
         if service not in self._soles:
             self._wake()
--- a/tests/test_stream_directory.py
+++ b/tests/test_stream_directory.py
@@ -99,7 +99,7 @@
     def test_stream_is_known_after_the_host_that_began_it_is_lost(self, start_directories):
         hosts = start_directories(6)
         hosts.list(MIXED)
-        hosts.tasks["host-0"].record(b"stream", SERVICE, "v2", 20.0)
+        hosts.tasks["host-0"].record(b"stream", SERVICE, "v2")
         hosts.wait_known(b"stream", "v2", ["host-1"])
         hosts.tasks["host-0"].stop()
         hosts.heard.discard("host-0")
@@ -110,7 +110,7 @@
         hosts = start_directories(6)
         hosts.list(ONE)
         hosts.store(ONE)
-        hosts.tasks["host-0"].record(b"stream", SERVICE, "v1", 20.0)
+        hosts.tasks["host-0"].record(b"stream", SERVICE, "v1")
         hosts.list(MIXED)
         hosts.wait_known(b"stream", "v1", ["host-1"])
         hosts.tasks["host-0"].stop()
@@ -125,12 +125,22 @@
             name for name in hosts.tasks if name not in choose_keepers(b"stream", hosts.tasks)
         )
         hosts.heard -= set(hosts.tasks) - {outsider}
-        hosts.tasks[outsider].record(b"stream", SERVICE, "v2", 20.0)
+        hosts.tasks[outsider].record(b"stream", SERVICE, "v2")
         hosts.tasks[outsider].versions().result(5)
         hosts.heard = set(hosts.tasks)
         asker = next(name for name in hosts.tasks if name != outsider)
         assert hosts.find(asker, b"stream").software == "v2"
 
+    def test_stream_is_known_for_as_long_as_its_caller_may_return(self, start_directories):
+        """A caller's next try may begin when its route's timeout has ended the last one."""
+        hosts = start_directories(2)
+        hosts.list(MIXED)
+        hosts.tasks["host-0"].record(b"stream", SERVICE, "v2")
+        hosts.wait_known(b"stream", "v2", ["host-1"])
+        for task in hosts.tasks.values():
+            remaining_s = task._records.remaining_s(b"stream", SystemClock().now())
+            assert LIFE_S - 5 < remaining_s <= LIFE_S
+
     def test_stream_that_nobody_knows_is_refused_without_a_wait(self, start_directories):
         hosts = start_directories(5)
         hosts.list(MIXED)
@@ -162,7 +172,7 @@
         hosts.list(ONE)
         hosts.store(ONE)
         for number in range(50):
-            hosts.tasks["host-0"].record(b"%d" % number, SERVICE, "v1", 20.0)
+            hosts.tasks["host-0"].record(b"%d" % number, SERVICE, "v1")
             assert hosts.find("host-1", b"%d" % number).source == "sole"
         hosts.tasks["host-0"].versions().result(5)
         assert not hosts.sent
@@ -171,7 +181,7 @@
         hosts = start_directories(4)
         hosts.list(MIXED)
         for name, software in (("host-0", "v1"), ("host-1", "v2")):
-            hosts.tasks[name].record(b"stream", SERVICE, software, 20.0)
+            hosts.tasks[name].record(b"stream", SERVICE, software)
         keeper = next(
             name
             for name in choose_keepers(b"stream", hosts.tasks)
@@ -184,7 +194,7 @@
         hosts.list(MIXED)
         for datagram in (b"", b"\0", b"x" * 3000, b"\x18\xff\xff\xff\xff\x0f"):
             hosts.tasks["host-1"]._socket.sendto(datagram, (hosts.addresses["host-0"][0], PORT))
-        hosts.tasks["host-0"].record(b"stream", SERVICE, "v2", 20.0)
+        hosts.tasks["host-0"].record(b"stream", SERVICE, "v2")
         assert hosts.find("host-1", b"stream").software == "v2"
 
 
