--- a/src/laburnumreel/relay/_health.py
+++ b/src/laburnumreel/relay/_health.py
@@ -49,6 +49,7 @@
 
     >>> health = HealthTracker()
     >>> health.record_unreachable("b1", now=0.0)
+    True
     >>> health.is_in_backoff("b1", now=0.1), health.is_in_backoff("b1", now=1.0)
     (True, False)
     """
