Trust the only listed version just where the list is as new as the peers'

A host that was cut off from the store went on with a list of one version while its peers used servers of a second one. It took that version for the only one, and would have placed take-ups of the other's streams there (ORDER holds for all machines). It asks now while a peer knows a newer change of the table, or while it hears nobody and its view is older than drain_ms. A lookup whose task has ended is given up after 1 s. By reading; test_host_with_an_old_list_does_not_take_its_version_for_the_only_one.

--- a/src/laburnumreel/relay/_application.py
+++ b/src/laburnumreel/relay/_application.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Any
 
 from laburnumreel.core import Clock, HeldBody, Log, split_pieces
@@ -23,6 +24,7 @@
 from laburnumreel.relay._request_slots import RequestSlots
 from laburnumreel.relay._requests import Prompt, RelayRequest
 from laburnumreel.relay._stop_schedule import StopSchedule
+from laburnumreel.relay._stream_directory import StreamFinding
 from laburnumreel.serving import RequestRegistry, ResponseBody, RunningRequest
 from laburnumreel.state import ErrorKind, Refusal, RunState
 from laburnumreel.transport import READ_AT_KEY, REFUSAL_KEY
@@ -30,6 +32,8 @@
 # Retry delay if peers have a newer configuration: a host lags behind for about this time.
 STALE_CONFIG_RETRY_S = 0.2
 NOT_READY_RETRY_S = 0.5
+# How long a request waits for the lookup of its stream, which ends by itself before.
+MAX_LOOKUP_S = 1.0
 # Retry delay if a peer that may know a stream did not answer.
 SILENT_PEERS_RETRY_S = 0.2
 # Larger answers count as held until the caller has received them; the socket and its buffers take
@@ -304,7 +308,11 @@
         text that two versions have written.
         """
         began_at = self._clock.now()
-        finding = self._deps.streams.find(job.stream, job.service.name).result()
+        future = self._deps.streams.find(job.stream, job.service.name)
+        try:
+            finding = future.result(MAX_LOOKUP_S)
+        except FutureTimeoutError:
+            finding = StreamFinding(None, "silent")
         RELAY_TAKE_UPS.inc(source=finding.source)
         _log.info(
             STREAM_LOOKED_UP,
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -158,6 +158,7 @@
             self._clock,
             lambda: self._peers.live_peers,
             lambda: self._stream_life_s,
+            self._is_list_current,
         )
         self._registry = RequestRegistry(self._clock, lambda now: False, CALLER_GONE_CHECK_S)
         self._pool = BackEndPool(MAX_IDLE, connect_timeout_s=CONNECT_TIMEOUT_S)
@@ -530,6 +531,13 @@
             _log.info(RELAY_READY, ready=ready, stopping=self._stopping)
         return ready
 
+    def _is_list_current(self) -> bool:
+        """Return whether no peer knows a newer list of backend servers, as far as can be told."""
+        if self._update_handler.is_behind_on_back_ends:
+            return False
+        is_young = self._back_end_feed.view_age_s < self._settings.back_ends.drain_ms / 1000
+        return is_young or bool(self._peers.live_peers)
+
     def _forward_port(self) -> int:
         """Return the port at which this host takes requests that others pass on, or 0."""
         is_taking = self._is_ready() and not self._dispatcher.is_cut_off
--- a/src/laburnumreel/relay/_peer_update_handler.py
+++ b/src/laburnumreel/relay/_peer_update_handler.py
@@ -74,6 +74,11 @@
         """The newest configuration version of any peer, or None before the first update."""
         return self._peer_config_version if self._has_heard_peer else None
 
+    @property
+    def is_behind_on_back_ends(self) -> bool:
+        """Whether a peer knows a newer change of the backend servers' table than this host."""
+        return self._back_end_feed.schedule.seen_version < self._peer_listing_version
+
     def build_update(self, cross_region: bool) -> PeerUpdate:
         """Return this host's update for the peers in its region, or for those in other regions."""
         beliefs = self._dispatcher.local_state(cross_region).result()
@@ -162,10 +167,7 @@
         self._reread_if_behind(
             self._config_feed, table is None or table.version >= self._peer_config_version
         )
-        self._reread_if_behind(
-            self._back_end_feed,
-            self._back_end_feed.schedule.seen_version >= self._peer_listing_version,
-        )
+        self._reread_if_behind(self._back_end_feed, not self.is_behind_on_back_ends)
         self._dispatcher.on_peer_updates(updates)
 
     def on_peer_silent(self, peer: str) -> None:
--- a/src/laburnumreel/relay/_stream_directory.py
+++ b/src/laburnumreel/relay/_stream_directory.py
@@ -101,7 +101,9 @@
 
     It listens on a UDP socket at `listen`, whose port is the same on all hosts. `peers` returns the
     addresses of the live peers' other sockets by name. `life_s` returns the longest time in seconds
-    for which a stream lives, over all tries of its caller.
+    for which a stream lives, over all tries of its caller. `is_list_current` returns whether this
+    host's list of backend servers is as new as its peers': only then it may say that a service has
+    one version.
     """
 
     def __init__(
@@ -111,12 +113,14 @@
         clock: Clock,
         peers: Callable[[], Mapping[str, Address]],
         life_s: Callable[[], float],
+        is_list_current: Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__("relay-streams", tick_s=0.0)
         self._host = host
         self._clock = clock
         self._peers = peers
         self._life_s = life_s
+        self._is_list_current = is_list_current
         self._port = listen[1]
         self._history = SoftwareHistory(life_s)
         self._records = StreamRecords()
@@ -147,7 +151,7 @@
     def find(self, stream: bytes, service: str) -> Future:
         """Return a future of the `StreamFinding` of a stream."""
         future: Future = Future()
-        sole = self._soles.get(service)
+        sole = self._current_sole(service)
         if sole is not None:
             future.set_result(StreamFinding(sole, "sole"))
             return future
@@ -285,9 +289,13 @@
         software = self._records.software(query.stream, now)
         if software is not None:
             return StreamFinding(software, "known")
-        sole = self._soles.get(query.service)
+        sole = self._current_sole(query.service)
         return StreamFinding(sole, "sole") if sole is not None else None
 
+    def _current_sole(self, service: str) -> str | None:
+        sole = self._soles.get(service)
+        return sole if sole is not None and self._is_list_current() else None
+
     def _ask(self, search: _Search, now: float) -> None:
         """Ask the next hosts for a stream, or end the search if all time is used."""
         if search.rounds == len(ASK_TIMES_S) - 1:
--- a/tests/test_stream_directory.py
+++ b/tests/test_stream_directory.py
@@ -167,6 +167,21 @@
         finding = hosts.find("host-0", b"stream")
         assert (finding.software, finding.source) == ("v1", "told")
 
+    def test_host_with_an_old_list_does_not_take_its_version_for_the_only_one(
+        self, start_directories
+    ):
+        """A host that was cut off from the store knew no second version, and named the first."""
+        hosts = start_directories(4)
+        hosts.list(ONE)
+        hosts.store(ONE)
+        hosts.list(MIXED, "host-1", "host-2", "host-3")
+        hosts.tasks["host-1"].record(b"stream", SERVICE, "v2")
+        hosts.wait_known(b"stream", "v2", ["host-2"])
+        hosts.tasks["host-0"]._is_list_current = lambda: False
+        finding = hosts.find("host-0", b"stream")
+        assert (finding.software, finding.source) == ("v2", "told")
+        assert hosts.find("host-0", b"other").software is None
+
     def test_one_version_costs_no_message(self, start_directories):
         hosts = start_directories(4)
         hosts.list(ONE)
