--- a/tests/cut_links.py
+++ b/tests/cut_links.py
@@ -2,6 +2,7 @@
 
 import base64
 import contextlib
+import itertools
 import json
 import selectors
 import socket
@@ -14,10 +15,15 @@
 # ones are refused.
 FORMS = ("hang", "reset", "refuse")
 RESET = struct.pack("ii", 1, 0)
-PORT = 8010
+FIRST_PORT = 8010
+# Addresses of a process repeat after 250; links beyond this number get the next port.
+LINKS_PER_PORT = 200
 BUFFER_BYTES = 65536
 
 
+_numbers = itertools.count()
+
+
 class CutLink:
     """A TCP forwarder to one server's address, on an address of its own."""
 
@@ -30,11 +36,12 @@
         self._fillers = []
         self._listener = None
         self._host = fresh_host()
+        self._port = FIRST_PORT + next(_numbers) // LINKS_PER_PORT
         self._listen()
 
     @property
     def address(self):
-        return f"{self._host}:{PORT}"
+        return f"{self._host}:{self._port}"
 
     def cut(self, form):
         with self._lock:
@@ -80,7 +87,7 @@
     def _open_listener(self, backlog):
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((self._host, PORT))
+        listener.bind((self._host, self._port))
         listener.listen(backlog)
         return listener
 
@@ -94,7 +101,7 @@
         for _ in range(3):
             filler = socket.socket()
             filler.setblocking(False)
-            filler.connect_ex((self._host, PORT))
+            filler.connect_ex((self._host, self._port))
             self._fillers.append(filler)
 
     def _accept(self, listener):
