--- a/tests/cut_links.py
+++ b/tests/cut_links.py
@@ -147,17 +147,17 @@
 
     def cut(self, form):
         self._form = form
-        for link in self._links.values():
+        for link in list(self._links.values()):
             link.cut(form)
 
     def heal(self):
         self._form = None
-        for link in self._links.values():
+        for link in list(self._links.values()):
             link.heal()
 
     def end(self):
         self._view.end()
-        for link in self._links.values():
+        for link in list(self._links.values()):
             link.end()
 
     def _view_row(self, row):
