Use the project's own pieces where the change wrote them again

The servers of the tests with versions answer a reading of the prompt and a release by `engine` of platform_answers, as the other stand-ins do; StreamDirectory suppresses the error of a wake as PeerGossip does. Behaviour is as it was. With its guard taken out, test_host_with_an_old_list_does_not_take_its_version_for_the_only_one fails.

--- a/src/laburnumreel/relay/_stream_directory.py
+++ b/src/laburnumreel/relay/_stream_directory.py
@@ -6,6 +6,7 @@
 the stream's key, so that hosts agree on them without asking.
 """
 
+import contextlib
 import hashlib
 import heapq
 import selectors
@@ -235,10 +236,8 @@
 
     def _wake(self) -> None:
         # A full buffer means that the task is about to wake up anyway, a closed one that it has ended.
-        try:
+        with contextlib.suppress(OSError):
             self._wake_writer.send(b"\0")
-        except OSError:
-            return
 
     def _update_soles(self, now: float) -> None:
         """Recompute which services have a sole version, and tell keepers of services that had one."""
--- a/tests/mixed_versions.py
+++ b/tests/mixed_versions.py
@@ -4,7 +4,7 @@
 import re
 import time
 
-from platform_answers import begin_stream, chunk, close_unanswered, echo
+from platform_answers import begin_stream, chunk, close_unanswered, engine
 from relay_caller import PROMPT_HEADERS, Caller
 
 EVENTS = 5
@@ -27,12 +27,8 @@
         self.silent_s = silent_s
 
     def __call__(self, handler):
-        if handler.headers.get("Serving-Stage") == "prefill":
-            body = b'{"Handle": "h1", "Tokens": 10, "Version": 1}'
-            handler.respond(200, body, [*echo(handler), ("Content-Type", "application/json")])
-            return
-        if handler.command == "DELETE":
-            handler.respond(200)
+        if handler.headers.get("Serving-Stage") == "prefill" or handler.command == "DELETE":
+            engine(handler)
             return
         last = int(handler.headers.get("Last-Event-Id") or 0)
         may_break = self.breaks_resumed or last < self.break_after
