review: case 8, requests for a worker that has gone after connections went silent

The kept connections to the store go silent once while the store stays up, and a worker's entry is removed 0.3 s later. The relays take this for an outage of the store and keep the removed entry for 2.2 s from their next answer on, so that it gets bookings more than DrainMs after its removal and more than ContactMs after the silence; some are lost as it exits.

--- a/review/lib-2/platform_standin.py
+++ b/review/lib-2/platform_standin.py
@@ -99,9 +99,19 @@
     def __init__(self):
         self._rows, self._log, self._version = {}, [], 0
         self._changed = threading.Condition()
+        # Open connections, and those of them that have gone silent.
+        self._connections, self._silent = set(), set()
         store = self
 
         class Handler(_Handler):
+            def setup(self):
+                super().setup()
+                store._connections.add(self.connection)
+
+            def finish(self):
+                store._connections.discard(self.connection)
+                super().finish()
+
             def do_GET(self):
                 store._get(self)
 
@@ -122,6 +132,10 @@
             row = self._rows.get((table, key))
         return row and json.loads(base64.b64decode(row["Value"]))
 
+    def silence_connections(self):
+        """Let all open connections go silent for good; new ones work."""
+        self._silent |= self._connections
+
     def _write(self, table, key, encoded):
         self._version += 1
         row = {"Table": table, "part": "", "Key": key, "Ver": self._version}
@@ -136,7 +150,13 @@
         body = {**body, "Ver": self._version, "NowMs": int(time.monotonic() * 1000)}
         handler.respond(status, body)
 
+    def _hold_if_silent(self, handler):
+        """Wait for ever on a silent connection: nothing that is sent on it arrives."""
+        while handler.connection in self._silent:
+            time.sleep(1.0)
+
     def _get(self, handler):
+        self._hold_if_silent(handler)
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path == "/v1/rows-get":
@@ -159,10 +179,13 @@
                     if row["Ver"] > after and row["Table"] == query["Table"]
                 ]
                 left_s = deadline - time.monotonic()
-                if rows or left_s <= 0:
+                if rows or left_s <= 0 or handler.connection in self._silent:
                     break
                 self._changed.wait(left_s)
-            self._respond(handler, 200, {"Rows": rows})
+            if handler.connection not in self._silent:
+                self._respond(handler, 200, {"Rows": rows})
+                return
+        self._hold_if_silent(handler)
 
     def _transact(self, handler):
         call = handler.call()
@@ -220,6 +243,8 @@
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self._sequence = 0
+        self._leaves = threading.Event()
+        self._connections = set()
         self._entry = {
             "Service": service,
             "Address": self.address,
@@ -238,15 +263,40 @@
         with self.lock:
             self.runs.append((request.id, time.monotonic()))
 
+    def leave_unsaid(self):
+        """Remove the entry without a word that the worker drains; it continues to serve."""
+        with self.lock:
+            self._leaves.set()
+            self.store.put("servers", self.name, None)
+            return time.monotonic()
+
     def _beat(self):
-        while True:
-            self._sequence += 1
-            self.store.put("servers", self.name, {**self._entry, "Sequence": self._sequence})
-            time.sleep(HEARTBEAT_S)
+        while not self._leaves.is_set():
+            with self.lock:
+                if not self._leaves.is_set():
+                    self._sequence += 1
+                    entry = {**self._entry, "Sequence": self._sequence}
+                    self.store.put("servers", self.name, entry)
+            self._leaves.wait(HEARTBEAT_S)
+
+    def end(self):
+        """End the worker as its process would: no port, no connection."""
+        # A close alone would leave the thread that accepts connections in its wait.
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for connection in list(self._connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
 
     def _accept(self):
         while True:
-            connection, _ = self._listener.accept()
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self._connections.add(connection)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
@@ -264,6 +314,7 @@
         except (OSError, ValueError):
             return
         finally:
+            self._connections.discard(connection)
             reader.close()
             connection.close()
 
