--- a/review/lib-2/platform_standin.py
+++ b/review/lib-2/platform_standin.py
@@ -540,13 +540,25 @@
     return {"Name": name, "HealthPath": "/health", "MaxConnections": connections}
 
 
+# The exit code of a case that broke the rule; 1 is that of an error in Python.
+BROKEN_EXIT_CODE = 10
+
+
 def run_case(case, folder, scratch):
-    """Run `case(record, scratch, relays)` and exit: 1 if the rule was broken, 0 if it held."""
+    """Run `case(record, scratch, relays)`, end the relays and exit.
+
+    The exit code is `BROKEN_EXIT_CODE` if the rule was broken, 0 if it held, and 2 otherwise.
+    """
     record, relays = Record(folder), []
+
+    def stop(number, frame):
+        raise CannotRunError("the time is over")
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         broken = case(record, scratch, relays)
         record.write("RESULT: the rule was broken" if broken else "RESULT: the rule held")
-        code = 1 if broken else 0
+        code = BROKEN_EXIT_CODE if broken else 0
     except Exception as error:
         record.write(f"RESULT: the case could not run: {error!r}")
         code = 2
