review: case 9, a late heartbeat lists a worker again that has gone

The store performs an unanswered heartbeat seconds later, after the worker's entry was removed. Its Sequence is lower than the last one of the same start, but the relays go by the store's version alone, list the worker again and send it bookings more than DrainMs after the removal.

--- a/review/lib-2/platform_standin.py
+++ b/review/lib-2/platform_standin.py
@@ -242,9 +242,12 @@
         self._answer = answer
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        self._sequence = 0
+        self.sequence = 0
         self._leaves = threading.Event()
         self._connections = set()
+        # How much later the store performs the next beat, 0 for at once, and what is told then.
+        self.beat_delay_s = lambda: 0.0
+        self.on_late_beat = lambda sequence: None
         self._entry = {
             "Service": service,
             "Address": self.address,
@@ -270,13 +273,22 @@
             self.store.put("servers", self.name, None)
             return time.monotonic()
 
+    def _put_late(self, entry):
+        self.store.put("servers", self.name, entry)
+        self.on_late_beat(entry["Sequence"])
+
     def _beat(self):
         while not self._leaves.is_set():
             with self.lock:
                 if not self._leaves.is_set():
-                    self._sequence += 1
-                    entry = {**self._entry, "Sequence": self._sequence}
-                    self.store.put("servers", self.name, entry)
+                    self.sequence += 1
+                    entry = {**self._entry, "Sequence": self.sequence}
+                    delay_s = self.beat_delay_s()
+                    if delay_s:
+                        # The store does not answer, and performs the call later.
+                        threading.Timer(delay_s, self._put_late, (entry,)).start()
+                    else:
+                        self.store.put("servers", self.name, entry)
             self._leaves.wait(HEARTBEAT_S)
 
     def end(self):
