review: case 10, streams that begin at a new version go on at the old one

A worker crashes and starts again under its Id with another version. Until the relays have its new entry, streams that begin there are recorded under the old version; when the worker crashes again, they go on at workers of the old version.

--- a/review/lib-2/platform_standin.py
+++ b/review/lib-2/platform_standin.py
@@ -236,12 +236,16 @@
     at each heartbeat.
     """
 
-    def __init__(self, store, name, service, answer, slots, **fields):
+    def __init__(
+        self, store, name, service, answer, slots, port=0, first_beat_after_s=0.0, **fields
+    ):
         self.store, self.name, self.service = store, name, service
         self.runs, self.lock = [], threading.Lock()
         self._answer = answer
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._listener = socket.create_server(("127.0.0.1", port), backlog=256)
+        self.port = self._listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+        self._first_beat_after_s = first_beat_after_s
         self.sequence = 0
         self._leaves = threading.Event()
         self._connections = set()
@@ -278,6 +282,7 @@
         self.on_late_beat(entry["Sequence"])
 
     def _beat(self):
+        self._leaves.wait(self._first_beat_after_s)
         while not self._leaves.is_set():
             with self.lock:
                 if not self._leaves.is_set():
@@ -292,7 +297,8 @@
             self._leaves.wait(HEARTBEAT_S)
 
     def end(self):
-        """End the worker as its process would: no port, no connection."""
+        """End the worker as its process would: no port, no connection, no heartbeat."""
+        self._leaves.set()
         # A close alone would leave the thread that accepts connections in its wait.
         self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
