Wait for the log line of readiness in its test

The log is written on a thread of its own, behind the answer to the readiness check that the test waits for. It waits for both lines now; what it compares is the same.

--- a/tests/test_relay_life.py
+++ b/tests/test_relay_life.py
@@ -62,7 +62,9 @@
         (tmp_path / "sitecustomize.py").write_text(slow)
         monkeypatch.setenv("PYTHONPATH", str(tmp_path))
         relay = world.start_relay()
-        started, ready = relay.find_log_lines("relay_started"), relay.find_log_lines("relay_ready")
+        # The log is written behind the answer to the readiness check.
+        started = wait_until(lambda: relay.find_log_lines("relay_started"), "the start is logged")
+        ready = wait_until(lambda: relay.find_log_lines("relay_ready"), "readiness is logged")
         assert started[0]["timestamp"] < ready[0]["timestamp"]
 
     def test_all_invalid_settings_are_reported(self, world, tmp_path):
