--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -187,7 +187,12 @@
         assert [status for status, _ in answers.values()].count(200) == room
         assert small.result() == 200
         assert peak_bytes(relay) - before <= REQUEST_SHARE * HOST_MB * MB + OTHER_BYTES
-        assert "laburnumreel_request_bytes 0" in relay.get(relay.admin_port, "/metrics")[1].decode()
+        # A request ends behind its answer.
+        metrics = "laburnumreel_request_bytes 0"
+        wait_until(
+            lambda: metrics in relay.get(relay.admin_port, "/metrics")[1].decode(),
+            "ended requests hold nothing",
+        )
 
     def test_slow_senders_do_not_keep_others_out(self, world, relay):
         worker = world.worker("w1", Slots=8)
