Decode chunked bodies by position, with bounds on size lines and trailers

Callers saw a process that grew to 149 to 251 MB on a machine of 64 MB: an unfinished size line or trailer was kept apart from the body's buffer, outside the memory for requests, up to the limit of bodies. Each read joined it with what came and searched it from its start, and each small chunk copied the rest of its read, so that the work grew with the square of what was received, on the thread of all connections.

ChunkedBody takes the place of waitress' receiver: it looks at each byte once, by its position, and keeps the beginning of one line at most.

--- a/src/laburnumreel/transport/_parsing.py
+++ b/src/laburnumreel/transport/_parsing.py
@@ -15,6 +15,7 @@
 from laburnumreel.core import RequestMemory, SystemClock
 from laburnumreel.protocol import new_request_id, refusal_answer
 from laburnumreel.state import ErrorKind, Refusal
+from laburnumreel.transport._chunked_body import ChunkedBody
 from laburnumreel.transport._request_body import RequestBody
 
 # How much of a request that is too large is read and discarded before the connection is closed.
@@ -77,6 +78,11 @@
         was_parsed = self.error is None or isinstance(self.error, InternalServerError)
         return self.connection_close or not (was_parsed or self._is_end_known)
 
+    @property
+    def kept_bytes(self) -> int:
+        """The bytes of unfinished framing of the body."""
+        return self.body_rcv.kept_bytes if isinstance(self.body_rcv, ChunkedBody) else 0
+
     def parse_header(self, header_plus: bytes) -> None:
         try:
             super().parse_header(header_plus)
@@ -85,7 +91,11 @@
             raise ParsingError("Bad URI") from error
         if self.body_rcv is None:
             return
-        self._body = self.body_rcv.buf = RequestBody(self._memory, self._declared_size)
+        self._body = RequestBody(self._memory, self._declared_size)
+        if self.chunked:
+            self.body_rcv = ChunkedBody(self._body)
+        else:
+            self.body_rcv.buf = self._body
 
     @property
     def _declared_size(self) -> int:
@@ -122,12 +132,14 @@
         # The request is complete, so that no `100 Continue` must be sent any more.
         expects_continue, self.expect_continue = self.expect_continue, False
         if isinstance(self.error, RequestHeaderFieldsTooLarge):
-            if b"\r\n\r\n" not in self.header_plus + data:
+            # A head is too long before its blank line was found, or else the trailers are.
+            if self.headers_finished or b"\r\n\r\n" not in self.header_plus + data:
                 self._discard_to_blank_line = True
                 self._discard_bytes = DISCARD_LIMIT_BYTES
                 # The blank line may be split: these may be the first three of its four bytes.
-                self._last_bytes = data[-3:]
+                self._last_bytes = data[max(0, consumed - 3) : consumed]
                 self.completed = False
+                return consumed + self._discard(data[consumed:])
         elif isinstance(self.error, RequestEntityTooLarge) and self.content_length:
             # `consumed` ends at the header. A caller that waits for `100 Continue` and has sent
             # nothing of the body may never send it.
