Search each byte of a head once, and drop blank lines as they come

RequestParser collects the head, searches from where the last search ended, and hands it to waitress once. Folded lines and runs of blanks before a value become one blank before the pattern sees them. Leading blank lines are dropped in one step, and leave the connection idle.

Evidence: TestHead in test_caller_framing.py; searching in reads of 1 and 10 bytes, blanks, and blank lines failed on.

--- a/src/laburnumreel/transport/_parsing.py
+++ b/src/laburnumreel/transport/_parsing.py
@@ -1,5 +1,6 @@
 """Parsing of callers' requests, and the answers to malformed ones."""
 
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -22,6 +23,10 @@
 # Otherwise, a caller that is still sending would see a reset instead of the answer.
 DISCARD_LIMIT_BYTES = 16 * 1024 * 1024
 
+_BLANK_LINE = b"\r\n\r\n"
+_FOLD = re.compile(rb"\r\n[ \t]+")
+_BLANKS_BEFORE_VALUE = re.compile(rb"(\r\n[^:\r\n]*:)[ \t]{2,}")
+
 _clock = SystemClock()
 
 
@@ -67,10 +72,15 @@
         self._body: RequestBody | None = None
         self.refusal: Refusal | None = None
         self.read_at: float | None = None
+        # The part of the head that has been received, until the blank line.
+        self._head = bytearray()
+        self._head_bytes = 0
         self._discard_bytes = 0
         self._discard_to_blank_line = False
         self._last_bytes = b""
         self._is_end_known = False
+        # Whether the blank line after the head was received.
+        self._is_end_seen = False
 
     @property
     def is_last(self) -> bool:
@@ -80,10 +90,14 @@
 
     @property
     def kept_bytes(self) -> int:
-        """The bytes of unfinished framing of the body."""
-        return self.body_rcv.kept_bytes if isinstance(self.body_rcv, ChunkedBody) else 0
+        """The bytes of the head, as far as it was received, and of unfinished framing."""
+        is_chunked = isinstance(self.body_rcv, ChunkedBody)
+        framing_bytes = self.body_rcv.kept_bytes if is_chunked else 0
+        return self._head_bytes + len(self._head) + framing_bytes
 
     def parse_header(self, header_plus: bytes) -> None:
+        # waitress' patterns take the square of a run of blanks before a malformed value.
+        header_plus = _BLANKS_BEFORE_VALUE.sub(rb"\1 ", _FOLD.sub(b" ", header_plus))
         try:
             super().parse_header(header_plus)
         except ValueError as error:
@@ -116,7 +130,7 @@
     def _receive(self, data: bytes) -> int:
         if self._discard_bytes or self._discard_to_blank_line:
             return self._discard(data)
-        consumed = super().received(data)
+        consumed = super().received(data) if self.headers_finished else self._receive_head(data)
         if self.expect_continue and self._body is not None and self._body.is_dropped:
             # The caller sends no body before it is told to.
             self.completed = self.connection_close = True
@@ -133,7 +147,7 @@
         expects_continue, self.expect_continue = self.expect_continue, False
         if isinstance(self.error, RequestHeaderFieldsTooLarge):
             # A head is too long before its blank line was found, or else the trailers are.
-            if self.headers_finished or b"\r\n\r\n" not in self.header_plus + data:
+            if self.headers_finished or not self._is_end_seen:
                 self._discard_to_blank_line = True
                 self._discard_bytes = DISCARD_LIMIT_BYTES
                 # The blank line may be split: these may be the first three of its four bytes.
@@ -154,10 +168,36 @@
                 return len(data)
         return len(data) if self.is_last else consumed
 
+    def _receive_head(self, data: bytes) -> int:
+        """Collect the head, and have waitress parse it when it is complete or too long.
+
+        waitress would search all of what it has again with each part that arrives.
+        """
+        skipped = 0
+        if not self._head:
+            # Blank lines before a request are ignored.
+            skipped = len(data) - len(data.lstrip(b"\r\n"))
+            if skipped == len(data):
+                self.empty = self.completed = True
+                return skipped
+        searched = max(0, len(self._head) - len(_BLANK_LINE) + 1)
+        size = len(self._head)
+        self._head += data[skipped:]
+        found = self._head.find(_BLANK_LINE, searched)
+        self._is_end_seen = found >= 0
+        if self._is_end_seen:
+            del self._head[found + len(_BLANK_LINE) :]
+        elif len(self._head) < self.adj.max_request_header_size:
+            return len(data)
+        head, self._head = bytes(self._head), bytearray()
+        self._head_bytes = len(head)
+        super().received(head)
+        return skipped + len(head) - size
+
     def _discard(self, data: bytes) -> int:
         if self._discard_to_blank_line:
             self._discard_bytes = max(0, self._discard_bytes - len(data))
-            has_blank_line = b"\r\n\r\n" in self._last_bytes + data
+            has_blank_line = _BLANK_LINE in self._last_bytes + data
             self._last_bytes = (self._last_bytes + data)[-3:]
             self.completed = has_blank_line or not self._discard_bytes
             return len(data)
--- a/tests/test_caller_framing.py
+++ b/tests/test_caller_framing.py
@@ -1,7 +1,8 @@
 """Tests of the parsing of heads and chunked bodies: what it accepts, keeps, and costs."""
 
 import pytest
-from counting_buffer import CountingBytes
+import waitress.parser
+from counting_buffer import CountingBuffer, CountingBytes
 from hypothesis import given
 from hypothesis import strategies as st
 from waitress.adjustments import Adjustments
@@ -97,3 +98,56 @@
     def test_body_over_the_limit_is_refused(self):
         parser, _ = feed(encode(5000 * b"x", [100]), [READ_BYTES, 50], limit=4000)
         assert parser.completed and parser.error.code == 413
+
+
+class TestHead:
+    @pytest.mark.parametrize("size", [1, 10, READ_BYTES])
+    def test_each_byte_is_searched_once(self, monkeypatch, size):
+        """Each read of a head searched all that had come before it again."""
+        searched = []
+        find = waitress.parser.find_double_newline
+
+        def count_and_find(data):
+            searched.append(len(data))
+            return find(data)
+
+        monkeypatch.setattr(waitress.parser, "find_double_newline", count_and_find)
+        head = HEAD[:-2] + b"X-Long: " + 16_000 * b"x" + b"\r\n\r\n"
+        parser = RequestParser(Adjustments())
+        if hasattr(parser, "_head"):
+            parser._head = CountingBuffer()
+        CountingBuffer.count = 0
+        for position in range(0, len(head), size):
+            parser.received(head[position : position + size])
+        assert parser.headers_finished and parser.error is None
+        assert sum(searched) + CountingBuffer.count <= MAX_WORK_PER_BYTE * len(head)
+
+    def test_blanks_before_a_malformed_value_are_not_searched_again(self, monkeypatch):
+        """waitress' pattern for a header took the square of the blanks before its value."""
+        lines = []
+        pattern = waitress.parser.HEADER_FIELD_RE
+
+        class Pattern:
+            def match(self, line):
+                lines.append(line)
+                return pattern.match(line[:200])
+
+        monkeypatch.setattr(waitress.parser, "HEADER_FIELD_RE", Pattern())
+        for blanks in (16_000 * b" ", 8_000 * b" \t", 4_000 * b"\r\n  "):
+            parser = RequestParser(Adjustments())
+            parser.received(HEAD[:-2] + b"X:" + blanks + b"\x00\r\n\r\n")
+            assert parser.completed and parser.error.code == 400
+        values = [line.partition(b":")[2] for line in lines]
+        assert max(len(value) - len(value.lstrip()) for value in values) <= 8
+
+    def test_folded_values_and_blanks_keep_their_meaning(self):
+        parser = RequestParser(Adjustments())
+        parser.received(HEAD[:-2] + b"X-A:  \t one\r\n  two\r\nX-B:three  : four\r\n\r\n")
+        assert parser.headers["X_A"].split() == ["one", "two"]
+        assert parser.headers["X_B"] == "three  : four"
+
+    def test_blank_lines_before_a_request_are_dropped_at_once(self):
+        """Each four bytes of them were parsed as a request of their own."""
+        parser = RequestParser(Adjustments())
+        assert parser.received(READ_BYTES * b"\r\n") == 2 * READ_BYTES
+        assert parser.completed and parser.empty
