Parse at most two requests and one read of a connection in a turn

A caller who sends many small requests in one segment, or small chunks, had all of it parsed at once by the thread of all connections, and each request was kept with many times its bytes: 200 requests of one segment were all queued behind the first one, which was running.

A connection keeps what it has not parsed, one read at most, and goes on in a later turn of the event loop, when fewer than two requests of it are queued. While connections have unparsed bytes, up to 16 new ones are accepted in a turn, so that others don't wait for as many turns.

Evidence: test_requests_of_one_segment_are_queued_by_twos (200 queued before; 2 now, and all are answered in order); the pipelining and shutdown tests as before.

--- a/src/laburnumreel/transport/_channel.py
+++ b/src/laburnumreel/transport/_channel.py
@@ -113,25 +113,37 @@
         self._idle_limit_s = 0.0
         self._last_sent_bytes = -1
         self._progress_at = time.monotonic()
+        # What was received and not parsed yet, at most one read.
+        self._unparsed = b""
         super().__init__(*arguments, **options)
         self._idle_limit_s = self.adj.channel_timeout
 
     @property
     def has_next_request(self) -> bool:
-        """Whether a fully read request is queued behind the running one."""
+        """Whether a request that was received is queued behind the running one."""
         with self.requests_lock:
-            return len(self.requests) > 1
+            return len(self.requests) > 1 or bool(self._unparsed)
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is running or waits, or an answer is pending."""
+        return bool(self.requests or self.total_outbufs_len or self._unparsed)
+
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether bytes were received that wait to be parsed."""
+        return bool(self._unparsed)
 
     @property
     def is_idle(self) -> bool:
         """Whether no part of a request was received and no part of an answer is pending."""
-        is_busy = self.requests or self.request is not None or self.total_outbufs_len
+        is_busy = self.is_busy or self.request is not None
         return not is_busy and not is_readable(self.socket)
 
     def check_client_disconnected(self) -> bool:
         """Return whether the caller has disconnected, also if unread requests precede the end."""
         is_full = len(self.requests) > self.adj.channel_request_lookahead
-        if is_full and not self._is_end_seen:
+        if (is_full or self._unparsed) and not self._is_end_seen:
             self._is_end_seen = has_peer_shut_down(self.socket)
         return self._has_caller_left or self._is_end_seen or not self.connected
 
@@ -140,7 +152,7 @@
         return RequestParser(adj, self.server.record_read, self.server.request_memory)
 
     def readable(self) -> bool:
-        return not self._has_caller_left and super().readable()
+        return not (self._has_caller_left or self._unparsed) and super().readable()
 
     def handle_read(self) -> None:
         try:
@@ -161,10 +173,55 @@
             self.handle_close()
 
     def received(self, data: bytes) -> bool:
+        """Parse what was received, as far as one turn of the event loop allows."""
         with self.requests_lock:
+            self._unparsed += data
+        return self.parse()
+
+    def parse(self) -> bool:
+        """Parse what was received, until enough requests are queued or this turn's work is done.
+
+        Returns whether there is more that could be parsed in another turn.
+        """
+        with self.requests_lock:
+            if self._must_not_parse():
+                self._unparsed = b""
+            elif HTTPChannel.readable(self):
+                self._unparsed = self._parse(self._unparsed)
+            can_continue = bool(self._unparsed) and HTTPChannel.readable(self)
+        self.server.record_unparsed(self)
+        return can_continue
+
+    def _must_not_parse(self) -> bool:
+        is_closing = self.will_close or self.close_when_flushed
+        return is_closing or bool(self.requests and self.requests[-1].is_last)
+
+    def _parse(self, data: bytes) -> bytes:
+        """Parse at most as many requests as may be queued, and return the rest of the data."""
+        while data and len(self.requests) <= self.adj.channel_request_lookahead:
             if self.requests and self.requests[-1].is_last:
-                return False
-        return super().received(data)
+                return b""
+            if self.request is None:
+                self.request = self.parser_class(self.adj)
+            request = self.request
+            was_in_body = request.headers_finished
+            consumed = request.received(data)
+            data = data[consumed:]
+            # Answers are sent in order, so that the caller is told to continue only then.
+            is_continue_due = request.expect_continue and request.headers_finished
+            if is_continue_due and not self.requests and not self.sent_continue:
+                self.send_continue()
+            if not request.completed:
+                if was_in_body:
+                    # The rest is for another turn: this one's work is done.
+                    return data
+                continue
+            self.request, self.sent_continue = None, False
+            if not request.empty:
+                self.requests.append(request)
+                if len(self.requests) == 1:
+                    self.server.add_task(self)
+        return data
 
     def service(self) -> None:
         queued, request, was_connected = self.requests, self.requests[0], self.connected
@@ -210,6 +267,11 @@
                 return sent
         return sent + super().write_soon(data[sent:] if sent else data)
 
+    def handle_close(self) -> None:
+        self._unparsed = b""
+        self.server.record_unparsed(self)
+        super().handle_close()
+
     def log_and_close(self, reason: str, **details: float) -> None:
         """Close the connection, and log the reason if it still has a request."""
         if self.requests or self.request is not None:
@@ -234,7 +296,7 @@
         to use the connection and relies on the longer limit. `now` is a monotonic time, because
         the wall clock may jump.
         """
-        is_busy = self.requests or self.total_outbufs_len or is_readable(self.socket)
+        is_busy = self.is_busy or is_readable(self.socket)
         if is_busy or self.last_activity != self._last_seen_activity:
             self._last_seen_activity, self._idle_since = self.last_activity, now
         return now - self._idle_since > max(limit_s, self._idle_limit_s)
@@ -245,9 +307,9 @@
         with contextlib.suppress(OSError):
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
-    def is_stalled(self, now: float) -> bool:
-        """Return whether output has been pending for the stall limit without one byte sent."""
+    def is_stalled(self, now: float, limit_s: float) -> bool:
+        """Return whether output has been pending for `limit_s` without one byte sent."""
         if not self.total_outbufs_len or self.sent_bytes != self._last_sent_bytes:
             self._last_sent_bytes = self.sent_bytes
             self._progress_at = now
-        return now - self._progress_at > self.server.stall_limit_s
+        return now - self._progress_at > limit_s
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -40,6 +40,9 @@
 # How long the thread of the sockets waits if nothing happens, before it looks for stalled callers.
 LOOP_TIMEOUT_S = 1
 CONNECTIONS_PER_THREAD = 4
+MIN_CONNECTIONS = 100
+# New connections that are accepted in one turn of the event loop.
+ACCEPTS_PER_TURN = 16
 # Minimum time between two log lines on idle connections that were closed for new ones.
 FULL_LOG_INTERVAL_S = 1.0
 
@@ -78,6 +81,8 @@
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         self._count_lock = threading.Lock()
+        # Connections with bytes that wait to be parsed.
+        self._unparsed: set[Channel] = set()
         super().__init__(*arguments, **options)
 
     @property
@@ -116,14 +121,39 @@
         return self.accepting and (not self._is_full or self._has_idle_connection())
 
     def handle_accept(self) -> None:
-        if not self._is_full:
-            super().handle_accept()
+        for _ in range(ACCEPTS_PER_TURN if self._unparsed else 1):
+            if self._is_full or not self._accept_one():
+                return
+
+    def _accept_one(self) -> bool:
+        """Accept a connection if one waits, and return whether it was accepted."""
+        count = len(self._map)
+        super().handle_accept()
+        return len(self._map) > count
 
     def _has_idle_connection(self) -> bool:
         return any(channel.is_idle for channel in list(self.active_channels.values()))
 
+    def record_unparsed(self, channel: Channel) -> None:
+        """Remember whether a connection has bytes that were received and not parsed."""
+        if channel.has_unparsed:
+            self._unparsed.add(channel)
+        else:
+            self._unparsed.discard(channel)
+
+    def parse_more(self) -> bool:
+        """Give a turn to each connection with unparsed bytes; return whether one needs another."""
+        can_continue = False
+        for channel in list(self._unparsed):
+            try:
+                can_continue = channel.parse() or can_continue
+            except Exception:
+                # As for an error while reading: it is logged, and the connection closed.
+                channel.handle_error()
+        return can_continue
+
     def clean_up(self) -> None:
-        """Close idle and stalled connections, between two iterations of the event loop.
+        """Close connections between two iterations of the event loop.
 
         Within an iteration, a new connection could get the descriptor of one that was just closed
         and would be mistaken for it.
@@ -159,7 +189,7 @@
         # `now` is a monotonic time; waitress' own method uses the wall clock.
         # The list is a copy, because closing a channel removes it from the mapping.
         for channel in list(self.active_channels.values()):
-            if channel.is_stalled(now):
+            if channel.is_stalled(now, self.stall_limit_s):
                 STALLED_READERS.inc()
                 _log.warning(READER_STALLED, caller=str(channel.addr))
                 # `will_close` would wait until the socket is writable, which never happens.
@@ -193,7 +223,7 @@
             port=address[1],
             ident=None,
             threads=threads,
-            connection_limit=threads * CONNECTIONS_PER_THREAD + 100,
+            connection_limit=threads * CONNECTIONS_PER_THREAD + MIN_CONNECTIONS,
             cleanup_interval=1,
             channel_timeout=IDLE_LIMIT_S,
             log_socket_errors=False,
@@ -250,10 +280,7 @@
 
     def is_idle(self) -> bool:
         """Return whether no request is running and no output is pending."""
-        return not any(
-            channel.requests or channel.total_outbufs_len
-            for channel in list(self._server.active_channels.values())
-        )
+        return not any(channel.is_busy for channel in list(self._server.active_channels.values()))
 
     def wait_until_idle(self, max_s: float) -> None:
         """Wait until no request is running and no output is pending, at most `max_s` seconds."""
@@ -296,7 +323,8 @@
     def _run(self) -> None:
         while not self._stop_event.is_set():
             self._server.clean_up()
-            wasyncore.loop(timeout=LOOP_TIMEOUT_S, use_poll=True, map=self._map, count=1)
+            timeout_s = 0 if self._server.parse_more() else LOOP_TIMEOUT_S
+            wasyncore.loop(timeout=timeout_s, use_poll=True, map=self._map, count=1)
         left_s = round(self._answer_final_requests(), 2)
         self._server.is_closed = True
         for channel in list(self._server.active_channels.values()):
@@ -320,6 +348,7 @@
             is_receiving = now < partial_deadline and self._has_partial_requests()
             if not is_receiving and self._has_no_requests():
                 break
+            self._server.parse_more()
             wasyncore.loop(timeout=POLL_INTERVAL_S, use_poll=True, map=self._map, count=1)
         return deadline - time.monotonic()
 
--- a/tests/test_caller_connection_limit.py
+++ b/tests/test_caller_connection_limit.py
@@ -1,6 +1,8 @@
-"""Tests of more connections than the server's connection limit."""
+"""Tests of more connections than the server's connection limit, and of what each may queue."""
 
 import socket
+import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -31,6 +33,27 @@
     executor.shutdown()
 
 
+@pytest.fixture
+def waiting_server(log_lines):
+    """A server whose requests wait until `ended` is set, and the paths that have begun."""
+    ended, begun = threading.Event(), []
+
+    def application(environ, start_response):
+        begun.append(environ["PATH_INFO"])
+        ended.wait(SILENT_S)
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    executor = ThreadPoolExecutor(1)
+    host = fresh_host()
+    running = HttpServer(application, (host, free_port(host)), THREADS)
+    running.start(executor)
+    yield running, ended, begun
+    ended.set()
+    running.stop()
+    executor.shutdown()
+
+
 def connect(server):
     return socket.create_connection(server.address, 5)
 
@@ -70,3 +93,22 @@
         new_connection.settimeout(SILENT_S)
         assert ask(new_connection).startswith(b"HTTP/1.1 200 ")
         kept.append(new_connection)
+
+
+def test_requests_of_one_segment_are_queued_by_twos(waiting_server):
+    """All requests of a segment were parsed at once: a small one takes many times its bytes."""
+    server, ended, begun = waiting_server
+    requests = [b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n" % number for number in range(200)]
+    connection = connect(server)
+    connection.settimeout(SILENT_S)
+    connection.sendall(b"".join(requests))
+    wait_until(lambda: begun and server.unhandled_requests >= 2, "the first request to run")
+    time.sleep(0.2)
+    assert server.unhandled_requests == server.request_count == 2
+    ended.set()
+    received = b""
+    while received.count(b"HTTP/1.1 200 ") < len(requests) or not received.endswith(b"ok"):
+        data = connection.recv(65536)
+        assert data, "the connection ended"
+        received += data
+    assert begun == [f"/{number}" for number in range(200)]
