Hold all that callers' connections retain in one account of the host's memory

On a machine of 64 MB a crowd with bodies that stop short of their end took the process to 64 MB and more, 73 MB beside a stop: requests could hold two fifths of the machine whatever was left beside the process, answers and connections. Heads, unparsed bytes, framing, pending output, and what the kernel had received were in no account; requests of up to 32 KiB were always admitted; the ports for readiness and administration took bodies of 1 MiB without any. A sound body that took longer than 2 s was given up for new ones, however fast it came.

The host's memory is divided once, into the process, answers, connections, small requests, and other requests, which get two fifths at most. Each connection has an account of what it keeps beside bodies, in the same sum. Without room, what has made no progress for 2 s is given up, the one that stands still longest first; progress is 1 KiB, and a 64th of what is held. The kernel's receive buffers are small, also before a connection is accepted, and grow with a body for which memory is held. Readiness and administration have 32 connections and bodies of 4 KiB.

test_request_memory.py computed the room of its host of 64 MB as two fifths of it. It asks the product for the room now, which is smaller there, and the peak must also stay within the 64 MB, which it did not require before.

Evidence: test_all_that_callers_hold_fits_into_the_host adds up the parts from 160 to 552 MB; new cases for the reserve, for connections, and for steady bodies.

--- a/src/laburnumreel/core/__init__.py
+++ b/src/laburnumreel/core/__init__.py
@@ -23,15 +23,22 @@
     metrics,
     render_metrics,
 )
-from laburnumreel.core._request_memory import HeldRequest, RequestMemory
+from laburnumreel.core._request_memory import (
+    CONNECTION_SHARE,
+    SMALL_REQUEST_BYTES,
+    HeldRequest,
+    RequestMemory,
+)
 from laburnumreel.core._signals import SignalQueue
 from laburnumreel.core._task import Task, TaskStoppedError
 
 __all__ = [
     "ANSWER_SHARE",
+    "CONNECTION_SHARE",
     "LOG_FIELDS",
     "ROOM_WAIT_S",
     "SMALL_ANSWER_BYTES",
+    "SMALL_REQUEST_BYTES",
     "AnswerMemory",
     "HeldAnswer",
     "HeldBody",
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -167,15 +167,15 @@
             )
         )
         threads = settings.threads.callers + settings.threads.reserve
+        request_memory = RequestMemory.from_host(
+            settings.memory.host_mb, self._clock, REQUEST_BYTES
+        )
         self._caller_server = HttpServer(
-            self._application,
-            settings.listen.callers,
-            threads,
-            request_memory=RequestMemory.from_host(
-                settings.memory.host_mb, self._clock, REQUEST_BYTES
-            ),
+            self._application, settings.listen.callers, threads, request_memory=request_memory
+        )
+        self._admin_server = create_admin_server(
+            settings.listen.admin, self._check_readiness, request_memory=request_memory
         )
-        self._admin_server = create_admin_server(settings.listen.admin, self._check_readiness)
         self._keys_verified_at = self._clock.now()
         self._were_keys_verifiable = False
         self._config.subscribe(self._on_configuration)
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -76,6 +76,7 @@
     HttpOrderLink,
     HttpServer,
     create_admin_server,
+    create_internal_server,
 )
 
 # Minimum time to stop each task, and to answer the last requests.
@@ -343,14 +344,15 @@
             round(FORWARDED_SHARE * settings.threads) + REFUSAL_THREADS,
             request_memory=request_memory,
         )
-        self._readiness = HttpServer(
-            self._answer_readiness, settings.listen.readiness, READINESS_THREADS
+        self._readiness = create_internal_server(
+            self._answer_readiness, settings.listen.readiness, READINESS_THREADS, request_memory
         )
         self._admin = create_admin_server(
             settings.listen.admin,
             self._admin_readiness,
             {"/held": self._held_parts},
             {"/release": self._release_part},
+            request_memory,
         )
 
     def run(self, load_settings: LoadSettings) -> int:
--- a/src/laburnumreel/transport/__init__.py
+++ b/src/laburnumreel/transport/__init__.py
@@ -1,6 +1,6 @@
 """HTTP and thrift servers, and the connections to callers, back ends, peers and the store."""
 
-from laburnumreel.transport._admin import create_admin_server
+from laburnumreel.transport._admin import create_admin_server, create_internal_server
 from laburnumreel.transport._answer_work import CostlyAnswerError, EventAllowance
 from laburnumreel.transport._back_end_pool import BackEndPool
 from laburnumreel.transport._call_rate import CallRateLimiter
@@ -41,5 +41,6 @@
     "PeerClient",
     "PeerServer",
     "create_admin_server",
+    "create_internal_server",
     "await_bytes",
 ]
--- a/src/laburnumreel/transport/_admin.py
+++ b/src/laburnumreel/transport/_admin.py
@@ -5,10 +5,13 @@
 from types import MappingProxyType
 from typing import Any
 
-from laburnumreel.core import render_metrics
-from laburnumreel.transport._wsgi import HttpServer
+from laburnumreel.core import RequestMemory, render_metrics
+from laburnumreel.transport._wsgi import Application, HttpServer
 
 ADMIN_THREADS = 2
+# Limits of servers that answer operators and health checks, whose requests have no body to read.
+INTERNAL_CONNECTIONS = 32
+INTERNAL_BODY_BYTES = 4 * 1024
 
 # Returns whether the process is ready, and details that `/readyz` shows to operators.
 ReadinessCheck = Callable[[], tuple[bool, dict[str, Any]]]
@@ -24,6 +27,7 @@
     check_readiness: ReadinessCheck,
     pages: Mapping[str, Page] = MappingProxyType({}),
     actions: Mapping[str, Action] = MappingProxyType({}),
+    request_memory: RequestMemory | None = None,
 ) -> HttpServer:
     """Return an HTTP server that answers `/healthz`, `/readyz` and `/metrics`.
 
@@ -45,7 +49,24 @@
         start_response(status, headers)
         return [b"" if method == "HEAD" else body]
 
-    return HttpServer(application, address, ADMIN_THREADS)
+    return create_internal_server(application, address, ADMIN_THREADS, request_memory)
+
+
+def create_internal_server(
+    application: Application,
+    address: tuple[str, int],
+    threads: int,
+    request_memory: RequestMemory | None = None,
+) -> HttpServer:
+    """Return an HTTP server for requests without a body, on few connections."""
+    return HttpServer(
+        application,
+        address,
+        threads,
+        max_body_bytes=INTERNAL_BODY_BYTES,
+        request_memory=request_memory,
+        max_connections=INTERNAL_CONNECTIONS,
+    )
 
 
 def _json(value: dict[str, Any], status: str = "200 OK") -> tuple[str, str, bytes]:
--- a/src/laburnumreel/transport/_channel.py
+++ b/src/laburnumreel/transport/_channel.py
@@ -6,10 +6,11 @@
 from typing import Any
 
 from waitress.adjustments import Adjustments
+from waitress.buffers import ReadOnlyFileBasedBuffer
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
-from laburnumreel.core import Log, SystemClock
+from laburnumreel.core import SMALL_REQUEST_BYTES, Log, SystemClock
 from laburnumreel.transport._events import CALLER_CUT
 from laburnumreel.transport._parsing import RefusalTask, RequestParser
 from laburnumreel.transport._sockets import (
@@ -25,6 +26,12 @@
 # Key of the refusal of a request whose body was dropped. Such a request must not be served.
 REFUSAL_KEY = "laburnumreel.refusal"
 
+# Receive buffers of the kernel: of a connection, and at most of one for whose body memory is held.
+RECEIVE_BUFFER_BYTES = 16 * 1024
+BODY_RECEIVE_BUFFER_BYTES = 64 * 1024
+# What a connection may keep beside bodies before it needs room in the memory of all requests.
+KEPT_BYTES = 8 * 1024
+
 _log = Log("transport.wsgi")
 
 
@@ -115,8 +122,11 @@
         self._progress_at = time.monotonic()
         # What was received and not parsed yet, at most one read.
         self._unparsed = b""
+        self._receive_buffer_bytes = RECEIVE_BUFFER_BYTES
         super().__init__(*arguments, **options)
         self._idle_limit_s = self.adj.channel_timeout
+        memory = self.server.request_memory
+        self._account = memory.open(self._give_up, True) if memory is not None else None
 
     @property
     def has_next_request(self) -> bool:
@@ -134,6 +144,13 @@
         """Whether bytes were received that wait to be parsed."""
         return bool(self._unparsed)
 
+    @property
+    def kept_bytes(self) -> int:
+        """What the connection keeps of requests beside their bodies."""
+        with self.requests_lock:
+            parsers = [*self.requests, self.request] if self.request else list(self.requests)
+            return len(self._unparsed) + sum(parser.kept_bytes for parser in parsers)
+
     @property
     def is_idle(self) -> bool:
         """Whether no part of a request was received and no part of an answer is pending."""
@@ -165,6 +182,7 @@
         if data:
             self.last_activity = time.time()
             self._idle_limit_s = self.adj.channel_timeout
+            self._record_progress(len(data))
             self.received(data)
             return
         with self.requests_lock:
@@ -189,6 +207,7 @@
             elif HTTPChannel.readable(self):
                 self._unparsed = self._parse(self._unparsed)
             can_continue = bool(self._unparsed) and HTTPChannel.readable(self)
+        self._hold_memory()
         self.server.record_unparsed(self)
         return can_continue
 
@@ -223,11 +242,63 @@
                     self.server.add_task(self)
         return data
 
+    def _record_progress(self, count: int) -> None:
+        if self._account is not None and self._account.size:
+            self._account.record_progress(count)
+
+    def _hold_memory(self) -> None:
+        """Hold the memory that the connection needs beside bodies.
+
+        Without room, the connection is closed, but not while a request is running.
+        """
+        if self._account is None:
+            return
+        kept_bytes = self.kept_bytes + self._pending_bytes
+        size = kept_bytes if kept_bytes > KEPT_BYTES else 0
+        request = self.request
+        awaited_bytes = request.awaited_bytes if request is not None else 0
+        if awaited_bytes > SMALL_REQUEST_BYTES:
+            self._enlarge_receive_buffer(min(BODY_RECEIVE_BUFFER_BYTES, awaited_bytes // 2))
+        elif self._receive_buffer_bytes > RECEIVE_BUFFER_BYTES:
+            # No body is held any more whose bytes the kernel may receive.
+            size += self._receive_buffer_bytes
+        may_close = not self.requests
+        has_room = not (size or self._account.size) or self._account.hold(size, may_close)
+        # An answer that its caller reads is not cut; one that nobody reads makes room for others.
+        if not has_room and may_close and not self.total_outbufs_len:
+            self._give_up()
+
+    @property
+    def _pending_bytes(self) -> int:
+        """The output that is pending, without files, which are held in the memory for answers."""
+        if not self.total_outbufs_len:
+            return 0
+        with self.outbuf_lock:
+            return sum(
+                len(buffer)
+                for buffer in self.outbufs
+                if not isinstance(buffer, ReadOnlyFileBasedBuffer)
+            )
+
+    def _enlarge_receive_buffer(self, size: int) -> None:
+        """Enlarge the kernel's receive buffer. Making it smaller would slow down the connection."""
+        if size > self._receive_buffer_bytes:
+            self._receive_buffer_bytes = size
+            # The caller may have closed the connection already.
+            with contextlib.suppress(OSError):
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+    def _give_up(self) -> None:
+        """Have the event loop close the connection, for whose request there is no memory."""
+        self.server.give_up(self, "no_memory")
+
     def service(self) -> None:
         queued, request, was_connected = self.requests, self.requests[0], self.connected
         super().service()
         if was_connected:
             self.server.record_handled()
+        if self._account is not None and self._account.size:
+            self._hold_memory()
         with self.requests_lock:
             # waitress removes the answered request from the list unless the connection ends with
             # its answer; the requests after it are then dropped.
@@ -245,11 +316,17 @@
         if self._has_caller_left and self.connected:
             self.server.pull_trigger()
 
+    def handle_write(self) -> None:
+        super().handle_write()
+        if self._account is not None and self._account.size and not self.total_outbufs_len:
+            self._hold_memory()
+
     def send(self, data: bytes, do_close: bool = True) -> int:
         idle_limit_s = self.adj.channel_timeout
         sent = super().send(data, do_close)
         if sent:
             self.sent_bytes += sent
+            self._record_progress(sent)
             self._idle_limit_s = idle_limit_s
         return sent
 
@@ -265,11 +342,15 @@
             if sent == len(data):
                 self.last_activity = time.time()
                 return sent
-        return sent + super().write_soon(data[sent:] if sent else data)
+        written = sent + super().write_soon(data[sent:] if sent else data)
+        self._hold_memory()
+        return written
 
     def handle_close(self) -> None:
         self._unparsed = b""
         self.server.record_unparsed(self)
+        if self._account is not None:
+            self._account.close()
         super().handle_close()
 
     def log_and_close(self, reason: str, **details: float) -> None:
--- a/src/laburnumreel/transport/_metrics.py
+++ b/src/laburnumreel/transport/_metrics.py
@@ -25,7 +25,8 @@
     ("kind", "outcome"),
 )
 REQUEST_BYTES = define_gauge(
-    "laburnumreel_request_bytes", "Bytes that the bodies of callers' requests hold."
+    "laburnumreel_request_bytes",
+    "Bytes that callers' requests hold: bodies, and what connections keep beside them.",
 )
 HTTP_REQUESTS = define_counter(
     "laburnumreel_http_requests_total",
--- a/src/laburnumreel/transport/_parsing.py
+++ b/src/laburnumreel/transport/_parsing.py
@@ -95,6 +95,11 @@
         framing_bytes = self.body_rcv.kept_bytes if is_chunked else 0
         return self._head_bytes + len(self._head) + framing_bytes
 
+    @property
+    def awaited_bytes(self) -> int:
+        """The size of the body that is being received, as far as memory is held for it."""
+        return self._body.held_bytes if self._body is not None else 0
+
     def parse_header(self, header_plus: bytes) -> None:
         # waitress' patterns take the square of a run of blanks before a malformed value.
         header_plus = _BLANKS_BEFORE_VALUE.sub(rb"\1 ", _FOLD.sub(b" ", header_plus))
--- a/src/laburnumreel/transport/_request_body.py
+++ b/src/laburnumreel/transport/_request_body.py
@@ -2,7 +2,10 @@
 
 import io
 
-from laburnumreel.core import RequestMemory
+from laburnumreel.core import SMALL_REQUEST_BYTES, RequestMemory
+
+# Memory for a body of unknown length is held in steps, ahead of what the kernel receives of it.
+STEP_BYTES = 64 * 1024
 
 
 class RequestBody:
@@ -24,20 +27,33 @@
         """Whether there was no room for the body."""
         return self._is_dropped
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that are held for the body; they may not have arrived yet."""
+        return self._account.size if self._account is not None else self._size
+
     def __len__(self) -> int:
         return self._size
 
     def append(self, data: bytes) -> None:
         """Add bytes that were received."""
         self._size += len(data)
-        # The account may already hold the length that the head declared.
-        is_larger = self._account is not None and self._size > self._account.size
-        if is_larger and not self._is_dropped and not self._account.hold(self._size):
-            self.drop()
-            self._account.release()
+        if self._account is not None:
+            self._account.record_progress(len(data))
+            # The account may already hold the length that the head declared.
+            if self._size > self._account.size and not self._is_dropped:
+                self._hold_more()
         if not self._is_dropped:
             self._buffer.write(data)
 
+    def _hold_more(self) -> None:
+        size = self._size
+        if size > SMALL_REQUEST_BYTES:
+            size = -(-size // STEP_BYTES) * STEP_BYTES
+        if not self._account.hold(size):
+            self.drop()
+            self._account.release()
+
     def drop(self) -> None:
         """Drop what was received, and what will be."""
         self._is_dropped = True
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from collections import deque
 from collections.abc import Callable, Iterable
 from concurrent.futures import Executor, Future
 from typing import Any
@@ -15,7 +16,7 @@
 from waitress.task import ThreadedTaskDispatcher
 
 from laburnumreel.core import Log, RequestMemory
-from laburnumreel.transport._channel import Channel
+from laburnumreel.transport._channel import KEPT_BYTES, RECEIVE_BUFFER_BYTES, Channel
 from laburnumreel.transport._events import CONNECTIONS_FULL, HTTP_SERVER_PROBLEM, READER_STALLED
 from laburnumreel.transport._metrics import HTTP_REQUESTS, STALLED_READERS
 from laburnumreel.transport._sockets import is_readable
@@ -24,7 +25,7 @@
 MAX_HEADER_BYTES = 32 * 1024
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 # Output that may be pending for one caller before its request's thread blocks.
-OUTPUT_HIGH_WATERMARK_BYTES = 256 * 1024
+OUTPUT_HIGH_WATERMARK_BYTES = 64 * 1024
 # More than waitress ever buffers, so that it never opens a temporary file.
 NO_OVERFLOW_BYTES = 1 << 40
 SEND_BUFFER_BYTES = 128 * 1024
@@ -41,6 +42,8 @@
 LOOP_TIMEOUT_S = 1
 CONNECTIONS_PER_THREAD = 4
 MIN_CONNECTIONS = 100
+# New connections that wait to be accepted.
+BACKLOG = 256
 # New connections that are accepted in one turn of the event loop.
 ACCEPTS_PER_TURN = 16
 # Minimum time between two log lines on idle connections that were closed for new ones.
@@ -81,8 +84,9 @@
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         self._count_lock = threading.Lock()
-        # Connections with bytes that wait to be parsed.
+        # Connections with bytes that wait to be parsed, and those that must be closed.
         self._unparsed: set[Channel] = set()
+        self._given_up: deque[tuple[Channel, str]] = deque()
         super().__init__(*arguments, **options)
 
     @property
@@ -152,12 +156,21 @@
                 channel.handle_error()
         return can_continue
 
+    def give_up(self, channel: Channel, reason: str) -> None:
+        """Close a connection before the next iteration of the event loop. Thread-safe."""
+        self._given_up.append((channel, reason))
+        self.pull_trigger()
+
     def clean_up(self) -> None:
         """Close connections between two iterations of the event loop.
 
         Within an iteration, a new connection could get the descriptor of one that was just closed
         and would be mistaken for it.
         """
+        while self._given_up:
+            channel, reason = self._given_up.popleft()
+            if channel.connected:
+                channel.log_and_close(reason)
         if self.accepting and self._is_full:
             self._close_longest_idle()
         now = time.monotonic()
@@ -202,7 +215,8 @@
     """An HTTP server that runs a WSGI application on one address.
 
     Requests run on `threads` threads of their own. One more thread, from the executor given to
-    `start`, owns the sockets. `stall_limit_s` is the time in seconds after which a caller that
+    `start`, owns the sockets. At most `max_connections` are open, which depends on the threads unless
+    it is given; at that limit, an idle one is closed for a new one. `stall_limit_s` is the time in seconds after which a caller that
     reads no byte of its pending answer is disconnected. With a `request_memory`, the application gets
     requests whose body did not fit with a refusal under `REFUSAL_KEY` of the environment, which it
     answers with.
@@ -216,14 +230,18 @@
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
         stall_limit_s: float = STALL_LIMIT_S,
         request_memory: RequestMemory | None = None,
+        max_connections: int | None = None,
     ) -> None:
         _route_waitress_logs()
+        if max_connections is None:
+            max_connections = threads * CONNECTIONS_PER_THREAD + MIN_CONNECTIONS
         self._adjustments = Adjustments(
             host=address[0],
             port=address[1],
             ident=None,
             threads=threads,
-            connection_limit=threads * CONNECTIONS_PER_THREAD + MIN_CONNECTIONS,
+            connection_limit=max_connections,
+            backlog=min(BACKLOG, max_connections),
             cleanup_interval=1,
             channel_timeout=IDLE_LIMIT_S,
             log_socket_errors=False,
@@ -245,6 +263,8 @@
         self._server = _Server(
             application, map=self._map, dispatcher=dispatcher, adj=self._adjustments
         )
+        # Connections inherit it, also those that wait to be accepted.
+        self._server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._server.stall_limit_s = stall_limit_s
         self._server.request_memory = request_memory
         dispatcher.set_thread_count(threads)
@@ -301,6 +321,14 @@
         """
         return self._server.unhandled_requests
 
+    @property
+    def max_connection_bytes(self) -> int:
+        """What all connections may hold beside the request memory, with bytes in the kernel."""
+        adjustments = self._adjustments
+        open_bytes = adjustments.connection_limit * (RECEIVE_BUFFER_BYTES + KEPT_BYTES)
+        waiting_bytes = adjustments.backlog * RECEIVE_BUFFER_BYTES
+        return open_bytes + waiting_bytes + adjustments.threads * OUTPUT_HIGH_WATERMARK_BYTES
+
     @property
     def connection_count(self) -> int:
         """The number of open connections."""
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -13,19 +13,28 @@
 from platform_world import wait_until
 from relay_caller import BackgroundRequest, Caller
 
-from laburnumreel.core import ManualClock, RequestMemory
+from laburnumreel.core import AnswerMemory, ManualClock, RequestMemory
 from laburnumreel.core._request_memory import (
+    CONNECTION_SHARE,
     MAX_RETRY_S,
+    MIN_PROGRESS_BYTES,
     MIN_RETRY_S,
-    REQUEST_SHARE,
+    PROCESS_BYTES,
     SLOW_READ_S,
     SMALL_REQUEST_BYTES,
 )
+from laburnumreel.relay._node import FORWARDED_SHARE, READINESS_THREADS, REFUSAL_THREADS
+from laburnumreel.transport import HttpServer
+from laburnumreel.transport._admin import ADMIN_THREADS, INTERNAL_CONNECTIONS
 from laburnumreel.transport._request_body import RequestBody
+from laburnumreel_standins.processes import free_port, fresh_host
 
 MB = 1024 * 1024
 BODY = bytes(4 * MB)
 HOST_MB = 64
+# The default of the setting.
+RELAY_THREADS = 48
+ROOM_BYTES = RequestMemory.from_host(HOST_MB, ManualClock()).max_bytes
 CALLERS = 24
 # The memory beside that of requests that a burst may add: threads, buffers of sockets.
 OTHER_BYTES = 24 * MB
@@ -95,6 +104,83 @@
         assert memory.retry_after_s(100_000) == pytest.approx(3.0)
         assert memory.retry_after_s(10**9) == MAX_RETRY_S
 
+    def test_small_requests_are_limited_by_the_reserve(self):
+        """Requests of 32 KiB were admitted without a limit but that of connections."""
+        clock = ManualClock()
+        memory, dropped = RequestMemory(100_000, clock, reserved_bytes=300_000), []
+        accounts = [memory.open(lambda n=n: dropped.append(n)) for n in range(20)]
+        held = [each.hold(SMALL_REQUEST_BYTES) for each in accounts]
+        assert held.count(True) == 400_000 // SMALL_REQUEST_BYTES
+        assert memory.held_bytes <= 400_000
+        # The one that made least progress goes first, and none that is read.
+        accounts[1].finish()
+        clock.advance(SLOW_READ_S)
+        for number in (0, 3):
+            accounts[number].record_progress(MIN_PROGRESS_BYTES)
+        assert memory.open().hold(SMALL_REQUEST_BYTES)
+        assert dropped == [2]
+
+    def test_connection_may_use_the_reserve_and_is_kept_while_it_runs(self):
+        clock = ManualClock()
+        memory, closed = RequestMemory(100_000, clock, reserved_bytes=200_000), []
+        body, connection = memory.open(), memory.open(lambda: closed.append(1), True)
+        assert body.hold(100_000) and connection.hold(150_000, may_give_up=False)
+        clock.advance(SLOW_READ_S)
+        assert not memory.open(uses_reserve=True).hold(250_000)
+        assert not closed
+        assert connection.hold(150_000) and memory.open(uses_reserve=True).hold(200_000)
+        assert closed
+        connection.close()
+        assert not connection.hold(1)
+
+    def test_slow_but_steady_body_is_not_given_up(self):
+        """A body that took longer than two seconds made room for others, however fast it came."""
+        clock = ManualClock()
+        memory, dropped = RequestMemory(100_000, clock), []
+        steady = memory.open(lambda: dropped.append("steady"))
+        assert steady.hold(64 * MIN_PROGRESS_BYTES)
+        for _ in range(4):
+            clock.advance(SLOW_READ_S / 2)
+            steady.record_progress(MIN_PROGRESS_BYTES)
+        assert not memory.open().hold(60_000)
+        clock.advance(SLOW_READ_S)
+        assert memory.open().hold(60_000) and dropped == ["steady"]
+
+    @pytest.mark.parametrize("host_mb", [160, 200, 300, 512, 552])
+    def test_all_that_callers_hold_fits_into_the_host(self, host_mb):
+        """The parts of the memory were bounded each for itself, and never added up."""
+        memory = RequestMemory.from_host(host_mb, ManualClock())
+        threads = RELAY_THREADS
+        servers = [
+            make_server(threads + REFUSAL_THREADS),
+            make_server(round(FORWARDED_SHARE * threads) + REFUSAL_THREADS),
+            make_server(READINESS_THREADS, INTERNAL_CONNECTIONS),
+            make_server(ADMIN_THREADS, INTERNAL_CONNECTIONS),
+        ]
+        connection_bytes = sum(each.max_connection_bytes for each in servers)
+        for server in servers:
+            server.stop()
+        host_bytes = host_mb * MB
+        assert connection_bytes <= CONNECTION_SHARE * host_bytes
+        answer_bytes = AnswerMemory.from_host(host_mb, threads).max_bytes
+        request_bytes = memory.max_bytes + memory.reserved_bytes
+        total = PROCESS_BYTES + answer_bytes + request_bytes + connection_bytes
+        assert total <= host_bytes
+        assert PROCESS_BYTES + answer_bytes + request_bytes + CONNECTION_SHARE * host_bytes <= (
+            host_bytes + 1
+        )
+
+
+def make_server(threads, max_connections=None):
+    """Return a server with the limits of one of a relay's."""
+    host = fresh_host()
+    return HttpServer(
+        lambda environ, start_response: [],
+        (host, free_port(host)),
+        threads,
+        max_connections=max_connections,
+    )
+
 
 class TestRequestBody:
     def test_whole_body_is_read_without_a_copy_left_behind(self):
@@ -174,7 +260,7 @@
         wait_until(lambda: relay.find_log_lines("back_end_listed"), "the worker is listed")
         before, answers = peak_bytes(relay), {}
         threads = [start_long(relay, number, answers) for number in range(CALLERS)]
-        room = int(REQUEST_SHARE * HOST_MB * MB) // len(BODY)
+        room = ROOM_BYTES // len(BODY)
         wait_until(lambda: len(worker.requests("POST")) >= room, "as many run as there is room")
         wait_until(lambda: len(answers) == CALLERS - room, "the others are refused")
         small = BackgroundRequest(relay, "/once/small")
@@ -186,7 +272,8 @@
             thread.join()
         assert [status for status, _ in answers.values()].count(200) == room
         assert small.result() == 200
-        assert peak_bytes(relay) - before <= REQUEST_SHARE * HOST_MB * MB + OTHER_BYTES
+        assert peak_bytes(relay) - before <= ROOM_BYTES + OTHER_BYTES
+        assert peak_bytes(relay) <= HOST_MB * MB
         # A request ends behind its answer.
         metrics = "laburnumreel_request_bytes 0"
         wait_until(
@@ -197,7 +284,7 @@
     def test_slow_senders_do_not_keep_others_out(self, world, relay):
         worker = world.worker("w1", Slots=8)
         wait_until(lambda: relay.find_log_lines("back_end_listed"), "the worker is listed")
-        room = int(REQUEST_SHARE * HOST_MB * MB) // len(BODY)
+        room = ROOM_BYTES // len(BODY)
         slow = [start_slow(relay, number) for number in range(room)]
         try:
             time.sleep(SLOW_READ_S)
@@ -224,7 +311,7 @@
 
     def test_caller_that_waits_to_send_its_body_is_refused_before(self, world, relay):
         world.worker("w1", Slots=8)
-        room = int(REQUEST_SHARE * HOST_MB * MB) // len(BODY)
+        room = ROOM_BYTES // len(BODY)
         slow = [start_slow(relay, number) for number in range(room)]
         try:
             held = f"laburnumreel_request_bytes {room * len(BODY)}"
