Close the connection that makes least progress when a new one waits

While callers with a part of a request held all connections (half a head, a body that stops, a byte now and then, Expect and silence, answers that are not read), ordinary callers got none: at the limit only idle connections were closed for new ones, and one byte renewed the time of all others. A process without descriptors tried to accept the same connection again and again.

A connection's progress is a request that begins or was read, or 1 KiB that was received or sent. At the limit, or without descriptors, a new connection takes the place of the one that has made none for longest: first what stalls for 10 s in a request, or 5 s in an answer, then idle ones, then what stalls for 0.5 s. One whose request runs is kept, unless its caller doesn't read the answer. What was not read in full has not run, so that a close promises nothing wrong. In calm nothing is closed sooner than before.

--- a/src/laburnumreel/transport/_channel.py
+++ b/src/laburnumreel/transport/_channel.py
@@ -31,6 +31,8 @@
 BODY_RECEIVE_BUFFER_BYTES = 64 * 1024
 # What a connection may keep beside bodies before it needs room in the memory of all requests.
 KEPT_BYTES = 8 * 1024
+# A connection that receives or sends this many bytes makes progress.
+PROGRESS_BYTES = 1024
 
 _log = Log("transport.wsgi")
 
@@ -123,6 +125,9 @@
         # What was received and not parsed yet, at most one read.
         self._unparsed = b""
         self._receive_buffer_bytes = RECEIVE_BUFFER_BYTES
+        # When the connection last made progress, and the bytes moved since.
+        self._progressed_at = time.monotonic()
+        self._moved_bytes = 0
         super().__init__(*arguments, **options)
         self._idle_limit_s = self.adj.channel_timeout
         memory = self.server.request_memory
@@ -139,11 +144,26 @@
         """Whether a request is running or waits, or an answer is pending."""
         return bool(self.requests or self.total_outbufs_len or self._unparsed)
 
+    @property
+    def is_running(self) -> bool:
+        """Whether a request is running or waits to run."""
+        return bool(self.requests)
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request was received."""
+        return self.request is not None or bool(self._unparsed)
+
     @property
     def has_unparsed(self) -> bool:
         """Whether bytes were received that wait to be parsed."""
         return bool(self._unparsed)
 
+    @property
+    def progressed_at(self) -> float:
+        """When the connection last made progress, in seconds of the monotonic clock."""
+        return self._progressed_at
+
     @property
     def kept_bytes(self) -> int:
         """What the connection keeps of requests beside their bodies."""
@@ -182,6 +202,8 @@
         if data:
             self.last_activity = time.time()
             self._idle_limit_s = self.adj.channel_timeout
+            if not self.is_receiving:
+                self._restart_progress()
             self._record_progress(len(data))
             self.received(data)
             return
@@ -237,6 +259,7 @@
                 continue
             self.request, self.sent_continue = None, False
             if not request.empty:
+                self._restart_progress()
                 self.requests.append(request)
                 if len(self.requests) == 1:
                     self.server.add_task(self)
@@ -245,6 +268,12 @@
     def _record_progress(self, count: int) -> None:
         if self._account is not None and self._account.size:
             self._account.record_progress(count)
+        self._moved_bytes += count
+        if self._moved_bytes >= PROGRESS_BYTES:
+            self._restart_progress()
+
+    def _restart_progress(self) -> None:
+        self._moved_bytes, self._progressed_at = 0, time.monotonic()
 
     def _hold_memory(self) -> None:
         """Hold the memory that the connection needs beside bodies.
@@ -382,6 +411,10 @@
             self._last_seen_activity, self._idle_since = self.last_activity, now
         return now - self._idle_since > max(limit_s, self._idle_limit_s)
 
+    def stalled_s(self, now: float) -> float:
+        """Return for how many seconds the connection has made no progress."""
+        return now - self._progressed_at
+
     def set_linger(self, linger: bytes) -> None:
         """Set the linger option of the socket, which also applies if this process ends."""
         # The caller may have closed the connection already.
--- a/src/laburnumreel/transport/_events.py
+++ b/src/laburnumreel/transport/_events.py
@@ -17,7 +17,7 @@
 CONNECTIONS_FULL = define_event(
     204,
     "connections_full",
-    "connection limit reached; closed idle callers' connections for new ones",
+    "connection limit reached; closed idle or stalled callers' connections for new ones",
 )
 ANSWER_TOO_COSTLY = define_event(
     205,
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -1,6 +1,7 @@
 """The HTTP server: waitress with bounded buffers, a limit for stalled readers and documented
 errors."""
 
+import errno
 import logging
 import socket
 import threading
@@ -46,8 +47,16 @@
 BACKLOG = 256
 # New connections that are accepted in one turn of the event loop.
 ACCEPTS_PER_TURN = 16
-# Minimum time between two log lines on idle connections that were closed for new ones.
+# At the connection limit, a connection that made no progress for this long may be closed for a new
+# one: with a part of a request, with an answer that its caller does not read, and in preference to
+# an idle one.
+STALLED_REQUEST_S = 0.5
+STALLED_ANSWER_S = 5.0
+PREFERRED_STALL_S = 10.0
+# Minimum time between two log lines on connections that were closed for new ones.
 FULL_LOG_INTERVAL_S = 1.0
+# Errors of a process or host that has no more descriptors or memory for a new connection.
+SHORTAGES = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -70,6 +79,25 @@
     logging.getLogger("waitress.queue").disabled = True
 
 
+def _closing_rank(channel: Channel, now: float) -> int | None:
+    """Return how soon a connection is closed for a new one, or None if it has to stay.
+
+    One whose request runs stays, unless its caller does not read the answer. An idle one goes before
+    one whose request may still arrive, and a new one last.
+    """
+    stalled_s = channel.stalled_s(now)
+    if channel.is_running:
+        # A stream may send little at a time.
+        return 0 if channel.is_stalled(now, STALLED_ANSWER_S) else None
+    if channel.total_outbufs_len:
+        return 0 if stalled_s >= STALLED_ANSWER_S else None
+    if channel.is_receiving and stalled_s >= PREFERRED_STALL_S:
+        return 0
+    if channel.is_idle:
+        return 1 if stalled_s >= STALLED_REQUEST_S else 3
+    return 2 if stalled_s >= STALLED_REQUEST_S else None
+
+
 class _Server(TcpWSGIServer):
     channel_class = Channel
     is_stopping = False
@@ -79,6 +107,8 @@
     _next_cleanup_at = 0.0
     _closed_when_full = 0
     _full_logged_at = -FULL_LOG_INTERVAL_S
+    # Whether the process or host had no descriptor or memory for a new connection.
+    _is_short = False
     _requests_read = 0
     _requests_handled = 0
 
@@ -117,12 +147,12 @@
 
     @property
     def _is_full(self) -> bool:
-        return len(self._map) >= self.adj.connection_limit
+        return self._is_short or len(self._map) >= self.adj.connection_limit
 
     def readable(self) -> bool:
         # At the limit, a new connection must end the wait of the event loop, after which `clean_up`
-        # closes an idle one. Without one, the new connection would end each wait at once.
-        return self.accepting and (not self._is_full or self._has_idle_connection())
+        # closes another one. Without one to close, the new one would end each wait at once.
+        return self.accepting and (not self._is_full or self._has_closable_connection())
 
     def handle_accept(self) -> None:
         for _ in range(ACCEPTS_PER_TURN if self._unparsed else 1):
@@ -131,12 +161,18 @@
 
     def _accept_one(self) -> bool:
         """Accept a connection if one waits, and return whether it was accepted."""
-        count = len(self._map)
-        super().handle_accept()
-        return len(self._map) > count
-
-    def _has_idle_connection(self) -> bool:
-        return any(channel.is_idle for channel in list(self.active_channels.values()))
+        try:
+            accepted = self.accept()
+            if accepted is None:
+                return False
+            connection, address = accepted
+            self.set_socket_options(connection)
+        except OSError as error:
+            # Otherwise, the caller has left already.
+            self._is_short = error.errno in SHORTAGES
+            return False
+        self.channel_class(self, connection, self.fix_addr(address), self.adj, map=self._map)
+        return True
 
     def record_unparsed(self, channel: Channel) -> None:
         """Remember whether a connection has bytes that were received and not parsed."""
@@ -171,23 +207,37 @@
             channel, reason = self._given_up.popleft()
             if channel.connected:
                 channel.log_and_close(reason)
-        if self.accepting and self._is_full:
-            self._close_longest_idle()
         now = time.monotonic()
+        if self.accepting and self._is_full:
+            self._close_for_new(now)
         if now >= self._next_cleanup_at:
             self._next_cleanup_at = now + self.adj.cleanup_interval
             self.maintenance(now)
+            # Others may have closed descriptors since.
+            self._is_short = False
+
+    def _has_closable_connection(self) -> bool:
+        now = time.monotonic()
+        return any(
+            _closing_rank(channel, now) is not None
+            for channel in list(self.active_channels.values())
+        )
 
-    def _close_longest_idle(self) -> None:
-        """Close the connection that has been idle longest, if a new one waits to be accepted."""
+    def _close_for_new(self, now: float) -> None:
+        """Close the connection that is used least, if a new one waits to be accepted."""
         if not is_readable(self.socket):
             return
-        idle = [channel for channel in self.active_channels.values() if channel.is_idle]
-        if not idle:
+        ranked = [
+            (rank, channel.progressed_at, channel)
+            for channel in self.active_channels.values()
+            if (rank := _closing_rank(channel, now)) is not None
+        ]
+        if not ranked:
             return
-        min(idle, key=lambda channel: channel.last_activity).handle_close()
+        _, _, channel = min(ranked, key=lambda each: each[:2])
+        channel.handle_close()
+        self._is_short = False
         self._closed_when_full += 1
-        now = time.monotonic()
         if now - self._full_logged_at >= FULL_LOG_INTERVAL_S:
             _log.warning(CONNECTIONS_FULL, closed=self._closed_when_full)
             self._closed_when_full, self._full_logged_at = 0, now
@@ -216,7 +266,7 @@
 
     Requests run on `threads` threads of their own. One more thread, from the executor given to
     `start`, owns the sockets. At most `max_connections` are open, which depends on the threads unless
-    it is given; at that limit, an idle one is closed for a new one. `stall_limit_s` is the time in seconds after which a caller that
+    it is given; at that limit, a stalled or idle one is closed for a new one. `stall_limit_s` is the time in seconds after which a caller that
     reads no byte of its pending answer is disconnected. With a `request_memory`, the application gets
     requests whose body did not fit with a refusal under `REFUSAL_KEY` of the environment, which it
     answers with.
--- a/tests/test_caller_connection_limit.py
+++ b/tests/test_caller_connection_limit.py
@@ -95,6 +95,96 @@
         kept.append(new_connection)
 
 
+@pytest.mark.parametrize(
+    "part", [REQUEST[:20], b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n1234"]
+)
+def test_new_connection_is_accepted_while_others_stall(server, part):
+    """Connections with a part of a request kept all new ones out until the idle limit."""
+    kept = [connect(server) for _ in range(MAX_CONNECTIONS + 5)]
+    for connection in kept:
+        connection.sendall(part)
+    for _ in range(3):
+        new_connection = connect(server)
+        new_connection.settimeout(SILENT_S)
+        assert ask(new_connection).startswith(b"HTTP/1.1 200 ")
+
+
+def test_connection_that_progresses_least_is_closed(server):
+    kept = [connect(server) for _ in range(MAX_CONNECTIONS - 2)]
+    for connection in kept:
+        connection.sendall(b"POST / HTTP/1.1\r\nContent-Length: 9000\r\n\r\n")
+    wait_until(lambda: server.connection_count == len(kept), "all connections to be accepted")
+    time.sleep(_wsgi.STALLED_REQUEST_S)
+    began = time.monotonic()
+    for connection in kept[1:]:
+        connection.sendall(2000 * b"x")
+    channels = server._server.active_channels
+    wait_until(
+        lambda: sum(each.progressed_at > began for each in list(channels.values()))
+        == len(kept) - 1,
+        "the others to be read",
+    )
+    time.sleep(_wsgi.STALLED_REQUEST_S)
+    new_connection = connect(server)
+    new_connection.settimeout(SILENT_S)
+    assert ask(new_connection).startswith(b"HTTP/1.1 200 ")
+    kept[0].settimeout(SILENT_S)
+    assert kept[0].recv(1) == b""
+    assert server.connection_count == len(kept)
+
+
+def test_connection_with_a_running_request_is_kept(waiting_server):
+    server, ended, begun = waiting_server
+    running = connect(server)
+    running.sendall(REQUEST)
+    wait_until(lambda: begun, "the request to run")
+    kept = [connect(server) for _ in range(MAX_CONNECTIONS + 5)]
+    for connection in kept:
+        connection.sendall(REQUEST[:20])
+    new_connection = connect(server)
+    new_connection.sendall(REQUEST)
+    wait_until(lambda: server.request_count == 2, "the new request to be read")
+    ended.set()
+    running.settimeout(SILENT_S)
+    assert running.recv(65536).startswith(b"HTTP/1.1 200 ")
+
+
+class _Connection:
+    """A connection as far as its rank needs it."""
+
+    def __init__(self, stalled_s, stalled_output_s=0.0, **states):
+        self.is_running = self.is_receiving = self.is_idle = False
+        self.total_outbufs_len = 0
+        self.__dict__ |= states
+        self._stalled_s, self._stalled_output_s = stalled_s, stalled_output_s
+
+    def stalled_s(self, now):
+        return self._stalled_s
+
+    def is_stalled(self, now, limit_s):
+        return self._stalled_output_s > limit_s
+
+
+@pytest.mark.parametrize(
+    ("connection", "rank"),
+    [
+        (_Connection(60.0, is_running=True), None),
+        # A stream whose caller reads few bytes at a time.
+        (_Connection(60.0, 1.0, is_running=True, total_outbufs_len=9), None),
+        (_Connection(60.0, 6.0, is_running=True, total_outbufs_len=9), 0),
+        (_Connection(60.0, total_outbufs_len=9), 0),
+        (_Connection(1.0, total_outbufs_len=9), None),
+        (_Connection(20.0, is_receiving=True), 0),
+        (_Connection(2.0, is_receiving=True), 2),
+        (_Connection(0.1, is_receiving=True), None),
+        (_Connection(20.0, is_idle=True), 1),
+        (_Connection(0.1, is_idle=True), 3),
+    ],
+)
+def test_order_of_connections_that_are_closed(connection, rank):
+    assert _wsgi._closing_rank(connection, 100.0) == rank
+
+
 def test_requests_of_one_segment_are_queued_by_twos(waiting_server):
     """All requests of a segment were parsed at once: a small one takes many times its bytes."""
     server, ended, begun = waiting_server
