Disconnect callers that read nothing after 5 s while answers find no memory

Whole answers stay in the memory for answers until their caller has received them. A crowd that asks for large answers and reads none held an eighth of the machine for 30 s, and others' large answers were ended with 502 no_room in that time (seen in the log of the crowd's test). The answer memory counts how often it had no room; while that grows, the limit for stalled readers is 5 s.

Evidence: test_unread_answer_goes_sooner_if_answers_find_no_memory, which needs the new argument.

--- a/src/laburnumreel/core/_answer_memory.py
+++ b/src/laburnumreel/core/_answer_memory.py
@@ -45,6 +45,7 @@
         self._reserved_bytes = min(reserved_bytes, int(MAX_RESERVED_SHARE * max_bytes))
         self._held_bytes = 0
         self._peak_bytes = 0
+        self._refused_count = 0
         self._changed = threading.Condition()
         self._unfinished: set[HeldAnswer] = set()
 
@@ -75,6 +76,11 @@
         """The most bytes that were held at once."""
         return self._peak_bytes
 
+    @property
+    def refused_count(self) -> int:
+        """How often there was not enough memory for an answer."""
+        return self._refused_count
+
     def open(self, end: Callable[[], None] | None = None) -> "HeldAnswer":
         """Return the account of one answer. `end` ends an answer that is still being read."""
         return HeldAnswer(self, end)
@@ -90,6 +96,7 @@
                 wait_s,
             )
             if answer.is_ended or not self._fits(answer, size):
+                self._refused_count += 1
                 return False
             self._apply(answer, size)
             return True
--- a/src/laburnumreel/gateway.py
+++ b/src/laburnumreel/gateway.py
@@ -146,6 +146,9 @@
         self._background = ThreadPoolExecutor(BACKGROUND_THREADS, "background")
         self._pool = BackEndPool()
         self._slots = AdmissionSlots(settings.threads.callers)
+        answer_memory = AnswerMemory.from_host(
+            settings.memory.host_mb, settings.threads.callers, STORED_ANSWER_BYTES
+        )
         self._application = Application(
             GatewayDependencies(
                 clock=self._clock,
@@ -161,9 +164,7 @@
                 are_keys_verifiable=self._peer_exchange.keys_verifiable,
                 background=self._background,
                 rng=self._rng,
-                answer_memory=AnswerMemory.from_host(
-                    settings.memory.host_mb, settings.threads.callers, STORED_ANSWER_BYTES
-                ),
+                answer_memory=answer_memory,
             )
         )
         threads = settings.threads.callers + settings.threads.reserve
@@ -171,7 +172,11 @@
             settings.memory.host_mb, self._clock, REQUEST_BYTES
         )
         self._caller_server = HttpServer(
-            self._application, settings.listen.callers, threads, request_memory=request_memory
+            self._application,
+            settings.listen.callers,
+            threads,
+            request_memory=request_memory,
+            count_refused_answers=lambda: answer_memory.refused_count,
         )
         self._admin_server = create_admin_server(
             settings.listen.admin, self._check_readiness, request_memory=request_memory
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -165,6 +165,9 @@
         )
         self._registry = RequestRegistry(self._clock, lambda now: False, CALLER_GONE_CHECK_S)
         self._pool = BackEndPool(MAX_IDLE, connect_timeout_s=CONNECT_TIMEOUT_S)
+        answer_memory = AnswerMemory.from_host(
+            settings.memory.host_mb, settings.threads, RELAY_ANSWER_BYTES
+        )
         self._application = RelayApplication(
             Dependencies(
                 self._clock,
@@ -173,9 +176,7 @@
                 adapter.back_ends,
                 self._rng,
                 self._on_request_began,
-                AnswerMemory.from_host(
-                    settings.memory.host_mb, settings.threads, RELAY_ANSWER_BYTES
-                ),
+                answer_memory,
                 UnknownHeaders(),
                 lambda: self._back_end_feed.view_age_s,
                 self._streams,
@@ -337,12 +338,14 @@
             settings.listen.callers,
             settings.threads + REFUSAL_THREADS,
             request_memory=request_memory,
+            count_refused_answers=lambda: answer_memory.refused_count,
         )
         self._forwarded = HttpServer(
             self._answer_forwarded,
             settings.listen.forwarded,
             round(FORWARDED_SHARE * settings.threads) + REFUSAL_THREADS,
             request_memory=request_memory,
+            count_refused_answers=lambda: answer_memory.refused_count,
         )
         self._readiness = create_internal_server(
             self._answer_readiness, settings.listen.readiness, READINESS_THREADS, request_memory
--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -48,8 +48,8 @@
 # New connections that are accepted in one turn of the event loop.
 ACCEPTS_PER_TURN = 16
 # At the connection limit, a connection that made no progress for this long may be closed for a new
-# one: with a part of a request, with an answer that its caller does not read, and in preference to
-# an idle one.
+# one: with a part of a request, with an answer that its caller does not read (also if the memory for
+# answers is full), and in preference to an idle one.
 STALLED_REQUEST_S = 0.5
 STALLED_ANSWER_S = 5.0
 PREFERRED_STALL_S = 10.0
@@ -104,6 +104,7 @@
     is_closed = False
     stall_limit_s = STALL_LIMIT_S
     request_memory: RequestMemory | None = None
+    _known_refusals = 0
     _next_cleanup_at = 0.0
     _closed_when_full = 0
     _full_logged_at = -FULL_LOG_INTERVAL_S
@@ -117,6 +118,8 @@
         # Connections with bytes that wait to be parsed, and those that must be closed.
         self._unparsed: set[Channel] = set()
         self._given_up: deque[tuple[Channel, str]] = deque()
+        # Returns how often the memory for answers was full.
+        self.count_refused_answers: Callable[[], int] = lambda: 0
         super().__init__(*arguments, **options)
 
     @property
@@ -248,11 +251,20 @@
         self.del_channel(self._map)
         self.socket.close()
 
+    def _has_refused_answers(self) -> bool:
+        """Return whether an answer got no memory since the last call."""
+        known, self._known_refusals = self._known_refusals, self.count_refused_answers()
+        return self._known_refusals > known
+
     def maintenance(self, now: float) -> None:
+        # Answers that callers do not read take the memory of others.
+        stall_limit_s = self.stall_limit_s
+        if self._has_refused_answers():
+            stall_limit_s = min(stall_limit_s, STALLED_ANSWER_S)
         # `now` is a monotonic time; waitress' own method uses the wall clock.
         # The list is a copy, because closing a channel removes it from the mapping.
         for channel in list(self.active_channels.values()):
-            if channel.is_stalled(now, self.stall_limit_s):
+            if channel.is_stalled(now, stall_limit_s):
                 STALLED_READERS.inc()
                 _log.warning(READER_STALLED, caller=str(channel.addr))
                 # `will_close` would wait until the socket is writable, which never happens.
@@ -269,7 +281,8 @@
     it is given; at that limit, a stalled or idle one is closed for a new one. `stall_limit_s` is the time in seconds after which a caller that
     reads no byte of its pending answer is disconnected. With a `request_memory`, the application gets
     requests whose body did not fit with a refusal under `REFUSAL_KEY` of the environment, which it
-    answers with.
+    answers with. `count_refused_answers` returns how often the memory for answers was full, which makes
+    the stall limit shorter.
     """
 
     def __init__(
@@ -281,6 +294,7 @@
         stall_limit_s: float = STALL_LIMIT_S,
         request_memory: RequestMemory | None = None,
         max_connections: int | None = None,
+        count_refused_answers: Callable[[], int] = lambda: 0,
     ) -> None:
         _route_waitress_logs()
         if max_connections is None:
@@ -317,6 +331,7 @@
         self._server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._server.stall_limit_s = stall_limit_s
         self._server.request_memory = request_memory
+        self._server.count_refused_answers = count_refused_answers
         dispatcher.set_thread_count(threads)
         self._stop_event = threading.Event()
         self._final_requests_timeout_s = FINAL_REQUESTS_TIMEOUT_S
--- a/tests/test_caller_connection_limit.py
+++ b/tests/test_caller_connection_limit.py
@@ -1,5 +1,7 @@
 """Tests of more connections than the server's connection limit, and of what each may queue."""
 
+import io
+import itertools
 import socket
 import threading
 import time
@@ -15,6 +17,8 @@
 # The connection limit of `HttpServer` for `THREADS`, including its own two descriptors.
 MAX_CONNECTIONS = THREADS * CONNECTIONS_PER_THREAD + 100
 SILENT_S = 60
+# More than the buffers of both sockets.
+LARGE_ANSWER = 8 * 1024 * 1024 * b"a"
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -202,3 +206,43 @@
         assert data, "the connection ended"
         received += data
     assert begun == [f"/{number}" for number in range(200)]
+
+
+@pytest.mark.parametrize("is_memory_full", [True, False])
+def test_unread_answer_goes_sooner_if_answers_find_no_memory(
+    log_lines, monkeypatch, is_memory_full
+):
+    """Answers that nobody read kept the memory from others' answers for the stall limit."""
+    monkeypatch.setattr(_wsgi, "STALLED_ANSWER_S", 0.2)
+    refused = itertools.count()
+
+    def application(environ, start_response):
+        start_response("200 OK", [("Content-Length", str(len(LARGE_ANSWER)))])
+        return environ["wsgi.file_wrapper"](io.BytesIO(LARGE_ANSWER))
+
+    executor = ThreadPoolExecutor(1)
+    host = fresh_host()
+    running = HttpServer(
+        application,
+        (host, free_port(host)),
+        THREADS,
+        stall_limit_s=600.0,
+        count_refused_answers=lambda: next(refused) if is_memory_full else 0,
+    )
+    running.start(executor)
+    try:
+        stalled = socket.socket()
+        stalled.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        stalled.connect(running.address)
+        stalled.sendall(REQUEST)
+        wait_until(lambda: running.unhandled_requests or not running.is_idle(), "an answer")
+        if is_memory_full:
+            wait_until(lambda: running.connection_count == 0, "the connection to be closed")
+        else:
+            time.sleep(2 * running._adjustments.cleanup_interval + 0.5)
+            assert running.connection_count == 1
+        assert bool([line for line in log_lines if line["number"] == 201]) == is_memory_full
+    finally:
+        running.stop()
+        executor.shutdown()
+        stalled.close()
