Take only HTTP/1.0 and 1.1 with a status from 100 to 599 for an answer

The users saw a worker in trouble whose answer with the status 000 reached a client. Here 000 and 099 were 502 before (http.client refuses them), but 600, 999, 0200, +200, 2_00, and HTTP/0.9, 1.9 and 1.1x were answers: http.client takes whatever int parses as a status up to 999. A client got 999 as the answer to a booking (relay and gateway).

A status line needs the version and three digits. Others end the exchange: 502, unknown.

--- a/src/laburnumreel/core/_http.py
+++ b/src/laburnumreel/core/_http.py
@@ -1,4 +1,4 @@
-"""HTTP responses of http.client that are checked for a complete head and a known length."""
+"""HTTP responses of http.client that are checked for a valid, complete head and a known length."""
 
 import http.client
 import re
@@ -9,8 +9,8 @@
 
 _CHUNK_LENGTH_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,16}")
 _CONTENT_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
-# http.client checks the rest of the status line.
-_STATUS_LINE_PATTERN = re.compile(rb"[^\n]*\n")
+# http.client accepts statuses up to 999, whatever `int` parses as one, and HTTP/0.9.
+_STATUS_LINE_PATTERN = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n")
 _FIRST_HEADER_PATTERN = re.compile(rb"[!-9;-~]+:[^\r\n]*\r?\n")
 # A name and a value, or the continuation of a folded value.
 _HEADER_PATTERN = re.compile(rb"(?:[!-9;-~]+:|[ \t])[^\r\n]*\r?\n")
