Treat an end that comes before the request was sent whole as no end of an answer

A worker in trouble answers a long upload at once with a 200 without a length, sends a part of its body and ends the connection in order, while it still reads the upload. The caller got that part as a complete answer: the end of the connection is the end of such an answer. (With a reset it was 502 before.)

Before the last 16 KiB of a request over 64 KiB are sent, the exchange looks whether the peer has ended its sending. If so, and the answer has neither a length nor chunks, it is incomplete: 502, unknown. An early answer with a length is passed on as before (413 to a long upload).

--- a/src/laburnumreel/transport/_exchange.py
+++ b/src/laburnumreel/transport/_exchange.py
@@ -15,6 +15,7 @@
     BackEndSocket,
     TimeoutHandler,
     await_readable,
+    has_peer_shut_down,
     is_readable,
     set_timeout,
 )
@@ -22,6 +23,8 @@
 READ_BYTES = 64 * 1024
 # Larger requests are sent with two system calls, because joining head and body copies the body.
 MAX_JOINED_BYTES = 64 * 1024
+# The last part of a larger request, before which it is checked whether the answer has ended already.
+LAST_PART_BYTES = 16 * 1024
 # Limit of what may precede the body of an answer: its head, interim answers, and an answer to an
 # earlier request. http.client accepts heads of up to 100 lines of 64 KiB; servers send a few KiB.
 MAX_HEAD_BYTES = 256 * 1024
@@ -148,6 +151,8 @@
     """
 
     response_class = _Response
+    # Whether the peer had ended its sending before the last request was sent whole.
+    has_peer_ended_early = False
     _buffered: list[bytes] | None = None
 
     def send(self, data: bytes) -> None:
@@ -160,15 +165,21 @@
         self, method: str, target: str, body: bytes | None, headers: dict[str, str]
     ) -> None:
         self._buffered = []
+        self.has_peer_ended_early = False
         try:
             self.request(method, target, body, headers)
             pieces = self._buffered
         finally:
             self._buffered = None
         if sum(map(len, pieces)) <= MAX_JOINED_BYTES:
-            pieces = [b"".join(pieces)]
-        for piece in pieces:
+            self.send(b"".join(pieces))
+            return
+        *first, last = pieces
+        rest = memoryview(last)
+        for piece in (*first, rest[:-LAST_PART_BYTES]):
             self.send(piece)
+        self.has_peer_ended_early = has_peer_shut_down(self.sock)
+        self.send(rest[-LAST_PART_BYTES:])
 
 
 class Exchange:
@@ -387,6 +398,8 @@
             if not response.chunked and response.length:
                 missing = f"{response.length} bytes are missing"
                 raise self._make_failure("short", missing)
+            if not response.has_visible_end and self.connection.has_peer_ended_early:
+                raise self._make_failure("short", "the answer ended before its request")
             if self._is_aborted:
                 # `abort` ends the connection, as does the end of an answer without a length.
                 raise self._make_failure("short", "the exchange was aborted")
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -61,7 +61,7 @@
     reset(sock)
 
 
-EARLY = [answer_and_reset, answer_and_reset_at_once, end_and_reset, reset_in_chunks]
+EARLY = [answer_and_reset, answer_and_reset_at_once, end_and_reset, end_and_read, reset_in_chunks]
 
 
 def send_line(line):
