--- a/src/laburnumreel/relay/_settings.py
+++ b/src/laburnumreel/relay/_settings.py
@@ -164,7 +164,7 @@
             "host_mb",
             kinds.number(16, 1e6),
             DEFAULT_HOST_MB,
-            "memory of the host in MB, of which answers may hold an eighth and requests two fifths",
+            "memory of the host in MB, of which answers may hold an eighth and requests at most two fifths",
         ),
         Field("peers", "interval_s", kinds.number(0.02, 60), 0.15, "interval of peer updates"),
         *LOG_FIELDS,
--- a/src/laburnumreel/state/_settings.py
+++ b/src/laburnumreel/state/_settings.py
@@ -158,7 +158,7 @@
             "host_mb",
             kinds.number(64, 1e6),
             512.0,
-            "memory of a gateway in MB, of which answers may hold an eighth and requests two fifths",
+            "memory of a gateway in MB, of which answers may hold an eighth and requests at most two fifths",
         ),
         *LOG_FIELDS,
         Field("keys", "pepper_file", kinds.text, None, "file with the secret for API key digests"),
