Close the peer connection that waits longest, and bound unfinished calls

At the port that gateways and coordinators use among themselves, a caller that sent a byte of a call now and then kept its connection for ever: each byte renewed the time of an unfinished call. At 1,024 connections all new peers were refused, and what unfinished calls held had no bound but 80 KiB for each connection.

The time of a call counts from its first byte. At the limit, an unfinished call, or else the connection that is idle longest, goes for a new one; a running call stays. Unfinished calls hold 8 MiB together, then the oldest is closed.

Evidence: three tests in test_peer_calls.py, which failed on (connections open after 30 s; a peer's call reset; 2.4 MB held with a bound of 0.4 MB).

--- a/src/laburnumreel/transport/_peer_server.py
+++ b/src/laburnumreel/transport/_peer_server.py
@@ -30,11 +30,14 @@
 
 CALL_THREADS = 8
 MAX_CONNECTIONS = 1024
+# What the unfinished calls of all connections may hold together.
+MAX_UNFINISHED_BYTES = 8 * 1024 * 1024
 # Further calls stay unread in their sockets.
 MAX_RUNNING_CALLS = 64
 SELECT_TIMEOUT_S = 0.5
 FULL_POLL_INTERVAL_S = 0.01
-# A peer that stops within a call or does not read its answer is disconnected after this time.
+# A peer whose call is not received whole, or that does not read its answer, within this time is
+# disconnected.
 PARTIAL_CALL_TIMEOUT_S = 5.0
 IDLE_TIMEOUT_S = 120.0
 FETCH_LIMIT = 500
@@ -109,6 +112,20 @@
         self.buffer = bytearray()
         self.is_busy = False
         self.active_at = time.monotonic()
+        # When the first byte of an unfinished call was received.
+        self.call_began_at = 0.0
+
+    @property
+    def idle_since(self) -> float:
+        """When the unfinished call began, or else when the connection was last active."""
+        return self.call_began_at if self.buffer else self.active_at
+
+    def receive(self, data: bytes) -> None:
+        """Add bytes that were received."""
+        self.active_at = time.monotonic()
+        if not self.buffer:
+            self.call_began_at = self.active_at
+        self.buffer += data
 
     def take_frame(self) -> bytes | None:
         """Remove and return the next complete frame, or None. Raises ValueError on a bad size."""
@@ -122,6 +139,7 @@
             return None
         frame = bytes(self.buffer[LENGTH_PREFIX.size : end])
         del self.buffer[:end]
+        self.call_began_at = time.monotonic()
         return frame
 
 
@@ -202,8 +220,10 @@
             peer, _ = self._listener.accept()
         except OSError:
             return
-        if len(self._connections) >= MAX_CONNECTIONS:
-            _log.warning(PEER_REFUSED, detail="too many connections")
+        if len(self._connections) >= MAX_CONNECTIONS and not self._close_longest_idle(
+            "too many connections"
+        ):
+            _log.warning(PEER_REFUSED, detail="too many connections, all with a running call")
             peer.close()
             return
         peer.setblocking(False)
@@ -213,6 +233,9 @@
         self._selector.register(peer, selectors.EVENT_READ, connection)
 
     def _on_readable(self, connection: _Connection) -> None:
+        if connection not in self._connections:
+            # It was closed for another one in this round of the selector.
+            return
         try:
             chunk = connection.socket.recv(1 << 16)
         except BlockingIOError:
@@ -222,9 +245,12 @@
         if not chunk:
             self._close(connection)
             return
-        connection.active_at = time.monotonic()
-        connection.buffer += chunk
+        connection.receive(chunk)
         self._dispatch(connection)
+        if connection.buffer:
+            unfinished_bytes = sum(len(each.buffer) for each in self._connections)
+            if unfinished_bytes > MAX_UNFINISHED_BYTES:
+                self._close_longest_idle("too many bytes of unfinished calls")
 
     def _dispatch(self, connection: _Connection) -> None:
         try:
@@ -273,9 +299,22 @@
         now = time.monotonic()
         for connection in list(self._connections):
             limit_s = PARTIAL_CALL_TIMEOUT_S if connection.buffer else IDLE_TIMEOUT_S
-            if not connection.is_busy and now - connection.active_at > limit_s:
+            if not connection.is_busy and now - connection.idle_since > limit_s:
                 self._close(connection)
 
+    def _close_longest_idle(self, reason: str) -> bool:
+        """Close the connection without a running call that has waited longest; return whether any.
+
+        One with an unfinished call goes before those without.
+        """
+        closable = [each for each in self._connections if not each.is_busy]
+        if not closable:
+            return False
+        connection = min(closable, key=lambda each: (not each.buffer, each.idle_since))
+        _log.warning(PEER_REFUSED, detail=reason, unfinished_bytes=len(connection.buffer))
+        self._close(connection)
+        return True
+
     def _close(self, connection: _Connection) -> None:
         self._connections.discard(connection)
         if not connection.is_busy:
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -28,7 +28,7 @@
 from laburnumreel.protocol import _wire
 from laburnumreel.protocol.gen.node import ttypes
 from laburnumreel.state import Configuration
-from laburnumreel.transport import PeerClient, PeerServer
+from laburnumreel.transport import PeerClient, PeerServer, _peer_server
 from laburnumreel.transport._frames import MAX_CALL_BYTES, make_reader, make_writer
 from laburnumreel_standins._memory_platform import MemoryPlatform
 from laburnumreel_standins._platform_state import PlatformState
@@ -238,6 +238,82 @@
         connection.close()
 
 
+class Crowd:
+    """Connections to a peer server that send a part of a call, and then a byte now and then."""
+
+    def __init__(self, address, count, part):
+        self.open = []
+        for _ in range(count):
+            self.open.append(socket.create_connection(address, timeout=5))
+            self.open[-1].sendall(part)
+
+    def drip(self):
+        """Send a byte on each connection; forget those that the server has closed."""
+        for connection in list(self.open):
+            try:
+                connection.sendall(b"\0")
+            except OSError:
+                self.open.remove(connection)
+                connection.close()
+
+    def end(self):
+        for connection in self.open:
+            connection.close()
+
+
+@pytest.fixture
+def join():
+    crowds = []
+
+    def start(*arguments):
+        crowds.append(Crowd(*arguments))
+        return crowds[-1]
+
+    yield start
+    for crowd in crowds:
+        crowd.end()
+
+
+UNFINISHED = struct.pack("!i", MAX_CALL_BYTES) + 1000 * b"x"
+
+
+def test_call_that_comes_byte_by_byte_is_ended(nodes, join, monkeypatch):
+    """Each byte renewed the time of an unfinished call."""
+    monkeypatch.setattr(_peer_server, "PARTIAL_CALL_TIMEOUT_S", 0.5)
+    crowd = join(nodes[0].address, 5, UNFINISHED)
+
+    def is_ended():
+        crowd.drip()
+        return not crowd.open
+
+    wait_until(is_ended, "the connections to be closed")
+    assert nodes[1].link.status(nodes[0].address).is_ok()
+
+
+def test_unfinished_calls_leave_connections_to_others(nodes, join, monkeypatch):
+    """All new peers were refused while others held the connections."""
+    monkeypatch.setattr(_peer_server, "MAX_CONNECTIONS", 20)
+    join(nodes[0].address, 30, UNFINISHED)
+    fresh = PeerClient()
+    try:
+        for _ in range(3):
+            assert fresh.status(nodes[0].address).is_ok()
+    finally:
+        fresh.close()
+
+
+def test_unfinished_calls_hold_a_bounded_memory_together(nodes, join, monkeypatch):
+    monkeypatch.setattr(_peer_server, "MAX_UNFINISHED_BYTES", 400_000)
+    server = nodes[0].server
+    join(nodes[0].address, 30, struct.pack("!i", MAX_CALL_BYTES) + (MAX_CALL_BYTES - 1) * b"x")
+    wait_until(lambda: any(each.buffer for each in list(server._connections)), "calls to arrive")
+    for _ in range(20):
+        assert nodes[1].link.status(nodes[0].address).is_ok()
+        held = sum(len(each.buffer) for each in list(server._connections))
+        # What one read brings may be beyond it until the next connection is looked at.
+        assert held <= 400_000 + (1 << 16)
+
+
 class RecordingDelegate(NullGossipDelegate):
     """A delegate with work in flight that records the updates of peers."""
 
