Move the order in which connections are closed into a module of its own

Words and places only: closing_rank, choose_connection and is_any_closable are pure functions of connections and times; the server keeps the socket, the wait and the log line. STALLED_ANSWER_S is still one constant for both uses.

--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -18,6 +18,11 @@
 
 from laburnumreel.core import Log, RequestMemory
 from laburnumreel.transport._channel import KEPT_BYTES, RECEIVE_BUFFER_BYTES, Channel
+from laburnumreel.transport._closing_order import (
+    STALLED_ANSWER_S,
+    choose_connection,
+    is_any_closable,
+)
 from laburnumreel.transport._events import CONNECTIONS_FULL, HTTP_SERVER_PROBLEM, READER_STALLED
 from laburnumreel.transport._metrics import HTTP_REQUESTS, STALLED_READERS
 from laburnumreel.transport._sockets import is_readable
@@ -47,17 +52,6 @@
 BACKLOG = 256
 # New connections that are accepted in one turn of the event loop.
 ACCEPTS_PER_TURN = 16
-# At the connection limit, a connection that made no progress for this long may be closed for a new
-# one: with a part of a request, with an answer that its caller does not read (also if the memory for
-# answers is full), and in preference to an idle one.
-STALLED_REQUEST_S = 0.5
-STALLED_ANSWER_S = 5.0
-PREFERRED_STALL_S = 5.0
-# If a new connection has waited for this long, the slowest request that has been received for at
-# least `LONG_REQUEST_S` makes room, though it makes progress.
-MAX_ACCEPT_WAIT_S = 1.0
-LONG_REQUEST_S = 2.0
-SLOWEST_RANK = 4
 # The work of one turn of the event loop, in parts of chunked bodies. What is left waits its turn.
 PARTS_PER_TURN = 2048
 # Minimum time between two log lines on connections that were closed for new ones.
@@ -86,27 +80,6 @@
     logging.getLogger("waitress.queue").disabled = True
 
 
-def _closing_rank(channel: Channel, now: float) -> int | None:
-    """Return how soon a connection is closed for a new one, or None if it has to stay.
-
-    One whose request runs stays, unless its caller does not read the answer. An idle one goes before
-    one whose request may still arrive, then a new one, and last one that makes progress.
-    """
-    stalled_s = channel.stalled_s(now)
-    if channel.is_running:
-        # A stream may send little at a time.
-        return 0 if channel.is_stalled(now, STALLED_ANSWER_S) else None
-    if channel.total_outbufs_len:
-        return 0 if stalled_s >= STALLED_ANSWER_S else None
-    if channel.is_receiving and stalled_s >= PREFERRED_STALL_S:
-        return 0
-    if channel.is_idle:
-        return 1 if stalled_s >= STALLED_REQUEST_S else 3
-    if stalled_s >= STALLED_REQUEST_S:
-        return 2
-    return SLOWEST_RANK if channel.receiving_s(now) >= LONG_REQUEST_S else None
-
-
 class _Server(TcpWSGIServer):
     channel_class = Channel
     is_stopping = False
@@ -167,7 +140,10 @@
     def readable(self) -> bool:
         # At the limit, a new connection must end the wait of the event loop, after which `clean_up`
         # closes another one. Without one to close, the new one would end each wait at once.
-        return self.accepting and (not self._is_full or self._has_closable_connection())
+        if not self.accepting or not self._is_full:
+            return self.accepting
+        now = time.monotonic()
+        return is_any_closable(self.active_channels.values(), now, now - self._waiting_since)
 
     def handle_accept(self) -> None:
         for _ in range(ACCEPTS_PER_TURN if self._unparsed else 1):
@@ -247,32 +223,14 @@
             # Others may have closed descriptors since.
             self._is_short = False
 
-    def _has_closable_connection(self) -> bool:
-        now = time.monotonic()
-        return any(
-            rank is not None and rank <= self._max_rank(now)
-            for channel in list(self.active_channels.values())
-            for rank in (_closing_rank(channel, now),)
-        )
-
-    def _max_rank(self, now: float) -> int:
-        """Return up to which rank connections are closed: a long wait reaches those in progress."""
-        return SLOWEST_RANK if now - self._waiting_since >= MAX_ACCEPT_WAIT_S else SLOWEST_RANK - 1
-
     def _close_for_new(self, now: float) -> None:
         """Close the connection that is used least, if a new one waits to be accepted."""
         if not is_readable(self.socket):
             self._waiting_since = now
             return
-        max_rank = self._max_rank(now)
-        ranked = [
-            (rank, channel.receive_rate(now) if rank == SLOWEST_RANK else channel.progressed_at, n)
-            for n, channel in self.active_channels.items()
-            if (rank := _closing_rank(channel, now)) is not None and rank <= max_rank
-        ]
-        if not ranked:
+        channel = choose_connection(self.active_channels.values(), now, now - self._waiting_since)
+        if channel is None:
             return
-        channel = self.active_channels[min(ranked)[-1]]
         channel.handle_close()
         self._is_short = False
         self._closed_when_full += 1
@@ -313,11 +271,12 @@
 
     Requests run on `threads` threads of their own. One more thread, from the executor given to
     `start`, owns the sockets. At most `max_connections` are open, which depends on the threads unless
-    it is given; at that limit, a stalled or idle one is closed for a new one. `stall_limit_s` is the time in seconds after which a caller that
-    reads no byte of its pending answer is disconnected. With a `request_memory`, the application gets
-    requests whose body did not fit with a refusal under `REFUSAL_KEY` of the environment, which it
-    answers with. `count_refused_answers` returns how often the memory for answers was full, which makes
-    the stall limit shorter.
+    it is given; at that limit, a stalled or idle one is closed for a new one.
+
+    `stall_limit_s` is the time in seconds after which a caller that reads no byte of its pending
+    answer is disconnected. It is shorter while `count_refused_answers`, which returns how often the
+    memory for answers was full, grows. With a `request_memory`, the application gets requests whose
+    body did not fit with a refusal under `REFUSAL_KEY` of the environment, which it answers with.
     """
 
     def __init__(
--- a/tests/test_caller_connection_limit.py
+++ b/tests/test_caller_connection_limit.py
@@ -10,6 +10,7 @@
 import pytest
 
 from laburnumreel.transport import HttpServer, _wsgi
+from laburnumreel.transport._closing_order import STALLED_REQUEST_S, closing_rank
 from laburnumreel.transport._wsgi import CONNECTIONS_PER_THREAD
 from laburnumreel_standins.processes import free_port, fresh_host, wait_until
 
@@ -118,7 +119,7 @@
     for connection in kept:
         connection.sendall(b"POST / HTTP/1.1\r\nContent-Length: 9000\r\n\r\n")
     wait_until(lambda: server.connection_count == len(kept), "all connections to be accepted")
-    time.sleep(_wsgi.STALLED_REQUEST_S)
+    time.sleep(STALLED_REQUEST_S)
     began = time.monotonic()
     for connection in kept[1:]:
         connection.sendall(2000 * b"x")
@@ -128,7 +129,7 @@
         == len(kept) - 1,
         "the others to be read",
     )
-    time.sleep(_wsgi.STALLED_REQUEST_S)
+    time.sleep(STALLED_REQUEST_S)
     new_connection = connect(server)
     new_connection.settimeout(SILENT_S)
     assert ask(new_connection).startswith(b"HTTP/1.1 200 ")
@@ -191,7 +192,7 @@
     ],
 )
 def test_order_of_connections_that_are_closed(connection, rank):
-    assert _wsgi._closing_rank(connection, 100.0) == rank
+    assert closing_rank(connection, 100.0) == rank
 
 
 def test_requests_of_one_segment_are_queued_by_twos(waiting_server):
