--- a/src/laburnumreel/transport/_chunked_body.py
+++ b/src/laburnumreel/transport/_chunked_body.py
@@ -35,11 +35,12 @@
     data of chunks and the beginning of a line that has not ended yet. `received` returns early after
     `MAX_PARTS_PER_TURN` parts, and is to be called again with the rest.
 
-    >>> body = ChunkedBody(bytearray_body := type("B", (bytearray,), {"append": bytearray.extend})())
+    >>> pieces = []
+    >>> body = ChunkedBody(pieces)
     >>> body.received(b"3;n=v\\r\\nabc\\r\\n0\\r"), body.received(b"\\n\\r\\nGET"), body.completed
     (14, 3, True)
-    >>> bytes(bytearray_body)
-    b'abc'
+    >>> pieces
+    [b'abc']
     """
 
     def __init__(self, body: _Body) -> None:
