Wait for a dropped connection's first request to be counted in its test

The server is idle as soon as waitress has emptied the connection's list of requests, and counts the request as handled behind that.

--- a/tests/test_caller_requests.py
+++ b/tests/test_caller_requests.py
@@ -208,7 +208,11 @@
         connection.sendall(get("/cut") + get("/second"))
         while not has_ended(connection):
             pass
-        wait_until(server.is_idle, "the first request to be handled")
+        # The first request is counted as handled behind the end of its connection.
+        wait_until(
+            lambda: server.is_idle() and server.unhandled_requests <= 1,
+            "the first request to be handled",
+        )
         assert server.unhandled_requests == 1
 
 
