Keep a connection that was given up if its request runs by then

A caller could lose the answer to a request that a server ran: another thread gives a connection up that stood still for 2 s while the memory for requests is full, and the event loop closes it before its next turn. In between, the loop may have read the rest of the request, which then runs.

The loop closes only connections without a request.

Evidence: test_connection_that_was_given_up_is_kept_if_its_request_runs_by_then, which failed before. The shortage of descriptors, which had no test, has one now (it passed before).

--- a/src/laburnumreel/transport/_wsgi.py
+++ b/src/laburnumreel/transport/_wsgi.py
@@ -210,7 +210,8 @@
         """
         while self._given_up:
             channel, reason = self._given_up.popleft()
-            if channel.connected:
+            # The rest of its request may have been read since.
+            if channel.connected and not channel.is_running:
                 channel.log_and_close(reason)
         now = time.monotonic()
         if self.accepting and self._is_full:
--- a/tests/test_caller_connection_limit.py
+++ b/tests/test_caller_connection_limit.py
@@ -1,5 +1,6 @@
 """Tests of more connections than the server's connection limit, and of what each may queue."""
 
+import errno
 import io
 import itertools
 import socket
@@ -252,3 +253,35 @@
         running.stop()
         executor.shutdown()
         stalled.close()
+
+
+def test_connection_that_was_given_up_is_kept_if_its_request_runs_by_then(waiting_server):
+    """Another thread may give a connection up just before the rest of its request is read."""
+    server, ended, begun = waiting_server
+    connection = connect(server)
+    connection.settimeout(SILENT_S)
+    connection.sendall(REQUEST)
+    wait_until(lambda: begun, "the request to run")
+    (channel,) = server._server.active_channels.values()
+    server._server.give_up(channel, "no_memory")
+    wait_until(lambda: not server._server._given_up, "the event loop to look at it")
+    ended.set()
+    assert connection.recv(65536).startswith(b"HTTP/1.1 200 ")
+
+
+def test_new_connection_is_accepted_without_descriptors_for_it(server, monkeypatch):
+    """A process without descriptors tried to accept the same connection again and again."""
+    idle = connect(server)
+    assert ask(idle).startswith(b"HTTP/1.1 200 ")
+    accept, failures = server._server.accept, iter([OSError(errno.EMFILE, "no descriptor")])
+
+    def accept_or_fail():
+        for error in failures:
+            raise error
+        return accept()
+
+    monkeypatch.setattr(server._server, "accept", accept_or_fail)
+    new_connection = connect(server)
+    new_connection.settimeout(SILENT_S)
+    assert ask(new_connection).startswith(b"HTTP/1.1 200 ")
+    assert idle.recv(1) == b""
