Derive what decides which connection is closed, and name the time of moved output

Words and places: the order of closing computes stall, age and rate from the connection's times and bytes itself, so that a connection has no methods for them and no constant for a rate that is never measured. _progress_at, of output, stood beside _progressed_at, of the connection: it is _output_moved_at now. An export that nobody used is gone. The tests of the connection limit start their servers in one place; what they assert is the same.

--- a/src/laburnumreel/core/__init__.py
+++ b/src/laburnumreel/core/__init__.py
@@ -24,7 +24,6 @@
     render_metrics,
 )
 from laburnumreel.core._request_memory import (
-    CONNECTION_SHARE,
     SMALL_REQUEST_BYTES,
     HeldRequest,
     RequestMemory,
@@ -34,7 +33,6 @@
 
 __all__ = [
     "ANSWER_SHARE",
-    "CONNECTION_SHARE",
     "LOG_FIELDS",
     "ROOM_WAIT_S",
     "SMALL_ANSWER_BYTES",
--- a/src/laburnumreel/transport/_channel.py
+++ b/src/laburnumreel/transport/_channel.py
@@ -35,8 +35,6 @@
 READ_PARTS = 16
 # A connection that receives or sends this many bytes makes progress.
 PROGRESS_BYTES = 1024
-# A rate is measured over this time at least.
-MIN_RATE_S = 0.01
 
 _log = Log("transport.wsgi")
 
@@ -125,7 +123,7 @@
         self._idle_since = time.monotonic()
         self._idle_limit_s = 0.0
         self._last_sent_bytes = -1
-        self._progress_at = time.monotonic()
+        self._output_moved_at = time.monotonic()
         # What was received and not parsed yet, at most one read.
         self._unparsed = b""
         self._receive_buffer_bytes = RECEIVE_BUFFER_BYTES
@@ -171,6 +169,16 @@
         """When the connection last made progress, in seconds of the monotonic clock."""
         return self._progressed_at
 
+    @property
+    def began_at(self) -> float:
+        """When the request that is being received began to arrive."""
+        return self._began_at
+
+    @property
+    def received_bytes(self) -> int:
+        """The bytes of the request that is being received, so far."""
+        return self._received_bytes
+
     @property
     def kept_bytes(self) -> int:
         """What the connection keeps of requests beside their bodies."""
@@ -421,18 +429,6 @@
             self._last_seen_activity, self._idle_since = self.last_activity, now
         return now - self._idle_since > max(limit_s, self._idle_limit_s)
 
-    def stalled_s(self, now: float) -> float:
-        """Return for how many seconds the connection has made no progress."""
-        return now - self._progressed_at
-
-    def receive_rate(self, now: float) -> float:
-        """Return the bytes per second of the request that is being received."""
-        return self._received_bytes / max(self.receiving_s(now), MIN_RATE_S)
-
-    def receiving_s(self, now: float) -> float:
-        """Return for how many seconds the present request has been received."""
-        return now - self._began_at
-
     def set_linger(self, linger: bytes) -> None:
         """Set the linger option of the socket, which also applies if this process ends."""
         # The caller may have closed the connection already.
@@ -443,5 +439,5 @@
         """Return whether output has been pending for `limit_s` without one byte sent."""
         if not self.total_outbufs_len or self.sent_bytes != self._last_sent_bytes:
             self._last_sent_bytes = self.sent_bytes
-            self._progress_at = now
-        return now - self._progress_at > limit_s
+            self._output_moved_at = now
+        return now - self._output_moved_at > limit_s
--- a/src/laburnumreel/transport/_closing_order.py
+++ b/src/laburnumreel/transport/_closing_order.py
@@ -29,10 +29,11 @@
     def is_idle(self) -> bool: ...
     @property
     def progressed_at(self) -> float: ...
+    @property
+    def began_at(self) -> float: ...
+    @property
+    def received_bytes(self) -> int: ...
     def is_stalled(self, now: float, limit_s: float) -> bool: ...
-    def stalled_s(self, now: float) -> float: ...
-    def receiving_s(self, now: float) -> float: ...
-    def receive_rate(self, now: float) -> float: ...
 
 
 AnyConnection = TypeVar("AnyConnection", bound=Connection)
@@ -46,7 +47,7 @@
     Of several, it is the one that made no progress for longest, or the slowest one.
     """
     ranked = [
-        (rank, each.receive_rate(now) if rank == _SLOW else each.progressed_at, number, each)
+        (rank, _receive_rate(each, now) if rank == _SLOW else each.progressed_at, number, each)
         for number, each in enumerate(connections)
         if (rank := _allowed_rank(each, now, waited_s)) is not None
     ]
@@ -64,7 +65,7 @@
     One whose request runs stays, unless its caller does not read the answer. An idle one goes before
     one whose request may still arrive, then a new one, and last one that makes progress.
     """
-    stalled_s = connection.stalled_s(now)
+    stalled_s = now - connection.progressed_at
     if connection.is_running:
         # A stream may send little at a time.
         return _STALLED if connection.is_stalled(now, STALLED_ANSWER_S) else None
@@ -76,7 +77,12 @@
         return _IDLE if stalled_s >= STALLED_REQUEST_S else _NEW
     if stalled_s >= STALLED_REQUEST_S:
         return _PAUSED
-    return _SLOW if connection.receiving_s(now) >= LONG_REQUEST_S else None
+    return _SLOW if now - connection.began_at >= LONG_REQUEST_S else None
+
+
+def _receive_rate(connection: Connection, now: float) -> float:
+    """Return the bytes per second of a request that has been received for `LONG_REQUEST_S`."""
+    return connection.received_bytes / (now - connection.began_at)
 
 
 def _allowed_rank(connection: Connection, now: float, waited_s: float) -> int | None:
--- a/tests/test_caller_connection_limit.py
+++ b/tests/test_caller_connection_limit.py
@@ -1,5 +1,6 @@
 """Tests of more connections than the server's connection limit, and of what each may queue."""
 
+import contextlib
 import errno
 import io
 import itertools
@@ -24,19 +25,28 @@
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
+@contextlib.contextmanager
+def serve(application, **options):
+    """Run a server with one thread for requests."""
+    executor = ThreadPoolExecutor(1)
+    host = fresh_host()
+    running = HttpServer(application, (host, free_port(host)), THREADS, **options)
+    running.start(executor)
+    try:
+        yield running
+    finally:
+        running.stop()
+        executor.shutdown()
+
+
 @pytest.fixture
 def server(log_lines):
     def application(environ, start_response):
         start_response("200 OK", [("Content-Length", "2")])
         return [b"ok"]
 
-    executor = ThreadPoolExecutor(1)
-    host = fresh_host()
-    running = HttpServer(application, (host, free_port(host)), THREADS)
-    running.start(executor)
-    yield running
-    running.stop()
-    executor.shutdown()
+    with serve(application) as running:
+        yield running
 
 
 @pytest.fixture
@@ -50,14 +60,9 @@
         start_response("200 OK", [("Content-Length", "2")])
         return [b"ok"]
 
-    executor = ThreadPoolExecutor(1)
-    host = fresh_host()
-    running = HttpServer(application, (host, free_port(host)), THREADS)
-    running.start(executor)
-    yield running, ended, begun
-    ended.set()
-    running.stop()
-    executor.shutdown()
+    with serve(application) as running:
+        yield running, ended, begun
+        ended.set()
 
 
 def connect(server):
@@ -155,25 +160,22 @@
     assert running.recv(65536).startswith(b"HTTP/1.1 200 ")
 
 
+NOW = 100.0
+
+
 class _Connection:
     """A connection as far as its rank needs it."""
 
     def __init__(self, stalled_s, stalled_output_s=0.0, **states):
         self.is_running = self.is_receiving = self.is_idle = False
         self.total_outbufs_len = 0
-        self._received_s = 0.0
+        self.began_at, self.progressed_at = NOW, NOW - stalled_s
         self.__dict__ |= states
-        self._stalled_s, self._stalled_output_s = stalled_s, stalled_output_s
-
-    def stalled_s(self, now):
-        return self._stalled_s
+        self._stalled_output_s = stalled_output_s
 
     def is_stalled(self, now, limit_s):
         return self._stalled_output_s > limit_s
 
-    def receiving_s(self, now):
-        return self._received_s
-
 
 @pytest.mark.parametrize(
     ("connection", "rank"),
@@ -187,13 +189,13 @@
         (_Connection(20.0, is_receiving=True), 0),
         (_Connection(2.0, is_receiving=True), 2),
         (_Connection(0.1, is_receiving=True), None),
-        (_Connection(0.1, is_receiving=True, _received_s=3.0), 4),
+        (_Connection(0.1, is_receiving=True, began_at=NOW - 3.0), 4),
         (_Connection(20.0, is_idle=True), 1),
         (_Connection(0.1, is_idle=True), 3),
     ],
 )
 def test_order_of_connections_that_are_closed(connection, rank):
-    assert closing_rank(connection, 100.0) == rank
+    assert closing_rank(connection, NOW) == rank
 
 
 def test_requests_of_one_segment_are_queued_by_twos(waiting_server):
@@ -227,18 +229,11 @@
         start_response("200 OK", [("Content-Length", str(len(LARGE_ANSWER)))])
         return environ["wsgi.file_wrapper"](io.BytesIO(LARGE_ANSWER))
 
-    executor = ThreadPoolExecutor(1)
-    host = fresh_host()
-    running = HttpServer(
-        application,
-        (host, free_port(host)),
-        THREADS,
-        stall_limit_s=600.0,
-        count_refused_answers=lambda: next(refused) if is_memory_full else 0,
-    )
-    running.start(executor)
-    try:
-        stalled = socket.socket()
+    count = (lambda: next(refused)) if is_memory_full else (lambda: 0)
+    with (
+        serve(application, stall_limit_s=600.0, count_refused_answers=count) as running,
+        socket.socket() as stalled,
+    ):
         stalled.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         stalled.connect(running.address)
         stalled.sendall(REQUEST)
@@ -249,10 +244,6 @@
             time.sleep(2 * running._adjustments.cleanup_interval + 0.5)
             assert running.connection_count == 1
         assert bool([line for line in log_lines if line["number"] == 201]) == is_memory_full
-    finally:
-        running.stop()
-        executor.shutdown()
-        stalled.close()
 
 
 def test_connection_that_was_given_up_is_kept_if_its_request_runs_by_then(waiting_server):
