Crowd tests: check memory and descriptors at the hosts' port and beside a stop too

The watch of a process that ended early could have measured nothing and passed the bound of a stop; the stalls at the port between hosts checked neither memory nor descriptors, nor the statuses. All use one check now, which needs a sample. Bounds and crowds are as before.

--- a/tests/test_caller_crowds.py
+++ b/tests/test_caller_crowds.py
@@ -102,11 +102,16 @@
             statuses = crowd.statuses
         assert ask(relay) == 200
         assert relay.process.poll() is None
-    assert watch.peak_bytes <= HOST_MB * MB, f"{watch.peak_bytes / MB:.0f} MB"
-    assert 0 < watch.peak_descriptors <= MAX_DESCRIPTORS
+    check_bounds(watch)
     return statuses
 
 
+def check_bounds(watch):
+    """Check the bounds of the machine on a process that was watched."""
+    assert 0 < watch.peak_bytes <= HOST_MB * MB, f"{watch.peak_bytes / MB:.0f} MB"
+    assert 0 < watch.peak_descriptors <= MAX_DESCRIPTORS
+
+
 def runs_of_the_crowd(world):
     """Return the paths that unfinished requests have run with."""
     return [path for _, path, _, _ in world.workers["w1"].requests() if path == "/once/crowd"]
@@ -153,7 +158,7 @@
             crowd.wait_until_at_rest()
             assert relay.end(signal.SIGTERM, MAX_STOP_S) == 0
             assert crowd.statuses <= REFUSALS
-        assert watch.peak_bytes <= HOST_MB * MB, f"{watch.peak_bytes / MB:.0f} MB"
+        check_bounds(watch)
         assert not runs_of_the_crowd(world)
 
 
@@ -168,12 +173,18 @@
     def test_stalled_callers_leave_connections_to_hosts(self, world, form):
         relay = start_relay(world, few_threads())
         address = relay.host, relay.stream_port
-        with Crowd(address, STALL_CALLERS, STALLS[form]) as crowd:
+        with (
+            ProcessWatch(relay.process.pid, relay.host) as watch,
+            Crowd(address, STALL_CALLERS, STALLS[form]) as crowd,
+        ):
             crowd.wait_until_at_rest()
             with socket.create_connection(address, PATIENCE_S) as connection:
                 connection.sendall(TINY_REQUEST)
                 assert connection.recv(65536).startswith(b"HTTP/1.1 ")
             assert ask(relay) == 200
+            assert crowd.statuses <= REFUSALS
+        assert relay.process.poll() is None
+        check_bounds(watch)
 
 
 class TestGateway:
@@ -221,8 +232,7 @@
                 assert crowd.statuses <= REFUSALS
             assert self._ask(gateway) == 201
             assert gateway.process.exit_code is None
-        assert watch.peak_bytes <= HOST_MB * MB, f"{watch.peak_bytes / MB:.0f} MB"
-        assert 0 < watch.peak_descriptors <= MAX_DESCRIPTORS
+        check_bounds(watch)
 
     @pytest.mark.parametrize(
         "form",
