Order the writings of one start of a backend server by its beat

BackEndList compared the store's versions within an era. They order when writes were performed, not when the server made them.

Change: within a start, the beat decides. A start that was removed or replaced is not listed again by what it wrote before; it returns with its second new beat, or its first if the entry lapsed with the store. An older row in place of the listed one may hide a removal: the server has 1.25 heartbeats (new setting [back_ends] heartbeat_ms) to write again, or gets no new work until it does. Hosts tell peers of ended starts whose rows are in the store (new optional field ended_starts; older builds skip it). Log event 700 names an entry that was read and not used.

BackEndList.put and on_address_reused take the time.

--- a/idl/relay.thrift
+++ b/idl/relay.thrift
@@ -60,6 +60,13 @@
   3: list<Broken> requests
 }
 
+// A start of a back end that has ended, and the beat of its last writing that counted.
+struct EndedStart {
+  1: string back_end
+  2: i64 started_ms
+  3: i64 beat
+}
+
 struct News {
   1: string sender
   2: string boot
@@ -113,4 +120,6 @@
   34: bool only_listing
   // The port at which the sender takes requests that other hosts pass on; 0 if it takes none now.
   35: i32 forward_port
+  // Starts that have ended, and whose entries were written again by a write that was performed late.
+  36: list<EndedStart> ended_starts
 }
--- a/src/laburnumreel/protocol/gen/relay/ttypes.py
+++ b/src/laburnumreel/protocol/gen/relay/ttypes.py
@@ -704,6 +704,85 @@
         return not (self == other)
 
 
+class EndedStart(object):
+    """
+    Attributes:
+     - back_end
+     - started_ms
+     - beat
+
+    """
+
+
+    def __init__(self, back_end=None, started_ms=None, beat=None,):
+        self.back_end = back_end
+        self.started_ms = started_ms
+        self.beat = beat
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.back_end = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.beat = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndedStart')
+        if self.back_end is not None:
+            oprot.writeFieldBegin('back_end', TType.STRING, 1)
+            oprot.writeString(self.back_end.encode('utf-8') if sys.version_info[0] == 2 else self.back_end)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.beat is not None:
+            oprot.writeFieldBegin('beat', TType.I64, 3)
+            oprot.writeI64(self.beat)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class News(object):
     """
     Attributes:
@@ -742,11 +821,12 @@
      - listing_read_ms
      - only_listing
      - forward_port
+     - ended_starts
 
     """
 
 
-    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None, usage_window=None, ended=None, listing_seen=None, listing_away=None, gone=None, leaving_started_ms=None, store_era=None, fixed=None, limits=None, asked=None, limited_sends=None, crash_reports=None, answered=None, held_parts=None, only_crashes=None, asks_holds=None, answers_holds=None, listing_read_ms=None, only_listing=None, forward_port=None,):
+    def __init__(self, sender=None, boot=None, zone=None, sequence=None, config_version=None, stopping=None, work=None, avoided=None, held_back=None, leaving=None, usage=None, crashes=None, kept=None, duty_fence=None, listing_version=None, usage_window=None, ended=None, listing_seen=None, listing_away=None, gone=None, leaving_started_ms=None, store_era=None, fixed=None, limits=None, asked=None, limited_sends=None, crash_reports=None, answered=None, held_parts=None, only_crashes=None, asks_holds=None, answers_holds=None, listing_read_ms=None, only_listing=None, forward_port=None, ended_starts=None,):
         self.sender = sender
         self.boot = boot
         self.zone = zone
@@ -782,6 +862,7 @@
         self.listing_read_ms = listing_read_ms
         self.only_listing = only_listing
         self.forward_port = forward_port
+        self.ended_starts = ended_starts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1065,6 +1146,17 @@
                     self.forward_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 36:
+                if ftype == TType.LIST:
+                    self.ended_starts = []
+                    (_etype146, _size143) = iprot.readListBegin()
+                    for _i147 in range(_size143):
+                        _elem148 = EndedStart()
+                        _elem148.read(iprot)
+                        self.ended_starts.append(_elem148)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1102,50 +1194,50 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter143 in self.work:
-                iter143.write(oprot)
+            for iter149 in self.work:
+                iter149.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.avoided is not None:
             oprot.writeFieldBegin('avoided', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.avoided))
-            for iter144 in self.avoided:
-                iter144.write(oprot)
+            for iter150 in self.avoided:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held_back is not None:
             oprot.writeFieldBegin('held_back', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.held_back))
-            for iter145 in self.held_back:
-                iter145.write(oprot)
+            for iter151 in self.held_back:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter146 in self.leaving:
-                oprot.writeString(iter146.encode('utf-8') if sys.version_info[0] == 2 else iter146)
+            for iter152 in self.leaving:
+                oprot.writeString(iter152.encode('utf-8') if sys.version_info[0] == 2 else iter152)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter147 in self.usage:
-                iter147.write(oprot)
+            for iter153 in self.usage:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter148 in self.crashes:
-                iter148.write(oprot)
+            for iter154 in self.crashes:
+                iter154.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept is not None:
             oprot.writeFieldBegin('kept', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.kept))
-            for iter149 in self.kept:
-                iter149.write(oprot)
+            for iter155 in self.kept:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.duty_fence is not None:
@@ -1163,8 +1255,8 @@
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.ended))
-            for iter150 in self.ended:
-                iter150.write(oprot)
+            for iter156 in self.ended:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.listing_seen is not None:
@@ -1178,15 +1270,15 @@
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter151 in self.gone:
-                oprot.writeString(iter151.encode('utf-8') if sys.version_info[0] == 2 else iter151)
+            for iter157 in self.gone:
+                oprot.writeString(iter157.encode('utf-8') if sys.version_info[0] == 2 else iter157)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving_started_ms is not None:
             oprot.writeFieldBegin('leaving_started_ms', TType.LIST, 21)
             oprot.writeListBegin(TType.I64, len(self.leaving_started_ms))
-            for iter152 in self.leaving_started_ms:
-                oprot.writeI64(iter152)
+            for iter158 in self.leaving_started_ms:
+                oprot.writeI64(iter158)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_era is not None:
@@ -1196,52 +1288,52 @@
         if self.fixed is not None:
             oprot.writeFieldBegin('fixed', TType.LIST, 23)
             oprot.writeListBegin(TType.I64, len(self.fixed))
-            for iter153 in self.fixed:
-                oprot.writeI64(iter153)
+            for iter159 in self.fixed:
+                oprot.writeI64(iter159)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 24)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter154 in self.limits:
-                iter154.write(oprot)
+            for iter160 in self.limits:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.asked is not None:
             oprot.writeFieldBegin('asked', TType.MAP, 25)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.asked))
-            for kiter155, viter156 in self.asked.items():
-                oprot.writeString(kiter155.encode('utf-8') if sys.version_info[0] == 2 else kiter155)
-                oprot.writeDouble(viter156)
+            for kiter161, viter162 in self.asked.items():
+                oprot.writeString(kiter161.encode('utf-8') if sys.version_info[0] == 2 else kiter161)
+                oprot.writeDouble(viter162)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.limited_sends is not None:
             oprot.writeFieldBegin('limited_sends', TType.MAP, 26)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.limited_sends))
-            for kiter157, viter158 in self.limited_sends.items():
-                oprot.writeString(kiter157.encode('utf-8') if sys.version_info[0] == 2 else kiter157)
-                oprot.writeI32(viter158)
+            for kiter163, viter164 in self.limited_sends.items():
+                oprot.writeString(kiter163.encode('utf-8') if sys.version_info[0] == 2 else kiter163)
+                oprot.writeI32(viter164)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.crash_reports is not None:
             oprot.writeFieldBegin('crash_reports', TType.LIST, 27)
             oprot.writeListBegin(TType.STRUCT, len(self.crash_reports))
-            for iter159 in self.crash_reports:
-                iter159.write(oprot)
+            for iter165 in self.crash_reports:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered is not None:
             oprot.writeFieldBegin('answered', TType.LIST, 28)
             oprot.writeListBegin(TType.STRUCT, len(self.answered))
-            for iter160 in self.answered:
-                iter160.write(oprot)
+            for iter166 in self.answered:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held_parts is not None:
             oprot.writeFieldBegin('held_parts', TType.LIST, 29)
             oprot.writeListBegin(TType.STRUCT, len(self.held_parts))
-            for iter161 in self.held_parts:
-                iter161.write(oprot)
+            for iter167 in self.held_parts:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.only_crashes is not None:
@@ -1268,6 +1360,13 @@
             oprot.writeFieldBegin('forward_port', TType.I32, 35)
             oprot.writeI32(self.forward_port)
             oprot.writeFieldEnd()
+        if self.ended_starts is not None:
+            oprot.writeFieldBegin('ended_starts', TType.LIST, 36)
+            oprot.writeListBegin(TType.STRUCT, len(self.ended_starts))
+            for iter168 in self.ended_starts:
+                iter168.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1341,6 +1440,13 @@
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.LIST, 'requests', (TType.STRUCT, [Broken, None], False), None, ),  # 3
 )
+all_structs.append(EndedStart)
+EndedStart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'back_end', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+    (3, TType.I64, 'beat', None, None, ),  # 3
+)
 all_structs.append(News)
 News.thrift_spec = (
     None,  # 0
@@ -1379,6 +1485,7 @@
     (33, TType.I64, 'listing_read_ms', None, None, ),  # 33
     (34, TType.BOOL, 'only_listing', None, None, ),  # 34
     (35, TType.I32, 'forward_port', None, None, ),  # 35
+    (36, TType.LIST, 'ended_starts', (TType.STRUCT, [EndedStart, None], False), None, ),  # 36
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/laburnumreel/relay/_back_ends.py
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -5,12 +5,15 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from laburnumreel.relay._ended_starts import EndedStart, EndedStarts, Writing
 from laburnumreel.state import era_of_version
 
 Address = tuple[str, int]
 
-# Removed entries whose last version is remembered.
-MAX_REMEMBERED_ENTRIES = 1000
+# A server whose entry is overwritten by an older writing gets no new work until it has written again,
+# if it has not done so after this many of its heartbeat intervals.
+MAX_HEARTBEATS_TO_CONFIRM = 1.25
+DEFAULT_HEARTBEAT_S = 1.2
 EMPTY: Mapping[str, int] = MappingProxyType({})
 # Upper bound of the concurrent requests that a backend server may declare.
 MAX_SLOTS = 1_000_000
@@ -44,20 +47,16 @@
     beat: int = 0
     software: str = ""
 
-    @property
-    def written(self) -> tuple[int, int]:
-        """What its writer says of when it was written, by the clock of the writer's machine."""
-        return self.started_at_ms, self.beat
-
 
-class Writing(NamedTuple):
-    """When an entry was written: by its writer's clock, and the store's version of its row.
+class PutOutcome(StrEnum):
+    """What was done with an entry that was read.
 
-    The version is 0 if it is not known.
+    It was `listed`, is `older` than the listed one, or is of a start that has `ended`.
     """
 
-    written: tuple[int, int]
-    version: int = 0
+    LISTED = "listed"
+    OLDER = "older"
+    ENDED = "ended"
 
 
 class BackEndList:
@@ -69,9 +68,15 @@
     that the directory is unavailable, the grace period starts when this host first finds the entry
     missing.
 
-    The store's versions order the writings of an entry, whatever the clocks of the writer's machine
-    say. Only a store that was restored from an older copy may list older writings with higher
-    versions; these are told by the writer's start time and beat.
+    Within one start of a server, the beat orders its writings, because the store may perform a write
+    late. A start that has ended is listed again once two writings after its last one were read, or
+    one if its entry lapsed with the directory. An older writing in place of the listed one may hide
+    a removal, so the server then has to write again before `MAX_HEARTBEATS_TO_CONFIRM` intervals of
+    `heartbeat_s` seconds pass, or gets no new work until it does.
+
+    The store's versions order the writings of different starts, whatever the clocks of the writer's
+    machine say. Only a store that was restored from an older copy may list older writings with
+    higher versions; these are told by the writer's start time and beat.
 
     >>> listed = ListedBackEnd("b1", "orders", ("10.0.0.1", 80), "zone-a", 4)
     >>> back_ends = BackEndList(return_grace_s=2.0)
@@ -83,8 +88,9 @@
     [1, 0]
     """
 
-    def __init__(self, return_grace_s: float) -> None:
+    def __init__(self, return_grace_s: float, heartbeat_s: float = DEFAULT_HEARTBEAT_S) -> None:
         self._return_grace_s = return_grace_s
+        self._confirm_s = MAX_HEARTBEATS_TO_CONFIRM * heartbeat_s
         self._listed: dict[str, ListedBackEnd] = {}
         # The store's versions of the listed entries, where they are known.
         self._versions: dict[str, int] = {}
@@ -92,9 +98,11 @@
         self._era_began_at = 0
         # Entries that were dropped during a grace period, and when each will be removed.
         self._removal_times: dict[str, float] = {}
-        # Last writings of removed entries, the oldest first. A store that is restored from an
-        # older copy lists these entries again.
-        self._removed_writings: dict[str, Writing] = {}
+        self._ended = EndedStarts()
+        # The starts of the rows in the directory that were not listed, by name.
+        self._refused_starts: dict[str, int] = {}
+        # When servers whose entries were overwritten by older writings get no new work any more.
+        self._unconfirmed_from: dict[str, float] = {}
         self._is_directory_lost = False
         # Whether peers report the directory as unavailable while this host can still reach it.
         self._is_directory_doubted = False
@@ -110,6 +118,33 @@
         """Return the entry of a name, or None."""
         return self._listed.get(name)
 
+    @property
+    def refused_starts(self) -> dict[str, EndedStart]:
+        """The starts that have ended and whose rows are in the directory nevertheless, by name.
+
+        A host that has not seen the end would take such a row for a server that lives.
+        """
+        ended = {
+            name: self._ended.get(name, start) if start else None
+            for name, start in self._refused_starts.items()
+        }
+        return {
+            name: each for name, each in ended.items() if each is not None and not each.has_lapsed
+        }
+
+    def on_peer_ended(self, name: str, started_at_ms: int, beat: int, now: float) -> bool:
+        """Record a peer's report that a start has ended, and return whether its entry was removed.
+
+        A newer writing than the last one that the peer counts shows that the server lives.
+        """
+        entry = self._listed.get(name)
+        if entry is not None and entry.started_at_ms == started_at_ms:
+            if entry.beat > beat:
+                return False
+            self.forget(name, now)
+        self._ended.add_told(name, started_at_ms, beat, now)
+        return entry is not None and self._listed.get(name) is None
+
     def begin_era(self, version: int) -> None:
         """Record that the store was restored from an older copy, which it read up to a version."""
         self._era_began_at = version
@@ -119,49 +154,66 @@
     ) -> None:
         """Replace the whole list. `versions` are the store's versions of the entries' rows."""
         entries = {entry.name: entry for entry in entries}
-        for name in list(self._listed):
+        for name in [*self._listed, *self._refused_starts]:
             if name not in entries:
                 self.drop(name, now)
         for entry in entries.values():
-            self.put(entry, versions.get(entry.name, 0))
-
-    def put(self, entry: ListedBackEnd, version: int = 0) -> None:
-        """Add or update an entry unless it is older than the known or the last removed one."""
-        writing = Writing(entry.written, version)
-        known = self._listed.get(entry.name)
-        if known is not None and self._is_older(writing, self._writing_of(known)):
-            return
-        removed = self._removed_writings.get(entry.name)
-        if removed is not None and not self._is_older(removed, writing):
-            return
-        self._removed_writings.pop(entry.name, None)
-        self._listed[entry.name] = entry
-        self._versions[entry.name] = version
-        self._removal_times.pop(entry.name, None)
+            self.put(entry, now, versions.get(entry.name, 0))
+
+    def put(self, entry: ListedBackEnd, now: float, version: int = 0) -> PutOutcome:
+        """Add or update an entry, unless it was written before what is known of its server."""
+        name, known = entry.name, self._listed.get(entry.name)
+        writing = Writing(entry.started_at_ms, entry.beat, version)
+        if known is not None and known.started_at_ms == entry.started_at_ms:
+            outcome = self._compare_with_listed(entry, writing, known)
+        else:
+            outcome = self._compare_with_other_starts(name, writing, known)
+        if outcome is not PutOutcome.LISTED:
+            self._refused_starts[name] = entry.started_at_ms
+            if known is not None and self._may_hide_removal(writing, known, now):
+                self._unconfirmed_from.setdefault(name, now + self._confirm_s)
+            return outcome
+        self._refused_starts.pop(name, None)
+        self._ended.remove(name, entry.started_at_ms)
+        if known is not None and known.started_at_ms != entry.started_at_ms:
+            self._ended.add(name, self._writing_of(known), has_lapsed=False, now=now)
+        self._ended.forget_returns(name)
+        if known is None or (known.started_at_ms, known.beat) != (entry.started_at_ms, entry.beat):
+            self._unconfirmed_from.pop(name, None)
+        self._listed[name] = entry
+        self._versions[name] = version
+        self._removal_times.pop(name, None)
+        return outcome
 
     def drop(self, name: str, now: float) -> None:
         """Remove an entry, or keep it for the grace period if the directory is or was away."""
+        self._refused_starts.pop(name, None)
+        self._ended.forget_returns(name)
         entry = self._listed.get(name)
         if entry is None:
             return
-        if entry.draining or not (
-            self._is_directory_lost or self._is_directory_doubted or now < self._grace_until
-        ):
-            self.forget(name)
+        if entry.draining or not self._may_have_lapsed(now):
+            self.forget(name, now)
         elif name not in self._removal_times:
             ends = self._grace_until if now < self._grace_until else now + self._return_grace_s
             self._removal_times[name] = ends
 
-    def forget(self, name: str) -> None:
-        """Remove an entry immediately, because its backend server is known to have ended."""
-        entry = self._listed.pop(name, None)
+    def forget(self, name: str, now: float, has_lapsed: bool = False) -> None:
+        """Remove an entry immediately, because its backend server is known to have ended.
+
+        `has_lapsed` says that it is not known, and that the entry expired with the directory.
+        """
+        entry = self._listed.get(name)
+        if entry is None:
+            return
+        last = self._writing_of(entry)
+        del self._listed[name]
         self._removal_times.pop(name, None)
-        version = self._versions.pop(name, 0)
+        self._unconfirmed_from.pop(name, None)
+        self._versions.pop(name, None)
         # An entry with neither a version, a start time nor a beat has nothing to compare.
-        if entry is not None and (version or entry.written > (0, 0)):
-            self._removed_writings[name] = Writing(entry.written, version)
-            if len(self._removed_writings) > MAX_REMEMBERED_ENTRIES:
-                del self._removed_writings[next(iter(self._removed_writings))]
+        if last > (0, 0, 0):
+            self._ended.add(name, last, has_lapsed, now)
 
     def on_directory_lost(self, now: float) -> None:
         """Record that the directory does not answer."""
@@ -188,7 +240,7 @@
             return
         for name, removed_at in list(self._removal_times.items()):
             if now >= removed_at:
-                self.forget(name)
+                self.forget(name, now, has_lapsed=True)
 
     def usable(self, service: str, now: float) -> list[ListedBackEnd]:
         """Return the backend servers of a service that may get new work."""
@@ -196,11 +248,72 @@
         return [
             entry
             for entry in self._listed.values()
-            if entry.service == service and not entry.draining
+            if entry.service == service
+            and not entry.draining
+            and not self._is_unconfirmed(entry.name, now)
         ]
 
+    def _compare_with_listed(
+        self, entry: ListedBackEnd, writing: Writing, known: ListedBackEnd
+    ) -> PutOutcome:
+        """Compare an entry with the listed one of the same start."""
+        if entry.started_at_ms and entry.beat != known.beat:
+            return PutOutcome.LISTED if entry.beat > known.beat else PutOutcome.OLDER
+        is_repeated = entry.started_at_ms > 0 and (
+            entry.name in self._removal_times or (known.draining and not entry.draining)
+        )
+        if is_repeated or self._is_older(writing, self._writing_of(known)):
+            return PutOutcome.OLDER
+        return PutOutcome.LISTED
+
+    def _compare_with_other_starts(
+        self, name: str, writing: Writing, known: ListedBackEnd | None
+    ) -> PutOutcome:
+        """Compare a writing with the listed one of another start, or with what has ended."""
+        start = writing.started_at_ms
+        ended = self._ended.get(name, start) if start else None
+        if ended is not None:
+            # A start that a late writing of an earlier one has replaced is back with its next writing.
+            is_later_start = known is not None and start > known.started_at_ms
+            if is_later_start and writing.beat > ended.last.beat:
+                return PutOutcome.LISTED
+            is_return = self._ended.is_return(name, writing)
+            return PutOutcome.LISTED if is_return else PutOutcome.ENDED
+        if known is not None:
+            is_older = self._is_older(writing, self._writing_of(known))
+            return PutOutcome.OLDER if is_older else PutOutcome.LISTED
+        last = self._ended.last_writing(name)
+        if last is not None and not self._is_older(last, writing):
+            return PutOutcome.ENDED
+        return PutOutcome.LISTED
+
+    def _may_hide_removal(self, writing: Writing, known: ListedBackEnd, now: float) -> bool:
+        """Return whether an older writing was performed in place of the listed one.
+
+        Not so if the store was restored from an older copy, or if entries may have lapsed with it.
+        """
+        is_same_start = writing.started_at_ms == known.started_at_ms > 0
+        known_version = self._versions.get(known.name, 0)
+        is_same_era = era_of_version(writing.version) == era_of_version(known_version)
+        return (
+            is_same_start
+            and is_same_era
+            and writing.beat < known.beat
+            and not self._may_have_lapsed(now)
+        )
+
+    def _may_have_lapsed(self, now: float) -> bool:
+        """Return whether entries may be missing only because the directory is or was away."""
+        return self._is_directory_lost or self._is_directory_doubted or now < self._grace_until
+
+    def _is_unconfirmed(self, name: str, now: float) -> bool:
+        """Return whether a server has not written again in time after an older writing of it."""
+        if not self._unconfirmed_from or self._may_have_lapsed(now):
+            return False
+        return now >= self._unconfirmed_from.get(name, float("inf"))
+
     def _writing_of(self, entry: ListedBackEnd) -> Writing:
-        return Writing(entry.written, self._versions.get(entry.name, 0))
+        return Writing(entry.started_at_ms, entry.beat, self._versions.get(entry.name, 0))
 
     def _is_older(self, first: Writing, second: Writing) -> bool:
         """Return whether one writing of an entry is older than another one."""
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -8,7 +8,7 @@
 from laburnumreel.core import Clock, Log, Task
 from laburnumreel.relay._assigner import Assigner
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
-from laburnumreel.relay._back_ends import Address, ListedBackEnd
+from laburnumreel.relay._back_ends import DEFAULT_HEARTBEAT_S, Address, ListedBackEnd
 from laburnumreel.relay._cost_model import Location, PlacementCosts
 from laburnumreel.relay._crash_evidence import CrashUpdate, HeldPartView, HeldReason, LostRequest
 from laburnumreel.relay._dispatcher_messages import (
@@ -88,12 +88,19 @@
         rng: random.Random,
         costs: PlacementCosts | None = None,
         host: str = "",
+        heartbeat_s: float = DEFAULT_HEARTBEAT_S,
     ) -> None:
         super().__init__("relay-dispatcher", TICK_S)
         self._clock = clock
         self._retry_budget = FleetRetryBudgets(retry, clock.now())
         self._fleet_state = FleetState(
-            own_location, regions, return_grace_s, host, self._retry_budget.requests_per_s, rng
+            own_location,
+            regions,
+            return_grace_s,
+            host,
+            self._retry_budget.requests_per_s,
+            rng,
+            heartbeat_s,
         )
         self._rng = rng
         self._refusals = RefusalFactory(self._fleet_state, rng)
@@ -321,7 +328,7 @@
             case CheckCallLimit(back_end):
                 return self._fleet_state.limits.may_call(back_end, now)
             case AddressTaken(back_end):
-                self._fleet_state.on_address_reused(back_end)
+                self._fleet_state.on_address_reused(back_end, now)
             case ServerCrashed(back_end, lost):
                 self._fleet_state.record_crash(back_end, lost, now)
                 self._on_crash_news()
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -32,6 +32,9 @@
 )
 BACK_END_LISTED = define_event(614, "back_end_listed", "a backend server was listed or changed")
 BACK_END_GONE = define_event(615, "back_end_gone", "a backend server is no longer listed")
+BACK_END_IGNORED = define_event(
+    700, "back_end_ignored", "an entry was written before what is known of its backend server"
+)
 PEER_HEARD = define_event(616, "relay_peer_heard", "a peer sent its first update")
 PEER_SILENT = define_event(617, "relay_peer_silent", "a peer has sent no update for too long")
 NEWS_UNREADABLE = define_event(618, "news_unreadable", "a datagram from a peer is malformed")
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -5,12 +5,18 @@
 
 import random
 from collections.abc import Callable, Iterable, Mapping
+from itertools import islice
 from typing import NamedTuple
 
 from laburnumreel.coordination import CrashReport
 from laburnumreel.core import Log
 from laburnumreel.relay._assignments import Assignment, PlacementRequest
-from laburnumreel.relay._back_ends import BackEndList, ListedBackEnd, Role
+from laburnumreel.relay._back_ends import (
+    DEFAULT_HEARTBEAT_S,
+    BackEndList,
+    ListedBackEnd,
+    Role,
+)
 from laburnumreel.relay._candidate_cache import CandidateCache
 from laburnumreel.relay._config import EngineTraits
 from laburnumreel.relay._cost_model import Candidate, Location, location_of
@@ -19,6 +25,7 @@
     BACK_END_AVOIDED,
     BACK_END_AVOIDED_BY_PEER,
     BACK_END_GONE,
+    BACK_END_IGNORED,
     BACK_END_LISTED,
     SERVERS_OUT_OF_REACH,
     SERVERS_REACHED,
@@ -26,7 +33,7 @@
 from laburnumreel.relay._feed_follower import LinkState
 from laburnumreel.relay._fleet_limits import FleetLimits, LimitHeadroom
 from laburnumreel.relay._health import HealthTracker
-from laburnumreel.relay._peer_update import PeerUpdate
+from laburnumreel.relay._peer_update import EndedBeat, PeerUpdate
 from laburnumreel.relay._ports import Listing
 from laburnumreel.relay._prefix_cache import PrefixCacheIndex
 from laburnumreel.relay._requests import Prompt, SelfReport
@@ -47,6 +54,8 @@
 # is listed with it within this time. Until then, no stream that has begun goes on there.
 RESTART_LISTED_S = 4.0
 
+# Ended starts in one update to a peer.
+MAX_ENDED_STARTS_TOLD = 256
 # Crashes that are remembered while it is not known whether this host has lost its links.
 MAX_DOUBTFUL_CRASHES = 256
 # A peer that avoids more than this share of all listed backend servers is not believed, unless these
@@ -62,9 +71,10 @@
     """The part of a host's peer update that the dispatcher provides.
 
     Of backend servers, `avoided` holds the remaining backoff in seconds, `kept` the newly cached
-    parts of prompts, and `gone` those whose entries were removed. `asked` is the requests per second
-    by service. `held_back` and `crashes` map the digest of a request to the remaining seconds of its
-    quarantine, or until its crash is forgotten. The last three are those of `PeerUpdate`.
+    parts of prompts, `gone` those whose entries were removed, and `ended_starts` those whose entries
+    were written late. `asked` is the requests per second by service. `held_back` and `crashes` map
+    the digest of a request to the remaining seconds of its quarantine, or until its crash is
+    forgotten. The last three are those of `PeerUpdate`.
     """
 
     work: Mapping[str, Work]
@@ -72,6 +82,7 @@
     leaving: Mapping[str, int]
     kept: Mapping[str, tuple[str, ...]]
     gone: tuple[str, ...]
+    ended_starts: Mapping[str, EndedBeat]
     limits: Mapping[str, LimitReport]
     asked: Mapping[str, float]
     limited_sends: Mapping[str, int]
@@ -118,10 +129,11 @@
         host: str = "",
         asked_per_s: Callable[[str, float], float] = lambda service, now: 0.0,
         rng: random.Random | None = None,
+        heartbeat_s: float = DEFAULT_HEARTBEAT_S,
     ) -> None:
         self._own_location = own_location
         self._regions = dict(regions)
-        self._back_ends = BackEndList(return_grace_s)
+        self._back_ends = BackEndList(return_grace_s, heartbeat_s)
         # The store's era at the last listing.
         self._era = 0
         self._health = HealthTracker()
@@ -256,9 +268,9 @@
         """
         return self._self_reports.seconds_until_accepting(self._back_ends.usable(service, now), now)
 
-    def on_address_reused(self, back_end: str) -> None:
+    def on_address_reused(self, back_end: str, now: float) -> None:
         """Remove a backend server whose address is now used by another one."""
-        self._back_ends.forget(back_end)
+        self._back_ends.forget(back_end, now)
         self._candidate_cache.invalidate()
         _log.info(BACK_END_GONE, back_end=back_end, reason="another server has its address")
 
@@ -383,10 +395,14 @@
                 if entry is None:
                     self._back_ends.drop(name, now)
                 else:
-                    self._back_ends.put(entry, listing.versions.get(name, 0))
-        for name, entry in present.items():
+                    self._back_ends.put(entry, now, listing.versions.get(name, 0))
+        for name, read in present.items():
+            entry, old = self._back_ends.get(name), before.get(name)
+            if entry != read:
+                self._log_ignored(read, entry, listing)
+            if entry is None:
+                continue
             self._removed_until.pop(name, None)
-            old = before.get(name)
             if old is not None and old.started_at_ms != entry.started_at_ms:
                 self._prefix_cache.on_restart(name)
                 self._health.on_restart(name)
@@ -407,9 +423,27 @@
             if self._back_ends.get(name) is None:
                 self._removed_until[name] = now + REMOVED_ENTRY_S
                 _log.info(BACK_END_GONE, back_end=name, version=listing.version)
-        self._health.keep_only(lambda name: self._back_ends.get(name) is not None)
-        self.reach.keep_only(lambda name: self._back_ends.get(name) is not None)
-        self._prefix_cache.keep_only(lambda name: self._back_ends.get(name) is not None)
+        self._forget_unlisted()
+
+    def _forget_unlisted(self) -> None:
+        """Forget the state of backend servers that are no longer listed."""
+        for beliefs in (self._health, self.reach, self._prefix_cache):
+            beliefs.keep_only(lambda name: self._back_ends.get(name) is not None)
+
+    def _log_ignored(
+        self, read: ListedBackEnd, listed: ListedBackEnd | None, listing: Listing[ListedBackEnd]
+    ) -> None:
+        """Log an entry that was read and not listed."""
+        _log.info(
+            BACK_END_IGNORED,
+            back_end=read.name,
+            started_at_ms=read.started_at_ms,
+            beat=read.beat,
+            row_version=listing.versions.get(read.name, 0),
+            listed_started_at_ms=listed.started_at_ms if listed is not None else None,
+            listed_beat=listed.beat if listed is not None else None,
+            version=listing.version,
+        )
 
     def on_peer_update(self, update: PeerUpdate, now: float) -> bool:
         """Apply an update from a peer, and return whether it holds further parts of prompts."""
@@ -436,6 +470,8 @@
         for back_end, started_at_ms in update.leaving.items():
             self._self_reports.record_peer_leaving(back_end, started_at_ms, now)
         self._peer_removed_until.update(dict.fromkeys(update.gone, now + REMOVED_ENTRY_S))
+        for name, ended in update.ended_starts.items():
+            self._on_peer_ended(name, ended, update.sender, now)
         self._prefix_cache.add_peer_prefixes(update.kept, now)
         return self.crash_evidence.on_peer_update(update, now)
 
@@ -451,6 +487,7 @@
             leaving=self._self_reports.leaving(self._back_ends),
             kept=self._prefix_cache.take_unsent(cross_region),
             gone=tuple(self._removed_until),
+            ended_starts=self._refused_starts(),
             **self.limits.build_update(cross_region, now)._asdict(),
             **self.crash_evidence.update(now)._asdict(),
         )
@@ -466,6 +503,19 @@
         busy_services = frozenset(entry.service for entry in listed if any(work[entry.name]))
         return FleetView(listed, work, dict(last_short_at), busy_services, self.limits.limited)
 
+    def _refused_starts(self) -> dict[str, EndedBeat]:
+        """Return the ended starts that a peer may take for servers that live."""
+        refused = islice(self._back_ends.refused_starts.items(), MAX_ENDED_STARTS_TOLD)
+        return {
+            name: EndedBeat(ended.last.started_at_ms, ended.last.beat) for name, ended in refused
+        }
+
+    def _on_peer_ended(self, name: str, ended: EndedBeat, peer: str, now: float) -> None:
+        if self._back_ends.on_peer_ended(name, *ended, now):
+            self._candidate_cache.invalidate()
+            self._forget_unlisted()
+            _log.info(BACK_END_GONE, back_end=name, peer=peer, beat=ended.beat)
+
     def _credible_backoffs(self, update: PeerUpdate) -> Mapping[str, float]:
         """Return the backoffs of a peer, none if it avoids most backend servers that are listed.
 
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -153,6 +153,7 @@
             RETURN_GRACE_S,
             self._rng,
             host=host.name,
+            heartbeat_s=settings.back_ends.heartbeat_ms / 1000,
         )
         self._stream_life_s = MIN_STREAM_LIFE_S
         self._streams = StreamDirectory(
--- a/src/laburnumreel/relay/_peer_update.py
+++ b/src/laburnumreel/relay/_peer_update.py
@@ -18,6 +18,13 @@
 MAX_BYTES = 65507
 
 
+class EndedBeat(NamedTuple):
+    """The start of a backend server, in milliseconds since the Unix epoch, and its last beat."""
+
+    started_at_ms: int
+    beat: int
+
+
 class PeerUpdate(NamedTuple):
     """The full state that a host sends to its peers with each update.
 
@@ -28,6 +35,8 @@
     - `leaving`: backend servers that are shutting down, with their start time in milliseconds of
       the Unix epoch, 0 if unknown.
     - `gone`: backend servers whose entries were removed recently.
+    - `ended_starts`: starts of backend servers that have ended and whose entries are in the directory
+      nevertheless, with their last writings that counted.
     - `usage`: counts of requests by window and customer.
     - `usage_window`: the sender's current window if the update has `usage`, otherwise 0. The counts
       of earlier windows are complete.
@@ -90,6 +99,7 @@
     asks_holds: int = 0
     answers_holds: int = 0
     forward_port: int = 0
+    ended_starts: Mapping[str, EndedBeat] = {}
 
 
 def encode_update(update: PeerUpdate) -> bytes:
@@ -144,6 +154,7 @@
         asks_holds=update.asks_holds,
         answers_holds=update.answers_holds,
         forward_port=update.forward_port,
+        ended_starts=[ttypes.EndedStart(name, *each) for name, each in update.ended_starts.items()],
         ended=[
             ttypes.EndedCounts(*each.process, each.window, dict(each.counts))
             for each in update.ended
@@ -221,6 +232,10 @@
             asks_holds=struct.asks_holds or 0,
             answers_holds=struct.answers_holds or 0,
             forward_port=struct.forward_port or 0,
+            ended_starts={
+                each.back_end: EndedBeat(each.started_ms, each.beat)
+                for each in struct.ended_starts or ()
+            },
         )
     except Exception as error:
         # Malformed bytes make Thrift raise many kinds of exceptions; none may end the task.
@@ -247,6 +262,7 @@
         or None in update.usage.values()
         or any(None in (*each.process, each.window, each.counts) for each in update.ended)
         or any(each.started_at_ms is None for each in update.limits.values())
+        or any(None in (name, *each) for name, each in update.ended_starts.items())
         or any(None in (each.back_end, *each.requests) for each in update.crash_reports)
         or any(None in each for each in (update.answered, update.held_parts))
         or any(
--- a/src/laburnumreel/relay/_settings.py
+++ b/src/laburnumreel/relay/_settings.py
@@ -55,9 +55,14 @@
 
 
 class BackEndSettings(NamedTuple):
-    """The table of backend servers: how long one that drains may still get requests, in ms."""
+    """The table of backend servers.
+
+    `drain_ms` is how long one that drains may still get requests, and `heartbeat_ms` how often one
+    writes its entry, both in ms.
+    """
 
     drain_ms: float
+    heartbeat_ms: float
 
 
 class RetrySettings(NamedTuple):
@@ -138,6 +143,13 @@
             2500.0,
             "time in ms for which a backend server still serves after its entry says that it drains",
         ),
+        Field(
+            "back_ends",
+            "heartbeat_ms",
+            kinds.number(50, 1e6),
+            1200.0,
+            "time in ms after which a backend server writes its entry again",
+        ),
         Field("retry", "ratio", kinds.number(0, 10), 0.2, "retries per request"),
         Field("retry", "slack", kinds.number(0, 1e5), 50.0, "additional retries per window"),
         Field("retry", "window_s", kinds.number(0.1, 3600), 10.0, "window of the retry budget"),
--- a/src/laburnumreel/ui/_tables.py
+++ b/src/laburnumreel/ui/_tables.py
@@ -108,6 +108,9 @@
     "relay.back_ends.drain_ms": (
         "Each host polls the table before its view is older than seven tenths of this. A shorter time costs more calls to the store."
     ),
+    "relay.back_ends.heartbeat_ms": (
+        "A server whose entry is overwritten by an older one gets no new work if it has not written again after 1.25 times this."
+    ),
     "relay.duties.address": "Only the lease holder calls it.",
     "relay.retry.ratio": "Retries must not multiply the load during an outage.",
     "relay.retry.slack": "Allows a service with little traffic to retry.",
--- a/tests/test_relay_candidate_cache.py
+++ b/tests/test_relay_candidate_cache.py
@@ -52,7 +52,7 @@
     "restarted": lambda fleet_state, name, now: fleet_state.on_listing(
         Listing({name: ENGINES[name]._replace(started_at_ms=round(now))}, 4, 0.0, False), now
     ),
-    "moved": lambda fleet_state, name, now: fleet_state.on_address_reused(name),
+    "moved": lambda fleet_state, name, now: fleet_state.on_address_reused(name, now),
     "used": lambda fleet_state, name, now: fleet_state.record_prompt(name, ORDER.prompt, now),
 }
 
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -18,7 +18,7 @@
 )
 from laburnumreel.relay._event_stream import EventSplitter
 from laburnumreel.relay._health import HealthTracker
-from laburnumreel.relay._peer_update import PeerUpdate, decode_update, encode_update
+from laburnumreel.relay._peer_update import EndedBeat, PeerUpdate, decode_update, encode_update
 from laburnumreel.relay._server_limits import LimitReport
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.relay._usage_counters import EndedCounts, Process, UsageCounters
@@ -71,7 +71,7 @@
         back_ends.on_directory_back(now=6.0)
         back_ends.replace([], now=6.0)
         assert len(back_ends.usable("orders", 6.1)) == 2
-        back_ends.put(listed("b1"))
+        back_ends.put(listed("b1"), now=0.0)
         assert [each.name for each in back_ends.usable("orders", 8.1)] == ["b1"]
 
     def test_entry_removed_while_the_store_answers_is_removed_at_once(self):
@@ -90,10 +90,10 @@
 
     def test_older_version_of_an_entry_does_not_replace_a_newer_one(self):
         back_ends = BackEndList(return_grace_s=2.0)
-        back_ends.put(listed("b1", draining=True, started_at_ms=50, beat=7))
-        back_ends.put(listed("b1", started_at_ms=50, beat=6))
+        back_ends.put(listed("b1", draining=True, started_at_ms=50, beat=7), now=0.0)
+        back_ends.put(listed("b1", started_at_ms=50, beat=6), now=0.0)
         assert not back_ends.usable("orders", 0.0)
-        back_ends.put(listed("b1", started_at_ms=90, beat=1))
+        back_ends.put(listed("b1", started_at_ms=90, beat=1), now=0.0)
         assert len(back_ends.usable("orders", 0.0)) == 1
 
 
@@ -300,6 +300,7 @@
             limits={"b4": LimitReport(5, 1.5, 0.25), "b5": LimitReport(0, None, 2.0)},
             asked={"quotes": 0.75},
             limited_sends={"b4": 12},
+            ended_starts={"b6": EndedBeat(1_700_000_000_000, 8)},
         )
         assert decode_update(encode_update(news)).ok == news
 
--- a/tests/test_relay_store_era.py
+++ b/tests/test_relay_store_era.py
@@ -116,11 +116,14 @@
         entry = ListedBackEnd(
             "b1", "orders", ("10.0.0.1", 80), "zone-a", 4, started_at_ms=5, beat=3
         )
-        back_ends.put(entry)
+        back_ends.put(entry, now=0.0)
         back_ends.drop("b1", now=0.0)
         back_ends.replace([entry._replace(beat=2)], now=1.0)
         assert not back_ends.usable("orders", now=1.0)
-        back_ends.put(entry._replace(beat=4))
+        # One writing after the last known one may be a late one, two show that the server lives.
+        back_ends.put(entry._replace(beat=4), now=1.0)
+        assert not back_ends.usable("orders", now=1.0)
+        back_ends.put(entry._replace(beat=5), now=1.0)
         assert back_ends.usable("orders", now=1.0)
 
     @pytest.mark.parametrize("step_ms", [-2400, 2400])
@@ -165,7 +168,7 @@
         state = FleetState(Location("zone-a", "region-a"), {}, 2.0)
         entry = ListedBackEnd("b1", "orders", ("10.0.0.1", 80), "zone-a", 4)
         list_entry(state, 10, entry, complete=True)
-        state.on_address_reused("b1")
+        state.on_address_reused("b1", now=0.0)
         list_entry(state, 10, entry, complete=True)
         assert not usable(state)
         list_entry(state, 11, entry)
--- a/tests/test_relay_upkeep.py
+++ b/tests/test_relay_upkeep.py
@@ -370,7 +370,7 @@
                 if entry is None:
                     back_ends.drop(name, clock.now())
                 else:
-                    back_ends.put(entry)
+                    back_ends.put(entry, clock.now())
 
         feed = FeedFollower(
             "t",
