Take silence of a kept connection for that of the connection, not of the store

What callers saw: the relays' kept connections to the store went silent while new ones worked.

Change: a read on a kept connection, or after a wait, without an answer for 0.4 s is repeated on a new connection without the wait. If that one answers, all older connections of the process to the store are dropped, and calls that wait on them are repeated; if it is silent too, the read fails. The time is longer while the store's answers take long, so that a slow store gets one call twice, once.

The stand-in of the store can hang, and silence the connections of one table.

Cost: no call and no connection more while connections work, whatever the number of hosts; after a silence one call and one connection more for each JsonCalls of a host.

--- a/src/laburnumreel/transport/__init__.py
+++ b/src/laburnumreel/transport/__init__.py
@@ -11,7 +11,7 @@
     Exchange,
     await_bytes,
 )
-from laburnumreel.transport._json_calls import CallAnswer, CallFailure, JsonCalls
+from laburnumreel.transport._json_calls import CallAnswer, CallFailure, JsonCalls, KeptConnections
 from laburnumreel.transport._load_reader import HttpLoadReader
 from laburnumreel.transport._metrics import REQUEST_BYTES
 from laburnumreel.transport._orders import HttpOrderConnection, HttpOrderLink
@@ -37,6 +37,7 @@
     "HttpOrderLink",
     "HttpServer",
     "JsonCalls",
+    "KeptConnections",
     "NodeInfoProvider",
     "PeerClient",
     "PeerServer",
--- a/src/laburnumreel/transport/_events.py
+++ b/src/laburnumreel/transport/_events.py
@@ -24,5 +24,10 @@
     "answer_too_costly",
     "cut an answer that has more heads, chunks or events than a sound server sends",
 )
+KEPT_CONNECTION_SILENT = define_event(
+    206,
+    "kept_connection_silent",
+    "a kept connection was silent and a new one worked; dropped the older ones to its address",
+)
 PEER_CALL_FAILED = define_event(220, "peer_call_failed", "failed to answer a call from a peer")
 PEER_REFUSED = define_event(221, "peer_refused", "closed a peer's connection")
--- a/src/laburnumreel/transport/_json_calls.py
+++ b/src/laburnumreel/transport/_json_calls.py
@@ -2,16 +2,25 @@
 
 import json
 import threading
+import time
 from collections.abc import Mapping
 from typing import Any, Literal, NamedTuple
 
 from expression import Error, Ok, Result
 
+from laburnumreel.core import Log
 from laburnumreel.transport._call_rate import CallKind, CallRateLimiter
+from laburnumreel.transport._events import KEPT_CONNECTION_SILENT
 from laburnumreel.transport._exchange import BackEndFailureError, Exchange, dial
 
 # Limit of an answer's body. Answers of the store hold at most 1 MB of rows, in base64.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# A kept connection without an answer for this long is taken for silent, and the read is repeated on a
+# new one. The time is longer where the last answers took long.
+KEPT_PATIENCE_S = 0.4
+PATIENCE_FACTOR = 2.0
+
+_log = Log("transport.calls")
 
 
 class CallAnswer(NamedTuple):
@@ -32,15 +41,41 @@
 _RATE_LIMITED = CallFailure("not_sent", "this host's share of the calls is used up")
 
 
+class KeptConnections:
+    """The persistent connections that several `JsonCalls` have to one address.
+
+    Connections may go silent together, without an end, while new ones work. When that is seen of
+    one, all that were opened before the new one are dropped. Thread-safe.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._users: list[JsonCalls] = []
+
+    def add(self, calls: "JsonCalls") -> None:
+        """Add a user, whose connections are dropped with the others."""
+        with self._lock:
+            self._users.append(calls)
+
+    def drop_older(self, than: float) -> None:
+        """Drop all connections that were opened before a time of the monotonic clock."""
+        with self._lock:
+            users = list(self._users)
+        for calls in users:
+            calls.drop_older(than)
+
+
 class JsonCalls:
     """Calls to one address. Threads may share an instance; its reads then run one at a time.
 
-    Reads use one persistent connection and are repeated on a new one if that one was closed. A
-    call that changes something uses a connection of its own, because a stale connection would
-    leave it unknown whether the change happened.
+    Reads use one persistent connection and are repeated on a new one if that one was closed or is
+    silent: only a new connection shows that the address does not answer. A call that changes
+    something uses a connection of its own, because a stale connection would leave it unknown
+    whether the change happened.
 
     With a `rate_limiter`, calls are limited to the host's share of the call rate. Calls of
-    an `urgent` instance are counted there but never wait.
+    an `urgent` instance are counted there but never wait. `kept` has the connections of all instances
+    for the address.
     """
 
     def __init__(
@@ -49,6 +84,7 @@
         timeout_s: float,
         rate_limiter: CallRateLimiter | None = None,
         urgent: bool = False,
+        kept: KeptConnections | None = None,
     ) -> None:
         self._address = address
         self._timeout_s = timeout_s
@@ -59,24 +95,26 @@
         self._idle_exchange: Exchange | None = None
         self._running_exchange: Exchange | None = None
         self._is_interrupted = False
+        self._kept = kept or KeptConnections()
+        self._kept.add(self)
+        # Connections that were opened before this time of the monotonic clock are not used.
+        self._opened_after = float("-inf")
+        self._patience_s = min(KEPT_PATIENCE_S, timeout_s)
+
+    def read(
+        self, path: str, wait_s: float = 0.0, repeat_path: str | None = None
+    ) -> Result[CallAnswer, CallFailure]:
+        """Send a GET request. The answer may take `wait_s` seconds longer than the timeout.
 
-    def read(self, path: str, wait_s: float = 0.0) -> Result[CallAnswer, CallFailure]:
-        """Send a GET request. The answer may take `wait_s` seconds longer than the timeout."""
+        `repeat_path` is for a call that waits: the same call without the wait, which is sent instead
+        if the call has to be repeated.
+        """
         if not self._may_call("read"):
             return Error(_RATE_LIMITED)
         with self._lock:
             self._is_interrupted = False
-            idle = self._take_idle()
             try:
-                if idle is None:
-                    return Ok(self._read_once(self._dial(), path, wait_s))
-                try:
-                    return Ok(self._read_once(idle.next_exchange(), path, wait_s))
-                except BackEndFailureError as error:
-                    if error.reason != "lost" or self._is_interrupted:
-                        raise
-                # The idle connection had been closed; a read may be repeated.
-                return Ok(self._read_once(self._dial(), path, wait_s))
+                return Ok(self._read(path, wait_s, repeat_path or path))
             except (BackEndFailureError, ValueError, RecursionError) as error:
                 return Error(CallFailure("lost", str(error)))
 
@@ -105,6 +143,16 @@
         if running is not None:
             running.abort()
 
+    def drop_older(self, than: float) -> None:
+        """Drop connections opened before a time of the monotonic clock. A read on one is repeated.
+
+        May be called from any thread.
+        """
+        self._opened_after = max(self._opened_after, than)
+        running = self._running_exchange
+        if running is not None and running.opened_at < than:
+            running.abort()
+
     def close(self) -> None:
         """Close the idle connection."""
         with self._lock:
@@ -113,12 +161,12 @@
                 idle.discard()
 
     def _take_idle(self) -> Exchange | None:
-        """Return the idle exchange, or None if there is none or its connection has unread bytes.
+        """Return the idle exchange, or None if there is none or it must not be used.
 
-        Such bytes, for example a duplicate answer, would be read as the answer to the next call.
+        Unread bytes, for example of a duplicate answer, would be read as the answer to the next call.
         """
         idle, self._idle_exchange = self._idle_exchange, None
-        if idle is not None and idle.has_unread:
+        if idle is not None and (self._is_dropped(idle) or idle.has_unread):
             idle.discard()
             return None
         return idle
@@ -131,10 +179,67 @@
             return True
         return self._rate_limiter.acquire(kind)
 
-    def _read_once(self, exchange: Exchange, path: str, wait_s: float) -> CallAnswer:
+    def _read(self, path: str, wait_s: float, repeat_path: str) -> CallAnswer:
+        idle = self._take_idle()
+        exchange = self._dial() if idle is None else idle.next_exchange()
+        # After a wait, a connection that was opened for the call is no newer than a kept one.
+        is_new = idle is None and not wait_s
+        timeout_s = self._timeout_s if is_new else self._patience_s
+        sent_at = time.monotonic()
+        try:
+            answer = self._read_once(exchange, path, wait_s, timeout_s)
+        except BackEndFailureError as error:
+            if not self._may_repeat(exchange, error, is_new):
+                raise
+            return self._repeat(repeat_path, is_after_silence=error.reason == "silent")
+        if not wait_s:
+            self._set_patience(time.monotonic() - sent_at)
+        return answer
+
+    def _may_repeat(self, exchange: Exchange, error: BackEndFailureError, is_new: bool) -> bool:
+        if self._is_interrupted:
+            return False
+        return self._is_dropped(exchange) or (not is_new and error.reason in ("lost", "silent"))
+
+    def _repeat(self, path: str, is_after_silence: bool) -> CallAnswer:
+        """Repeat a read on a new connection, and once more if that one is dropped meanwhile.
+
+        After silence, an address that is as slow on the new connection counts as not answering: the
+        old one may have been sound.
+        """
+        if self._rate_limiter is not None:
+            self._rate_limiter.record_unlimited("read")
+        timeout_s = self._patience_s if is_after_silence else self._timeout_s
+        exchange = self._dial()
+        try:
+            answer = self._read_once(exchange, path, 0.0, timeout_s)
+        except BackEndFailureError as error:
+            if not self._may_repeat(exchange, error, is_new=True):
+                raise
+            return self._read_once(self._dial(), path, 0.0, timeout_s)
+        if is_after_silence:
+            took_s = time.monotonic() - exchange.opened_at
+            address = "{}:{}".format(*self._address)
+            _log.warning(KEPT_CONNECTION_SILENT, address=address, new_took_s=round(took_s, 3))
+            self._kept.drop_older(exchange.opened_at)
+        return answer
+
+    def _set_patience(self, took_s: float) -> None:
+        """Set for how long an answer is awaited on a kept connection, by how long the last one took."""
+        self._patience_s = min(self._timeout_s, max(KEPT_PATIENCE_S, PATIENCE_FACTOR * took_s))
+
+    def _is_dropped(self, exchange: Exchange) -> bool:
+        return exchange.opened_at < self._opened_after
+
+    def _read_once(
+        self, exchange: Exchange, path: str, wait_s: float, timeout_s: float
+    ) -> CallAnswer:
         self._running_exchange = exchange
         try:
-            exchange.send("GET", path, {}, None, self._timeout_s + wait_s)
+            if self._is_dropped(exchange):
+                exchange.abort()
+            exchange.send("GET", path, {}, None, timeout_s + wait_s)
+            exchange.set_timeout(timeout_s)
             return _read_answer(exchange, self._timeout_s)
         finally:
             self._running_exchange = None
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -91,7 +91,8 @@
 class Store(_Server):
     """A store with versioned rows, transactions and the feed of changes.
 
-    While `down` is set, all calls are answered with 503. `history_gone` makes the next feed call fail
+    While `down` is set, all calls are answered with 503, and while `hung` is set, none is answered;
+    the connections of these calls end with it. `history_gone` makes the next feed call fail
     with 410. `feed_delay_s` returns for how long a feed call that has changes of a table is delayed.
     """
 
@@ -101,12 +102,15 @@
         self.version = 0
         self.changed = threading.Condition()
         self.down = False
+        self.hung = False
         self.history_gone = False
         self.feed_delay_s = lambda table: 0.0
         self.calls = []
         # Open connections, and those of them that get no answer any more.
         self._connections = set()
         self._silent = set()
+        # The table of the last read on each connection.
+        self._tables = {}
         # Sent in all answers; each restore of a copy increments it.
         self.era = 0
         store = self
@@ -165,9 +169,13 @@
 
         return _Server(Handler)
 
-    def silence_connections(self):
-        """Let all open connections go silent; new ones work."""
-        self._silent = set(self._connections)
+    def silence_connections(self, table=None):
+        """Let all open connections go silent, or those that read a table; new ones work."""
+        self._silent |= {
+            connection
+            for connection in self._connections
+            if table is None or self._tables.get(connection) == table
+        }
 
     def value(self, table, key):
         row = self.rows.get((table, key))
@@ -193,10 +201,17 @@
         headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
         handler.respond(status, json.dumps(body).encode(), headers)
 
+    def _hang(self):
+        if self.hung:
+            wait_until(lambda: not self.hung, "the store goes on", MAX_START_S)
+            raise ConnectionError("the call was lost")
+
     def _get(self, handler):
         url = urlsplit(handler.path)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         self.calls.append(url.path)
+        self._tables[handler.connection] = query.get("Table")
+        self._hang()
         if self.down:
             self._respond(handler, 503, {})
             return
@@ -240,6 +255,7 @@
     def _transact(self, handler):
         call = json.loads(handler.body())
         self.calls.append(handler.path)
+        self._hang()
         if self.down:
             self._respond(handler, 503, {})
             return
--- a/tests/test_malformed_values.py
+++ b/tests/test_malformed_values.py
@@ -132,7 +132,7 @@
     def __init__(self, rows, **fields):
         self.body = {"Rows": rows, "Truncated": False, "Ver": 9, "NowMs": 5, **fields}
 
-    def read(self, path, wait_s=0.0):
+    def read(self, path, wait_s=0.0, repeat_path=None):
         return Ok(CallAnswer(200, self.body, {"Store-Era": "0"}))
 
 
