Let a server whose entry could not be read return with its next writing

Cause: a listing has None for an entry that was removed and for one that can't be read, and both counted as the word that the server had ended. The second says nothing of it.

Change: a listing names the unreadable rows, and their servers return like those that lapsed with the store, with one new beat.

--- a/src/laburnumreel/relay/_back_ends.py
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -1,6 +1,6 @@
 """The list of backend servers, as read from the directory."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from enum import StrEnum
 from types import MappingProxyType
 from typing import NamedTuple
@@ -150,13 +150,21 @@
         self._era_began_at = version
 
     def replace(
-        self, entries: Iterable[ListedBackEnd], now: float, versions: Mapping[str, int] = EMPTY
+        self,
+        entries: Iterable[ListedBackEnd],
+        now: float,
+        versions: Mapping[str, int] = EMPTY,
+        unreadable: Collection[str] = (),
     ) -> None:
-        """Replace the whole list. `versions` are the store's versions of the entries' rows."""
+        """Replace the whole list.
+
+        `versions` are the store's versions of the entries' rows, and `unreadable` the names of rows
+        that can't be read.
+        """
         entries = {entry.name: entry for entry in entries}
         for name in [*self._listed, *self._refused_starts]:
             if name not in entries:
-                self.drop(name, now)
+                self.drop(name, now, name in unreadable)
         for entry in entries.values():
             self.put(entry, now, versions.get(entry.name, 0))
 
@@ -185,15 +193,18 @@
         self._removal_times.pop(name, None)
         return outcome
 
-    def drop(self, name: str, now: float) -> None:
-        """Remove an entry, or keep it for the grace period if the directory is or was away."""
+    def drop(self, name: str, now: float, is_unreadable: bool = False) -> None:
+        """Remove an entry, or keep it for the grace period if the directory is or was away.
+
+        An entry that `is_unreadable` says nothing of its server, which returns with its next writing.
+        """
         self._refused_starts.pop(name, None)
         self._ended.forget_returns(name)
         entry = self._listed.get(name)
         if entry is None:
             return
         if entry.draining or not self._may_have_lapsed(now):
-            self.forget(name, now)
+            self.forget(name, now, has_lapsed=is_unreadable)
         elif name not in self._removal_times:
             ends = self._grace_until if now < self._grace_until else now + self._return_grace_s
             self._removal_times[name] = ends
@@ -201,7 +212,7 @@
     def forget(self, name: str, now: float, has_lapsed: bool = False) -> None:
         """Remove an entry immediately, because its backend server is known to have ended.
 
-        `has_lapsed` says that it is not known, and that the entry expired with the directory.
+        `has_lapsed` says that it is not known: the entry expired with the directory or is unreadable.
         """
         entry = self._listed.get(name)
         if entry is None:
--- a/src/laburnumreel/relay/_ended_starts.py
+++ b/src/laburnumreel/relay/_ended_starts.py
@@ -32,7 +32,7 @@
 
 
 class EndedStart(NamedTuple):
-    """A start whose entry was removed, or replaced by that of another start.
+    """A start whose entry was removed, can't be read, or was replaced by that of another start.
 
     `last` is its last writing that counted, and `ended_at` is in seconds of this process' clock. If
     it was not `has_lapsed`, a single later writing may be the last one that the server made, which
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -389,11 +389,11 @@
             self._era = era
             self._back_ends.begin_era(listing.version)
         if listing.complete:
-            self._back_ends.replace(present.values(), now, listing.versions)
+            self._back_ends.replace(present.values(), now, listing.versions, listing.unreadable)
         else:
             for name, entry in listing.entries.items():
                 if entry is None:
-                    self._back_ends.drop(name, now)
+                    self._back_ends.drop(name, now, name in listing.unreadable)
                 else:
                     self._back_ends.put(entry, now, listing.versions.get(name, 0))
         for name, read in present.items():
--- a/src/laburnumreel/relay/_ports.py
+++ b/src/laburnumreel/relay/_ports.py
@@ -17,7 +17,7 @@
 
 
 class Listing(NamedTuple, Generic[Entry]):
-    """Entries of a table by name; None for an entry that was removed or is invalid.
+    """Entries of a table by name; None for an entry that was removed or is in `unreadable`.
 
     A `complete` listing has all entries of the table, otherwise only those that changed. `version`
     is where the next call continues, `versions` are the versions at which the entries were written.
@@ -29,6 +29,7 @@
     store_time_s: float
     complete: bool
     versions: Mapping[str, int] = {}
+    unreadable: frozenset[str] = frozenset()
 
 
 class Feed(Protocol[Entry]):
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -108,6 +108,17 @@
         host.read(ENTRY._replace(beat=12), now=5.7)
         assert host.usable(5.7) == [12]
 
+    @pytest.mark.parametrize("complete", [True, False])
+    def test_entry_that_could_not_be_read_returns_with_one_writing(self, host, complete):
+        host.version += 1
+        listing = Listing({"b1": None}, host.version, 0.0, complete, {}, frozenset(["b1"]))
+        host.state.on_listing(listing, now=0.0)
+        assert host.usable() == []
+        host.read(ENTRY._replace(beat=8))
+        assert host.usable() == []
+        host.read(ENTRY._replace(beat=12))
+        assert host.usable() == [12]
+
     def test_late_heartbeat_does_not_keep_an_entry_that_lapsed(self, host):
         """An equal beat is the same writing, performed once more."""
         host.state.on_directory_link("lost", 1.0)
