Name the only software version of a service by a read after the question

What callers saw: a relay stood still while servers of a second software version joined.

Change: a version is the only one by a read of the table that was sent after the question (ListReader: one call for all questions that wait), or by the word of all live peers after it, who name the same. Else the stream is refused at once. Datagrams that wait are read before a question is answered. Servers that came and went unseen end what is known, and the rows of versions are read again.

Cost: a take-up of a stream costs the host a call to the store, one for all that wait together; none while no stream is taken up.

--- a/src/laburnumreel/relay/_back_ends.py
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -14,6 +14,8 @@
 # if it has not done so after this many of its heartbeat intervals.
 MAX_HEARTBEATS_TO_CONFIRM = 1.25
 DEFAULT_HEARTBEAT_S = 1.2
+# Names of entries that were never listed which are remembered.
+MAX_UNLISTED_NAMES = 1000
 EMPTY: Mapping[str, int] = MappingProxyType({})
 # Upper bound of the concurrent requests that a backend server may declare.
 MAX_SLOTS = 1_000_000
@@ -101,6 +103,8 @@
         self._ended = EndedStarts()
         # The starts of the rows in the directory that were not listed, by name.
         self._refused_starts: dict[str, int] = {}
+        # Names that were never listed and whose entries were removed.
+        self._unlisted_names: dict[str, None] = {}
         # When servers whose entries were overwritten by older writings get no new work any more.
         self._unconfirmed_from: dict[str, float] = {}
         self._is_directory_lost = False
@@ -145,6 +149,18 @@
         self._ended.add_told(name, started_at_ms, beat, now)
         return entry is not None and self._listed.get(name) is None
 
+    def is_first_seen(self, name: str) -> bool:
+        """Return whether an entry that was removed was never seen before.
+
+        Its server may have come and gone between two reads. Each such name counts once.
+        """
+        if name in self._listed or name in self._unlisted_names or self._ended.has(name):
+            return False
+        self._unlisted_names[name] = None
+        if len(self._unlisted_names) > MAX_UNLISTED_NAMES:
+            del self._unlisted_names[next(iter(self._unlisted_names))]
+        return True
+
     def begin_era(self, version: int) -> None:
         """Record that the store was restored from an older copy, which it read up to a version."""
         self._era_began_at = version
@@ -189,6 +205,7 @@
         if known is None or (known.started_at_ms, known.beat) != (entry.started_at_ms, entry.beat):
             self._unconfirmed_from.pop(name, None)
         self._listed[name] = entry
+        self._unlisted_names.pop(name, None)
         self._versions[name] = version
         self._removal_times.pop(name, None)
         return outcome
--- a/src/laburnumreel/relay/_dispatcher.py
+++ b/src/laburnumreel/relay/_dispatcher.py
@@ -114,7 +114,9 @@
         self._last_short_at: dict[str, float] = {}
         self._next_pass_at = float("-inf")
         self._on_crash_news: Callable[[], None] = lambda: None
-        self._on_software: Callable[[Mapping[str, frozenset[str]]], None] = lambda listed: None
+        self._on_software: Callable[[Mapping[str, frozenset[str]], bool], None] = (
+            lambda listed, is_gap: None
+        )
         self._listed_software: Mapping[str, frozenset[str]] = {}
         self._check_address: Callable[[Address], Future] | None = None
         self._is_cut_off = self._is_reach_doubtful = False
@@ -186,9 +188,12 @@
         self._on_crash_news = on_crash_news
 
     def set_software_listener(
-        self, on_software: Callable[[Mapping[str, frozenset[str]]], None]
+        self, on_software: Callable[[Mapping[str, frozenset[str]], bool], None]
     ) -> None:
-        """Set the function to call with the listed versions by service, whenever they change."""
+        """Set the function to call with the listed versions by service, whenever they change.
+
+        Its second argument is whether backend servers may have come and gone unseen before.
+        """
         self._on_software = on_software
 
     def set_address_check(self, check_address: Callable[[Address], Future]) -> None:
@@ -242,6 +247,10 @@
         """Apply a listing of the directory."""
         self.tell(ListingRead(listing))
 
+    def apply_listing(self, listing: Listing[ListedBackEnd]) -> Future:
+        """Apply a listing of the directory; return a future that is done when it is applied."""
+        return self.ask(ListingRead(listing))
+
     def on_directory_link(self, link: LinkState) -> None:
         """Record that the directory was lost, is doubted by peers, or is back."""
         self.tell(DirectoryLinkChanged(link))
@@ -339,8 +348,8 @@
             case PromptAnswered(parts):
                 self._fleet_state.crash_evidence.record_answer(parts, now)
             case ListingRead(listing):
-                self._fleet_state.on_listing(listing, now)
-                self._report_software()
+                is_gap = self._fleet_state.on_listing(listing, now)
+                self._report_software(is_gap)
                 self._place_waiting(now)
             case DirectoryLinkChanged(link):
                 self._fleet_state.on_directory_link(link, now)
@@ -429,11 +438,11 @@
                 lambda done, name=back_end.name: self.tell(ServerProbed(name, done.result(), now))
             )
 
-    def _report_software(self) -> None:
+    def _report_software(self, is_gap: bool) -> None:
         listed = self._fleet_state.listed_software()
-        if listed != self._listed_software:
+        if is_gap or listed != self._listed_software:
             self._listed_software = listed
-            self._on_software(listed)
+            self._on_software(listed, is_gap)
 
     def _refuse_held(self, now: float) -> None:
         """Refuse the waiting requests with a part that is now held, and end those that were sent.
--- a/src/laburnumreel/relay/_ended_starts.py
+++ b/src/laburnumreel/relay/_ended_starts.py
@@ -95,6 +95,10 @@
             if not starts:
                 del self._starts[name]
 
+    def has(self, name: str) -> bool:
+        """Return whether a start of a name is known to have ended."""
+        return name in self._starts
+
     def get(self, name: str, started_at_ms: int) -> EndedStart | None:
         """Return the end of a start, or None if it is not known to have ended."""
         return self._of(name).get(started_at_ms)
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -35,6 +35,9 @@
 BACK_END_IGNORED = define_event(
     700, "back_end_ignored", "an entry was written before what is known of its backend server"
 )
+LIST_READ_FAILED = define_event(
+    701, "list_read_failed", "the table of backend servers could not be read for a stream"
+)
 PEER_HEARD = define_event(616, "relay_peer_heard", "a peer sent its first update")
 PEER_SILENT = define_event(617, "relay_peer_silent", "a peer has sent no update for too long")
 NEWS_UNREADABLE = define_event(618, "news_unreadable", "a datagram from a peer is malformed")
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -136,6 +136,7 @@
         self._back_ends = BackEndList(return_grace_s, heartbeat_s)
         # The store's era at the last listing.
         self._era = 0
+        self._has_listing = False
         self._health = HealthTracker()
         self._prefix_cache = PrefixCacheIndex()
         self._self_reports = SelfReports()
@@ -379,9 +380,14 @@
             has_crashed = True
         return has_crashed
 
-    def on_listing(self, listing: Listing[ListedBackEnd], now: float) -> None:
-        """Apply a directory listing, and forget the state of backend servers that were removed."""
+    def on_listing(self, listing: Listing[ListedBackEnd], now: float) -> bool:
+        """Apply a directory listing, and forget the state of backend servers that were removed.
+
+        Returns whether backend servers may have come and gone since the last one unseen.
+        """
         self._candidate_cache.invalidate()
+        is_gap = listing.complete and self._has_listing
+        self._has_listing = True
         before = {entry.name: entry for entry in self._back_ends}
         present = {name: entry for name, entry in listing.entries.items() if entry is not None}
         era = era_of_version(listing.version)
@@ -393,7 +399,9 @@
         else:
             for name, entry in listing.entries.items():
                 if entry is None:
-                    self._back_ends.drop(name, now, name in listing.unreadable)
+                    is_unreadable = name in listing.unreadable
+                    is_gap |= not is_unreadable and self._back_ends.is_first_seen(name)
+                    self._back_ends.drop(name, now, is_unreadable)
                 else:
                     self._back_ends.put(entry, now, listing.versions.get(name, 0))
         for name, read in present.items():
@@ -424,6 +432,7 @@
                 self._removed_until[name] = now + REMOVED_ENTRY_S
                 _log.info(BACK_END_GONE, back_end=name, version=listing.version)
         self._forget_unlisted()
+        return is_gap
 
     def _forget_unlisted(self) -> None:
         """Forget the state of backend servers that are no longer listed."""
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -49,6 +49,7 @@
 from laburnumreel.relay._feed_follower import FeedFollower, LinkState
 from laburnumreel.relay._forwarding import Forwarder
 from laburnumreel.relay._job import Dependencies
+from laburnumreel.relay._list_read import ListReader
 from laburnumreel.relay._members import Member, Members
 from laburnumreel.relay._membership import Membership
 from laburnumreel.relay._metrics import RELAY_ANSWER_BYTES
@@ -163,6 +164,7 @@
             lambda: self._peers.live_peers,
             lambda: self._stream_life_s,
             self._is_list_current,
+            self._request_list_read,
         )
         self._registry = RequestRegistry(self._clock, lambda now: False, CALLER_GONE_CHECK_S)
         self._pool = BackEndPool(MAX_IDLE, connect_timeout_s=CONNECT_TIMEOUT_S)
@@ -218,6 +220,13 @@
             effect_s=settings.back_ends.drain_ms / 1000,
             to_own_time=self._true_time.at_store_time,
         )
+        self._list_reader = ListReader(
+            directory.back_ends_on_demand,
+            self._clock,
+            lambda: self._back_end_feed.schedule.seen_version,
+            self._dispatcher.apply_listing,
+            self._streams.on_list_read,
+        )
         self._update_handler = PeerUpdateHandler(
             host,
             self._boot,
@@ -251,7 +260,7 @@
         self._dispatcher.set_crash_listener(self._peers.send_crashes)
         self._dispatcher.set_holds_query(self._peers.ask_holds)
         self._dispatcher.set_address_check(self._pool.check)
-        self._dispatcher.set_software_listener(self._streams.on_listed)
+        self._dispatcher.set_software_listener(self._on_software)
         members = Members(adapter.store)
         self._membership = Membership(
             Member(host.name, settings.listen.peers, self._boot),
@@ -369,6 +378,7 @@
             self._back_end_feed,
             self._peers,
             self._streams,
+            self._list_reader,
             self._membership,
             self._lease_keeper,
             self._duties,
@@ -553,6 +563,18 @@
         is_young = self._back_end_feed.view_age_s < self._settings.back_ends.drain_ms / 1000
         return is_young or bool(self._peers.live_peers)
 
+    def _request_list_read(self) -> bool:
+        """Request a read of the backend servers' table; return False if it can't be read now."""
+        if self._back_end_feed.schedule.is_unavailable:
+            return False
+        self._list_reader.request()
+        return True
+
+    def _on_software(self, listed: Mapping[str, frozenset[str]], is_gap: bool) -> None:
+        if is_gap:
+            self._software_rows.request_read()
+        self._streams.on_listed(listed, is_gap)
+
     def _forward_port(self) -> int:
         """Return the port at which this host takes requests that others pass on, or 0."""
         is_taking = self._has_started and self._can_serve and not self._dispatcher.is_cut_off
--- a/src/laburnumreel/relay/_ports.py
+++ b/src/laburnumreel/relay/_ports.py
@@ -56,6 +56,10 @@
     @property
     def back_ends(self) -> Feed[ListedBackEnd]: ...
 
+    @property
+    def back_ends_on_demand(self) -> Feed[ListedBackEnd]:
+        """The same table, for calls beside those that follow it."""
+
 
 class CallerWire(Protocol):
     """The protocol between callers and the relay."""
--- a/src/laburnumreel/relay/_software_history.py
+++ b/src/laburnumreel/relay/_software_history.py
@@ -54,6 +54,14 @@
                 self._left_at.setdefault(service, {})[version] = now
         self._listed = dict(listed)
 
+    def on_gap(self, now: float) -> None:
+        """Record that servers may have come and gone that this host has never listed.
+
+        What is known of the versions then begins anew, as after a start.
+        """
+        self._first_listed_at = now
+        self._stored.clear()
+
     def on_stored(self, stored: Mapping[str, Iterable[str]], now: float) -> None:
         """Record the versions that hosts have written to the store before this host started."""
         for service, versions in stored.items():
--- a/src/laburnumreel/relay/_software_rows.py
+++ b/src/laburnumreel/relay/_software_rows.py
@@ -53,6 +53,10 @@
         self._rows: Mapping[str, _StoredVersions] = {}
         self._ticks_to_wait = 0
 
+    def request_read(self) -> None:
+        """Have the rows read again at the next tick. May be called from any thread."""
+        self._read_era = None
+
     def tick(self) -> None:
         if self._ticks_to_wait:
             self._ticks_to_wait -= 1
--- a/src/laburnumreel/relay/_stream_directory.py
+++ b/src/laburnumreel/relay/_stream_directory.py
@@ -1,9 +1,13 @@
 """The task that knows which software began a stream, or asks the hosts that may know.
 
 A caller whose stream broke off takes it up at any host. While one version of the software has
-served for longer than a stream lives, any host can tell the version and nothing is sent. Otherwise
+served for longer than a stream lives, any host can tell the version and no host is asked. Otherwise
 the host that passes on a stream's first event tells a few others, its keepers, which are chosen by
 the stream's key, so that hosts agree on them without asking.
+
+A host that stood still or was cut off may not know yet that a second version has come. That there is
+one only is therefore shown by a read of the table that was sent after the question, or by all
+peers, who have answered after it.
 """
 
 import contextlib
@@ -18,6 +22,7 @@
 from laburnumreel.core import Clock, Log, Task
 from laburnumreel.relay._back_ends import Address
 from laburnumreel.relay._events import SOFTWARE_CHANGED, STREAM_MESSAGE_UNREADABLE
+from laburnumreel.relay._list_read import ListRead
 from laburnumreel.relay._metrics import RELAY_STREAMS_TOLD
 from laburnumreel.relay._software_history import SoftwareHistory
 from laburnumreel.relay._stream_messages import (
@@ -34,6 +39,8 @@
 # When hosts are asked for a stream that this one does not know, in seconds after the first question:
 # the keepers, then all, then those that have not answered. The search ends at the last of them.
 ASK_TIMES_S = (0.0, 0.04, 0.12, 0.25)
+# How long a read of the table is awaited before other hosts are asked.
+LIST_READ_WAIT_S = 0.25
 # The longest wait for datagrams, after which expired streams are forgotten.
 MAX_WAIT_S = 0.5
 FORGET_INTERVAL_S = 2.0
@@ -49,8 +56,8 @@
 class StreamFinding(NamedTuple):
     """Which software began a stream, None if it is not known, and how that was found.
 
-    `unknown` means that all hosts have said that they don't know it, `silent` that some did not
-    answer. `asked` is the number of hosts that were asked.
+    `sole` means that only one version can have begun it, `unknown` that all hosts have said that they
+    don't know it, `silent` that some did not answer. `asked` is the number of hosts that were asked.
     """
 
     software: str | None
@@ -59,19 +66,31 @@
 
 
 class _Search:
-    """A stream that other hosts are asked for, and the futures that wait for the finding."""
+    """A stream whose software is looked for, and the futures that wait for the finding.
+
+    `asks_at` is when other hosts are asked first. `claims` has the versions that hosts which don't
+    know the stream take for the only one of its service.
+    """
 
-    def __init__(self, query: StreamQuery, now: float) -> None:
+    def __init__(self, query: StreamQuery, now: float, asks_at: float) -> None:
         self.query = query
         self.began_at = now
+        self.asks_at = asks_at
         self.rounds = 0
         self.futures: list[Future] = []
         self.asked: set[Address] = set()
         self.ignorant: set[Address] = set()
+        self.claims: dict[Address, str] = {}
+        # Whether the table was read since the search began, None while a read is awaited.
+        self.is_list_read: bool | None = None
 
     @property
     def due_at(self) -> float:
-        return self.began_at + ASK_TIMES_S[self.rounds]
+        return self.asks_at + ASK_TIMES_S[self.rounds]
+
+    @property
+    def answered(self) -> set[Address]:
+        return self.ignorant | self.claims.keys()
 
 
 class _StreamBegun(NamedTuple):
@@ -91,6 +110,7 @@
 
 class _SoftwareListed(NamedTuple):
     listed: Mapping[str, frozenset[str]]
+    is_gap: bool
 
 
 class _SoftwareStored(NamedTuple):
@@ -103,8 +123,9 @@
     It listens on a UDP socket at `listen`, whose port is the same on all hosts. `peers` returns the
     addresses of the live peers' other sockets by name. `life_s` returns the longest time in seconds
     for which a stream lives, over all tries of its caller. `is_list_current` returns whether this
-    host's list of backend servers is as new as its peers': only then it may say that a service has
-    one version.
+    host's list of backend servers is as new as its peers': only then it tells them that a service
+    has one version. `request_list_read` requests a read of the table, after which `on_list_read` is
+    called, and returns False if that isn't possible.
     """
 
     def __init__(
@@ -115,6 +136,7 @@
         peers: Callable[[], Mapping[str, Address]],
         life_s: Callable[[], float],
         is_list_current: Callable[[], bool] = lambda: True,
+        request_list_read: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__("relay-streams", tick_s=0.0)
         self._host = host
@@ -122,6 +144,7 @@
         self._peers = peers
         self._life_s = life_s
         self._is_list_current = is_list_current
+        self._request_list_read = request_list_read
         self._port = listen[1]
         self._history = SoftwareHistory(life_s)
         self._records = StreamRecords()
@@ -152,17 +175,21 @@
     def find(self, stream: bytes, service: str) -> Future:
         """Return a future of the `StreamFinding` of a stream."""
         future: Future = Future()
-        sole = self._current_sole(service)
-        if sole is not None:
-            future.set_result(StreamFinding(sole, "sole"))
-            return future
         self.tell(_FindStream(StreamQuery(stream, service), future))
         self._wake()
         return future
 
-    def on_listed(self, listed: Mapping[str, frozenset[str]]) -> None:
-        """Record the versions of all listed backend servers by service."""
-        self.tell(_SoftwareListed(listed))
+    def on_listed(self, listed: Mapping[str, frozenset[str]], is_gap: bool = False) -> None:
+        """Record the versions of all listed backend servers by service.
+
+        `is_gap` is whether servers may have come and gone that this host has never listed.
+        """
+        self.tell(_SoftwareListed(listed, is_gap))
+        self._wake()
+
+    def on_list_read(self, read: ListRead) -> None:
+        """Record a read of the table, after what it returned has been passed to `on_listed`."""
+        self.tell(read)
         self._wake()
 
     def on_stored(self, stored: Mapping[str, frozenset[str]]) -> None:
@@ -192,9 +219,13 @@
                 self._find(query, future, now)
             case _QueriesReceived(queries, address):
                 self._send(self._answer(queries, now), address)
-            case _SoftwareListed(listed):
+            case _SoftwareListed(listed, is_gap):
+                if is_gap:
+                    self._history.on_gap(now)
                 self._history.on_listed(listed, now)
                 self._update_soles(now)
+            case ListRead():
+                self._on_list_read(message, now)
             case _SoftwareStored(stored):
                 self._history.on_stored(stored, now)
                 self._update_soles(now)
@@ -273,28 +304,66 @@
             RELAY_STREAMS_TOLD.inc(len(told))
 
     def _find(self, query: StreamQuery, future: Future, now: float) -> None:
-        known = self._lookup(query, now)
-        if known is not None:
-            future.set_result(known)
+        # What peers told while this host stood still waits in the socket.
+        for address, message in self._receive():
+            self._on_message(address, message)
+        software = self._records.software(query.stream, now)
+        if software is not None:
+            future.set_result(StreamFinding(software, "known"))
             return
         search = self._searches.get(query.stream)
         if search is None:
-            search = self._searches[query.stream] = _Search(query, now)
+            search = self._searches[query.stream] = self._begin_search(query, now)
         search.futures.append(future)
-        if not search.rounds:
+        if now >= search.asks_at and not search.rounds:
             self._ask(search, now)
 
+    def _begin_search(self, query: StreamQuery, now: float) -> _Search:
+        """Return a new search, which asks other hosts at once unless a read may make that needless."""
+        may_be_sole = self._only_version(query.service, now) is not None
+        is_reading = may_be_sole and self._request_list_read()
+        has_sole = query.service in self._soles
+        search = _Search(query, now, now + LIST_READ_WAIT_S if is_reading and has_sole else now)
+        search.is_list_read = None if is_reading else False
+        return search
+
+    def _on_list_read(self, read: ListRead, now: float) -> None:
+        for search in list(self._searches.values()):
+            if search.is_list_read is None and search.began_at <= read.sent_at:
+                search.is_list_read = read.is_applied
+                search.asks_at = min(search.asks_at, now)
+                self._end_if_settled(search, now)
+
+    def _end_if_settled(self, search: _Search, now: float) -> None:
+        """End a search if one version alone can have begun the stream, or if no host knows it."""
+        service = search.query.service
+        only, asked = self._only_version(service, now), len(search.asked)
+        everyone = {self._address_of(each) for each in self._peers().values()}
+        has_all_answers = bool(everyone) and everyone <= search.answered
+        if only is not None and search.is_list_read and self._soles.get(service) == only:
+            self._end_search(search, StreamFinding(only, "sole", asked))
+        elif (
+            only is not None
+            and set(search.claims.values()) == {only}
+            and (search.is_list_read or (has_all_answers and not search.ignorant))
+        ):
+            self._end_search(search, StreamFinding(only, "told", asked))
+        elif has_all_answers and search.is_list_read is not None:
+            self._end_search(search, StreamFinding(None, "unknown", asked))
+
+    def _only_version(self, service: str, now: float) -> str | None:
+        """Return the version of a service that this host knows, None if there are several or none."""
+        versions = self._history.versions(service, now)
+        return next(iter(versions)) or None if len(versions) == 1 else None
+
     def _lookup(self, query: StreamQuery, now: float) -> StreamFinding | None:
+        """Return what this host tells a peer of a stream, or None if it knows nothing."""
         software = self._records.software(query.stream, now)
         if software is not None:
             return StreamFinding(software, "known")
-        sole = self._current_sole(query.service)
+        sole = self._soles.get(query.service) if self._is_list_current() else None
         return StreamFinding(sole, "sole") if sole is not None else None
 
-    def _current_sole(self, service: str) -> str | None:
-        sole = self._soles.get(service)
-        return sole if sole is not None and self._is_list_current() else None
-
     def _ask(self, search: _Search, now: float) -> None:
         """Ask the next hosts for a stream, or end the search if all time is used."""
         if search.rounds == len(ASK_TIMES_S) - 1:
@@ -303,7 +372,7 @@
         peers = self._peers()
         names = choose_keepers(search.query.stream, peers) if not search.rounds else list(peers)
         search.rounds += 1
-        addresses = {self._address_of(peers[name]) for name in names} - search.ignorant
+        addresses = {self._address_of(peers[name]) for name in names} - search.answered
         search.asked |= addresses
         for address in addresses:
             self._send(StreamMessage(queries=(search.query,)), address)
@@ -311,9 +380,9 @@
     def _on_message(self, address: Address, message: StreamMessage) -> None:
         now = self._clock.now()
         for begun in message.begun:
-            self._on_begun(begun, now)
+            self._on_begun(begun, address, now)
         for stream in message.unknown:
-            self._on_unknown(stream, address)
+            self._on_unknown(stream, address, now)
         if message.queries:
             # Behind the streams of this host that are not recorded yet.
             self.tell(_QueriesReceived(message.queries, address))
@@ -330,26 +399,28 @@
             begun.append(BegunStream(query.stream, found.software, remaining_s))
         return StreamMessage(begun=tuple(begun), unknown=tuple(unknown))
 
-    def _on_begun(self, begun: BegunStream, now: float) -> None:
+    def _on_begun(self, begun: BegunStream, address: Address, now: float) -> None:
         search = self._searches.get(begun.stream)
+        if begun.remaining_s <= 0:
+            # The sender doesn't know the stream, and takes the version for the only one.
+            if search is not None:
+                search.claims[address] = begun.software
+                self._end_if_settled(search, now)
+            return
         service = search.query.service if search is not None else ""
         until = now + min(begun.remaining_s, self._life_s())
         record = StreamRecord(service, begun.software, until, False)
-        if until > now:
-            self._records.add_from_peer(begun.stream, record, now)
+        self._records.add_from_peer(begun.stream, record, now)
         if search is not None:
             software = self._records.software(begun.stream, now)
             found = begun.software if software is None else software
             self._end_search(search, StreamFinding(found, "told", len(search.asked)))
 
-    def _on_unknown(self, stream: bytes, address: Address) -> None:
+    def _on_unknown(self, stream: bytes, address: Address, now: float) -> None:
         search = self._searches.get(stream)
-        if search is None:
-            return
-        search.ignorant.add(address)
-        everyone = {self._address_of(each) for each in self._peers().values()}
-        if everyone <= search.ignorant:
-            self._end_search(search, StreamFinding(None, "unknown", len(search.asked)))
+        if search is not None:
+            search.ignorant.add(address)
+            self._end_if_settled(search, now)
 
     def _end_search(self, search: _Search, finding: StreamFinding) -> None:
         del self._searches[search.query.stream]
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -1,5 +1,9 @@
 """Tests of streams while servers of two software versions serve, over all of a caller's tries."""
 
+import signal
+import threading
+import time
+
 import pytest
 from mixed_versions import EVENTS, Stream, VersionedStream
 from platform_world import wait_until
@@ -184,3 +188,50 @@
         for stream in streams:
             stream.ask(relays[0])
         assert_single_versions(streams)
+
+
+class TestRelayOutOfStep:
+    """A relay stands still while servers of a second version join and streams begin at them."""
+
+    @pytest.mark.parametrize("is_first_killed", [False, True])
+    @pytest.mark.parametrize("is_asked_meanwhile", [False, True])
+    @pytest.mark.parametrize("stopped_s", [0.8, 2.0, 4.0, 6.0])
+    def test_take_up_at_a_relay_that_stood_still_holds_one_version(
+        self, world, stopped_s, is_asked_meanwhile, is_first_killed
+    ):
+        """Guards against a relay that takes the version it knew before for the only one.
+
+        In the first milliseconds after the stop, streams that servers of the second version had
+        begun went on at the first one (issue 61, ORDER at a host out of step).
+        """
+        world.extra_settings = "[retry]\nslack = 1000\n"
+        for name in ("a1", "a2", "a3"):
+            add_server(world, name, "v1")
+        world.store.put("relay_software", "quotes", {"versions": ["v1"]})
+        first, second = world.start_relay("relay-1"), world.start_relay("relay-2")
+        wait_until(lambda: len(first.find_log_lines("relay_peer_heard")) > 0, "the peer is heard")
+        second.process.send_signal(signal.SIGSTOP)
+        stopped_at = time.monotonic()
+        for name, software in FLEET[1:]:
+            add_server(world, name, software)
+        wait_until(lambda: len(first.find_log_lines("back_end_listed")) >= 7, "all are listed")
+        streams = break_streams(world, first)
+        if is_first_killed:
+            first.process.kill()
+        threads = [threading.Thread(target=stream.ask, args=(second,)) for stream in streams]
+        rest_s = max(0.0, stopped_at + stopped_s - time.monotonic())
+        if is_asked_meanwhile:
+            for thread in threads:
+                thread.start()
+        time.sleep(rest_s)
+        second.process.send_signal(signal.SIGCONT)
+        if not is_asked_meanwhile:
+            for thread in threads:
+                thread.start()
+        for thread in threads:
+            thread.join()
+        assert_single_versions(streams, complete=False)
+        for stream in streams:
+            if not stream.is_complete:
+                stream.ask(second)
+        assert_single_versions(streams, complete=not is_first_killed)
--- a/tests/test_stream_directory.py
+++ b/tests/test_stream_directory.py
@@ -1,8 +1,11 @@
 """Tests of what hosts tell each other of the software that began streams, over loopback sockets."""
 
 import contextlib
+import socket
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
 
 import pytest
 from hypothesis import given
@@ -10,13 +13,20 @@
 from relay_samples import route
 
 from laburnumreel.core import ManualClock, SystemClock
+from laburnumreel.relay._application import MAX_LOOKUP_S
 from laburnumreel.relay._config import RelayConfig
+from laburnumreel.relay._list_read import ListRead
 from laburnumreel.relay._software_history import (
     MIN_STREAM_LIFE_S,
     SoftwareHistory,
     stream_life_s,
 )
-from laburnumreel.relay._stream_directory import ASK_TIMES_S, StreamDirectory, choose_keepers
+from laburnumreel.relay._stream_directory import (
+    ASK_TIMES_S,
+    LIST_READ_WAIT_S,
+    StreamDirectory,
+    choose_keepers,
+)
 from laburnumreel.relay._stream_messages import (
     BegunStream,
     StreamMessage,
@@ -33,12 +43,28 @@
 LIFE_S = 30.0
 
 
+class _Pause(NamedTuple):
+    """A message whose handling takes until an event is set: the task stands still."""
+
+    release: threading.Event
+
+    def __eq__(self, other):
+        self.release.wait(5)
+        return False
+
+
 class Directories:
-    """Directories of several hosts on loopback, each of which hears all others that are `heard`."""
+    """Directories of several hosts on loopback, each of which hears all others that are `heard`.
+
+    Those that are in `can_read` can read the table of backend servers, where they find `in_table`,
+    or nothing new if that is None.
+    """
 
     def __init__(self, executor, count):
         self.addresses = {f"host-{number}": (fresh_host(), PEER_PORT) for number in range(count)}
         self.heard = set(self.addresses)
+        self.can_read = set(self.addresses)
+        self.in_table = None
         self.sent = []
         self.tasks = {name: self.start(executor, name) for name in self.addresses}
 
@@ -49,6 +75,7 @@
             SystemClock(),
             lambda: {each: self.addresses[each] for each in self.heard - {name}},
             lambda: LIFE_S,
+            request_list_read=lambda: self._read_list(name),
         )
         send = directory._send
         directory._send = lambda message, address: (
@@ -58,6 +85,14 @@
         directory.start(executor)
         return directory
 
+    def _read_list(self, name):
+        if name not in self.can_read:
+            return False
+        if self.in_table is not None:
+            self.tasks[name].on_listed(self.in_table)
+        self.tasks[name].on_list_read(ListRead(SystemClock().now(), True))
+        return True
+
     def list(self, listed, *names):
         """Let hosts read a list of servers, and wait until they have."""
         for name in names or self.tasks:
@@ -177,11 +212,112 @@
         hosts.list(MIXED, "host-1", "host-2", "host-3")
         hosts.tasks["host-1"].record(b"stream", SERVICE, "v2")
         hosts.wait_known(b"stream", "v2", ["host-2"])
-        hosts.tasks["host-0"]._is_list_current = lambda: False
+        hosts.can_read.discard("host-0")
         finding = hosts.find("host-0", b"stream")
         assert (finding.software, finding.source) == ("v2", "told")
         assert hosts.find("host-0", b"other").software is None
 
+    def test_host_that_stood_still_reads_the_list_before_it_names_the_only_version(
+        self, start_directories
+    ):
+        """Guards against a stream of two versions at a host that stood still as the second came.
+
+        It named the version that was the only one before (issue 61, ORDER at a host out of step).
+        """
+        hosts = start_directories(4)
+        hosts.list(ONE)
+        hosts.store(ONE)
+        hosts.list(MIXED, "host-1", "host-2", "host-3")
+        hosts.tasks["host-1"].record(b"stream", SERVICE, "v2")
+        hosts.wait_known(b"stream", "v2", ["host-2"])
+        hosts.in_table = MIXED
+        assert hosts.find("host-0", b"stream").software == "v2"
+
+    def test_what_peers_told_a_host_that_stood_still_counts(self, start_directories):
+        """The host that began the stream is lost, and its message waits in the socket."""
+        hosts = start_directories(2)
+        hosts.list(ONE)
+        hosts.store(ONE)
+        hosts.tasks["host-1"].stop()
+        release = threading.Event()
+        stopped = hosts.tasks["host-0"]
+        stopped._wake = lambda: None
+        stopped.tell(_Pause(release))
+        future = stopped.find(b"stream", SERVICE)
+        told = StreamMessage(begun=(BegunStream(b"stream", "v2", LIFE_S),))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.sendto(encode_message(told), (hosts.addresses["host-0"][0], PORT))
+        release.set()
+        assert future.result(5).software == "v2"
+
+    def test_read_that_was_sent_before_the_question_proves_nothing(self, start_directories):
+        hosts = start_directories(1)
+        hosts.list(ONE)
+        hosts.store(ONE)
+        task = hosts.tasks["host-0"]
+        read = ListRead(SystemClock().now(), True)
+        task._request_list_read = lambda: (task.on_list_read(read), True)[1]
+        assert hosts.find("host-0", b"stream").software is None
+
+    @pytest.mark.parametrize("has_peers", [True, False])
+    def test_host_that_is_cut_off_names_no_version(self, start_directories, has_peers):
+        hosts = start_directories(3)
+        hosts.list(ONE)
+        hosts.store(ONE)
+        hosts.can_read.clear()
+        for name in ("host-1", "host-2"):
+            hosts.tasks[name].stop()
+        if not has_peers:
+            hosts.heard = {"host-0"}
+        assert hosts.find("host-0", b"stream").software is None
+
+    @pytest.mark.parametrize("is_failing", [True, False])
+    def test_hosts_that_all_know_one_version_agree_while_the_store_is_away(
+        self, start_directories, is_failing
+    ):
+        hosts = start_directories(4)
+        hosts.list(ONE)
+        hosts.store(ONE)
+        hosts.can_read.clear()
+        if is_failing:
+            task = hosts.tasks["host-0"]
+            task._request_list_read = lambda: (
+                task.on_list_read(ListRead(SystemClock().now(), False)),
+                True,
+            )[1]
+        assert hosts.find("host-0", b"stream").software == "v1"
+        hosts.list(MIXED, "host-3")
+        assert hosts.find("host-0", b"other").software is None
+
+    def test_list_that_is_not_read_in_time_is_not_awaited(self, start_directories):
+        hosts = start_directories(4)
+        hosts.list(ONE)
+        hosts.store(ONE)
+        hosts.tasks["host-0"]._request_list_read = lambda: True
+        assert hosts.find("host-0", b"stream") == ("v1", "told", 3)
+        assert LIST_READ_WAIT_S + ASK_TIMES_S[-1] < MAX_LOOKUP_S
+
+    def test_one_peer_that_names_a_version_is_not_enough(self, start_directories):
+        """It may have stood still itself."""
+        hosts = start_directories(3)
+        hosts.list(ONE)
+        hosts.tasks["host-1"].on_stored(ONE)
+        hosts.tasks["host-1"].versions().result(5)
+        hosts.can_read.clear()
+        assert hosts.find("host-0", b"stream").software is None
+        hosts.can_read.add("host-0")
+        assert hosts.find("host-0", b"stream").software == "v1"
+
+    def test_servers_that_came_and_went_unseen_take_the_proof_away(self, start_directories):
+        hosts = start_directories(1)
+        hosts.list(ONE)
+        hosts.store(ONE)
+        assert hosts.find("host-0", b"stream").software == "v1"
+        hosts.tasks["host-0"].on_listed(ONE, is_gap=True)
+        assert hosts.find("host-0", b"stream").software is None
+        hosts.store(ONE)
+        assert hosts.find("host-0", b"stream").software == "v1"
+
     def test_one_version_costs_no_message(self, start_directories):
         hosts = start_directories(4)
         hosts.list(ONE)
