Ignore a read of the list that is applied after a later one

What callers could see: a server that had just started got no requests for two heartbeats.

What one read first may be applied last: a removal then dropped the entry that was written after it, or an older writing in place of a newer one was taken for one that hides a removal.

Change: changes up to a version below the one already read are ignored, since the later read has them all, and a complete read removes no entry that was written after it.

--- a/src/laburnumreel/relay/_back_ends.py
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -171,15 +171,16 @@
         now: float,
         versions: Mapping[str, int] = EMPTY,
         unreadable: Collection[str] = (),
+        read_version: float = float("inf"),
     ) -> None:
         """Replace the whole list.
 
         `versions` are the store's versions of the entries' rows, and `unreadable` the names of rows
-        that can't be read.
+        that can't be read. Entries that were written after `read_version` stay.
         """
         entries = {entry.name: entry for entry in entries}
         for name in [*self._listed, *self._refused_starts]:
-            if name not in entries:
+            if name not in entries and self._versions.get(name, 0) <= read_version:
                 self.drop(name, now, name in unreadable)
         for entry in entries.values():
             self.put(entry, now, versions.get(entry.name, 0))
--- a/src/laburnumreel/relay/_fleet_state.py
+++ b/src/laburnumreel/relay/_fleet_state.py
@@ -136,7 +136,8 @@
         self._back_ends = BackEndList(return_grace_s, heartbeat_s)
         # The store's era at the last listing.
         self._era = 0
-        self._has_listing = False
+        # The store's version up to which the table was read.
+        self._listed_version = 0
         self._health = HealthTracker()
         self._prefix_cache = PrefixCacheIndex()
         self._self_reports = SelfReports()
@@ -383,11 +384,14 @@
     def on_listing(self, listing: Listing[ListedBackEnd], now: float) -> bool:
         """Apply a directory listing, and forget the state of backend servers that were removed.
 
+        A listing that was read before the last one but is applied after it brings nothing new.
         Returns whether backend servers may have come and gone since the last one unseen.
         """
+        if not listing.complete and listing.version < self._listed_version:
+            return False
         self._candidate_cache.invalidate()
-        is_gap = listing.complete and self._has_listing
-        self._has_listing = True
+        is_gap = listing.complete and self._listed_version > 0
+        self._listed_version = max(self._listed_version, listing.version)
         before = {entry.name: entry for entry in self._back_ends}
         present = {name: entry for name, entry in listing.entries.items() if entry is not None}
         era = era_of_version(listing.version)
@@ -395,7 +399,9 @@
             self._era = era
             self._back_ends.begin_era(listing.version)
         if listing.complete:
-            self._back_ends.replace(present.values(), now, listing.versions, listing.unreadable)
+            self._back_ends.replace(
+                present.values(), now, listing.versions, listing.unreadable, listing.version
+            )
         else:
             for name, entry in listing.entries.items():
                 if entry is None:
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -156,6 +156,26 @@
         assert host.usable(20.0) == [11]
 
 
+class TestOrderOfReads:
+    """Two tasks of a host read the table; what was read first may be applied last."""
+
+    @pytest.mark.parametrize("complete", [True, False])
+    def test_read_from_before_removes_no_later_entry(self, host, complete):
+        later = ENTRY._replace(started_at_ms=START_MS + 5000, beat=1)
+        host.read(None)
+        host.read(later)
+        entries = {} if complete else {"b1": None}
+        versions = dict.fromkeys(entries, host.version - 1)
+        host.state.on_listing(Listing(entries, host.version - 1, 0.0, complete, versions), now=0.0)
+        assert host.usable() == [1]
+
+    def test_read_from_before_hides_no_removal(self, host):
+        host.read(ENTRY._replace(beat=12), now=10.0)
+        stale = Listing({"b1": ENTRY}, host.version - 1, 0.0, False, {"b1": host.version - 1})
+        host.state.on_listing(stale, now=10.0)
+        assert host.usable(20.0) == [12]
+
+
 class TestStarts:
     @pytest.mark.parametrize("late_beat", [8, 11, 12])
     def test_late_heartbeat_of_an_earlier_start_replaces_no_later_one(self, host, late_beat):
