Return whether an entry is listed instead of one of three outcomes

Nothing distinguished an older entry from one of a start that has ended. No change of behaviour; tests/test_late_writes.py and the tests of the list pass unchanged otherwise.

--- a/src/laburnumreel/relay/_back_ends.py
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -50,17 +50,6 @@
     software: str = ""
 
 
-class PutOutcome(StrEnum):
-    """What was done with an entry that was read.
-
-    It was `listed`, is `older` than the listed one, or is of a start that has `ended`.
-    """
-
-    LISTED = "listed"
-    OLDER = "older"
-    ENDED = "ended"
-
-
 class BackEndList:
     """The backend servers that may get new work.
 
@@ -185,19 +174,22 @@
         for entry in entries.values():
             self.put(entry, now, versions.get(entry.name, 0))
 
-    def put(self, entry: ListedBackEnd, now: float, version: int = 0) -> PutOutcome:
-        """Add or update an entry, unless it was written before what is known of its server."""
+    def put(self, entry: ListedBackEnd, now: float, version: int = 0) -> bool:
+        """Add or update an entry unless it was written before what is known of its server.
+
+        Returns whether the entry is listed now.
+        """
         name, known = entry.name, self._listed.get(entry.name)
         writing = Writing(entry.started_at_ms, entry.beat, version)
         if known is not None and known.started_at_ms == entry.started_at_ms:
-            outcome = self._compare_with_listed(entry, writing, known)
+            counts = self._counts_beside_listed(entry, writing, known)
         else:
-            outcome = self._compare_with_other_starts(name, writing, known)
-        if outcome is not PutOutcome.LISTED:
+            counts = self._counts_beside_other_starts(name, writing, known)
+        if not counts:
             self._refused_starts[name] = entry.started_at_ms
             if known is not None and self._may_hide_removal(writing, known, now):
                 self._unconfirmed_from.setdefault(name, now + self._confirm_s)
-            return outcome
+            return False
         self._refused_starts.pop(name, None)
         self._ended.remove(name, entry.started_at_ms)
         if known is not None and known.started_at_ms != entry.started_at_ms:
@@ -209,7 +201,7 @@
         self._unlisted_names.pop(name, None)
         self._versions[name] = version
         self._removal_times.pop(name, None)
-        return outcome
+        return True
 
     def drop(self, name: str, now: float, is_unreadable: bool = False) -> None:
         """Remove an entry, or keep it for the grace period if the directory is or was away.
@@ -282,39 +274,33 @@
             and not self._is_unconfirmed(entry.name, now)
         ]
 
-    def _compare_with_listed(
+    def _counts_beside_listed(
         self, entry: ListedBackEnd, writing: Writing, known: ListedBackEnd
-    ) -> PutOutcome:
-        """Compare an entry with the listed one of the same start."""
+    ) -> bool:
+        """Return whether an entry is no older than the listed one of the same start."""
         if entry.started_at_ms and entry.beat != known.beat:
-            return PutOutcome.LISTED if entry.beat > known.beat else PutOutcome.OLDER
+            return entry.beat > known.beat
         is_repeated = entry.started_at_ms > 0 and (
             entry.name in self._removal_times or (known.draining and not entry.draining)
         )
-        if is_repeated or self._is_older(writing, self._writing_of(known)):
-            return PutOutcome.OLDER
-        return PutOutcome.LISTED
+        return not (is_repeated or self._is_older(writing, self._writing_of(known)))
 
-    def _compare_with_other_starts(
+    def _counts_beside_other_starts(
         self, name: str, writing: Writing, known: ListedBackEnd | None
-    ) -> PutOutcome:
-        """Compare a writing with the listed one of another start, or with what has ended."""
+    ) -> bool:
+        """Return whether a writing is newer than the listed one of another start and what has ended."""
         start = writing.started_at_ms
         ended = self._ended.get(name, start) if start else None
         if ended is not None:
             # A start that a late writing of an earlier one has replaced is back with its next writing.
             is_later_start = known is not None and start > known.started_at_ms
             if is_later_start and writing.beat > ended.last.beat:
-                return PutOutcome.LISTED
-            is_return = self._ended.is_return(name, writing)
-            return PutOutcome.LISTED if is_return else PutOutcome.ENDED
+                return True
+            return self._ended.is_return(name, writing)
         if known is not None:
-            is_older = self._is_older(writing, self._writing_of(known))
-            return PutOutcome.OLDER if is_older else PutOutcome.LISTED
+            return not self._is_older(writing, self._writing_of(known))
         last = self._ended.last_writing(name)
-        if last is not None and not self._is_older(last, writing):
-            return PutOutcome.ENDED
-        return PutOutcome.LISTED
+        return last is None or self._is_older(last, writing)
 
     def _may_hide_removal(self, writing: Writing, known: ListedBackEnd, now: float) -> bool:
         """Return whether an older writing was performed in place of the listed one.
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -13,7 +13,6 @@
     MAX_HEARTBEATS_TO_CONFIRM,
     BackEndList,
     ListedBackEnd,
-    PutOutcome,
 )
 from laburnumreel.relay._cost_model import Location
 from laburnumreel.relay._ended_starts import (
@@ -318,7 +317,7 @@
             else:
                 start, beat = row
                 entry = ENTRY._replace(started_at_ms=start, beat=beat)
-                if back_ends.put(entry, 0.0, version) is PutOutcome.LISTED:
+                if back_ends.put(entry, 0.0, version):
                     ended |= {each for each in listed_beats if each < start}
                     assert start not in ended, f"listed again by beat {beat}"
                     listed_beats[start] = max(beat, listed_beats.get(start, 0))
