--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+from cut_links import FORMS, CutLink
 from mixed_versions import EVENTS, Stream, VersionedStream
 from platform_world import wait_until
 
@@ -235,3 +236,36 @@
             if not stream.is_complete:
                 stream.ask(second)
         assert_single_versions(streams, complete=not is_first_killed)
+
+    @pytest.mark.parametrize("is_stopped", [False, True])
+    @pytest.mark.parametrize("form", FORMS)
+    def test_take_up_at_a_relay_that_is_cut_off_holds_one_version(self, world, form, is_stopped):
+        """Neither the store nor the other relay answers; with `is_stopped`, it stood still, too."""
+        world.extra_settings = "[retry]\nslack = 1000\n"
+        for name in ("a1", "a2", "a3"):
+            add_server(world, name, "v1")
+        world.store.put("relay_software", "quotes", {"versions": ["v1"]})
+        link = CutLink(world.store.address)
+        world.store_addresses["relay-2"] = link.address
+        first, second = world.start_relay("relay-1"), world.start_relay("relay-2")
+        wait_until(lambda: len(first.find_log_lines("relay_peer_heard")) > 0, "the peer is heard")
+        try:
+            link.cut(form)
+            if is_stopped:
+                second.process.send_signal(signal.SIGSTOP)
+            for name, software in FLEET[1:]:
+                add_server(world, name, software)
+            wait_until(lambda: len(first.find_log_lines("back_end_listed")) >= 7, "all are listed")
+            streams = break_streams(world, first)
+            first.process.send_signal(signal.SIGSTOP)
+            threads = [threading.Thread(target=stream.ask, args=(second,)) for stream in streams]
+            for thread in threads:
+                thread.start()
+            second.process.send_signal(signal.SIGCONT)
+            for thread in threads:
+                thread.join()
+            assert_single_versions(streams, complete=False)
+        finally:
+            for relay in (first, second):
+                relay.process.send_signal(signal.SIGCONT)
+            link.end()
