List a removed server again with one newer writing

Cause: two new beats were asked for. The store keeps an entry whose beat alone changes (PROTOCOL.md: "The entry changes when more than Sequence changes"), so that the second is not seen.

Change: one newer beat than the last one read is enough, as before. A start that another one has replaced stays out, unless its clock says that it is the later one or the other one has itself returned.

--- a/src/laburnumreel/relay/_back_ends.py
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -60,8 +60,8 @@
     missing.
 
     Within one start of a server, the beat orders its writings, because the store may perform a write
-    late. A start that has ended is listed again once two writings after its last one were read, or
-    one if its entry lapsed with the directory. An older writing in place of the listed one may hide
+    late. A start that has ended is listed again with a writing after its last one: a server that
+    lives need not be read twice, as the store keeps an entry whose beat alone changes. An older writing in place of the listed one may hide
     a removal, so the server then has to write again before `MAX_HEARTBEATS_TO_CONFIRM` intervals of
     `heartbeat_s` seconds pass, or gets no new work until it does.
 
@@ -92,6 +92,8 @@
         self._ended = EndedStarts()
         # The starts of the rows in the directory that were not listed, by name.
         self._refused_starts: dict[str, int] = {}
+        # Listed starts that had ended before, by name.
+        self._returned_starts: dict[str, int] = {}
         # Names that were never listed and whose entries were removed.
         self._unlisted_names: dict[str, None] = {}
         # When servers whose entries were overwritten by older writings get no new work any more.
@@ -191,10 +193,11 @@
                 self._unconfirmed_from.setdefault(name, now + self._confirm_s)
             return False
         self._refused_starts.pop(name, None)
+        if self._ended.get(name, entry.started_at_ms) is not None:
+            self._returned_starts[name] = entry.started_at_ms
         self._ended.remove(name, entry.started_at_ms)
         if known is not None and known.started_at_ms != entry.started_at_ms:
             self._ended.add(name, self._writing_of(known), has_lapsed=False, now=now)
-        self._ended.forget_returns(name)
         if known is None or (known.started_at_ms, known.beat) != (entry.started_at_ms, entry.beat):
             self._unconfirmed_from.pop(name, None)
         self._listed[name] = entry
@@ -209,7 +212,6 @@
         An entry that `is_unreadable` says nothing of its server, which returns with its next writing.
         """
         self._refused_starts.pop(name, None)
-        self._ended.forget_returns(name)
         entry = self._listed.get(name)
         if entry is None:
             return
@@ -231,6 +233,7 @@
         del self._listed[name]
         self._removal_times.pop(name, None)
         self._unconfirmed_from.pop(name, None)
+        self._returned_starts.pop(name, None)
         self._versions.pop(name, None)
         # An entry with neither a version, a start time nor a beat has nothing to compare.
         if last > (0, 0, 0):
@@ -292,16 +295,22 @@
         start = writing.started_at_ms
         ended = self._ended.get(name, start) if start else None
         if ended is not None:
-            # A start that a late writing of an earlier one has replaced is back with its next writing.
-            is_later_start = known is not None and start > known.started_at_ms
-            if is_later_start and writing.beat > ended.last.beat:
-                return True
-            return self._ended.is_return(name, writing)
+            return writing.beat > ended.last.beat and self._may_return(name, start, known)
         if known is not None:
             return not self._is_older(writing, self._writing_of(known))
         last = self._ended.last_writing(name)
         return last is None or self._is_older(last, writing)
 
+    def _may_return(self, name: str, start: int, known: ListedBackEnd | None) -> bool:
+        """Return whether a newer writing of an ended start shows that it was not the earlier one.
+
+        One that another start has replaced is the earlier of the two, unless its clock says
+        otherwise or the other one has returned in this way itself.
+        """
+        if known is None:
+            return self._ended.ended_last(name, start)
+        return start > known.started_at_ms or self._returned_starts.get(name) == known.started_at_ms
+
     def _may_hide_removal(self, writing: Writing, known: ListedBackEnd, now: float) -> bool:
         """Return whether an older writing was performed in place of the listed one.
 
--- a/src/laburnumreel/relay/_ended_starts.py
+++ b/src/laburnumreel/relay/_ended_starts.py
@@ -34,23 +34,15 @@
 class EndedStart(NamedTuple):
     """A start whose entry was removed, can't be read, or was replaced by that of another start.
 
-    `last` is its last writing that counted, and `ended_at` is in seconds of this process' clock. If
-    it was not `has_lapsed`, a single later writing may be the last one that the server made, which
-    was performed late. Then `returned_beat` holds the beat of such a writing, and only one after
-    it shows that the server lives. `is_told` says that only a peer's report is known.
+    `last` is its last writing that counted, and `ended_at` is in seconds of this process' clock.
+    `has_lapsed` says that the entry may have expired with the directory, so that the server may live,
+    and `is_told` that only a peer's report is known.
     """
 
     last: Writing
     ended_at: float
     has_lapsed: bool
     is_told: bool = False
-    returned_beat: int | None = None
-
-    def is_return(self, beat: int) -> bool:
-        """Return whether a writing with this beat shows that the server lives."""
-        if beat <= self.last.beat:
-            return False
-        return self.has_lapsed or (self.returned_beat is not None and beat > self.returned_beat)
 
 
 class EndedStarts:
@@ -58,8 +50,8 @@
 
     >>> ended = EndedStarts()
     >>> ended.add("b1", Writing(5000, beat=7, version=10), has_lapsed=False, now=0.0)
-    >>> [ended.is_return("b1", Writing(5000, beat, 20)) for beat in (6, 7, 8, 8, 9)]
-    [False, False, False, False, True]
+    >>> [ended.get("b1", 5000).last.beat, ended.get("b1", 9000)]
+    [7, None]
     """
 
     def __init__(self) -> None:
@@ -103,6 +95,10 @@
         """Return the end of a start, or None if it is not known to have ended."""
         return self._of(name).get(started_at_ms)
 
+    def ended_last(self, name: str, started_at_ms: int) -> bool:
+        """Return whether a start is the one of its name that ended last."""
+        return next(reversed(self._of(name)), None) == started_at_ms
+
     def last_writing(self, name: str) -> Writing | None:
         """Return the last writing of the start of a name that ended last, or None.
 
@@ -120,21 +116,5 @@
             last = known.last._replace(beat=beat)
             self._starts[name][started_at_ms] = known._replace(last=last, has_lapsed=False)
 
-    def is_return(self, name: str, writing: Writing) -> bool:
-        """Return whether a writing of an ended start shows that its server lives, and record it."""
-        ended = self._starts[name][writing.started_at_ms]
-        if ended.is_return(writing.beat):
-            return True
-        if writing.beat > ended.last.beat and ended.returned_beat is None:
-            self._starts[name][writing.started_at_ms] = ended._replace(returned_beat=writing.beat)
-        return False
-
-    def forget_returns(self, name: str) -> None:
-        """Forget the single writings of ended starts, because the entry was written or removed since."""
-        starts = self._starts.get(name, {})
-        for started_at_ms, ended in starts.items():
-            if ended.returned_beat is not None:
-                starts[started_at_ms] = ended._replace(returned_beat=None)
-
     def _of(self, name: str) -> Mapping[int, EndedStart]:
         return self._starts.get(name, {})
