Let a peer's word on one start keep no other start of a server out

What callers could see: a host refused a server that returned after its entry had been removed, for as long as the server ran. Found by reading again; not seen in a run.

Cause: a removed start may return only if no other start of the name ended after it. A start that only a peer had told to have ended counted as ended last.

Change: such starts don't count, since when they ended is not known.

Tests: test_report_of_another_start_keeps_no_server_out, 2 of 2 failed before.

--- a/src/laburnumreel/relay/_ended_starts.py
+++ b/src/laburnumreel/relay/_ended_starts.py
@@ -96,8 +96,12 @@
         return self._of(name).get(started_at_ms)
 
     def ended_last(self, name: str, started_at_ms: int) -> bool:
-        """Return whether a start is the one of its name that ended last."""
-        return next(reversed(self._of(name)), None) == started_at_ms
+        """Return whether no start of a name ended after this one, or all that did began before it.
+
+        Starts that only a peer has seen end don't count: when they did is not known.
+        """
+        starts = [start for start, ended in self._of(name).items() if not ended.is_told]
+        return not starts or starts[-1] <= started_at_ms
 
     def last_writing(self, name: str) -> Writing | None:
         """Return the last writing of the start of a name that ended last, or None.
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -244,6 +244,14 @@
             other.hear(host, now=100.0)
             assert other.usable(200.0) == [entry.beat]
 
+    @pytest.mark.parametrize("step_ms", [-5000, 5000])
+    def test_report_of_another_start_keeps_no_server_out(self, host, step_ms):
+        host.read(None)
+        ended = {"b1": EndedBeat(START_MS + step_ms, 40)}
+        host.state.on_peer_update(make_update("peer", 1, ended_starts=ended), now=0.0)
+        host.read(ENTRY._replace(beat=12))
+        assert host.usable() == [12]
+
     def test_peer_that_is_wrong_costs_one_heartbeat(self, host):
         update = make_update("peer", 1, ended_starts={"b1": EndedBeat(START_MS, 11)})
         host.state.on_peer_update(update, now=0.0)
