--- a/src/laburnumreel/relay/_back_ends.py
+++ b/src/laburnumreel/relay/_back_ends.py
@@ -60,10 +60,11 @@
     missing.
 
     Within one start of a server, the beat orders its writings, because the store may perform a write
-    late. A start that has ended is listed again with a writing after its last one: a server that
-    lives need not be read twice, as the store keeps an entry whose beat alone changes. An older writing in place of the listed one may hide
-    a removal, so the server then has to write again before `MAX_HEARTBEATS_TO_CONFIRM` intervals of
-    `heartbeat_s` seconds pass, or gets no new work until it does.
+    late. A start that has ended is listed again with one writing after its last one, because the
+    store does not show writings that change the beat alone. An older writing in place of the listed
+    one may hide a removal, so the server then has to write again before
+    `MAX_HEARTBEATS_TO_CONFIRM` intervals of `heartbeat_s` seconds pass, or gets no new work until
+    it does.
 
     The store's versions order the writings of different starts, whatever the clocks of the writer's
     machine say. Only a store that was restored from an older copy may list older writings with
@@ -209,7 +210,7 @@
     def drop(self, name: str, now: float, is_unreadable: bool = False) -> None:
         """Remove an entry, or keep it for the grace period if the directory is or was away.
 
-        An entry that `is_unreadable` says nothing of its server, which returns with its next writing.
+        An entry that `is_unreadable` says nothing of its server, so peers are not told of an end.
         """
         self._refused_starts.pop(name, None)
         entry = self._listed.get(name)
--- a/src/laburnumreel/relay/_ended_starts.py
+++ b/src/laburnumreel/relay/_ended_starts.py
@@ -1,4 +1,4 @@
-"""Which starts of the backend servers have ended, and what counts as a return of one.
+"""Which starts of the backend servers have ended, and what they wrote last.
 
 The directory orders when entries were performed, not when their servers wrote them: a write that was
 not answered may be performed seconds later, after the entry was removed. Within one start of a
