--- a/review/lib-3/standins3.py
+++ b/review/lib-3/standins3.py
@@ -292,12 +292,20 @@
         self.name, self.service, self.store = name, service, store
         self.arrivals = []
         self.is_listed = True
+        self._has_exited = False
+        self._connections = set()
         self._beat = 0
         worker = self
 
         class Handler(_Handler):
+            def setup(self):
+                super().setup()
+                worker._connections.add(self.connection)
+
             def run(self):
                 self.read_body()
+                if worker._has_exited:
+                    raise ConnectionError("the worker has exited")
                 request_id = self.headers.get("Request-Id", "")
                 echo = [("Request-Id", request_id)]
                 if self.headers.get("Expect-Instance", name) != name:
@@ -313,6 +321,15 @@
         super().__init__(Handler)
         threading.Thread(target=self._write_entries, daemon=True).start()
 
+    def exit(self):
+        """End as a process does: all connections are closed, and no new one is accepted."""
+        self._has_exited = True
+        self.server.shutdown()
+        self.server.server_close()
+        for connection in list(self._connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     def _write_entries(self):
         while self.is_listed:
             self._beat += 1
