--- a/review/lib-3/standins3.py
+++ b/review/lib-3/standins3.py
@@ -369,6 +369,9 @@
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "LABURNUMREEL_BOOT": str(self._settings),
         }
+        # Only for a dump of the threads' stacks when the script ends the relay with SIGABRT.
+        if "PYTHONFAULTHANDLER" in os.environ:
+            environment["PYTHONFAULTHANDLER"] = os.environ["PYTHONFAULTHANDLER"]
         self.started_at = time.monotonic()
         with (self._world.folder / f"{self.name}.log").open("ab") as log:
             self.process = subprocess.Popen(
