--- a/review/lib-3/standins3.py
+++ b/review/lib-3/standins3.py
@@ -116,6 +116,13 @@
         self.changed = threading.Condition()
         self.is_away = False
         self.on_page = lambda table: None
+        # Whether a heartbeat that changes no more than `Sequence` leaves the row as it is.
+        self.skips_beats = False
+        # Called before a heartbeat is performed late, with the worker's name and `Sequence`.
+        self.record_late = lambda name, sequence: None
+        # The calls of feeds that wait for a change: table, when they began, and whether the
+        # connection is silent.
+        self.waiting = []
         self._copies = []
         store = self
 
@@ -132,9 +139,18 @@
         """Write a row as the operator or a worker does; None removes it, bytes are kept as is."""
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
         with self.changed:
+            if self.skips_beats and self._is_beat(table, key, value):
+                return
             self._write(table, key, None if value is None else base64.b64encode(raw).decode())
             self.changed.notify_all()
 
+    def _is_beat(self, table, key, value):
+        row = self.rows.get((table, key))
+        if row is None or not isinstance(value, dict) or "Sequence" not in value:
+            return False
+        known = json.loads(base64.b64decode(row["Value"]))
+        return {**known, "Sequence": 0} == {**value, "Sequence": 0}
+
     def keep_copies(self, interval_s, age_s):
         """Keep copies of the last `age_s` seconds, for `drill`."""
 
@@ -215,23 +231,41 @@
 
     def _feed(self, handler, query):
         after, deadline = int(query["after"]), time.monotonic() + int(query["WaitMs"]) / 1000
+        call = {"table": query["Table"], "began_at": time.monotonic(), "is_silent": False}
+        with self.changed:
+            self.waiting.append(call)
+            try:
+                answer = self._wait_for_rows(query["Table"], after, deadline, call)
+            finally:
+                self.waiting.remove(call)
+        if call["is_silent"]:
+            # The connection stays open, and nothing comes on it any more.
+            threading.Event().wait()
+        self._respond(handler, *answer)
+
+    def silence(self, table):
+        """Make the connections silent on which calls wait for a change of a table."""
+        with self.changed:
+            for call in self.waiting:
+                if call["table"] == table:
+                    call["is_silent"] = True
+            self.changed.notify_all()
+
+    def _wait_for_rows(self, table, after, deadline, call):
         with self.changed:
             era = self.era
             if after > self.version:
-                return self._respond(handler, 410, {})
+                return 410, {}
             while True:
-                rows = [
-                    row for row in self.log if row["Ver"] > after and row["Table"] == query["Table"]
-                ]
+                rows = [row for row in self.log if row["Ver"] > after and row["Table"] == table]
                 left_s = deadline - time.monotonic()
-                if rows or left_s <= 0 or self.is_away or era != self.era:
+                is_over = rows or left_s <= 0 or call["is_silent"]
+                if is_over or self.is_away or era != self.era:
                     break
                 self.changed.wait(left_s)
             if era != self.era:
                 raise ConnectionError("the store was away")
-            version = self.version
-        self._respond(handler, 200, {"Rows": rows}, version)
-        return None
+            return 200, {"Rows": rows}, self.version
 
     def _transact(self, handler):
         call = json.loads(handler.read_body())
@@ -292,6 +326,8 @@
         self.name, self.service, self.store = name, service, store
         self.arrivals = []
         self.is_listed = True
+        # Returns for how many seconds the store leaves the next heartbeat undone.
+        self.beat_delay_s = lambda: 0.0
         self._has_exited = False
         self._connections = set()
         self._beat = 0
@@ -324,18 +360,26 @@
     def exit(self):
         """End as a process does: all connections are closed, and no new one is accepted."""
         self._has_exited = True
-        self.server.shutdown()
-        self.server.server_close()
         for connection in list(self._connections):
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
+        self.server.shutdown()
+        self.server.server_close()
 
     def _write_entries(self):
         while self.is_listed:
             self._beat += 1
-            self.store.put("servers", self.name, self._entry())
+            entry, delay_s = self._entry(), self.beat_delay_s()
+            if delay_s:
+                threading.Timer(delay_s, self._write_late, (entry,)).start()
+            else:
+                self.store.put("servers", self.name, entry)
             time.sleep(HEARTBEAT_S)
 
+    def _write_late(self, entry):
+        self.store.record_late(self.name, entry["Sequence"])
+        self.store.put("servers", self.name, entry)
+
     def _entry(self):
         return {
             "Service": self.service,
