--- a/review/lib-3/standins3.py
+++ b/review/lib-3/standins3.py
@@ -567,6 +567,10 @@
     except CaseError as error:
         world.record.write(f"the case could not run: {error}")
         status = 2
+    except Exception as error:
+        # An error of the script itself says nothing about the rule.
+        world.record.write(f"the script failed: {error!r}")
+        status = 2
     finally:
         world.end()
     print({0: "held", 1: "broken", 2: "not run"}[status])
