--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,9 +1,9 @@
-"""Requests to a worker that has left, whose entry was removed between two pages of the table."""
+"""Two usage reports with different counts for one window, after a kill and a drill of the store."""
 
-import random
 import sys
 import threading
 import time
+from collections import defaultdict
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -11,88 +11,83 @@
 
 from standins3 import TROUBLE, CaseError, Worker, config, run_case  # noqa: E402
 
-# Entries of another writer whose bytes can't be read, each within `RowBytes`; with them the table has
-# more than 1 MB and is read in two pages.
-FOREIGN_ROWS, FOREIGN_BYTES = 20, 48_000
-DRAIN_S, CONTACT_S = 2.5, 3.0
-# How long the worker serves after `DrainMs` before it exits, and how long callers go on after that.
-LINGER_S, AFTER_EXIT_S = 10.0, 3.0
-CALLERS, PAUSE_S, WORK_S = 12, 0.02, 0.1
+RELAYS = 14
+# Reports that are awaited before the fault, so that all relays have served whole windows.
+REPORTS_BEFORE = 2
+# The age of the store's copy in the drill, and for how long the store is away.
+COPY_AGE_S, AWAY_S = 4.0, 1.0
+# A killed process is started again after this time.
+RESTART_S = 3.5
+# The next holder reports within this time, or the window is given up.
+OBSERVED_S = 25.0
+CALLERS, PAUSE_S = 4, 0.05
 
 
-def case(world):
-    store, record = world.store, world.record
-    store.put("op", "config", config())
-    leaver = Worker("a-leaver", "orders", store, record, WORK_S)
-    workers = [leaver, *(Worker(f"w{n}", "orders", store, record, WORK_S) for n in range(7))]
-    noise = random.Random(1)
-    for number in range(FOREIGN_ROWS):
-        store.put("servers", f"x-foreign-{number:02d}", noise.randbytes(FOREIGN_BYTES))
-    first, second = world.add_relay("front-1"), world.add_relay("front-2")
-    first.start()
-    world.wait_until(first.is_ready, "front-1 is ready", 30)
-    left_at = []
-
-    def leave():
-        """Remove the worker's entry; it serves on, as a worker that never reports `draining`."""
-        if not left_at:
-            leaver.is_listed = False
-            store.put("servers", leaver.name, None)
-            left_at.append(time.monotonic())
-            record.write(f"the store accepts that the entry of {leaver.name} is removed")
+def call_in_turn(world, number, stop):
+    """Send requests to all relays in turn, as callers of one tenant."""
+    key = "key-a" if number % 2 else "key-b"
+    turn = number * RELAYS // CALLERS
+    while not stop.is_set():
+        relay = world.relays[turn % RELAYS]
+        request_id, status = world.call(relay, f"/safe/{turn}", key=key)
+        if status != 200:
+            world.record.write(f"caller got {status or 'no answer'} for {request_id}, {relay.name}")
+        turn += 1
+        time.sleep(PAUSE_S)
 
-    def on_page(table):
-        if TROUBLE and table == "servers":
-            record.write("the store has answered the first page of the table of workers")
-            leave()
 
-    store.on_page = on_page
-    second.start()
-    record.write("front-2 is started")
-    world.wait_until(second.is_ready, "front-2 is ready", 30)
-    record.write("front-2 is ready")
-    if not TROUBLE:
-        time.sleep(1.0)
-        leave()
-    if not left_at:
-        raise CaseError("the table was not read in pages")
-    stop, sent_at, outcomes = threading.Event(), {}, []
+def case(world):
+    store, record = world.store, world.record
+    store.put("op", "config", config(tenants=("hall-a", "hall-b")))
+    workers = [Worker(f"w{number}", "orders", store, record) for number in range(3)]
+    for number in range(RELAYS):
+        world.add_relay(f"front-{number:02d}").start()
+    for relay in world.relays:
+        world.wait_until(relay.is_ready, f"{relay.name} is ready", 45)
+    record.write(f"{RELAYS} relays are ready")
+    store.keep_copies(0.25, COPY_AGE_S)
+    stop, struck = threading.Event(), threading.Event()
 
-    def call():
-        while not stop.is_set():
-            at = time.monotonic()
-            request_id, status = world.call(second, "/once/book", "POST", body=b"{}")
-            sent_at[request_id] = at
-            outcomes.append((at, request_id, status))
-            time.sleep(PAUSE_S)
+    def on_report(holder, window):
+        """Kill the holder right after the platform has accepted its report."""
+        if not TROUBLE or struck.is_set() or len(world.duties.reports) <= REPORTS_BEFORE:
+            return
+        struck.set()
+        killed = next(relay for relay in world.relays if relay.name == holder)
+        killed.kill()
+        record.write(f"{holder} is killed after its report of window {window}")
+        age_s = store.drill(AWAY_S)
+        record.write(f"the store is back after {AWAY_S} s, from a copy {age_s:.1f} s older")
+        time.sleep(RESTART_S - AWAY_S)
+        killed.start()
+        record.write(f"{holder} is started again")
 
-    threads = [threading.Thread(target=call) for _ in range(CALLERS)]
+    world.duties.on_report = on_report
+    threads = [
+        threading.Thread(target=call_in_turn, args=(world, number, stop))
+        for number in range(CALLERS)
+    ]
     for thread in threads:
         thread.start()
-    time.sleep(max(0.0, left_at[0] + DRAIN_S + LINGER_S - time.monotonic()))
-    record.write(f"{leaver.name} exits")
-    leaver.exit()
-    time.sleep(AFTER_EXIT_S)
-    stop.set()
-    for thread in threads:
-        thread.join()
-    # Requests of a machine in touch: it ran for the whole `ContactMs` before.
-    bound = max(left_at[0] + DRAIN_S, second.started_at + CONTACT_S)
-    late = [id_ for _, id_ in leaver.arrivals if sent_at.get(id_, 0.0) > bound]
-    began = time.monotonic() - record.now
-    for _, request_id in [each for each in leaver.arrivals if each[1] in set(late)][:20]:
-        record.write(
-            f"DRAIN: {request_id}, sent at {sent_at[request_id] - began:.3f}, ran at {leaver.name}"
-        )
-    lost = [each for each in outcomes if each[2] not in (200, 503)]
-    for at, request_id, status in lost:
-        ran = any(request_id in [id_ for _, id_ in each.arrivals] for each in workers)
-        record.write(f"booking {request_id}, sent at {at - began:.3f}: {status}, ran: {ran}")
-    record.write(
-        f"{len(outcomes)} bookings through front-2, {len(late)} of them ran at {leaver.name} although"
-        f" they were sent later than DrainMs after it was gone; {len(lost)} bookings were lost"
-    )
-    return bool(late)
+    try:
+        before = REPORTS_BEFORE + 1
+        world.wait_until(lambda: len(world.duties.reports) >= before, "usage is reported", 40)
+        time.sleep(OBSERVED_S)
+    finally:
+        stop.set()
+        for thread in threads:
+            thread.join()
+    counts = defaultdict(list)
+    for at, holder, fence, window, reported in world.duties.reports:
+        if reported not in [each[-1] for each in counts[window]]:
+            counts[window].append((at, holder, fence, reported))
+    if TROUBLE and not struck.is_set():
+        raise CaseError("no holder was killed")
+    record.write(f"requests run: {sum(len(worker.arrivals) for worker in workers)}")
+    for window, reports in sorted(counts.items()):
+        if len(reports) > 1:
+            record.write(f"ONE: window {window} was reported with different counts: {reports}")
+    return any(len(reports) > 1 for reports in counts.values())
 
 
 if __name__ == "__main__":
--- a/review/lib-3/standins3.py
+++ b/review/lib-3/standins3.py
@@ -322,8 +322,9 @@
     `arrivals` holds time and id of each request that it ran.
     """
 
-    def __init__(self, name, service, store, record, work_s=0.01):
+    def __init__(self, name, service, store, record, work_s=0.01, slots=8):
         self.name, self.service, self.store = name, service, store
+        self.slots = slots
         self.arrivals = []
         self.is_listed = True
         # Returns for how many seconds the store leaves the next heartbeat undone.
@@ -386,7 +387,7 @@
             "Address": self.address,
             "Zone": "zone-a",
             "Version": "v1",
-            "Slots": 8,
+            "Slots": self.slots,
             "State": "ready",
             "ColdRemainingMs": 0,
             "Sequence": self._beat,
