--- a/review/lib-3/standins3.py
+++ b/review/lib-3/standins3.py
@@ -350,7 +350,9 @@
                 worker.arrivals.append((time.monotonic(), request_id))
                 time.sleep(work_s)
                 signature = ("Response-Signature", f"s.{request_id}")
-                self.respond(200, b"done " + request_id.encode(), [*echo, signature])
+                # "A worker that leaves says so in all its answers too" (LETTER-4.md).
+                leaving = [] if worker.is_listed else [("Server-Leaving", "1")]
+                self.respond(200, b"done " + request_id.encode(), [*echo, signature, *leaving])
                 return None
 
             do_GET = do_POST = run  # noqa: N815
@@ -560,6 +562,8 @@
 
 def run_case(folder, case):
     """Run `case(world)`, which returns whether the rule was broken; exit with 1, 0 or 2."""
+    # A script that is ended early ends what it has started, too.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     world = World(folder)
     try:
         is_broken = case(world)
@@ -568,11 +572,14 @@
     except CaseError as error:
         world.record.write(f"the case could not run: {error}")
         status = 2
+    except SystemExit:
+        status = 2
     except Exception as error:
         # An error of the script itself says nothing about the rule.
         world.record.write(f"the script failed: {error!r}")
         status = 2
     finally:
         world.end()
-    print({0: "held", 1: "broken", 2: "not run"}[status])
-    sys.exit(status)
+    print({0: "held", 1: "broken", 2: "not run"}[status], flush=True)
+    # Callers' threads that still run must not keep a script that was ended early.
+    os._exit(status)
