Report no window that may have been fixed in an earlier era of the store

The holder of the duties reported a window and was killed, the store came back from a copy without the window's row, and the next holder reported the window with lower counts.

Cause: Duties._seal took an absent row for "not fixed". The store says that only of its current era. For a window that may have been fixed in an earlier one absence proves nothing, and above 12 hosts nobody but the killed holder had all counts. Ruled out by the trace: the successor did not know that the window was fixed (no window_forgotten), and read no row of it (window_sealed again in era 1, 13 processes in place of 14, 141 and 141 in place of 152 and 152).

Change: the first holder in an era stores when it first saw the era. A window that could be fixed before then is reported without its row only by a host that has its fixed counts, or that was the holder from when the window could be fixed until it saw the new era. A start that is unknown or of another era is replaced by a later one, which is safe. A holder keeps the counts of a row that it has read. No call is made and nothing changes in a store that was never restored.

--- a/src/laburnumreel/relay/_duties.py
+++ b/src/laburnumreel/relay/_duties.py
@@ -6,6 +6,7 @@
 from laburnumreel.coordination import AuthorityRegistry, AuthorizedSender, JsonResponse
 from laburnumreel.core import Clock, Log, Task
 from laburnumreel.relay._back_ends import Address
+from laburnumreel.relay._earlier_eras import EarlierEras
 from laburnumreel.relay._events import (
     REPORT_FAILED,
     SEAL_FAILED,
@@ -25,6 +26,7 @@
     LEASE_TABLE,
     Authority,
     Check,
+    EraSighting,
     FieldError,
     Fields,
     Platform,
@@ -83,7 +85,8 @@
 
     A holder that stops lets the lease expire instead of releasing it: the platform must not get
     calls from two holders within one lease time. Every host that stops writes its usage counts to
-    the store. `peers` returns the names of the live peers, `era` the store's era.
+    the store. `peers` returns the names of the live peers, `sighting` the store's era and when this
+    process first saw it.
     """
 
     def __init__(
@@ -100,7 +103,7 @@
         usage: UsageSettings,
         peers: Callable[[], Iterable[str]],
         planners: Sequence[Planner] = (),
-        era: Callable[[], int] = lambda: 0,
+        sighting: Callable[[], EraSighting] = lambda: EraSighting(0, 0.0),
     ) -> None:
         super().__init__("duties", TICK_S)
         self._platform = platform
@@ -116,9 +119,10 @@
         self._started_at = clock.now()
         self._peers = peers
         self._planners = planners
-        self._era = era
-        # The counts of the windows that this process has fixed, to write them again if the store
-        # has lost them.
+        self._sighting = sighting
+        self._earlier_eras = EarlierEras(platform, clock, true_time, sighting)
+        # The counts of the windows that this process has fixed, or has read after another one fixed
+        # them, to write them again if the store has lost them.
         self._fixed_counts: dict[int, dict[str, int]] = {}
         self._reported: set[int] = set()
         self._incomplete: set[int] = set()
@@ -155,6 +159,7 @@
         if authority.fence != self._held_fence:
             self._held_fence, self._held_since = authority.fence, now
             self._complete_since = self._usage_counters.complete_since()
+        self._earlier_eras.record_authority(authority)
         if now >= self._retry_at:
             self._report(authority)
         for planner in self._planners:
@@ -170,11 +175,14 @@
     def _authority(self) -> Authority | None:
         """Return the authority in force, or None; one of an earlier era of the store is invalid."""
         authority = self._authorities.current(DUTY_LEASE)
-        if authority is None or era_of_fence(authority.fence) != self._era():
+        if authority is None or era_of_fence(authority.fence) != self._sighting().era:
             return None
         return authority
 
     def _report(self, authority: Authority) -> None:
+        if not self._earlier_eras.learn_start(authority):
+            self._retry_at = self._clock.now() + 2 * TICK_S
+            return
         true_now = self._true_time.now()
         newest = self._usage_counters.window(true_now - SEAL_DELAY_S) - 1
         oldest = self._oldest_window(true_now)
@@ -220,33 +228,20 @@
     def _seal(self, authority: Authority, window: int) -> dict[str, int] | None:
         """Fix a window's counts and return them, or those fixed before; None to try later."""
         stored_rows = 0
-        if window not in self._fixed_counts and not self._usage_counters.is_fixed(window):
+        counts = self._fixed_counts.get(window)
+        if counts is None:
+            if self._may_be_fixed(window):
+                return self._read_fixed(authority, window)
             stored = self._usage_store.read(window)
             if stored.is_error():
                 _log.warning(USAGE_UNREADABLE, window=window, kind=stored.error.kind)
                 return None
             stored_rows = stored.ok
-        counts = self._fixed_counts.get(window) or self._usage_counters.total_counts(window)
-        key = seal_key(window)
-        if not counts:
-            row = self._platform.read(SEAL_TABLE, key)
-            if row.is_error():
-                return None
-            if row.ok is None:
+            counts = self._usage_counters.total_counts(window)
+            if not counts:
                 # Nothing ran, or all hosts with counts are gone; a report could only be wrong.
-                self._reported.add(window)
-                return None
-            return self._read_sealed(window, row.ok)
-        if window not in self._fixed_counts and self._usage_counters.is_fixed(window):
-            # Fixed by another holder. The row has the counts, unless the store has lost it.
-            row = self._platform.read(SEAL_TABLE, key)
-            if row.is_error():
-                return None
-            if row.ok is None:
-                _log.warning(WINDOW_FORGOTTEN, window=window, fence=authority.fence)
-                self._reported.add(window)
-                return None
-            return self._read_sealed(window, row.ok)
+                return self._read_fixed(authority, window)
+        key = seal_key(window)
         checks = [
             Check(LEASE_TABLE, DUTY_LEASE, authority.row_version),
             Check(SEAL_TABLE, key, 0),
@@ -272,6 +267,25 @@
         _log.warning(SEAL_FAILED, window=window, kind=error.kind, detail=error.detail[:200])
         return None
 
+    def _may_be_fixed(self, window: int) -> bool:
+        """Return whether a window may be fixed, although the store may have lost its row."""
+        fixable_at = self._usage_counters.ends_at(window) + SEAL_DELAY_S
+        return self._usage_counters.is_fixed(window) or self._earlier_eras.may_have_fixed(
+            fixable_at
+        )
+
+    def _read_fixed(self, authority: Authority, window: int) -> dict[str, int] | None:
+        """Return the counts in a window's row; without one, the window is not reported."""
+        row = self._platform.read(SEAL_TABLE, seal_key(window))
+        if row.is_error():
+            return None
+        if row.ok is not None:
+            return self._read_sealed(window, row.ok)
+        if self._may_be_fixed(window):
+            _log.warning(WINDOW_FORGOTTEN, window=window, fence=authority.fence)
+        self._reported.add(window)
+        return None
+
     def _read_sealed(self, window: int, row: Row) -> dict[str, int] | None:
         """Return the counts in a window's row, or None if the row is invalid.
 
@@ -280,11 +294,14 @@
         up.
         """
         try:
-            return Fields(row.value).fields("counts").all_integers()
+            counts = Fields(row.value).fields("counts").all_integers()
         except FieldError as error:
             own_row_log.log_once(SEAL_TABLE, row.key, row.version, str(error))
             self._reported.add(window)
             return None
+        self._fixed_counts[window] = counts
+        self._usage_counters.mark_fixed(window)
+        return counts
 
     def _send_report(self, authority: Authority, window: int, counts: dict[str, int]) -> bool:
         current = self._authority()
--- a/src/laburnumreel/relay/_events.py
+++ b/src/laburnumreel/relay/_events.py
@@ -205,7 +205,15 @@
 WINDOW_FORGOTTEN = define_event(
     662,
     "window_forgotten",
-    "the store has lost the row of a window that another host sealed; it is not reported again",
+    "the store may have lost the row of a window that another host sealed; it is not reported",
+)
+ERA_START_STORED = define_event(
+    702, "era_start_stored", "the start of the store's era was stored for later usage reports"
+)
+ERA_START_UNKNOWN = define_event(
+    703,
+    "era_start_unknown",
+    "the start of the store's era could not be read or stored; usage is not reported until then",
 )
 USAGE_NOT_TOLD = define_event(
     661,
--- a/src/laburnumreel/relay/_node.py
+++ b/src/laburnumreel/relay/_node.py
@@ -332,7 +332,7 @@
             settings.usage,
             lambda: self._peers.live_peers,
             (capacity, roles, cleaner),
-            lambda: adapter.store_era.current,
+            lambda: adapter.store_era.sighting,
         )
         self._software_rows = SoftwareRows(
             adapter.store,
--- a/src/laburnumreel/relay/_true_time.py
+++ b/src/laburnumreel/relay/_true_time.py
@@ -30,6 +30,12 @@
         self._wall_offset_s = clock.wall() - clock.now()
         self._store_offset_s: float | None = None
         self._round_trip_s = float("inf")
+        self._is_agreed = False
+
+    @property
+    def is_agreed(self) -> bool:
+        """Whether the time of day is that of the row, which all hosts use."""
+        return self._is_agreed
 
     def now(self) -> float:
         """Return the time of day in seconds of the Unix epoch."""
@@ -62,3 +68,4 @@
         """Set the agreed time of day of the store clock's zero."""
         if self._store_offset_s is not None:
             self._wall_offset_s = store_zero + self._store_offset_s
+            self._is_agreed = True
--- a/src/laburnumreel/state/__init__.py
+++ b/src/laburnumreel/state/__init__.py
@@ -13,6 +13,7 @@
 from laburnumreel.state._era import (
     MAX_COMMIT_NUMBER,
     MAX_ERA,
+    EraSighting,
     StoreEra,
     commit_number_of,
     era_of_fence,
@@ -107,6 +108,7 @@
     "own_row_log",
     "describe_error",
     "read_hosts",
+    "EraSighting",
     "StoreEra",
     "era_of_version",
     "era_of_fence",
--- a/src/laburnumreel/state/_era.py
+++ b/src/laburnumreel/state/_era.py
@@ -7,6 +7,9 @@
 """
 
 import threading
+from typing import NamedTuple
+
+from laburnumreel.core import Clock, SystemClock
 
 # Bits of a commit number within an era: enough for 300 commits a second for a thousand years.
 COMMIT_NUMBER_BITS = 43
@@ -18,6 +21,16 @@
 FENCE_BITS = 32
 
 
+class EraSighting(NamedTuple):
+    """An era of the store and when a process first knew of it, on the process' clock in seconds.
+
+    All earlier eras were over by then.
+    """
+
+    era: int
+    seen_at: float
+
+
 class StoreEra:
     """The newest store era known to a process, from the store's responses or from peers.
 
@@ -28,20 +41,27 @@
     (True, False, 2)
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
         self._lock = threading.Lock()
-        self._current = 0
+        self._clock = clock or SystemClock()
+        self._sighting = EraSighting(0, self._clock.now())
 
     @property
     def current(self) -> int:
-        return self._current
+        return self._sighting.era
+
+    @property
+    def sighting(self) -> EraSighting:
+        """The newest era and when this process first knew of it."""
+        return self._sighting
 
     def advance_to(self, era: int) -> bool:
         """Record an era. Return False if it is outdated; data from that era must not be used."""
         with self._lock:
-            if era < self._current:
+            if era < self._sighting.era:
                 return False
-            self._current = era
+            if era > self._sighting.era:
+                self._sighting = EraSighting(era, self._clock.now())
             return True
 
 
