Trust rows of service versions only if they were written in the store's current era

What callers could see: streams of two software versions joined (ORDER), after the store came back from an older copy: a host that started then read that a service had one version, although a second one had come since the copy was made, and let any stream go on at it.

Cause: a row of relay_software claims to name all versions, which holds only in the era in which it was written. Nobody wrote it again after a restore unless the versions changed.

--- a/src/laburnumreel/relay/_software_history.py
+++ b/src/laburnumreel/relay/_software_history.py
@@ -62,10 +62,16 @@
         self._first_listed_at = now
         self._stored.clear()
 
-    def on_stored(self, stored: Mapping[str, Iterable[str]], now: float) -> None:
-        """Record the versions that hosts have written to the store before this host started."""
+    def on_stored(
+        self, stored: Mapping[str, Iterable[str]], now: float, is_complete: bool = True
+    ) -> None:
+        """Record the versions that hosts have written to the store before this host started.
+
+        With `is_complete` False, there may have been others.
+        """
         for service, versions in stored.items():
-            self._stored.add(service)
+            if is_complete:
+                self._stored.add(service)
             for version in set(versions) - self._listed.get(service, frozenset()):
                 self._left_at.setdefault(service, {}).setdefault(version, now)
 
--- a/src/laburnumreel/relay/_stream_directory.py
+++ b/src/laburnumreel/relay/_stream_directory.py
@@ -114,7 +114,10 @@
 
 
 class _SoftwareStored(NamedTuple):
+    """Versions from the store; `is_complete` is False if they are of an older copy of it."""
+
     stored: Mapping[str, frozenset[str]]
+    is_complete: bool = True
 
 
 class StreamDirectory(Task):
@@ -197,6 +200,11 @@
         self.tell(_SoftwareStored(stored))
         self._wake()
 
+    def on_restored(self, stored: Mapping[str, frozenset[str]]) -> None:
+        """Record versions from a copy of the store, which may lack those of before its restore."""
+        self.tell(_SoftwareStored(stored, is_complete=False))
+        self._wake()
+
     def versions(self) -> Future:
         """Return a future of the versions that may have begun live streams, by service.
 
@@ -226,8 +234,8 @@
                 self._update_soles(now)
             case ListRead():
                 self._on_list_read(message, now)
-            case _SoftwareStored(stored):
-                self._history.on_stored(stored, now)
+            case _SoftwareStored(stored, is_complete):
+                self._history.on_stored(stored, now, is_complete)
                 self._update_soles(now)
             case "versions":
                 return {
--- a/tests/test_software_rows.py
+++ b/tests/test_software_rows.py
@@ -4,7 +4,14 @@
 
 from expression import Error, Ok
 
-from laburnumreel.relay._software_rows import RETRY_S, SOFTWARE_TABLE, TICK_S, SoftwareRows
+from laburnumreel.relay._software_history import SoftwareHistory
+from laburnumreel.relay._software_rows import (
+    MAX_REREADS,
+    RETRY_S,
+    SOFTWARE_TABLE,
+    TICK_S,
+    SoftwareRows,
+)
 from laburnumreel.state import Page, PlatformError, Row
 
 
@@ -45,11 +52,14 @@
 
     def __init__(self, **versions):
         self.known = {service: frozenset(each) for service, each in versions.items()}
-        self.stored = []
+        self.stored, self.restored = [], []
 
     def on_stored(self, stored):
         self.stored.append({service: set(versions) for service, versions in stored.items()})
 
+    def on_restored(self, stored):
+        self.restored.append({service: set(versions) for service, versions in stored.items()})
+
     def versions(self):
         future = Future()
         future.set_result(self.known)
@@ -137,3 +147,53 @@
     setup.era = 1
     setup.run()
     assert len(setup.directory.stored) == 2
+
+
+class TestRestoredStore:
+    """Guards against streams of two versions after the store came back from an older copy.
+
+    A host that started after the restore read that a service has one version, although a second one
+    had come since the copy was made, and let streams of both go on at the first one.
+    """
+
+    def test_rows_of_an_earlier_era_do_not_name_all_versions(self):
+        setup = Setup(StubStore(quotes={"versions": ["v1"]}), StubDirectory(), fence=0)
+        setup.era = 1
+        setup.run()
+        assert setup.directory.stored == [{}]
+        assert setup.directory.restored == [{"quotes": {"v1"}}]
+
+    def test_holder_writes_all_rows_again_in_a_new_era(self):
+        setup = Setup(StubStore(), StubDirectory(quotes={"v1"}))
+        setup.run(4 * TICK_S)
+        setup.era = 1
+        setup.run(10)
+        assert setup.value("quotes")["era"] == 1
+        assert setup.store.calls == ["read", "write", "read", "write"]
+
+    def test_host_that_starts_reads_until_the_holder_has_written(self):
+        store = StubStore(quotes={"versions": ["v1"]})
+        starter, holder = (Setup(store, StubDirectory(), fence) for fence in (0, 1))
+        starter.era = holder.era = 1
+        starter.run()
+        holder.directory.known = {"quotes": frozenset({"v1", "v2"})}
+        holder.run(4 * TICK_S)
+        starter.run(RETRY_S + TICK_S)
+        assert starter.directory.stored[-1] == {"quotes": {"v1", "v2"}}
+        calls = len(store.calls)
+        starter.run(10)
+        assert len(store.calls) == calls
+
+    def test_reads_of_rows_that_nobody_writes_are_bounded(self):
+        setup = Setup(StubStore(gone={"versions": ["v1"]}), StubDirectory(), fence=0)
+        setup.era = 1
+        setup.run(120)
+        assert len(setup.store.calls) == MAX_REREADS + 1
+
+    def test_copy_makes_no_version_the_only_one(self):
+        history = SoftwareHistory(lambda: 20.0)
+        history.on_listed({"quotes": frozenset({"v1"})}, 0.0)
+        history.on_stored({"quotes": {"v1"}}, 0.0, is_complete=False)
+        assert history.sole("quotes", 1.0) is None
+        history.on_stored({"quotes": {"v1"}}, 2.0)
+        assert history.sole("quotes", 2.0) == "v1"
