Soak: lose the host that has just reported usage as the store is restored

The new set of faults (--faults reports) kills or pauses the host that has just reported, restores the store from before the report, stops another host as planned at times, and lists hosts that never answer, so that counts go to the holder alone as in deployments of more than a dozen hosts.

--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -18,6 +18,7 @@
 from platform_answers import echo, engine, send_whole
 from platform_config import config
 
+from laburnumreel.relay._peer_gossip import USAGE_TO_ALL_MAX_HOSTS
 from laburnumreel_standins.caller import last_answers
 from laburnumreel_standins.processes import fresh_host
 
@@ -434,6 +435,15 @@
         self.store.put("servers", name, worker.entry(service, **fields))
         return worker
 
+    def send_usage_to_holder_only(self):
+        """List hosts that never answer, so that relays send usage counts only to the holder.
+
+        Relays do so in deployments of more than a dozen hosts.
+        """
+        for number in range(USAGE_TO_ALL_MAX_HOSTS):
+            row = {"address": f"127.250.0.{number + 1}:9", "boot": f"boot{number}"}
+            self.store.put("relay_hosts", f"silent-{number}", row)
+
     def launch_relay(self, name):
         """Start a relay without waiting until it is ready."""
         relay = RelayProcess(self, name)
--- a/tests/relay_soak.py
+++ b/tests/relay_soak.py
@@ -33,6 +33,9 @@
 STALE_VIEW_S = 5.0
 SETTLE_S = 3.0
 HEARTBEAT_S = 1.2
+# How long a usage report is awaited; a new holder sends one after its lease's term and its wait for
+# counts.
+REPORT_WAIT_S = 10.0
 # How long callers wait for a relay where some are stopped: not until they have all left the others.
 STOPPED_RELAY_S = 1.0
 
@@ -44,6 +47,7 @@
         self.possible_faults = faults
         self.relay_count = relays
         self.loses_readers = lose_readers in faults
+        self.loses_reporter = lose_reporter in faults
         self.rng = random.Random(seed)
         self.seed, self.seconds = seed, seconds
         self.world = World(folder)
@@ -71,6 +75,8 @@
                 ("d2", "quotes", "decode"),
             ):
                 self._add_worker(name, service, stage)
+            if self.loses_reporter:
+                self.world.send_usage_to_holder_only()
             for _ in range(self.relay_count):
                 self._add_relay()
             for relay in self.relays:
@@ -132,7 +138,8 @@
         while not self.stop.is_set():
             if connection is None or rng.random() < 0.2:
                 target = rng.choice(self.relays)
-                timeout_s = STOPPED_RELAY_S if self.loses_readers else 6
+                has_stopped = self.loses_readers or self.loses_reporter
+                timeout_s = STOPPED_RELAY_S if has_stopped else 6
                 connection = http.client.HTTPConnection(target.host, target.port, timeout=timeout_s)
             path = rng.choice(["/safe/", "/once/", "/once/", "/ask/", "/talk/"])
             request_id = f"q{self.seed}-{next(self.request_numbers)}"
@@ -283,6 +290,43 @@
     return heal
 
 
+def lose_reporter(soak):
+    """Lose the host that has just reported usage, and restore the store from before the report.
+
+    The others, of which some are stopped as planned at times, must not report the window again with
+    other counts.
+    """
+    calls = soak.world.duties.calls
+    snapshot, reported = soak.world.store.snapshot(), len(calls)
+    deadline = time.monotonic() + REPORT_WAIT_S
+    while len(calls) == reported:
+        if time.monotonic() > deadline:
+            return None
+        time.sleep(0.01)
+    holder = calls[-1][1]["Lease-Holder"]
+    reporter = next((relay for relay in soak.relays if relay.name == holder), None)
+    if reporter is None or len(soak.relays) < soak.relay_count:
+        return None
+    how = soak.rng.choice([signal.SIGKILL, signal.SIGKILL, signal.SIGSTOP])
+    reporter.process.send_signal(how)
+    soak.relays.remove(reporter)
+    _mark_views_stale(soak)
+    _restore(soak, snapshot)
+    if soak.rng.random() < 0.4:
+        stop_relay(soak)
+
+    def heal():
+        if how == signal.SIGSTOP and soak.rng.random() < 0.5:
+            reporter.process.send_signal(signal.SIGCONT)
+            soak.relays.append(reporter)
+            return
+        reporter.process.kill()
+        reporter.process.wait()
+        soak._add_relay()
+
+    return heal
+
+
 def _mark_views_stale(soak):
     soak.observations.views_stale_until = time.monotonic() + STALE_VIEW_S
 
@@ -346,18 +390,19 @@
     _mark_views_stale(soak)
     snapshot = soak.world.store.snapshot()
 
-    def heal():
-        soak.world.store.restore(snapshot)
-        # The operator and the workers write their entries again after the restore.
-        soak.world.store.put("op", "config", config(soak.version))
-        for name, worker in soak.world.workers.items():
-            worker.listed_entry = {
-                **worker.listed_entry,
-                "Sequence": worker.listed_entry["Sequence"] + 1,
-            }
-            soak.world.store.put("servers", name, worker.listed_entry)
+    return lambda: _restore(soak, snapshot)
 
-    return heal
+
+def _restore(soak, snapshot):
+    """Restore a copy of the store; the operator and the workers write their entries again."""
+    soak.world.store.restore(snapshot)
+    soak.world.store.put("op", "config", config(soak.version))
+    for name, worker in soak.world.workers.items():
+        worker.listed_entry = {
+            **worker.listed_entry,
+            "Sequence": worker.listed_entry["Sequence"] + 1,
+        }
+        soak.world.store.put("servers", name, worker.listed_entry)
 
 
 def worker_names_limit(soak):
@@ -377,7 +422,12 @@
 
 
 # Durations of faults that last longer; all others last up to 2 s.
-FAULT_DURATIONS_S = {worker_leaves: 4.0, worker_names_limit: 10.0, lose_readers: 3.6}
+FAULT_DURATIONS_S = {
+    worker_leaves: 4.0,
+    worker_names_limit: 10.0,
+    lose_readers: 3.6,
+    lose_reporter: 6.0,
+}
 
 FAULTS = (
     kill_relay,
@@ -411,14 +461,17 @@
 # Loss of the hosts that others count on. Each start of a host makes the others read the table, so
 # no others are killed or stopped, and a worker drains just then.
 FAULTS_WITH_LOST_READERS = (lose_readers, lose_readers, change_config)
+# Loss of the host that reports usage beside restores of the store, where it alone has all counts.
+FAULTS_WITH_LOST_REPORTERS = (lose_reporter, lose_reporter, store_drill, change_config)
 FAULT_SETS = {
     "plain": FAULTS,
     "drills": FAULTS_WITH_STORE_RESTORES,
     "limits": FAULTS_WITH_RATE_LIMITS,
     "readers": FAULTS_WITH_LOST_READERS,
+    "reports": FAULTS_WITH_LOST_REPORTERS,
 }
 # Hosts of a run, 2 if not given.
-RELAYS = {FAULTS_WITH_LOST_READERS: 4}
+RELAYS = {FAULTS_WITH_LOST_READERS: 4, FAULTS_WITH_LOST_REPORTERS: 4}
 
 
 def run_seed(seed, seconds, faults=FAULTS, keep_dir=None):
--- a/tests/test_relay_soak.py
+++ b/tests/test_relay_soak.py
@@ -6,6 +6,7 @@
 from limit_count import LimitCount
 from relay_soak import (
     FAULTS_WITH_LOST_READERS,
+    FAULTS_WITH_LOST_REPORTERS,
     FAULTS_WITH_RATE_LIMITS,
     FAULTS_WITH_STORE_RESTORES,
     RETRY,
@@ -98,3 +99,11 @@
     soak, findings = run_seed(4701, seconds=16.0, faults=FAULTS_WITH_LOST_READERS)
     assert not findings, soak.faults
     assert "lose_readers" in soak.faults
+
+
+@pytest.mark.processes
+def test_seeded_run_with_lost_reporters_has_no_finding():
+    """Guards against a second report of a window with other counts (issue 67)."""
+    soak, findings = run_seed(6702, seconds=16.0, faults=FAULTS_WITH_LOST_REPORTERS)
+    assert not findings, soak.faults
+    assert "lose_reporter" in soak.faults and soak.world.duties.calls
--- a/tests/test_usage_over_drills.py
+++ b/tests/test_usage_over_drills.py
@@ -18,7 +18,6 @@
     START_KEY,
     EarlierEras,
 )
-from laburnumreel.relay._peer_gossip import USAGE_TO_ALL_MAX_HOSTS
 from laburnumreel.relay._true_time import TrueTime
 from laburnumreel.state import Authority, StoreEra, first_fence
 
@@ -181,8 +180,6 @@
         assert not host.eras.may_have_fixed(held_since + 8.0 + MAX_TIME_DIFFERENCE_S)
 
 
-# Rows of hosts that never answer make a deployment too large for counts to go to all hosts.
-SILENT_HOSTS = USAGE_TO_ALL_MAX_HOSTS
 # From a restore until a successor has decided on all earlier windows: the lease's term with its
 # margins, and the time in which a new holder waits for counts.
 TAKE_OVER_S = 8.0
@@ -193,9 +190,7 @@
     def test_successor_does_not_report_a_window_that_the_store_forgot(self, world):
         """Guards against two reports of a window after its holder was killed (issue 67)."""
         worker = world.worker("w1", Slots=16)
-        for number in range(SILENT_HOSTS):
-            row = {"address": f"127.250.0.{number + 1}:9", "boot": f"boot{number}"}
-            world.store.put("relay_hosts", f"silent-{number}", row)
+        world.send_usage_to_holder_only()
         relays = [world.start_relay(name) for name in ("relay-1", "relay-2")]
         snapshot = world.store.snapshot()
         stop = threading.Event()
