Begin a holder's tenure anew after another holder of the same era

What could happen: a host held the duties until it saw a new era, another host took them first in that era, fixed windows and was lost, the first host took them again, and a second restore lost the rows. The first host then took itself for the only one that could have fixed them since its old tenure, and could report them with other counts (ONE).

Cause: the tenure went on over the change of era, whoever was the first holder in the new one.

Change: it goes on only with the first fencing number of the era, which one host alone gets.

Evidence: test_holder_after_another_one_in_the_new_era_knows_less_of_the_next_one failed before.

--- a/src/laburnumreel/relay/_earlier_eras.py
+++ b/src/laburnumreel/relay/_earlier_eras.py
@@ -25,6 +25,7 @@
     Row,
     Write,
     era_of_fence,
+    first_fence,
     own_row_log,
 )
 
@@ -83,12 +84,9 @@
 
     def record_authority(self, authority: Authority) -> None:
         """Record an authority of the store's current era, while it is in force."""
-        tenure, era = self._tenure, era_of_fence(authority.fence)
+        tenure = self._tenure
         if tenure is None or tenure.authority.fence != authority.fence:
-            if tenure is not None and self._held_until(era, tenure.authority):
-                self._alone_since = _EraTime(era, tenure.since)
-            else:
-                tenure = _Tenure(self._clock.now(), authority)
+            tenure = self._begin_tenure(tenure, authority)
         self._tenure = tenure._replace(authority=authority)
 
     def learn_start(self, authority: Authority) -> bool:
@@ -119,6 +117,16 @@
         """Return the time of day of a time on this process' clock."""
         return self._true_time.now() - (self._clock.now() - at)
 
+    def _begin_tenure(self, previous: _Tenure | None, authority: Authority) -> _Tenure:
+        """Return the tenure with a new fencing number, which may continue that of an earlier era."""
+        era = era_of_fence(authority.fence)
+        if previous is not None and self._held_until(era, previous.authority):
+            self._alone_since = _EraTime(era, previous.since)
+            # With a higher number, another host was the holder in this era first.
+            if authority.fence == first_fence(era):
+                return previous
+        return _Tenure(self._clock.now(), authority)
+
     def _held_until(self, era: int, authority: Authority) -> bool:
         """Return whether an authority of an earlier era was in force until `era` was first seen."""
         sighting = self._sighting()
--- a/tests/test_usage_over_drills.py
+++ b/tests/test_usage_over_drills.py
@@ -167,6 +167,22 @@
         assert host.eras.learn_start(host.hold(1, 113.0))
         assert host.eras.may_have_fixed(held_since + MAX_TIME_DIFFERENCE_S)
 
+    def test_holder_after_another_one_in_the_new_era_knows_less_of_the_next_one(self):
+        """Its successor fixed windows in the era between, whose rows the next restore may lose."""
+        host = Eras(self.store, self.clock)
+        host.hold(0, end=110.0)
+        self.clock.advance(8.0)
+        self.restore()
+        host.era.advance_to(1)
+        self.clock.advance(10.0)
+        returned_at = self.clock.wall()
+        # Another host held the first fencing number of the era.
+        host.eras.record_authority(Authority("relay_duties", first_fence(1) + 1, 9, 125.0))
+        self.restore()
+        host.era.advance_to(2)
+        assert host.eras.learn_start(host.hold(2, 128.0))
+        assert host.eras.may_have_fixed(returned_at - 2.0)
+
     def test_tenure_before_another_holder_does_not_count(self):
         host = Eras(self.store, self.clock)
         held_since = self.clock.wall()
--- a/tests/usage_drills.py
+++ b/tests/usage_drills.py
@@ -323,6 +323,26 @@
     world.after(world.rng.choice([2.0, 5.0, 9.0]), lambda: world.drill(1.0))
 
 
+def return_after_successor_before_second_drill(world, host):
+    """The holder stands still, and takes over again from its successor, whose rows are then lost."""
+    host.is_paused = True
+
+    def lose_successor(successor, window):
+        world.on_report = lose_row
+        kill_holder(world, successor)
+        host.is_paused = False
+        for other in world.live:
+            other.is_paused = other is not host
+
+    def lose_row(returned, window):
+        world.on_report = lambda host, window: None
+        for other in world.live:
+            other.is_paused = False
+        world.drill(0.5)
+
+    world.on_report = lose_successor
+
+
 def two_drills(world, host):
     world.after(world.rng.choice([2.0, 5.0, 9.0]), lambda: world.drill(1.0))
 
@@ -340,6 +360,7 @@
         kill_holder_and_replace_others,
         kill_all,
         kill_holder_before_two_drills,
+        return_after_successor_before_second_drill,
         two_drills,
         no_loss,
     )
