--- a/tests/usage_drills.py
+++ b/tests/usage_drills.py
@@ -199,7 +199,7 @@
         self.duties.close()
 
     def _post(self, authority, address, path, body, headers):
-        self.world.receive(self, *body)
+        self.world.receive(self, authority.fence, *body)
         return Ok(JsonResponse(200, {}))
 
 
@@ -207,7 +207,8 @@
     """Hosts on one clock, the store, and the reports that the platform accepted.
 
     `on_report` is called with the host and the window of each report. `findings` has the windows
-    that were reported with different counts.
+    that were reported with different counts, and the fencing numbers that did not grow or that two
+    hosts used.
     """
 
     def __init__(self, seed=0, hosts=4):
@@ -218,6 +219,8 @@
         self.reports = defaultdict(list)
         self.on_report = lambda host, window: None
         self.findings = []
+        # The highest fencing number of a report, and who sent it.
+        self._highest = 0, None
         self._pending = []
         self.live = []
         for number in range(hosts):
@@ -249,7 +252,11 @@
     def after(self, seconds, action):
         self._pending.append((self.clock.now() + seconds, action))
 
-    def receive(self, host, window, counts):
+    def receive(self, host, fence, window, counts):
+        highest, holder = self._highest
+        if fence < highest or (fence == highest and holder is not host):
+            self.findings.append(f"fence {fence} by {host.boot} after {highest} by {holder.boot}")
+        self._highest = max(fence, highest), host
         reports = self.reports[window]
         if reports and counts not in reports:
             self.findings.append(f"window {window}: {reports[0]}, then {counts} by {host.boot}")
