--- a/tests/usage_drills.py
+++ b/tests/usage_drills.py
@@ -320,6 +320,12 @@
     world.after(3.0, replace_others)
 
 
+def replace_all(world, host):
+    """Restart all hosts as planned, one after the other, around the restore."""
+    for number, other in enumerate(world.rng.sample(world.live, len(world.live))):
+        world.after(0.5 + number, lambda other=other: world.replace(other))
+
+
 def kill_all(world, host):
     for other in list(world.live):
         kill_holder(world, other)
@@ -365,6 +371,7 @@
         pause_holder,
         kill_holder_and_successor,
         kill_holder_and_replace_others,
+        replace_all,
         kill_all,
         kill_holder_before_two_drills,
         return_after_successor_before_second_drill,
