Cut links: make one link for a server when the store is read twice at once

Its log has all requests at two of the eight servers, with several new connections to each, after the cut. The store's answers are built on several threads, and two that met made two links for one server, of which only the last was kept and cut; the relay had the address of the other.

A lock makes one link. The new test has two reads meet, and failed before (2 links). The check of the test that failed is as it was.

--- a/tests/cut_links.py
+++ b/tests/cut_links.py
@@ -142,31 +142,37 @@
     def __init__(self, world, relay_name):
         self._links = {}
         self._form = None
+        # The store's answers are built on several threads.
+        self._lock = threading.Lock()
         self._view = world.store.serve_view(self._view_row)
         world.store_addresses[relay_name] = self._view.address
 
     def cut(self, form):
-        self._form = form
-        for link in list(self._links.values()):
-            link.cut(form)
+        with self._lock:
+            self._form = form
+            for link in self._links.values():
+                link.cut(form)
 
     def heal(self):
-        self._form = None
-        for link in list(self._links.values()):
-            link.heal()
+        with self._lock:
+            self._form = None
+            for link in self._links.values():
+                link.heal()
 
     def end(self):
         self._view.end()
-        for link in list(self._links.values()):
-            link.end()
+        with self._lock:
+            for link in self._links.values():
+                link.end()
 
     def _view_row(self, row):
         if row["Table"] != "servers" or "Value" not in row:
             return row
         entry = json.loads(base64.b64decode(row["Value"]))
-        if row["Key"] not in self._links:
-            link = self._links[row["Key"]] = CutLink(entry["Address"])
-            if self._form is not None:
-                link.cut(self._form)
-        entry["Address"] = self._links[row["Key"]].address
+        with self._lock:
+            if row["Key"] not in self._links:
+                link = self._links[row["Key"]] = CutLink(entry["Address"])
+                if self._form is not None:
+                    link.cut(self._form)
+            entry["Address"] = self._links[row["Key"]].address
         return {**row, "Value": base64.b64encode(json.dumps(entry).encode()).decode()}
--- a/tests/test_stranded_relays.py
+++ b/tests/test_stranded_relays.py
@@ -6,8 +6,9 @@
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
+import cut_links
 import pytest
-from cut_links import FORMS, CutLinks
+from cut_links import FORMS, CutLink, CutLinks
 from platform_world import wait_until
 from relay_caller import PROMPT_HEADERS, Caller
 
@@ -119,6 +120,29 @@
         assert outcomes[200] == outcomes.total(), outcomes
 
 
+def test_two_reads_of_the_store_at_once_use_one_link(world, monkeypatch):
+    """Guards against a link that no test can cut, since another one took its place.
+
+    A relay that was cut off from all servers still reached two of them.
+    """
+    made = []
+
+    class SlowLink(CutLink):
+        def __init__(self, target):
+            time.sleep(0.2)
+            made.append(self)
+            super().__init__(target)
+
+    monkeypatch.setattr(cut_links, "CutLink", SlowLink)
+    world.worker("w0", "orders")
+    links = CutLinks(world, "relay-0")
+    row = {**world.store.rows["servers", "w0"]}
+    with ThreadPoolExecutor(2) as executor:
+        read = [executor.submit(links._view_row, row) for _ in range(2)]
+    assert len(made) == 1 and read[0].result() == read[1].result()
+    links.end()
+
+
 def test_request_is_refused_at_once_where_all_relays_are_cut(cut_relays):
     relays, links = cut_relays(3)
     for each in links:
